--- /dev/null
+++ b/internal/backend/exchange.go
@@ -0,0 +1,133 @@
+package backend
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// errHeaderTimeout is the cause of a call whose response header did not come.
+const errHeaderTimeout = errors.ConstError("no response header in time")
+
+// exchange is one HTTP request and its response. cancel ends it at any time.
+type exchange struct {
+	response *http.Response
+	ctx      context.Context
+	cancel   context.CancelCauseFunc
+}
+
+// onceBody is a request body without a way to rewind it.
+//
+// The failure guarded against: net/http resends a request by itself when a
+// reused connection breaks, if the request has no body or a body that it can
+// rewind, and so runs it twice. A body that is present, even when empty, and
+// can't be rewound (http.Request.GetBody is nil) makes that impossible.
+type onceBody struct{ io.Reader }
+
+func (onceBody) Close() error { return nil }
+
+// send makes one request on one connection. headerTimeout 0 leaves the wait
+// for the header to ctx.
+func (c *HTTPClient) send(ctx context.Context, r outgoing, headerTimeout time.Duration) (*exchange, error) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	var used usedConn
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: used.got})
+	request, err := r.build(traced)
+	if err != nil {
+		cancel(nil)
+		return nil, &CallError{Address: r.address, Sent: SentNothing, Cause: err}
+	}
+	c.authorise(request)
+	stop := startTimer(headerTimeout, func() { cancel(errHeaderTimeout) })
+	//nolint:bodyclose // whoever gets the exchange closes the body
+	response, err := c.transports.get(r.address).RoundTrip(request)
+	stop()
+	if err != nil {
+		sent := used.sent()
+		cause := causeOf(ctx, err)
+		cancel(nil)
+		return nil, &CallError{Address: r.address, Sent: sent, Cause: cause}
+	}
+	return &exchange{response: response, ctx: ctx, cancel: cancel}, nil
+}
+
+// usedConn remembers the connection of a request. RoundTrip calls got in its
+// own goroutine and returns later, so no lock is needed.
+type usedConn struct {
+	conn *sealedConn
+	mark uint64
+	// foreign is a connection of a kind that can prove nothing.
+	foreign bool
+}
+
+func (u *usedConn) got(info httptrace.GotConnInfo) {
+	conn, ok := info.Conn.(*sealedConn)
+	if !ok {
+		u.foreign = true
+		return
+	}
+	u.conn = conn
+	u.mark = conn.mark()
+}
+
+// sent ends the connection and tells how far the request got on it.
+func (u *usedConn) sent() Sent {
+	if u.foreign {
+		return SentUnknown
+	}
+	if u.conn == nil || !u.conn.seal(u.mark) {
+		return SentNothing
+	}
+	return SentUnknown
+}
+
+// outgoing is a request to a backend server.
+type outgoing struct {
+	address string
+	method  string
+	path    string
+	header  http.Header
+	body    []byte
+}
+
+func (r outgoing) build(ctx context.Context) (*http.Request, error) {
+	body := onceBody{bytes.NewReader(r.body)}
+	request, err := http.NewRequestWithContext(ctx, r.method, "http://"+r.address+r.path, body)
+	if err != nil {
+		return nil, errors.Annotate(err, "building the request")
+	}
+	if r.header != nil {
+		request.Header = r.header
+	}
+	request.ContentLength = int64(len(r.body))
+	return request, nil
+}
+
+func (c *HTTPClient) authorise(r *http.Request) {
+	r.Header.Del("Authorization")
+	if c.options.Secret != "" {
+		r.Header.Set("Authorization", "Bearer "+c.options.Secret)
+	}
+}
+
+func startTimer(d time.Duration, f func()) (stop func()) {
+	if d == 0 {
+		return func() {}
+	}
+	timer := time.AfterFunc(d, f)
+	return func() { timer.Stop() }
+}
+
+// causeOf prefers the reason for which ctx ended over the error that this
+// made net/http return.
+func causeOf(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); cause != nil {
+		return errors.Trace(cause)
+	}
+	return errors.Trace(err)
+}
--- /dev/null
+++ b/internal/backend/http_client.go
@@ -0,0 +1,146 @@
+package backend
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/juju/errors"
+)
+
+// HTTPClient is the Client over HTTP/1.1 and server-sent events. It makes
+// each call once: it follows no redirect, uses no proxy and repeats nothing.
+type HTTPClient struct {
+	options    Options
+	transports *transports
+}
+
+var _ Client = (*HTTPClient)(nil)
+
+// NewHTTPClient returns a client with the given limits.
+func NewHTTPClient(o Options) *HTTPClient {
+	o = o.withDefaults()
+	return &HTTPClient{options: o, transports: newTransports(o)}
+}
+
+// Close closes all idle connections. Calls still open end by themselves.
+func (c *HTTPClient) Close() { c.transports.closeAll() }
+
+// Retire closes the idle connections to address and pools none of those in
+// use; later calls make new ones.
+func (c *HTTPClient) Retire(address string) { c.transports.retire(address) }
+
+// Generate starts one attempt and returns its stream when the engine's
+// response header has arrived.
+func (c *HTTPClient) Generate(ctx context.Context, address string, g Generation) (TokenStream, error) {
+	x, err := c.post(ctx, address, PathGenerate, g)
+	if err != nil {
+		return nil, err
+	}
+	if x.response.StatusCode != http.StatusOK {
+		return nil, c.refused(address, x)
+	}
+	return newSSEStream(x, c.options.MaxLine), nil
+}
+
+// Cancel asks the engine to stop an attempt.
+func (c *HTTPClient) Cancel(ctx context.Context, address, attempt string) error {
+	x, err := c.post(ctx, address, PathCancel, CancelOrder{Attempt: attempt})
+	if err != nil {
+		return err
+	}
+	if x.response.StatusCode != http.StatusOK {
+		return c.refused(address, x)
+	}
+	_, _ = c.readReply(x)
+	return nil
+}
+
+// Order gives one order. An order refused as stale is an answer, not an error.
+func (c *HTTPClient) Order(ctx context.Context, address string, o Order) (OrderReply, error) {
+	x, err := c.post(ctx, address, PathOrders, o)
+	if err != nil {
+		return OrderReply{}, err
+	}
+	if x.response.StatusCode != http.StatusOK {
+		return OrderReply{}, c.refused(address, x)
+	}
+	body, err := c.readReply(x)
+	if err != nil {
+		return OrderReply{}, &CallError{Address: address, Sent: SentUnknown, Status: http.StatusOK, Cause: err}
+	}
+	var reply OrderReply
+	if err := json.Unmarshal(body, &reply); err != nil {
+		cause := errors.Annotate(ErrMalformed, err.Error())
+		return OrderReply{}, &CallError{Address: address, Sent: SentUnknown, Status: http.StatusOK, Cause: cause}
+	}
+	return reply, nil
+}
+
+func (c *HTTPClient) post(ctx context.Context, address, path string, message any) (*exchange, error) {
+	body, err := json.Marshal(message)
+	if err != nil {
+		return nil, &CallError{Address: address, Sent: SentNothing, Cause: errors.Trace(err)}
+	}
+	r := outgoing{
+		address: address,
+		method:  http.MethodPost,
+		path:    path,
+		header:  http.Header{"Content-Type": {"application/json"}},
+		body:    body,
+	}
+	return c.send(ctx, r, c.options.HeaderTimeout)
+}
+
+// refused reads an answer other than 200. Only an explicit "started": false
+// proves that nothing ran: a 5xx may come from a process that failed halfway.
+func (c *HTTPClient) refused(address string, x *exchange) error {
+	e := &CallError{Address: address, Sent: SentUnknown, Status: x.response.StatusCode}
+	body, err := c.readReply(x)
+	if err != nil {
+		e.Cause = err
+		return e
+	}
+	var r Refusal
+	if json.Unmarshal(body, &r) != nil {
+		e.Cause = errors.Trace(ErrMalformed)
+		return e
+	}
+	if r.Started != nil && !*r.Started {
+		e.Sent = SentRefused
+	}
+	e.Busy = r.Busy
+	e.RetryAfter = time.Duration(max(r.RetryAfterMillis, 0)) * time.Millisecond
+	if r.Message != "" {
+		e.Cause = &engineMessage{r.Message}
+	}
+	_ = level.Debug(c.options.Logger).Log("msg", "backend server refused", "address", address,
+		"status", e.Status, "sent", e.Sent, "busy", e.Busy)
+	return e
+}
+
+// engineMessage is what a backend server gave as its reason.
+type engineMessage struct{ text string }
+
+// Error returns the backend server's own words.
+func (m *engineMessage) Error() string { return m.text }
+
+// readReply reads a short body whole, within MaxReply and HeaderTimeout, and
+// ends the exchange.
+func (c *HTTPClient) readReply(x *exchange) ([]byte, error) {
+	stop := startTimer(c.options.HeaderTimeout, func() { x.cancel(errHeaderTimeout) })
+	defer stop()
+	defer x.cancel(nil)
+	defer func() { _ = x.response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(x.response.Body, c.options.MaxReply+1))
+	if err != nil {
+		return nil, causeOf(x.ctx, err)
+	}
+	if int64(len(body)) > c.options.MaxReply {
+		return nil, errors.Annotate(ErrMalformed, "answer over the limit")
+	}
+	return body, nil
+}
--- /dev/null
+++ b/internal/backend/http_service.go
@@ -0,0 +1,100 @@
+package backend
+
+import (
+	"context"
+	"io"
+	"net/http"
+
+	"github.com/juju/errors"
+)
+
+// hopHeaders belong to one connection and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect",
+	"Content-Length", "Host",
+}
+
+// Call makes one attempt at a call of a plain service.
+func (c *HTTPClient) Call(ctx context.Context, address string, s ServiceCall) (*ServiceAnswer, error) {
+	r := outgoing{
+		address: address,
+		method:  s.Method,
+		path:    s.Path,
+		header:  endToEnd(s.Header),
+		body:    s.Body,
+	}
+	r.header.Set(HeaderAttempt, s.Attempt)
+	x, err := c.send(ctx, r, 0)
+	if err != nil {
+		return nil, err
+	}
+	if err := checkAnswer(address, x.response); err != nil {
+		_ = x.response.Body.Close()
+		x.cancel(nil)
+		return nil, err
+	}
+	return &ServiceAnswer{
+		Status: x.response.StatusCode,
+		Header: endToEnd(x.response.Header),
+		Body:   &answerBody{exchange: x},
+	}, nil
+}
+
+// checkAnswer finds a call that the service says it did not start, and an
+// answer whose end could not be told from a cut.
+func checkAnswer(address string, r *http.Response) error {
+	if r.Header.Get(HeaderStarted) == StartedNo {
+		return &CallError{
+			Address: address,
+			Sent:    SentRefused,
+			Status:  r.StatusCode,
+			Busy:    r.StatusCode == http.StatusTooManyRequests || r.StatusCode == http.StatusServiceUnavailable,
+		}
+	}
+	// An answer that announces neither its length nor chunks ends with the
+	// connection, so a cut one looks whole.
+	if r.ContentLength < 0 && len(r.TransferEncoding) == 0 && !r.Uncompressed {
+		cause := errors.Annotate(ErrMalformed, "answer announces no end")
+		return &CallError{Address: address, Sent: SentUnknown, Status: r.StatusCode, Cause: cause}
+	}
+	return nil
+}
+
+func endToEnd(h http.Header) http.Header {
+	out := h.Clone()
+	if out == nil {
+		out = http.Header{}
+	}
+	for _, name := range hopHeaders {
+		out.Del(name)
+	}
+	return out
+}
+
+// answerBody returns ErrCut for a body that ends before its announced end.
+type answerBody struct{ exchange *exchange }
+
+// Read reads the answer; any end but the announced one is ErrCut, or the
+// reason for which the call's context ended.
+func (b *answerBody) Read(p []byte) (int, error) {
+	n, err := b.exchange.response.Body.Read(p)
+	if err == nil || err == io.EOF {
+		return n, err
+	}
+	return n, cutError(b.exchange.ctx, err)
+}
+
+// Close ends the exchange.
+func (b *answerBody) Close() error {
+	err := b.exchange.response.Body.Close()
+	b.exchange.cancel(nil)
+	return errors.Trace(err)
+}
+
+func cutError(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); cause != nil {
+		return errors.Trace(cause)
+	}
+	return errors.Annotate(ErrCut, err.Error())
+}
--- /dev/null
+++ b/internal/backend/paths.go
@@ -0,0 +1,37 @@
+package backend
+
+// The paths of the protocol. docs/backend-protocol.md describes each.
+const (
+	// PathAnnounce is served by entries.
+	PathAnnounce = "/announce/v1"
+	// PathOrders, PathGenerate and PathCancel are served by engines.
+	PathOrders   = "/v1/orders"
+	PathGenerate = "/v1/generate"
+	PathCancel   = "/v1/cancel"
+)
+
+// The headers that a call of a plain service adds to the caller's own.
+const (
+	// HeaderAttempt carries ServiceCall.Attempt to a plain service.
+	HeaderAttempt = "Citronstep-Attempt"
+	// HeaderStarted, with the value StartedNo, is how a plain service says
+	// that it did not start a call.
+	HeaderStarted = "Citronstep-Started"
+	// StartedNo is HeaderStarted's value for a call that was not started.
+	StartedNo = "false"
+)
+
+// Refusal is the body of an engine's answer to a generation that it did not
+// start. Started must be present and false: an answer without it proves
+// nothing.
+type Refusal struct {
+	Started          *bool  `json:"started"`
+	Busy             bool   `json:"busy,omitempty"`
+	RetryAfterMillis int64  `json:"retry_after_ms,omitempty"`
+	Message          string `json:"message,omitempty"`
+}
+
+// CancelOrder is the body of a post to PathCancel.
+type CancelOrder struct {
+	Attempt string `json:"attempt"`
+}
--- /dev/null
+++ b/internal/backend/sse_stream.go
@@ -0,0 +1,121 @@
+package backend
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+const (
+	// streamBuffer is the read buffer of one open stream; a token event is
+	// about 100 bytes. Longer lines are gathered beside it.
+	streamBuffer = 1 << 10
+	// drainTimeout bounds the wait for the last chunk after the end mark.
+	// Past it the connection is closed, not pooled.
+	drainTimeout = 250 * time.Millisecond
+	// drainBytes bounds what may follow the end mark.
+	drainBytes = 4 << 10
+)
+
+var dataPrefix = []byte("data:")
+
+// sseStream reads the events of one generation. Each event is one "data:"
+// line; a line that begins with a colon is a keep-alive.
+type sseStream struct {
+	exchange *exchange
+	reader   *bufio.Reader
+	maxLine  int
+	long     []byte
+	// ended and closed are atomic so that Close may come from another
+	// goroutine than Next.
+	ended  atomic.Bool
+	closed atomic.Bool
+}
+
+func newSSEStream(x *exchange, maxLine int) *sseStream {
+	return &sseStream{
+		exchange: x,
+		reader:   bufio.NewReaderSize(x.response.Body, streamBuffer),
+		maxLine:  maxLine,
+	}
+}
+
+// Next returns the next event. See TokenStream.
+func (s *sseStream) Next() (Token, error) {
+	if s.ended.Load() {
+		return Token{}, io.EOF
+	}
+	for {
+		line, err := s.line()
+		if err != nil {
+			return Token{}, err
+		}
+		switch {
+		case bytes.HasPrefix(line, dataPrefix):
+			return s.event(line[len(dataPrefix):])
+		case len(line) > 0 && line[0] == ':':
+			return Token{KeepAlive: true}, nil
+		}
+	}
+}
+
+func (s *sseStream) event(data []byte) (Token, error) {
+	var t Token
+	if err := json.Unmarshal(data, &t); err != nil {
+		return Token{}, errors.Annotate(ErrMalformed, err.Error())
+	}
+	s.ended.Store(t.End)
+	return t, nil
+}
+
+// line returns the next line without its end. The failure guarded against is
+// an engine that sends a line without end: past maxLine the stream fails
+// instead of taking memory.
+func (s *sseStream) line() ([]byte, error) {
+	s.long = s.long[:0]
+	for {
+		part, err := s.reader.ReadSlice('\n')
+		if len(s.long)+len(part) > s.maxLine {
+			return nil, errors.Trace(ErrLineTooLong)
+		}
+		if err == nil && len(s.long) == 0 {
+			return trimEnd(part), nil
+		}
+		s.long = append(s.long, part...)
+		if err == nil {
+			return trimEnd(s.long), nil
+		}
+		if err != bufio.ErrBufferFull {
+			return nil, cutError(s.exchange.ctx, err)
+		}
+	}
+}
+
+func trimEnd(line []byte) []byte { return bytes.TrimRight(line, "\r\n") }
+
+// Close ends the stream. After the end mark the connection is kept for reuse
+// if the engine ends its answer at once; else it is closed.
+func (s *sseStream) Close() error {
+	if s.closed.Swap(true) {
+		return nil
+	}
+	if s.ended.Load() {
+		go s.drain()
+		return nil
+	}
+	s.exchange.cancel(nil)
+	return errors.Trace(s.exchange.response.Body.Close())
+}
+
+func (s *sseStream) drain() {
+	stop := startTimer(drainTimeout, func() { s.exchange.cancel(nil) })
+	defer stop()
+	_, _ = io.CopyN(io.Discard, s.reader, drainBytes)
+	_ = s.exchange.response.Body.Close()
+	s.exchange.cancel(nil)
+}
--- /dev/null
+++ b/internal/backend/transports.go
@@ -0,0 +1,97 @@
+package backend
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// transports keeps one http.Transport for each address, so that the
+// connections to one address can be retired without touching the others.
+type transports struct {
+	options Options
+
+	mu        sync.Mutex
+	byAddress map[string]*addressTransport
+}
+
+type addressTransport struct {
+	transport *http.Transport
+	lastUsed  time.Time
+}
+
+func newTransports(o Options) *transports {
+	return &transports{options: o, byAddress: map[string]*addressTransport{}}
+}
+
+func (t *transports) get(address string) *http.Transport {
+	now := time.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	at, ok := t.byAddress[address]
+	if !ok {
+		t.forgetUnused(now)
+		at = &addressTransport{transport: t.build()}
+		t.byAddress[address] = at
+	}
+	at.lastUsed = now
+	return at.transport
+}
+
+// forgetUnused bounds the map by the addresses in use: backend servers come
+// back under new addresses for as long as the process lives.
+func (t *transports) forgetUnused(now time.Time) {
+	for address, at := range t.byAddress {
+		if now.Sub(at.lastUsed) > t.options.ForgetAfter {
+			at.transport.CloseIdleConnections()
+			delete(t.byAddress, address)
+		}
+	}
+}
+
+// retire closes the idle connections to address. The transport itself is
+// dropped too: its connections still in use are then closed, not pooled, when
+// their calls end, because no later call reopens its pool.
+func (t *transports) retire(address string) {
+	t.mu.Lock()
+	at, ok := t.byAddress[address]
+	delete(t.byAddress, address)
+	t.mu.Unlock()
+	if ok {
+		at.transport.CloseIdleConnections()
+	}
+}
+
+func (t *transports) closeAll() {
+	t.mu.Lock()
+	all := t.byAddress
+	t.byAddress = map[string]*addressTransport{}
+	t.mu.Unlock()
+	for _, at := range all {
+		at.transport.CloseIdleConnections()
+	}
+}
+
+func (t *transports) build() *http.Transport {
+	return &http.Transport{
+		DialContext:            t.dial,
+		DisableCompression:     true,
+		MaxIdleConns:           t.options.MaxIdle,
+		MaxIdleConnsPerHost:    t.options.MaxIdle,
+		IdleConnTimeout:        t.options.IdleTimeout,
+		MaxResponseHeaderBytes: t.options.MaxHeaderBytes,
+	}
+}
+
+func (t *transports) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: t.options.DialTimeout}
+	conn, err := dialer.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	return &sealedConn{Conn: conn}, nil
+}
--- /dev/null
+++ b/internal/standin/announcer.go
@@ -0,0 +1,186 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/citronstep/citronstep/internal/backend"
+)
+
+const (
+	defaultInterval = 500 * time.Millisecond
+	announceTimeout = time.Second
+	maxAnnounceBody = 1 << 20
+)
+
+// announcer posts announcements to one entry at a time, and goes to the next
+// when that one does not answer.
+type announcer struct {
+	secret string
+	seeds  []string
+	client *http.Client
+	logger log.Logger
+
+	mu       sync.Mutex
+	entries  []string
+	next     int
+	interval time.Duration
+}
+
+func newAnnouncer(o Common) *announcer {
+	return &announcer{
+		secret:   o.AnnounceSecret,
+		seeds:    o.Entries,
+		entries:  o.Entries,
+		next:     firstEntry(o.ID, len(o.Entries)),
+		interval: o.Interval,
+		client: &http.Client{
+			Timeout:   announceTimeout,
+			Transport: &http.Transport{IdleConnTimeout: 10 * time.Second},
+		},
+		logger: o.Logger,
+	}
+}
+
+// firstEntry spreads the stand-ins over the entries.
+func firstEntry(id string, entries int) int {
+	if entries == 0 {
+		return 0
+	}
+	return int(xxhash.Sum64String(id) % uint64(entries))
+}
+
+// run announces what message returns until ctx ends. A message that is nil is
+// not sent.
+func (a *announcer) run(ctx context.Context, message func() *backend.Announcement) {
+	defer a.client.CloseIdleConnections()
+	for ctx.Err() == nil {
+		if m := message(); m != nil {
+			a.announce(ctx, m)
+		}
+		sleep(ctx, a.wait())
+	}
+}
+
+func (a *announcer) wait() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.interval
+}
+
+// announce tries each known entry once.
+func (a *announcer) announce(ctx context.Context, m *backend.Announcement) {
+	body, err := json.Marshal(m)
+	if err != nil {
+		return
+	}
+	for range a.count() {
+		entry := a.current()
+		if a.post(ctx, entry, body) {
+			return
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		_ = level.Debug(a.logger).Log("msg", "entry took no announcement", "id", m.ID, "entry", entry)
+		a.rotate()
+	}
+}
+
+func (a *announcer) post(ctx context.Context, entry string, body []byte) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost,
+		"http://"+entry+backend.PathAnnounce, bytes.NewReader(body))
+	if err != nil {
+		return false
+	}
+	request.Header.Set("Content-Type", "application/json")
+	if a.secret != "" {
+		request.Header.Set("Authorization", "Bearer "+a.secret)
+	}
+	response, err := a.client.Do(request)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return false
+	}
+	var reply backend.AnnounceReply
+	if json.NewDecoder(io.LimitReader(response.Body, maxAnnounceBody)).Decode(&reply) != nil {
+		return false
+	}
+	a.learn(entry, reply)
+	return true
+}
+
+// learn takes the entries and the interval that an entry named. The seeds stay
+// known, so that a wrong list can't strand the stand-in.
+func (a *announcer) learn(current string, reply backend.AnnounceReply) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if reply.IntervalMillis > 0 {
+		a.interval = time.Duration(reply.IntervalMillis) * time.Millisecond
+	}
+	a.entries = union(a.seeds, reply.Entries)
+	for i, entry := range a.entries {
+		if entry == current {
+			a.next = i
+		}
+	}
+}
+
+func union(first, second []string) []string {
+	seen := map[string]bool{}
+	var out []string
+	for _, list := range [][]string{first, second} {
+		for _, s := range list {
+			if !seen[s] {
+				seen[s] = true
+				out = append(out, s)
+			}
+		}
+	}
+	return out
+}
+
+func (a *announcer) count() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return len(a.entries)
+}
+
+func (a *announcer) current() string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.entries[a.next%len(a.entries)]
+}
+
+func (a *announcer) rotate() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.next++
+}
+
+// sleep waits for d or for the end of ctx, and tells whether d has passed.
+func sleep(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/standin/debug.go
@@ -0,0 +1,36 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+)
+
+// The paths by which tests steer a stand-in and read what it ran.
+const (
+	PathRuns   = "/debug/runs"
+	PathFaults = "/debug/faults"
+)
+
+func (h *host) serveRuns(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, h.Runs())
+}
+
+// serveFaults answers before the faults come into force: a pause, a silence
+// or a crash would hold the answer back.
+func (h *host) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var o FaultOrder
+	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(http.StatusOK)
+	_ = http.NewResponseController(w).Flush()
+	h.Apply(o)
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(body)
+}
--- /dev/null
+++ b/internal/standin/engine.go
@@ -0,0 +1,135 @@
+package standin
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/citronstep/citronstep/internal/backend"
+)
+
+// maxRequestBody bounds what a stand-in reads of a request.
+const maxRequestBody = 8 << 20
+
+// Engine is a stand-in for a model engine on a VM.
+type Engine struct {
+	*host
+	options EngineOptions
+	client  *http.Client
+
+	mu    sync.Mutex
+	state *engineState
+}
+
+// engineState is all that a crash loses.
+type engineState struct {
+	life      *life
+	scheduler *scheduler
+	cache     *prefixCache
+	load      *loadReport
+	running   *runningSet
+
+	mu sync.Mutex
+	// newest is the newest fencing token seen; an engine that ignores tokens
+	// keeps none.
+	newest  backend.FencingToken
+	group   *membership
+	weights map[string]bool
+}
+
+// StartEngine starts an engine, which serves and announces itself until Close.
+func StartEngine(ctx context.Context, o EngineOptions) (*Engine, error) {
+	o = o.withDefaults()
+	e := &Engine{options: o, client: &http.Client{Transport: &http.Transport{IdleConnTimeout: 10 * time.Second}}}
+	e.host = newHost(ctx, o.Common, e.routes())
+	e.born = e.newState
+	e.message = e.announce
+	if err := e.start(); err != nil {
+		e.cancel()
+		return nil, errors.Trace(err)
+	}
+	return e, nil
+}
+
+// Close ends the engine and all its connections.
+func (e *Engine) Close() {
+	e.host.Close()
+	e.client.CloseIdleConnections()
+}
+
+func (e *Engine) routes() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+backend.PathOrders, e.serveOrder)
+	mux.HandleFunc("POST "+backend.PathGenerate, e.serveGenerate)
+	mux.HandleFunc("POST "+backend.PathCancel, e.serveCancel)
+	mux.HandleFunc("POST "+pathMember, e.serveMember)
+	mux.HandleFunc("GET "+PathRuns, func(w http.ResponseWriter, r *http.Request) { e.serveRuns(w, r) })
+	mux.HandleFunc("POST "+PathFaults, func(w http.ResponseWriter, r *http.Request) { e.serveFaults(w, r) })
+	return mux
+}
+
+func (e *Engine) newState(l *life) {
+	s := &engineState{
+		life:      l,
+		scheduler: newScheduler(e.options.Slots, e.options.QueueLimit),
+		cache:     newPrefixCache(e.options),
+		load:      &loadReport{lag: e.options.LoadLag},
+		running:   newRunningSet(),
+		weights:   map[string]bool{},
+	}
+	for _, model := range e.options.Weights {
+		s.weights[model] = true
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.state = s
+}
+
+func (e *Engine) now() *engineState {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.state
+}
+
+// announce says what the engine is part of and how it fares.
+func (e *Engine) announce(*life) *backend.Announcement {
+	s := e.now()
+	now := time.Now()
+	m := &backend.Announcement{
+		Kind:         backend.KindEngine,
+		Accelerators: e.options.Accelerators,
+		Phase:        backend.PhaseIdle,
+		Cache:        s.cache.due(now),
+		Load:         s.load.report(now, e.loadNow(s)),
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for model := range s.weights {
+		m.Weights = append(m.Weights, model)
+	}
+	if g := s.group; g != nil {
+		m.Group = g.order.Group
+		m.Epoch = g.order.Token.Epoch
+		m.Model = g.order.Model
+		m.Phase, m.Unreachable = g.status(now)
+	}
+	return m
+}
+
+func (e *Engine) loadNow(s *engineState) backend.Load {
+	running, tokens := s.running.totals()
+	queued := s.scheduler.queued()
+	load := backend.Load{
+		Running:        running - queued,
+		Queued:         queued,
+		TokensInFlight: tokens,
+	}
+	if e.options.TokenInterval > 0 {
+		perStream := float64(time.Second) / float64(e.faults.scale(e.options.TokenInterval))
+		load.TokensPerSecond = perStream * float64(load.Running)
+	}
+	return load
+}
--- /dev/null
+++ b/internal/standin/engine_group.go
@@ -0,0 +1,95 @@
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/citronstep/citronstep/internal/backend"
+)
+
+// pathMember is how the members of a group tell the head that they live. It is
+// the engines' own affair and no part of the protocol with the system.
+const pathMember = "/v1/member"
+
+// memberBeat is a member's heartbeat; the answer is the head's own.
+type memberBeat struct {
+	Group       string `json:"group"`
+	Epoch       uint64 `json:"epoch"`
+	VM          string `json:"vm"`
+	Incarnation string `json:"incarnation"`
+	Ready       bool   `json:"ready"`
+}
+
+// keepMembership beats and checks until the membership ends.
+func (e *Engine) keepMembership(s *engineState, g *membership) {
+	for g.ctx.Err() == nil {
+		e.server.gate.wait(g.ctx.Done())
+		if !g.head() {
+			e.beat(s, g)
+		}
+		g.check(time.Now())
+		sleep(g.ctx, e.options.MemberInterval)
+	}
+}
+
+func (e *Engine) ownBeat(s *engineState, g *membership) memberBeat {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return memberBeat{
+		Group:       g.order.Group,
+		Epoch:       g.order.Token.Epoch,
+		VM:          g.self,
+		Incarnation: s.life.incarnation,
+		Ready:       g.phase == backend.PhaseReady,
+	}
+}
+
+func (e *Engine) beat(s *engineState, g *membership) {
+	if len(g.order.Members) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(g.ctx, g.memberTimeout)
+	defer cancel()
+	body, err := json.Marshal(e.ownBeat(s, g))
+	if err != nil {
+		return
+	}
+	url := "http://" + g.order.Members[0].Address + pathMember
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	response, err := e.client.Do(request)
+	if err != nil {
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	var head memberBeat
+	err = json.NewDecoder(io.LimitReader(response.Body, maxRequestBody)).Decode(&head)
+	if err != nil || response.StatusCode != http.StatusOK {
+		return
+	}
+	g.hear(head.VM, head.Incarnation, head.Ready, time.Now())
+}
+
+func (e *Engine) serveMember(w http.ResponseWriter, r *http.Request) {
+	var b memberBeat
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBody)).Decode(&b); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	s := e.now()
+	s.mu.Lock()
+	g := s.group
+	s.mu.Unlock()
+	if g == nil || g.order.Group != b.Group || g.order.Token.Epoch != b.Epoch || !g.head() {
+		http.Error(w, "not the head of this group and epoch", http.StatusConflict)
+		return
+	}
+	g.hear(b.VM, b.Incarnation, b.Ready, time.Now())
+	writeJSON(w, http.StatusOK, e.ownBeat(s, g))
+}
--- /dev/null
+++ b/internal/standin/engine_orders.go
@@ -0,0 +1,122 @@
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/citronstep/citronstep/internal/backend"
+)
+
+func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	if !e.authorised(r) {
+		http.Error(w, "unknown bearer token", http.StatusUnauthorized)
+		return
+	}
+	var o backend.Order
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBody)).Decode(&o); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	reply := e.obey(e.now(), o)
+	_ = level.Info(e.options.Logger).Log("msg", "order", "id", e.common.ID, "kind", o.Kind, "group", o.Group,
+		"term", o.Token.Term, "epoch", o.Token.Epoch, "accepted", reply.Accepted)
+	writeJSON(w, http.StatusOK, reply)
+}
+
+// obey carries an order out, unless it is stale and the engine checks that.
+func (e *Engine) obey(s *engineState, o backend.Order) backend.OrderReply {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if e.options.Fencing == FencingCheck {
+		if s.stale(o) {
+			return backend.OrderReply{Newest: s.newest}
+		}
+		s.newest = o.Token
+	}
+	switch o.Kind {
+	case backend.OrderLoad:
+		e.join(s, o)
+	case backend.OrderRelease:
+		e.leave(s, o)
+	default:
+		return backend.OrderReply{Newest: s.newest}
+	}
+	return backend.OrderReply{Accepted: true, Newest: s.newest}
+}
+
+// stale is called with s.mu held.
+func (s *engineState) stale(o backend.Order) bool {
+	otherIncarnation := o.Incarnation != "" && o.Incarnation != s.life.incarnation
+	return otherIncarnation || o.Token.Less(s.newest)
+}
+
+// join is called with s.mu held. A repeated order changes nothing.
+func (e *Engine) join(s *engineState, o backend.Order) {
+	if g := s.group; g != nil {
+		if g.same(o) {
+			return
+		}
+		g.end()
+	}
+	g := e.newMembership(s, o)
+	s.group = g
+	s.life.wg.Add(2)
+	go func() {
+		defer s.life.wg.Done()
+		e.loadModel(s, g)
+	}()
+	go func() {
+		defer s.life.wg.Done()
+		e.keepMembership(s, g)
+	}()
+}
+
+// leave is called with s.mu held. The engine says "releasing" until its
+// generations have ended.
+func (e *Engine) leave(s *engineState, o backend.Order) {
+	g := s.group
+	if g == nil || (o.Group != "" && g.order.Group != o.Group) {
+		return
+	}
+	g.setPhase(backend.PhaseReleasing)
+	g.end()
+	s.life.wg.Add(1)
+	go func() {
+		defer s.life.wg.Done()
+		g.streams.Wait()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.group == g {
+			s.group = nil
+		}
+	}()
+}
+
+func (e *Engine) loadModel(s *engineState, g *membership) {
+	model := g.order.Model
+	s.mu.Lock()
+	local := s.weights[model]
+	s.mu.Unlock()
+	if !local && !e.fetch(g, model) {
+		return
+	}
+	s.mu.Lock()
+	s.weights[model] = true
+	s.mu.Unlock()
+	g.becomeReady()
+}
+
+// fetch loads weights from the store, or takes the set time.
+func (e *Engine) fetch(g *membership, model string) bool {
+	if e.options.WeightStore == "" {
+		return sleep(g.ctx, e.faults.scale(e.options.LoadTime))
+	}
+	if err := fetchWeights(g.ctx, e.options.WeightStore, model); err != nil {
+		_ = level.Warn(e.options.Logger).Log("msg", "weights not loaded", "id", e.common.ID, "err", err)
+		g.setPhase(backend.PhaseFailed)
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/internal/standin/generate.go
@@ -0,0 +1,232 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/citronstep/citronstep/internal/backend"
+)
+
+// Why a generation ends before its end mark.
+const (
+	errCancelled = errors.ConstError("cancelled")
+	errGroupLost = errors.ConstError("group lost")
+)
+
+// busyRetryAfterMillis is what a full engine asks for.
+const busyRetryAfterMillis = 200
+
+func (e *Engine) serveGenerate(w http.ResponseWriter, r *http.Request) {
+	var g backend.Generation
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBody)).Decode(&g); err != nil {
+		refuse(w, http.StatusBadRequest, backend.Refusal{Message: err.Error()})
+		return
+	}
+	if !e.authorised(r) {
+		refuse(w, http.StatusUnauthorized, backend.Refusal{Message: "unknown bearer token"})
+		return
+	}
+	s := e.now()
+	group := s.holds(g)
+	if group == nil || !group.enter(time.Now()) {
+		refuse(w, http.StatusConflict, backend.Refusal{Message: "group and epoch not served here"})
+		return
+	}
+	defer group.streams.Done()
+	ctx, cancel := e.streamContext(r.Context(), s, group)
+	defer cancel(nil)
+	if !s.running.add(g.Attempt, answerLength(g.MaxTokens)-g.Offset, cancel) {
+		refuse(w, http.StatusConflict, backend.Refusal{Message: "attempt known or cancelled"})
+		return
+	}
+	defer s.running.remove(g.Attempt)
+	place := s.scheduler.enter(g.Priority)
+	if place == nil || e.faults.get().FullQueue {
+		refuse(w, http.StatusTooManyRequests, backend.Refusal{
+			Busy: true, RetryAfterMillis: busyRetryAfterMillis, Message: "queue full",
+		})
+		if place != nil {
+			s.scheduler.leave(place)
+		}
+		return
+	}
+	defer s.scheduler.leave(place)
+	e.run(ctx, w, s, group, g, place)
+}
+
+// streamContext ends with the caller's connection, with the group, or with a
+// cancel; with the IgnoreCancel fault only with the group.
+func (e *Engine) streamContext(
+	caller context.Context, s *engineState, group *membership,
+) (context.Context, context.CancelCauseFunc) {
+	base := caller
+	if e.faults.get().IgnoreCancel {
+		base = s.life.ctx
+	}
+	ctx, cancel := context.WithCancelCause(base)
+	stop := context.AfterFunc(group.ctx, func() { cancel(errGroupLost) })
+	return ctx, func(cause error) {
+		stop()
+		cancel(cause)
+	}
+}
+
+func (s *engineState) holds(g backend.Generation) *membership {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	held := s.group
+	if held == nil || held.order.Group != g.Group || held.order.Token.Epoch != g.Epoch {
+		return nil
+	}
+	if g.Model != "" && held.order.Model != g.Model {
+		return nil
+	}
+	return held
+}
+
+// run answers a generation that has been taken. The response header goes out
+// at once; a run is recorded when the generation gets its slot.
+func (e *Engine) run(
+	ctx context.Context, w http.ResponseWriter, s *engineState, group *membership, g backend.Generation, place *ticket,
+) {
+	out := newEventWriter(w, g, e.faults.takeStream(g.Prompt), s.running)
+	out.start()
+	if !e.awaitSlot(ctx, out, place) {
+		return
+	}
+	number := e.common.Recorder.begin(Run{
+		Server: e.common.ID, Incarnation: s.life.incarnation, Attempt: g.Attempt, Request: g.Request,
+		Work: g.Prompt, Group: g.Group, Epoch: g.Epoch, Offset: g.Offset,
+	})
+	if e.faults.crashes(g.Prompt) {
+		e.common.Recorder.end(number, 0, OutcomeCrashed)
+		e.crash()
+		panic(http.ErrAbortHandler)
+	}
+	outcome := OutcomeLost
+	// The deferred end also records an answer that a fault cuts by a panic.
+	defer func() { e.common.Recorder.end(number, out.sent, outcome) }()
+	outcome = e.answer(ctx, out, s, group, g)
+	if outcome != OutcomeFinished {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (e *Engine) awaitSlot(ctx context.Context, out *eventWriter, place *ticket) bool {
+	ticker := time.NewTicker(e.options.KeepAlive)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-place.ready:
+			return true
+		case <-ticker.C:
+			out.keepAlive()
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// answer sends the tokens and the end mark.
+func (e *Engine) answer(
+	ctx context.Context, out *eventWriter, s *engineState, group *membership, g backend.Generation,
+) Outcome {
+	if !e.prefill(ctx, out, s, g.Prompt) {
+		return outcomeOf(ctx)
+	}
+	total := answerLength(g.MaxTokens)
+	due := time.Now()
+	for offset := g.Offset; offset < total; offset++ {
+		due = e.nextDue(due)
+		if !e.step(ctx, group, due) {
+			return outcomeOf(ctx)
+		}
+		if !out.token(ctx, offset, total) {
+			return outcomeOf(ctx)
+		}
+		s.running.progress(g.Attempt, total-offset-1)
+	}
+	if !out.end(ctx, total) {
+		return outcomeOf(ctx)
+	}
+	return OutcomeFinished
+}
+
+// nextDue paces tokens against the clock, without a burst after a pause.
+func (e *Engine) nextDue(previous time.Time) time.Time {
+	interval := e.faults.scale(e.options.TokenInterval)
+	due := previous.Add(interval)
+	if now := time.Now(); due.Before(now.Add(-interval)) {
+		return now
+	}
+	return due
+}
+
+// step waits until the next token is due and the whole group is there. While a
+// member is missing the stream stalls; when the group fails, ctx ends.
+func (e *Engine) step(ctx context.Context, group *membership, due time.Time) bool {
+	if wait := time.Until(due); wait > 0 && !sleep(ctx, wait) {
+		return false
+	}
+	for {
+		e.server.gate.wait(ctx.Done())
+		if ctx.Err() != nil {
+			return false
+		}
+		if group.serving(time.Now()) {
+			return true
+		}
+		sleep(ctx, e.options.MemberInterval)
+	}
+}
+
+// prefill takes the time that the uncached blocks need, with keep-alives.
+func (e *Engine) prefill(ctx context.Context, out *eventWriter, s *engineState, prompt string) bool {
+	blocks := s.cache.take(backend.PrefixBlocks(prompt))
+	left := e.faults.scale(time.Duration(blocks) * e.options.PrefillPerBlock)
+	for left > 0 {
+		part := min(left, e.options.KeepAlive)
+		if !sleep(ctx, part) {
+			return false
+		}
+		left -= part
+		if left > 0 {
+			out.keepAlive()
+		}
+	}
+	return ctx.Err() == nil
+}
+
+func outcomeOf(ctx context.Context) Outcome {
+	switch {
+	case errors.Is(context.Cause(ctx), errCancelled):
+		return OutcomeCancelled
+	case errors.Is(context.Cause(ctx), errGroupLost):
+		return OutcomeLost
+	default:
+		return OutcomeCut
+	}
+}
+
+func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
+	var c backend.CancelOrder
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequestBody)).Decode(&c); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if !e.faults.get().IgnoreCancel {
+		e.now().running.stop(c.Attempt)
+	}
+	writeJSON(w, http.StatusOK, struct{}{})
+}
+
+// refuse says that the request was not started.
+func refuse(w http.ResponseWriter, status int, r backend.Refusal) {
+	started := false
+	r.Started = &started
+	writeJSON(w, status, r)
+}
--- /dev/null
+++ b/internal/standin/host.go
@@ -0,0 +1,194 @@
+package standin
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/google/uuid"
+
+	"github.com/citronstep/citronstep/internal/backend"
+)
+
+// life is one incarnation. All that it started ends with ctx.
+type life struct {
+	ctx         context.Context
+	cancel      context.CancelFunc
+	incarnation string
+	wg          sync.WaitGroup
+}
+
+// host is what engines and plain services share: a listener, announcements,
+// faults and the crash and return as a new incarnation.
+type host struct {
+	common    Common
+	server    *server
+	announcer *announcer
+	faults    faultBox
+	// born makes the state of a new incarnation; message is its announcement.
+	born    func(*life)
+	message func(*life) *backend.Announcement
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	mu       sync.Mutex
+	life     *life
+	crashing bool
+	sequence uint64
+	leaving  bool
+}
+
+func newHost(ctx context.Context, o Common, handler http.Handler) *host {
+	h := &host{common: o, server: newServer(handler), announcer: newAnnouncer(o)}
+	h.faults.set(o.Faults)
+	h.ctx, h.cancel = context.WithCancel(ctx)
+	return h
+}
+
+// start begins the first incarnation.
+func (h *host) start() error {
+	return h.begin(h.common.Listen)
+}
+
+func (h *host) begin(address string) error {
+	l := &life{incarnation: uuid.NewString()}
+	l.ctx, l.cancel = context.WithCancel(h.ctx)
+	h.mu.Lock()
+	h.life = l
+	h.sequence = 0
+	h.mu.Unlock()
+	h.born(l)
+	if err := h.server.listen(l.ctx, address); err != nil {
+		l.cancel()
+		return err
+	}
+	if len(h.common.Entries) > 0 {
+		l.wg.Add(1)
+		go func() {
+			defer l.wg.Done()
+			h.announcer.run(l.ctx, func() *backend.Announcement { return h.announcement(l) })
+		}()
+	}
+	return nil
+}
+
+// announcement fills in what all stand-ins announce.
+func (h *host) announcement(l *life) *backend.Announcement {
+	h.server.gate.wait(l.ctx.Done())
+	if h.faults.get().Muted || l.ctx.Err() != nil {
+		return nil
+	}
+	m := h.message(l)
+	m.ID = h.common.ID
+	m.Incarnation = l.incarnation
+	m.Address = h.Address()
+	m.DataCentre = h.common.DataCentre
+	m.FabricDomain = h.common.FabricDomain
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.sequence++
+	m.Sequence = h.sequence
+	m.Leaving = h.leaving
+	return m
+}
+
+// Address returns the announced address.
+func (h *host) Address() string {
+	if h.common.Advertise != "" {
+		return h.common.Advertise
+	}
+	return h.server.addr()
+}
+
+// ListenAddress returns the address that the stand-in listens on.
+func (h *host) ListenAddress() string { return h.server.addr() }
+
+// Incarnation returns the incarnation in force.
+func (h *host) Incarnation() string { return h.current().incarnation }
+
+// Runs returns all runs that its recorder holds.
+func (h *host) Runs() []Run { return h.common.Recorder.Runs() }
+
+func (h *host) current() *life {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.life
+}
+
+// Apply puts faults in force, and does those that happen once.
+func (h *host) Apply(o FaultOrder) {
+	h.faults.set(o.Faults)
+	if o.Leaving != nil {
+		h.mu.Lock()
+		h.leaving = *o.Leaving
+		h.mu.Unlock()
+	}
+	if o.PauseMillis > 0 {
+		h.server.gate.shutFor(time.Duration(o.PauseMillis) * time.Millisecond)
+	}
+	if o.Silence {
+		h.server.silence()
+	}
+	if o.Crash {
+		h.crash()
+	}
+}
+
+// crash drops the incarnation with all its state and connections, and comes
+// back as a new one on the same address.
+func (h *host) crash() {
+	if h.common.OnCrash != nil {
+		h.common.OnCrash()
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.crashing || h.ctx.Err() != nil {
+		return
+	}
+	h.crashing = true
+	h.wg.Add(1)
+	go h.crashAndReturn(h.life)
+}
+
+func (h *host) crashAndReturn(l *life) {
+	defer h.wg.Done()
+	_ = level.Info(h.common.Logger).Log("msg", "stand-in crashes", "id", h.common.ID)
+	l.cancel()
+	h.server.kill()
+	l.wg.Wait()
+	if !sleep(h.ctx, h.common.RestartAfter) {
+		return
+	}
+	h.mu.Lock()
+	h.crashing = false
+	h.mu.Unlock()
+	if err := h.begin(h.server.addr()); err != nil {
+		_ = level.Error(h.common.Logger).Log("msg", "stand-in does not return", "id", h.common.ID, "err", err)
+	}
+}
+
+// Close ends the stand-in and all its connections.
+func (h *host) Close() {
+	h.mu.Lock()
+	h.cancel()
+	l := h.life
+	h.mu.Unlock()
+	h.wg.Wait()
+	h.server.gate.open()
+	h.server.kill()
+	l.wg.Wait()
+}
+
+// authorised tells whether a request carries the secret that is asked for.
+func (h *host) authorised(r *http.Request) bool {
+	if h.common.Secret == "" {
+		return true
+	}
+	return strings.TrimPrefix(r.Header.Get("Authorization"), "Bearer ") == h.common.Secret
+}
--- /dev/null
+++ b/internal/standin/membership.go
@@ -0,0 +1,171 @@
+package standin
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/citronstep/citronstep/internal/backend"
+)
+
+// membership is an engine's part in one epoch of a serving group. It decides
+// what the engine knows of the group; engine_group.go carries the heartbeats.
+type membership struct {
+	order         backend.Order
+	self          string
+	memberTimeout time.Duration
+	groupTimeout  time.Duration
+	lost          func() []string
+
+	// ctx ends with the membership, and with it the group's streams.
+	ctx     context.Context
+	cancel  context.CancelFunc
+	streams sync.WaitGroup
+
+	mu    sync.Mutex
+	phase backend.Phase
+	peers map[string]*peer
+	// complete is set once all members have been ready together.
+	complete bool
+	// broken is when a complete group was first found with a member missing.
+	broken time.Time
+}
+
+type peer struct {
+	heard       time.Time
+	incarnation string
+	ready       bool
+	replaced    bool
+}
+
+func (e *Engine) newMembership(s *engineState, o backend.Order) *membership {
+	g := &membership{
+		order:         o,
+		self:          e.common.ID,
+		memberTimeout: e.options.MemberTimeout,
+		groupTimeout:  e.options.GroupTimeout,
+		lost:          func() []string { return e.faults.get().LostMembers },
+		phase:         backend.PhaseLoading,
+		peers:         map[string]*peer{},
+	}
+	g.ctx, g.cancel = context.WithCancel(s.life.ctx)
+	return g
+}
+
+func (g *membership) same(o backend.Order) bool {
+	return g.order.Group == o.Group && g.order.Token.Epoch == o.Token.Epoch && g.order.Rank == o.Rank &&
+		g.order.Model == o.Model && slices.Equal(g.order.Members, o.Members) && g.ctx.Err() == nil
+}
+
+func (g *membership) head() bool { return g.order.Rank == 0 }
+
+// end ends the membership. It holds the lock so that no stream enters after
+// the wait for the streams has begun.
+func (g *membership) end() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.cancel()
+}
+
+func (g *membership) setPhase(p backend.Phase) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.phase = p
+}
+
+func (g *membership) becomeReady() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.phase == backend.PhaseLoading {
+		g.phase = backend.PhaseReady
+	}
+}
+
+// enter counts a stream of the group, if the group serves.
+func (g *membership) enter(now time.Time) bool {
+	if !g.serving(now) {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.ctx.Err() != nil {
+		return false
+	}
+	g.streams.Add(1)
+	return true
+}
+
+// serving tells whether this engine is the head of a group whose members are
+// all ready and heard from.
+func (g *membership) serving(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.head() && g.phase == backend.PhaseReady && g.complete && len(g.missing(now)) == 0
+}
+
+// status is what the engine announces.
+func (g *membership) status(now time.Time) (backend.Phase, []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.complete {
+		return g.phase, nil
+	}
+	return g.phase, g.missing(now)
+}
+
+// hear takes a peer's heartbeat. A peer that comes back as a new incarnation
+// has lost its part of the model, so it counts as missing for good.
+func (g *membership) hear(vm, incarnation string, ready bool, now time.Time) {
+	if slices.Contains(g.lost(), vm) {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	p, ok := g.peers[vm]
+	if !ok {
+		p = &peer{incarnation: incarnation}
+		g.peers[vm] = p
+	}
+	p.replaced = p.replaced || p.incarnation != incarnation
+	p.heard = now
+	p.ready = ready
+}
+
+// missing is called with g.mu held. The head watches all members, the others
+// watch the head.
+func (g *membership) missing(now time.Time) []string {
+	var out []string
+	for rank, member := range g.order.Members {
+		watched := member.VM != g.self && (g.head() || rank == 0)
+		if watched && !g.present(member.VM, now) {
+			out = append(out, member.VM)
+		}
+	}
+	return out
+}
+
+func (g *membership) present(vm string, now time.Time) bool {
+	p, ok := g.peers[vm]
+	return ok && p.ready && !p.replaced && now.Sub(p.heard) <= g.memberTimeout
+}
+
+// check finds a group become complete, and a complete one that has been
+// without a member for longer than groupTimeout: that one has failed and needs
+// a new epoch, as a collective operation that timed out can't be resumed.
+func (g *membership) check(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	whole := g.phase == backend.PhaseReady && len(g.missing(now)) == 0
+	switch {
+	case whole:
+		g.complete = true
+		g.broken = time.Time{}
+	case !g.complete || g.phase != backend.PhaseReady:
+	case g.broken.IsZero():
+		g.broken = now
+	case now.Sub(g.broken) > g.groupTimeout:
+		g.phase = backend.PhaseFailed
+		g.cancel()
+	}
+}
--- /dev/null
+++ b/internal/standin/server.go
@@ -0,0 +1,118 @@
+package standin
+
+import (
+	"context"
+	"io"
+	stdlog "log"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+)
+
+// loopbackAnyPort is where a stand-in listens unless told otherwise.
+const loopbackAnyPort = "127.0.0.1:0"
+
+// readHeaderTimeout bounds a slow request header.
+const readHeaderTimeout = 5 * time.Second
+
+// server is the listener of a stand-in with its faults at connection level.
+// It can be killed and started again on the same address.
+type server struct {
+	handler http.Handler
+	gate    gate
+
+	mu      sync.Mutex
+	address string
+	http    *http.Server
+	conns   map[*faultConn]struct{}
+	served  sync.WaitGroup
+}
+
+func newServer(handler http.Handler) *server {
+	return &server{handler: handler, conns: map[*faultConn]struct{}{}}
+}
+
+// listen starts serving on address and keeps the port for later listens.
+// Handlers' contexts descend from ctx.
+func (s *server) listen(ctx context.Context, address string) error {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Annotate(err, "stand-in listening")
+	}
+	h := &http.Server{
+		Handler:           s.handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+		BaseContext:       func(net.Listener) context.Context { return ctx },
+		ErrorLog:          stdlog.New(io.Discard, "", 0),
+	}
+	s.mu.Lock()
+	s.address = listener.Addr().String()
+	s.http = h
+	s.mu.Unlock()
+	s.served.Add(1)
+	go func() {
+		defer s.served.Done()
+		_ = h.Serve(&faultListener{Listener: listener, server: s})
+	}()
+	return nil
+}
+
+func (s *server) addr() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.address
+}
+
+// kill closes the listener and all connections at once.
+func (s *server) kill() {
+	s.mu.Lock()
+	h := s.http
+	open := make([]*faultConn, 0, len(s.conns))
+	for c := range s.conns {
+		open = append(open, c)
+	}
+	s.mu.Unlock()
+	if h != nil {
+		_ = h.Close()
+	}
+	for _, c := range open {
+		_ = c.Close()
+	}
+	s.served.Wait()
+}
+
+// silence makes every open connection silent for good; new ones work.
+func (s *server) silence() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		c.silent.Store(true)
+	}
+}
+
+func (s *server) forget(c *faultConn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
+
+type faultListener struct {
+	net.Listener
+	server *server
+}
+
+// Accept hands on a connection that the server's faults act on.
+func (l *faultListener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &faultConn{Conn: accepted, server: l.server, done: make(chan struct{})}
+	l.server.mu.Lock()
+	l.server.conns[c] = struct{}{}
+	l.server.mu.Unlock()
+	return c, nil
+}
