Contracts: blackboard tables, admin API, settings

Cause: controllers, tool, entry and control server are built side by side over the same tables and types. Change: replicated tables with typed commands and preconditions (a VM row holds one group; one preset field; expect and change id), the admin API's types, the settings struct. Ruled out: one table of free-form keys (no preconditions by type); state tables written by clock time in apply (replicas would differ).

--- /dev/null
+++ b/internal/blackboard/board.go
@@ -0,0 +1,116 @@
+// Package blackboard holds the replicated tables through which controllers
+// and entries work together, and the typed commands that change them.
+//
+// Each table is a file; its comment says who writes it and who reads it.
+// Commands come from the consensus log in one order and apply without clock,
+// randomness or I/O, so every replica and every entry that applies the same
+// commands holds the same Board. A Board that has been published is never
+// changed: applying clones what it touches.
+package blackboard
+
+import (
+	"encoding/json"
+
+	"github.com/juju/errors"
+)
+
+// Board is one revision of all tables.
+type Board struct {
+	// Revision grows by one with each command that changed anything.
+	Revision uint64 `json:"revision"`
+	// ClusterID is set by the first command and never changes.
+	ClusterID string                     `json:"cluster_id"`
+	Config    Configuration              `json:"config"`
+	VMs       map[string]VM              `json:"vms"`
+	Groups    map[string]Group           `json:"groups"`
+	Services  map[string]ServiceInstance `json:"services"`
+	Entries   map[string]Entry           `json:"entries"`
+	Suspects  map[string]Suspect         `json:"suspects"`
+	// NextEpoch is the epoch that the next forming group gets.
+	NextEpoch uint64 `json:"next_epoch"`
+	// Changes keeps the answers of recent configuration changes by id.
+	Changes     map[string]ChangeOutcome `json:"changes"`
+	ChangeOrder []string                 `json:"change_order"`
+}
+
+// New returns an empty board at revision 0.
+func New() *Board {
+	b := &Board{NextEpoch: 1}
+	b.fill()
+	return b
+}
+
+// fill makes each nil table an empty one, as a snapshot may leave it.
+func (b *Board) fill() {
+	b.Config = b.Config.clone()
+	b.VMs = orEmpty(b.VMs)
+	b.Groups = orEmpty(b.Groups)
+	b.Services = orEmpty(b.Services)
+	b.Entries = orEmpty(b.Entries)
+	b.Suspects = orEmpty(b.Suspects)
+	b.Changes = orEmpty(b.Changes)
+}
+
+func orEmpty[V any](m map[string]V) map[string]V {
+	if m == nil {
+		return make(map[string]V)
+	}
+	return m
+}
+
+// Encode returns the board as a snapshot.
+func (b *Board) Encode() ([]byte, error) {
+	data, err := json.Marshal(b)
+	return data, errors.Trace(err)
+}
+
+// Decode returns the board that a snapshot holds.
+func Decode(snapshot []byte) (*Board, error) {
+	b := &Board{}
+	if err := json.Unmarshal(snapshot, b); err != nil {
+		return nil, errors.WithType(errors.Annotate(err, "blackboard snapshot"), ErrMalformed)
+	}
+	b.fill()
+	return b, nil
+}
+
+// Apply returns the board after one command and the command's result as JSON.
+// A command that is refused, or changes nothing, returns the same board.
+func (b *Board) Apply(encoded []byte) (*Board, []byte, error) {
+	command, err := decodeCommand(encoded)
+	if err != nil {
+		return b, nil, errors.Trace(err)
+	}
+	next := *b
+	result, changed := command.apply(&next)
+	data, err := json.Marshal(result)
+	if err != nil {
+		return b, nil, errors.Trace(err)
+	}
+	if !changed {
+		return b, data, nil
+	}
+	next.Revision = b.Revision + 1
+	if !next.consistent() {
+		return b, data, errors.Trace(ErrInconsistent)
+	}
+	return &next, data, nil
+}
+
+func (b *Board) remember(id string, outcome ChangeOutcome) {
+	changes := cloneMap(b.Changes)
+	changes[id] = outcome
+	order := append(append([]string(nil), b.ChangeOrder...), id)
+	for len(order) > maxRememberedChanges {
+		delete(changes, order[0])
+		order = order[1:]
+	}
+	b.Changes, b.ChangeOrder = changes, order
+}
+
+// ErrMalformed is returned for bytes that are no command or snapshot.
+const ErrMalformed = errors.ConstError("malformed blackboard data")
+
+// ErrInconsistent is returned for a command that would break an invariant;
+// the board stays as it was.
+const ErrInconsistent = errors.ConstError("command would break an invariant of the blackboard")
--- /dev/null
+++ b/internal/blackboard/command.go
@@ -0,0 +1,128 @@
+package blackboard
+
+import (
+	"encoding/json"
+
+	"github.com/juju/errors"
+)
+
+// Command is one typed change of the board. Its apply method may assign to
+// the board's fields but must clone every map before writing to it.
+type Command interface {
+	apply(b *Board) (result any, changed bool)
+}
+
+// Verdict is the result of a controller's command.
+type Verdict struct {
+	Applied bool `json:"applied"`
+	// Reason says which precondition did not hold.
+	Reason string `json:"reason,omitempty"`
+	// Epoch is the epoch given to a group that was formed.
+	Epoch uint64 `json:"epoch,omitempty"`
+}
+
+func refused(reason string) (any, bool) { return Verdict{Reason: reason}, false }
+
+func applied() (any, bool) { return Verdict{Applied: true}, true }
+
+type envelope struct {
+	Type string          `json:"type"`
+	Body json.RawMessage `json:"body"`
+}
+
+// commandTypes maps the names in the log to commands. Names are never reused.
+var commandTypes = map[string]func() Command{
+	"found":          func() Command { return &Found{} },
+	"config_change":  func() Command { return &ConfigChange{} },
+	"put_vm":         func() Command { return &PutVM{} },
+	"set_liveness":   func() Command { return &SetLiveness{} },
+	"free_vm":        func() Command { return &FreeVM{} },
+	"form_group":     func() Command { return &FormGroup{} },
+	"set_group":      func() Command { return &SetGroupState{} },
+	"put_service":    func() Command { return &PutService{} },
+	"remove_service": func() Command { return &RemoveService{} },
+	"put_entry":      func() Command { return &PutEntry{} },
+	"remove_entry":   func() Command { return &RemoveEntry{} },
+	"report_crash":   func() Command { return &ReportCrash{} },
+	"forget_suspect": func() Command { return &ForgetSuspect{} },
+}
+
+// Encode returns a command as it is written to the log.
+func Encode(c Command) ([]byte, error) {
+	name, err := commandName(c)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	body, err := json.Marshal(c)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	data, err := json.Marshal(envelope{Type: name, Body: body})
+	return data, errors.Trace(err)
+}
+
+func commandName(c Command) (string, error) {
+	switch c.(type) {
+	case *Found, Found:
+		return "found", nil
+	case *ConfigChange, ConfigChange:
+		return "config_change", nil
+	case *PutVM, PutVM:
+		return "put_vm", nil
+	case *SetLiveness, SetLiveness:
+		return "set_liveness", nil
+	case *FreeVM, FreeVM:
+		return "free_vm", nil
+	case *FormGroup, FormGroup:
+		return "form_group", nil
+	case *SetGroupState, SetGroupState:
+		return "set_group", nil
+	case *PutService, PutService:
+		return "put_service", nil
+	case *RemoveService, RemoveService:
+		return "remove_service", nil
+	case *PutEntry, PutEntry:
+		return "put_entry", nil
+	case *RemoveEntry, RemoveEntry:
+		return "remove_entry", nil
+	case *ReportCrash, ReportCrash:
+		return "report_crash", nil
+	case *ForgetSuspect, ForgetSuspect:
+		return "forget_suspect", nil
+	}
+	return "", errors.Annotatef(ErrMalformed, "command %T", c)
+}
+
+func decodeCommand(encoded []byte) (Command, error) {
+	var e envelope
+	if err := json.Unmarshal(encoded, &e); err != nil {
+		return nil, errors.WithType(errors.Annotate(err, "command"), ErrMalformed)
+	}
+	build, ok := commandTypes[e.Type]
+	if !ok {
+		return nil, errors.Annotatef(ErrMalformed, "command type %q", e.Type)
+	}
+	c := build()
+	if err := json.Unmarshal(e.Body, c); err != nil {
+		return nil, errors.WithType(errors.Annotatef(err, "command %s", e.Type), ErrMalformed)
+	}
+	return c, nil
+}
+
+// Found is the first command of a cluster.
+type Found struct {
+	ClusterID string `json:"cluster_id"`
+	// Initial is the configuration that the cluster starts with.
+	Initial ConfigChange `json:"initial"`
+}
+
+func (c Found) apply(b *Board) (any, bool) {
+	if b.ClusterID != "" {
+		return refused("founded already")
+	}
+	b.ClusterID = c.ClusterID
+	if c.Initial.ChangeID != "" {
+		c.Initial.apply(b)
+	}
+	return applied()
+}
--- /dev/null
+++ b/internal/blackboard/group.go
@@ -0,0 +1,156 @@
+package blackboard
+
+import "github.com/citronstep/citronstep/internal/invariant"
+
+// GroupState is where a serving group stands.
+type GroupState string
+
+// The states of a serving group. Only Serving is routable.
+const (
+	Forming  GroupState = "forming"
+	Loading  GroupState = "loading"
+	Serving  GroupState = "serving"
+	Draining GroupState = "draining"
+	Broken   GroupState = "broken"
+	Released GroupState = "released"
+)
+
+// Routable tells whether entries may send new work to the group.
+func (s GroupState) Routable() bool { return s == Serving }
+
+// transitions lists the states that may follow each state.
+var transitions = map[GroupState][]GroupState{
+	Forming:  {Loading, Broken, Released},
+	Loading:  {Serving, Broken, Released, Draining},
+	Serving:  {Draining, Broken},
+	Draining: {Released, Broken},
+	Broken:   {Released},
+}
+
+// GroupMember is one VM of a group, under the incarnation that joined.
+type GroupMember struct {
+	VM          string `json:"vm"`
+	Incarnation string `json:"incarnation"`
+	Address     string `json:"address"`
+}
+
+// Group is one epoch of one replica of a GroupSpec. Written by: the group
+// controllers. Read by: entries, which route to it, and the admin API.
+type Group struct {
+	// ID is the spec's name and the replica's number, such as "demo-0".
+	ID           string        `json:"id"`
+	Spec         string        `json:"spec"`
+	Model        string        `json:"model"`
+	Epoch        uint64        `json:"epoch"`
+	State        GroupState    `json:"state"`
+	FabricDomain string        `json:"fabric_domain"`
+	DataCentre   string        `json:"data_centre"`
+	Members      []GroupMember `json:"members"`
+	Worth        int           `json:"worth"`
+	// Reason says why the group is in its state.
+	Reason      string `json:"reason,omitempty"`
+	SinceMillis int64  `json:"since_ms"`
+}
+
+// FormGroup makes free VMs of one fabric domain the members of a new epoch.
+type FormGroup struct {
+	Group     Group `json:"group"`
+	NowMillis int64 `json:"now_ms"`
+}
+
+// apply checks and writes all member rows in one step, so two groups that
+// race for one VM get it one after the other or not at all.
+func (c FormGroup) apply(b *Board) (any, bool) {
+	g := c.Group
+	if old, ok := b.Groups[g.ID]; ok && old.State != Released {
+		return refused("an earlier epoch is not released")
+	}
+	if len(g.Members) == 0 {
+		return refused("no members")
+	}
+	vms := cloneMap(b.VMs)
+	for _, m := range g.Members {
+		v, ok := vms[m.VM]
+		if !ok || !v.Free() || v.Incarnation != m.Incarnation {
+			return refused("VM " + m.VM + " is not free under this incarnation")
+		}
+		if v.FabricDomain != g.FabricDomain {
+			return refused("VM " + m.VM + " is in another fabric domain")
+		}
+		v.Group, v.Epoch = g.ID, b.NextEpoch
+		vms[m.VM] = v
+	}
+	g.Epoch = b.NextEpoch
+	g.State = Forming
+	g.SinceMillis = c.NowMillis
+	b.NextEpoch++
+	b.VMs = vms
+	b.Groups = cloneMap(b.Groups)
+	b.Groups[g.ID] = g
+	return Verdict{Applied: true, Epoch: g.Epoch}, true
+}
+
+// SetGroupState moves one epoch of a group from one state to another.
+type SetGroupState struct {
+	Group     string     `json:"group"`
+	Epoch     uint64     `json:"epoch"`
+	From      GroupState `json:"from"`
+	To        GroupState `json:"to"`
+	Reason    string     `json:"reason"`
+	NowMillis int64      `json:"now_ms"`
+}
+
+func (c SetGroupState) apply(b *Board) (any, bool) {
+	g, ok := b.Groups[c.Group]
+	if !ok || g.Epoch != c.Epoch || g.State != c.From {
+		return refused("the group is in another epoch or state")
+	}
+	if !mayFollow(c.From, c.To) {
+		return refused("no such transition")
+	}
+	if c.To == Released && b.holds(g) {
+		return refused("a member still holds the epoch")
+	}
+	g.State, g.Reason, g.SinceMillis = c.To, c.Reason, c.NowMillis
+	b.Groups = cloneMap(b.Groups)
+	b.Groups[g.ID] = g
+	return applied()
+}
+
+func mayFollow(from, to GroupState) bool {
+	for _, s := range transitions[from] {
+		if s == to {
+			return true
+		}
+	}
+	return false
+}
+
+// holds tells whether any VM still holds the group's epoch.
+func (b *Board) holds(g Group) bool {
+	for _, m := range g.Members {
+		if v, ok := b.VMs[m.VM]; ok && v.Group == g.ID && v.Epoch == g.Epoch {
+			return true
+		}
+	}
+	return false
+}
+
+// consistent asserts that each member of a group that is not released or
+// broken up holds that group and epoch, so no VM is in two groups and no
+// group serves with a member missing from its row.
+func (b *Board) consistent() bool {
+	for _, g := range b.Groups {
+		if g.State != Forming && g.State != Loading && g.State != Serving {
+			continue
+		}
+		for _, m := range g.Members {
+			v, ok := b.VMs[m.VM]
+			if !invariant.Check(ok && v.Group == g.ID && v.Epoch == g.Epoch, "vm_in_one_group",
+				"group %s epoch %d has member %s, which holds %q epoch %d", g.ID, g.Epoch, m.VM, v.Group, v.Epoch) {
+				return false
+			}
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/blackboard/service.go
@@ -0,0 +1,43 @@
+package blackboard
+
+// ServiceInstance is one backend server of a plain service. Written by: the
+// announcement controller. Read by: entries.
+type ServiceInstance struct {
+	ID          string   `json:"id"`
+	Service     string   `json:"service"`
+	Incarnation string   `json:"incarnation"`
+	Address     string   `json:"address"`
+	DataCentre  string   `json:"data_centre"`
+	Liveness    Liveness `json:"liveness"`
+	Leaving     bool     `json:"leaving,omitempty"`
+}
+
+// PutService records what a plain service's instance announced, or what the
+// liveness controller concluded of it.
+type PutService struct {
+	Instance ServiceInstance `json:"instance"`
+}
+
+func (c PutService) apply(b *Board) (any, bool) {
+	if b.Services[c.Instance.ID] == c.Instance {
+		return refused("no change")
+	}
+	b.Services = cloneMap(b.Services)
+	b.Services[c.Instance.ID] = c.Instance
+	return applied()
+}
+
+// RemoveService forgets an instance that has long been dead.
+type RemoveService struct {
+	ID          string `json:"id"`
+	Incarnation string `json:"incarnation"`
+}
+
+func (c RemoveService) apply(b *Board) (any, bool) {
+	if s, ok := b.Services[c.ID]; !ok || s.Incarnation != c.Incarnation {
+		return refused("another incarnation")
+	}
+	b.Services = cloneMap(b.Services)
+	delete(b.Services, c.ID)
+	return applied()
+}
--- /dev/null
+++ b/internal/blackboard/vm.go
@@ -0,0 +1,114 @@
+package blackboard
+
+// Liveness is what the liveness controller has concluded of a backend server.
+type Liveness string
+
+// The states of liveness. A paused VM misses heartbeats but may come back
+// with its state; a dead one is given up. A straggler answers but is slow.
+const (
+	Alive     Liveness = "alive"
+	Paused    Liveness = "paused"
+	Dead      Liveness = "dead"
+	Straggler Liveness = "straggler"
+)
+
+// VM is a backend server VM that runs one engine. Written by: the
+// announcement, liveness and group controllers. Read by: group controllers
+// and entries (addresses and epochs of members).
+type VM struct {
+	ID           string   `json:"id"`
+	Incarnation  string   `json:"incarnation"`
+	Address      string   `json:"address"`
+	DataCentre   string   `json:"data_centre"`
+	FabricDomain string   `json:"fabric_domain"`
+	Accelerators int      `json:"accelerators"`
+	Liveness     Liveness `json:"liveness"`
+	Leaving      bool     `json:"leaving,omitempty"`
+	// Weights lists the models whose weights the VM holds locally.
+	Weights []string `json:"weights,omitempty"`
+	// Group and Epoch name the one serving group that the VM is part of, or
+	// may still be running. They are cleared by FreeVM alone.
+	Group string `json:"group,omitempty"`
+	Epoch uint64 `json:"epoch,omitempty"`
+	// SinceMillis is when Liveness last changed, leader's clock.
+	SinceMillis int64 `json:"since_ms"`
+	// Flaps counts returns from paused or dead, for hysteresis.
+	Flaps int `json:"flaps,omitempty"`
+}
+
+// Free tells whether the VM may go into a new group.
+func (v VM) Free() bool { return v.Group == "" }
+
+// PutVM records what a VM announced. It touches neither group nor liveness of
+// a VM that it knows; a new incarnation is recorded, and the group that ran
+// under the old one stays until FreeVM names the new incarnation.
+type PutVM struct {
+	VM VM `json:"vm"`
+}
+
+func (c PutVM) apply(b *Board) (any, bool) {
+	old, known := b.VMs[c.VM.ID]
+	next := c.VM
+	next.Group, next.Epoch = old.Group, old.Epoch
+	if known {
+		next.Liveness, next.SinceMillis, next.Flaps = old.Liveness, old.SinceMillis, old.Flaps
+	} else if next.Liveness == "" {
+		next.Liveness = Alive
+	}
+	b.VMs = cloneMap(b.VMs)
+	b.VMs[next.ID] = next
+	return applied()
+}
+
+// SetLiveness records a change of liveness of one incarnation.
+type SetLiveness struct {
+	VM          string   `json:"vm"`
+	Incarnation string   `json:"incarnation"`
+	To          Liveness `json:"to"`
+	NowMillis   int64    `json:"now_ms"`
+	Returned    bool     `json:"returned,omitempty"`
+}
+
+func (c SetLiveness) apply(b *Board) (any, bool) {
+	v, ok := b.VMs[c.VM]
+	if !ok || v.Incarnation != c.Incarnation {
+		return refused("another incarnation")
+	}
+	if v.Liveness == c.To {
+		return refused("no change")
+	}
+	v.Liveness = c.To
+	v.SinceMillis = c.NowMillis
+	if c.Returned {
+		v.Flaps++
+	}
+	b.VMs = cloneMap(b.VMs)
+	b.VMs[c.VM] = v
+	return applied()
+}
+
+// FreeVM takes a VM out of the group epoch that it held. The group controller
+// sends it only with proof that the old epoch no longer runs on the VM: the
+// engine confirmed its release, or announced an incarnation that started after
+// the one that held the group. Silence is no proof.
+type FreeVM struct {
+	VM    string `json:"vm"`
+	Group string `json:"group"`
+	Epoch uint64 `json:"epoch"`
+	// Incarnation is the one that gave the proof.
+	Incarnation string `json:"incarnation"`
+}
+
+func (c FreeVM) apply(b *Board) (any, bool) {
+	v, ok := b.VMs[c.VM]
+	if !ok || v.Group != c.Group || v.Epoch != c.Epoch || v.Incarnation != c.Incarnation {
+		return refused("the VM holds another group, epoch or incarnation")
+	}
+	if g, ok := b.Groups[c.Group]; ok && g.Epoch == c.Epoch && g.State.Routable() {
+		return refused("the group is serving")
+	}
+	v.Group, v.Epoch = "", 0
+	b.VMs = cloneMap(b.VMs)
+	b.VMs[c.VM] = v
+	return applied()
+}
