--- a/test/standin/cmd/citronstep-standin/flags.go
+++ b/test/standin/cmd/citronstep-standin/flags.go
@@ -14,18 +14,19 @@
 )
 
 type flags struct {
-	engines     int
-	service     string
-	instances   int
-	weightStore string
-	idPrefix    string
-	firstPort   int
-	listenIP    string
-	advertise   string
-	announce    string
-	secretFile  string
-	runs        string
-	crashExit   bool
+	engines            int
+	service            string
+	instances          int
+	weightStore        string
+	idPrefix           string
+	firstPort          int
+	listenIP           string
+	advertise          string
+	announce           string
+	secretFile         string
+	announceSecretFile string
+	runs               string
+	crashExit          bool
 
 	common         standin.Common
 	engine         standin.EngineOptions
@@ -47,6 +48,7 @@
 	set.StringVar(&f.advertise, "advertise", "", "comma-separated `addresses` to announce in place of the own ones")
 	set.StringVar(&f.announce, "announce", "", "comma-separated `addresses` of entries")
 	set.StringVar(&f.secretFile, "secret-file", "", "`file` with the bearer token that orders and calls must carry")
+	set.StringVar(&f.announceSecretFile, "announce-secret-file", "", "`file` with the bearer token of announcements")
 	set.StringVar(&f.runs, "runs", "", "append each run as a JSON line to this `file`")
 	set.BoolVar(&f.crashExit, "crash-exit", false, "a crash ends the process, with status 3")
 	f.registerCommon(set)
@@ -131,7 +133,7 @@
 	}
 	c.Entries = list(f.announce)
 	c.Secret = readSecret(f.secretFile)
-	c.AnnounceSecret = c.Secret
+	c.AnnounceSecret = readSecret(f.announceSecretFile)
 	c.Recorder = r
 	c.Logger = l
 	if f.crashExit {
--- a/test/standin/cmd/citronstep-standin/main.go
+++ b/test/standin/cmd/citronstep-standin/main.go
@@ -29,7 +29,7 @@
 const crashStatus = 3
 
 func main() {
-	logger := log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr))
+	logger := level.NewFilter(log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr)), level.AllowInfo())
 	f, err := parseFlags(os.Args[1:])
 	if err != nil {
 		os.Exit(2)
