--- a/internal/blackboard/entry.go
+++ b/internal/blackboard/entry.go
@@ -5,9 +5,12 @@
 // configuration as in force only when each entry holds it or its lease has run
 // out, and entries, which exchange liveness evidence with each other.
 type Entry struct {
-	ID         string `json:"id"`
-	Address    string `json:"address"`
-	DataCentre string `json:"data_centre"`
+	ID string `json:"id"`
+	// Address is where callers and backend servers reach the entry.
+	Address string `json:"address"`
+	// PeerAddress is where the system's own processes reach it.
+	PeerAddress string `json:"peer_address"`
+	DataCentre  string `json:"data_centre"`
 }
 
 // PutEntry registers an entry, or its new address.
--- /dev/null
+++ b/internal/control/forward.go
@@ -0,0 +1,55 @@
+package control
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"github.com/citronstep/citronstep/internal/adminapi"
+	"github.com/citronstep/citronstep/internal/failure"
+)
+
+// Forwarder sends operators' requests from a control process that does not
+// lead on to the one that does.
+type Forwarder struct {
+	Client *http.Client
+	// Token is the secret between the system's own processes.
+	Token string
+}
+
+// forwardTimeout bounds a forwarded request, a long poll for events included.
+const forwardTimeout = maxEventsWait + 5*time.Second
+
+func (f *Forwarder) middleware(s *Server) echo.MiddlewareFunc {
+	return func(next echo.HandlerFunc) echo.HandlerFunc {
+		return func(c echo.Context) error {
+			st := s.o.Consensus.Status()
+			here := !st.Founded || st.LeaderAddress == "" || st.Leader == st.ID
+			if here || c.Path() == adminapi.PathInit {
+				return next(c)
+			}
+			return f.forward(c, st.LeaderAddress)
+		}
+	}
+}
+
+// forward sends the request once. It may have been carried out when no answer
+// comes back; the operator's change id makes a resend safe.
+func (f *Forwarder) forward(c echo.Context, leader string) error {
+	in := c.Request()
+	out, err := http.NewRequestWithContext(in.Context(), in.Method,
+		"http://"+leader+in.URL.RequestURI(), io.LimitReader(in.Body, maxAdminBody))
+	if err != nil {
+		return failure.New(failure.TypeBadRequest, err.Error())
+	}
+	out.Header.Set("Authorization", "Bearer "+f.Token)
+	out.Header.Set("Content-Type", "application/json")
+	answer, err := f.Client.Do(out)
+	if err != nil {
+		return failure.New(failure.TypeOutcomeUnknown, "no answer from the leader: "+err.Error()).WithRan(failure.RanUnknown)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	return c.Stream(answer.StatusCode, answer.Header.Get("Content-Type"), answer.Body)
+}
--- /dev/null
+++ b/internal/control/leases.go
@@ -0,0 +1,91 @@
+package control
+
+import (
+	"sort"
+	"time"
+
+	"github.com/citronstep/citronstep/internal/clock"
+)
+
+// clockDrift is the part by which two VMs' clocks may run apart. Leases are
+// seconds long, and quartz clocks differ by less than 1 in 1,000.
+const clockDrift = 0.01
+
+// leases knows, on the leader, which configuration each entry holds and until
+// when an entry that went silent may still serve on an older one.
+//
+// It guards against an entry that is cut off and goes on admitting under a
+// configuration that operators have replaced. It shows as requests served by
+// withdrawn keys or priorities. The guard holds because an entry counts its
+// lease from the moment it sent the watch, which is before the moment the
+// leader answers it and counts from here, and because a new leader counts
+// every registered entry as freshly leased.
+type leases struct {
+	length time.Duration
+	holds  map[string]holding
+	// took is when this process became the leader.
+	took clock.Boot
+}
+
+type holding struct {
+	config uint64
+	until  clock.Boot
+}
+
+func newLeases(length time.Duration, now clock.Boot) *leases {
+	return &leases{length: length, holds: make(map[string]holding), took: now}
+}
+
+// margin is the time past a lease's end by which it has surely run out on a
+// clock that runs slow.
+func (l *leases) margin() time.Duration {
+	return time.Duration(float64(l.length) * clockDrift)
+}
+
+// acknowledge notes the configuration that an entry says it holds.
+func (l *leases) acknowledge(entry string, config uint64) {
+	h := l.holding(entry)
+	if config > h.config {
+		h.config = config
+	}
+	l.holds[entry] = h
+}
+
+// grant notes that an entry is being answered and so gets a new lease.
+func (l *leases) grant(entry string, now clock.Boot) {
+	h := l.holding(entry)
+	h.until = now.Add(l.length + l.margin())
+	l.holds[entry] = h
+}
+
+// holding returns what is known of an entry. One that has not watched this
+// leader yet may hold a lease of the leader before.
+func (l *leases) holding(entry string) holding {
+	if h, ok := l.holds[entry]; ok {
+		return h
+	}
+	return holding{until: l.took.Add(l.length + l.margin())}
+}
+
+// remaining returns how long an entry's lease may still run.
+func (l *leases) remaining(entry string, now clock.Boot) time.Duration {
+	left := l.holding(entry).until.Sub(now)
+	if left < 0 {
+		return 0
+	}
+	return left
+}
+
+// pending returns those of the entries that may still serve on a
+// configuration older than revision.
+func (l *leases) pending(entries []string, revision uint64, now clock.Boot) []string {
+	var late []string
+	for _, e := range entries {
+		h := l.holding(e)
+		if h.config < revision && l.remaining(e, now) > 0 {
+			late = append(late, e)
+		}
+	}
+	sort.Strings(late)
+	return late
+}
--- /dev/null
+++ b/internal/control/server.go
@@ -0,0 +1,132 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/juju/errors"
+
+	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/clock"
+	"github.com/citronstep/citronstep/internal/evidence"
+	"github.com/citronstep/citronstep/internal/failure"
+	"github.com/citronstep/citronstep/internal/replica"
+	"github.com/citronstep/citronstep/internal/rpc/noderpc"
+)
+
+// Consensus is what the control role needs of a consensus replica.
+type Consensus interface {
+	Propose(ctx context.Context, command []byte) ([]byte, error)
+	ReadBarrier(ctx context.Context) error
+	Status() replica.Status
+	LeaseRemaining() time.Duration
+	Found(ctx context.Context) error
+	TransferLeadership(ctx context.Context) error
+}
+
+// Evidence gives the leader what the entry on the same VM has heard of
+// backend servers, directly and from its peers.
+type Evidence interface {
+	// With calls f with the table; no one else changes it meanwhile.
+	With(f func(*evidence.Table))
+}
+
+// OrderSender sends orders to engines.
+type OrderSender interface {
+	Order(ctx context.Context, address string, o Order) (OrderReply, error)
+}
+
+// Options are what a Server is made of.
+type Options struct {
+	Machine   *Machine
+	Consensus Consensus
+	Evidence  Evidence
+	Orders    OrderSender
+	Logger    log.Logger
+	// Lease is how long an entry may serve without hearing from the leader.
+	Lease time.Duration
+	// Step is the time between two runs of the controllers.
+	Step time.Duration
+	// VM is this machine's name.
+	VM string
+	// LeaderAdmin maps a peer's address to the admin address to forward to.
+	HTTPClient *http.Client
+}
+
+// Server is the control role of one process.
+type Server struct {
+	o Options
+
+	mu     sync.Mutex
+	leases *leases
+	term   uint64
+	events *eventLog
+	meter  meter
+}
+
+// NewServer returns a server; Run makes it work.
+func NewServer(o Options) *Server {
+	return &Server{o: o, events: newEventLog(), leases: newLeases(o.Lease, clock.Now())}
+}
+
+// leading returns the term that this process leads, or a typed refusal that
+// names the leader. It holds only for the instant: a caller that waits after
+// it asks again.
+func (s *Server) leading() (uint64, error) {
+	st := s.o.Consensus.Status()
+	if !st.Founded {
+		return 0, failure.New(failure.TypeNotFounded, "the cluster is not founded: run citronstep init").WithRan(failure.RanNo)
+	}
+	if s.o.Consensus.LeaseRemaining() <= 0 {
+		return 0, failure.New(failure.TypeNotLeader, "this control process does not lead").
+			WithDetail(st.LeaderAddress).WithRan(failure.RanNo)
+	}
+	s.enterTerm(st.Term)
+	return st.Term, nil
+}
+
+// enterTerm starts the lease table of a new term.
+func (s *Server) enterTerm(term uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if term == s.term {
+		return
+	}
+	s.term = term
+	s.leases = newLeases(s.o.Lease, clock.Now())
+	s.events.reset(s.o.VM)
+	s.meter = meter{}
+	_ = level.Info(s.o.Logger).Log("event", "leading", "term", term)
+}
+
+// commitBoard writes one command of the board and decodes its result.
+func (s *Server) commitBoard(ctx context.Context, c blackboard.Command, result any) error {
+	encoded, err := blackboard.Encode(c)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	data, err := s.o.Consensus.Propose(ctx, Wrap(noderpc.Machine_MACHINE_BOARD, encoded))
+	if err != nil {
+		return errors.Trace(typed(err))
+	}
+	return errors.Trace(json.Unmarshal(data, result))
+}
+
+// typed turns an error of the consensus replica into one for peers and
+// operators.
+func typed(err error) error {
+	switch {
+	case errors.Is(err, replica.ErrNotLeader):
+		return failure.New(failure.TypeNotLeader, err.Error()).WithRan(failure.RanNo)
+	case errors.Is(err, replica.ErrNotFounded):
+		return failure.New(failure.TypeNotFounded, "the cluster is not founded: run citronstep init").WithRan(failure.RanNo)
+	case errors.Is(err, replica.ErrUnknownOutcome):
+		return failure.New(failure.TypeOutcomeUnknown, err.Error()).WithRan(failure.RanUnknown)
+	}
+	return failure.New(failure.TypeUnavailable, err.Error()).WithRan(failure.RanUnknown)
+}
--- /dev/null
+++ b/internal/control/watch.go
@@ -0,0 +1,136 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/twitchtv/twirp"
+
+	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/clock"
+	"github.com/citronstep/citronstep/internal/controlclient"
+	"github.com/citronstep/citronstep/internal/failure"
+	"github.com/citronstep/citronstep/internal/rpc/noderpc"
+)
+
+// maxWatchWait bounds how long a watch is held, so that an entry's lease,
+// counted from when it sent the watch, is renewed well before it runs out.
+const maxWatchWait = time.Second
+
+// Watch answers an entry's long poll: what changed since its revision, and a
+// new lease on the configuration that it then holds.
+func (s *Server) Watch(ctx context.Context, r *noderpc.WatchRequest) (*noderpc.WatchReply, error) {
+	if _, err := s.leading(); err != nil {
+		return nil, rpcError(err)
+	}
+	if err := s.admitEntry(ctx, r); err != nil {
+		return nil, rpcError(err)
+	}
+	s.acknowledge(r)
+	s.waitForChange(ctx, r)
+	return s.answerWatch(r)
+}
+
+// admitEntry registers an entry before its first lease, so that a later
+// leader knows that it may hold one.
+func (s *Server) admitEntry(ctx context.Context, r *noderpc.WatchRequest) error {
+	board, _ := s.o.Machine.Board()
+	if r.ClusterId != "" && r.ClusterId != board.ClusterID {
+		return errors.Trace(failure.New(failure.TypeConflict, "the entry follows another cluster"))
+	}
+	entry := blackboard.Entry{
+		ID: r.EntryId, Address: r.Address, PeerAddress: r.PeerAddress, DataCentre: r.DataCentre,
+	}
+	if board.Entries[r.EntryId] == entry {
+		return nil
+	}
+	var verdict blackboard.Verdict
+	if err := s.commitBoard(ctx, &blackboard.PutEntry{Entry: entry}, &verdict); err != nil {
+		return errors.Trace(err)
+	}
+	s.event("entry", entry.ID, "entry registered at "+entry.Address)
+	return nil
+}
+
+func (s *Server) acknowledge(r *noderpc.WatchRequest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leases.acknowledge(r.EntryId, r.HaveConfig)
+}
+
+func (s *Server) waitForChange(ctx context.Context, r *noderpc.WatchRequest) {
+	wait := min(time.Duration(r.WaitMs)*time.Millisecond, maxWatchWait)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	board, changed := s.o.Machine.Board()
+	if board.Revision != r.HaveRevision {
+		return
+	}
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// answerWatch grants a lease only while this process surely leads.
+//
+// It guards against a leader that was frozen or cut off during the wait: it
+// would grant a lease on a configuration that a newer leader has replaced. The
+// lease is checked after the wait and after the board was read, by a clock
+// that counts the time frozen; while it runs no newer leader exists, so no
+// newer configuration does.
+func (s *Server) answerWatch(r *noderpc.WatchRequest) (*noderpc.WatchReply, error) {
+	board, commands, ok := s.o.Machine.Since(r.HaveRevision)
+	reply := &noderpc.WatchReply{ClusterId: board.ClusterID, Revision: board.Revision}
+	if ok {
+		reply.Commands = commands
+	} else {
+		snapshot, err := board.Encode()
+		if err != nil {
+			return nil, rpcError(err)
+		}
+		reply.Snapshot = snapshot
+	}
+	term, err := s.leading()
+	if err != nil {
+		return nil, rpcError(err)
+	}
+	reply.Term = term
+	reply.LeaseMs = s.o.Lease.Milliseconds()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.leases.grant(r.EntryId, clock.Now())
+	return reply, nil
+}
+
+// Commit writes an entry's command to the log.
+func (s *Server) Commit(ctx context.Context, r *noderpc.CommitRequest) (*noderpc.CommitReply, error) {
+	if _, err := s.leading(); err != nil {
+		return nil, rpcError(err)
+	}
+	board, _ := s.o.Machine.Board()
+	if r.ClusterId != board.ClusterID {
+		return nil, rpcError(failure.New(failure.TypeConflict, "the entry follows another cluster").WithRan(failure.RanNo))
+	}
+	result, err := s.o.Consensus.Propose(ctx, Wrap(r.Machine, r.Command))
+	if err != nil {
+		return nil, rpcError(typed(err))
+	}
+	return &noderpc.CommitReply{Result: result}, nil
+}
+
+// rpcError carries a typed failure over Twirp.
+func rpcError(err error) error {
+	f := failure.From(err)
+	code := twirp.Unavailable
+	if f.Type == failure.TypeConflict {
+		code = twirp.FailedPrecondition
+	}
+	e := twirp.NewError(code, f.Message).WithMeta(controlclient.MetaType, string(f.Type))
+	if f.Type == failure.TypeNotLeader {
+		e = e.WithMeta(controlclient.MetaLeader, f.Detail)
+	}
+	return e
+}
--- /dev/null
+++ b/internal/controlclient/client.go
@@ -0,0 +1,125 @@
+// Package controlclient calls the control process that leads.
+package controlclient
+
+import (
+	"context"
+	"net/http"
+	"sync"
+
+	"github.com/juju/errors"
+	"github.com/twitchtv/twirp"
+
+	"github.com/citronstep/citronstep/internal/failure"
+	"github.com/citronstep/citronstep/internal/rpc/noderpc"
+)
+
+// The keys of a Twirp error's meta.
+const (
+	// MetaLeader carries the leader's peer address.
+	MetaLeader = "leader"
+	// MetaType carries the failure's type.
+	MetaType = "type"
+)
+
+// Client finds the leader among the control processes and remembers it.
+// It is safe for concurrent use.
+type Client struct {
+	addresses []string
+	boards    map[string]noderpc.Board
+	http      *http.Client
+
+	mu     sync.Mutex
+	leader string
+	next   int
+}
+
+// New returns a client of the control processes at the addresses. The HTTP
+// client adds the secret between our processes to each call.
+func New(addresses []string, client *http.Client) *Client {
+	return &Client{addresses: addresses, boards: make(map[string]noderpc.Board), http: client}
+}
+
+func (c *Client) board() (string, noderpc.Board) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	address := c.leader
+	if address == "" {
+		address = c.addresses[c.next%len(c.addresses)]
+	}
+	b, ok := c.boards[address]
+	if !ok {
+		b = noderpc.NewBoardProtobufClient("http://"+address, c.http)
+		c.boards[address] = b
+	}
+	return address, b
+}
+
+// learn takes from an answer where the leader is.
+func (c *Client) learn(address string, err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err == nil {
+		c.leader = address
+		return
+	}
+	c.leader = ""
+	var te twirp.Error
+	if errors.As(err, &te) && te.Meta(MetaLeader) != "" && te.Meta(MetaLeader) != address {
+		c.leader = te.Meta(MetaLeader)
+		return
+	}
+	c.next++
+}
+
+// Watch calls the process last known to lead, once. After a failure the next
+// call goes to another process.
+func (c *Client) Watch(ctx context.Context, r *noderpc.WatchRequest) (*noderpc.WatchReply, error) {
+	address, b := c.board()
+	reply, err := b.Watch(ctx, r)
+	c.learn(address, err)
+	return reply, errors.Trace(typed(err))
+}
+
+// Commit writes a command through the leader. It follows refusals that prove
+// that nothing was written; any other failure leaves the outcome unknown, and
+// only a command that is safe to write twice may be sent again.
+func (c *Client) Commit(ctx context.Context, r *noderpc.CommitRequest) ([]byte, error) {
+	var err error
+	for range 2 * len(c.addresses) {
+		address, b := c.board()
+		var reply *noderpc.CommitReply
+		reply, err = b.Commit(ctx, r)
+		c.learn(address, err)
+		if err == nil {
+			return reply.Result, nil
+		}
+		if !refused(err) || ctx.Err() != nil {
+			break
+		}
+	}
+	return nil, errors.Trace(typed(err))
+}
+
+// refused tells whether the process said that it did not write the command.
+func refused(err error) bool {
+	var te twirp.Error
+	if !errors.As(err, &te) {
+		return false
+	}
+	switch failure.Type(te.Meta(MetaType)) {
+	case failure.TypeNotLeader, failure.TypeNotFounded:
+		return true
+	}
+	return false
+}
+
+func typed(err error) error {
+	if err == nil {
+		return nil
+	}
+	var te twirp.Error
+	if errors.As(err, &te) && te.Meta(MetaType) != "" {
+		return failure.New(failure.Type(te.Meta(MetaType)), te.Msg())
+	}
+	return failure.New(failure.TypeUnavailable, err.Error())
+}
--- /dev/null
+++ b/internal/follow/follow.go
@@ -0,0 +1,169 @@
+// Package follow keeps an entry's copy of the blackboard and the lease that
+// lets the entry serve under the configuration in it.
+package follow
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/juju/errors"
+
+	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/clock"
+	"github.com/citronstep/citronstep/internal/invariant"
+	"github.com/citronstep/citronstep/internal/rpc/noderpc"
+)
+
+// Watcher asks the leader what has changed.
+type Watcher interface {
+	Watch(ctx context.Context, r *noderpc.WatchRequest) (*noderpc.WatchReply, error)
+}
+
+// Options are what a Follower is made of.
+type Options struct {
+	Watcher Watcher
+	Entry   blackboard.Entry
+	Logger  log.Logger
+	// OnChange is called, from one goroutine, with each new board.
+	OnChange func(*blackboard.Board)
+}
+
+// Follower holds the newest board that it has applied. It is safe for
+// concurrent use.
+type Follower struct {
+	o Options
+
+	mu    sync.Mutex
+	board *blackboard.Board
+	until clock.Boot
+}
+
+// New returns a follower that holds an empty board and no lease.
+//
+// It starts empty, never from a file, so that an entry that restarts after
+// hundreds of changes serves nothing under an old configuration: its first
+// lease comes with the leader's newest board.
+func New(o Options) *Follower {
+	return &Follower{o: o, board: blackboard.New()}
+}
+
+// Times of the watch.
+const (
+	// watchWait is how long the leader may hold a watch with nothing new.
+	watchWait = 500 * time.Millisecond
+	// watchTimeout ends a watch on a connection that has gone silent. It is
+	// shorter than the lease, so that another control process is asked
+	// before the lease runs out.
+	watchTimeout = 1200 * time.Millisecond
+	// watchPause keeps a refused watch from spinning.
+	watchPause = 50 * time.Millisecond
+)
+
+// Board returns the newest board applied here.
+func (f *Follower) Board() *blackboard.Board {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.board
+}
+
+// Lease returns how long this entry may go on admitting, 0 when not at all.
+//
+// It guards against an entry that is cut off and serves under a configuration
+// that operators have replaced long ago. The guard holds because the lease is
+// counted from before the watch was sent, by a clock that counts the time in
+// which the process was frozen.
+func (f *Follower) Lease() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return max(0, f.until.Sub(clock.Now()))
+}
+
+// Run follows the leader until the context ends.
+func (f *Follower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := f.step(ctx); err != nil {
+			_ = level.Debug(f.o.Logger).Log("event", "watch_failed", "err", err)
+			pause(ctx, watchPause)
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (f *Follower) step(ctx context.Context) error {
+	board := f.Board()
+	asked := clock.Now()
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	reply, err := f.o.Watcher.Watch(ctx, &noderpc.WatchRequest{
+		ClusterId:    board.ClusterID,
+		EntryId:      f.o.Entry.ID,
+		Address:      f.o.Entry.Address,
+		PeerAddress:  f.o.Entry.PeerAddress,
+		DataCentre:   f.o.Entry.DataCentre,
+		HaveRevision: board.Revision,
+		HaveConfig:   board.Config.Revision,
+		WaitMs:       watchWait.Milliseconds(),
+	})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	next, err := advance(board, reply)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	f.take(next, asked.Add(time.Duration(reply.LeaseMs)*time.Millisecond))
+	return nil
+}
+
+// ErrBackwards is returned for an answer that would take the entry back to an
+// earlier configuration.
+const ErrBackwards = errors.ConstError("the leader's board is older than the one held here")
+
+// advance returns the board that the reply leads to.
+func advance(board *blackboard.Board, reply *noderpc.WatchReply) (*blackboard.Board, error) {
+	next := board
+	var err error
+	if len(reply.Snapshot) > 0 {
+		if next, err = blackboard.Decode(reply.Snapshot); err != nil {
+			return nil, errors.Trace(err)
+		}
+	}
+	for _, command := range reply.Commands {
+		if next, _, err = next.Apply(command); err != nil {
+			return nil, errors.Trace(err)
+		}
+	}
+	forward := next.Config.Revision >= board.Config.Revision && next.Revision >= board.Revision
+	same := board.ClusterID == "" || board.ClusterID == next.ClusterID
+	if !invariant.Check(forward && same, "configuration_never_reverts",
+		"have board %d config %d, got board %d config %d", board.Revision, board.Config.Revision, next.Revision, next.Config.Revision) {
+		return nil, errors.Trace(ErrBackwards)
+	}
+	return next, nil
+}
+
+// take publishes the board before the lease that was granted with it, so that
+// nothing is admitted under the lease with an older board.
+func (f *Follower) take(next *blackboard.Board, until clock.Boot) {
+	f.mu.Lock()
+	changed := next.Revision != f.board.Revision
+	f.board = next
+	if until > f.until {
+		f.until = until
+	}
+	f.mu.Unlock()
+	if changed && f.o.OnChange != nil {
+		f.o.OnChange(next)
+	}
+}
