Checked settings: every fault at once with file, line and key

Ruled out: decoding repeatedly with the faulty line removed (line numbers move, arrays break). Now the library parses, and internal/tomlfile matches the tree to the Go struct and takes each key's place from the library's own expression parser.

--- /dev/null
+++ b/internal/settings/token.go
@@ -0,0 +1,74 @@
+package settings
+
+import (
+	"io/fs"
+	"os"
+	"strings"
+
+	"github.com/juju/errors"
+
+	"github.com/citronstep/citronstep/internal/tomlfile"
+)
+
+// The ways in which a token file is refused.
+const (
+	ErrTokenEmpty         = errors.ConstError("the file holds no token")
+	ErrTokenWorldReadable = errors.ConstError("the file can be read by every user of the machine")
+	ErrTokenNotRegular    = errors.ConstError("not a regular file")
+)
+
+const (
+	allowedTokenFile = "a file with the token on its first line, readable by its owner or group only (chmod 600 FILE)"
+	worldReadable    = fs.FileMode(0o004)
+)
+
+// ReadToken returns the token in the file at path, without the white space
+// around it. A file that every user of the machine can read is refused: its
+// token is no secret.
+func ReadToken(path string) (string, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return "", errors.Trace(err)
+	}
+	if !info.Mode().IsRegular() {
+		return "", errors.Annotate(ErrTokenNotRegular, path)
+	}
+	if info.Mode().Perm()&worldReadable != 0 {
+		return "", errors.Annotate(ErrTokenWorldReadable, path)
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return "", errors.Trace(err)
+	}
+	token, _, _ := strings.Cut(strings.TrimSpace(string(data)), "\n")
+	if token = strings.TrimSpace(token); token == "" {
+		return "", errors.Annotate(ErrTokenEmpty, path)
+	}
+	return token, nil
+}
+
+func (s *Settings) checkTokenFiles(d *tomlfile.Document) {
+	files := []struct{ key, path string }{
+		{"entry.announce_token_file", s.Entry.AnnounceTokenFile},
+		{"entry.backend_token_file", s.Entry.BackendTokenFile},
+		{"admin.token_file", s.Admin.TokenFile},
+		{"peers.token_file", s.Peers.TokenFile},
+	}
+	for _, f := range files {
+		if f.path == "" || d.Has(f.key) {
+			continue
+		}
+		if _, err := ReadToken(f.path); err != nil {
+			d.Fault(f.key, f.path+": "+pathProblem(err), allowedTokenFile)
+		}
+	}
+}
+
+// pathProblem returns why a file could not be used, without its path.
+func pathProblem(err error) string {
+	var path *fs.PathError
+	if errors.As(err, &path) {
+		return path.Err.Error()
+	}
+	return errors.Cause(err).Error()
+}
--- /dev/null
+++ b/internal/tomlfile/decode.go
@@ -0,0 +1,201 @@
+package tomlfile
+
+import (
+	"math"
+	"reflect"
+	"sort"
+	"strings"
+
+	"github.com/juju/errors"
+	"github.com/pelletier/go-toml/v2"
+)
+
+// Document is a decoded document, kept to name the place of later faults.
+type Document struct {
+	file   string
+	places *places
+	faults Faults
+}
+
+// Decode fills into, a pointer to a struct with toml tags, from data. Values
+// already in the struct are defaults. Keys that the struct lacks and values
+// of a wrong type are faults of the returned document.
+func Decode(file string, data []byte, into any) *Document {
+	d := &Document{file: file}
+	tree := map[string]any{}
+	if err := toml.Unmarshal(data, &tree); err != nil {
+		d.places = findPlaces(nil)
+		d.faults = Faults{syntaxFault(file, err)}
+		return d
+	}
+	d.places = findPlaces(data)
+	d.fillStruct("", reflect.ValueOf(into).Elem(), tree)
+	return d
+}
+
+func syntaxFault(file string, err error) Fault {
+	fault := Fault{File: file, Message: strings.TrimPrefix(err.Error(), "toml: "), Allowed: "valid TOML"}
+	var decoding *toml.DecodeError
+	if errors.As(err, &decoding) {
+		fault.Line, fault.Column = decoding.Position()
+		fault.Key = strings.Join(decoding.Key(), ".")
+	}
+	return fault
+}
+
+// Fault adds a fault at key, or at its nearest table when the key is absent.
+func (d *Document) Fault(key, message, allowed string) {
+	at := d.places.of(key)
+	d.faults = append(d.faults, Fault{
+		File: d.file, Line: at.line, Column: at.column, Key: key, Message: message, Allowed: allowed,
+	})
+}
+
+// Has tells whether a fault of this very key is noted already, so that a
+// value of a wrong type is not also reported as missing.
+func (d *Document) Has(key string) bool {
+	for _, f := range d.faults {
+		if f.Key == key {
+			return true
+		}
+	}
+	return false
+}
+
+// SyntaxBroken tells whether the document is no TOML, so that its values say
+// nothing.
+func (d *Document) SyntaxBroken() bool {
+	return len(d.faults) == 1 && d.faults[0].Allowed == "valid TOML"
+}
+
+// Faults returns what was found so far, in the order of the file.
+func (d *Document) Faults() Faults {
+	d.faults.Sort()
+	return d.faults
+}
+
+func (d *Document) fillStruct(table string, to reflect.Value, tree map[string]any) {
+	fields := fieldsByKey(to)
+	for _, key := range sortedKeys(tree) {
+		field, known := fields[key]
+		if !known {
+			d.Fault(join(table, key), "unknown key", strings.Join(sortedKeys(fields), ", "))
+			continue
+		}
+		d.fill(join(table, key), field, tree[key])
+	}
+}
+
+func (d *Document) fill(key string, to reflect.Value, value any) {
+	switch to.Kind() {
+	case reflect.Struct:
+		if tree, ok := value.(map[string]any); ok {
+			d.fillStruct(key, to, tree)
+			return
+		}
+	case reflect.Slice:
+		if list, ok := value.([]any); ok {
+			d.fillSlice(key, to, list)
+			return
+		}
+	case reflect.Map:
+		if tree, ok := value.(map[string]any); ok {
+			d.fillMap(key, to, tree)
+			return
+		}
+	default:
+		if setScalar(to, value) {
+			return
+		}
+	}
+	d.Fault(key, "wrong type", kindName(to.Type()))
+}
+
+func (d *Document) fillSlice(key string, to reflect.Value, list []any) {
+	filled := reflect.MakeSlice(to.Type(), len(list), len(list))
+	for i, value := range list {
+		d.fill(element(key, i), filled.Index(i), value)
+	}
+	to.Set(filled)
+}
+
+func (d *Document) fillMap(key string, to reflect.Value, tree map[string]any) {
+	filled := reflect.MakeMapWithSize(to.Type(), len(tree))
+	for _, name := range sortedKeys(tree) {
+		value := reflect.New(to.Type().Elem()).Elem()
+		d.fill(join(key, name), value, tree[name])
+		filled.SetMapIndex(reflect.ValueOf(name), value)
+	}
+	to.Set(filled)
+}
+
+// setScalar sets to from value and tells whether the type and range fit.
+func setScalar(to reflect.Value, value any) bool {
+	switch v := value.(type) {
+	case string:
+		if to.Kind() == reflect.String {
+			to.SetString(v)
+			return true
+		}
+	case bool:
+		if to.Kind() == reflect.Bool {
+			to.SetBool(v)
+			return true
+		}
+	case int64:
+		if to.CanInt() && !to.OverflowInt(v) {
+			to.SetInt(v)
+			return true
+		}
+		if to.CanFloat() {
+			to.SetFloat(float64(v))
+			return true
+		}
+	case float64:
+		if to.CanFloat() && !math.IsNaN(v) && !math.IsInf(v, 0) {
+			to.SetFloat(v)
+			return true
+		}
+	}
+	return false
+}
+
+func kindName(t reflect.Type) string {
+	switch t.Kind() {
+	case reflect.String:
+		return "a string"
+	case reflect.Bool:
+		return "true or false"
+	case reflect.Int, reflect.Int64:
+		return "a whole number"
+	case reflect.Float64:
+		return "a finite number"
+	case reflect.Slice:
+		if t.Elem().Kind() == reflect.Struct {
+			return "an array of tables"
+		}
+		return "an array, each element " + kindName(t.Elem())
+	default:
+		return "a table"
+	}
+}
+
+// fieldsByKey returns the fields of a struct by their toml keys.
+func fieldsByKey(s reflect.Value) map[string]reflect.Value {
+	fields := make(map[string]reflect.Value, s.NumField())
+	for i := range s.NumField() {
+		if key := s.Type().Field(i).Tag.Get("toml"); key != "" && key != "-" {
+			fields[key] = s.Field(i)
+		}
+	}
+	return fields
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for key := range m {
+		keys = append(keys, key)
+	}
+	sort.Strings(keys)
+	return keys
+}
