Admission: queue by worth with shares, floor, deadlines and paced refusals

Cause: callers retry without end, so demand above capacity must be refused early, in order of worth, and refusals must not come back as a storm. Ruled out: one heap by worth (a class could starve for ever, and short work waits behind long); a single Retry-After (callers return together). Change: per model bands of equal worth, start-time fair queueing between workspaces, a floor share for lesser bands, refusal at the door from the measured service rate, bounded queue, joined resends, retry budget.

--- /dev/null
+++ b/internal/admission/flow.go
@@ -0,0 +1,171 @@
+package admission
+
+// flowKey names the requests that are served in arrival order.
+type flowKey struct {
+	workspace string
+	class     string
+	long      bool
+}
+
+// flow is a list of waiting requests of one workspace, class and length.
+//
+// Long and short requests are in flows of their own: in one list a short
+// request would wait until a long one at the head fits.
+type flow struct {
+	key    flowKey
+	band   *band
+	share  float64
+	tokens int
+	count  int
+	// finish is the virtual time up to which this flow was served: tokens
+	// divided by share.
+	finish      float64
+	first, last *item
+}
+
+func (f *flow) push(it *item) {
+	it.flow = f
+	it.prev, it.next = f.last, nil
+	if f.last == nil {
+		f.first = it
+	} else {
+		f.last.next = it
+	}
+	f.last = it
+	f.tokens += it.request.Tokens
+	f.count++
+}
+
+func (f *flow) remove(it *item) {
+	if it.prev == nil {
+		f.first = it.next
+	} else {
+		it.prev.next = it.next
+	}
+	if it.next == nil {
+		f.last = it.prev
+	} else {
+		it.next.prev = it.prev
+	}
+	it.prev, it.next = nil, nil
+	f.tokens -= it.request.Tokens
+	f.count--
+}
+
+// band holds the flows of one model that are of equal worth.
+//
+// Flows of a band share by start-time fair queueing in tokens, for demand that
+// is skewed towards a few large workspaces: without shares the workspace that
+// sends most is served most.
+type band struct {
+	worth  float64
+	flows  map[flowKey]*flow
+	active []*flow
+	// virtual is the start of the last flow served; a flow that becomes active
+	// starts there, so that it can't save up time while it has no requests.
+	virtual float64
+	tokens  int
+	shares  float64
+	// credit is the floor share not yet used, in tokens.
+	credit float64
+	// arrivals is the rate of tokens admitted to this band.
+	arrivals rate
+	returns  returnSchedule
+}
+
+func newBand(worth float64) *band {
+	return &band{worth: worth, flows: make(map[flowKey]*flow)}
+}
+
+func (b *band) push(it *item, share float64) {
+	key := flowKey{it.request.Workspace, it.request.Class, it.long}
+	f := b.flows[key]
+	if f == nil {
+		f = &flow{key: key, band: b}
+		b.flows[key] = f
+	}
+	if f.first == nil {
+		f.share = share
+		f.finish = max(f.finish, b.virtual)
+		b.shares += share
+		b.active = append(b.active, f)
+	}
+	f.push(it)
+	b.tokens += it.request.Tokens
+}
+
+func (b *band) remove(it *item) {
+	f := it.flow
+	f.remove(it)
+	b.tokens -= it.request.Tokens
+	if f.first != nil {
+		return
+	}
+	b.shares -= f.share
+	for i, other := range b.active {
+		if other == f {
+			b.active[i] = b.active[len(b.active)-1]
+			b.active = b.active[:len(b.active)-1]
+			break
+		}
+	}
+	if len(b.active) == 0 {
+		b.shares = 0
+		b.credit = 0
+	}
+}
+
+// lanes says for which lengths of request there is no room.
+type lanes struct {
+	long, short bool
+}
+
+func (l lanes) blocked(long bool) bool {
+	if long {
+		return l.long
+	}
+	return l.short
+}
+
+func (l *lanes) block(long bool) {
+	if long {
+		l.long = true
+		return
+	}
+	l.short = true
+}
+
+// best returns the head of the flow that is furthest behind its share.
+func (b *band) best(full lanes) *item {
+	var best *flow
+	for _, f := range b.active {
+		if full.blocked(f.key.long) {
+			continue
+		}
+		if best == nil || f.finish < best.finish || (f.finish == best.finish && f.first.seq < best.first.seq) {
+			best = f
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	return best.first
+}
+
+// newest returns the last request of the flow that holds most for its share,
+// of one workspace if one is named.
+func (b *band) newest(workspace string) *item {
+	var heaviest *flow
+	for _, f := range b.active {
+		if workspace != "" && f.key.workspace != workspace {
+			continue
+		}
+		if heaviest == nil || float64(f.tokens)*heaviest.share > float64(heaviest.tokens)*f.share {
+			heaviest = f
+		}
+	}
+	if heaviest == nil {
+		return nil
+	}
+	return heaviest.last
+}
--- /dev/null
+++ b/internal/admission/model.go
@@ -0,0 +1,193 @@
+package admission
+
+import (
+	"sort"
+	"time"
+)
+
+// creditLimit bounds the floor credit of a band to this many long requests,
+// so that a class can't save up credit and then hold the top class back.
+const creditLimit = 2
+
+// modelQueue holds the waiting requests of one model. Models don't compete
+// for the same backend servers, so each is ordered by itself.
+type modelQueue struct {
+	name string
+	// bands are sorted by worth, greatest first.
+	bands   []*band
+	rate    serviceRate
+	service serviceTime
+	window  time.Time
+	waiting int
+	seq     uint64
+	starved bool
+}
+
+func newModelQueue(name string) *modelQueue {
+	return &modelQueue{name: name}
+}
+
+func (m *modelQueue) band(worth float64) *band {
+	i := m.position(worth)
+	if i < len(m.bands) && m.bands[i].worth == worth {
+		return m.bands[i]
+	}
+	b := newBand(worth)
+	m.bands = append(m.bands, nil)
+	copy(m.bands[i+1:], m.bands[i:])
+	m.bands[i] = b
+	return b
+}
+
+func (m *modelQueue) position(worth float64) int {
+	return sort.Search(len(m.bands), func(i int) bool { return m.bands[i].worth <= worth })
+}
+
+func (m *modelQueue) push(it *item, share float64) {
+	m.seq++
+	it.seq = m.seq
+	m.band(it.worth).push(it, share)
+	m.waiting++
+}
+
+func (m *modelQueue) arrived(it *item) {
+	it.flow.band.arrivals.add(it.request.Tokens)
+}
+
+func (m *modelQueue) remove(it *item) {
+	it.flow.band.remove(it)
+	m.waiting--
+}
+
+// takeAll empties the queue and returns its requests in arrival order.
+func (m *modelQueue) takeAll() []*item {
+	var all []*item
+	for _, b := range m.bands {
+		for _, f := range b.flows {
+			for it := f.first; it != nil; it = it.next {
+				all = append(all, it)
+			}
+		}
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].seq < all[j].seq })
+	m.bands = nil
+	m.waiting = 0
+	return all
+}
+
+// next picks the request to place, or nil if none fits.
+func (m *modelQueue) next(policy Policy, fits func(Request) bool) *item {
+	if m.waiting == 0 {
+		return nil
+	}
+	var full lanes
+	for {
+		it := m.candidate(full)
+		if it == nil {
+			m.starved = true
+			return nil
+		}
+		if fits(it.request) {
+			return it
+		}
+		full.block(it.long)
+	}
+}
+
+// candidate is the head of the best band, unless a lesser band has saved the
+// credit for its own head.
+//
+// The floor is made for demand that keeps the top class busy without end. With
+// strict order alone the lesser classes would get nothing and their callers
+// would send again for ever; with it they get FloorShare of the tokens, shared
+// between the bands that wait.
+func (m *modelQueue) candidate(full lanes) *item {
+	var best *item
+	for _, b := range m.bands {
+		head := b.best(full)
+		if head == nil {
+			continue
+		}
+		if best == nil {
+			best = head
+			continue
+		}
+		if b.credit >= float64(head.request.Tokens) {
+			return head
+		}
+	}
+	return best
+}
+
+// served accounts for it: its flow moves on, lesser bands earn credit.
+func (m *modelQueue) served(it *item, policy Policy) {
+	f := it.flow
+	b := f.band
+	tokens := float64(it.request.Tokens)
+	b.virtual = max(b.virtual, f.finish)
+	f.finish += tokens / f.share
+	b.credit = max(0, b.credit-tokens)
+	lesser := 0
+	for _, other := range m.bands {
+		if other.worth < b.worth && len(other.active) > 0 {
+			lesser++
+		}
+	}
+	limit := float64(creditLimit * policy.LongTokens)
+	for _, other := range m.bands {
+		if other.worth < b.worth && len(other.active) > 0 {
+			other.credit = min(limit, other.credit+tokens*policy.FloorShare/float64(lesser))
+		}
+	}
+}
+
+// last returns the newest request of the lowest worth.
+func (m *modelQueue) last(workspace string) *item {
+	for i := len(m.bands) - 1; i >= 0; i-- {
+		if it := m.bands[i].newest(workspace); it != nil {
+			return it
+		}
+	}
+	return nil
+}
+
+// waitFor estimates how long it waits until it is placed; 0 if the service
+// rate isn't known yet.
+//
+// Work of greater worth that arrives later overtakes, so its arrival rate is
+// taken off the service rate, down to the floor share.
+func (m *modelQueue) waitFor(it *item, policy Policy) time.Duration {
+	perSecond := m.rate.perSecond
+	if perSecond <= 0 {
+		return 0
+	}
+	ahead, overtaking := 0.0, 0.0
+	for _, b := range m.bands {
+		if b.worth < it.worth {
+			break
+		}
+		if b.worth > it.worth {
+			ahead += float64(b.tokens)
+			overtaking += b.arrivals.perSecond
+			continue
+		}
+		ahead += b.aheadOf(it, policy.share(it.request.Workspace))
+	}
+	left := max(perSecond-overtaking, perSecond*policy.FloorShare)
+	return time.Duration(ahead / left * float64(time.Second))
+}
+
+// aheadOf estimates the tokens of the band that are served before a newcomer.
+func (b *band) aheadOf(it *item, share float64) float64 {
+	own := 0.0
+	shares := b.shares
+	f := b.flows[flowKey{it.request.Workspace, it.request.Class, it.long}]
+	if f != nil && f.first != nil {
+		own = float64(f.tokens)
+	} else {
+		shares += share
+	}
+	own += float64(it.request.Tokens)
+	fair := own*shares/share - float64(it.request.Tokens)
+	return min(float64(b.tokens), fair)
+}
--- /dev/null
+++ b/internal/admission/queue_test.go
@@ -0,0 +1,364 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/citronstep/citronstep/internal/invariant"
+)
+
+func init() { invariant.SetFatal(true) }
+
+var start = time.Date(2026, 3, 2, 3, 0, 0, 0, time.UTC)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+func always(Request) bool { return true }
+
+func never(Request) bool { return false }
+
+// twoClasses is worth "memo" over "draft", both of workspace "audit" or "tank".
+func twoClasses() Policy {
+	return Policy{Classes: map[string]ClassPolicy{"memo": {Worth: 4}, "draft": {Worth: 1}}}
+}
+
+func request(id, workspace, class string, tokens int) Request {
+	return Request{ID: id, Workspace: workspace, Class: class, Model: "m", Tokens: tokens, Arrived: start}
+}
+
+func mustQueue(t *testing.T, q *Queue, now time.Time, r Request) {
+	t.Helper()
+	d := q.Offer(now, r)
+	assert.Assert(t, d.Queued, "refused: %+v", d.Refusal)
+}
+
+func takeNext(t *testing.T, q *Queue, now time.Time) Request {
+	t.Helper()
+	r, _, ok := q.Next(now, always)
+	assert.Assert(t, ok)
+	return r
+}
+
+// learnRate serves one window with a backlog, so that q knows a service rate
+// of perSecond tokens and that a request takes took.
+func learnRate(t *testing.T, q *Queue, perSecond int, took time.Duration) {
+	t.Helper()
+	mustQueue(t, q, start, request("learn-done", "audit", "memo", perSecond))
+	takeNext(t, q, start)
+	mustQueue(t, q, start, request("learn-wait", "audit", "memo", perSecond))
+	q.Next(start, never)
+	q.Done(start, Outcome{ID: "learn-done", Answered: true, Took: took})
+	q.Next(at(window), never)
+	assert.Assert(t, q.Cancel("learn-wait"))
+	assert.Equal(t, q.Stats().Models[0].TokensPerSecond, float64(perSecond))
+}
+
+// backlog makes short requests of the top class wait.
+func backlog(t *testing.T, q *Queue, now time.Time, tokens int) {
+	t.Helper()
+	for i := range tokens / 1000 {
+		mustQueue(t, q, now, request(fmt.Sprint("ahead", i), "audit", "memo", 1000))
+	}
+}
+
+func TestNextServesGreaterWorthFirst(t *testing.T) {
+	q := New(twoClasses())
+	mustQueue(t, q, start, request("draft", "audit", "draft", 10))
+	mustQueue(t, q, start, request("memo", "audit", "memo", 10))
+	assert.Equal(t, takeNext(t, q, start).ID, "memo")
+	assert.Equal(t, takeNext(t, q, start).ID, "draft")
+}
+
+// A scheduler keeps the top class busy all night. Drafts of the same model wait
+// behind it. Without a floor no draft would ever start, and its caller would
+// send it again until morning.
+func TestLesserClassGetsItsFloorShareAndNotMore(t *testing.T) {
+	q := New(twoClasses())
+	drafts := 0
+	for i := range 2000 {
+		mustQueue(t, q, start, request(fmt.Sprint("memo", i), "audit", "memo", 100))
+		mustQueue(t, q, start, request(fmt.Sprint("draft", i), "audit", "draft", 100))
+		if takeNext(t, q, start).Class == "draft" {
+			drafts++
+		}
+	}
+	assert.Assert(t, drafts >= 2000*4/100 && drafts <= 2000*6/100, "%d drafts of 2000", drafts)
+}
+
+// One large workspace sends nine requests for each one of a small workspace,
+// both of equal worth. The small one's juniors wait behind the large one's
+// backlog if requests are served in the order they came.
+func TestWorkspacesOfEqualWorthShareByWeight(t *testing.T) {
+	p := twoClasses()
+	p.Workspaces = map[string]WorkspacePolicy{"small": {Share: 1}, "large": {Share: 3}}
+	q := New(p)
+	for i := range 900 {
+		mustQueue(t, q, start, request(fmt.Sprint("large", i), "large", "memo", 10))
+	}
+	for i := range 100 {
+		mustQueue(t, q, start, request(fmt.Sprint("small", i), "small", "memo", 10))
+	}
+	small := 0
+	for range 200 {
+		if takeNext(t, q, start).Workspace == "small" {
+			small++
+		}
+	}
+	assert.Equal(t, small, 50)
+}
+
+// A long draft waits for a group with much free room. Lookups of the same
+// workspace and class would fit now, but stand behind it in one list.
+func TestShortIsNotStuckBehindLong(t *testing.T) {
+	q := New(twoClasses())
+	mustQueue(t, q, start, request("long", "audit", "memo", 50000))
+	mustQueue(t, q, start, request("short", "audit", "memo", 50))
+	asked := 0
+	r, _, ok := q.Next(start, func(r Request) bool {
+		asked++
+		return r.Tokens < 1000
+	})
+	assert.Assert(t, ok)
+	assert.Equal(t, r.ID, "short")
+	assert.Assert(t, asked <= 2)
+}
+
+// Twice the capacity is asked for. A request whose deadline lies before the
+// end of the work ahead of it is refused as it comes, not when it is too late.
+func TestUnreachableDeadlineIsRefusedAtTheDoor(t *testing.T) {
+	q := New(twoClasses())
+	learnRate(t, q, 1000, 500*time.Millisecond)
+	now := at(2 * window)
+	backlog(t, q, now, 10000)
+
+	late := request("late", "audit", "memo", 1000)
+	late.Deadline = now.Add(5 * time.Second)
+	d := q.Offer(now, late)
+	assert.Assert(t, d.Refusal != nil)
+	assert.Equal(t, d.Refusal.Reason, ReasonDeadlineUnreachable)
+	assert.Assert(t, d.Refusal.RetryAfter >= DefaultMinRetryAfter)
+
+	late.ID = "hopeless"
+	late.Deadline = now.Add(100 * time.Millisecond)
+	assert.Equal(t, q.Offer(now, late).Refusal.Reason, ReasonDeadlinePassed)
+
+	late.ID = "in-time"
+	late.Deadline = now.Add(time.Minute)
+	assert.Assert(t, q.Offer(now, late).Queued)
+}
+
+// The queue ahead is of lesser worth: it must not make the top class refuse.
+func TestLesserWorkAheadDoesNotRefuseGreater(t *testing.T) {
+	q := New(twoClasses())
+	learnRate(t, q, 1000, 500*time.Millisecond)
+	now := at(2 * window)
+	mustQueue(t, q, now, request("ahead", "audit", "draft", 100000))
+	r := request("memo", "audit", "memo", 1000)
+	r.Deadline = now.Add(2 * time.Second)
+	assert.Assert(t, q.Offer(now, r).Queued)
+}
+
+// Every backend server is gone for 20 s; nothing completes. If the service
+// rate fell to nothing meanwhile, each caller would be refused after the outage
+// as well, and the idle servers would never show a better rate.
+func TestOutageDoesNotForgetTheServiceRate(t *testing.T) {
+	q := New(twoClasses())
+	learnRate(t, q, 1000, 500*time.Millisecond)
+	mustQueue(t, q, at(2*window), request("waits", "audit", "memo", 100))
+	for i := range 20 {
+		q.Next(at(time.Duration(3+i)*window), never)
+	}
+	assert.Equal(t, q.Stats().Models[0].TokensPerSecond, 1000.0)
+}
+
+// A waiting request can't be in time any more. Its caller gets the final
+// answer now, and no backend server works for nobody.
+func TestExpiredRequestIsRefusedAndNotServed(t *testing.T) {
+	q := New(twoClasses())
+	r := request("late", "audit", "memo", 100)
+	r.Deadline = at(time.Second)
+	mustQueue(t, q, start, r)
+	_, expired, ok := q.Next(at(2*time.Second), always)
+	assert.Assert(t, !ok)
+	assert.Equal(t, len(expired), 1)
+	assert.Equal(t, expired[0].Request.ID, "late")
+	assert.Equal(t, expired[0].Refusal.Reason, ReasonExpired)
+	assert.Equal(t, q.Stats().Waiting, 0)
+}
+
+func TestFullQueueThrowsOutTheLowestWorth(t *testing.T) {
+	p := twoClasses()
+	p.QueueRequests, p.WorkspaceQueueShare = 3, 1
+	q := New(p)
+	for i := range 3 {
+		mustQueue(t, q, start, request(fmt.Sprint("draft", i), "audit", "draft", 10))
+	}
+	assert.Equal(t, q.Offer(start, request("draft3", "tank", "draft", 10)).Refusal.Reason, ReasonQueueFull)
+	d := q.Offer(start, request("memo", "tank", "memo", 10))
+	assert.Assert(t, d.Queued)
+	assert.Equal(t, len(d.Evicted), 1)
+	assert.Equal(t, d.Evicted[0].Request.ID, "draft2")
+	assert.Equal(t, d.Evicted[0].Refusal.Reason, ReasonOutranked)
+	assert.Equal(t, q.Stats().Waiting, 3)
+}
+
+func TestOneWorkspaceCannotFillTheQueue(t *testing.T) {
+	p := twoClasses()
+	p.QueueRequests = 10
+	q := New(p)
+	for i := range 5 {
+		mustQueue(t, q, start, request(fmt.Sprint("a", i), "audit", "memo", 10))
+	}
+	assert.Equal(t, q.Offer(start, request("a5", "audit", "memo", 10)).Refusal.Reason, ReasonWorkspaceFull)
+	mustQueue(t, q, start, request("t0", "tank", "memo", 10))
+}
+
+// A caller sends its request again every 100 ms because the answer is slow.
+// Without joining, each copy would wait and run by itself.
+func TestResendsOfOneKeyJoinTheFirst(t *testing.T) {
+	q := New(twoClasses())
+	r := request("first", "audit", "memo", 10)
+	r.IdempotencyKey = "k"
+	mustQueue(t, q, start, r)
+	again := r
+	again.ID, again.Resend = "second", true
+	assert.Equal(t, q.Offer(start, again).Joined, "first")
+	takeNext(t, q, start)
+	assert.Equal(t, q.Offer(start, again).Joined, "first")
+	foreign := again
+	foreign.Workspace = "tank"
+	mustQueue(t, q, start, foreign)
+	q.Done(start, Outcome{ID: "first", Answered: true, Took: time.Second})
+	again.ID = "third"
+	mustQueue(t, q, start, again)
+}
+
+// A thousand callers are refused in the same second. Told one and the same
+// time, they would come back together and be refused together without end.
+func TestRefusedCallersComeBackNoFasterThanTheyCanBeServed(t *testing.T) {
+	q := New(twoClasses())
+	learnRate(t, q, 1000, 500*time.Millisecond)
+	now := at(2 * window)
+	backlog(t, q, now, 5000)
+	perSecond := make(map[int]int)
+	for i := range 1000 {
+		r := request(fmt.Sprint("r", i), "audit", "memo", 100)
+		r.Deadline = now.Add(time.Second)
+		d := q.Offer(now, r)
+		assert.Assert(t, d.Refusal != nil)
+		assert.Assert(t, d.Refusal.RetryAfter <= DefaultMaxRetryAfter)
+		perSecond[int(d.Refusal.RetryAfter/time.Second)]++
+	}
+	for second, n := range perSecond {
+		assert.Assert(t, n <= 100, "%d callers sent back to second %d, 10 can be served", n, second)
+	}
+}
+
+// One caller waits as it was told, another sends again at once. The second must
+// not get the room that the first was promised.
+func TestComingBackTooEarlyGainsNothing(t *testing.T) {
+	q := New(twoClasses())
+	learnRate(t, q, 1000, 500*time.Millisecond)
+	now := at(2 * window)
+	backlog(t, q, now, 5000)
+	r := request("first", "audit", "memo", 100)
+	r.IdempotencyKey = "k"
+	r.Deadline = now.Add(time.Second)
+	first := q.Offer(now, r).Refusal
+	r.ID, r.Resend = "second", true
+	r.Deadline = now.Add(time.Minute)
+	early := q.Offer(now.Add(100*time.Millisecond), r).Refusal
+	assert.Equal(t, early.Reason, ReasonTooEarly)
+	assert.Equal(t, early.RetryAfter, first.RetryAfter-100*time.Millisecond)
+	r.ID = "third"
+	mustQueue(t, q, now.Add(first.RetryAfter), r)
+}
+
+// All backend servers fail at once and each attempt is repeated. The retries
+// of a workspace stay a tenth of its admitted requests.
+func TestRetryBudgetBoundsTheAddedLoad(t *testing.T) {
+	q := New(twoClasses())
+	for q.AllowRetry(start, "audit") {
+	}
+	for i := range 100 {
+		mustQueue(t, q, start, request(fmt.Sprint(i), "audit", "memo", 1))
+	}
+	allowed := 0
+	for q.AllowRetry(start, "audit") {
+		allowed++
+	}
+	assert.Assert(t, allowed >= 9 && allowed <= 10, "%d", allowed)
+	assert.Assert(t, q.AllowRetry(start, "tank"))
+}
+
+func TestSetPolicyRanksAgainWithoutLoss(t *testing.T) {
+	q := New(twoClasses())
+	mustQueue(t, q, start, request("memo", "audit", "memo", 10))
+	mustQueue(t, q, start, request("draft1", "audit", "draft", 10))
+	mustQueue(t, q, start, request("draft2", "audit", "draft", 10))
+	q.SetPolicy(start, Policy{Classes: map[string]ClassPolicy{"draft": {Worth: 9}}})
+	assert.Equal(t, takeNext(t, q, start).ID, "draft1")
+	assert.Equal(t, takeNext(t, q, start).ID, "draft2")
+	assert.Equal(t, takeNext(t, q, start).ID, "memo")
+}
+
+// Whatever the order of calls, a request leaves the queue exactly once and the
+// counts agree.
+func TestEveryRequestLeavesExactlyOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := twoClasses()
+		p.QueueRequests = 8
+		q := New(p)
+		waiting := make(map[string]bool)
+		leave := func(id string) {
+			if !waiting[id] {
+				t.Fatalf("%s left twice or never waited", id)
+			}
+			delete(waiting, id)
+		}
+		now := start
+		steps := rapid.IntRange(1, 60).Draw(t, "steps")
+		for i := range steps {
+			now = now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 4).Draw(t, "call") {
+			case 0, 1:
+				r := request(fmt.Sprint(i), rapid.SampledFrom([]string{"audit", "tank"}).Draw(t, "ws"),
+					rapid.SampledFrom([]string{"memo", "draft"}).Draw(t, "class"), rapid.IntRange(1, 9000).Draw(t, "tokens"))
+				r.Model = rapid.SampledFrom([]string{"m", "n"}).Draw(t, "model")
+				r.Deadline = now.Add(time.Duration(rapid.IntRange(0, 5000).Draw(t, "deadline")) * time.Millisecond)
+				d := q.Offer(now, r)
+				for _, e := range d.Evicted {
+					leave(e.Request.ID)
+				}
+				if d.Queued {
+					waiting[r.ID] = true
+				}
+			case 2, 3:
+				room := rapid.Bool().Draw(t, "room")
+				r, expired, ok := q.Next(now, func(Request) bool { return room })
+				for _, e := range expired {
+					leave(e.Request.ID)
+				}
+				if ok {
+					leave(r.ID)
+					q.Done(now, Outcome{ID: r.ID, Answered: true, Took: time.Second})
+				}
+			case 4:
+				for id := range waiting {
+					if !q.Cancel(id) {
+						t.Fatalf("%s was not waiting", id)
+					}
+					delete(waiting, id)
+					break
+				}
+			}
+			if q.Stats().Waiting != len(waiting) || len(q.items) != len(waiting) {
+				t.Fatalf("%d waiting, want %d", q.Stats().Waiting, len(waiting))
+			}
+		}
+	})
+}
