Placement: bounded-load affinity, late reports, limits, slow targets

Cause: a request must go to the backend server that can answer it soonest, known only by late reports, cache hints with gaps and this entry's attempts. Ruled out: least loaded of all (every entry sends to the same server until the next report); consistent hashing without a bound (a popular prompt overloads one server); judging slowness without regard to load. Change: Picker with candidates from cache holders, two rendezvous hashes and two random draws; load is the report plus this entry's change since, scaled to all entries; limit in tokens adapted to the engine's queue; pace compared with peers of like load; back-off of targets and fabric domains; ramp on return.

--- /dev/null
+++ b/internal/placement/limit.go
@@ -0,0 +1,89 @@
+package placement
+
+import "time"
+
+const (
+	// limitCut and limitStep are the factors of a change of the limit: it
+	// falls fast, since work queued on an engine can't be ordered by worth any
+	// more, and grows slowly, to stay just below where a queue begins.
+	limitCut  = 0.9
+	limitStep = 1.03
+	// settleTime is how long a cut must show before the next: reports are late
+	// and requests in flight end slowly.
+	settleTime = time.Second
+	// binding is the part of the limit from which it is what holds work back.
+	// Below it a report without a queue says nothing about the limit.
+	binding = 0.85
+	// limitRange bounds the limit to this factor around a stated capacity.
+	limitRange = 4
+	// smallestLimit keeps one ordinary request possible.
+	smallestLimit = 512
+	// queuedPart is the part of the running requests that may wait on the
+	// engine: it fills the batch without a round trip when one ends.
+	queuedPart = 0.05
+)
+
+// Report takes in what target id last measured about itself. A report that is
+// not newer than the last is dropped.
+func (p *Picker) Report(now time.Time, id string, load Load) {
+	t := p.targets[id]
+	if t == nil || !load.At.After(t.reported.At) {
+		return
+	}
+	t.reported = load
+	t.mineAt = t.mine - t.ledger.since(load.At)
+	t.pool.observeOthers(t)
+	t.estimate()
+	t.adapt(now, p.options.TokenInterval)
+	t.pool.full.clear()
+}
+
+// adapt moves the limit by additive steps up and a factor down.
+//
+// It is made for engines whose capacity isn't known or changes with the mix of
+// requests. Too high a limit builds a queue on the engine, where a request of
+// greater worth can't pass; too low a limit leaves accelerators idle.
+func (t *target) adapt(now time.Time, interval time.Duration) {
+	r := t.reported
+	if r.Running == 0 {
+		return
+	}
+	crowded := float64(r.Queued) > 1+queuedPart*float64(r.Running)
+	if crowded || t.tooSlow(interval) {
+		t.cut(now)
+		return
+	}
+	if float64(r.TokensInFlight) >= binding*t.limit {
+		t.limit = min(t.limit*limitStep, t.limitCeiling())
+	}
+}
+
+// tooSlow tells whether a further request would keep all of them waiting for
+// their next token. A target that is slow at any load is left out: less load
+// wouldn't mend it, and pace judges it.
+func (t *target) tooSlow(interval time.Duration) bool {
+	r := t.reported
+	if r.TokensPerSecond <= 0 || t.pace.slow {
+		return false
+	}
+	return r.TokensPerSecond*interval.Seconds() < float64(r.Running)
+}
+
+func (t *target) cut(now time.Time) {
+	if now.Before(t.settle) {
+		return
+	}
+	t.settle = now.Add(settleTime)
+	t.limit = max(t.limit*limitCut, t.limitFloor())
+}
+
+func (t *target) limitFloor() float64 {
+	return max(smallestLimit, float64(t.Capacity)/limitRange)
+}
+
+func (t *target) limitCeiling() float64 {
+	if t.Capacity <= 0 {
+		return float64(defaultLimit) * 1024
+	}
+	return float64(t.Capacity) * limitRange
+}
--- /dev/null
+++ b/internal/placement/picker_test.go
@@ -0,0 +1,277 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/citronstep/citronstep/internal/invariant"
+)
+
+func init() { invariant.SetFatal(true) }
+
+var start = time.Date(2026, 3, 2, 3, 0, 0, 0, time.UTC)
+
+func at(d time.Duration) time.Time { return start.Add(d) }
+
+// groups returns n targets of model "m" with room for 10,000 tokens each, four
+// to a fabric domain.
+func groups(n int) []Target {
+	list := make([]Target, n)
+	for i := range list {
+		list[i] = Target{
+			ID: fmt.Sprintf("g%03d", i), DataCentre: "dc", Model: "m", Capacity: 10000,
+			FabricDomain: fmt.Sprint("fd", i/4),
+		}
+	}
+	return list
+}
+
+func picker(n int) *Picker {
+	p := New(Options{Seed: 1, DataCentre: "dc"})
+	p.SetTargets(start, groups(n))
+	return p
+}
+
+func mustPick(t *testing.T, p *Picker, now time.Time, r Request) Choice {
+	t.Helper()
+	r.Model = "m"
+	c, ok := p.Pick(now, r)
+	assert.Assert(t, ok)
+	return c
+}
+
+func TestPickWithoutTargetsFails(t *testing.T) {
+	p := picker(1)
+	_, ok := p.Pick(start, Request{Model: "other", Tokens: 1})
+	assert.Assert(t, !ok)
+	_, ok = p.Pick(start, Request{Model: "m", Tokens: 1, Exclude: []string{"g000"}})
+	assert.Assert(t, !ok)
+}
+
+func TestSamePrefixGoesToTheSameTarget(t *testing.T) {
+	p := picker(20)
+	r := Request{Tokens: 100, Prefix: []uint64{11, 12, 13, 14, 15}}
+	first := mustPick(t, p, start, r)
+	assert.Equal(t, first.Reason, ReasonAffinity)
+	for range 50 {
+		assert.Equal(t, mustPick(t, p, start, r).ID, first.ID)
+	}
+	p.SetTargets(start, groups(19))
+	moved := 0
+	for key := range uint64(1000) {
+		r.Prefix = []uint64{key * 7919}
+		if mustPick(t, p, start, r).ID != mustPick(t, picker(20), start, r).ID {
+			moved++
+		}
+	}
+	assert.Assert(t, moved < 100, "%d of 1000 prefixes moved when one of 20 targets went", moved)
+}
+
+// One prompt is popular: every terminal asks the same. With affinity alone one
+// group would queue them while nine stand idle.
+func TestPopularPrefixDoesNotOverloadItsTarget(t *testing.T) {
+	p := picker(10)
+	for i := range 100 {
+		c := mustPick(t, p, start, Request{Tokens: 900, Prefix: []uint64{42}})
+		assert.Assert(t, c.Reason != ReasonNoRoom)
+		p.Started(start, fmt.Sprint(i), c.ID, 900)
+	}
+	for _, x := range p.targets {
+		assert.Assert(t, x.load <= x.limit, "%s holds %v", x.ID, x.load)
+	}
+}
+
+func TestCacheHintsDrawRequestsAndGapsDropThem(t *testing.T) {
+	p := picker(20)
+	prefix := []uint64{1, 2, 3, 4, 5, 6}
+	home := mustPick(t, p, start, Request{Tokens: 10, Prefix: prefix}).ID
+	holder := "g007"
+	if home == holder {
+		holder = "g008"
+	}
+	p.CacheEvent(start, holder, 1, prefix, nil)
+	c := mustPick(t, p, start, Request{Tokens: 10, Prefix: prefix})
+	assert.Equal(t, c.ID, holder)
+	assert.Equal(t, c.Reason, ReasonCached)
+	assert.Equal(t, c.Cached, 6)
+	p.CacheEvent(start, holder, 3, []uint64{99}, nil)
+	assert.Equal(t, mustPick(t, p, start, Request{Tokens: 10, Prefix: prefix}).ID, home)
+	p.CacheEvent(start, holder, 4, prefix, nil)
+	p.CacheEvent(start, holder, 5, nil, prefix)
+	assert.Equal(t, mustPick(t, p, start, Request{Tokens: 10, Prefix: prefix}).ID, home)
+}
+
+func TestHintsAreBounded(t *testing.T) {
+	p := picker(2)
+	for i := range uint64(3 * hintsPerTarget) {
+		p.CacheEvent(start, "g000", i+1, []uint64{i + 1000}, nil)
+	}
+	assert.Equal(t, len(p.hints), hintsPerTarget)
+	p.SetTargets(start, groups(0))
+	assert.Equal(t, len(p.hints), 0)
+}
+
+// A report is half a second old. The requests sent since are not in it; placing
+// by the report alone would send all of the next half second to one target.
+func TestLateReportIsCorrectedByWhatWasSentSince(t *testing.T) {
+	p := picker(1)
+	p.Started(at(100*time.Millisecond), "counted", "g000", 4000)
+	p.Started(at(600*time.Millisecond), "unseen", "g000", 5000)
+	p.Report(at(time.Second), "g000", Load{Running: 1, TokensInFlight: 4000, At: at(500 * time.Millisecond)})
+	assert.Equal(t, p.targets["g000"].load, 9000.0)
+	assert.Assert(t, !p.HasRoom(at(time.Second), "m", 2000, 0))
+	p.Finished(at(time.Second), "unseen", Result{OK: true})
+	assert.Assert(t, p.HasRoom(at(time.Second), "m", 2000, 0))
+}
+
+func TestOldReportIsDropped(t *testing.T) {
+	p := picker(1)
+	p.Report(at(time.Second), "g000", Load{TokensInFlight: 4000, At: at(time.Second)})
+	p.Report(at(2*time.Second), "g000", Load{TokensInFlight: 1, At: at(time.Second / 2)})
+	assert.Equal(t, p.targets["g000"].load, 4000.0)
+}
+
+// Requests queue on an engine, where one of greater worth can't pass. The limit
+// falls until the queue is gone, and grows again once it is what holds work back.
+func TestLimitFollowsTheEnginesQueue(t *testing.T) {
+	p := picker(1)
+	limit := func() float64 { return p.targets["g000"].limit }
+	for i := range 5 {
+		now := at(time.Duration(2*i+1) * time.Second)
+		p.Report(now, "g000", Load{Running: 10, Queued: 8, TokensInFlight: 10000, At: now})
+	}
+	assert.Assert(t, limit() < 6000, "%v", limit())
+	low := limit()
+	for i := range 20 {
+		now := at(time.Duration(20+i) * time.Second)
+		p.Report(now, "g000", Load{Running: 10, TokensInFlight: 10000, At: now})
+	}
+	assert.Assert(t, limit() > low*1.5)
+}
+
+func TestLongRequestsLeaveRoomForShortOnes(t *testing.T) {
+	p := picker(1)
+	p.Started(start, "long", "g000", 5000)
+	assert.Assert(t, !p.HasRoom(start, "m", 4200, 0))
+	assert.Assert(t, p.HasRoom(start, "m", 3000, 0))
+}
+
+func TestReserveKeepsRoomForGreaterWorth(t *testing.T) {
+	p := picker(1)
+	p.Started(start, "a", "g000", 4000)
+	p.Started(start, "b", "g000", 4000)
+	assert.Assert(t, !p.HasRoom(start, "m", 1500, 0.1))
+	assert.Assert(t, p.HasRoom(start, "m", 1500, 0))
+}
+
+// One group of ten decodes at a quarter of the others' pace. It must be told
+// from one that is only loaded, and get almost nothing until it is well.
+func TestSlowTargetIsToldFromALoadedOne(t *testing.T) {
+	p := picker(10)
+	for i := range 10 {
+		p.Started(start, fmt.Sprint(i), fmt.Sprintf("g%03d", i), 1000+500*(i%2))
+	}
+	for step := range 40 {
+		for i := range 10 {
+			tokens := 20
+			if i == 3 {
+				tokens = 5
+			}
+			p.Progress(at(time.Duration(step)*500*time.Millisecond), fmt.Sprint(i), tokens)
+		}
+	}
+	now := at(20 * time.Second)
+	for id, x := range p.targets {
+		assert.Equal(t, x.pace.slow, id == "g003", id)
+	}
+	p.targets["g003"].pace.probeAt = now.Add(time.Hour)
+	for range 200 {
+		c := mustPick(t, p, now, Request{Tokens: 100})
+		assert.Assert(t, c.ID != "g003")
+	}
+	p.targets["g003"].pace.probeAt = now
+	assert.Equal(t, mustPick(t, p, now, Request{Tokens: 100, Reserve: 0.1}).Reason, ReasonProbe)
+	for step := range 40 {
+		p.Progress(now.Add(time.Duration(step)*500*time.Millisecond), "3", 20)
+	}
+	assert.Assert(t, !p.targets["g003"].pace.slow)
+}
+
+// A group comes back beside nine loaded ones. As the least loaded it would draw
+// every request at once, with a cold prefix cache.
+func TestReturningTargetIsRampedUp(t *testing.T) {
+	p := picker(9)
+	p.SetTargets(start, groups(10))
+	sent := 0
+	for i := range 100 {
+		c := mustPick(t, p, start, Request{Tokens: 500})
+		p.Started(start, fmt.Sprint(i), c.ID, 500)
+		if c.ID == "g009" {
+			sent++
+		}
+	}
+	assert.Assert(t, sent <= 2, "%d of 100 sent to the cold target", sent)
+	assert.Equal(t, p.targets["g009"].part(at(rampTime)), 1.0)
+}
+
+// A fabric domain goes dark. Two of its four groups have failed a request; the
+// other two must not fail some more before they are avoided.
+func TestDarkDomainIsAvoidedAfterHalfOfItFailed(t *testing.T) {
+	p := picker(8)
+	for _, id := range []string{"g000", "g001"} {
+		p.Started(start, id, id, 100)
+		p.Finished(start, id, Result{})
+	}
+	for range 100 {
+		c := mustPick(t, p, start, Request{Tokens: 100})
+		assert.Assert(t, c.ID >= "g004", c.ID)
+	}
+	p.SetTargets(start, groups(4))
+	assert.Assert(t, !p.HasRoom(start, "m", 100, 0))
+	assert.Assert(t, p.HasRoom(at(domainBackoff), "m", 100, 0))
+}
+
+func TestCancelledAttemptIsNoFault(t *testing.T) {
+	p := picker(1)
+	p.Started(start, "a", "g000", 100)
+	p.Finished(start, "a", Result{Cancelled: true})
+	assert.Assert(t, p.HasRoom(start, "m", 100, 0))
+	assert.Equal(t, p.targets["g000"].mine, 0)
+}
+
+func TestUnlistedTargetGetsNothingNewAndItsAttemptsEnd(t *testing.T) {
+	p := picker(2)
+	p.Started(start, "a", "g001", 100)
+	p.SetTargets(start, groups(1))
+	for range 50 {
+		assert.Equal(t, mustPick(t, p, start, Request{Tokens: 10}).ID, "g000")
+	}
+	p.Finished(start, "a", Result{OK: true})
+	assert.Equal(t, len(p.running), 0)
+}
+
+// An instance of a plain service takes ten times as long as its peers. Calls
+// count one unit of work; its answers alone tell that it is slow.
+func TestSlowPlainServiceInstanceIsFoundByItsAnswers(t *testing.T) {
+	p := New(Options{Seed: 1, DataCentre: "dc"})
+	var list []Target
+	for i := range 4 {
+		list = append(list, Target{ID: fmt.Sprint("s", i), DataCentre: "dc", Model: "files", Capacity: 32})
+	}
+	p.SetTargets(start, list)
+	for i := range 60 {
+		id := list[i%4].ID
+		took := 20 * time.Millisecond
+		if id == "s2" {
+			took = 200 * time.Millisecond
+		}
+		p.Started(start, fmt.Sprint(i), id, 1)
+		p.Finished(start, fmt.Sprint(i), Result{OK: true, Took: took})
+	}
+	for id, x := range p.targets {
+		assert.Equal(t, x.pace.slow, id == "s2", id)
+	}
+}
--- /dev/null
+++ b/internal/placement/pool.go
@@ -0,0 +1,81 @@
+package placement
+
+import "time"
+
+// maxOthers bounds pool.others: the users run at most 9 entries today, and a
+// wrong estimate must not stop an entry from using its part.
+const maxOthers = 16
+
+// othersWeight is the weight of one report in pool.others: a hundred reports,
+// about ten seconds of one target, follow a change of the number of entries.
+const othersWeight = 0.01
+
+// pool holds the targets of one model.
+type pool struct {
+	targets []*target
+	// others is the work in flight of all entries for each token of this one.
+	others    float64
+	reference reference
+	full      roomCache
+}
+
+func newPool() *pool { return &pool{others: 1} }
+
+// observeOthers compares what a target reports with this entry's part of it.
+func (p *pool) observeOthers(t *target) {
+	if t.mineAt <= 0 || t.reported.TokensInFlight <= 0 {
+		return
+	}
+	seen := float64(t.reported.TokensInFlight) / float64(t.mineAt)
+	seen = min(max(seen, 1), maxOthers)
+	p.others += othersWeight * (seen - p.others)
+}
+
+// mean returns the load of the pool as a part of its limits.
+func (p *pool) mean() float64 {
+	load, limit := 0.0, 0.0
+	for _, t := range p.targets {
+		load += t.load
+		limit += t.limit
+	}
+	if limit == 0 {
+		return 0
+	}
+	return load / limit
+}
+
+// cacheTime bounds how long roomCache answers without a look, because ramps
+// and back-offs end with time alone.
+const cacheTime = 20 * time.Millisecond
+
+// roomCache remembers that a request of some size doesn't fit anywhere, until
+// some target gets work back or reports.
+//
+// It is made for full saturation: each request that arrives or ends asks again
+// for room, and thousands of askings a second would each look at every target.
+type roomCache struct {
+	short, long noRoom
+}
+
+type noRoom struct {
+	until   time.Time
+	tokens  int
+	reserve float64
+}
+
+func (c *roomCache) clear() { *c = roomCache{} }
+
+func (c *roomCache) lane(long bool) *noRoom {
+	if long {
+		return &c.long
+	}
+	return &c.short
+}
+
+func (n *noRoom) covers(now time.Time, tokens int, reserve float64) bool {
+	return now.Before(n.until) && tokens >= n.tokens && reserve >= n.reserve
+}
+
+func (n *noRoom) remember(now time.Time, tokens int, reserve float64) {
+	*n = noRoom{until: now.Add(cacheTime), tokens: tokens, reserve: reserve}
+}
--- /dev/null
+++ b/internal/placement/target.go
@@ -0,0 +1,120 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// defaultLimit is where the search for the limit of a target of unknown
+// capacity begins, in tokens: a few requests of ordinary size.
+const defaultLimit = 8192
+
+const (
+	// rampTime is how long a returning target takes until it gets its whole
+	// part. Its prefix cache is cold, and if it failed by load, its whole part
+	// at once would make it fail again.
+	rampTime = 10 * time.Second
+	// rampStart is the part it begins with: enough to see whether it works.
+	rampStart = 0.1
+)
+
+// staleAfter is when a target's last report counts for nothing: reports come
+// several times a second, so it has missed many.
+const staleAfter = 3 * time.Second
+
+// target is the state kept for a Target.
+type target struct {
+	Target
+	hash uint64
+	// listed is false once SetTargets left it out; its attempts may still run.
+	listed bool
+	domain *domain
+	pool   *pool
+
+	// limit is the work in tokens that it is given at most.
+	limit  float64
+	settle time.Time
+
+	// mine is the work that this process has in flight on it.
+	mine     int
+	mineLong int
+	attempts int
+	ledger   ledger
+
+	reported   Load
+	mineAt     int
+	load       float64
+	rampFrom   time.Time
+	pace       pace
+	failures   int
+	avoidUntil time.Time
+	hints      hintList
+}
+
+func newTarget(t Target) *target {
+	return &target{Target: t, hash: xxhash.Sum64String(t.ID), limit: startLimit(t.Capacity)}
+}
+
+// startLimit is where the search for a target's limit begins, in tokens.
+func startLimit(capacity int) float64 {
+	if capacity <= 0 {
+		return defaultLimit
+	}
+	return float64(capacity)
+}
+
+// estimate sets load: the last report, and what has changed since.
+//
+// Reports are late, so each entry adds the work it sent since. The other
+// entries send meanwhile as well, unseen; pool.others scales this entry's
+// change to that of all entries, since the balancer in front spreads requests
+// evenly. Without it each of nine entries would fill the same free room.
+func (t *target) estimate() {
+	if t.reported.At.IsZero() {
+		t.load = float64(t.mine) * t.pool.others
+		return
+	}
+	change := float64(t.mine-t.mineAt) * t.pool.others
+	t.load = max(float64(t.mine), float64(t.reported.TokensInFlight)+change)
+}
+
+// part is how much of its limit it may be given now, from 0 to 1.
+func (t *target) part(now time.Time) float64 {
+	return t.ramp(now) * t.pace.speed()
+}
+
+func (t *target) ramp(now time.Time) float64 {
+	if t.rampFrom.IsZero() {
+		return 1
+	}
+	elapsed := now.Sub(t.rampFrom)
+	if elapsed >= rampTime {
+		t.rampFrom = time.Time{}
+		return 1
+	}
+	return rampStart + (1-rampStart)*float64(elapsed)/float64(rampTime)
+}
+
+func (t *target) avoided(now time.Time) bool {
+	return now.Before(t.avoidUntil) || now.Before(t.domain.avoidUntil)
+}
+
+// room tells whether the request fits now. An idle target takes any request:
+// one larger than the limit would never run otherwise.
+func (t *target) room(now time.Time, tokens int, reserve float64, o Options) bool {
+	if t.avoided(now) {
+		return false
+	}
+	if t.load == 0 {
+		return true
+	}
+	limit := t.limit * t.part(now)
+	if t.load+float64(tokens) > limit*(1-reserve) {
+		return false
+	}
+	if tokens < o.LongTokens || t.mineLong == 0 {
+		return true
+	}
+	return float64(t.mineLong)*t.pool.others+float64(tokens) <= limit*o.LongShare
+}
