Process-test harness: processes, links, cuts

Cause: proofs need real processes and failures between them. Ruled out: toxiproxy alone (acts on a whole proxy, so it cuts neither one process from another nor one open connection); one relay a pair of processes (peers advertise one address to all). The relay tells callers apart by the process that owns the client socket.

--- /dev/null
+++ b/test/process/harness/link.go
@@ -0,0 +1,112 @@
+package harness
+
+import (
+	"bytes"
+	"encoding/json"
+	"testing"
+
+	toxiproxy "github.com/Shopify/toxiproxy/v2"
+	"github.com/sirupsen/logrus"
+)
+
+func init() {
+	// Toxiproxy logs each connection.
+	logrus.SetLevel(logrus.ErrorLevel)
+}
+
+// Link leads to one process. Others are told the link's address in place of
+// the process's own.
+type Link struct {
+	t     testing.TB
+	relay *relay
+	proxy *toxiproxy.Proxy
+}
+
+// NewLink starts a link to upstream. sources returns the processes that Cut
+// and the like can tell apart.
+func NewLink(t testing.TB, name, upstream string, sources func() []int) *Link {
+	t.Helper()
+	proxy := toxiproxy.NewProxy()
+	proxy.Name = name
+	proxy.Listen = loopback + ":0"
+	proxy.Upstream = upstream
+	if err := proxy.Start(); err != nil {
+		t.Fatalf("proxy of %s: %v", name, err)
+	}
+	relay, err := startRelay(FreeAddress(t), proxy.Listen, sources)
+	if err != nil {
+		proxy.Stop()
+		t.Fatalf("relay of %s: %v", name, err)
+	}
+	t.Cleanup(func() {
+		relay.close()
+		proxy.Stop()
+	})
+	return &Link{t: t, relay: relay, proxy: proxy}
+}
+
+// Address returns the address under which others reach the process.
+func (l *Link) Address() string { return l.relay.listener.Addr().String() }
+
+// Cut loses both directions of all connections, old and new.
+func (l *Link) Cut() { l.relay.setAll(drop{true, true}) }
+
+// CutOneWay loses one direction of all connections.
+func (l *Link) CutOneWay(d Direction) {
+	var lost drop
+	lost[d] = true
+	l.relay.setAll(lost)
+}
+
+// CutFrom loses both directions of one process's connections.
+func (l *Link) CutFrom(p *Process) { l.relay.setSource(p.PID(), drop{true, true}) }
+
+// CutFromOneWay loses one direction of one process's connections.
+func (l *Link) CutFromOneWay(p *Process, d Direction) {
+	var lost drop
+	lost[d] = true
+	l.relay.setSource(p.PID(), lost)
+}
+
+// Heal ends all cuts. Connections that were open are closed.
+func (l *Link) Heal() { l.relay.heal() }
+
+// Silence makes the open connections silent for good; new ones work. It
+// returns how many there were.
+func (l *Link) Silence() int { return l.relay.silence() }
+
+// Reset closes all open connections.
+func (l *Link) Reset() { l.relay.closeConns() }
+
+// Toxic is one of toxiproxy's: "latency" with latency and jitter in
+// milliseconds, "bandwidth" with rate in KB a second, "timeout", "reset_peer",
+// "slicer", "limit_data".
+type Toxic struct {
+	Name       string         `json:"name"`
+	Type       string         `json:"type"`
+	Stream     string         `json:"stream"`
+	Toxicity   float32        `json:"toxicity"`
+	Attributes map[string]int `json:"attributes"`
+}
+
+// AddToxic adds a toxic to the answers of the process, or, with Stream
+// "upstream", to what is sent to it.
+func (l *Link) AddToxic(x Toxic) {
+	l.t.Helper()
+	if x.Toxicity == 0 {
+		x.Toxicity = 1
+	}
+	if x.Stream == "" {
+		x.Stream = "downstream"
+	}
+	body, err := json.Marshal(x)
+	if err != nil {
+		l.t.Fatal(err)
+	}
+	if _, err := l.proxy.Toxics.AddToxicJson(bytes.NewReader(body)); err != nil {
+		l.t.Fatalf("toxic %s: %v", x.Type, err)
+	}
+}
+
+// ResetToxics removes all toxics.
+func (l *Link) ResetToxics() { l.proxy.Toxics.ResetToxics() }
