Load driver on a virtual clock, with two baselines

Cause: the decisions must be judged by what callers see, in the same runs and seeds as simpler policies. Ruled out: a driver on real time (not repeatable); goodput in tokens or against one fixed capacity (a policy that prefers cheap jobs looks better than 100%): the capacity is measured for the mix that was served. Change: eight situations, callers that honour or ignore Retry-After, stand-in engines with batching, late reports and cache events with gaps; a reserve on each backend server for the greatest worth.

--- a/internal/admission/estimate.go
+++ b/internal/admission/estimate.go
@@ -14,6 +14,10 @@
 // followed after two windows.
 const smoothing = 0.3
 
+// leastArrivals is the rate in tokens a second from which a band counts as in
+// use: a band that had one lookup ten seconds ago.
+const leastArrivals = 1
+
 // rate is a smoothed count of tokens a second.
 type rate struct {
 	perSecond float64
@@ -68,8 +72,12 @@
 	m.window = now
 	m.rate.close(elapsed, m.starved && m.waiting > 0)
 	m.starved = false
+	m.top = 0
 	for _, b := range m.bands {
 		b.arrivals.close(elapsed)
+		if b.arrivals.perSecond > leastArrivals {
+			m.top = max(m.top, b.worth)
+		}
 	}
 }
 
--- a/internal/admission/model.go
+++ b/internal/admission/model.go
@@ -21,6 +21,8 @@
 	waiting int
 	seq     uint64
 	starved bool
+	// top is the greatest worth that arrived of late.
+	top float64
 }
 
 func newModelQueue(name string) *modelQueue {
@@ -51,6 +53,7 @@
 }
 
 func (m *modelQueue) arrived(it *item) {
+	m.top = max(m.top, it.worth)
 	it.flow.band.arrivals.add(it.request.Tokens)
 }
 
--- a/internal/admission/policy.go
+++ b/internal/admission/policy.go
@@ -35,6 +35,9 @@
 	// FloorShare is the part of the served tokens, from 0 to 1, that requests
 	// of lesser worth get together while they wait.
 	FloorShare float64
+	// Reserve is the part of each backend server, from 0 to 1, that requests
+	// of lesser worth leave free for those of the greatest.
+	Reserve float64
 	// LongTokens is the work from which a request counts as long.
 	LongTokens int
 	// RetryRatio is how many retries each admitted request earns its
@@ -62,6 +65,9 @@
 	// large enough that a lesser class moves, which lets its callers see
 	// progress in place of sending again.
 	DefaultFloorShare = 0.05
+	// DefaultReserve is the part of a group in which a few requests of the
+	// greatest worth fit while the other entries fill the rest unseen.
+	DefaultReserve = 0.1
 	// DefaultLongTokens divides lookups and summaries from the drafting of
 	// whole documents.
 	DefaultLongTokens = 4096
@@ -82,6 +88,7 @@
 	setInt(&p.LongTokens, DefaultLongTokens)
 	setFloat(&p.WorkspaceQueueShare, DefaultWorkspaceQueueShare)
 	setFloat(&p.FloorShare, DefaultFloorShare)
+	setFloat(&p.Reserve, DefaultReserve)
 	setFloat(&p.RetryRatio, DefaultRetryRatio)
 	setFloat(&p.RetryPerSecond, DefaultRetryPerSecond)
 	if p.MinRetryAfter <= 0 {
--- /dev/null
+++ b/internal/loadtest/baseline_test.go
@@ -0,0 +1,84 @@
+package loadtest
+
+import (
+	"fmt"
+
+	"github.com/citronstep/citronstep/internal/placement"
+)
+
+// baselineTries bounds the attempts of one request that fail on an engine.
+const baselineTries = 3
+
+// baseline sends each request on as it comes; the engines queue them.
+type baseline struct {
+	w           *world
+	targets     []placement.Target
+	outstanding map[string]int
+	next        int
+	attempts    int
+	choose      func(b *baseline) string
+}
+
+func roundRobin(b *baseline) string {
+	b.next++
+	return b.targets[b.next%len(b.targets)].ID
+}
+
+func leastOutstanding(b *baseline) string {
+	b.next++
+	best := ""
+	for i := range b.targets {
+		id := b.targets[(b.next+i)%len(b.targets)].ID
+		if best == "" || b.outstanding[id] < b.outstanding[best] {
+			best = id
+		}
+	}
+	return best
+}
+
+func newBaseline(choose func(b *baseline) string) func(w *world, i int) node {
+	return func(w *world, i int) node {
+		return &baseline{w: w, next: i * 3, outstanding: make(map[string]int), choose: choose}
+	}
+}
+
+func (b *baseline) setTargets(list []placement.Target)            { b.targets = list }
+func (b *baseline) report(string, placement.Load)                 {}
+func (b *baseline) cacheEvent(string, uint64, []uint64, []uint64) {}
+func (b *baseline) offer(t *try)                                  { b.send(t) }
+
+func (b *baseline) send(t *try) {
+	if len(b.targets) == 0 {
+		b.w.callers.refused(t, 0)
+		return
+	}
+	id := b.choose(b)
+	b.outstanding[id]++
+	b.attempts++
+	x := &call{id: fmt.Sprint(t.id, "#", b.attempts), t: t, tokens: t.job.expected}
+	x.onToken = func() { b.w.callers.token(t) }
+	x.onEnd = func(ok bool) {
+		b.outstanding[id]--
+		switch {
+		case ok:
+			b.w.callers.answer(t)
+		case len(t.calls) < baselineTries && !t.over:
+			b.send(t)
+		default:
+			b.w.callers.refused(t, 0)
+		}
+	}
+	t.calls = append(t.calls, x)
+	b.w.engine(id).start(x)
+	x.t = t
+	t.engine = id
+}
+
+func (b *baseline) cancel(t *try) {
+	x := t.calls[len(t.calls)-1]
+	if x.ended {
+		return
+	}
+	b.outstanding[t.engine]--
+	b.w.engine(t.engine).cancel(x)
+}
--- /dev/null
+++ b/internal/loadtest/entry_test.go
@@ -0,0 +1,180 @@
+package loadtest
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/citronstep/citronstep/internal/admission"
+	"github.com/citronstep/citronstep/internal/placement"
+)
+
+// entry carries out the decisions under test, as internal/entry does.
+type entry struct {
+	w        *world
+	queue    *admission.Queue
+	picker   *placement.Picker
+	waiting  map[string]*try
+	attempts int
+	// inversions counts starts of a request while one of greater worth waited
+	// at any entry for longer than inversionSlack.
+	starts, inversions int
+}
+
+// inversionSlack leaves out requests that are about to start anyway.
+const inversionSlack = 50 * time.Millisecond
+
+// pumpEvery is the entry's timer for what no event announces: ramps, back-offs
+// and expired requests.
+const pumpEvery = 50 * time.Millisecond
+
+func newEntry(w *world, i int) node {
+	e := &entry{w: w, waiting: make(map[string]*try)}
+	p := admission.Policy{Classes: make(map[string]admission.ClassPolicy), Seed: uint64(i)}
+	for _, cl := range classes {
+		p.Classes[cl.name] = admission.ClassPolicy{Worth: cl.worth}
+	}
+	if w.s.noFloor {
+		p.FloorShare = 1e-9
+	}
+	e.queue = admission.New(p)
+	e.picker = placement.New(placement.Options{Seed: uint64(i) + 1, DataCentre: "dc"})
+	w.c.every(pumpEvery, e.pump)
+	return e
+}
+
+func (e *entry) setTargets(list []placement.Target) {
+	e.picker.SetTargets(e.w.c.time(), list)
+	e.pump()
+}
+
+func (e *entry) report(id string, l placement.Load) {
+	e.picker.Report(e.w.c.time(), id, l)
+	e.pump()
+}
+
+func (e *entry) cacheEvent(id string, sequence uint64, add, drop []uint64) {
+	e.picker.CacheEvent(e.w.c.time(), id, sequence, add, drop)
+}
+
+func (e *entry) offer(t *try) {
+	e.admit(t, t.id)
+	e.pump()
+}
+
+func (e *entry) admit(t *try, id string) {
+	r := admission.Request{
+		ID: id, Workspace: t.job.workspace, Class: t.job.class.name, Model: model,
+		IdempotencyKey: fmt.Sprint(t.job.id), Tokens: t.job.expected,
+		Arrived: e.w.c.time(), Deadline: epoch.Add(t.deadline), Resend: t.job.tries > 1,
+	}
+	e.waiting[id] = t
+	t.queueID = id
+	d := e.queue.Offer(e.w.c.time(), r)
+	e.refuse(d.Evicted)
+	if d.Refusal != nil {
+		delete(e.waiting, id)
+		e.w.callers.refused(t, d.Refusal.RetryAfter)
+	}
+}
+
+func (e *entry) refuse(evicted []admission.Eviction) {
+	for _, v := range evicted {
+		t := e.waiting[v.Request.ID]
+		delete(e.waiting, v.Request.ID)
+		e.w.callers.refused(t, v.Refusal.RetryAfter)
+	}
+}
+
+func (e *entry) pump() {
+	now := e.w.c.time()
+	for {
+		r, expired, ok := e.queue.Next(now, func(r admission.Request) bool {
+			return e.picker.HasRoom(now, r.Model, r.Tokens, e.queue.Reserve(r))
+		})
+		e.refuse(expired)
+		if !ok {
+			return
+		}
+		e.place(r)
+	}
+}
+
+func (e *entry) place(r admission.Request) {
+	now := e.w.c.time()
+	t := e.waiting[r.ID]
+	delete(e.waiting, r.ID)
+	e.countInversion(t)
+	choice, ok := e.picker.Pick(now, placement.Request{
+		ID: r.ID, Model: r.Model, Prefix: prefix(t.job.doc), Tokens: r.Tokens,
+		Reserve: e.queue.Reserve(r), Exclude: t.exclude,
+	})
+	if !ok {
+		e.queue.Done(now, admission.Outcome{ID: r.ID})
+		e.w.callers.refused(t, time.Second)
+		return
+	}
+	e.attempts++
+	x := &call{id: fmt.Sprint(r.ID, "#", e.attempts), t: t, tokens: r.Tokens, worth: t.job.class.worth}
+	started := e.w.c.now
+	first := time.Duration(0)
+	e.picker.Started(now, x.id, choice.ID, r.Tokens)
+	x.onToken = func() {
+		if first == 0 {
+			first = e.w.c.now - started
+		}
+		e.picker.Progress(e.w.c.time(), x.id, 1)
+		e.w.callers.token(t)
+	}
+	x.onEnd = func(ok bool) {
+		took := e.w.c.now - started
+		e.picker.Finished(e.w.c.time(), x.id, placement.Result{OK: ok, FirstToken: first, Took: took, Tokens: x.produced})
+		e.queue.Done(e.w.c.time(), admission.Outcome{ID: r.ID, Answered: ok, Tokens: r.Tokens, Took: took})
+		e.ended(t, x, ok)
+	}
+	t.calls = append(t.calls, x)
+	t.engine = choice.ID
+	e.w.engine(choice.ID).start(x)
+}
+
+func (e *entry) ended(t *try, x *call, ok bool) {
+	switch {
+	case ok:
+		e.w.callers.answer(t)
+	case !t.over && e.queue.AllowRetry(e.w.c.time(), t.job.workspace):
+		t.exclude = append(t.exclude, t.engine)
+		e.admit(t, fmt.Sprint(t.id, "r", len(t.calls)))
+	default:
+		e.w.callers.refused(t, time.Second)
+	}
+	e.pump()
+}
+
+func (e *entry) cancel(t *try) {
+	now := e.w.c.time()
+	delete(e.waiting, t.queueID)
+	if e.queue.Cancel(t.queueID) {
+		return
+	}
+	if len(t.calls) == 0 {
+		return
+	}
+	x := t.calls[len(t.calls)-1]
+	if x.ended {
+		return
+	}
+	e.picker.Finished(now, x.id, placement.Result{Cancelled: true})
+	e.w.engine(t.engine).cancel(x)
+	e.pump()
+}
+
+func (e *entry) countInversion(t *try) {
+	e.starts++
+	for _, n := range e.w.nodes {
+		for _, other := range n.(*entry).waiting {
+			if other.job.class.worth > t.job.class.worth && e.w.c.now-other.offered > inversionSlack {
+				e.inversions++
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/loadtest/load_test.go
@@ -0,0 +1,74 @@
+package loadtest
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"text/tabwriter"
+	"time"
+)
+
+var (
+	table = flag.Bool("table", false, "print the full table of situations and policies")
+	seeds = flag.Int("seeds", 3, "number of seeds of the full table, from 1 on")
+	only  = flag.String("only", "", "run only the situation of this name")
+)
+
+var policies = []policy{
+	{"citronstep", newEntry},
+	{"first-come, round robin", newBaseline(roundRobin)},
+	{"least outstanding", newBaseline(leastOutstanding)},
+}
+
+// play runs s under p with several seeds.
+func play(s *situation, p policy, seeds int, rate float64) *result {
+	r := &result{}
+	for seed := range seeds {
+		r.add(run(s, p, uint64(seed+1), rate))
+	}
+	return r
+}
+
+// TestTable prints the full table:
+//
+//	go test ./internal/loadtest -run TestTable -table -v
+func TestTable(t *testing.T) {
+	if !*table {
+		t.Skip("run with -table")
+	}
+	out := tabwriter.NewWriter(os.Stdout, 0, 4, 1, ' ', tabwriter.Debug)
+	defer out.Flush()
+	fmt.Fprintln(out, "situation\tpolicy\tin time\tlookup\tsummary\tdraft\tTTFT 50\t95\t99\tlookup TTFT 50\t95\t99\trefused/job\twasted\tgoodput/capacity\tback after")
+	for _, s := range situations() {
+		if *only != "" && *only != s.name {
+			continue
+		}
+		_, jobs := capacity(s.mix, 1)
+		for _, p := range policies {
+			r := play(s, p, *seeds, jobs)
+			row(out, s, p, r)
+		}
+	}
+}
+
+func row(out *tabwriter.Writer, s *situation, p policy, r *result) {
+	possible, _ := capacity(r.served(), 1)
+	fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%.2f\t%s\t%s\t%s\n", s.name, p.name,
+		percent(r.all.part()), percent(r.classes[0].part()), percent(r.classes[1].part()), percent(r.classes[2].part()),
+		seconds(r.all.quantile(0.5)), seconds(r.all.quantile(0.95)), seconds(r.all.quantile(0.99)),
+		seconds(r.classes[0].quantile(0.5)), seconds(r.classes[0].quantile(0.95)), seconds(r.classes[0].quantile(0.99)),
+		float64(r.refusals)/float64(max(1, r.all.jobs)), percent(r.wasted.Seconds()/max(0.001, r.spent.Seconds())),
+		percent(r.useful.Seconds()/r.counted.Seconds()/possible), back(s, r))
+}
+
+func back(s *situation, r *result) string {
+	if s.name != "storm" {
+		return "-"
+	}
+	return seconds(r.recovery)
+}
+
+func percent(v float64) string { return fmt.Sprintf("%.1f%%", 100*v) }
+
+func seconds(d time.Duration) string { return fmt.Sprintf("%.2fs", d.Seconds()) }
--- /dev/null
+++ b/internal/loadtest/result_test.go
@@ -0,0 +1,153 @@
+package loadtest
+
+import (
+	"slices"
+	"time"
+)
+
+// classResult is what the callers of one class saw.
+type classResult struct {
+	jobs, inTime int
+	firstToken   []time.Duration
+}
+
+func (r *classResult) part() float64 {
+	if r.jobs == 0 {
+		return 1
+	}
+	return float64(r.inTime) / float64(r.jobs)
+}
+
+// quantile returns the time to first token of the answered jobs.
+func (r *classResult) quantile(q float64) time.Duration {
+	if len(r.firstToken) == 0 {
+		return 0
+	}
+	slices.Sort(r.firstToken)
+	return r.firstToken[int(q*float64(len(r.firstToken)-1))]
+}
+
+// result sums up runs of one policy in one situation.
+type result struct {
+	classes [3]classResult
+	all     classResult
+	// refusals counts refused tries.
+	tries, refusals int
+	// spent is engine time on calls; wasted the part on calls whose caller got
+	// no answer in time from them.
+	spent, wasted time.Duration
+	// useful is the engine time that the answers in time cost at full batches,
+	// counted when given.
+	useful  time.Duration
+	counted time.Duration
+	// recovery is the time from the end of an outage until callers are served
+	// as before it; the longest of the runs.
+	recovery           time.Duration
+	starts, inversions int
+}
+
+func (r *result) add(w *world) {
+	end := w.s.duration()
+	r.counted += end - warmUp
+	for _, j := range w.callers.jobs {
+		if j.answered >= warmUp && j.answered <= end && j.inTime() {
+			r.useful += j.cost
+		}
+		if j.issued < warmUp || j.issued > end-5*time.Second {
+			continue
+		}
+		r.addJob(j)
+	}
+	for _, t := range w.callers.tries {
+		r.addCalls(t)
+	}
+	r.recovery = max(r.recovery, recovery(w))
+	for _, n := range w.nodes {
+		if e, ok := n.(*entry); ok {
+			r.starts += e.starts
+			r.inversions += e.inversions
+		}
+	}
+}
+
+func (r *result) addJob(j *job) {
+	of := &r.classes[slices.Index(classes, j.class)]
+	for _, c := range []*classResult{of, &r.all} {
+		c.jobs++
+		if j.inTime() {
+			c.inTime++
+		}
+		if j.answered > 0 {
+			c.firstToken = append(c.firstToken, j.firstToken-j.issued)
+		}
+	}
+	r.tries += j.tries
+	r.refusals += j.refused
+}
+
+func (r *result) addCalls(t *try) {
+	for i, x := range t.calls {
+		r.spent += x.spent
+		last := i == len(t.calls)-1
+		if !last || !t.job.inTime() || t.job.answered > t.deadline || !t.answered {
+			r.wasted += x.spent
+		}
+	}
+}
+
+// recovery returns how long after an outage the last second began in which
+// under 95% of the callers who came with a new job were answered in time.
+func recovery(w *world) time.Duration {
+	const least = 0.95
+	from := faultAt + outage
+	var jobs, inTime [200]int
+	for _, j := range w.callers.jobs {
+		second := int(j.issued / time.Second)
+		jobs[second]++
+		if j.inTime() {
+			inTime[second]++
+		}
+	}
+	last := from
+	for second := int(from / time.Second); second < int(w.s.duration()/time.Second)-5; second++ {
+		if float64(inTime[second]) < least*float64(jobs[second]) {
+			last = time.Duration(second+1) * time.Second
+		}
+	}
+	return last - from
+}
+
+// served returns the mix of the jobs that were answered in time. A policy that
+// prefers cheap jobs is held against the capacity for just these.
+func (r *result) served() [3]float64 {
+	var mix [3]float64
+	for i, c := range r.classes {
+		mix[i] = float64(c.inTime) / float64(max(1, r.all.inTime))
+	}
+	return mix
+}
+
+// capacity measures the work that the engines do when they never idle, and the
+// jobs a second that this is: least outstanding, no deadline, an endless queue.
+func capacity(mix [3]float64, seed uint64) (costPerSecond, jobsPerSecond float64) {
+	patient := make([]*class, len(classes))
+	for i, cl := range classes {
+		c := *cl
+		c.deadline = time.Hour
+		patient[i] = &c
+	}
+	saved := classes
+	classes = patient
+	defer func() { classes = saved }()
+	s := &situation{mix: mix, large: 0.4, load: steady(1)}
+	w := run(s, policies[2], seed, 120)
+	cost, jobs := time.Duration(0), 0
+	for _, j := range w.callers.jobs {
+		if j.answered >= 30*time.Second && j.answered <= s.duration() {
+			cost += j.cost
+			jobs++
+		}
+	}
+	seconds := (s.duration() - 30*time.Second).Seconds()
+	return cost.Seconds() / seconds, float64(jobs) / seconds
+}
