--- a/internal/backend/http_client_test.go
+++ b/internal/backend/http_client_test.go
@@ -244,6 +244,13 @@
 	assert.ErrorIs(t, err, ErrMalformed)
 }
 
+func TestHeadAnswerNeedsNoLength(t *testing.T) {
+	address := serve(t, func(w http.ResponseWriter, _ *http.Request) { _ = http.NewResponseController(w).Flush() })
+	answer, err := newClient(t, Options{}).Call(t.Context(), address, ServiceCall{Method: "HEAD", Path: "/"})
+	assert.NilError(t, err)
+	assert.NilError(t, answer.Body.Close())
+}
+
 func TestCallCarriesOurSecretAndNoHopHeaders(t *testing.T) {
 	got := make(chan http.Header, 1)
 	address := serve(t, func(w http.ResponseWriter, r *http.Request) {
--- a/internal/backend/http_service.go
+++ b/internal/backend/http_service.go
@@ -54,7 +54,8 @@
 	}
 	// An answer that announces neither its length nor chunks ends with the
 	// connection, so a cut one looks whole.
-	if r.ContentLength < 0 && len(r.TransferEncoding) == 0 && !r.Uncompressed {
+	bodyless := r.Request.Method == http.MethodHead
+	if r.ContentLength < 0 && len(r.TransferEncoding) == 0 && !bodyless {
 		cause := errors.Annotate(ErrMalformed, "answer announces no end")
 		return &CallError{Address: address, Sent: SentUnknown, Status: r.StatusCode, Cause: cause}
 	}
--- a/test/standin/cmd/citronstep-standin/flags.go
+++ b/test/standin/cmd/citronstep-standin/flags.go
@@ -18,6 +18,7 @@
 	service            string
 	instances          int
 	weightStore        string
+	names              string
 	idPrefix           string
 	firstPort          int
 	listenIP           string
@@ -43,6 +44,7 @@
 	set.IntVar(&f.instances, "instances", 1, "number of plain service instances")
 	set.StringVar(&f.weightStore, "weight-store", "", "run the weight store on this `address` instead of engines")
 	set.StringVar(&f.idPrefix, "id", "vm", "prefix of the stable `name`s: PREFIX-0, PREFIX-1, ...")
+	set.StringVar(&f.names, "names", "", "comma-separated stable `names` in place of the prefix's")
 	set.StringVar(&f.listenIP, "listen-ip", "127.0.0.1", "address to listen on")
 	set.IntVar(&f.firstPort, "first-port", 0, "port of the first stand-in; 0 picks free ones")
 	set.StringVar(&f.advertise, "advertise", "", "comma-separated `addresses` to announce in place of the own ones")
@@ -127,6 +129,9 @@
 func (f *flags) commonOptions(i int, r *standin.Recorder, l log.Logger) standin.Common {
 	c := f.common
 	c.ID = f.idPrefix + "-" + strconv.Itoa(i)
+	if names := list(f.names); i < len(names) {
+		c.ID = names[i]
+	}
 	c.Listen = f.listen(i)
 	if advertised := list(f.advertise); i < len(advertised) {
 		c.Advertise = advertised[i]
