Node wiring, daemon and -dev: first shape

Cause: the thin path needs processes. Change: internal/node, cmd/citronstepd with -settings, -check and -dev.

--- /dev/null
+++ b/cmd/citronstepd/dev.go
@@ -0,0 +1,195 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/juju/errors"
+
+	"github.com/citronstep/citronstep/internal/adminapi"
+	"github.com/citronstep/citronstep/internal/auth"
+	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/failure"
+	"github.com/citronstep/citronstep/internal/node"
+	"github.com/citronstep/citronstep/internal/settings"
+	"github.com/citronstep/citronstep/internal/standin"
+)
+
+// What -dev starts.
+const (
+	devEngines       = 4
+	devVMsPerReplica = 2
+	devKey           = "dev"
+	devModel         = "demo"
+	devService       = "files"
+	devTokenInterval = 5 * time.Millisecond
+	devLoadTime      = 100 * time.Millisecond
+)
+
+// runDev runs all roles and stand-in backend servers in one process, with its
+// state in a folder that goes when it ends.
+func runDev() int {
+	folder, err := os.MkdirTemp("", "citronstep-dev-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "citronstepd:", err)
+		return exitFailure
+	}
+	defer func() { _ = os.RemoveAll(folder) }()
+	s := settings.Dev(folder)
+	logger := log.With(newLogger(s.Log.Level), "vm", s.VM)
+	reportInvariants(logger)
+	n, err := node.New(s, logger)
+	if err != nil {
+		_ = level.Error(logger).Log("event", "start_failed", "err", err)
+		return exitFailure
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	done := make(chan error, 1)
+	go func() { done <- n.Run(ctx) }()
+	closeAll, err := startDev(ctx, s, logger)
+	defer closeAll()
+	if err != nil {
+		_ = level.Error(logger).Log("event", "dev_failed", "err", err)
+		return exitFailure
+	}
+	return serve(n, s, logger, signals, done, stop)
+}
+
+// startDev founds the cluster, starts the stand-ins and waits until the first
+// group serves.
+func startDev(ctx context.Context, s *settings.Settings, logger log.Logger) (func(), error) {
+	var closers []func()
+	closeAll := func() {
+		for _, c := range closers {
+			c()
+		}
+	}
+	if err := devFound(ctx, s); err != nil {
+		return closeAll, errors.Trace(err)
+	}
+	for i := range devEngines {
+		e, err := standin.StartEngine(ctx, standin.EngineOptions{
+			Common:        devCommon(s, fmt.Sprintf("engine-%d", i)),
+			TokenInterval: devTokenInterval, LoadTime: devLoadTime,
+		})
+		if err != nil {
+			return closeAll, errors.Trace(err)
+		}
+		closers = append(closers, e.Close)
+	}
+	service, err := standin.StartService(ctx, standin.ServiceOptions{
+		Common: devCommon(s, devService+"-0"), Name: devService,
+	})
+	if err != nil {
+		return closeAll, errors.Trace(err)
+	}
+	closers = append(closers, service.Close)
+	if err := devReady(ctx, s); err != nil {
+		return closeAll, errors.Trace(err)
+	}
+	_ = level.Info(logger).Log("event", "dev_ready", "callers", s.Entry.Listen, "admin", s.Admin.Listen, "key", devKey, "model", devModel)
+	return closeAll, nil
+}
+
+func devCommon(s *settings.Settings, id string) standin.Common {
+	return standin.Common{
+		ID: id, Entries: []string{s.Entry.Advertise}, DataCentre: s.DataCentre, FabricDomain: "dev-domain",
+	}
+}
+
+func devConfiguration() blackboard.ConfigChange {
+	return blackboard.ConfigChange{
+		ChangeID:   "dev",
+		Operator:   "dev",
+		Workspaces: []blackboard.Workspace{{Name: "dev", KeySHA256: auth.KeyHash(devKey)}},
+		Classes: []blackboard.RequestClass{
+			{Name: "interactive", Worth: 10}, {Name: "batch", Worth: 1},
+		},
+		Groups: []blackboard.GroupSpec{{
+			Name: devModel, Model: devModel, Replicas: devEngines / devVMsPerReplica, VMsPerReplica: devVMsPerReplica, Worth: 1,
+		}},
+		Presets:   []blackboard.Preset{{Name: "ordinary"}},
+		UsePreset: "ordinary",
+	}
+}
+
+func devFound(ctx context.Context, s *settings.Settings) error {
+	body, err := json.Marshal(adminapi.InitRequest{Initial: devConfiguration()})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.Admin.Listen+adminapi.PathInit, bytes.NewReader(body))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if answer.StatusCode == http.StatusOK {
+		return nil
+	}
+	var refused failure.Body
+	if err := json.NewDecoder(answer.Body).Decode(&refused); err != nil {
+		return errors.Trace(err)
+	}
+	return refused.Error
+}
+
+// Times of waiting for the first group.
+const (
+	devReadyPoll = 50 * time.Millisecond
+	devReadyWait = 20 * time.Second
+)
+
+// devReady waits until all groups serve. The process serves meanwhile.
+func devReady(ctx context.Context, s *settings.Settings) error {
+	ctx, cancel := context.WithTimeout(ctx, devReadyWait)
+	defer cancel()
+	for {
+		if devServing(ctx, s) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Trace(ctx.Err())
+		case <-time.After(devReadyPoll):
+		}
+	}
+}
+
+func devServing(ctx context.Context, s *settings.Settings) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.Admin.Listen+adminapi.PathStatus, nil)
+	if err != nil {
+		return false
+	}
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = answer.Body.Close() }()
+	var st adminapi.Status
+	if err := json.NewDecoder(answer.Body).Decode(&st); err != nil {
+		return false
+	}
+	serving := 0
+	for _, g := range st.Groups {
+		if g.State.Routable() {
+			serving++
+		}
+	}
+	return serving == devEngines/devVMsPerReplica
+}
--- /dev/null
+++ b/cmd/citronstepd/main.go
@@ -0,0 +1,126 @@
+// Command citronstepd is the daemon of citronstep. One settings file says
+// which roles the process has; -dev runs them all, with stand-ins, in one
+// process.
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/juju/errors"
+
+	"github.com/citronstep/citronstep/internal/invariant"
+	"github.com/citronstep/citronstep/internal/node"
+	"github.com/citronstep/citronstep/internal/settings"
+)
+
+// Exit codes.
+const (
+	exitFailure  = 1
+	exitUsage    = 2
+	exitCutShort = 3
+)
+
+func main() {
+	os.Exit(run())
+}
+
+func run() int {
+	file := flag.String("settings", "", "TOML `file` with the settings of this process")
+	check := flag.Bool("check", false, "check the settings and exit")
+	dev := flag.Bool("dev", false, "run all roles and stand-in backend servers in this process")
+	flag.Parse()
+	switch {
+	case *dev:
+		return runDev()
+	case *file == "":
+		fmt.Fprintln(os.Stderr, "citronstepd: -settings FILE or -dev is needed")
+		flag.Usage()
+		return exitUsage
+	}
+	s, err := settings.Load(*file)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	if *check {
+		fmt.Println("settings are good")
+		return 0
+	}
+	return runNode(s, newLogger(s.Log.Level))
+}
+
+func newLogger(name string) log.Logger {
+	logger := log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr))
+	logger = log.With(logger, "ts", log.DefaultTimestampUTC)
+	return level.NewFilter(logger, level.Allow(level.ParseDefault(name, level.InfoValue())))
+}
+
+// runNode serves until a signal. The first SIGTERM or SIGINT stops gracefully;
+// a second one, or the settings' limit, ends the process at once.
+func runNode(s *settings.Settings, logger log.Logger) int {
+	logger = log.With(logger, "vm", s.VM)
+	reportInvariants(logger)
+	n, err := node.New(s, logger)
+	if err != nil {
+		_ = level.Error(logger).Log("event", "start_failed", "err", err)
+		return exitFailure
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	done := make(chan error, 1)
+	go func() { done <- n.Run(ctx) }()
+	return serve(n, s, logger, signals, done, stop)
+}
+
+func serve(n *node.Node, s *settings.Settings, logger log.Logger, signals chan os.Signal, done chan error, stop func()) int {
+	code := 0
+	select {
+	case <-signals:
+		code = drain(n, s, logger, signals)
+		stop()
+		<-done
+	case err := <-done:
+		_ = level.Error(logger).Log("event", "failed", "err", errors.Details(err))
+		code = exitFailure
+	}
+	if err := n.Close(); err != nil {
+		_ = level.Error(logger).Log("event", "close_failed", "err", err)
+	}
+	_ = level.Info(logger).Log("event", "stopped", "code", code)
+	return code
+}
+
+func drain(n *node.Node, s *settings.Settings, logger log.Logger, signals chan os.Signal) int {
+	_ = level.Info(logger).Log("event", "drain", "limit_ms", s.Entry.DrainMillis)
+	limit := time.Duration(s.Entry.DrainMillis) * time.Millisecond
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	go func() {
+		select {
+		case <-signals:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	if !n.Drain(ctx) {
+		_ = level.Warn(logger).Log("event", "drain_cut_short")
+		return exitCutShort
+	}
+	return 0
+}
+
+func reportInvariants(logger log.Logger) {
+	invariant.SetReporter(func(v invariant.Violation) {
+		_ = level.Error(logger).Log("event", "invariant_broken", "name", v.Name, "detail", v.Detail)
+	})
+}
--- a/internal/control/admin.go
+++ b/internal/control/admin.go
@@ -97,11 +97,11 @@
 		if m.Learner {
 			role = "learner"
 		}
-		if m.ID == st.Leader {
+		if m.ID == st.Leader.ID {
 			role = "leader"
 		}
 		list = append(list, adminapi.Replica{
-			ID: m.ID.String(), VM: m.VM, DataCentre: m.DataCentre, Address: m.Address, Role: role,
+			ID: strconv.FormatUint(uint64(m.ID), 16), VM: m.VM, DataCentre: m.DataCentre, Address: m.Address, Role: role,
 		})
 	}
 	return list
@@ -137,7 +137,7 @@
 	if err := s.waitToLead(ctx); err != nil {
 		return errors.Trace(err)
 	}
-	id := s.o.Consensus.Status().ClusterID
+	id := strconv.FormatUint(s.o.Consensus.Status().Cluster, 16)
 	var verdict blackboard.Verdict
 	if err := s.commitBoard(ctx, &blackboard.Found{ClusterID: id, Initial: r.Initial}, &verdict); err != nil {
 		return errors.Trace(err)
--- a/internal/control/forward.go
+++ b/internal/control/forward.go
@@ -26,11 +26,11 @@
 	return func(next echo.HandlerFunc) echo.HandlerFunc {
 		return func(c echo.Context) error {
 			st := s.o.Consensus.Status()
-			here := !st.Founded || st.LeaderAddress == "" || st.Leader == st.ID
+			here := !st.Founded || st.Leader.Address == "" || st.Leader.ID == st.ID
 			if here || c.Path() == adminapi.PathInit {
 				return next(c)
 			}
-			return f.forward(c, st.LeaderAddress)
+			return f.forward(c, st.Leader.Address)
 		}
 	}
 }
--- /dev/null
+++ b/internal/control/leader.go
@@ -0,0 +1,220 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/juju/errors"
+
+	"github.com/citronstep/citronstep/internal/adminapi"
+	"github.com/citronstep/citronstep/internal/backend"
+	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/clock"
+	"github.com/citronstep/citronstep/internal/controller"
+	"github.com/citronstep/citronstep/internal/evidence"
+	"github.com/citronstep/citronstep/internal/record"
+	"github.com/citronstep/citronstep/internal/rpc/noderpc"
+)
+
+// Times of the leader's upkeep.
+const (
+	// expireInterval is how often records are expired. Claims wait for their
+	// outcome ten seconds past the deadline, so a few seconds more tell no one
+	// anything false.
+	expireInterval = 5 * time.Second
+	// forgetEntryAfter is how long an entry's lease must be out before the
+	// entry is forgotten: longer than a restart of its VM takes.
+	forgetEntryAfter = 10 * time.Minute
+)
+
+// meter adds up the brief's two measures while this process leads.
+type meter struct {
+	last     time.Time
+	now      adminapi.Measures
+	expired  time.Time
+	idleFrom map[string]clock.Boot
+}
+
+// office is what one term of leadership keeps.
+type office struct {
+	term uint64
+	mu   sync.Mutex
+	// memory is used by the controllers' run and by answers of engines.
+	memory *controller.Memory
+}
+
+// Run runs the controllers while this process leads, until the context ends.
+func (s *Server) Run(ctx context.Context) {
+	ticker := time.NewTicker(s.o.Step)
+	defer ticker.Stop()
+	var o *office
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		term, err := s.leading()
+		if err != nil {
+			o = nil
+			continue
+		}
+		if o == nil || o.term != term {
+			o = &office{term: term, memory: controller.NewMemory(time.Now(), s.o.OrderLease)}
+		}
+		s.step(ctx, o)
+	}
+}
+
+// step runs the controllers once and carries out what they want. The lease is
+// read before the board, so that a board read under it is this leader's.
+func (s *Server) step(ctx context.Context, o *office) {
+	now := time.Now()
+	view := controller.View{Term: o.term, LeaseUntil: now.Add(s.o.Consensus.LeaseRemaining())}
+	view.Board, _ = s.o.Machine.Board()
+	if view.Board.ClusterID == "" {
+		return
+	}
+	var actions controller.Actions
+	s.o.Evidence.With(func(t *evidence.Table) {
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		view.Evidence, view.Memory = t, o.memory
+		actions = controller.Run(view, now)
+	})
+	s.logDecisions(actions.Decisions)
+	s.propose(ctx, actions.Commands)
+	s.send(ctx, o, actions.Orders)
+	s.measure(view.Board, now)
+	s.upkeep(ctx, view.Board, now)
+}
+
+func (s *Server) logDecisions(decisions []controller.Decision) {
+	for _, d := range decisions {
+		_ = s.o.Logger.Log("event", "decision", "kind", d.Kind, "subject", d.Subject,
+			"choice", d.Choice, "runner_up", d.RunnerUp, "reason", d.Reason)
+		s.event(eventKind(d.Kind), d.Subject, d.Kind+" "+d.Choice+": "+d.Reason)
+	}
+}
+
+func eventKind(decision string) string {
+	if decision == "vm" {
+		return "vm"
+	}
+	return "group"
+}
+
+// commandTimeout bounds the commit of one command of a controller; what is
+// not committed is decided anew in the next step.
+const commandTimeout = time.Second
+
+// propose commits the commands in order. A later one may build on an earlier
+// one, so the first failure ends the step; each command checks its own
+// preconditions when it is applied.
+func (s *Server) propose(ctx context.Context, commands []blackboard.Command) {
+	for _, c := range commands {
+		ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+		var verdict blackboard.Verdict
+		err := s.commitBoard(ctx, c, &verdict)
+		cancel()
+		if err != nil {
+			_ = level.Warn(s.o.Logger).Log("event", "command_failed", "err", err)
+			return
+		}
+		if !verdict.Applied {
+			_ = level.Debug(s.o.Logger).Log("event", "command_refused", "reason", verdict.Reason)
+		}
+	}
+}
+
+// send sends the orders side by side, each with its deadline, which lies
+// within this leader's lease.
+func (s *Server) send(ctx context.Context, o *office, orders []controller.PlannedOrder) {
+	for _, p := range orders {
+		go s.sendOne(ctx, o, p)
+	}
+}
+
+func (s *Server) sendOne(ctx context.Context, o *office, p controller.PlannedOrder) {
+	ctx, cancel := context.WithDeadline(ctx, p.Deadline)
+	defer cancel()
+	reply, err := s.o.Orders.Order(ctx, p.Address, p.Order)
+	_ = s.o.Logger.Log("event", "order", "vm", p.VM, "kind", p.Order.Kind, "group", p.Order.Group,
+		"term", p.Order.Token.Term, "epoch", p.Order.Token.Epoch, "accepted", reply.Accepted, "err", errText(err))
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.memory.Answered(time.Now(), p, reply, err)
+}
+
+func errText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// measure adds the time since the last step to the brief's two measures.
+func (s *Server) measure(board *blackboard.Board, now time.Time) {
+	present := controller.Measures(board, now)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.meter.last.IsZero() {
+		passed := now.Sub(s.meter.last).Seconds()
+		s.meter.now.GroupDowntimeSeconds += passed * float64(present.GroupsDown)
+		s.meter.now.StrandedAcceleratorSeconds += passed * float64(present.StrandedAccelerators)
+	}
+	s.meter.last = now
+	s.meter.now.GroupsDown = present.GroupsDown
+	s.meter.now.StrandedAccelerators = present.StrandedAccelerators
+}
+
+func (s *Server) measures() adminapi.Measures {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.meter.now
+}
+
+// upkeep expires records and forgets entries that are long gone.
+func (s *Server) upkeep(ctx context.Context, board *blackboard.Board, now time.Time) {
+	s.mu.Lock()
+	due := now.Sub(s.meter.expired) >= expireInterval
+	if due {
+		s.meter.expired = now
+	}
+	s.mu.Unlock()
+	if !due {
+		return
+	}
+	if err := s.expireRecords(ctx, now); err != nil {
+		_ = level.Warn(s.o.Logger).Log("event", "expire_failed", "err", err)
+	}
+	s.propose(ctx, s.goneEntries(board))
+}
+
+func (s *Server) expireRecords(ctx context.Context, now time.Time) error {
+	command, err := record.Encode(record.Command{Expire: &record.Expire{NowMillis: now.UnixMilli()}})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	_, err = s.o.Consensus.Propose(ctx, Wrap(noderpc.Machine_MACHINE_RECORDS, command))
+	return errors.Trace(err)
+}
+
+func (s *Server) goneEntries(board *blackboard.Board) []blackboard.Command {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var gone []blackboard.Command
+	now := clock.Now()
+	for id := range board.Entries {
+		if now.Sub(s.leases.holding(id).until) > forgetEntryAfter {
+			gone = append(gone, &blackboard.RemoveEntry{ID: id})
+		}
+	}
+	return gone
+}
+
+var _ OrderSender = (backend.Client)(nil)
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"net/http"
 	"sync"
 	"time"
 
@@ -11,6 +10,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/juju/errors"
 
+	"github.com/citronstep/citronstep/internal/backend"
 	"github.com/citronstep/citronstep/internal/blackboard"
 	"github.com/citronstep/citronstep/internal/clock"
 	"github.com/citronstep/citronstep/internal/evidence"
@@ -38,7 +38,7 @@
 
 // OrderSender sends orders to engines.
 type OrderSender interface {
-	Order(ctx context.Context, address string, o Order) (OrderReply, error)
+	Order(ctx context.Context, address string, o backend.Order) (backend.OrderReply, error)
 }
 
 // Options are what a Server is made of.
@@ -52,10 +52,11 @@
 	Lease time.Duration
 	// Step is the time between two runs of the controllers.
 	Step time.Duration
+	// OrderLease is the longest lease of an earlier leader; a new leader gives
+	// no order before it has run out.
+	OrderLease time.Duration
 	// VM is this machine's name.
 	VM string
-	// LeaderAdmin maps a peer's address to the admin address to forward to.
-	HTTPClient *http.Client
 }
 
 // Server is the control role of one process.
@@ -84,7 +85,7 @@
 	}
 	if s.o.Consensus.LeaseRemaining() <= 0 {
 		return 0, failure.New(failure.TypeNotLeader, "this control process does not lead").
-			WithDetail(st.LeaderAddress).WithRan(failure.RanNo)
+			WithDetail(st.Leader.Address).WithRan(failure.RanNo)
 	}
 	s.enterTerm(st.Term)
 	return st.Term, nil
@@ -120,12 +121,15 @@
 // typed turns an error of the consensus replica into one for peers and
 // operators.
 func typed(err error) error {
+	var other *replica.NotLeaderError
 	switch {
-	case errors.Is(err, replica.ErrNotLeader):
-		return failure.New(failure.TypeNotLeader, err.Error()).WithRan(failure.RanNo)
+	case errors.As(err, &other):
+		return failure.New(failure.TypeNotLeader, err.Error()).WithDetail(other.Leader.Address).WithRan(failure.RanNo)
 	case errors.Is(err, replica.ErrNotFounded):
 		return failure.New(failure.TypeNotFounded, "the cluster is not founded: run citronstep init").WithRan(failure.RanNo)
-	case errors.Is(err, replica.ErrUnknownOutcome):
+	case errors.Is(err, replica.ErrNotProposed):
+		return failure.New(failure.TypeUnavailable, err.Error()).WithRan(failure.RanNo).WithRetryAfter(time.Second)
+	case errors.Is(err, replica.ErrOutcomeUnknown):
 		return failure.New(failure.TypeOutcomeUnknown, err.Error()).WithRan(failure.RanUnknown)
 	}
 	return failure.New(failure.TypeUnavailable, err.Error()).WithRan(failure.RanUnknown)
--- a/internal/hearing/hearing.go
+++ b/internal/hearing/hearing.go
@@ -22,13 +22,8 @@
 	"github.com/citronstep/citronstep/internal/rpc/noderpc"
 )
 
-// Limits of what backend servers may send.
-const (
-	maxAnnouncement = 64 << 10
-	// keptDigests bounds the digests kept for peers that ask late; a peer
-	// further behind misses lines that are too old to matter.
-	keptDigests = 16
-)
+// maxAnnouncement bounds what a backend server may send at once, in bytes.
+const maxAnnouncement = 64 << 10
 
 // Options are what a Hearing is made of.
 type Options struct {
@@ -50,31 +45,24 @@
 type Hearing struct {
 	o Options
 
-	mu      sync.Mutex
-	table   *evidence.Table
-	digests []digest
-	next    uint64
+	mu    sync.Mutex
+	table *evidence.Table
 
 	peersMu sync.Mutex
 	peers   map[string]*peer
 }
 
-type digest struct {
-	number uint64
-	at     time.Time
-	lines  []evidence.Heard
-}
-
 type peer struct {
 	address string
 	client  noderpc.Entries
-	cursor  uint64
+	cursor  evidence.Cursor
 	asking  atomic.Bool
 }
 
 // New returns a Hearing that has heard nothing.
 func New(o Options) *Hearing {
-	return &Hearing{o: o, table: evidence.NewTable(o.Self), peers: make(map[string]*peer), next: 1}
+	run := uint64(time.Now().UnixNano())
+	return &Hearing{o: o, table: evidence.NewTable(o.Self, run), peers: make(map[string]*peer)}
 }
 
 // With calls f with the table; no one else changes it meanwhile.
@@ -141,14 +129,14 @@
 	return list
 }
 
-// Run makes digests and asks peers for theirs until the context ends.
+// Run asks peers for their digests until the context ends.
 func (h *Hearing) Run(ctx context.Context) {
 	ticker := time.NewTicker(evidence.DigestInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ticker.C:
-			h.makeDigest()
+			h.witnessSelf()
 			h.askPeers(ctx)
 		case <-ctx.Done():
 			return
@@ -156,50 +144,23 @@
 	}
 }
 
-func (h *Hearing) makeDigest() {
+// witnessSelf keeps the table's clock going on a process without peers.
+func (h *Hearing) witnessSelf() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	now := time.Now()
-	lines := h.table.Digest(now)
-	if len(lines) == 0 {
-		return
-	}
-	h.digests = append(h.digests, digest{number: h.next, at: now, lines: lines})
-	h.next++
-	if len(h.digests) > keptDigests {
-		h.digests = h.digests[1:]
-	}
+	h.table.Digest(time.Now(), evidence.Cursor{})
 }
 
 // Digest answers a peer.
 func (h *Hearing) Digest(_ context.Context, r *noderpc.DigestRequest) (*noderpc.DigestReply, error) {
 	h.mu.Lock()
-	defer h.mu.Unlock()
-	now := time.Now()
-	var lines []evidence.Heard
-	for _, d := range h.digests {
-		// A cursor beyond next is one of an earlier run of this process.
-		if d.number <= r.After && r.After < h.next {
-			continue
-		}
-		lines = append(lines, d.aged(now)...)
-	}
+	lines, next := h.table.Digest(time.Now(), evidence.Cursor{Run: r.Run, Number: r.After})
+	h.mu.Unlock()
 	data, err := json.Marshal(lines)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	return &noderpc.DigestReply{Source: h.o.Self, Cursor: h.next - 1, Lines: data}, nil
-}
-
-// aged returns the lines with the ages that they have by now.
-func (d digest) aged(now time.Time) []evidence.Heard {
-	held := now.Sub(d.at).Milliseconds()
-	lines := make([]evidence.Heard, len(d.lines))
-	for i, l := range d.lines {
-		l.AgeMillis += held
-		lines[i] = l
-	}
-	return lines
+	return &noderpc.DigestReply{Source: h.o.Self, Run: next.Run, Cursor: next.Number, Lines: data}, nil
 }
 
 // digestTimeout ends a call on a silent connection. It must be shorter than
@@ -248,7 +209,7 @@
 	ctx, cancel := context.WithTimeout(ctx, digestTimeout)
 	defer cancel()
 	asked := time.Now()
-	reply, err := p.client.Digest(ctx, &noderpc.DigestRequest{Source: h.o.Self, After: p.cursor})
+	reply, err := p.client.Digest(ctx, &noderpc.DigestRequest{Source: h.o.Self, Run: p.cursor.Run, After: p.cursor.Number})
 	if err != nil {
 		_ = level.Debug(h.o.Logger).Log("event", "digest_failed", "peer", p.address, "err", err)
 		return
@@ -258,7 +219,7 @@
 		_ = level.Warn(h.o.Logger).Log("event", "digest_malformed", "peer", p.address, "err", err)
 		return
 	}
-	p.cursor = reply.Cursor
+	p.cursor = evidence.Cursor{Run: reply.Run, Number: reply.Cursor}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.table.Merge(asked, reply.Source, lines)
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,350 @@
+// Package node makes one process of the system from its settings: the entry
+// role, the control role, or both.
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/juju/errors"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/citronstep/citronstep/internal/auth"
+	"github.com/citronstep/citronstep/internal/backend"
+	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/control"
+	"github.com/citronstep/citronstep/internal/controlclient"
+	"github.com/citronstep/citronstep/internal/entry"
+	"github.com/citronstep/citronstep/internal/follow"
+	"github.com/citronstep/citronstep/internal/hearing"
+	"github.com/citronstep/citronstep/internal/raft"
+	"github.com/citronstep/citronstep/internal/replica"
+	"github.com/citronstep/citronstep/internal/rpc/noderpc"
+	"github.com/citronstep/citronstep/internal/settings"
+)
+
+// group is the one consensus group of today. Every message carries its id, so
+// that records can move to groups of their own.
+const group raft.GroupID = 1
+
+// controllerStep is the time between two runs of the controllers: a quarter of
+// the age at which evidence is too old to route by, so that they add little to
+// the time of a repair.
+const controllerStep = 300 * time.Millisecond
+
+// Node is one process of the system.
+type Node struct {
+	settings *settings.Settings
+	logger   log.Logger
+	tokens   tokens
+	peers    *http.Client
+	backends *backend.HTTPClient
+
+	replica  *replica.Node
+	machine  *control.Machine
+	control  *control.Server
+	hearing  *hearing.Hearing
+	follower *follow.Follower
+	entry    *entry.Server
+	servers  []*listening
+}
+
+// tokens are the secrets that the settings name files of.
+type tokens struct {
+	peers, admin, announce, backend string
+}
+
+// listening is one HTTP server and its listener.
+type listening struct {
+	name     string
+	server   *http.Server
+	listener net.Listener
+}
+
+// New makes the node and opens its listeners and its data folder. Close ends
+// what New began.
+func New(s *settings.Settings, logger log.Logger) (*Node, error) {
+	n := &Node{settings: s, logger: logger}
+	steps := []func() error{n.readTokens, n.makeClients, n.makeControl, n.makeEntry, n.listen}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			_ = n.Close()
+			return nil, errors.Trace(err)
+		}
+	}
+	return n, nil
+}
+
+func (n *Node) readTokens() error {
+	files := []struct {
+		path string
+		into *string
+	}{
+		{n.settings.Peers.TokenFile, &n.tokens.peers},
+		{n.settings.Admin.TokenFile, &n.tokens.admin},
+		{n.settings.Entry.AnnounceTokenFile, &n.tokens.announce},
+		{n.settings.Entry.BackendTokenFile, &n.tokens.backend},
+	}
+	for _, f := range files {
+		if f.path == "" {
+			continue
+		}
+		token, err := settings.ReadToken(f.path)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		*f.into = token
+	}
+	return nil
+}
+
+// Times of calls between our processes.
+const (
+	peerDialTimeout = time.Second
+	// peerIdle is how long an idle connection between our processes is kept.
+	peerIdle = 30 * time.Second
+	// peerCallTimeout bounds any call between our processes.
+	peerCallTimeout = 10 * time.Second
+)
+
+func (n *Node) makeClients() error {
+	dialer := &net.Dialer{Timeout: peerDialTimeout}
+	n.peers = &http.Client{
+		Timeout: peerCallTimeout,
+		Transport: &auth.Transport{Token: n.tokens.peers, Base: &http.Transport{
+			DialContext: dialer.DialContext, IdleConnTimeout: peerIdle, MaxIdleConnsPerHost: 4,
+		}},
+	}
+	n.backends = backend.NewHTTPClient(backend.Options{
+		Logger: n.logger, Secret: n.tokens.backend, DialTimeout: peerDialTimeout,
+		HeaderTimeout: time.Duration(n.settings.Entry.HeaderTimeoutMillis) * time.Millisecond,
+	})
+	return nil
+}
+
+func (n *Node) makeControl() error {
+	if !n.settings.Control.Enabled {
+		return nil
+	}
+	n.machine = control.NewMachine()
+	c := n.settings.Control
+	tick := time.Duration(c.TickMillis) * time.Millisecond
+	r, err := replica.Open(replica.Options{
+		Group: group, Folder: c.DataFolder, VM: n.settings.VM, DataCentre: n.settings.DataCentre,
+		Address: n.settings.Peers.Advertise, Peers: n.settings.Peers.Control, Machine: n.machine,
+		Logger: log.With(n.logger, "part", "replica"), Voters: c.Voters, Secret: n.tokens.peers,
+		TickInterval: tick, ElectionTicks: c.ElectionTicks,
+	})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	n.replica = r
+	return nil
+}
+
+func (n *Node) makeEntry() error {
+	e := n.settings.Entry
+	self := blackboard.Entry{
+		ID: n.settings.VM, Address: e.Advertise, PeerAddress: n.settings.Peers.Advertise, DataCentre: n.settings.DataCentre,
+	}
+	client := controlclient.New(n.settings.Peers.Control, n.peers)
+	n.follower = follow.New(follow.Options{
+		Watcher: client, Entry: self, Logger: log.With(n.logger, "part", "follow"), OnChange: n.boardChanged,
+	})
+	n.hearing = hearing.New(hearing.Options{
+		Self: n.settings.VM, Board: n.follower.Board, HTTPClient: n.peers, AnnounceToken: n.tokens.announce,
+		Logger: log.With(n.logger, "part", "hearing"), OnAnnouncement: n.announced,
+	})
+	if e.Enabled {
+		n.entry = entry.NewServer(entry.Options{
+			ID: n.settings.VM, DataCentre: n.settings.DataCentre, Settings: e, Follower: n.follower, Hearing: n.hearing,
+			Client: n.backends, Control: client, Logger: n.decisions("entry"),
+		})
+	}
+	if n.replica != nil {
+		c := n.settings.Control
+		n.control = control.NewServer(control.Options{
+			Machine: n.machine, Consensus: n.replica, Evidence: n.hearing, Orders: n.backends,
+			Logger: n.decisions("control"), VM: n.settings.VM, Step: controllerStep,
+			Lease:      time.Duration(c.ConfigLeaseMillis) * time.Millisecond,
+			OrderLease: time.Duration(c.TickMillis*int64(c.ElectionTicks)) * time.Millisecond,
+		})
+	}
+	return nil
+}
+
+// decisions returns the logger of a part that logs decisions.
+func (n *Node) decisions(part string) log.Logger {
+	if !n.settings.Log.Decisions {
+		return log.NewNopLogger()
+	}
+	return log.With(level.Info(n.logger), "part", part)
+}
+
+func (n *Node) boardChanged(b *blackboard.Board) {
+	if n.entry != nil {
+		n.entry.BoardChanged(b)
+	}
+}
+
+func (n *Node) announced(a backend.Announcement) {
+	if n.entry != nil {
+		n.entry.Announced(a)
+	}
+}
+
+// Limits of connections from outside.
+const (
+	readHeaderTimeout = 10 * time.Second
+	maxHeaderBytes    = 32 << 10
+	idleTimeout       = 2 * time.Minute
+)
+
+func (n *Node) listen() error {
+	if err := n.listenAt("peers", n.settings.Peers.Listen, n.peersHandler()); err != nil {
+		return errors.Trace(err)
+	}
+	if n.entry != nil {
+		if err := n.listenAt("callers", n.settings.Entry.Listen, n.entry.Handler()); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	if n.control != nil && n.settings.Admin.Listen != "" {
+		forward := &control.Forwarder{Client: &http.Client{Transport: n.peers.Transport}, Token: n.tokens.peers}
+		return errors.Trace(n.listenAt("admin", n.settings.Admin.Listen, n.control.AdminHandler(n.tokens.admin, forward)))
+	}
+	return nil
+}
+
+func (n *Node) listenAt(name, address string, h http.Handler) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Annotatef(err, "listening for %s", name)
+	}
+	server := &http.Server{
+		Handler: h, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
+	}
+	n.servers = append(n.servers, &listening{name: name, server: server, listener: l})
+	_ = level.Info(n.logger).Log("event", "listening", "for", name, "address", l.Addr())
+	return nil
+}
+
+// peersHandler serves the system's own processes.
+func (n *Node) peersHandler() http.Handler {
+	mux := http.NewServeMux()
+	entries := noderpc.NewEntriesServer(n.hearing)
+	mux.Handle(entries.PathPrefix(), entries)
+	if n.control != nil {
+		board := noderpc.NewBoardServer(n.control)
+		mux.Handle(board.PathPrefix(), board)
+		mux.Handle("/admin/v1/", n.control.AdminHandler("", nil))
+	}
+	guarded := auth.Handler(n.tokens.peers, mux)
+	if n.replica == nil {
+		return guarded
+	}
+	// The replica checks the token itself.
+	whole := http.NewServeMux()
+	whole.Handle("/", guarded)
+	whole.Handle(n.replica.PathPrefix(), n.replica.Handler())
+	return whole
+}
+
+// ErrReplicaFailed ends a process whose consensus replica can't go on, such as
+// after a failed sync. The platform starts it again.
+const ErrReplicaFailed = errors.ConstError("the consensus replica has failed")
+
+// Run serves until the context ends, then returns. It returns an error when
+// the process can't go on.
+func (n *Node) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	for _, l := range n.servers {
+		g.Go(func() error {
+			if err := l.server.Serve(l.listener); !errors.Is(err, http.ErrServerClosed) {
+				return errors.Annotatef(err, "serving %s", l.name)
+			}
+			return nil
+		})
+	}
+	n.goLoop(ctx, g, n.follower.Run)
+	n.goLoop(ctx, g, n.hearing.Run)
+	if n.entry != nil {
+		n.goLoop(ctx, g, n.entry.Run)
+	}
+	if n.control != nil {
+		n.goLoop(ctx, g, n.control.Run)
+		g.Go(func() error { return n.watchReplica(ctx) })
+	}
+	g.Go(func() error {
+		<-ctx.Done()
+		n.closeServers()
+		return nil
+	})
+	return errors.Trace(g.Wait())
+}
+
+func (n *Node) goLoop(ctx context.Context, g *errgroup.Group, loop func(context.Context)) {
+	g.Go(func() error {
+		loop(ctx)
+		return nil
+	})
+}
+
+func (n *Node) watchReplica(ctx context.Context) error {
+	select {
+	case <-n.replica.Failed():
+		return errors.Annotate(ErrReplicaFailed, errText(n.replica.Status().Err))
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+func errText(err error) string {
+	if err == nil {
+		return "no reason given"
+	}
+	return err.Error()
+}
+
+// Drain stops gracefully within the context: it hands leadership over, takes
+// no new work, and lets running work finish. It returns false when the context
+// ended first.
+func (n *Node) Drain(ctx context.Context) bool {
+	if n.replica != nil && n.replica.LeaseRemaining() > 0 {
+		if err := n.replica.TransferLeadership(ctx); err != nil {
+			_ = level.Warn(n.logger).Log("event", "leadership_kept", "err", err)
+		}
+	}
+	if n.entry == nil {
+		return true
+	}
+	return n.entry.Drain(ctx)
+}
+
+func (n *Node) closeServers() {
+	for _, l := range n.servers {
+		_ = l.server.Close()
+	}
+}
+
+// Close frees what the node holds.
+func (n *Node) Close() error {
+	n.closeServers()
+	for _, l := range n.servers {
+		_ = l.listener.Close()
+	}
+	if n.backends != nil {
+		n.backends.Close()
+	}
+	if n.replica != nil {
+		return errors.Trace(n.replica.Close())
+	}
+	return nil
+}
+
+// Status returns what the control role knows; it is for -dev and tests.
+func (n *Node) Control() *control.Server { return n.control }
