--- a/internal/blackboard/group.go
+++ b/internal/blackboard/group.go
@@ -18,6 +18,11 @@
 // Routable tells whether entries may send new work to the group.
 func (s GroupState) Routable() bool { return s == Serving }
 
+// holdsMembers tells whether every member's row must name the group's epoch.
+func (s GroupState) holdsMembers() bool {
+	return s == Forming || s == Loading || s == Serving
+}
+
 // transitions lists the states that may follow each state.
 var transitions = map[GroupState][]GroupState{
 	Forming:  {Loading, Broken, Released},
@@ -141,7 +146,7 @@
 // group serves with a member missing from its row.
 func (b *Board) consistent() bool {
 	for _, g := range b.Groups {
-		if g.State != Forming && g.State != Loading && g.State != Serving {
+		if !g.State.holdsMembers() {
 			continue
 		}
 		for _, m := range g.Members {
--- a/internal/blackboard/vm.go
+++ b/internal/blackboard/vm.go
@@ -1,5 +1,10 @@
 package blackboard
 
+import (
+	"reflect"
+	"slices"
+)
+
 // Liveness is what the liveness controller has concluded of a backend server.
 type Liveness string
 
@@ -39,6 +44,26 @@
 // Free tells whether the VM may go into a new group.
 func (v VM) Free() bool { return v.Group == "" }
 
+// flapMemoryMillis is how long a return counts towards Flaps: one hour, so that
+// a VM restarted each day starts anew and one that restarts each minute doesn't.
+const flapMemoryMillis = 60 * 60 * 1000
+
+// flap counts one return at nowMillis.
+func (v *VM) flap(nowMillis int64) {
+	if nowMillis-v.SinceMillis > flapMemoryMillis {
+		v.Flaps = 0
+	}
+	v.Flaps++
+	v.SinceMillis = nowMillis
+}
+
+// same tells whether two rows are equal.
+func (v VM) same(o VM) bool {
+	weights := slices.Equal(v.Weights, o.Weights)
+	v.Weights, o.Weights = nil, nil
+	return weights && reflect.DeepEqual(v, o)
+}
+
 // PutVM records what a VM announced. It touches neither group nor liveness of
 // a VM that it knows; a new incarnation is recorded, and the group that ran
 // under the old one stays until FreeVM names the new incarnation.
@@ -55,6 +80,12 @@
 	} else if next.Liveness == "" {
 		next.Liveness = Alive
 	}
+	if known && old.same(next) {
+		return refused("no change")
+	}
+	if known && old.Incarnation != next.Incarnation {
+		next.flap(c.VM.SinceMillis)
+	}
 	b.VMs = cloneMap(b.VMs)
 	b.VMs[next.ID] = next
 	return applied()
@@ -78,10 +109,10 @@
 		return refused("no change")
 	}
 	v.Liveness = c.To
-	v.SinceMillis = c.NowMillis
 	if c.Returned {
-		v.Flaps++
+		v.flap(c.NowMillis)
 	}
+	v.SinceMillis = c.NowMillis
 	b.VMs = cloneMap(b.VMs)
 	b.VMs[c.VM] = v
 	return applied()
@@ -104,8 +135,8 @@
 	if !ok || v.Group != c.Group || v.Epoch != c.Epoch || v.Incarnation != c.Incarnation {
 		return refused("the VM holds another group, epoch or incarnation")
 	}
-	if g, ok := b.Groups[c.Group]; ok && g.Epoch == c.Epoch && g.State.Routable() {
-		return refused("the group is serving")
+	if g, ok := b.Groups[c.Group]; ok && g.Epoch == c.Epoch && g.State.holdsMembers() {
+		return refused("the group is " + string(g.State))
 	}
 	v.Group, v.Epoch = "", 0
 	b.VMs = cloneMap(b.VMs)
--- /dev/null
+++ b/internal/controller/breaking.go
@@ -0,0 +1,114 @@
+package controller
+
+import (
+	"time"
+
+	"github.com/citronstep/citronstep/internal/backend"
+	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/evidence"
+)
+
+const (
+	// faultPatience is how long a fault that may pass must last before the
+	// group is torn down: engines lose each other for a moment when a switch
+	// restarts, and tearing down costs a reload.
+	faultPatience = 3 * time.Second
+	// loadLimit gives a load up. The largest weights, from the store at its
+	// limit behind two other loads, take some minutes.
+	loadLimit = 15 * time.Minute
+	// startLimit gives up a member that does not begin to load at all.
+	startLimit = 30 * time.Second
+	// avoidFor keeps a VM whose load failed out of new groups, so that one bad
+	// VM does not break group after group.
+	avoidFor = time.Minute
+)
+
+// breaking takes groups out of service for good whose members are gone, run
+// something else, or have lost each other.
+//
+// It only ever acts on what was heard. Silence reaches it as liveness Dead.
+func breaking(v View, now time.Time, a *Actions) {
+	for _, g := range groupsByWorth(v) {
+		if g.State == blackboard.Broken || g.State == blackboard.Released {
+			continue
+		}
+		reason, lasting := groupFault(v, now, g)
+		epoch := groupEpoch{g.ID, g.Epoch}
+		if reason == "" {
+			delete(v.Memory.faults, epoch)
+			continue
+		}
+		if !lasting && now.Sub(since(v.Memory.faults, epoch, now)) < faultPatience {
+			continue
+		}
+		a.moveGroup(g, blackboard.Broken, reason, now)
+		a.decide(Decision{Kind: "break", Subject: g.ID, Choice: "broken", RunnerUp: "wait", Reason: reason})
+	}
+}
+
+// groupFault returns what is wrong with a group, and whether waiting is
+// pointless.
+func groupFault(v View, now time.Time, g blackboard.Group) (reason string, lasting bool) {
+	if g.State == blackboard.Loading && now.UnixMilli()-g.SinceMillis > loadLimit.Milliseconds() {
+		return "not loaded in time", true
+	}
+	for _, m := range g.Members {
+		fault, lasts := memberFault(v, now, g, m)
+		if fault == "" {
+			continue
+		}
+		if lasts {
+			return "member " + m.VM + " " + fault, true
+		}
+		reason = "member " + m.VM + " " + fault
+	}
+	return reason, false
+}
+
+func memberFault(v View, now time.Time, g blackboard.Group, m blackboard.GroupMember) (fault string, lasting bool) {
+	vm, ok := v.Board.VMs[m.VM]
+	if !ok {
+		return "is unknown", true
+	}
+	if vm.Incarnation != m.Incarnation {
+		return "restarted", true
+	}
+	if vm.Liveness == blackboard.Dead {
+		return "is dead", true
+	}
+	r, heard := v.Evidence.Get(m.VM)
+	if !heard || now.Sub(r.HeardAt) > evidence.RoutableAge {
+		return "", false
+	}
+	if r.Incarnation != m.Incarnation {
+		return "restarted", settled(r)
+	}
+	return reportedFault(v, now, g, r)
+}
+
+// reportedFault returns what a member that is heard says is wrong.
+func reportedFault(v View, now time.Time, g blackboard.Group, r evidence.Report) (fault string, lasting bool) {
+	inEpoch := r.Group == g.ID && r.Epoch == g.Epoch
+	if inEpoch && r.Phase == backend.PhaseFailed {
+		v.Memory.avoid[r.ID] = now.Add(avoidFor)
+		return "failed", true
+	}
+	if inEpoch && len(r.Unreachable) > 0 {
+		return "has lost " + r.Unreachable[0], false
+	}
+	switch g.State {
+	case blackboard.Serving, blackboard.Draining:
+		if !inEpoch {
+			return "left the epoch", false
+		}
+		if r.Phase != backend.PhaseReady {
+			return "is " + string(r.Phase), false
+		}
+	case blackboard.Loading:
+		if !inEpoch && now.UnixMilli()-g.SinceMillis > startLimit.Milliseconds() {
+			v.Memory.avoid[r.ID] = now.Add(avoidFor)
+			return "does not begin to load", true
+		}
+	}
+	return "", false
+}
--- /dev/null
+++ b/internal/controller/draining.go
@@ -0,0 +1,170 @@
+package controller
+
+import (
+	"time"
+
+	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/evidence"
+)
+
+const (
+	// drainLimit ends the wait for work in flight of a draining group. Longer
+	// answers are resumed on another group by the entries.
+	drainLimit = 2 * time.Minute
+	// drainQuiet is how long all members must report no work: one second for
+	// entries that still held the group routable, and a late load report.
+	drainQuiet = 3 * time.Second
+	// replaceLimit is how long a drain that an operator asked for waits for
+	// its replacement. A leaving VM is not waited for.
+	replaceLimit = 5 * time.Minute
+	// noSpareWait is how long such a drain waits for a replacement to form; when
+	// there is no spare, none will.
+	noSpareWait = 5 * time.Second
+	// surplusHold is how long a group must be unwanted before it is drained,
+	// so that a preset switched there and back reloads nothing.
+	surplusHold = 10 * time.Second
+)
+
+// draining takes groups out of service that should not serve: a member is
+// leaving or drained, the group is drained, or more run than are wanted.
+func draining(v View, now time.Time, a *Actions) {
+	surplus := surplusGroups(v)
+	for _, g := range groupsByWorth(v) {
+		if g.State != blackboard.Serving && g.State != blackboard.Loading && g.State != blackboard.Forming {
+			continue
+		}
+		reason, due := drainReason(v, now, g, surplus[g.ID])
+		epoch := groupEpoch{g.ID, g.Epoch}
+		if reason == "" {
+			delete(v.Memory.drains, epoch)
+			continue
+		}
+		if now.Sub(since(v.Memory.drains, epoch, now)) < due {
+			continue
+		}
+		to := blackboard.Draining
+		if g.State != blackboard.Serving {
+			to = blackboard.Broken
+		}
+		a.moveGroup(g, to, reason, now)
+		a.decide(Decision{Kind: "drain", Subject: g.ID, Choice: string(to), Reason: reason})
+	}
+}
+
+// drainReason returns why a group should go, and how long that must last.
+func drainReason(v View, now time.Time, g blackboard.Group, surplus bool) (reason string, due time.Duration) {
+	c := &v.Board.Config
+	for _, m := range g.Members {
+		if v.Board.VMs[m.VM].Leaving {
+			return "member " + m.VM + " is leaving", 0
+		}
+	}
+	wait := replaceWait(v, g)
+	if c.DrainedGroups[g.ID] {
+		return "group is drained", wait
+	}
+	for _, m := range g.Members {
+		if c.DrainedVMs[m.VM] {
+			return "member " + m.VM + " is drained", wait
+		}
+	}
+	if surplus {
+		return "more replicas than wanted", surplusHold
+	}
+	return "", 0
+}
+
+// replaceWait returns how long a drain that an operator asked for leaves the
+// group serving.
+func replaceWait(v View, g blackboard.Group) time.Duration {
+	switch {
+	case g.State != blackboard.Serving || shortage(v, g.Spec) <= 0:
+		return 0
+	case missing(v, g.Spec) > 0:
+		return noSpareWait
+	}
+	return replaceLimit
+}
+
+// outgoing tells whether a group is on its way out, so that it does not count
+// towards the wanted replicas and a replacement may form beside it.
+func outgoing(v View, g blackboard.Group) bool {
+	c := &v.Board.Config
+	if c.DrainedGroups[g.ID] {
+		return true
+	}
+	for _, m := range g.Members {
+		if c.DrainedVMs[m.VM] || v.Board.VMs[m.VM].Leaving {
+			return true
+		}
+	}
+	return false
+}
+
+// wanted returns how many replicas of a spec should run.
+func wanted(v View, spec string) int {
+	c := &v.Board.Config
+	if _, ok := c.Groups[spec]; !ok || c.DrainedGroups[spec] {
+		return 0
+	}
+	return c.GroupReplicas(spec)
+}
+
+// shortage returns how many groups of a spec still have to serve before an
+// outgoing one may go.
+func shortage(v View, spec string) int {
+	serving := 0
+	for _, g := range v.Board.Groups {
+		if g.Spec == spec && g.State == blackboard.Serving && !outgoing(v, g) {
+			serving++
+		}
+	}
+	return wanted(v, spec) - serving
+}
+
+// surplusGroups returns the groups beyond the wanted replicas: not yet serving
+// ones first, as they cost callers nothing, then the highest numbers.
+func surplusGroups(v View) map[string]bool {
+	surplus := make(map[string]bool)
+	counts := make(map[string]int)
+	for _, state := range []blackboard.GroupState{blackboard.Serving, blackboard.Loading, blackboard.Forming} {
+		for _, id := range sortedKeys(v.Board.Groups) {
+			g := v.Board.Groups[id]
+			if g.State != state || outgoing(v, g) {
+				continue
+			}
+			counts[g.Spec]++
+			if counts[g.Spec] > wanted(v, g.Spec) {
+				surplus[id] = true
+			}
+		}
+	}
+	return surplus
+}
+
+// drained tells whether a draining group's work is done: each member that is
+// heard has reported none for drainQuiet, or drainLimit is over.
+func drained(v View, now time.Time, g blackboard.Group) bool {
+	epoch := groupEpoch{g.ID, g.Epoch}
+	if now.Sub(since(v.Memory.drains, epoch, now)) > drainLimit {
+		return true
+	}
+	for _, m := range g.Members {
+		if !withoutWork(v, now, g, m) {
+			delete(v.Memory.idle, epoch)
+			return false
+		}
+	}
+	return now.Sub(since(v.Memory.idle, epoch, now)) >= drainQuiet
+}
+
+func withoutWork(v View, now time.Time, g blackboard.Group, m blackboard.GroupMember) bool {
+	r, heard := v.Evidence.Get(m.VM)
+	if !heard || now.Sub(r.HeardAt) > evidence.RoutableAge {
+		return false
+	}
+	if r.Group != g.ID || r.Epoch != g.Epoch || r.Load == nil {
+		return true
+	}
+	return r.Load.Running == 0 && r.Load.Queued == 0
+}
--- /dev/null
+++ b/internal/controller/forming.go
@@ -0,0 +1,245 @@
+package controller
+
+import (
+	"sort"
+	"strconv"
+	"time"
+
+	"github.com/citronstep/citronstep/internal/backend"
+	"github.com/citronstep/citronstep/internal/blackboard"
+)
+
+// survivorWait is how long a spec that lost a group waits for the survivors to
+// confirm their release. That takes about two announcements, and survivors
+// hold the weights; loading from the store takes far longer than this.
+const survivorWait = 5 * time.Second
+
+// forming makes groups out of free VMs until each spec has what it wants, in
+// order of worth. A spec that stays short keeps specs worth less out of the
+// domain in which it waits, or takes over one of their groups.
+func forming(v View, now time.Time, a *Actions) {
+	u := &use{vms: make(map[string]bool), ids: make(map[string]bool), held: make(map[string]bool)}
+	for _, spec := range specsByWorth(v) {
+		short := missing(v, spec.Name)
+		for short > 0 && formOne(v, now, a, spec, u) {
+			short--
+		}
+		if short <= 0 {
+			delete(v.Memory.missing, spec.Name)
+			continue
+		}
+		if domain := holdBack(v, now, spec, u); domain != "" {
+			u.held[domain] = true
+			delete(v.Memory.missing, spec.Name)
+			continue
+		}
+		takeOver(v, now, a, spec, u)
+	}
+}
+
+// use is what one run of forming has given away already.
+type use struct {
+	vms map[string]bool
+	ids map[string]bool
+	// held are domains that a spec worth more waits in.
+	held map[string]bool
+}
+
+func specsByWorth(v View) []blackboard.GroupSpec {
+	c := &v.Board.Config
+	var specs []blackboard.GroupSpec
+	for _, name := range sortedKeys(c.Groups) {
+		specs = append(specs, c.Groups[name])
+	}
+	sort.SliceStable(specs, func(i, j int) bool {
+		return c.GroupWorth(specs[i].Name) > c.GroupWorth(specs[j].Name)
+	})
+	return specs
+}
+
+// missing returns how many more groups of a spec should be formed.
+func missing(v View, spec string) int {
+	have := 0
+	for _, g := range v.Board.Groups {
+		active := g.State == blackboard.Forming || g.State == blackboard.Loading || g.State == blackboard.Serving
+		if g.Spec == spec && active && !outgoing(v, g) {
+			have++
+		}
+	}
+	return wanted(v, spec) - have
+}
+
+// usable tells whether a VM may join a new group now: it suits the spec, holds
+// no group, and its engine says so too.
+func usable(v View, now time.Time, vm blackboard.VM, spec blackboard.GroupSpec) bool {
+	if !vm.Free() || !suits(v, now, vm, spec) {
+		return false
+	}
+	r, _ := v.Evidence.Get(vm.ID)
+	return r.Phase == backend.PhaseIdle && r.Group == ""
+}
+
+// candidate is one way to form a group: the best members of one domain.
+type candidate struct {
+	domain  string
+	members []blackboard.VM
+	// fetches is how many members have to fetch weights from the store.
+	fetches int
+	// siblings is how many groups of the spec the domain has already.
+	siblings int
+	// left is how many usable VMs of the domain stay over.
+	left int
+}
+
+func formOne(v View, now time.Time, a *Actions, spec blackboard.GroupSpec, u *use) bool {
+	found := candidates(v, now, spec, u)
+	if len(found) == 0 {
+		return false
+	}
+	best := found[0]
+	if waitForSurvivors(v, now, spec, best) {
+		return false
+	}
+	id := nextID(v, spec.Name, u)
+	members := make([]blackboard.GroupMember, len(best.members))
+	for i, vm := range best.members {
+		u.vms[vm.ID] = true
+		members[i] = blackboard.GroupMember{VM: vm.ID, Incarnation: vm.Incarnation, Address: vm.Address}
+	}
+	a.command(&blackboard.FormGroup{NowMillis: now.UnixMilli(), Group: blackboard.Group{
+		ID: id, Spec: spec.Name, Model: spec.Model, FabricDomain: best.domain,
+		DataCentre: best.members[0].DataCentre, Members: members,
+		Worth: v.Board.Config.GroupWorth(spec.Name), Reason: "wanted by its spec",
+	}})
+	d := Decision{Kind: "form", Subject: id, Choice: best.domain, Reason: best.reason()}
+	if len(found) > 1 {
+		d.RunnerUp = found[1].domain
+	}
+	a.decide(d)
+	return true
+}
+
+func (c candidate) reason() string {
+	return "fetches " + strconv.Itoa(c.fetches) + ", siblings " + strconv.Itoa(c.siblings) + ", left " + strconv.Itoa(c.left)
+}
+
+// candidates returns one candidate for each domain with room, best first:
+// fewest weights to fetch, as the store is the slowest part; then fewest groups
+// of the same spec, so that one dark domain leaves the others; then the
+// tightest fit, so that wide domains stay whole for wide groups.
+func candidates(v View, now time.Time, spec blackboard.GroupSpec, u *use) []candidate {
+	domains := make(map[string][]blackboard.VM)
+	for _, id := range sortedKeys(v.Board.VMs) {
+		vm := v.Board.VMs[id]
+		if !u.vms[id] && !u.held[vm.FabricDomain] && usable(v, now, vm, spec) {
+			domains[vm.FabricDomain] = append(domains[vm.FabricDomain], vm)
+		}
+	}
+	var found []candidate
+	for _, domain := range sortedKeys(domains) {
+		vms := domains[domain]
+		if len(vms) < spec.VMsPerReplica+v.reserve(now, spec, domain) {
+			continue
+		}
+		found = append(found, choose(v, domain, vms, spec))
+	}
+	sort.SliceStable(found, func(i, j int) bool { return found[i].better(found[j]) })
+	return found
+}
+
+func (c candidate) better(o candidate) bool {
+	if c.fetches != o.fetches {
+		return c.fetches < o.fetches
+	}
+	if c.siblings != o.siblings {
+		return c.siblings < o.siblings
+	}
+	return c.left < o.left
+}
+
+// reserve returns how many VMs of a domain a spec must leave free: the fixed
+// spares of the policy, except to repair a group that the domain just lost.
+func (v View) reserve(now time.Time, spec blackboard.GroupSpec, domain string) int {
+	for _, g := range v.Board.Groups {
+		lost := g.State == blackboard.Broken || g.State == blackboard.Released
+		recent := now.UnixMilli()-g.SinceMillis < expectedReturn.Milliseconds()
+		if lost && recent && g.Spec == spec.Name && g.FabricDomain == domain {
+			return 0
+		}
+	}
+	return v.Memory.policy.spares
+}
+
+// choose picks the members of one domain: VMs that hold the weights, then those
+// with the fewest accelerators that suffice, then those that flapped least.
+func choose(v View, domain string, vms []blackboard.VM, spec blackboard.GroupSpec) candidate {
+	sort.SliceStable(vms, func(i, j int) bool {
+		a, b := vms[i], vms[j]
+		if x, y := holdsWeights(v, a.ID, spec.Model), holdsWeights(v, b.ID, spec.Model); x != y {
+			return x
+		}
+		if a.Accelerators != b.Accelerators {
+			return a.Accelerators < b.Accelerators
+		}
+		return a.Flaps < b.Flaps
+	})
+	c := candidate{domain: domain, members: vms[:spec.VMsPerReplica], left: len(vms) - spec.VMsPerReplica}
+	for _, vm := range c.members {
+		if !holdsWeights(v, vm.ID, spec.Model) {
+			c.fetches++
+		}
+	}
+	for _, g := range v.Board.Groups {
+		if g.Spec == spec.Name && g.FabricDomain == domain && g.State != blackboard.Released && g.State != blackboard.Broken {
+			c.siblings++
+		}
+	}
+	return c
+}
+
+// waitForSurvivors tells whether a group of the spec broke so recently that its
+// survivors, which hold the weights, will be free sooner than best would load.
+func waitForSurvivors(v View, now time.Time, spec blackboard.GroupSpec, best candidate) bool {
+	if !v.Memory.policy.reuse || best.fetches <= 1 {
+		return false
+	}
+	for _, g := range v.Board.Groups {
+		if g.Spec != spec.Name || g.State != blackboard.Broken {
+			continue
+		}
+		age := now.UnixMilli() - g.SinceMillis
+		if age < 0 || age > survivorWait.Milliseconds() {
+			continue
+		}
+		if survivors(v, g) >= spec.VMsPerReplica-1 {
+			return true
+		}
+	}
+	return false
+}
+
+func survivors(v View, g blackboard.Group) int {
+	n := 0
+	for _, m := range g.Members {
+		if v.Board.VMs[m.VM].Liveness == blackboard.Alive {
+			n++
+		}
+	}
+	return n
+}
+
+// nextID returns the lowest replica number that no group holds. A group whose
+// dead member never returns keeps its id, as nothing proves it gone.
+func nextID(v View, spec string, u *use) string {
+	for n := 0; ; n++ {
+		id := spec + "-" + strconv.Itoa(n)
+		g, known := v.Board.Groups[id]
+		if u.ids[id] || v.Board.Config.DrainedGroups[id] {
+			continue
+		}
+		if !known || g.State == blackboard.Released {
+			u.ids[id] = true
+			return id
+		}
+	}
+}
--- /dev/null
+++ b/internal/controller/liveness.go
@@ -0,0 +1,143 @@
+package controller
+
+import (
+	"time"
+
+	"github.com/citronstep/citronstep/internal/backend"
+	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/evidence"
+)
+
+// The thresholds of liveness, in silence heard by a majority of entries.
+// Routing does not wait for them: entries stop after evidence.RoutableAge.
+const (
+	// pausedAfter is over seven announcements lost in a row: short stops of a
+	// VM under a hypervisor pass before it.
+	pausedAfter = 3 * time.Second
+	// deadAfter is when a member's group is torn down. Reloading a group takes
+	// tens of seconds, so waiting ten for a paused member costs less than a
+	// needless reload, and adds ten seconds to the downtime of a real loss.
+	deadAfter = 10 * time.Second
+	// strayWitness doubles the thresholds while the only process that heard a
+	// backend server is silent itself: the backend server may be looking for
+	// another entry.
+	strayWitness = 2
+	// forgetAfter is when a dead instance of a plain service is dropped.
+	forgetAfter = 10 * time.Minute
+)
+
+// The thresholds of a straggler, as multiples of evidence.AnnounceInterval.
+// A VM is a straggler from slowGap on and again alive below steadyGap; the
+// space between keeps one late announcement from changing anything.
+const (
+	slowGap   = 5 * evidence.AnnounceInterval
+	steadyGap = 3 * evidence.AnnounceInterval
+)
+
+// The time that a VM must have stayed alive before it may join a new group
+// doubles with each return, from settleFirst to settleMost: a flapping VM
+// would otherwise break each group that it joins.
+const (
+	settleFirst = 2 * time.Second
+	settleMost  = 2 * time.Minute
+)
+
+// liveness concludes alive, paused, dead or straggler from the evidence.
+func liveness(v View, now time.Time, a *Actions) {
+	for _, id := range sortedKeys(v.Board.VMs) {
+		vm := v.Board.VMs[id]
+		r, heard := v.Evidence.Get(id)
+		if heard && r.Incarnation != vm.Incarnation {
+			continue
+		}
+		to := conclude(v, now, vm.Liveness, r, heard)
+		if to == vm.Liveness {
+			continue
+		}
+		returned := vm.Liveness == blackboard.Paused || vm.Liveness == blackboard.Dead
+		a.command(&blackboard.SetLiveness{
+			VM: id, Incarnation: vm.Incarnation, To: to,
+			NowMillis: now.UnixMilli(), Returned: returned && to != blackboard.Dead && to != blackboard.Paused,
+		})
+		a.decide(Decision{Kind: "vm", Subject: id, Choice: string(to), Reason: "was " + string(vm.Liveness)})
+	}
+	serviceLiveness(v, now, a)
+}
+
+func serviceLiveness(v View, now time.Time, a *Actions) {
+	for _, id := range sortedKeys(v.Board.Services) {
+		s := v.Board.Services[id]
+		r, heard := v.Evidence.GetService(id)
+		if heard && r.Incarnation != s.Incarnation {
+			continue
+		}
+		to := conclude(v, now, s.Liveness, r, heard)
+		if to == blackboard.Dead && silence(v, now, r, heard) > forgetAfter {
+			v.Evidence.Forget(backend.KindService, id)
+			a.command(&blackboard.RemoveService{ID: id, Incarnation: s.Incarnation})
+			continue
+		}
+		if to != s.Liveness {
+			s.Liveness = to
+			a.command(&blackboard.PutService{Instance: s})
+		}
+	}
+}
+
+// silence returns how long a backend server has been silent while a majority
+// of entries would have passed on what it said; see evidence.Table.Covered.
+func silence(v View, now time.Time, r evidence.Report, heard bool) time.Duration {
+	from := v.Memory.coveredSince
+	if from.IsZero() {
+		return 0
+	}
+	if heard && r.HeardAt.After(from) {
+		from = r.HeardAt
+	}
+	return now.Sub(from)
+}
+
+func conclude(v View, now time.Time, is blackboard.Liveness, r evidence.Report, heard bool) blackboard.Liveness {
+	if heard && now.Sub(r.HeardAt) <= evidence.RoutableAge {
+		return pace(is, r)
+	}
+	scale := time.Duration(1)
+	if heard && !v.Evidence.Witness(now, r.Source, evidence.WitnessAge) {
+		scale = strayWitness
+	}
+	quiet := silence(v, now, r, heard)
+	switch {
+	case is == blackboard.Dead || quiet > deadAfter*scale:
+		return blackboard.Dead
+	case quiet > pausedAfter*scale:
+		return blackboard.Paused
+	}
+	return is
+}
+
+// pace tells a straggler from a VM in good order.
+func pace(is blackboard.Liveness, r evidence.Report) blackboard.Liveness {
+	switch {
+	case r.Gap > slowGap:
+		return blackboard.Straggler
+	case is == blackboard.Straggler && r.Gap > steadyGap:
+		return blackboard.Straggler
+	}
+	return blackboard.Alive
+}
+
+// steady tells whether a VM has stayed alive long enough to join a group.
+func steady(vm blackboard.VM, now time.Time) bool {
+	if vm.Liveness != blackboard.Alive {
+		return false
+	}
+	if vm.Flaps == 0 {
+		return true
+	}
+	need := settleMost
+	if vm.Flaps < 6 {
+		need = min(settleMost, settleFirst<<vm.Flaps)
+	}
+	age := now.UnixMilli() - vm.SinceMillis
+	return age < 0 || age >= need.Milliseconds()
+}
--- /dev/null
+++ b/internal/controller/loading.go
@@ -0,0 +1,93 @@
+package controller
+
+import (
+	"slices"
+	"time"
+
+	"github.com/citronstep/citronstep/internal/backend"
+	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/evidence"
+)
+
+// storeLoads is how many groups load from the weight store at once.
+//
+// Load: many groups are rebuilt at once after a fabric domain went dark, and
+// the store's rate is fixed. Harm: when all load side by side, all finish
+// last; one after the other, the average group waits half as long, and the
+// one worth most is first. Reason for two and not one: a load spends part of
+// its time off the store, copying weights into accelerators.
+const storeLoads = 2
+
+// serveAge bounds the evidence on which a group is taken into service. Entries
+// ask for evidence of their own before they route.
+const serveAge = evidence.RoutableAge
+
+// loading lets formed groups load in order of worth, sends and resends the
+// orders, and takes a group into service when each member reports ready.
+func loading(v View, now time.Time, a *Actions) {
+	busy := 0
+	for _, g := range v.Board.Groups {
+		if g.State == blackboard.Loading && readsStore(v, g) {
+			busy++
+		}
+	}
+	for _, g := range groupsByWorth(v) {
+		switch g.State {
+		case blackboard.Forming:
+			busy += startLoading(v, now, a, g, busy)
+		case blackboard.Loading:
+			continueLoading(v, now, a, g)
+		}
+	}
+}
+
+// startLoading returns the number of store loads that it began.
+func startLoading(v View, now time.Time, a *Actions, g blackboard.Group, busy int) int {
+	if !readsStore(v, g) {
+		a.moveGroup(g, blackboard.Loading, "members hold the weights", now)
+		return 0
+	}
+	if busy >= storeLoads {
+		return 0
+	}
+	a.moveGroup(g, blackboard.Loading, "from the weight store", now)
+	a.decide(Decision{Kind: "load", Subject: g.ID, Choice: g.Model, Reason: "worth most of those that wait"})
+	return 1
+}
+
+// readsStore tells whether a member still has to fetch weights.
+func readsStore(v View, g blackboard.Group) bool {
+	for _, m := range g.Members {
+		if !holdsWeights(v, m.VM, g.Model) {
+			return true
+		}
+	}
+	return false
+}
+
+func holdsWeights(v View, vm, model string) bool {
+	return slices.Contains(v.Board.VMs[vm].Weights, model)
+}
+
+func continueLoading(v View, now time.Time, a *Actions, g blackboard.Group) {
+	ready := 0
+	for rank, m := range g.Members {
+		r, heard := v.Evidence.Get(m.VM)
+		if !heard || r.Incarnation != m.Incarnation || now.Sub(r.HeardAt) > serveAge {
+			continue
+		}
+		inEpoch := r.Group == g.ID && r.Epoch == g.Epoch
+		switch {
+		case inEpoch && r.Phase == backend.PhaseReady && len(r.Unreachable) == 0:
+			ready++
+		case inEpoch:
+		case r.Group == "":
+			sendLoad(v, now, a, g, rank)
+		}
+		// An engine in another epoch is told to leave it by correcting first.
+	}
+	if ready == len(g.Members) {
+		a.moveGroup(g, blackboard.Serving, "all members ready", now)
+		a.decide(Decision{Kind: "serve", Subject: g.ID, Choice: "serving", Reason: "all members ready in this epoch"})
+	}
+}
--- /dev/null
+++ b/internal/controller/memory.go
@@ -0,0 +1,118 @@
+package controller
+
+import (
+	"time"
+
+	"github.com/citronstep/citronstep/internal/backend"
+)
+
+// Memory is what one leader remembers between runs and may lose: a new leader
+// starts with an empty one and reaches the same state, only later.
+type Memory struct {
+	// ordersFrom is when the lease of any earlier leader has surely ended.
+	ordersFrom time.Time
+	// coveredSince is since when a majority of the entries has been heard
+	// without a break; zero while it is not.
+	coveredSince time.Time
+	orders       map[string]*orderRecord
+	// faults holds since when a group epoch has shown a fault that may pass.
+	faults map[groupEpoch]time.Time
+	// drains holds since when a group epoch has been wanted out of service.
+	drains map[groupEpoch]time.Time
+	// idle holds since when a draining group has reported no work.
+	idle map[groupEpoch]time.Time
+	// avoid holds until when a VM whose load failed is left out.
+	avoid map[string]time.Time
+	// missing holds since when a spec has had fewer groups than wanted.
+	missing map[string]time.Time
+	policy  policy
+}
+
+type groupEpoch struct {
+	group string
+	epoch uint64
+}
+
+// orderRecord is what this leader knows of its orders to one VM.
+type orderRecord struct {
+	kind        backend.OrderKind
+	target      groupEpoch
+	incarnation string
+	sentAt      time.Time
+	// loadsEnd is the latest deadline of any load order sent to the VM.
+	loadsEnd time.Time
+	accepted bool
+	// answeredAt is when the engine's acceptance arrived.
+	answeredAt time.Time
+	// sequenceAfter is the first announcement heard after the acceptance; it
+	// may have been under way before, so only later ones confirm anything.
+	sequenceAfter uint64
+}
+
+// NewMemory returns the memory of a leader that takes office now. oldLease is
+// the longest lease that an earlier leader may still hold.
+func NewMemory(now time.Time, oldLease time.Duration) *Memory {
+	return &Memory{
+		ordersFrom: now.Add(oldLease + driftMargin),
+		orders:     make(map[string]*orderRecord),
+		faults:     make(map[groupEpoch]time.Time),
+		drains:     make(map[groupEpoch]time.Time),
+		idle:       make(map[groupEpoch]time.Time),
+		avoid:      make(map[string]time.Time),
+		missing:    make(map[string]time.Time),
+		policy:     defaultPolicy,
+	}
+}
+
+// Answered records the outcome of a planned order. An error says nothing about
+// whether the engine obeyed.
+func (m *Memory) Answered(now time.Time, o PlannedOrder, reply backend.OrderReply, err error) {
+	r, ok := m.orders[o.VM]
+	if !ok || err != nil || !reply.Accepted {
+		return
+	}
+	target := groupEpoch{o.Order.Group, o.Order.Token.Epoch}
+	if r.kind != o.Order.Kind || r.target != target || r.incarnation != o.Order.Incarnation || r.accepted {
+		return
+	}
+	r.accepted = true
+	r.answeredAt = now
+}
+
+// cover follows since when silence of backend servers says anything.
+func (m *Memory) cover(v View, now time.Time) {
+	if !v.Evidence.Covered(now, v.Board) {
+		m.coveredSince = time.Time{}
+		return
+	}
+	if m.coveredSince.IsZero() {
+		m.coveredSince = now
+	}
+}
+
+// since returns since when key has been noted in times, noting it now when it
+// was not.
+func since[K comparable](times map[K]time.Time, key K, now time.Time) time.Time {
+	at, ok := times[key]
+	if !ok {
+		times[key] = now
+		return now
+	}
+	return at
+}
+
+// tidy forgets what concerns groups and VMs that are gone.
+func (m *Memory) tidy(v View) {
+	for _, times := range []map[groupEpoch]time.Time{m.faults, m.drains, m.idle} {
+		for k := range times {
+			if g, ok := v.Board.Groups[k.group]; !ok || g.Epoch != k.epoch {
+				delete(times, k)
+			}
+		}
+	}
+	for vm := range m.orders {
+		if _, ok := v.Board.VMs[vm]; !ok {
+			delete(m.orders, vm)
+		}
+	}
+}
--- /dev/null
+++ b/internal/controller/orders.go
@@ -0,0 +1,95 @@
+package controller
+
+import (
+	"time"
+
+	"github.com/citronstep/citronstep/internal/backend"
+	"github.com/citronstep/citronstep/internal/blackboard"
+)
+
+const (
+	// driftMargin covers clocks that run at different speeds: 100 ms is over
+	// 1% of the longest lease in use, and crystals stay within 0.1%.
+	driftMargin = 100 * time.Millisecond
+	// orderTimeout bounds one order. Engines answer when they have taken the
+	// order, not when it is done.
+	orderTimeout = 2 * time.Second
+	// minOrderTime is the least time worth sending an order with; an answer
+	// across data centres takes a few milliseconds.
+	minOrderTime = 100 * time.Millisecond
+	// resendAfter is when an order that shows no effect is sent again: after
+	// its deadline, and after an announcement could have shown the effect.
+	resendAfter = 3 * time.Second
+)
+
+// orderDeadline returns the deadline of an order sent now, and whether one may
+// be sent.
+//
+// Failure: a leader that has been replaced goes on giving orders, and an engine
+// that ignores fencing tokens obeys the old leader after the new one. The guard
+// holds because an order is given up before the sender's lease ends, and a new
+// leader sends nothing before it. What is delivered later still, out of the
+// buffers of a stopped engine, is found by correcting, and no group is
+// routable on the strength of an order alone.
+func orderDeadline(v View, now time.Time) (time.Time, bool) {
+	if now.Before(v.Memory.ordersFrom) {
+		return time.Time{}, false
+	}
+	deadline := now.Add(orderTimeout)
+	if limit := v.LeaseUntil.Add(-driftMargin); limit.Before(deadline) {
+		deadline = limit
+	}
+	return deadline, deadline.Sub(now) >= minOrderTime
+}
+
+// send plans an order unless the lease is too short or the same order was sent
+// less than resendAfter ago.
+func send(v View, now time.Time, a *Actions, vm blackboard.VM, incarnation string, o backend.Order) bool {
+	deadline, ok := orderDeadline(v, now)
+	if !ok {
+		return false
+	}
+	r := v.Memory.orders[vm.ID]
+	target := groupEpoch{o.Group, o.Token.Epoch}
+	if r == nil {
+		r = &orderRecord{}
+		v.Memory.orders[vm.ID] = r
+	}
+	same := r.kind == o.Kind && r.target == target && r.incarnation == incarnation
+	if same && now.Sub(r.sentAt) < resendAfter {
+		return false
+	}
+	if !same {
+		*r = orderRecord{kind: o.Kind, target: target, incarnation: incarnation, loadsEnd: r.loadsEnd}
+	}
+	r.sentAt = now
+	if o.Kind == backend.OrderLoad {
+		r.loadsEnd = deadline
+	}
+	o.Incarnation = incarnation
+	a.Orders = append(a.Orders, PlannedOrder{VM: vm.ID, Address: vm.Address, Order: o, Deadline: deadline})
+	return true
+}
+
+// sendLoad orders one member of a group to load.
+func sendLoad(v View, now time.Time, a *Actions, g blackboard.Group, rank int) bool {
+	members := make([]backend.GroupMember, len(g.Members))
+	for i, m := range g.Members {
+		members[i] = backend.GroupMember{VM: m.VM, Address: m.Address}
+	}
+	member := g.Members[rank]
+	return send(v, now, a, v.Board.VMs[member.VM], member.Incarnation, backend.Order{
+		Kind:  backend.OrderLoad,
+		Token: backend.FencingToken{Term: v.Term, Epoch: g.Epoch},
+		Group: g.ID, Model: g.Model, Members: members, Rank: rank,
+	})
+}
+
+// sendRelease orders an engine to leave one epoch of a group.
+func sendRelease(v View, now time.Time, a *Actions, vm blackboard.VM, incarnation string, from groupEpoch) bool {
+	return send(v, now, a, vm, incarnation, backend.Order{
+		Kind:  backend.OrderRelease,
+		Token: backend.FencingToken{Term: v.Term, Epoch: from.epoch},
+		Group: from.group,
+	})
+}
--- /dev/null
+++ b/internal/controller/releasing.go
@@ -0,0 +1,117 @@
+package controller
+
+import (
+	"time"
+
+	"github.com/citronstep/citronstep/internal/backend"
+	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/evidence"
+)
+
+// releasing gets the members of broken and drained groups out of their epoch,
+// frees each VM on proof, and closes the group when all are free.
+func releasing(v View, now time.Time, a *Actions) {
+	for _, g := range groupsByWorth(v) {
+		if !toRelease(v, now, g) {
+			continue
+		}
+		held := 0
+		for _, m := range g.Members {
+			vm, ok := v.Board.VMs[m.VM]
+			if !ok || vm.Group != g.ID || vm.Epoch != g.Epoch {
+				continue
+			}
+			held++
+			releaseMember(v, now, a, g, m, vm)
+		}
+		if held == 0 {
+			a.moveGroup(g, blackboard.Released, g.Reason, now)
+		}
+	}
+}
+
+func toRelease(v View, now time.Time, g blackboard.Group) bool {
+	if g.State == blackboard.Broken {
+		return true
+	}
+	return g.State == blackboard.Draining && drained(v, now, g)
+}
+
+func releaseMember(v View, now time.Time, a *Actions, g blackboard.Group, m blackboard.GroupMember, vm blackboard.VM) {
+	r, heard := v.Evidence.Get(m.VM)
+	if !heard || r.Incarnation != vm.Incarnation || now.Sub(r.HeardAt) > pausedAfter {
+		return
+	}
+	if freed(v, now, g, m, r) {
+		a.command(&blackboard.FreeVM{VM: m.VM, Group: g.ID, Epoch: g.Epoch, Incarnation: vm.Incarnation})
+		return
+	}
+	sendRelease(v, now, a, vm, vm.Incarnation, groupEpoch{g.ID, g.Epoch})
+}
+
+// freed tells whether a VM has proved that the epoch no longer runs on it.
+//
+// Failure: a VM is thought free while its old group still runs, or will run
+// once a late order arrives, and it ends up in two groups. Silence proves
+// nothing. Proof is one of two, and an idle engine in both:
+//
+//   - The engine accepted this leader's release order and announced that it is
+//     idle after that. The first announcement heard after the acceptance may
+//     have left before it, so the proof is a later one; engines announce one
+//     at a time.
+//   - The process that held the epoch is gone: a new incarnation announces.
+//
+// And no load order of this leader may still be on its way; those of earlier
+// leaders ended with their leases, before this leader's first order.
+func freed(v View, now time.Time, g blackboard.Group, m blackboard.GroupMember, r evidence.Report) bool {
+	if r.Phase != backend.PhaseIdle || r.Group != "" {
+		return false
+	}
+	if now.Before(v.Memory.ordersFrom) {
+		return false
+	}
+	o := v.Memory.orders[m.VM]
+	if o != nil && !now.After(o.loadsEnd) {
+		return false
+	}
+	if r.Incarnation != m.Incarnation {
+		return settled(r)
+	}
+	if o == nil || o.kind != backend.OrderRelease || o.target != (groupEpoch{g.ID, g.Epoch}) {
+		return false
+	}
+	if !o.accepted || o.incarnation != r.Incarnation || !r.HeardAt.After(o.answeredAt) {
+		return false
+	}
+	if o.sequenceAfter == 0 {
+		o.sequenceAfter = r.Sequence
+		return false
+	}
+	return r.Sequence > o.sequenceAfter
+}
+
+// correcting tells engines to leave an epoch that the blackboard does not give
+// them.
+//
+// Failure: an order is delivered long after it was sent, or an engine that
+// ignores fencing obeys a leader that was replaced, and the engine runs what
+// nobody routes to, holding its accelerators. What engines report is compared
+// with the blackboard, and they are told to leave.
+func correcting(v View, now time.Time, a *Actions) {
+	for _, id := range sortedKeys(v.Board.VMs) {
+		vm := v.Board.VMs[id]
+		r, heard := v.Evidence.Get(id)
+		if !heard || r.Group == "" || now.Sub(r.HeardAt) > pausedAfter {
+			continue
+		}
+		if r.Incarnation != vm.Incarnation || r.Phase == backend.PhaseReleasing {
+			continue
+		}
+		if r.Group == vm.Group && r.Epoch == vm.Epoch {
+			continue
+		}
+		if sendRelease(v, now, a, vm, r.Incarnation, groupEpoch{r.Group, r.Epoch}) {
+			a.decide(Decision{Kind: "release", Subject: id, Choice: r.Group, Reason: "the blackboard gives the VM another epoch"})
+		}
+	}
+}
--- /dev/null
+++ b/internal/controller/sim_engine_test.go
@@ -0,0 +1,232 @@
+package controller
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/citronstep/citronstep/internal/backend"
+)
+
+// simEngine is a fake engine on the virtual clock. It obeys orders as the
+// protocol says; when fencing is false it ignores tokens and incarnations.
+type simEngine struct {
+	w            *world
+	id, domain   string
+	accelerators int
+	fencing      bool
+
+	incarnation int
+	sequence    uint64
+	up, dark    bool
+	leaving     bool
+	pausedUntil time.Time
+	entry       int
+	newest      backend.FencingToken
+	released    backend.FencingToken
+	group       string
+	epoch       uint64
+	model       string
+	members     []backend.GroupMember
+	phase       backend.Phase
+	weights     map[string]bool
+	// work counts loads and releases, so that a timer of an earlier one
+	// changes nothing.
+	work  int
+	inbox []func()
+	// lost is since when the engine has not been ready in its epoch.
+	lost time.Time
+}
+
+func (e *simEngine) name() string { return fmt.Sprintf("%s/%d", e.id, e.incarnation) }
+
+func (e *simEngine) paused() bool { return e.w.now.Before(e.pausedUntil) }
+
+// here tells whether the engine truly runs one epoch, ready.
+func (e *simEngine) here(incarnation, group string, epoch uint64) bool {
+	return e.up && !e.paused() && !e.dark && e.name() == incarnation &&
+		e.group == group && e.epoch == epoch && e.phase == backend.PhaseReady
+}
+
+func (e *simEngine) kill() {
+	if !e.up {
+		return
+	}
+	e.up = false
+	e.work++
+	e.inbox = nil
+}
+
+func (e *simEngine) start() {
+	if e.up {
+		return
+	}
+	e.up = true
+	e.incarnation++
+	e.sequence = 0
+	e.pausedUntil = time.Time{}
+	e.newest, e.released = backend.FencingToken{}, backend.FencingToken{}
+	e.clear()
+}
+
+func (e *simEngine) clear() {
+	e.group, e.epoch, e.model, e.members = "", 0, "", nil
+	e.phase = backend.PhaseIdle
+	e.work++
+}
+
+func (e *simEngine) pause(d time.Duration) {
+	e.pausedUntil = e.w.now.Add(d)
+	e.w.after(d, func() {
+		held := e.inbox
+		e.inbox = nil
+		for _, f := range held {
+			f()
+		}
+	})
+}
+
+// announce posts to the engine's entry, or moves on to the next entry when
+// that one does not answer.
+func (e *simEngine) announce() {
+	defer e.w.after(350*time.Millisecond+e.w.upTo(100*time.Millisecond), e.announce)
+	if !e.up || e.paused() || e.dark {
+		return
+	}
+	n := e.w.entries[e.entry]
+	if n.cut {
+		e.entry = (e.entry + 1) % len(e.w.entries)
+		return
+	}
+	e.sequence++
+	a := backend.Announcement{
+		ID: e.id, Incarnation: e.name(), Sequence: e.sequence, Kind: backend.KindEngine,
+		Address: e.id + ":1", DataCentre: "dc", FabricDomain: e.domain, Leaving: e.leaving,
+		Accelerators: e.accelerators, Group: e.group, Epoch: e.epoch, Phase: e.phase,
+		Load: &backend.Load{}, Weights: sortedKeys(e.weights), Unreachable: e.unreachable(),
+	}
+	n.table.Hear(e.w.now, n.id, a)
+}
+
+func (e *simEngine) unreachable() []string {
+	var lost []string
+	for _, m := range e.members {
+		o := e.w.byID[m.VM]
+		if !o.up || o.dark {
+			lost = append(lost, m.VM)
+		}
+	}
+	return lost
+}
+
+// take is the arrival of an order; answer gets the reply.
+func (e *simEngine) take(o PlannedOrder, answer func(backend.OrderReply)) {
+	if !e.up || e.dark {
+		return
+	}
+	if e.paused() {
+		e.inbox = append(e.inbox, func() { e.take(o, answer) })
+		return
+	}
+	if e.fencing && e.stale(o.Order) {
+		answer(backend.OrderReply{Newest: e.newest})
+		return
+	}
+	if e.fencing {
+		e.newest = o.Order.Token
+	}
+	switch o.Order.Kind {
+	case backend.OrderLoad:
+		e.load(o)
+	case backend.OrderRelease:
+		e.release(o.Order)
+	}
+	answer(backend.OrderReply{Accepted: true, Newest: e.newest})
+}
+
+func (e *simEngine) stale(o backend.Order) bool {
+	if o.Incarnation != "" && o.Incarnation != e.name() {
+		return true
+	}
+	if o.Kind == backend.OrderLoad && o.Token.Epoch <= e.released.Epoch {
+		return true
+	}
+	return o.Token.Less(e.newest)
+}
+
+func (e *simEngine) load(o PlannedOrder) {
+	if e.group == o.Order.Group && e.epoch == o.Order.Token.Epoch {
+		return
+	}
+	if e.group != "" && !e.w.now.After(o.Deadline) {
+		e.w.fail("engine %s holds %s/%d and is told in time to load %s/%d",
+			e.name(), e.group, e.epoch, o.Order.Group, o.Order.Token.Epoch)
+	}
+	e.clear()
+	e.group, e.epoch, e.model = o.Order.Group, o.Order.Token.Epoch, o.Order.Model
+	e.members = o.Order.Members
+	e.phase = backend.PhaseLoading
+	work, model := e.work, e.model
+	ready := func() {
+		if e.work == work {
+			e.weights[model] = true
+			e.phase = backend.PhaseReady
+		}
+	}
+	if e.weights[model] {
+		e.w.after(localLoad, ready)
+		return
+	}
+	e.w.store = append(e.w.store, &simFetch{left: storeSeconds, live: func() bool { return e.work == work }, done: func() {
+		e.w.after(localLoad, ready)
+	}})
+}
+
+func (e *simEngine) release(o backend.Order) {
+	if e.fencing && e.released.Epoch < o.Token.Epoch {
+		e.released = o.Token
+	}
+	if e.group != o.Group || e.fencing && e.epoch != o.Token.Epoch {
+		return
+	}
+	e.phase = backend.PhaseReleasing
+	e.work++
+	work := e.work
+	e.w.after(200*time.Millisecond, func() {
+		if e.work == work {
+			e.clear()
+		}
+	})
+}
+
+const (
+	localLoad = 3 * time.Second
+	// storeSeconds is what one VM's weights take from the store alone.
+	storeSeconds = 2.0
+	storeTick    = 250 * time.Millisecond
+)
+
+// simFetch is one VM's fetch from the weight store, whose rate is shared.
+type simFetch struct {
+	left float64
+	live func() bool
+	done func()
+}
+
+func (w *world) storeStep() {
+	defer w.after(storeTick, w.storeStep)
+	var live []*simFetch
+	for _, f := range w.store {
+		if f.live() {
+			live = append(live, f)
+		}
+	}
+	w.store = nil
+	for _, f := range live {
+		f.left -= storeTick.Seconds() / float64(len(live))
+		if f.left <= 0 {
+			f.done()
+			continue
+		}
+		w.store = append(w.store, f)
+	}
+}
--- /dev/null
+++ b/internal/controller/sim_world_test.go
@@ -0,0 +1,331 @@
+package controller
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/citronstep/citronstep/internal/backend"
+	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/evidence"
+)
+
+type event struct {
+	at  time.Time
+	n   int
+	run func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	if !q[i].at.Equal(q[j].at) {
+		return q[i].at.Before(q[j].at)
+	}
+	return q[i].n < q[j].n
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	old := *q
+	last := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return last
+}
+
+// simEntry is a process with a table of evidence; one of them leads.
+type simEntry struct {
+	id    string
+	table *evidence.Table
+	// cut says that nothing reaches the process or leaves it.
+	cut     bool
+	board   *blackboard.Board
+	cursors map[string]evidence.Cursor
+}
+
+// world is the system under test on a virtual clock: the real board,
+// controllers and evidence, with fake engines, weight store and network.
+type world struct {
+	t       testing.TB
+	seed    int64
+	rng     *rand.Rand
+	now     time.Time
+	queue   eventQueue
+	n       int
+	board   *blackboard.Board
+	engines []*simEngine
+	byID    map[string]*simEngine
+	entries []*simEntry
+	store   []*simFetch
+	leader  int
+	term    uint64
+	memory  *Memory
+	policy  policy
+	// until is the end of the leader's lease; renewal stops when it is cut.
+	until    time.Time
+	failed   string
+	lateOnes int
+	score    score
+	onServe  func(g blackboard.Group)
+}
+
+// score adds up the two measures of the brief.
+type score struct {
+	// down is seconds of wanted replicas not working, by spec.
+	down map[string]float64
+	// stranded is seconds of live accelerators in no working group.
+	stranded float64
+}
+
+const (
+	simLease    = time.Second
+	simEntries  = 3
+	controlTick = 200 * time.Millisecond
+	scoreTick   = 100 * time.Millisecond
+)
+
+var simStart = time.Date(2026, 3, 1, 0, 0, 0, 0, time.UTC)
+
+func newWorld(t testing.TB, seed int64, domains, perDomain int, p policy, config blackboard.ConfigChange) *world {
+	w := &world{
+		t: t, seed: seed, rng: rand.New(rand.NewSource(seed)), now: simStart, policy: p,
+		board: blackboard.New(), byID: make(map[string]*simEngine), score: score{down: make(map[string]float64)},
+	}
+	config.ChangeID = "initial"
+	w.propose(&blackboard.Found{ClusterID: "c", Initial: config})
+	assert.Assert(t, w.board.Config.Revision == 1, "the configuration was refused")
+	for i := range simEntries {
+		id := fmt.Sprintf("entry-%d", i)
+		w.entries = append(w.entries, &simEntry{
+			id: id, table: evidence.NewTable(id, 1), board: w.board, cursors: make(map[string]evidence.Cursor),
+		})
+		w.propose(&blackboard.PutEntry{Entry: blackboard.Entry{ID: id}})
+	}
+	for d := range domains {
+		for i := range perDomain {
+			e := &simEngine{
+				w: w, id: fmt.Sprintf("vm-%d-%02d", d, i), domain: fmt.Sprintf("domain-%d", d), accelerators: 4,
+				fencing: w.rng.Intn(2) == 0, entry: w.rng.Intn(simEntries), weights: make(map[string]bool),
+			}
+			e.start()
+			w.engines = append(w.engines, e)
+			w.byID[e.id] = e
+			w.after(w.upTo(400*time.Millisecond), e.announce)
+		}
+	}
+	w.lead(0)
+	w.after(evidence.DigestInterval, w.exchange)
+	w.after(controlTick, w.control)
+	w.after(storeTick, w.storeStep)
+	w.after(scoreTick, w.observe)
+	return w
+}
+
+func (w *world) fail(format string, args ...any) {
+	if w.failed == "" {
+		w.failed = fmt.Sprintf("seed %d at %s: ", w.seed, w.now.Sub(simStart)) + fmt.Sprintf(format, args...)
+	}
+}
+
+func (w *world) upTo(d time.Duration) time.Duration { return time.Duration(w.rng.Int63n(int64(d))) }
+
+func (w *world) after(d time.Duration, f func()) {
+	w.n++
+	heap.Push(&w.queue, event{w.now.Add(d), w.n, f})
+}
+
+func (w *world) run(d time.Duration) {
+	end := w.now.Add(d)
+	for len(w.queue) > 0 && !w.queue[0].at.After(end) && w.failed == "" {
+		e := heap.Pop(&w.queue).(event)
+		w.now = e.at
+		e.run()
+	}
+	w.now = end
+}
+
+func (w *world) propose(c blackboard.Command) {
+	data, err := blackboard.Encode(c)
+	assert.NilError(w.t, err)
+	next, _, err := w.board.Apply(data)
+	if err != nil {
+		w.fail("command %s: %v", data, err)
+	}
+	if next.Revision == w.board.Revision {
+		return
+	}
+	if move, ok := c.(*blackboard.SetGroupState); ok && move.To == blackboard.Serving && w.onServe != nil {
+		w.onServe(next.Groups[move.Group])
+	}
+	w.board = next
+}
+
+// change applies an operator's change against the present revision.
+func (w *world) change(c blackboard.ConfigChange) {
+	c.ChangeID = fmt.Sprintf("change-%d", w.n)
+	w.n++
+	c.Expect = w.board.Config.Revision
+	w.propose(&c)
+}
+
+// lead makes a process the leader of a new term.
+func (w *world) lead(i int) {
+	w.leader = i
+	w.term++
+	w.memory = NewMemory(w.now, simLease)
+	w.memory.policy = w.policy
+	w.until = w.now.Add(simLease)
+}
+
+// exchange lets each process ask each other one for its digest.
+func (w *world) exchange() {
+	defer w.after(evidence.DigestInterval, w.exchange)
+	for _, a := range w.entries {
+		a.table.Digest(w.now, evidence.Cursor{})
+		if a.cut {
+			continue
+		}
+		a.board = w.board
+		for _, b := range w.entries {
+			if a == b || b.cut {
+				continue
+			}
+			digest, next := b.table.Digest(w.now, a.cursors[b.id])
+			a.table.Merge(w.now, b.id, digest)
+			a.cursors[b.id] = next
+		}
+	}
+}
+
+func (w *world) control() {
+	defer w.after(controlTick, w.control)
+	n := w.entries[w.leader]
+	if !n.cut {
+		w.until = w.now.Add(simLease)
+	}
+	actions := Run(View{
+		Board: w.board, Evidence: n.table, Memory: w.memory, Term: w.term, LeaseUntil: w.until,
+	}, w.now)
+	for _, o := range actions.Orders {
+		if !o.Deadline.Before(w.until) {
+			w.fail("an order outlives the lease")
+		}
+		if !n.cut {
+			w.deliver(o)
+		}
+	}
+	if n.cut {
+		return
+	}
+	for _, c := range actions.Commands {
+		w.propose(c)
+	}
+}
+
+// deliver carries an order; one in thirty is held up for seconds, past its
+// deadline and perhaps past the leader.
+func (w *world) deliver(o PlannedOrder) {
+	delay := time.Millisecond + w.upTo(10*time.Millisecond)
+	if w.rng.Intn(30) == 0 {
+		delay += w.upTo(8 * time.Second)
+		w.lateOnes++
+	}
+	memory := w.memory
+	w.after(delay, func() {
+		w.byID[o.VM].take(o, func(reply backend.OrderReply) {
+			w.after(time.Millisecond, func() {
+				if w.now.Before(o.Deadline) && memory == w.memory {
+					memory.Answered(w.now, o, reply, nil)
+				}
+			})
+		})
+	})
+}
+
+// observe checks the invariants and adds to the score.
+func (w *world) observe() {
+	defer w.after(scoreTick, w.observe)
+	for _, e := range w.engines {
+		if e.here(e.name(), e.group, e.epoch) {
+			e.lost = w.now
+		}
+	}
+	for _, n := range w.entries {
+		for _, id := range sortedKeys(n.board.Groups) {
+			if ok, _ := n.table.Routable(w.now, n.board, id); ok {
+				w.checkMembers(n, n.board.Groups[id])
+			}
+		}
+	}
+	w.measure()
+}
+
+// checkMembers: no group is routable while a member has been missing for longer
+// than the freshness bound.
+func (w *world) checkMembers(n *simEntry, g blackboard.Group) {
+	for _, m := range g.Members {
+		e := w.byID[m.VM]
+		if e.here(m.Incarnation, g.ID, g.Epoch) {
+			continue
+		}
+		if missing := w.now.Sub(e.lost); missing > evidence.RoutableAge+scoreTick {
+			w.fail("%s routes to %s/%d while %s is missing for %s", n.id, g.ID, g.Epoch, m.VM, missing)
+		}
+	}
+}
+
+// works tells whether a group truly serves.
+func (w *world) works(g blackboard.Group) bool {
+	if g.State != blackboard.Serving {
+		return false
+	}
+	for _, m := range g.Members {
+		if !w.byID[m.VM].here(m.Incarnation, g.ID, g.Epoch) {
+			return false
+		}
+	}
+	return true
+}
+
+func (w *world) measure() {
+	live := 0
+	for _, e := range w.engines {
+		if e.up && !e.dark {
+			live += e.accelerators
+		}
+	}
+	working := make(map[string]int)
+	for _, g := range w.board.Groups {
+		if w.works(g) {
+			working[g.Spec]++
+			live -= len(g.Members) * 4
+		}
+	}
+	for spec := range w.board.Config.Groups {
+		if down := w.board.Config.GroupReplicas(spec) - working[spec]; down > 0 {
+			w.score.down[spec] += float64(down) * scoreTick.Seconds()
+		}
+	}
+	w.score.stranded += float64(live) * scoreTick.Seconds()
+}
+
+// whole tells whether each spec has its wanted replicas working.
+func (w *world) whole() bool {
+	working := make(map[string]int)
+	for _, g := range w.board.Groups {
+		if w.works(g) {
+			working[g.Spec]++
+		}
+	}
+	for spec := range w.board.Config.Groups {
+		if working[spec] < w.board.Config.GroupReplicas(spec) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/evidence/query.go
@@ -0,0 +1,152 @@
+package evidence
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/citronstep/citronstep/internal/backend"
+	"github.com/citronstep/citronstep/internal/blackboard"
+)
+
+// Get returns what is known of the engine on a VM.
+func (t *Table) Get(vm string) (Report, bool) {
+	return t.lookup(key{backend.KindEngine, vm})
+}
+
+// GetService returns what is known of a plain service's instance.
+func (t *Table) GetService(id string) (Report, bool) {
+	return t.lookup(key{backend.KindService, id})
+}
+
+func (t *Table) lookup(k key) (Report, bool) {
+	r, ok := t.records[k]
+	if !ok {
+		return Report{}, false
+	}
+	return r.report, true
+}
+
+// Reports returns all reports, engines first, ordered by id.
+func (t *Table) Reports() []Report {
+	all := make([]Report, 0, len(t.records))
+	for _, r := range t.records {
+		all = append(all, r.report)
+	}
+	sort.Slice(all, func(i, j int) bool { return before(all[i].Heard, all[j].Heard) })
+	return all
+}
+
+// Forget drops what is known of a backend server that has long been gone.
+func (t *Table) Forget(kind backend.Kind, id string) {
+	delete(t.records, key{kind, id})
+}
+
+// Fresh tells whether a VM was heard within maxAge under this incarnation and
+// as part of this epoch of this group.
+func (t *Table) Fresh(now time.Time, vm, incarnation, group string, epoch uint64, maxAge time.Duration) bool {
+	r, ok := t.Get(vm)
+	if !ok || r.Incarnation != incarnation {
+		return false
+	}
+	if r.Group != group || r.Epoch != epoch {
+		return false
+	}
+	return now.Sub(r.HeardAt) <= maxAge
+}
+
+// Witnesses returns how many processes gave a digest within maxAge, this one
+// included.
+func (t *Table) Witnesses(now time.Time, maxAge time.Duration) int {
+	n := 0
+	for _, at := range t.sources {
+		if now.Sub(at) <= maxAge {
+			n++
+		}
+	}
+	return n
+}
+
+// Witness tells whether one process gave a digest within maxAge.
+func (t *Table) Witness(now time.Time, source string, maxAge time.Duration) bool {
+	at, ok := t.sources[source]
+	return ok && now.Sub(at) <= maxAge
+}
+
+// Covered tells whether a majority of the registered entries gave a digest
+// within WitnessAge. Only then does silence of a backend server say anything.
+//
+// Failure: a process that is cut off itself hears of no backend server and
+// would report all of them dead. A process on the small side of a cut has no
+// majority of entries on its side, so it concludes nothing; and a backend
+// server that nobody on a majority hears can't be routed to by most entries, so
+// giving it up costs little even when it lives.
+func (t *Table) Covered(now time.Time, board *blackboard.Board) bool {
+	n := 0
+	for id := range board.Entries {
+		if t.Witness(now, id, WitnessAge) {
+			n++
+		}
+	}
+	return n*2 > len(board.Entries)
+}
+
+// Routable tells whether an entry may send new work to a group, and if not,
+// why.
+//
+// Failure: a member dies and the group goes on getting work that nobody will
+// answer. The blackboard learns of it only after the leader; so each entry asks
+// for evidence of its own, at most RoutableAge old, that each member is alive
+// under the incarnation that joined, in this very epoch, ready, and has lost
+// none of the others.
+func (t *Table) Routable(now time.Time, board *blackboard.Board, group string) (bool, string) {
+	g, ok := board.Groups[group]
+	if !ok {
+		return false, "unknown group"
+	}
+	if !g.State.Routable() {
+		return false, "group is " + string(g.State)
+	}
+	for _, m := range g.Members {
+		if reason := t.memberFault(now, board, g, m); reason != "" {
+			return false, "member " + m.VM + " " + reason
+		}
+	}
+	return true, ""
+}
+
+func (t *Table) memberFault(now time.Time, board *blackboard.Board, g blackboard.Group, m blackboard.GroupMember) string {
+	if !t.Fresh(now, m.VM, m.Incarnation, g.ID, g.Epoch, RoutableAge) {
+		return "has no fresh evidence in this epoch"
+	}
+	r, _ := t.Get(m.VM)
+	switch {
+	case r.Phase != backend.PhaseReady:
+		return "is " + string(r.Phase)
+	case len(r.Unreachable) > 0:
+		return "has lost " + r.Unreachable[0]
+	case r.Leaving:
+		return "is leaving"
+	case board.VMs[m.VM].Leaving:
+		return "is leaving"
+	}
+	return ""
+}
+
+func (d *Detail) equal(o *Detail) bool {
+	return d.Address == o.Address && d.DataCentre == o.DataCentre &&
+		d.FabricDomain == o.FabricDomain && d.Service == o.Service &&
+		d.Accelerators == o.Accelerators && d.Model == o.Model &&
+		slices.Equal(d.Weights, o.Weights)
+}
+
+func before(a, b Heard) bool {
+	if a.Kind != b.Kind {
+		return a.Kind < b.Kind
+	}
+	return a.ID < b.ID
+}
+
+func sortDigest(digest []Heard) {
+	sort.Slice(digest, func(i, j int) bool { return before(digest[i], digest[j]) })
+}
--- /dev/null
+++ b/internal/evidence/table.go
@@ -0,0 +1,318 @@
+// Package evidence keeps who heard what of which backend server, and when.
+//
+// Each entry and each control process holds one Table. Backend servers announce
+// themselves to any entry; entries exchange digests of what they heard, so each
+// process knows how fresh the newest announcement of each backend server is.
+// The package has no I/O and no clock: now is passed in and must be monotonic.
+// A Table is not safe for concurrent use.
+package evidence
+
+import (
+	"time"
+
+	"github.com/citronstep/citronstep/internal/backend"
+)
+
+// The periods of the exchange. They belong together: an announcement waits at
+// most AnnounceInterval at the engine and DigestInterval at the entry that
+// heard it, so its age at another entry stays under RoutableAge with one
+// announcement or one digest lost.
+const (
+	// AnnounceInterval is what entries answer as AnnounceReply.IntervalMillis.
+	AnnounceInterval = 400 * time.Millisecond
+	// DigestInterval is how often a process asks each peer for its digest.
+	DigestInterval = 200 * time.Millisecond
+	// RoutableAge bounds the age of the evidence that a member of a group is
+	// alive. A member that died less than this ago may still be routed to; a
+	// shorter bound would stop routing at each lost announcement.
+	RoutableAge = 1200 * time.Millisecond
+	// WitnessAge is how old the last digest of a peer may be for the peer to
+	// count as a witness: five digests in a row lost.
+	WitnessAge = 1 * time.Second
+)
+
+const (
+	// pauseGap is the gap between two calls that shows that this process was
+	// stopped, as no running process lets DigestInterval pass five times.
+	pauseGap = 1 * time.Second
+	// wakeSettle is how long after such a gap direct announcements are not
+	// taken as fresh.
+	wakeSettle = 1 * time.Second
+	// comeBack is how long the present incarnation must be silent before a
+	// retired one is believed again.
+	comeBack = 3 * time.Second
+	// maxRetired bounds the incarnations remembered for one backend server.
+	maxRetired = 4
+	// gapWeight is the weight of the newest interval in Report.Gap.
+	gapWeight = 0.2
+)
+
+// Detail is the part of an announcement that rarely changes.
+type Detail struct {
+	Address      string   `json:"address"`
+	DataCentre   string   `json:"data_centre"`
+	FabricDomain string   `json:"fabric_domain,omitempty"`
+	Service      string   `json:"service,omitempty"`
+	Accelerators int      `json:"accelerators,omitempty"`
+	Model        string   `json:"model,omitempty"`
+	Weights      []string `json:"weights,omitempty"`
+}
+
+// Heard is one line of a digest: the newest announcement of one backend server
+// that the sender heard itself.
+type Heard struct {
+	Kind        backend.Kind  `json:"kind"`
+	ID          string        `json:"id"`
+	Incarnation string        `json:"incarnation"`
+	Sequence    uint64        `json:"sequence"`
+	Group       string        `json:"group,omitempty"`
+	Epoch       uint64        `json:"epoch,omitempty"`
+	Phase       backend.Phase `json:"phase,omitempty"`
+	// AgeMillis is how long before the digest the sender heard it.
+	AgeMillis   int64         `json:"age_ms"`
+	Leaving     bool          `json:"leaving,omitempty"`
+	Unreachable []string      `json:"unreachable,omitempty"`
+	Load        *backend.Load `json:"load,omitempty"`
+	// Detail is sent when it has changed since the receiver's cursor.
+	Detail *Detail `json:"detail,omitempty"`
+}
+
+// Report is what a Table knows of one backend server.
+type Report struct {
+	Heard
+	// Known is the newest Detail; nil when none has arrived yet.
+	Known *Detail
+	// HeardAt is the latest time, by this process's clock, at which some
+	// process surely had heard the announcement.
+	HeardAt time.Time
+	// Source is the process that heard it.
+	Source string
+	// FirstHeard and FirstSequence are those of the first announcement of this
+	// incarnation that arrived here.
+	FirstHeard    time.Time
+	FirstSequence uint64
+	// Gap is the smoothed interval between announcements.
+	Gap time.Duration
+}
+
+type key struct {
+	kind backend.Kind
+	id   string
+}
+
+type record struct {
+	report Report
+	// retired maps each earlier incarnation to its last sequence.
+	retired map[string]uint64
+	order   []string
+	// heardNumber and detailNumber are the numbers of the last direct
+	// announcement and of the last change of detail.
+	heardNumber   uint64
+	detailNumber  uint64
+	detailChanged bool
+}
+
+// Cursor says up to where a peer has a table's digests. The zero Cursor has
+// nothing.
+type Cursor struct {
+	// Run tells one start of the sender from another.
+	Run    uint64 `json:"run"`
+	Number uint64 `json:"number"`
+}
+
+// Table is the evidence that one process holds.
+type Table struct {
+	self string
+	// at numbers the direct announcements of this run.
+	at       Cursor
+	records  map[key]*record
+	sources  map[string]time.Time
+	lastCall time.Time
+	// distrustUntil is set when the process wakes from a stop.
+	distrustUntil time.Time
+	beforePause   time.Time
+}
+
+// NewTable returns an empty table of the process whose entry id is self. run
+// differs for each start of that process.
+func NewTable(self string, run uint64) *Table {
+	return &Table{self: self, at: Cursor{Run: run}, records: make(map[key]*record), sources: make(map[string]time.Time)}
+}
+
+// observe notices that the process was stopped between two calls.
+//
+// Failure: an entry is frozen for ten seconds and a member dies meanwhile. The
+// member's last announcements wait in the entry's socket; read on waking, they
+// would make the dead member look alive for RoutableAge. The guard dates
+// direct announcements to before the stop until the sockets have been read
+// empty, which takes far less than wakeSettle.
+func (t *Table) observe(now time.Time) {
+	if !t.lastCall.IsZero() && now.Sub(t.lastCall) > pauseGap {
+		t.distrustUntil = now.Add(wakeSettle)
+		t.beforePause = t.lastCall
+	}
+	if now.After(t.lastCall) {
+		t.lastCall = now
+	}
+}
+
+// Hear records an announcement that reached this process directly.
+func (t *Table) Hear(now time.Time, source string, a backend.Announcement) {
+	t.observe(now)
+	heardAt := now
+	if now.Before(t.distrustUntil) {
+		heardAt = t.beforePause
+	}
+	h := Heard{
+		Kind: a.Kind, ID: a.ID, Incarnation: a.Incarnation, Sequence: a.Sequence,
+		Group: a.Group, Epoch: a.Epoch, Phase: a.Phase, Leaving: a.Leaving,
+		Unreachable: a.Unreachable, Load: a.Load,
+		Detail: &Detail{
+			Address: a.Address, DataCentre: a.DataCentre, FabricDomain: a.FabricDomain,
+			Service: a.Service, Accelerators: a.Accelerators, Model: a.Model, Weights: a.Weights,
+		},
+	}
+	r := t.take(heardAt, source, h)
+	if r == nil {
+		return
+	}
+	t.at.Number++
+	r.heardNumber = t.at.Number
+	if r.detailChanged {
+		r.detailChanged = false
+		r.detailNumber = t.at.Number
+	}
+}
+
+// Merge records the digest of a peer. asked is this process's clock when it
+// asked the peer for the digest, not when the answer arrived.
+//
+// Failure: a digest is held up on its way for seconds, and its lines look
+// fresh on arrival. Each line was heard no earlier than asked minus its age,
+// however long the answer took, so dating it from asked never makes it fresher
+// than it is.
+func (t *Table) Merge(asked time.Time, source string, digest []Heard) {
+	if asked.After(t.sources[source]) {
+		t.sources[source] = asked
+	}
+	for _, h := range digest {
+		if h.AgeMillis < 0 {
+			continue
+		}
+		t.take(asked.Add(-time.Duration(h.AgeMillis)*time.Millisecond), source, h)
+	}
+}
+
+// Digest returns what this process heard directly after a peer's cursor, and
+// the peer's next cursor. A peer whose answer was lost asks again under its old
+// cursor and misses nothing. Digest also counts this process as a witness.
+func (t *Table) Digest(now time.Time, after Cursor) ([]Heard, Cursor) {
+	t.observe(now)
+	t.sources[t.self] = now
+	if after.Run != t.at.Run {
+		after = Cursor{}
+	}
+	var digest []Heard
+	for _, r := range t.records {
+		if r.heardNumber > after.Number {
+			digest = append(digest, r.line(now, after))
+		}
+	}
+	sortDigest(digest)
+	return digest, t.at
+}
+
+func (r *record) line(now time.Time, after Cursor) Heard {
+	h := r.report.Heard
+	h.AgeMillis = now.Sub(r.report.HeardAt).Milliseconds()
+	h.Detail = nil
+	if r.detailNumber > after.Number {
+		h.Detail = r.report.Known
+	}
+	return h
+}
+
+// take records one line and returns its record, or nil when it is older than
+// what is known.
+func (t *Table) take(heardAt time.Time, source string, h Heard) *record {
+	k := key{h.Kind, h.ID}
+	r, known := t.records[k]
+	if !known {
+		r = &record{retired: make(map[string]uint64)}
+		t.records[k] = r
+		r.start(heardAt, source, h)
+		return r
+	}
+	if r.report.Incarnation == h.Incarnation {
+		if h.Sequence <= r.report.Sequence {
+			return nil
+		}
+		r.advance(heardAt, source, h)
+		return r
+	}
+	if !r.succeeds(heardAt, h) {
+		return nil
+	}
+	r.retire()
+	r.start(heardAt, source, h)
+	return r
+}
+
+// succeeds tells whether h comes from an incarnation that replaces the present
+// one.
+//
+// Failure: a copy of an announcement of the incarnation before the present one
+// arrives late, and the VM looks restarted. A retired incarnation is therefore
+// believed only when it goes on announcing while the present one is silent, and
+// an unknown one only when it was heard after the present one.
+func (r *record) succeeds(heardAt time.Time, h Heard) bool {
+	last, retired := r.retired[h.Incarnation]
+	if retired {
+		return h.Sequence > last && heardAt.Sub(r.report.HeardAt) > comeBack
+	}
+	return heardAt.After(r.report.HeardAt)
+}
+
+func (r *record) retire() {
+	id := r.report.Incarnation
+	if _, ok := r.retired[id]; !ok {
+		r.order = append(r.order, id)
+	}
+	r.retired[id] = r.report.Sequence
+	for len(r.order) > maxRetired {
+		delete(r.retired, r.order[0])
+		r.order = r.order[1:]
+	}
+}
+
+func (r *record) start(heardAt time.Time, source string, h Heard) {
+	r.report = Report{
+		Heard: h, HeardAt: heardAt, Source: source,
+		FirstHeard: heardAt, FirstSequence: h.Sequence, Gap: AnnounceInterval,
+	}
+	r.learn(h.Detail)
+}
+
+func (r *record) advance(heardAt time.Time, source string, h Heard) {
+	steps := h.Sequence - r.report.Sequence
+	if gap := heardAt.Sub(r.report.HeardAt); gap > 0 {
+		each := float64(gap) / float64(steps)
+		r.report.Gap = time.Duration((1-gapWeight)*float64(r.report.Gap) + gapWeight*each)
+	}
+	r.report.Heard = h
+	r.report.Source = source
+	if heardAt.After(r.report.HeardAt) {
+		r.report.HeardAt = heardAt
+	}
+	r.learn(h.Detail)
+}
+
+func (r *record) learn(d *Detail) {
+	if d == nil {
+		return
+	}
+	if r.report.Known == nil || !r.report.Known.equal(d) {
+		r.detailChanged = true
+	}
+	r.report.Known = d
+}
