--- a/cmd/citronstepd/main.go
+++ b/cmd/citronstepd/main.go
@@ -88,7 +88,9 @@
 	case <-signals:
 		code = drain(n, s, logger, signals)
 		stop()
-		<-done
+		if err := <-done; err != nil {
+			_ = level.Error(logger).Log("event", "stop_failed", "err", err)
+		}
 	case err := <-done:
 		_ = level.Error(logger).Log("event", "failed", "err", errors.Details(err))
 		code = exitFailure
--- a/internal/control/forward.go
+++ b/internal/control/forward.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"time"
@@ -39,7 +40,9 @@
 // comes back; the operator's change id makes a resend safe.
 func (f *Forwarder) forward(c echo.Context, leader string) error {
 	in := c.Request()
-	out, err := http.NewRequestWithContext(in.Context(), in.Method,
+	ctx, cancel := context.WithTimeout(in.Context(), forwardTimeout)
+	defer cancel()
+	out, err := http.NewRequestWithContext(ctx, in.Method,
 		"http://"+leader+in.URL.RequestURI(), io.LimitReader(in.Body, maxAdminBody))
 	if err != nil {
 		return failure.New(failure.TypeBadRequest, err.Error())
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -31,10 +31,9 @@
 
 // meter adds up the brief's two measures while this process leads.
 type meter struct {
-	last     time.Time
-	now      adminapi.Measures
-	expired  time.Time
-	idleFrom map[string]clock.Boot
+	last    time.Time
+	now     adminapi.Measures
+	expired time.Time
 }
 
 // office is what one term of leadership keeps.
@@ -93,7 +92,7 @@
 
 func (s *Server) logDecisions(decisions []controller.Decision) {
 	for _, d := range decisions {
-		_ = s.o.Logger.Log("event", "decision", "kind", d.Kind, "subject", d.Subject,
+		_ = level.Info(s.o.Logger).Log("event", "decision", "kind", d.Kind, "subject", d.Subject,
 			"choice", d.Choice, "runner_up", d.RunnerUp, "reason", d.Reason)
 		s.event(eventKind(d.Kind), d.Subject, d.Kind+" "+d.Choice+": "+d.Reason)
 	}
@@ -141,7 +140,7 @@
 	ctx, cancel := context.WithDeadline(ctx, p.Deadline)
 	defer cancel()
 	reply, err := s.o.Orders.Order(ctx, p.Address, p.Order)
-	_ = s.o.Logger.Log("event", "order", "vm", p.VM, "kind", p.Order.Kind, "group", p.Order.Group,
+	_ = level.Info(s.o.Logger).Log("event", "order", "vm", p.VM, "kind", p.Order.Kind, "group", p.Order.Group,
 		"term", p.Order.Token.Term, "epoch", p.Order.Token.Epoch, "accepted", reply.Accepted, "err", errText(err))
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -157,17 +156,17 @@
 
 // measure adds the time since the last step to the brief's two measures.
 func (s *Server) measure(board *blackboard.Board, now time.Time) {
-	present := controller.Measures(board, now)
+	at := present(board)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.meter.last.IsZero() {
 		passed := now.Sub(s.meter.last).Seconds()
-		s.meter.now.GroupDowntimeSeconds += passed * float64(present.GroupsDown)
-		s.meter.now.StrandedAcceleratorSeconds += passed * float64(present.StrandedAccelerators)
+		s.meter.now.GroupDowntimeSeconds += passed * float64(at.GroupsDown)
+		s.meter.now.StrandedAcceleratorSeconds += passed * float64(at.StrandedAccelerators)
 	}
 	s.meter.last = now
-	s.meter.now.GroupsDown = present.GroupsDown
-	s.meter.now.StrandedAccelerators = present.StrandedAccelerators
+	s.meter.now.GroupsDown = at.GroupsDown
+	s.meter.now.StrandedAccelerators = at.StrandedAccelerators
 }
 
 func (s *Server) measures() adminapi.Measures {
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 
 	"github.com/citronstep/citronstep/internal/admission"
 	"github.com/citronstep/citronstep/internal/failure"
@@ -190,7 +191,7 @@
 	}
 	g := grant{attempt: j.nextAttempt(), route: d.routes[c.ID]}
 	d.picker.Started(now, g.attempt, c.ID, j.tokens())
-	_ = d.logger.Log("event", "route", "request", j.id, "attempt", g.attempt, "model", j.model,
+	_ = level.Info(d.logger).Log("event", "route", "request", j.id, "attempt", g.attempt, "model", j.model,
 		"class", j.class, "workspace", j.workspace, "choice", c.ID, "runner_up", c.RunnerUp, "reason", c.Reason,
 		"score", c.Score, "queued_ms", now.Sub(j.arrived).Milliseconds())
 	return g, true
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-kit/log/level"
 	"github.com/juju/errors"
 
 	"github.com/citronstep/citronstep/internal/failure"
@@ -56,7 +57,7 @@
 		return nil, e
 	}
 	if first != j {
-		_ = s.o.Logger.Log("event", "attach", "request", j.id, "to", first.id, "reason", "same idempotency key")
+		_ = level.Info(s.o.Logger).Log("event", "attach", "request", j.id, "to", first.id, "reason", "same idempotency key")
 		return first, nil
 	}
 	j.ctx, j.cancel = context.WithCancelCause(context.Background())
@@ -182,7 +183,7 @@
 		return failure.New(failure.TypeUnavailable, "the request could not be claimed: "+err.Error()).
 			WithRan(failure.RanUnknown).WithRetryAfter(time.Second)
 	}
-	_ = s.o.Logger.Log("event", "claim", "request", j.id, "granted", out.Granted, "state", out.State, "holder", out.Entry)
+	_ = level.Info(s.o.Logger).Log("event", "claim", "request", j.id, "granted", out.Granted, "state", out.State, "holder", out.Entry)
 	return s.answerClaim(j, out)
 }
 
@@ -254,7 +255,7 @@
 		c := *e
 		c.RequestID = j.id
 		j.answer.fail(&c)
-		_ = s.o.Logger.Log("event", "refuse", "request", j.id, "type", c.Type, "ran", c.Ran, "reason", c.Message)
+		_ = level.Info(s.o.Logger).Log("event", "refuse", "request", j.id, "type", c.Type, "ran", c.Ran, "reason", c.Message)
 		return
 	}
 	j.answer.end(j.finish)
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"github.com/go-kit/log/level"
 	"time"
 
 	"github.com/citronstep/citronstep/internal/backend"
@@ -138,12 +139,12 @@
 func (s *Server) logRouteChanges(r *routing) {
 	for id := range r.routes {
 		if _, open := s.open[id]; !open {
-			_ = s.o.Logger.Log("event", "target_routable", "target", id, "epoch", r.routes[id].epoch)
+			_ = level.Info(s.o.Logger).Log("event", "target_routable", "target", id, "epoch", r.routes[id].epoch)
 		}
 	}
 	for id := range s.open {
 		if _, open := r.routes[id]; !open {
-			_ = s.o.Logger.Log("event", "target_closed", "target", id, "reason", r.closed[id])
+			_ = level.Info(s.o.Logger).Log("event", "target_closed", "target", id, "reason", r.closed[id])
 		}
 	}
 	s.open = r.routes
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -177,12 +177,13 @@
 	return nil
 }
 
-// decisions returns the logger of a part that logs decisions.
+// decisions returns the logger of a part that logs its decisions at level info.
 func (n *Node) decisions(part string) log.Logger {
-	if !n.settings.Log.Decisions {
-		return log.NewNopLogger()
+	logger := log.With(n.logger, "part", part)
+	if n.settings.Log.Decisions {
+		return logger
 	}
-	return log.With(level.Info(n.logger), "part", part)
+	return level.NewFilter(logger, level.AllowWarn())
 }
 
 func (n *Node) boardChanged(b *blackboard.Board) {
@@ -250,7 +251,7 @@
 	// The replica checks the token itself.
 	whole := http.NewServeMux()
 	whole.Handle("/", guarded)
-	whole.Handle(n.replica.PathPrefix(), n.replica.Handler())
+	whole.Handle(replica.PathPrefix, n.replica.Handler())
 	return whole
 }
 
@@ -345,6 +346,3 @@
 	}
 	return nil
 }
-
-// Status returns what the control role knows; it is for -dev and tests.
-func (n *Node) Control() *control.Server { return n.control }
