Operators' tool: init, status, apply, diff, preset, workspace, group, drain, undrain, events

Cause: operators need one tool over the admin API whose outcome a script can rely on, also when the answer to a change is lost. A change keeps one id through all tries and all addresses, so a resend gets the first answer; if no answer comes at all the tool exits 5 and names the id. Ruled out: retrying over a conflict, which would let the loser of a race overwrite what it has not seen (exit 3 instead).

--- /dev/null
+++ b/cmd/citronstep/main.go
@@ -0,0 +1,19 @@
+// Command citronstep is the operators' tool. It speaks to the admin API of the
+// control processes and, for `load`, to the entries; it keeps no state.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/citronstep/citronstep/internal/tool"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	code := tool.Run(ctx, os.Args[1:], tool.Streams{Out: os.Stdout, Err: os.Stderr}, os.Getenv)
+	stop()
+	os.Exit(int(code))
+}
--- /dev/null
+++ b/internal/tool/client.go
@@ -0,0 +1,138 @@
+package tool
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/citronstep/citronstep/internal/failure"
+)
+
+const (
+	// maxAnswer bounds what the tool reads of one answer; a status of 710
+	// VMs with their groups is well under 1 MB.
+	maxAnswer = 32 << 20
+	// attemptTimeout bounds one try at one address, so that an address which
+	// has gone silent leaves time for the next one.
+	attemptTimeout = 5 * time.Second
+	// roundPause is the wait after all addresses were tried once; an election
+	// takes about this long.
+	roundPause = 300 * time.Millisecond
+)
+
+// client asks the admin API, one address after the other.
+//
+// Every call is safe to repeat: reads change nothing, changes carry a change
+// id, and founding is idempotent. So a lost answer is met by asking the next
+// address the same thing, until timeout.
+type client struct {
+	addresses []string
+	token     string
+	timeout   time.Duration
+	http      *http.Client
+}
+
+func newClient(c connection) *client {
+	return &client{
+		addresses: c.addresses,
+		token:     c.token,
+		timeout:   c.timeout,
+		http:      &http.Client{},
+	}
+}
+
+func (c *client) get(ctx context.Context, path string, into any) error {
+	return errors.Trace(c.call(ctx, http.MethodGet, path, nil, into, ""))
+}
+
+// post sends body to path. changeID names the change for the operator when
+// its outcome stays unknown.
+func (c *client) post(ctx context.Context, path string, body, into any, changeID string) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	return errors.Trace(c.call(ctx, http.MethodPost, path, data, into, changeID))
+}
+
+func (c *client) call(ctx context.Context, method, path string, body []byte, into any, changeID string) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	var last error
+	for {
+		for _, address := range c.addresses {
+			err := c.try(ctx, method, address, path, body, into)
+			if err == nil || !worthAnotherTry(err) {
+				return err
+			}
+			last = err
+		}
+		select {
+		case <-ctx.Done():
+			return &unavailableError{addresses: c.addresses, changeID: changeID, last: last}
+		case <-time.After(roundPause):
+		}
+	}
+}
+
+// worthAnotherTry tells a final answer from one that another address, or the
+// same one a little later, may better. An address that answers "unavailable"
+// may be a control process cut off from the leader.
+func worthAnotherTry(err error) bool {
+	var f *failure.Error
+	if !errors.As(err, &f) {
+		return true
+	}
+	switch f.Type {
+	case failure.TypeUnavailable, failure.TypeNotLeader, failure.TypeDraining,
+		failure.TypeOutcomeUnknown, failure.TypeDeadlineExceeded:
+		return true
+	}
+	return false
+}
+
+func (c *client) try(ctx context.Context, method, address, path string, body []byte, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	if c.token != "" {
+		request.Header.Set("Authorization", "Bearer "+c.token)
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
+	if err != nil {
+		return errors.Annotate(err, address)
+	}
+	return readAnswer(address, response.StatusCode, data, into)
+}
+
+func readAnswer(address string, status int, data []byte, into any) error {
+	if status == http.StatusOK {
+		if err := json.Unmarshal(data, into); err != nil {
+			return failure.New(failure.TypeInternal, address+" answered with something else than the admin API's JSON")
+		}
+		return nil
+	}
+	f := &failure.Error{}
+	if err := json.Unmarshal(data, f); err == nil && f.Type != "" {
+		return f
+	}
+	t := failure.TypeInternal
+	if status == http.StatusBadGateway || status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout {
+		t = failure.TypeUnavailable
+	}
+	return failure.New(t, address+" answered "+http.StatusText(status)+" without a typed failure; is it the admin address?")
+}
--- /dev/null
+++ b/internal/tool/document.go
@@ -0,0 +1,216 @@
+package tool
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strconv"
+
+	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/settings"
+	"github.com/citronstep/citronstep/internal/tomlfile"
+)
+
+// document is a configuration document: what apply, diff and init read.
+type document struct {
+	Workspaces []documentWorkspace       `toml:"workspace"`
+	Classes    []blackboard.RequestClass `toml:"class"`
+	Groups     []blackboard.GroupSpec    `toml:"group"`
+	Presets    []blackboard.Preset       `toml:"preset"`
+	// ActivePreset, when given, is put in force together with the rest.
+	ActivePreset string `toml:"active_preset"`
+}
+
+// documentWorkspace names its key by a file or by the key's hash, so that no
+// document holds a key.
+type documentWorkspace struct {
+	Name      string `toml:"name"`
+	KeyFile   string `toml:"key_file"`
+	KeySHA256 string `toml:"key_sha256"`
+	Share     int    `toml:"share"`
+	MaxOpen   int    `toml:"max_open"`
+}
+
+func (w documentWorkspace) workspace() blackboard.Workspace {
+	return blackboard.Workspace{Name: w.Name, KeySHA256: w.KeySHA256, Share: w.Share, MaxOpen: w.MaxOpen}
+}
+
+// loadedDocument is a checked document with the places of its keys.
+type loadedDocument struct {
+	document
+	source *tomlfile.Document
+}
+
+// loadDocument reads, checks and resolves the document at path. The error
+// holds every fault of the file.
+func loadDocument(path string) (*loadedDocument, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, usagef("%v", err)
+	}
+	d := parseDocument(path, data)
+	if !d.source.SyntaxBroken() {
+		d.resolveKeys(filepath.Dir(path))
+	}
+	return d, d.source.Faults().OrNil()
+}
+
+// parseDocument checks a document without a look at its key files.
+func parseDocument(path string, data []byte) *loadedDocument {
+	d := &loadedDocument{}
+	d.source = tomlfile.Decode(path, data, &d.document)
+	if d.source.SyntaxBroken() {
+		return d
+	}
+	d.checkWorkspaces()
+	d.checkClasses()
+	d.checkGroups()
+	d.checkPresets()
+	return d
+}
+
+// hashKey returns the hex SHA-256 under which a workspace's key is stored.
+func hashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+func (d *loadedDocument) resolveKeys(folder string) {
+	for i := range d.Workspaces {
+		w := &d.Workspaces[i]
+		if w.KeyFile == "" || w.KeySHA256 != "" {
+			continue
+		}
+		path := w.KeyFile
+		if !filepath.IsAbs(path) {
+			path = filepath.Join(folder, path)
+		}
+		key, err := settings.ReadToken(path)
+		if err != nil {
+			d.source.Fault(elementKey("workspace", i, "key_file"), err.Error(),
+				"a file with the workspace's key, readable by its owner or group only")
+			continue
+		}
+		w.KeySHA256 = hashKey(key)
+	}
+}
+
+var (
+	namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
+	hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+)
+
+const allowedName = "1 to 64 letters, digits, '.', '_' or '-', the first a letter or digit; each name once"
+
+func elementKey(array string, i int, key string) string {
+	return array + "[" + strconv.Itoa(i) + "]." + key
+}
+
+// names checks one array's names as they come.
+type names struct {
+	d     *loadedDocument
+	array string
+	seen  map[string]bool
+}
+
+func (d *loadedDocument) names(array string) *names {
+	return &names{d: d, array: array, seen: map[string]bool{}}
+}
+
+func (n *names) check(i int, name string) {
+	key := elementKey(n.array, i, "name")
+	switch {
+	case n.d.source.Has(key):
+	case !namePattern.MatchString(name):
+		n.d.source.Fault(key, strconv.Quote(name), allowedName)
+	case n.seen[name]:
+		n.d.source.Fault(key, strconv.Quote(name)+" stands twice", allowedName)
+	}
+	n.seen[name] = true
+}
+
+func (d *loadedDocument) atLeast(key string, value int64, low int64) {
+	if value < low && !d.source.Has(key) {
+		d.source.Fault(key, strconv.FormatInt(value, 10), strconv.FormatInt(low, 10)+" or more")
+	}
+}
+
+func (d *loadedDocument) checkWorkspaces() {
+	n := d.names("workspace")
+	for i, w := range d.Workspaces {
+		n.check(i, w.Name)
+		key := func(name string) string { return elementKey("workspace", i, name) }
+		switch {
+		case (w.KeyFile == "") == (w.KeySHA256 == ""):
+			d.source.Fault(key("key_file"), "one key is needed", "either key_file or key_sha256")
+		case w.KeySHA256 != "" && !hashPattern.MatchString(w.KeySHA256):
+			d.source.Fault(key("key_sha256"), strconv.Quote(w.KeySHA256), "64 lower-case hex digits: the SHA-256 of the key")
+		}
+		d.atLeast(key("share"), int64(w.Share), 0)
+		d.atLeast(key("max_open"), int64(w.MaxOpen), 0)
+	}
+}
+
+func (d *loadedDocument) checkClasses() {
+	n := d.names("class")
+	for i, c := range d.Classes {
+		n.check(i, c.Name)
+		d.atLeast(elementKey("class", i, "timeout_ms"), c.TimeoutMillis, 0)
+	}
+}
+
+func (d *loadedDocument) checkGroups() {
+	n := d.names("group")
+	for i, g := range d.Groups {
+		n.check(i, g.Name)
+		key := func(name string) string { return elementKey("group", i, name) }
+		if g.Model == "" && !d.source.Has(key("model")) {
+			d.source.Fault(key("model"), "is missing", "the model's name as callers send it")
+		}
+		d.atLeast(key("replicas"), int64(g.Replicas), 0)
+		d.atLeast(key("vms_per_replica"), int64(g.VMsPerReplica), 1)
+		d.atLeast(key("accelerators"), int64(g.Accelerators), 0)
+	}
+}
+
+func (d *loadedDocument) checkPresets() {
+	n := d.names("preset")
+	for i, p := range d.Presets {
+		n.check(i, p.Name)
+		key := func(name string) string { return elementKey("preset", i, name) }
+		for _, group := range sortedKeys(p.GroupReplicas) {
+			d.atLeast(key("group_replicas."+group), int64(p.GroupReplicas[group]), 0)
+		}
+		if p.DowntimeWeight < 0 {
+			d.source.Fault(key("downtime_weight"), strconv.FormatFloat(p.DowntimeWeight, 'g', -1, 64), "0 or more; 0 means 1")
+		}
+		if p.StrandedWeight < 0 {
+			d.source.Fault(key("stranded_weight"), strconv.FormatFloat(p.StrandedWeight, 'g', -1, 64), "0 or more; 0 means 1")
+		}
+	}
+}
+
+// checkReferences finds names in presets that the configuration would not
+// have. The server would accept them and they would silently do nothing: a
+// preset with a misspelt class leaves that class at its ordinary worth.
+func (d *loadedDocument) checkReferences(merged blackboard.Configuration) {
+	for i, p := range d.Presets {
+		refer(d, elementKey("preset", i, "class_worth"), p.ClassWorth, merged.Classes)
+		refer(d, elementKey("preset", i, "workspace_worth"), p.WorkspaceWorth, merged.Workspaces)
+		refer(d, elementKey("preset", i, "group_worth"), p.GroupWorth, merged.Groups)
+		refer(d, elementKey("preset", i, "group_replicas"), p.GroupReplicas, merged.Groups)
+	}
+	if _, ok := merged.Presets[d.ActivePreset]; d.ActivePreset != "" && !ok {
+		d.source.Fault("active_preset", strconv.Quote(d.ActivePreset)+" is unknown", "the name of a preset")
+	}
+}
+
+func refer[V any](d *loadedDocument, key string, references map[string]int, known map[string]V) {
+	for _, name := range sortedKeys(references) {
+		if _, ok := known[name]; !ok {
+			d.source.Fault(key+"."+name, "is unknown", "a name in the document or the configuration")
+		}
+	}
+}
--- /dev/null
+++ b/internal/tool/events.go
@@ -0,0 +1,90 @@
+package tool
+
+import (
+	"flag"
+	"strconv"
+	"time"
+
+	"github.com/citronstep/citronstep/internal/adminapi"
+	"github.com/juju/errors"
+)
+
+// followWait is how long the server may hold a follow request open. It must
+// stay under attemptTimeout, or each quiet spell would look like a lost answer.
+const followWait = 3 * time.Second
+
+func eventsCommand() command {
+	return command{
+		name:    "events",
+		summary: "Show what happened to groups, VMs, entries and the configuration",
+		details: `The leader keeps recent events; a new leader starts afresh, with sequence numbers
+from 1. With -json, one object a line.
+
+Example: citronstep events -follow -kind group
+`,
+		setup: func(set *flag.FlagSet) func(*invocation) error {
+			f := eventFlags{}
+			set.Uint64Var(&f.after, "after", 0, "show events past this sequence number")
+			set.BoolVar(&f.follow, "follow", false, "go on until interrupted")
+			set.StringVar(&f.kind, "kind", "", "only group, vm, entry, configuration or replica")
+			return func(i *invocation) error { return i.events(f) }
+		},
+	}
+}
+
+type eventFlags struct {
+	after  uint64
+	follow bool
+	kind   string
+}
+
+func (i *invocation) events(f eventFlags) error {
+	if err := i.want(0); err != nil {
+		return err
+	}
+	after, leader := f.after, ""
+	for {
+		batch, err := i.fetchEvents(after, leader != "" && f.follow)
+		if err != nil {
+			if i.ctx.Err() != nil {
+				return nil
+			}
+			return errors.Trace(err)
+		}
+		if leader != "" && batch.Leader != leader {
+			i.progress("new leader %s: events start afresh", batch.Leader)
+			after, leader = 0, batch.Leader
+			continue
+		}
+		leader = batch.Leader
+		for _, e := range batch.Events {
+			after = max(after, e.Sequence)
+			if f.kind == "" || f.kind == e.Kind {
+				i.printEvent(e)
+			}
+		}
+		if !f.follow {
+			return nil
+		}
+	}
+}
+
+func (i *invocation) fetchEvents(after uint64, wait bool) (adminapi.Events, error) {
+	path := adminapi.PathEvents + "?after=" + decimal(after)
+	if wait {
+		path += "&wait_ms=" + strconv.FormatInt(followWait.Milliseconds(), 10)
+	}
+	var batch adminapi.Events
+	err := i.admin.get(i.ctx, path, &batch)
+	return batch, err
+}
+
+func (i *invocation) printEvent(e adminapi.Event) {
+	if i.json {
+		// One object a line, so that a follower can be read as it grows.
+		i.printLine(e)
+		return
+	}
+	at := time.UnixMilli(e.AtMillis).UTC().Format("2006-01-02T15:04:05.000Z")
+	i.say("%6d  %s  %-13s  %-20s  %s", e.Sequence, at, e.Kind, e.Subject, e.Text)
+}
--- /dev/null
+++ b/internal/tool/exit.go
@@ -0,0 +1,156 @@
+package tool
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"strings"
+
+	"github.com/juju/errors"
+
+	"github.com/citronstep/citronstep/internal/failure"
+	"github.com/citronstep/citronstep/internal/tomlfile"
+)
+
+// ExitCode is what the tool tells a script. Its values never change meaning.
+type ExitCode int
+
+// The exit codes.
+const (
+	ExitOK ExitCode = 0
+	// ExitFailure: refused or failed, and nothing else below says why.
+	ExitFailure ExitCode = 1
+	// ExitUsage: a wrong flag, argument, settings file or document; nothing
+	// was sent.
+	ExitUsage ExitCode = 2
+	// ExitConflict: another operator's change came first; nothing changed.
+	ExitConflict ExitCode = 3
+	// ExitNotFound: the thing named does not exist.
+	ExitNotFound ExitCode = 4
+	// ExitUnavailable: no admin address answered in time. A change may or may
+	// not have been accepted; the message names the id to resend it with.
+	ExitUnavailable ExitCode = 5
+	// ExitUnfinished: the change was accepted, but what it asks for was not
+	// done within -wait.
+	ExitUnfinished ExitCode = 6
+	// ExitDenied: the token was missing or refused.
+	ExitDenied ExitCode = 7
+	// ExitDiffers: diff found differences.
+	ExitDiffers ExitCode = 8
+)
+
+// exitCodesHelp stands at the end of each command's help.
+const exitCodesHelp = `Exit codes: 0 done, 1 failure, 2 usage or faulty file, 3 conflict with another
+change, 4 not found, 5 no answer (a change may or may not be accepted),
+6 accepted but not finished within -wait, 7 token refused, 8 diff found differences.
+`
+
+// usageError is a wrong command line; nothing was sent.
+type usageError struct{ message string }
+
+func (e *usageError) Error() string { return e.message }
+
+func usagef(format string, args ...any) error {
+	return &usageError{message: fmt.Sprintf(format, args...)}
+}
+
+// unavailableError says that no admin address gave an answer in time.
+type unavailableError struct {
+	addresses []string
+	// changeID is set when a change may have been accepted.
+	changeID string
+	last     error
+}
+
+func (e *unavailableError) Error() string {
+	text := "no answer from " + strings.Join(e.addresses, ", ")
+	if e.last != nil {
+		text += " (last: " + e.last.Error() + ")"
+	}
+	if e.changeID != "" {
+		text += "; the change may have been accepted. Run the same command with -change-id " +
+			e.changeID + " to get its outcome: it is never applied twice"
+	}
+	return text
+}
+
+// unfinishedError says that an accepted change was not carried out in time.
+type unfinishedError struct{ message string }
+
+func (e *unfinishedError) Error() string { return e.message }
+
+// differsError is diff's answer when there are differences.
+type differsError struct{}
+
+func (differsError) Error() string { return "the document and the configuration differ" }
+
+// codeOf returns the exit code for an error of any command.
+func codeOf(err error) ExitCode {
+	var (
+		usage       *usageError
+		faults      tomlfile.Faults
+		unavailable *unavailableError
+		unfinished  *unfinishedError
+		differs     differsError
+	)
+	switch {
+	case err == nil, errors.Is(err, flag.ErrHelp):
+		return ExitOK
+	case errors.As(err, &usage), errors.As(err, &faults):
+		return ExitUsage
+	case errors.As(err, &unavailable):
+		return ExitUnavailable
+	case errors.As(err, &unfinished):
+		return ExitUnfinished
+	case errors.As(err, &differs):
+		return ExitDiffers
+	}
+	return codeOfFailure(failure.From(err).Type)
+}
+
+func codeOfFailure(t failure.Type) ExitCode {
+	switch t {
+	case failure.TypeConflict:
+		return ExitConflict
+	case failure.TypeNotFound:
+		return ExitNotFound
+	case failure.TypeUnavailable, failure.TypeNotLeader, failure.TypeOutcomeUnknown, failure.TypeDeadlineExceeded:
+		return ExitUnavailable
+	case failure.TypeUnauthenticated, failure.TypeForbidden:
+		return ExitDenied
+	default:
+		return ExitFailure
+	}
+}
+
+// errorDocument is the JSON form of an error on standard error under -json.
+type errorDocument struct {
+	Error    *failure.Error  `json:"error"`
+	ExitCode ExitCode        `json:"exit_code"`
+	Faults   tomlfile.Faults `json:"faults,omitempty"`
+}
+
+func describeError(err error, asJSON bool) string {
+	if !asJSON {
+		return "citronstep: " + humanError(err) + "\n"
+	}
+	d := errorDocument{Error: failure.From(err), ExitCode: codeOf(err)}
+	errors.As(err, &d.Faults)
+	data, _ := json.Marshal(d)
+	return string(data) + "\n"
+}
+
+func humanError(err error) string {
+	var f *failure.Error
+	if !errors.As(err, &f) {
+		return err.Error()
+	}
+	text := f.Error()
+	if f.Detail != "" {
+		text += " (" + f.Detail + ")"
+	}
+	if f.Type == failure.TypeConflict && f.Revision > 0 {
+		text += fmt.Sprintf("; it is at revision %d now. Look at it and run the command again", f.Revision)
+	}
+	return text
+}
--- /dev/null
+++ b/internal/tool/fake_test.go
@@ -0,0 +1,173 @@
+package tool
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/citronstep/citronstep/internal/adminapi"
+	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/failure"
+)
+
+// fakeAdmin serves the admin API over a real blackboard without a cluster.
+type fakeAdmin struct {
+	*httptest.Server
+	mu    sync.Mutex
+	board *blackboard.Board
+	token string
+	// loseAnswers is how many more changes are carried out unanswered.
+	loseAnswers int
+	// pending is what in-force reports for so many more looks.
+	pending int
+	posts   []blackboard.ConfigChange
+	// onStatus edits each status, for progress.
+	onStatus func(*adminapi.Status)
+	events   []adminapi.Events
+}
+
+func newFakeAdmin(t *testing.T) *fakeAdmin {
+	f := &fakeAdmin{board: blackboard.New()}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+adminapi.PathStatus, f.status)
+	mux.HandleFunc("POST "+adminapi.PathInit, f.found)
+	mux.HandleFunc("GET "+adminapi.PathConfiguration, f.configuration)
+	mux.HandleFunc("POST "+adminapi.PathConfiguration, f.change)
+	mux.HandleFunc("GET "+adminapi.PathInForce, f.inForce)
+	mux.HandleFunc("GET "+adminapi.PathEvents, f.nextEvents)
+	f.Server = httptest.NewServer(f.authenticated(mux))
+	t.Cleanup(f.Close)
+	return f
+}
+
+// set changes the fake between runs. It also waits for a handler whose
+// connection was cut: the tool may return before that handler does.
+func (f *fakeAdmin) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+func (f *fakeAdmin) address() string { return strings.TrimPrefix(f.URL, "http://") }
+
+func (f *fakeAdmin) authenticated(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if f.token != "" && r.Header.Get("Authorization") != "Bearer "+f.token {
+			refuse(w, http.StatusUnauthorized, failure.New(failure.TypeUnauthenticated, "wrong token"))
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func refuse(w http.ResponseWriter, status int, e *failure.Error) {
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(e)
+}
+
+func answer(w http.ResponseWriter, v any) { _ = json.NewEncoder(w).Encode(v) }
+
+func (f *fakeAdmin) status(w http.ResponseWriter, _ *http.Request) {
+	s := adminapi.Status{
+		ClusterID: f.board.ClusterID, Founded: f.board.ClusterID != "",
+		BoardRevision: f.board.Revision, ConfigRevision: f.board.Config.Revision,
+		ActivePreset: f.board.Config.ActivePreset, Presets: sortedKeys(f.board.Config.Presets),
+	}
+	if f.onStatus != nil {
+		f.onStatus(&s)
+	}
+	answer(w, s)
+}
+
+func (f *fakeAdmin) found(w http.ResponseWriter, r *http.Request) {
+	var request adminapi.InitRequest
+	_ = json.NewDecoder(r.Body).Decode(&request)
+	f.apply(blackboard.Found{ClusterID: "cluster-1", Initial: request.Initial})
+	answer(w, adminapi.InitReply{ClusterID: f.board.ClusterID})
+}
+
+func (f *fakeAdmin) apply(c blackboard.Command) []byte {
+	data, err := blackboard.Encode(c)
+	if err != nil {
+		panic(err)
+	}
+	next, result, err := f.board.Apply(data)
+	if err != nil {
+		panic(err)
+	}
+	f.board = next
+	return result
+}
+
+func (f *fakeAdmin) configuration(w http.ResponseWriter, _ *http.Request) { answer(w, f.board.Config) }
+
+func (f *fakeAdmin) change(w http.ResponseWriter, r *http.Request) {
+	var c blackboard.ConfigChange
+	_ = json.NewDecoder(r.Body).Decode(&c)
+	f.posts = append(f.posts, c)
+	var outcome blackboard.ChangeOutcome
+	_ = json.Unmarshal(f.apply(c), &outcome)
+	switch {
+	case f.loseAnswers > 0:
+		f.loseAnswers--
+		connection, _, _ := w.(http.Hijacker).Hijack()
+		_ = connection.Close()
+	case outcome.Failure != nil && outcome.Failure.Type == failure.TypeConflict:
+		refuse(w, http.StatusConflict, outcome.Failure)
+	case outcome.Failure != nil:
+		refuse(w, http.StatusBadRequest, outcome.Failure)
+	default:
+		answer(w, adminapi.ChangeReply{Revision: outcome.Revision})
+	}
+}
+
+func (f *fakeAdmin) inForce(w http.ResponseWriter, r *http.Request) {
+	revision, _ := strconv.ParseUint(r.URL.Query().Get("revision"), 10, 64)
+	reply := adminapi.InForce{Revision: revision, InForce: f.pending <= 0}
+	if f.pending > 0 {
+		f.pending--
+		reply.Pending = []string{"entry-2"}
+	}
+	answer(w, reply)
+}
+
+func (f *fakeAdmin) nextEvents(w http.ResponseWriter, _ *http.Request) {
+	if len(f.events) == 0 {
+		refuse(w, http.StatusNotFound, failure.New(failure.TypeNotFound, "no more events"))
+		return
+	}
+	answer(w, f.events[0])
+	f.events = f.events[1:]
+}
+
+// result is what one run of the tool gave.
+type result struct {
+	code     ExitCode
+	out, err string
+}
+
+func runTool(addresses string, args ...string) result {
+	var out, errOut bytes.Buffer
+	env := map[string]string{EnvAddresses: addresses}
+	code := Run(context.Background(), args, Streams{Out: &out, Err: &errOut}, func(k string) string { return env[k] })
+	return result{code, out.String(), errOut.String()}
+}
+
+// must runs the tool and fails the test unless it exits with want.
+func (f *fakeAdmin) must(t *testing.T, want ExitCode, args ...string) result {
+	t.Helper()
+	r := runTool(f.address(), args...)
+	f.set(func() {})
+	assert.Equal(t, r.code, want, "citronstep %s: %s%s", strings.Join(args, " "), r.out, r.err)
+	return r
+}
--- /dev/null
+++ b/internal/tool/tool.go
@@ -0,0 +1,177 @@
+// Package tool is the operators' command-line tool, cmd/citronstep. It asks
+// nothing but the admin API (internal/adminapi) and, for load, the entries'
+// API for callers.
+package tool
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/juju/errors"
+)
+
+// Streams are where the tool writes: results on Out, progress and errors on
+// Err, so that a script can read Out alone.
+type Streams struct{ Out, Err io.Writer }
+
+// command is one subcommand.
+type command struct {
+	name string
+	// arguments is the usage line after the name.
+	arguments string
+	summary   string
+	// details is printed below the summary in the command's help.
+	details string
+	// setup registers the command's own flags and returns its run function.
+	setup func(*flag.FlagSet) func(*invocation) error
+}
+
+// invocation is one run of one command.
+type invocation struct {
+	ctx     context.Context
+	out     io.Writer
+	err     io.Writer
+	args    []string
+	json    bool
+	command command
+	admin   *client
+}
+
+// commands returns all subcommands in the order of the help.
+func commands() []command {
+	return []command{
+		initCommand(), statusCommand(), applyCommand(), diffCommand(),
+		presetCommand(), workspaceCommand(), groupCommand(),
+		drainCommand(), undrainCommand(), eventsCommand(), loadCommand(),
+	}
+}
+
+// Run carries out one command line and returns the exit code.
+func Run(ctx context.Context, args []string, to Streams, getenv func(string) string) ExitCode {
+	asJSON, err := run(ctx, args, to, getenv)
+	if err != nil && !errors.Is(err, flag.ErrHelp) {
+		_, _ = io.WriteString(to.Err, describeError(err, asJSON))
+	}
+	return codeOf(err)
+}
+
+func run(ctx context.Context, args []string, to Streams, getenv func(string) string) (asJSON bool, err error) {
+	if len(args) == 0 {
+		writeOverview(to.Err)
+		return false, usagef("a command is missing")
+	}
+	if name := args[0]; name == "-h" || name == "-help" || name == "--help" || name == "help" {
+		writeOverview(to.Out)
+		return false, nil
+	}
+	for _, c := range commands() {
+		if c.name == args[0] {
+			return c.run(ctx, args[1:], to, getenv)
+		}
+	}
+	return false, usagef("unknown command %q; see citronstep -h", args[0])
+}
+
+func (c command) run(ctx context.Context, args []string, to Streams, getenv func(string) string) (asJSON bool, err error) {
+	set := flag.NewFlagSet(c.name, flag.ContinueOnError)
+	set.SetOutput(io.Discard)
+	connect := &connectionFlags{}
+	connect.register(set)
+	action := c.setup(set)
+	positional, err := parse(set, args)
+	if errors.Is(err, flag.ErrHelp) {
+		c.writeHelp(to.Out, set)
+		return false, err
+	}
+	if err != nil {
+		return connect.json, usagef("%v; see citronstep %s -h", err, c.name)
+	}
+	where, err := connect.resolve(getenv)
+	if err != nil {
+		return connect.json, err
+	}
+	return connect.json, action(&invocation{
+		ctx: ctx, out: to.Out, err: to.Err, args: positional,
+		json: connect.json, command: c, admin: newClient(where),
+	})
+}
+
+// parse lets flags stand before, between and after the arguments; package
+// flag alone stops at the first argument.
+func parse(set *flag.FlagSet, args []string) (positional []string, err error) {
+	for {
+		if err := set.Parse(args); err != nil {
+			return nil, err
+		}
+		if set.NArg() == 0 {
+			return positional, nil
+		}
+		positional = append(positional, set.Arg(0))
+		args = set.Args()[1:]
+	}
+}
+
+func writeOverview(w io.Writer) {
+	var b strings.Builder
+	b.WriteString("Usage: citronstep COMMAND [arguments] [flags]\n\nCommands:\n")
+	for _, c := range commands() {
+		fmt.Fprintf(&b, "  %-10s %s\n", c.name, c.summary)
+	}
+	b.WriteString("\ncitronstep COMMAND -h shows a command's arguments, flags and examples.\n\n" + exitCodesHelp)
+	_, _ = io.WriteString(w, b.String())
+}
+
+func (c command) writeHelp(w io.Writer, set *flag.FlagSet) {
+	var b strings.Builder
+	fmt.Fprintf(&b, "Usage: citronstep %s\n\n%s.\n", strings.TrimSpace(c.name+" "+c.arguments+" [flags]"), c.summary)
+	if c.details != "" {
+		b.WriteString("\n" + c.details)
+	}
+	b.WriteString("\nFlags:\n")
+	set.SetOutput(&b)
+	set.PrintDefaults()
+	b.WriteString("\n" + exitCodesHelp)
+	_, _ = io.WriteString(w, b.String())
+}
+
+// want checks the number of arguments.
+func (i *invocation) want(n int) error {
+	if len(i.args) != n {
+		return i.usage()
+	}
+	return nil
+}
+
+func (i *invocation) usage() error {
+	return usagef("usage: citronstep %s %s; see citronstep %s -h", i.command.name, i.command.arguments, i.command.name)
+}
+
+// printJSON writes v for programs: indented, one document.
+func (i *invocation) printJSON(v any) error {
+	encoder := json.NewEncoder(i.out)
+	encoder.SetIndent("", "  ")
+	return errors.Trace(encoder.Encode(v))
+}
+
+// progress writes a line for whoever watches a long command.
+func (i *invocation) progress(format string, args ...any) {
+	_, _ = fmt.Fprintf(i.err, format+"\n", args...)
+}
+
+// say writes one line of a result for people.
+func (i *invocation) say(format string, args ...any) {
+	_, _ = fmt.Fprintf(i.out, format+"\n", args...)
+}
+
+// printLine writes v as JSON on one line.
+func (i *invocation) printLine(v any) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		return
+	}
+	_, _ = i.out.Write(append(data, '\n'))
+}
