Tool: read refusals as the daemon writes them, drain one replica or all

The daemon wraps a refusal as {"error": ...} (failure.Body) and the controllers take both a group's name and a replica's id as drained. The fake admin server now answers through failure.Write, so it can't drift again.

go test -race ./internal/tool passes.

--- a/internal/tool/client.go
+++ b/internal/tool/client.go
@@ -126,9 +126,9 @@
 		}
 		return nil
 	}
-	f := &failure.Error{}
-	if err := json.Unmarshal(data, f); err == nil && f.Type != "" {
-		return f
+	var body failure.Body
+	if err := json.Unmarshal(data, &body); err == nil && body.Error != nil && body.Error.Type != "" {
+		return body.Error
 	}
 	t := failure.TypeInternal
 	if status == http.StatusBadGateway || status == http.StatusServiceUnavailable || status == http.StatusGatewayTimeout {
--- a/internal/tool/drain.go
+++ b/internal/tool/drain.go
@@ -27,10 +27,11 @@
 		name:      "drain",
 		arguments: "vm NAME | group NAME",
 		summary:   "Take a VM or a serving group out of service without cutting off a request",
-		details: `New work stops within seconds, requests in flight finish, then the group is
-released. Prints progress and returns when nothing is left, for at most -done-wait.
-A VM's whole group goes with it, as a group serves with all its members or not at
-all; a spare takes the VM's place if there is one. Drains last until undrain.
+		details: `A replacement forms first where free VMs allow it; then new work stops, requests in
+flight finish, and the group is released. Prints progress and returns when nothing
+is left, for at most -done-wait. A VM's whole group goes with it, as a group serves
+with all its members or not at all. For a group, NAME is the group (all its replicas)
+or one replica, such as memos-0. Drains last until undrain.
 
 Example: citronstep drain vm engine-07
 `,
@@ -86,7 +87,7 @@
 	drained, known := current.DrainedVMs, vmNames(s)
 	if target.kind == kindGroup {
 		change = blackboard.ConfigChange{DrainGroups: []string{target.name}}
-		drained, known = current.DrainedGroups, sortedKeys(current.Groups)
+		drained, known = current.DrainedGroups, append(sortedKeys(current.Groups), replicaIDs(s)...)
 	}
 	if !contains(known, target.name) && !drained[target.name] {
 		return notFound(target.kind, target.name, strings.Join(known, ", "))
@@ -128,7 +129,8 @@
 		}
 	}
 	for _, g := range s.Groups {
-		if target.kind == kindGroup && g.Spec == target.name && g.State != blackboard.Released {
+		named := g.Spec == target.name || g.ID == target.name
+		if target.kind == kindGroup && named && g.State != blackboard.Released {
 			left = append(left, g.ID+" ("+string(g.State)+")")
 		}
 	}
@@ -156,12 +158,20 @@
 	if err := i.change(f, current, change); err != nil {
 		return err
 	}
-	if target.kind == kindVM || wait <= 0 {
+	if _, whole := current.Groups[target.name]; !whole || target.kind == kindVM || wait <= 0 {
 		return nil
 	}
 	return i.awaitServing(wait, target.name, current.GroupReplicas(target.name))
 }
 
+func replicaIDs(s adminapi.Status) []string {
+	ids := make([]string, len(s.Groups))
+	for i, g := range s.Groups {
+		ids[i] = g.ID
+	}
+	return ids
+}
+
 func vmNames(s adminapi.Status) []string {
 	names := make([]string, len(s.VMs))
 	for i, v := range s.VMs {
--- a/internal/tool/fake_test.go
+++ b/internal/tool/fake_test.go
@@ -63,18 +63,13 @@
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		if f.token != "" && r.Header.Get("Authorization") != "Bearer "+f.token {
-			refuse(w, http.StatusUnauthorized, failure.New(failure.TypeUnauthenticated, "wrong token"))
+			failure.Write(w, failure.New(failure.TypeUnauthenticated, "wrong token"))
 			return
 		}
 		next.ServeHTTP(w, r)
 	})
 }
 
-func refuse(w http.ResponseWriter, status int, e *failure.Error) {
-	w.WriteHeader(status)
-	_ = json.NewEncoder(w).Encode(e)
-}
-
 func answer(w http.ResponseWriter, v any) { _ = json.NewEncoder(w).Encode(v) }
 
 func (f *fakeAdmin) status(w http.ResponseWriter, _ *http.Request) {
@@ -122,10 +117,8 @@
 		f.loseAnswers--
 		connection, _, _ := w.(http.Hijacker).Hijack()
 		_ = connection.Close()
-	case outcome.Failure != nil && outcome.Failure.Type == failure.TypeConflict:
-		refuse(w, http.StatusConflict, outcome.Failure)
 	case outcome.Failure != nil:
-		refuse(w, http.StatusBadRequest, outcome.Failure)
+		failure.Write(w, outcome.Failure)
 	default:
 		answer(w, adminapi.ChangeReply{Revision: outcome.Revision})
 	}
@@ -143,7 +136,7 @@
 
 func (f *fakeAdmin) nextEvents(w http.ResponseWriter, _ *http.Request) {
 	if len(f.events) == 0 {
-		refuse(w, http.StatusNotFound, failure.New(failure.TypeNotFound, "no more events"))
+		failure.Write(w, failure.New(failure.TypeNotFound, "no more events"))
 		return
 	}
 	answer(w, f.events[0])
