Placement: long requests fill a server up to 0.85 of its limit

Cause: long requests were held to 0.6 of a server's limit whether or not short ones used the rest; drafts of long-short waited 17.9 s at the 95th and 2.5% missed, while the servers had room. Change: the share bounds the whole load up to which a long request is placed. Conclusion: short requests keep a part, idle room is used.

--- a/internal/placement/options.go
+++ b/internal/placement/options.go
@@ -16,8 +16,8 @@
 	DataCentre string
 	// LongTokens is the work from which a request counts as long.
 	LongTokens int
-	// LongShare is the part of a backend server's limit, from 0 to 1, that
-	// long requests may hold.
+	// LongShare is the part of a backend server's limit, from 0 to 1, up to
+	// which it may be given long requests.
 	LongShare float64
 	// TokenInterval is the longest time between two tokens of one request at
 	// which a backend server may be given more work.
@@ -28,9 +28,9 @@
 const (
 	// DefaultLongTokens is admission's default as well.
 	DefaultLongTokens = 4096
-	// DefaultLongShare leaves short requests two fifths of each backend
-	// server, so that they never wait until a long one ends.
-	DefaultLongShare = 0.6
+	// DefaultLongShare leaves short requests a part of each backend server, so
+	// that they never wait until a long one ends.
+	DefaultLongShare = 0.85
 	// DefaultTokenInterval is the users' aim for 95 in 100.
 	DefaultTokenInterval = 62 * time.Millisecond
 )
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -109,12 +109,9 @@
 	if t.load == 0 {
 		return true
 	}
-	limit := t.limit * t.part(now)
-	if t.load+float64(tokens) > limit*(1-reserve) {
-		return false
-	}
-	if tokens < o.LongTokens || t.mineLong == 0 {
-		return true
+	limit := t.limit * t.part(now) * (1 - reserve)
+	if tokens >= o.LongTokens {
+		limit *= o.LongShare
 	}
-	return float64(t.mineLong)*t.pool.others+float64(tokens) <= limit*o.LongShare
+	return t.load+float64(tokens) <= limit
 }
