--- a/internal/admission/estimate.go
+++ b/internal/admission/estimate.go
@@ -91,7 +91,7 @@
 	deviationWeight = 1.0 / 4
 	// deviations is how many mean deviations are added, so that about 19 in 20
 	// requests end within the estimate.
-	deviations = 2
+	deviations = 1
 )
 
 // serviceTime estimates how long a request takes on a backend server by its
