--- a/internal/control/forward.go
+++ b/internal/control/forward.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"time"
@@ -26,11 +27,11 @@
 	return func(next echo.HandlerFunc) echo.HandlerFunc {
 		return func(c echo.Context) error {
 			st := s.o.Consensus.Status()
-			here := !st.Founded || st.LeaderAddress == "" || st.Leader == st.ID
+			here := !st.Founded || st.Leader.Address == "" || st.Leader.ID == st.ID
 			if here || c.Path() == adminapi.PathInit {
 				return next(c)
 			}
-			return f.forward(c, st.LeaderAddress)
+			return f.forward(c, st.Leader.Address)
 		}
 	}
 }
@@ -39,7 +40,9 @@
 // comes back; the operator's change id makes a resend safe.
 func (f *Forwarder) forward(c echo.Context, leader string) error {
 	in := c.Request()
-	out, err := http.NewRequestWithContext(in.Context(), in.Method,
+	ctx, cancel := context.WithTimeout(in.Context(), forwardTimeout)
+	defer cancel()
+	out, err := http.NewRequestWithContext(ctx, in.Method,
 		"http://"+leader+in.URL.RequestURI(), io.LimitReader(in.Body, maxAdminBody))
 	if err != nil {
 		return failure.New(failure.TypeBadRequest, err.Error())
