--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -114,6 +114,10 @@
 	Path   string
 	Header http.Header
 	Body   []byte
+	// Fresh asks for a connection of its own. A pooled one may have gone
+	// silent; the making of a new one shows that the path works right before
+	// a call is sent whose unknown outcome would be final.
+	Fresh bool
 }
 
 // ServiceAnswer is the head of a plain service's answer; Body ends with
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -45,17 +45,38 @@
 	c.authorise(request)
 	stop := startTimer(headerTimeout, func() { cancel(errHeaderTimeout) })
 	//nolint:bodyclose // whoever gets the exchange closes the body
-	response, err := c.transports.get(r.address).RoundTrip(request)
+	response, err := c.transportFor(r).RoundTrip(request)
 	stop()
 	if err != nil {
 		sent := used.sent()
 		cause := causeOf(ctx, err)
 		cancel(nil)
+		c.suspect(r.address, used, cause)
 		return nil, &CallError{Address: r.address, Sent: sent, Cause: cause}
 	}
 	return &exchange{response: response, ctx: ctx, cancel: cancel}, nil
 }
 
+func (c *HTTPClient) transportFor(r outgoing) *http.Transport {
+	if r.fresh {
+		return c.transports.fresh
+	}
+	return c.transports.get(r.address)
+}
+
+// suspect retires an address's idle connections after a pooled one has
+// brought no header by the call's deadline.
+//
+// The failure guarded against: a middlebox has lost track of the open
+// connections. A plain service sends no keep-alives, so each further call
+// would hang on the next idle connection until its own deadline. When the
+// service was only slow, this costs a few new connections.
+func (c *HTTPClient) suspect(address string, used usedConn, cause error) {
+	if used.reused && errors.Is(cause, context.DeadlineExceeded) {
+		c.transports.retire(address)
+	}
+}
+
 // usedConn remembers the connection of a request. RoundTrip calls got in its
 // own goroutine and returns later, so no lock is needed.
 type usedConn struct {
@@ -63,9 +84,12 @@
 	mark uint64
 	// foreign is a connection of a kind that can prove nothing.
 	foreign bool
+	// reused says that the connection came from the pool.
+	reused bool
 }
 
 func (u *usedConn) got(info httptrace.GotConnInfo) {
+	u.reused = info.Reused
 	conn, ok := info.Conn.(*sealedConn)
 	if !ok {
 		u.foreign = true
@@ -93,6 +117,8 @@
 	path    string
 	header  http.Header
 	body    []byte
+	// fresh asks for a connection that is not from the pool.
+	fresh bool
 }
 
 func (r outgoing) build(ctx context.Context) (*http.Request, error) {
--- a/internal/backend/http_client_test.go
+++ b/internal/backend/http_client_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -308,6 +309,65 @@
 	assert.Equal(t, second.Load(), int64(1))
 }
 
+// A lookup hangs until its deadline on a pooled connection that has gone
+// silent. The next lookup must not hang on the next idle one, and a call whose
+// outcome may not stay unknown must not use the pool at all.
+func TestDeadlineOnAPooledConnectionRetiresIdleOnes(t *testing.T) {
+	const pooled = 4
+	var conns, hang, requests atomic.Int64
+	var together sync.WaitGroup
+	together.Add(pooled)
+	s := httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if requests.Add(1) <= pooled {
+			together.Done()
+			together.Wait()
+		}
+		if hang.Load() > 0 {
+			<-r.Context().Done()
+		}
+	}))
+	s.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			conns.Add(1)
+		}
+	}
+	s.Start()
+	t.Cleanup(s.Close)
+	c := newClient(t, Options{})
+	call := func(fresh bool) error {
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		if hang.Load() > 0 {
+			ctx, cancel = context.WithTimeout(t.Context(), 20*time.Millisecond)
+		}
+		defer cancel()
+		request := ServiceCall{Method: "GET", Path: "/", Fresh: fresh}
+		answer, err := c.Call(ctx, s.Listener.Addr().String(), request)
+		if err != nil {
+			return err
+		}
+		_, _ = io.ReadAll(answer.Body)
+		return answer.Body.Close()
+	}
+	var wg sync.WaitGroup
+	for range pooled {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			assert.Check(t, call(false) == nil)
+		}()
+	}
+	wg.Wait()
+	hang.Store(1)
+	assert.ErrorIs(t, call(false), context.DeadlineExceeded)
+	hang.Store(0)
+	before := conns.Load()
+	assert.NilError(t, call(false))
+	assert.NilError(t, call(false))
+	assert.Equal(t, conns.Load(), before+1)
+	assert.NilError(t, call(true))
+	assert.Equal(t, conns.Load(), before+2)
+}
+
 func TestPrefixBlocks(t *testing.T) {
 	text := strings.Repeat("a", PrefixBlockBytes)
 	one := PrefixBlocks(text + "tail")
--- a/internal/backend/http_service.go
+++ b/internal/backend/http_service.go
@@ -23,6 +23,7 @@
 		path:    s.Path,
 		header:  endToEnd(s.Header),
 		body:    s.Body,
+		fresh:   s.Fresh,
 	}
 	r.header.Set(HeaderAttempt, s.Attempt)
 	x, err := c.send(ctx, r, 0)
--- a/internal/backend/transports.go
+++ b/internal/backend/transports.go
@@ -15,6 +15,9 @@
 type transports struct {
 	options Options
 
+	// fresh pools nothing: each request makes a connection.
+	fresh *http.Transport
+
 	mu        sync.Mutex
 	byAddress map[string]*addressTransport
 }
@@ -25,7 +28,10 @@
 }
 
 func newTransports(o Options) *transports {
-	return &transports{options: o, byAddress: map[string]*addressTransport{}}
+	t := &transports{options: o, byAddress: map[string]*addressTransport{}}
+	t.fresh = t.build()
+	t.fresh.DisableKeepAlives = true
+	return t
 }
 
 func (t *transports) get(address string) *http.Transport {
--- /dev/null
+++ b/test/process/answers_test.go
@@ -0,0 +1,127 @@
+package process
+
+import (
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/citronstep/citronstep/internal/failure"
+	"github.com/citronstep/citronstep/internal/standin"
+	"github.com/citronstep/citronstep/test/process/harness"
+)
+
+// A memo comes back half-written, with a sentence twice, or with another
+// caller's words. An engine's answer was cut, doubled, crossed, had a hole, a
+// false end mark or no JSON, came to a standstill or came late; the entry
+// passed it on as whole. Each kind of bad answer happens once on each of two
+// groups, and every caller must still get the whole answer to its own prompt.
+func TestBadAnswersNeverReachACallerAsWhole(t *testing.T) {
+	c, engines := smallSystem(t, small(quick), 2, "-token-interval", "1ms")
+	entry := c.Entries()[0]
+	for _, kind := range []standin.StreamFault{
+		standin.StreamCut, standin.StreamCrossed, standin.StreamDoubled, standin.StreamSkipped, standin.StreamShort,
+		standin.StreamMalformed, standin.StreamOverlong, standin.StreamStalled, standin.StreamLate,
+	} {
+		for _, stream := range []bool{false, true} {
+			for _, after := range []int{0, 3} {
+				name := string(kind) + " after " + strconv.Itoa(after) + " stream " + strconv.FormatBool(stream)
+				t.Run(name, func(t *testing.T) {
+					earnRetries(t, entry, 2)
+					faultAll(engines, standin.StreamFaults{
+						Kind: kind, After: after, DelayMillis: 50, Answers: 1, Marker: "memo",
+					})
+					request := harness.Completion{Model: "demo", Prompt: newPrompt("memo"), MaxTokens: 8, Stream: stream}
+					reply := harness.Complete(t.Context(), entry.Entry, request)
+					assert.Assert(t, reply.Right(request), "%+v", reply)
+				})
+			}
+		}
+	}
+}
+
+// Forty callers ask at once while every tenth answer or so goes wrong, each in
+// another way. Answers cross in the engines, the entry and the connections
+// between; nobody may get a token that is not its own.
+func TestCallersGetTheirOwnAnswersSideBySide(t *testing.T) {
+	c, engines := smallSystem(t, small(quick), 3, "-token-interval", "1ms", "-slots", "32")
+	kinds := []standin.StreamFault{standin.StreamCrossed, standin.StreamDoubled, standin.StreamCut}
+	for i, e := range engines {
+		e.Fault(standin.FaultOrder{Faults: standin.Faults{
+			Stream: standin.StreamFaults{Kind: kinds[i], After: 5, Marker: "7 "},
+		}})
+	}
+	entries := c.Entries()
+	var wg sync.WaitGroup
+	for i := range 40 {
+		request := harness.Completion{
+			Model: "demo", Prompt: strconv.Itoa(i) + " " + newPrompt("summary"), MaxTokens: 24, Stream: i%2 == 0,
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			reply := harness.Complete(t.Context(), entries[i%len(entries)].Entry, request)
+			checkReply(t, c, request, reply)
+		}()
+	}
+	wg.Wait()
+}
+
+// An engine's answers all break. The caller must be told so, with what may
+// have run, and never that it did not.
+func TestAnswersThatAllBreakAreRefusedAsMayHaveRun(t *testing.T) {
+	c, engines := smallSystem(t, small(quick), 2)
+	faultAll(engines, standin.StreamFaults{Kind: standin.StreamCut, After: 2})
+	request := harness.Completion{Model: "demo", Prompt: newPrompt("memo"), MaxTokens: 8}
+	for _, stream := range []bool{false, true} {
+		request.Stream = stream
+		reply := harness.Complete(t.Context(), c.Entries()[0].Entry, request)
+		assert.Assert(t, !reply.Whole)
+		assert.Assert(t, reply.Refusal != nil, "%+v", reply)
+		assert.Equal(t, reply.Refusal.Ran, failure.RanUnknown)
+	}
+}
+
+// A caller is told "not run" and sends its work elsewhere, though it ran. Each
+// cause of a refusal is brought about once; where the answer says "not run",
+// no backend server may have begun the request.
+func TestRefusedAsNotRunDidNotRun(t *testing.T) {
+	c, engines := smallSystem(t, small(quick), 1, "-token-interval", "5ms")
+	service := c.StartService("audit-1", "audit")
+	entry := c.Entries()[0]
+	awaitService(t, entry, "audit")
+
+	t.Run("engine is full", func(t *testing.T) {
+		engines[0].Fault(standin.FaultOrder{Faults: standin.Faults{FullQueue: true}})
+		request := harness.Completion{Model: "demo", Prompt: newPrompt("full"), MaxTokens: 4, TimeoutMillis: 2000}
+		reply := harness.Complete(t.Context(), entry.Entry, request)
+		assert.Assert(t, reply.Refusal != nil, "%+v", reply)
+		checkReply(t, c, request, reply)
+		assert.Assert(t, reply.RetryAfter != "")
+		engines[0].Fault(standin.FaultOrder{})
+	})
+	t.Run("service says not started", func(t *testing.T) {
+		service.Fault(standin.FaultOrder{Faults: standin.Faults{FullQueue: true}})
+		call := harness.ServiceRequest{Service: "audit", Method: http.MethodPost, Path: "/", Body: []byte(newPrompt("note"))}
+		reply := harness.CallService(t.Context(), entry.Entry, call)
+		assert.Assert(t, reply.Refusal != nil, "%+v", reply)
+		assert.Equal(t, reply.Refusal.Ran, failure.RanNo)
+		assert.Equal(t, len(c.RunsOf(standin.BodyHash(call.Body))), 0)
+		service.Fault(standin.FaultOrder{})
+	})
+	t.Run("deadline is too short", func(t *testing.T) {
+		request := harness.Completion{Model: "demo", Prompt: newPrompt("late"), MaxTokens: 400, TimeoutMillis: 300}
+		reply := harness.Complete(t.Context(), entry.Entry, request)
+		assert.Assert(t, reply.Refusal != nil, "%+v", reply)
+		checkReply(t, c, request, reply)
+	})
+	t.Run("no engine is left", func(t *testing.T) {
+		engines[0].Kill()
+		request := harness.Completion{Model: "demo", Prompt: newPrompt("gone"), MaxTokens: 4, TimeoutMillis: 8000}
+		reply := harness.Complete(t.Context(), entry.Entry, request)
+		assert.Assert(t, reply.Refusal != nil, "%+v", reply)
+		checkReply(t, c, request, reply)
+	})
+}
--- a/test/process/harness/standins.go
+++ b/test/process/harness/standins.go
@@ -81,21 +81,21 @@
 	return out
 }
 
-// Fault posts a fault order to the stand-in.
+// Fault posts a fault order to the stand-in, when it is back from a crash.
 func (s *Standin) Fault(o standin.FaultOrder) {
 	s.t.Helper()
 	body, err := json.Marshal(o)
 	if err != nil {
 		s.t.Fatalf("fault of %s: %v", s.ID, err)
 	}
-	response, err := direct.Post("http://"+s.Direct+standin.PathFaults, "application/json", bytes.NewReader(body))
-	if err != nil {
-		s.t.Fatalf("fault of %s: %v", s.ID, err)
-	}
-	_ = response.Body.Close()
-	if response.StatusCode != http.StatusOK {
-		s.t.Fatalf("fault of %s: %s", s.ID, response.Status)
-	}
+	Await(s.t, s.ID+" takes its faults", func() bool {
+		response, err := direct.Post("http://"+s.Direct+standin.PathFaults, "application/json", bytes.NewReader(body))
+		if err != nil {
+			return false
+		}
+		_ = response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	})
 }
 
 // Runs returns the runs of all the process's lives, each with its last known
--- a/test/process/helpers_test.go
+++ b/test/process/helpers_test.go
@@ -2,11 +2,17 @@
 
 import (
 	"fmt"
+	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
 
+	"gotest.tools/v3/assert"
+
 	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/failure"
+	"github.com/citronstep/citronstep/internal/settings"
+	"github.com/citronstep/citronstep/internal/standin"
 	"github.com/citronstep/citronstep/test/process/harness"
 )
 
@@ -45,3 +51,104 @@
 	}
 	return c, engines
 }
+
+// small is one control and entry process and one entry-only process.
+func small(adjust func(*settings.Settings)) harness.ClusterSpec {
+	return harness.ClusterSpec{
+		Nodes: []harness.NodeSpec{
+			{Name: "n1", DataCentre: "dc1", Entry: true, Control: true},
+			{Name: "n2", DataCentre: "dc1", Entry: true},
+		},
+		Adjust: func(s *settings.Settings) {
+			s.Control.Voters = 1
+			adjust(s)
+		},
+	}
+}
+
+// quick shortens the deadlines of progress, so that stalls end soon.
+func quick(s *settings.Settings) {
+	s.Entry.HeaderTimeoutMillis = 500
+	s.Entry.FirstTokenTimeoutMillis = 1000
+	s.Entry.TokenGapMillis = 500
+}
+
+// requestsForARetry is how many admitted requests earn a workspace one retry
+// (admission.DefaultRetryRatio).
+const requestsForARetry = 10
+
+// earnRetries lets the workspace earn so many retries on an entry: in a test
+// more of its requests fail than in a working day.
+func earnRetries(t *testing.T, n *harness.Node, retries int) {
+	t.Helper()
+	for range retries * requestsForARetry {
+		awaitAnswer(t, n, harness.Completion{Model: "demo", Prompt: newPrompt("ordinary"), MaxTokens: 1})
+	}
+}
+
+func faultAll(standins []*harness.Standin, f standin.StreamFaults) {
+	for _, s := range standins {
+		s.Fault(standin.FaultOrder{Faults: standin.Faults{Stream: f}})
+	}
+}
+
+// checkReply checks what must hold of every reply: a whole answer is the right
+// one, and what is refused as not run has no run.
+func checkReply(t *testing.T, c *harness.Cluster, request harness.Completion, reply harness.Reply) {
+	t.Helper()
+	if reply.Whole {
+		assert.Check(t, reply.Right(request), "%q got %+v", request.Prompt, reply)
+		return
+	}
+	assert.Check(t, reply.Refusal != nil, "%q got neither answer nor refusal: %+v", request.Prompt, reply)
+	if reply.Refusal != nil && reply.Refusal.Ran == failure.RanNo {
+		assert.Check(t, len(c.RunsOf(request.Prompt)) == 0, "%q was refused as not run: %+v", request.Prompt, reply.Refusal)
+	}
+}
+
+func awaitService(t *testing.T, n *harness.Node, name string) {
+	t.Helper()
+	harness.Await(t, n.Spec.Name+" routes to "+name, func() bool {
+		call := harness.ServiceRequest{Service: name, Method: http.MethodGet, Path: "/", TimeoutMillis: 2000}
+		return harness.CallService(t.Context(), n.Entry, call).Whole
+	})
+}
+
+// resendUntilFinal sends a request to the running entries in turn until it
+// gets an answer, or a refusal that no resend changes.
+func resendUntilFinal(t *testing.T, c *harness.Cluster, request harness.Completion) harness.Reply {
+	t.Helper()
+	var last harness.Reply
+	turn := 0
+	harness.Await(t, "a final answer for "+request.Key, func() bool {
+		entries := c.Entries()
+		turn++
+		n := entries[turn%len(entries)]
+		if !n.Running() {
+			return false
+		}
+		last = harness.Complete(t.Context(), n.Entry, request)
+		return last.Whole || (last.Refusal != nil && last.Refusal.Type == failure.TypeOutcomeUnknown)
+	})
+	return last
+}
+
+func logHas(n *harness.Node, text string) bool { return strings.Contains(n.Log(), text) }
+
+func leaderOf(t *testing.T, c *harness.Cluster) *harness.Node {
+	t.Helper()
+	var leader *harness.Node
+	harness.Await(t, "a control replica leads", func() bool {
+		status, err := c.Status()
+		if err != nil {
+			return false
+		}
+		for _, r := range status.Replicas {
+			if r.Role == "leader" {
+				leader = c.Node(r.VM)
+			}
+		}
+		return leader != nil
+	})
+	return leader
+}
