--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -50,8 +50,8 @@
 	if err != nil {
 		sent := used.sent()
 		cause := causeOf(ctx, err)
+		c.suspect(ctx, r.address, used)
 		cancel(nil)
-		c.suspect(r.address, used, cause)
 		return nil, &CallError{Address: r.address, Sent: sent, Cause: cause}
 	}
 	return &exchange{response: response, ctx: ctx, cancel: cancel}, nil
@@ -65,14 +65,15 @@
 }
 
 // suspect retires an address's idle connections after a pooled one has
-// brought no header by the call's deadline.
+// brought no header until the call was given up.
 //
 // The failure guarded against: a middlebox has lost track of the open
 // connections. A plain service sends no keep-alives, so each further call
 // would hang on the next idle connection until its own deadline. When the
-// service was only slow, this costs a few new connections.
-func (c *HTTPClient) suspect(address string, used usedConn, cause error) {
-	if used.reused && errors.Is(cause, context.DeadlineExceeded) {
+// service was only slow, this costs a few new connections; a call given up
+// within SuspectAfter says nothing.
+func (c *HTTPClient) suspect(ctx context.Context, address string, used usedConn) {
+	if used.reused && ctx.Err() != nil && time.Since(used.since) >= c.options.SuspectAfter {
 		c.transports.retire(address)
 	}
 }
@@ -86,10 +87,12 @@
 	foreign bool
 	// reused says that the connection came from the pool.
 	reused bool
+	since  time.Time
 }
 
 func (u *usedConn) got(info httptrace.GotConnInfo) {
 	u.reused = info.Reused
+	u.since = time.Now()
 	conn, ok := info.Conn.(*sealedConn)
 	if !ok {
 		u.foreign = true
--- a/internal/backend/http_client_test.go
+++ b/internal/backend/http_client_test.go
@@ -333,7 +333,7 @@
 	}
 	s.Start()
 	t.Cleanup(s.Close)
-	c := newClient(t, Options{})
+	c := newClient(t, Options{SuspectAfter: time.Millisecond})
 	call := func(fresh bool) error {
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		if hang.Load() > 0 {
--- a/internal/backend/options.go
+++ b/internal/backend/options.go
@@ -30,6 +30,10 @@
 	// IdleTimeout ends an idle connection; default 30 s. It is shorter than
 	// the idle limits usual in middleboxes, which drop silently.
 	IdleTimeout time.Duration
+	// SuspectAfter is how long a call on a pooled connection waits for its
+	// header before its end makes the address's idle connections suspect;
+	// default 500 ms.
+	SuspectAfter time.Duration
 	// ForgetAfter drops what is kept for an address not used for so long;
 	// default 10 min.
 	ForgetAfter time.Duration
@@ -43,6 +47,7 @@
 	defaultMaxHeader     = 64 << 10
 	defaultMaxIdle       = 64
 	defaultIdleTimeout   = 30 * time.Second
+	defaultSuspectAfter  = 500 * time.Millisecond
 	defaultForgetAfter   = 10 * time.Minute
 )
 
@@ -54,6 +59,7 @@
 	setDefault(&o.MaxHeaderBytes, defaultMaxHeader)
 	setDefault(&o.MaxIdle, defaultMaxIdle)
 	setDefault(&o.IdleTimeout, defaultIdleTimeout)
+	setDefault(&o.SuspectAfter, defaultSuspectAfter)
 	setDefault(&o.ForgetAfter, defaultForgetAfter)
 	if o.Logger == nil {
 		o.Logger = log.NewNopLogger()
