Random run with a checker, as a command and as a short test

Change: callers that resend without end, 21 kinds of faults and planned stops, a checker of answers against runs; the checker's own test finds each violation.

--- a/test/process/harness/link.go
+++ b/test/process/harness/link.go
@@ -9,8 +9,8 @@
 )
 
 func init() {
-	// Toxiproxy logs each connection.
-	logrus.SetLevel(logrus.ErrorLevel)
+	// Toxiproxy logs each connection, and each one that a killed process refuses.
+	logrus.SetLevel(logrus.FatalLevel)
 }
 
 // Link leads to one process. Others are told the link's address in place of
--- /dev/null
+++ b/test/randomrun/main.go
@@ -0,0 +1,48 @@
+// Command randomrun drives a whole system of real processes with resending
+// callers under seeded faults, and checks every answer.
+//
+//	go run ./test/randomrun -seed 1 -duration 30s
+//	go run ./test/randomrun -seed 1 -runs 20 -duration 1m
+//
+// It ends with status 1 when a run has found a violation.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/citronstep/citronstep/test/process/harness"
+	"github.com/citronstep/citronstep/test/workload"
+)
+
+func main() {
+	seed := flag.Uint64("seed", 1, "seed of the first run")
+	runs := flag.Int("runs", 1, "number of runs, each with the next seed")
+	duration := flag.Duration("duration", 30*time.Second, "time of faults in each run")
+	callers := flag.Int("callers", 8, "number of callers")
+	keep := flag.Bool("logs", false, "show the end of each process's log when a run fails")
+	flag.Parse()
+	status := 0
+	for i := range *runs {
+		o := workload.Options{Seed: *seed + uint64(i), Duration: *duration, Callers: *callers}
+		if !one(o, *keep) {
+			status = 1
+		}
+	}
+	harness.RemovePrograms()
+	os.Exit(status)
+}
+
+func one(o workload.Options, logs bool) bool {
+	t := &runner{logs: logs}
+	report := t.run(func() workload.Report { return workload.Run(t, o) })
+	fmt.Printf("seed %d: %d works, %d sends: %d whole, %d not run, %d unknown, %d lost; %d runs; %d faults; %d violations\n",
+		o.Seed, report.Works, report.Sends, report.Whole, report.NotRun, report.Unknown, report.Lost,
+		report.Runs, len(report.Faults), len(report.Violations))
+	for _, v := range report.Violations {
+		fmt.Println("  violation:", v)
+	}
+	return !t.failed && len(report.Violations) == 0
+}
--- /dev/null
+++ b/test/workload/run.go
@@ -0,0 +1,131 @@
+package workload
+
+import (
+	"context"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/settings"
+	"github.com/citronstep/citronstep/internal/standin"
+	"github.com/citronstep/citronstep/test/process/harness"
+)
+
+// Options are the settings of a random run.
+type Options struct {
+	Seed uint64
+	// Duration is how long faults go on and new work is begun.
+	Duration time.Duration
+	Callers  int
+}
+
+// Report is what a random run found.
+type Report struct {
+	Works      int
+	Sends      int
+	Whole      int
+	NotRun     int
+	Unknown    int
+	Lost       int
+	Runs       int
+	Faults     []string
+	Violations []string
+}
+
+// The sizes of the system of a random run.
+const (
+	groups        = 3
+	vmsPerReplica = 2
+	engines       = 7
+	instances     = 2
+)
+
+// Run starts a system, drives it and checks it. Violations of the processes'
+// own invariants end them and are found in their logs.
+func Run(t harness.T, o Options) Report {
+	c := harness.NewCluster(t, spec())
+	c.Found(blackboard.GroupSpec{
+		Name: "memos", Model: model, Replicas: groups, VMsPerReplica: vmsPerReplica, Worth: 10,
+	})
+	f := &faulter{t: t, cluster: c, random: rand.New(rand.NewPCG(o.Seed, 0))}
+	f.engines = c.StartEngines(engines, "vm", "d1", "-token-interval", "5ms", "-load-time", "200ms", "-group-timeout", "1s")
+	for _, id := range []string{"records-1", "records-2"}[:instances] {
+		f.service = append(f.service, c.StartService(id, service, "-call-time", "10ms"))
+	}
+	c.AwaitGroups(model, groups)
+	c.AwaitReady()
+
+	callers := &callers{cluster: c, seed: o.Seed, count: o.Callers}
+	drive(f, callers, o.Duration)
+	runs := c.Runs()
+	report := summarise(callers.works, runs, f.Log)
+	report.Violations = append(Check(callers.works, runs), invariantsBroken(c)...)
+	return report
+}
+
+// drive lets callers and faults go on for the duration, heals, and waits for
+// the callers to settle what they have begun.
+func drive(f *faulter, callers *callers, duration time.Duration) {
+	stop := make(chan struct{})
+	done := make(chan struct{})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		defer close(done)
+		callers.run(ctx, stop)
+	}()
+	faultsCtx, endFaults := context.WithTimeout(ctx, duration)
+	defer endFaults()
+	f.run(faultsCtx)
+	f.heal()
+	close(stop)
+	settle := time.AfterFunc(settleTime, cancel)
+	defer settle.Stop()
+	<-done
+}
+
+func spec() harness.ClusterSpec {
+	s := harness.Standard()
+	s.Adjust = func(s *settings.Settings) {
+		s.Entry.HeaderTimeoutMillis = 500
+		s.Entry.FirstTokenTimeoutMillis = 1500
+		s.Entry.TokenGapMillis = 700
+		s.Entry.BalancerMillis = 300
+	}
+	return s
+}
+
+func summarise(works []*Work, runs []standin.Run, faults []string) Report {
+	r := Report{Works: len(works), Runs: len(runs), Faults: faults}
+	for _, w := range works {
+		for _, s := range w.Sends {
+			r.Sends++
+			switch {
+			case s.Reply.Whole:
+				r.Whole++
+			case s.Reply.Refusal == nil:
+				r.Lost++
+			case s.Reply.Refusal.Ran == "no":
+				r.NotRun++
+			default:
+				r.Unknown++
+			}
+		}
+	}
+	return r
+}
+
+// invariantsBroken finds the processes that ended by a broken invariant or a
+// panic.
+func invariantsBroken(c *harness.Cluster) []string {
+	var out []string
+	for _, n := range c.Nodes {
+		for _, line := range strings.Split(n.Log(), "\n") {
+			if strings.HasPrefix(line, "panic:") || strings.Contains(line, "DATA RACE") {
+				out = append(out, n.Spec.Name+": "+line)
+			}
+		}
+	}
+	return out
+}
