--- a/test/process/at_most_once_test.go
+++ b/test/process/at_most_once_test.go
@@ -64,6 +64,7 @@
 	assert.Assert(t, !(<-lost).Whole)
 
 	reply := resendUntilFinal(t, c, request)
+	assert.Assert(t, !reply.Whole, "%+v", reply)
 	assert.Equal(t, reply.Refusal.Type, failure.TypeOutcomeUnknown, "%+v", reply)
 	assert.Equal(t, len(c.RunsOf(request.Prompt)), 1)
 }
