citronstep load: drive a running system as callers do and check every answer

Each try of a request carries one idempotency key; Retry-After is a lower bound. Times count from when a request was due, so a stalled system can't hide its queue. With stand-in engines the text is compared with the one right text.

--- /dev/null
+++ b/internal/loadgen/draw.go
@@ -0,0 +1,83 @@
+package loadgen
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+)
+
+// request is one request as it was drawn. Nothing in it depends on what the
+// system answers.
+type request struct {
+	number    int
+	flow      int
+	target    string
+	marker    string
+	prompt    string
+	maxTokens int
+	// wait is the time since the request before it, in an open loop.
+	wait time.Duration
+}
+
+// drawer draws the requests of a plan in their order.
+type drawer struct {
+	plan    *Plan
+	random  *rand.Rand
+	weights int
+	next    int
+}
+
+func newDrawer(p *Plan) *drawer {
+	d := &drawer{plan: p, random: rand.New(rand.NewPCG(p.Seed, 0))}
+	for _, f := range p.Flows {
+		d.weights += f.Weight
+	}
+	return d
+}
+
+// draw returns the next request, or false past the plan's count.
+func (d *drawer) draw() (request, bool) {
+	if d.next >= d.plan.Count {
+		return request{}, false
+	}
+	r := request{
+		number: d.next,
+		flow:   d.pickFlow(),
+		target: d.plan.Targets[d.next%len(d.plan.Targets)],
+		marker: fmt.Sprintf("load-%s-%x-%d", d.plan.RunID, d.plan.Seed, d.next),
+	}
+	f := d.plan.Flows[r.flow]
+	r.prompt = d.prompt(f, r.marker)
+	r.maxTokens = d.around(f.MaxTokens)
+	if d.plan.Rate > 0 {
+		r.wait = time.Duration(d.random.ExpFloat64() / d.plan.Rate * float64(time.Second))
+	}
+	d.next++
+	return r, true
+}
+
+func (d *drawer) pickFlow() int {
+	n := d.random.IntN(d.weights)
+	for i, f := range d.plan.Flows {
+		if n < f.Weight {
+			return i
+		}
+		n -= f.Weight
+	}
+	return 0
+}
+
+// around draws evenly from half to one and a half of mean.
+func (d *drawer) around(mean int) int {
+	return max(1, mean/2+d.random.IntN(mean+1))
+}
+
+// prompt returns a text that begins with one of the flow's beginnings and
+// ends with the request's own marker.
+func (d *drawer) prompt(f Flow, marker string) string {
+	beginning := fmt.Sprintf("%s document %d. ", f.Name, d.random.IntN(f.Prefixes))
+	size := d.around(f.PromptBytes)
+	filler := max(0, size-len(beginning)-len(marker)-1)
+	return beginning + strings.Repeat("x", filler) + " " + marker
+}
--- /dev/null
+++ b/internal/loadgen/exchange.go
@@ -0,0 +1,218 @@
+package loadgen
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/citronstep/citronstep/internal/failure"
+)
+
+// maxAnswer bounds what is read of one answer.
+const maxAnswer = 64 << 20
+
+// answer is what one request got, before it is judged.
+type answer struct {
+	status int
+	id     string
+	// mixed says that parts of one stream carried different ids.
+	mixed  bool
+	text   strings.Builder
+	tokens int
+	// reported is the token count that a whole answer states; -1 is none.
+	reported int
+	finish   string
+	// done says that the stream's end mark came, late that something came
+	// after it.
+	done, late bool
+	// malformed says that a part was not what the API promises.
+	malformed bool
+	refusal   *failure.Error
+	// retryAfter is what the refusal's header asked for; 0 is nothing.
+	retryAfter time.Duration
+	// cut is set when the connection ended before the answer did.
+	cut   error
+	times []time.Time
+}
+
+// completionPart is a whole answer, or one part of a stream.
+type completionPart struct {
+	ID      string `json:"id"`
+	Choices []struct {
+		Text         string  `json:"text"`
+		FinishReason *string `json:"finish_reason"`
+	} `json:"choices"`
+	Usage *struct {
+		CompletionTokens int `json:"completion_tokens"`
+	} `json:"usage"`
+	Error *failure.Error `json:"error"`
+}
+
+// send carries out one try of a request.
+func send(ctx context.Context, client *http.Client, f Flow, r request) *answer {
+	a := &answer{reported: -1}
+	httpRequest, err := newHTTPRequest(ctx, f, r)
+	if err != nil {
+		a.cut = errors.Trace(err)
+		return a
+	}
+	response, err := client.Do(httpRequest)
+	if err != nil {
+		a.cut = errors.Trace(err)
+		return a
+	}
+	defer func() { _ = response.Body.Close() }()
+	a.status = response.StatusCode
+	body := io.LimitReader(response.Body, maxAnswer)
+	switch {
+	case f.Service != "":
+		a.readService(response, body)
+	case response.StatusCode != http.StatusOK:
+		a.readRefusal(response, body)
+	case strings.HasPrefix(response.Header.Get("Content-Type"), "text/event-stream"):
+		a.readStream(body)
+	default:
+		a.readWhole(body)
+	}
+	return a
+}
+
+func newHTTPRequest(ctx context.Context, f Flow, r request) (*http.Request, error) {
+	url := "http://" + r.target + "/v1/completions"
+	body := []byte(r.prompt)
+	if f.Service != "" {
+		url = "http://" + r.target + "/services/" + f.Service + "/" + strings.TrimPrefix(f.Path, "/")
+	} else {
+		var err error
+		if body, err = json.Marshal(map[string]any{
+			"model": f.Model, "prompt": r.prompt, "max_tokens": r.maxTokens, "stream": f.Stream,
+		}); err != nil {
+			return nil, errors.Trace(err)
+		}
+	}
+	httpRequest, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	h := httpRequest.Header
+	h.Set("Content-Type", "application/json")
+	h.Set("Authorization", "Bearer "+f.Key)
+	h.Set(headerIdempotencyKey, r.marker)
+	if f.Class != "" {
+		h.Set(headerClass, f.Class)
+	}
+	if f.NonIdempotent {
+		h.Set(headerNonIdempotent, "true")
+	}
+	if f.Timeout > 0 {
+		h.Set(headerTimeout, strconv.FormatInt(f.Timeout.Milliseconds(), 10))
+	}
+	return httpRequest, nil
+}
+
+func (a *answer) readRefusal(response *http.Response, body io.Reader) {
+	data, err := io.ReadAll(body)
+	if err != nil {
+		a.cut = errors.Trace(err)
+		return
+	}
+	var refusal failure.Body
+	if err := json.Unmarshal(data, &refusal); err != nil || refusal.Error == nil {
+		a.malformed = true
+		return
+	}
+	a.refusal = refusal.Error
+	if seconds, err := strconv.Atoi(response.Header.Get("Retry-After")); err == nil {
+		a.retryAfter = time.Duration(seconds) * time.Second
+	}
+}
+
+// readService reads a plain service's answer; what the service itself
+// refuses counts as its answer.
+func (a *answer) readService(response *http.Response, body io.Reader) {
+	data, err := io.ReadAll(body)
+	if err != nil {
+		a.cut = errors.Trace(err)
+		return
+	}
+	var refusal failure.Body
+	if response.StatusCode >= http.StatusBadRequest && json.Unmarshal(data, &refusal) == nil && refusal.Error != nil {
+		a.readRefusal(response, bytes.NewReader(data))
+		return
+	}
+	a.times = append(a.times, time.Now())
+	a.text.Write(data)
+	a.done = true
+}
+
+func (a *answer) readWhole(body io.Reader) {
+	data, err := io.ReadAll(body)
+	if err != nil {
+		a.cut = errors.Trace(err)
+		return
+	}
+	a.times = append(a.times, time.Now())
+	a.take(data)
+	a.done = true
+}
+
+// readStream reads server-sent events up to the end of the connection, past
+// the end mark, so that whatever comes after it is seen.
+func (a *answer) readStream(body io.Reader) {
+	const longestLine = 1 << 20
+	lines := bufio.NewScanner(body)
+	lines.Buffer(make([]byte, 0, 4096), longestLine)
+	for lines.Scan() {
+		data, isData := strings.CutPrefix(lines.Text(), "data: ")
+		switch {
+		case !isData:
+		case a.done:
+			a.late = true
+		case data == "[DONE]":
+			a.done = true
+		default:
+			a.take([]byte(data))
+		}
+	}
+	if err := lines.Err(); err != nil && !a.done {
+		a.cut = errors.Trace(err)
+	}
+}
+
+func (a *answer) take(data []byte) {
+	var part completionPart
+	if err := json.Unmarshal(data, &part); err != nil {
+		a.malformed = true
+		return
+	}
+	if part.Error != nil {
+		a.refusal = part.Error
+		return
+	}
+	if len(part.Choices) != 1 {
+		a.malformed = true
+		return
+	}
+	a.mixed = a.mixed || (a.id != "" && a.id != part.ID)
+	a.id = part.ID
+	choice := part.Choices[0]
+	if choice.Text != "" {
+		a.times = append(a.times, time.Now())
+		a.tokens++
+		a.text.WriteString(choice.Text)
+	}
+	if choice.FinishReason != nil {
+		a.finish = *choice.FinishReason
+	}
+	if part.Usage != nil {
+		a.reported = part.Usage.CompletionTokens
+	}
+}
--- /dev/null
+++ b/internal/loadgen/judge.go
@@ -0,0 +1,136 @@
+package loadgen
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Verdict is what a request came to.
+type Verdict string
+
+// The verdicts. Those that Broken names break a promise of the system; Refused
+// and Cut do not, as the caller can tell that it has no whole answer.
+const (
+	// OK: the whole answer to its own request, once.
+	OK Verdict = "ok"
+	// Refused: a typed failure was the last word.
+	Refused Verdict = "refused"
+	// Cut: the connection ended, or nothing came in time.
+	Cut Verdict = "cut"
+	// NotWhole: it was passed off as whole and was not.
+	NotWhole Verdict = "not_whole"
+	// NotOwn: the text is not the answer to this request.
+	NotOwn Verdict = "not_own"
+	// Doubled: a request id was given to two requests, or a non-idempotent
+	// request ran more than once.
+	Doubled Verdict = "doubled"
+	// Malformed: not what the API promises.
+	Malformed Verdict = "malformed"
+)
+
+// Broken tells whether a verdict breaks a promise of the system.
+func (v Verdict) Broken() bool {
+	return v == NotWhole || v == NotOwn || v == Doubled || v == Malformed
+}
+
+// judge checks answers against each other and against what was asked.
+type judge struct {
+	expected func(prompt string, maxTokens int) string
+	mu       sync.Mutex
+	// owners maps each answer's request id to the marker that got it first.
+	owners map[string]string
+}
+
+func newJudge(expected func(string, int) string) *judge {
+	return &judge{expected: expected, owners: map[string]string{}}
+}
+
+func (j *judge) judge(f Flow, r request, a *answer) Verdict {
+	switch {
+	case a.malformed:
+		return Malformed
+	case a.refusal != nil:
+		return Refused
+	case a.cut != nil || !a.done:
+		// A stream without its end mark is cut, and its caller can tell.
+		return Cut
+	case a.late:
+		return NotWhole
+	case f.Service != "":
+		return j.judgeService(f, r, a)
+	case a.finish == "" || (a.reported >= 0 && a.reported > r.maxTokens) || a.tokens > r.maxTokens:
+		return NotWhole
+	case a.mixed || !j.owns(a.id, r.marker):
+		return Doubled
+	case j.expected == nil:
+		return OK
+	}
+	return compareText(a.text.String(), j.expected(r.prompt, r.maxTokens))
+}
+
+// compareText tells an answer that stops early or goes on from one that
+// belongs to another request.
+func compareText(got, want string) Verdict {
+	switch {
+	case got == want:
+		return OK
+	case len(got) < len(want) && got == want[:len(got)]:
+		return NotWhole
+	case len(got) > len(want) && got[:len(want)] == want:
+		return Doubled
+	}
+	return NotOwn
+}
+
+// owns tells whether the id belongs to this request alone. A resend under the
+// same key may get the id of its first try.
+func (j *judge) owns(id, marker string) bool {
+	if id == "" {
+		return false
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	owner, taken := j.owners[id]
+	if !taken {
+		j.owners[id] = marker
+	}
+	return !taken || owner == marker
+}
+
+// serviceEcho is what a stand-in service answers; BodyHash is the hash of the
+// body that it got, Run how often it ran that body.
+type serviceEcho struct {
+	BodyHash string `json:"body_hash"`
+	Run      int    `json:"run"`
+}
+
+// judgeService can check more than the status only where the service is a
+// stand-in, which echoes what it ran.
+func (j *judge) judgeService(f Flow, r request, a *answer) Verdict {
+	if a.status >= http.StatusInternalServerError {
+		return Refused
+	}
+	if j.expected == nil {
+		return OK
+	}
+	var echo serviceEcho
+	if err := json.Unmarshal([]byte(a.text.String()), &echo); err != nil {
+		return Malformed
+	}
+	switch {
+	case echo.BodyHash != bodyHash(r.prompt):
+		return NotOwn
+	case f.NonIdempotent && echo.Run != 1:
+		return Doubled
+	}
+	return OK
+}
+
+func bodyHash(body string) string {
+	const hexBase = 16
+	return strconv.FormatUint(xxhash.Sum64String(body), hexBase)
+}
--- /dev/null
+++ b/internal/loadgen/run.go
@@ -0,0 +1,194 @@
+package loadgen
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/citronstep/citronstep/internal/failure"
+)
+
+const (
+	// idleConnections keeps one connection a caller, as callers' own
+	// libraries do.
+	idleConnections = MaxConcurrency
+	// pauseWithoutAdvice is the wait before another try where the answer was
+	// cut and so held no Retry-After.
+	pauseWithoutAdvice = 200 * time.Millisecond
+	// spreadPart is the greatest part of a wait that is added at random, so
+	// that callers refused together do not come back together.
+	spreadPart = 0.2
+)
+
+// outcome is what one request came to, tries and waits included.
+type outcome struct {
+	flow    int
+	verdict Verdict
+	// refusal is the type of the last refusal, if that was the last word.
+	refusal failure.Type
+	ran     failure.Ran
+	tries   int
+	tokens  int
+	// first is the time to the first token, whole that to the end, both from
+	// when the request was due; gaps are the times between tokens.
+	first, whole time.Duration
+	gaps         []time.Duration
+	marker       string
+	id           string
+}
+
+// Run sends the plan's load until its count or duration is over or ctx ends,
+// waits for the requests in flight, and returns the report.
+func Run(ctx context.Context, p *Plan) (*Report, error) {
+	if err := p.Check(); err != nil {
+		return nil, errors.Trace(err)
+	}
+	transport := &http.Transport{MaxIdleConns: idleConnections, MaxIdleConnsPerHost: idleConnections}
+	defer transport.CloseIdleConnections()
+	g := &generator{
+		plan:     p,
+		client:   &http.Client{Transport: transport},
+		judge:    newJudge(p.Expected),
+		outcomes: make(chan outcome, p.Concurrency),
+		slots:    make(chan struct{}, p.Concurrency),
+	}
+	report := newReport(p)
+	var collected sync.WaitGroup
+	collected.Go(func() {
+		for o := range g.outcomes {
+			report.add(o)
+		}
+	})
+	started := time.Now()
+	g.send(ctx, newDrawer(p))
+	g.inFlight.Wait()
+	close(g.outcomes)
+	collected.Wait()
+	report.finish(time.Since(started), g.held)
+	return report, nil
+}
+
+type generator struct {
+	plan     *Plan
+	client   *http.Client
+	judge    *judge
+	outcomes chan outcome
+	// slots bounds the open requests.
+	slots    chan struct{}
+	inFlight sync.WaitGroup
+	// held counts the open loop's requests that were due while all slots were
+	// taken. Their wait counts into their times.
+	held int
+}
+
+// send starts the requests in their order. A closed loop starts one whenever
+// a slot is free; an open loop starts one when it is due.
+func (g *generator) send(ctx context.Context, d *drawer) {
+	over, cancel := context.WithTimeout(ctx, g.plan.Duration)
+	defer cancel()
+	due := time.Now()
+	for {
+		r, more := d.draw()
+		if !more {
+			return
+		}
+		due = due.Add(r.wait)
+		if g.plan.Rate > 0 && !sleepUntil(over, due) {
+			return
+		}
+		if !g.takeSlot(over) {
+			return
+		}
+		at := due
+		if g.plan.Rate == 0 {
+			at = time.Now()
+		}
+		g.inFlight.Go(func() {
+			defer func() { <-g.slots }()
+			g.outcomes <- g.carryOut(ctx, r, at)
+		})
+	}
+}
+
+func (g *generator) takeSlot(ctx context.Context) bool {
+	select {
+	case g.slots <- struct{}{}:
+		return true
+	default:
+	}
+	if g.plan.Rate > 0 {
+		g.held++
+	}
+	select {
+	case g.slots <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// carryOut sends a request until it has its answer, its tries are used up or
+// the time to give up has come. Each try has the same idempotency key.
+func (g *generator) carryOut(ctx context.Context, r request, due time.Time) outcome {
+	ctx, cancel := context.WithTimeout(ctx, g.plan.GiveUp)
+	defer cancel()
+	f := g.plan.Flows[r.flow]
+	o := outcome{flow: r.flow, marker: r.marker}
+	for {
+		a := send(ctx, g.client, f, r)
+		o.tries++
+		o.take(g.judge.judge(f, r, a), a, due)
+		wait, again := retryWait(o.verdict, a)
+		if !again || o.tries > g.plan.Retries || !sleepUntil(ctx, time.Now().Add(wait)) {
+			return o
+		}
+	}
+}
+
+func (o *outcome) take(v Verdict, a *answer, due time.Time) {
+	o.verdict, o.refusal, o.ran, o.id = v, "", "", a.id
+	if a.refusal != nil {
+		o.refusal, o.ran, o.id = a.refusal.Type, a.refusal.Ran, a.refusal.RequestID
+	}
+	o.tokens, o.gaps = a.tokens, nil
+	if len(a.times) == 0 {
+		return
+	}
+	o.first = a.times[0].Sub(due)
+	o.whole = time.Since(due)
+	for i := 1; i < len(a.times); i++ {
+		o.gaps = append(o.gaps, a.times[i].Sub(a.times[i-1]))
+	}
+}
+
+// retryWait says whether and when a caller tries again. It waits at least
+// what Retry-After says; a refusal without one is final.
+func retryWait(v Verdict, a *answer) (time.Duration, bool) {
+	switch {
+	case v == Cut:
+		return spread(pauseWithoutAdvice), true
+	case v == Refused && a.retryAfter > 0:
+		return spread(a.retryAfter), true
+	}
+	return 0, false
+}
+
+func spread(d time.Duration) time.Duration {
+	return d + time.Duration(rand.Float64()*spreadPart*float64(d))
+}
+
+// sleepUntil tells whether the time came before ctx ended.
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	timer := time.NewTimer(time.Until(at))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
