--- /dev/null
+++ b/internal/metrics/entry.go
@@ -0,0 +1,96 @@
+package metrics
+
+import (
+	"time"
+
+	"github.com/uber-go/tally/v4"
+)
+
+// NoClass is the class tag of requests that name none.
+const NoClass = "none"
+
+// Answered is the outcome of a request that was answered with success.
+const Answered = "answered"
+
+// Entry are the metrics of the entry role. A nil Entry records nothing, so
+// that tests need none.
+type Entry struct{ scope tally.Scope }
+
+// Request is one request that has got its final answer.
+type Request struct {
+	Workspace string
+	Class     string
+	// Outcome is Answered or the failure's type, Ran what the failure says.
+	Outcome string
+	Ran     string
+	// Queued is the time before the first attempt; FirstToken and Whole count
+	// from the arrival. Zero times are not recorded.
+	Queued     time.Duration
+	FirstToken time.Duration
+	Whole      time.Duration
+	Tokens     int
+}
+
+// Request records a request's final answer.
+func (e *Entry) Request(r Request) {
+	if e == nil {
+		return
+	}
+	class := orNone(r.Class)
+	e.scope.Tagged(map[string]string{
+		"workspace": r.Workspace, "class": class, "outcome": r.Outcome, "ran": orNone(r.Ran),
+	}).Counter(nameRequests).Inc(1)
+	scope := e.scope.Tagged(map[string]string{"class": class})
+	scope.Timer(nameQueued).Record(r.Queued)
+	if r.Outcome != Answered {
+		return
+	}
+	scope.Counter(nameTokens).Inc(int64(r.Tokens))
+	if r.FirstToken > 0 {
+		scope.Timer(nameFirstToken).Record(r.FirstToken)
+	}
+	scope.Timer(nameWhole).Record(r.Whole)
+}
+
+// Attempt records how an attempt on a backend server ended: "whole",
+// "not_started", "broken", "stalled" or "ended".
+func (e *Entry) Attempt(outcome string) {
+	if e == nil {
+		return
+	}
+	e.scope.Tagged(map[string]string{"outcome": outcome}).Counter(nameAttempts).Inc(1)
+}
+
+// Claim records the time of writing an at-most-once claim.
+func (e *Entry) Claim(took time.Duration) {
+	if e == nil {
+		return
+	}
+	e.scope.Timer(nameClaims).Record(took)
+}
+
+// EntrySample is the present state of an entry.
+type EntrySample struct {
+	Open, Waiting, Routes int
+	Lease                 time.Duration
+	ConfigRevision        uint64
+}
+
+// Sample sets the gauges of the entry role.
+func (e *Entry) Sample(s EntrySample) {
+	if e == nil {
+		return
+	}
+	e.scope.Gauge(nameOpen).Update(float64(s.Open))
+	e.scope.Gauge(nameWaiting).Update(float64(s.Waiting))
+	e.scope.Gauge(nameRoutes).Update(float64(s.Routes))
+	e.scope.Gauge(nameLease).Update(max(0, s.Lease).Seconds())
+	e.scope.Gauge(nameConfigRevision).Update(float64(s.ConfigRevision))
+}
+
+func orNone(tag string) string {
+	if tag == "" {
+		return NoClass
+	}
+	return tag
+}
--- /dev/null
+++ b/internal/metrics/metrics.go
@@ -0,0 +1,89 @@
+// Package metrics holds the metrics of a process: a tally scope that reports
+// to Prometheus, served under /metrics. docs/operators/metrics.md says what
+// each means and at what value to worry.
+package metrics
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/juju/errors"
+	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	tallyprom "github.com/uber-go/tally/v4/prometheus"
+
+	"github.com/citronstep/citronstep/internal/invariant"
+)
+
+// Path is where a process serves its metrics.
+const Path = "/metrics"
+
+// reportInterval is how old a counter or gauge on /metrics may be. Scrapes
+// are seconds apart, so a second adds nothing to see.
+const reportInterval = time.Second
+
+// Metrics are all metrics of one process.
+type Metrics struct {
+	scope    tally.Scope
+	closer   io.Closer
+	reporter tallyprom.Reporter
+	// violations is the count of broken invariants reported so far.
+	violations uint64
+}
+
+// New returns the metrics of a process, registered with their help texts.
+func New() (*Metrics, error) {
+	registry := prom.NewRegistry()
+	reporter := tallyprom.NewReporter(tallyprom.Options{
+		Registerer:       registry,
+		DefaultTimerType: tallyprom.HistogramTimerType,
+	})
+	for _, d := range Definitions() {
+		if err := register(reporter, d); err != nil {
+			return nil, errors.Annotate(err, d.Name)
+		}
+	}
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		CachedReporter: reporter, Separator: tallyprom.DefaultSeparator, OmitCardinalityMetrics: true,
+	}, reportInterval)
+	return &Metrics{scope: scope, closer: closer, reporter: reporter}, nil
+}
+
+// register makes the metric known under its own help and buckets. Histograms
+// are timers to tally: its own histograms report a bucket's bound in place of
+// the value, which spoils their sum.
+func register(r tallyprom.Reporter, d Definition) error {
+	var err error
+	switch d.Kind {
+	case KindCounter:
+		_, err = r.RegisterCounter(d.Name, d.Tags, d.Help)
+	case KindGauge:
+		_, err = r.RegisterGauge(d.Name, d.Tags, d.Help)
+	case KindHistogram:
+		_, err = r.RegisterTimer(d.Name, d.Tags, d.Help, &tallyprom.RegisterTimerOptions{
+			TimerType: tallyprom.HistogramTimerType, HistogramBuckets: d.Buckets,
+		})
+	}
+	return errors.Trace(err)
+}
+
+// Handler serves the metrics in Prometheus' text format.
+func (m *Metrics) Handler() http.Handler { return m.reporter.HTTPHandler() }
+
+// Close reports what is left and stops reporting.
+func (m *Metrics) Close() error { return errors.Trace(m.closer.Close()) }
+
+// Entry returns the metrics of the entry role.
+func (m *Metrics) Entry() *Entry { return &Entry{scope: m.scope} }
+
+// Control returns the metrics of the control role.
+func (m *Metrics) Control() *Control { return &Control{scope: m.scope} }
+
+// SampleInvariants counts the invariants broken since it was last called. It
+// is not safe for concurrent use.
+func (m *Metrics) SampleInvariants() {
+	now := invariant.Broken()
+	m.scope.Counter(nameInvariants).Inc(int64(now - m.violations))
+	m.violations = now
+}
