--- /dev/null
+++ b/internal/replica/node.go
@@ -0,0 +1,283 @@
+package replica
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/juju/errors"
+
+	"github.com/citronstep/citronstep/internal/raft"
+	"github.com/citronstep/citronstep/internal/wal"
+)
+
+const (
+	// inboxSize bounds the batches of messages that wait for the node.
+	inboxSize = 256
+	// proposalQueue bounds the proposals that wait for the node; beyond it
+	// Propose waits, so that callers feel a slow disk.
+	proposalQueue = 4096
+)
+
+// Node is one replica of a group.
+type Node struct {
+	id        raft.NodeID
+	opts      Options
+	logger    logger
+	wal       *wal.WAL
+	transport *transport
+
+	inbox     chan []raft.Message
+	proposals chan *proposal
+	calls     chan func()
+	stop      chan struct{}
+	stopOnce  sync.Once
+	failed    chan struct{}
+	running   sync.WaitGroup
+	cancel    context.CancelFunc
+
+	// What follows is touched by the node's own goroutine only.
+	core           *raft.Node
+	waiters        map[uint64]*proposal
+	reads          map[uint64]*proposal
+	unaskedReads   []*proposal
+	nextRead       uint64
+	joins          map[raft.NodeID]join
+	lostAt         time.Duration
+	bytesSinceSnap int
+
+	mu       sync.Mutex
+	identity wal.Identity
+	founding bool
+	view     view
+	changed  chan struct{}
+	err      error
+}
+
+// view is what the node last published of its state.
+type view struct {
+	status      raft.Status
+	leaseExpiry time.Duration
+	leaderSince time.Duration
+	active      []raft.NodeID
+}
+
+// proposal is a command or a read that waits for its outcome.
+type proposal struct {
+	data []byte
+	term uint64
+	// taken settles the race between the node that appends the command and
+	// the caller that stops waiting: whoever sets it decides the outcome.
+	taken atomic.Bool
+	done  chan outcome
+}
+
+type outcome struct {
+	result []byte
+	err    error
+}
+
+func newProposal(data []byte) *proposal {
+	return &proposal{data: data, done: make(chan outcome, 1)}
+}
+
+// Open opens the data folder and starts the node. A folder without content
+// becomes a new identity, which asks its peers to let it join.
+func Open(opts Options) (*Node, error) {
+	opts = opts.withDefaults()
+	if err := opts.check(); err != nil {
+		return nil, errors.Trace(err)
+	}
+	store, err := wal.Open(opts.Folder)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	identity := store.Identity()
+	opts.Logger = log.With(opts.Logger, "component", "replica", "node", idString(identity.Node))
+	n := &Node{
+		id:        identity.Node,
+		opts:      opts,
+		logger:    logger{opts.Logger},
+		wal:       store,
+		transport: newTransport(opts, identity.Node),
+		inbox:     make(chan []raft.Message, inboxSize),
+		proposals: make(chan *proposal, proposalQueue),
+		calls:     make(chan func()),
+		stop:      make(chan struct{}),
+		failed:    make(chan struct{}),
+		waiters:   map[uint64]*proposal{},
+		reads:     map[uint64]*proposal{},
+		joins:     map[raft.NodeID]join{},
+		identity:  identity,
+		changed:   make(chan struct{}),
+	}
+	if err := n.startCore(store.Saved()); err != nil {
+		_ = store.Close()
+		return nil, errors.Trace(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	n.running.Add(2)
+	go n.run()
+	go n.joinLoop(ctx)
+	return n, nil
+}
+
+func (n *Node) startCore(saved raft.Saved) error {
+	if saved.Snapshot.Index > 0 {
+		if err := n.opts.Machine.Restore(saved.Snapshot.Data); err != nil {
+			return errors.Annotate(err, "restoring the state machine from the snapshot in the data folder")
+		}
+	}
+	seed := n.opts.Seed
+	if seed == 0 {
+		seed = rand.Uint64()
+	}
+	timeout := n.opts.electionTimeout()
+	core, err := raft.New(raft.Config{
+		ID:                n.id,
+		Group:             n.opts.Group,
+		ElectionTimeout:   timeout,
+		HeartbeatInterval: time.Duration(n.opts.HeartbeatTicks) * n.opts.TickInterval,
+		LeaseMargin:       timeout / leaseMarginParts,
+		MaxBatchBytes:     maxBatchBytes,
+		Rand:              rand.New(rand.NewPCG(seed, uint64(n.id))),
+	}, saved, n.opts.Now())
+	if err != nil {
+		return errors.Trace(err)
+	}
+	n.core = core
+	n.transport.setCluster(n.identity.Cluster)
+	n.publish()
+	return nil
+}
+
+// run is the node's goroutine.
+func (n *Node) run() {
+	defer n.running.Done()
+	defer n.failWaiters(ErrOutcomeUnknown)
+	ticker := time.NewTicker(n.opts.TickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-n.stop:
+			return
+		case <-ticker.C:
+			n.tick()
+		case batch := <-n.inbox:
+			n.step(batch)
+		case p := <-n.proposals:
+			n.propose(p)
+		case f := <-n.calls:
+			f()
+		}
+		n.drain()
+		if err := n.process(); err != nil {
+			n.fail(err)
+			return
+		}
+	}
+}
+
+// drain takes what else has arrived, so that it shares the next sync. A sync
+// costs the same for one entry as for a thousand.
+func (n *Node) drain() {
+	for range n.opts.MaxBatch - 1 {
+		select {
+		case p := <-n.proposals:
+			n.propose(p)
+		case batch := <-n.inbox:
+			n.step(batch)
+		default:
+			return
+		}
+	}
+}
+
+func (n *Node) tick() {
+	if n.identity.Removed {
+		return
+	}
+	n.core.Tick(n.opts.Now())
+	n.manageMembers()
+	n.dropLostWaiters()
+}
+
+func (n *Node) step(batch []raft.Message) {
+	if n.identity.Removed {
+		return
+	}
+	now := n.opts.Now()
+	for _, m := range batch {
+		n.core.Step(now, m)
+	}
+}
+
+// fail stops the node for good: after a failed write nobody knows what the
+// disk holds, so it may neither vote nor acknowledge any more.
+func (n *Node) fail(err error) {
+	n.logger.error("msg", "the replica stopped", "err", err)
+	n.mu.Lock()
+	n.err = err
+	n.view = view{status: raft.Status{ID: n.id}}
+	n.mu.Unlock()
+	close(n.failed)
+}
+
+// Failed is closed when the node has stopped by itself; Status tells why. The
+// process should then exit and be started again.
+func (n *Node) Failed() <-chan struct{} { return n.failed }
+
+// Close stops the node and closes its data folder.
+func (n *Node) Close() error {
+	n.stopOnce.Do(func() { close(n.stop) })
+	n.cancel()
+	n.running.Wait()
+	n.transport.close()
+	return errors.Trace(n.wal.Close())
+}
+
+// do runs f on the node's goroutine and waits for it.
+func (n *Node) do(ctx context.Context, f func()) error {
+	done := make(chan struct{})
+	call := func() {
+		defer close(done)
+		f()
+	}
+	select {
+	case n.calls <- call:
+	case <-ctx.Done():
+		return errors.Trace(ctx.Err())
+	case <-n.stop:
+		return errors.Trace(ErrClosed)
+	case <-n.failed:
+		return errors.Trace(ErrClosed)
+	}
+	<-done
+	return nil
+}
+
+func (n *Node) clusterID() uint64 {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.identity.Cluster
+}
+
+// setIdentity persists a change of the identity, then shows it.
+func (n *Node) setIdentity(id wal.Identity) error {
+	if err := n.wal.SetIdentity(id); err != nil {
+		return errors.Trace(err)
+	}
+	n.showIdentity(id)
+	return nil
+}
+
+func (n *Node) showIdentity(id wal.Identity) {
+	n.mu.Lock()
+	n.identity = id
+	n.mu.Unlock()
+	n.transport.setCluster(id.Cluster)
+}
--- /dev/null
+++ b/internal/replica/process.go
@@ -0,0 +1,288 @@
+package replica
+
+import (
+	"slices"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/citronstep/citronstep/internal/raft"
+)
+
+// maxBytesSinceSnapshot bounds the log on disk and in memory between
+// snapshots, when commands are large.
+const maxBytesSinceSnapshot = 8 << 20
+
+// process carries out what the step machine asks for, until it asks nothing:
+// sync first, publish, then send, apply and answer.
+func (n *Node) process() error {
+	for {
+		n.askReads()
+		r := n.core.Ready()
+		if r.Empty() {
+			n.publish()
+			return nil
+		}
+		if err := n.carryOut(r); err != nil {
+			return errors.Trace(err)
+		}
+	}
+}
+
+func (n *Node) carryOut(r raft.Ready) error {
+	if err := n.wal.Save(r); err != nil {
+		return errors.Trace(err)
+	}
+	n.publish()
+	n.transport.send(r.Messages)
+	if r.Snapshot != nil {
+		if err := n.restore(*r.Snapshot); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	answers := n.apply(r.Committed)
+	n.core.Advance(r)
+	if err := n.compact(); err != nil {
+		return errors.Trace(err)
+	}
+	if err := n.noteRemoval(); err != nil {
+		return errors.Trace(err)
+	}
+	// Published before the answers leave: a read that starts after a write
+	// was answered must see that write's index.
+	n.publish()
+	for _, a := range answers {
+		a.to.done <- a.outcome
+	}
+	for _, read := range r.Reads {
+		if p := n.reads[read.ID]; p != nil {
+			delete(n.reads, read.ID)
+			p.done <- outcome{}
+		}
+	}
+	return nil
+}
+
+func (n *Node) restore(s raft.Snapshot) error {
+	n.logger.info("msg", "restoring a snapshot", "index", s.Index, "bytes", len(s.Data))
+	n.bytesSinceSnap = 0
+	for index, p := range n.waiters {
+		if index <= s.Index {
+			delete(n.waiters, index)
+			p.done <- outcome{err: errors.Trace(ErrOutcomeUnknown)}
+		}
+	}
+	return errors.Annotate(n.opts.Machine.Restore(s.Data), "restoring the state machine from the leader's snapshot")
+}
+
+type answer struct {
+	to      *proposal
+	outcome outcome
+}
+
+func (n *Node) apply(entries []raft.Entry) []answer {
+	var answers []answer
+	for _, e := range entries {
+		var o outcome
+		n.bytesSinceSnap += len(e.Data)
+		if e.Type == raft.EntryCommand && len(e.Data) > 0 {
+			o.result = n.opts.Machine.Apply(e.Index, e.Data)
+		}
+		p := n.waiters[e.Index]
+		if p == nil {
+			continue
+		}
+		delete(n.waiters, e.Index)
+		if p.term != e.Term {
+			// Another entry was committed in its place, so the command can
+			// never be.
+			o = outcome{err: n.notLeader()}
+		}
+		answers = append(answers, answer{to: p, outcome: o})
+	}
+	return answers
+}
+
+func (n *Node) compact() error {
+	status := n.core.Status()
+	since := status.Applied - status.SnapshotIndex
+	if since == 0 || (since < n.opts.SnapshotEntries && n.bytesSinceSnap < maxBytesSinceSnapshot) {
+		return nil
+	}
+	data, err := n.opts.Machine.Snapshot()
+	if err != nil {
+		return errors.Annotate(err, "taking a snapshot of the state machine")
+	}
+	// Half of the entries stay, so that a follower that was away for a short
+	// time catches up without the whole state.
+	s, base, err := n.core.Compact(data, n.opts.SnapshotEntries/2)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	n.bytesSinceSnap = 0
+	n.logger.info("msg", "log compacted", "snapshot", s.Index, "first", base.Index+1, "bytes", len(data))
+	return errors.Trace(n.wal.Compact(s, base))
+}
+
+func (n *Node) noteRemoval() error {
+	if n.identity.Removed || !n.core.Status().Removed {
+		return nil
+	}
+	n.logger.warn("msg", "this replica was removed from its cluster")
+	id := n.identity
+	id.Removed = true
+	return errors.Trace(n.setIdentity(id))
+}
+
+// publish shows the state to the other goroutines.
+func (n *Node) publish() {
+	v := view{status: n.core.Status(), leaseExpiry: n.core.LeaseExpiry(), leaderSince: n.core.LeaderSince()}
+	if v.status.Role == raft.RoleLeader {
+		for _, m := range v.status.Membership.Members {
+			if n.core.Active(m.ID) {
+				v.active = append(v.active, m.ID)
+			}
+		}
+	}
+	n.mu.Lock()
+	old := n.view
+	n.view = v
+	if visiblyChanged(old.status, v.status) {
+		close(n.changed)
+		n.changed = make(chan struct{})
+	}
+	n.mu.Unlock()
+	if old.status.MembershipIndex != v.status.MembershipIndex || old.status.Leader != v.status.Leader {
+		n.useMembers(v.status)
+	}
+	n.noteLeadership(old.status, v.status)
+}
+
+func visiblyChanged(a, b raft.Status) bool {
+	return a.Role != b.Role || a.Leader != b.Leader || a.Term != b.Term ||
+		a.MembershipIndex != b.MembershipIndex || a.Removed != b.Removed ||
+		a.OwnTermCommitted != b.OwnTermCommitted
+}
+
+func (n *Node) useMembers(s raft.Status) {
+	for _, m := range s.Membership.Members {
+		n.transport.setAddress(m.ID, m.Address, false)
+	}
+	n.transport.keepOnly(s.Membership.Members)
+}
+
+// noteLeadership logs each change of role, and starts the wait of those whose
+// leader is gone.
+func (n *Node) noteLeadership(old, now raft.Status) {
+	if old.Role == now.Role && old.Term == now.Term {
+		return
+	}
+	n.logger.info("msg", "role changed", "role", now.Role, "term", now.Term, "leader", idString(now.Leader))
+	if old.Role == raft.RoleLeader && now.Role != raft.RoleLeader {
+		n.lostAt = n.opts.Now()
+		n.failReads()
+	}
+}
+
+// dropLostWaiters ends the wait of commands that this node appended as leader
+// and that no later leader has settled. They may still be committed.
+func (n *Node) dropLostWaiters() {
+	if len(n.waiters) == 0 || n.core.Status().Role == raft.RoleLeader {
+		return
+	}
+	const patience = 2
+	if n.opts.Now()-n.lostAt < patience*n.opts.electionTimeout() {
+		return
+	}
+	n.failWaiters(ErrOutcomeUnknown)
+}
+
+func (n *Node) failWaiters(cause error) {
+	for index, p := range n.waiters {
+		delete(n.waiters, index)
+		p.done <- outcome{err: errors.Trace(cause)}
+	}
+}
+
+func (n *Node) failReads() {
+	err := n.notLeader()
+	for id, p := range n.reads {
+		delete(n.reads, id)
+		p.done <- outcome{err: err}
+	}
+	for _, p := range n.unaskedReads {
+		p.done <- outcome{err: err}
+	}
+	n.unaskedReads = nil
+}
+
+// notLeader returns the error that names the leader, if one is known.
+func (n *Node) notLeader() error {
+	status := n.core.Status()
+	if status.Leader == status.ID {
+		return &NotLeaderError{}
+	}
+	leader, _ := status.Membership.Find(status.Leader)
+	return &NotLeaderError{Leader: leader}
+}
+
+// Status returns the node's state.
+func (n *Node) Status() Status {
+	now := n.opts.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	s := n.view.status
+	leader, _ := s.Membership.Find(s.Leader)
+	return Status{
+		ID:            n.id,
+		Cluster:       n.identity.Cluster,
+		Founded:       n.identity.Cluster != 0,
+		Removed:       n.identity.Removed,
+		Role:          roleName(s, n.identity.Removed),
+		Term:          s.Term,
+		Leader:        leader,
+		LeaderSince:   n.view.leaderSince,
+		Commit:        s.Commit,
+		Applied:       s.Applied,
+		LastIndex:     s.LastIndex,
+		FirstIndex:    s.FirstIndex,
+		SnapshotIndex: s.SnapshotIndex,
+		Members:       slices.Clone(s.Membership.Members),
+		Active:        slices.Clone(n.view.active),
+		Lease:         remaining(n.view.leaseExpiry, now),
+		Err:           n.err,
+	}
+}
+
+func roleName(s raft.Status, removed bool) string {
+	if removed {
+		return "removed"
+	}
+	if m, ok := s.Membership.Find(s.ID); ok && m.Learner {
+		return "learner"
+	}
+	return s.Role.String()
+}
+
+func remaining(expiry, now time.Duration) time.Duration {
+	return max(0, expiry-now)
+}
+
+// LeaseRemaining is how long no other node can lead; it is zero on a node that
+// doesn't lead, or whose lease has run out, also while it was frozen.
+func (n *Node) LeaseRemaining() time.Duration {
+	n.mu.Lock()
+	expiry := n.view.leaseExpiry
+	n.mu.Unlock()
+	// The clock is read after the expiry: a freeze in between then only makes
+	// the answer smaller.
+	return remaining(expiry, n.opts.Now())
+}
+
+// Changed returns a channel that is closed when the role, leader, term or
+// membership next changes.
+func (n *Node) Changed() <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.changed
+}
--- /dev/null
+++ b/internal/replica/propose.go
@@ -0,0 +1,213 @@
+package replica
+
+import (
+	"context"
+
+	"github.com/juju/errors"
+
+	"github.com/citronstep/citronstep/internal/raft"
+)
+
+// Propose replicates a command and returns what the state machine answered,
+// after a majority has synced it and this node has applied it.
+//
+// A NotLeaderError, ErrNotProposed, ErrNotFounded, ErrRemoved or ErrClosed
+// means that the command never takes effect; ErrOutcomeUnknown that it may.
+func (n *Node) Propose(ctx context.Context, command []byte) ([]byte, error) {
+	if len(command) == 0 {
+		return nil, errors.Trace(ErrEmptyCommand)
+	}
+	if err := n.usable(); err != nil {
+		return nil, errors.Trace(err)
+	}
+	p := newProposal(command)
+	select {
+	case n.proposals <- p:
+	case <-ctx.Done():
+		return nil, errors.Trace(ErrNotProposed)
+	case <-n.stop:
+		return nil, errors.Trace(ErrClosed)
+	case <-n.failed:
+		return nil, errors.Trace(ErrClosed)
+	}
+	return n.await(ctx, p)
+}
+
+func (n *Node) await(ctx context.Context, p *proposal) ([]byte, error) {
+	var cause error
+	select {
+	case o := <-p.done:
+		return o.result, o.err
+	case <-ctx.Done():
+		cause = ErrNotProposed
+	case <-n.stop:
+		cause = ErrClosed
+	case <-n.failed:
+		cause = ErrClosed
+	}
+	if p.taken.CompareAndSwap(false, true) {
+		return nil, errors.Trace(cause)
+	}
+	return n.lastLook(p)
+}
+
+// lastLook takes an outcome that came together with the end of the wait.
+func (n *Node) lastLook(p *proposal) ([]byte, error) {
+	select {
+	case o := <-p.done:
+		return o.result, o.err
+	default:
+		return nil, errors.Trace(ErrOutcomeUnknown)
+	}
+}
+
+// usable refuses early what can't succeed on this node.
+func (n *Node) usable() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	switch {
+	case n.err != nil:
+		return ErrClosed
+	case n.identity.Removed:
+		return ErrRemoved
+	case n.identity.Cluster == 0:
+		return ErrNotFounded
+	}
+	return nil
+}
+
+// propose runs on the node's goroutine.
+func (n *Node) propose(p *proposal) {
+	if !p.taken.CompareAndSwap(false, true) {
+		return // its caller has stopped waiting
+	}
+	at, err := n.core.Propose(p.data)
+	n.wait(p, at, err)
+}
+
+// wait notes a proposal under its position, or answers that it has none.
+func (n *Node) wait(p *proposal, at raft.Position, err error) {
+	switch {
+	case errors.Is(err, raft.ErrBusy):
+		p.done <- outcome{err: errors.Annotate(ErrNotProposed, err.Error())}
+		return
+	case errors.Is(err, raft.ErrNotLeader), errors.Is(err, raft.ErrTransferring):
+		p.done <- outcome{err: n.notLeader()}
+		return
+	case err != nil:
+		p.done <- outcome{err: errors.Trace(err)}
+		return
+	}
+	p.term = at.Term
+	if old := n.waiters[at.Index]; old != nil {
+		// This node led before, lost its log's end and leads again: the old
+		// command's place now holds another entry of this node's.
+		old.done <- outcome{err: errors.Trace(ErrOutcomeUnknown)}
+	}
+	n.waiters[at.Index] = p
+}
+
+// ReadBarrier returns once this node's state machine holds every command that
+// any Propose had answered before the call. It succeeds on the leader only.
+func (n *Node) ReadBarrier(ctx context.Context) error {
+	if err := n.usable(); err != nil {
+		return errors.Trace(err)
+	}
+	if n.readByLease() {
+		return nil
+	}
+	p := newProposal(nil)
+	err := n.do(ctx, func() { n.takeRead(p) })
+	if err != nil {
+		return errors.Trace(err)
+	}
+	select {
+	case o := <-p.done:
+		return o.err
+	case <-ctx.Done():
+		return errors.Trace(ctx.Err())
+	case <-n.stop:
+	case <-n.failed:
+	}
+	return errors.Trace(ErrClosed)
+}
+
+// readByLease tells whether the state machine is up to date as of now. The
+// lease is compared with the clock last, after all that may wait: a leader
+// that was frozen at any point before then sees that its lease is over, and a
+// freeze after it only makes the caller later, not the state older than the
+// moment of the comparison.
+func (n *Node) readByLease() bool {
+	n.mu.Lock()
+	v := n.view
+	n.mu.Unlock()
+	applied := v.status.OwnTermCommitted && v.status.Applied >= v.status.Commit
+	return applied && n.opts.Now() < v.leaseExpiry
+}
+
+func (n *Node) takeRead(p *proposal) {
+	if n.core.Status().Role != raft.RoleLeader {
+		p.done <- outcome{err: n.notLeader()}
+		return
+	}
+	n.unaskedReads = append(n.unaskedReads, p)
+}
+
+// askReads asks for the reads that wait, once the leader has committed an
+// entry of its own term.
+func (n *Node) askReads() {
+	for len(n.unaskedReads) > 0 {
+		p := n.unaskedReads[0]
+		id := n.nextRead + 1
+		err := n.core.ReadIndex(n.opts.Now(), id)
+		if errors.Is(err, raft.ErrNotReady) {
+			return
+		}
+		n.unaskedReads = n.unaskedReads[1:]
+		if err != nil {
+			p.done <- outcome{err: n.notLeader()}
+			continue
+		}
+		n.nextRead = id
+		n.reads[id] = p
+	}
+}
+
+// TransferLeadership hands the leadership to another voter, for a graceful
+// stop, and returns once this node no longer leads. It returns at once on a
+// node that does not lead.
+func (n *Node) TransferLeadership(ctx context.Context) error {
+	for {
+		changed := n.Changed()
+		var role raft.Role
+		var err error
+		doErr := n.do(ctx, func() {
+			role = n.core.Status().Role
+			if role == raft.RoleLeader {
+				err = n.core.TransferLeadership(n.opts.Now())
+			}
+		})
+		if doErr != nil || err != nil {
+			return errors.Trace(firstError(doErr, err))
+		}
+		if role != raft.RoleLeader {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return errors.Trace(ctx.Err())
+		case <-n.stop:
+			return errors.Trace(ErrClosed)
+		}
+	}
+}
+
+func firstError(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/replica/replica_test.go
@@ -0,0 +1,93 @@
+package replica
+
+import (
+	"strconv"
+	"testing"
+
+	"github.com/juju/errors"
+	"gotest.tools/v3/assert"
+)
+
+// Story: an operator founds a cluster on one of three empty VMs. The other two
+// join by themselves, and a write answered by the leader is on all three.
+func TestFoundJoinPropose(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	_, err := c.hosts[0].node.Propose(within(t), command("k", "v"))
+	assert.Assert(t, errors.Is(err, ErrNotFounded), "%v", err)
+
+	c.found(3)
+	c.put("k", "v")
+	assert.NilError(t, c.leader().node.ReadBarrier(within(t)))
+	for _, h := range c.hosts {
+		eventually(t, "the write is everywhere", func() bool { return h.machine.get("k") == "v" })
+	}
+	assert.NilError(t, c.hosts[0].node.Found(within(t)))
+	assert.NilError(t, c.hosts[1].node.Found(within(t)))
+}
+
+// Story: all three VMs lose power at once. After the restart every answered
+// write is still there, without a command of an operator.
+func TestRestartOfAll(t *testing.T) {
+	c := newCluster(t, 3, func(o *Options) { o.SnapshotEntries = 64 })
+	c.found(3)
+	for i := range 300 {
+		c.put(strconv.Itoa(i), "v"+strconv.Itoa(i))
+	}
+	for _, h := range c.hosts {
+		h.kill()
+	}
+	for _, h := range c.hosts {
+		h.open()
+	}
+	assert.NilError(t, c.leader().node.ReadBarrier(within(t)))
+	for i := range 300 {
+		assert.Equal(t, c.leader().machine.get(strconv.Itoa(i)), "v"+strconv.Itoa(i))
+	}
+}
+
+// Story: a control VM is away for hundreds of changes, so that the log it
+// needs is compacted. When it returns it gets the snapshot and what followed.
+func TestReturnAfterHundredsOfChanges(t *testing.T) {
+	c := newCluster(t, 3, func(o *Options) { o.SnapshotEntries = 64 })
+	c.found(3)
+	c.put("first", "1")
+	away := c.hosts[2]
+	away.kill()
+	for i := range 400 {
+		c.put(strconv.Itoa(i), "v")
+	}
+	away.open()
+	eventually(t, "it has caught up", func() bool { return away.machine.get("399") == "v" })
+	assert.Equal(t, away.machine.get("first"), "1")
+	assert.Assert(t, away.node.Status().SnapshotIndex > 0)
+}
+
+// Story: a VM comes back at night with an empty disk, and soon after a second
+// one does. Each gets a new identity, the old one is removed, and all writes
+// are still there. Nobody types a command.
+func TestLostDiskTwice(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	c.found(3)
+	c.put("k", "v")
+	for _, i := range []int{1, 2} {
+		h := c.hosts[i]
+		old := h.node.Status().ID
+		h.kill()
+		h.loseDisk()
+		h.open()
+		assert.Assert(t, h.node.Status().ID != old)
+		eventually(t, "the new identity votes", func() bool {
+			m, ok := c.member(h.node.Status().ID)
+			return ok && !m.Learner
+		})
+		_, still := c.member(old)
+		assert.Assert(t, !still)
+		assert.Equal(t, c.voters(), 3)
+		c.put("after"+strconv.Itoa(i), "w")
+	}
+	for _, h := range c.hosts {
+		eventually(t, "all writes are there", func() bool {
+			return h.machine.get("k") == "v" && h.machine.get("after2") == "w"
+		})
+	}
+}
--- /dev/null
+++ b/internal/replica/server.go
@@ -0,0 +1,144 @@
+package replica
+
+import (
+	"context"
+	"crypto/subtle"
+	"net/http"
+	"strconv"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/citronstep/citronstep/internal/raft"
+	"github.com/citronstep/citronstep/internal/rpc/raftrpc"
+)
+
+const (
+	bearerPrefix = "Bearer "
+	// maxRequestBytes bounds one call's body: a snapshot and one batch.
+	maxRequestBytes = 256 << 20
+)
+
+// PathPrefix is the path under which Handler must be mounted.
+const PathPrefix = raftrpc.ConsensusPathPrefix
+
+// Handler serves the protocol between the replicas under PathPrefix.
+func (n *Node) Handler() http.Handler {
+	rpc := raftrpc.NewConsensusServer(service{n})
+	want := []byte(bearerPrefix + n.opts.Secret)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		got := []byte(r.Header.Get("Authorization"))
+		if n.opts.Secret != "" && subtle.ConstantTimeCompare(got, want) != 1 {
+			_ = twirp.WriteError(w, twirp.Unauthenticated.Error("the bearer token does not match"))
+			return
+		}
+		r.Body = http.MaxBytesReader(w, r.Body, maxRequestBytes)
+		rpc.ServeHTTP(w, r)
+	})
+}
+
+func idString(id raft.NodeID) string { return strconv.FormatUint(uint64(id), 16) }
+
+// service answers the other replicas.
+type service struct{ n *Node }
+
+// Deliver takes messages into the node's queue.
+func (s service) Deliver(_ context.Context, req *raftrpc.DeliverRequest) (*raftrpc.DeliverResponse, error) {
+	n := s.n
+	if raft.GroupID(req.Group) != n.opts.Group {
+		return nil, twirp.NotFound.Errorf("group %d is not served here", req.Group)
+	}
+	// A replica of another cluster has another log under the same indexes and
+	// terms; taking its messages would mix the two.
+	if cluster := n.clusterID(); cluster == 0 || req.Cluster != cluster {
+		return nil, twirp.FailedPrecondition.Error("the sender belongs to another cluster")
+	}
+	n.transport.setAddress(raft.NodeID(req.From), req.FromAddress, true)
+	batch := make([]raft.Message, 0, len(req.Messages))
+	for _, w := range req.Messages {
+		m, err := fromWire(w)
+		if err != nil {
+			return nil, twirp.InvalidArgument.Error("a message can't be read")
+		}
+		batch = append(batch, m)
+	}
+	select {
+	case n.inbox <- batch:
+		return &raftrpc.DeliverResponse{}, nil
+	default:
+		// The node is busy or its disk hangs; waiting here would only hold the
+		// sender's one connection.
+		return &raftrpc.DeliverResponse{Dropped: uint32(len(batch))}, nil
+	}
+}
+
+// Identity says who this process is.
+func (s service) Identity(_ context.Context, req *raftrpc.IdentityRequest) (*raftrpc.IdentityResponse, error) {
+	n := s.n
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return &raftrpc.IdentityResponse{
+		Id: uint64(n.id), Cluster: n.identity.Cluster, Founding: n.founding, Vm: n.opts.VM,
+	}, nil
+}
+
+// Join notes that the caller wants to be a member.
+func (s service) Join(ctx context.Context, req *raftrpc.JoinRequest) (*raftrpc.JoinResponse, error) {
+	n := s.n
+	if raft.GroupID(req.Group) != n.opts.Group {
+		return nil, twirp.NotFound.Errorf("group %d is not served here", req.Group)
+	}
+	if req.Id == 0 || req.Vm == "" || req.Address == "" {
+		return nil, twirp.InvalidArgument.Error("id, vm and address are needed")
+	}
+	response := &raftrpc.JoinResponse{}
+	err := n.do(ctx, func() { n.takeJoin(req, response) })
+	if err != nil {
+		return nil, twirp.Unavailable.Error(err.Error())
+	}
+	return response, nil
+}
+
+// takeJoin runs on the node's goroutine.
+func (n *Node) takeJoin(req *raftrpc.JoinRequest, response *raftrpc.JoinResponse) {
+	status := n.core.Status()
+	response.Cluster = n.identity.Cluster
+	response.Verdict = n.judgeJoin(status, req)
+	if response.Verdict == raftrpc.JoinResponse_NOT_LEADER {
+		leader, _ := status.Membership.Find(status.Leader)
+		response.LeaderAddress = leader.Address
+	}
+	if response.Verdict != raftrpc.JoinResponse_ACCEPTED {
+		return
+	}
+	for id, j := range n.joins {
+		if j.member.VM == req.Vm {
+			delete(n.joins, id) // the VM's earlier identity
+		}
+	}
+	n.joins[raft.NodeID(req.Id)] = join{
+		member: Member{ID: raft.NodeID(req.Id), VM: req.Vm, DataCentre: req.DataCentre, Address: req.Address},
+		at:     n.opts.Now(),
+	}
+}
+
+func (n *Node) judgeJoin(status raft.Status, req *raftrpc.JoinRequest) raftrpc.JoinResponse_Verdict {
+	id := raft.NodeID(req.Id)
+	switch {
+	case n.identity.Cluster == 0:
+		return raftrpc.JoinResponse_NOT_FOUNDED
+	case status.Membership.IsRemoved(id) && status.MembershipIndex <= status.Commit:
+		return raftrpc.JoinResponse_REMOVED
+	case status.Role != raft.RoleLeader:
+		return raftrpc.JoinResponse_NOT_LEADER
+	}
+	for _, m := range status.Membership.Members {
+		if m.VM == req.Vm && m.ID != id && (m.ID == status.ID || n.core.Active(m.ID)) {
+			// Two machines with one name in their settings would else throw
+			// each other out without end.
+			n.logger.warn("msg", "join refused", "vm", req.Vm, "id", idString(id),
+				"reason", "a live member has this VM name", "member", idString(m.ID))
+			return raftrpc.JoinResponse_NAME_IN_USE
+		}
+	}
+	return raftrpc.JoinResponse_ACCEPTED
+}
--- /dev/null
+++ b/internal/replica/transport.go
@@ -0,0 +1,302 @@
+package replica
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/citronstep/citronstep/internal/raft"
+	"github.com/citronstep/citronstep/internal/rpc/raftrpc"
+)
+
+const (
+	// maxQueued bounds the messages that wait for one peer. A peer that is
+	// slow or cut off would else collect them without end; past the bound the
+	// oldest is dropped, because a later one supersedes it.
+	maxQueued = 1024
+	// maxDeliverBytes bounds what one call carries, unless a single message is larger.
+	maxDeliverBytes = 4 << 20
+	// slowestPeer, in bytes a second, stretches the deadline of a large call,
+	// so that a snapshot gets through a slow link.
+	slowestPeer = 1 << 20
+)
+
+// transport sends messages to the other members: for each one goroutine, one
+// connection and one call at a time, so that messages stay in order.
+type transport struct {
+	opts   Options
+	self   raft.NodeID
+	logger logger
+
+	mu      sync.Mutex
+	cluster uint64
+	peers   map[raft.NodeID]*peer
+	closed  bool
+	running sync.WaitGroup
+}
+
+func newTransport(opts Options, self raft.NodeID) *transport {
+	return &transport{opts: opts, self: self, logger: logger{opts.Logger}, peers: map[raft.NodeID]*peer{}}
+}
+
+// setCluster sets the cluster in whose name messages are sent.
+func (t *transport) setCluster(cluster uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.cluster = cluster
+}
+
+// setAddress notes where a node is reached. heard is set when the node itself
+// said so, which counts more than the membership: its VM may have moved.
+func (t *transport) setAddress(id raft.NodeID, address string, heard bool) {
+	if id == t.self || address == "" {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		return
+	}
+	p := t.peers[id]
+	if p == nil {
+		p = newPeer(t, id)
+		t.peers[id] = p
+		t.running.Add(1)
+		go p.run()
+	}
+	p.setAddress(address, heard)
+}
+
+// keepOnly ends the senders to nodes that are neither members nor heard from.
+func (t *transport) keepOnly(members []Member) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	member := map[raft.NodeID]bool{}
+	for _, m := range members {
+		member[m.ID] = true
+	}
+	for id, p := range t.peers {
+		if !member[id] && p.idle() {
+			p.stop()
+			delete(t.peers, id)
+		}
+	}
+}
+
+func (t *transport) send(messages []raft.Message) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, m := range messages {
+		if p := t.peers[m.To]; p != nil {
+			p.enqueue(m)
+		}
+	}
+}
+
+func (t *transport) close() {
+	t.mu.Lock()
+	t.closed = true
+	for _, p := range t.peers {
+		p.stop()
+	}
+	t.mu.Unlock()
+	t.running.Wait()
+}
+
+func (t *transport) clusterID() uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.cluster
+}
+
+// peer is the sender to one other node.
+type peer struct {
+	t      *transport
+	id     raft.NodeID
+	client *connection
+	ctx    context.Context
+	stop   context.CancelFunc
+	wake   chan struct{}
+
+	mu       sync.Mutex
+	address  string
+	heard    bool
+	queue    []raft.Message
+	lastUsed time.Time
+	failing  bool
+}
+
+func newPeer(t *transport, id raft.NodeID) *peer {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &peer{
+		t: t, id: id, ctx: ctx, stop: cancel, wake: make(chan struct{}, 1),
+		client: newConnection(t.opts), lastUsed: time.Now(),
+	}
+}
+
+func (p *peer) setAddress(address string, heard bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.heard && !heard {
+		return
+	}
+	p.address = address
+	p.heard = heard
+}
+
+// idleAfter is how long a peer that is no member keeps its sender: long
+// enough to tell a removed one that it was removed.
+const idleAfter = 30 * time.Second
+
+func (p *peer) idle() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return time.Since(p.lastUsed) > idleAfter
+}
+
+func (p *peer) enqueue(m raft.Message) {
+	p.mu.Lock()
+	if len(p.queue) >= maxQueued {
+		p.queue = p.queue[1:]
+	}
+	p.queue = append(p.queue, m)
+	p.lastUsed = time.Now()
+	p.mu.Unlock()
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+// take returns the next messages to send, up to maxDeliverBytes, and where to.
+func (p *peer) take() ([]raft.Message, int, string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	size := 0
+	count := 0
+	for count < len(p.queue) {
+		next := wireSize(p.queue[count])
+		if count > 0 && size+next > maxDeliverBytes {
+			break
+		}
+		size += next
+		count++
+	}
+	batch := p.queue[:count:count]
+	p.queue = p.queue[count:]
+	return batch, size, p.address
+}
+
+func (p *peer) run() {
+	defer p.t.running.Done()
+	defer p.client.closeIdle()
+	for {
+		select {
+		case <-p.ctx.Done():
+			return
+		case <-p.wake:
+		}
+		for {
+			batch, size, address := p.take()
+			if len(batch) == 0 {
+				break
+			}
+			p.deliver(batch, size, address)
+		}
+	}
+}
+
+func (p *peer) deliver(batch []raft.Message, size int, address string) {
+	request := &raftrpc.DeliverRequest{
+		Cluster: p.t.clusterID(), Group: uint64(p.t.opts.Group), From: uint64(p.t.self),
+		FromAddress: p.t.opts.Address,
+	}
+	for _, m := range batch {
+		w, err := toWire(m)
+		if err != nil {
+			p.t.logger.error("msg", "message not encoded", "err", err)
+			continue
+		}
+		request.Messages = append(request.Messages, w)
+	}
+	// The call must end well within an election timeout: a connection that has
+	// gone silent is then found, closed and replaced before the peer misses
+	// the leader.
+	timeout := p.t.opts.electionTimeout()/3 + time.Duration(size)*time.Second/slowestPeer
+	ctx, cancel := context.WithTimeout(p.ctx, timeout)
+	defer cancel()
+	_, err := p.client.rpc(address).Deliver(ctx, request)
+	p.note(err, address)
+	if err == nil || p.ctx.Err() != nil {
+		return
+	}
+	p.client.closeIdle()
+	select {
+	case <-p.ctx.Done():
+	case <-time.After(p.t.opts.TickInterval):
+	}
+}
+
+// note logs when a peer begins to fail and when it answers again.
+func (p *peer) note(err error, address string) {
+	p.mu.Lock()
+	changed := p.failing != (err != nil)
+	p.failing = err != nil
+	p.mu.Unlock()
+	if !changed || p.ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		p.t.logger.warn("msg", "peer does not take messages", "peer", idString(p.id), "address", address, "err", err)
+		return
+	}
+	p.t.logger.info("msg", "peer takes messages again", "peer", idString(p.id), "address", address)
+}
+
+// connection calls one peer over at most one connection.
+type connection struct {
+	http HTTPClient
+	own  *http.Transport
+}
+
+func newConnection(opts Options) *connection {
+	if opts.HTTPClient != nil {
+		return &connection{http: authorised{opts.HTTPClient, opts.Secret}}
+	}
+	own := &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: opts.electionTimeout() / 3}).DialContext,
+		MaxConnsPerHost:     1,
+		MaxIdleConnsPerHost: 1,
+		IdleConnTimeout:     time.Minute,
+	}
+	return &connection{http: authorised{&http.Client{Transport: own}, opts.Secret}, own: own}
+}
+
+func (c *connection) rpc(address string) raftrpc.Consensus {
+	return raftrpc.NewConsensusProtobufClient("http://"+address, c.http)
+}
+
+func (c *connection) closeIdle() {
+	if c.own != nil {
+		c.own.CloseIdleConnections()
+	}
+}
+
+// authorised adds the bearer token to each request.
+type authorised struct {
+	next   HTTPClient
+	secret string
+}
+
+// Do sends the request with the token.
+func (a authorised) Do(req *http.Request) (*http.Response, error) {
+	if a.secret != "" {
+		req.Header.Set("Authorization", bearerPrefix+a.secret)
+	}
+	response, err := a.next.Do(req)
+	return response, errors.Trace(err)
+}
--- /dev/null
+++ b/internal/wal/read.go
@@ -0,0 +1,132 @@
+package wal
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+
+	"github.com/juju/errors"
+	bolt "go.etcd.io/bbolt"
+
+	"github.com/citronstep/citronstep/internal/raft"
+)
+
+// readAll reads and checks the whole file: every checksum, that the log has
+// no gap, that terms do not fall and that the commit index is covered.
+func (w *WAL) readAll(tx *bolt.Tx) error {
+	meta := tx.Bucket(bucketMeta)
+	if meta == nil || tx.Bucket(bucketEntries) == nil {
+		return w.corrupt("file", "a table is missing")
+	}
+	if !bytes.Equal(meta.Get(keyFormat), formatVersion1) {
+		return w.corrupt("format", "it is not a version that this program knows")
+	}
+	var s raft.Saved
+	readers := []func() error{
+		func() error { return readRecord(w, meta, keyIdentity, true, decodeIdentity, &w.identity) },
+		func() error { return readRecord(w, meta, keyHardState, false, decodeHardState, &s.HardState) },
+		func() error { return readRecord(w, meta, keyBase, false, decodePosition, &s.Base) },
+		func() error { return readRecord(w, meta, keySnapshot, false, decodeSnapshot, &s.Snapshot) },
+		func() error { return w.readEntries(tx.Bucket(bucketEntries), &s) },
+	}
+	for _, read := range readers {
+		if err := read(); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	last := s.Base.Index + uint64(len(s.Entries))
+	if s.HardState.Commit > last || s.Snapshot.Index > last {
+		return w.corrupt("entries", fmt.Sprintf("they end at %d, before the commit index %d or the snapshot %d",
+			last, s.HardState.Commit, s.Snapshot.Index))
+	}
+	w.saved = s
+	return nil
+}
+
+func readRecord[T any](w *WAL, b *bolt.Bucket, key []byte, required bool,
+	decode func([]byte) (T, bool), into *T) error {
+	record := b.Get(key)
+	if record == nil {
+		if required {
+			return w.corrupt(string(key), "it is missing")
+		}
+		return nil
+	}
+	body, ok := openRecord(key, record)
+	if !ok {
+		return w.corrupt(string(key), "the checksum does not match")
+	}
+	value, ok := decode(body)
+	if !ok {
+		return w.corrupt(string(key), "it can't be read")
+	}
+	*into = value
+	return nil
+}
+
+func (w *WAL) readEntries(b *bolt.Bucket, s *raft.Saved) error {
+	next := s.Base.Index + 1
+	term := s.Base.Term
+	cursor := b.Cursor()
+	for key, record := cursor.First(); key != nil; key, record = cursor.Next() {
+		name := fmt.Sprintf("entry %d", next)
+		if len(key) != 8 || binary.BigEndian.Uint64(key) != next {
+			return w.corrupt(name, "it is missing")
+		}
+		body, ok := openRecord(key, record)
+		if !ok {
+			return w.corrupt(name, "the checksum does not match")
+		}
+		e, ok := decodeEntry(next, body)
+		if !ok || e.Term < term {
+			return w.corrupt(name, "it can't be read")
+		}
+		s.Entries = append(s.Entries, e)
+		term = e.Term
+		next++
+	}
+	return nil
+}
+
+// appendEntries writes entries and drops any that were stored from the first
+// one's index on.
+func appendEntries(tx *bolt.Tx, entries []raft.Entry) error {
+	if len(entries) == 0 {
+		return nil
+	}
+	if err := deleteFrom(tx, entries[0].Index); err != nil {
+		return errors.Trace(err)
+	}
+	b := tx.Bucket(bucketEntries)
+	// Entries only ever go to the end, so full pages save space.
+	b.FillPercent = 1
+	for _, e := range entries {
+		if err := putRecord(b, entryKey(e.Index), encodeEntry(e)); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	return nil
+}
+
+func deleteFrom(tx *bolt.Tx, index uint64) error {
+	cursor := tx.Bucket(bucketEntries).Cursor()
+	for key, _ := cursor.Seek(entryKey(index)); key != nil; key, _ = cursor.Seek(entryKey(index)) {
+		if err := cursor.Delete(); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	return nil
+}
+
+func deleteThrough(tx *bolt.Tx, index uint64) error {
+	cursor := tx.Bucket(bucketEntries).Cursor()
+	for key, _ := cursor.First(); key != nil; key, _ = cursor.First() {
+		if binary.BigEndian.Uint64(key) > index {
+			return nil
+		}
+		if err := cursor.Delete(); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/wal/wal.go
@@ -0,0 +1,301 @@
+// Package wal keeps the durable side of one consensus replica: its identity,
+// hard state, log entries and snapshot, in one file of its data folder.
+//
+// Every write is one bbolt transaction, synced before the call returns. Every
+// record carries a checksum; a record that does not match it, or a log with a
+// gap, is reported as a CorruptError and never skipped, because the records
+// may be committed ones that this replica has vouched for.
+package wal
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/juju/errors"
+	bolt "go.etcd.io/bbolt"
+	berrors "go.etcd.io/bbolt/errors"
+
+	"github.com/citronstep/citronstep/internal/raft"
+)
+
+// FileName is the file inside the data folder.
+const FileName = "consensus.db"
+
+// lockTimeout is how long Open waits for another process to close the file.
+const lockTimeout = time.Second
+
+const (
+	folderMode = 0o700
+	fileMode   = 0o600
+)
+
+// ErrLocked is returned when another process has the data folder open.
+const ErrLocked = errors.ConstError("the data folder is in use by another process")
+
+// ErrClosed is returned by a write after Close.
+const ErrClosed = errors.ConstError("the data folder is closed")
+
+// CorruptError says that a data folder can't be trusted any more.
+type CorruptError struct {
+	// File is the damaged file.
+	File string
+	// Record is what was being read.
+	Record string
+	// Cause is what was wrong with it.
+	Cause string
+}
+
+// Error names the file, the record and what an operator does about it.
+func (e *CorruptError) Error() string {
+	return e.File + " is damaged (" + e.Record + ": " + e.Cause + "). " +
+		"Nothing was dropped or repaired. Move the data folder away and start the process " +
+		"with an empty one: it joins under a new identity and the leader brings it up to date. " +
+		"Do this only while a majority of the other voters is alive."
+}
+
+// Identity names a replica and the cluster it belongs to.
+type Identity struct {
+	Node raft.NodeID
+	// Cluster is zero until the replica has founded or joined one.
+	Cluster uint64
+	// Removed is set once the replica has learnt that it is no member any more.
+	Removed bool
+}
+
+var (
+	bucketMeta     = []byte("meta")
+	bucketEntries  = []byte("entries")
+	keyIdentity    = []byte("identity")
+	keyHardState   = []byte("hard_state")
+	keyBase        = []byte("base")
+	keySnapshot    = []byte("snapshot")
+	keyFormat      = []byte("format")
+	formatVersion1 = []byte("citronstep-wal-1")
+)
+
+// WAL is an open data folder.
+type WAL struct {
+	path     string
+	db       *bolt.DB
+	identity Identity
+	saved    raft.Saved
+}
+
+// Open opens the data folder, or makes it with a new random identity.
+func Open(folder string) (*WAL, error) {
+	path := filepath.Join(folder, FileName)
+	if err := os.MkdirAll(folder, folderMode); err != nil {
+		return nil, errors.Annotatef(err, "making the data folder %s", folder)
+	}
+	w := &WAL{path: path}
+	if err := w.guard("file", w.openFile); err != nil {
+		return nil, errors.Trace(err)
+	}
+	if err := w.guard("contents", w.load); err != nil {
+		_ = w.guard("close", w.db.Close)
+		return nil, errors.Trace(err)
+	}
+	return w, nil
+}
+
+func (w *WAL) openFile() error {
+	_, statErr := os.Stat(w.path)
+	db, err := bolt.Open(w.path, fileMode, &bolt.Options{Timeout: lockTimeout})
+	switch {
+	case errors.Is(err, berrors.ErrTimeout):
+		return errors.Annotate(ErrLocked, w.path)
+	case errors.Is(err, berrors.ErrInvalid), errors.Is(err, berrors.ErrChecksum),
+		errors.Is(err, berrors.ErrVersionMismatch):
+		return w.corrupt("file header", err.Error())
+	case err != nil && statErr == nil && !os.IsPermission(err):
+		return w.corrupt("file header", err.Error())
+	case err != nil:
+		return errors.Annotatef(err, "opening %s", w.path)
+	}
+	w.db = db
+	if os.IsNotExist(statErr) {
+		// The file's name must outlast a crash like its contents, or the
+		// replica would come back without the votes it has answered with.
+		if err := syncFolder(filepath.Dir(w.path)); err != nil {
+			_ = db.Close()
+			return errors.Trace(err)
+		}
+	}
+	return nil
+}
+
+func syncFolder(folder string) error {
+	for _, name := range []string{folder, filepath.Dir(folder)} {
+		f, err := os.Open(name)
+		if err != nil {
+			return errors.Annotatef(err, "opening %s", name)
+		}
+		err = f.Sync()
+		_ = f.Close()
+		if err != nil {
+			return errors.Annotatef(err, "syncing %s", name)
+		}
+	}
+	return nil
+}
+
+// load reads everything, and gives a new file its identity.
+func (w *WAL) load() error {
+	err := w.db.Update(func(tx *bolt.Tx) error {
+		info, err := os.Stat(w.path)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		if info.Size() < tx.Size() {
+			return w.corrupt("file", "it is shorter than its header says")
+		}
+		if tx.Bucket(bucketMeta) != nil {
+			return nil
+		}
+		return w.initialise(tx)
+	})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	return errors.Trace(w.db.View(w.readAll))
+}
+
+func (w *WAL) initialise(tx *bolt.Tx) error {
+	meta, err := tx.CreateBucket(bucketMeta)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if _, err := tx.CreateBucket(bucketEntries); err != nil {
+		return errors.Trace(err)
+	}
+	id, err := RandomID()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if err := meta.Put(keyFormat, formatVersion1); err != nil {
+		return errors.Trace(err)
+	}
+	return putRecord(meta, keyIdentity, encodeIdentity(Identity{Node: raft.NodeID(id)}))
+}
+
+// RandomID returns a random number other than zero, from the system's source.
+func RandomID() (uint64, error) {
+	var b [8]byte
+	for {
+		if _, err := rand.Read(b[:]); err != nil {
+			return 0, errors.Annotate(err, "reading random bytes")
+		}
+		if id := binary.BigEndian.Uint64(b[:]); id != 0 {
+			return id, nil
+		}
+	}
+}
+
+// Identity returns the replica's identity.
+func (w *WAL) Identity() Identity { return w.identity }
+
+// Saved returns the state as of Open. The snapshot and entries are handed
+// over: the WAL keeps no copy after the first call.
+func (w *WAL) Saved() raft.Saved {
+	s := w.saved
+	w.saved = raft.Saved{}
+	return s
+}
+
+// SetIdentity records the cluster, or that the replica was removed.
+func (w *WAL) SetIdentity(id Identity) error {
+	err := w.update(func(tx *bolt.Tx) error {
+		return putRecord(tx.Bucket(bucketMeta), keyIdentity, encodeIdentity(id))
+	})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	w.identity = id
+	return nil
+}
+
+// Save persists what a step asks for in one synced transaction: the snapshot
+// that replaces the log if there is one, then the entries, which replace any
+// from the first one's index on, and the hard state.
+func (w *WAL) Save(r raft.Ready) error {
+	if !r.MustPersist {
+		return nil
+	}
+	return errors.Trace(w.update(func(tx *bolt.Tx) error {
+		if r.Snapshot != nil {
+			base := raft.Position{Index: r.Snapshot.Index, Term: r.Snapshot.Term}
+			if err := w.putSnapshot(tx, *r.Snapshot, base); err != nil {
+				return errors.Trace(err)
+			}
+			if err := deleteFrom(tx, 0); err != nil {
+				return errors.Trace(err)
+			}
+		}
+		if err := appendEntries(tx, r.Entries); err != nil {
+			return errors.Trace(err)
+		}
+		return putRecord(tx.Bucket(bucketMeta), keyHardState, encodeHardState(r.HardState))
+	}))
+}
+
+// Found writes the first membership of a new cluster as entry 1, committed,
+// together with the cluster's id.
+func (w *WAL) Found(id Identity, first raft.Entry) error {
+	err := w.update(func(tx *bolt.Tx) error {
+		if err := appendEntries(tx, []raft.Entry{first}); err != nil {
+			return errors.Trace(err)
+		}
+		meta := tx.Bucket(bucketMeta)
+		hard := raft.HardState{Term: first.Term, Commit: first.Index}
+		if err := putRecord(meta, keyHardState, encodeHardState(hard)); err != nil {
+			return errors.Trace(err)
+		}
+		return putRecord(meta, keyIdentity, encodeIdentity(id))
+	})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	w.identity = id
+	return nil
+}
+
+// Compact persists a snapshot and drops the entries up to and including base.
+func (w *WAL) Compact(s raft.Snapshot, base raft.Position) error {
+	return errors.Trace(w.update(func(tx *bolt.Tx) error {
+		if err := w.putSnapshot(tx, s, base); err != nil {
+			return errors.Trace(err)
+		}
+		return deleteThrough(tx, base.Index)
+	}))
+}
+
+func (w *WAL) putSnapshot(tx *bolt.Tx, s raft.Snapshot, base raft.Position) error {
+	data, err := encodeSnapshot(s)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	meta := tx.Bucket(bucketMeta)
+	if err := putRecord(meta, keyBase, encodePosition(base)); err != nil {
+		return errors.Trace(err)
+	}
+	return putRecord(meta, keySnapshot, data)
+}
+
+// update runs f in one transaction that is synced before update returns.
+func (w *WAL) update(f func(tx *bolt.Tx) error) error {
+	return w.guard("write", func() error {
+		err := w.db.Update(f)
+		if errors.Is(err, berrors.ErrDatabaseNotOpen) {
+			return errors.Trace(ErrClosed)
+		}
+		return errors.Annotatef(err, "writing %s", w.path)
+	})
+}
+
+// Close closes the file.
+func (w *WAL) Close() error {
+	return errors.Annotatef(w.db.Close(), "closing %s", w.path)
+}
