Placement: one long prompt at a time on each server

Cause: after an outage all waiting drafts were placed at once; the engines computed their prompts for 4 s and lookups placed behind them missed. Ruled out: relying on the engine's priorities (they order its queue, not the prompts under way). Change: a long request isn't placed where this entry has one without a first token.

--- a/internal/placement/picker.go
+++ b/internal/placement/picker.go
@@ -171,16 +171,15 @@
 	tokens = max(1, tokens)
 	a := &attempt{target: t, tokens: tokens, long: tokens >= p.options.LongTokens}
 	p.running[attemptID] = a
-	t.attempts++
-	t.give(now, a, tokens)
+	if a.long {
+		t.pendingLong++
+	}
+	t.give(now, tokens)
 }
 
 // give adds tokens of work, or takes them off if they are negative.
-func (t *target) give(now time.Time, a *attempt, tokens int) {
+func (t *target) give(now time.Time, tokens int) {
 	t.mine += tokens
-	if a.long {
-		t.mineLong += tokens
-	}
 	t.ledger.add(now, tokens)
 	t.estimate()
 }
@@ -194,9 +193,20 @@
 	if !a.seen.IsZero() && now.After(a.seen) {
 		a.target.progress(now, tokens, now.Sub(a.seen))
 	}
+	if a.seen.IsZero() {
+		a.computed()
+		a.target.pool.full.clear()
+	}
 	a.seen = now
 }
 
+// computed notes that the prompt of a is computed, by its first token or end.
+func (a *attempt) computed() {
+	if a.long && a.seen.IsZero() {
+		a.target.pendingLong--
+	}
+}
+
 // Finished notes the end of an attempt. It must be called once for each.
 func (p *Picker) Finished(now time.Time, attemptID string, r Result) {
 	a := p.running[attemptID]
@@ -205,8 +215,8 @@
 	}
 	delete(p.running, attemptID)
 	t := a.target
-	t.attempts--
-	t.give(now, a, -a.tokens)
+	a.computed()
+	t.give(now, -a.tokens)
 	t.pool.full.clear()
 	switch {
 	case r.OK:
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -10,6 +10,12 @@
 // capacity begins, in tokens: a few requests of ordinary size.
 const defaultLimit = 8192
 
+// longPrefills is how many long prompts one entry lets a target compute at
+// once. It is made for long requests that come together, as after an outage:
+// engines compute prompts in the order they got them, so a lookup placed behind
+// ten long prompts waits for all of them.
+const longPrefills = 1
+
 const (
 	// rampTime is how long a returning target takes until it gets its whole
 	// part. Its prefix cache is cold, and if it failed by load, its whole part
@@ -38,8 +44,8 @@
 
 	// mine is the work that this process has in flight on it.
 	mine     int
-	mineLong int
-	attempts int
+	// pendingLong counts this process's long attempts without a first token.
+	pendingLong int
 	ledger   ledger
 
 	reported   Load
@@ -111,6 +117,9 @@
 	}
 	limit := t.limit * t.part(now) * (1 - reserve)
 	if tokens >= o.LongTokens {
+		if t.pendingLong >= longPrefills {
+			return false
+		}
 		limit *= o.LongShare
 	}
 	return t.load+float64(tokens) <= limit
