Placement: a returning target keeps the limit that was learned

Cause: after an outage each group began again at its stated 40,000 tokens, with half of its slots empty while lookups waited. Ruled out: stating the exact capacity (it changes with the mix of requests). Change: limits of unlisted targets are remembered, bounded to 2,048.

--- a/internal/placement/picker.go
+++ b/internal/placement/picker.go
@@ -15,8 +15,14 @@
 	running map[string]*attempt
 	hints   hints
 	random  uint64
+	// learned holds the limits of targets that were taken off the list.
+	learned map[Target]float64
 }
 
+// learnedLimit bounds Picker.learned. Past it all are forgotten, and targets
+// that return begin at their stated capacity.
+const learnedLimit = 2048
+
 // attempt is one request in flight on a target.
 type attempt struct {
 	target *target
@@ -36,6 +42,7 @@
 		running: make(map[string]*attempt),
 		hints:   make(hints),
 		random:  o.Seed,
+		learned: make(map[Target]float64),
 	}
 }
 
@@ -78,6 +85,10 @@
 		p.hints.dropAll(old)
 	}
 	t := newTarget(o)
+	if limit, ok := p.learned[o]; ok {
+		t.limit = limit
+		delete(p.learned, o)
+	}
 	p.targets[o.ID] = t
 	return t
 }
@@ -93,10 +104,15 @@
 
 func (p *Picker) removeUnlisted() {
 	for id, t := range p.targets {
-		if !t.listed {
-			p.hints.dropAll(t)
-			delete(p.targets, id)
+		if t.listed {
+			continue
+		}
+		p.hints.dropAll(t)
+		delete(p.targets, id)
+		if len(p.learned) >= learnedLimit {
+			clear(p.learned)
 		}
+		p.learned[t.Target] = t.limit
 	}
 }
 
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -43,10 +43,10 @@
 	settle time.Time
 
 	// mine is the work that this process has in flight on it.
-	mine     int
+	mine int
 	// pendingLong counts this process's long attempts without a first token.
 	pendingLong int
-	ledger   ledger
+	ledger      ledger
 
 	reported   Load
 	mineAt     int
