--- a/internal/placement/picker.go
+++ b/internal/placement/picker.go
@@ -15,8 +15,14 @@
 	running map[string]*attempt
 	hints   hints
 	random  uint64
+	// learned holds the limits of targets that were taken off the list.
+	learned map[Target]float64
 }
 
+// learnedLimit bounds Picker.learned. Past it all are forgotten, and targets
+// that return begin at their stated capacity.
+const learnedLimit = 2048
+
 // attempt is one request in flight on a target.
 type attempt struct {
 	target *target
@@ -36,6 +42,7 @@
 		running: make(map[string]*attempt),
 		hints:   make(hints),
 		random:  o.Seed,
+		learned: make(map[Target]float64),
 	}
 }
 
@@ -78,6 +85,10 @@
 		p.hints.dropAll(old)
 	}
 	t := newTarget(o)
+	if limit, ok := p.learned[o]; ok {
+		t.limit = limit
+		delete(p.learned, o)
+	}
 	p.targets[o.ID] = t
 	return t
 }
@@ -93,10 +104,15 @@
 
 func (p *Picker) removeUnlisted() {
 	for id, t := range p.targets {
-		if !t.listed {
-			p.hints.dropAll(t)
-			delete(p.targets, id)
+		if t.listed {
+			continue
+		}
+		p.hints.dropAll(t)
+		delete(p.targets, id)
+		if len(p.learned) >= learnedLimit {
+			clear(p.learned)
 		}
+		p.learned[t.Target] = t.limit
 	}
 }
 
@@ -171,16 +187,15 @@
 	tokens = max(1, tokens)
 	a := &attempt{target: t, tokens: tokens, long: tokens >= p.options.LongTokens}
 	p.running[attemptID] = a
-	t.attempts++
-	t.give(now, a, tokens)
+	if a.long {
+		t.pendingLong++
+	}
+	t.give(now, tokens)
 }
 
 // give adds tokens of work, or takes them off if they are negative.
-func (t *target) give(now time.Time, a *attempt, tokens int) {
+func (t *target) give(now time.Time, tokens int) {
 	t.mine += tokens
-	if a.long {
-		t.mineLong += tokens
-	}
 	t.ledger.add(now, tokens)
 	t.estimate()
 }
@@ -194,9 +209,20 @@
 	if !a.seen.IsZero() && now.After(a.seen) {
 		a.target.progress(now, tokens, now.Sub(a.seen))
 	}
+	if a.seen.IsZero() {
+		a.computed()
+		a.target.pool.full.clear()
+	}
 	a.seen = now
 }
 
+// computed notes that the prompt of a is computed, by its first token or end.
+func (a *attempt) computed() {
+	if a.long && a.seen.IsZero() {
+		a.target.pendingLong--
+	}
+}
+
 // Finished notes the end of an attempt. It must be called once for each.
 func (p *Picker) Finished(now time.Time, attemptID string, r Result) {
 	a := p.running[attemptID]
@@ -205,8 +231,8 @@
 	}
 	delete(p.running, attemptID)
 	t := a.target
-	t.attempts--
-	t.give(now, a, -a.tokens)
+	a.computed()
+	t.give(now, -a.tokens)
 	t.pool.full.clear()
 	switch {
 	case r.OK:
