Stand-in test: wait for the run's record

Ruled out: a lost record (it arrives within milliseconds). Change: the test awaits the same outcome, as strict as before.

--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -153,7 +153,8 @@
 	assert.Equal(t, tokens[0].Offset, 5)
 
 	assert.Equal(t, len(head.Runs()), 2)
-	assert.Equal(t, head.Runs()[1].Outcome, OutcomeFinished)
+	// The engine records the end of a run after it sent the end mark.
+	await(t, "recorded as finished", func() bool { return head.Runs()[1].Outcome == OutcomeFinished })
 }
 
 func TestRefusesWhatItDoesNotServe(t *testing.T) {
