Entry: requests that crash backend servers are found, run alone and refused

Cause: a request that crashes each engine that runs it, resent by its caller, would take down group after group. A test with three groups, twelve innocent requests and one that crashes failed first with 3 runs where 2 are allowed. Ruled out: that the quarantine command was refused (it was granted); that reports of load never came. Cause of the 3 runs: the suspect's entry chose the group that had just crashed as the one to keep empty, and waited 30 s for a report that never comes; then ran beside others. Also, each suspect of one crash emptied a target of its own, so the last one waited longest. Change: crashes told from cuts by evidence; suspects on the blackboard by fingerprint; one quarantine a pool, kept while suspects of the entry wait; a target that goes out of service ends the wait for it. Metrics wired into the daemon.

--- a/internal/blackboard/board.go
+++ b/internal/blackboard/board.go
@@ -26,6 +26,8 @@
 	Services  map[string]ServiceInstance `json:"services"`
 	Entries   map[string]Entry           `json:"entries"`
 	Suspects  map[string]Suspect         `json:"suspects"`
+	// Quarantines are by pool: a model or a plain service.
+	Quarantines map[string]Quarantine `json:"quarantines"`
 	// NextEpoch is the epoch that the next forming group gets.
 	NextEpoch uint64 `json:"next_epoch"`
 	// Changes keeps the answers of recent configuration changes by id.
@@ -48,6 +50,7 @@
 	b.Services = orEmpty(b.Services)
 	b.Entries = orEmpty(b.Entries)
 	b.Suspects = orEmpty(b.Suspects)
+	b.Quarantines = orEmpty(b.Quarantines)
 	b.Changes = orEmpty(b.Changes)
 }
 
--- a/internal/blackboard/command.go
+++ b/internal/blackboard/command.go
@@ -32,19 +32,21 @@
 
 // commandTypes maps the names in the log to commands. Names are never reused.
 var commandTypes = map[string]func() Command{
-	"found":          func() Command { return &Found{} },
-	"config_change":  func() Command { return &ConfigChange{} },
-	"put_vm":         func() Command { return &PutVM{} },
-	"set_liveness":   func() Command { return &SetLiveness{} },
-	"free_vm":        func() Command { return &FreeVM{} },
-	"form_group":     func() Command { return &FormGroup{} },
-	"set_group":      func() Command { return &SetGroupState{} },
-	"put_service":    func() Command { return &PutService{} },
-	"remove_service": func() Command { return &RemoveService{} },
-	"put_entry":      func() Command { return &PutEntry{} },
-	"remove_entry":   func() Command { return &RemoveEntry{} },
-	"report_crash":   func() Command { return &ReportCrash{} },
-	"forget_suspect": func() Command { return &ForgetSuspect{} },
+	"found":           func() Command { return &Found{} },
+	"config_change":   func() Command { return &ConfigChange{} },
+	"put_vm":          func() Command { return &PutVM{} },
+	"set_liveness":    func() Command { return &SetLiveness{} },
+	"free_vm":         func() Command { return &FreeVM{} },
+	"form_group":      func() Command { return &FormGroup{} },
+	"set_group":       func() Command { return &SetGroupState{} },
+	"put_service":     func() Command { return &PutService{} },
+	"remove_service":  func() Command { return &RemoveService{} },
+	"put_entry":       func() Command { return &PutEntry{} },
+	"remove_entry":    func() Command { return &RemoveEntry{} },
+	"report_crash":    func() Command { return &ReportCrash{} },
+	"forget_suspect":  func() Command { return &ForgetSuspect{} },
+	"take_quarantine": func() Command { return &TakeQuarantine{} },
+	"end_quarantine":  func() Command { return &EndQuarantine{} },
 }
 
 // Encode returns a command as it is written to the log.
@@ -89,6 +91,10 @@
 		return "report_crash", nil
 	case *ForgetSuspect, ForgetSuspect:
 		return "forget_suspect", nil
+	case *TakeQuarantine, TakeQuarantine:
+		return "take_quarantine", nil
+	case *EndQuarantine, EndQuarantine:
+		return "end_quarantine", nil
 	}
 	return "", errors.Annotatef(ErrMalformed, "command %T", c)
 }
--- a/internal/blackboard/suspect.go
+++ b/internal/blackboard/suspect.go
@@ -13,6 +13,13 @@
 	LastMillis   int64    `json:"last_ms"`
 }
 
+// Convicted tells whether the request surely crashes backend servers: it did
+// so a second time, and that time nothing else was there to blame.
+func (s Suspect) Convicted() bool {
+	const most = 3
+	return (s.Alone >= 1 && s.Crashes >= 2) || s.Crashes >= most
+}
+
 // maxSuspects bounds the table; the oldest goes first.
 const maxSuspects = 2048
 
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -56,6 +56,7 @@
 			return
 		}
 		term, err := s.leading()
+		s.sample(err == nil)
 		if err != nil {
 			o = nil
 			continue
@@ -67,6 +68,20 @@
 	}
 }
 
+// sampleInterval is the time between two samples of the control metrics.
+const sampleInterval = time.Second
+
+// sample feeds the control metrics. It is called from Run alone.
+func (s *Server) sample(leading bool) {
+	now := time.Now()
+	if now.Sub(s.sampled) < sampleInterval {
+		return
+	}
+	s.sampled = now
+	board, _ := s.o.Machine.Board()
+	s.o.Metrics.Sample(s.Status(), board.Config, leading, now)
+}
+
 // step runs the controllers once and carries out what they want. The lease is
 // read before the board, so that a board read under it is this leader's.
 func (s *Server) step(ctx context.Context, o *office) {
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -15,6 +15,7 @@
 	"github.com/citronstep/citronstep/internal/clock"
 	"github.com/citronstep/citronstep/internal/evidence"
 	"github.com/citronstep/citronstep/internal/failure"
+	"github.com/citronstep/citronstep/internal/metrics"
 	"github.com/citronstep/citronstep/internal/replica"
 	"github.com/citronstep/citronstep/internal/rpc/noderpc"
 )
@@ -56,7 +57,8 @@
 	// no order before it has run out.
 	OrderLease time.Duration
 	// VM is this machine's name.
-	VM string
+	VM      string
+	Metrics *metrics.Control
 }
 
 // Server is the control role of one process.
@@ -68,6 +70,8 @@
 	term   uint64
 	events *eventLog
 	meter  meter
+	// sampled is when the metrics were last fed; Run alone uses it.
+	sampled time.Time
 }
 
 // NewServer returns a server; Run makes it work.
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -49,17 +50,25 @@
 	attempt string
 	route   route
 	refused *failure.Error
+	// giveBack is set when the attempt runs alone; it ends the quarantine.
+	giveBack func()
 }
 
 // route is where an attempt goes.
 type route struct {
-	target  string
+	target string
+	// pool is the model or the plain service.
+	pool string
+	// busy is how many requests the target reports, running and waiting.
+	busy    int
 	address string
 	group   string
 	epoch   uint64
 	// head and incarnation name the backend server that takes the request.
 	head        string
 	incarnation string
+	// members maps each backend server of the target to its incarnation.
+	members map[string]string
 }
 
 func newDispatcher(dataCentre string, seed uint64, logger log.Logger) *dispatcher {
@@ -75,12 +84,13 @@
 	}
 }
 
-// setRoutes replaces the routable targets.
-func (d *dispatcher) setRoutes(now time.Time, routes map[string]route, targets []placement.Target) {
+// setRoutes replaces the routable targets. awaited names the pools that have a
+// target in quarantine: their requests wait for it rather than be refused.
+func (d *dispatcher) setRoutes(now time.Time, routes map[string]route, targets []placement.Target, awaited map[string]bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.routes = routes
-	d.models = make(map[string]bool)
+	d.models = maps.Clone(awaited)
 	for _, t := range targets {
 		d.models[t.Model] = true
 	}
@@ -234,6 +244,29 @@
 	}
 }
 
+// idlest returns the routable target of a pool that reports the least work.
+func (d *dispatcher) idlest(pool string) (route, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	best, found := route{}, false
+	for _, r := range d.routes {
+		if r.pool != pool {
+			continue
+		}
+		if !found || r.busy < best.busy || (r.busy == best.busy && r.target < best.target) {
+			best, found = r, true
+		}
+	}
+	return best, found
+}
+
+// counts returns the routable targets and the waiting requests.
+func (d *dispatcher) counts() (routes, waiting int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.routes), len(d.waiting)
+}
+
 func (d *dispatcher) allowRetry(workspace string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- /dev/null
+++ b/internal/entry/isolate.go
@@ -0,0 +1,200 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/evidence"
+)
+
+// Times of running alone.
+const (
+	// aloneWait bounds the wait for a turn alone, and alonePart is the part of
+	// the time left that it may take. Past it the suspect runs beside others
+	// after all: an innocent one must not miss its deadline for a crash that
+	// it only shared.
+	aloneWait = 30 * time.Second
+	alonePart = 2
+	alonePoll = 50 * time.Millisecond
+	// quarantineFor bounds a quarantine whose entry died.
+	quarantineFor = 60 * time.Second
+	// quarantineKnown is when each entry that may still send has surely seen
+	// the quarantine: its watch is answered at once, or its lease runs out.
+	quarantineKnown = 1500 * time.Millisecond
+)
+
+// isolation lets this entry's suspects of a pool run alone, one after the
+// other, on one target. The quarantine is kept while suspects wait, since
+// emptying a target is what costs the others most.
+type isolation struct {
+	mu    sync.Mutex
+	pools map[string]*turns
+}
+
+// turns are the suspects of one pool on this entry.
+type turns struct {
+	// turn holds one token, which the suspect that runs has taken.
+	turn chan struct{}
+	// waiting counts the suspects that want a turn or have it.
+	waiting int
+	// held is the target that is kept empty, until heldUntil.
+	held      *route
+	heldUntil time.Time
+}
+
+func newIsolation() *isolation { return &isolation{pools: make(map[string]*turns)} }
+
+func (i *isolation) enter(pool string) *turns {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	t, ok := i.pools[pool]
+	if !ok {
+		t = &turns{turn: make(chan struct{}, 1)}
+		t.turn <- struct{}{}
+		i.pools[pool] = t
+	}
+	t.waiting++
+	return t
+}
+
+// leave counts a suspect out and tells whether it was the last.
+func (i *isolation) leave(t *turns) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	t.waiting--
+	return t.waiting == 0
+}
+
+// isolate waits for the suspect's turn and for a target where it is alone. It
+// returns the grant and a function that ends the turn, or false when neither
+// could be had in time.
+func (s *Server) isolate(j *job) (grant, func(), bool) {
+	until := earlier(time.Now().Add(time.Until(j.deadline)/alonePart), time.Now().Add(aloneWait))
+	t := s.isolation.enter(j.model)
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	select {
+	case <-t.turn:
+	case <-timer.C:
+		s.isolation.leave(t)
+		return grant{}, nil, false
+	case <-j.ctx.Done():
+		s.isolation.leave(t)
+		return grant{}, nil, false
+	}
+	endTurn := func() { s.endTurn(j.model, t) }
+	r, ok := s.emptyTarget(j, t, until)
+	if !ok {
+		endTurn()
+		return grant{}, nil, false
+	}
+	return grant{attempt: j.nextAttempt(), route: r}, endTurn, true
+}
+
+// endTurn passes the turn on, and gives the target back after the last.
+func (s *Server) endTurn(pool string, t *turns) {
+	if s.isolation.leave(t) && t.held != nil {
+		t.held = nil
+		s.endQuarantine(pool)
+	}
+	t.turn <- struct{}{}
+}
+
+// emptyTarget returns a target that this entry keeps in quarantine and that
+// runs nothing. The caller has the turn.
+func (s *Server) emptyTarget(j *job, t *turns, until time.Time) (route, bool) {
+	if t.held != nil && s.stillHeld(t) {
+		return *t.held, true
+	}
+	t.held = nil
+	for time.Now().Before(until) && j.ctx.Err() == nil {
+		r, ok := s.dispatcher.idlest(j.model)
+		if !ok || !s.takeQuarantine(j, r.target) {
+			time.Sleep(alonePoll)
+			continue
+		}
+		taken := time.Now()
+		if s.awaitEmpty(j, r, taken, until) {
+			t.held, t.heldUntil = &r, taken.Add(quarantineFor/alonePart)
+			return r, true
+		}
+		s.endQuarantine(j.model)
+	}
+	return route{}, false
+}
+
+// stillHeld tells whether the held target can take another suspect: it has not
+// crashed, and the quarantine outlives the next attempt.
+func (s *Server) stillHeld(t *turns) bool {
+	return time.Now().Before(t.heldUntil) && s.inService(*t.held)
+}
+
+// inService tells whether a target would be routable but for the quarantine,
+// in the same epoch and incarnation.
+func (s *Server) inService(r route) bool {
+	if changed, _ := s.lookAt(r, time.Now()); changed {
+		return false
+	}
+	if r.group == "" {
+		return true
+	}
+	board := s.o.Follower.Board()
+	ok := board.Groups[r.group].Epoch == r.epoch
+	s.o.Hearing.With(func(t *evidence.Table) {
+		routable, _ := t.Routable(time.Now(), board, r.group)
+		ok = ok && routable
+	})
+	return ok
+}
+
+func (s *Server) takeQuarantine(j *job, target string) bool {
+	ctx, cancel := context.WithTimeout(j.ctx, boardTimeout)
+	defer cancel()
+	now := time.Now()
+	var verdict blackboard.Verdict
+	err := s.commitBoard(ctx, &blackboard.TakeQuarantine{
+		Quarantine: blackboard.Quarantine{
+			Pool: j.model, Target: target, Entry: s.o.ID, UntilMillis: now.Add(quarantineFor).UnixMilli(),
+		},
+		NowMillis: now.UnixMilli(),
+	}, &verdict)
+	return err == nil && verdict.Applied
+}
+
+func (s *Server) endQuarantine(pool string) {
+	ctx, cancel := context.WithTimeout(context.Background(), boardTimeout)
+	defer cancel()
+	// If this fails the quarantine ends by its time.
+	_ = s.commitBoard(ctx, &blackboard.EndQuarantine{Pool: pool, Entry: s.o.ID}, nil)
+}
+
+// awaitEmpty waits until the target reports, of a moment when all entries know
+// of the quarantine, that it runs nothing. It gives up on a target that goes
+// out of service meanwhile, such as one that has just crashed.
+func (s *Server) awaitEmpty(j *job, r route, taken, until time.Time) bool {
+	for time.Now().Before(until) && j.ctx.Err() == nil && s.inService(r) {
+		if s.emptySince(r, taken.Add(quarantineKnown)) {
+			return true
+		}
+		time.Sleep(alonePoll)
+	}
+	return false
+}
+
+func (s *Server) emptySince(r route, known time.Time) bool {
+	empty := false
+	s.o.Hearing.With(func(t *evidence.Table) {
+		report, ok := t.Get(r.head)
+		if r.group == "" {
+			report, ok = t.GetService(r.head)
+		}
+		if !ok || report.Load == nil || report.Incarnation != r.incarnation {
+			return
+		}
+		l := load(report)
+		empty = l.At.After(known) && l.Running == 0 && l.Queued == 0
+	})
+	return empty
+}
--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -73,6 +73,13 @@
 	tried []string
 	// attempts counts the attempts begun.
 	attempts int
+	// queued is the time until the first attempt; firstToken until the first
+	// token, both from the arrival.
+	queued, firstToken time.Duration
+	// suspect says that a backend server crashed while it ran the request;
+	// crashes counts those that this job saw.
+	suspect bool
+	crashes int
 }
 
 // tokens estimates the work of the request.
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 
 	"github.com/citronstep/citronstep/internal/failure"
+	"github.com/citronstep/citronstep/internal/metrics"
 	"github.com/citronstep/citronstep/internal/record"
 	"github.com/citronstep/citronstep/internal/rpc/noderpc"
 )
@@ -52,6 +53,9 @@
 	if e := s.mayAdmit(); e != nil {
 		return nil, e
 	}
+	if s.o.Follower.Board().Suspects[j.body].Convicted() {
+		return nil, convicted()
+	}
 	first, e := s.running.enter(j, s.limits(j.workspace))
 	if e != nil {
 		return nil, e
@@ -134,6 +138,13 @@
 	r.forget(time.Now())
 }
 
+// counts returns the open jobs and the bytes of kept answers.
+func (r *running) counts() (open, kept int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.total, r.bytes
+}
+
 func (r *running) forget(now time.Time) {
 	for len(r.ended) > 0 {
 		first := r.ended[0]
@@ -172,6 +183,7 @@
 		return nil
 	}
 	now := time.Now()
+	defer func() { s.o.Metrics.Claim(time.Since(now)) }()
 	out, err := s.commitRecord(j.ctx, record.Command{Claim: &record.Claim{
 		Key: j.key, Body: j.body, Entry: s.o.ID, Attempt: j.id,
 		DeadlineMillis: j.deadline.Add(claimGrace).UnixMilli(), NowMillis: now.UnixMilli(),
@@ -251,6 +263,7 @@
 	if j.claimed {
 		s.settle(j, e, mayHaveRun)
 	}
+	s.meter(j, e)
 	if e != nil {
 		c := *e
 		c.RequestID = j.id
@@ -261,6 +274,18 @@
 	j.answer.end(j.finish)
 }
 
+// meter records the request's final answer.
+func (s *Server) meter(j *job, e *failure.Error) {
+	r := metrics.Request{
+		Workspace: j.workspace, Class: j.class, Outcome: metrics.Answered, Queued: j.queued,
+		FirstToken: j.firstToken, Whole: time.Since(j.arrived), Tokens: j.answer.length(),
+	}
+	if e != nil {
+		r.Outcome, r.Ran = string(e.Type), string(e.Ran)
+	}
+	s.o.Metrics.Request(r)
+}
+
 // settle records what became of a claim.
 func (s *Server) settle(j *job, e *failure.Error, mayHaveRun bool) {
 	if e != nil && !mayHaveRun {
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -61,12 +61,15 @@
 	targets []placement.Target
 	loads   map[string]placement.Load
 	closed  map[string]string
+	// awaited are the pools with a target in quarantine.
+	awaited map[string]bool
 }
 
 func (s *Server) updateRoutes() {
 	r := &routing{
 		now: time.Now(), board: s.o.Follower.Board(),
 		routes: make(map[string]route), loads: make(map[string]placement.Load), closed: make(map[string]string),
+		awaited: make(map[string]bool),
 	}
 	s.o.Hearing.With(func(t *evidence.Table) {
 		for id := range r.board.Groups {
@@ -77,7 +80,7 @@
 		}
 	})
 	s.logRouteChanges(r)
-	s.dispatcher.setRoutes(r.now, r.routes, r.targets)
+	s.dispatcher.setRoutes(r.now, r.routes, r.targets, r.awaited)
 	for id, l := range r.loads {
 		s.dispatcher.report(r.now, id, l)
 	}
@@ -93,6 +96,9 @@
 		r.closed[id] = "group is drained"
 		return
 	}
+	if r.quarantined(g.Model, id) {
+		return
+	}
 	head := g.Members[0]
 	report, _ := t.Get(head.VM)
 	capacity := 0
@@ -101,13 +107,28 @@
 		r.loads[id] = load(report)
 	}
 	r.routes[id] = route{
-		target: id, address: head.Address, group: g.ID, epoch: g.Epoch, head: head.VM, incarnation: head.Incarnation,
+		target: id, pool: g.Model, busy: r.loads[id].Running + r.loads[id].Queued, address: head.Address, group: g.ID, epoch: g.Epoch, head: head.VM, incarnation: head.Incarnation,
+		members: make(map[string]string, len(g.Members)),
+	}
+	for _, m := range g.Members {
+		r.routes[id].members[m.VM] = m.Incarnation
 	}
 	r.targets = append(r.targets, placement.Target{
 		ID: id, DataCentre: g.DataCentre, FabricDomain: g.FabricDomain, Model: g.Model, Capacity: capacity,
 	})
 }
 
+// quarantined tells whether a target is kept for a suspect request.
+func (r *routing) quarantined(pool, target string) bool {
+	q, ok := r.board.Quarantines[pool]
+	if !ok || q.Target != target || !q.Holds(r.now.UnixMilli()) {
+		return false
+	}
+	r.closed[target] = "kept for a suspect request by " + q.Entry
+	r.awaited[pool] = true
+	return true
+}
+
 func (r *routing) addService(t *evidence.Table, id string) {
 	i := r.board.Services[id]
 	report, ok := t.GetService(id)
@@ -119,10 +140,15 @@
 		r.closed[id] = "instance has no fresh evidence"
 		return
 	}
+	if r.quarantined(servicePool(i.Service), id) {
+		return
+	}
 	if report.Load != nil {
 		r.loads[id] = load(report)
 	}
-	r.routes[id] = route{target: id, address: i.Address, head: id, incarnation: i.Incarnation}
+	r.routes[id] = route{
+		target: id, pool: servicePool(i.Service), busy: r.loads[id].Running + r.loads[id].Queued, address: i.Address, head: id, incarnation: i.Incarnation, members: map[string]string{id: i.Incarnation},
+	}
 	r.targets = append(r.targets, placement.Target{ID: id, DataCentre: i.DataCentre, Model: servicePool(i.Service)})
 }
 
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -36,6 +36,21 @@
 	outcomeEnded
 )
 
+// name is the outcome as metrics and logs show it.
+func (o outcome) name(e *failure.Error) string {
+	switch {
+	case o == outcomeWhole:
+		return "whole"
+	case o == outcomeNotStarted:
+		return "not_started"
+	case o == outcomeEnded:
+		return "ended"
+	case e != nil && e.Type == failure.TypeStalled:
+		return "stalled"
+	}
+	return "broken"
+}
+
 // runCompletion brings one job to its end. It runs on a goroutine of its own,
 // so that a caller that goes away does not cut off a resend that attached.
 func (s *Server) runCompletion(j *job) {
@@ -51,6 +66,7 @@
 		return
 	}
 	g, e := s.dispatcher.enter(j)
+	j.queued = time.Since(j.arrived)
 	if e != nil {
 		s.finish(j, e, false)
 		return
@@ -66,13 +82,21 @@
 // attempts makes attempts until one gives the whole answer or no further one
 // may be made.
 func (s *Server) attempts(j *job, g grant, attempt attemptFunc) *failure.Error {
+	if s.o.Follower.Board().Suspects[j.body].Crashes > 0 {
+		j.suspect = true
+	}
 	begun := false
 	for {
+		if j.suspect {
+			g = s.alone(j, g)
+		}
 		if e := s.mayDispatch(); e != nil {
 			s.dispatcher.attemptEnded(g.attempt, placement.Result{Cancelled: true})
 			return withRan(e, begun)
 		}
 		out, e := attempt(j, g)
+		s.o.Metrics.Attempt(out.name(e))
+		stop := s.afterAttempt(j, g, out, e)
 		switch out {
 		case outcomeWhole:
 			return nil
@@ -81,10 +105,10 @@
 		case outcomeBroken:
 			begun = true
 		}
-		j.tried = append(j.tried, g.route.target)
-		if stop := s.mayRetry(j, out, e); stop != nil {
+		if stop != nil {
 			return withRan(stop, begun)
 		}
+		j.tried = append(j.tried, g.route.target)
 		next, ok := s.dispatcher.again(j, earlier(j.deadline, time.Now().Add(failoverWait)))
 		if !ok {
 			return withRan(noBackendServer(), begun)
@@ -93,6 +117,45 @@
 	}
 }
 
+// alone exchanges a suspect's grant for one where it runs alone, if that can
+// be had in time.
+func (s *Server) alone(j *job, g grant) grant {
+	isolated, giveBack, ok := s.isolate(j)
+	if !ok {
+		return g
+	}
+	s.dispatcher.attemptEnded(g.attempt, placement.Result{Cancelled: true})
+	isolated.giveBack = giveBack
+	_ = level.Info(s.o.Logger).Log("event", "route", "request", j.id, "attempt", isolated.attempt,
+		"choice", isolated.route.target, "runner_up", g.route.target, "reason", "suspect runs alone")
+	return isolated
+}
+
+// afterAttempt learns from an attempt and returns the final answer when no
+// other attempt may be made.
+func (s *Server) afterAttempt(j *job, g grant, out outcome, e *failure.Error) *failure.Error {
+	isolated := g.giveBack != nil
+	if isolated {
+		defer g.giveBack()
+	}
+	if out == outcomeWhole {
+		if isolated {
+			s.clear(j)
+		}
+		return nil
+	}
+	cut := out == outcomeBroken && e.Type == failure.TypeBackendFailed
+	if cut && s.crashed(j.ctx, g.route, time.Now()) {
+		if s.blame(j, g.route, isolated).Convicted() {
+			return convicted()
+		}
+	}
+	if out == outcomeEnded {
+		return nil
+	}
+	return s.mayRetry(j, out, e)
+}
+
 // withRan corrects a refusal by what is known of earlier attempts: "no" is
 // said only when no attempt may have run.
 func withRan(e *failure.Error, begun bool) *failure.Error {
@@ -182,7 +245,7 @@
 		text = e.Error()
 	}
 	_ = level.Info(s.o.Logger).Log("event", "attempt_ended", "request", j.id, "attempt", g.attempt,
-		"target", g.route.target, "outcome", int(out), "stalled", stalled, "err", text)
+		"target", g.route.target, "outcome", out.name(e), "err", text)
 }
 
 // cancelTimeout bounds the call that cancels an attempt.
@@ -229,6 +292,7 @@
 		}
 		if first {
 			result.FirstToken = time.Since(began)
+			j.tokenSeen()
 			first = false
 		}
 		j.answer.append(token.Text)
@@ -244,6 +308,13 @@
 	}
 }
 
+// tokenSeen notes the time of the answer's first token.
+func (j *job) tokenSeen() {
+	if j.firstToken == 0 {
+		j.firstToken = time.Since(j.arrived)
+	}
+}
+
 func checkToken(t backend.Token, attempt string, length int) *failure.Error {
 	if t.Attempt != attempt {
 		return failure.New(failure.TypeBackendFailed, "the backend server sent another attempt's answer")
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -20,6 +20,7 @@
 	"github.com/citronstep/citronstep/internal/blackboard"
 	"github.com/citronstep/citronstep/internal/failure"
 	"github.com/citronstep/citronstep/internal/hearing"
+	"github.com/citronstep/citronstep/internal/metrics"
 	"github.com/citronstep/citronstep/internal/rpc/noderpc"
 	"github.com/citronstep/citronstep/internal/settings"
 )
@@ -45,6 +46,7 @@
 	Client     backend.Client
 	Control    Committer
 	Logger     log.Logger
+	Metrics    *metrics.Entry
 }
 
 // Server is the entry role of one process.
@@ -52,6 +54,7 @@
 	o          Options
 	dispatcher *dispatcher
 	running    *running
+	isolation  *isolation
 	keys       keyIndex
 	// boardChanged wakes the routes' loop.
 	boardChanged chan struct{}
@@ -74,6 +77,7 @@
 	s := &Server{
 		o:            o,
 		running:      newRunning(),
+		isolation:    newIsolation(),
 		boardChanged: make(chan struct{}, 1),
 		open:         make(map[string]route),
 	}
@@ -174,6 +178,16 @@
 	}
 }
 
+// Sample sets the gauges of the entry role.
+func (s *Server) Sample() {
+	open, _ := s.running.counts()
+	routes, waiting := s.dispatcher.counts()
+	s.o.Metrics.Sample(metrics.EntrySample{
+		Open: open, Waiting: waiting, Routes: routes, Lease: s.o.Follower.Lease(),
+		ConfigRevision: s.o.Follower.Board().Config.Revision,
+	})
+}
+
 func (s *Server) patience() patience {
 	c := s.o.Settings
 	return patience{
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	"github.com/citronstep/citronstep/internal/entry"
 	"github.com/citronstep/citronstep/internal/follow"
 	"github.com/citronstep/citronstep/internal/hearing"
+	"github.com/citronstep/citronstep/internal/metrics"
 	"github.com/citronstep/citronstep/internal/raft"
 	"github.com/citronstep/citronstep/internal/replica"
 	"github.com/citronstep/citronstep/internal/rpc/noderpc"
@@ -51,6 +52,7 @@
 	follower *follow.Follower
 	entry    *entry.Server
 	servers  []*listening
+	metrics  *metrics.Metrics
 }
 
 // tokens are the secrets that the settings name files of.
@@ -69,7 +71,7 @@
 // what New began.
 func New(s *settings.Settings, logger log.Logger) (*Node, error) {
 	n := &Node{settings: s, logger: logger}
-	steps := []func() error{n.readTokens, n.makeClients, n.makeControl, n.makeEntry, n.listen}
+	steps := []func() error{n.readTokens, n.makeMetrics, n.makeClients, n.makeControl, n.makeEntry, n.listen}
 	for _, step := range steps {
 		if err := step(); err != nil {
 			_ = n.Close()
@@ -102,6 +104,31 @@
 	return nil
 }
 
+func (n *Node) makeMetrics() error {
+	m, err := metrics.New()
+	n.metrics = m
+	return errors.Trace(err)
+}
+
+// sampleInterval is the time between two samples of the gauges.
+const sampleInterval = time.Second
+
+func (n *Node) sampleLoop(ctx context.Context) {
+	ticker := time.NewTicker(sampleInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			n.metrics.SampleInvariants()
+			if n.entry != nil {
+				n.entry.Sample()
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // Times of calls between our processes.
 const (
 	peerDialTimeout = time.Second
@@ -162,14 +189,14 @@
 	if e.Enabled {
 		n.entry = entry.NewServer(entry.Options{
 			ID: n.settings.VM, DataCentre: n.settings.DataCentre, Settings: e, Follower: n.follower, Hearing: n.hearing,
-			Client: n.backends, Control: client, Logger: n.decisions("entry"),
+			Client: n.backends, Control: client, Logger: n.decisions("entry"), Metrics: n.metrics.Entry(),
 		})
 	}
 	if n.replica != nil {
 		c := n.settings.Control
 		n.control = control.NewServer(control.Options{
 			Machine: n.machine, Consensus: n.replica, Evidence: n.hearing, Orders: n.backends,
-			Logger: n.decisions("control"), VM: n.settings.VM, Step: controllerStep,
+			Logger: n.decisions("control"), VM: n.settings.VM, Step: controllerStep, Metrics: n.metrics.Control(),
 			Lease:      time.Duration(c.ConfigLeaseMillis) * time.Millisecond,
 			OrderLease: time.Duration(c.TickMillis*int64(c.ElectionTicks)) * time.Millisecond,
 		})
@@ -239,6 +266,7 @@
 	mux := http.NewServeMux()
 	entries := noderpc.NewEntriesServer(n.hearing)
 	mux.Handle(entries.PathPrefix(), entries)
+	mux.Handle(metrics.Path, n.metrics.Handler())
 	if n.control != nil {
 		board := noderpc.NewBoardServer(n.control)
 		mux.Handle(board.PathPrefix(), board)
@@ -271,6 +299,7 @@
 			return nil
 		})
 	}
+	n.goLoop(ctx, g, n.sampleLoop)
 	n.goLoop(ctx, g, n.follower.Run)
 	n.goLoop(ctx, g, n.hearing.Run)
 	if n.entry != nil {
@@ -341,6 +370,9 @@
 	if n.backends != nil {
 		n.backends.Close()
 	}
+	if n.metrics != nil {
+		_ = n.metrics.Close()
+	}
 	if n.replica != nil {
 		return errors.Trace(n.replica.Close())
 	}
