Random runs: check each command against the truth, old leaders go on until their lease ends

It looked at routing only, and freshness covers for much. Change: FreeVM and the move to serving are compared with what the engines truly run; an engine that is told in time to load what the blackboard does not give it fails the run; a replaced leader goes on with its old view until its lease ends; one order in twenty arrives up to 8 s late.

--- a/internal/controller/sim_engine_test.go
+++ b/internal/controller/sim_engine_test.go
@@ -16,6 +16,7 @@
 	fencing      bool
 
 	incarnation int
+	named       string
 	sequence    uint64
 	up, dark    bool
 	leaving     bool
@@ -37,7 +38,7 @@
 	lost time.Time
 }
 
-func (e *simEngine) name() string { return fmt.Sprintf("%s/%d", e.id, e.incarnation) }
+func (e *simEngine) name() string { return e.named }
 
 func (e *simEngine) paused() bool { return e.w.now.Before(e.pausedUntil) }
 
@@ -62,6 +63,7 @@
 	}
 	e.up = true
 	e.incarnation++
+	e.named = fmt.Sprintf("%s/%d", e.id, e.incarnation)
 	e.sequence = 0
 	e.pausedUntil = time.Time{}
 	e.newest, e.released = backend.FencingToken{}, backend.FencingToken{}
@@ -157,10 +159,15 @@
 	if e.group == o.Order.Group && e.epoch == o.Order.Token.Epoch {
 		return
 	}
-	if e.group != "" && !e.w.now.After(o.Deadline) {
+	inTime := !e.w.now.After(o.Deadline)
+	if e.group != "" && inTime {
 		e.w.fail("engine %s holds %s/%d and is told in time to load %s/%d",
 			e.name(), e.group, e.epoch, o.Order.Group, o.Order.Token.Epoch)
 	}
+	if row := e.w.board.VMs[e.id]; inTime && (row.Group != o.Order.Group || row.Epoch != o.Order.Token.Epoch) {
+		e.w.fail("engine %s is told in time to load %s/%d after it was freed from it",
+			e.name(), o.Order.Group, o.Order.Token.Epoch)
+	}
 	e.clear()
 	e.group, e.epoch, e.model = o.Order.Group, o.Order.Token.Epoch, o.Order.Model
 	e.members = o.Order.Members
--- a/internal/controller/sim_random_test.go
+++ b/internal/controller/sim_random_test.go
@@ -62,6 +62,7 @@
 			w.run(3 * time.Minute)
 			finish(t, w)
 			assert.Assert(t, w.whole(), "seed %d: not all wanted groups serve again: %s", seed, w.states())
+			assert.Assert(t, w.settledDown(), "seed %d: an engine runs what the blackboard does not give it", seed)
 		})
 	}
 }
@@ -151,10 +152,10 @@
 
 // cutLeader cuts the leader off; another takes over when its lease has ended.
 func (w *world) cutLeader() {
-	old := w.leader
+	old := w.leader().entry
 	w.entries[old].cut = true
 	w.after(simLease, func() {
-		if w.leader == old {
+		if w.leader().entry == old {
 			w.lead((old + 1) % simEntries)
 		}
 	})
--- a/internal/controller/sim_world_test.go
+++ b/internal/controller/sim_world_test.go
@@ -62,16 +62,22 @@
 	byID    map[string]*simEngine
 	entries []*simEntry
 	store   []*simFetch
-	leader  int
-	term    uint64
-	memory  *Memory
+	// leaders holds the present leader last, before it those whose lease has
+	// not ended; these still see the blackboard as it was.
+	leaders []*simLeader
 	policy  policy
-	// until is the end of the leader's lease; renewal stops when it is cut.
-	until    time.Time
-	failed   string
-	lateOnes int
-	score    score
-	onServe  func(g blackboard.Group)
+	failed  string
+	score   score
+	onServe func(g blackboard.Group)
+}
+
+// simLeader is one process in one term.
+type simLeader struct {
+	entry  int
+	term   uint64
+	memory *Memory
+	board  *blackboard.Board
+	until  time.Time
 }
 
 // score adds up the two measures of the brief.
@@ -173,20 +179,24 @@
 	w.propose(&c)
 }
 
-// lead makes a process the leader of a new term.
+// lead makes a process the leader of a new term. The leader before it goes on
+// until its lease ends, unable to change the blackboard.
 func (w *world) lead(i int) {
-	w.leader = i
-	w.term++
-	w.memory = NewMemory(w.now, simLease)
-	w.memory.policy = w.policy
-	w.until = w.now.Add(simLease)
+	l := &simLeader{
+		entry: i, term: uint64(len(w.leaders)) + 1, memory: NewMemory(w.now, simLease),
+		until: w.now.Add(simLease),
+	}
+	l.memory.policy = w.policy
+	w.leaders = append(w.leaders, l)
 }
 
+func (w *world) leader() *simLeader { return w.leaders[len(w.leaders)-1] }
+
 // exchange lets each process ask each other one for its digest.
 func (w *world) exchange() {
 	defer w.after(evidence.DigestInterval, w.exchange)
 	for _, a := range w.entries {
-		a.table.Digest(w.now, evidence.Cursor{})
+		_, a.cursors[a.id] = a.table.Digest(w.now, a.cursors[a.id])
 		if a.cut {
 			continue
 		}
@@ -204,43 +214,74 @@
 
 func (w *world) control() {
 	defer w.after(controlTick, w.control)
-	n := w.entries[w.leader]
-	if !n.cut {
-		w.until = w.now.Add(simLease)
+	present := w.leader()
+	for _, l := range w.leaders {
+		cut := w.entries[l.entry].cut
+		if l == present && !cut {
+			l.until = w.now.Add(simLease)
+			l.board = w.board
+		}
+		if l.board == nil || w.now.After(l.until) {
+			continue
+		}
+		w.act(l, l == present, cut)
 	}
+}
+
+// act runs the controllers of one leader.
+func (w *world) act(l *simLeader, present, cut bool) {
 	actions := Run(View{
-		Board: w.board, Evidence: n.table, Memory: w.memory, Term: w.term, LeaseUntil: w.until,
+		Board: l.board, Evidence: w.entries[l.entry].table, Memory: l.memory, Term: l.term, LeaseUntil: l.until,
 	}, w.now)
 	for _, o := range actions.Orders {
-		if !o.Deadline.Before(w.until) {
+		if !o.Deadline.Before(l.until) {
 			w.fail("an order outlives the lease")
 		}
-		if !n.cut {
-			w.deliver(o)
+		if !cut {
+			w.deliver(l, o)
 		}
 	}
-	if n.cut {
+	if !present || cut {
 		return
 	}
 	for _, c := range actions.Commands {
+		w.checkCommand(c)
 		w.propose(c)
 	}
 }
 
-// deliver carries an order; one in thirty is held up for seconds, past its
-// deadline and perhaps past the leader.
-func (w *world) deliver(o PlannedOrder) {
+// checkCommand compares what a command claims with the truth: a VM that is
+// freed no longer runs the epoch, and a group goes into service only when each
+// member has just been ready in it.
+func (w *world) checkCommand(c blackboard.Command) {
+	switch c := c.(type) {
+	case *blackboard.FreeVM:
+		e := w.byID[c.VM]
+		if e.up && e.group == c.Group && e.epoch == c.Epoch {
+			w.fail("%s is freed while it runs %s/%d", e.id, c.Group, c.Epoch)
+		}
+	case *blackboard.SetGroupState:
+		if c.To == blackboard.Serving {
+			w.checkMembers("blackboard", w.board.Groups[c.Group])
+		}
+	}
+}
+
+// deliver carries an order. One in ten is late within its deadline, one in
+// twenty so late that its deadline and perhaps its leader's term are over.
+func (w *world) deliver(l *simLeader, o PlannedOrder) {
 	delay := time.Millisecond + w.upTo(10*time.Millisecond)
-	if w.rng.Intn(30) == 0 {
+	switch n := w.rng.Intn(20); {
+	case n == 0:
 		delay += w.upTo(8 * time.Second)
-		w.lateOnes++
+	case n < 3:
+		delay += w.upTo(o.Deadline.Sub(w.now))
 	}
-	memory := w.memory
 	w.after(delay, func() {
 		w.byID[o.VM].take(o, func(reply backend.OrderReply) {
 			w.after(time.Millisecond, func() {
-				if w.now.Before(o.Deadline) && memory == w.memory {
-					memory.Answered(w.now, o, reply, nil)
+				if w.now.Before(o.Deadline) {
+					l.memory.Answered(w.now, o, reply, nil)
 				}
 			})
 		})
@@ -258,7 +299,7 @@
 	for _, n := range w.entries {
 		for _, id := range sortedKeys(n.board.Groups) {
 			if ok, _ := n.table.Routable(w.now, n.board, id); ok {
-				w.checkMembers(n, n.board.Groups[id])
+				w.checkMembers(n.id, n.board.Groups[id])
 			}
 		}
 	}
@@ -267,14 +308,14 @@
 
 // checkMembers: no group is routable while a member has been missing for longer
 // than the freshness bound.
-func (w *world) checkMembers(n *simEntry, g blackboard.Group) {
+func (w *world) checkMembers(who string, g blackboard.Group) {
 	for _, m := range g.Members {
 		e := w.byID[m.VM]
 		if e.here(m.Incarnation, g.ID, g.Epoch) {
 			continue
 		}
 		if missing := w.now.Sub(e.lost); missing > evidence.RoutableAge+scoreTick {
-			w.fail("%s routes to %s/%d while %s is missing for %s", n.id, g.ID, g.Epoch, m.VM, missing)
+			w.fail("%s routes to %s/%d while %s is missing for %s", who, g.ID, g.Epoch, m.VM, missing)
 		}
 	}
 }
@@ -314,6 +355,18 @@
 	w.score.stranded += float64(live) * scoreTick.Seconds()
 }
 
+// settledDown tells whether engines run what the blackboard gives them and
+// nothing else.
+func (w *world) settledDown() bool {
+	for _, e := range w.engines {
+		row := w.board.VMs[e.id]
+		if e.group != "" && (e.group != row.Group || e.epoch != row.Epoch) {
+			return false
+		}
+	}
+	return true
+}
+
 // whole tells whether each spec has its wanted replicas working.
 func (w *world) whole() bool {
 	working := make(map[string]int)
