Takeover breaks up several groups and holds the domain meanwhile; focused tests

Cause: a group of four that lost a member never came back: its survivors were taken one by one by groups of one VM worth less, and a takeover broke up one group only. Change: a takeover plans all victims of a domain, worth least first, and the domain is held for the short spec until then. A member that is silent and reported lost by another is given up after 5 s, not 10: two kinds of evidence.

--- a/internal/controller/breaking.go
+++ b/internal/controller/breaking.go
@@ -13,6 +13,10 @@
 	// group is torn down: engines lose each other for a moment when a switch
 	// restarts, and tearing down costs a reload.
 	faultPatience = 3 * time.Second
+	// lostPatience is the same for a member that is silent and that another
+	// member reports lost. Two kinds of evidence agree, so it is shorter than
+	// deadAfter; a pause of some seconds still passes.
+	lostPatience = 5 * time.Second
 	// loadLimit gives a load up. The largest weights, from the store at its
 	// limit behind two other loads, take some minutes.
 	loadLimit = 15 * time.Minute
@@ -32,13 +36,13 @@
 		if g.State == blackboard.Broken || g.State == blackboard.Released {
 			continue
 		}
-		reason, lasting := groupFault(v, now, g)
+		reason, patience := groupFault(v, now, g)
 		epoch := groupEpoch{g.ID, g.Epoch}
 		if reason == "" {
 			delete(v.Memory.faults, epoch)
 			continue
 		}
-		if !lasting && now.Sub(since(v.Memory.faults, epoch, now)) < faultPatience {
+		if now.Sub(since(v.Memory.faults, epoch, now)) < patience {
 			continue
 		}
 		a.moveGroup(g, blackboard.Broken, reason, now)
@@ -46,69 +50,79 @@
 	}
 }
 
-// groupFault returns what is wrong with a group, and whether waiting is
-// pointless.
-func groupFault(v View, now time.Time, g blackboard.Group) (reason string, lasting bool) {
+// groupFault returns what is wrong with a group, and how long that must last
+// before the group is given up. The fault with the least patience counts.
+func groupFault(v View, now time.Time, g blackboard.Group) (reason string, patience time.Duration) {
 	if g.State == blackboard.Loading && now.UnixMilli()-g.SinceMillis > loadLimit.Milliseconds() {
-		return "not loaded in time", true
+		return "not loaded in time", 0
 	}
 	for _, m := range g.Members {
-		fault, lasts := memberFault(v, now, g, m)
+		fault, wait := memberFault(v, now, g, m)
 		if fault == "" {
 			continue
 		}
-		if lasts {
-			return "member " + m.VM + " " + fault, true
+		if reason == "" || wait < patience {
+			reason, patience = "member "+m.VM+" "+fault, wait
 		}
-		reason = "member " + m.VM + " " + fault
 	}
-	return reason, false
+	return reason, patience
 }
 
-func memberFault(v View, now time.Time, g blackboard.Group, m blackboard.GroupMember) (fault string, lasting bool) {
+func memberFault(v View, now time.Time, g blackboard.Group, m blackboard.GroupMember) (fault string, patience time.Duration) {
 	vm, ok := v.Board.VMs[m.VM]
 	if !ok {
-		return "is unknown", true
+		return "is unknown", 0
 	}
 	if vm.Incarnation != m.Incarnation {
-		return "restarted", true
+		return "restarted", 0
 	}
 	if vm.Liveness == blackboard.Dead {
-		return "is dead", true
+		return "is dead", 0
 	}
 	r, heard := v.Evidence.Get(m.VM)
 	if !heard || now.Sub(r.HeardAt) > evidence.RoutableAge {
-		return "", false
+		return "", 0
 	}
 	if r.Incarnation != m.Incarnation {
-		return "restarted", settled(r)
+		if settled(r) {
+			return "restarted", 0
+		}
+		return "restarted", faultPatience
 	}
 	return reportedFault(v, now, g, r)
 }
 
 // reportedFault returns what a member that is heard says is wrong.
-func reportedFault(v View, now time.Time, g blackboard.Group, r evidence.Report) (fault string, lasting bool) {
+func reportedFault(v View, now time.Time, g blackboard.Group, r evidence.Report) (fault string, patience time.Duration) {
 	inEpoch := r.Group == g.ID && r.Epoch == g.Epoch
 	if inEpoch && r.Phase == backend.PhaseFailed {
 		v.Memory.avoid[r.ID] = now.Add(avoidFor)
-		return "failed", true
+		return "failed", 0
 	}
 	if inEpoch && len(r.Unreachable) > 0 {
-		return "has lost " + r.Unreachable[0], false
+		return "has lost " + r.Unreachable[0], lossPatience(v, now, r.Unreachable[0])
 	}
 	switch g.State {
 	case blackboard.Serving, blackboard.Draining:
 		if !inEpoch {
-			return "left the epoch", false
+			return "left the epoch", faultPatience
 		}
 		if r.Phase != backend.PhaseReady {
-			return "is " + string(r.Phase), false
+			return "is " + string(r.Phase), faultPatience
 		}
 	case blackboard.Loading:
 		if !inEpoch && now.UnixMilli()-g.SinceMillis > startLimit.Milliseconds() {
 			v.Memory.avoid[r.ID] = now.Add(avoidFor)
-			return "does not begin to load", true
+			return "does not begin to load", 0
 		}
 	}
-	return "", false
+	return "", 0
+}
+
+func lossPatience(v View, now time.Time, lost string) time.Duration {
+	r, heard := v.Evidence.Get(lost)
+	if heard && now.Sub(r.HeardAt) <= evidence.RoutableAge {
+		return faultPatience
+	}
+	return lostPatience
 }
--- /dev/null
+++ b/internal/controller/decisions_test.go
@@ -0,0 +1,181 @@
+package controller
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/citronstep/citronstep/internal/backend"
+	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/evidence"
+)
+
+func reportOf(vm, incarnation string, sequence uint64, phase backend.Phase, at time.Time) evidence.Report {
+	return evidence.Report{
+		Heard: evidence.Heard{
+			Kind: backend.KindEngine, ID: vm, Incarnation: incarnation, Sequence: sequence, Phase: phase,
+		},
+		HeardAt: at, FirstSequence: 1,
+	}
+}
+
+// All groups are torn down at once. The leader is cut off from most entries and
+// hears of no VM; as it can't tell its own cut from their death, it must
+// conclude nothing until a majority of entries has been heard for long enough.
+func TestALeaderThatIsCutOffConcludesNothing(t *testing.T) {
+	w := newWorld(t, 21, 1, 3, defaultPolicy, demoConfig(1, 3))
+	w.run(20 * time.Second)
+	for _, n := range w.entries[1:] {
+		n.cut = true
+	}
+	for _, e := range w.engines {
+		e.dark = true
+	}
+	w.run(30 * time.Second)
+	for _, vm := range w.board.VMs {
+		assert.Equal(t, vm.Liveness, blackboard.Alive)
+	}
+	for _, n := range w.entries[1:] {
+		n.cut = false
+	}
+	w.run(deadAfter - time.Second)
+	assert.Equal(t, w.board.Groups["demo-0"].State, blackboard.Serving, "silence counts from when it can be heard")
+	w.run(3 * time.Second)
+	finish(t, w)
+	assert.Equal(t, w.board.Groups["demo-0"].State, blackboard.Broken)
+}
+
+// A flapping VM breaks group after group. It must stay alive longer with each
+// return before it may join again.
+func TestAFlappingVMWaitsLongerEachTime(t *testing.T) {
+	now := simStart.Add(time.Hour)
+	vm := blackboard.VM{Liveness: blackboard.Alive}
+	waited := func(flaps int) time.Duration {
+		vm.Flaps = flaps
+		for d := time.Duration(0); ; d += time.Second {
+			vm.SinceMillis = now.Add(-d).UnixMilli()
+			if steady(vm, now) {
+				return d
+			}
+		}
+	}
+	assert.Equal(t, waited(0), time.Duration(0))
+	assert.Equal(t, waited(1), 2*settleFirst)
+	assert.Equal(t, waited(3), 8*settleFirst)
+	assert.Equal(t, waited(40), settleMost)
+	vm.Liveness = blackboard.Straggler
+	assert.Assert(t, !steady(vm, now))
+}
+
+// Liveness thrashes when one announcement is late. A straggler is told from a
+// VM in good order by the smoothed interval, with space between the bounds.
+func TestAStragglerIsToldWithHysteresis(t *testing.T) {
+	for _, c := range []struct {
+		is   blackboard.Liveness
+		gap  time.Duration
+		want blackboard.Liveness
+	}{
+		{blackboard.Alive, steadyGap, blackboard.Alive},
+		{blackboard.Alive, slowGap, blackboard.Alive},
+		{blackboard.Alive, slowGap + 1, blackboard.Straggler},
+		{blackboard.Straggler, steadyGap + 1, blackboard.Straggler},
+		{blackboard.Straggler, steadyGap, blackboard.Alive},
+		{blackboard.Paused, steadyGap, blackboard.Alive},
+	} {
+		assert.Equal(t, pace(c.is, evidence.Report{Gap: c.gap}), c.want)
+	}
+}
+
+// A large group waits for its survivors while narrow groups worth less take
+// them one by one as they come free, and it never comes back. It must come back
+// in one new epoch, on its survivors and one VM of the least group.
+func TestSurvivorsAreHeldForTheGroupWorthMore(t *testing.T) {
+	w := newWorld(t, 31, 1, 6, defaultPolicy, blackboard.ConfigChange{Groups: []blackboard.GroupSpec{
+		{Name: "large", Model: "large", Replicas: 1, VMsPerReplica: 4, Worth: 100},
+		{Name: "small", Model: "small", Replicas: 4, VMsPerReplica: 1, Worth: 10},
+	}})
+	w.run(40 * time.Second)
+	g := w.board.Groups["large-0"]
+	assert.Equal(t, g.State, blackboard.Serving)
+	epochs := w.board.NextEpoch
+	w.byID[g.Members[2].VM].kill()
+	w.run(deadAfter + takeOverAfter + 30*time.Second)
+	finish(t, w)
+	assert.Equal(t, w.board.Groups["large-1"].State, blackboard.Serving, w.states())
+	assert.Equal(t, w.board.NextEpoch, epochs+1)
+}
+
+// A takeover saves callers of one group and strands accelerators. The preset's
+// weights must decide: the same loss is taken over where downtime weighs more,
+// and waited out where stranded accelerators weigh more.
+func TestTheWeightsDecideATakeover(t *testing.T) {
+	gain := func(downtime, stranded float64, worth, vms int) float64 {
+		b := blackboard.New()
+		b.Config.Groups["large"] = blackboard.GroupSpec{Name: "large", Worth: 100, VMsPerReplica: 4}
+		b.Config.Groups["small"] = blackboard.GroupSpec{Name: "small", Worth: worth, VMsPerReplica: vms}
+		b.Config.Presets["p"] = blackboard.Preset{DowntimeWeight: downtime, StrandedWeight: stranded}
+		b.Config.ActivePreset = "p"
+		g := blackboard.Group{Spec: "small", Members: make([]blackboard.GroupMember, vms)}
+		return gainOf(View{Board: b}, []blackboard.Group{g}, b.Config.Groups["large"])
+	}
+	assert.Assert(t, gain(3, 1, 10, 6) > 0)
+	assert.Assert(t, gain(1, 3, 10, 6) < 0)
+	assert.Assert(t, gain(1, 3, 10, 2) > 0, "a small victim strands nothing")
+	assert.Assert(t, gain(3, 1, 90, 4) < 0, "nearly equal worth is not worth a reload")
+}
+
+// A VM that is leaving still gets new work seconds later. Its group must stop
+// being routable at once and be drained; the group must come back elsewhere.
+func TestALeavingVMGetsNoNewWork(t *testing.T) {
+	w := newWorld(t, 41, 1, 7, defaultPolicy, demoConfig(1, 3))
+	w.run(30 * time.Second)
+	g := w.board.Groups["demo-0"]
+	w.byID[g.Members[0].VM].leaving = true
+	w.run(time.Second)
+	ok, _ := w.entries[1].table.Routable(w.now, w.board, g.ID)
+	assert.Assert(t, !ok)
+	w.run(30 * time.Second)
+	finish(t, w)
+	assert.Equal(t, w.board.Groups["demo-0"].State, blackboard.Released)
+	assert.Assert(t, w.whole())
+}
+
+// Callers lose a group to a planned drain. With a spare, the group must serve
+// on until its replacement does; without one, it must drain all the same.
+func TestADrainedVMIsReplacedFirst(t *testing.T) {
+	for _, spare := range []int{3, 0} {
+		w := newWorld(t, 42, 1, 3+spare, defaultPolicy, demoConfig(1, 3))
+		w.run(30 * time.Second)
+		before := w.score.down["demo"]
+		w.change(blackboard.ConfigChange{DrainVMs: []string{w.board.Groups["demo-0"].Members[0].VM}})
+		w.run(time.Minute)
+		finish(t, w)
+		assert.Equal(t, w.board.Groups["demo-0"].State, blackboard.Released)
+		if spare > 0 {
+			assert.Equal(t, w.score.down["demo"], before, "no downtime")
+			assert.Assert(t, w.whole())
+		}
+	}
+}
+
+// A preset lowers the replicas. The surplus must be drained, but not when the
+// operator switches back at once.
+func TestASurplusIsDrainedAfterAWhile(t *testing.T) {
+	c := demoConfig(2, 2)
+	c.Presets = []blackboard.Preset{{Name: "day"}, {Name: "night", GroupReplicas: map[string]int{"demo": 1}}}
+	c.UsePreset = "day"
+	w := newWorld(t, 43, 2, 2, defaultPolicy, c)
+	w.run(30 * time.Second)
+	w.change(blackboard.ConfigChange{UsePreset: "night"})
+	w.run(surplusHold / 2)
+	w.change(blackboard.ConfigChange{UsePreset: "day"})
+	w.run(surplusHold)
+	assert.Assert(t, w.whole())
+	assert.Equal(t, w.board.NextEpoch, uint64(3), "nothing was reloaded")
+	w.change(blackboard.ConfigChange{UsePreset: "night"})
+	w.run(30 * time.Second)
+	finish(t, w)
+	assert.Equal(t, w.board.Groups["demo-0"].State, blackboard.Serving)
+	assert.Equal(t, w.board.Groups["demo-1"].State, blackboard.Released)
+}
--- a/internal/controller/takeover.go
+++ b/internal/controller/takeover.go
@@ -84,88 +84,129 @@
 	return best
 }
 
-// takeOver drains one group worth less for a spec that is short, when that is
-// expected to cost less than waiting.
+// plan is one way to make room for a short spec: the groups to break up in one
+// domain, and what that is expected to save.
+type plan struct {
+	domain  string
+	victims []blackboard.Group
+	gain    float64
+}
+
+// takeOver drains groups worth less for a spec that is short, when that is
+// expected to cost less than waiting for capacity to return. Until it is time,
+// the domain is held, so that specs worth less don't take what is free there.
 func takeOver(v View, now time.Time, a *Actions, spec blackboard.GroupSpec, u *use) {
 	if !v.Memory.policy.takeOver {
 		return
 	}
-	if now.Sub(since(v.Memory.missing, spec.Name, now)) < takeOverAfter {
+	short := now.Sub(since(v.Memory.missing, spec.Name, now))
+	best, ok := bestPlan(v, now, spec, u)
+	if !ok {
+		return
+	}
+	u.held[best.domain] = true
+	if short < takeOverAfter {
 		return
 	}
+	for _, g := range best.victims {
+		to := blackboard.Draining
+		if g.State != blackboard.Serving {
+			to = blackboard.Broken
+		}
+		reason := "broken up for " + spec.Name
+		a.moveGroup(g, to, reason, now)
+		a.decide(Decision{
+			Kind: "drain", Subject: g.ID, Choice: "take over", RunnerUp: "wait for a return",
+			Reason: fmt.Sprintf("%s, expected gain %.0f weighted seconds", reason, best.gain),
+		})
+	}
+	delete(v.Memory.missing, spec.Name)
+}
+
+// bestPlan returns the plan with the greatest gain above zero.
+func bestPlan(v View, now time.Time, spec blackboard.GroupSpec, u *use) (plan, bool) {
 	count := soonFree(v, now, spec, u)
-	var best *blackboard.Group
-	bestGain := 0.0
-	for _, g := range groupsByWorth(v) {
-		if !mayTakeOver(v, now, g, spec, count) {
+	domains := make(map[string]bool)
+	for _, vm := range v.Board.VMs {
+		domains[vm.FabricDomain] = !u.held[vm.FabricDomain]
+	}
+	var best plan
+	for _, domain := range sortedKeys(domains) {
+		if !domains[domain] || spec.FabricDomain != "" && spec.FabricDomain != domain {
+			continue
+		}
+		victims := victimsIn(v, now, domain, spec, count[domain])
+		if len(victims) == 0 {
 			continue
 		}
-		if gain := gainOf(v, g, spec); gain > bestGain {
-			bestGain = gain
-			victim := g
-			best = &victim
+		if gain := gainOf(v, victims, spec); gain > best.gain {
+			best = plan{domain, victims, gain}
 		}
 	}
-	if best == nil {
-		return
+	return best, best.gain > 0
+}
+
+// victimsIn returns the groups of a domain to break up, worth least first,
+// until the spec has room; none when it can't have it.
+func victimsIn(v View, now time.Time, domain string, spec blackboard.GroupSpec, room int) []blackboard.Group {
+	groups := groupsByWorth(v)
+	var victims []blackboard.Group
+	for i := len(groups) - 1; i >= 0 && room < spec.VMsPerReplica; i-- {
+		g := groups[i]
+		if g.FabricDomain != domain || !mayTakeOver(v, g, spec) {
+			continue
+		}
+		gives := 0
+		for _, m := range g.Members {
+			if suits(v, now, v.Board.VMs[m.VM], spec) {
+				gives++
+			}
+		}
+		if gives > 0 {
+			room += gives
+			victims = append(victims, g)
+		}
 	}
-	to := blackboard.Draining
-	if best.State != blackboard.Serving {
-		to = blackboard.Broken
+	if room < spec.VMsPerReplica {
+		return nil
 	}
-	reason := "broken up for " + spec.Name
-	a.moveGroup(*best, to, reason, now)
-	a.decide(Decision{
-		Kind: "drain", Subject: best.ID, Choice: "take over", RunnerUp: "wait for a return",
-		Reason: fmt.Sprintf("%s, expected gain %.0f weighted seconds", reason, bestGain),
-	})
-	delete(v.Memory.missing, spec.Name)
+	return victims
 }
 
-// mayTakeOver tells whether breaking up g would give spec room.
-func mayTakeOver(v View, now time.Time, g blackboard.Group, spec blackboard.GroupSpec, count map[string]int) bool {
+// mayTakeOver tells whether a group may be broken up for a spec: only one worth
+// less, so that two specs can't take turns.
+func mayTakeOver(v View, g blackboard.Group, spec blackboard.GroupSpec) bool {
 	switch g.State {
 	case blackboard.Forming, blackboard.Loading, blackboard.Serving:
-	default:
-		return false
-	}
-	if g.Spec == spec.Name || worthOf(v, g) >= v.Board.Config.GroupWorth(spec.Name) {
-		return false
+		return g.Spec != spec.Name && worthOf(v, g) < v.Board.Config.GroupWorth(spec.Name)
 	}
-	if spec.FabricDomain != "" && g.FabricDomain != spec.FabricDomain {
-		return false
-	}
-	room := count[g.FabricDomain]
-	for _, m := range g.Members {
-		if suits(v, now, v.Board.VMs[m.VM], spec) {
-			room++
-		}
-	}
-	return room >= spec.VMsPerReplica
+	return false
 }
 
-// gainOf returns what taking g over for spec is expected to save against
+// gainOf returns what breaking up victims for spec is expected to save against
 // waiting for capacity to return, in seconds of one group of spec down,
 // weighted by the preset in force. Above zero the takeover is worth it.
 //
 //	wait:      downtime of spec for expectedReturn; what lies free stays free
-//	take over: downtime of spec while it loads, of g for expectedReturn;
-//	           the VMs stand idle while they load, and those of g that the
-//	           spec does not need stay free
+//	take over: downtime of spec while it loads, of victims for expectedReturn;
+//	           the VMs stand idle while they load, and those that victims give
+//	           and the spec does not need stay free
 //
-// Downtime of g counts by its share of the spec's worth, and stranded
+// Downtime of a victim counts by its share of the spec's worth, and stranded
 // accelerators by their share of a group of spec.
-func gainOf(v View, g blackboard.Group, spec blackboard.GroupSpec) float64 {
+func gainOf(v View, victims []blackboard.Group, spec blackboard.GroupSpec) float64 {
 	downtime, stranded := weights(v)
-	share := 0.0
-	if w := v.Board.Config.GroupWorth(spec.Name); w > 0 {
-		share = max(0, float64(worthOf(v, g))/float64(w))
+	share, gave := 0.0, 0.0
+	for _, g := range victims {
+		if w := v.Board.Config.GroupWorth(spec.Name); w > 0 {
+			share += max(0, float64(worthOf(v, g))/float64(w))
+		}
+		gave += float64(len(g.Members))
 	}
 	away := expectedReturn.Seconds()
 	load := expectedLoad.Seconds()
-	saved := away - load - share*away
 	need := float64(spec.VMsPerReplica)
-	gave := float64(len(g.Members))
+	saved := away - load - share*away
 	idleChange := (gave-need)/need*away + load
 	return downtime*saved - stranded*idleChange
 }
