--- /dev/null
+++ b/internal/evidence/table_test.go
@@ -0,0 +1,170 @@
+package evidence
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/citronstep/citronstep/internal/backend"
+	"github.com/citronstep/citronstep/internal/blackboard"
+)
+
+var start = time.Date(2026, 3, 1, 0, 0, 0, 0, time.UTC)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func said(incarnation string, sequence uint64) backend.Announcement {
+	return backend.Announcement{
+		ID: "vm", Kind: backend.KindEngine, Incarnation: incarnation, Sequence: sequence,
+		Group: "demo-0", Epoch: 7, Phase: backend.PhaseReady, Address: "10.0.0.1:1",
+	}
+}
+
+// tick calls the table as a running process does, so that it sees no stop.
+func tick(t *Table, from, to int) {
+	for ms := from; ms <= to; ms += 200 {
+		t.Digest(at(ms), t.at)
+	}
+}
+
+func TestFreshAsksForIncarnationGroupEpochAndAge(t *testing.T) {
+	table := NewTable("a", 1)
+	table.Hear(at(0), "a", said("x", 1))
+	now := at(1200)
+	assert.Assert(t, table.Fresh(now, "vm", "x", "demo-0", 7, RoutableAge))
+	assert.Assert(t, !table.Fresh(at(1201), "vm", "x", "demo-0", 7, RoutableAge), "too old")
+	assert.Assert(t, !table.Fresh(now, "vm", "y", "demo-0", 7, RoutableAge), "another incarnation")
+	assert.Assert(t, !table.Fresh(now, "vm", "x", "demo-1", 7, RoutableAge), "another group")
+	assert.Assert(t, !table.Fresh(now, "vm", "x", "demo-0", 8, RoutableAge), "another epoch")
+	assert.Assert(t, !table.Fresh(now, "other", "x", "demo-0", 7, RoutableAge), "never heard")
+}
+
+// A dead member is routed to. Its digest was held up on the way for ten seconds
+// and looked fresh on arrival; dated from when it was asked for, it is old.
+func TestAHeldUpDigestIsOld(t *testing.T) {
+	sender, receiver := NewTable("a", 1), NewTable("b", 1)
+	sender.Hear(at(0), "a", said("x", 1))
+	digest, _ := sender.Digest(at(100), Cursor{})
+	asked, arrived := at(90), at(10_000)
+	receiver.Merge(asked, "a", digest)
+	r, ok := receiver.Get("vm")
+	assert.Assert(t, ok)
+	assert.Equal(t, r.HeardAt, at(-10))
+	assert.Assert(t, !receiver.Fresh(arrived, "vm", "x", "demo-0", 7, RoutableAge))
+	assert.Equal(t, receiver.Witnesses(arrived, WitnessAge), 0)
+}
+
+// A dead member is routed to for a second after an entry was frozen. The
+// member's last announcements waited in the entry's socket.
+func TestAnnouncementsReadOnWakingAreNotFresh(t *testing.T) {
+	table := NewTable("a", 1)
+	tick(table, 0, 1000)
+	table.Hear(at(1000), "a", said("x", 1))
+	table.Hear(at(11_000), "a", said("x", 2))
+	assert.Assert(t, !table.Fresh(at(11_000), "vm", "x", "demo-0", 7, RoutableAge))
+	tick(table, 11_000, 12_000)
+	table.Hear(at(12_100), "a", said("x", 3))
+	assert.Assert(t, table.Fresh(at(12_100), "vm", "x", "demo-0", 7, RoutableAge))
+}
+
+// A VM looks restarted when a copy of an announcement of the incarnation before
+// arrives late, and flips back and forth.
+func TestALateCopyDoesNotBringAnIncarnationBack(t *testing.T) {
+	table := NewTable("a", 1)
+	table.Hear(at(0), "a", said("old", 5))
+	table.Hear(at(400), "a", said("new", 1))
+	table.Hear(at(800), "a", said("old", 6))
+	r, _ := table.Get("vm")
+	assert.Equal(t, r.Incarnation, "new")
+	table.Merge(at(900), "b", []Heard{{Kind: backend.KindEngine, ID: "vm", Incarnation: "older", Sequence: 9, AgeMillis: 600}})
+	r, _ = table.Get("vm")
+	assert.Equal(t, r.Incarnation, "new", "heard before the present one")
+	tick(table, 800, 4000)
+	table.Hear(at(4000), "a", said("old", 7))
+	r, _ = table.Get("vm")
+	assert.Equal(t, r.Incarnation, "old", "it goes on while the other is silent")
+}
+
+func TestAnOlderSequenceChangesNothing(t *testing.T) {
+	table := NewTable("a", 1)
+	table.Hear(at(0), "a", said("x", 5))
+	late := said("x", 4)
+	late.Phase = backend.PhaseIdle
+	table.Hear(at(400), "a", late)
+	r, _ := table.Get("vm")
+	assert.Equal(t, r.Phase, backend.PhaseReady)
+	assert.Equal(t, r.HeardAt, at(0))
+}
+
+// A new leader never learns a VM's address: the one digest that carried it was
+// lost. The cursor makes the peer send it again.
+func TestALostDigestIsSentAgain(t *testing.T) {
+	table := NewTable("a", 1)
+	table.Hear(at(0), "a", said("x", 1))
+	first, next := table.Digest(at(100), Cursor{})
+	assert.Assert(t, first[0].Detail != nil)
+	again, _ := table.Digest(at(200), Cursor{})
+	assert.Equal(t, len(again), 1)
+	assert.Assert(t, again[0].Detail != nil)
+	none, _ := table.Digest(at(300), next)
+	assert.Equal(t, len(none), 0)
+	table.Hear(at(400), "a", said("x", 2))
+	short, _ := table.Digest(at(500), next)
+	assert.Assert(t, short[0].Detail == nil, "it has not changed")
+	assert.Equal(t, short[0].AgeMillis, int64(100))
+	moved, _ := table.Digest(at(600), Cursor{Run: 9, Number: 50})
+	assert.Assert(t, moved[0].Detail != nil, "the cursor is of an earlier run")
+}
+
+// Every backend server is reported dead by a process that is cut off itself.
+// Only a majority of the registered entries makes silence count.
+func TestCoverageIsAMajorityOfRegisteredEntries(t *testing.T) {
+	board := blackboard.New()
+	for _, id := range []string{"a", "b", "c", "d"} {
+		board.Entries[id] = blackboard.Entry{ID: id}
+	}
+	table := NewTable("a", 1)
+	table.Digest(at(0), Cursor{})
+	table.Merge(at(0), "b", nil)
+	table.Merge(at(0), "stranger", nil)
+	assert.Equal(t, table.Witnesses(at(0), WitnessAge), 3)
+	assert.Assert(t, !table.Covered(at(0), board), "two of four")
+	table.Merge(at(0), "c", nil)
+	assert.Assert(t, table.Covered(at(0), board))
+	assert.Assert(t, !table.Covered(at(1001), board), "too old")
+	assert.Assert(t, !NewTable("a", 1).Covered(at(0), blackboard.New()), "no entries")
+}
+
+func TestRoutableNamesTheFault(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(*blackboard.Group, *backend.Announcement)
+		want   string
+	}{
+		{"whole", func(*blackboard.Group, *backend.Announcement) {}, ""},
+		{"loading", func(g *blackboard.Group, _ *backend.Announcement) { g.State = blackboard.Loading }, "group is loading"},
+		{"draining", func(g *blackboard.Group, _ *backend.Announcement) { g.State = blackboard.Draining }, "group is draining"},
+		{"epoch", func(_ *blackboard.Group, a *backend.Announcement) { a.Epoch = 6 }, "member vm has no fresh evidence in this epoch"},
+		{"incarnation", func(_ *blackboard.Group, a *backend.Announcement) { a.Incarnation = "y" }, "member vm has no fresh evidence in this epoch"},
+		{"phase", func(_ *blackboard.Group, a *backend.Announcement) { a.Phase = backend.PhaseLoading }, "member vm is loading"},
+		{"lost", func(_ *blackboard.Group, a *backend.Announcement) { a.Unreachable = []string{"vm-2"} }, "member vm has lost vm-2"},
+		{"leaving", func(_ *blackboard.Group, a *backend.Announcement) { a.Leaving = true }, "member vm is leaving"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := blackboard.Group{
+				ID: "demo-0", Epoch: 7, State: blackboard.Serving,
+				Members: []blackboard.GroupMember{{VM: "vm", Incarnation: "x"}},
+			}
+			a := said("x", 1)
+			c.change(&g, &a)
+			board := blackboard.New()
+			board.Groups[g.ID] = g
+			table := NewTable("a", 1)
+			table.Hear(at(0), "a", a)
+			ok, reason := table.Routable(at(100), board, "demo-0")
+			assert.Equal(t, reason, c.want)
+			assert.Equal(t, ok, c.want == "")
+		})
+	}
+}
