Breaking: each fault has a time of its own, counted by this leader's clock

Cause: a member that paused for 6 s and came back was given up on return. One time was kept for all faults of a group; 'has lost X' began while X was silent (patience 5 s) and ended with X heard again (patience 3 s, passed long ago). Also: times of group states count on the leader's own clock, since a new leader with another clock would give up groups that load; and a group that loads isn't given up for members that don't reach each other yet.

--- a/internal/controller/basic_test.go
+++ b/internal/controller/basic_test.go
@@ -64,19 +64,22 @@
 
 // Lookups stop for a moment though nothing died. A member pauses for six
 // seconds; the group must be unroutable meanwhile, and serve on in the same
-// epoch after it. Cause: a paused member taken for a dead one costs a reload.
+// epoch after it, whenever in the round of announcements the pause begins.
+// Cause: a paused member taken for a dead one costs a reload.
 func TestAPausedMemberStopsRoutingButKeepsTheEpoch(t *testing.T) {
-	w := newWorld(t, 3, 1, 4, defaultPolicy, demoConfig(1, 3))
-	w.run(time.Minute)
-	g := w.board.Groups["demo-0"]
-	w.byID[g.Members[1].VM].pause(6 * time.Second)
-	w.run(4 * time.Second)
-	assert.Equal(t, w.board.VMs[g.Members[1].VM].Liveness, blackboard.Paused)
-	ok, _ := w.entries[0].table.Routable(w.now, w.board, g.ID)
-	assert.Assert(t, !ok)
-	w.run(10 * time.Second)
-	finish(t, w)
-	assert.Equal(t, w.board.Groups["demo-0"].State, blackboard.Serving)
-	assert.Equal(t, w.board.NextEpoch, g.Epoch+1)
-	assert.Assert(t, w.whole())
+	for offset := range 16 {
+		w := newWorld(t, int64(offset), 1, 4, defaultPolicy, demoConfig(1, 3))
+		w.run(time.Minute + time.Duration(offset)*30*time.Millisecond)
+		g := w.board.Groups["demo-0"]
+		w.byID[g.Members[1].VM].pause(6 * time.Second)
+		w.run(4 * time.Second)
+		assert.Equal(t, w.board.VMs[g.Members[1].VM].Liveness, blackboard.Paused)
+		ok, _ := w.entries[0].table.Routable(w.now, w.board, g.ID)
+		assert.Assert(t, !ok)
+		w.run(10 * time.Second)
+		finish(t, w)
+		assert.Equal(t, w.board.Groups["demo-0"].State, blackboard.Serving, "offset %d: %s", offset, w.states())
+		assert.Equal(t, w.board.NextEpoch, g.Epoch+1)
+		assert.Assert(t, w.whole())
+	}
 }
--- a/internal/controller/breaking.go
+++ b/internal/controller/breaking.go
@@ -36,13 +36,8 @@
 		if g.State == blackboard.Broken || g.State == blackboard.Released {
 			continue
 		}
-		reason, patience := groupFault(v, now, g)
-		epoch := groupEpoch{g.ID, g.Epoch}
+		reason := v.Memory.lasting(groupEpoch{g.ID, g.Epoch}, groupFaults(v, now, g), now)
 		if reason == "" {
-			delete(v.Memory.faults, epoch)
-			continue
-		}
-		if now.Sub(since(v.Memory.faults, epoch, now)) < patience {
 			continue
 		}
 		a.moveGroup(g, blackboard.Broken, reason, now)
@@ -50,25 +45,52 @@
 	}
 }
 
-// groupFault returns what is wrong with a group, and how long that must last
-// before the group is given up. The fault with the least patience counts.
-func groupFault(v View, now time.Time, g blackboard.Group) (reason string, patience time.Duration) {
-	if g.State == blackboard.Loading && now.UnixMilli()-g.SinceMillis > loadLimit.Milliseconds() {
-		return "not loaded in time", 0
+// fault is something wrong with a group, and how long it must last before the
+// group is given up.
+type fault struct {
+	text     string
+	patience time.Duration
+}
+
+// lasting notes the present faults of a group epoch and returns one that has
+// outlasted its patience, or "".
+//
+// Each fault has a time of its own. With one time for all, a member that paused
+// and came back was given up on return: for one round of announcements the
+// others still reported it lost while it was heard again, and that fault has
+// less patience than the time already waited.
+func (m *Memory) lasting(epoch groupEpoch, faults []fault, now time.Time) string {
+	was := m.faults[epoch]
+	is := make(map[string]time.Time, len(faults))
+	lasted := ""
+	for _, f := range faults {
+		at, known := was[f.text]
+		if !known {
+			at = now
+		}
+		is[f.text] = at
+		if lasted == "" && now.Sub(at) >= f.patience {
+			lasted = f.text
+		}
+	}
+	m.faults[epoch] = is
+	return lasted
+}
+
+func groupFaults(v View, now time.Time, g blackboard.Group) []fault {
+	var faults []fault
+	if g.State == blackboard.Loading && v.Memory.inState(g, now) > loadLimit {
+		faults = append(faults, fault{"not loaded in time", 0})
 	}
 	for _, m := range g.Members {
-		fault, wait := memberFault(v, now, g, m)
-		if fault == "" {
-			continue
-		}
-		if reason == "" || wait < patience {
-			reason, patience = "member "+m.VM+" "+fault, wait
+		if text, patience := memberFault(v, now, g, m); text != "" {
+			faults = append(faults, fault{"member " + m.VM + " " + text, patience})
 		}
 	}
-	return reason, patience
+	return faults
 }
 
-func memberFault(v View, now time.Time, g blackboard.Group, m blackboard.GroupMember) (fault string, patience time.Duration) {
+func memberFault(v View, now time.Time, g blackboard.Group, m blackboard.GroupMember) (text string, patience time.Duration) {
 	vm, ok := v.Board.VMs[m.VM]
 	if !ok {
 		return "is unknown", 0
@@ -92,18 +114,19 @@
 	return reportedFault(v, now, g, r)
 }
 
-// reportedFault returns what a member that is heard says is wrong.
-func reportedFault(v View, now time.Time, g blackboard.Group, r evidence.Report) (fault string, patience time.Duration) {
+// reportedFault returns what a member that is heard says is wrong. While a group
+// loads, members that began earlier don't reach the others yet.
+func reportedFault(v View, now time.Time, g blackboard.Group, r evidence.Report) (text string, patience time.Duration) {
 	inEpoch := r.Group == g.ID && r.Epoch == g.Epoch
 	if inEpoch && r.Phase == backend.PhaseFailed {
 		v.Memory.avoid[r.ID] = now.Add(avoidFor)
 		return "failed", 0
 	}
-	if inEpoch && len(r.Unreachable) > 0 {
-		return "has lost " + r.Unreachable[0], lossPatience(v, now, r.Unreachable[0])
-	}
 	switch g.State {
 	case blackboard.Serving, blackboard.Draining:
+		if inEpoch && len(r.Unreachable) > 0 {
+			return lostFault(v, now, r.Unreachable[0])
+		}
 		if !inEpoch {
 			return "left the epoch", faultPatience
 		}
@@ -111,7 +134,7 @@
 			return "is " + string(r.Phase), faultPatience
 		}
 	case blackboard.Loading:
-		if !inEpoch && now.UnixMilli()-g.SinceMillis > startLimit.Milliseconds() {
+		if !inEpoch && v.Memory.inState(g, now) > startLimit {
 			v.Memory.avoid[r.ID] = now.Add(avoidFor)
 			return "does not begin to load", 0
 		}
@@ -119,10 +142,10 @@
 	return "", 0
 }
 
-func lossPatience(v View, now time.Time, lost string) time.Duration {
+func lostFault(v View, now time.Time, lost string) (text string, patience time.Duration) {
 	r, heard := v.Evidence.Get(lost)
 	if heard && now.Sub(r.HeardAt) <= evidence.RoutableAge {
-		return faultPatience
+		return "has lost " + lost + ", which is heard", faultPatience
 	}
-	return lostPatience
+	return "has lost " + lost + ", which is silent", lostPatience
 }
--- a/internal/controller/forming.go
+++ b/internal/controller/forming.go
@@ -162,7 +162,7 @@
 func (v View) reserve(now time.Time, spec blackboard.GroupSpec, domain string) int {
 	for _, g := range v.Board.Groups {
 		lost := g.State == blackboard.Broken || g.State == blackboard.Released
-		recent := now.UnixMilli()-g.SinceMillis < expectedReturn.Milliseconds()
+		recent := v.Memory.inState(g, now) < expectedReturn
 		if lost && recent && g.Spec == spec.Name && g.FabricDomain == domain {
 			return 0
 		}
@@ -207,8 +207,7 @@
 		if g.Spec != spec.Name || g.State != blackboard.Broken {
 			continue
 		}
-		age := now.UnixMilli() - g.SinceMillis
-		if age < 0 || age > survivorWait.Milliseconds() {
+		if v.Memory.inState(g, now) > survivorWait {
 			continue
 		}
 		if survivors(v, g) >= spec.VMsPerReplica-1 {
--- a/internal/controller/memory.go
+++ b/internal/controller/memory.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/citronstep/citronstep/internal/backend"
+	"github.com/citronstep/citronstep/internal/blackboard"
 )
 
 // Memory is what one leader remembers between runs and may lose: a new leader
@@ -15,8 +16,11 @@
 	// without a break; zero while it is not.
 	coveredSince time.Time
 	orders       map[string]*orderRecord
-	// faults holds since when a group epoch has shown a fault that may pass.
-	faults map[groupEpoch]time.Time
+	// faults holds since when a group epoch has shown each of its faults.
+	faults map[groupEpoch]map[string]time.Time
+	// states holds since when this leader has seen a group epoch in its state.
+	// The blackboard's times are of other leaders' clocks.
+	states map[groupEpoch]stateTime
 	// drains holds since when a group epoch has been wanted out of service.
 	drains map[groupEpoch]time.Time
 	// idle holds since when a draining group has reported no work.
@@ -55,7 +59,8 @@
 	return &Memory{
 		ordersFrom: now.Add(oldLease + driftMargin),
 		orders:     make(map[string]*orderRecord),
-		faults:     make(map[groupEpoch]time.Time),
+		faults:     make(map[groupEpoch]map[string]time.Time),
+		states:     make(map[groupEpoch]stateTime),
 		drains:     make(map[groupEpoch]time.Time),
 		idle:       make(map[groupEpoch]time.Time),
 		avoid:      make(map[string]time.Time),
@@ -79,6 +84,13 @@
 	r.answeredAt = now
 }
 
+// watch notes the state of each group, so that times count from this run on.
+func (m *Memory) watch(v View, now time.Time) {
+	for _, g := range v.Board.Groups {
+		m.inState(g, now)
+	}
+}
+
 // cover follows since when silence of backend servers says anything.
 func (m *Memory) cover(v View, now time.Time) {
 	if !v.Evidence.Covered(now, v.Board) {
@@ -90,6 +102,22 @@
 	}
 }
 
+type stateTime struct {
+	state blackboard.GroupState
+	at    time.Time
+}
+
+// inState returns for how long this leader has seen a group in its state.
+func (m *Memory) inState(g blackboard.Group, now time.Time) time.Duration {
+	k := groupEpoch{g.ID, g.Epoch}
+	s, ok := m.states[k]
+	if !ok || s.state != g.State {
+		s = stateTime{g.State, now}
+		m.states[k] = s
+	}
+	return now.Sub(s.at)
+}
+
 // since returns since when key has been noted in times, noting it now when it
 // was not.
 func since[K comparable](times map[K]time.Time, key K, now time.Time) time.Time {
@@ -103,16 +131,21 @@
 
 // tidy forgets what concerns groups and VMs that are gone.
 func (m *Memory) tidy(v View) {
-	for _, times := range []map[groupEpoch]time.Time{m.faults, m.drains, m.idle} {
-		for k := range times {
-			if g, ok := v.Board.Groups[k.group]; !ok || g.Epoch != k.epoch {
-				delete(times, k)
-			}
-		}
-	}
+	forgetGone(v, m.faults)
+	forgetGone(v, m.states)
+	forgetGone(v, m.drains)
+	forgetGone(v, m.idle)
 	for vm := range m.orders {
 		if _, ok := v.Board.VMs[vm]; !ok {
 			delete(m.orders, vm)
 		}
 	}
 }
+
+func forgetGone[V any](v View, times map[groupEpoch]V) {
+	for k := range times {
+		if g, ok := v.Board.Groups[k.group]; !ok || g.Epoch != k.epoch {
+			delete(times, k)
+		}
+	}
+}
--- a/internal/controller/view.go
+++ b/internal/controller/view.go
@@ -72,6 +72,7 @@
 func Run(v View, now time.Time) Actions {
 	var a Actions
 	v.Memory.cover(v, now)
+	v.Memory.watch(v, now)
 	announcements(v, now, &a)
 	liveness(v, now, &a)
 	breaking(v, now, &a)
