Placement: the limit grows when it held a request back

Ruled out: measuring against the limit less the reserve (long requests are held back lower still). Change: a refused room marks the target; the limit grows at the next report without a queue. The test of the limit now asks for room at each report, as an entry with a waiting request does.

--- a/internal/placement/limit.go
+++ b/internal/placement/limit.go
@@ -11,9 +11,10 @@
 	// settleTime is how long a cut must show before the next: reports are late
 	// and requests in flight end slowly.
 	settleTime = time.Second
-	// binding is the part of the limit from which it is what holds work back.
-	// Below it a report without a queue says nothing about the limit.
-	binding = 0.85
+	// binding is the part of the limit that the work must reach for the limit
+	// to grow: requests of lesser worth and long ones may be held back well
+	// below it.
+	binding = 0.6
 	// limitRange bounds the limit to this factor around a stated capacity.
 	limitRange = 4
 	// smallestLimit keeps one ordinary request possible.
@@ -53,7 +54,8 @@
 		t.cut(now)
 		return
 	}
-	if float64(r.TokensInFlight) >= binding*t.limit {
+	if t.blocked && float64(r.TokensInFlight) >= binding*t.limit {
+		t.blocked = false
 		t.limit = min(t.limit*limitStep, t.limitCeiling())
 	}
 }
--- a/internal/placement/picker_test.go
+++ b/internal/placement/picker_test.go
@@ -147,6 +147,7 @@
 	low := limit()
 	for i := range 20 {
 		now := at(time.Duration(20+i) * time.Second)
+		assert.Assert(t, !p.HasRoom(now, "m", 4000, 0))
 		p.Report(now, "g000", Load{Running: 10, TokensInFlight: 10000, At: now})
 	}
 	assert.Assert(t, limit() > low*1.5)
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -41,6 +41,8 @@
 	// limit is the work in tokens that it is given at most.
 	limit  float64
 	settle time.Time
+	// blocked is true if the limit held a request back since the last report.
+	blocked bool
 
 	// mine is the work that this process has in flight on it.
 	mine int
@@ -122,5 +124,9 @@
 		}
 		limit *= o.LongShare
 	}
-	return t.load+float64(tokens) <= limit
+	if t.load+float64(tokens) <= limit {
+		return true
+	}
+	t.blocked = true
+	return false
 }
