--- /dev/null
+++ b/internal/placement/shift/planner.go
@@ -0,0 +1,183 @@
+package shift
+
+import (
+	"slices"
+	"sort"
+	"time"
+)
+
+// Planner remembers since when each pool is under pressure.
+type Planner struct {
+	options  Options
+	pressure map[Key]time.Time
+}
+
+// New returns a Planner.
+func New(o Options) *Planner {
+	return &Planner{options: o.withDefaults(), pressure: make(map[Key]time.Time)}
+}
+
+// Decide returns the moves to order now. The caller orders each once and shows
+// the engine as Loading in its new pool from then on.
+//
+// It is made for demand that moves between models over minutes and hours.
+// Moving engines after each burst would strand them in loads; never moving them
+// would refuse one model's callers beside another's idle engines.
+func (p *Planner) Decide(now time.Time, pools []Pool) []Move {
+	pools = slices.Clone(pools)
+	p.observe(now, pools)
+	loading := countLoading(pools)
+	var moves []Move
+	for _, i := range p.takers(now, pools) {
+		for loading < p.options.Loads && pools[i].load() > p.options.Overloaded {
+			move, from := p.best(now, pools, i)
+			if from < 0 {
+				break
+			}
+			apply(pools, from, i, move.Engine)
+			moves = append(moves, move)
+			loading++
+		}
+	}
+	return moves
+}
+
+// load is the demand as a part of the capacity, engines that load included:
+// they were moved for this demand already.
+func (p *Pool) load() float64 {
+	return p.loadWith(len(p.Engines))
+}
+
+func (p *Pool) loadWith(engines int) float64 {
+	if engines <= 0 {
+		return 1e9
+	}
+	return p.Demand / (float64(engines) * p.PerEngine)
+}
+
+func (p *Planner) observe(now time.Time, pools []Pool) {
+	seen := make(map[Key]bool, len(pools))
+	for i := range pools {
+		key := pools[i].Key
+		seen[key] = true
+		since, known := p.pressure[key]
+		over := pools[i].load() > p.options.Overloaded
+		switch {
+		case !over:
+			delete(p.pressure, key)
+		case !known || since.After(now):
+			p.pressure[key] = now
+		}
+	}
+	for key := range p.pressure {
+		if !seen[key] {
+			delete(p.pressure, key)
+		}
+	}
+}
+
+// takers returns the pools under lasting pressure, greatest worth first.
+func (p *Planner) takers(now time.Time, pools []Pool) []int {
+	var takers []int
+	for i := range pools {
+		since, over := p.pressure[pools[i].Key]
+		if over && now.Sub(since) >= p.options.Hold {
+			takers = append(takers, i)
+		}
+	}
+	sort.SliceStable(takers, func(a, b int) bool {
+		x, y := &pools[takers[a]], &pools[takers[b]]
+		if x.Worth != y.Worth {
+			return x.Worth > y.Worth
+		}
+		return x.load() > y.load()
+	})
+	return takers
+}
+
+// best finds the move to pool to with the greatest gain.
+func (p *Planner) best(now time.Time, pools []Pool, to int) (Move, int) {
+	best, from := Move{}, -1
+	for i := range pools {
+		if i == to || len(pools[i].Engines) <= pools[i].Least {
+			continue
+		}
+		engine, load, ok := p.engine(now, &pools[i], &pools[to])
+		if !ok {
+			continue
+		}
+		gain := p.gain(&pools[i], &pools[to], load)
+		if gain > 0 && (from < 0 || gain > best.Gain) {
+			best = Move{Engine: engine, From: pools[i].Key, To: pools[to].Key, Gain: gain, LoadTime: load}
+			from = i
+		}
+	}
+	return best, from
+}
+
+// gain is the worth of what is served more within the horizon, less what the
+// giver then lacks and what the engine can't do while it loads.
+func (p *Planner) gain(from, to *Pool, load time.Duration) float64 {
+	n, m := len(to.Engines), len(from.Engines)
+	horizon := p.options.Horizon.Seconds()
+	served := p.lack(to, n, p.options.Overloaded) - p.lack(to, n+1, p.options.Overloaded)
+	given := p.lack(from, m-1, p.options.Spare) - p.lack(from, m, p.options.Spare)
+	gain := to.Worth * served * (horizon - load.Seconds())
+	loss := from.Worth * given * horizon
+	stranded := p.options.StrandedWeight * from.Worth * from.PerEngine * min(1, from.load()) * load.Seconds()
+	return gain - loss - stranded
+}
+
+// lack is the demand above what n engines do at the given load.
+func (p *Planner) lack(pool *Pool, n int, load float64) float64 {
+	return max(0, pool.Demand-float64(n)*pool.PerEngine*load)
+}
+
+// engine picks the engine of from that serves to soonest. An engine that came
+// lately or still loads stays: moving it again would waste its load.
+func (p *Planner) engine(now time.Time, from, to *Pool) (string, time.Duration, bool) {
+	best, bestLoad, found := Engine{}, time.Duration(0), false
+	for _, e := range from.Engines {
+		if e.Loading || now.Sub(e.Since) < p.options.Stay {
+			continue
+		}
+		load := loadTime(e, from, to)
+		if !found || load < bestLoad || (load == bestLoad && e.Running < best.Running) {
+			best, bestLoad, found = e, load, true
+		}
+	}
+	return best.ID, bestLoad, found
+}
+
+// loadTime is how long e takes to serve in pool to. A change of role alone
+// keeps the weights in place.
+func loadTime(e Engine, from, to *Pool) time.Duration {
+	switch {
+	case from.Key.Model == to.Key.Model:
+		return 0
+	case slices.Contains(e.Holds, to.Key.Model):
+		return time.Duration(heldLoadPart * float64(to.LoadTime))
+	}
+	return to.LoadTime
+}
+
+func countLoading(pools []Pool) int {
+	n := 0
+	for _, p := range pools {
+		for _, e := range p.Engines {
+			if e.Loading {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// apply moves the engine within the copies of the pools.
+func apply(pools []Pool, from, to int, id string) {
+	at := slices.IndexFunc(pools[from].Engines, func(e Engine) bool { return e.ID == id })
+	e := pools[from].Engines[at]
+	e.Loading = true
+	pools[from].Engines = slices.Delete(slices.Clone(pools[from].Engines), at, at+1)
+	pools[to].Engines = append(slices.Clone(pools[to].Engines), e)
+}
