Shifting: moves that were regretted make the planner wait longer

Cause: a swing of demand as fast as a load turns each move into a loss. Ruled out: a longer hold for all (steps would wait as well). Change: when a pool that gave an engine within the horizon is short itself, the time a pressure must last doubles, up to the horizon, and halves again later.

--- a/internal/placement/shift/planner.go
+++ b/internal/placement/shift/planner.go
@@ -6,15 +6,19 @@
 	"time"
 )
 
-// Planner remembers since when each pool is under pressure.
+// Planner remembers since when each pool is under pressure and what it gave.
 type Planner struct {
 	options  Options
 	pressure map[Key]time.Time
+	gave     map[Key]time.Time
+	hold     time.Duration
+	regretAt time.Time
 }
 
 // New returns a Planner.
 func New(o Options) *Planner {
-	return &Planner{options: o.withDefaults(), pressure: make(map[Key]time.Time)}
+	o = o.withDefaults()
+	return &Planner{options: o, pressure: make(map[Key]time.Time), gave: make(map[Key]time.Time), hold: o.Hold}
 }
 
 // Decide returns the moves to order now. The caller orders each once and shows
@@ -35,6 +39,7 @@
 				break
 			}
 			apply(pools, from, i, move.Engine)
+			p.gave[move.From] = now
 			moves = append(moves, move)
 			loading++
 		}
@@ -67,21 +72,50 @@
 			delete(p.pressure, key)
 		case !known || since.After(now):
 			p.pressure[key] = now
+			p.regret(now, key)
 		}
 	}
+	p.forgive(now)
 	for key := range p.pressure {
 		if !seen[key] {
 			delete(p.pressure, key)
+			delete(p.gave, key)
 		}
 	}
 }
 
+// regret doubles the time that a pressure must last when a pool that gave an
+// engine lately is short itself.
+//
+// It is made for demand that swings about as fast as engines load: each move
+// then comes when the swing is nearly over, and both pools lose by it.
+func (p *Planner) regret(now time.Time, key Key) {
+	at, gave := p.gave[key]
+	if !gave || now.Sub(at) > p.options.Horizon {
+		return
+	}
+	delete(p.gave, key)
+	p.hold = min(2*p.hold, p.options.Horizon)
+	p.regretAt = now
+}
+
+// forgive halves that time after a while without regret.
+func (p *Planner) forgive(now time.Time) {
+	if p.hold > p.options.Hold && now.Sub(p.regretAt) > forgiveAfter*p.options.Horizon {
+		p.hold = max(p.hold/2, p.options.Hold)
+		p.regretAt = now
+	}
+}
+
+// forgiveAfter is how many horizons without regret halve the hold.
+const forgiveAfter = 3
+
 // takers returns the pools under lasting pressure, greatest worth first.
 func (p *Planner) takers(now time.Time, pools []Pool) []int {
 	var takers []int
 	for i := range pools {
 		since, over := p.pressure[pools[i].Key]
-		if over && now.Sub(since) >= p.options.Hold {
+		if over && now.Sub(since) >= p.hold {
 			takers = append(takers, i)
 		}
 	}
