Shifting: pools are sized for the mean demand over the hold time

Cause: after moves that were regretted, engines stayed where the last one left them, and one pool lacked engines for the mean of its swing. Change: demand is smoothed over the hold time, which grows with regret; a new planner moves nothing for two hold times, or it takes a burst at its start for the mean (the test of bursts showed it).

--- a/internal/placement/shift/planner.go
+++ b/internal/placement/shift/planner.go
@@ -1,6 +1,7 @@
 package shift
 
 import (
+	"math"
 	"slices"
 	"sort"
 	"time"
@@ -13,12 +14,26 @@
 	gave     map[Key]time.Time
 	hold     time.Duration
 	regretAt time.Time
+	smooth   map[Key]float64
+	smoothAt time.Time
+	// warmAt is when enough demand was seen to judge it.
+	warmAt time.Time
 }
 
+// warmUp is how many hold times pass before the first move: a new leader that
+// begins within a burst would take it for the mean.
+const warmUp = 2
+
 // New returns a Planner.
 func New(o Options) *Planner {
 	o = o.withDefaults()
-	return &Planner{options: o, pressure: make(map[Key]time.Time), gave: make(map[Key]time.Time), hold: o.Hold}
+	return &Planner{
+		options:  o,
+		pressure: make(map[Key]time.Time),
+		gave:     make(map[Key]time.Time),
+		hold:     o.Hold,
+		smooth:   make(map[Key]float64),
+	}
 }
 
 // Decide returns the moves to order now. The caller orders each once and shows
@@ -29,6 +44,7 @@
 // would refuse one model's callers beside another's idle engines.
 func (p *Planner) Decide(now time.Time, pools []Pool) []Move {
 	pools = slices.Clone(pools)
+	p.smoothDemand(now, pools)
 	p.observe(now, pools)
 	loading := countLoading(pools)
 	var moves []Move
@@ -47,6 +63,27 @@
 	return moves
 }
 
+// smoothDemand replaces each demand by its mean over about the hold time, so
+// that pools are sized for the mean of swings too fast to follow.
+func (p *Planner) smoothDemand(now time.Time, pools []Pool) {
+	if p.smoothAt.IsZero() {
+		p.smoothAt = now
+		p.warmAt = now.Add(warmUp * p.options.Hold)
+	}
+	weight := 1 - math.Exp(-now.Sub(p.smoothAt).Seconds()/p.hold.Seconds())
+	p.smoothAt = now
+	for i := range pools {
+		key := pools[i].Key
+		mean, known := p.smooth[key]
+		if !known {
+			mean = pools[i].Demand
+		}
+		mean += weight * (pools[i].Demand - mean)
+		p.smooth[key] = mean
+		pools[i].Demand = mean
+	}
+}
+
 // load is the demand as a part of the capacity, engines that load included:
 // they were moved for this demand already.
 func (p *Pool) load() float64 {
@@ -76,10 +113,11 @@
 		}
 	}
 	p.forgive(now)
-	for key := range p.pressure {
+	for key := range p.smooth {
 		if !seen[key] {
 			delete(p.pressure, key)
 			delete(p.gave, key)
+			delete(p.smooth, key)
 		}
 	}
 }
@@ -113,9 +151,12 @@
 // takers returns the pools under lasting pressure, greatest worth first.
 func (p *Planner) takers(now time.Time, pools []Pool) []int {
 	var takers []int
+	if now.Before(p.warmAt) {
+		return nil
+	}
 	for i := range pools {
 		since, over := p.pressure[pools[i].Key]
-		if over && now.Sub(since) >= p.hold {
+		if over && now.Sub(since) >= p.options.Hold {
 			takers = append(takers, i)
 		}
 	}
