Revert the trial of three thresholds in shifting

Cause: Jiang and Chang, "Multi-Server Dynamic Load Balancing for Networked Virtual Environments", move min(excess over a safe load, the other side's safe room) at once, from the least loaded pool, or from that with the most safe room if all are loaded. Change in the trial: the planner's choice and amount by these rules, with its hold, stay and smoothing kept.

--- a/internal/placement/shift/planner.go
+++ b/internal/placement/shift/planner.go
@@ -46,18 +46,18 @@
 	pools = slices.Clone(pools)
 	p.smoothDemand(now, pools)
 	p.observe(now, pools)
+	loading := countLoading(pools)
 	var moves []Move
 	for _, i := range p.takers(now, pools) {
-		giver := giverOf(pools, i)
-		n := amount(pools, i, giver)
-		for ; n > 0 && giver >= 0; n-- {
-			engine, load, ok := p.engine(now, &pools[giver], &pools[i])
-			if !ok || len(pools[giver].Engines) <= pools[giver].Least {
+		for loading < p.options.Loads && pools[i].load() > p.options.Overloaded {
+			move, from := p.best(now, pools, i)
+			if from < 0 {
 				break
 			}
-			moves = append(moves, Move{Engine: engine, From: pools[giver].Key, To: pools[i].Key, LoadTime: load})
-			apply(pools, giver, i, engine)
-			p.gave[pools[giver].Key] = now
+			apply(pools, from, i, move.Engine)
+			p.gave[move.From] = now
+			moves = append(moves, move)
+			loading++
 		}
 	}
 	return moves
@@ -170,46 +170,42 @@
 	return takers
 }
 
-// The three thresholds of Jiang and Chang, "Multi-Server Dynamic Load Balancing
-// for Networked Virtual Environments": Options.Overloaded, safeLoad and, for
-// forced moves between neighbours, an underload; every pool is a neighbour here,
-// so that the third decides nothing.
-const safeLoad = 0.8
-
-// giverOf is the least loaded pool, or the one of the largest safe room if the
-// load of all is above safeLoad.
-func giverOf(pools []Pool, to int) int {
-	load, capacity := 0.0, 0.0
-	for i := range pools {
-		load += pools[i].Demand
-		capacity += float64(len(pools[i].Engines)) * pools[i].PerEngine
-	}
-	giver := -1
+// best finds the move to pool to with the greatest gain.
+func (p *Planner) best(now time.Time, pools []Pool, to int) (Move, int) {
+	best, from := Move{}, -1
 	for i := range pools {
-		if i == to {
+		if i == to || len(pools[i].Engines) <= pools[i].Least {
 			continue
 		}
-		better := giver < 0 || (load < safeLoad*capacity && pools[i].load() < pools[giver].load()) ||
-			(load >= safeLoad*capacity && safeRoom(&pools[i]) > safeRoom(&pools[giver]))
-		if better {
-			giver = i
+		engine, load, ok := p.engine(now, &pools[i], &pools[to])
+		if !ok {
+			continue
+		}
+		gain := p.gain(&pools[i], &pools[to], load)
+		if gain > 0 && (from < 0 || gain > best.Gain) {
+			best = Move{Engine: engine, From: pools[i].Key, To: pools[to].Key, Gain: gain, LoadTime: load}
+			from = i
 		}
 	}
-	return giver
+	return best, from
 }
 
-func safeRoom(p *Pool) float64 {
-	return max(0, safeLoad*float64(len(p.Engines))*p.PerEngine-p.Demand)
+// gain is the worth of what is served more within the horizon, less what the
+// giver then lacks and what the engine can't do while it loads.
+func (p *Planner) gain(from, to *Pool, load time.Duration) float64 {
+	n, m := len(to.Engines), len(from.Engines)
+	horizon := p.options.Horizon.Seconds()
+	served := p.lack(to, n, p.options.Overloaded) - p.lack(to, n+1, p.options.Overloaded)
+	given := p.lack(from, m-1, p.options.Spare) - p.lack(from, m, p.options.Spare)
+	gain := to.Worth * served * (horizon - load.Seconds())
+	loss := from.Worth * given * horizon
+	stranded := p.options.StrandedWeight * from.Worth * from.PerEngine * min(1, from.load()) * load.Seconds()
+	return gain - loss - stranded
 }
 
-// amount is min(excess of the taker, safe room of the giver) in engines.
-func amount(pools []Pool, to, giver int) int {
-	if giver < 0 {
-		return 0
-	}
-	p := &pools[to]
-	excess := p.Demand - safeLoad*float64(len(p.Engines))*p.PerEngine
-	return int(math.Round(min(excess, safeRoom(&pools[giver])) / (safeLoad * p.PerEngine)))
+// lack is the demand above what n engines do at the given load.
+func (p *Planner) lack(pool *Pool, n int, load float64) float64 {
+	return max(0, pool.Demand-float64(n)*pool.PerEngine*load)
 }
 
 // engine picks the engine of from that serves to soonest. An engine that came
@@ -240,6 +236,18 @@
 	return to.LoadTime
 }
 
+func countLoading(pools []Pool) int {
+	n := 0
+	for _, p := range pools {
+		for _, e := range p.Engines {
+			if e.Loading {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // apply moves the engine within the copies of the pools.
 func apply(pools []Pool, from, to int, id string) {
 	at := slices.IndexFunc(pools[from].Engines, func(e Engine) bool { return e.ID == id })
