Random runs of the step machine, and what they found

Cause: the step machine had no proof beyond a few real nodes.

Change: a seeded world of VMs, disks, processes, clocks that drift and a network that loses, doubles, delays and crosses messages. Faults: one-way cuts, crashes in a sync, slow syncs, freezes, lost disks (also right after a repair), members removed by an operator, handovers, all at once. Checked in each step: one vote a term, one leader a term, a new leader holds all that was applied, the same entry applied at each index, no leader of a later term while a lease runs (also of a frozen process). Checked at the end: the group becomes whole without help, and the callers' history is linearizable (porcupine; writes, compare-and-set, reads by lease and by quorum round). The choice of the next membership moved to internal/raft, so that the world uses the same code.

Of three voters (five wanted) one was lost, then the leader made a fourth a voter that was lost as well before it counted, and two of four could not commit. A change that makes the majority larger now needs a fresh answer from all voters (TestFourthVoterNeedsAllToAnswer).

The first check now looks at the message's receiver.

--- a/internal/raft/lease.go
+++ b/internal/raft/lease.go
@@ -67,11 +67,15 @@
 
 // Active tells whether a member answered within the last election timeout.
 func (n *Node) Active(id NodeID) bool {
+	return n.answeredWithin(id, n.cfg.ElectionTimeout)
+}
+
+func (n *Node) answeredWithin(id NodeID, limit time.Duration) bool {
 	if id == n.cfg.ID {
 		return true
 	}
 	p := n.progress[id]
-	return p != nil && n.now-p.ackedAt < n.cfg.ElectionTimeout
+	return p != nil && n.now-p.ackedAt < limit
 }
 
 func (n *Node) ownTermCommitted() bool {
--- a/internal/raft/membership.go
+++ b/internal/raft/membership.go
@@ -147,17 +147,29 @@
 	return nil
 }
 
-// keepsMajority tells whether enough voters of next have answered lately to
+// freshHeartbeats is for how many heartbeat intervals an answer counts when a
+// membership change is judged: one may be lost and one late.
+const freshHeartbeats = 3
+
+// keepsMajority tells whether enough voters of next have answered just now to
 // commit under it. Without this a second loss just after a removal or a
 // promotion would stop the group although a majority of it lives.
+//
+// A change that makes the majority larger, such as the fourth voter, needs all
+// of them: with one already gone it would take away the last spare, and if the
+// new voter is lost before it counts, the group is stuck for good.
 func (n *Node) keepsMajority(next Membership) bool {
-	active := 0
-	for _, id := range next.Voters() {
-		if n.Active(id) {
-			active++
+	voters := next.Voters()
+	fresh := 0
+	for _, id := range voters {
+		if n.answeredWithin(id, freshHeartbeats*n.cfg.HeartbeatInterval) {
+			fresh++
 		}
 	}
-	return active >= next.Quorum()
+	if next.Quorum() > n.membership.Quorum() {
+		return fresh == len(voters)
+	}
+	return fresh >= next.Quorum()
 }
 
 // ProposeMembership appends the next list of members. The leader refuses it
--- a/internal/replica/members_test.go
+++ b/internal/raft/plan_test.go
@@ -1,24 +1,22 @@
-package replica
+package raft
 
 import (
 	"testing"
 
 	"gotest.tools/v3/assert"
-
-	"github.com/citronstep/citronstep/internal/raft"
 )
 
-func sampleView() memberView {
-	return memberView{
-		membership: raft.Membership{Members: []Member{
+func sampleView() MembershipView {
+	return MembershipView{
+		Membership: Membership{Members: []Member{
 			{ID: 1, VM: "a", DataCentre: "x", Address: "1"},
 			{ID: 2, VM: "b", DataCentre: "y", Address: "2"},
 			{ID: 3, VM: "c", DataCentre: "z", Address: "3"},
 		}},
-		self:     1,
-		wanted:   3,
-		active:   map[raft.NodeID]bool{1: true, 2: true, 3: true},
-		caughtUp: map[raft.NodeID]bool{1: true, 2: true, 3: true},
+		Self:     1,
+		Wanted:   3,
+		Active:   map[NodeID]bool{1: true, 2: true, 3: true},
+		CaughtUp: map[NodeID]bool{1: true, 2: true, 3: true},
 	}
 }
 
@@ -28,10 +26,10 @@
 // could never return under that identity.
 func TestStaleJoinReplacesNobody(t *testing.T) {
 	v := sampleView()
-	v.membership = v.membership.Without(2)
-	v.membership = v.membership.With(Member{ID: 22, VM: "b", DataCentre: "y", Address: "2", Learner: true})
-	v.joins = []Member{{ID: 2, VM: "b", DataCentre: "y", Address: "2"}, {ID: 22, VM: "b", DataCentre: "y", Address: "2"}}
-	_, reason := nextMembership(v)
+	v.Membership = v.Membership.Without(2)
+	v.Membership = v.Membership.With(Member{ID: 22, VM: "b", DataCentre: "y", Address: "2", Learner: true})
+	v.Joins = []Member{{ID: 2, VM: "b", DataCentre: "y", Address: "2"}, {ID: 22, VM: "b", DataCentre: "y", Address: "2"}}
+	_, reason := NextMembership(v)
 	assert.Equal(t, reason, "")
 }
 
@@ -39,26 +37,26 @@
 // before the new one enters, and the new one votes only once it has caught up.
 func TestReplacementInOrder(t *testing.T) {
 	v := sampleView()
-	v.joins = []Member{{ID: 33, VM: "c", DataCentre: "z", Address: "3"}}
-	_, reason := nextMembership(v)
+	v.Joins = []Member{{ID: 33, VM: "c", DataCentre: "z", Address: "3"}}
+	_, reason := NextMembership(v)
 	assert.Equal(t, reason, "", "the old identity still answers")
 
-	v.active[3] = false
-	next, _ := nextMembership(v)
+	v.Active[3] = false
+	next, _ := NextMembership(v)
 	assert.Assert(t, next.IsRemoved(3))
 	assert.Equal(t, len(next.Members), 2)
 
-	v.membership = next
-	next, _ = nextMembership(v)
+	v.Membership = next
+	next, _ = NextMembership(v)
 	m, ok := next.Find(33)
 	assert.Assert(t, ok && m.Learner)
 
-	v.membership = next
-	_, reason = nextMembership(v)
+	v.Membership = next
+	_, reason = NextMembership(v)
 	assert.Equal(t, reason, "", "the learner has not answered yet")
-	v.active[33] = true
-	v.caughtUp[33] = true
-	next, _ = nextMembership(v)
+	v.Active[33] = true
+	v.CaughtUp[33] = true
+	next, _ = NextMembership(v)
 	assert.Assert(t, next.IsVoter(33))
 }
 
@@ -66,14 +64,14 @@
 // to promote is one from the data centre that has no voter.
 func TestPromotionSpreadsOverDataCentres(t *testing.T) {
 	v := sampleView()
-	v.membership = v.membership.Without(3)
-	v.membership = v.membership.With(Member{ID: 4, VM: "d", DataCentre: "x", Address: "4", Learner: true})
-	v.membership = v.membership.With(Member{ID: 5, VM: "e", DataCentre: "z", Address: "5", Learner: true})
-	for _, id := range []raft.NodeID{4, 5} {
-		v.active[id] = true
-		v.caughtUp[id] = true
+	v.Membership = v.Membership.Without(3)
+	v.Membership = v.Membership.With(Member{ID: 4, VM: "d", DataCentre: "x", Address: "4", Learner: true})
+	v.Membership = v.Membership.With(Member{ID: 5, VM: "e", DataCentre: "z", Address: "5", Learner: true})
+	for _, id := range []NodeID{4, 5} {
+		v.Active[id] = true
+		v.CaughtUp[id] = true
 	}
-	next, _ := nextMembership(v)
+	next, _ := NextMembership(v)
 	assert.Assert(t, next.IsVoter(5))
 	assert.Assert(t, !next.IsVoter(4))
 }
@@ -82,8 +80,8 @@
 // its identity and the list shows the new address.
 func TestMovedReplicaKeepsItsVote(t *testing.T) {
 	v := sampleView()
-	v.joins = []Member{{ID: 2, VM: "b", DataCentre: "y", Address: "20"}}
-	next, _ := nextMembership(v)
+	v.Joins = []Member{{ID: 2, VM: "b", DataCentre: "y", Address: "20"}}
+	next, _ := NextMembership(v)
 	m, _ := next.Find(2)
 	assert.Equal(t, m, Member{ID: 2, VM: "b", DataCentre: "y", Address: "20"})
 }
--- /dev/null
+++ b/internal/raft/simulation_check_test.go
@@ -0,0 +1,128 @@
+package raft
+
+import (
+	"bytes"
+	"fmt"
+)
+
+// simChecker watches the whole world for what no single node can see.
+type simChecker struct {
+	w *world
+	// leaders holds the one leader of each term.
+	leaders map[uint64]NodeID
+	votes   map[simBallot]NodeID
+	// committed is the log that any node has applied.
+	committed       map[uint64]Entry
+	lastCommitted   uint64
+	membership      Membership
+	membershipIndex uint64
+}
+
+type simBallot struct {
+	voter NodeID
+	term  uint64
+}
+
+// simViolation is the panic of a broken invariant of the world.
+type simViolation struct{ what string }
+
+func (v simViolation) Error() string { return v.what }
+
+func newSimChecker(w *world) *simChecker {
+	return &simChecker{
+		w: w, leaders: map[uint64]NodeID{}, votes: map[simBallot]NodeID{}, committed: map[uint64]Entry{},
+	}
+}
+
+func (c *simChecker) fail(format string, args ...any) {
+	panic(simViolation{fmt.Sprintf(format, args...)})
+}
+
+// message notes each vote that arrives: one a term from each identity.
+func (c *simChecker) message(p *simProcess, m Message) {
+	if m.Type != MessageVoteReply || m.Reject || m.To != p.id {
+		return
+	}
+	b := simBallot{voter: m.From, term: m.Term}
+	if old, ok := c.votes[b]; ok && old != p.id {
+		c.fail("%x voted for %x and %x in term %d", uint64(m.From), uint64(old), uint64(p.id), m.Term)
+	}
+	c.votes[b] = p.id
+}
+
+// node checks a process after each of its steps.
+func (c *simChecker) node(p *simProcess) {
+	s := p.node.Status()
+	if s.Role != RoleLeader {
+		return
+	}
+	old, ok := c.leaders[s.Term]
+	if ok && old != p.id {
+		c.fail("two leaders in term %d: %x and %x", s.Term, uint64(old), uint64(p.id))
+	}
+	if ok {
+		return
+	}
+	c.leaders[s.Term] = p.id
+	c.w.counts["leaders"]++
+	c.complete(p, s)
+}
+
+// complete checks that a new leader holds every entry that was ever applied.
+func (c *simChecker) complete(p *simProcess, s Status) {
+	if s.LastIndex < c.lastCommitted {
+		c.fail("the leader of term %d lacks entry %d", s.Term, c.lastCommitted)
+	}
+	for index := s.FirstIndex; index <= c.lastCommitted; index++ {
+		term, _ := p.node.log.term(index)
+		if term != c.committed[index].Term {
+			c.fail("the leader of term %d has another entry %d", s.Term, index)
+		}
+	}
+}
+
+// applied checks that all nodes apply the same entry at each index.
+func (c *simChecker) applied(p *simProcess, e Entry) {
+	old, ok := c.committed[e.Index]
+	if ok && (old.Term != e.Term || !bytes.Equal(old.Data, e.Data)) {
+		c.fail("%x applies another entry %d than was applied before", uint64(p.id), e.Index)
+	}
+	if ok {
+		return
+	}
+	if e.Index != c.lastCommitted+1 {
+		c.fail("entry %d applied after %d", e.Index, c.lastCommitted)
+	}
+	c.committed[e.Index] = e
+	c.lastCommitted = e.Index
+	if e.Type != EntryMembership {
+		return
+	}
+	m, err := DecodeMembership(e.Data)
+	if err != nil {
+		c.fail("entry %d: %v", e.Index, err)
+	}
+	c.membership = m
+	c.membershipIndex = e.Index
+}
+
+// leases checks that while one process, frozen or not, holds a lease by its
+// own clock, nobody leads a later term.
+func (c *simChecker) leases() {
+	for _, vm := range c.w.vms {
+		p := vm.proc
+		if p == nil || p.lease <= vm.clock(c.w.now) {
+			continue
+		}
+		for _, other := range c.w.vms {
+			o := other.proc
+			if o == nil || o == p {
+				continue
+			}
+			if s := o.node.Status(); s.Role == RoleLeader && s.Term > p.term {
+				c.fail("%x leads term %d while %x holds the lease of term %d",
+					uint64(o.id), s.Term, uint64(p.id), p.term)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/raft/simulation_network_test.go
@@ -0,0 +1,58 @@
+package raft
+
+import (
+	"slices"
+	"time"
+)
+
+// blocked tells whether nothing passes in one direction now.
+func (w *world) blocked(from, to string) bool {
+	return w.cut[[2]string{from, to}] > w.now
+}
+
+func (w *world) send(m Message) {
+	copies := 1
+	if w.rng.Float64() < w.faults.loss {
+		copies = 0
+	}
+	if w.rng.Float64() < w.faults.double {
+		copies++
+	}
+	for range copies {
+		delay := time.Duration(w.rng.Int64N(int64(2 * simStep)))
+		if w.rng.Float64() < w.faults.slow {
+			delay += time.Duration(w.rng.Int64N(int64(3 * simElectionTimeout)))
+		}
+		w.wire = append(w.wire, simMessage{at: w.now + delay, m: cloneMessage(m)})
+	}
+}
+
+// cloneMessage copies what the sender might change after the message left.
+func cloneMessage(m Message) Message {
+	m.Entries = slices.Clone(m.Entries)
+	return m
+}
+
+func (w *world) deliver() {
+	var due, rest []simMessage
+	for _, m := range w.wire {
+		if m.at <= w.now {
+			due = append(due, m)
+		} else {
+			rest = append(rest, m)
+		}
+	}
+	w.wire = rest
+	w.rng.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
+	for _, m := range due {
+		from, to := w.owner[m.m.From], w.owner[m.m.To]
+		if w.blocked(from, to) {
+			continue
+		}
+		for _, vm := range w.vms {
+			if vm.name == to && vm.proc != nil && len(vm.proc.inbox) < 500 {
+				vm.proc.inbox = append(vm.proc.inbox, m.m)
+			}
+		}
+	}
+}
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -20,106 +20,6 @@
 	at     time.Duration
 }
 
-// memberView is what the next change of the membership is decided on.
-type memberView struct {
-	membership raft.Membership
-	self       raft.NodeID
-	// wanted is how many voters to aim at.
-	wanted int
-	// joins are the live requests, ordered by identity.
-	joins []Member
-	// active holds the members that answered lately.
-	active map[raft.NodeID]bool
-	// caughtUp holds the members that have all that is committed.
-	caughtUp map[raft.NodeID]bool
-}
-
-// nextMembership decides the one change to make now, if any, and why.
-func nextMembership(v memberView) (raft.Membership, string) {
-	if id, ok := replacedMember(v); ok {
-		return v.membership.Without(id), "its VM came back with an empty disk under a new identity"
-	}
-	for _, wants := range v.joins {
-		present, ok := v.membership.Find(wants.ID)
-		if !ok && !nameTaken(v, wants) && !v.membership.IsRemoved(wants.ID) {
-			wants.Learner = true
-			return v.membership.With(wants), "a new replica joins as learner"
-		}
-		wants.Learner = present.Learner
-		if ok && wants != present {
-			return v.membership.With(wants), "a replica moved to another address"
-		}
-	}
-	if learner, ok := promotable(v); ok {
-		learner.Learner = false
-		return v.membership.With(learner), "a learner has caught up and a voter is wanted"
-	}
-	return raft.Membership{}, ""
-}
-
-// replacedMember returns a member whose VM asks to join under another identity
-// while the old one is silent.
-//
-// Its disk is gone: it has forgotten what it voted for and acknowledged, so
-// its old identity must never count again. It is removed before the new one
-// is added, so that at no time both count. The removal never makes the group
-// more fragile: the old identity answers no more, and raft refuses the change
-// if the voters that remain and answer are no majority of the shorter list.
-func replacedMember(v memberView) (raft.NodeID, bool) {
-	for _, wants := range v.joins {
-		// A request that was repeated until just before its sender became a
-		// member, or was removed, is still remembered. It replaces nobody.
-		_, present := v.membership.Find(wants.ID)
-		if present || v.membership.IsRemoved(wants.ID) {
-			continue
-		}
-		for _, m := range v.membership.Members {
-			if m.VM == wants.VM && m.ID != wants.ID && m.ID != v.self && !v.active[m.ID] {
-				return m.ID, true
-			}
-		}
-	}
-	return 0, false
-}
-
-func nameTaken(v memberView, wants Member) bool {
-	for _, m := range v.membership.Members {
-		if m.VM == wants.VM && m.ID != wants.ID {
-			return true
-		}
-	}
-	return false
-}
-
-// promotable returns the learner to make a voter: one that answers and has
-// caught up, in the data centre with the fewest voters, so that losing one
-// data centre takes as few voters as can be.
-func promotable(v memberView) (Member, bool) {
-	perCentre := map[string]int{}
-	voters := 0
-	for _, m := range v.membership.Members {
-		if !m.Learner {
-			perCentre[m.DataCentre]++
-			voters++
-		}
-	}
-	if voters >= v.wanted {
-		return Member{}, false
-	}
-	var best Member
-	found := false
-	for _, m := range v.membership.Members {
-		if !m.Learner || !v.active[m.ID] || !v.caughtUp[m.ID] {
-			continue
-		}
-		if !found || perCentre[m.DataCentre] < perCentre[best.DataCentre] {
-			best = m
-			found = true
-		}
-	}
-	return best, found
-}
-
 // manageMembers makes the next change of the membership, on the leader.
 func (n *Node) manageMembers() {
 	status := n.core.Status()
@@ -130,7 +30,7 @@
 	if !status.OwnTermCommitted || status.MembershipIndex > status.Commit {
 		return
 	}
-	next, reason := nextMembership(n.memberView(status))
+	next, reason := raft.NextMembership(n.membershipView(status))
 	if reason == "" {
 		return
 	}
@@ -142,13 +42,13 @@
 		"members", len(next.Members), "voters", len(next.Voters()))
 }
 
-func (n *Node) memberView(status raft.Status) memberView {
-	v := memberView{
-		membership: status.Membership,
-		self:       status.ID,
-		wanted:     n.opts.Voters,
-		active:     map[raft.NodeID]bool{},
-		caughtUp:   map[raft.NodeID]bool{},
+func (n *Node) membershipView(status raft.Status) raft.MembershipView {
+	v := raft.MembershipView{
+		Membership: status.Membership,
+		Self:       status.ID,
+		Wanted:     n.opts.Voters,
+		Active:     map[raft.NodeID]bool{},
+		CaughtUp:   map[raft.NodeID]bool{},
 	}
 	now := n.opts.Now()
 	for id, j := range n.joins {
@@ -156,12 +56,12 @@
 			delete(n.joins, id)
 			continue
 		}
-		v.joins = append(v.joins, j.member)
+		v.Joins = append(v.Joins, j.member)
 	}
-	slices.SortFunc(v.joins, func(a, b Member) int { return compareIDs(a.ID, b.ID) })
+	slices.SortFunc(v.Joins, func(a, b Member) int { return compareIDs(a.ID, b.ID) })
 	for _, m := range status.Membership.Members {
-		v.active[m.ID] = n.core.Active(m.ID)
-		v.caughtUp[m.ID] = n.core.Match(m.ID) >= status.Commit
+		v.Active[m.ID] = n.core.Active(m.ID)
+		v.CaughtUp[m.ID] = n.core.Match(m.ID) >= status.Commit
 	}
 	return v
 }
