Examples for both users and one machine; status without a leader is a failure

Cause: with two of three control processes killed, the third answered status with serving groups and measures of zero, exit 0 (found by running examples/one-machine). Now it prints what it has, says that nobody leads and exits 5. Ruled out: hiding the tables, which an operator needs most then.

load sends each further try to the next entry, as a balancer would.

go test -race ./internal/tool ./internal/loadgen passes; the test failed before (exit 0).

--- a/internal/loadgen/draw.go
+++ b/internal/loadgen/draw.go
@@ -10,8 +10,9 @@
 // request is one request as it was drawn. Nothing in it depends on what the
 // system answers.
 type request struct {
-	number    int
-	flow      int
+	number int
+	flow   int
+	// target is set for each try.
 	target    string
 	marker    string
 	prompt    string
@@ -44,7 +45,6 @@
 	r := request{
 		number: d.next,
 		flow:   d.pickFlow(),
-		target: d.plan.Targets[d.next%len(d.plan.Targets)],
 		marker: fmt.Sprintf("load-%s-%x-%d", d.plan.RunID, d.plan.Seed, d.next),
 	}
 	f := d.plan.Flows[r.flow]
--- a/internal/loadgen/run.go
+++ b/internal/loadgen/run.go
@@ -132,13 +132,15 @@
 }
 
 // carryOut sends a request until it has its answer, its tries are used up or
-// the time to give up has come. Each try has the same idempotency key.
+// the time to give up has come. Each try has the same idempotency key and goes
+// to the next target, as it would through a balancer.
 func (g *generator) carryOut(ctx context.Context, r request, due time.Time) outcome {
 	ctx, cancel := context.WithTimeout(ctx, g.plan.GiveUp)
 	defer cancel()
 	f := g.plan.Flows[r.flow]
 	o := outcome{flow: r.flow, marker: r.marker}
 	for {
+		r.target = g.plan.Targets[(r.number+o.tries)%len(g.plan.Targets)]
 		a := send(ctx, g.client, f, r)
 		o.tries++
 		o.take(g.judge.judge(f, r, a), a, due)
--- /dev/null
+++ b/internal/tool/examples_test.go
@@ -0,0 +1,54 @@
+package tool
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/settings"
+)
+
+const examplesFolder = "../../examples"
+
+func TestExampleConfigurationsPassTheChecks(t *testing.T) {
+	paths, err := filepath.Glob(examplesFolder + "/*/configuration.toml")
+	assert.NilError(t, err)
+	assert.Equal(t, len(paths), 3)
+	for _, path := range paths {
+		data, err := os.ReadFile(path)
+		assert.NilError(t, err)
+		d := parseDocument(path, data)
+		assert.NilError(t, d.source.Faults().OrNil())
+		_, err = makePlan(blackboard.Configuration{}, d, false)
+		assert.NilError(t, err)
+		assert.Assert(t, d.ActivePreset != "")
+	}
+}
+
+// The settings of one deployment must name the same control processes, or its
+// processes would found two clusters or follow different ones.
+func TestExampleSettingsPassTheChecksAndAgree(t *testing.T) {
+	for _, folder := range []string{"one-machine", "verifica", "halvorsen"} {
+		paths, err := filepath.Glob(examplesFolder + "/" + folder + "/*.toml")
+		assert.NilError(t, err)
+		var control []string
+		for _, path := range paths {
+			if filepath.Base(path) == "configuration.toml" {
+				continue
+			}
+			data, err := os.ReadFile(path)
+			assert.NilError(t, err)
+			s, err := settings.Parse(path, data)
+			assert.NilError(t, err)
+			if control == nil {
+				control = s.Peers.Control
+			}
+			assert.DeepEqual(t, s.Peers.Control, control)
+			assert.Equal(t, s.Control.Enabled, contains(control, s.Peers.Advertise), path)
+		}
+		assert.Equal(t, len(control), settings.DefaultVoters, folder)
+	}
+}
--- a/internal/tool/fake_test.go
+++ b/internal/tool/fake_test.go
@@ -76,6 +76,7 @@
 	s := adminapi.Status{
 		ClusterID: f.board.ClusterID, Founded: f.board.ClusterID != "",
 		BoardRevision: f.board.Revision, ConfigRevision: f.board.Config.Revision,
+		Replicas:     []adminapi.Replica{{ID: "1", VM: "control-1", Role: roleLeader}},
 		ActivePreset: f.board.Config.ActivePreset, Presets: sortedKeys(f.board.Config.Presets),
 	}
 	if f.onStatus != nil {
--- a/internal/tool/load.go
+++ b/internal/tool/load.go
@@ -78,6 +78,13 @@
 	defaultPrefixes    = 8
 )
 
+// The default concurrency of a closed loop is small enough for -dev. That of
+// an open loop is a bound on its memory and should not be met.
+const (
+	defaultCallers = 8
+	defaultOpen    = 1024
+)
+
 func (f *loadFlags) register(set *flag.FlagSet) {
 	set.StringVar(&f.entries, "entries", settings.DevCallers, "entries' addresses as IP:port, separated by commas, used in turn")
 	set.StringVar(&f.plan, "plan", "", "TOML file of [[flow]] tables, in place of the flags of a single flow")
@@ -95,7 +102,7 @@
 	set.Int64Var(&f.flow.TimeoutMillis, "request-timeout-ms", 0, "deadline sent with each request; 0 sends none")
 	set.BoolVar(&f.exact, "exact", false, "the engines are stand-ins: compare each text with the one right text")
 	set.Float64Var(&f.Rate, "rate", 0, "open loop: arrivals a second; 0 makes a closed loop")
-	set.IntVar(&f.Concurrency, "concurrency", 8, "callers of a closed loop; bound on open requests of an open loop")
+	set.IntVar(&f.Concurrency, "concurrency", 0, "callers of a closed loop (default 8); bound on open requests of an open loop (default 1024)")
 	set.IntVar(&f.Count, "count", 100, "requests to send")
 	set.DurationVar(&f.Duration, "duration", time.Minute, "how long to send")
 	set.IntVar(&f.Retries, "retries", 5, "further tries of one request")
@@ -131,6 +138,12 @@
 
 func (f *loadFlags) prepare() error {
 	f.RunID = uuid.NewString()[:8]
+	switch {
+	case f.Concurrency == 0 && f.Rate > 0:
+		f.Concurrency = defaultOpen
+	case f.Concurrency == 0:
+		f.Concurrency = defaultCallers
+	}
 	if f.exact {
 		f.Expected = standin.ExpectedText
 	}
--- a/internal/tool/status.go
+++ b/internal/tool/status.go
@@ -10,14 +10,18 @@
 
 	"github.com/citronstep/citronstep/internal/adminapi"
 	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/failure"
 )
 
+// roleLeader is the role of the one control process that decides.
+const roleLeader = "leader"
+
 func statusCommand() command {
 	return command{
 		name:    "status",
 		summary: "Show the whole system: preset, nodes, groups, VMs, measures",
 		details: `Sections: summary, control processes, entries, groups, VMs, service instances.
-Give -section to print one table only.
+Give -section to print one table only. Exits with 5 when no control process leads.
 
 Example: citronstep status -section groups
 `,
@@ -67,6 +71,31 @@
 		return err
 	}
 	sortStatus(&s)
+	if err := i.printStatus(s, only); err != nil {
+		return err
+	}
+	return leaderless(s)
+}
+
+// leaderless says so when no process leads. A control process that is cut off
+// answers with the state that it last knew, which looks healthy: its own
+// measures are zero and its groups serve. A script must not take that for the
+// system's state.
+func leaderless(s adminapi.Status) error {
+	if !s.Founded {
+		return nil
+	}
+	for _, r := range s.Replicas {
+		if r.Role == roleLeader {
+			return nil
+		}
+	}
+	return failure.New(failure.TypeUnavailable,
+		"no control process leads as far as this one knows: what it shows is the last state that it had. "+
+			"Ask the others with -addresses, see docs/operators/quorum-lost.md")
+}
+
+func (i *invocation) printStatus(s adminapi.Status, only string) error {
 	if i.json && only == "" {
 		return i.printJSON(s)
 	}
--- a/internal/tool/tool_test.go
+++ b/internal/tool/tool_test.go
@@ -314,3 +314,17 @@
 	assert.Equal(t, groups[0].ID, "memos-0")
 	f.must(t, ExitUsage, "status", "-section", "weather")
 }
+
+// Two of three control VMs are lost. The third still answers, with groups that
+// serve and measures of zero: a monitor that went by the tables would stay
+// green all night.
+func TestStatusWithoutALeaderIsAFailure(t *testing.T) {
+	f := newFakeAdmin(t)
+	f.must(t, ExitOK, "init")
+	f.onStatus = func(s *adminapi.Status) { s.Replicas[0].Role = "voter" }
+	for _, args := range [][]string{{"status"}, {"status", "-json"}, {"status", "-section", "groups"}} {
+		r := f.must(t, ExitUnavailable, args...)
+		assert.Assert(t, is.Contains(r.err, "no control process leads"))
+		assert.Assert(t, r.out != "")
+	}
+}
