--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -10,6 +10,12 @@
 // capacity begins, in tokens: a few requests of ordinary size.
 const defaultLimit = 8192
 
+// longPrefills is how many long prompts one entry lets a target compute at
+// once. It is made for long requests that come together, as after an outage:
+// engines compute prompts in the order they got them, so a lookup placed behind
+// ten long prompts waits for all of them.
+const longPrefills = 1
+
 const (
 	// rampTime is how long a returning target takes until it gets its whole
 	// part. Its prefix cache is cold, and if it failed by load, its whole part
@@ -26,25 +32,27 @@
 // target is the state kept for a Target.
 type target struct {
 	Target
-	hash uint64
+	// limit is the work in tokens that it is given at most; load is the work it
+	// is believed to hold.
+	limit, load float64
+	hash        uint64
 	// listed is false once SetTargets left it out; its attempts may still run.
 	listed bool
 	domain *domain
 	pool   *pool
 
-	// limit is the work in tokens that it is given at most.
-	limit  float64
 	settle time.Time
+	// blocked is true if the limit held a request back since the last report.
+	blocked bool
 
 	// mine is the work that this process has in flight on it.
-	mine     int
-	mineLong int
-	attempts int
-	ledger   ledger
+	mine int
+	// pendingLong counts this process's long attempts without a first token.
+	pendingLong int
+	ledger      *ledger
 
 	reported   Load
 	mineAt     int
-	load       float64
 	rampFrom   time.Time
 	pace       pace
 	failures   int
@@ -53,7 +61,7 @@
 }
 
 func newTarget(t Target) *target {
-	return &target{Target: t, hash: xxhash.Sum64String(t.ID), limit: startLimit(t.Capacity)}
+	return &target{Target: t, hash: xxhash.Sum64String(t.ID), limit: startLimit(t.Capacity), ledger: &ledger{}}
 }
 
 // startLimit is where the search for a target's limit begins, in tokens.
@@ -100,9 +108,19 @@
 	return now.Before(t.avoidUntil) || now.Before(t.domain.avoidUntil)
 }
 
+// surelyFull tells that the request doesn't fit, from two fields alone. It is
+// for looking through hundreds of full targets in a few microseconds.
+func (t *target) surelyFull(tokens int, reserve float64) bool {
+	return t.load > 0 && t.load+float64(tokens) > t.limit*(1-reserve)
+}
+
 // room tells whether the request fits now. An idle target takes any request:
 // one larger than the limit would never run otherwise.
-func (t *target) room(now time.Time, tokens int, reserve float64, o Options) bool {
+func (t *target) room(now time.Time, tokens int, reserve float64, o *Options) bool {
+	if t.surelyFull(tokens, reserve) {
+		t.blocked = true
+		return false
+	}
 	if t.avoided(now) {
 		return false
 	}
@@ -111,7 +129,14 @@
 	}
 	limit := t.limit * t.part(now) * (1 - reserve)
 	if tokens >= o.LongTokens {
+		if t.pendingLong >= longPrefills {
+			return false
+		}
 		limit *= o.LongShare
 	}
-	return t.load+float64(tokens) <= limit
+	if t.load+float64(tokens) <= limit {
+		return true
+	}
+	t.blocked = true
+	return false
 }
