Measures from evidence; a dark domain; survivors of a failed group are not avoided

Cause: engines that lost a member say failed; the survivors were then left out of new groups for a minute, though they hold the weights. Only a failed load counts now. Measures by the blackboard called a group with a paused member working and let one spec's surplus make up for another's shortage.

--- a/internal/controller/breaking.go
+++ b/internal/controller/breaking.go
@@ -119,7 +119,7 @@
 func reportedFault(v View, now time.Time, g blackboard.Group, r evidence.Report) (text string, patience time.Duration) {
 	inEpoch := r.Group == g.ID && r.Epoch == g.Epoch
 	if inEpoch && r.Phase == backend.PhaseFailed {
-		v.Memory.avoid[r.ID] = now.Add(avoidFor)
+		v.Memory.avoidAfterLoad(g, r.ID, now)
 		return "failed", 0
 	}
 	switch g.State {
@@ -135,13 +135,23 @@
 		}
 	case blackboard.Loading:
 		if !inEpoch && v.Memory.inState(g, now) > startLimit {
-			v.Memory.avoid[r.ID] = now.Add(avoidFor)
+			v.Memory.avoidAfterLoad(g, r.ID, now)
 			return "does not begin to load", 0
 		}
 	}
 	return "", 0
 }
 
+// avoidAfterLoad leaves a VM out of new groups for a while when its load
+// failed. A VM that failed while serving is no worse than others: engines say
+// failed when they have lost a member for good, and are then needed as
+// survivors.
+func (m *Memory) avoidAfterLoad(g blackboard.Group, vm string, now time.Time) {
+	if g.State == blackboard.Loading {
+		m.avoid[vm] = now.Add(avoidFor)
+	}
+}
+
 func lostFault(v View, now time.Time, lost string) (text string, patience time.Duration) {
 	r, heard := v.Evidence.Get(lost)
 	if heard && now.Sub(r.HeardAt) <= evidence.RoutableAge {
--- /dev/null
+++ b/internal/controller/measures.go
@@ -0,0 +1,58 @@
+package controller
+
+import (
+	"time"
+
+	"github.com/citronstep/citronstep/internal/adminapi"
+	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/evidence"
+)
+
+// Measures returns the present values of the brief's two measures; the caller
+// adds them up over time.
+//
+// A wanted replica is down unless a group of its spec is routable by the
+// evidence of this process: a group with a paused member does not work though
+// the blackboard still says serving. A group that drains works until it is
+// released, but does not count for its spec. Stranded are the accelerators of
+// VMs that are heard and whose group does not work. While this process does not
+// hear a majority of the entries it knows too little and goes by the
+// blackboard.
+func Measures(board *blackboard.Board, table *evidence.Table, now time.Time) adminapi.Measures {
+	var m adminapi.Measures
+	covered := table.Covered(now, board)
+	working := make(map[string]bool)
+	serving := make(map[string]int)
+	for id, g := range board.Groups {
+		if !works(board, table, now, g, covered) {
+			continue
+		}
+		working[id] = true
+		if g.State == blackboard.Serving {
+			serving[g.Spec]++
+		}
+	}
+	for spec := range board.Config.Groups {
+		m.GroupsDown += max(0, board.Config.GroupReplicas(spec)-serving[spec])
+	}
+	for _, vm := range board.VMs {
+		if vm.Liveness == blackboard.Dead || vm.Liveness == blackboard.Paused {
+			continue
+		}
+		if g := board.Groups[vm.Group]; !working[vm.Group] || g.Epoch != vm.Epoch {
+			m.StrandedAccelerators += vm.Accelerators
+		}
+	}
+	return m
+}
+
+func works(board *blackboard.Board, table *evidence.Table, now time.Time, g blackboard.Group, covered bool) bool {
+	if g.State == blackboard.Draining {
+		return true
+	}
+	if !covered {
+		return g.State.Routable()
+	}
+	ok, _ := table.Routable(now, board, g.ID)
+	return ok
+}
