Admission: nothing piles up from names that come and go

Cause: each workspace, class and model that was ever asked for left a flow, a budget or a queue behind. Change: empty flows and bands are dropped each second unless they promised callers a time to come back; models after an hour without a request; budgets beyond 1,024. Ruled out: dropping the band of a class that is only refused (its callers would be sent back to the same second; the test fails so).

--- a/internal/admission/estimate.go
+++ b/internal/admission/estimate.go
@@ -72,6 +72,7 @@
 	m.window = now
 	m.rate.close(elapsed, m.starved && m.waiting > 0)
 	m.starved = false
+	m.prune(now)
 	m.top = 0
 	for _, b := range m.bands {
 		b.arrivals.close(elapsed)
--- a/internal/admission/flow.go
+++ b/internal/admission/flow.go
@@ -115,6 +115,15 @@
 	}
 }
 
+// prune drops flows that hold nothing and have used no more than their share.
+func (b *band) prune() {
+	for key, f := range b.flows {
+		if f.first == nil && (f.finish <= b.virtual || len(b.active) == 0) {
+			delete(b.flows, key)
+		}
+	}
+}
+
 // lanes says for which lengths of request there is no room.
 type lanes struct {
 	long, short bool
--- a/internal/admission/model.go
+++ b/internal/admission/model.go
@@ -21,10 +21,20 @@
 	waiting int
 	seq     uint64
 	starved bool
+	// used is when a request was last admitted.
+	used time.Time
 	// top is the greatest worth that arrived of late.
 	top float64
 }
 
+// forgetAfter is how long a model's rates are kept without a request: they say
+// nothing after so long, and models come and go.
+const forgetAfter = time.Hour
+
+func (m *modelQueue) idle(now time.Time) bool {
+	return m.waiting == 0 && now.Sub(m.used) > forgetAfter
+}
+
 func newModelQueue(name string) *modelQueue {
 	return &modelQueue{name: name}
 }
@@ -52,6 +62,23 @@
 	m.waiting++
 }
 
+// prune drops flows and bands without requests that owe nothing to fairness
+// and promised no caller a time to come back.
+//
+// It is made for class names and workspaces that come and go: each leaves a
+// flow, and a queue that runs for months would look through all of them.
+func (m *modelQueue) prune(now time.Time) {
+	kept := m.bands[:0]
+	for _, b := range m.bands {
+		b.prune()
+		if len(b.flows) > 0 || b.arrivals.perSecond > leastArrivals || b.returns.next.After(now) {
+			kept = append(kept, b)
+		}
+	}
+	clear(m.bands[len(kept):])
+	m.bands = kept
+}
+
 func (m *modelQueue) arrived(it *item) {
 	m.top = max(m.top, it.worth)
 	it.flow.band.arrivals.add(it.request.Tokens)
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 
 	"github.com/citronstep/citronstep/internal/invariant"
@@ -89,7 +90,7 @@
 	if refusal != nil {
 		return Decision{Refusal: refusal}
 	}
-	q.insert(m, it)
+	q.insert(now, m, it)
 	q.retries.earn(now, q.policy, r.Workspace)
 	q.counters.Queued++
 	return Decision{Queued: true, Evicted: evicted}
@@ -205,7 +206,8 @@
 	return &Refusal{Reason: reason, RetryAfter: after}
 }
 
-func (q *Queue) insert(m *modelQueue, it *item) {
+func (q *Queue) insert(now time.Time, m *modelQueue, it *item) {
+	m.used = now
 	m.push(it, q.policy.share(it.request.Workspace))
 	m.arrived(it)
 	q.items[it.request.ID] = it
@@ -246,9 +248,14 @@
 // asked at most twice a model: for long and for short requests.
 func (q *Queue) Next(now time.Time, fits func(Request) bool) (Request, []Eviction, bool) {
 	expired := q.Expire(now)
+	var idle *modelQueue
+	defer func() { q.drop(idle) }()
 	for i := range q.order {
 		m := q.order[(q.turn+i)%len(q.order)]
 		m.tick(now)
+		if m.idle(now) {
+			idle = m
+		}
 		it := m.next(q.policy, fits)
 		if it == nil {
 			continue
@@ -260,6 +267,16 @@
 	return Request{}, expired, false
 }
 
+// drop forgets a model that nobody asks for any more.
+func (q *Queue) drop(m *modelQueue) {
+	if m == nil || m.waiting > 0 {
+		return
+	}
+	delete(q.models, m.name)
+	q.order = slices.DeleteFunc(q.order, func(o *modelQueue) bool { return o == m })
+	q.turn = 0
+}
+
 func (q *Queue) start(m *modelQueue, it *item) {
 	m.served(it, q.policy)
 	q.remove(it)
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -258,6 +258,27 @@
 	}
 }
 
+// The drafts are refused for seconds on end and none is admitted. Those refused
+// in one second must not be told the same time as those of the second before.
+func TestPromisedReturnsAreKeptBetweenWindows(t *testing.T) {
+	q := New(twoClasses())
+	learnRate(t, q, 1000, 500*time.Millisecond)
+	q.policy.MaxRetryAfter = time.Hour
+	backlog(t, q, at(2*window), 5000)
+	last := time.Time{}
+	for second := range 3 {
+		now := at(time.Duration(second+2) * window)
+		for i := range 20 {
+			r := request(fmt.Sprint("d", second, "-", i), "audit", "draft", 1000)
+			r.Deadline = now.Add(time.Second)
+			assert.Assert(t, q.Offer(now, r).Refusal != nil)
+		}
+		next := q.models["m"].band(1).returns.next
+		assert.Assert(t, second == 0 || next.Sub(last) >= 19*time.Second, "second %d: %v after the last", second, next.Sub(last))
+		last = next
+	}
+}
+
 // One caller waits as it was told, another sends again at once. The second must
 // not get the room that the first was promised.
 func TestComingBackTooEarlyGainsNothing(t *testing.T) {
@@ -306,6 +327,29 @@
 	assert.Equal(t, takeNext(t, q, start).ID, "memo")
 }
 
+// Workspaces, classes and models come and go for months. What they left must
+// not pile up.
+func TestNothingPilesUp(t *testing.T) {
+	q := New(Policy{})
+	for i := range 6000 {
+		now := at(time.Duration(i) * time.Second)
+		r := request(fmt.Sprint(i), fmt.Sprint("w", i), fmt.Sprint("c", i), 10)
+		r.Model = fmt.Sprint("m", i/2000)
+		mustQueue(t, q, now, r)
+		takeNext(t, q, now)
+		q.Done(now, Outcome{ID: r.ID, Answered: true, Took: time.Millisecond})
+	}
+	q.Next(at(2*forgetAfter), always)
+	assert.Assert(t, len(q.models) <= 2, "%d models", len(q.models))
+	for _, m := range q.models {
+		for _, b := range m.bands {
+			assert.Assert(t, len(b.flows) <= 2, "%d flows", len(b.flows))
+		}
+	}
+	assert.Assert(t, len(q.retries) <= retryWorkspaces+int(forgetAfter/time.Second))
+	assert.Equal(t, len(q.workspaces)+len(q.running)+len(q.keys)+len(q.items), 0)
+}
+
 // Whatever the order of calls, a request leaves the queue exactly once and the
 // counts agree.
 func TestEveryRequestLeavesExactlyOnce(t *testing.T) {
--- a/internal/admission/retry.go
+++ b/internal/admission/retry.go
@@ -109,6 +109,7 @@
 func (b retryBudgets) of(now time.Time, policy Policy, workspace string) *retryBudget {
 	budget := b[workspace]
 	if budget == nil {
+		b.prune(now)
 		budget = &retryBudget{tokens: retryBurst * policy.RetryPerSecond, at: now}
 		b[workspace] = budget
 	}
@@ -120,6 +121,24 @@
 	return budget
 }
 
+// retryWorkspaces is how many budgets are kept before unused ones are dropped.
+const retryWorkspaces = 1024
+
+// pruneEvery spreads the cost of a look through all budgets.
+const pruneEvery = 256
+
+// prune drops the budgets that are full again by time alone.
+func (b retryBudgets) prune(now time.Time) {
+	if len(b) < retryWorkspaces || len(b)%pruneEvery != 0 {
+		return
+	}
+	for workspace, budget := range b {
+		if now.Sub(budget.at) > forgetAfter {
+			delete(b, workspace)
+		}
+	}
+}
+
 func (r *retryBudget) add(tokens float64, policy Policy) {
 	limit := retryBurst * max(1, policy.RetryPerSecond)
 	r.tokens = min(limit, r.tokens+tokens)
