--- a/internal/placement/domain.go
+++ b/internal/placement/domain.go
@@ -65,6 +65,7 @@
 		t.rampFrom = now
 	}
 	t.failures = 0
+	t.progressAt = now
 	if len(t.domain.failed) > 0 {
 		t.domain.success(t.ID)
 	}
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -127,7 +127,7 @@
 	if !t.reported.At.IsZero() && now.Sub(t.reported.At) > staleAfter {
 		s += staleCost
 	}
-	if t.pace.slow {
+	if t.pace.slow || t.stalled(now) {
 		s += slowCost
 	}
 	if t.avoided(now) {
@@ -203,8 +203,11 @@
 }
 
 func (p *Picker) offerRandom(now time.Time, pool *pool, r Request, c *choice) {
-	for range 2 {
-		t := pool.targets[p.draw(len(pool.targets))]
+	n := len(pool.targets)
+	first := p.draw(n)
+	second := (first + 1 + p.draw(max(1, n-1))) % n
+	for _, i := range [2]int{first, second} {
+		t := pool.targets[i]
 		if !slices.Contains(r.Exclude, t.ID) {
 			c.offer(t, p.score(now, t, r), ReasonTwoChoices)
 		}
--- a/internal/placement/picker.go
+++ b/internal/placement/picker.go
@@ -195,6 +195,9 @@
 
 // give adds tokens of work, or takes them off if they are negative.
 func (t *target) give(now time.Time, tokens int) {
+	if t.mine == 0 {
+		t.progressAt = now
+	}
 	t.mine += tokens
 	t.ledger.add(now, tokens)
 	t.estimate()
@@ -214,6 +217,7 @@
 		a.target.pool.full.clear()
 	}
 	a.seen = now
+	a.target.progressAt = now
 }
 
 // computed notes that the prompt of a is computed, by its first token or end.
--- a/internal/placement/picker_test.go
+++ b/internal/placement/picker_test.go
@@ -201,6 +201,22 @@
 	assert.Assert(t, !p.targets["g003"].pace.slow)
 }
 
+// One member of a group is paused. Connections stay open and nothing fails; the
+// tokens cease. New requests go elsewhere until it moves again.
+func TestStalledTargetIsLeftAlone(t *testing.T) {
+	p := picker(2)
+	p.Started(start, "stuck", "g000", 100)
+	p.Progress(at(time.Second), "stuck", 1)
+	p.Started(start, "busy", "g001", 6000)
+	later := at(time.Second + 2*stalledAfter)
+	p.Progress(later, "busy", 1)
+	for range 50 {
+		assert.Equal(t, mustPick(t, p, later, Request{Tokens: 100}).ID, "g001")
+	}
+	p.Progress(later, "stuck", 1)
+	assert.Equal(t, mustPick(t, p, later, Request{Tokens: 100}).ID, "g000")
+}
+
 // A group comes back beside nine loaded ones. As the least loaded it would draw
 // every request at once, with a cold prefix cache.
 func TestReturningTargetIsRampedUp(t *testing.T) {
@@ -235,6 +251,57 @@
 	assert.Assert(t, p.HasRoom(at(domainBackoff), "m", 100, 0))
 }
 
+// One data centre of three goes away. Its targets are unlisted; the own data
+// centre is preferred while it has room, the other one takes the rest.
+func TestOwnDataCentreIsPreferredAndALostOneReplaced(t *testing.T) {
+	p := New(Options{Seed: 1, DataCentre: "dc0"})
+	var list []Target
+	for i := range 9 {
+		dc := fmt.Sprint("dc", i%3)
+		list = append(list, Target{ID: fmt.Sprint("g", i), DataCentre: dc, FabricDomain: dc, Model: "m", Capacity: 10000})
+	}
+	count := func(n int) map[string]int {
+		by := make(map[string]int)
+		for i := range n {
+			c := mustPick(t, p, start, Request{Tokens: 100})
+			p.Started(start, fmt.Sprint(len(p.running), "-", i), c.ID, 100)
+			by[p.targets[c.ID].DataCentre]++
+		}
+		return by
+	}
+	p.SetTargets(start, list)
+	by := count(90)
+	assert.Assert(t, by["dc0"] > by["dc1"] && by["dc0"] > by["dc2"], "%v", by)
+	var left []Target
+	for _, x := range list {
+		if x.DataCentre != "dc0" {
+			left = append(left, x)
+		}
+	}
+	p.SetTargets(start, left)
+	by = count(90)
+	assert.Equal(t, by["dc0"], 0)
+	assert.Assert(t, by["dc1"] > 30 && by["dc2"] > 30, "%v", by)
+}
+
+// All requests come to one entry of three. It must learn that the load is its
+// own, or it would use a third of each group.
+func TestEntryLearnsHowMuchOfTheLoadIsItsOwn(t *testing.T) {
+	p := picker(1)
+	p.pools["m"].others = 3
+	p.Started(start, "a", "g000", 3000)
+	for i := range 500 {
+		now := at(time.Duration(i) * 200 * time.Millisecond)
+		p.Report(now, "g000", Load{Running: 1, TokensInFlight: 3000, At: now})
+	}
+	assert.Assert(t, p.Stats(at(time.Minute))[0].Others < 1.1)
+	for i := range 500 {
+		now := at(time.Duration(1000+i) * 200 * time.Millisecond)
+		p.Report(now, "g000", Load{Running: 3, TokensInFlight: 9000, At: now})
+	}
+	assert.Assert(t, p.Stats(at(time.Minute))[0].Others > 2.5)
+}
+
 func TestCancelledAttemptIsNoFault(t *testing.T) {
 	p := picker(1)
 	p.Started(start, "a", "g000", 100)
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -29,6 +29,10 @@
 // several times a second, so it has missed many.
 const staleAfter = 3 * time.Second
 
+// stalledAfter is how long a target may hold attempts without progress on any
+// of them. The longest prompts take about two seconds to their first token.
+const stalledAfter = 3 * time.Second
+
 // target is the state kept for a Target.
 type target struct {
 	Target
@@ -47,6 +51,9 @@
 
 	// mine is the work that this process has in flight on it.
 	mine int
+	// progressAt is when an attempt last made progress, or when the first of
+	// those in flight began.
+	progressAt time.Time
 	// pendingLong counts this process's long attempts without a first token.
 	pendingLong int
 	ledger      *ledger
@@ -104,6 +111,15 @@
 	return rampStart + (1-rampStart)*float64(elapsed)/float64(rampTime)
 }
 
+// stalled tells whether the target holds attempts and none makes progress.
+//
+// It is for a member that is paused: its connections stay open and nothing
+// fails, so that each new request would wait there until its deadline. Other
+// targets go first until one attempt moves again.
+func (t *target) stalled(now time.Time) bool {
+	return t.mine > 0 && now.Sub(t.progressAt) > stalledAfter
+}
+
 func (t *target) avoided(now time.Time) bool {
 	return now.Before(t.avoidUntil) || now.Before(t.domain.avoidUntil)
 }
