--- a/internal/loadtest/entry_test.go
+++ b/internal/loadtest/entry_test.go
@@ -18,6 +18,12 @@
 	// inversions counts starts of a request while one of greater worth waited
 	// at any entry for longer than inversionSlack.
 	starts, inversions int
+	way                way
+}
+
+// way leaves a part of the policy out, to see what it is worth.
+type way struct {
+	noPrefix, noHints, noReserve, noFloor, oneWorth, noKeys, noDeadlines bool
 }
 
 // inversionSlack leaves out requests that are about to start anyway.
@@ -27,14 +33,29 @@
 // and expired requests.
 const pumpEvery = 50 * time.Millisecond
 
-func newEntry(w *world, i int) node {
-	e := &entry{w: w, waiting: make(map[string]*try)}
+func newEntry(w *world, i int) node { return newEntryWith(way{noFloor: w.s.noFloor})(w, i) }
+
+func newEntryWith(v way) func(w *world, i int) node {
+	return func(w *world, i int) node { return makeEntry(w, i, v) }
+}
+
+// nothing is a share too small to have an effect; zero would be the default.
+const nothing = 1e-9
+
+func makeEntry(w *world, i int, v way) node {
+	e := &entry{w: w, waiting: make(map[string]*try), way: v}
 	p := admission.Policy{Classes: make(map[string]admission.ClassPolicy), Seed: uint64(i)}
 	for _, cl := range classes {
 		p.Classes[cl.name] = admission.ClassPolicy{Worth: cl.worth}
 	}
-	if w.s.noFloor {
-		p.FloorShare = 1e-9
+	if v.noFloor {
+		p.FloorShare = nothing
+	}
+	if v.noReserve {
+		p.Reserve = nothing
+	}
+	if v.oneWorth {
+		p.Classes = nil
 	}
 	e.queue = admission.New(p)
 	e.picker = placement.New(placement.Options{Seed: uint64(i) + 1, DataCentre: "dc"})
@@ -53,6 +74,9 @@
 }
 
 func (e *entry) cacheEvent(id string, sequence uint64, add, drop []uint64) {
+	if e.way.noHints {
+		return
+	}
 	e.picker.CacheEvent(e.w.c.time(), id, sequence, add, drop)
 }
 
@@ -67,6 +91,12 @@
 		IdempotencyKey: fmt.Sprint(t.job.id), Tokens: t.job.expected,
 		Arrived: e.w.c.time(), Deadline: epoch.Add(t.deadline), Resend: t.job.tries > 1,
 	}
+	if e.way.noKeys {
+		r.IdempotencyKey = ""
+	}
+	if e.way.noDeadlines {
+		r.Deadline = time.Time{}
+	}
 	e.waiting[id] = t
 	t.queueID = id
 	d := e.queue.Offer(e.w.c.time(), r)
@@ -104,10 +134,14 @@
 	t := e.waiting[r.ID]
 	delete(e.waiting, r.ID)
 	e.countInversion(t)
-	choice, ok := e.picker.Pick(now, placement.Request{
+	request := placement.Request{
 		ID: r.ID, Model: r.Model, Prefix: prefix(t.job.doc), Tokens: r.Tokens,
 		Reserve: e.queue.Reserve(r), Exclude: t.exclude,
-	})
+	}
+	if e.way.noPrefix {
+		request.Prefix = nil
+	}
+	choice, ok := e.picker.Pick(now, request)
 	if !ok {
 		e.queue.Done(now, admission.Outcome{ID: r.ID})
 		e.w.callers.refused(t, time.Second)
--- a/internal/loadtest/load_test.go
+++ b/internal/loadtest/load_test.go
@@ -103,3 +103,61 @@
 		}
 	}
 }
+
+// TestWays prints what parts of the policy are worth:
+//
+//	go test ./internal/loadtest -run TestWays -table -v
+func TestWays(t *testing.T) {
+	if !*table {
+		t.Skip("run with -table")
+	}
+	ways := []policy{
+		policies[0],
+		{"no prefix affinity", newEntryWith(way{noPrefix: true})},
+		{"no cache hints", newEntryWith(way{noHints: true})},
+		{"no reserve", newEntryWith(way{noReserve: true})},
+		{"no floor share", newEntryWith(way{noFloor: true})},
+		{"one worth for all", newEntryWith(way{oneWorth: true})},
+		{"no deadlines known", newEntryWith(way{noDeadlines: true})},
+		{"resends not told apart", newEntryWith(way{noKeys: true})},
+	}
+	out := tabwriter.NewWriter(os.Stdout, 0, 4, 1, ' ', tabwriter.Debug)
+	defer out.Flush()
+	fmt.Fprintln(out, "situation\tway\tin time\tlookup\tsummary\tdraft\tTTFT 50\t95\t99\trefused/job\twasted\tprompt computed")
+	for _, s := range situations() {
+		if s.name != "skew" && s.name != "saturation" && s.name != "storm" {
+			continue
+		}
+		_, jobs := capacity(s.mix)
+		for _, p := range ways {
+			r := play(s, p, *seeds, jobs)
+			fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%.2f\t%s\t%s\n", s.name, p.name,
+				percent(r.all.part()), percent(r.classes[0].part()), percent(r.classes[1].part()), percent(r.classes[2].part()),
+				seconds(r.all.quantile(0.5)), seconds(r.all.quantile(0.95)), seconds(r.all.quantile(0.99)),
+				float64(r.refusals)/float64(max(1, r.all.jobs)), percent(r.wasted.Seconds()/max(0.001, r.spent.Seconds())),
+				percent(float64(r.computed)/float64(max(1, r.asked))))
+		}
+	}
+}
+
+// TestSize plays saturation with the groups and entries of two years from now:
+//
+//	go test ./internal/loadtest -run TestSize -table -v
+func TestSize(t *testing.T) {
+	if !*table {
+		t.Skip("run with -table")
+	}
+	const groups, entries = 89, 9
+	_, jobs := capacity(ordinaryMix)
+	for _, load := range []float64{0.7, 2} {
+		s := &situation{
+			name: fmt.Sprint("load ", load), mix: ordinaryMix, large: 0.4, honouring: 0.5, load: steady(load),
+			groups: groups, entries: entries,
+		}
+		out := tabwriter.NewWriter(os.Stdout, 0, 4, 1, ' ', tabwriter.Debug)
+		r := play(s, policies[0], 1, jobs*groups/groupCount)
+		r.counted = r.counted * groups / groupCount
+		row(out, s, policies[0], r)
+		out.Flush()
+	}
+}
--- a/internal/loadtest/result_test.go
+++ b/internal/loadtest/result_test.go
@@ -42,6 +42,9 @@
 	useful             time.Duration
 	counted            time.Duration
 	starts, inversions int
+	// asked and computed are the prompt tokens of all calls, and those that
+	// weren't found in a prefix cache.
+	asked, computed int
 }
 
 func (r *result) add(w *world) {
@@ -88,6 +91,8 @@
 func (r *result) addCalls(t *try) {
 	for i, x := range t.calls {
 		r.spent += x.spent
+		r.asked += t.job.prompt
+		r.computed += x.computed
 		last := i == len(t.calls)-1
 		if !last || !t.job.inTime() || t.job.answered > t.deadline || !t.answered {
 			r.wasted += x.spent
--- a/internal/loadtest/situation_test.go
+++ b/internal/loadtest/situation_test.go
@@ -36,6 +36,8 @@
 	// entries and noFloor are for the measurement of order of worth.
 	entries int
 	noFloor bool
+	// groups is the number of groups if not groupCount.
+	groups int
 }
 
 func (s *situation) duration() time.Duration {
--- a/internal/loadtest/world_test.go
+++ b/internal/loadtest/world_test.go
@@ -23,6 +23,7 @@
 	engines []*engine
 	callers *callers
 	nodes   []node
+	byID    map[string]*engine
 }
 
 // node is a frontend with what the system tells it.
@@ -41,9 +42,9 @@
 
 // run plays s under p. rate is the arrival rate at load 1.
 func run(s *situation, p policy, seed uint64, rate float64) *world {
-	w := &world{c: newClock(seed), s: s}
+	w := &world{c: newClock(seed), s: s, byID: make(map[string]*engine)}
 	w.callers = &callers{c: w.c, situation: s, rate: rate}
-	for i := range groupCount {
+	for i := range max(s.groups, groupCount) {
 		w.engines = append(w.engines, w.newEngine(i))
 	}
 	entries := max(s.entries, entryCount)
@@ -67,7 +68,7 @@
 func (w *world) newEngine(i int) *engine {
 	e := &engine{c: w.c, slow: 1}
 	e.target = placement.Target{
-		ID: fmt.Sprint("g", i), DataCentre: "dc", FabricDomain: fmt.Sprint("fd", min(i/3, 2)), Model: model, Capacity: statedLimit,
+		ID: fmt.Sprint("g", i), DataCentre: "dc", FabricDomain: fmt.Sprint("fd", i/3), Model: model, Capacity: statedLimit,
 	}
 	e.onReport = func(l placement.Load) {
 		for _, n := range w.nodes {
@@ -79,18 +80,12 @@
 			n.cacheEvent(e.target.ID, sequence, add, drop)
 		}
 	}
+	w.byID[e.target.ID] = e
 	e.startReports()
 	return e
 }
 
-func (w *world) engine(id string) *engine {
-	for _, e := range w.engines {
-		if e.target.ID == id {
-			return e
-		}
-	}
-	return nil
-}
+func (w *world) engine(id string) *engine { return w.byID[id] }
 
 // list tells every node which groups are routable.
 func (w *world) list() {
