--- a/internal/admission/estimate.go
+++ b/internal/admission/estimate.go
@@ -72,6 +72,7 @@
 	m.window = now
 	m.rate.close(elapsed, m.starved && m.waiting > 0)
 	m.starved = false
+	m.prune(now)
 	m.top = 0
 	for _, b := range m.bands {
 		b.arrivals.close(elapsed)
@@ -90,8 +91,8 @@
 	meanWeight      = 1.0 / 8
 	deviationWeight = 1.0 / 4
 	// deviations is how many mean deviations are added to the mean, so that
-	// about 4 in 5 requests end within the estimate.
-	deviations = 1
+	// about 9 in 10 requests end within the estimate.
+	deviations = 1.5
 	// marginDeviations are added for a request that would wait, so that what
 	// waits is seldom late at the end: under steady overload all requests wait
 	// as long as the door lets them.
