Capacity slopes: test/capacity measures boards, evidence, controllers, records, decisions and whole processes

Cause: docs/CAPACITY.md has to be worked out from slopes that were measured, with a command that measures them again. Ruled out: Go benchmarks, which print no fit over sizes and no bytes. Without -measure the tests run at small sizes and check only what does not depend on the machine.

--- /dev/null
+++ b/test/capacity/capacity_test.go
@@ -0,0 +1,142 @@
+// Package capacity measures the slopes from which docs/CAPACITY.md is worked
+// out: what one more VM, group, entry, workspace, change or request costs.
+//
+// Without -measure each test runs at small sizes and checks only what does not
+// depend on the machine, so that CI keeps the measurements running. With
+//
+//	go test ./test/capacity -run TestSlopes -v -args -measure
+//	go test ./test/capacity -run TestNodes -v -args -measure
+//
+// they print the tables of the page. Figures are of the machine they ran on.
+package capacity
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"runtime"
+	"sort"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/citronstep/citronstep/test/process/harness"
+)
+
+var (
+	measure = flag.Bool("measure", false, "measure at full sizes and print the tables")
+	entries = flag.String("entries", "4,9,30", "numbers of entry processes that TestNodes measures")
+	window  = flag.Duration("window", 8*time.Second, "how long TestNodes measures each number")
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	os.Exit(harness.Main(m))
+}
+
+// sizes returns the numbers of VMs to measure with.
+func sizes() []int {
+	if *measure {
+		return []int{50, 200, 400, 710}
+	}
+	return []int{8, 16}
+}
+
+// point is one measurement at one size.
+type point struct{ size, value float64 }
+
+// slope fits a line through points by least squares and returns what one more
+// costs, and what none costs.
+func slope(points []point) (each, none float64) {
+	var n, sx, sy, sxx, sxy float64
+	for _, p := range points {
+		n++
+		sx += p.size
+		sy += p.value
+		sxx += p.size * p.size
+		sxy += p.size * p.value
+	}
+	each = (n*sxy - sx*sy) / (n*sxx - sx*sx)
+	return each, (sy - each*sx) / n
+}
+
+// batches is how many times a duration is measured; the median of them is
+// taken, so that another program's burst does not count.
+const batches = 5
+
+// timeOf returns the median time of one call of f in seconds.
+func timeOf(f func()) float64 {
+	least := 20 * time.Millisecond
+	if !*measure {
+		least = 0
+	}
+	var each []float64
+	for range batches {
+		calls := 0
+		began := time.Now()
+		for calls == 0 || time.Since(began) < least {
+			f()
+			calls++
+		}
+		each = append(each, time.Since(began).Seconds()/float64(calls))
+	}
+	sort.Float64s(each)
+	return each[batches/2]
+}
+
+// heapOf returns the heap bytes that what build returns keeps alive.
+func heapOf(build func() any) float64 {
+	before := liveHeap()
+	kept := build()
+	after := liveHeap()
+	runtime.KeepAlive(kept)
+	return float64(after) - float64(before)
+}
+
+func liveHeap() uint64 {
+	var s runtime.MemStats
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&s)
+	return s.HeapAlloc
+}
+
+// report prints a table for the page.
+type report struct {
+	t     *testing.T
+	title string
+	lines []string
+}
+
+func newReport(t *testing.T, title string) *report { return &report{t: t, title: title} }
+
+func (r *report) add(what string, points []point, unit string) {
+	each, none := slope(points)
+	var values []string
+	for _, p := range points {
+		values = append(values, fmt.Sprintf("%.0f: %s", p.size, number(p.value)))
+	}
+	r.lines = append(r.lines, fmt.Sprintf("| %s | %s | %s | %s | %s |", what, number(each), number(none), unit, strings.Join(values, ", ")))
+}
+
+func (r *report) print() {
+	if *measure {
+		r.t.Logf("\n%s\n\n| What | each | none | unit | measured |\n| --- | --- | --- | --- | --- |\n%s\n", r.title, strings.Join(r.lines, "\n"))
+	}
+}
+
+func number(v float64) string {
+	switch a := max(v, -v); {
+	case a >= 100:
+		return fmt.Sprintf("%.0f", v)
+	case a >= 1:
+		return fmt.Sprintf("%.1f", v)
+	default:
+		return fmt.Sprintf("%.3f", v)
+	}
+}
+
+const (
+	micros = 1e6
+	kilo   = 1e3
+)
