Tests: at-most-once records, configuration leases, the entry's follower

Cause: these had no test of their own. Change: table tests and seeded random runs of the records; leases of a cut-off entry; a follower that is offered an earlier board, and one whose answer is held up.

--- /dev/null
+++ b/internal/follow/follow_test.go
@@ -0,0 +1,97 @@
+package follow
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"gotest.tools/v3/assert"
+
+	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/rpc/noderpc"
+)
+
+// leader answers watches from a list of commands, and can be made to answer
+// from an earlier state, as a leader does that was cut off long ago.
+type leader struct {
+	commands [][]byte
+	have     int
+	snapshot bool
+	delay    time.Duration
+	asked    uint64
+}
+
+func (l *leader) Watch(_ context.Context, r *noderpc.WatchRequest) (*noderpc.WatchReply, error) {
+	l.asked = r.HaveConfig
+	time.Sleep(l.delay)
+	reply := &noderpc.WatchReply{LeaseMs: 1000}
+	if !l.snapshot && r.HaveRevision <= uint64(l.have) {
+		reply.Commands = l.commands[r.HaveRevision:l.have]
+		return reply, nil
+	}
+	b := blackboard.New()
+	for _, c := range l.commands[:l.have] {
+		b, _, _ = b.Apply(c)
+	}
+	reply.Snapshot, _ = b.Encode()
+	return reply, nil
+}
+
+func commands(t *testing.T) [][]byte {
+	change := func(id string, expect uint64) blackboard.ConfigChange {
+		return blackboard.ConfigChange{
+			ChangeID: id, Expect: expect, Presets: []blackboard.Preset{{Name: id}}, UsePreset: id,
+		}
+	}
+	second, third := change("second", 1), change("third", 2)
+	var list [][]byte
+	for _, c := range []blackboard.Command{
+		&blackboard.Found{ClusterID: "c", Initial: change("first", 0)}, &second, &third,
+	} {
+		data, err := blackboard.Encode(c)
+		assert.NilError(t, err)
+		list = append(list, data)
+	}
+	return list
+}
+
+func newFollower(l *leader) *Follower {
+	return New(Options{Watcher: l, Entry: blackboard.Entry{ID: "e"}, Logger: log.NewNopLogger()})
+}
+
+func TestFollowsByCommandsAndBySnapshot(t *testing.T) {
+	l := &leader{commands: commands(t), have: 1}
+	f := newFollower(l)
+	assert.Equal(t, f.Lease(), time.Duration(0))
+	assert.NilError(t, f.step(context.Background()))
+	assert.Equal(t, f.Board().Config.ActivePreset, "first")
+	assert.Assert(t, f.Lease() > 0)
+	l.have, l.snapshot = 3, true
+	assert.NilError(t, f.step(context.Background()))
+	assert.Equal(t, f.Board().Config.ActivePreset, "third")
+	assert.NilError(t, f.step(context.Background()))
+	assert.Equal(t, l.asked, uint64(3))
+}
+
+// A control VM sits silently behind a cut for an hour and comes back as if it
+// led. An entry that takes its board would bring back a preset that operators
+// replaced long ago.
+func TestNeverGoesBackToAnEarlierConfiguration(t *testing.T) {
+	l := &leader{commands: commands(t), have: 3}
+	f := newFollower(l)
+	assert.NilError(t, f.step(context.Background()))
+	l.have, l.snapshot = 1, true
+	assert.ErrorIs(t, f.step(context.Background()), ErrBackwards)
+	assert.Equal(t, f.Board().Config.ActivePreset, "third")
+}
+
+// The leader's answer is held up on its way. A lease counted from its arrival
+// would outlive the one that the leader counts, and a replaced configuration
+// would be served after it was reported gone.
+func TestTheLeaseIsCountedFromTheQuestion(t *testing.T) {
+	l := &leader{commands: commands(t), have: 1, delay: 300 * time.Millisecond}
+	f := newFollower(l)
+	assert.NilError(t, f.step(context.Background()))
+	assert.Assert(t, f.Lease() <= 700*time.Millisecond)
+}
--- /dev/null
+++ b/internal/record/record_test.go
@@ -0,0 +1,142 @@
+package record
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"strconv"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+func do(t *testing.T, table *Table, c Command) Outcome {
+	t.Helper()
+	data, err := Encode(c)
+	assert.NilError(t, err)
+	var out Outcome
+	assert.NilError(t, json.Unmarshal(table.Apply(data), &out))
+	return out
+}
+
+func claim(key, attempt string, now int64) Command {
+	return Command{Claim: &Claim{Key: key, Body: "b", Entry: "e", Attempt: attempt, DeadlineMillis: now + 100, NowMillis: now}}
+}
+
+// A caller sends one transfer note to two entries at once. Both ask for the
+// claim; the log orders them. The note must run for one of them alone.
+func TestOneClaimOfAKeyIsGranted(t *testing.T) {
+	table := NewTable()
+	assert.Assert(t, do(t, table, claim("k", "a", 0)).Granted)
+	second := do(t, table, claim("k", "b", 0))
+	assert.Assert(t, !second.Granted)
+	assert.Equal(t, second.State, Claimed)
+	assert.Assert(t, do(t, table, claim("k", "a", 0)).Granted, "the same attempt resent")
+}
+
+func TestWhatBecomesOfAClaim(t *testing.T) {
+	answer := &Answer{Status: 200, Body: []byte("whole")}
+	long := &Answer{Status: 200, Body: make([]byte, MaxAnswerBytes+1)}
+	for _, c := range []struct {
+		name  string
+		then  []Command
+		state State
+		// granted says that a resend may run.
+		granted, answered bool
+	}{
+		{"nothing", nil, Claimed, false, false},
+		{"given back", []Command{{Abandon: &Abandon{"k", "a"}}}, Claimed, true, false},
+		{"given back by another attempt", []Command{{Abandon: &Abandon{"k", "x"}}}, Claimed, false, false},
+		{"answered", []Command{{Finish: &Finish{"k", "a", answer, 1}}}, Done, false, true},
+		{"answered by another attempt", []Command{{Finish: &Finish{"k", "x", answer, 1}}}, Claimed, false, false},
+		{"answered, then given back", []Command{{Finish: &Finish{"k", "a", answer, 1}}, {Abandon: &Abandon{"k", "a"}}}, Done, false, true},
+		{"outcome unknown", []Command{{Finish: &Finish{"k", "a", nil, 1}}}, Unknown, false, false},
+		{"its entry died", []Command{{Expire: &Expire{101}}}, Unknown, false, false},
+		{"its entry was only slow", []Command{{Expire: &Expire{101}}, {Finish: &Finish{"k", "a", answer, 102}}}, Done, false, true},
+		{"given back after its deadline", []Command{{Expire: &Expire{101}}, {Abandon: &Abandon{"k", "a"}}}, Unknown, false, false},
+		{"too long to keep", []Command{{Finish: &Finish{"k", "a", long, 1}}}, Done, false, false},
+		{"answer forgotten", []Command{{Finish: &Finish{"k", "a", answer, 1}}, {Expire: &Expire{AnswerLifetimeMillis + 2}}}, Done, false, false},
+		{"tombstone forgotten", []Command{{Finish: &Finish{"k", "a", answer, 1}}, {Expire: &Expire{TombstoneLifetimeMillis + 2}}}, Claimed, true, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			table := NewTable()
+			do(t, table, claim("k", "a", 0))
+			for _, x := range c.then {
+				do(t, table, x)
+			}
+			out := do(t, table, claim("k", "b", 1))
+			assert.Equal(t, out.Granted, c.granted)
+			assert.Equal(t, out.State, c.state)
+			assert.Equal(t, out.Answer != nil, c.answered)
+		})
+	}
+}
+
+// A drafting job reuses the key of one ledger for another. The answer of the
+// first must not be given for the second.
+func TestAKeyIsBoundToItsBody(t *testing.T) {
+	table := NewTable()
+	do(t, table, claim("k", "a", 0))
+	other := claim("k", "b", 0)
+	other.Claim.Body = "another"
+	assert.Assert(t, do(t, table, other).Reused)
+}
+
+func TestKeptAnswersAreBounded(t *testing.T) {
+	table := NewTable()
+	const keys = MaxAnswersBytes/MaxAnswerBytes + 10
+	for i := range keys {
+		key := strconv.Itoa(i)
+		do(t, table, claim(key, "a", 0))
+		do(t, table, Command{Finish: &Finish{key, "a", &Answer{Body: make([]byte, MaxAnswerBytes)}, 1}})
+	}
+	assert.Equal(t, table.answer, MaxAnswersBytes)
+	assert.Assert(t, do(t, table, claim("0", "b", 2)).Answer == nil)
+	assert.Assert(t, do(t, table, claim(strconv.Itoa(keys-1), "b", 2)).Answer != nil)
+}
+
+// Random commands keep two promises: a key is granted to one attempt at a
+// time, and once it is Done or Unknown it is granted to none while its
+// tombstone lives. A table restored from a snapshot answers alike.
+func TestRandomCommandsGrantAtMostOnce(t *testing.T) {
+	for seed := range uint64(30) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		table := NewTable()
+		holder := map[string]string{}
+		for now := range int64(400) {
+			key, attempt := strconv.Itoa(random.IntN(4)), strconv.Itoa(random.IntN(6))
+			c := randomCommand(random, key, attempt, now)
+			out := do(t, table, c)
+			if c.Claim != nil && out.Granted {
+				assert.Assert(t, holder[key] == "" || holder[key] == attempt, "seed %d", seed)
+				holder[key] = attempt
+			}
+			if c.Abandon != nil && out.Granted {
+				assert.Equal(t, holder[key], attempt)
+				delete(holder, key)
+			}
+			if random.IntN(20) == 0 {
+				table = restored(t, table)
+			}
+		}
+	}
+}
+
+func randomCommand(random *rand.Rand, key, attempt string, now int64) Command {
+	switch random.IntN(5) {
+	case 0:
+		return Command{Finish: &Finish{key, attempt, &Answer{Body: []byte(key)}, now}}
+	case 1:
+		return Command{Abandon: &Abandon{key, attempt}}
+	case 2:
+		return Command{Expire: &Expire{now}}
+	}
+	return claim(key, attempt, now)
+}
+
+func restored(t *testing.T, table *Table) *Table {
+	data, err := table.Encode()
+	assert.NilError(t, err)
+	again, err := Decode(data)
+	assert.NilError(t, err)
+	return again
+}
