Process tests of the configuration; harness: owners of connections looked up only when needed

Cause: process tests took minutes and whole cores, and gave up waiting for entries and leaders. A stack dump showed dozens of goroutines reading the system's table of connections, once for each connection, with 12,667 lines in it.

--- a/test/process/harness/cluster.go
+++ b/test/process/harness/cluster.go
@@ -3,6 +3,8 @@
 import (
 	"os"
 	"path/filepath"
+	"slices"
+	"sync"
 
 	"github.com/pelletier/go-toml/v2"
 
@@ -73,6 +75,9 @@
 	Standins []*Standin
 	tokens   tokenFiles
 	folder   string
+
+	mu      sync.Mutex
+	started []*Process
 }
 
 type tokenFiles struct{ admin, peer, announce, backend string }
@@ -101,7 +106,7 @@
 			spec.Adjust(s)
 		}
 		file := c.writeSettings(node, s)
-		node.Process = StartProcess(t, node.Spec.Name, node.Folder, path, "-settings", file)
+		node.Process = c.start(node.Spec.Name, node.Folder, path, "-settings", file)
 	}
 	return c
 }
@@ -129,17 +134,25 @@
 	return out
 }
 
+// start starts a process and makes it known to the links, which ask for the
+// processes from goroutines of their own.
+func (c *Cluster) start(name, folder, path string, args ...string) *Process {
+	p := StartProcess(c.T, name, folder, path, args...)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.started = append(c.started, p)
+	return p
+}
+
 // processes returns the ids by which links tell callers apart.
 func (c *Cluster) processes() []int {
+	c.mu.Lock()
+	started := slices.Clone(c.started)
+	c.mu.Unlock()
 	var ids []int
-	for _, n := range c.Nodes {
-		if n.Process != nil && n.Running() {
-			ids = append(ids, n.PID())
-		}
-	}
-	for _, s := range c.Standins {
-		if s.Process != nil && s.Running() {
-			ids = append(ids, s.PID())
+	for _, p := range started {
+		if p.Running() {
+			ids = append(ids, p.PID())
 		}
 	}
 	return ids
--- a/test/process/harness/relay.go
+++ b/test/process/harness/relay.go
@@ -40,10 +40,11 @@
 
 // relayed is one connection through the relay.
 type relayed struct {
-	relay    *relay
-	source   int
-	silenced bool
-	ends     [2]net.Conn
+	relay      *relay
+	findSource sync.Once
+	source     int
+	silenced   bool
+	ends       [2]net.Conn
 }
 
 const dialTimeout = 5 * time.Second
@@ -77,13 +78,12 @@
 func (r *relay) serve(client net.Conn) {
 	defer r.wg.Done()
 	defer func() { _ = client.Close() }()
-	source := ownerOf(client, r.sources())
 	server, err := net.DialTimeout("tcp", r.upstream, dialTimeout)
 	if err != nil {
 		return
 	}
 	defer func() { _ = server.Close() }()
-	c := &relayed{relay: r, source: source, ends: [2]net.Conn{client, server}}
+	c := &relayed{relay: r, ends: [2]net.Conn{client, server}}
 	if !r.enter(c) {
 		return
 	}
@@ -136,8 +136,23 @@
 func (c *relayed) lost(d Direction) bool {
 	r := c.relay
 	r.mu.Lock()
+	lost, bySource := c.silenced || r.all[d], len(r.bySrc) > 0
+	r.mu.Unlock()
+	if lost || !bySource {
+		return lost
+	}
+	source := c.sourceProcess()
+	r.mu.Lock()
 	defer r.mu.Unlock()
-	return c.silenced || r.all[d] || r.bySrc[c.source][d]
+	return r.bySrc[source][d]
+}
+
+// sourceProcess returns the process at the client's end. It is looked up only
+// once some process is cut off by itself: the table of connections is long on
+// a busy machine, and reading it for each connection takes whole cores.
+func (c *relayed) sourceProcess() int {
+	c.findSource.Do(func() { c.source = ownerOf(c.ends[0], c.relay.sources()) })
+	return c.source
 }
 
 func (r *relay) ended() bool {
--- a/test/process/harness/standins.go
+++ b/test/process/harness/standins.go
@@ -67,7 +67,7 @@
 		"-secret-file", c.tokens.backend, "-announce-secret-file", c.tokens.announce,
 		"-data-centre", "dc1", "-interval", "200ms",
 	}, flags...)
-	s.Process = StartProcess(c.T, id, folder, Program(c.T, "citronstep-standin"), arguments...)
+	s.Process = c.start(id, folder, Program(c.T, "citronstep-standin"), arguments...)
 	s.AwaitLines(1)
 	c.Standins = append(c.Standins, s)
 	return s
