Process test of a request that crashes its engines

Change: the story as a test, with innocents beside it. The resend of a call whose outcome is lost may find the first send still under way; the test of plain service calls waits for the final word and checks every word before it.

--- a/test/process/at_most_once_test.go
+++ b/test/process/at_most_once_test.go
@@ -114,6 +114,18 @@
 	assert.Equal(t, len(c.RunsOf(request.Prompt)), 1)
 }
 
+// resendUntilUnknown sends a call whose outcome is lost until it is told so for
+// good. The first resends may find the first send still under way.
+func resendUntilUnknown(t *testing.T, n *harness.Node, call harness.ServiceRequest) {
+	t.Helper()
+	harness.Await(t, "the outcome is unknown for good", func() bool {
+		again := harness.CallService(t.Context(), n.Entry, call)
+		assert.Assert(t, again.Refusal != nil, "%+v", again)
+		assert.Equal(t, again.Refusal.Ran, failure.RanUnknown, "%+v", again.Refusal)
+		return again.Refusal.Type == failure.TypeOutcomeUnknown
+	})
+}
+
 // A plain service writes a custody record and its answer is cut, stalls, or
 // its process dies. The call may have written, so it is not repeated, neither
 // by the entry nor for the caller's resend; with and without a key.
@@ -143,9 +155,7 @@
 					s.Fault(standin.FaultOrder{})
 				}
 				if key != "" {
-					again := harness.CallService(t.Context(), entry.Entry, call)
-					assert.Assert(t, again.Refusal != nil, "%+v", again)
-					assert.Equal(t, again.Refusal.Type, failure.TypeOutcomeUnknown)
+					resendUntilUnknown(t, entry, call)
 				}
 				assert.Equal(t, len(c.RunsOf(standin.BodyHash(call.Body))), 1)
 				awaitService(t, entry, "records")
--- /dev/null
+++ b/test/process/crashing_request_test.go
@@ -0,0 +1,81 @@
+package process
+
+import (
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/citronstep/citronstep/internal/failure"
+	"github.com/citronstep/citronstep/internal/standin"
+	"github.com/citronstep/citronstep/test/process/harness"
+)
+
+// One ledger's exception summary crashes each engine that drafts it, and its
+// caller sends it again without end, to every entry: group after group goes
+// down, and with them everyone's drafts. After its second crash the request
+// must get its final answer everywhere, and all others, also those that ran
+// beside it, their whole answers.
+func TestRequestThatCrashesEnginesIsStopped(t *testing.T) {
+	c, engines := smallSystem(t, small(quick), 3, "-token-interval", "5ms")
+	for _, e := range engines {
+		e.Fault(standin.FaultOrder{Faults: standin.Faults{CrashMarker: "ledger 7"}})
+	}
+	entries := c.Entries()
+	poison := harness.Completion{Model: "demo", Prompt: newPrompt("ledger 7"), MaxTokens: 8}
+	stop := make(chan struct{})
+	var wg sync.WaitGroup
+	for i := range 6 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				innocent := harness.Completion{Model: "demo", Prompt: newPrompt("ledger 8"), MaxTokens: 40}
+				answerInTheEnd(t, entries[i%len(entries)], innocent)
+			}
+		}()
+	}
+	turn := 0
+	harness.Await(t, "the crashing request gets its final answer", func() bool {
+		turn++
+		reply := harness.Complete(t.Context(), entries[turn%len(entries)].Entry, poison)
+		assert.Assert(t, !reply.Whole, "%+v", reply)
+		return reply.Refusal != nil && reply.Refusal.Type == failure.TypePoisoned
+	})
+	for _, n := range entries {
+		harness.Await(t, n.Spec.Name+" knows the crashing request", func() bool {
+			reply := harness.Complete(t.Context(), n.Entry, poison)
+			return reply.Refusal != nil && reply.Refusal.Type == failure.TypePoisoned
+		})
+	}
+	close(stop)
+	wg.Wait()
+	crashes := 0
+	for _, run := range c.RunsOf(poison.Prompt) {
+		if run.Outcome == standin.OutcomeCrashed {
+			crashes++
+		}
+	}
+	assert.Assert(t, crashes <= 2, "%d engines crashed", crashes)
+}
+
+// answerInTheEnd sends a request as callers do, until it is answered. No
+// innocent request may be taken for the crashing one.
+func answerInTheEnd(t *testing.T, n *harness.Node, request harness.Completion) {
+	t.Helper()
+	harness.Await(t, "an answer for "+request.Prompt, func() bool {
+		reply := harness.Complete(t.Context(), n.Entry, request)
+		if reply.Refusal != nil {
+			assert.Check(t, reply.Refusal.Type != failure.TypePoisoned, "%+v", reply.Refusal)
+		}
+		if reply.Whole {
+			assert.Check(t, reply.Right(request), "%+v", reply)
+		}
+		return reply.Whole
+	})
+}
