Process tests of groups; nodes are told apart by their own IP number

Cause: cutting one process from another asked the kernel's table of connections for the owner of each; under load that took seconds a connection, and two healthy control replicas could not elect a leader through it (TestLeaderBehindACutAnswersNoOperatorAndItsEntryStops gave up after 60 s). Ruled out: the election itself (with the links told apart by address it passes). Change: a process's calls to its peers come from the IP number that its settings name for peers, which a VM with several addresses needs as well; each node under test has a loopback number of its own.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -139,7 +139,7 @@
 )
 
 func (n *Node) makeClients() error {
-	dialer := &net.Dialer{Timeout: peerDialTimeout}
+	dialer := &net.Dialer{Timeout: peerDialTimeout, LocalAddr: n.localAddr()}
 	n.peers = &http.Client{
 		Timeout: peerCallTimeout,
 		Transport: &auth.Transport{Token: n.tokens.peers, Base: &http.Transport{
@@ -153,6 +153,17 @@
 	return nil
 }
 
+// localAddr is the address that connections to peers come from: the IP that
+// this process listens on for peers. A VM with several addresses is then seen
+// under the one that its settings name.
+func (n *Node) localAddr() net.Addr {
+	address, err := net.ResolveTCPAddr("tcp", n.settings.Peers.Listen)
+	if err != nil || address.IP == nil || address.IP.IsUnspecified() {
+		return nil
+	}
+	return &net.TCPAddr{IP: address.IP}
+}
+
 func (n *Node) makeControl() error {
 	if !n.settings.Control.Enabled {
 		return nil
@@ -164,7 +175,7 @@
 		Group: group, Folder: c.DataFolder, VM: n.settings.VM, DataCentre: n.settings.DataCentre,
 		Address: n.settings.Peers.Advertise, Peers: n.settings.Peers.Control, Machine: n.machine,
 		Logger: log.With(n.logger, "part", "replica"), Voters: c.Voters, Secret: n.tokens.peers,
-		TickInterval: tick, ElectionTicks: c.ElectionTicks,
+		TickInterval: tick, ElectionTicks: c.ElectionTicks, LocalAddr: n.localAddr(),
 	})
 	if err != nil {
 		return errors.Trace(err)
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -8,6 +8,7 @@
 package replica
 
 import (
+	"net"
 	"net/http"
 	"time"
 
@@ -41,6 +42,9 @@
 	DataCentre string
 	// Address is the IP and port at which the other replicas reach Handler.
 	Address string
+	// LocalAddr is the address that connections to peers come from; nil leaves
+	// the choice to the system.
+	LocalAddr net.Addr
 	// Peers are the addresses of the control VMs as the settings list them.
 	// This node's own may be among them.
 	Peers   []string
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -268,7 +268,7 @@
 		return &connection{http: authorised{opts.HTTPClient, opts.Secret}}
 	}
 	own := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: opts.electionTimeout() / 3}).DialContext,
+		DialContext:         (&net.Dialer{Timeout: opts.electionTimeout() / 3, LocalAddr: opts.LocalAddr}).DialContext,
 		MaxConnsPerHost:     1,
 		MaxIdleConnsPerHost: 1,
 		IdleConnTimeout:     time.Minute,
--- a/test/process/configuration_test.go
+++ b/test/process/configuration_test.go
@@ -15,10 +15,10 @@
 )
 
 // founded is the standard cluster with all its voters.
-func founded(t *testing.T) *harness.Cluster {
+func founded(t *testing.T, groups ...blackboard.GroupSpec) *harness.Cluster {
 	t.Helper()
 	c := harness.NewCluster(t, harness.Standard())
-	c.Found()
+	c.Found(groups...)
 	c.AwaitReady()
 	awaitVoters(t, c, nil)
 	return c
@@ -29,7 +29,7 @@
 	cut.Peers.Cut()
 	for _, n := range c.Nodes {
 		if n != cut {
-			n.Peers.CutFrom(cut.Process)
+			n.Peers.CutFrom(cut)
 		}
 	}
 }
--- a/test/process/harness/cluster.go
+++ b/test/process/harness/cluster.go
@@ -1,10 +1,9 @@
 package harness
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
-	"slices"
-	"sync"
 
 	"github.com/pelletier/go-toml/v2"
 
@@ -58,6 +57,8 @@
 	// Announce the one that backend servers use.
 	Peers    *Link
 	Announce *Link
+	// source is the IP number that the node's calls to its peers come from.
+	source string
 	// Folder holds the node's settings, log and data.
 	Folder string
 }
@@ -75,9 +76,6 @@
 	Standins []*Standin
 	tokens   tokenFiles
 	folder   string
-
-	mu      sync.Mutex
-	started []*Process
 }
 
 type tokenFiles struct{ admin, peer, announce, backend string }
@@ -106,7 +104,7 @@
 			spec.Adjust(s)
 		}
 		file := c.writeSettings(node, s)
-		node.Process = c.start(node.Spec.Name, node.Folder, path, "-settings", file)
+		node.Process = StartProcess(t, node.Spec.Name, node.Folder, path, "-settings", file)
 	}
 	return c
 }
@@ -134,30 +132,6 @@
 	return out
 }
 
-// start starts a process and makes it known to the links, which ask for the
-// processes from goroutines of their own.
-func (c *Cluster) start(name, folder, path string, args ...string) *Process {
-	p := StartProcess(c.T, name, folder, path, args...)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.started = append(c.started, p)
-	return p
-}
-
-// processes returns the ids by which links tell callers apart.
-func (c *Cluster) processes() []int {
-	c.mu.Lock()
-	started := slices.Clone(c.started)
-	c.mu.Unlock()
-	var ids []int
-	for _, p := range started {
-		if p.Running() {
-			ids = append(ids, p.PID())
-		}
-	}
-	return ids
-}
-
 func (c *Cluster) prepare(spec NodeSpec) (*Node, *settings.Settings) {
 	c.T.Helper()
 	folder := filepath.Join(c.folder, spec.Name)
@@ -188,12 +162,13 @@
 
 func (c *Cluster) addresses(node *Node, s *settings.Settings) {
 	name := node.Spec.Name
-	s.Peers.Listen = FreeAddress(c.T)
-	node.Peers = NewLink(c.T, name+"-peers", s.Peers.Listen, c.processes)
+	node.source = fmt.Sprintf("127.0.1.%d", len(c.Nodes)+1)
+	s.Peers.Listen = FreeAddressOn(c.T, node.source)
+	node.Peers = NewLink(c.T, name+"-peers", s.Peers.Listen)
 	s.Peers.Advertise = node.Peers.Address()
 	s.Entry.Listen = FreeAddress(c.T)
 	node.Entry = s.Entry.Listen
-	node.Announce = NewLink(c.T, name+"-announce", s.Entry.Listen, c.processes)
+	node.Announce = NewLink(c.T, name+"-announce", s.Entry.Listen)
 	s.Entry.Advertise = node.Announce.Address()
 	s.Admin.Listen = FreeAddress(c.T)
 	node.Admin = s.Admin.Listen
--- a/test/process/harness/link.go
+++ b/test/process/harness/link.go
@@ -21,9 +21,8 @@
 	proxy *toxiproxy.Proxy
 }
 
-// NewLink starts a link to upstream. sources returns the processes that Cut
-// and the like can tell apart.
-func NewLink(t T, name, upstream string, sources func() []int) *Link {
+// NewLink starts a link to upstream.
+func NewLink(t T, name, upstream string) *Link {
 	t.Helper()
 	proxy := toxiproxy.NewProxy()
 	proxy.Name = name
@@ -32,7 +31,7 @@
 	if err := proxy.Start(); err != nil {
 		t.Fatalf("proxy of %s: %v", name, err)
 	}
-	relay, err := startRelay(FreeAddress(t), proxy.Listen, sources)
+	relay, err := startRelay(FreeAddress(t), proxy.Listen)
 	if err != nil {
 		proxy.Stop()
 		t.Fatalf("relay of %s: %v", name, err)
@@ -57,14 +56,14 @@
 	l.relay.setAll(lost)
 }
 
-// CutFrom loses both directions of one process's connections.
-func (l *Link) CutFrom(p *Process) { l.relay.setSource(p.PID(), drop{true, true}) }
+// CutFrom loses both directions of one node's connections.
+func (l *Link) CutFrom(n *Node) { l.relay.setSource(n.source, drop{true, true}) }
 
-// CutFromOneWay loses one direction of one process's connections.
-func (l *Link) CutFromOneWay(p *Process, d Direction) {
+// CutFromOneWay loses one direction of one node's connections.
+func (l *Link) CutFromOneWay(n *Node, d Direction) {
 	var lost drop
 	lost[d] = true
-	l.relay.setSource(p.PID(), lost)
+	l.relay.setSource(n.source, lost)
 }
 
 // Heal ends all cuts. Connections that were open are closed.
--- a/test/process/harness/ports.go
+++ b/test/process/harness/ports.go
@@ -26,13 +26,19 @@
 // FreeAddress returns an address on the loopback interface that nobody listens
 // on and that no other call of this process has returned of late.
 func FreeAddress(t T) string {
+	t.Helper()
+	return FreeAddressOn(t, loopback)
+}
+
+// FreeAddressOn is FreeAddress on an IP number of the loopback range.
+func FreeAddressOn(t T, host string) string {
 	t.Helper()
 	ports.Lock()
 	defer ports.Unlock()
 	for range portCount {
 		port := firstPort + ports.next
 		ports.next = (ports.next + 1) % portCount
-		address := net.JoinHostPort(loopback, strconv.Itoa(port))
+		address := net.JoinHostPort(host, strconv.Itoa(port))
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
--- a/test/process/harness/relay.go
+++ b/test/process/harness/relay.go
@@ -25,38 +25,37 @@
 // packets.
 type relay struct {
 	upstream string
-	// sources returns the processes that connections are told apart by.
-	sources func() []int
 
 	listener net.Listener
 	wg       sync.WaitGroup
 
 	mu     sync.Mutex
 	all    drop
-	bySrc  map[int]drop
+	bySrc  map[string]drop
 	conns  map[*relayed]struct{}
 	closed bool
 }
 
 // relayed is one connection through the relay.
 type relayed struct {
-	relay      *relay
-	findSource sync.Once
-	source     int
-	silenced   bool
-	ends       [2]net.Conn
+	relay *relay
+	// source is the IP number that the connection comes from. Each node of a
+	// cluster has one of its own in the loopback range.
+	source   string
+	silenced bool
+	ends     [2]net.Conn
 }
 
 const dialTimeout = 5 * time.Second
 
-func startRelay(listen, upstream string, sources func() []int) (*relay, error) {
+func startRelay(listen, upstream string) (*relay, error) {
 	listener, err := net.Listen("tcp", listen)
 	if err != nil {
 		return nil, err
 	}
 	r := &relay{
-		upstream: upstream, sources: sources, listener: listener,
-		bySrc: map[int]drop{}, conns: map[*relayed]struct{}{},
+		upstream: upstream, listener: listener,
+		bySrc: map[string]drop{}, conns: map[*relayed]struct{}{},
 	}
 	r.wg.Add(1)
 	go r.accept()
@@ -83,7 +82,7 @@
 		return
 	}
 	defer func() { _ = server.Close() }()
-	c := &relayed{relay: r, ends: [2]net.Conn{client, server}}
+	c := &relayed{relay: r, source: sourceOf(client), ends: [2]net.Conn{client, server}}
 	if !r.enter(c) {
 		return
 	}
@@ -97,6 +96,14 @@
 	<-back
 }
 
+func sourceOf(c net.Conn) string {
+	host, _, err := net.SplitHostPort(c.RemoteAddr().String())
+	if err != nil {
+		return ""
+	}
+	return host
+}
+
 // copy passes one direction on until either end closes, and closes both.
 // While the direction is lost it goes on reading, so that the sender sees a
 // connection that takes its bytes; the end of a lost connection is lost too.
@@ -136,23 +143,8 @@
 func (c *relayed) lost(d Direction) bool {
 	r := c.relay
 	r.mu.Lock()
-	lost, bySource := c.silenced || r.all[d], len(r.bySrc) > 0
-	r.mu.Unlock()
-	if lost || !bySource {
-		return lost
-	}
-	source := c.sourceProcess()
-	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.bySrc[source][d]
-}
-
-// sourceProcess returns the process at the client's end. It is looked up only
-// once some process is cut off by itself: the table of connections is long on
-// a busy machine, and reading it for each connection takes whole cores.
-func (c *relayed) sourceProcess() int {
-	c.findSource.Do(func() { c.source = ownerOf(c.ends[0], c.relay.sources()) })
-	return c.source
+	return c.silenced || r.all[d] || r.bySrc[c.source][d]
 }
 
 func (r *relay) ended() bool {
@@ -183,10 +175,10 @@
 	r.all = d
 }
 
-func (r *relay) setSource(pid int, d drop) {
+func (r *relay) setSource(source string, d drop) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.bySrc[pid] = d
+	r.bySrc[source] = d
 }
 
 // heal lets everything through again, but for silenced connections, whose
@@ -194,7 +186,7 @@
 func (r *relay) heal() {
 	r.mu.Lock()
 	r.all = drop{}
-	r.bySrc = map[int]drop{}
+	r.bySrc = map[string]drop{}
 	r.mu.Unlock()
 	r.closeConns()
 }
--- a/test/process/harness/relay_test.go
+++ b/test/process/harness/relay_test.go
@@ -3,7 +3,6 @@
 import (
 	"io"
 	"net"
-	"os"
 	"testing"
 	"time"
 
@@ -56,10 +55,8 @@
 	return n == 1
 }
 
-func self() []int { return []int{os.Getpid()} }
-
 func TestSilenceHoldsOpenConnectionsOnly(t *testing.T) {
-	l := NewLink(t, "echo", echoServer(t), self)
+	l := NewLink(t, "echo", echoServer(t))
 	old := dial(t, l)
 	assert.Assert(t, echoes(t, old))
 	assert.Equal(t, l.Silence(), 1)
@@ -68,14 +65,14 @@
 }
 
 func TestCutsAndHeals(t *testing.T) {
-	l := NewLink(t, "echo", echoServer(t), self)
+	l := NewLink(t, "echo", echoServer(t))
 	assert.Assert(t, echoes(t, dial(t, l)))
 	for name, cut := range map[string]func(){
 		"both ways":            l.Cut,
 		"forward":              func() { l.CutOneWay(Forward) },
 		"back":                 func() { l.CutOneWay(Back) },
-		"from this process":    func() { l.relay.setSource(os.Getpid(), drop{true, true}) },
-		"its answers, one way": func() { l.relay.setSource(os.Getpid(), drop{Back: true}) },
+		"from this address":    func() { l.relay.setSource(loopback, drop{true, true}) },
+		"its answers, one way": func() { l.relay.setSource(loopback, drop{Back: true}) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			cut()
@@ -84,12 +81,12 @@
 			assert.Assert(t, echoes(t, dial(t, l)))
 		})
 	}
-	l.relay.setSource(1, drop{true, true})
+	l.relay.setSource("127.0.9.9", drop{true, true})
 	assert.Assert(t, echoes(t, dial(t, l)))
 }
 
 func TestToxicsAct(t *testing.T) {
-	l := NewLink(t, "echo", echoServer(t), self)
+	l := NewLink(t, "echo", echoServer(t))
 	l.AddToxic(Toxic{Name: "stop", Type: "timeout", Attributes: map[string]int{"timeout": 0}})
 	assert.Assert(t, !echoes(t, dial(t, l)))
 	l.ResetToxics()
--- a/test/process/harness/standins.go
+++ b/test/process/harness/standins.go
@@ -56,7 +56,7 @@
 		c.T.Fatalf("folder of %s: %v", id, err)
 	}
 	s := &Standin{ID: id, Direct: FreeAddress(c.T), t: c.T, runs: filepath.Join(folder, "runs.jsonl")}
-	s.Link = NewLink(c.T, id, s.Direct, c.processes)
+	s.Link = NewLink(c.T, id, s.Direct)
 	_, port, err := net.SplitHostPort(s.Direct)
 	if err != nil {
 		c.T.Fatalf("address of %s: %v", id, err)
@@ -67,7 +67,7 @@
 		"-secret-file", c.tokens.backend, "-announce-secret-file", c.tokens.announce,
 		"-data-centre", "dc1", "-interval", "200ms",
 	}, flags...)
-	s.Process = c.start(id, folder, Program(c.T, "citronstep-standin"), arguments...)
+	s.Process = StartProcess(c.T, id, folder, Program(c.T, "citronstep-standin"), arguments...)
 	s.AwaitLines(1)
 	c.Standins = append(c.Standins, s)
 	return s
