--- /dev/null
+++ b/internal/controller/faults_test.go
@@ -0,0 +1,129 @@
+package controller
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/citronstep/citronstep/internal/backend"
+	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/evidence"
+)
+
+// heardView returns a view in which the VM "1" has just announced a and is the
+// only member of the group demo-0, epoch 7, in the given state.
+func heardView(state blackboard.GroupState, change func(*backend.Announcement)) (View, time.Time) {
+	now := simStart
+	a := backend.Announcement{
+		ID: "1", Kind: backend.KindEngine, Incarnation: "a", Sequence: 5, Address: "x:1", FabricDomain: "d",
+		Group: "demo-0", Epoch: 7, Phase: backend.PhaseReady,
+	}
+	if change != nil {
+		change(&a)
+	}
+	table := evidence.NewTable("entry", 1)
+	table.Digest(now, evidence.Cursor{})
+	table.Hear(now, "entry", a)
+	b := blackboard.New()
+	b.Entries["entry"] = blackboard.Entry{ID: "entry"}
+	b.VMs["1"] = blackboard.VM{
+		ID: "1", Incarnation: "a", Address: "x:1", FabricDomain: "d", Liveness: blackboard.Alive,
+		Group: "demo-0", Epoch: 7,
+	}
+	b.Groups["demo-0"] = blackboard.Group{
+		ID: "demo-0", Spec: "demo", Model: "demo", Epoch: 7, State: state, FabricDomain: "d",
+		Members: []blackboard.GroupMember{{VM: "1", Incarnation: "a", Address: "x:1"}},
+	}
+	b.Config.Groups["demo"] = blackboard.GroupSpec{Name: "demo", Model: "demo", Replicas: 1, VMsPerReplica: 1}
+	return View{
+		Board: b, Evidence: table, Memory: NewMemory(now.Add(-time.Minute), 0),
+		Term: 3, LeaseUntil: now.Add(10 * time.Second),
+	}, now
+}
+
+// A group goes on getting work, or is torn down needlessly. Each line is what a
+// member of a serving group announces, and how long it is waited for.
+func TestFaultsOfAServingGroup(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		change   func(*backend.Announcement)
+		text     string
+		patience time.Duration
+	}{
+		{"ready", nil, "", 0},
+		{"failed", func(a *backend.Announcement) { a.Phase = backend.PhaseFailed }, "member 1 failed", 0},
+		{"loads again", func(a *backend.Announcement) { a.Phase = backend.PhaseLoading }, "member 1 is loading", faultPatience},
+		{"idle", func(a *backend.Announcement) { a.Group, a.Epoch = "", 0 }, "member 1 left the epoch", faultPatience},
+		{"another epoch", func(a *backend.Announcement) { a.Epoch = 6 }, "member 1 left the epoch", faultPatience},
+		{"lost another", func(a *backend.Announcement) { a.Unreachable = []string{"2"} }, "member 1 has lost 2, which is silent", lostPatience},
+		{"restarted once heard", func(a *backend.Announcement) { a.Incarnation = "b" }, "member 1 restarted", faultPatience},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			v, now := heardView(blackboard.Serving, c.change)
+			faults := groupFaults(v, now, v.Board.Groups["demo-0"])
+			if c.text == "" {
+				assert.Equal(t, len(faults), 0)
+				return
+			}
+			assert.DeepEqual(t, faults[0].text, c.text)
+			assert.Equal(t, faults[0].patience, c.patience)
+		})
+	}
+	v, now := heardView(blackboard.Serving, nil)
+	row := v.Board.VMs["1"]
+	row.Incarnation = "b"
+	v.Board.VMs["1"] = row
+	assert.Equal(t, groupFaults(v, now, v.Board.Groups["demo-0"])[0], fault{"member 1 restarted", 0})
+}
+
+// An engine is told to load a group while it still runs another: the board
+// gives it a new epoch, and it reports an old one. It must be told to leave
+// first, and to load only once it reports idle.
+func TestAnEngineInAnotherEpochLeavesFirst(t *testing.T) {
+	v, now := heardView(blackboard.Loading, func(a *backend.Announcement) { a.Group, a.Epoch = "demo-4", 5 })
+	a := Run(v, now)
+	assert.Equal(t, len(a.Orders), 1)
+	assert.Equal(t, a.Orders[0].Order.Kind, backend.OrderRelease)
+	assert.Equal(t, a.Orders[0].Order.Group, "demo-4")
+	assert.Equal(t, a.Orders[0].Order.Token, backend.FencingToken{Term: 3, Epoch: 5})
+
+	v, now = heardView(blackboard.Loading, func(a *backend.Announcement) { a.Group, a.Epoch, a.Phase = "", 0, backend.PhaseIdle })
+	a = Run(v, now)
+	assert.Equal(t, len(a.Orders), 1)
+	assert.Equal(t, a.Orders[0].Order.Kind, backend.OrderLoad)
+	assert.Equal(t, a.Orders[0].Order.Incarnation, "a")
+	a = Run(v, now.Add(200*time.Millisecond))
+	assert.Equal(t, len(a.Orders), 0, "not again before resendAfter")
+}
+
+// A new group breaks at once, as a VM was put into it that could not take part.
+func TestOnlyAVMInGoodOrderIsUsable(t *testing.T) {
+	idle := func(a *backend.Announcement) { a.Group, a.Epoch, a.Phase = "", 0, backend.PhaseIdle }
+	for _, c := range []struct {
+		name   string
+		say    func(*backend.Announcement)
+		change func(*View, *blackboard.VM)
+		want   bool
+	}{
+		{"idle", idle, nil, true},
+		{"still runs a group", nil, nil, false},
+		{"another incarnation", func(a *backend.Announcement) { idle(a); a.Incarnation = "b" }, nil, false},
+		{"held", idle, func(_ *View, vm *blackboard.VM) { vm.Group = "demo-1" }, false},
+		{"paused", idle, func(_ *View, vm *blackboard.VM) { vm.Liveness = blackboard.Paused }, false},
+		{"leaving", idle, func(_ *View, vm *blackboard.VM) { vm.Leaving = true }, false},
+		{"too few accelerators", idle, func(_ *View, vm *blackboard.VM) { vm.Accelerators = 2 }, false},
+		{"drained", idle, func(v *View, _ *blackboard.VM) { v.Board.Config.DrainedVMs["1"] = true }, false},
+		{"failed its load", idle, func(v *View, _ *blackboard.VM) { v.Memory.avoid["1"] = simStart.Add(time.Second) }, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			v, now := heardView(blackboard.Released, c.say)
+			vm := v.Board.VMs["1"]
+			vm.Group, vm.Epoch, vm.Accelerators = "", 0, 4
+			if c.change != nil {
+				c.change(&v, &vm)
+			}
+			assert.Equal(t, usable(v, now, vm, blackboard.GroupSpec{Accelerators: 4}), c.want)
+		})
+	}
+}
--- a/internal/controller/takeover.go
+++ b/internal/controller/takeover.go
@@ -71,6 +71,9 @@
 // a time, and a narrow group worth little takes each as it comes free. Specs
 // worth less therefore form nothing in the domain until the release is over.
 func holdBack(v View, now time.Time, spec blackboard.GroupSpec, u *use) string {
+	if !v.Memory.policy.hold {
+		return ""
+	}
 	best := ""
 	count := soonFree(v, now, spec, u)
 	for _, domain := range sortedKeys(count) {
