--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -48,7 +48,7 @@
 		return false
 	}
 	for _, t := range pool.targets {
-		if t.room(now, tokens, reserve, p.options) {
+		if t.room(now, tokens, reserve, &p.options) {
 			return true
 		}
 	}
@@ -127,13 +127,22 @@
 	if !t.reported.At.IsZero() && now.Sub(t.reported.At) > staleAfter {
 		s += staleCost
 	}
-	if t.pace.slow {
+	if t.pace.slow || t.stalled(now) {
 		s += slowCost
 	}
 	if t.avoided(now) {
 		return s + avoidedCost
 	}
-	if !t.room(now, r.Tokens, r.Reserve, p.options) {
+	if !t.room(now, r.Tokens, r.Reserve, &p.options) {
+		s += noRoomCost
+	}
+	return s
+}
+
+// leastScore is a bound below score that is quick to compute.
+func (t *target) leastScore(r *Request) float64 {
+	s := (t.load + float64(r.Tokens)) / t.limit
+	if t.surelyFull(r.Tokens, r.Reserve) {
 		s += noRoomCost
 	}
 	return s
@@ -194,8 +203,11 @@
 }
 
 func (p *Picker) offerRandom(now time.Time, pool *pool, r Request, c *choice) {
-	for range 2 {
-		t := pool.targets[p.draw(len(pool.targets))]
+	n := len(pool.targets)
+	first := p.draw(n)
+	second := (first + 1 + p.draw(max(1, n-1))) % n
+	for _, i := range [2]int{first, second} {
+		t := pool.targets[i]
 		if !slices.Contains(r.Exclude, t.ID) {
 			c.offer(t, p.score(now, t, r), ReasonTwoChoices)
 		}
@@ -204,6 +216,9 @@
 
 func (p *Picker) offerAll(now time.Time, pool *pool, r Request, c *choice) {
 	for _, t := range pool.targets {
+		if c.second != nil && t.leastScore(&r) >= c.secondScore {
+			continue
+		}
 		if len(r.Exclude) == 0 || !slices.Contains(r.Exclude, t.ID) {
 			c.offer(t, p.score(now, t, r), ReasonLeastLoaded)
 		}
@@ -224,7 +239,7 @@
 		if !t.pace.slow || due.Before(t.pace.probeAt) || slices.Contains(r.Exclude, t.ID) {
 			continue
 		}
-		if t.room(now, r.Tokens, r.Reserve, p.options) {
+		if t.room(now, r.Tokens, r.Reserve, &p.options) {
 			t.pace.probeAt = now.Add(probeInterval)
 			return t
 		}
