--- a/internal/blackboard/command.go
+++ b/internal/blackboard/command.go
@@ -37,6 +37,7 @@
 	"put_vm":          func() Command { return &PutVM{} },
 	"set_liveness":    func() Command { return &SetLiveness{} },
 	"free_vm":         func() Command { return &FreeVM{} },
+	"remove_vm":       func() Command { return &RemoveVM{} },
 	"form_group":      func() Command { return &FormGroup{} },
 	"set_group":       func() Command { return &SetGroupState{} },
 	"put_service":     func() Command { return &PutService{} },
@@ -75,6 +76,8 @@
 		return "set_liveness", nil
 	case *FreeVM, FreeVM:
 		return "free_vm", nil
+	case *RemoveVM, RemoveVM:
+		return "remove_vm", nil
 	case *FormGroup, FormGroup:
 		return "form_group", nil
 	case *SetGroupState, SetGroupState:
--- a/internal/blackboard/command_test.go
+++ b/internal/blackboard/command_test.go
@@ -101,6 +101,7 @@
 		{"freed by another incarnation", []GroupState{Broken}, FreeVM{VM: "1", Group: "demo-0", Epoch: 1, Incarnation: "b"}, "the VM holds another group, epoch or incarnation"},
 		{"liveness of another incarnation", nil, SetLiveness{VM: "1", Incarnation: "b", To: Dead}, "another incarnation"},
 		{"same liveness", nil, SetLiveness{VM: "1", Incarnation: "a", To: Alive}, "no change"},
+		{"removed while alive", nil, RemoveVM{VM: "3", Incarnation: "a"}, "the VM is alive"},
 		{"unknown entry", nil, RemoveEntry{ID: "x"}, "unknown entry"},
 		{"unknown service", nil, RemoveService{ID: "x"}, "another incarnation"},
 		{"unknown suspect", nil, ForgetSuspect{"x"}, "no suspect"},
@@ -141,6 +142,20 @@
 	assert.Assert(t, b.VMs["1"].Free())
 }
 
+// A group stays broken for ever: its dead member was replaced under a new name
+// and never comes back to confirm. Removing the dead VM lets the group go, but
+// not while the group counts on it.
+func TestADeadVMIsRemovedWithItsHold(t *testing.T) {
+	b, _ := verdict(t, move(t, formed(t), Loading), SetLiveness{VM: "1", Incarnation: "a", To: Dead})
+	b, v := verdict(t, b, RemoveVM{VM: "1", Incarnation: "a"})
+	assert.Equal(t, v.Reason, "its group is loading")
+	b = move(t, b, Broken)
+	b, _ = verdict(t, b, FreeVM{VM: "2", Group: "demo-0", Epoch: 1, Incarnation: "a"})
+	b, v = verdict(t, b, RemoveVM{VM: "1", Incarnation: "a"})
+	assert.Assert(t, v.Applied, v.Reason)
+	move(t, b, Released)
+}
+
 func TestFlapsAreForgottenAfterAnHour(t *testing.T) {
 	b := formed(t)
 	later := int64(0)
--- a/internal/blackboard/vm.go
+++ b/internal/blackboard/vm.go
@@ -143,3 +143,28 @@
 	b.VMs[c.VM] = v
 	return applied()
 }
+
+// RemoveVM forgets a VM that has long been dead, with the group epoch that it
+// still held, which can then be released. It frees nothing: should the VM come
+// back, it gets a new row, and goes into a group only when its engine itself
+// announces that it is idle.
+type RemoveVM struct {
+	VM          string `json:"vm"`
+	Incarnation string `json:"incarnation"`
+}
+
+func (c RemoveVM) apply(b *Board) (any, bool) {
+	v, ok := b.VMs[c.VM]
+	if !ok || v.Incarnation != c.Incarnation {
+		return refused("another incarnation")
+	}
+	if v.Liveness != Dead {
+		return refused("the VM is " + string(v.Liveness))
+	}
+	if g, ok := b.Groups[v.Group]; ok && g.Epoch == v.Epoch && g.State.holdsMembers() {
+		return refused("its group is " + string(g.State))
+	}
+	b.VMs = cloneMap(b.VMs)
+	delete(b.VMs, c.VM)
+	return applied()
+}
--- a/internal/controller/decisions_test.go
+++ b/internal/controller/decisions_test.go
@@ -179,3 +179,52 @@
 	assert.Equal(t, w.board.Groups["demo-0"].State, blackboard.Serving)
 	assert.Equal(t, w.board.Groups["demo-1"].State, blackboard.Released)
 }
+
+// Calls go to a plain service's instance that is gone. Its row must follow what
+// is heard: alive, paused, dead, and dropped when it is long gone.
+func TestAPlainServicesInstanceIsFollowed(t *testing.T) {
+	w := newWorld(t, 44, 1, 1, defaultPolicy, blackboard.ConfigChange{})
+	say := func(sequence uint64) {
+		n := w.entries[0]
+		n.table.Hear(w.now, n.id, backend.Announcement{
+			ID: "files-1", Kind: backend.KindService, Service: "files", Incarnation: "a", Sequence: sequence, Address: "x:1",
+		})
+	}
+	say(1)
+	w.run(time.Second)
+	say(2)
+	assert.Equal(t, w.board.Services["files-1"].Liveness, blackboard.Alive)
+	for _, c := range []struct {
+		after time.Duration
+		want  blackboard.Liveness
+	}{{pausedAfter + time.Second, blackboard.Paused}, {deadAfter, blackboard.Dead}, {forgetAfter, ""}} {
+		w.run(c.after)
+		assert.Equal(t, w.board.Services["files-1"].Liveness, c.want)
+	}
+	finish(t, w)
+}
+
+// A VM was replaced under a new name; its row stays for ever, and the group that
+// it held stays broken.
+func TestAVMThatIsLongDeadIsForgotten(t *testing.T) {
+	w := newWorld(t, 45, 1, 3, defaultPolicy, demoConfig(1, 2))
+	w.run(30 * time.Second)
+	id := w.board.Groups["demo-0"].Members[0].VM
+	w.byID[id].kill()
+	w.run(time.Minute)
+	row := w.board.VMs[id]
+	assert.Equal(t, row.Liveness, blackboard.Dead)
+	var a Actions
+	l := w.leader()
+	liveness(View{Board: w.board, Evidence: w.entries[0].table, Memory: l.memory}, w.now.Add(forgetVMAfter), &a)
+	for _, c := range a.Commands {
+		if remove, ok := c.(*blackboard.RemoveVM); ok {
+			w.propose(remove)
+		}
+	}
+	w.run(time.Second)
+	finish(t, w)
+	_, known := w.board.VMs[id]
+	assert.Assert(t, !known)
+	assert.Equal(t, w.board.Groups["demo-0"].State, blackboard.Released)
+}
--- a/internal/controller/liveness.go
+++ b/internal/controller/liveness.go
@@ -22,6 +22,10 @@
 	// backend server is silent itself: the backend server may be looking for
 	// another entry.
 	strayWitness = 2
+	// forgetVMAfter is when a dead VM is dropped, so that VMs that are replaced
+	// under new names don't stay for ever. It is long past any restart, and past
+	// any order that could still be on its way.
+	forgetVMAfter = 24 * time.Hour
 	// forgetAfter is when a dead instance of a plain service is dropped.
 	forgetAfter = 10 * time.Minute
 )
@@ -52,6 +56,7 @@
 		}
 		to := conclude(v, now, vm.Liveness, r, heard)
 		if to == vm.Liveness {
+			forgetVM(v, now, a, vm)
 			continue
 		}
 		returned := vm.Liveness == blackboard.Paused || vm.Liveness == blackboard.Dead
@@ -64,6 +69,15 @@
 	serviceLiveness(v, now, a)
 }
 
+func forgetVM(v View, now time.Time, a *Actions, vm blackboard.VM) {
+	dead := now.UnixMilli() - vm.SinceMillis
+	if vm.Liveness != blackboard.Dead || dead < forgetVMAfter.Milliseconds() {
+		return
+	}
+	v.Evidence.Forget(backend.KindEngine, vm.ID)
+	a.command(&blackboard.RemoveVM{VM: vm.ID, Incarnation: vm.Incarnation})
+}
+
 func serviceLiveness(v View, now time.Time, a *Actions) {
 	for _, id := range sortedKeys(v.Board.Services) {
 		s := v.Board.Services[id]
