Draining: work in flight gets its time from when the group drains

Cause: a drain that had waited three minutes for its replacement released the group at once, with answers in flight: the limit counted from the order to drain. TestADrainCutsOffNoWork failed with it. Two more of the kind: an engine that reports no load counted as idle, and so did a load report made before entries had stopped routing. Change: time counts from the state draining; a report counts only when made after RoutableAge of it; no report is waited for until the limit, which is the longest timeout of a class or two minutes.

--- a/internal/controller/decisions_test.go
+++ b/internal/controller/decisions_test.go
@@ -159,6 +159,31 @@
 	}
 }
 
+// Answers are cut off by a planned drain: it waited three minutes for its
+// replacement to load, and that time counted against the work in flight. The
+// group must be released when its work is done and not before.
+func TestADrainCutsOffNoWork(t *testing.T) {
+	w := newWorld(t, 46, 1, 6, defaultPolicy, demoConfig(1, 3))
+	w.run(30 * time.Second)
+	w.storeSeconds = 60
+	members := w.board.Groups["demo-0"].Members
+	for _, m := range members {
+		w.byID[m.VM].running = 1
+	}
+	w.change(blackboard.ConfigChange{DrainGroups: []string{"demo-0"}})
+	w.run(190 * time.Second)
+	assert.Equal(t, w.board.Groups["demo-1"].State, blackboard.Serving, w.states())
+	w.run(30 * time.Second)
+	assert.Equal(t, w.board.Groups["demo-0"].State, blackboard.Draining)
+	for _, m := range members {
+		assert.Equal(t, w.byID[m.VM].phase, backend.PhaseReady)
+		w.byID[m.VM].running = 0
+	}
+	w.run(15 * time.Second)
+	finish(t, w)
+	assert.Equal(t, w.board.Groups["demo-0"].State, blackboard.Released)
+}
+
 // A preset lowers the replicas. The surplus must be drained, but not when the
 // operator switches back at once.
 func TestASurplusIsDrainedAfterAWhile(t *testing.T) {
--- a/internal/controller/draining.go
+++ b/internal/controller/draining.go
@@ -8,12 +8,13 @@
 )
 
 const (
-	// drainLimit ends the wait for work in flight of a draining group. Longer
-	// answers are resumed on another group by the entries.
+	// drainLimit is the least time for work in flight of a draining group; the
+	// longest timeout of a request class counts when it is longer. Past it no
+	// caller waits, and what still runs is resumed on another group.
 	drainLimit = 2 * time.Minute
-	// drainQuiet is how long all members must report no work: one second for
-	// entries that still held the group routable, and a late load report.
-	drainQuiet = 3 * time.Second
+	// drainQuiet is how long all members must report no work, for work that
+	// moves between the engine's queue and its batch while it counts.
+	drainQuiet = 2 * time.Second
 	// replaceLimit is how long a drain that an operator asked for waits for
 	// its replacement. A leaving VM is not waited for.
 	replaceLimit = 5 * time.Minute
@@ -142,15 +143,16 @@
 	return surplus
 }
 
-// drained tells whether a draining group's work is done: each member that is
-// heard has reported none for drainQuiet, or drainLimit is over.
+// drained tells whether a draining group's work is done: each member has
+// reported none for drainQuiet, or no caller can still wait for any.
 func drained(v View, now time.Time, g blackboard.Group) bool {
 	epoch := groupEpoch{g.ID, g.Epoch}
-	if now.Sub(since(v.Memory.drains, epoch, now)) > drainLimit {
+	draining := v.Memory.inState(g, now)
+	if draining > workLimit(v) {
 		return true
 	}
 	for _, m := range g.Members {
-		if !withoutWork(v, now, g, m) {
+		if !withoutWork(v, now, g, m, now.Add(-draining)) {
 			delete(v.Memory.idle, epoch)
 			return false
 		}
@@ -158,13 +160,28 @@
 	return now.Sub(since(v.Memory.idle, epoch, now)) >= drainQuiet
 }
 
-func withoutWork(v View, now time.Time, g blackboard.Group, m blackboard.GroupMember) bool {
+func workLimit(v View) time.Duration {
+	limit := drainLimit
+	for _, c := range v.Board.Config.Classes {
+		limit = max(limit, time.Duration(c.TimeoutMillis)*time.Millisecond)
+	}
+	return limit
+}
+
+// withoutWork tells whether a member's load report, made once no entry could
+// still hold the group routable, shows no work. An engine that reports no load
+// is waited for until the limit.
+func withoutWork(v View, now time.Time, g blackboard.Group, m blackboard.GroupMember, drainedFrom time.Time) bool {
 	r, heard := v.Evidence.Get(m.VM)
 	if !heard || now.Sub(r.HeardAt) > evidence.RoutableAge {
 		return false
 	}
-	if r.Group != g.ID || r.Epoch != g.Epoch || r.Load == nil {
+	if r.Group != g.ID || r.Epoch != g.Epoch {
 		return true
 	}
-	return r.Load.Running == 0 && r.Load.Queued == 0
+	if r.Load == nil || r.Load.Running > 0 || r.Load.Queued > 0 {
+		return false
+	}
+	made := r.HeardAt.Add(-time.Duration(r.Load.AtMillis) * time.Millisecond)
+	return made.After(drainedFrom.Add(evidence.RoutableAge))
 }
--- a/internal/controller/sim_engine_test.go
+++ b/internal/controller/sim_engine_test.go
@@ -20,6 +20,7 @@
 	sequence    uint64
 	up, dark    bool
 	leaving     bool
+	running     int
 	pausedUntil time.Time
 	entry       int
 	newest      backend.FencingToken
@@ -114,7 +115,7 @@
 		ID: e.id, Incarnation: e.name(), Sequence: e.sequence, Kind: backend.KindEngine,
 		Address: e.id + ":1", DataCentre: "dc", FabricDomain: e.domain, Leaving: e.leaving,
 		Accelerators: e.accelerators, Group: e.group, Epoch: e.epoch, Phase: e.phase,
-		Load: &backend.Load{}, Weights: sortedKeys(e.weights), Unreachable: lost,
+		Load: &backend.Load{Running: e.running, AtMillis: 500}, Weights: sortedKeys(e.weights), Unreachable: lost,
 	}
 	n.table.Hear(e.w.now, n.id, a)
 }
