--- a/internal/controller/draining.go
+++ b/internal/controller/draining.go
@@ -16,8 +16,8 @@
 	// moves between the engine's queue and its batch while it counts.
 	drainQuiet = 2 * time.Second
 	// replaceLimit is how long a drain that an operator asked for waits for
-	// its replacement. A leaving VM is not waited for.
-	replaceLimit = 5 * time.Minute
+	// its replacement: as long as a load may take. A leaving VM is not waited for.
+	replaceLimit = loadLimit
 	// noSpareWait is how long such a drain waits for a replacement to form; when
 	// there is no spare, none will.
 	noSpareWait = 5 * time.Second
--- a/internal/controller/sorting.go
+++ b/internal/controller/sorting.go
@@ -26,11 +26,17 @@
 // groupsByWorth returns all groups, worth most first, then by id.
 func groupsByWorth(v View) []blackboard.Group {
 	groups := make([]blackboard.Group, 0, len(v.Board.Groups))
-	for _, id := range sortedKeys(v.Board.Groups) {
-		groups = append(groups, v.Board.Groups[id])
+	worth := make(map[string]int, len(v.Board.Groups))
+	for id, g := range v.Board.Groups {
+		groups = append(groups, g)
+		worth[id] = worthOf(v, g)
 	}
-	sort.SliceStable(groups, func(i, j int) bool {
-		return worthOf(v, groups[i]) > worthOf(v, groups[j])
+	sort.Slice(groups, func(i, j int) bool {
+		a, b := groups[i].ID, groups[j].ID
+		if worth[a] != worth[b] {
+			return worth[a] > worth[b]
+		}
+		return a < b
 	})
 	return groups
 }
