Groups with a straggler are replaced when there is room

Cause: a member that announces itself every few seconds never counts as dead, and its group answers now and then only. TestAGroupWithAStragglerIsReplaced failed without it. A drain waited two minutes for such a member, whose report was never fresh for long: a report made after routing ended stays true, so its age no longer counts.

--- a/internal/controller/decisions_test.go
+++ b/internal/controller/decisions_test.go
@@ -125,6 +125,25 @@
 	assert.Assert(t, gain(3, 1, 90, 4) < 0, "nearly equal worth is not worth a reload")
 }
 
+// A group answers now and then only: one member announces itself so rarely that
+// its evidence is old half of the time. With a spare, a replacement must load
+// beside it and then take over; without one, the group must be left as it is.
+func TestAGroupWithAStragglerIsReplaced(t *testing.T) {
+	for _, spare := range []int{2, 1} {
+		w := newWorld(t, 47, 1, 2+spare, defaultPolicy, demoConfig(1, 2))
+		w.run(30 * time.Second)
+		w.byID[w.board.Groups["demo-0"].Members[0].VM].slow = 6
+		w.run(stragglerPatience + 40*time.Second)
+		finish(t, w)
+		if spare < 2 {
+			assert.Equal(t, w.board.Groups["demo-0"].State, blackboard.Serving, w.states())
+			continue
+		}
+		assert.Equal(t, w.board.Groups["demo-1"].State, blackboard.Serving, w.states())
+		assert.Equal(t, w.board.Groups["demo-0"].State, blackboard.Released)
+	}
+}
+
 // A VM that is leaving still gets new work seconds later. Its group must stop
 // being routable at once and be drained; the group must come back elsewhere.
 func TestALeavingVMGetsNoNewWork(t *testing.T) {
--- a/internal/controller/draining.go
+++ b/internal/controller/draining.go
@@ -60,6 +60,9 @@
 			return "member " + m.VM + " is leaving", 0
 		}
 	}
+	if v.Memory.replace[groupEpoch{g.ID, g.Epoch}] && shortage(v, g.Spec) <= 0 {
+		return "a member is a straggler, and the group is replaced", 0
+	}
 	wait := replaceWait(v, g)
 	if c.DrainedGroups[g.ID] {
 		return "group is drained", wait
@@ -91,7 +94,7 @@
 // towards the wanted replicas and a replacement may form beside it.
 func outgoing(v View, g blackboard.Group) bool {
 	c := &v.Board.Config
-	if c.DrainedGroups[g.ID] {
+	if c.DrainedGroups[g.ID] || v.Memory.replace[groupEpoch{g.ID, g.Epoch}] {
 		return true
 	}
 	for _, m := range g.Members {
@@ -152,7 +155,7 @@
 		return true
 	}
 	for _, m := range g.Members {
-		if !withoutWork(v, now, g, m, now.Add(-draining)) {
+		if !withoutWork(v, g, m, now.Add(-draining)) {
 			delete(v.Memory.idle, epoch)
 			return false
 		}
@@ -169,11 +172,12 @@
 }
 
 // withoutWork tells whether a member's load report, made once no entry could
-// still hold the group routable, shows no work. An engine that reports no load
-// is waited for until the limit.
-func withoutWork(v View, now time.Time, g blackboard.Group, m blackboard.GroupMember, drainedFrom time.Time) bool {
+// still hold the group routable, shows no work. Its age does not matter then, as
+// nothing new arrives. An engine that reports no load is waited for until the
+// limit.
+func withoutWork(v View, g blackboard.Group, m blackboard.GroupMember, drainedFrom time.Time) bool {
 	r, heard := v.Evidence.Get(m.VM)
-	if !heard || now.Sub(r.HeardAt) > evidence.RoutableAge {
+	if !heard {
 		return false
 	}
 	if r.Group != g.ID || r.Epoch != g.Epoch {
--- a/internal/controller/forming.go
+++ b/internal/controller/forming.go
@@ -28,6 +28,9 @@
 			delete(v.Memory.missing, spec.Name)
 			continue
 		}
+		if short <= replacing(v, spec.Name) {
+			continue
+		}
 		if domain := holdBack(v, now, spec, u); domain != "" {
 			u.held[domain] = true
 			delete(v.Memory.missing, spec.Name)
--- a/internal/controller/liveness.go
+++ b/internal/controller/liveness.go
@@ -34,7 +34,7 @@
 // A VM is a straggler from slowGap on and again alive below steadyGap; the
 // space between keeps one late announcement from changing anything.
 const (
-	slowGap   = 5 * evidence.AnnounceInterval
+	slowGap   = 4 * evidence.AnnounceInterval
 	steadyGap = 3 * evidence.AnnounceInterval
 )
 
--- a/internal/controller/memory.go
+++ b/internal/controller/memory.go
@@ -25,6 +25,10 @@
 	drains map[groupEpoch]time.Time
 	// idle holds since when a draining group has reported no work.
 	idle map[groupEpoch]time.Time
+	// slow holds since when a serving group has had a member out of order, and
+	// replace which of these groups are being replaced.
+	slow    map[groupEpoch]time.Time
+	replace map[groupEpoch]bool
 	// avoid holds until when a VM whose load failed is left out.
 	avoid map[string]time.Time
 	// missing holds since when a spec has had fewer groups than wanted.
@@ -63,6 +67,8 @@
 		states:     make(map[groupEpoch]stateTime),
 		drains:     make(map[groupEpoch]time.Time),
 		idle:       make(map[groupEpoch]time.Time),
+		slow:       make(map[groupEpoch]time.Time),
+		replace:    make(map[groupEpoch]bool),
 		avoid:      make(map[string]time.Time),
 		missing:    make(map[string]time.Time),
 		policy:     defaultPolicy,
@@ -135,6 +141,8 @@
 	forgetGone(v, m.states)
 	forgetGone(v, m.drains)
 	forgetGone(v, m.idle)
+	forgetGone(v, m.slow)
+	forgetGone(v, m.replace)
 	for vm := range m.orders {
 		if _, ok := v.Board.VMs[vm]; !ok {
 			delete(m.orders, vm)
--- a/internal/controller/view.go
+++ b/internal/controller/view.go
@@ -76,6 +76,7 @@
 	announcements(v, now, &a)
 	liveness(v, now, &a)
 	breaking(v, now, &a)
+	straggling(v, now)
 	draining(v, now, &a)
 	releasing(v, now, &a)
 	correcting(v, now, &a)
