Evidence is bounded; an engine that runs something else gets one order at a time

Cause: names made up by whoever may announce grew each table without end. And a member of a broken group that reported another epoch got two release orders in each run, each forgetting the other's answer.

--- a/internal/controller/faults_test.go
+++ b/internal/controller/faults_test.go
@@ -88,6 +88,11 @@
 	assert.Equal(t, a.Orders[0].Order.Group, "demo-4")
 	assert.Equal(t, a.Orders[0].Order.Token, backend.FencingToken{Term: 3, Epoch: 5})
 
+	v, now = heardView(blackboard.Broken, func(a *backend.Announcement) { a.Group, a.Epoch = "demo-4", 5 })
+	a = Run(v, now)
+	assert.Equal(t, len(a.Orders), 1, "one order at a time")
+	assert.Equal(t, a.Orders[0].Order.Group, "demo-4")
+
 	v, now = heardView(blackboard.Loading, func(a *backend.Announcement) { a.Group, a.Epoch, a.Phase = "", 0, backend.PhaseIdle })
 	a = Run(v, now)
 	assert.Equal(t, len(a.Orders), 1)
--- a/internal/controller/releasing.go
+++ b/internal/controller/releasing.go
@@ -42,6 +42,10 @@
 	if !heard || r.Incarnation != vm.Incarnation || now.Sub(r.HeardAt) > pausedAfter {
 		return
 	}
+	if r.Group != "" && (r.Group != g.ID || r.Epoch != g.Epoch) {
+		// It runs something else, which correcting tells it to leave first.
+		return
+	}
 	if freed(v, now, g, m, r) {
 		a.command(&blackboard.FreeVM{VM: m.VM, Group: g.ID, Epoch: g.Epoch, Incarnation: vm.Incarnation})
 		return
--- a/internal/evidence/table.go
+++ b/internal/evidence/table.go
@@ -43,6 +43,14 @@
 	comeBack = 3 * time.Second
 	// maxRetired bounds the incarnations remembered for one backend server.
 	maxRetired = 4
+	// maxRecords bounds the backend servers known at once, over ten times the
+	// 710 runners of the target size, so that names made up by whoever may
+	// announce don't fill the memory.
+	maxRecords = 8192
+	// recordLife is how long a silent backend server is kept, and pruneEvery how
+	// often this is looked after.
+	recordLife = time.Hour
+	pruneEvery = time.Minute
 	// gapWeight is the weight of the newest interval in Report.Gap.
 	gapWeight = 0.2
 )
@@ -128,6 +136,7 @@
 	records  map[key]*record
 	sources  map[string]time.Time
 	lastCall time.Time
+	pruned   time.Time
 	// distrustUntil is set when the process wakes from a stop.
 	distrustUntil time.Time
 	beforePause   time.Time
@@ -209,6 +218,7 @@
 func (t *Table) Digest(now time.Time, after Cursor) ([]Heard, Cursor) {
 	t.observe(now)
 	t.sources[t.self] = now
+	t.prune(now)
 	if after.Run != t.at.Run {
 		after = Cursor{}
 	}
@@ -222,6 +232,24 @@
 	return digest, t.at
 }
 
+// prune drops what has been silent for recordLife.
+func (t *Table) prune(now time.Time) {
+	if now.Sub(t.pruned) < pruneEvery {
+		return
+	}
+	t.pruned = now
+	for k, r := range t.records {
+		if now.Sub(r.report.HeardAt) > recordLife {
+			delete(t.records, k)
+		}
+	}
+	for id, at := range t.sources {
+		if now.Sub(at) > recordLife {
+			delete(t.sources, id)
+		}
+	}
+}
+
 func (r *record) line(now time.Time, after Cursor) Heard {
 	h := r.report.Heard
 	h.AgeMillis = now.Sub(r.report.HeardAt).Milliseconds()
@@ -237,6 +265,9 @@
 func (t *Table) take(heardAt time.Time, source string, h Heard) *record {
 	k := key{h.Kind, h.ID}
 	r, known := t.records[k]
+	if !known && len(t.records) >= maxRecords {
+		return nil
+	}
 	if !known {
 		r = &record{retired: make(map[string]uint64)}
 		t.records[k] = r
--- a/internal/evidence/table_test.go
+++ b/internal/evidence/table_test.go
@@ -1,6 +1,7 @@
 package evidence
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -117,6 +118,19 @@
 	assert.Assert(t, moved[0].Detail != nil, "the cursor is of an earlier run")
 }
 
+// An entry's memory grows with each name that was ever announced to it.
+func TestTheTableIsBounded(t *testing.T) {
+	table := NewTable("a", 1)
+	for n := range maxRecords + 100 {
+		a := said("x", 1)
+		a.ID = fmt.Sprint(n)
+		table.Hear(at(0), "a", a)
+	}
+	assert.Equal(t, len(table.Reports()), maxRecords)
+	table.Digest(start.Add(recordLife+time.Second), Cursor{})
+	assert.Equal(t, len(table.Reports()), 0)
+}
+
 // Every backend server is reported dead by a process that is cut off itself.
 // Only a majority of the registered entries makes silence count.
 func TestCoverageIsAMajorityOfRegisteredEntries(t *testing.T) {
