Loading: a group worth more than all that load does not wait for them

Cause: with both places at the weight store taken by a load that is stuck, the group worth most waited for up to loadLimit.

--- a/internal/controller/faults_test.go
+++ b/internal/controller/faults_test.go
@@ -132,3 +132,31 @@
 		})
 	}
 }
+
+// All groups load at once from a store of fixed rate, and all finish last; or
+// the one worth most waits behind a load that is stuck.
+func TestLoadsBeginInOrderOfWorth(t *testing.T) {
+	config := func(worths ...int) blackboard.ConfigChange {
+		var c blackboard.ConfigChange
+		for i, w := range worths {
+			name := string(rune('a' + i))
+			c.Groups = append(c.Groups, blackboard.GroupSpec{Name: name, Model: name, Replicas: 1, VMsPerReplica: 1, Worth: w})
+		}
+		return c
+	}
+	states := func(w *world) string {
+		text := ""
+		for _, id := range sortedKeys(w.board.Groups) {
+			text += id + " " + string(w.board.Groups[id].State) + ", "
+		}
+		return text
+	}
+	w := newWorld(t, 61, 1, 5, defaultPolicy, config(1, 4, 3, 2))
+	w.storeSeconds = 1000
+	w.run(10 * time.Second)
+	assert.Equal(t, states(w), "a-0 forming, b-0 loading, c-0 loading, d-0 forming, ")
+	w.change(config(1, 4, 3, 2, 9))
+	w.run(5 * time.Second)
+	finish(t, w)
+	assert.Equal(t, states(w), "a-0 forming, b-0 loading, c-0 loading, d-0 forming, e-0 loading, ")
+}
--- a/internal/controller/loading.go
+++ b/internal/controller/loading.go
@@ -25,34 +25,52 @@
 // loading lets formed groups load in order of worth, sends and resends the
 // orders, and takes a group into service when each member reports ready.
 func loading(v View, now time.Time, a *Actions) {
-	busy := 0
+	var at store
 	for _, g := range v.Board.Groups {
 		if g.State == blackboard.Loading && readsStore(v, g) {
-			busy++
+			at.begin(worthOf(v, g))
 		}
 	}
 	for _, g := range groupsByWorth(v) {
 		switch g.State {
 		case blackboard.Forming:
-			busy += startLoading(v, now, a, g, busy)
+			startLoading(v, now, a, g, &at)
 		case blackboard.Loading:
 			continueLoading(v, now, a, g)
 		}
 	}
 }
 
-// startLoading returns the number of store loads that it began.
-func startLoading(v View, now time.Time, a *Actions, g blackboard.Group, busy int) int {
+// store is what loads from the weight store.
+type store struct {
+	loads int
+	// top is the worth of the group worth most that loads.
+	top int
+}
+
+func (s *store) begin(worth int) {
+	if s.loads == 0 || worth > s.top {
+		s.top = worth
+	}
+	s.loads++
+}
+
+func (s *store) room(worth int) bool {
+	return s.loads < storeLoads || worth > s.top
+}
+
+func startLoading(v View, now time.Time, a *Actions, g blackboard.Group, at *store) {
 	if !readsStore(v, g) {
 		a.moveGroup(g, blackboard.Loading, "members hold the weights", now)
-		return 0
+		return
 	}
-	if busy >= storeLoads {
-		return 0
+	worth := worthOf(v, g)
+	if !at.room(worth) {
+		return
 	}
+	at.begin(worth)
 	a.moveGroup(g, blackboard.Loading, "from the weight store", now)
 	a.decide(Decision{Kind: "load", Subject: g.ID, Choice: g.Model, Reason: "worth most of those that wait"})
-	return 1
 }
 
 // readsStore tells whether a member still has to fetch weights.
