--- a/internal/blackboard/group.go
+++ b/internal/blackboard/group.go
@@ -151,7 +151,10 @@
 		}
 		for _, m := range g.Members {
 			v, ok := b.VMs[m.VM]
-			if !invariant.Check(ok && v.Group == g.ID && v.Epoch == g.Epoch, "vm_in_one_group",
+			if ok && v.Group == g.ID && v.Epoch == g.Epoch {
+				continue
+			}
+			if !invariant.Check(false, "vm_in_one_group",
 				"group %s epoch %d has member %s, which holds %q epoch %d", g.ID, g.Epoch, m.VM, v.Group, v.Epoch) {
 				return false
 			}
