--- a/internal/placement/picker_test.go
+++ b/internal/placement/picker_test.go
@@ -288,7 +288,7 @@
 // own, or it would use a third of each group.
 func TestEntryLearnsHowMuchOfTheLoadIsItsOwn(t *testing.T) {
 	p := picker(1)
-	p.pools["m"].others = 3
+	p.pools["m"].meanAll, p.pools["m"].meanMine = 9000, 3000
 	p.Started(start, "a", "g000", 3000)
 	for i := range 500 {
 		now := at(time.Duration(i) * 200 * time.Millisecond)
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -7,28 +7,34 @@
 const maxOthers = 16
 
 // othersWeight is the weight of one report in pool.others: a hundred reports,
-// about ten seconds of one target, follow a change of the number of entries.
+// about twenty seconds of one target, follow a change of the number of entries.
 const othersWeight = 0.01
 
 // pool holds the targets of one model.
 type pool struct {
 	targets []*target
-	// others is the work in flight of all entries for each token of this one.
-	others    float64
-	reference reference
-	full      roomCache
+	// others is the work in flight of all entries for each token of this one:
+	// the ratio of the two means below, in tokens a target.
+	others            float64
+	meanAll, meanMine float64
+	reference         reference
+	full              roomCache
 }
 
 func newPool() *pool { return &pool{others: 1} }
 
 // observeOthers compares what a target reports with this entry's part of it.
+//
+// It takes the ratio of means and not the mean of ratios: a target that holds
+// one small request of this entry would show a ratio of a hundred.
 func (p *pool) observeOthers(t *target) {
-	if t.mineAt <= 0 || t.reported.TokensInFlight <= 0 {
+	p.meanAll += othersWeight * (float64(t.reported.TokensInFlight) - p.meanAll)
+	p.meanMine += othersWeight * (float64(max(0, t.mineAt)) - p.meanMine)
+	if p.meanAll > p.meanMine && p.meanMine > 0 {
+		p.others = min(p.meanAll/p.meanMine, maxOthers)
 		return
 	}
-	seen := float64(t.reported.TokensInFlight) / float64(t.mineAt)
-	seen = min(max(seen, 1), maxOthers)
-	p.others += othersWeight * (seen - p.others)
+	p.others = 1
 }
 
 // mean returns the load of the pool as a part of its limits.
