Placement: limits of several entries meet

The limits grew and fell by factors, so that they never met. Change: until the first cut the limit grows by a part of itself, then by an equal step, a fiftieth of the greatest load reported, which all entries see.

--- a/internal/placement/limit.go
+++ b/internal/placement/limit.go
@@ -3,11 +3,14 @@
 import "time"
 
 const (
-	// limitCut and limitStep are the factors of a change of the limit: it
-	// falls fast, since work queued on an engine can't be ordered by worth any
-	// more, and grows slowly, to stay just below where a queue begins.
-	limitCut  = 0.9
-	limitStep = 1.03
+	// limitCut is the factor of a cut of the limit. It falls fast, since work
+	// queued on an engine can't be ordered by worth any more.
+	limitCut = 0.9
+	// limitStep is the part by which the limit grows: of itself until the first
+	// cut, then of the greatest load reported, which all entries see. Growing by equal steps and falling
+	// by a factor lets the limits of several entries meet; growing by a factor
+	// would keep them apart, and the entry with the lowest would get no room.
+	limitStep = 0.02
 	// settleTime is how long a cut must show before the next: reports are late
 	// and requests in flight end slowly.
 	settleTime = time.Second
@@ -32,6 +35,7 @@
 		return
 	}
 	t.reported = load
+	t.mostReported = max(t.mostReported, float64(load.TokensInFlight))
 	t.mineAt = t.mine - t.ledger.since(load.At)
 	t.pool.observeOthers(t)
 	t.estimate()
@@ -39,7 +43,7 @@
 	t.pool.full.clear()
 }
 
-// adapt moves the limit by additive steps up and a factor down.
+// adapt moves the limit by equal steps up and by a factor down.
 //
 // It is made for engines whose capacity isn't known or changes with the mix of
 // requests. Too high a limit builds a queue on the engine, where a request of
@@ -56,7 +60,7 @@
 	}
 	if t.blocked && float64(r.TokensInFlight) >= binding*t.limit {
 		t.blocked = false
-		t.limit = min(t.limit*limitStep, t.limitCeiling())
+		t.limit = min(t.limit+t.step(), t.limitCeiling())
 	}
 }
 
@@ -76,9 +80,17 @@
 		return
 	}
 	t.settle = now.Add(settleTime)
+	t.wasCut = true
 	t.limit = max(t.limit*limitCut, t.limitFloor())
 }
 
+func (t *target) step() float64 {
+	if t.wasCut {
+		return limitStep * t.mostReported
+	}
+	return limitStep * t.limit
+}
+
 func (t *target) limitFloor() float64 {
 	return max(smallestLimit, float64(t.Capacity)/limitRange)
 }
--- a/internal/placement/picker_test.go
+++ b/internal/placement/picker_test.go
@@ -153,6 +153,27 @@
 	assert.Assert(t, limit() > low*1.5)
 }
 
+// Two entries share a group and one begins with twice the limit. Both see the
+// same reports; the limits must meet, or one entry's callers are refused while
+// the other's are served.
+func TestLimitsOfTwoEntriesMeet(t *testing.T) {
+	a, b := picker(1), picker(1)
+	a.targets["g000"].limit, b.targets["g000"].limit = 30000, 15000
+	for i := range 3000 {
+		now := at(time.Duration(i) * 200 * time.Millisecond)
+		load := Load{Running: 10, TokensInFlight: 20000, At: now}
+		if a.targets["g000"].limit+b.targets["g000"].limit > 50000 {
+			load.Queued = 5
+		}
+		for _, p := range []*Picker{a, b} {
+			p.targets["g000"].blocked = true
+			p.Report(now, "g000", load)
+		}
+	}
+	ratio := a.targets["g000"].limit / b.targets["g000"].limit
+	assert.Assert(t, ratio < 1.2, "%v", ratio)
+}
+
 func TestLongRequestsLeaveRoomForShortOnes(t *testing.T) {
 	p := picker(1)
 	p.Started(start, "long", "g000", 5000)
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -46,6 +46,10 @@
 	pool   *pool
 
 	settle time.Time
+	// wasCut is true once the limit was cut, mostReported the greatest load
+	// ever reported, in tokens.
+	wasCut       bool
+	mostReported float64
 	// blocked is true if the limit held a request back since the last report.
 	blocked bool
 
