--- a/internal/loadtest/engine_test.go
+++ b/internal/loadtest/engine_test.go
@@ -54,6 +54,8 @@
 	sequence uint64
 	produced int
 	lastSent int
+	// queued sums the length of the queue over reports.
+	queued, reports int
 	// Events and reports go to every frontend, late.
 	onReport func(placement.Load)
 	onCache  func(sequence uint64, add, drop []uint64)
@@ -184,6 +186,8 @@
 	}
 	l.TokensPerSecond = float64(e.produced-e.lastSent) / reportEvery.Seconds()
 	e.lastSent = e.produced
+	e.queued += len(e.queue)
+	e.reports++
 	return l
 }
 
--- a/internal/loadtest/load_test.go
+++ b/internal/loadtest/load_test.go
@@ -39,7 +39,7 @@
 	}
 	out := tabwriter.NewWriter(os.Stdout, 0, 4, 1, ' ', tabwriter.Debug)
 	defer out.Flush()
-	fmt.Fprintln(out, "situation\tpolicy\tin time\tlookup\tsummary\tdraft\tTTFT 50\t95\t99\tlookup TTFT 50\t95\t99\trefused/job\twasted\tgoodput/capacity\tback after, lookup / all")
+	fmt.Fprintln(out, "situation\tpolicy\tin time\tlookup\tsummary\tdraft\tTTFT 50\t95\t99\tlookup TTFT 50\t95\t99\trefused/job\twasted\tgoodput/capacity\tengine queue\tback after, lookup / all")
 	for _, s := range situations() {
 		if *only != "" && *only != s.name {
 			continue
@@ -54,12 +54,12 @@
 
 func row(out *tabwriter.Writer, s *situation, p policy, r *result) {
 	possible, _ := capacity(r.served())
-	fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%.2f\t%s\t%s\t%s\n", s.name, p.name,
+	fmt.Fprintf(out, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%.2f\t%s\t%s\t%.1f\t%s\n", s.name, p.name,
 		percent(r.all.part()), percent(r.classes[0].part()), percent(r.classes[1].part()), percent(r.classes[2].part()),
 		seconds(r.all.quantile(0.5)), seconds(r.all.quantile(0.95)), seconds(r.all.quantile(0.99)),
 		seconds(r.classes[0].quantile(0.5)), seconds(r.classes[0].quantile(0.95)), seconds(r.classes[0].quantile(0.99)),
 		float64(r.refusals)/float64(max(1, r.all.jobs)), percent(r.wasted.Seconds()/max(0.001, r.spent.Seconds())),
-		percent(r.useful.Seconds()/r.counted.Seconds()/possible), back(s, r))
+		percent(r.useful.Seconds()/r.counted.Seconds()/possible), float64(r.queued)/float64(r.reports), back(s, r))
 }
 
 func back(s *situation, r *result) string {
--- a/internal/loadtest/result_test.go
+++ b/internal/loadtest/result_test.go
@@ -42,6 +42,8 @@
 	useful             time.Duration
 	counted            time.Duration
 	starts, inversions int
+	// queued is the sum of the engines' own queues over reports.
+	queued, reports int
 	// asked and computed are the prompt tokens of all calls, and those that
 	// weren't found in a prefix cache.
 	asked, computed int
@@ -62,6 +64,10 @@
 	for _, t := range w.callers.tries {
 		r.addCalls(t)
 	}
+	for _, e := range w.engines {
+		r.queued += e.queued
+		r.reports += e.reports
+	}
 	for _, n := range w.nodes {
 		if e, ok := n.(*entry); ok {
 			r.starts += e.starts
