Admission: the floor share reaches requests of any size

Cause: a band saved credit for at most 8,192 tokens, so that a waiting request of more would never have been let in while the top class is busy (the test fails before the change: the draft starves). Change: the bound is two of the band's largest requests.

--- a/internal/admission/flow.go
+++ b/internal/admission/flow.go
@@ -68,6 +68,8 @@
 	shares  float64
 	// credit is the floor share not yet used, in tokens.
 	credit float64
+	// largest is the greatest work of a request since the band was empty.
+	largest int
 	// arrivals is the rate of tokens admitted to this band.
 	arrivals rate
 	returns  returnSchedule
@@ -91,6 +93,7 @@
 		b.active = append(b.active, f)
 	}
 	f.push(it)
+	b.largest = max(b.largest, it.request.Tokens)
 	b.tokens += it.request.Tokens
 }
 
@@ -112,6 +115,7 @@
 	if len(b.active) == 0 {
 		b.shares = 0
 		b.credit = 0
+		b.largest = 0
 	}
 }
 
--- a/internal/admission/model.go
+++ b/internal/admission/model.go
@@ -5,8 +5,9 @@
 	"time"
 )
 
-// creditLimit bounds the floor credit of a band to this many long requests,
-// so that a class can't save up credit and then hold the top class back.
+// creditLimit bounds the floor credit of a band to this many of its largest
+// requests, so that a class can't save up credit and then hold the top class
+// back, and still each of its requests is reached.
 const creditLimit = 2
 
 // modelQueue holds the waiting requests of one model. Models don't compete
@@ -163,9 +164,9 @@
 			lesser++
 		}
 	}
-	limit := float64(creditLimit * policy.LongTokens)
 	for _, other := range m.bands {
 		if other.worth < b.worth && len(other.active) > 0 {
+			limit := float64(creditLimit * other.largest)
 			other.credit = min(limit, other.credit+tokens*policy.FloorShare/float64(lesser))
 		}
 	}
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -89,6 +89,21 @@
 	assert.Assert(t, drafts >= 2000*4/100 && drafts <= 2000*6/100, "%d drafts of 2000", drafts)
 }
 
+// The waiting draft is larger than all that a class may usually save up. If its
+// credit stopped short of its size, it would wait for ever.
+func TestFloorShareReachesTheLargestRequest(t *testing.T) {
+	q := New(twoClasses())
+	mustQueue(t, q, start, request("draft", "audit", "draft", 10*DefaultLongTokens))
+	for i := range 100 * 10 {
+		mustQueue(t, q, start, request(fmt.Sprint("memo", i), "audit", "memo", DefaultLongTokens/4))
+		if takeNext(t, q, start).ID == "draft" {
+			assert.Assert(t, i >= 20*10*4-1, "after %d", i)
+			return
+		}
+	}
+	t.Fatal("the draft starves")
+}
+
 // One large workspace sends nine requests for each one of a small workspace,
 // both of equal worth. The small one's juniors wait behind the large one's
 // backlog if requests are served in the order they came.
