Admission: credit that doesn't fit holds nobody back

Cause: a lesser class with credit was asked for first; without room for it in its part of the servers, requests of the same length but of greater worth weren't asked for, though the part kept for them was free (the test fails before: the third memo waits for the draft). Change: what doesn't fit blocks its own worth and less. With three classes the case is rare.

--- a/internal/admission/flow.go
+++ b/internal/admission/flow.go
@@ -128,31 +128,33 @@
 	}
 }
 
-// lanes says for which lengths of request there is no room.
+// lanes says for which requests there is no room: by length, all those worth no
+// more than one that didn't fit. One of greater worth may still, in the part of
+// each backend server that is kept for it.
 type lanes struct {
-	long, short bool
+	long, short float64
 }
 
-func (l lanes) blocked(long bool) bool {
+func (l lanes) blocked(long bool, worth float64) bool {
 	if long {
-		return l.long
+		return worth <= l.long
 	}
-	return l.short
+	return worth <= l.short
 }
 
-func (l *lanes) block(long bool) {
+func (l *lanes) block(long bool, worth float64) {
 	if long {
-		l.long = true
+		l.long = max(l.long, worth)
 		return
 	}
-	l.short = true
+	l.short = max(l.short, worth)
 }
 
 // best returns the head of the flow that is furthest behind its share.
 func (b *band) best(full lanes) *item {
 	var best *flow
 	for _, f := range b.active {
-		if full.blocked(f.key.long) {
+		if full.blocked(f.key.long, b.worth) {
 			continue
 		}
 		if best == nil || f.finish < best.finish || (f.finish == best.finish && f.first.seq < best.first.seq) {
--- a/internal/admission/model.go
+++ b/internal/admission/model.go
@@ -121,7 +121,7 @@
 		if fits(it.request) {
 			return it
 		}
-		full.block(it.long)
+		full.block(it.long, it.worth)
 	}
 }
 
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -245,7 +245,8 @@
 // Next returns the request to place now: the one of highest worth, within the
 // weighted shares, among models for which fits finds room. It also returns
 // requests that can't be answered in time any more, which are refused. fits is
-// asked at most twice a model: for long and for short requests.
+// asked once a model for long and for short requests, and once more for each
+// lesser class whose credit is due and that doesn't fit.
 func (q *Queue) Next(now time.Time, fits func(Request) bool) (Request, []Eviction, bool) {
 	expired := q.Expire(now)
 	var idle *modelQueue
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -104,6 +104,27 @@
 	t.Fatal("the draft starves")
 }
 
+// The drafts have saved their credit, but there is only the room that is kept
+// for the top class. A memo must not wait until a draft fits.
+func TestCreditThatDoesNotFitDoesNotHoldBackTheTopClass(t *testing.T) {
+	q := New(twoClasses())
+	mustQueue(t, q, start, request("draft", "audit", "draft", 10))
+	for i := range 100 {
+		mustQueue(t, q, start, request(fmt.Sprint("memo", i), "audit", "memo", 100))
+	}
+	asked := 0
+	top := func(r Request) bool {
+		asked++
+		return r.Class == "memo"
+	}
+	for i := range 100 {
+		r, _, ok := q.Next(start, top)
+		assert.Assert(t, ok, "after %d", i)
+		assert.Equal(t, r.Class, "memo")
+	}
+	assert.Assert(t, asked <= 200)
+}
+
 // One large workspace sends nine requests for each one of a small workspace,
 // both of equal worth. The small one's juniors wait behind the large one's
 // backlog if requests are served in the order they came.
