Tests of decisions under load that five changes survived

Change: tests of each; the one of long requests had passed by another rule, the one of a popular prefix asked too little, the one of late reports was covered by the entry's own work.

--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -147,6 +147,28 @@
 	assert.Equal(t, small, 50)
 }
 
+// A workspace was idle all night while another was served. It must get its
+// share from now on and not all that it left unused.
+func TestIdleWorkspaceSavesNothingUp(t *testing.T) {
+	q := New(twoClasses())
+	for i := range 200 {
+		mustQueue(t, q, start, request(fmt.Sprint("busy", i), "busy", "memo", 10))
+	}
+	for range 100 {
+		takeNext(t, q, start)
+	}
+	for i := range 100 {
+		mustQueue(t, q, start, request(fmt.Sprint("idle", i), "idle", "memo", 10))
+	}
+	served := 0
+	for range 40 {
+		if takeNext(t, q, start).Workspace == "busy" {
+			served++
+		}
+	}
+	assert.Assert(t, served >= 19 && served <= 21, "%d of 40", served)
+}
+
 // A long draft waits for a group with much free room. Lookups of the same
 // workspace and class would fit now, but stand behind it in one list.
 func TestShortIsNotStuckBehindLong(t *testing.T) {
--- a/internal/placement/picker_test.go
+++ b/internal/placement/picker_test.go
@@ -74,13 +74,14 @@
 // group would queue them while nine stand idle.
 func TestPopularPrefixDoesNotOverloadItsTarget(t *testing.T) {
 	p := picker(10)
-	for i := range 100 {
+	for i := range 60 {
 		c := mustPick(t, p, start, Request{Tokens: 900, Prefix: []uint64{42}})
 		assert.Assert(t, c.Reason != ReasonNoRoom)
 		p.Started(start, fmt.Sprint(i), c.ID, 900)
 	}
+	mean := p.pools["m"].mean()
 	for _, x := range p.targets {
-		assert.Assert(t, x.load <= x.limit, "%s holds %v", x.ID, x.load)
+		assert.Assert(t, x.load/x.limit <= loadBound*mean+0.1, "%s holds %v", x.ID, x.load)
 	}
 }
 
@@ -120,8 +121,9 @@
 	p := picker(1)
 	p.Started(at(100*time.Millisecond), "counted", "g000", 4000)
 	p.Started(at(600*time.Millisecond), "unseen", "g000", 5000)
-	p.Report(at(time.Second), "g000", Load{Running: 1, TokensInFlight: 4000, At: at(500 * time.Millisecond)})
-	assert.Equal(t, p.targets["g000"].load, 9000.0)
+	p.Report(at(time.Second), "g000", Load{Running: 1, TokensInFlight: 4500, At: at(500 * time.Millisecond)})
+	// The others hold an eighth as much and are taken to have sent as much more.
+	assert.Equal(t, p.targets["g000"].load, 4500+5000*1.125)
 	assert.Assert(t, !p.HasRoom(at(time.Second), "m", 2000, 0))
 	p.Finished(at(time.Second), "unseen", Result{OK: true})
 	assert.Assert(t, p.HasRoom(at(time.Second), "m", 2000, 0))
@@ -153,6 +155,17 @@
 	assert.Assert(t, limit() > low*1.5)
 }
 
+// A group takes all it is given without a queue, but its callers wait 100 ms for
+// each token, over the users' 62 ms. More work would slow all of them.
+func TestLimitFallsWhenTokensComeTooSlowly(t *testing.T) {
+	p := picker(1)
+	for i := range 3 {
+		now := at(time.Duration(2*i+1) * time.Second)
+		p.Report(now, "g000", Load{Running: 40, TokensInFlight: 9000, TokensPerSecond: 400, At: now})
+	}
+	assert.Assert(t, p.targets["g000"].limit < 8000)
+}
+
 // Two entries share a group and one begins with twice the limit. Both see the
 // same reports; the limits must meet, or one entry's callers are refused while
 // the other's are served.
@@ -177,10 +190,23 @@
 func TestLongRequestsLeaveRoomForShortOnes(t *testing.T) {
 	p := picker(1)
 	p.Started(start, "long", "g000", 5000)
+	p.Progress(start, "long", 1)
 	assert.Assert(t, !p.HasRoom(start, "m", 4200, 0))
 	assert.Assert(t, p.HasRoom(start, "m", 3000, 0))
 }
 
+// Drafts come together. Lookups placed behind their prompts would wait for all
+// of them, so each server computes one at a time.
+func TestOneLongPromptAtATime(t *testing.T) {
+	p := New(Options{DataCentre: "dc"})
+	p.SetTargets(start, []Target{{ID: "g", DataCentre: "dc", Model: "m", Capacity: 100000}})
+	p.Started(start, "first", "g", 5000)
+	assert.Assert(t, !p.HasRoom(start, "m", 5000, 0))
+	assert.Assert(t, p.HasRoom(start, "m", 500, 0))
+	p.Progress(start, "first", 1)
+	assert.Assert(t, p.HasRoom(start, "m", 5000, 0))
+}
+
 func TestReserveKeepsRoomForGreaterWorth(t *testing.T) {
 	p := picker(1)
 	p.Started(start, "a", "g000", 4000)
