--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -89,6 +89,42 @@
 	assert.Assert(t, drafts >= 2000*4/100 && drafts <= 2000*6/100, "%d drafts of 2000", drafts)
 }
 
+// The waiting draft is larger than all that a class may usually save up. If its
+// credit stopped short of its size, it would wait for ever.
+func TestFloorShareReachesTheLargestRequest(t *testing.T) {
+	q := New(twoClasses())
+	mustQueue(t, q, start, request("draft", "audit", "draft", 10*DefaultLongTokens))
+	for i := range 100 * 10 {
+		mustQueue(t, q, start, request(fmt.Sprint("memo", i), "audit", "memo", DefaultLongTokens/4))
+		if takeNext(t, q, start).ID == "draft" {
+			assert.Assert(t, i >= 20*10*4-1, "after %d", i)
+			return
+		}
+	}
+	t.Fatal("the draft starves")
+}
+
+// The drafts have saved their credit, but there is only the room that is kept
+// for the top class. A memo must not wait until a draft fits.
+func TestCreditThatDoesNotFitDoesNotHoldBackTheTopClass(t *testing.T) {
+	q := New(twoClasses())
+	mustQueue(t, q, start, request("draft", "audit", "draft", 10))
+	for i := range 100 {
+		mustQueue(t, q, start, request(fmt.Sprint("memo", i), "audit", "memo", 100))
+	}
+	asked := 0
+	top := func(r Request) bool {
+		asked++
+		return r.Class == "memo"
+	}
+	for i := range 100 {
+		r, _, ok := q.Next(start, top)
+		assert.Assert(t, ok, "after %d", i)
+		assert.Equal(t, r.Class, "memo")
+	}
+	assert.Assert(t, asked <= 200)
+}
+
 // One large workspace sends nine requests for each one of a small workspace,
 // both of equal worth. The small one's juniors wait behind the large one's
 // backlog if requests are served in the order they came.
@@ -111,6 +147,28 @@
 	assert.Equal(t, small, 50)
 }
 
+// A workspace was idle all night while another was served. It must get its
+// share from now on and not all that it left unused.
+func TestIdleWorkspaceSavesNothingUp(t *testing.T) {
+	q := New(twoClasses())
+	for i := range 200 {
+		mustQueue(t, q, start, request(fmt.Sprint("busy", i), "busy", "memo", 10))
+	}
+	for range 100 {
+		takeNext(t, q, start)
+	}
+	for i := range 100 {
+		mustQueue(t, q, start, request(fmt.Sprint("idle", i), "idle", "memo", 10))
+	}
+	served := 0
+	for range 40 {
+		if takeNext(t, q, start).Workspace == "busy" {
+			served++
+		}
+	}
+	assert.Assert(t, served >= 19 && served <= 21, "%d of 40", served)
+}
+
 // A long draft waits for a group with much free room. Lookups of the same
 // workspace and class would fit now, but stand behind it in one list.
 func TestShortIsNotStuckBehindLong(t *testing.T) {
