--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -23,6 +24,8 @@
 	minuteMillis    = 60_000
 )
 
+var logLevels = []string{"debug", "info", "warn", "error"}
+
 var namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$`)
 
 // checker notes the faults of settings that have the right types.
@@ -38,8 +41,8 @@
 	s.checkEntry(c)
 	s.checkControl(c)
 	s.checkPeers(c)
-	if level := s.Log.Level; !c.Has("log.level") && !oneOf(level, "debug", "info", "warn", "error") {
-		c.Fault("log.level", quoted(level), "debug, info, warn or error")
+	if level := s.Log.Level; !c.Has("log.level") && !slices.Contains(logLevels, level) {
+		c.Fault("log.level", quoted(level), strings.Join(logLevels, ", "))
 	}
 }
 
@@ -153,13 +156,4 @@
 		strconv.FormatInt(low, 10)+" to "+strconv.FormatInt(high, 10))
 }
 
-func oneOf(value string, allowed ...string) bool {
-	for _, a := range allowed {
-		if value == a {
-			return true
-		}
-	}
-	return false
-}
-
 func quoted(value string) string { return "\"" + strings.ToValidUTF8(value, "?") + "\"" }
--- a/internal/tomlfile/decode.go
+++ b/internal/tomlfile/decode.go
@@ -1,9 +1,10 @@
 package tomlfile
 
 import (
+	"maps"
 	"math"
 	"reflect"
-	"sort"
+	"slices"
 	"strings"
 
 	"github.com/juju/errors"
@@ -191,11 +192,4 @@
 	return fields
 }
 
-func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
-	for key := range m {
-		keys = append(keys, key)
-	}
-	sort.Strings(keys)
-	return keys
-}
+func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
--- a/internal/tool/docs_test.go
+++ b/internal/tool/docs_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"testing"
 
@@ -69,7 +70,7 @@
 		positional, err := parse(set, words[2:])
 		assert.NilError(t, err, "%s: %s", page, line)
 		if subcommands := firstWords(c.arguments); len(subcommands) > 0 && len(positional) > 0 {
-			assert.Assert(t, contains(subcommands, positional[0]), "%s: %s", page, line)
+			assert.Assert(t, slices.Contains(subcommands, positional[0]), "%s: %s", page, line)
 		}
 		return
 	}
--- a/internal/tool/drain.go
+++ b/internal/tool/drain.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"slices"
 	"strings"
 	"time"
 
@@ -89,7 +90,7 @@
 		change = blackboard.ConfigChange{DrainGroups: []string{target.name}}
 		drained, known = current.DrainedGroups, append(sortedKeys(current.Groups), replicaIDs(s)...)
 	}
-	if !contains(known, target.name) && !drained[target.name] {
+	if !slices.Contains(known, target.name) && !drained[target.name] {
 		return notFound(target.kind, target.name, strings.Join(known, ", "))
 	}
 	if drained[target.name] && f.changeID == "" {
--- a/internal/tool/examples_test.go
+++ b/internal/tool/examples_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -47,7 +48,7 @@
 				control = s.Peers.Control
 			}
 			assert.DeepEqual(t, s.Peers.Control, control)
-			assert.Equal(t, s.Control.Enabled, contains(control, s.Peers.Advertise), path)
+			assert.Equal(t, s.Control.Enabled, slices.Contains(control, s.Peers.Advertise), path)
 		}
 		assert.Equal(t, len(control), settings.DefaultVoters, folder)
 	}
--- a/internal/tool/plan.go
+++ b/internal/tool/plan.go
@@ -2,8 +2,9 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"reflect"
-	"sort"
+	"slices"
 
 	"github.com/citronstep/citronstep/internal/blackboard"
 )
@@ -140,11 +141,4 @@
 	return merged
 }
 
-func sortedKeys[V any](m map[string]V) []string {
-	keys := make([]string, 0, len(m))
-	for key := range m {
-		keys = append(keys, key)
-	}
-	sort.Strings(keys)
-	return keys
-}
+func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
--- a/internal/tool/status.go
+++ b/internal/tool/status.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -63,7 +64,7 @@
 	if err := i.want(0); err != nil {
 		return err
 	}
-	if only != "" && !contains(sectionNames(), only) {
+	if only != "" && !slices.Contains(sectionNames(), only) {
 		return usagef("section %q: want one of %s", only, strings.Join(sectionNames(), ", "))
 	}
 	s, err := i.status()
@@ -233,12 +234,3 @@
 func decimal(n uint64) string { return strconv.FormatUint(n, 10) }
 
 func seconds(s float64) string { return fmt.Sprintf("%.1fs", s) }
-
-func contains(list []string, s string) bool {
-	for _, x := range list {
-		if x == s {
-			return true
-		}
-	}
-	return false
-}
