--- a/internal/tool/fake_test.go
+++ b/internal/tool/fake_test.go
@@ -135,13 +135,20 @@
 	answer(w, reply)
 }
 
-func (f *fakeAdmin) nextEvents(w http.ResponseWriter, _ *http.Request) {
+func (f *fakeAdmin) nextEvents(w http.ResponseWriter, r *http.Request) {
 	if len(f.events) == 0 {
 		failure.Write(w, failure.New(failure.TypeNotFound, "no more events"))
 		return
 	}
-	answer(w, f.events[0])
+	after, _ := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	batch := adminapi.Events{Leader: f.events[0].Leader}
+	for _, e := range f.events[0].Events {
+		if e.Sequence > after {
+			batch.Events = append(batch.Events, e)
+		}
+	}
 	f.events = f.events[1:]
+	answer(w, batch)
 }
 
 // result is what one run of the tool gave.
