init waits until all control processes hold the state; process tests of the tool

Cause: a cluster is founded on one control process and the others join after it. A test that killed the leader right after init found the other two unfounded: what had been accepted was on one lost disk. Ruled out: founding on a majority at once in the tool, which only the daemon could do. Now init waits for as many voters as admin addresses were given, and 'not founded' from one address is final only when all say so.

New in test/tool, as processes: a drain under load with exact checks, six operators under one revision, a change across the loss of the leader. Before: TestChangeAcrossTheLossOfTheLeader failed (exit 1, not_founded). After: go test -race ./test/tool ok in 24 s, ./internal/tool ok.

--- a/internal/tool/apply.go
+++ b/internal/tool/apply.go
@@ -2,6 +2,8 @@
 
 import (
 	"flag"
+	"fmt"
+	"time"
 
 	"github.com/google/uuid"
 	"github.com/juju/errors"
@@ -16,14 +18,17 @@
 		name:    "init",
 		summary: "Found the cluster, once in its life",
 		details: `Founds the cluster that the control processes in peers.control make up. Run it
-once, after the control processes have started with empty data folders. It is
-safe to run again: a founded cluster is left as it is.
+once, after the control processes have started with empty data folders, and name
+the admin addresses of all of them: it waits until that many hold the state, since
+until then the loss of one disk could lose it. It is safe to run again: a founded
+cluster is left as it is.
 
 Example: citronstep init -configuration configuration.toml
 `,
 		setup: func(set *flag.FlagSet) func(*invocation) error {
 			path := set.String("configuration", "", "configuration document to start with")
-			return func(i *invocation) error { return i.found(*path) }
+			wait := set.Duration("wait", defaultJoinWait, "how long to wait until as many control processes as there are addresses hold the state; 0 returns once it is founded")
+			return func(i *invocation) error { return i.found(*path, *wait) }
 		},
 	}
 }
@@ -35,7 +40,11 @@
 	ConfigRevision uint64 `json:"config_revision"`
 }
 
-func (i *invocation) found(path string) error {
+// defaultJoinWait is how long init waits for the other control processes:
+// each copies a small snapshot and is promoted, one after the other.
+const defaultJoinWait = time.Minute
+
+func (i *invocation) found(path string, wait time.Duration) error {
 	if err := i.want(0); err != nil {
 		return err
 	}
@@ -59,6 +68,9 @@
 	if err != nil {
 		return errors.Annotate(err, "founded as "+reply.ClusterID+", but its configuration could not be read")
 	}
+	if err := i.awaitVoters(wait, len(i.admin.addresses)); err != nil {
+		return errors.Trace(err)
+	}
 	result := initResult{ClusterID: reply.ClusterID, FoundedAlready: before.Founded, ConfigRevision: current.Revision}
 	if i.json {
 		return i.printJSON(result)
@@ -71,6 +83,27 @@
 	return nil
 }
 
+// awaitVoters waits until wanted replicas vote. A cluster is founded with one
+// voter; until the others have joined, what it accepts is on one disk.
+func (i *invocation) awaitVoters(wait time.Duration, wanted int) error {
+	if wait <= 0 {
+		return nil
+	}
+	return i.await(wait, func() (bool, string, error) {
+		s, err := i.status()
+		if err != nil {
+			return false, "", err
+		}
+		voting := 0
+		for _, r := range s.Replicas {
+			if r.Role != roleLearner {
+				voting++
+			}
+		}
+		return voting >= wanted, fmt.Sprintf("founded; %d of %d control processes hold the state", voting, wanted), nil
+	})
+}
+
 func initialChange(path string) (blackboard.ConfigChange, error) {
 	d, err := loadDocument(path)
 	if err != nil {
--- a/internal/tool/client.go
+++ b/internal/tool/client.go
@@ -63,14 +63,10 @@
 func (c *client) call(ctx context.Context, method, path string, body []byte, into any, changeID string) error {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	var last error
 	for {
-		for _, address := range c.addresses {
-			err := c.try(ctx, method, address, path, body, into)
-			if err == nil || !worthAnotherTry(err) {
-				return err
-			}
-			last = err
+		last := c.round(ctx, method, path, body, into)
+		if last == nil || !worthAnotherTry(last) {
+			return last
 		}
 		select {
 		case <-ctx.Done():
@@ -80,6 +76,25 @@
 	}
 }
 
+// round tries each address once, up to a final answer.
+//
+// "Not founded" is final only when every address says it: a control process
+// that has not joined yet does not know the cluster that the others form.
+func (c *client) round(ctx context.Context, method, path string, body []byte, into any) error {
+	var last error
+	for _, address := range c.addresses {
+		err := c.try(ctx, method, address, path, body, into)
+		unfounded := failure.Is(err, failure.TypeNotFounded)
+		if err == nil || (!unfounded && !worthAnotherTry(err)) {
+			return err
+		}
+		if last == nil || !unfounded {
+			last = err
+		}
+	}
+	return last
+}
+
 // worthAnotherTry tells a final answer from one that another address, or the
 // same one a little later, may better. An address that answers "unavailable"
 // may be a control process cut off from the leader.
--- a/internal/tool/status.go
+++ b/internal/tool/status.go
@@ -14,8 +14,12 @@
 	"github.com/citronstep/citronstep/internal/failure"
 )
 
-// roleLeader is the role of the one control process that decides.
-const roleLeader = "leader"
+// The roles of a control process that matter here: the one that decides, and
+// one whose copy does not count yet.
+const (
+	roleLeader  = "leader"
+	roleLearner = "learner"
+)
 
 func statusCommand() command {
 	return command{
--- a/internal/tool/tool_test.go
+++ b/internal/tool/tool_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
@@ -13,6 +15,7 @@
 
 	"github.com/citronstep/citronstep/internal/adminapi"
 	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/failure"
 )
 
 const configurationDocument = `
@@ -328,3 +331,34 @@
 		assert.Assert(t, r.out != "")
 	}
 }
+
+// A cluster is founded on one control process; the others join a moment later.
+// An operator who goes on at once, and whose first VM dies then, has lost what
+// was accepted. init returns only when all that were named hold the state.
+func TestInitWaitsForTheOtherControlProcesses(t *testing.T) {
+	f := newFakeAdmin(t)
+	both := f.address() + "," + f.address()
+	r := runTool(both, "init", "-wait", "10ms")
+	assert.Equal(t, r.code, ExitUnfinished)
+	assert.Assert(t, is.Contains(r.err, "1 of 2 control processes hold the state"))
+	f.set(func() {
+		f.onStatus = func(s *adminapi.Status) {
+			s.Replicas = append(s.Replicas, adminapi.Replica{ID: "2", Role: "voter"})
+		}
+	})
+	assert.Equal(t, runTool(both, "init").code, ExitOK)
+}
+
+// One control process has not joined yet and answers "not founded"; the next
+// one has. The tool must ask on, and give up at once where all say so.
+func TestNotFoundedIsFinalOnlyFromAll(t *testing.T) {
+	stranger := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		failure.Write(w, failure.New(failure.TypeNotFounded, "the cluster is not founded"))
+	}))
+	defer stranger.Close()
+	address := strings.TrimPrefix(stranger.URL, "http://")
+	f := newFakeAdmin(t)
+	f.must(t, ExitOK, "init")
+	assert.Equal(t, runTool(address+","+f.address(), "preset", "list").code, ExitOK)
+	assert.Equal(t, runTool(address+","+address, "preset", "list").code, ExitFailure)
+}
--- /dev/null
+++ b/test/tool/tool_test.go
@@ -0,0 +1,160 @@
+// Package tool tests the operators' tool as a process against the system as
+// processes.
+package tool
+
+import (
+	"encoding/json"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	is "gotest.tools/v3/assert/cmp"
+
+	"github.com/citronstep/citronstep/internal/adminapi"
+	"github.com/citronstep/citronstep/test/process/harness"
+)
+
+func TestMain(m *testing.M) { os.Exit(harness.Main(m)) }
+
+const (
+	exitOK       = 0
+	exitConflict = 3
+	exitNotFound = 4
+	// example is the document that the README founds a cluster with.
+	example = "../../examples/one-machine/configuration.toml"
+	exact   = "-exact"
+)
+
+// founded starts a cluster with the README's configuration and four engines.
+func founded(t *testing.T) *harness.Cluster {
+	t.Helper()
+	c := harness.NewCluster(t, harness.Standard())
+	must(t, c, exitOK, "init", "-configuration", example, "-timeout", "60s")
+	c.StartEngines(4, "engine", "rack-1", "-load-time", "50ms", "-token-interval", "2ms")
+	must(t, c, exitOK, "group", "wait", "demo", "-form-wait", "60s")
+	c.AwaitReady()
+	return c
+}
+
+func must(t *testing.T, c *harness.Cluster, want int, args ...string) string {
+	t.Helper()
+	out, status := c.Tool(args...)
+	assert.Equal(t, status, want, "citronstep %s: %s", strings.Join(args, " "), out)
+	return out
+}
+
+func configRevision(t *testing.T, c *harness.Cluster) uint64 {
+	t.Helper()
+	s, err := c.Status()
+	assert.NilError(t, err)
+	return s.ConfigRevision
+}
+
+func entries(c *harness.Cluster) string {
+	var all []string
+	for _, n := range c.Entries() {
+		all = append(all, n.Entry)
+	}
+	return strings.Join(all, ",")
+}
+
+// An operator's day: a preset, a document, and a VM taken out while callers
+// are at work. No caller may get anything but its whole answer, and the tool
+// may say "drained" only when the VM's row holds no group.
+func TestDrainUnderLoad(t *testing.T) {
+	c := founded(t)
+	must(t, c, exitOK, "diff", example)
+	must(t, c, exitOK, "preset", "use", "peak")
+	must(t, c, exitNotFound, "preset", "use", "festival")
+
+	var load sync.WaitGroup
+	load.Go(func() {
+		out, status := c.Tool("load", "-entries", entries(c), "-key", "dev", "-model", "demo", exact,
+			"-count", "300", "-concurrency", "4", "-max-tokens", "40", "-retries", "20")
+		assert.Check(t, is.Equal(status, exitOK), out)
+		assert.Check(t, is.Contains(out, "ok=300"), out)
+	})
+	out := must(t, c, exitOK, "drain", "vm", "engine-1")
+	assert.Assert(t, is.Contains(out, "vm engine-1 is drained"))
+	status := decodeStatus(t, must(t, c, exitOK, "status", "-json"))
+	for _, v := range status.VMs {
+		assert.Assert(t, v.ID != "engine-1" || v.Group == "", "engine-1 still holds %s", v.Group)
+	}
+	load.Wait()
+	must(t, c, exitOK, "undrain", "vm", "engine-1")
+	must(t, c, exitOK, "group", "wait", "demo", "-form-wait", "60s")
+}
+
+func decodeStatus(t *testing.T, text string) adminapi.Status {
+	t.Helper()
+	var s adminapi.Status
+	assert.NilError(t, json.Unmarshal([]byte(text), &s))
+	return s
+}
+
+// Six operators change the same group at the same moment, all having seen the
+// same revision. One wins; each of the others must be told, and nothing of
+// their changes may be applied.
+func TestRaceOfOperators(t *testing.T) {
+	c := harness.NewCluster(t, harness.Standard())
+	must(t, c, exitOK, "init", "-configuration", example, "-timeout", "60s")
+	before := configRevision(t, c)
+	const operators = 6
+	statuses := make([]int, operators)
+	var all sync.WaitGroup
+	for i := range operators {
+		all.Go(func() {
+			_, statuses[i] = c.Tool("group", "set", "demo", "-replicas", strconv.Itoa(10+i),
+				"-expect", strconv.FormatUint(before, 10), "-timeout", "60s", "-wait", "0")
+		})
+	}
+	all.Wait()
+	counts := map[int]int{}
+	for _, status := range statuses {
+		counts[status]++
+	}
+	assert.DeepEqual(t, counts, map[int]int{exitOK: 1, exitConflict: operators - 1})
+	assert.Equal(t, configRevision(t, c), before+1)
+}
+
+// The leader is killed while a change is on its way to it, so the answer may
+// be lost whether the change was accepted or not. The tool goes on under the
+// same change id with the next leader, and a later run with that id gets the
+// same answer: the change is in force once.
+func TestChangeAcrossTheLossOfTheLeader(t *testing.T) {
+	c := harness.NewCluster(t, harness.Standard())
+	must(t, c, exitOK, "init", "-configuration", example, "-timeout", "60s")
+	before := configRevision(t, c)
+	leader := leaderOf(t, c)
+
+	var change sync.WaitGroup
+	change.Go(func() {
+		out, status := c.Tool("preset", "use", "peak", "-change-id", "peak-1", "-timeout", "60s", "-wait", "60s")
+		assert.Check(t, is.Equal(status, exitOK), out)
+	})
+	leader.Kill()
+	change.Wait()
+	must(t, c, exitOK, "preset", "use", "peak", "-change-id", "peak-1", "-timeout", "60s", "-wait", "60s")
+	out := must(t, c, exitOK, "preset", "list", "-timeout", "60s")
+	assert.Assert(t, is.Contains(out, "peak      yes"))
+	status := decodeStatus(t, must(t, c, exitOK, "status", "-json", "-timeout", "60s"))
+	assert.Equal(t, status.ConfigRevision, before+1)
+}
+
+func leaderOf(t *testing.T, c *harness.Cluster) *harness.Node {
+	t.Helper()
+	name := ""
+	harness.Await(t, "a leader", func() bool {
+		s, err := c.Status()
+		for _, r := range s.Replicas {
+			if err == nil && r.Role == "leader" {
+				name = r.VM
+			}
+		}
+		return name != ""
+	})
+	return c.Node(name)
+}
