Harsher random runs; a damaged data folder is refused and left as it is

Change: election timeouts with little spread, clocks at the ends of their drift, slower callers, crashes right after a vote, leaders that crash in succession, a leader and one VM that stop hearing each other. Directed test for the promise after a restart and after stepping down.

--- a/internal/raft/directed_test.go
+++ b/internal/raft/directed_test.go
@@ -253,3 +253,38 @@
 	_, err = n.ProposeMembership(n.membership.Without(others[0]))
 	assert.Assert(t, errors.Is(err, ErrChangePending), "%v", err)
 }
+
+// Story: a leader answers reads by its lease while one follower can't hear it.
+// The other follower restarts, or the leader itself steps down on hearing of a
+// later term. Either has counted in the majority behind the lease, so if it
+// voted at once for the one that hears nothing, a second leader would write
+// while the lease still runs.
+func TestPromiseOutlastsRestartAndStepDown(t *testing.T) {
+	b := newBench(t, 3, 0)
+	n := b.leader()
+	b.pass(200 * time.Millisecond)
+	others := b.others(n)
+	deaf := others[0]
+	term := n.hard.Term + 1
+	last := n.log.last()
+	ask := func(to NodeID) Message {
+		return Message{
+			Type: MessageVote, Group: 1, From: deaf, To: to, Term: term, Index: last.Index, LogTerm: last.Term,
+		}
+	}
+	old := b.nodes[others[1]]
+	saved := Saved{HardState: old.hard, Entries: old.log.entries}
+	restarted, err := New(old.cfg, saved, b.now)
+	assert.NilError(t, err)
+	restarted.Step(b.now, ask(restarted.cfg.ID))
+	assert.Equal(t, restarted.hard, saved.HardState)
+
+	n.Step(b.now, Message{
+		Type: MessageAppendReply, Group: 1, From: deaf, To: n.cfg.ID, Term: term, Reject: true,
+	})
+	assert.Equal(t, n.role, RoleFollower)
+	n.Step(b.now, ask(n.cfg.ID))
+	assert.Equal(t, n.hard.Vote, NodeID(0))
+	n.Step(b.now+2*time.Second, ask(n.cfg.ID))
+	assert.Equal(t, n.hard.Vote, deaf)
+}
--- a/internal/raft/random_test.go
+++ b/internal/raft/random_test.go
@@ -118,6 +118,7 @@
 		return counts, "the group never became whole at the start\n" + w.String()
 	}
 	w.faults = drawFaults(w)
+	w.clients.pause = []int{simFastClients, 20, 200}[w.rng.IntN(3)]
 	for end := w.now + chaosTime; w.now < end; {
 		w.strike()
 		w.renewRemoved()
@@ -133,6 +134,7 @@
 		loss: chance(0.3), double: chance(0.2), slow: chance(0.2), slowSync: chance(0.2),
 		crash: chance(0.02), cut: chance(0.03), freeze: chance(0.02),
 		wipe: chance(0.02), remove: chance(0.005), transfer: chance(0.01),
+		voterCrash: chance(0.6), leaderCrash: chance(0.03), deafen: chance(0.05),
 	}
 }
 
@@ -152,6 +154,7 @@
 		return "the group did not become whole after the faults\n" + w.String()
 	}
 	before := w.clients.answers
+	w.clients.pause = simFastClients
 	w.until(healTime, func() bool { return w.clients.answers > before+20 })
 	if w.clients.answers <= before+20 {
 		return "callers get no answers after the faults\n" + w.String()
--- a/internal/raft/simulation_check_test.go
+++ b/internal/raft/simulation_check_test.go
@@ -68,15 +68,17 @@
 	c.complete(p, s)
 }
 
-// complete checks that a new leader holds every entry that was ever applied.
+// complete checks that a new leader holds every entry of an earlier term that
+// was ever applied. One that learns late that it won may follow another of a
+// later term, whose entries it lacks; it can commit nothing.
 func (c *simChecker) complete(p *simProcess, s Status) {
-	if s.LastIndex < c.lastCommitted {
-		c.fail("the leader of term %d lacks entry %d", s.Term, c.lastCommitted)
-	}
 	for index := s.FirstIndex; index <= c.lastCommitted; index++ {
-		term, _ := p.node.log.term(index)
-		if term != c.committed[index].Term {
-			c.fail("the leader of term %d has another entry %d", s.Term, index)
+		if c.committed[index].Term >= s.Term {
+			return
+		}
+		term, held := p.node.log.term(index)
+		if !held || term != c.committed[index].Term {
+			c.fail("the leader of term %d lacks entry %d", s.Term, index)
 		}
 	}
 }
--- a/internal/raft/simulation_clients_test.go
+++ b/internal/raft/simulation_clients_test.go
@@ -11,6 +11,7 @@
 const (
 	simClientCount = 3
 	simPatience    = 2 * simElectionTimeout
+	simFastClients = 4
 )
 
 // simOp is one call of a client.
@@ -42,12 +43,14 @@
 	value   int
 	nextID  uint64
 	history []porcupine.Operation
-	stopped bool
 	answers int
+	// pause is how many steps a client waits between calls, on average. With
+	// few writes a follower that is cut off stays electable for long.
+	pause int
 }
 
 func newSimClients(w *world) *simClients {
-	c := &simClients{w: w, current: make([]*simOp, simClientCount)}
+	c := &simClients{w: w, current: make([]*simOp, simClientCount), pause: simFastClients}
 	for range simClientCount {
 		c.names = append(c.names, c.next)
 		c.next++
@@ -59,7 +62,7 @@
 	for i := range c.current {
 		op := c.current[i]
 		if op == nil {
-			if !c.stopped && c.w.rng.IntN(5) == 0 {
+			if c.w.rng.IntN(c.pause) == 0 {
 				c.begin(i)
 			}
 			continue
--- a/internal/raft/simulation_faults_test.go
+++ b/internal/raft/simulation_faults_test.go
@@ -9,6 +9,12 @@
 func (w *world) strike() {
 	f := w.faults
 	vm := w.vms[w.rng.IntN(len(w.vms))]
+	if w.rng.Float64() < f.leaderCrash {
+		w.crashLeader()
+	}
+	if w.rng.Float64() < f.deafen {
+		w.deafen(vm)
+	}
 	switch {
 	case w.rng.Float64() < f.crash:
 		w.crash(vm)
@@ -29,6 +35,30 @@
 	}
 }
 
+// crashLeader ends a leader and starts it again at once: terms follow closely,
+// and each leaves entries behind that are not committed.
+func (w *world) crashLeader() {
+	for _, vm := range w.vms {
+		if vm.proc != nil && vm.proc.lead {
+			w.crash(vm)
+			vm.upAt = w.now
+			return
+		}
+	}
+}
+
+// deafen cuts a leader off from one other VM only: that one starts elections
+// among voters who still hear the leader.
+func (w *world) deafen(leader *simVM) {
+	if leader.proc == nil || !leader.proc.lead {
+		return
+	}
+	other := w.vms[w.rng.IntN(len(w.vms))]
+	until := w.now + w.duration(4*simElectionTimeout)
+	w.cut[[2]string{leader.name, other.name}] = until
+	w.cut[[2]string{other.name, leader.name}] = until
+}
+
 func (w *world) duration(limit time.Duration) time.Duration {
 	return time.Duration(w.rng.Int64N(int64(limit)))
 }
--- a/internal/raft/simulation_test.go
+++ b/internal/raft/simulation_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -92,8 +93,23 @@
 	loss, double, slow, slowSync float64
 	// crash, cut, freeze, wipe, remove and transfer are chances for each step.
 	crash, cut, freeze, wipe, remove, transfer float64
+	// voterCrash is the chance that a node crashes right after it voted, and
+	// leaderCrash the chance for each step that a leader does.
+	voterCrash, leaderCrash float64
+	// deafen is the chance for each step that a leader and one other VM stop
+	// hearing each other.
+	deafen float64
 }
 
+// eagerSource draws small numbers only.
+type eagerSource struct {
+	rand.Source
+	shift int
+}
+
+// Uint64 returns the next number.
+func (s eagerSource) Uint64() uint64 { return s.Source.Uint64() >> s.shift }
+
 // world is a whole simulated cluster under one seed.
 type world struct {
 	rng    *rand.Rand
@@ -105,11 +121,15 @@
 	cut map[[2]string]time.Duration
 	// lastLoss is when a disk was last lost.
 	lastLoss time.Duration
-	faults   simFaults
-	owner    map[NodeID]string
-	clients  *simClients
-	check    *simChecker
-	counts   map[string]int
+	// eager halves the spread of the election timeouts that often, so that
+	// nodes start elections just when they may, and against each other.
+	eager     int
+	tickEvery time.Duration
+	faults    simFaults
+	owner     map[NodeID]string
+	clients   *simClients
+	check     *simChecker
+	counts    map[string]int
 }
 
 func newWorld(seed uint64, vms, wanted int) *world {
@@ -123,10 +143,12 @@
 	}
 	w.check = newSimChecker(w)
 	w.clients = newSimClients(w)
+	w.eager = int(seed % 4 * 2)
+	w.tickEvery = time.Duration(1+seed%2*4) * simStep
 	for i := range vms {
 		vm := &simVM{
 			name:   string(rune('a' + i)),
-			rate:   1 + simClockDrift*(2*w.rng.Float64()-1),
+			rate:   w.clockRate(),
 			offset: time.Duration(w.rng.Int64N(int64(time.Hour))),
 		}
 		w.vms = append(w.vms, vm)
@@ -136,6 +158,15 @@
 	return w
 }
 
+// clockRate is any within the drift, or one of the extremes.
+func (w *world) clockRate() float64 {
+	drift := simClockDrift * (2*w.rng.Float64() - 1)
+	if w.rng.IntN(2) == 0 {
+		drift = math.Copysign(simClockDrift, drift)
+	}
+	return 1 + drift
+}
+
 func (vm *simVM) clock(now time.Duration) time.Duration {
 	return vm.offset + time.Duration(float64(now)*vm.rate)
 }
@@ -171,7 +202,7 @@
 	node, err := New(Config{
 		ID: p.id, Group: 1, ElectionTimeout: simElectionTimeout, HeartbeatInterval: simElectionTimeout / 10,
 		LeaseMargin: simElectionTimeout / 8, MaxBatchBytes: 256, MaxInflight: 64,
-		Rand: rand.New(rand.NewPCG(w.rng.Uint64(), 2)),
+		Rand: rand.New(eagerSource{rand.NewPCG(w.rng.Uint64(), 2), w.eager}),
 	}, saved, vm.clock(w.now))
 	if err != nil {
 		panic(err)
@@ -217,6 +248,9 @@
 			return
 		}
 		w.finish(p)
+		if p.vm.proc != p {
+			return
+		}
 	}
 	now := p.vm.clock(w.now)
 	// Messages, calls and ticks come in any order, also after a freeze.
@@ -241,7 +275,7 @@
 	if w.now < p.nextTick {
 		return
 	}
-	p.nextTick = w.now + 5*simStep
+	p.nextTick = w.now + w.tickEvery
 	p.node.Tick(now)
 	w.manage(p)
 }
@@ -263,6 +297,9 @@
 			return
 		}
 		w.finish(p)
+		if p.vm.proc != p {
+			return
+		}
 	}
 	w.publish(p)
 }
@@ -300,6 +337,11 @@
 	w.publish(p)
 	for _, m := range r.Messages {
 		w.send(m)
+		if m.Type == MessageVoteReply && !m.Reject && w.rng.Float64() < w.faults.voterCrash {
+			w.crash(p.vm)
+			p.vm.upAt = w.now
+			return
+		}
 	}
 	if r.Snapshot != nil {
 		p.restore(r.Snapshot.Data)
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -142,9 +142,11 @@
 	return nil
 }
 
-// load reads everything, and gives a new file its identity.
+// load reads everything, and gives a new file its identity. A file that is
+// not new is only read, so that a damaged one stays as it was found.
 func (w *WAL) load() error {
-	err := w.db.Update(func(tx *bolt.Tx) error {
+	fresh := false
+	err := w.db.View(func(tx *bolt.Tx) error {
 		info, err := os.Stat(w.path)
 		if err != nil {
 			return errors.Trace(err)
@@ -152,14 +154,17 @@
 		if info.Size() < tx.Size() {
 			return w.corrupt("file", "it is shorter than its header says")
 		}
-		if tx.Bucket(bucketMeta) != nil {
-			return nil
-		}
-		return w.initialise(tx)
+		fresh = tx.Bucket(bucketMeta) == nil
+		return nil
 	})
 	if err != nil {
 		return errors.Trace(err)
 	}
+	if fresh {
+		if err := w.db.Update(w.initialise); err != nil {
+			return errors.Trace(err)
+		}
+	}
 	return errors.Trace(w.db.View(w.readAll))
 }
 
