Replica under faults: frozen leader, refusals, removal, damaged folder

Cause: the driver around the step machine had tests of restart and lost disks only.

Change: tests with real nodes over loopback for a frozen and woken leader, a write that was not proposed, a lost quorum, refused foundings, a VM name in use, a removed member, a handover, strangers, and a damaged folder.

Found and mended, each by a test that failed first (TestRemovedReplicaStaysOut): RemoveMember failed while the leader was at a change of its own (it now waits for it); a removed node that was told so did not record it, because nothing followed in that step ("not within 30 s: it learns of its removal"); a learner that was removed never asked and so never learnt of it.

--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -9,11 +9,11 @@
 // leader that works.
 func (n *Node) startPreVote(forced bool) {
 	n.resetElection()
+	n.leader = 0
 	if n.removed || !n.membership.IsVoter(n.cfg.ID) {
 		return
 	}
 	n.role = RolePreCandidate
-	n.leader = 0
 	n.votes = map[NodeID]bool{n.cfg.ID: true}
 	if forced || n.votesWon() {
 		n.startElection(forced)
--- /dev/null
+++ b/internal/replica/faults_test.go
@@ -0,0 +1,233 @@
+package replica
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/citronstep/citronstep/internal/raft"
+	"github.com/citronstep/citronstep/internal/wal"
+)
+
+// freeze stops the node's goroutine, as SIGSTOP would, until thaw is called.
+// Messages pile up meanwhile and its clock goes on.
+func (h *host) freeze() (thaw func()) {
+	h.t.Helper()
+	frozen := make(chan struct{})
+	release := make(chan struct{})
+	n := h.node
+	go func() {
+		_ = n.do(context.Background(), func() {
+			close(frozen)
+			<-release
+		})
+	}()
+	<-frozen
+	return func() { close(release) }
+}
+
+func (c *cluster) otherLeader(than *host) *host {
+	c.t.Helper()
+	var found *host
+	eventually(c.t, "another leader", func() bool {
+		for _, h := range c.hosts {
+			if h != than && h.node != nil && h.node.LeaseRemaining() > 0 {
+				found = h
+				return true
+			}
+		}
+		return false
+	})
+	return found
+}
+
+// Story: the leader's process is stopped. Another is elected and takes a
+// write. The old one wakes and is asked to read at once, before it has seen a
+// single message: it must not answer with the value from before.
+func TestFrozenLeaderAnswersNobody(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	c.found(3)
+	c.put("k", "old")
+	old := c.leader()
+	thaw := old.freeze()
+	next := c.otherLeader(old)
+	_, err := next.node.Propose(within(t), command("k", "new"))
+	assert.NilError(t, err)
+
+	assert.Equal(t, old.node.LeaseRemaining(), time.Duration(0))
+	assert.Assert(t, !old.node.readByLease())
+	result := make(chan error, 2)
+	go func() { result <- old.node.ReadBarrier(within(t)) }()
+	go func() {
+		_, err := old.node.Propose(within(t), command("k", "stale"))
+		result <- err
+	}()
+	thaw()
+	for range 2 {
+		err := <-result
+		assert.Assert(t, err != nil, "the frozen leader answered")
+	}
+	assert.NilError(t, c.otherLeader(old).node.ReadBarrier(within(t)))
+	assert.Equal(t, next.machine.get("k"), "new")
+}
+
+// Story: a write's caller stops waiting while the leader hangs before it has
+// taken the write in. The caller is told that it was not proposed, and it
+// must then never take effect.
+func TestNotProposedNeverTakesEffect(t *testing.T) {
+	c := newCluster(t, 1, nil)
+	c.found(1)
+	leader := c.leader()
+	thaw := leader.freeze()
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	_, err := leader.node.Propose(ctx, command("k", "v"))
+	thaw()
+	assert.Assert(t, errors.Is(err, ErrNotProposed), "%v", err)
+	c.put("other", "v")
+	assert.Equal(t, leader.machine.get("k"), "")
+}
+
+// Story: the leader loses both peers after it appended a write. Its caller
+// must hear that the outcome is unknown, neither yes nor no.
+func TestLostQuorumLeavesTheOutcomeUnknown(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	c.found(3)
+	leader := c.leader()
+	for _, h := range c.hosts {
+		if h != leader {
+			h.kill()
+		}
+	}
+	_, err := leader.node.Propose(within(t), command("k", "v"))
+	assert.Assert(t, errors.Is(err, ErrOutcomeUnknown), "%v", err)
+	var notLeader *NotLeaderError
+	_, err = leader.node.Propose(within(t), command("k", "w"))
+	assert.Assert(t, errors.As(err, &notLeader), "%v", err)
+}
+
+// Story: an operator types the founding command on a node whose peer is down,
+// on one whose peer already has a cluster, and on two empty nodes at once. No
+// second cluster may come into being.
+func TestFoundingIsRefused(t *testing.T) {
+	c := newCluster(t, 2, nil)
+	c.hosts[1].kill()
+	err := c.hosts[0].node.Found(within(t))
+	assert.Assert(t, errors.Is(err, ErrPeerUnreachable), "%v", err)
+	c.hosts[1].open()
+
+	c.hosts[1].node.beginFounding()
+	err = c.hosts[0].node.Found(within(t))
+	assert.Assert(t, errors.Is(err, ErrAlreadyFounded), "%v", err)
+	c.hosts[1].node.endFounding()
+
+	c.found(2)
+	third := c.addHost()
+	third.opts.Peers = c.peers[1:]
+	third.opts.Voters = 3
+	third.open()
+	err = third.node.Found(within(t))
+	founded := third.node.Status().Founded
+	assert.Assert(t, founded || errors.Is(err, ErrAlreadyFounded), "%v", err)
+	eventually(t, "it joins the cluster that is there", func() bool {
+		return third.node.Status().Cluster == c.hosts[0].node.Status().Cluster
+	})
+}
+
+// Story: the settings of two VMs carry the same name. The second one must not
+// throw the first out of the cluster.
+func TestNameOfALiveVMIsRefused(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	c.found(3)
+	twin := c.addHost()
+	twin.opts.Peers = c.peers
+	twin.opts.VM = c.hosts[1].opts.VM
+	twin.open()
+	time.Sleep(3 * joinInterval)
+	assert.Assert(t, !twin.node.Status().Founded)
+	_, ok := c.member(c.hosts[1].node.Status().ID)
+	assert.Assert(t, ok)
+}
+
+// Story: an operator removes a VM that is alive. It learns so, and stays out
+// also after a restart.
+func TestRemovedReplicaStaysOut(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	c.found(3)
+	leader := c.leader()
+	var gone *host
+	for _, h := range c.hosts {
+		if h != leader {
+			gone = h
+		}
+	}
+	id := gone.node.Status().ID
+	assert.NilError(t, leader.node.RemoveMember(within(t), id))
+	eventually(t, "it learns of its removal", func() bool { return gone.node.Status().Removed })
+	_, err := gone.node.Propose(within(t), command("k", "v"))
+	assert.Assert(t, errors.Is(err, ErrRemoved), "%v", err)
+	gone.kill()
+	gone.open()
+	assert.Equal(t, gone.node.Status().Role, "removed")
+	err = c.leader().node.RemoveMember(within(t), id)
+	assert.Assert(t, errors.Is(err, ErrUnknownMember), "%v", err)
+}
+
+// Story: the leader stops gracefully. It hands over first, and writes go on
+// at the next one without an election timeout between.
+func TestHandover(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	c.found(3)
+	old := c.leader()
+	assert.NilError(t, old.node.TransferLeadership(within(t)))
+	assert.Equal(t, old.node.LeaseRemaining(), time.Duration(0))
+	c.put("k", "v")
+	assert.Assert(t, c.leader() != old)
+}
+
+// Story: a process that is none of ours, or of another cluster, sends
+// messages. Neither may reach the step machine.
+func TestStrangersAreRefused(t *testing.T) {
+	c := newCluster(t, 1, nil)
+	c.found(1)
+	response, err := http.Post(c.hosts[0].server.URL+PathPrefix+"Deliver", "application/json", bytes.NewBufferString("{}"))
+	assert.NilError(t, err)
+	assert.NilError(t, response.Body.Close())
+	assert.Equal(t, response.StatusCode, http.StatusUnauthorized)
+
+	other := newCluster(t, 1, nil)
+	other.found(1)
+	p := newPeer(other.hosts[0].node.transport, 1)
+	p.deliver([]raft.Message{{Type: raft.MessageHeartbeat}}, 0, c.hosts[0].opts.Address)
+	assert.Assert(t, p.failing)
+}
+
+// Story: a replica's file is damaged. The process says which file and what to
+// do; after the operator has done it, the VM joins again.
+func TestDamagedFolder(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	c.found(3)
+	c.put("k", "v")
+	h := c.hosts[2]
+	h.kill()
+	path := h.opts.Folder + "/" + wal.FileName
+	content, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	assert.NilError(t, os.WriteFile(path, content[:3*os.Getpagesize()], 0o600))
+	_, err = Open(h.opts)
+	var corrupt *wal.CorruptError
+	assert.Assert(t, errors.As(err, &corrupt), "%v", err)
+
+	h.loseDisk()
+	h.open()
+	eventually(t, "it votes again", func() bool {
+		m, ok := c.member(h.node.Status().ID)
+		return ok && !m.Learner && h.machine.get("k") == "v"
+	})
+}
--- a/internal/replica/found.go
+++ b/internal/replica/found.go
@@ -157,7 +157,13 @@
 	if n.identity.Removed || n.founding {
 		return false
 	}
-	listed, ok := n.view.status.Membership.Find(n.id)
+	status := n.view.status
+	listed, ok := status.Membership.Find(n.id)
+	// A learner starts no elections, so nobody tells it in that way that it
+	// was removed: one that misses its leader asks.
+	if listed.Learner && status.Leader == 0 {
+		return true
+	}
 	listed.Learner = false
 	return !ok || listed != n.self()
 }
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -90,6 +90,21 @@
 		}
 		return errors.Trace(&NotLeaderError{Leader: n.Status().Leader})
 	}
+	for {
+		err := n.removeOnce(ctx, id)
+		if !errors.Is(err, raft.ErrChangePending) && !errors.Is(err, raft.ErrNotReady) {
+			return errors.Trace(err)
+		}
+		// The leader is at another change of its own, which takes a moment.
+		select {
+		case <-ctx.Done():
+			return errors.Trace(err)
+		case <-time.After(n.opts.TickInterval):
+		}
+	}
+}
+
+func (n *Node) removeOnce(ctx context.Context, id raft.NodeID) error {
 	p := newProposal(nil)
 	err := n.do(ctx, func() {
 		p.taken.Store(true)
--- a/internal/replica/process.go
+++ b/internal/replica/process.go
@@ -21,7 +21,7 @@
 		r := n.core.Ready()
 		if r.Empty() {
 			n.publish()
-			return nil
+			return errors.Trace(n.noteRemoval())
 		}
 		if err := n.carryOut(r); err != nil {
 			return errors.Trace(err)
@@ -45,9 +45,6 @@
 	if err := n.compact(); err != nil {
 		return errors.Trace(err)
 	}
-	if err := n.noteRemoval(); err != nil {
-		return errors.Trace(err)
-	}
 	// Published before the answers leave: a read that starts after a write
 	// was answered must see that write's index.
 	n.publish()
