A candidate that did not win tries again sooner

The long cases: a first pre-vote comes a moment before the voters' promises end, or against another, and the candidate then waited for a whole new election timeout.

Ruled out: a shorter election timeout, because a slow sync or one silent connection must fit into it; voting before the promise ends, because leases rest on it.

Change: a candidate that did not win tries again after a quarter to a half of the election timeout.

--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -1,6 +1,8 @@
 package raft
 
 import (
+	"time"
+
 	"github.com/citronstep/citronstep/internal/invariant"
 )
 
@@ -14,6 +16,7 @@
 		return
 	}
 	n.role = RolePreCandidate
+	n.scheduleRetry()
 	n.votes = map[NodeID]bool{n.cfg.ID: true}
 	if forced || n.votesWon() {
 		n.startElection(forced)
@@ -22,13 +25,25 @@
 	n.askForVotes(MessagePreVote, n.hard.Term+1, false)
 }
 
+// retryParts is the part of the election timeout after which a candidate that
+// did not win tries again, at the earliest; at the latest it is twice that. A
+// first try often comes a moment before the voters' promises end, or against
+// another candidate's. A quarter is many round trips, and the wait for a whole
+// timeout more would double the time without a leader.
+const retryParts = 4
+
+func (n *Node) scheduleRetry() {
+	least := n.cfg.ElectionTimeout / retryParts
+	n.electionDue = n.now + least + time.Duration(n.cfg.Rand.Int64N(int64(least)))
+}
+
 func (n *Node) startElection(forced bool) {
 	n.hard.Term++
 	n.hard.Vote = n.cfg.ID
 	n.role = RoleCandidate
 	n.leader = 0
 	n.votes = map[NodeID]bool{n.cfg.ID: true}
-	n.resetElection()
+	n.scheduleRetry()
 	if n.votesWon() {
 		n.becomeLeader()
 		return
--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -71,7 +71,7 @@
 // host is one VM of a test: an address that outlives the node, a data folder
 // and a clock that can be frozen.
 type host struct {
-	t       *testing.T
+	t       testing.TB
 	opts    Options
 	server  *httptest.Server
 	handler atomic.Pointer[http.Handler]
@@ -80,7 +80,7 @@
 }
 
 type cluster struct {
-	t     *testing.T
+	t     testing.TB
 	hosts []*host
 	peers []string
 	edit  func(*Options)
@@ -92,7 +92,7 @@
 const testSecret = "between-processes"
 
 // newCluster starts count hosts without a cluster.
-func newCluster(t *testing.T, count int, edit func(*Options)) *cluster {
+func newCluster(t testing.TB, count int, edit func(*Options)) *cluster {
 	t.Helper()
 	c := &cluster{t: t, edit: edit}
 	for range count {
@@ -168,7 +168,7 @@
 	assert.NilError(h.t, os.RemoveAll(h.opts.Folder))
 }
 
-func within(t *testing.T) context.Context {
+func within(t testing.TB) context.Context {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	t.Cleanup(cancel)
@@ -176,7 +176,7 @@
 }
 
 // eventually waits until ok holds.
-func eventually(t *testing.T, what string, ok func() bool) {
+func eventually(t testing.TB, what string, ok func() bool) {
 	t.Helper()
 	deadline := time.Now().Add(30 * time.Second)
 	for !ok() {
