--- a/internal/entry/completion.go
+++ b/internal/entry/completion.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 
 	"github.com/juju/errors"
@@ -93,10 +94,20 @@
 	}
 	j.prefix = backend.PrefixBlocks(j.prompt)
 	j.extra = extraFields(data)
-	j.body = fingerprint(d.path, string(data))
+	j.body = completionFingerprint(j, d)
 	return &r, nil
 }
 
+// completionFingerprint hashes what was asked. How the caller wants it sent is
+// left out, so that a resend may ask for a stream where the first did not.
+func completionFingerprint(j *job, d dialect) string {
+	extra, err := json.Marshal(j.extra)
+	if err != nil {
+		return ""
+	}
+	return fingerprint(d.path, j.model, j.prompt, strconv.Itoa(j.maxTokens), string(extra))
+}
+
 // extraFields returns the fields of the body that the entry does not use.
 func extraFields(data []byte) map[string]json.RawMessage {
 	var all map[string]json.RawMessage
--- /dev/null
+++ b/internal/entry/home.go
@@ -0,0 +1,288 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/juju/errors"
+
+	"github.com/citronstep/citronstep/internal/failure"
+	"github.com/citronstep/citronstep/internal/rpc/noderpc"
+)
+
+// Times of asking a key's home and holder.
+const (
+	// homeTimeout bounds the question to the home. Past it the request runs
+	// here, as if nobody held its key.
+	homeTimeout = 300 * time.Millisecond
+	// holderGap is how long a holder's stream may be silent; the holder sends
+	// a line at least every holderBeat.
+	holderGap  = 2 * time.Second
+	holderBeat = 500 * time.Millisecond
+	// holderTries bounds how often a request that loses its holder asks again.
+	holderTries = 3
+)
+
+// attached tells whether the job got its answer from the entry that holds its
+// key. Otherwise this entry is the holder and the job runs here.
+func (s *Server) attached(j *job) (bool, *failure.Error) {
+	if j.key == "" || j.nonIdempotent {
+		return false, nil
+	}
+	for range holderTries {
+		reply, err := s.hold(j)
+		if err != nil {
+			_ = level.Info(s.o.Logger).Log("event", "home_unreachable", "request", j.id, "err", err)
+			j.begun = true
+			return false, nil
+		}
+		j.begun = j.begun || reply.Begun
+		switch {
+		case reply.Reused:
+			return false, failure.New(failure.TypeKeyReused, "the idempotency key belongs to another request").WithRan(failure.RanNo)
+		case reply.Holder == s.o.ID:
+			j.holds = true
+			return false, nil
+		}
+		_ = level.Info(s.o.Logger).Log("event", "attach", "request", j.id, "to", reply.Holder, "reason", "holds the idempotency key")
+		if done, e := s.readHolder(j, reply.Holder); done {
+			return true, e
+		}
+		s.forsake(j, reply.Holder)
+	}
+	return false, nil
+}
+
+// hold asks the home of the job's key. An entry that is its own home asks
+// itself.
+func (s *Server) hold(j *job) (*noderpc.HoldReply, error) {
+	r := &noderpc.HoldRequest{
+		ClusterId: s.o.Follower.Board().ClusterID, Key: j.key, Body: j.body, Entry: s.o.ID,
+		LifetimeMs: (time.Until(j.deadline) + keptFor).Milliseconds(),
+	}
+	client, err := s.home(j.key)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	ctx, cancel := context.WithTimeout(j.ctx, homeTimeout)
+	defer cancel()
+	reply, err := client.Hold(ctx, r)
+	return reply, errors.Trace(err)
+}
+
+// release tells the home how the run ended. A resend that comes before the
+// home knows attaches here and finds the same.
+func (s *Server) release(j *job, whole, begun bool) {
+	if !j.holds {
+		return
+	}
+	client, err := s.home(j.key)
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), homeTimeout)
+	defer cancel()
+	// If this fails the key stays held until its lifetime ends, and resends
+	// attach to this entry.
+	_, _ = client.Release(ctx, &noderpc.ReleaseRequest{
+		ClusterId: s.o.Follower.Board().ClusterID, Key: j.key, Entry: s.o.ID, Whole: whole, Begun: begun,
+	})
+}
+
+// forsake frees a key whose holder could not be read.
+func (s *Server) forsake(j *job, holder string) {
+	client, err := s.home(j.key)
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(j.ctx, homeTimeout)
+	defer cancel()
+	_, _ = client.Release(ctx, &noderpc.ReleaseRequest{
+		ClusterId: s.o.Follower.Board().ClusterID, Key: j.key, Entry: holder, Begun: true,
+	})
+}
+
+// ErrNoHome is returned when no entry is registered.
+const ErrNoHome = errors.ConstError("no entry is registered")
+
+func (s *Server) home(key string) (noderpc.Entries, error) {
+	entries := s.o.Follower.Board().Entries
+	id := homeOf(key, entries)
+	if id == "" {
+		return nil, errors.Trace(ErrNoHome)
+	}
+	if id == s.o.ID {
+		return localHome{s}, nil
+	}
+	return noderpc.NewEntriesProtobufClient("http://"+entries[id].PeerAddress, s.o.Peers), nil
+}
+
+// localHome is this entry as the home of a key.
+type localHome struct{ s *Server }
+
+// Digest is not served here; hearing serves it.
+func (h localHome) Digest(context.Context, *noderpc.DigestRequest) (*noderpc.DigestReply, error) {
+	return &noderpc.DigestReply{}, nil
+}
+
+// Hold answers the question who holds a key.
+func (h localHome) Hold(_ context.Context, r *noderpc.HoldRequest) (*noderpc.HoldReply, error) {
+	h.s.holdersMu.Lock()
+	defer h.s.holdersMu.Unlock()
+	got := h.s.holders.hold(time.Now(), r.Key, r.Body, r.Entry, time.Duration(r.LifetimeMs)*time.Millisecond)
+	return &noderpc.HoldReply{Holder: got.entry, Reused: got.reused, Begun: got.begun}, nil
+}
+
+// Release notes how a holder's run ended.
+func (h localHome) Release(_ context.Context, r *noderpc.ReleaseRequest) (*noderpc.ReleaseReply, error) {
+	h.s.holdersMu.Lock()
+	defer h.s.holdersMu.Unlock()
+	h.s.holders.release(time.Now(), r.Key, r.Entry, r.Whole, r.Begun)
+	return &noderpc.ReleaseReply{}, nil
+}
+
+// Home returns what this entry serves to its peers as the home of keys.
+func (s *Server) Home() HomeService { return localHome{s} }
+
+// HomeService is the part of the entries' protocol that homes serve.
+type HomeService interface {
+	Hold(context.Context, *noderpc.HoldRequest) (*noderpc.HoldReply, error)
+	Release(context.Context, *noderpc.ReleaseRequest) (*noderpc.ReleaseReply, error)
+}
+
+// PathAnswers is where an entry gives its peers the answer of a key.
+const PathAnswers = "/entry/v1/answers"
+
+// part is one line of an answer as one entry gives it to another. An empty
+// part says that the holder is at work.
+type part struct {
+	// At is the position of the first of Tokens.
+	At     int            `json:"at,omitempty"`
+	Tokens []string       `json:"tokens,omitempty"`
+	End    bool           `json:"end,omitempty"`
+	Finish string         `json:"finish,omitempty"`
+	Failed *failure.Error `json:"failed,omitempty"`
+	// RetryAfterMillis goes with Failed.
+	RetryAfterMillis int64         `json:"retry_after_ms,omitempty"`
+	Service          *servicedPart `json:"service,omitempty"`
+}
+
+// servicedPart is a plain service's whole answer.
+type servicedPart struct {
+	Status int         `json:"status"`
+	Header http.Header `json:"header"`
+	Body   []byte      `json:"body"`
+}
+
+// ServeAnswers gives a peer the answer of a key that is held here, from the
+// start and as it grows.
+func (s *Server) ServeAnswers(w http.ResponseWriter, r *http.Request) {
+	j, ok := s.running.attach(r.URL.Query().Get("key"))
+	if !ok {
+		failure.Write(w, failure.New(failure.TypeNotFound, "the key is not held here"))
+		return
+	}
+	defer s.leave(j)
+	encoder := json.NewEncoder(w)
+	for from := 0; ; {
+		ctx, cancel := context.WithTimeout(r.Context(), holderBeat)
+		p, err := j.answer.wait(ctx, from)
+		cancel()
+		if r.Context().Err() != nil {
+			return
+		}
+		line := part{}
+		if err == nil {
+			line = partOf(j, p, from)
+		}
+		if encoder.Encode(line) != nil || line.End || line.Failed != nil {
+			return
+		}
+		from += len(p.tokens)
+		_ = http.NewResponseController(w).Flush()
+	}
+}
+
+func partOf(j *job, p progress, from int) part {
+	line := part{At: from, Tokens: p.tokens, Finish: p.finish, Failed: p.failed}
+	line.End = p.done && p.failed == nil
+	if p.failed != nil {
+		line.RetryAfterMillis = p.failed.RetryAfter.Milliseconds()
+	}
+	if line.End && j.service != nil {
+		line.Service = &servicedPart{Status: j.service.status, Header: j.service.header, Body: j.service.body}
+	}
+	return line
+}
+
+// readHolder reads the answer from the entry that holds the key. It returns
+// false when the holder was lost before the end; the tokens read so far stay
+// and the job goes on from there.
+func (s *Server) readHolder(j *job, holder string) (bool, *failure.Error) {
+	entry, ok := s.o.Follower.Board().Entries[holder]
+	if !ok {
+		return false, nil
+	}
+	w := newWatchdog(j.ctx, patience{header: holderGap, firstToken: holderGap, gap: holderGap})
+	defer w.stop()
+	address := "http://" + entry.PeerAddress + PathAnswers + "?key=" + url.QueryEscape(j.key)
+	request, err := http.NewRequestWithContext(w.ctx, http.MethodGet, address, nil)
+	if err != nil {
+		return false, nil
+	}
+	response, err := s.o.Peers.Do(request)
+	if err != nil {
+		return false, nil
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK {
+		return false, nil
+	}
+	return readParts(w, j, response)
+}
+
+// maxPart bounds one line of a peer's answer: a plain service's whole answer
+// in base64, and its header.
+const maxPart = 2 * maxServiceAnswer
+
+func readParts(w *watchdog, j *job, response *http.Response) (bool, *failure.Error) {
+	lines := bufio.NewScanner(response.Body)
+	lines.Buffer(nil, maxPart)
+	for lines.Scan() {
+		w.progress(true)
+		var p part
+		if err := json.Unmarshal(lines.Bytes(), &p); err != nil {
+			return false, nil
+		}
+		j.takePart(p)
+		if p.Failed != nil {
+			p.Failed.RetryAfter = time.Duration(p.RetryAfterMillis) * time.Millisecond
+			return true, p.Failed
+		}
+		if p.End {
+			return true, nil
+		}
+	}
+	return false, nil
+}
+
+// takePart adds the tokens that the job does not have yet: it may have read
+// some from a holder before.
+func (j *job) takePart(p part) {
+	for i, text := range p.Tokens {
+		if p.At+i == j.answer.length() {
+			j.answer.append(text)
+		}
+	}
+	if p.End {
+		j.finish = p.Finish
+	}
+	if p.Service != nil {
+		j.service.status, j.service.header, j.service.body = p.Service.Status, p.Service.Header, p.Service.Body
+	}
+}
--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -64,6 +64,9 @@
 	answer *answer
 	// finish is the finish reason of a whole answer.
 	finish string
+	// holds says that this entry is the holder of the job's key; begun that
+	// an earlier run of the key may have begun.
+	holds, begun bool
 	// claimed says that this job holds its key's at-most-once record.
 	claimed bool
 	ctx     context.Context
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -114,6 +114,17 @@
 	return j, nil
 }
 
+// attach returns the keyed job that runs or ran here, counted in as a reader.
+func (r *running) attach(key string) (*job, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	j, ok := r.jobs[key]
+	if ok {
+		j.answer.attach()
+	}
+	return j, ok
+}
+
 // leave counts the job out. Its answer is kept for resends when it is whole;
 // a failure is not, so that a resend runs anew.
 func (r *running) leave(j *job) {
@@ -263,6 +274,7 @@
 	if j.claimed {
 		s.settle(j, e, mayHaveRun)
 	}
+	go s.release(j, e == nil, e != nil && e.Ran != failure.RanNo)
 	s.meter(j, e)
 	if e != nil {
 		c := *e
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -39,8 +39,7 @@
 func (s *Server) answerCompletion(c echo.Context, j *job, d dialect, stream bool) error {
 	running, e := s.start(j, s.runCompletion)
 	if e != nil {
-		e.RequestID = j.id
-		return e
+		return j.refusedAtDoor(e)
 	}
 	defer s.leave(running)
 	ctx, cancel := context.WithDeadline(c.Request().Context(), j.deadline)
@@ -51,6 +50,17 @@
 	return s.relayWhole(ctx, c, running, d)
 }
 
+// refusedAtDoor completes a refusal given before it was asked whether an
+// earlier send of the same key ran: with a key, "not run" could be false.
+func (j *job) refusedAtDoor(e *failure.Error) *failure.Error {
+	c := *e
+	c.RequestID = j.id
+	if j.key != "" && c.Type != failure.TypeKeyReused {
+		c.Ran = failure.RanUnknown
+	}
+	return &c
+}
+
 func (s *Server) relayWhole(ctx context.Context, c echo.Context, j *job, d dialect) error {
 	text, p, err := j.answer.whole(ctx)
 	if err != nil {
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -65,10 +65,14 @@
 		s.finish(j, e, false)
 		return
 	}
+	if done, e := s.attached(j); done || e != nil {
+		s.finish(j, e, false)
+		return
+	}
 	g, e := s.dispatcher.enter(j)
 	j.queued = time.Since(j.arrived)
 	if e != nil {
-		s.finish(j, e, false)
+		s.finish(j, withRan(e, j.begun), false)
 		return
 	}
 	began := time.Now()
@@ -85,7 +89,7 @@
 	if s.o.Follower.Board().Suspects[j.body].Crashes > 0 {
 		j.suspect = true
 	}
-	begun := false
+	begun := j.begun
 	for {
 		if j.suspect {
 			g = s.alone(j, g)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -47,6 +47,8 @@
 	Control    Committer
 	Logger     log.Logger
 	Metrics    *metrics.Entry
+	// Peers calls the other entries, with the secret between our processes.
+	Peers *http.Client
 }
 
 // Server is the entry role of one process.
@@ -55,7 +57,10 @@
 	dispatcher *dispatcher
 	running    *running
 	isolation  *isolation
-	keys       keyIndex
+	// holders is what this entry knows as the home of keys.
+	holdersMu sync.Mutex
+	holders   *holders
+	keys      keyIndex
 	// boardChanged wakes the routes' loop.
 	boardChanged chan struct{}
 	// open are the routes of the last look, for the log alone.
@@ -78,6 +83,7 @@
 		o:            o,
 		running:      newRunning(),
 		isolation:    newIsolation(),
+		holders:      newHolders(),
 		boardChanged: make(chan struct{}, 1),
 		open:         make(map[string]route),
 	}
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -102,8 +102,7 @@
 func (s *Server) answerService(c echo.Context, j *job) error {
 	running, e := s.start(j, s.runService)
 	if e != nil {
-		e.RequestID = j.id
-		return e
+		return j.refusedAtDoor(e)
 	}
 	defer s.leave(running)
 	ctx, cancel := context.WithDeadline(c.Request().Context(), j.deadline)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,6 +11,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/juju/errors"
+	"github.com/twitchtv/twirp"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/citronstep/citronstep/internal/auth"
@@ -200,7 +201,7 @@
 	if e.Enabled {
 		n.entry = entry.NewServer(entry.Options{
 			ID: n.settings.VM, DataCentre: n.settings.DataCentre, Settings: e, Follower: n.follower, Hearing: n.hearing,
-			Client: n.backends, Control: client, Logger: n.decisions("entry"), Metrics: n.metrics.Entry(),
+			Client: n.backends, Control: client, Logger: n.decisions("entry"), Metrics: n.metrics.Entry(), Peers: &http.Client{Transport: n.peers.Transport},
 		})
 	}
 	if n.replica != nil {
@@ -275,9 +276,12 @@
 // peersHandler serves the system's own processes.
 func (n *Node) peersHandler() http.Handler {
 	mux := http.NewServeMux()
-	entries := noderpc.NewEntriesServer(n.hearing)
+	entries := noderpc.NewEntriesServer(n.entriesService())
 	mux.Handle(entries.PathPrefix(), entries)
 	mux.Handle(metrics.Path, n.metrics.Handler())
+	if n.entry != nil {
+		mux.HandleFunc(entry.PathAnswers, n.entry.ServeAnswers)
+	}
 	if n.control != nil {
 		board := noderpc.NewBoardServer(n.control)
 		mux.Handle(board.PathPrefix(), board)
@@ -294,6 +298,32 @@
 	return whole
 }
 
+// entriesService joins what hearing and entry serve to other entries.
+type entriesService struct {
+	*hearing.Hearing
+	entry.HomeService
+}
+
+func (n *Node) entriesService() noderpc.Entries {
+	if n.entry == nil {
+		return entriesService{n.hearing, noHome{}}
+	}
+	return entriesService{n.hearing, n.entry.Home()}
+}
+
+// noHome refuses to be the home of keys on a process without the entry role.
+type noHome struct{}
+
+// Hold refuses.
+func (noHome) Hold(context.Context, *noderpc.HoldRequest) (*noderpc.HoldReply, error) {
+	return nil, twirp.NotFound.Error("no entry role here")
+}
+
+// Release refuses.
+func (noHome) Release(context.Context, *noderpc.ReleaseRequest) (*noderpc.ReleaseReply, error) {
+	return nil, twirp.NotFound.Error("no entry role here")
+}
+
 // ErrReplicaFailed ends a process whose consensus replica can't go on, such as
 // after a failed sync. The platform starts it again.
 const ErrReplicaFailed = errors.ConstError("the consensus replica has failed")
--- a/internal/rpc/noderpc/node.twirp.go
+++ b/internal/rpc/noderpc/node.twirp.go
@@ -816,6 +816,13 @@
 	// Digest returns what the entry heard of backend servers itself, after the
 	// cursor that an earlier answer gave.
 	Digest(context.Context, *DigestRequest) (*DigestReply, error)
+
+	// Hold asks the home entry of an idempotency key which entry runs the
+	// request, and makes the caller the holder when none does.
+	Hold(context.Context, *HoldRequest) (*HoldReply, error)
+
+	// Release tells the home entry how the holder's run ended.
+	Release(context.Context, *ReleaseRequest) (*ReleaseReply, error)
 }
 
 // =======================
@@ -824,7 +831,7 @@
 
 type entriesProtobufClient struct {
 	client      HTTPClient
-	urls        [1]string
+	urls        [3]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -852,8 +859,10 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "citronstep.node", "Entries")
-	urls := [1]string{
+	urls := [3]string{
 		serviceURL + "Digest",
+		serviceURL + "Hold",
+		serviceURL + "Release",
 	}
 
 	return &entriesProtobufClient{
@@ -910,13 +919,105 @@
 	return out, nil
 }
 
+func (c *entriesProtobufClient) Hold(ctx context.Context, in *HoldRequest) (*HoldReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "citronstep.node")
+	ctx = ctxsetters.WithServiceName(ctx, "Entries")
+	ctx = ctxsetters.WithMethodName(ctx, "Hold")
+	caller := c.callHold
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *HoldRequest) (*HoldReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*HoldRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*HoldRequest) when calling interceptor")
+					}
+					return c.callHold(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*HoldReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*HoldReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *entriesProtobufClient) callHold(ctx context.Context, in *HoldRequest) (*HoldReply, error) {
+	out := new(HoldReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *entriesProtobufClient) Release(ctx context.Context, in *ReleaseRequest) (*ReleaseReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "citronstep.node")
+	ctx = ctxsetters.WithServiceName(ctx, "Entries")
+	ctx = ctxsetters.WithMethodName(ctx, "Release")
+	caller := c.callRelease
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ReleaseRequest) (*ReleaseReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ReleaseRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ReleaseRequest) when calling interceptor")
+					}
+					return c.callRelease(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ReleaseReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ReleaseReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *entriesProtobufClient) callRelease(ctx context.Context, in *ReleaseRequest) (*ReleaseReply, error) {
+	out := new(ReleaseReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ===================
 // Entries JSON Client
 // ===================
 
 type entriesJSONClient struct {
 	client      HTTPClient
-	urls        [1]string
+	urls        [3]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -944,8 +1045,10 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "citronstep.node", "Entries")
-	urls := [1]string{
+	urls := [3]string{
 		serviceURL + "Digest",
+		serviceURL + "Hold",
+		serviceURL + "Release",
 	}
 
 	return &entriesJSONClient{
@@ -1002,6 +1105,98 @@
 	return out, nil
 }
 
+func (c *entriesJSONClient) Hold(ctx context.Context, in *HoldRequest) (*HoldReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "citronstep.node")
+	ctx = ctxsetters.WithServiceName(ctx, "Entries")
+	ctx = ctxsetters.WithMethodName(ctx, "Hold")
+	caller := c.callHold
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *HoldRequest) (*HoldReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*HoldRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*HoldRequest) when calling interceptor")
+					}
+					return c.callHold(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*HoldReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*HoldReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *entriesJSONClient) callHold(ctx context.Context, in *HoldRequest) (*HoldReply, error) {
+	out := new(HoldReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *entriesJSONClient) Release(ctx context.Context, in *ReleaseRequest) (*ReleaseReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "citronstep.node")
+	ctx = ctxsetters.WithServiceName(ctx, "Entries")
+	ctx = ctxsetters.WithMethodName(ctx, "Release")
+	caller := c.callRelease
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ReleaseRequest) (*ReleaseReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ReleaseRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ReleaseRequest) when calling interceptor")
+					}
+					return c.callRelease(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ReleaseReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ReleaseReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *entriesJSONClient) callRelease(ctx context.Context, in *ReleaseRequest) (*ReleaseReply, error) {
+	out := new(ReleaseReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ======================
 // Entries Server Handler
 // ======================
@@ -1102,6 +1297,12 @@
 	case "Digest":
 		s.serveDigest(ctx, resp, req)
 		return
+	case "Hold":
+		s.serveHold(ctx, resp, req)
+		return
+	case "Release":
+		s.serveRelease(ctx, resp, req)
+		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
 		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
@@ -1289,6 +1490,366 @@
 	callResponseSent(ctx, s.hooks)
 }
 
+func (s *entriesServer) serveHold(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveHoldJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveHoldProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *entriesServer) serveHoldJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Hold")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(HoldRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Entries.Hold
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *HoldRequest) (*HoldReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*HoldRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*HoldRequest) when calling interceptor")
+					}
+					return s.Entries.Hold(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*HoldReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*HoldReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *HoldReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *HoldReply and nil error while calling Hold. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *entriesServer) serveHoldProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Hold")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(HoldRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Entries.Hold
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *HoldRequest) (*HoldReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*HoldRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*HoldRequest) when calling interceptor")
+					}
+					return s.Entries.Hold(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*HoldReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*HoldReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *HoldReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *HoldReply and nil error while calling Hold. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *entriesServer) serveRelease(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveReleaseJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveReleaseProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *entriesServer) serveReleaseJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Release")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(ReleaseRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Entries.Release
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ReleaseRequest) (*ReleaseReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ReleaseRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ReleaseRequest) when calling interceptor")
+					}
+					return s.Entries.Release(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ReleaseReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ReleaseReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ReleaseReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ReleaseReply and nil error while calling Release. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *entriesServer) serveReleaseProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Release")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(ReleaseRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Entries.Release
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ReleaseRequest) (*ReleaseReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ReleaseRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ReleaseRequest) when calling interceptor")
+					}
+					return s.Entries.Release(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ReleaseReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ReleaseReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ReleaseReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ReleaseReply and nil error while calling Release. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
 func (s *entriesServer) ServiceDescriptor() ([]byte, int) {
 	return twirpFileDescriptor0, 1
 }
@@ -1870,43 +2431,53 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 605 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x8c, 0x54, 0x5f, 0x6f, 0xd3, 0x3e,
-	0x14, 0xfd, 0xa5, 0x7f, 0x92, 0xed, 0xb6, 0xdd, 0xf6, 0x33, 0x68, 0x84, 0xc1, 0xa0, 0x14, 0x4d,
-	0x9a, 0x78, 0xe8, 0x44, 0x11, 0xe2, 0x79, 0xeb, 0x86, 0xd8, 0x43, 0x99, 0x30, 0x0f, 0x48, 0xbc,
-	0x44, 0x5e, 0x72, 0xb7, 0x5a, 0x4a, 0xec, 0x60, 0x3b, 0x43, 0x93, 0x78, 0xe5, 0x1b, 0xf0, 0xd5,
-	0xf8, 0x3e, 0xc8, 0x8e, 0xb3, 0x75, 0xac, 0x13, 0x7b, 0xaa, 0xcf, 0x39, 0x57, 0xf7, 0x9e, 0x7b,
-	0xec, 0x06, 0x88, 0x90, 0x19, 0xaa, 0x32, 0xdd, 0xb3, 0xbf, 0xe3, 0x52, 0x49, 0x23, 0xc9, 0x7a,
-	0xca, 0x8d, 0x92, 0x42, 0x1b, 0x2c, 0xc7, 0x96, 0x1e, 0xfd, 0x6c, 0x41, 0xff, 0x0b, 0x33, 0xe9,
-	0x9c, 0xe2, 0xb7, 0x0a, 0xb5, 0x21, 0xdb, 0x00, 0x69, 0x5e, 0x69, 0x83, 0x2a, 0xe1, 0x59, 0x1c,
-	0x0c, 0x83, 0xdd, 0x55, 0xba, 0xea, 0x99, 0xe3, 0x8c, 0x3c, 0x86, 0x15, 0x14, 0x46, 0x5d, 0x5a,
-	0xb1, 0xe5, 0xc4, 0xc8, 0xe1, 0xe3, 0x8c, 0xc4, 0x10, 0xb1, 0x2c, 0x53, 0xa8, 0x75, 0xdc, 0xae,
-	0x15, 0x0f, 0xc9, 0x73, 0xe8, 0x65, 0xcc, 0xb0, 0x24, 0xb5, 0xa5, 0x18, 0x77, 0x9c, 0x0a, 0x96,
-	0x9a, 0x3a, 0x86, 0xbc, 0x84, 0xc1, 0x9c, 0x5d, 0x60, 0xa2, 0xf0, 0x82, 0x6b, 0x2e, 0x45, 0xdc,
-	0x1d, 0x06, 0xbb, 0x1d, 0xda, 0xb7, 0x24, 0xf5, 0x9c, 0xed, 0xe2, 0x8a, 0x52, 0x29, 0xce, 0xf8,
-	0x79, 0x1c, 0xba, 0x12, 0xb0, 0xd4, 0xd4, 0x31, 0xe4, 0x11, 0x44, 0xdf, 0x19, 0x37, 0x49, 0xa1,
-	0xe3, 0x68, 0x18, 0xec, 0xb6, 0x69, 0x68, 0xe1, 0x4c, 0x93, 0x17, 0xd0, 0x2f, 0x11, 0x55, 0xd2,
-	0xd8, 0x5b, 0x71, 0x06, 0x7a, 0x96, 0xdb, 0xaf, 0xa9, 0xd1, 0xef, 0x00, 0xc0, 0xe7, 0x50, 0xe6,
-	0x97, 0xff, 0x4a, 0x61, 0x0b, 0x56, 0xae, 0xac, 0xb6, 0x9c, 0x8f, 0x2b, 0x6c, 0x35, 0x2d, 0x58,
-	0xa9, 0xe7, 0xd2, 0xb8, 0x1c, 0xfa, 0xf4, 0x0a, 0x5b, 0x2d, 0x95, 0x45, 0xc1, 0x44, 0xa6, 0xe3,
-	0xce, 0xb0, 0x6d, 0xb5, 0x06, 0xdb, 0x64, 0x73, 0x64, 0x1a, 0xad, 0xfd, 0xae, 0xb3, 0x1f, 0x39,
-	0x3c, 0xd3, 0x84, 0x40, 0xc7, 0xa0, 0x2a, 0xfc, 0xca, 0xee, 0x4c, 0x76, 0x60, 0x2d, 0x47, 0x96,
-	0x2d, 0x6c, 0x15, 0x39, 0x97, 0x83, 0x9a, 0x6d, 0xf6, 0xfa, 0x01, 0x83, 0xa9, 0x2c, 0x0a, 0x6e,
-	0xee, 0x79, 0xbf, 0x13, 0x88, 0x0a, 0x96, 0xce, 0xb9, 0x40, 0xb7, 0xd8, 0xda, 0x24, 0x1e, 0xff,
-	0xf5, 0x64, 0xc6, 0xb3, 0x5a, 0xa7, 0x4d, 0xa1, 0xbd, 0x78, 0xbf, 0x85, 0x5f, 0xb8, 0x81, 0xa3,
-	0x1d, 0xe8, 0x35, 0xd3, 0x6d, 0xaa, 0x9b, 0x10, 0x2a, 0xd4, 0x55, 0x6e, 0xdc, 0xdc, 0x3e, 0xf5,
-	0x68, 0x24, 0x60, 0x70, 0xc8, 0xcf, 0x51, 0xdf, 0xd7, 0xe4, 0x26, 0x84, 0x5a, 0x56, 0x2a, 0x45,
-	0xff, 0x04, 0x3d, 0x22, 0x1b, 0xd0, 0x56, 0x95, 0x70, 0x26, 0x3a, 0xd4, 0x1e, 0xc9, 0x43, 0xe8,
-	0xb2, 0x33, 0x83, 0xca, 0xbd, 0xb9, 0x0e, 0xad, 0xc1, 0x08, 0xa1, 0xd7, 0xcc, 0xf3, 0xb6, 0x7c,
-	0xbb, 0x60, 0x59, 0xbb, 0xd6, 0x75, 0xbb, 0x4d, 0x08, 0xd3, 0x4a, 0x69, 0xa9, 0xfc, 0x0c, 0x8f,
-	0xec, 0x98, 0x9c, 0x0b, 0xd4, 0x6e, 0x4c, 0x9f, 0xd6, 0xe0, 0xd5, 0x6b, 0x88, 0x7c, 0x56, 0xe4,
-	0x7f, 0x18, 0xcc, 0xf6, 0xa7, 0x1f, 0x8e, 0x3f, 0x1e, 0x25, 0x07, 0x27, 0xfb, 0xf4, 0x70, 0xe3,
-	0x3f, 0xf2, 0x00, 0xd6, 0x1b, 0x8a, 0x1e, 0x4d, 0x4f, 0xe8, 0xe1, 0xe7, 0x8d, 0x60, 0xf2, 0x2b,
-	0x80, 0xee, 0x81, 0x64, 0x2a, 0x23, 0x53, 0xe8, 0xba, 0xf7, 0x48, 0xb6, 0x6f, 0x5d, 0xc0, 0xe2,
-	0xff, 0x75, 0xeb, 0xc9, 0x5d, 0xb2, 0xdd, 0xec, 0x3d, 0x84, 0x75, 0xfe, 0xe4, 0xd9, 0xad, 0xb2,
-	0x1b, 0xcf, 0x62, 0xeb, 0xe9, 0x9d, 0x7a, 0x99, 0x5f, 0x4e, 0x3e, 0x41, 0x74, 0x24, 0x8c, 0xe2,
-	0xa8, 0x6d, 0xcb, 0x3a, 0xbb, 0x25, 0x2d, 0x6f, 0x5c, 0xe2, 0x92, 0x96, 0x0b, 0xa1, 0x1f, 0xbc,
-	0xfb, 0xfa, 0xf6, 0x9c, 0x9b, 0x79, 0x75, 0x3a, 0x4e, 0x65, 0xb1, 0x77, 0x5d, 0xb9, 0x78, 0xe4,
-	0xc2, 0xa0, 0x12, 0x2c, 0xdf, 0x6b, 0xbe, 0x62, 0xaa, 0x4c, 0x4f, 0x43, 0xf7, 0x25, 0x7b, 0xf3,
-	0x27, 0x00, 0x00, 0xff, 0xff, 0x68, 0xf7, 0x96, 0x47, 0xdf, 0x04, 0x00, 0x00,
+	// 764 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x9c, 0x55, 0x4d, 0x6f, 0xdb, 0x38,
+	0x10, 0x5d, 0xf9, 0x4b, 0xce, 0xf8, 0x23, 0x59, 0x6e, 0x90, 0xd5, 0x7a, 0x37, 0x1b, 0xaf, 0x16,
+	0x01, 0x82, 0x1e, 0x1c, 0xd4, 0x45, 0xd1, 0x6b, 0x13, 0x27, 0x45, 0x7c, 0x70, 0x83, 0xb2, 0x87,
+	0x02, 0xbd, 0x18, 0xb2, 0x34, 0xb1, 0x85, 0x4a, 0xa2, 0x4a, 0x52, 0x09, 0x0c, 0xf4, 0x56, 0xf4,
+	0xd0, 0x7b, 0xff, 0x5a, 0xaf, 0xfd, 0x2d, 0x05, 0x29, 0xca, 0x51, 0xea, 0x18, 0x0d, 0x7a, 0x32,
+	0xdf, 0x9b, 0xc1, 0xcc, 0x9b, 0xe1, 0xa3, 0x05, 0x24, 0x61, 0x01, 0xf2, 0xd4, 0x3f, 0x56, 0xbf,
+	0x83, 0x94, 0x33, 0xc9, 0xc8, 0xb6, 0x1f, 0x4a, 0xce, 0x12, 0x21, 0x31, 0x1d, 0x28, 0xda, 0xfd,
+	0x54, 0x81, 0xf6, 0x1b, 0x4f, 0xfa, 0x0b, 0x8a, 0xef, 0x33, 0x14, 0x92, 0xec, 0x03, 0xf8, 0x51,
+	0x26, 0x24, 0xf2, 0x69, 0x18, 0x38, 0x56, 0xdf, 0x3a, 0xda, 0xa2, 0x5b, 0x86, 0x19, 0x07, 0xe4,
+	0x2f, 0x68, 0x62, 0x22, 0xf9, 0x52, 0x05, 0x2b, 0x3a, 0x68, 0x6b, 0x3c, 0x0e, 0x88, 0x03, 0xb6,
+	0x17, 0x04, 0x1c, 0x85, 0x70, 0xaa, 0x79, 0xc4, 0x40, 0x72, 0x00, 0xad, 0xc0, 0x93, 0xde, 0xd4,
+	0x57, 0xa9, 0xe8, 0xd4, 0x74, 0x14, 0x14, 0x35, 0xd2, 0x0c, 0xf9, 0x1f, 0x3a, 0x0b, 0xef, 0x1a,
+	0xa7, 0x1c, 0xaf, 0x43, 0x11, 0xb2, 0xc4, 0xa9, 0xf7, 0xad, 0xa3, 0x1a, 0x6d, 0x2b, 0x92, 0x1a,
+	0x4e, 0x55, 0xd1, 0x49, 0x3e, 0x4b, 0xae, 0xc2, 0xb9, 0xd3, 0xd0, 0x29, 0xa0, 0xa8, 0x91, 0x66,
+	0xc8, 0x9f, 0x60, 0xdf, 0x78, 0xa1, 0x9c, 0xc6, 0xc2, 0xb1, 0xfb, 0xd6, 0x51, 0x95, 0x36, 0x14,
+	0x9c, 0x08, 0xf2, 0x1f, 0xb4, 0x53, 0x44, 0x3e, 0x2d, 0xe4, 0x35, 0xb5, 0x80, 0x96, 0xe2, 0x4e,
+	0x72, 0xca, 0xfd, 0x6a, 0x01, 0x98, 0x3d, 0xa4, 0xd1, 0xf2, 0x67, 0x5b, 0xe8, 0x41, 0x73, 0x25,
+	0xb5, 0xa2, 0x75, 0xac, 0xb0, 0x8a, 0x89, 0xc4, 0x4b, 0xc5, 0x82, 0x49, 0xbd, 0x87, 0x36, 0x5d,
+	0x61, 0x15, 0xf3, 0x59, 0x1c, 0x7b, 0x49, 0x20, 0x9c, 0x5a, 0xbf, 0xaa, 0x62, 0x05, 0x56, 0x9b,
+	0x8d, 0xd0, 0x13, 0xa8, 0xe4, 0xd7, 0xb5, 0x7c, 0x5b, 0xe3, 0x89, 0x20, 0x04, 0x6a, 0x12, 0x79,
+	0x6c, 0x46, 0xd6, 0x67, 0x72, 0x08, 0xdd, 0x08, 0xbd, 0xa0, 0x34, 0x95, 0xad, 0x55, 0x76, 0x72,
+	0xb6, 0x98, 0xeb, 0x03, 0x74, 0x46, 0x2c, 0x8e, 0x43, 0xf9, 0xc0, 0xfb, 0x1d, 0x82, 0x1d, 0x7b,
+	0xfe, 0x22, 0x4c, 0x50, 0x0f, 0xd6, 0x1d, 0x3a, 0x83, 0x1f, 0x2c, 0x33, 0x98, 0xe4, 0x71, 0x5a,
+	0x24, 0xaa, 0x8b, 0x37, 0x53, 0x98, 0x81, 0x0b, 0xe8, 0x1e, 0x42, 0xab, 0xe8, 0xae, 0xb6, 0xba,
+	0x07, 0x0d, 0x8e, 0x22, 0x8b, 0xa4, 0xee, 0xdb, 0xa6, 0x06, 0xb9, 0x9f, 0x2d, 0x68, 0x5d, 0xb0,
+	0x28, 0x78, 0xa0, 0xc6, 0x1d, 0xa8, 0xbe, 0xc3, 0xa5, 0xb1, 0x9f, 0x3a, 0xaa, 0x05, 0xcd, 0x58,
+	0xb0, 0x34, 0xbe, 0xd3, 0x67, 0xb2, 0x0b, 0x75, 0xed, 0x4c, 0x63, 0xb7, 0x1c, 0x28, 0x13, 0x45,
+	0xe1, 0x15, 0xca, 0x30, 0x2e, 0x2d, 0x1a, 0x0a, 0x6a, 0x22, 0xdc, 0x57, 0xb0, 0x95, 0x4b, 0x31,
+	0x82, 0x17, 0x2c, 0x0a, 0x90, 0x1b, 0x11, 0x06, 0xe5, 0x83, 0x64, 0x02, 0xf3, 0x37, 0xd0, 0xa4,
+	0x06, 0xa9, 0x9e, 0x33, 0x9c, 0x67, 0x89, 0x16, 0xd2, 0xa4, 0x39, 0x70, 0x3f, 0x5a, 0xd0, 0xa5,
+	0xa8, 0x2f, 0xf3, 0x97, 0x27, 0x5c, 0x4d, 0x53, 0x2d, 0x4f, 0xb3, 0x0b, 0xf5, 0x9b, 0x05, 0x8b,
+	0xf2, 0x27, 0xd5, 0xa4, 0x39, 0xb8, 0x55, 0x51, 0x2f, 0xab, 0xe8, 0x42, 0x7b, 0x25, 0x22, 0x8d,
+	0x96, 0x6e, 0x02, 0x9d, 0xb3, 0x70, 0x8e, 0xe2, 0xa1, 0xce, 0xd8, 0x83, 0x86, 0x60, 0x19, 0xf7,
+	0xd1, 0xc8, 0x32, 0x48, 0x69, 0xe5, 0x66, 0xe2, 0x1a, 0x55, 0x47, 0xd5, 0xdf, 0xbb, 0x92, 0xc8,
+	0xb5, 0xaa, 0x1a, 0xcd, 0x81, 0x8b, 0xd0, 0x2a, 0xfa, 0x99, 0xd5, 0x9a, 0x72, 0xd6, 0x7d, 0xe5,
+	0x2a, 0xb7, 0xe5, 0xf6, 0xa0, 0xe1, 0x67, 0x5c, 0x30, 0x6e, 0x7a, 0x18, 0xa4, 0xda, 0x44, 0x61,
+	0x82, 0x42, 0xb7, 0x69, 0xd3, 0x1c, 0x3c, 0x7a, 0x0c, 0xb6, 0x31, 0x28, 0xf9, 0x1d, 0x3a, 0x93,
+	0x93, 0xd1, 0xc5, 0xf8, 0xe5, 0xf9, 0xf4, 0xf4, 0xf2, 0x84, 0x9e, 0xed, 0xfc, 0x46, 0xfe, 0x80,
+	0xed, 0x82, 0xa2, 0xe7, 0xa3, 0x4b, 0x7a, 0xf6, 0x7a, 0xc7, 0x1a, 0x7e, 0xb1, 0xa0, 0x7e, 0xca,
+	0x3c, 0x1e, 0x90, 0x11, 0xd4, 0xf5, 0x9f, 0x00, 0xd9, 0x5f, 0x73, 0x7d, 0xf9, 0x4f, 0xb2, 0xf7,
+	0xf7, 0xa6, 0xb0, 0x9a, 0xec, 0x05, 0x34, 0x72, 0xd3, 0x93, 0x7f, 0xd7, 0xd2, 0xee, 0xbc, 0xc5,
+	0xde, 0x3f, 0x1b, 0xe3, 0x69, 0xb4, 0x1c, 0x7e, 0xb3, 0xc0, 0x3e, 0x4f, 0x24, 0x0f, 0x51, 0xa8,
+	0x9a, 0xf9, 0xf2, 0xee, 0xa9, 0x79, 0xe7, 0x16, 0xef, 0xa9, 0x59, 0xde, 0xfa, 0x73, 0xa8, 0x29,
+	0x77, 0x93, 0xf5, 0xac, 0xd2, 0xfb, 0xeb, 0xf5, 0x36, 0x44, 0x55, 0x85, 0x31, 0xd8, 0xc6, 0x46,
+	0xe4, 0x60, 0x2d, 0xed, 0xae, 0xcb, 0x7b, 0xfb, 0x9b, 0x13, 0xd2, 0x68, 0x79, 0xfa, 0xec, 0xed,
+	0xd3, 0x79, 0x28, 0x17, 0xd9, 0x6c, 0xe0, 0xb3, 0xf8, 0xf8, 0x36, 0xb5, 0x7c, 0x0c, 0x13, 0x89,
+	0x3c, 0xf1, 0xa2, 0xe3, 0xe2, 0x43, 0xc6, 0x53, 0x7f, 0xd6, 0xd0, 0x1f, 0xb3, 0x27, 0xdf, 0x03,
+	0x00, 0x00, 0xff, 0xff, 0x15, 0x23, 0xb3, 0xfe, 0xe2, 0x06, 0x00, 0x00,
 }
--- a/test/process/answers_test.go
+++ b/test/process/answers_test.go
@@ -19,6 +19,7 @@
 // passed it on as whole. Each kind of bad answer happens once on each of two
 // groups, and every caller must still get the whole answer to its own prompt.
 func TestBadAnswersNeverReachACallerAsWhole(t *testing.T) {
+	t.Parallel()
 	c, engines := smallSystem(t, small(quick), 2, "-token-interval", "1ms")
 	entry := c.Entries()[0]
 	for _, kind := range []standin.StreamFault{
@@ -46,6 +47,7 @@
 // another way. Answers cross in the engines, the entry and the connections
 // between; nobody may get a token that is not its own.
 func TestCallersGetTheirOwnAnswersSideBySide(t *testing.T) {
+	t.Parallel()
 	c, engines := smallSystem(t, small(quick), 3, "-token-interval", "1ms", "-slots", "32")
 	kinds := []standin.StreamFault{standin.StreamCrossed, standin.StreamDoubled, standin.StreamCut}
 	for i, e := range engines {
@@ -72,6 +74,7 @@
 // An engine's answers all break. The caller must be told so, with what may
 // have run, and never that it did not.
 func TestAnswersThatAllBreakAreRefusedAsMayHaveRun(t *testing.T) {
+	t.Parallel()
 	c, engines := smallSystem(t, small(quick), 2)
 	faultAll(engines, standin.StreamFaults{Kind: standin.StreamCut, After: 2})
 	request := harness.Completion{Model: "demo", Prompt: newPrompt("memo"), MaxTokens: 8}
@@ -88,6 +91,7 @@
 // cause of a refusal is brought about once; where the answer says "not run",
 // no backend server may have begun the request.
 func TestRefusedAsNotRunDidNotRun(t *testing.T) {
+	t.Parallel()
 	c, engines := smallSystem(t, small(quick), 1, "-token-interval", "5ms")
 	service := c.StartService("audit-1", "audit")
 	entry := c.Entries()[0]
--- a/test/process/at_most_once_test.go
+++ b/test/process/at_most_once_test.go
@@ -18,6 +18,7 @@
 // one key and are marked non-idempotent; one may run, the others must get its
 // answer or be told that it is under way.
 func TestResendsOnAllEntriesRunOnce(t *testing.T) {
+	t.Parallel()
 	c, _ := smallSystem(t, harness.Standard(), 2, "-token-interval", "10ms")
 	request := harness.Completion{
 		Model: "demo", Prompt: newPrompt("transfer note"), MaxTokens: 20, Key: "note-1", NonIdempotent: true,
@@ -52,6 +53,7 @@
 // answer. The run's outcome is lost with the entry, so "unknown" is the only
 // true one; a second run is not.
 func TestEntryKilledAfterDispatchRunsOnce(t *testing.T) {
+	t.Parallel()
 	c, _ := smallSystem(t, harness.Standard(), 2, "-token-interval", "50ms")
 	request := harness.Completion{
 		Model: "demo", Prompt: newPrompt("transfer note"), MaxTokens: 40, Key: "note-2", NonIdempotent: true, TimeoutMillis: 3000,
@@ -73,6 +75,7 @@
 // waits for a serving group when it dies. The claim stays with it, so a resend
 // may never run either; and nobody may be told that it did not run.
 func TestEntryKilledBeforeDispatchDoesNotRunTwice(t *testing.T) {
+	t.Parallel()
 	c, engines := smallSystem(t, harness.Standard(), 1)
 	engines[0].Kill()
 	request := harness.Completion{
@@ -97,6 +100,7 @@
 // leader, which holds the record of the run, is killed. The terminal resends:
 // it must get the recorded answer from what the other replicas hold.
 func TestRecordedAnswerOutlivesTheLeader(t *testing.T) {
+	t.Parallel()
 	c, _ := smallSystem(t, harness.Standard(), 1, "-token-interval", "20ms")
 	request := harness.Completion{
 		Model: "demo", Prompt: newPrompt("transfer note"), MaxTokens: 10, Key: "note-4", NonIdempotent: true,
@@ -130,6 +134,7 @@
 // its process dies. The call may have written, so it is not repeated, neither
 // by the entry nor for the caller's resend; with and without a key.
 func TestPlainServiceCallThatBreaksRunsOnce(t *testing.T) {
+	t.Parallel()
 	c, _ := smallSystem(t, small(quick), 1)
 	services := []*harness.Standin{c.StartService("records-1", "records"), c.StartService("records-2", "records")}
 	entry := c.Entries()[0]
--- a/test/process/configuration_test.go
+++ b/test/process/configuration_test.go
@@ -99,6 +99,7 @@
 // they won, or the resend undoes a later change. Cause: a change that is
 // applied without the revision it was made against, or anew under its own id.
 func TestOperatorsRacingUnderOneRevisionGetOneWinner(t *testing.T) {
+	t.Parallel()
 	c := founded(t)
 	nodes := controls(c)
 	for round := range uint64(3) {
@@ -139,6 +140,7 @@
 // it would answer operators from its old board, accept a change, or give
 // entries a lease on the old preset.
 func TestFrozenLeaderMisleadsNobodyWhenItWakes(t *testing.T) {
+	t.Parallel()
 	c := founded(t)
 	old := leaderOf(t, c)
 	old.Pause()
@@ -173,6 +175,7 @@
 // that the others have replaced, and a change must come into force although
 // the cut-off entry never hears of it.
 func TestLeaderBehindACutAnswersNoOperatorAndItsEntryStops(t *testing.T) {
+	t.Parallel()
 	c := founded(t)
 	old := leaderOf(t, c)
 	isolate(c, old)
@@ -208,6 +211,7 @@
 // What was accepted must be there when they come back, and entries must not
 // serve anything older.
 func TestAcceptedChangeSurvivesThePowerCut(t *testing.T) {
+	t.Parallel()
 	c := founded(t)
 	for i := range uint64(5) {
 		preset := []string{"peak", "maintenance"}[i%2]
@@ -237,6 +241,7 @@
 // could vote twice and lose what was accepted. Nobody is there at night to
 // repair it.
 func TestLostDisksAreRepairedWithoutAnOperator(t *testing.T) {
+	t.Parallel()
 	c := founded(t)
 	before := identities(t, c)
 	for i, name := range []string{"n2", "n3", "n1"} {
@@ -289,6 +294,7 @@
 // The paths to one control VM lose one direction only, again and again, while
 // operators make changes: each is accepted once or refused, none is lost.
 func TestOneWayCutsLoseNoAcceptedChange(t *testing.T) {
+	t.Parallel()
 	c := founded(t)
 	revision := uint64(1)
 	for i := range 4 {
--- a/test/process/crashing_request_test.go
+++ b/test/process/crashing_request_test.go
@@ -17,6 +17,7 @@
 // must get its final answer everywhere, and all others, also those that ran
 // beside it, their whole answers.
 func TestRequestThatCrashesEnginesIsStopped(t *testing.T) {
+	t.Parallel()
 	c, engines := smallSystem(t, small(quick), 3, "-token-interval", "5ms")
 	for _, e := range engines {
 		e.Fault(standin.FaultOrder{Faults: standin.Faults{CrashMarker: "ledger 7"}})
--- a/test/process/graceful_stop_test.go
+++ b/test/process/graceful_stop_test.go
@@ -47,6 +47,7 @@
 // answers open: all must end whole, without a second run, and the process
 // with status 0.
 func TestEntryStopsWithoutACut(t *testing.T) {
+	t.Parallel()
 	c, _ := smallSystem(t, small(quick), 2, "-token-interval", "20ms")
 	entry := c.Node("n2")
 	wait := inFlight(t, c, entry.Entry, 8)
@@ -57,6 +58,7 @@
 
 // The same with the process that leads the control replicas, itself an entry.
 func TestControlLeaderStopsWithoutACut(t *testing.T) {
+	t.Parallel()
 	c, _ := smallSystem(t, harness.Standard(), 2, "-token-interval", "20ms")
 	leader := leaderOf(t, c)
 	other := c.Node("n4")
@@ -72,6 +74,7 @@
 // An operator drains a group's VM for maintenance while it answers. What is in
 // flight must end there, and after a few seconds nothing new may begin there.
 func TestDrainedVMFinishesAndGetsNothingNew(t *testing.T) {
+	t.Parallel()
 	c, engines := smallSystem(t, small(quick), 2, "-token-interval", "20ms")
 	entry := c.Entries()[0]
 	wait := inFlight(t, c, entry.Entry, 8)
@@ -82,6 +85,7 @@
 
 // A backend server announces that it is leaving, as before its own upgrade.
 func TestLeavingEngineFinishesAndGetsNothingNew(t *testing.T) {
+	t.Parallel()
 	c, engines := smallSystem(t, small(quick), 2, "-token-interval", "20ms")
 	entry := c.Entries()[0]
 	wait := inFlight(t, c, entry.Entry, 8)
--- a/test/process/groups_test.go
+++ b/test/process/groups_test.go
@@ -100,6 +100,7 @@
 // then on waits for tokens that never come. Every entry must stop routing to
 // the group, and a spare of the domain must take the member's place.
 func TestKilledMemberEndsRoutingAndIsReplaced(t *testing.T) {
+	t.Parallel()
 	c, engines := pairs(t, 1, map[string]int{"d1": 3}, "-token-interval", "5ms")
 	before := group(t, c, "memos-0")
 	marks := logMarks(c)
@@ -123,6 +124,7 @@
 // takes its place; then the member wakes and believes that it is still in the
 // old group. It must not be in two groups, and nothing may run in the old one.
 func TestFrozenMemberReturnsToNoOldGroup(t *testing.T) {
+	t.Parallel()
 	c, engines := pairs(t, 1, map[string]int{"d1": 3})
 	before := group(t, c, "memos-0")
 	frozen := engines[before.Members[1].VM]
@@ -171,6 +173,7 @@
 // control replicas. The group is rebuilt in the other domain by the next
 // leader, in a later term.
 func TestDarkDomainAndLostLeaderTogether(t *testing.T) {
+	t.Parallel()
 	c, engines := pairs(t, 1, map[string]int{"d1": 2, "d2": 2})
 	before := group(t, c, "memos-0")
 	old := leaderOf(t, c)
@@ -191,6 +194,7 @@
 // A second VM is lost right after the repair of the first, on engines that
 // ignore fencing numbers, while the leader changes.
 func TestSecondLossRightAfterARepair(t *testing.T) {
+	t.Parallel()
 	c, engines := pairs(t, 1, map[string]int{"d1": 4}, "-fencing", "ignore")
 	g := group(t, c, "memos-0")
 	for range 2 {
@@ -212,6 +216,7 @@
 // One entry is cut off from its peers and hears of no backend server. It must
 // not make the leader tear groups down that all others hear of.
 func TestOneBlindEntryTearsNothingDown(t *testing.T) {
+	t.Parallel()
 	c, _ := pairs(t, 2, map[string]int{"d1": 4})
 	epochs := [2]uint64{group(t, c, "memos-0").Epoch, group(t, c, "memos-1").Epoch}
 	blind := leaderOf(t, c)
--- a/test/process/harness/build.go
+++ b/test/process/harness/build.go
@@ -6,6 +6,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
+	"strconv"
 	"sync"
 	"testing"
 )
@@ -32,9 +34,17 @@
 // TestMain calls it.
 func Main(m *testing.M) int {
 	defer RemovePrograms()
+	flag.Parse()
+	// Without a wish of its own the run has few clusters at once: each is up to
+	// a dozen processes that must get their share of the machine.
+	if f := flag.Lookup("test.parallel"); f != nil && f.Value.String() == strconv.Itoa(runtime.GOMAXPROCS(0)) {
+		_ = f.Value.Set(strconv.Itoa(clustersAtOnce))
+	}
 	return m.Run()
 }
 
+const clustersAtOnce = 4
+
 // RemovePrograms removes the programs built by this process.
 func RemovePrograms() {
 	builder.Lock()
--- a/test/process/random_run_test.go
+++ b/test/process/random_run_test.go
@@ -14,6 +14,7 @@
 // lost, doubled, crossed or cut, nothing non-idempotent may have run twice, and
 // no "not run" may be false. Longer: go run ./test/randomrun -h.
 func TestRandomRun(t *testing.T) {
+	t.Parallel()
 	report := workload.Run(t, workload.Options{Seed: 1, Duration: 15 * time.Second, Callers: 8})
 	t.Logf("%d works, %d sends: %d whole, %d not run, %d unknown, %d lost; %d runs; faults %q",
 		report.Works, report.Sends, report.Whole, report.NotRun, report.Unknown, report.Lost, report.Runs, report.Faults)
--- a/test/process/silence_test.go
+++ b/test/process/silence_test.go
@@ -16,6 +16,7 @@
 // under way on them, and those that find them idle in the pool, must be
 // answered over new ones.
 func TestSilentEngineConnectionsAreReplaced(t *testing.T) {
+	t.Parallel()
 	c, engines := smallSystem(t, small(quick), 2, "-token-interval", "10ms")
 	entry := c.Entries()[0].Entry
 	ask := func(count int) (wait func()) {
@@ -45,6 +46,7 @@
 // The same with a plain service, whose answer has no keep-alives: a call on a
 // silent connection waits for its deadline. It must be the last one that does.
 func TestSilentServiceConnectionsAreReplaced(t *testing.T) {
+	t.Parallel()
 	c, _ := smallSystem(t, small(quick), 1)
 	service := c.StartService("audit-1", "audit")
 	entry := c.Entries()[0]
@@ -71,6 +73,7 @@
 // between the system's own processes have gone silent. A change must come into
 // force on every entry over new ones.
 func TestSilentConnectionsBetweenOwnProcessesAreReplaced(t *testing.T) {
+	t.Parallel()
 	c, _ := smallSystem(t, harness.Standard(), 1)
 	for _, n := range c.Nodes {
 		n.Peers.Silence()
--- a/test/process/whole_path_test.go
+++ b/test/process/whole_path_test.go
@@ -43,6 +43,7 @@
 // serving group of two VMs, a plain service, and each of four entries
 // answering for them.
 func TestWholePath(t *testing.T) {
+	t.Parallel()
 	c := harness.NewCluster(t, harness.Standard())
 	first := c.Document("first.toml", withKey(firstDocument))
 	out, status := c.Tool("init", "-configuration", first, "-timeout", "60s")
