Admission: the floor share is not lost at the door nor to the reserve

Change: the door counts the floor share's own rate; a request that its class has saved the credit for goes without reserve. Next sets Request.Reserve, which replaces Queue.Reserve, so that room and choice are asked with the same figure.

--- a/internal/admission/model.go
+++ b/internal/admission/model.go
@@ -118,6 +118,7 @@
 			m.starved = true
 			return nil
 		}
+		it.request.Reserve = m.reserve(it, policy)
 		if fits(it.request) {
 			return it
 		}
@@ -125,6 +126,21 @@
 	}
 }
 
+// reserve is the part of each backend server that it must leave free.
+//
+// It is made for several entries that share the backend servers without a
+// coordinator: one entry can't see what waits at another. With all servers full
+// of lesser work, a request of the greatest worth would wait there for the next
+// to end; the part left free by all entries takes it at once. A request that its
+// band saved the credit for is let into that part: while the top class fills all
+// servers, it would never find room otherwise.
+func (m *modelQueue) reserve(it *item, policy Policy) float64 {
+	if it.worth >= m.top || it.flow.band.credit >= float64(it.request.Tokens) {
+		return 0
+	}
+	return policy.Reserve
+}
+
 // candidate is the head of the best band, unless a lesser band has saved the
 // credit for its own head.
 //
@@ -186,26 +202,29 @@
 // rate isn't known yet.
 //
 // Work of greater worth that arrives later overtakes, so its arrival rate is
-// taken off the service rate, down to the floor share.
+// taken off the service rate. The floor share is not overtaken: however much
+// waits ahead, the band's own requests move at that rate.
 func (m *modelQueue) waitFor(it *item, policy Policy) time.Duration {
 	perSecond := m.rate.perSecond
 	if perSecond <= 0 {
 		return 0
 	}
-	ahead, overtaking := 0.0, 0.0
-	for _, b := range m.bands {
-		if b.worth < it.worth {
-			break
-		}
-		if b.worth > it.worth {
+	ahead, overtaking, own, lesser := 0.0, 0.0, 0.0, 1
+	for i, b := range m.bands {
+		switch {
+		case b.worth > it.worth:
 			ahead += float64(b.tokens)
 			overtaking += b.arrivals.perSecond
-			continue
+		case b.worth == it.worth:
+			own = b.aheadOf(it, policy.share(it.request.Workspace))
+		}
+		if i > 0 && b.worth != it.worth && len(b.active) > 0 {
+			lesser++
 		}
-		ahead += b.aheadOf(it, policy.share(it.request.Workspace))
 	}
-	left := max(perSecond-overtaking, perSecond*policy.FloorShare)
-	return time.Duration(ahead / left * float64(time.Second))
+	floor := perSecond * policy.FloorShare / float64(lesser)
+	ordinary := (ahead + own) / max(perSecond-overtaking, floor)
+	return fromSeconds(min(ordinary, (own+float64(it.request.Tokens))/floor))
 }
 
 // aheadOf estimates the tokens of the band that are served before a newcomer.
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -341,18 +341,3 @@
 	m.rate.completed(run.tokens)
 	m.service.observe(run.tokens, o.Took)
 }
-
-// Reserve returns the part of each backend server that r must leave free for
-// requests of greater worth.
-//
-// It is made for several entries that share the backend servers without a
-// coordinator: one entry can't see what waits at another. With all servers full
-// of lesser work, a request of the greatest worth would wait there for the next
-// to end; the part left free by all entries takes it at once.
-func (q *Queue) Reserve(r Request) float64 {
-	m := q.models[r.Model]
-	if m == nil || q.policy.Worth(r.Workspace, r.Class) >= m.top {
-		return 0
-	}
-	return q.policy.Reserve
-}
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -209,6 +209,51 @@
 	assert.Assert(t, q.Offer(now, late).Queued)
 }
 
+// The top class asks for more than there is, so that its own requests wait to the
+// last. A summary has the floor share to count on; refused at the door for what
+// waits ahead of it, it would never get it.
+func TestDoorCountsTheFloorShare(t *testing.T) {
+	q := New(twoClasses())
+	learnRate(t, q, 1000, 500*time.Millisecond)
+	for second := range 20 {
+		now := at(time.Duration(2+second) * window)
+		for i := range 3 {
+			mustQueue(t, q, now, request(fmt.Sprint("memo", second, "-", i), "audit", "memo", 1000))
+		}
+		r := takeNext(t, q, now)
+		q.Next(now, never)
+		q.Done(now, Outcome{ID: r.ID, Answered: true, Took: 500 * time.Millisecond})
+	}
+	now := at(22 * window)
+	r := request("summary", "audit", "draft", 500)
+	r.Deadline = now.Add(15 * time.Second)
+	mustQueue(t, q, now, r)
+	r.ID, r.Deadline = "hasty", now.Add(8*time.Second)
+	assert.Equal(t, q.Offer(now, r).Refusal.Reason, ReasonDeadlineUnreachable)
+}
+
+// The top class keeps all servers full up to the part that is kept for it. A draft
+// that the floor share is due to must be let into that part, or it never runs.
+func TestReserveIsForTheGreatestWorthAndForDueCredit(t *testing.T) {
+	q := New(twoClasses())
+	mustQueue(t, q, start, request("draft", "audit", "draft", 100))
+	mustQueue(t, q, start, request("first", "audit", "memo", 1000))
+	reserves := func() map[string]float64 {
+		seen := make(map[string]float64)
+		q.Next(start, func(r Request) bool {
+			seen[r.Class] = r.Reserve
+			return false
+		})
+		return seen
+	}
+	assert.Equal(t, takeNext(t, q, start).ID, "first")
+	assert.DeepEqual(t, reserves(), map[string]float64{"draft": DefaultReserve})
+	mustQueue(t, q, start, request("second", "audit", "memo", 1000))
+	assert.Equal(t, takeNext(t, q, start).ID, "second")
+	mustQueue(t, q, start, request("third", "audit", "memo", 1000))
+	assert.DeepEqual(t, reserves(), map[string]float64{"draft": 0, "memo": 0})
+}
+
 // The queue ahead is of lesser worth: it must not make the top class refuse.
 func TestLesserWorkAheadDoesNotRefuseGreater(t *testing.T) {
 	q := New(twoClasses())
--- a/internal/admission/request.go
+++ b/internal/admission/request.go
@@ -19,6 +19,9 @@
 	Deadline time.Time
 	// Resend says that the caller sent this request before.
 	Resend bool
+	// Reserve is set by Next: the part of each backend server, from 0 to 1,
+	// that placement must leave free for requests of greater worth.
+	Reserve float64
 }
 
 // Reason says why a request was refused. Its value appears in logs and
--- a/internal/loadtest/entry_test.go
+++ b/internal/loadtest/entry_test.go
@@ -119,7 +119,7 @@
 	now := e.w.c.time()
 	for {
 		r, expired, ok := e.queue.Next(now, func(r admission.Request) bool {
-			return e.picker.HasRoom(now, r.Model, r.Tokens, e.queue.Reserve(r))
+			return e.picker.HasRoom(now, r.Model, r.Tokens, r.Reserve)
 		})
 		e.refuse(expired)
 		if !ok {
@@ -136,7 +136,7 @@
 	e.countInversion(t)
 	request := placement.Request{
 		ID: r.ID, Model: r.Model, Prefix: prefix(t.job.doc), Tokens: r.Tokens,
-		Reserve: e.queue.Reserve(r), Exclude: t.exclude,
+		Reserve: r.Reserve, Exclude: t.exclude,
 	}
 	if e.way.noPrefix {
 		request.Prefix = nil
