--- a/internal/replica/cluster_test.go
+++ b/internal/replica/cluster_test.go
@@ -75,10 +75,20 @@
 	opts    Options
 	server  *httptest.Server
 	handler atomic.Pointer[http.Handler]
+	current atomic.Pointer[running]
 	node    *Node
 	machine *register
 }
 
+// running is a node and its state machine, as callers on other goroutines see
+// them while the host is killed and opened again.
+type running struct {
+	node    *Node
+	machine *register
+}
+
+func (h *host) running() *running { return h.current.Load() }
+
 type cluster struct {
 	t     testing.TB
 	hosts []*host
@@ -151,6 +161,7 @@
 	h.node = node
 	handler := node.Handler()
 	h.handler.Store(&handler)
+	h.current.Store(&running{node: node, machine: h.machine})
 }
 
 // kill ends the node without a farewell; what is synced stays.
@@ -159,6 +170,7 @@
 		return
 	}
 	h.handler.Store(nil)
+	h.current.Store(nil)
 	assert.NilError(h.t, h.node.Close())
 	h.node = nil
 }
@@ -203,9 +215,21 @@
 	return found
 }
 
+// members returns the leader's list once it is committed. Before that a test
+// that takes another disk away may take the majority.
+func (c *cluster) members() []Member {
+	var members []Member
+	eventually(c.t, "a committed membership", func() bool {
+		s := c.leader().node.Status()
+		members = s.Members
+		return s.MembershipIndex <= s.Commit && s.Lease > 0
+	})
+	return members
+}
+
 func (c *cluster) voters() int {
 	count := 0
-	for _, m := range c.leader().node.Status().Members {
+	for _, m := range c.members() {
 		if !m.Learner {
 			count++
 		}
@@ -235,7 +259,7 @@
 }
 
 func (c *cluster) member(id raft.NodeID) (Member, bool) {
-	for _, m := range c.leader().node.Status().Members {
+	for _, m := range c.members() {
 		if m.ID == id {
 			return m, true
 		}
--- a/internal/replica/found.go
+++ b/internal/replica/found.go
@@ -204,7 +204,7 @@
 // settles this round.
 func (n *Node) takeVerdict(ctx context.Context, response *raftrpc.JoinResponse) bool {
 	own := n.clusterID()
-	if own != 0 && response.Cluster != own {
+	if own != 0 && response.Cluster != 0 && response.Cluster != own {
 		n.logger.error("msg", "a peer belongs to another cluster", "own", own, "other", response.Cluster)
 		return false
 	}
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -196,7 +196,10 @@
 	LastIndex     uint64
 	FirstIndex    uint64
 	SnapshotIndex uint64
-	Members       []Member
+	// Members is the list in force. Until MembershipIndex is committed the
+	// group still depends on the members of the list before it, too.
+	Members         []Member
+	MembershipIndex uint64
 	// Active holds the members that answered the leader within the last
 	// election timeout; only the leader knows.
 	Active []raft.NodeID
