Entry: refusals at the door of a keyed request say unknown; an entry without configuration names itself stale

Change: the lease is asked before the key; each refusal given before an earlier send could be looked up says unknown when the request has a key.

--- a/internal/entry/completion.go
+++ b/internal/entry/completion.go
@@ -48,22 +48,32 @@
 // serveCompletion answers POST of a completion.
 func (s *Server) serveCompletion(d dialect) echo.HandlerFunc {
 	return func(c echo.Context) error {
-		board := s.o.Follower.Board()
-		j, e := s.head(c.Request(), board)
+		j, stream, e := s.takeCompletion(c, d)
 		if e != nil {
-			return e
+			return refusedAtDoor(c.Request(), e)
 		}
-		c.Response().Header().Set(HeaderRequestID, j.id)
-		r, e := s.readCompletion(c, j, d)
-		if e != nil {
-			return e
-		}
-		if !servesModel(board.Config.Groups, r.Model) {
-			return failure.New(failure.TypeUnknownModel, "no serving group is declared for this model").
-				WithDetail("model").WithRan(failure.RanNo)
-		}
-		return s.answerCompletion(c, j, d, r.Stream)
+		return s.answerCompletion(c, j, d, stream)
+	}
+}
+
+// takeCompletion reads and checks a completion request. It returns the job
+// and whether the answer is to be streamed.
+func (s *Server) takeCompletion(c echo.Context, d dialect) (*job, bool, *failure.Error) {
+	board := s.o.Follower.Board()
+	j, e := s.head(c.Request(), board)
+	if e != nil {
+		return nil, false, e
+	}
+	c.Response().Header().Set(HeaderRequestID, j.id)
+	r, e := s.readCompletion(c, j, d)
+	if e != nil {
+		return nil, false, e
+	}
+	if !servesModel(board.Config.Groups, r.Model) {
+		return nil, false, failure.New(failure.TypeUnknownModel, "no serving group is declared for this model").
+			WithDetail("model").WithRan(failure.RanNo)
 	}
+	return j, r.Stream, nil
 }
 
 func (s *Server) readCompletion(c echo.Context, j *job, d dialect) (*completionRequest, *failure.Error) {
--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -99,6 +99,11 @@
 
 // head holds what all kinds of request have in common.
 func (s *Server) head(r *http.Request, board *blackboard.Board) (*job, *failure.Error) {
+	if e := s.mayAdmit(); e != nil {
+		// An entry that has just started holds no configuration yet: it knows
+		// no key, and must not call a good one unknown.
+		return nil, e
+	}
 	workspace, ok := s.workspaceOf(r.Header, board)
 	if !ok {
 		return nil, failure.New(failure.TypeUnauthenticated, "unknown workspace key").WithRan(failure.RanNo)
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -39,7 +39,8 @@
 func (s *Server) answerCompletion(c echo.Context, j *job, d dialect, stream bool) error {
 	running, e := s.start(j, s.runCompletion)
 	if e != nil {
-		return j.refusedAtDoor(e)
+		e.RequestID = j.id
+		return refusedAtDoor(c.Request(), e)
 	}
 	defer s.leave(running)
 	ctx, cancel := context.WithDeadline(c.Request().Context(), j.deadline)
@@ -51,14 +52,16 @@
 }
 
 // refusedAtDoor completes a refusal given before it was asked whether an
-// earlier send of the same key ran: with a key, "not run" could be false.
-func (j *job) refusedAtDoor(e *failure.Error) *failure.Error {
-	c := *e
-	c.RequestID = j.id
-	if j.key != "" && c.Type != failure.TypeKeyReused {
-		c.Ran = failure.RanUnknown
+// earlier send of the same idempotency key ran.
+//
+// Failure: a job runs and its answer is lost; the caller resends under the same
+// key to an entry that refuses at once, for its own reasons, and says "not
+// run". The caller gives the work to someone else, and it is done twice.
+func refusedAtDoor(r *http.Request, e *failure.Error) *failure.Error {
+	if r.Header.Get(HeaderIdempotencyKey) == "" || e.Type == failure.TypeKeyReused {
+		return e
 	}
-	return &c
+	return e.WithRan(failure.RanUnknown)
 }
 
 func (s *Server) relayWhole(ctx context.Context, c echo.Context, j *job, d dialect) error {
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -59,24 +59,33 @@
 	return false
 }
 
-// serveService routes a call to a plain service. A POST or PATCH counts as
-// non-idempotent unless the caller says otherwise.
+// serveService routes a call to a plain service.
 func (s *Server) serveService(c echo.Context) error {
+	j, e := s.takeCall(c)
+	if e != nil {
+		return refusedAtDoor(c.Request(), e)
+	}
+	return s.answerService(c, j)
+}
+
+// takeCall reads and checks a call. A POST or PATCH counts as non-idempotent
+// unless the caller says otherwise.
+func (s *Server) takeCall(c echo.Context) (*job, *failure.Error) {
 	board := s.o.Follower.Board()
 	r := c.Request()
 	j, e := s.head(r, board)
 	if e != nil {
-		return e
+		return nil, e
 	}
 	c.Response().Header().Set(HeaderRequestID, j.id)
 	name := c.Param("name")
 	if !servesService(board.Services, name) {
-		return failure.New(failure.TypeUnknownService, "no such service has announced itself").
+		return nil, failure.New(failure.TypeUnknownService, "no such service has announced itself").
 			WithDetail(name).WithRan(failure.RanNo)
 	}
 	body, e := s.readBody(c)
 	if e != nil {
-		return e
+		return nil, e
 	}
 	if r.Header.Get(HeaderNonIdempotent) == "" {
 		j.nonIdempotent = !repeatable(r.Method)
@@ -87,7 +96,7 @@
 		Method: r.Method, Path: servicePath(r, name), Header: passedOn(r.Header), Body: body,
 	}}
 	j.body = fingerprint("service", name, r.Method, j.service.call.Path, string(body))
-	return s.answerService(c, j)
+	return j, nil
 }
 
 // servicePath returns what follows /services/NAME, with its query.
@@ -102,7 +111,8 @@
 func (s *Server) answerService(c echo.Context, j *job) error {
 	running, e := s.start(j, s.runService)
 	if e != nil {
-		return j.refusedAtDoor(e)
+		e.RequestID = j.id
+		return refusedAtDoor(c.Request(), e)
 	}
 	defer s.leave(running)
 	ctx, cancel := context.WithDeadline(c.Request().Context(), j.deadline)
