--- /dev/null
+++ b/test/overhead/overhead_test.go
@@ -0,0 +1,290 @@
+// Package overhead measures what an entry adds to a request, against the same
+// request sent straight to the stand-in engine, in one run.
+//
+//	go test ./test/overhead -run TestOverhead -v -args -measure
+//
+// Without -measure it makes a few requests each way and checks the answers.
+package overhead
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"gotest.tools/v3/assert"
+
+	"github.com/citronstep/citronstep/internal/backend"
+	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/settings"
+	"github.com/citronstep/citronstep/test/process/harness"
+)
+
+var measure = flag.Bool("measure", false, "measure at full size and print the figures")
+
+func TestMain(m *testing.M) { os.Exit(harness.Main(m)) }
+
+// sizes are how much is done.
+type sizes struct {
+	requests, tokens   int
+	throughputCallers  int
+	throughputRequests int
+	throughputTokens   int
+	openStreams        int
+}
+
+func size() sizes {
+	if *measure {
+		return sizes{1500, 20, 24, 40, 1000, 1000}
+	}
+	return sizes{5, 5, 2, 2, 20, 10}
+}
+
+type rig struct {
+	t       *testing.T
+	c       *harness.Cluster
+	entry   *harness.Node
+	engines []*harness.Standin
+	client  *backend.HTTPClient
+}
+
+const engines = 8
+
+func newRig(t *testing.T, interval string) *rig {
+	t.Helper()
+	spec := harness.ClusterSpec{
+		Nodes: []harness.NodeSpec{{Name: "n1", DataCentre: "dc1", Entry: true, Control: true}},
+		Adjust: func(s *settings.Settings) {
+			s.Control.Voters = 1
+			s.Log.Level = "warn"
+		},
+	}
+	r := &rig{t: t, c: harness.NewCluster(t, spec)}
+	r.entry = r.c.Nodes[0]
+	r.c.Found(blackboard.GroupSpec{Name: "memos", Model: "demo", Replicas: engines, VMsPerReplica: 1})
+	r.engines = r.c.StartEngines(engines, "vm", "d1", "-token-interval", interval, "-slots", "1000", "-queue-limit", "1000")
+	r.c.AwaitGroups("demo", engines)
+	r.client = backend.NewHTTPClient(backend.Options{Secret: harness.BackendToken, HeaderTimeout: time.Minute})
+	t.Cleanup(r.client.Close)
+	harness.Await(t, "the entry answers", func() bool {
+		_, err := r.throughEntry("ready", 1, nil)
+		return err == nil
+	})
+	return r
+}
+
+// times are those of one answer.
+type times struct {
+	first time.Duration
+	gaps  []time.Duration
+}
+
+func (r *rig) throughEntry(prompt string, tokens int, seen func()) (times, error) {
+	body, _ := json.Marshal(map[string]any{"model": "demo", "prompt": prompt, "max_tokens": tokens, "stream": true})
+	request, err := http.NewRequest(http.MethodPost, "http://"+r.entry.Entry+"/v1/completions", bytes.NewReader(body))
+	if err != nil {
+		return times{}, err
+	}
+	request.Header.Set("Authorization", "Bearer "+harness.WorkspaceKey)
+	w := newWatch(seen)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return times{}, err
+	}
+	defer response.Body.Close()
+	lines := bufio.NewScanner(response.Body)
+	whole := false
+	for lines.Scan() {
+		switch line := lines.Text(); {
+		case line == "data: [DONE]":
+			whole = true
+		case strings.HasPrefix(line, "data: ") && !strings.Contains(line, `"finish_reason":"`):
+			w.token()
+		}
+	}
+	if !whole || w.count != tokens {
+		return times{}, fmt.Errorf("status %d, %d of %d tokens", response.StatusCode, w.count, tokens)
+	}
+	return w.times, nil
+}
+
+var attempts atomic.Int64
+
+// direct sends to the engine of a group past the entry, on the same protocol
+// that the entry speaks.
+func (r *rig) direct(g blackboard.Group, prompt string, tokens int) (times, error) {
+	w := newWatch(nil)
+	stream, err := r.client.Generate(context.Background(), g.Members[0].Address, backend.Generation{
+		Attempt: "direct-" + strconv.FormatInt(attempts.Add(1), 10), Group: g.ID, Epoch: g.Epoch, Model: "demo",
+		Prompt: prompt, MaxTokens: tokens,
+	})
+	if err != nil {
+		return times{}, err
+	}
+	defer stream.Close()
+	for {
+		token, err := stream.Next()
+		if err == io.EOF {
+			return w.times, nil
+		}
+		if err != nil {
+			return times{}, err
+		}
+		if !token.End && !token.KeepAlive {
+			w.token()
+		}
+	}
+}
+
+type watch struct {
+	times
+	began, last time.Time
+	count       int
+	seen        func()
+}
+
+func newWatch(seen func()) *watch {
+	now := time.Now()
+	return &watch{began: now, last: now, seen: seen}
+}
+
+func (w *watch) token() {
+	now := time.Now()
+	w.count++
+	if w.count == 1 {
+		w.first = now.Sub(w.began)
+		if w.seen != nil {
+			w.seen()
+		}
+	} else {
+		w.gaps = append(w.gaps, now.Sub(w.last))
+	}
+	w.last = now
+}
+
+func histogram() *hdrhistogram.Histogram {
+	const maxMicros, digits = 60_000_000, 3
+	return hdrhistogram.New(1, maxMicros, digits)
+}
+
+type side struct{ first, gap *hdrhistogram.Histogram }
+
+func (s side) add(x times) {
+	_ = s.first.RecordValue(x.first.Microseconds())
+	for _, g := range x.gaps {
+		_ = s.gap.RecordValue(g.Microseconds())
+	}
+}
+
+func (s side) line(name string) string {
+	return fmt.Sprintf("%-8s first token median %6d us, 95th %6d us; between tokens median %6d us, 95th %6d us",
+		name, s.first.ValueAtQuantile(50), s.first.ValueAtQuantile(95), s.gap.ValueAtQuantile(50), s.gap.ValueAtQuantile(95))
+}
+
+func TestOverhead(t *testing.T) {
+	n := size()
+	r := newRig(t, "2ms")
+	status, err := r.c.Status()
+	assert.NilError(t, err)
+	entry, straight := side{histogram(), histogram()}, side{histogram(), histogram()}
+	for i := range n.requests {
+		x, err := r.throughEntry("entry "+strconv.Itoa(i), n.tokens, nil)
+		assert.NilError(t, err)
+		entry.add(x)
+		x, err = r.direct(status.Groups[i%len(status.Groups)], "direct "+strconv.Itoa(i), n.tokens)
+		assert.NilError(t, err)
+		straight.add(x)
+	}
+	t.Log(straight.line("direct"))
+	t.Log(entry.line("entry"))
+}
+
+func TestThroughput(t *testing.T) {
+	n := size()
+	r := newRig(t, "0s")
+	before, began := cpu(t, r.entry), time.Now()
+	var wait sync.WaitGroup
+	for caller := range n.throughputCallers {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			for i := range n.throughputRequests {
+				_, err := r.throughEntry(fmt.Sprintf("load %d %d", caller, i), n.throughputTokens, nil)
+				assert.Check(t, err == nil, "%v", err)
+			}
+		}()
+	}
+	wait.Wait()
+	took, used := time.Since(began), cpu(t, r.entry)-before
+	total := float64(n.throughputCallers * n.throughputRequests * n.throughputTokens)
+	t.Logf("long answers: %.0f tokens in %v, entry used %v: %.0f tokens a second of one core", total, took, used, total/used.Seconds())
+
+	before = cpu(t, r.entry)
+	short := n.throughputCallers * n.throughputRequests
+	for i := range short {
+		_, err := r.throughEntry("short "+strconv.Itoa(i), 1, nil)
+		assert.NilError(t, err)
+	}
+	used = cpu(t, r.entry) - before
+	t.Logf("short answers: %d requests of 1 token, entry used %v: %.0f requests a second of one core", short, used, float64(short)/max(used.Seconds(), 0.01))
+}
+
+func TestOpenStreams(t *testing.T) {
+	n := size()
+	r := newRig(t, "300ms")
+	before := memory(t, r.entry)
+	var wait, open sync.WaitGroup
+	for i := range n.openStreams {
+		wait.Add(1)
+		open.Add(1)
+		go func() {
+			defer wait.Done()
+			_, err := r.throughEntry("open "+strconv.Itoa(i), 40, open.Done)
+			assert.Check(t, err == nil, "%v", err)
+		}()
+	}
+	open.Wait()
+	during := memory(t, r.entry)
+	t.Logf("%d open streams: memory %d KB before, %d KB with them: %.1f KB a stream",
+		n.openStreams, before, during, float64(during-before)/float64(n.openStreams))
+	wait.Wait()
+}
+
+// cpu returns the processor time that a process has used.
+func cpu(t *testing.T, n *harness.Node) time.Duration {
+	t.Helper()
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", n.PID()))
+	assert.NilError(t, err)
+	_, rest, _ := strings.Cut(string(data), ") ")
+	fields := strings.Fields(rest)
+	// utime and stime are the 14th and 15th fields, in ticks of 10 ms.
+	user, _ := strconv.Atoi(fields[11])
+	system, _ := strconv.Atoi(fields[12])
+	return time.Duration(user+system) * 10 * time.Millisecond
+}
+
+// memory returns a process's resident memory in KB.
+func memory(t *testing.T, n *harness.Node) int {
+	t.Helper()
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.PID()))
+	assert.NilError(t, err)
+	for _, line := range strings.Split(string(data), "\n") {
+		if strings.HasPrefix(line, "VmRSS:") {
+			kb, _ := strconv.Atoi(strings.Fields(line)[1])
+			return kb
+		}
+	}
+	return 0
+}
