--- a/test/process/answers_test.go
+++ b/test/process/answers_test.go
@@ -8,6 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/citronstep/citronstep/internal/blackboard"
 	"github.com/citronstep/citronstep/internal/failure"
 	"github.com/citronstep/citronstep/internal/standin"
 	"github.com/citronstep/citronstep/test/process/harness"
@@ -125,3 +126,45 @@
 		checkReply(t, c, request, reply)
 	})
 }
+
+// An auditor watches a memo being drafted when a VM of its group dies, and
+// finds half a memo. The entry must go on at the next token on another group:
+// no token lost, none twice, and the auditor sees a pause at most.
+func TestStreamGoesOnWhenItsGroupLosesAMember(t *testing.T) {
+	c := harness.NewCluster(t, small(quick))
+	c.Found(blackboard.GroupSpec{Name: "memos", Model: "demo", Replicas: 2, VMsPerReplica: 2, Worth: 10})
+	c.StartEngines(4, "vm", "d1", "-token-interval", "20ms", "-group-timeout", "1s")
+	c.AwaitGroups("demo", 2)
+	entry := c.Entries()[0]
+	awaitAnswer(t, entry, harness.Completion{Model: "demo", Prompt: newPrompt("ready?"), MaxTokens: 1})
+
+	request := harness.Completion{Model: "demo", Prompt: newPrompt("memo"), MaxTokens: 100, Stream: true}
+	answered := make(chan harness.Reply, 1)
+	go func() { answered <- harness.Complete(t.Context(), entry.Entry, request) }()
+	harness.Await(t, "the run begins", func() bool { return len(c.RunsOf(request.Prompt)) == 1 })
+	memberBeside(t, c, c.RunsOf(request.Prompt)[0]).Kill()
+	reply := <-answered
+	assert.Assert(t, reply.Right(request), "%+v", reply)
+	runs := c.RunsOf(request.Prompt)
+	assert.Equal(t, len(runs), 2)
+	assert.Assert(t, runs[1].Offset > 0, "the second run began anew: %+v", runs[1])
+}
+
+// memberBeside returns a member of the run's group that is not its head.
+func memberBeside(t *testing.T, c *harness.Cluster, run standin.Run) *harness.Standin {
+	t.Helper()
+	status, err := c.Status()
+	assert.NilError(t, err)
+	for _, g := range status.Groups {
+		if g.ID != run.Group {
+			continue
+		}
+		for _, s := range c.Standins {
+			if s.ID == g.Members[1].VM {
+				return s
+			}
+		}
+	}
+	t.Fatalf("no group %s", run.Group)
+	return nil
+}
--- a/test/process/at_most_once_test.go
+++ b/test/process/at_most_once_test.go
@@ -163,3 +163,55 @@
 		}
 	}
 }
+
+// The engine has finished a transfer note, and its entry is cut off from the
+// control replicas and dies before it could record the answer. A resend can't
+// get that answer; it must not get a second run either.
+func TestEntryKilledBetweenAnswerAndRecordRunsOnce(t *testing.T) {
+	c, _ := smallSystem(t, harness.Standard(), 2, "-token-interval", "20ms")
+	request := harness.Completion{
+		Model: "demo", Prompt: newPrompt("transfer note"), MaxTokens: 20, Key: "note-7", NonIdempotent: true, TimeoutMillis: 3000,
+	}
+	victim := c.Node("n4")
+	lost := make(chan harness.Reply, 1)
+	go func() { lost <- harness.Complete(t.Context(), victim.Entry, request) }()
+	harness.Await(t, "the run begins", func() bool { return len(c.RunsOf(request.Prompt)) == 1 })
+	for _, n := range c.Nodes {
+		n.Peers.CutFrom(victim.Process)
+	}
+	harness.Await(t, "the run ends", func() bool { return c.RunsOf(request.Prompt)[0].Outcome != "" })
+	victim.Kill()
+	assert.Assert(t, !(<-lost).Whole)
+
+	reply := resendUntilFinal(t, c, request)
+	assert.Assert(t, !reply.Whole, "%+v", reply)
+	assert.Equal(t, reply.Refusal.Type, failure.TypeOutcomeUnknown, "%+v", reply)
+	assert.Equal(t, len(c.RunsOf(request.Prompt)), 1)
+}
+
+// An entry asks for a claim and the answer is lost, though the claim was
+// granted: answers from the control replicas to that entry are cut. It must not
+// dispatch, must not say "not run" of a key that others may have sent, and no
+// resend may run twice.
+func TestLostAnswerOfAClaimRunsAtMostOnce(t *testing.T) {
+	c, _ := smallSystem(t, harness.Standard(), 2, "-token-interval", "5ms")
+	cut := c.Node("n4")
+	request := harness.Completion{
+		Model: "demo", Prompt: newPrompt("transfer note"), MaxTokens: 4, Key: "note-8", NonIdempotent: true, TimeoutMillis: 2500,
+	}
+	for _, n := range c.Nodes {
+		n.Peers.CutFromOneWay(cut.Process, harness.Back)
+	}
+	first := harness.Complete(t.Context(), cut.Entry, request)
+	assert.Assert(t, first.Refusal != nil, "%+v", first)
+	assert.Assert(t, first.Refusal.Ran != failure.RanNo, "%+v", first.Refusal)
+	assert.Equal(t, len(c.RunsOf(request.Prompt)), 0)
+	for _, n := range c.Nodes {
+		n.Peers.Heal()
+	}
+
+	reply := resendUntilFinal(t, c, request)
+	runs := len(c.RunsOf(request.Prompt))
+	assert.Assert(t, runs <= 1, "%d runs", runs)
+	assert.Assert(t, reply.Whole == (runs == 1), "%+v", reply)
+}
--- a/test/process/harness/link.go
+++ b/test/process/harness/link.go
@@ -57,7 +57,8 @@
 	l.relay.setAll(lost)
 }
 
-// CutFrom loses both directions of one process's connections.
+// CutFrom loses both directions of one process's connections. A process that
+// is started again is another one.
 func (l *Link) CutFrom(p *Process) { l.relay.setSource(p.PID(), drop{true, true}) }
 
 // CutFromOneWay loses one direction of one process's connections.
--- a/test/process/harness/relay_test.go
+++ b/test/process/harness/relay_test.go
@@ -46,12 +46,24 @@
 	return c
 }
 
+const (
+	// answerTimeout bounds the wait for an answer that must come, and
+	// silenceTime is how long one that must not come is awaited.
+	answerTimeout = 20 * time.Second
+	silenceTime   = 150 * time.Millisecond
+)
+
 // echoes tells whether a byte comes back.
-func echoes(t *testing.T, c net.Conn) bool {
+func echoes(t *testing.T, c net.Conn) bool { return comesBack(t, c, answerTimeout) }
+
+// silent tells that no byte comes back.
+func silent(t *testing.T, c net.Conn) bool { return !comesBack(t, c, silenceTime) }
+
+func comesBack(t *testing.T, c net.Conn, within time.Duration) bool {
 	t.Helper()
 	_, err := c.Write([]byte("x"))
 	assert.NilError(t, err)
-	assert.NilError(t, c.SetReadDeadline(time.Now().Add(150*time.Millisecond)))
+	assert.NilError(t, c.SetReadDeadline(time.Now().Add(within)))
 	n, _ := c.Read(make([]byte, 1))
 	return n == 1
 }
@@ -63,7 +75,7 @@
 	old := dial(t, l)
 	assert.Assert(t, echoes(t, old))
 	assert.Equal(t, l.Silence(), 1)
-	assert.Assert(t, !echoes(t, old))
+	assert.Assert(t, silent(t, old))
 	assert.Assert(t, echoes(t, dial(t, l)))
 }
 
@@ -79,7 +91,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			cut()
-			assert.Assert(t, !echoes(t, dial(t, l)))
+			assert.Assert(t, silent(t, dial(t, l)))
 			l.Heal()
 			assert.Assert(t, echoes(t, dial(t, l)))
 		})
@@ -91,7 +103,7 @@
 func TestToxicsAct(t *testing.T) {
 	l := NewLink(t, "echo", echoServer(t), self)
 	l.AddToxic(Toxic{Name: "stop", Type: "timeout", Attributes: map[string]int{"timeout": 0}})
-	assert.Assert(t, !echoes(t, dial(t, l)))
+	assert.Assert(t, silent(t, dial(t, l)))
 	l.ResetToxics()
 	assert.Assert(t, echoes(t, dial(t, l)))
 }
