--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,6 +11,7 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/juju/errors"
+	"github.com/twitchtv/twirp"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/citronstep/citronstep/internal/auth"
@@ -139,7 +140,7 @@
 )
 
 func (n *Node) makeClients() error {
-	dialer := &net.Dialer{Timeout: peerDialTimeout}
+	dialer := &net.Dialer{Timeout: peerDialTimeout, LocalAddr: n.localAddr()}
 	n.peers = &http.Client{
 		Timeout: peerCallTimeout,
 		Transport: &auth.Transport{Token: n.tokens.peers, Base: &http.Transport{
@@ -153,6 +154,17 @@
 	return nil
 }
 
+// localAddr is the address that connections to peers come from: the IP that
+// this process listens on for peers. A VM with several addresses is then seen
+// under the one that its settings name.
+func (n *Node) localAddr() net.Addr {
+	address, err := net.ResolveTCPAddr("tcp", n.settings.Peers.Listen)
+	if err != nil || address.IP == nil || address.IP.IsUnspecified() {
+		return nil
+	}
+	return &net.TCPAddr{IP: address.IP}
+}
+
 func (n *Node) makeControl() error {
 	if !n.settings.Control.Enabled {
 		return nil
@@ -164,7 +176,7 @@
 		Group: group, Folder: c.DataFolder, VM: n.settings.VM, DataCentre: n.settings.DataCentre,
 		Address: n.settings.Peers.Advertise, Peers: n.settings.Peers.Control, Machine: n.machine,
 		Logger: log.With(n.logger, "part", "replica"), Voters: c.Voters, Secret: n.tokens.peers,
-		TickInterval: tick, ElectionTicks: c.ElectionTicks,
+		TickInterval: tick, ElectionTicks: c.ElectionTicks, LocalAddr: n.localAddr(),
 	})
 	if err != nil {
 		return errors.Trace(err)
@@ -189,7 +201,7 @@
 	if e.Enabled {
 		n.entry = entry.NewServer(entry.Options{
 			ID: n.settings.VM, DataCentre: n.settings.DataCentre, Settings: e, Follower: n.follower, Hearing: n.hearing,
-			Client: n.backends, Control: client, Logger: n.decisions("entry"), Metrics: n.metrics.Entry(),
+			Client: n.backends, Control: client, Logger: n.decisions("entry"), Metrics: n.metrics.Entry(), Peers: &http.Client{Transport: n.peers.Transport},
 		})
 	}
 	if n.replica != nil {
@@ -264,9 +276,12 @@
 // peersHandler serves the system's own processes.
 func (n *Node) peersHandler() http.Handler {
 	mux := http.NewServeMux()
-	entries := noderpc.NewEntriesServer(n.hearing)
+	entries := noderpc.NewEntriesServer(n.entriesService())
 	mux.Handle(entries.PathPrefix(), entries)
 	mux.Handle(metrics.Path, n.metrics.Handler())
+	if n.entry != nil {
+		mux.HandleFunc(entry.PathAnswers, n.entry.ServeAnswers)
+	}
 	if n.control != nil {
 		board := noderpc.NewBoardServer(n.control)
 		mux.Handle(board.PathPrefix(), board)
@@ -283,6 +298,32 @@
 	return whole
 }
 
+// entriesService joins what hearing and entry serve to other entries.
+type entriesService struct {
+	*hearing.Hearing
+	entry.HomeService
+}
+
+func (n *Node) entriesService() noderpc.Entries {
+	if n.entry == nil {
+		return entriesService{n.hearing, noHome{}}
+	}
+	return entriesService{n.hearing, n.entry.Home()}
+}
+
+// noHome refuses to be the home of keys on a process without the entry role.
+type noHome struct{}
+
+// Hold refuses.
+func (noHome) Hold(context.Context, *noderpc.HoldRequest) (*noderpc.HoldReply, error) {
+	return nil, twirp.NotFound.Error("no entry role here")
+}
+
+// Release refuses.
+func (noHome) Release(context.Context, *noderpc.ReleaseRequest) (*noderpc.ReleaseReply, error) {
+	return nil, twirp.NotFound.Error("no entry role here")
+}
+
 // ErrReplicaFailed ends a process whose consensus replica can't go on, such as
 // after a failed sync. The platform starts it again.
 const ErrReplicaFailed = errors.ConstError("the consensus replica has failed")
--- a/internal/replica/found.go
+++ b/internal/replica/found.go
@@ -157,7 +157,13 @@
 	if n.identity.Removed || n.founding {
 		return false
 	}
-	listed, ok := n.view.status.Membership.Find(n.id)
+	status := n.view.status
+	listed, ok := status.Membership.Find(n.id)
+	// A learner starts no elections, so nobody tells it in that way that it
+	// was removed: one that misses its leader asks.
+	if listed.Learner && status.Leader == 0 {
+		return true
+	}
 	listed.Learner = false
 	return !ok || listed != n.self()
 }
@@ -198,7 +204,7 @@
 // settles this round.
 func (n *Node) takeVerdict(ctx context.Context, response *raftrpc.JoinResponse) bool {
 	own := n.clusterID()
-	if own != 0 && response.Cluster != own {
+	if own != 0 && response.Cluster != 0 && response.Cluster != own {
 		n.logger.error("msg", "a peer belongs to another cluster", "own", own, "other", response.Cluster)
 		return false
 	}
--- a/internal/replica/process.go
+++ b/internal/replica/process.go
@@ -21,7 +21,7 @@
 		r := n.core.Ready()
 		if r.Empty() {
 			n.publish()
-			return nil
+			return errors.Trace(n.noteRemoval())
 		}
 		if err := n.carryOut(r); err != nil {
 			return errors.Trace(err)
@@ -45,9 +45,6 @@
 	if err := n.compact(); err != nil {
 		return errors.Trace(err)
 	}
-	if err := n.noteRemoval(); err != nil {
-		return errors.Trace(err)
-	}
 	// Published before the answers leave: a read that starts after a write
 	// was answered must see that write's index.
 	n.publish()
@@ -234,23 +231,24 @@
 	s := n.view.status
 	leader, _ := s.Membership.Find(s.Leader)
 	return Status{
-		ID:            n.id,
-		Cluster:       n.identity.Cluster,
-		Founded:       n.identity.Cluster != 0,
-		Removed:       n.identity.Removed,
-		Role:          roleName(s, n.identity.Removed),
-		Term:          s.Term,
-		Leader:        leader,
-		LeaderSince:   n.view.leaderSince,
-		Commit:        s.Commit,
-		Applied:       s.Applied,
-		LastIndex:     s.LastIndex,
-		FirstIndex:    s.FirstIndex,
-		SnapshotIndex: s.SnapshotIndex,
-		Members:       slices.Clone(s.Membership.Members),
-		Active:        slices.Clone(n.view.active),
-		Lease:         remaining(n.view.leaseExpiry, now),
-		Err:           n.err,
+		ID:              n.id,
+		Cluster:         n.identity.Cluster,
+		Founded:         n.identity.Cluster != 0,
+		Removed:         n.identity.Removed,
+		Role:            roleName(s, n.identity.Removed),
+		Term:            s.Term,
+		Leader:          leader,
+		LeaderSince:     n.view.leaderSince,
+		Commit:          s.Commit,
+		Applied:         s.Applied,
+		LastIndex:       s.LastIndex,
+		FirstIndex:      s.FirstIndex,
+		SnapshotIndex:   s.SnapshotIndex,
+		Members:         slices.Clone(s.Membership.Members),
+		MembershipIndex: s.MembershipIndex,
+		Active:          slices.Clone(n.view.active),
+		Lease:           remaining(n.view.leaseExpiry, now),
+		Err:             n.err,
 	}
 }
 
