Harness: test processes side by side never pick the same port

Another test process took the port between the look and the use. Change: each test process holds a block of ports; links listen on ports that the kernel picks, which they never give up while they live.

--- a/test/process/harness/link.go
+++ b/test/process/harness/link.go
@@ -31,7 +31,7 @@
 	if err := proxy.Start(); err != nil {
 		t.Fatalf("proxy of %s: %v", name, err)
 	}
-	relay, err := startRelay(FreeAddress(t), proxy.Listen)
+	relay, err := startRelay(loopback+":0", proxy.Listen)
 	if err != nil {
 		proxy.Stop()
 		t.Fatalf("relay of %s: %v", name, err)
--- a/test/process/harness/ports.go
+++ b/test/process/harness/ports.go
@@ -10,18 +10,24 @@
 // Ports come from below the range from which Linux takes the ports of outgoing
 // connections (32768 and up): a port of a process that a test has killed would
 // else be taken by someone's connection before the process is back.
+//
+// They are dealt out in blocks. A test process holds its block by listening on
+// the block's first port for as long as it lives, so that two test processes
+// side by side never pick the same port between the look and the use.
 const (
 	firstPort = 15000
-	portCount = 16000
-	// portStride spreads test processes that run side by side.
-	portStride = 97
-	loopback   = "127.0.0.1"
+	blockSize = 1600
+	blocks    = 11
+	loopback  = "127.0.0.1"
 )
 
-var ports = struct {
+var ports struct {
 	sync.Mutex
-	next int
-}{next: os.Getpid() * portStride % portCount}
+	// held keeps the block; first is its first port.
+	held  net.Listener
+	first int
+	next  int
+}
 
 // FreeAddress returns an address on the loopback interface that nobody listens
 // on and that no other call of this process has returned of late.
@@ -35,10 +41,12 @@
 	t.Helper()
 	ports.Lock()
 	defer ports.Unlock()
-	for range portCount {
-		port := firstPort + ports.next
-		ports.next = (ports.next + 1) % portCount
-		address := net.JoinHostPort(host, strconv.Itoa(port))
+	if ports.held == nil && !holdBlock() {
+		t.Fatalf("no free block of ports: %d test processes run already", blocks)
+	}
+	for range blockSize {
+		ports.next = ports.next%(blockSize-1) + 1
+		address := net.JoinHostPort(host, strconv.Itoa(ports.first+ports.next))
 		listener, err := net.Listen("tcp", address)
 		if err != nil {
 			continue
@@ -49,3 +57,17 @@
 	t.Fatalf("no free port")
 	return ""
 }
+
+// holdBlock takes the first block that no other test process holds, beginning
+// at one that depends on the process.
+func holdBlock() bool {
+	for i := range blocks {
+		first := firstPort + (os.Getpid()+i)%blocks*blockSize
+		held, err := net.Listen("tcp", net.JoinHostPort(loopback, strconv.Itoa(first)))
+		if err == nil {
+			ports.held, ports.first = held, first
+			return true
+		}
+	}
+	return false
+}
