Placement: targets that ceased to report, reports from the future

Cause: a target's last report counted for ever; full with other entries' work at that moment, it would never have been used again by this entry (the test fails before). A report with a time ahead of this process shut out those after it.

--- a/internal/placement/limit.go
+++ b/internal/placement/limit.go
@@ -28,9 +28,13 @@
 )
 
 // Report takes in what target id last measured about itself. A report that is
-// not newer than the last is dropped.
+// not newer than the last is dropped; one from the future, by a clock that is
+// ahead, counts as of now, or it would shut out those that follow.
 func (p *Picker) Report(now time.Time, id string, load Load) {
 	t := p.targets[id]
+	if load.At.After(now) {
+		load.At = now
+	}
 	if t == nil || !load.At.After(t.reported.At) {
 		return
 	}
@@ -38,7 +42,7 @@
 	t.mostReported = max(t.mostReported, float64(load.TokensInFlight))
 	t.mineAt = t.mine - t.ledger.since(load.At)
 	t.pool.observeOthers(t)
-	t.estimate()
+	t.estimate(now)
 	t.adapt(now, p.options.TokenInterval)
 	t.pool.full.clear()
 }
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -47,10 +47,11 @@
 	if none.covers(now, tokens, reserve) {
 		return false
 	}
-	for _, t := range pool.targets {
-		if t.room(now, tokens, reserve, &p.options) {
-			return true
-		}
+	if pool.room(now, tokens, reserve, &p.options) {
+		return true
+	}
+	if pool.refresh(now) && pool.room(now, tokens, reserve, &p.options) {
+		return true
 	}
 	none.remember(now, tokens, reserve)
 	return false
@@ -124,7 +125,7 @@
 	if t.DataCentre != p.options.DataCentre {
 		s += remoteCost
 	}
-	if !t.reported.At.IsZero() && now.Sub(t.reported.At) > staleAfter {
+	if t.stale(now) {
 		s += staleCost
 	}
 	if t.pace.slow || t.stalled(now) {
--- a/internal/placement/picker.go
+++ b/internal/placement/picker.go
@@ -200,7 +200,7 @@
 	}
 	t.mine += tokens
 	t.ledger.add(now, tokens)
-	t.estimate()
+	t.estimate(now)
 }
 
 // Progress notes that an attempt received tokens.
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -37,6 +37,30 @@
 	p.others = 1
 }
 
+// room tells whether the request fits on some target.
+func (p *pool) room(now time.Time, tokens int, reserve float64, o *Options) bool {
+	for _, t := range p.targets {
+		if t.room(now, tokens, reserve, o) {
+			return true
+		}
+	}
+	return false
+}
+
+// refresh estimates anew the load of targets that ceased to report, and tells
+// whether there are any. It is called only when nothing has room, so that the
+// quick look through full targets needs no clock.
+func (p *pool) refresh(now time.Time) bool {
+	found := false
+	for _, t := range p.targets {
+		if t.stale(now) {
+			t.estimate(now)
+			found = true
+		}
+	}
+	return found
+}
+
 // mean returns the load of the pool as a part of its limits.
 func (p *pool) mean() float64 {
 	load, limit := 0.0, 0.0
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -89,8 +89,8 @@
 // entries send meanwhile as well, unseen; pool.others scales this entry's
 // change to that of all entries, since the balancer in front spreads requests
 // evenly. Without it each of nine entries would fill the same free room.
-func (t *target) estimate() {
-	if t.reported.At.IsZero() {
+func (t *target) estimate(now time.Time) {
+	if t.reported.At.IsZero() || t.stale(now) {
 		t.load = float64(t.mine) * t.pool.others
 		return
 	}
@@ -98,6 +98,12 @@
 	t.load = max(float64(t.mine), float64(t.reported.TokensInFlight)+change)
 }
 
+// stale tells whether the target ceased to report. What it last said is then no
+// more to go by: work of other entries that it counted would fill it for ever.
+func (t *target) stale(now time.Time) bool {
+	return !t.reported.At.IsZero() && now.Sub(t.reported.At) > staleAfter
+}
+
 // part is how much of its limit it may be given now, from 0 to 1.
 func (t *target) part(now time.Time) float64 {
 	return t.ramp(now) * t.pace.speed()
