Placement: targets that return keep their state; no ramps after an outage of all

Cause: a target that was unlisted for a moment came back as a new one: the requests still in flight there were forgotten and it drew more as if idle. Ruled out: no ramp at all (a single returning target draws every request). Change: unlisted targets and empty pools are kept, bounded; listing anew forgives failures; where over half of the pool failed within the ramp time none ramps. The driver has the situation storm-unseen: no control VM notices the outage.

--- a/internal/loadtest/load_test.go
+++ b/internal/loadtest/load_test.go
@@ -63,7 +63,7 @@
 }
 
 func back(s *situation, r *result) string {
-	if s.name != "storm" {
+	if !s.endless {
 		return "-"
 	}
 	end := s.duration()
--- a/internal/loadtest/situation_test.go
+++ b/internal/loadtest/situation_test.go
@@ -31,8 +31,10 @@
 	honouring float64
 	// endless callers send again after their deadline too.
 	endless bool
-	seconds int
-	fault   func(w *world)
+	// unnoticed is true if the control VMs don't see the fault.
+	unnoticed bool
+	seconds   int
+	fault     func(w *world)
 	// entries and noFloor are for the measurement of order of worth.
 	entries int
 	noFloor bool
@@ -117,6 +119,10 @@
 			s.endless = true
 			s.fault = func(w *world) { w.dark(w.engines, faultAt, faultAt+outage) }
 		}),
+		with("storm-unseen", "as storm, but no control VM notices: the groups stay listed", func(s *situation) {
+			s.endless, s.unnoticed = true, true
+			s.fault = func(w *world) { w.dark(w.engines, faultAt, faultAt+outage) }
+		}),
 		with("dark-domain", "0.8 of capacity, three groups of ten gone from 40 s to 80 s", func(s *situation) {
 			s.load = steady(0.8)
 			s.fault = func(w *world) { w.dark(w.engines[:3], faultAt, faultEnd) }
--- a/internal/loadtest/world_test.go
+++ b/internal/loadtest/world_test.go
@@ -106,12 +106,19 @@
 		for _, e := range engines {
 			e.fail()
 		}
-		w.c.after(noticeAfter, w.list)
+		w.notice()
 	})
 	w.c.after(to, func() {
 		for _, e := range engines {
 			e.dark = false
 		}
-		w.c.after(noticeAfter, w.list)
+		w.notice()
 	})
 }
+
+// notice lists the groups anew if the control VMs see what happened.
+func (w *world) notice() {
+	if !w.s.unnoticed {
+		w.c.after(noticeAfter, w.list)
+	}
+}
--- a/internal/placement/domain.go
+++ b/internal/placement/domain.go
@@ -56,12 +56,15 @@
 	backoff := firstBackoff << min(t.failures-1, 8)
 	t.avoidUntil = now.Add(min(backoff, maxBackoff))
 	t.domain.failure(now, t.ID)
+	t.pool.failure(now)
 }
 
 // success notes a whole answer of t. A target that failed several times in a
-// row returns by the ramp.
+// row returns by the ramp, unless most of the pool failed as well: ramps of all
+// would hold back the recovery from an outage, and a cold cache is then no reason
+// to prefer another.
 func (t *target) success(now time.Time) {
-	if t.failures >= 2 {
+	if t.failures >= 2 && now.After(t.pool.outageUntil) {
 		t.rampFrom = now
 	}
 	t.failures = 0
@@ -70,3 +73,22 @@
 		t.domain.success(t.ID)
 	}
 }
+
+// failure notes whether most of the pool fails.
+func (p *pool) failure(now time.Time) {
+	failing := 0
+	for _, t := range p.targets {
+		if t.failures > 0 {
+			failing++
+		}
+	}
+	if 2*failing > len(p.targets) {
+		p.outageUntil = now.Add(rampTime)
+	}
+}
+
+// vouched forgets the failures of a target that the control VMs list anew.
+func (t *target) vouched() {
+	t.failures = 0
+	t.avoidUntil = time.Time{}
+}
--- a/internal/placement/picker.go
+++ b/internal/placement/picker.go
@@ -15,13 +15,18 @@
 	running map[string]*attempt
 	hints   hints
 	random  uint64
-	// learned holds the limits of targets that were taken off the list.
-	learned map[Target]float64
+	// left holds targets that were taken off the list. One that returns keeps
+	// its limit, its pace and the attempts that it still holds.
+	left map[string]*target
 }
 
-// learnedLimit bounds Picker.learned. Past it all are forgotten, and targets
-// that return begin at their stated capacity.
-const learnedLimit = 2048
+// poolLimit bounds the pools that are kept without a target, for what they have
+// learned of peers and other entries when the targets return.
+const poolLimit = 1024
+
+// leftLimit bounds Picker.left, about 6 MB. Past it all are forgotten, and
+// targets that return begin as new ones.
+const leftLimit = 2048
 
 // attempt is one request in flight on a target.
 type attempt struct {
@@ -42,7 +47,7 @@
 		running: make(map[string]*attempt),
 		hints:   make(hints),
 		random:  o.Seed,
-		learned: make(map[Target]float64),
+		left:    make(map[string]*target),
 	}
 }
 
@@ -64,8 +69,13 @@
 
 func (p *Picker) list(now time.Time, o Target, first bool) {
 	t := p.targets[o.ID]
-	if t == nil || t.Model != o.Model {
-		t = p.replaceTarget(t, o)
+	if t != nil && t.Model != o.Model {
+		p.hints.dropAll(t)
+		delete(p.targets, o.ID)
+		t = nil
+	}
+	if t == nil {
+		t = p.returning(o)
 		if !first {
 			t.rampFrom = now
 		}
@@ -78,17 +88,18 @@
 	t.domain = p.domain(domainKey{o.DataCentre, o.FabricDomain})
 }
 
-// replaceTarget makes the state for o. Attempts of the old state, if there is
-// one, still end on the old state.
-func (p *Picker) replaceTarget(old *target, o Target) *target {
-	if old != nil {
-		p.hints.dropAll(old)
-	}
-	t := newTarget(o)
-	if limit, ok := p.learned[o]; ok {
-		t.limit = limit
-		delete(p.learned, o)
+// returning makes a target of o, or takes the one that left under its id.
+//
+// It is made for groups that are routable to and fro: with a new state each time
+// the requests still in flight there would be forgotten, and it would draw more
+// as if it were idle.
+func (p *Picker) returning(o Target) *target {
+	t := p.left[o.ID]
+	delete(p.left, o.ID)
+	if t == nil || t.Model != o.Model {
+		t = newTarget(o)
 	}
+	t.vouched()
 	p.targets[o.ID] = t
 	return t
 }
@@ -109,10 +120,10 @@
 		}
 		p.hints.dropAll(t)
 		delete(p.targets, id)
-		if len(p.learned) >= learnedLimit {
-			clear(p.learned)
+		if len(p.left) >= leftLimit {
+			clear(p.left)
 		}
-		p.learned[t.Target] = t.limit
+		p.left[id] = t
 	}
 }
 
@@ -136,7 +147,7 @@
 	}
 	for model, pool := range p.pools {
 		pool.sort()
-		if len(pool.targets) == 0 {
+		if len(pool.targets) == 0 && len(p.pools) > poolLimit {
 			delete(p.pools, model)
 		}
 	}
--- a/internal/placement/picker_test.go
+++ b/internal/placement/picker_test.go
@@ -385,6 +385,44 @@
 	assert.Equal(t, len(p.running), 0)
 }
 
+// The network between this entry and all groups is gone for some seconds, too
+// short for the control VMs to unlist any. Ramps of all at once would hold the
+// recovery back for ten seconds more; a single group that failed has its ramp.
+func TestOutageOfAllEndsWithoutRamps(t *testing.T) {
+	fail := func(p *Picker, n int) {
+		for i := range 3 * n {
+			id := fmt.Sprintf("g%03d", i%n)
+			p.Started(start, fmt.Sprint(i), id, 100)
+			p.Finished(start, fmt.Sprint(i), Result{})
+		}
+		for i := range n {
+			id := fmt.Sprintf("g%03d", i)
+			p.Started(at(maxBackoff), id, id, 100)
+			p.Finished(at(maxBackoff), id, Result{OK: true})
+		}
+	}
+	all, one := picker(10), picker(10)
+	fail(all, 10)
+	fail(one, 1)
+	assert.Equal(t, all.targets["g000"].part(at(maxBackoff)), 1.0)
+	assert.Equal(t, all.targets["g009"].part(at(maxBackoff)), 1.0)
+	assert.Equal(t, one.targets["g000"].part(at(maxBackoff)), rampStart)
+}
+
+// A group is taken off the list for a moment and comes back with its requests
+// still in flight. It must not be taken for idle.
+func TestReturningTargetKeepsItsAttemptsAndLimit(t *testing.T) {
+	p := picker(2)
+	p.targets["g001"].limit = 20000
+	p.Started(start, "a", "g001", 9500)
+	p.SetTargets(start, groups(1))
+	p.SetTargets(start, groups(2))
+	assert.Equal(t, p.targets["g001"].limit, 20000.0)
+	assert.Equal(t, p.targets["g001"].load, 9500.0)
+	p.Finished(start, "a", Result{OK: true})
+	assert.Equal(t, p.targets["g001"].load, 0.0)
+}
+
 // An instance of a plain service takes ten times as long as its peers. Calls
 // count one unit of work; its answers alone tell that it is slow.
 func TestSlowPlainServiceInstanceIsFoundByItsAnswers(t *testing.T) {
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -19,6 +19,9 @@
 	meanAll, meanMine float64
 	reference         reference
 	full              roomCache
+	// outageUntil is until when a return to service counts as the end of an
+	// outage of most of the pool.
+	outageUntil time.Time
 }
 
 func newPool() *pool { return &pool{others: 1} }
