--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -22,6 +22,7 @@
 	// outageUntil is until when a return to service counts as the end of an
 	// outage of most of the pool.
 	outageUntil time.Time
+	refreshAt   time.Time
 }
 
 func newPool() *pool { return &pool{others: 1} }
@@ -50,10 +51,18 @@
 	return false
 }
 
+// refreshEvery is how often stale targets are looked for at most: under
+// saturation nothing has room many times a second.
+const refreshEvery = time.Second
+
 // refresh estimates anew the load of targets that ceased to report, and tells
 // whether there are any. It is called only when nothing has room, so that the
 // quick look through full targets needs no clock.
 func (p *pool) refresh(now time.Time) bool {
+	if now.Before(p.refreshAt) {
+		return false
+	}
+	p.refreshAt = now.Add(refreshEvery)
 	found := false
 	for _, t := range p.targets {
 		if t.stale(now) {
