--- a/internal/placement/picker_test.go
+++ b/internal/placement/picker_test.go
@@ -129,6 +129,23 @@
 	assert.Assert(t, p.HasRoom(at(time.Second), "m", 2000, 0))
 }
 
+// A group is full with work of another entry when its reports cease to come. It
+// serves on; by its last word it would be full for ever.
+func TestTargetThatCeasedToReportIsUsedAgain(t *testing.T) {
+	p := picker(1)
+	p.Report(start, "g000", Load{Running: 9, TokensInFlight: 10000, At: start})
+	assert.Assert(t, !p.HasRoom(at(time.Second), "m", 500, 0))
+	assert.Assert(t, p.HasRoom(at(2*staleAfter), "m", 500, 0))
+}
+
+// One engine's clock is an hour ahead. Its reports are still taken in.
+func TestReportFromTheFutureCountsAsOfNow(t *testing.T) {
+	p := picker(1)
+	p.Report(at(time.Second), "g000", Load{Running: 1, TokensInFlight: 100, At: at(time.Hour)})
+	p.Report(at(2*time.Second), "g000", Load{Running: 1, TokensInFlight: 200, At: at(time.Hour)})
+	assert.Equal(t, p.targets["g000"].load, 200.0)
+}
+
 func TestOldReportIsDropped(t *testing.T) {
 	p := picker(1)
 	p.Report(at(time.Second), "g000", Load{TokensInFlight: 4000, At: at(time.Second)})
@@ -148,7 +165,7 @@
 	assert.Assert(t, limit() < 6000, "%v", limit())
 	low := limit()
 	for i := range 20 {
-		now := at(time.Duration(20+i) * time.Second)
+		now := at(time.Duration(10+i) * time.Second)
 		assert.Assert(t, !p.HasRoom(now, "m", 4000, 0))
 		p.Report(now, "g000", Load{Running: 10, TokensInFlight: 10000, At: now})
 	}
@@ -368,6 +385,44 @@
 	assert.Equal(t, len(p.running), 0)
 }
 
+// The network between this entry and all groups is gone for some seconds, too
+// short for the control VMs to unlist any. Ramps of all at once would hold the
+// recovery back for ten seconds more; a single group that failed has its ramp.
+func TestOutageOfAllEndsWithoutRamps(t *testing.T) {
+	fail := func(p *Picker, n int) {
+		for i := range 3 * n {
+			id := fmt.Sprintf("g%03d", i%n)
+			p.Started(start, fmt.Sprint(i), id, 100)
+			p.Finished(start, fmt.Sprint(i), Result{})
+		}
+		for i := range n {
+			id := fmt.Sprintf("g%03d", i)
+			p.Started(at(maxBackoff), id, id, 100)
+			p.Finished(at(maxBackoff), id, Result{OK: true})
+		}
+	}
+	all, one := picker(10), picker(10)
+	fail(all, 10)
+	fail(one, 1)
+	assert.Equal(t, all.targets["g000"].part(at(maxBackoff)), 1.0)
+	assert.Equal(t, all.targets["g009"].part(at(maxBackoff)), 1.0)
+	assert.Equal(t, one.targets["g000"].part(at(maxBackoff)), rampStart)
+}
+
+// A group is taken off the list for a moment and comes back with its requests
+// still in flight. It must not be taken for idle.
+func TestReturningTargetKeepsItsAttemptsAndLimit(t *testing.T) {
+	p := picker(2)
+	p.targets["g001"].limit = 20000
+	p.Started(start, "a", "g001", 9500)
+	p.SetTargets(start, groups(1))
+	p.SetTargets(start, groups(2))
+	assert.Equal(t, p.targets["g001"].limit, 20000.0)
+	assert.Equal(t, p.targets["g001"].load, 9500.0)
+	p.Finished(start, "a", Result{OK: true})
+	assert.Equal(t, p.targets["g001"].load, 0.0)
+}
+
 // An instance of a plain service takes ten times as long as its peers. Calls
 // count one unit of work; its answers alone tell that it is slow.
 func TestSlowPlainServiceInstanceIsFoundByItsAnswers(t *testing.T) {
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -19,6 +19,10 @@
 	meanAll, meanMine float64
 	reference         reference
 	full              roomCache
+	// outageUntil is until when a return to service counts as the end of an
+	// outage of most of the pool.
+	outageUntil time.Time
+	refreshAt   time.Time
 }
 
 func newPool() *pool { return &pool{others: 1} }
@@ -37,6 +41,38 @@
 	p.others = 1
 }
 
+// room tells whether the request fits on some target.
+func (p *pool) room(now time.Time, tokens int, reserve float64, o *Options) bool {
+	for _, t := range p.targets {
+		if t.room(now, tokens, reserve, o) {
+			return true
+		}
+	}
+	return false
+}
+
+// refreshEvery is how often stale targets are looked for at most: under
+// saturation nothing has room many times a second.
+const refreshEvery = time.Second
+
+// refresh estimates anew the load of targets that ceased to report, and tells
+// whether there are any. It is called only when nothing has room, so that the
+// quick look through full targets needs no clock.
+func (p *pool) refresh(now time.Time) bool {
+	if now.Before(p.refreshAt) {
+		return false
+	}
+	p.refreshAt = now.Add(refreshEvery)
+	found := false
+	for _, t := range p.targets {
+		if t.stale(now) {
+			t.estimate(now)
+			found = true
+		}
+	}
+	return found
+}
+
 // mean returns the load of the pool as a part of its limits.
 func (p *pool) mean() float64 {
 	load, limit := 0.0, 0.0
