init outlasts a peer that still starts

Cause: a control process refuses to found while it can't ask a peer, and the daemon maps that to conflict; run right after the processes' start, init ended with exit 3. Seen as a flaky test/tool: 5 of 6 runs failed at a load average of 20 to 27 ('a peer could not be asked'). Ruled out: waiting in the tests, which would hide from operators what they meet too. Now init asks again until -timeout and prints what it waits for.

--- a/internal/tool/apply.go
+++ b/internal/tool/apply.go
@@ -60,8 +60,8 @@
 	if err != nil && !failure.Is(err, failure.TypeNotFounded) {
 		return errors.Trace(err)
 	}
-	var reply adminapi.InitReply
-	if err := i.admin.post(i.ctx, adminapi.PathInit, request, &reply, ""); err != nil {
+	reply, err := i.foundOnce(request)
+	if err != nil {
 		return errors.Trace(err)
 	}
 	current, err := i.configuration()
@@ -83,6 +83,32 @@
 	return nil
 }
 
+// foundOnce asks for the founding until it is done or the time is up.
+//
+// A control process refuses to found while it can't ask each of the others
+// whether it belongs to a cluster. That is so for a moment when an operator
+// has just started them all, and ends by itself.
+func (i *invocation) foundOnce(request adminapi.InitRequest) (adminapi.InitReply, error) {
+	deadline := time.Now().Add(i.admin.timeout)
+	shown := ""
+	for {
+		var reply adminapi.InitReply
+		err := i.admin.post(i.ctx, adminapi.PathInit, request, &reply, "")
+		if !failure.Is(err, failure.TypeConflict) || time.Now().After(deadline) {
+			return reply, err
+		}
+		if text := err.Error(); text != shown {
+			i.progress("not founded yet: %s", text)
+			shown = text
+		}
+		select {
+		case <-i.ctx.Done():
+			return reply, err
+		case <-time.After(roundPause):
+		}
+	}
+}
+
 // awaitVoters waits until wanted replicas vote. A cluster is founded with one
 // voter; until the others have joined, what it accepts is on one disk.
 func (i *invocation) awaitVoters(wait time.Duration, wanted int) error {
--- a/internal/tool/fake_test.go
+++ b/internal/tool/fake_test.go
@@ -26,6 +26,9 @@
 	token string
 	// loseAnswers is how many more changes are carried out unanswered.
 	loseAnswers int
+	// refuseInits is how many more foundings are refused, as while a peer
+	// can't be asked.
+	refuseInits int
 	// pending is what in-force reports for so many more looks.
 	pending int
 	posts   []blackboard.ConfigChange
@@ -86,6 +89,11 @@
 }
 
 func (f *fakeAdmin) found(w http.ResponseWriter, r *http.Request) {
+	if f.refuseInits > 0 {
+		f.refuseInits--
+		failure.Write(w, failure.New(failure.TypeConflict, "a peer could not be asked whether it belongs to a cluster"))
+		return
+	}
 	var request adminapi.InitRequest
 	_ = json.NewDecoder(r.Body).Decode(&request)
 	f.apply(blackboard.Found{ClusterID: "cluster-1", Initial: request.Initial})
--- a/internal/tool/tool_test.go
+++ b/internal/tool/tool_test.go
@@ -362,3 +362,14 @@
 	assert.Equal(t, runTool(address+","+f.address(), "preset", "list").code, ExitOK)
 	assert.Equal(t, runTool(address+","+address, "preset", "list").code, ExitFailure)
 }
+
+// An operator starts all processes and runs init in the same breath. One
+// process does not listen yet, so the founding is refused for a moment; init
+// must not come back with a conflict that was none.
+func TestInitOutlastsAPeerThatStillStarts(t *testing.T) {
+	f := newFakeAdmin(t)
+	f.refuseInits = 2
+	assert.Assert(t, is.Contains(f.must(t, ExitOK, "init").err, "not founded yet: conflict: a peer could not be asked"))
+	f.set(func() { f.refuseInits = 1000 })
+	f.must(t, ExitConflict, "init", "-timeout", "100ms")
+}
