--- a/internal/controller/decisions_test.go
+++ b/internal/controller/decisions_test.go
@@ -125,6 +125,25 @@
 	assert.Assert(t, gain(3, 1, 90, 4) < 0, "nearly equal worth is not worth a reload")
 }
 
+// A group answers now and then only: one member announces itself so rarely that
+// its evidence is old half of the time. With a spare, a replacement must load
+// beside it and then take over; without one, the group must be left as it is.
+func TestAGroupWithAStragglerIsReplaced(t *testing.T) {
+	for _, spare := range []int{2, 1} {
+		w := newWorld(t, 47, 1, 2+spare, defaultPolicy, demoConfig(1, 2))
+		w.run(30 * time.Second)
+		w.byID[w.board.Groups["demo-0"].Members[0].VM].slow = 6
+		w.run(stragglerPatience + 40*time.Second)
+		finish(t, w)
+		if spare < 2 {
+			assert.Equal(t, w.board.Groups["demo-0"].State, blackboard.Serving, w.states())
+			continue
+		}
+		assert.Equal(t, w.board.Groups["demo-1"].State, blackboard.Serving, w.states())
+		assert.Equal(t, w.board.Groups["demo-0"].State, blackboard.Released)
+	}
+}
+
 // A VM that is leaving still gets new work seconds later. Its group must stop
 // being routable at once and be drained; the group must come back elsewhere.
 func TestALeavingVMGetsNoNewWork(t *testing.T) {
@@ -159,6 +178,31 @@
 	}
 }
 
+// Answers are cut off by a planned drain: it waited three minutes for its
+// replacement to load, and that time counted against the work in flight. The
+// group must be released when its work is done and not before.
+func TestADrainCutsOffNoWork(t *testing.T) {
+	w := newWorld(t, 46, 1, 6, defaultPolicy, demoConfig(1, 3))
+	w.run(30 * time.Second)
+	w.storeSeconds = 60
+	members := w.board.Groups["demo-0"].Members
+	for _, m := range members {
+		w.byID[m.VM].running = 1
+	}
+	w.change(blackboard.ConfigChange{DrainGroups: []string{"demo-0"}})
+	w.run(190 * time.Second)
+	assert.Equal(t, w.board.Groups["demo-1"].State, blackboard.Serving, w.states())
+	w.run(30 * time.Second)
+	assert.Equal(t, w.board.Groups["demo-0"].State, blackboard.Draining)
+	for _, m := range members {
+		assert.Equal(t, w.byID[m.VM].phase, backend.PhaseReady)
+		w.byID[m.VM].running = 0
+	}
+	w.run(15 * time.Second)
+	finish(t, w)
+	assert.Equal(t, w.board.Groups["demo-0"].State, blackboard.Released)
+}
+
 // A preset lowers the replicas. The surplus must be drained, but not when the
 // operator switches back at once.
 func TestASurplusIsDrainedAfterAWhile(t *testing.T) {
@@ -179,3 +223,52 @@
 	assert.Equal(t, w.board.Groups["demo-0"].State, blackboard.Serving)
 	assert.Equal(t, w.board.Groups["demo-1"].State, blackboard.Released)
 }
+
+// Calls go to a plain service's instance that is gone. Its row must follow what
+// is heard: alive, paused, dead, and dropped when it is long gone.
+func TestAPlainServicesInstanceIsFollowed(t *testing.T) {
+	w := newWorld(t, 44, 1, 1, defaultPolicy, blackboard.ConfigChange{})
+	say := func(sequence uint64) {
+		n := w.entries[0]
+		n.table.Hear(w.now, n.id, backend.Announcement{
+			ID: "files-1", Kind: backend.KindService, Service: "files", Incarnation: "a", Sequence: sequence, Address: "x:1",
+		})
+	}
+	say(1)
+	w.run(time.Second)
+	say(2)
+	assert.Equal(t, w.board.Services["files-1"].Liveness, blackboard.Alive)
+	for _, c := range []struct {
+		after time.Duration
+		want  blackboard.Liveness
+	}{{pausedAfter + time.Second, blackboard.Paused}, {deadAfter, blackboard.Dead}, {forgetAfter, ""}} {
+		w.run(c.after)
+		assert.Equal(t, w.board.Services["files-1"].Liveness, c.want)
+	}
+	finish(t, w)
+}
+
+// A VM was replaced under a new name; its row stays for ever, and the group that
+// it held stays broken.
+func TestAVMThatIsLongDeadIsForgotten(t *testing.T) {
+	w := newWorld(t, 45, 1, 3, defaultPolicy, demoConfig(1, 2))
+	w.run(30 * time.Second)
+	id := w.board.Groups["demo-0"].Members[0].VM
+	w.byID[id].kill()
+	w.run(time.Minute)
+	row := w.board.VMs[id]
+	assert.Equal(t, row.Liveness, blackboard.Dead)
+	var a Actions
+	l := w.leader()
+	liveness(View{Board: w.board, Evidence: w.entries[0].table, Memory: l.memory}, w.now.Add(forgetVMAfter), &a)
+	for _, c := range a.Commands {
+		if remove, ok := c.(*blackboard.RemoveVM); ok {
+			w.propose(remove)
+		}
+	}
+	w.run(time.Second)
+	finish(t, w)
+	_, known := w.board.VMs[id]
+	assert.Assert(t, !known)
+	assert.Equal(t, w.board.Groups["demo-0"].State, blackboard.Released)
+}
--- a/internal/controller/sim_engine_test.go
+++ b/internal/controller/sim_engine_test.go
@@ -20,6 +20,9 @@
 	sequence    uint64
 	up, dark    bool
 	leaving     bool
+	running     int
+	// slow is how many intervals the engine is late with each announcement.
+	slow        int
 	pausedUntil time.Time
 	entry       int
 	newest      backend.FencingToken
@@ -94,7 +97,8 @@
 // announce posts to the engine's entry, or moves on to the next entry when
 // that one does not answer.
 func (e *simEngine) announce() {
-	defer e.w.after(350*time.Millisecond+e.w.upTo(100*time.Millisecond), e.announce)
+	interval := 350*time.Millisecond + e.w.upTo(100*time.Millisecond)
+	defer e.w.after(interval*time.Duration(1+e.slow), e.announce)
 	if !e.up || e.paused() || e.dark {
 		return
 	}
@@ -114,7 +118,7 @@
 		ID: e.id, Incarnation: e.name(), Sequence: e.sequence, Kind: backend.KindEngine,
 		Address: e.id + ":1", DataCentre: "dc", FabricDomain: e.domain, Leaving: e.leaving,
 		Accelerators: e.accelerators, Group: e.group, Epoch: e.epoch, Phase: e.phase,
-		Load: &backend.Load{}, Weights: sortedKeys(e.weights), Unreachable: lost,
+		Load: &backend.Load{Running: e.running, AtMillis: 500}, Weights: sortedKeys(e.weights), Unreachable: lost,
 	}
 	n.table.Hear(e.w.now, n.id, a)
 }
@@ -191,11 +195,11 @@
 		}
 	}
 	if e.weights[model] {
-		e.w.after(localLoad, ready)
+		e.w.after(e.w.localLoad, ready)
 		return
 	}
-	e.w.store = append(e.w.store, &simFetch{left: storeSeconds, live: func() bool { return e.work == work }, done: func() {
-		e.w.after(localLoad, ready)
+	e.w.store = append(e.w.store, &simFetch{left: e.w.storeSeconds, live: func() bool { return e.work == work }, done: func() {
+		e.w.after(e.w.localLoad, ready)
 	}})
 }
 
@@ -214,11 +218,8 @@
 }
 
 const (
-	localLoad = 3 * time.Second
 	// groupTimeout is when an engine that has lost a member says failed.
 	groupTimeout = 8 * time.Second
-	// storeSeconds is what one VM's weights take from the store alone.
-	storeSeconds = 2.0
 	storeTick    = 250 * time.Millisecond
 )
 
--- a/internal/entry/completion.go
+++ b/internal/entry/completion.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 
 	"github.com/juju/errors"
@@ -47,22 +48,32 @@
 // serveCompletion answers POST of a completion.
 func (s *Server) serveCompletion(d dialect) echo.HandlerFunc {
 	return func(c echo.Context) error {
-		board := s.o.Follower.Board()
-		j, e := s.head(c.Request(), board)
+		j, stream, e := s.takeCompletion(c, d)
 		if e != nil {
-			return e
+			return refusedAtDoor(c.Request(), e)
 		}
-		c.Response().Header().Set(HeaderRequestID, j.id)
-		r, e := s.readCompletion(c, j, d)
-		if e != nil {
-			return e
-		}
-		if !servesModel(board.Config.Groups, r.Model) {
-			return failure.New(failure.TypeUnknownModel, "no serving group is declared for this model").
-				WithDetail("model").WithRan(failure.RanNo)
-		}
-		return s.answerCompletion(c, j, d, r.Stream)
+		return s.answerCompletion(c, j, d, stream)
+	}
+}
+
+// takeCompletion reads and checks a completion request. It returns the job
+// and whether the answer is to be streamed.
+func (s *Server) takeCompletion(c echo.Context, d dialect) (*job, bool, *failure.Error) {
+	board := s.o.Follower.Board()
+	j, e := s.head(c.Request(), board)
+	if e != nil {
+		return nil, false, e
 	}
+	c.Response().Header().Set(HeaderRequestID, j.id)
+	r, e := s.readCompletion(c, j, d)
+	if e != nil {
+		return nil, false, e
+	}
+	if !servesModel(board.Config.Groups, r.Model) {
+		return nil, false, failure.New(failure.TypeUnknownModel, "no serving group is declared for this model").
+			WithDetail("model").WithRan(failure.RanNo)
+	}
+	return j, r.Stream, nil
 }
 
 func (s *Server) readCompletion(c echo.Context, j *job, d dialect) (*completionRequest, *failure.Error) {
@@ -93,10 +104,20 @@
 	}
 	j.prefix = backend.PrefixBlocks(j.prompt)
 	j.extra = extraFields(data)
-	j.body = fingerprint(d.path, string(data))
+	j.body = completionFingerprint(j, d)
 	return &r, nil
 }
 
+// completionFingerprint hashes what was asked. How the caller wants it sent is
+// left out, so that a resend may ask for a stream where the first did not.
+func completionFingerprint(j *job, d dialect) string {
+	extra, err := json.Marshal(j.extra)
+	if err != nil {
+		return ""
+	}
+	return fingerprint(d.path, j.model, j.prompt, strconv.Itoa(j.maxTokens), string(extra))
+}
+
 // extraFields returns the fields of the body that the entry does not use.
 func extraFields(data []byte) map[string]json.RawMessage {
 	var all map[string]json.RawMessage
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -40,7 +40,7 @@
 	running, e := s.start(j, s.runCompletion)
 	if e != nil {
 		e.RequestID = j.id
-		return e
+		return refusedAtDoor(c.Request(), e)
 	}
 	defer s.leave(running)
 	ctx, cancel := context.WithDeadline(c.Request().Context(), j.deadline)
@@ -51,6 +51,19 @@
 	return s.relayWhole(ctx, c, running, d)
 }
 
+// refusedAtDoor completes a refusal given before it was asked whether an
+// earlier send of the same idempotency key ran.
+//
+// Failure: a job runs and its answer is lost; the caller resends under the same
+// key to an entry that refuses at once, for its own reasons, and says "not
+// run". The caller gives the work to someone else, and it is done twice.
+func refusedAtDoor(r *http.Request, e *failure.Error) *failure.Error {
+	if r.Header.Get(HeaderIdempotencyKey) == "" || e.Type == failure.TypeKeyReused {
+		return e
+	}
+	return e.WithRan(failure.RanUnknown)
+}
+
 func (s *Server) relayWhole(ctx context.Context, c echo.Context, j *job, d dialect) error {
 	text, p, err := j.answer.whole(ctx)
 	if err != nil {
