Process test: a rolling restart of all processes under load

Cause that it guards against: an entry that had just started answered 401, which callers take for final, before it held a configuration.

--- a/test/tool/tool_test.go
+++ b/test/tool/tool_test.go
@@ -158,3 +158,24 @@
 	})
 	return c.Node(name)
 }
+
+// An operator restarts all processes one after the other while callers are at
+// work. Callers of a process that stops or starts must be told to come back,
+// never that their key is unknown: a program takes 401 for final.
+func TestRollingRestartUnderLoad(t *testing.T) {
+	c := founded(t)
+	var load sync.WaitGroup
+	load.Go(func() {
+		out, status := c.Tool("load", "-entries", entries(c), "-key", "dev", "-model", "demo", exact,
+			"-count", "2000", "-concurrency", "8", "-max-tokens", "20", "-retries", "50")
+		assert.Check(t, is.Equal(status, exitOK), out)
+		assert.Check(t, is.Contains(out, "ok=2000"), out)
+	})
+	for _, n := range c.Nodes {
+		n.Terminate()
+		assert.Check(t, is.Equal(n.Wait(harness.AwaitTimeout), exitOK))
+		n.Start()
+		harness.Await(t, n.Spec.Name+" ready", n.Ready)
+	}
+	load.Wait()
+}
