A spare learner takes the place of a voter that is silent for long

Cause: a voter's VM that never returns left the group one loss from standing still until an operator came. Nobody is there at night.

Ruled out: replacing at once, which would move votes at each restart of a VM; removing without a spare, which only shortens the list.

Change: after ReplaceAfter (10 minutes) of silence, and only while a caught-up learner stands by, the leader removes the voter and promotes the learner, under the same checks as every change. Commands over 1 MiB are refused.

--- a/internal/raft/lease.go
+++ b/internal/raft/lease.go
@@ -70,6 +70,15 @@
 	return n.answeredWithin(id, n.cfg.ElectionTimeout)
 }
 
+// SilentFor is how long a member has not answered this leader.
+func (n *Node) SilentFor(id NodeID) time.Duration {
+	p := n.progress[id]
+	if p == nil || id == n.cfg.ID {
+		return 0
+	}
+	return n.now - max(p.ackedAt, n.leaderSince)
+}
+
 func (n *Node) answeredWithin(id NodeID, limit time.Duration) bool {
 	if id == n.cfg.ID {
 		return true
--- a/internal/raft/plan.go
+++ b/internal/raft/plan.go
@@ -13,6 +13,9 @@
 	Active map[NodeID]bool
 	// CaughtUp holds the members that have all that is committed.
 	CaughtUp map[NodeID]bool
+	// Silent holds the members that have not answered for so long that a
+	// spare should take their place.
+	Silent map[NodeID]bool
 }
 
 // NextMembership decides the one change to make now and says why; the reason
@@ -32,6 +35,9 @@
 			return v.Membership.With(wants), "a replica moved to another address"
 		}
 	}
+	if id, ok := silentVoter(v); ok {
+		return v.Membership.Without(id), "it has been silent for long and a learner can take its place"
+	}
 	if learner, ok := promotable(v); ok {
 		learner.Learner = false
 		return v.Membership.With(learner), "a learner has caught up and a voter is wanted"
@@ -88,6 +94,28 @@
 	if voters >= v.Wanted {
 		return Member{}, false
 	}
+	return readyLearner(v, perCentre)
+}
+
+// silentVoter returns a voter that has been silent for long, if a learner is
+// ready to be promoted in its place. Without a spare it stays: removing it
+// would only shorten the list. With one, a group that nobody looks after at
+// night gets back the loss that it can bear.
+func silentVoter(v MembershipView) (NodeID, bool) {
+	if _, ok := readyLearner(v, nil); !ok {
+		return 0, false
+	}
+	for _, id := range v.Membership.Voters() {
+		if id != v.Self && v.Silent[id] {
+			return id, true
+		}
+	}
+	return 0, false
+}
+
+// readyLearner returns a learner that answers and has caught up, from the data
+// centre with the fewest voters.
+func readyLearner(v MembershipView, perCentre map[string]int) (Member, bool) {
 	var best Member
 	found := false
 	for _, m := range v.Membership.Members {
--- a/internal/raft/plan_test.go
+++ b/internal/raft/plan_test.go
@@ -87,3 +87,25 @@
 	m, _ := next.Find(2)
 	assert.Equal(t, m, Member{ID: 2, VM: "b", DataCentre: "y", Address: "20"})
 }
+
+// Story: a voter's VM dies in the evening and never returns. A fourth control
+// VM stands by as learner. By morning a second voter is gone: without the
+// spare's promotion the group would have no majority.
+func TestSpareTakesTheSilentVotersPlace(t *testing.T) {
+	v := sampleView()
+	v.Silent = map[NodeID]bool{3: true}
+	v.Active[3] = false
+	_, reason := NextMembership(v)
+	assert.Equal(t, reason, "", "there is no spare")
+
+	v.Membership = v.Membership.With(Member{ID: 4, VM: "d", DataCentre: "z", Address: "4", Learner: true})
+	_, reason = NextMembership(v)
+	assert.Equal(t, reason, "", "the spare has not caught up")
+	v.Active[4] = true
+	v.CaughtUp[4] = true
+	next, _ := NextMembership(v)
+	assert.Assert(t, next.IsRemoved(3))
+	v.Membership = next
+	next, _ = NextMembership(v)
+	assert.Assert(t, next.IsVoter(4))
+}
--- a/internal/raft/simulation_test.go
+++ b/internal/raft/simulation_test.go
@@ -16,6 +16,7 @@
 	simElectionTimeout = time.Second
 	simHeartbeat       = simElectionTimeout / 5
 	simClockDrift      = 0.05
+	simReplaceAfter    = 3 * simElectionTimeout
 	simCompactEvery    = 24
 	simCompactKeep     = 6
 )
@@ -410,7 +411,7 @@
 	}
 	v := MembershipView{
 		Membership: s.Membership, Self: p.id, Wanted: w.wanted,
-		Active: map[NodeID]bool{}, CaughtUp: map[NodeID]bool{},
+		Active: map[NodeID]bool{}, CaughtUp: map[NodeID]bool{}, Silent: map[NodeID]bool{},
 	}
 	for _, vm := range w.vms {
 		if vm.proc == nil || vm.proc.frozen > w.now || w.blocked(vm.name, p.vm.name) {
@@ -423,6 +424,7 @@
 	for _, m := range s.Membership.Members {
 		v.Active[m.ID] = p.node.Active(m.ID)
 		v.CaughtUp[m.ID] = p.node.Match(m.ID) >= s.Commit
+		v.Silent[m.ID] = p.node.SilentFor(m.ID) > simReplaceAfter
 	}
 	next, reason := NextMembership(v)
 	if reason == "" {
--- a/internal/replica/faults_test.go
+++ b/internal/replica/faults_test.go
@@ -231,3 +231,26 @@
 		return ok && !m.Learner && h.machine.get("k") == "v"
 	})
 }
+
+// Story: a voter's VM is gone for good while a fourth control VM stands by.
+// The spare becomes a voter without a command. The old VM, should it return,
+// learns that its identity was removed.
+func TestSpareReplacesAVoter(t *testing.T) {
+	c := newCluster(t, 4, func(o *Options) { o.ReplaceAfter = time.Second })
+	c.found(3)
+	c.put("k", "v")
+	var gone *host
+	for _, h := range c.hosts {
+		if m, ok := c.member(h.node.Status().ID); ok && !m.Learner && h != c.leader() {
+			gone = h
+		}
+	}
+	id := gone.node.Status().ID
+	gone.kill()
+	eventually(t, "the spare votes in its place", func() bool {
+		_, still := c.member(id)
+		return !still && c.voters() == 3
+	})
+	gone.open()
+	eventually(t, "it learns of its removal", func() bool { return gone.node.Status().Removed })
+}
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -49,6 +49,7 @@
 		Wanted:     n.opts.Voters,
 		Active:     map[raft.NodeID]bool{},
 		CaughtUp:   map[raft.NodeID]bool{},
+		Silent:     map[raft.NodeID]bool{},
 	}
 	now := n.opts.Now()
 	for id, j := range n.joins {
@@ -62,6 +63,7 @@
 	for _, m := range status.Membership.Members {
 		v.Active[m.ID] = n.core.Active(m.ID)
 		v.CaughtUp[m.ID] = n.core.Match(m.ID) >= status.Commit
+		v.Silent[m.ID] = n.core.SilentFor(m.ID) > n.opts.ReplaceAfter
 	}
 	return v
 }
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -66,6 +66,10 @@
 	MaxBatch int
 	// SnapshotEntries is after how many entries the log is compacted. Default 1024.
 	SnapshotEntries uint64
+	// ReplaceAfter is after how long a silent voter gives its place to a
+	// learner that stands by. Default 10 minutes: longer than a restart of a
+	// VM, short against the time to a second loss.
+	ReplaceAfter time.Duration
 	// Now reads a clock that never steps back and counts the time during which
 	// the process or the VM was suspended. Default BootTime.
 	Now func() time.Duration
@@ -85,6 +89,10 @@
 	defaultHeartbeatTicks  = 4
 	defaultMaxBatch        = 1024
 	defaultSnapshotEntries = 1024
+	defaultReplaceAfter    = 10 * time.Minute
+	// maxCommandBytes bounds one command, so that the commands ahead of the
+	// commit index stay within a node's memory.
+	maxCommandBytes = 1 << 20
 	// maxBatchBytes bounds one append, well under maxRequestBytes.
 	maxBatchBytes = 1 << 20
 	// leaseMarginParts is the part of the election timeout that the lease is
@@ -111,6 +119,9 @@
 	if o.SnapshotEntries == 0 {
 		o.SnapshotEntries = defaultSnapshotEntries
 	}
+	if o.ReplaceAfter == 0 {
+		o.ReplaceAfter = defaultReplaceAfter
+	}
 	if o.Now == nil {
 		o.Now = BootTime
 	}
@@ -160,8 +171,8 @@
 	ErrUnknownMember = errors.ConstError("no member has this identity")
 	// ErrInvalidOptions refuses to open a node.
 	ErrInvalidOptions = errors.ConstError("the node's options are not complete")
-	// ErrEmptyCommand refuses a command without content.
-	ErrEmptyCommand = errors.ConstError("the command is empty")
+	// ErrInvalidCommand refuses a command that is empty or over 1 MiB.
+	ErrInvalidCommand = errors.ConstError("the command is empty or too large")
 )
 
 // NotLeaderError means that this node does not lead. From Propose it also
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -14,8 +14,8 @@
 // A NotLeaderError, ErrNotProposed, ErrNotFounded, ErrRemoved or ErrClosed
 // means that the command never takes effect; ErrOutcomeUnknown that it may.
 func (n *Node) Propose(ctx context.Context, command []byte) ([]byte, error) {
-	if len(command) == 0 {
-		return nil, errors.Trace(ErrEmptyCommand)
+	if len(command) == 0 || len(command) > maxCommandBytes {
+		return nil, errors.Trace(ErrInvalidCommand)
 	}
 	if err := n.usable(); err != nil {
 		return nil, errors.Trace(err)
