--- a/internal/raft/simulation_test.go
+++ b/internal/raft/simulation_test.go
@@ -14,7 +14,9 @@
 const (
 	simStep            = 10 * time.Millisecond
 	simElectionTimeout = time.Second
+	simHeartbeat       = simElectionTimeout / 5
 	simClockDrift      = 0.05
+	simReplaceAfter    = 3 * simElectionTimeout
 	simCompactEvery    = 24
 	simCompactKeep     = 6
 )
@@ -200,7 +202,7 @@
 		p.restore(saved.Snapshot.Data)
 	}
 	node, err := New(Config{
-		ID: p.id, Group: 1, ElectionTimeout: simElectionTimeout, HeartbeatInterval: simElectionTimeout / 10,
+		ID: p.id, Group: 1, ElectionTimeout: simElectionTimeout, HeartbeatInterval: simHeartbeat,
 		LeaseMargin: simElectionTimeout / 8, MaxBatchBytes: 256, MaxInflight: 64,
 		Rand: rand.New(eagerSource{rand.NewPCG(w.rng.Uint64(), 2), w.eager}),
 	}, saved, vm.clock(w.now))
@@ -409,7 +411,7 @@
 	}
 	v := MembershipView{
 		Membership: s.Membership, Self: p.id, Wanted: w.wanted,
-		Active: map[NodeID]bool{}, CaughtUp: map[NodeID]bool{},
+		Active: map[NodeID]bool{}, CaughtUp: map[NodeID]bool{}, Silent: map[NodeID]bool{},
 	}
 	for _, vm := range w.vms {
 		if vm.proc == nil || vm.proc.frozen > w.now || w.blocked(vm.name, p.vm.name) {
@@ -422,6 +424,7 @@
 	for _, m := range s.Membership.Members {
 		v.Active[m.ID] = p.node.Active(m.ID)
 		v.CaughtUp[m.ID] = p.node.Match(m.ID) >= s.Commit
+		v.Silent[m.ID] = p.node.SilentFor(m.ID) > simReplaceAfter
 	}
 	next, reason := NextMembership(v)
 	if reason == "" {
