--- a/cmd/citronstepd/main.go
+++ b/cmd/citronstepd/main.go
@@ -9,7 +9,6 @@
 	"fmt"
 	"os"
 	"os/signal"
-	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -29,15 +28,7 @@
 	exitCutShort = 3
 )
 
-// collectPercent is the garbage collector's target. An entry's memory is
-// mostly open streams, of which hundreds end and begin each second; at the
-// usual 100 every stream costs its size twice.
-const collectPercent = 50
-
 func main() {
-	if os.Getenv("GOGC") == "" {
-		debug.SetGCPercent(collectPercent)
-	}
 	os.Exit(run())
 }
 
