Profiles on the peers' listener; memory of an open stream explained

Cause: issue asks for a profile of where an open stream's memory goes. Change: /debug/pprof behind the secret between our processes; test/overhead keeps a heap profile in the folder that CITRONSTEP_PROFILES names.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"github.com/go-kit/log"
@@ -279,6 +280,8 @@
 	entries := noderpc.NewEntriesServer(n.entriesService())
 	mux.Handle(entries.PathPrefix(), entries)
 	mux.Handle(metrics.Path, n.metrics.Handler())
+	mux.HandleFunc("/debug/pprof/", pprof.Index)
+	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
 	if n.entry != nil {
 		mux.HandleFunc(entry.PathAnswers, n.entry.ServeAnswers)
 	}
--- a/test/overhead/overhead_test.go
+++ b/test/overhead/overhead_test.go
@@ -257,11 +257,30 @@
 	}
 	open.Wait()
 	during := memory(t, r.entry)
+	r.profile("heap")
 	t.Logf("%d open streams: memory %d KB before, %d KB with them: %.1f KB a stream",
 		n.openStreams, before, during, float64(during-before)/float64(n.openStreams))
 	wait.Wait()
 }
 
+// profile keeps a profile of the entry's process in the folder that the
+// environment names, if any.
+func (r *rig) profile(name string) {
+	folder := os.Getenv("CITRONSTEP_PROFILES")
+	if folder == "" {
+		return
+	}
+	request, err := http.NewRequest(http.MethodGet, "http://"+r.entry.Peers.Address()+"/debug/pprof/"+name, nil)
+	assert.NilError(r.t, err)
+	request.Header.Set("Authorization", "Bearer "+harness.PeerToken)
+	response, err := http.DefaultClient.Do(request)
+	assert.NilError(r.t, err)
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	assert.NilError(r.t, err)
+	assert.NilError(r.t, os.WriteFile(folder+"/"+name+".pprof", data, 0o600))
+}
+
 // cpu returns the processor time that a process has used.
 func cpu(t *testing.T, n *harness.Node) time.Duration {
 	t.Helper()
