--- a/internal/tool/docs_test.go
+++ b/internal/tool/docs_test.go
@@ -105,3 +105,22 @@
 		}
 	}
 }
+
+// Each file that a page names must be there, or its reader stops.
+func TestLinksOfThePagesLeadSomewhere(t *testing.T) {
+	pages, err := filepath.Glob("../../docs/*.md")
+	assert.NilError(t, err)
+	design, err := filepath.Glob("../../docs/design/*.md")
+	assert.NilError(t, err)
+	for _, page := range append(append(documents(t), pages...), design...) {
+		data, err := os.ReadFile(page)
+		assert.NilError(t, err)
+		for _, m := range regexp.MustCompile(`\]\(([^)#]+)(#[^)]*)?\)`).FindAllStringSubmatch(string(data), -1) {
+			if strings.Contains(m[1], "://") {
+				continue
+			}
+			_, err := os.Stat(filepath.Join(filepath.Dir(page), m[1]))
+			assert.NilError(t, err, "%s names %s", page, m[1])
+		}
+	}
+}
