--- a/internal/controller/sim_random_test.go
+++ b/internal/controller/sim_random_test.go
@@ -55,7 +55,7 @@
 		t.Run(strconv.Itoa(seed), func(t *testing.T) {
 			t.Parallel()
 			w := newWorld(t, int64(seed), 3, 6, defaultPolicy, randomConfig())
-			w.onServe = w.loseAfterRepair
+			w.onMove = w.disturb
 			w.after(20*time.Second, w.fault)
 			w.run(3 * time.Minute)
 			w.calm()
@@ -78,7 +78,7 @@
 
 // fault causes one fault and plans the next.
 func (w *world) fault() {
-	if w.onServe == nil {
+	if w.onMove == nil {
 		return
 	}
 	w.after(time.Second+w.upTo(15*time.Second), w.fault)
@@ -165,18 +165,25 @@
 	w.after(2*time.Second+w.upTo(20*time.Second), func() { w.entries[old].cut = false })
 }
 
-// loseAfterRepair kills a member right after some groups come into service.
-func (w *world) loseAfterRepair(g blackboard.Group) {
-	if w.rng.Intn(8) != 0 {
-		return
-	}
+// disturb kills a member right after some groups come into service, and drains
+// one while the orders to load are still on their way.
+func (w *world) disturb(g blackboard.Group) {
 	m := g.Members[w.rng.Intn(len(g.Members))]
-	w.after(w.upTo(time.Second), func() { w.crash(w.byID[m.VM]) })
+	switch g.State {
+	case blackboard.Serving:
+		if w.rng.Intn(8) == 0 {
+			w.after(w.upTo(time.Second), func() { w.crash(w.byID[m.VM]) })
+		}
+	case blackboard.Loading:
+		if w.rng.Intn(4) == 0 {
+			w.after(w.upTo(500*time.Millisecond), func() { w.drain(w.byID[m.VM]) })
+		}
+	}
 }
 
 // calm ends all faults and brings everything back.
 func (w *world) calm() {
-	w.onServe = nil
+	w.onMove = nil
 	for _, n := range w.entries {
 		n.cut = false
 	}
--- a/internal/controller/sim_world_test.go
+++ b/internal/controller/sim_world_test.go
@@ -72,7 +72,8 @@
 	policy  policy
 	failed  string
 	score   score
-	onServe func(g blackboard.Group)
+	// onMove is called when a group has changed its state.
+	onMove func(g blackboard.Group)
 }
 
 // simLeader is one process in one term.
@@ -170,8 +171,8 @@
 	if next.Revision == w.board.Revision {
 		return
 	}
-	if move, ok := c.(*blackboard.SetGroupState); ok && move.To == blackboard.Serving && w.onServe != nil {
-		w.onServe(next.Groups[move.Group])
+	if move, ok := c.(*blackboard.SetGroupState); ok && w.onMove != nil {
+		w.onMove(next.Groups[move.Group])
 	}
 	w.board = next
 }
