--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -245,7 +245,8 @@
 // Next returns the request to place now: the one of highest worth, within the
 // weighted shares, among models for which fits finds room. It also returns
 // requests that can't be answered in time any more, which are refused. fits is
-// asked at most twice a model: for long and for short requests.
+// asked once a model for long and for short requests, and once more for each
+// lesser class whose credit is due and that doesn't fit.
 func (q *Queue) Next(now time.Time, fits func(Request) bool) (Request, []Eviction, bool) {
 	expired := q.Expire(now)
 	var idle *modelQueue
@@ -340,18 +341,3 @@
 	m.rate.completed(run.tokens)
 	m.service.observe(run.tokens, o.Took)
 }
-
-// Reserve returns the part of each backend server that r must leave free for
-// requests of greater worth.
-//
-// It is made for several entries that share the backend servers without a
-// coordinator: one entry can't see what waits at another. With all servers full
-// of lesser work, a request of the greatest worth would wait there for the next
-// to end; the part left free by all entries takes it at once.
-func (q *Queue) Reserve(r Request) float64 {
-	m := q.models[r.Model]
-	if m == nil || q.policy.Worth(r.Workspace, r.Class) >= m.top {
-		return 0
-	}
-	return q.policy.Reserve
-}
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -49,6 +49,7 @@
 		Wanted:     n.opts.Voters,
 		Active:     map[raft.NodeID]bool{},
 		CaughtUp:   map[raft.NodeID]bool{},
+		Silent:     map[raft.NodeID]bool{},
 	}
 	now := n.opts.Now()
 	for id, j := range n.joins {
@@ -62,6 +63,7 @@
 	for _, m := range status.Membership.Members {
 		v.Active[m.ID] = n.core.Active(m.ID)
 		v.CaughtUp[m.ID] = n.core.Match(m.ID) >= status.Commit
+		v.Silent[m.ID] = n.core.SilentFor(m.ID) > n.opts.ReplaceAfter
 	}
 	return v
 }
@@ -90,6 +92,21 @@
 		}
 		return errors.Trace(&NotLeaderError{Leader: n.Status().Leader})
 	}
+	for {
+		err := n.removeOnce(ctx, id)
+		if !errors.Is(err, raft.ErrChangePending) && !errors.Is(err, raft.ErrNotReady) {
+			return errors.Trace(err)
+		}
+		// The leader is at another change of its own, which takes a moment.
+		select {
+		case <-ctx.Done():
+			return errors.Trace(err)
+		case <-time.After(n.opts.TickInterval):
+		}
+	}
+}
+
+func (n *Node) removeOnce(ctx context.Context, id raft.NodeID) error {
 	p := newProposal(nil)
 	err := n.do(ctx, func() {
 		p.taken.Store(true)
