--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -185,53 +185,6 @@
 	assert.Assert(t, asked <= 2)
 }
 
-// Twice the capacity is asked for. A request whose deadline lies before the
-// end of the work ahead of it is refused as it comes, not when it is too late.
-func TestUnreachableDeadlineIsRefusedAtTheDoor(t *testing.T) {
-	q := New(twoClasses())
-	learnRate(t, q, 1000, 500*time.Millisecond)
-	now := at(2 * window)
-	backlog(t, q, now, 10000)
-
-	late := request("late", "audit", "memo", 1000)
-	late.Deadline = now.Add(5 * time.Second)
-	d := q.Offer(now, late)
-	assert.Assert(t, d.Refusal != nil)
-	assert.Equal(t, d.Refusal.Reason, ReasonDeadlineUnreachable)
-	assert.Assert(t, d.Refusal.RetryAfter >= DefaultMinRetryAfter)
-
-	late.ID = "hopeless"
-	late.Deadline = now.Add(100 * time.Millisecond)
-	assert.Equal(t, q.Offer(now, late).Refusal.Reason, ReasonDeadlinePassed)
-
-	late.ID = "in-time"
-	late.Deadline = now.Add(time.Minute)
-	assert.Assert(t, q.Offer(now, late).Queued)
-}
-
-// The top class asks for more than there is, so that its own requests wait to the
-// last. A summary has the floor share to count on; refused at the door for what
-// waits ahead of it, it would never get it.
-func TestDoorCountsTheFloorShare(t *testing.T) {
-	q := New(twoClasses())
-	learnRate(t, q, 1000, 500*time.Millisecond)
-	for second := range 20 {
-		now := at(time.Duration(2+second) * window)
-		for i := range 3 {
-			mustQueue(t, q, now, request(fmt.Sprint("memo", second, "-", i), "audit", "memo", 1000))
-		}
-		r := takeNext(t, q, now)
-		q.Next(now, never)
-		q.Done(now, Outcome{ID: r.ID, Answered: true, Took: 500 * time.Millisecond})
-	}
-	now := at(22 * window)
-	r := request("summary", "audit", "draft", 500)
-	r.Deadline = now.Add(15 * time.Second)
-	mustQueue(t, q, now, r)
-	r.ID, r.Deadline = "hasty", now.Add(8*time.Second)
-	assert.Equal(t, q.Offer(now, r).Refusal.Reason, ReasonDeadlineUnreachable)
-}
-
 // The top class keeps all servers full up to the part that is kept for it. A draft
 // that the floor share is due to must be let into that part, or it never runs.
 func TestReserveIsForTheGreatestWorthAndForDueCredit(t *testing.T) {
@@ -254,30 +207,6 @@
 	assert.DeepEqual(t, reserves(), map[string]float64{"draft": 0, "memo": 0})
 }
 
-// The queue ahead is of lesser worth: it must not make the top class refuse.
-func TestLesserWorkAheadDoesNotRefuseGreater(t *testing.T) {
-	q := New(twoClasses())
-	learnRate(t, q, 1000, 500*time.Millisecond)
-	now := at(2 * window)
-	mustQueue(t, q, now, request("ahead", "audit", "draft", 100000))
-	r := request("memo", "audit", "memo", 1000)
-	r.Deadline = now.Add(2 * time.Second)
-	assert.Assert(t, q.Offer(now, r).Queued)
-}
-
-// Every backend server is gone for 20 s; nothing completes. If the service
-// rate fell to nothing meanwhile, each caller would be refused after the outage
-// as well, and the idle servers would never show a better rate.
-func TestOutageDoesNotForgetTheServiceRate(t *testing.T) {
-	q := New(twoClasses())
-	learnRate(t, q, 1000, 500*time.Millisecond)
-	mustQueue(t, q, at(2*window), request("waits", "audit", "memo", 100))
-	for i := range 20 {
-		q.Next(at(time.Duration(3+i)*window), never)
-	}
-	assert.Equal(t, q.Stats().Models[0].TokensPerSecond, 1000.0)
-}
-
 // A waiting request can't be in time any more. Its caller gets the final
 // answer now, and no backend server works for nobody.
 func TestExpiredRequestIsRefusedAndNotServed(t *testing.T) {
@@ -320,105 +249,6 @@
 	mustQueue(t, q, start, request("t0", "tank", "memo", 10))
 }
 
-// A caller sends its request again every 100 ms because the answer is slow.
-// Without joining, each copy would wait and run by itself.
-func TestResendsOfOneKeyJoinTheFirst(t *testing.T) {
-	q := New(twoClasses())
-	r := request("first", "audit", "memo", 10)
-	r.IdempotencyKey = "k"
-	mustQueue(t, q, start, r)
-	again := r
-	again.ID, again.Resend = "second", true
-	assert.Equal(t, q.Offer(start, again).Joined, "first")
-	takeNext(t, q, start)
-	assert.Equal(t, q.Offer(start, again).Joined, "first")
-	foreign := again
-	foreign.Workspace = "tank"
-	mustQueue(t, q, start, foreign)
-	q.Done(start, Outcome{ID: "first", Answered: true, Took: time.Second})
-	again.ID = "third"
-	mustQueue(t, q, start, again)
-}
-
-// A thousand callers are refused in the same second. Told one and the same
-// time, they would come back together and be refused together without end.
-func TestRefusedCallersComeBackNoFasterThanTheyCanBeServed(t *testing.T) {
-	q := New(twoClasses())
-	learnRate(t, q, 1000, 500*time.Millisecond)
-	now := at(2 * window)
-	backlog(t, q, now, 5000)
-	perSecond := make(map[int]int)
-	for i := range 1000 {
-		r := request(fmt.Sprint("r", i), "audit", "memo", 100)
-		r.Deadline = now.Add(time.Second)
-		d := q.Offer(now, r)
-		assert.Assert(t, d.Refusal != nil)
-		assert.Assert(t, d.Refusal.RetryAfter <= DefaultMaxRetryAfter)
-		perSecond[int(d.Refusal.RetryAfter/time.Second)]++
-	}
-	for second, n := range perSecond {
-		assert.Assert(t, n <= 100, "%d callers sent back to second %d, 10 can be served", n, second)
-	}
-}
-
-// The drafts are refused for seconds on end and none is admitted. Those refused
-// in one second must not be told the same time as those of the second before.
-func TestPromisedReturnsAreKeptBetweenWindows(t *testing.T) {
-	q := New(twoClasses())
-	learnRate(t, q, 1000, 500*time.Millisecond)
-	q.policy.MaxRetryAfter = time.Hour
-	backlog(t, q, at(2*window), 5000)
-	last := time.Time{}
-	for second := range 3 {
-		now := at(time.Duration(second+2) * window)
-		for i := range 20 {
-			r := request(fmt.Sprint("d", second, "-", i), "audit", "draft", 1000)
-			r.Deadline = now.Add(time.Second)
-			assert.Assert(t, q.Offer(now, r).Refusal != nil)
-		}
-		next := q.models["m"].band(1).returns.next
-		assert.Assert(t, second == 0 || next.Sub(last) >= 19*time.Second, "second %d: %v after the last", second, next.Sub(last))
-		last = next
-	}
-}
-
-// One caller waits as it was told, another sends again at once. The second must
-// not get the room that the first was promised.
-func TestComingBackTooEarlyGainsNothing(t *testing.T) {
-	q := New(twoClasses())
-	learnRate(t, q, 1000, 500*time.Millisecond)
-	now := at(2 * window)
-	backlog(t, q, now, 5000)
-	r := request("first", "audit", "memo", 100)
-	r.IdempotencyKey = "k"
-	r.Deadline = now.Add(time.Second)
-	first := q.Offer(now, r).Refusal
-	r.ID, r.Resend = "second", true
-	r.Deadline = now.Add(time.Minute)
-	early := q.Offer(now.Add(100*time.Millisecond), r).Refusal
-	assert.Equal(t, early.Reason, ReasonTooEarly)
-	assert.Equal(t, early.RetryAfter, first.RetryAfter-100*time.Millisecond)
-	r.ID = "third"
-	mustQueue(t, q, now.Add(first.RetryAfter), r)
-}
-
-// All backend servers fail at once and each attempt is repeated. The retries
-// of a workspace stay a tenth of its admitted requests.
-func TestRetryBudgetBoundsTheAddedLoad(t *testing.T) {
-	q := New(twoClasses())
-	for q.AllowRetry(start, "audit") {
-	}
-	for i := range 100 {
-		mustQueue(t, q, start, request(fmt.Sprint(i), "audit", "memo", 1))
-	}
-	allowed := 0
-	for q.AllowRetry(start, "audit") {
-		allowed++
-	}
-	assert.Assert(t, allowed >= 9 && allowed <= 10, "%d", allowed)
-	assert.Assert(t, q.AllowRetry(start, "tank"))
-}
-
 func TestSetPolicyRanksAgainWithoutLoss(t *testing.T) {
 	q := New(twoClasses())
 	mustQueue(t, q, start, request("memo", "audit", "memo", 10))
