Placement: plain services are limited in calls

Cause: an instance of a plain service that states no capacity got the limit of an engine, 8,192, in calls; and a cut never went below 512, which raised the limit of one that states 32. Change: Target.Plain begins at 32 calls; the lower bound is a quarter of where the limit begins.

--- a/internal/placement/limit.go
+++ b/internal/placement/limit.go
@@ -20,8 +20,8 @@
 	binding = 0.6
 	// limitRange bounds the limit to this factor around a stated capacity.
 	limitRange = 4
-	// smallestLimit keeps one ordinary request possible.
-	smallestLimit = 512
+	// unknownRange bounds it above where no capacity was stated.
+	unknownRange = 1024
 	// queuedPart is the part of the running requests that may wait on the
 	// engine: it fills the batch without a round trip when one ends.
 	queuedPart = 0.05
@@ -79,13 +79,16 @@
 	return r.TokensPerSecond*interval.Seconds() < float64(r.Running)
 }
 
+// cut lowers the limit by a factor, whatever the load is. Cut to the reported
+// load, a short queue of small requests would leave no room for larger ones: the
+// load they need is greater than the load at which slots ran out.
 func (t *target) cut(now time.Time) {
 	if now.Before(t.settle) {
 		return
 	}
 	t.settle = now.Add(settleTime)
 	t.wasCut = true
-	t.limit = max(t.limit*limitCut, t.limitFloor())
+	t.limit = max(limitCut*t.limit, t.limitFloor())
 }
 
 func (t *target) step() float64 {
@@ -95,13 +98,14 @@
 	return limitStep * t.limit
 }
 
+// limitFloor may be small, since an idle target takes any request.
 func (t *target) limitFloor() float64 {
-	return max(smallestLimit, float64(t.Capacity)/limitRange)
+	return t.startLimit() / limitRange
 }
 
 func (t *target) limitCeiling() float64 {
 	if t.Capacity <= 0 {
-		return float64(defaultLimit) * 1024
+		return t.startLimit() * unknownRange
 	}
 	return float64(t.Capacity) * limitRange
 }
--- a/internal/placement/options.go
+++ b/internal/placement/options.go
@@ -57,6 +57,9 @@
 	Model string
 	// Capacity is the work in tokens that it holds well at once; 0 if unknown.
 	Capacity int
+	// Plain is true for an instance of a plain service, where each call counts
+	// as one token.
+	Plain bool
 }
 
 // Load is what a backend server last reported about itself.
--- a/internal/placement/picker.go
+++ b/internal/placement/picker.go
@@ -81,7 +81,7 @@
 		}
 	}
 	if t.Capacity != o.Capacity {
-		t.limit = startLimit(o.Capacity)
+		t.limit = o.startLimit()
 	}
 	t.Target = o
 	t.listed = true
--- a/internal/placement/picker_test.go
+++ b/internal/placement/picker_test.go
@@ -183,6 +183,22 @@
 	assert.Assert(t, p.targets["g000"].limit < 8000)
 }
 
+// An instance of a plain service says nothing of its capacity, and its calls
+// queue. Its limit counts calls: a bound made for tokens would let hundreds wait.
+func TestPlainServiceIsLimitedInCalls(t *testing.T) {
+	p := New(Options{DataCentre: "dc"})
+	p.SetTargets(start, []Target{{ID: "s", DataCentre: "dc", Model: "files", Plain: true}})
+	calls := 0
+	for p.HasRoom(start, "files", 1, 0) {
+		p.Started(start, fmt.Sprint(calls), "s", 1)
+		calls++
+	}
+	assert.Equal(t, calls, defaultCalls)
+	now := at(time.Second)
+	p.Report(now, "s", Load{Running: 8, Queued: 24, TokensInFlight: 32, At: now})
+	assert.Assert(t, p.targets["s"].limit < defaultCalls, "%v", p.targets["s"].limit)
+}
+
 // Two entries share a group and one begins with twice the limit. Both see the
 // same reports; the limits must meet, or one entry's callers are refused while
 // the other's are served.
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -10,6 +10,10 @@
 // capacity begins, in tokens: a few requests of ordinary size.
 const defaultLimit = 8192
 
+// defaultCalls is the same for a plain service, in calls: a few for each core of
+// a small VM.
+const defaultCalls = 32
+
 // longPrefills is how many long prompts one entry lets a target compute at
 // once. It is made for long requests that come together, as after an outage:
 // engines compute prompts in the order they got them, so a lookup placed behind
@@ -72,15 +76,18 @@
 }
 
 func newTarget(t Target) *target {
-	return &target{Target: t, hash: xxhash.Sum64String(t.ID), limit: startLimit(t.Capacity), ledger: &ledger{}}
+	return &target{Target: t, hash: xxhash.Sum64String(t.ID), limit: t.startLimit(), ledger: &ledger{}}
 }
 
 // startLimit is where the search for a target's limit begins, in tokens.
-func startLimit(capacity int) float64 {
-	if capacity <= 0 {
-		return defaultLimit
+func (t Target) startLimit() float64 {
+	switch {
+	case t.Capacity > 0:
+		return float64(t.Capacity)
+	case t.Plain:
+		return defaultCalls
 	}
-	return float64(capacity)
+	return defaultLimit
 }
 
 // estimate sets load: the last report, and what has changed since.
