Recover: a new cluster from a survivor when a majority of disks is lost

Ruled out: letting a survivor go on under the old cluster id, because a replica that turns up later would mix two histories under the same terms.

Change: replica.Recover on a stopped node's folder: new cluster id, new identity, single voter, all of the survivor's log kept and committed.

Proof: TestRecoverFromTheSurvivor (two of three disks lost, others rejoin).

--- a/internal/replica/faults_test.go
+++ b/internal/replica/faults_test.go
@@ -254,3 +254,34 @@
 	gone.open()
 	eventually(t, "it learns of its removal", func() bool { return gone.node.Status().Removed })
 }
+
+// Story: two of three control VMs lose their disks for good. The group stands
+// still, rightly. The operator recovers from the survivor's folder; the other
+// two VMs, with empty folders, join the new cluster and the writes are there.
+func TestRecoverFromTheSurvivor(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	c.found(3)
+	c.put("k", "v")
+	survivor := c.leader()
+	old := survivor.node.Status()
+	for _, h := range c.hosts {
+		h.kill()
+		if h != survivor {
+			h.loseDisk()
+		}
+	}
+	result, err := Recover(survivor.opts)
+	assert.NilError(t, err)
+	assert.Equal(t, result.OldCluster, old.Cluster)
+	assert.Assert(t, result.NewCluster != old.Cluster)
+	for _, h := range c.hosts {
+		h.open()
+	}
+	eventually(t, "three voters again", func() bool { return c.voters() == 3 })
+	assert.Assert(t, survivor.node.Status().ID != old.ID)
+	for _, h := range c.hosts {
+		eventually(t, "the write is there", func() bool { return h.machine.get("k") == "v" })
+	}
+	_, err = Recover(Options{Folder: t.TempDir()})
+	assert.Assert(t, errors.Is(err, ErrNothingToRecover), "%v", err)
+}
--- /dev/null
+++ b/internal/replica/recover.go
@@ -0,0 +1,88 @@
+package replica
+
+import (
+	"github.com/juju/errors"
+
+	"github.com/citronstep/citronstep/internal/raft"
+	"github.com/citronstep/citronstep/internal/wal"
+)
+
+// ErrNothingToRecover refuses to recover from a folder that never belonged to
+// a cluster.
+const ErrNothingToRecover = errors.ConstError("the data folder holds no cluster's state")
+
+// Recovered says what a survivor's folder held.
+type Recovered struct {
+	// OldCluster and NewCluster are the ids before and after.
+	OldCluster uint64
+	NewCluster uint64
+	// LastIndex is the last entry that was kept, CommitIndex the last that the
+	// survivor knew to be committed.
+	LastIndex   uint64
+	CommitIndex uint64
+}
+
+// Recover makes the state in a stopped node's folder the start of a new
+// cluster with this node as its only voter. It is an operator's last resort
+// after a majority of the voters lost their disks for good.
+//
+// Answered writes that only the lost disks held are gone, and writes whose
+// outcome was unknown may take effect. Cluster and identity are new, so that
+// a replica of the old cluster that turns up after all is refused and can't
+// mix its log into this one; its folder must be emptied before it can join.
+// Of several survivors the operator takes the one with the highest term, then
+// the highest last index, as Status and Recovered show them.
+func Recover(opts Options) (Recovered, error) {
+	opts = opts.withDefaults()
+	store, err := wal.Open(opts.Folder)
+	if err != nil {
+		return Recovered{}, errors.Trace(err)
+	}
+	recovered, err := recoverStore(opts, store)
+	closeErr := store.Close()
+	return recovered, errors.Trace(firstError(err, closeErr))
+}
+
+func recoverStore(opts Options, store *wal.WAL) (Recovered, error) {
+	old := store.Identity()
+	saved := store.Saved()
+	last := saved.Base
+	if k := len(saved.Entries); k > 0 {
+		last = raft.Position{Index: saved.Entries[k-1].Index, Term: saved.Entries[k-1].Term}
+	}
+	if old.Cluster == 0 || last.Index == 0 {
+		return Recovered{}, errors.Trace(ErrNothingToRecover)
+	}
+	next, err := newIdentity()
+	if err != nil {
+		return Recovered{}, errors.Trace(err)
+	}
+	self := Member{ID: next.Node, VM: opts.VM, DataCentre: opts.DataCentre, Address: opts.Address}
+	data, err := raft.EncodeMembership(raft.Membership{Members: []Member{self}})
+	if err != nil {
+		return Recovered{}, errors.Trace(err)
+	}
+	entry := raft.Entry{
+		Index: last.Index + 1, Term: max(saved.HardState.Term, last.Term) + 1,
+		Type: raft.EntryMembership, Data: data,
+	}
+	if err := store.Found(next, entry); err != nil {
+		return Recovered{}, errors.Trace(err)
+	}
+	return Recovered{
+		OldCluster: old.Cluster, NewCluster: next.Cluster,
+		LastIndex: last.Index, CommitIndex: saved.HardState.Commit,
+	}, nil
+}
+
+func newIdentity() (wal.Identity, error) {
+	node, err := wal.RandomID()
+	if err != nil {
+		return wal.Identity{}, errors.Trace(err)
+	}
+	cluster, err := wal.RandomID()
+	if err != nil {
+		return wal.Identity{}, errors.Trace(err)
+	}
+	return wal.Identity{Node: raft.NodeID(node), Cluster: cluster}, nil
+}
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -246,7 +246,7 @@
 	}))
 }
 
-// Found writes the first membership of a new cluster as entry 1, committed,
+// Found writes the first membership of a new cluster, as a committed entry,
 // together with the cluster's id.
 func (w *WAL) Found(id Identity, first raft.Entry) error {
 	err := w.update(func(tx *bolt.Tx) error {
