Replica: MaxLease, for a new leader to wait out orders of earlier leases

Cause: a handover ends the old lease at once, but orders sent under it may still run. Change: MaxLease names the bound that covers every lease; the leader's wait counts from Status.LeaderSince. Proof: TestFoundJoinPropose checks that a lease is shorter.

--- a/internal/replica/process.go
+++ b/internal/replica/process.go
@@ -277,6 +277,12 @@
 	return remaining(expiry, n.opts.Now())
 }
 
+// MaxLease is longer than any lease of any leader of this group, by any of
+// their clocks. A new leader that waits for it after Status.LeaderSince knows
+// that no order sent under an earlier lease can still be running, also after
+// a handover, which ends the old lease early but not what was sent under it.
+func (n *Node) MaxLease() time.Duration { return n.opts.electionTimeout() }
+
 // Changed returns a channel that is closed when the role, leader, term or
 // membership next changes.
 func (n *Node) Changed() <-chan struct{} {
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -18,6 +18,8 @@
 	c.found(3)
 	c.put("k", "v")
 	assert.NilError(t, c.leader().node.ReadBarrier(within(t)))
+	leader := c.leader().node
+	assert.Assert(t, leader.LeaseRemaining() < leader.MaxLease())
 	for _, h := range c.hosts {
 		eventually(t, "the write is everywhere", func() bool { return h.machine.get("k") == "v" })
 	}
