--- a/internal/raft/guards_test.go
+++ b/internal/raft/guards_test.go
@@ -121,3 +121,24 @@
 	b.pass(5 * time.Second)
 	assert.Equal(t, n.hard.Term, term, "pre-votes start no new terms")
 }
+
+// Story: a leader is cut off, and an answer to a heartbeat of long ago arrives
+// late. Counted from its arrival, the lease would go on while the voters'
+// promise, made when they sent the answer, has run out.
+func TestLateAnswerDoesNotRenewTheLease(t *testing.T) {
+	b := newBench(t, 3, 0)
+	n := b.leader()
+	b.pass(500 * time.Millisecond)
+	sent := b.now
+	others := b.others(n)
+	b.down[others[0]] = true
+	b.down[others[1]] = true
+	b.pass(600 * time.Millisecond)
+	before := n.LeaseExpiry()
+	n.Step(b.now, Message{
+		Type: MessageHeartbeatReply, Group: 1, From: others[0], To: n.cfg.ID,
+		Term: n.hard.Term, SentAt: sent, Round: n.round,
+	})
+	assert.Equal(t, n.LeaseExpiry(), max(before, sent+n.cfg.ElectionTimeout-n.cfg.LeaseMargin))
+	assert.Assert(t, n.LeaseExpiry() < b.now+n.cfg.ElectionTimeout/2)
+}
