--- /dev/null
+++ b/test/failover/failover_test.go
@@ -0,0 +1,203 @@
+// Package failover measures how long failures last that the system repairs by
+// itself: a lost leader, a lost member of a serving group, a dark domain.
+//
+//	go test ./test/failover -v -args -measure
+//
+// Without -measure it goes through each failure once.
+package failover
+
+import (
+	"flag"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/citronstep/citronstep/internal/adminapi"
+	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/test/process/harness"
+)
+
+var measure = flag.Bool("measure", false, "measure each failure many times and print the figures")
+
+func TestMain(m *testing.M) { os.Exit(harness.Main(m)) }
+
+func rounds() int {
+	if *measure {
+		return 15
+	}
+	return 1
+}
+
+func cluster(t *testing.T) *harness.Cluster {
+	t.Helper()
+	c := harness.NewCluster(t, harness.Standard())
+	c.Found(blackboard.GroupSpec{Name: "memos", Model: "demo", Replicas: 1, VMsPerReplica: 2, Worth: 10})
+	c.AwaitReady()
+	awaitVoters(t, c)
+	return c
+}
+
+func awaitVoters(t *testing.T, c *harness.Cluster) {
+	t.Helper()
+	harness.Await(t, "three voters", func() bool {
+		s, err := c.Status()
+		voters := 0
+		for _, r := range s.Replicas {
+			if r.Role != "learner" {
+				voters++
+			}
+		}
+		return err == nil && voters == 3
+	})
+}
+
+func leader(t *testing.T, c *harness.Cluster) *harness.Node {
+	t.Helper()
+	var found *harness.Node
+	harness.Await(t, "a leader", func() bool {
+		s, err := c.Status()
+		for _, r := range s.Replicas {
+			if r.Role == "leader" {
+				found = c.Node(r.VM)
+			}
+		}
+		return err == nil && found != nil && found.Running()
+	})
+	return found
+}
+
+// report prints the least, median and greatest of the times.
+func report(t *testing.T, what string, times []time.Duration) {
+	t.Helper()
+	slices.Sort(times)
+	ms := func(d time.Duration) int64 { return d.Milliseconds() }
+	t.Logf("%s: %d times, least %d ms, median %d ms, greatest %d ms",
+		what, len(times), ms(times[0]), ms(times[len(times)/2]), ms(times[len(times)-1]))
+}
+
+func answers(n *harness.Node) bool {
+	var config blackboard.Configuration
+	return harness.Operate(n, http.MethodGet, adminapi.PathConfiguration, nil, &config) == nil
+}
+
+// From the kill of the leader until another control process answers an
+// operator's read, which it does only as a leader that has committed in its
+// own term, or through one.
+func TestTimeToANewLeader(t *testing.T) {
+	c := cluster(t)
+	var times []time.Duration
+	for range rounds() {
+		old := leader(t, c)
+		old.Kill()
+		began := time.Now()
+		harness.Await(t, "an answer", func() bool {
+			for _, n := range c.Nodes {
+				if n != old && n.Spec.Control && answers(n) {
+					return true
+				}
+			}
+			return false
+		})
+		times = append(times, time.Since(began))
+		old.Start()
+		awaitVoters(t, c)
+		harness.Await(t, "the old leader is back", func() bool { return answers(old) })
+	}
+	report(t, "leader killed, to a new leader's answer", times)
+}
+
+// From the kill of a member until the last entry has closed its group, and
+// until a group with a spare serves.
+func TestTimeFromMemberLoss(t *testing.T) {
+	c := cluster(t)
+	engines := map[string]*harness.Standin{}
+	for _, e := range c.StartEngines(3, "vm", "d1") {
+		engines[e.ID] = e
+	}
+	var closed, repaired []time.Duration
+	for range rounds() {
+		c.AwaitGroups("demo", 1)
+		g := serving(t, c, 0)
+		awaitRouted(t, c, g.ID)
+		marks := map[string]int{}
+		for _, n := range c.Entries() {
+			marks[n.Spec.Name] = len(n.Log())
+		}
+		lost := engines[g.Members[1].VM]
+		lost.Kill()
+		began := time.Now()
+		later := serving(t, c, g.Epoch)
+		repaired = append(repaired, time.Since(began))
+		assert.Assert(t, later.Epoch > g.Epoch)
+		closed = append(closed, lastClosed(t, c, g.ID, marks).Sub(began))
+		lost.Start()
+		harness.Await(t, "the lost VM is free again", func() bool { return free(c, lost.ID) })
+	}
+	report(t, "member killed, to the last entry's end of routing", closed)
+	report(t, "member killed, to a repaired group in service", repaired)
+}
+
+func serving(t *testing.T, c *harness.Cluster, after uint64) blackboard.Group {
+	t.Helper()
+	var found blackboard.Group
+	harness.Await(t, "a group serves", func() bool {
+		s, err := c.Status()
+		for _, g := range s.Groups {
+			if g.State == blackboard.Serving && g.Epoch > after {
+				found = g
+			}
+		}
+		return err == nil && found.ID != ""
+	})
+	return found
+}
+
+// awaitRouted waits until each entry's last word on a group is that it routes
+// to it.
+func awaitRouted(t *testing.T, c *harness.Cluster, id string) {
+	t.Helper()
+	for _, n := range c.Entries() {
+		harness.Await(t, n.Spec.Name+" routes", func() bool {
+			log := n.Log()
+			return strings.LastIndex(log, "event=target_routable target="+id) > strings.LastIndex(log, "event=target_closed target="+id)
+		})
+	}
+}
+
+func free(c *harness.Cluster, vm string) bool {
+	s, err := c.Status()
+	for _, v := range s.VMs {
+		if v.ID == vm && err == nil {
+			return v.Group == "" && v.Liveness == blackboard.Alive
+		}
+	}
+	return false
+}
+
+// lastClosed returns when the last entry closed the group, by the time in the
+// entries' own logs; all run on one machine.
+func lastClosed(t *testing.T, c *harness.Cluster, id string, marks map[string]int) time.Time {
+	t.Helper()
+	var last time.Time
+	for _, n := range c.Entries() {
+		at := time.Time{}
+		for _, line := range strings.Split(n.Log()[marks[n.Spec.Name]:], "\n") {
+			if at.IsZero() && strings.Contains(line, "event=target_closed target="+id) {
+				stamp, _, _ := strings.Cut(strings.TrimPrefix(line, "ts="), " ")
+				var err error
+				at, err = time.Parse(time.RFC3339Nano, stamp)
+				assert.NilError(t, err)
+			}
+		}
+		assert.Assert(t, !at.IsZero(), "%s did not close the group", n.Spec.Name)
+		if at.After(last) {
+			last = at
+		}
+	}
+	return last
+}
