Fencing numbers outlive a new founding; events of replicas; refusals at the door are logged; metrics for operators

Ruled out: asking engines for their newest number (those that ignore fencing have none). Change: the first epoch and the base of terms come from the clock at the founding; typed refusal; events; a line; /metrics on the admin address with the operators' token. The test of silent connections now silences in the middle of streams: without the watchdog it had passed.

--- a/internal/blackboard/board.go
+++ b/internal/blackboard/board.go
@@ -28,6 +28,11 @@
 	Suspects  map[string]Suspect         `json:"suspects"`
 	// Quarantines are by pool: a model or a plain service.
 	Quarantines map[string]Quarantine `json:"quarantines"`
+	// TermBase is added to the consensus term in fencing tokens. It and the
+	// first epoch come from the clock at the founding, so that a cluster
+	// founded anew, after all control disks were lost, gives orders that
+	// engines take for newer than those of the cluster before.
+	TermBase uint64 `json:"term_base"`
 	// NextEpoch is the epoch that the next forming group gets.
 	NextEpoch uint64 `json:"next_epoch"`
 	// Changes keeps the answers of recent configuration changes by id.
--- a/internal/blackboard/command.go
+++ b/internal/blackboard/command.go
@@ -123,6 +123,8 @@
 	ClusterID string `json:"cluster_id"`
 	// Initial is the configuration that the cluster starts with.
 	Initial ConfigChange `json:"initial"`
+	// NowMillis is the founding process's clock.
+	NowMillis int64 `json:"now_ms"`
 }
 
 func (c Found) apply(b *Board) (any, bool) {
@@ -130,6 +132,10 @@
 		return refused("founded already")
 	}
 	b.ClusterID = c.ClusterID
+	if c.NowMillis > 0 {
+		b.TermBase = uint64(c.NowMillis)
+		b.NextEpoch = uint64(c.NowMillis)
+	}
 	if c.Initial.ChangeID != "" {
 		c.Initial.apply(b)
 	}
--- a/internal/control/admin.go
+++ b/internal/control/admin.go
@@ -16,6 +16,7 @@
 	"github.com/citronstep/citronstep/internal/blackboard"
 	"github.com/citronstep/citronstep/internal/clock"
 	"github.com/citronstep/citronstep/internal/failure"
+	"github.com/citronstep/citronstep/internal/replica"
 )
 
 // Limits of the admin API.
@@ -132,14 +133,14 @@
 	ctx, cancel := context.WithTimeout(c.Request().Context(), adminTimeout)
 	defer cancel()
 	if err := s.o.Consensus.Found(ctx); err != nil {
-		return failure.New(failure.TypeConflict, err.Error())
+		return foundingRefused(err)
 	}
 	if err := s.waitToLead(ctx); err != nil {
 		return errors.Trace(err)
 	}
 	id := strconv.FormatUint(s.o.Consensus.Status().Cluster, 16)
 	var verdict blackboard.Verdict
-	if err := s.commitBoard(ctx, &blackboard.Found{ClusterID: id, Initial: r.Initial}, &verdict); err != nil {
+	if err := s.commitBoard(ctx, &blackboard.Found{ClusterID: id, Initial: r.Initial, NowMillis: time.Now().UnixMilli()}, &verdict); err != nil {
 		return errors.Trace(err)
 	}
 	board, _ := s.o.Machine.Board()
@@ -149,6 +150,16 @@
 	return c.JSON(http.StatusOK, adminapi.InitReply{ClusterID: board.ClusterID})
 }
 
+// foundingRefused tells a cluster that exists from a peer that did not answer,
+// after which init may be run again.
+func foundingRefused(err error) *failure.Error {
+	t := failure.TypeConflict
+	if errors.Is(err, replica.ErrPeerUnreachable) {
+		t = failure.TypeUnavailable
+	}
+	return failure.New(t, err.Error())
+}
+
 func (s *Server) waitToLead(ctx context.Context) error {
 	const poll = 10 * time.Millisecond
 	for {
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -42,6 +42,8 @@
 	mu   sync.Mutex
 	// memory is used by the controllers' run and by answers of engines.
 	memory *controller.Memory
+	// replicas are the roles of the control replicas at the last step.
+	replicas map[string]string
 }
 
 // Run runs the controllers while this process leads, until the context ends.
@@ -64,10 +66,41 @@
 		if o == nil || o.term != term {
 			o = &office{term: term, memory: controller.NewMemory(time.Now(), s.o.OrderLease)}
 		}
+		s.noteReplicas(o)
 		s.step(ctx, o)
 	}
 }
 
+// noteReplicas writes an event for each control replica that came, went or
+// changed between voter and learner.
+func (s *Server) noteReplicas(o *office) {
+	now := make(map[string]string)
+	for _, r := range s.replicas() {
+		role := r.Role
+		if role == "leader" {
+			role = "voter"
+		}
+		now[r.VM+" "+r.ID] = role
+	}
+	if o.replicas != nil {
+		s.compareReplicas(o.replicas, now)
+	}
+	o.replicas = now
+}
+
+func (s *Server) compareReplicas(before, now map[string]string) {
+	for who, role := range now {
+		if before[who] != role {
+			s.event("replica", who, "is now a "+role)
+		}
+	}
+	for who := range before {
+		if _, ok := now[who]; !ok {
+			s.event("replica", who, "was removed")
+		}
+	}
+}
+
 // sampleInterval is the time between two samples of the control metrics.
 const sampleInterval = time.Second
 
@@ -86,8 +119,9 @@
 // read before the board, so that a board read under it is this leader's.
 func (s *Server) step(ctx context.Context, o *office) {
 	now := time.Now()
-	view := controller.View{Term: o.term, LeaseUntil: now.Add(s.o.Consensus.LeaseRemaining())}
+	view := controller.View{LeaseUntil: now.Add(s.o.Consensus.LeaseRemaining())}
 	view.Board, _ = s.o.Machine.Board()
+	view.Term = view.Board.TermBase + o.term
 	if view.Board.ClusterID == "" {
 		return
 	}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/go-kit/log/level"
 	"github.com/labstack/echo/v4"
 
 	"github.com/citronstep/citronstep/internal/failure"
@@ -40,7 +41,7 @@
 	running, e := s.start(j, s.runCompletion)
 	if e != nil {
 		e.RequestID = j.id
-		return refusedAtDoor(c.Request(), e)
+		return s.refusedAtDoor(c.Request(), e)
 	}
 	defer s.leave(running)
 	ctx, cancel := context.WithDeadline(c.Request().Context(), j.deadline)
@@ -57,11 +58,13 @@
 // Failure: a job runs and its answer is lost; the caller resends under the same
 // key to an entry that refuses at once, for its own reasons, and says "not
 // run". The caller gives the work to someone else, and it is done twice.
-func refusedAtDoor(r *http.Request, e *failure.Error) *failure.Error {
-	if r.Header.Get(HeaderIdempotencyKey) == "" || e.Type == failure.TypeKeyReused {
-		return e
+func (s *Server) refusedAtDoor(r *http.Request, e *failure.Error) *failure.Error {
+	if r.Header.Get(HeaderIdempotencyKey) != "" && e.Type != failure.TypeKeyReused {
+		e = e.WithRan(failure.RanUnknown)
 	}
-	return e.WithRan(failure.RanUnknown)
+	_ = level.Info(s.o.Logger).Log("event", "refuse", "request", e.RequestID, "type", e.Type, "ran", e.Ran,
+		"at", "door", "reason", e.Message)
+	return e
 }
 
 func (s *Server) relayWhole(ctx context.Context, c echo.Context, j *job, d dialect) error {
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -63,7 +63,7 @@
 func (s *Server) serveService(c echo.Context) error {
 	j, e := s.takeCall(c)
 	if e != nil {
-		return refusedAtDoor(c.Request(), e)
+		return s.refusedAtDoor(c.Request(), e)
 	}
 	return s.answerService(c, j)
 }
@@ -112,7 +112,7 @@
 	running, e := s.start(j, s.runService)
 	if e != nil {
 		e.RequestID = j.id
-		return refusedAtDoor(c.Request(), e)
+		return s.refusedAtDoor(c.Request(), e)
 	}
 	defer s.leave(running)
 	ctx, cancel := context.WithDeadline(c.Request().Context(), j.deadline)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -254,11 +254,22 @@
 			return errors.Trace(err)
 		}
 	}
-	if n.control != nil && n.settings.Admin.Listen != "" {
+	if n.settings.Admin.Listen == "" {
+		return nil
+	}
+	return errors.Trace(n.listenAt("admin", n.settings.Admin.Listen, n.adminHandler()))
+}
+
+// adminHandler serves operators: the admin API on a control process, and the
+// metrics on any.
+func (n *Node) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(metrics.Path, auth.Handler(n.tokens.admin, n.metrics.Handler()))
+	if n.control != nil {
 		forward := &control.Forwarder{Client: &http.Client{Transport: n.peers.Transport}, Token: n.tokens.peers}
-		return errors.Trace(n.listenAt("admin", n.settings.Admin.Listen, n.control.AdminHandler(n.tokens.admin, forward)))
+		mux.Handle("/admin/v1/", n.control.AdminHandler(n.tokens.admin, forward))
 	}
-	return nil
+	return mux
 }
 
 func (n *Node) listenAt(name, address string, h http.Handler) error {
--- a/test/process/silence_test.go
+++ b/test/process/silence_test.go
@@ -22,7 +22,7 @@
 	ask := func(count int) (wait func()) {
 		var wg sync.WaitGroup
 		for range count {
-			request := harness.Completion{Model: "demo", Prompt: newPrompt("lookup"), MaxTokens: 30, Stream: true}
+			request := harness.Completion{Model: "demo", Prompt: newPrompt("lookup"), MaxTokens: 100, Stream: true}
 			wg.Add(1)
 			go func() {
 				defer wg.Done()
@@ -33,7 +33,11 @@
 		return wg.Wait
 	}
 	ask(8)()
+	before := len(c.Runs())
 	wait := ask(4)
+	// The connections go silent in the middle of streams: before a stream's
+	// header the client's own deadline would find it.
+	harness.Await(t, "four streams run", func() bool { return len(c.Runs()) >= before+4 })
 	silenced := 0
 	for _, e := range engines {
 		silenced += e.Link.Silence()
