Placement: a capacity that comes and goes keeps the learned limit

Cause: a group's capacity is known only while it reports; each change of it put the limit back to its beginning. A plain service reports requests and no tokens, so that the calls of other entries counted for nothing. Change: a stated capacity bounds the limit and sets it only the first time; requests of a plain service count as tokens. Both tests fail before the change.

--- a/internal/placement/limit.go
+++ b/internal/placement/limit.go
@@ -35,6 +35,9 @@
 	if load.At.After(now) {
 		load.At = now
 	}
+	if t != nil && t.Plain && load.TokensInFlight == 0 {
+		load.TokensInFlight = load.Running + load.Queued
+	}
 	if t == nil || !load.At.After(t.reported.At) {
 		return
 	}
@@ -91,6 +94,21 @@
 	t.limit = max(limitCut*t.limit, t.limitFloor())
 }
 
+// restate takes in what is now said of the target. A stated capacity that
+// changes, or comes and goes with the reports, bounds the limit that was learned
+// and doesn't replace it.
+func (t *target) restate(o Target) {
+	t.Target = o
+	if o.Capacity <= 0 {
+		return
+	}
+	if !t.stated && !t.wasCut {
+		t.limit = o.startLimit()
+	}
+	t.stated = true
+	t.limit = min(max(t.limit, t.limitFloor()), t.limitCeiling())
+}
+
 func (t *target) step() float64 {
 	if t.wasCut {
 		return limitStep * t.mostReported
--- a/internal/placement/picker.go
+++ b/internal/placement/picker.go
@@ -80,10 +80,7 @@
 			t.rampFrom = now
 		}
 	}
-	if t.Capacity != o.Capacity {
-		t.limit = o.startLimit()
-	}
-	t.Target = o
+	t.restate(o)
 	t.listed = true
 	t.domain = p.domain(domainKey{o.DataCentre, o.FabricDomain})
 }
--- a/internal/placement/picker_test.go
+++ b/internal/placement/picker_test.go
@@ -197,6 +197,27 @@
 	now := at(time.Second)
 	p.Report(now, "s", Load{Running: 8, Queued: 24, TokensInFlight: 32, At: now})
 	assert.Assert(t, p.targets["s"].limit < defaultCalls, "%v", p.targets["s"].limit)
+	p.Report(at(2*time.Second), "s", Load{Running: 8, Queued: 40, At: at(2 * time.Second)})
+	assert.Equal(t, p.targets["s"].load, 48.0)
+}
+
+// A group's capacity is only known while it reports. Its limit, learned over
+// minutes, must not begin anew each time.
+func TestCapacityThatComesAndGoesKeepsTheLimit(t *testing.T) {
+	p := picker(1)
+	known, unknown := groups(1), groups(1)
+	unknown[0].Capacity = 0
+	p.targets["g000"].limit = 25000
+	p.SetTargets(start, unknown)
+	p.SetTargets(start, known)
+	assert.Equal(t, p.targets["g000"].limit, 25000.0)
+	known[0].Capacity = 2000
+	p.SetTargets(start, known)
+	assert.Equal(t, p.targets["g000"].limit, 8000.0)
+	late := New(Options{})
+	late.SetTargets(start, unknown)
+	late.SetTargets(start, known)
+	assert.Equal(t, late.targets["g000"].limit, 2000.0)
 }
 
 // Two entries share a group and one begins with twice the limit. Both see the
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -54,6 +54,8 @@
 	// ever reported, in tokens.
 	wasCut       bool
 	mostReported float64
+	// stated is true once a capacity was stated.
+	stated bool
 	// blocked is true if the limit held a request back since the last report.
 	blocked bool
 
