Announcements: what was heard long ago changes no row

Cause: a new leader first gets what an entry heard long ago; it put an old 'not leaving' and old weights over a newer row until the newer word arrived. TestOldNewsChangesNoRow failed without the change. Run: go test -race ./internal/controller passes (10.0 s).

--- a/internal/controller/announcements.go
+++ b/internal/controller/announcements.go
@@ -24,9 +24,13 @@
 
 // announcements records VMs and plain services on the blackboard when what
 // they announce has changed.
+//
+// Failure: a new leader first gets what an entry heard long ago, before the
+// newer word of another entry, and puts it over a newer row. Only what was
+// heard within pausedAfter counts.
 func announcements(v View, now time.Time, a *Actions) {
 	for _, r := range v.Evidence.Reports() {
-		if r.Known == nil {
+		if r.Known == nil || now.Sub(r.HeardAt) > pausedAfter {
 			continue
 		}
 		switch r.Kind {
@@ -43,9 +47,6 @@
 	if known && old.Incarnation != r.Incarnation && !settled(r) {
 		return
 	}
-	if !known && now.Sub(r.HeardAt) > pausedAfter {
-		return
-	}
 	next := old
 	next.ID = r.ID
 	next.Incarnation = r.Incarnation
@@ -82,9 +83,6 @@
 		Address: r.Known.Address, DataCentre: r.Known.DataCentre,
 		Liveness: old.Liveness, Leaving: r.Leaving,
 	}
-	if !known && now.Sub(r.HeardAt) > pausedAfter {
-		return
-	}
 	if !known || old.Incarnation != r.Incarnation {
 		next.Liveness = blackboard.Alive
 	}
--- a/internal/controller/faults_test.go
+++ b/internal/controller/faults_test.go
@@ -102,6 +102,20 @@
 	assert.Equal(t, len(a.Orders), 0, "not again before resendAfter")
 }
 
+// A VM that is leaving is given work again after a leader change: an entry that
+// it left long ago passed on what it had said then. Only what was heard of late
+// may change a row.
+func TestOldNewsChangesNoRow(t *testing.T) {
+	v, now := heardView(blackboard.Serving, func(a *backend.Announcement) { a.Weights = []string{"demo"} })
+	puts := func(at time.Time) (n int) {
+		var a Actions
+		announcements(v, at, &a)
+		return len(a.Commands)
+	}
+	assert.Equal(t, puts(now.Add(pausedAfter+1)), 0)
+	assert.Equal(t, puts(now.Add(pausedAfter)), 1)
+}
+
 // A new group breaks at once, as a VM was put into it that could not take part.
 func TestOnlyAVMInGoodOrderIsUsable(t *testing.T) {
 	idle := func(a *backend.Announcement) { a.Group, a.Epoch, a.Phase = "", 0, backend.PhaseIdle }
