--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -135,7 +135,7 @@
 	s.logDecisions(actions.Decisions)
 	s.propose(ctx, actions.Commands)
 	s.send(ctx, o, actions.Orders)
-	s.measure(view.Board, now)
+	s.measure(view, now)
 	s.upkeep(ctx, view.Board, now)
 }
 
@@ -204,8 +204,9 @@
 }
 
 // measure adds the time since the last step to the brief's two measures.
-func (s *Server) measure(board *blackboard.Board, now time.Time) {
-	at := present(board)
+func (s *Server) measure(view controller.View, now time.Time) {
+	var at adminapi.Measures
+	s.o.Evidence.With(func(t *evidence.Table) { at = controller.Measures(view.Board, t, now) })
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.meter.last.IsZero() {
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -92,10 +92,6 @@
 		r.closed[id] = reason
 		return
 	}
-	if r.board.Config.DrainedGroups[id] {
-		r.closed[id] = "group is drained"
-		return
-	}
 	if r.quarantined(g.Model, id) {
 		return
 	}
--- a/internal/hearing/hearing.go
+++ b/internal/hearing/hearing.go
@@ -31,6 +31,8 @@
 	Self string
 	// Board returns the newest board.
 	Board func() *blackboard.Board
+	// Lease returns how long this process may go on serving.
+	Lease func() time.Duration
 	// HTTPClient carries the secret between our processes.
 	HTTPClient *http.Client
 	// AnnounceToken is the token that backend servers announce with; empty
@@ -78,6 +80,10 @@
 		failure.Write(w, failure.New(failure.TypeUnauthenticated, "the announce token is needed"))
 		return
 	}
+	if h.o.Lease() <= 0 {
+		failure.Write(w, cutOff())
+		return
+	}
 	var a backend.Announcement
 	body := http.MaxBytesReader(w, r.Body, maxAnnouncement)
 	if err := json.NewDecoder(body).Decode(&a); err != nil {
@@ -97,6 +103,15 @@
 	})
 }
 
+// cutOff sends a backend server to another entry.
+//
+// Failure: an entry is cut off from the other processes, and an engine goes on
+// announcing itself to it alone; all others take the engine for dead. Refused,
+// it announces itself to another entry at once.
+func cutOff() *failure.Error {
+	return failure.New(failure.TypeConfigurationStale, "this entry has lost the control processes; announce to another")
+}
+
 // check refuses what can't be used. What it can't check is whether the sender
 // is who it says: docs/backend-protocol.md tells what that means.
 func check(a backend.Announcement) *failure.Error {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -196,7 +196,7 @@
 		Watcher: client, Entry: self, Logger: log.With(n.logger, "part", "follow"), OnChange: n.boardChanged,
 	})
 	n.hearing = hearing.New(hearing.Options{
-		Self: n.settings.VM, Board: n.follower.Board, HTTPClient: n.peers, AnnounceToken: n.tokens.announce,
+		Self: n.settings.VM, Board: n.follower.Board, Lease: n.follower.Lease, HTTPClient: n.peers, AnnounceToken: n.tokens.announce,
 		Logger: log.With(n.logger, "part", "hearing"), OnAnnouncement: n.announced,
 	})
 	if e.Enabled {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -35,9 +35,12 @@
 	mu sync.Mutex
 	// newest is the newest fencing token seen; an engine that ignores tokens
 	// keeps none.
-	newest  backend.FencingToken
-	group   *membership
-	weights map[string]bool
+	newest backend.FencingToken
+	// released is the newest epoch that an engine that checks tokens was told
+	// to leave; a load of it that comes late is refused.
+	released uint64
+	group    *membership
+	weights  map[string]bool
 }
 
 // StartEngine starts an engine, which serves and announces itself until Close.
--- a/internal/standin/engine_orders.go
+++ b/internal/standin/engine_orders.go
@@ -34,6 +34,9 @@
 			return backend.OrderReply{Newest: s.newest}
 		}
 		s.newest = o.Token
+		if o.Kind == backend.OrderRelease {
+			s.released = max(s.released, o.Token.Epoch)
+		}
 	}
 	switch o.Kind {
 	case backend.OrderLoad:
@@ -49,7 +52,8 @@
 // stale is called with s.mu held.
 func (s *engineState) stale(o backend.Order) bool {
 	otherIncarnation := o.Incarnation != "" && o.Incarnation != s.life.incarnation
-	return otherIncarnation || o.Token.Less(s.newest)
+	late := o.Kind == backend.OrderLoad && o.Token.Epoch <= s.released
+	return otherIncarnation || late || o.Token.Less(s.newest)
 }
 
 // join is called with s.mu held. A repeated order changes nothing.
