--- a/internal/auth/auth.go
+++ b/internal/auth/auth.go
@@ -73,6 +73,13 @@
 	Base  http.RoundTripper
 }
 
+// CloseIdleConnections closes those of Base; http.Client asks for it.
+func (t *Transport) CloseIdleConnections() {
+	if c, ok := t.Base.(interface{ CloseIdleConnections() }); ok {
+		c.CloseIdleConnections()
+	}
+}
+
 // RoundTrip sends the request with the token.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	c := r.Clone(r.Context())
--- a/internal/control/admin.go
+++ b/internal/control/admin.go
@@ -212,7 +212,7 @@
 	}
 	board, _ := s.o.Machine.Board()
 	s.mu.Lock()
-	late := s.leases.pending(sortedKeys(board.Entries), revision, clock.Now())
+	late := s.leases.pending(s.leases.known(board.Entries), revision, clock.Now())
 	s.mu.Unlock()
 	if _, err := s.leading(); err != nil {
 		return err
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -240,6 +240,7 @@
 		_ = level.Warn(s.o.Logger).Log("event", "expire_failed", "err", err)
 	}
 	s.propose(ctx, s.goneEntries(board))
+	s.propose(ctx, oldSuspects(board, now))
 }
 
 func (s *Server) expireRecords(ctx context.Context, now time.Time) error {
@@ -253,6 +254,27 @@
 	return errors.Trace(err)
 }
 
+// How long a request stays suspect after its last crash: one that shared a
+// crash for an hour, one that was convicted for a day.
+const (
+	suspectFor   = time.Hour
+	convictedFor = 24 * time.Hour
+)
+
+func oldSuspects(board *blackboard.Board, now time.Time) []blackboard.Command {
+	var old []blackboard.Command
+	for fingerprint, suspect := range board.Suspects {
+		lifetime := suspectFor
+		if suspect.Convicted() {
+			lifetime = convictedFor
+		}
+		if now.Sub(time.UnixMilli(suspect.LastMillis)) > lifetime {
+			old = append(old, &blackboard.ForgetSuspect{Fingerprint: fingerprint})
+		}
+	}
+	return old
+}
+
 func (s *Server) goneEntries(board *blackboard.Board) []blackboard.Command {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/control/leases.go
+++ b/internal/control/leases.go
@@ -4,6 +4,7 @@
 	"sort"
 	"time"
 
+	"github.com/citronstep/citronstep/internal/blackboard"
 	"github.com/citronstep/citronstep/internal/clock"
 )
 
@@ -76,6 +77,18 @@
 	return left
 }
 
+// known returns the registered entries and those that hold a lease although
+// they have just been forgotten.
+func (l *leases) known(registered map[string]blackboard.Entry) []string {
+	ids := sortedKeys(registered)
+	for id := range l.holds {
+		if _, ok := registered[id]; !ok {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
 // pending returns those of the entries that may still serve on a
 // configuration older than revision.
 func (l *leases) pending(entries []string, revision uint64, now clock.Boot) []string {
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 
 	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/failure"
 	"github.com/citronstep/citronstep/internal/record"
 	"github.com/citronstep/citronstep/internal/rpc/noderpc"
 )
@@ -62,8 +63,7 @@
 func (m *Machine) applyBoard(command []byte) []byte {
 	next, result, err := m.board.Apply(command)
 	if err != nil {
-		result, _ = json.Marshal(blackboard.Verdict{Reason: err.Error()})
-		return result
+		return notApplied(err)
 	}
 	if next == m.board {
 		return result
@@ -75,6 +75,16 @@
 	return result
 }
 
+// notApplied is the result of a command that could not be applied, in the form
+// of each kind of result.
+func notApplied(err error) []byte {
+	result, _ := json.Marshal(struct {
+		blackboard.Verdict
+		Failure *failure.Error `json:"failure"`
+	}{blackboard.Verdict{Reason: err.Error()}, failure.New(failure.TypeInternal, err.Error())})
+	return result
+}
+
 func (m *Machine) keep(command []byte) {
 	m.kept = append(m.kept, command)
 	if len(m.kept) > 2*maxKeptCommands {
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -82,7 +82,11 @@
 // that counts the time frozen; while it runs no newer leader exists, so no
 // newer configuration does.
 func (s *Server) answerWatch(r *noderpc.WatchRequest) (*noderpc.WatchReply, error) {
+	s.grant(r.EntryId)
 	board, commands, ok := s.o.Machine.Since(r.HaveRevision)
+	if _, known := board.Entries[r.EntryId]; !known {
+		return nil, rpcError(failure.New(failure.TypeUnavailable, "the entry was forgotten; ask again").WithRan(failure.RanNo))
+	}
 	reply := &noderpc.WatchReply{ClusterId: board.ClusterID, Revision: board.Revision}
 	if ok {
 		reply.Commands = commands
@@ -99,10 +103,16 @@
 	}
 	reply.Term = term
 	reply.LeaseMs = s.o.Lease.Milliseconds()
+	return reply, nil
+}
+
+// grant notes the lease before the board is read. Noted after, a change
+// accepted in between would be reported in force while the answer, with the
+// board before it, gives a lapsed entry a fresh lease.
+func (s *Server) grant(entry string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.leases.grant(r.EntryId, clock.Now())
-	return reply, nil
+	s.leases.grant(entry, clock.Now())
 }
 
 // Commit writes an entry's command to the log.
--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -63,6 +63,11 @@
 		return
 	}
 	c.leader = ""
+	if !refused(err) {
+		// No answer, or a broken one: what sits idle beside that connection
+		// may have gone silent with it, and each call would find one more.
+		c.http.CloseIdleConnections()
+	}
 	var te twirp.Error
 	if errors.As(err, &te) && te.Meta(MetaLeader) != "" && te.Meta(MetaLeader) != address {
 		c.leader = te.Meta(MetaLeader)
--- /dev/null
+++ b/internal/entry/claim.go
@@ -0,0 +1,131 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/juju/errors"
+
+	"github.com/citronstep/citronstep/internal/failure"
+	"github.com/citronstep/citronstep/internal/record"
+	"github.com/citronstep/citronstep/internal/rpc/noderpc"
+)
+
+// claimGrace is how long past its deadline a claim waits for its outcome
+// before it counts as unknown: longer than an entry takes to record one.
+const claimGrace = 10 * time.Second
+
+// claim asks a majority of the control replicas for the right to run a
+// non-idempotent request that has a key.
+//
+// It guards against the same request running on two entries, or again after
+// the entry that ran it died: the claim is synced on a majority before the
+// first byte goes to a backend server, and only one claim of a key is granted.
+func (s *Server) claim(j *job) *failure.Error {
+	if !j.nonIdempotent || j.key == "" {
+		return nil
+	}
+	now := time.Now()
+	out, err := s.askClaim(j, record.Command{Claim: &record.Claim{
+		Key: j.key, Body: j.body, Entry: s.o.ID, Attempt: j.id,
+		DeadlineMillis: j.deadline.Add(claimGrace).UnixMilli(), NowMillis: now.UnixMilli(),
+	}})
+	s.o.Metrics.Claim(time.Since(now))
+	if err != nil {
+		// Nothing was dispatched under this claim, whether it was written or
+		// not; but an earlier send of the same key may have been.
+		go s.abandonClaim(j)
+		return failure.New(failure.TypeUnavailable, "the request could not be claimed: "+err.Error()).
+			WithRan(failure.RanUnknown).WithRetryAfter(time.Second)
+	}
+	_ = level.Info(s.o.Logger).Log("event", "claim", "request", j.id, "granted", out.Granted, "state", out.State, "holder", out.Entry)
+	return s.answerClaim(j, out)
+}
+
+// askClaim asks a few times: the same attempt's claim is granted again, so an
+// answer lost on a silent connection costs a second and not the request.
+func (s *Server) askClaim(j *job, c record.Command) (record.Outcome, error) {
+	var out record.Outcome
+	var err error
+	for range claimTries {
+		ctx, cancel := context.WithTimeout(j.ctx, claimTimeout)
+		out, err = s.commitRecord(ctx, c)
+		cancel()
+		if err == nil || j.ctx.Err() != nil {
+			break
+		}
+	}
+	return out, err
+}
+
+// Times of asking for a claim: an election takes under a second.
+const (
+	claimTries   = 3
+	claimTimeout = 1500 * time.Millisecond
+)
+
+func (s *Server) answerClaim(j *job, out record.Outcome) *failure.Error {
+	switch {
+	case out.Granted:
+		j.claimed = true
+		return nil
+	case out.Full:
+		return failure.New(failure.TypeOverloaded, "no room for another at-most-once record").
+			WithRan(failure.RanNo).WithRetryAfter(staleRetryAfter)
+	case out.Reused:
+		return failure.New(failure.TypeKeyReused, "the idempotency key belongs to another request").WithRan(failure.RanNo)
+	case out.State == record.Claimed:
+		return failure.New(failure.TypeInProgress, "the request runs on another entry").
+			WithRan(failure.RanUnknown).WithRetryAfter(time.Second)
+	case out.State == record.Unknown:
+		return failure.New(failure.TypeOutcomeUnknown, "the request was dispatched and its outcome is unknown").
+			WithRan(failure.RanUnknown)
+	case out.Answer == nil:
+		return failure.New(failure.TypeOutcomeUnknown, "the request ran; its answer is no longer kept").
+			WithRan(failure.RanYes)
+	}
+	return s.replay(j, *out.Answer)
+}
+
+// replay gives the recorded answer.
+func (s *Server) replay(j *job, a record.Answer) *failure.Error {
+	j.replayed = true
+	if j.service != nil {
+		j.service.replay(a)
+		return nil
+	}
+	var kept keptAnswer
+	if err := json.Unmarshal(a.Body, &kept); err != nil {
+		return failure.New(failure.TypeInternal, "recorded answer: "+err.Error()).WithRan(failure.RanYes)
+	}
+	for _, t := range kept.Tokens {
+		j.answer.append(t)
+	}
+	j.finish = kept.Finish
+	return nil
+}
+
+// keptAnswer is a completion's recorded answer.
+type keptAnswer struct {
+	Tokens []string `json:"tokens"`
+	Finish string   `json:"finish"`
+}
+
+func (s *Server) commitRecord(ctx context.Context, c record.Command) (record.Outcome, error) {
+	var out record.Outcome
+	encoded, err := record.Encode(c)
+	if err != nil {
+		return out, errors.Trace(err)
+	}
+	result, err := s.o.Control.Commit(ctx, &noderpc.CommitRequest{
+		ClusterId: s.o.Follower.Board().ClusterID,
+		Machine:   noderpc.Machine_MACHINE_RECORDS,
+		Command:   encoded,
+	})
+	if err != nil {
+		return out, errors.Trace(err)
+	}
+	return out, errors.Trace(json.Unmarshal(result, &out))
+}
--- a/internal/entry/completion.go
+++ b/internal/entry/completion.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/juju/errors"
 	"github.com/labstack/echo/v4"
@@ -141,8 +142,17 @@
 	return b.String()
 }
 
+// bodyTimeout is how long a body may take: a megabyte over a line of a megabit
+// a second.
+const bodyTimeout = 10 * time.Second
+
 // readBody reads a body of at most the limit.
 func (s *Server) readBody(c echo.Context) ([]byte, *failure.Error) {
+	connection := http.NewResponseController(c.Response())
+	// A caller that sends its body a byte at a time holds memory and no job.
+	// A connection that can't take deadlines is one of a test.
+	_ = connection.SetReadDeadline(time.Now().Add(bodyTimeout))
+	defer func() { _ = connection.SetReadDeadline(time.Time{}) }()
 	limited := http.MaxBytesReader(c.Response(), c.Request().Body, s.o.Settings.MaxBodyBytes)
 	data, err := io.ReadAll(limited)
 	var tooLarge *http.MaxBytesError
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -19,6 +19,10 @@
 // enough that its caller learns soon that there is nothing to wait for.
 const failoverWait = 3 * time.Second
 
+// failoverLooks is how often in that time a waiting request looks whether
+// there is a group; it gives up when it saw none that often in a row.
+const failoverLooks = 6
+
 // pumpInterval is how often waiting requests are looked at when nothing else
 // does: deadlines pass and backend servers ramp up with time alone.
 const pumpInterval = 20 * time.Millisecond
@@ -72,6 +76,14 @@
 	members map[string]string
 }
 
+// end ends the quarantine of an attempt that runs alone. Whoever holds a grant
+// calls it once the attempt is over or will not be made.
+func (g grant) end() {
+	if g.giveBack != nil {
+		g.giveBack()
+	}
+}
+
 func newDispatcher(dataCentre string, seed uint64, logger log.Logger) *dispatcher {
 	return &dispatcher{
 		seed:    seed,
@@ -107,14 +119,19 @@
 	if e != nil {
 		return grant{}, e
 	}
-	routeless := time.NewTimer(failoverWait)
-	defer routeless.Stop()
+	looks := time.NewTicker(failoverWait / failoverLooks)
+	defer looks.Stop()
+	routeless := 0
 	for {
 		select {
 		case g := <-t.granted:
 			return g, g.refused
-		case <-routeless.C:
-			if !d.hasRoute(j.model) {
+		case <-looks.C:
+			routeless++
+			if d.hasRoute(j.model) {
+				routeless = 0
+			}
+			if routeless >= failoverLooks {
 				return d.abandon(t, noBackendServer())
 			}
 		case <-j.ctx.Done():
--- /dev/null
+++ b/internal/entry/finish.go
@@ -0,0 +1,114 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/citronstep/citronstep/internal/failure"
+	"github.com/citronstep/citronstep/internal/metrics"
+	"github.com/citronstep/citronstep/internal/record"
+)
+
+// recordTries bounds how often an outcome is written; the claim's grace
+// passes meanwhile.
+const recordTries = 5
+
+// finish ends the job with an answer or a failure. The whole answer of a
+// claimed request is recorded before any caller gets its end, so that a resend
+// after a lost answer finds it.
+func (s *Server) finish(j *job, e *failure.Error, mayHaveRun bool) {
+	s.meter(j, e)
+	if e != nil {
+		s.fail(j, e, mayHaveRun)
+		return
+	}
+	if j.claimed {
+		s.settle(j, nil, mayHaveRun)
+	}
+	go s.release(j, true, true)
+	j.answer.end(j.finish)
+}
+
+// fail gives the failure to the callers at once, and only then writes what
+// became of the claim: nobody waits for that. The home of an idempotent key is
+// told first when the run began, so that no resend overtakes the mark.
+func (s *Server) fail(j *job, e *failure.Error, mayHaveRun bool) {
+	c := *e
+	c.RequestID = j.id
+	begun := c.Ran != failure.RanNo
+	if begun {
+		s.release(j, false, true)
+	} else {
+		go s.release(j, false, false)
+	}
+	j.answer.fail(&c)
+	_ = level.Info(s.o.Logger).Log("event", "refuse", "request", j.id, "type", c.Type, "ran", c.Ran, "reason", c.Message)
+	if j.claimed {
+		s.settle(j, &c, mayHaveRun)
+	}
+}
+
+// meter records the request's final answer.
+func (s *Server) meter(j *job, e *failure.Error) {
+	r := metrics.Request{
+		Workspace: j.workspace, Class: j.class, Outcome: metrics.Answered, Queued: j.queued,
+		FirstToken: j.firstToken, Whole: time.Since(j.arrived), Tokens: j.answer.length(),
+	}
+	if e != nil {
+		r.Outcome, r.Ran = string(e.Type), string(e.Ran)
+	}
+	s.o.Metrics.Request(r)
+}
+
+// settle records what became of a claim.
+func (s *Server) settle(j *job, e *failure.Error, mayHaveRun bool) {
+	if e != nil && !mayHaveRun {
+		s.abandonClaim(j)
+		return
+	}
+	f := &record.Finish{Key: j.key, Attempt: j.id}
+	if e == nil {
+		f.Answer = s.recordedAnswer(j)
+	}
+	for range recordTries {
+		ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
+		f.NowMillis = time.Now().UnixMilli()
+		_, err := s.commitRecord(ctx, record.Command{Finish: f})
+		cancel()
+		if err == nil {
+			return
+		}
+		time.Sleep(recordPause)
+	}
+}
+
+// Times of writing an outcome.
+const (
+	recordTimeout = 2 * time.Second
+	recordPause   = 200 * time.Millisecond
+)
+
+func (s *Server) recordedAnswer(j *job) *record.Answer {
+	if j.service != nil {
+		return j.service.recorded()
+	}
+	p, _ := j.answer.wait(context.Background(), 0)
+	body, err := json.Marshal(keptAnswer{Tokens: p.tokens, Finish: j.finish})
+	if err != nil {
+		return nil
+	}
+	return &record.Answer{Status: http.StatusOK, Body: body}
+}
+
+// abandonClaim gives back a claim under which surely nothing was sent.
+func (s *Server) abandonClaim(j *job) {
+	ctx, cancel := context.WithTimeout(context.Background(), recordTimeout)
+	defer cancel()
+	// If this fails, the record becomes Unknown at its deadline, which is
+	// less than the truth but never false.
+	_, _ = s.commitRecord(ctx, record.Command{Abandon: &record.Abandon{Key: j.key, Attempt: j.id}})
+}
--- a/internal/entry/holders.go
+++ b/internal/entry/holders.go
@@ -25,12 +25,18 @@
 	keys map[string]*holder
 	// order lists the keys, oldest first.
 	order *list.List
+	// unsureUntil is until when an unknown key may have been held before: this
+	// home has started, the set of entries has changed, or keys were dropped to
+	// make room.
+	unsureUntil time.Time
 }
 
 type holder struct {
 	key   string
 	body  string
 	entry string
+	// job is the holder's run; a late word of an earlier run frees nothing.
+	job   string
 	begun bool
 	until time.Time
 	place *list.Element
@@ -48,21 +54,22 @@
 }
 
 // hold makes an entry the holder of a key that has none, and says who holds it.
-func (h *holders) hold(now time.Time, key, body, entry string, lifetime time.Duration) held {
+func (h *holders) hold(now time.Time, key, body, entry, job string, lifetime time.Duration) held {
 	old, ok := h.keys[key]
 	if ok && now.After(old.until) {
 		h.drop(old)
 		ok = false
 	}
 	if !ok {
-		h.add(&holder{key: key, body: body, entry: entry, until: now.Add(lifetime)})
-		return held{entry: entry}
+		begun := now.Before(h.unsureUntil)
+		h.add(now, &holder{key: key, body: body, entry: entry, job: job, begun: begun, until: now.Add(lifetime)})
+		return held{entry: entry, begun: begun}
 	}
 	if old.body != body {
 		return held{reused: true}
 	}
 	if old.entry == "" {
-		old.entry = entry
+		old.entry, old.job = entry, job
 		old.until = now.Add(lifetime)
 	}
 	return held{entry: old.entry, begun: old.begun}
@@ -70,9 +77,11 @@
 
 // release notes how the holder's run ended. A run that began and has no whole
 // answer leaves a mark, so that no later refusal of the key says "not run".
-func (h *holders) release(now time.Time, key, entry string, whole, begun bool) {
+//
+// An empty job frees the key from an entry that could not be reached.
+func (h *holders) release(now time.Time, key, entry, job string, whole, begun bool) {
 	old, ok := h.keys[key]
-	if !ok || old.entry != entry {
+	if !ok || old.entry != entry || (job != "" && old.job != job) {
 		return
 	}
 	old.begun = old.begun || begun
@@ -87,10 +96,17 @@
 	old.entry = ""
 }
 
-func (h *holders) add(n *holder) {
+// unsure notes that a key unknown here may have been held before, for as long
+// as any run of it may go on.
+func (h *holders) unsure(now time.Time) {
+	h.unsureUntil = now.Add(maxTimeout + keptFor)
+}
+
+func (h *holders) add(now time.Time, n *holder) {
 	n.place = h.order.PushBack(n)
 	h.keys[n.key] = n
 	for len(h.keys) > maxHolders {
+		h.unsure(now)
 		h.drop(h.order.Front().Value.(*holder))
 	}
 }
--- a/internal/entry/holders_test.go
+++ b/internal/entry/holders_test.go
@@ -13,10 +13,10 @@
 func TestAKeyHasOneHolder(t *testing.T) {
 	at := time.Unix(0, 0)
 	h := newHolders()
-	assert.Equal(t, h.hold(at, "k", "b", "e1", time.Minute), held{entry: "e1"})
-	assert.Equal(t, h.hold(at, "k", "b", "e2", time.Minute), held{entry: "e1"})
-	assert.Equal(t, h.hold(at, "k", "other", "e2", time.Minute), held{reused: true})
-	assert.Equal(t, h.hold(at.Add(2*time.Minute), "k", "b", "e2", time.Minute), held{entry: "e2"})
+	assert.Equal(t, h.hold(at, "k", "b", "e1", "j1", time.Minute), held{entry: "e1"})
+	assert.Equal(t, h.hold(at, "k", "b", "e2", "j2", time.Minute), held{entry: "e1"})
+	assert.Equal(t, h.hold(at, "k", "other", "e2", "j2", time.Minute), held{reused: true})
+	assert.Equal(t, h.hold(at.Add(2*time.Minute), "k", "b", "e2", "j2", time.Minute), held{entry: "e2"})
 }
 
 // A job runs in part and fails; its caller is told that it may have run. The
@@ -35,18 +35,30 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			h := newHolders()
-			h.hold(at, "k", "b", "e1", time.Minute)
-			h.release(at, "k", "another", false, false)
-			h.release(at, "k", "e1", c.whole, c.begun)
-			assert.Equal(t, h.hold(at, "k", "b", "e2", time.Minute), c.want)
+			h.hold(at, "k", "b", "e1", "j1", time.Minute)
+			h.release(at, "k", "another", "j1", false, false)
+			h.release(at, "k", "e1", "earlier", false, true)
+			h.release(at, "k", "e1", "j1", c.whole, c.begun)
+			assert.Equal(t, h.hold(at, "k", "b", "e2", "j2", time.Minute), c.want)
 		})
 	}
 }
 
+// A home restarts and has forgotten that a key ran. A resend is refused by
+// another entry: it must not say "not run".
+func TestAHomeThatHasStartedIsUnsure(t *testing.T) {
+	at := time.Unix(0, 0)
+	h := newHolders()
+	h.unsure(at)
+	assert.Equal(t, h.hold(at, "k", "b", "e1", "j1", time.Minute), held{entry: "e1", begun: true})
+	later := at.Add(maxTimeout + keptFor + 1)
+	assert.Equal(t, h.hold(later, "l", "b", "e1", "j1", time.Minute), held{entry: "e1"})
+}
+
 func TestHoldersAreBounded(t *testing.T) {
 	h := newHolders()
 	for i := range maxHolders + 10 {
-		h.hold(time.Unix(0, 0), strconv.Itoa(i), "b", "e1", time.Minute)
+		h.hold(time.Unix(0, 0), strconv.Itoa(i), "b", "e1", "j1", time.Minute)
 	}
 	assert.Equal(t, len(h.keys), maxHolders)
 	assert.Equal(t, h.order.Len(), maxHolders)
--- a/internal/entry/home.go
+++ b/internal/entry/home.go
@@ -53,6 +53,7 @@
 		if done, e := s.readHolder(j, reply.Holder); done {
 			return true, e
 		}
+		j.begun = true
 		s.forsake(j, reply.Holder)
 	}
 	return false, nil
@@ -62,7 +63,7 @@
 // itself.
 func (s *Server) hold(j *job) (*noderpc.HoldReply, error) {
 	r := &noderpc.HoldRequest{
-		ClusterId: s.o.Follower.Board().ClusterID, Key: j.key, Body: j.body, Entry: s.o.ID,
+		ClusterId: s.o.Follower.Board().ClusterID, Key: j.key, Body: j.body, Entry: s.o.ID, Job: j.id,
 		LifetimeMs: (time.Until(j.deadline) + keptFor).Milliseconds(),
 	}
 	client, err := s.home(j.key)
@@ -90,7 +91,7 @@
 	// If this fails the key stays held until its lifetime ends, and resends
 	// attach to this entry.
 	_, _ = client.Release(ctx, &noderpc.ReleaseRequest{
-		ClusterId: s.o.Follower.Board().ClusterID, Key: j.key, Entry: s.o.ID, Whole: whole, Begun: begun,
+		ClusterId: s.o.Follower.Board().ClusterID, Key: j.key, Entry: s.o.ID, Job: j.id, Whole: whole, Begun: begun,
 	})
 }
 
@@ -134,7 +135,7 @@
 func (h localHome) Hold(_ context.Context, r *noderpc.HoldRequest) (*noderpc.HoldReply, error) {
 	h.s.holdersMu.Lock()
 	defer h.s.holdersMu.Unlock()
-	got := h.s.holders.hold(time.Now(), r.Key, r.Body, r.Entry, time.Duration(r.LifetimeMs)*time.Millisecond)
+	got := h.s.holders.hold(time.Now(), r.Key, r.Body, r.Entry, r.Job, time.Duration(r.LifetimeMs)*time.Millisecond)
 	return &noderpc.HoldReply{Holder: got.entry, Reused: got.reused, Begun: got.begun}, nil
 }
 
@@ -142,7 +143,7 @@
 func (h localHome) Release(_ context.Context, r *noderpc.ReleaseRequest) (*noderpc.ReleaseReply, error) {
 	h.s.holdersMu.Lock()
 	defer h.s.holdersMu.Unlock()
-	h.s.holders.release(time.Now(), r.Key, r.Entry, r.Whole, r.Begun)
+	h.s.holders.release(time.Now(), r.Key, r.Entry, r.Job, r.Whole, r.Begun)
 	return &noderpc.ReleaseReply{}, nil
 }
 
--- a/internal/entry/isolate.go
+++ b/internal/entry/isolate.go
@@ -20,9 +20,12 @@
 	alonePoll = 50 * time.Millisecond
 	// quarantineFor bounds a quarantine whose entry died.
 	quarantineFor = 60 * time.Second
-	// quarantineKnown is when each entry that may still send has surely seen
-	// the quarantine: its watch is answered at once, or its lease runs out.
-	quarantineKnown = 1500 * time.Millisecond
+	// quarantineMargin is added to the configuration lease: past both, each
+	// entry that may still send has seen the quarantine or lost its lease.
+	quarantineMargin = 500 * time.Millisecond
+	// heldFor is how long a target is kept for one suspect after the other.
+	// It leaves the last of them half of quarantineFor.
+	heldFor = quarantineFor / 2
 )
 
 // isolation lets this entry's suspects of a pool run alone, one after the
@@ -117,11 +120,13 @@
 		}
 		taken := time.Now()
 		if s.awaitEmpty(j, r, taken, until) {
-			t.held, t.heldUntil = &r, taken.Add(quarantineFor/alonePart)
+			t.held, t.heldUntil = &r, taken.Add(heldFor)
 			return r, true
 		}
 		s.endQuarantine(j.model)
 	}
+	// A target that an earlier turn held and that crashed may still be kept.
+	s.endQuarantine(j.model)
 	return route{}, false
 }
 
@@ -175,7 +180,7 @@
 // out of service meanwhile, such as one that has just crashed.
 func (s *Server) awaitEmpty(j *job, r route, taken, until time.Time) bool {
 	for time.Now().Before(until) && j.ctx.Err() == nil && s.inService(r) {
-		if s.emptySince(r, taken.Add(quarantineKnown)) {
+		if s.emptySince(r, taken.Add(s.o.Follower.Granted()+quarantineMargin)) {
 			return true
 		}
 		time.Sleep(alonePoll)
--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -2,14 +2,13 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
 	"net/http"
 	"strconv"
 	"time"
 
-	"crypto/sha256"
-
 	"github.com/google/uuid"
 
 	"github.com/citronstep/citronstep/internal/auth"
@@ -67,6 +66,8 @@
 	// holds says that this entry is the holder of the job's key; begun that
 	// an earlier run of the key may have begun.
 	holds, begun bool
+	// replayed says that the answer was given from the at-most-once record.
+	replayed bool
 	// claimed says that this job holds its key's at-most-once record.
 	claimed bool
 	ctx     context.Context
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -44,6 +44,7 @@
 		return s.refusedAtDoor(c.Request(), e)
 	}
 	defer s.leave(running)
+	defer boundWrites(c, j)()
 	ctx, cancel := context.WithDeadline(c.Request().Context(), j.deadline)
 	defer cancel()
 	if stream {
@@ -67,6 +68,19 @@
 	return e
 }
 
+// writeGrace is how long past the deadline an answer may still be written.
+const writeGrace = 30 * time.Second
+
+// boundWrites ends the connection of a caller that reads nothing: a blocked
+// write hears of no deadline but the connection's own. The function that it
+// returns takes the deadline off, for the connection's next request.
+func boundWrites(c echo.Context, j *job) func() {
+	connection := http.NewResponseController(c.Response())
+	// A connection that can't take deadlines is one of a test.
+	_ = connection.SetWriteDeadline(j.deadline.Add(writeGrace))
+	return func() { _ = connection.SetWriteDeadline(time.Time{}) }
+}
+
 func (s *Server) relayWhole(ctx context.Context, c echo.Context, j *job, d dialect) error {
 	text, p, err := j.answer.whole(ctx)
 	if err != nil {
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -61,7 +61,7 @@
 type attemptFunc func(j *job, g grant) (outcome, *failure.Error)
 
 func (s *Server) run(j *job, attempt attemptFunc) {
-	if e := s.claim(j); e != nil {
+	if e := s.claim(j); e != nil || j.replayed {
 		s.finish(j, e, false)
 		return
 	}
@@ -96,6 +96,7 @@
 		}
 		if e := s.mayDispatch(); e != nil {
 			s.dispatcher.attemptEnded(g.attempt, placement.Result{Cancelled: true})
+			g.end()
 			return withRan(e, begun)
 		}
 		out, e := attempt(j, g)
@@ -139,9 +140,7 @@
 // other attempt may be made.
 func (s *Server) afterAttempt(j *job, g grant, out outcome, e *failure.Error) *failure.Error {
 	isolated := g.giveBack != nil
-	if isolated {
-		defer g.giveBack()
-	}
+	defer g.end()
 	if out == outcomeWhole {
 		if isolated {
 			s.clear(j)
@@ -149,10 +148,13 @@
 		return nil
 	}
 	cut := out == outcomeBroken && e.Type == failure.TypeBackendFailed
-	if cut && s.crashed(j.ctx, g.route, time.Now()) {
-		if s.blame(j, g.route, isolated).Convicted() {
-			return convicted()
-		}
+	if cut && j.nonIdempotent {
+		// Its final answer is known; the crash is looked into beside it.
+		go s.blameIfCrashed(j, g.route, isolated, time.Now())
+		return s.mayRetry(j, out, e)
+	}
+	if cut && s.blameIfCrashed(j, g.route, isolated, time.Now()) {
+		return convicted()
 	}
 	if out == outcomeEnded {
 		return nil
@@ -286,7 +288,7 @@
 		if token.KeepAlive {
 			continue
 		}
-		if e := checkToken(token, g.attempt, j.answer.length()); e != nil {
+		if e := checkToken(token, g.attempt, j); e != nil {
 			return outcomeBroken, e
 		}
 		if token.End {
@@ -319,7 +321,17 @@
 	}
 }
 
-func checkToken(t backend.Token, attempt string, length int) *failure.Error {
+// maxAnswerBytes bounds one answer's text. It is far above what a million
+// tokens of any language need, and below what hurts an entry.
+const maxAnswerBytes = 16 << 20
+
+// checkToken refuses a token that is not the next one of this very answer. A
+// backend server that never ends an answer is stopped at what was asked for.
+func checkToken(t backend.Token, attempt string, j *job) *failure.Error {
+	length := j.answer.length()
+	if !t.End && (length >= j.maxTokens || j.answer.size()+len(t.Text) > maxAnswerBytes) {
+		return failure.New(failure.TypeBackendFailed, "the answer is longer than was asked for")
+	}
 	if t.Attempt != attempt {
 		return failure.New(failure.TypeBackendFailed, "the backend server sent another attempt's answer")
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -6,8 +6,10 @@
 import (
 	"context"
 	"hash/fnv"
+	"maps"
 	"math"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -30,6 +32,8 @@
 type Follower interface {
 	Board() *blackboard.Board
 	Lease() time.Duration
+	// Granted returns the length of the leases that the leader grants.
+	Granted() time.Duration
 }
 
 // Committer writes commands through the leader of the control processes.
@@ -66,12 +70,18 @@
 	boardChanged chan struct{}
 	// open are the routes of the last look, for the log alone.
 	open map[string]route
-	// work counts the running jobs, for a graceful stop.
+	// work counts the running jobs, for a graceful stop. It grows only under
+	// the gate, and not once draining is set.
 	work sync.WaitGroup
+	gate sync.RWMutex
 	// draining says that no new work is admitted.
 	draining atomic.Bool
+	// handlers counts the open requests of callers, attached resends too.
+	handlers atomic.Int64
 	// leaving says that the entry asked its balancer to stop sending.
 	leaving atomic.Bool
+	// entryIDs are the registered entries of the last board.
+	entryIDs []string
 	// policyRevision is the configuration that admission's policy is from.
 	policyRevision uint64
 }
@@ -88,6 +98,7 @@
 		boardChanged: make(chan struct{}, 1),
 		open:         make(map[string]route),
 	}
+	s.holders.unsure(time.Now())
 	s.dispatcher = newDispatcher(o.DataCentre, h.Sum64(), o.Logger)
 	return s
 }
@@ -97,6 +108,7 @@
 
 // BoardChanged takes a new board into the policy and the routes.
 func (s *Server) BoardChanged(b *blackboard.Board) {
+	s.entriesChanged(b)
 	if b.Config.Revision != s.policyRevision {
 		s.policyRevision = b.Config.Revision
 		s.dispatcher.setPolicy(policyOf(b.Config))
@@ -107,6 +119,18 @@
 	}
 }
 
+// entriesChanged notes that keys may have come to this home from another.
+func (s *Server) entriesChanged(b *blackboard.Board) {
+	ids := slices.Sorted(maps.Keys(b.Entries))
+	if slices.Equal(ids, s.entryIDs) {
+		return
+	}
+	s.entryIDs = ids
+	s.holdersMu.Lock()
+	defer s.holdersMu.Unlock()
+	s.holders.unsure(time.Now())
+}
+
 // Announced takes what an announcement says beyond liveness.
 func (s *Server) Announced(a backend.Announcement) { s.cacheEvents(a) }
 
@@ -115,6 +139,7 @@
 	e := echo.New()
 	e.HideBanner = true
 	e.HTTPErrorHandler = writeError
+	e.Use(s.boundHandlers)
 	e.POST(textDialect.path, s.serveCompletion(textDialect))
 	e.POST(chatDialect.path, s.serveCompletion(chatDialect))
 	e.Any("/services/:name", s.serveService)
@@ -125,6 +150,26 @@
 	return e
 }
 
+// handlersPerOpen is how many callers' requests may be open for each open job
+// that the settings allow: resends that attach, and bodies still on their way.
+const handlersPerOpen = 2
+
+// boundHandlers bounds what callers hold open before and beside their jobs.
+//
+// Failure: callers send bodies slowly, or resend one key thousands of times;
+// no job is open, so the limit on jobs sees nothing, and the entry's memory
+// goes. Each open request of any kind counts here.
+func (s *Server) boundHandlers(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		defer s.handlers.Add(-1)
+		if s.handlers.Add(1) > int64(handlersPerOpen*s.o.Settings.MaxOpen) && c.Path() != backend.PathAnnounce {
+			return s.refusedAtDoor(c.Request(), failure.New(failure.TypeOverloaded, "too many open requests").
+				WithRan(failure.RanNo).WithRetryAfter(time.Second))
+		}
+		return next(c)
+	}
+}
+
 func writeError(err error, c echo.Context) {
 	if c.Response().Committed {
 		return
@@ -171,7 +216,9 @@
 	case <-wait.C:
 	case <-ctx.Done():
 	}
+	s.gate.Lock()
 	s.draining.Store(true)
+	s.gate.Unlock()
 	finished := make(chan struct{})
 	go func() {
 		s.work.Wait()
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -115,6 +115,7 @@
 		return s.refusedAtDoor(c.Request(), e)
 	}
 	defer s.leave(running)
+	defer boundWrites(c, j)()
 	ctx, cancel := context.WithDeadline(c.Request().Context(), j.deadline)
 	defer cancel()
 	_, p, err := running.answer.whole(ctx)
@@ -139,12 +140,12 @@
 }
 
 func (sc *serviceCall) recorded() *record.Answer {
-	return &record.Answer{Status: sc.status, ContentType: sc.header.Get("Content-Type"), Body: sc.body}
+	return &record.Answer{Status: sc.status, Header: sc.header, Body: sc.body}
 }
 
 func (sc *serviceCall) replay(a record.Answer) {
 	sc.status, sc.body = a.Status, a.Body
-	sc.header = http.Header{"Content-Type": {a.ContentType}}
+	sc.header = a.Header
 }
 
 func (s *Server) runService(j *job) {
--- a/internal/entry/suspect.go
+++ b/internal/entry/suspect.go
@@ -78,6 +78,16 @@
 	return r.head + "@" + r.incarnation
 }
 
+// blameIfCrashed counts a crash against the job if there was one, and tells
+// whether that convicts it.
+func (s *Server) blameIfCrashed(j *job, r route, alone bool, cut time.Time) bool {
+	ctx := j.ctx
+	if j.nonIdempotent {
+		ctx = context.Background()
+	}
+	return s.crashed(ctx, r, cut) && s.blame(j, r, alone).Convicted()
+}
+
 // blame counts a crash against the job and returns what is known of it then.
 func (s *Server) blame(j *job, r route, alone bool) blackboard.Suspect {
 	ctx, cancel := context.WithTimeout(context.Background(), boardTimeout)
@@ -86,9 +96,12 @@
 		Fingerprints: []string{j.body}, Incarnation: r.unit(), Alone: alone, NowMillis: time.Now().UnixMilli(),
 	}, nil)
 	_ = level.Warn(s.o.Logger).Log("event", "crash", "request", j.id, "fingerprint", j.body, "unit", r.unit(), "alone", alone, "err", errText(err))
+	known := s.o.Follower.Board().Suspects[j.body]
+	if j.nonIdempotent {
+		return known
+	}
 	j.suspect = true
 	j.crashes++
-	known := s.o.Follower.Board().Suspects[j.body]
 	// This entry's copy may be behind what it has seen itself.
 	known.Crashes = max(known.Crashes, j.crashes)
 	if alone {
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -39,6 +39,8 @@
 	mu    sync.Mutex
 	board *blackboard.Board
 	until clock.Boot
+	// granted is the length of the last lease.
+	granted time.Duration
 }
 
 // New returns a follower that holds an empty board and no lease.
@@ -81,6 +83,14 @@
 	return max(0, f.until.Sub(clock.Now()))
 }
 
+// Granted returns the length of the leases that the leader grants, 0 before
+// the first.
+func (f *Follower) Granted() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.granted
+}
+
 // Run follows the leader until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -122,7 +132,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	f.take(next, asked.Add(time.Duration(reply.LeaseMs)*time.Millisecond))
+	f.take(next, asked, time.Duration(reply.LeaseMs)*time.Millisecond)
 	return nil
 }
 
@@ -155,8 +165,10 @@
 
 // take publishes the board before the lease that was granted with it, so that
 // nothing is admitted under the lease with an older board.
-func (f *Follower) take(next *blackboard.Board, until clock.Boot) {
+func (f *Follower) take(next *blackboard.Board, asked clock.Boot, lease time.Duration) {
+	until := asked.Add(lease)
 	f.mu.Lock()
+	f.granted = lease
 	changed := next.Revision != f.board.Revision
 	f.board = next
 	if until > f.until {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"os"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -36,10 +37,14 @@
 	node     *Node
 	engines  []*standin.Engine
 	service  *standin.Service
-	// ran is closed when the node's Run has returned.
-	ran chan struct{}
+	// ran is closed when the node's Run has returned; stop makes it return.
+	ran  chan struct{}
+	stop context.CancelFunc
+	log  *testWriter
 }
 
+func itoa(n int) string { return strconv.Itoa(n) }
+
 const (
 	testKey   = "key"
 	testModel = "demo"
@@ -60,11 +65,13 @@
 	s.settings.Peers.Advertise = s.settings.Peers.Listen
 	s.settings.Peers.Control = []string{s.settings.Peers.Listen}
 	w := &testWriter{}
+	s.log = w
 	t.Cleanup(func() { w.show(t) })
 	n, err := New(s.settings, log.With(log.NewLogfmtLogger(w), "ts", log.DefaultTimestampUTC))
 	assert.NilError(t, err)
 	s.node = n
 	ctx, cancel := context.WithCancel(context.Background())
+	s.stop = cancel
 	go func() {
 		defer close(s.ran)
 		_ = n.Run(ctx)
@@ -86,6 +93,12 @@
 	b  bytes.Buffer
 }
 
+func (w *testWriter) text() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.b.String()
+}
+
 func (w *testWriter) show(t *testing.T) {
 	if !t.Failed() {
 		return
--- /dev/null
+++ b/internal/node/stop_test.go
@@ -0,0 +1,43 @@
+package node
+
+import (
+	"context"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// A terminal reads a long memo over a slow line. The last token is known and
+// the entry is told to stop: it waited for its jobs alone, closed the
+// connection, and the terminal got half a memo.
+func TestAStopWritesWhatASlowReaderHasStillToGet(t *testing.T) {
+	s := start(t, nil)
+	conn, err := net.Dial("tcp", s.settings.Entry.Listen)
+	assert.NilError(t, err)
+	defer conn.Close()
+	body := `{"model":"demo","prompt":"a long memo","max_tokens":60000,"stream":true}`
+	_, err = io.WriteString(conn, "POST /v1/completions HTTP/1.0\r\nAuthorization: Bearer "+testKey+
+		"\r\nContent-Length: "+itoa(len(body))+"\r\n\r\n"+body)
+	assert.NilError(t, err)
+	_, err = io.ReadFull(conn, make([]byte, 1000))
+	assert.NilError(t, err)
+
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	drained := make(chan bool, 1)
+	go func() {
+		drained <- s.node.Drain(ctx)
+		s.stop()
+	}()
+	s.await("the job is done", func() bool { return strings.Contains(s.log.text(), "event=drained_jobs") })
+	// The caller goes on only now.
+	time.Sleep(300 * time.Millisecond)
+	rest, err := io.ReadAll(conn)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.HasSuffix(string(rest), "data: [DONE]\n\n"), "cut after %d bytes", len(rest))
+	assert.Assert(t, <-drained)
+}
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -9,6 +9,7 @@
 import (
 	"encoding/json"
 	"sort"
+	"strings"
 
 	"github.com/juju/errors"
 )
@@ -38,14 +39,36 @@
 	MaxAnswersBytes = 32 << 20
 	// MaxRecords bounds the table. When it is full of live records, claims are
 	// refused as not run, rather than a tombstone dropped before its time.
-	MaxRecords = 400_000
+	//
+	// A snapshot of that many is encoded in a part of the election timeout
+	// (docs/CAPACITY.md).
+	MaxRecords = 100_000
+	// WorkspaceParts is the part of the table, one in so many, that one
+	// workspace may fill.
+	WorkspaceParts = 2
+	// MaxStepMillis is how far one Expire moves the table's clock: twice the
+	// time between two of them, so that the clock catches up after an outage.
+	MaxStepMillis = 10_000
 )
 
 // Answer is what the caller got.
 type Answer struct {
-	Status      int    `json:"status"`
-	ContentType string `json:"content_type,omitempty"`
-	Body        []byte `json:"body,omitempty"`
+	Status int `json:"status"`
+	// Header is a plain service's header.
+	Header map[string][]string `json:"header,omitempty"`
+	Body   []byte              `json:"body,omitempty"`
+}
+
+// size is what the answer takes, in bytes.
+func (a *Answer) size() int {
+	n := len(a.Body)
+	for name, values := range a.Header {
+		n += len(name)
+		for _, v := range values {
+			n += len(v)
+		}
+	}
+	return n
 }
 
 // Record is one claimed request.
@@ -76,13 +99,22 @@
 	answer int
 	// due orders the records by when Expire has to look at them next: a claim
 	// at its deadline, a tombstone at the end of its lifetime. Expire looks at
-	// those alone; all 400,000 would hold up the log for a fifth of a second.
+	// those alone; visiting all of a full table would hold up the log.
 	due dueHeap
+	// clock is what lifetimes are counted in, in milliseconds; 0 before the
+	// first Expire.
+	//
+	// Failure: a leader whose clock is a day ahead expires every record at
+	// once, and resends of what has run are run again. The table's clock moves
+	// by MaxStepMillis an Expire at most and never back, whoever leads.
+	clock int64
+	// held counts the records of each workspace.
+	held map[string]int
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{records: make(map[string]*Record)}
+	return &Table{records: make(map[string]*Record), held: make(map[string]int)}
 }
 
 // Command is one change of the table; one field is set.
@@ -177,14 +209,14 @@
 func (t *Table) claim(c Claim) Outcome {
 	r, ok := t.records[c.Key]
 	if !ok {
-		if len(t.records) >= MaxRecords {
+		if t.full(c.Key) {
 			return Outcome{Full: true}
 		}
 		r = &Record{
 			Key: c.Key, Body: c.Body, Entry: c.Entry, Attempt: c.Attempt,
-			State: Claimed, DeadlineMillis: c.DeadlineMillis,
+			State: Claimed, DeadlineMillis: t.now(c.NowMillis) + c.DeadlineMillis - c.NowMillis,
 		}
-		t.records[c.Key] = r
+		t.add(r)
 		t.schedule(r)
 		return Outcome{Granted: true, State: Claimed}
 	}
@@ -204,15 +236,15 @@
 	if !ok || r.Attempt != f.Attempt || r.State == Done {
 		return Outcome{}
 	}
-	r.EndedMillis = f.NowMillis
+	r.EndedMillis = t.now(f.NowMillis)
 	if f.Answer == nil {
 		r.State = Unknown
 		return Outcome{Granted: true, State: Unknown}
 	}
 	r.State = Done
-	if len(f.Answer.Body) <= MaxAnswerBytes {
+	if f.Answer.size() <= MaxAnswerBytes {
 		r.Answer = f.Answer
-		t.answer += len(f.Answer.Body)
+		t.answer += f.Answer.size()
 		t.ended = append(t.ended, f.Key)
 	}
 	for t.answer > MaxAnswersBytes {
@@ -225,7 +257,7 @@
 	r, ok := t.records[t.ended[0]]
 	t.ended = t.ended[1:]
 	if ok && r.Answer != nil {
-		t.answer -= len(r.Answer.Body)
+		t.answer -= r.Answer.size()
 		r.Answer = nil
 	}
 }
@@ -235,11 +267,12 @@
 	if !ok || r.Attempt != a.Attempt || r.State != Claimed {
 		return Outcome{}
 	}
-	delete(t.records, a.Key)
+	t.remove(r)
 	return Outcome{Granted: true}
 }
 
-func (t *Table) expire(now int64) {
+func (t *Table) expire(leaders int64) {
+	now := t.advance(leaders)
 	t.due.upTo(now, func(at int64, key string) {
 		if r, ok := t.records[key]; ok && r.look == at {
 			t.expireOne(r, now)
@@ -260,12 +293,55 @@
 		r.EndedMillis = now
 	}
 	if now > r.nextLook() {
-		delete(t.records, r.Key)
+		t.remove(r)
 		return
 	}
 	t.schedule(r)
 }
 
+// advance moves the table's clock towards the leader's and returns it.
+func (t *Table) advance(leaders int64) int64 {
+	if t.clock == 0 {
+		t.clock = leaders
+	}
+	t.clock = max(t.clock, min(leaders, t.clock+MaxStepMillis))
+	return t.clock
+}
+
+// now returns the table's clock, or the sender's before the first Expire.
+func (t *Table) now(senders int64) int64 {
+	if t.clock == 0 {
+		return senders
+	}
+	return t.clock
+}
+
+// full tells whether there is no room for a key. A workspace that fills its
+// part is refused before it takes the room of all others.
+func (t *Table) full(key string) bool {
+	return len(t.records) >= MaxRecords || t.held[workspaceOf(key)] >= MaxRecords/WorkspaceParts
+}
+
+// workspaceOf returns the part of a key before the first slash.
+func workspaceOf(key string) string {
+	workspace, _, _ := strings.Cut(key, "/")
+	return workspace
+}
+
+func (t *Table) add(r *Record) {
+	t.records[r.Key] = r
+	t.held[workspaceOf(r.Key)]++
+}
+
+func (t *Table) remove(r *Record) {
+	delete(t.records, r.Key)
+	workspace := workspaceOf(r.Key)
+	t.held[workspace]--
+	if t.held[workspace] == 0 {
+		delete(t.held, workspace)
+	}
+}
+
 // schedule makes Expire look at the record again when it is due.
 func (t *Table) schedule(r *Record) {
 	r.look = r.nextLook()
@@ -295,11 +371,12 @@
 type snapshot struct {
 	Records []*Record `json:"records"`
 	Ended   []string  `json:"ended"`
+	Clock   int64     `json:"clock"`
 }
 
 // Encode returns the table as a snapshot.
 func (t *Table) Encode() ([]byte, error) {
-	s := snapshot{Ended: t.ended}
+	s := snapshot{Ended: t.ended, Clock: t.clock}
 	for _, k := range t.keys() {
 		s.Records = append(s.Records, t.records[k])
 	}
@@ -314,12 +391,12 @@
 		return nil, errors.WithType(errors.Annotate(err, "records snapshot"), ErrMalformed)
 	}
 	t := NewTable()
-	t.ended = s.Ended
+	t.ended, t.clock = s.Ended, s.Clock
 	for _, r := range s.Records {
-		t.records[r.Key] = r
+		t.add(r)
 		t.schedule(r)
 		if r.Answer != nil {
-			t.answer += len(r.Answer.Body)
+			t.answer += r.Answer.size()
 		}
 	}
 	return t, nil
--- a/internal/record/record_test.go
+++ b/internal/record/record_test.go
@@ -18,6 +18,45 @@
 	return out
 }
 
+// doInSteps lets an Expire come as often as its time asks, as the leader does.
+func doInSteps(t *testing.T, table *Table, c Command) {
+	t.Helper()
+	if c.Expire == nil {
+		do(t, table, c)
+		return
+	}
+	for at := int64(1); at < c.Expire.NowMillis; at += MaxStepMillis {
+		table.apply(Command{Expire: &Expire{at}})
+	}
+	do(t, table, c)
+}
+
+// A new leader's clock is a day ahead. It expires what ran an hour ago, and a
+// resent transfer note runs a second time.
+func TestALeadersWrongClockForgetsNothing(t *testing.T) {
+	table := NewTable()
+	do(t, table, Command{Expire: &Expire{1000}})
+	do(t, table, claim("k", "a", 1000))
+	do(t, table, Command{Finish: &Finish{"k", "a", &Answer{Status: 200}, 1001}})
+	for range 100 {
+		do(t, table, Command{Expire: &Expire{1000 + 25*60*60*1000}})
+	}
+	out := do(t, table, claim("k", "b", 2000))
+	assert.Assert(t, !out.Granted)
+	assert.Equal(t, out.State, Done)
+}
+
+// One workspace sends new keys without end. The others must still get theirs.
+func TestOneWorkspaceCantFillTheTable(t *testing.T) {
+	table := NewTable()
+	for i := range MaxRecords {
+		table.apply(claim("greedy/"+strconv.Itoa(i), "a", 0))
+	}
+	assert.Equal(t, table.Len(), MaxRecords/WorkspaceParts)
+	assert.Assert(t, do(t, table, claim("greedy/x", "a", 0)).Full)
+	assert.Assert(t, do(t, table, claim("other/x", "a", 0)).Granted)
+}
+
 func claim(key, attempt string, now int64) Command {
 	return Command{Claim: &Claim{Key: key, Body: "b", Entry: "e", Attempt: attempt, DeadlineMillis: now + 100, NowMillis: now}}
 }
@@ -61,7 +100,7 @@
 			table := NewTable()
 			do(t, table, claim("k", "a", 0))
 			for _, x := range c.then {
-				do(t, table, x)
+				doInSteps(t, table, x)
 			}
 			out := do(t, table, claim("k", "b", 1))
 			assert.Equal(t, out.Granted, c.granted)
