--- a/test/failover/failover_test.go
+++ b/test/failover/failover_test.go
@@ -203,3 +203,69 @@
 	}
 	return last
 }
+
+// From an accepted change until it is reported in force: with all entries
+// reachable, and with one behind a cut, whose lease has to run out first.
+func TestTimeToInForceWithAnEntryCutOff(t *testing.T) {
+	c := cluster(t)
+	cut := c.Node("n4")
+	var reachable, behind []time.Duration
+	for round := range rounds() {
+		reachable = append(reachable, inForce(t, c, "r"+strconv.Itoa(round)))
+		cut.Peers.Cut()
+		for _, n := range c.Nodes {
+			if n != cut {
+				n.Peers.CutFrom(cut)
+			}
+		}
+		behind = append(behind, inForce(t, c, "c"+strconv.Itoa(round)))
+		assert.Assert(t, !cut.Ready(), "in force everywhere, yet the cut-off entry admits")
+		for _, n := range c.Nodes {
+			n.Peers.Heal()
+		}
+		harness.Await(t, "the entry is back", cut.Ready)
+	}
+	report(t, "accepted to in force, all entries reachable", reachable)
+	report(t, "accepted to in force, one entry behind a cut", behind)
+}
+
+func inForce(t *testing.T, c *harness.Cluster, id string) time.Duration {
+	t.Helper()
+	status, err := c.Status()
+	assert.NilError(t, err)
+	on := leader(t, c)
+	change := blackboard.ConfigChange{ChangeID: id, Expect: status.ConfigRevision, UsePreset: "peak"}
+	var reply adminapi.ChangeReply
+	assert.NilError(t, harness.Operate(on, http.MethodPost, adminapi.PathConfiguration, change, &reply))
+	began := time.Now()
+	harness.Await(t, "in force", func() bool {
+		var f adminapi.InForce
+		path := adminapi.PathInForce + "?revision=" + strconv.FormatUint(reply.Revision, 10)
+		return harness.Operate(on, http.MethodGet, path, nil, &f) == nil && f.InForce
+	})
+	return time.Since(began)
+}
+
+// From the loss of the quorum until the last entry refuses: the price of the
+// lease.
+func TestTimeFromLostQuorumToRefusal(t *testing.T) {
+	c := cluster(t)
+	var times []time.Duration
+	for range min(rounds(), 5) {
+		lost := []*harness.Node{c.Node("n1"), c.Node("n2")}
+		for _, n := range lost {
+			n.Kill()
+		}
+		began := time.Now()
+		for _, n := range []*harness.Node{c.Node("n3"), c.Node("n4")} {
+			harness.Await(t, n.Spec.Name+" refuses", func() bool { return !n.Ready() })
+		}
+		times = append(times, time.Since(began))
+		for _, n := range lost {
+			n.Start()
+		}
+		awaitVoters(t, c)
+		c.AwaitReady()
+	}
+	report(t, "quorum lost, to the last entry's refusal", times)
+}
