--- a/internal/replica/faults_test.go
+++ b/internal/replica/faults_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"net/http"
 	"os"
+	"sync"
 	"testing"
 	"time"
 
@@ -29,7 +30,9 @@
 		})
 	}()
 	<-frozen
-	return func() { close(release) }
+	thaw = sync.OnceFunc(func() { close(release) })
+	h.t.Cleanup(thaw)
+	return thaw
 }
 
 func (c *cluster) otherLeader(than *host) *host {
