--- /dev/null
+++ b/internal/raft/simulation_members_test.go
@@ -0,0 +1,45 @@
+package raft
+
+// manage is the leader's care for the membership; VMs that are no members ask
+// to join whenever the leader can hear them.
+func (w *world) manage(p *simProcess) {
+	s := p.node.Status()
+	if s.Role != RoleLeader || !s.OwnTermCommitted || s.MembershipIndex > s.Commit {
+		return
+	}
+	v := MembershipView{
+		Membership: s.Membership, Self: p.id, Wanted: w.wanted,
+		Active: map[NodeID]bool{}, CaughtUp: map[NodeID]bool{}, Silent: map[NodeID]bool{},
+		Fresh: map[NodeID]bool{},
+	}
+	for _, vm := range w.vms {
+		if vm.proc == nil || vm.proc.frozen > w.now || w.blocked(vm.name, p.vm.name) {
+			continue
+		}
+		if m, ok := s.Membership.Find(vm.disk.id); !ok && !w.nameActive(p, s, vm) {
+			v.Joins = append(v.Joins, Member{ID: vm.disk.id, VM: vm.name, DataCentre: m.DataCentre})
+		}
+	}
+	for _, m := range s.Membership.Members {
+		v.Active[m.ID] = p.node.Active(m.ID)
+		v.CaughtUp[m.ID] = p.node.Match(m.ID) >= s.Commit
+		v.Fresh[m.ID] = p.node.Fresh(m.ID)
+		v.Silent[m.ID] = p.node.SilentFor(m.ID) > simReplaceAfter
+	}
+	next, reason := NextMembership(v)
+	if reason == "" {
+		return
+	}
+	if _, err := p.node.ProposeMembership(next); err == nil {
+		w.counts["membership changes"]++
+	}
+}
+
+func (w *world) nameActive(p *simProcess, s Status, vm *simVM) bool {
+	for _, m := range s.Membership.Members {
+		if m.VM == vm.name && m.ID != vm.disk.id && p.node.Active(m.ID) {
+			return true
+		}
+	}
+	return false
+}
