--- a/test/workload/faults.go
+++ b/test/workload/faults.go
@@ -61,6 +61,8 @@
 	{"one-way cut of an engine", func(ctx context.Context, f *faulter) { f.cutOneWay(ctx, f.engine().Link) }},
 	{"cut of a node", func(ctx context.Context, f *faulter) { f.cut(ctx, f.node().Peers) }},
 	{"slow engine", slowEngine},
+	{"kill of an entry and an engine together", killTogether},
+	{"kill of two engines in a row", killInARow},
 	{"drain of a VM", drain},
 	{"leaving engine", leave},
 }
@@ -107,6 +109,22 @@
 	p.Start()
 }
 
+func killTogether(ctx context.Context, f *faulter) {
+	n, e := f.node(), f.engine()
+	n.Kill()
+	e.Kill()
+	wait(ctx, f.lasting())
+	n.Start()
+	e.Start()
+}
+
+// killInARow kills a second engine right after the first is back, in the
+// middle of the repair.
+func killInARow(ctx context.Context, f *faulter) {
+	f.killAndReturn(ctx, f.engine().Process)
+	f.killAndReturn(ctx, f.engine().Process)
+}
+
 func (f *faulter) pause(ctx context.Context, p *harness.Process) {
 	p.Pause()
 	wait(ctx, f.lasting())
