--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -2,14 +2,13 @@
 
 import (
 	"context"
+	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
 	"net/http"
 	"strconv"
 	"time"
 
-	"crypto/sha256"
-
 	"github.com/google/uuid"
 
 	"github.com/citronstep/citronstep/internal/auth"
@@ -67,11 +66,16 @@
 	// holds says that this entry is the holder of the job's key; begun that
 	// an earlier run of the key may have begun.
 	holds, begun bool
+	// replayed says that the answer was given from the at-most-once record.
+	replayed bool
 	// claimed says that this job holds its key's at-most-once record.
 	claimed bool
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
 
+	// reserve is the part of each target that this request leaves free for
+	// requests of greater worth.
+	reserve float64
 	// tried lists the targets that failed this request.
 	tried []string
 	// attempts counts the attempts begun.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,6 +6,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"github.com/go-kit/log"
@@ -195,7 +196,7 @@
 		Watcher: client, Entry: self, Logger: log.With(n.logger, "part", "follow"), OnChange: n.boardChanged,
 	})
 	n.hearing = hearing.New(hearing.Options{
-		Self: n.settings.VM, Board: n.follower.Board, HTTPClient: n.peers, AnnounceToken: n.tokens.announce,
+		Self: n.settings.VM, Board: n.follower.Board, Lease: n.follower.Lease, HTTPClient: n.peers, AnnounceToken: n.tokens.announce,
 		Logger: log.With(n.logger, "part", "hearing"), OnAnnouncement: n.announced,
 	})
 	if e.Enabled {
@@ -253,11 +254,22 @@
 			return errors.Trace(err)
 		}
 	}
-	if n.control != nil && n.settings.Admin.Listen != "" {
+	if n.settings.Admin.Listen == "" {
+		return nil
+	}
+	return errors.Trace(n.listenAt("admin", n.settings.Admin.Listen, n.adminHandler()))
+}
+
+// adminHandler serves operators: the admin API on a control process, and the
+// metrics on any.
+func (n *Node) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(metrics.Path, auth.Handler(n.tokens.admin, n.metrics.Handler()))
+	if n.control != nil {
 		forward := &control.Forwarder{Client: &http.Client{Transport: n.peers.Transport}, Token: n.tokens.peers}
-		return errors.Trace(n.listenAt("admin", n.settings.Admin.Listen, n.control.AdminHandler(n.tokens.admin, forward)))
+		mux.Handle("/admin/v1/", n.control.AdminHandler(n.tokens.admin, forward))
 	}
-	return nil
+	return mux
 }
 
 func (n *Node) listenAt(name, address string, h http.Handler) error {
@@ -279,6 +291,8 @@
 	entries := noderpc.NewEntriesServer(n.entriesService())
 	mux.Handle(entries.PathPrefix(), entries)
 	mux.Handle(metrics.Path, n.metrics.Handler())
+	mux.HandleFunc("/debug/pprof/", pprof.Index)
+	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
 	if n.entry != nil {
 		mux.HandleFunc(entry.PathAnswers, n.entry.ServeAnswers)
 	}
@@ -385,15 +399,45 @@
 // no new work, and lets running work finish. It returns false when the context
 // ended first.
 func (n *Node) Drain(ctx context.Context) bool {
-	if n.replica != nil && n.replica.LeaseRemaining() > 0 {
-		if err := n.replica.TransferLeadership(ctx); err != nil {
-			_ = level.Warn(n.logger).Log("event", "leadership_kept", "err", err)
-		}
+	n.handOver(ctx)
+	if n.entry != nil && !n.entry.Drain(ctx) {
+		return false
 	}
-	if n.entry == nil {
-		return true
+	_ = level.Info(n.logger).Log("event", "drained_jobs")
+	return n.shutServers(ctx)
+}
+
+// handOverTimeout is a few election timeouts: a leader that can't hand over in
+// that time is replaced by an election when it stops.
+const handOverTimeout = 2 * time.Second
+
+func (n *Node) handOver(ctx context.Context) {
+	if n.replica == nil || n.replica.LeaseRemaining() <= 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	if err := n.replica.TransferLeadership(ctx); err != nil {
+		_ = level.Warn(n.logger).Log("event", "leadership_kept", "err", err)
 	}
-	return n.entry.Drain(ctx)
+}
+
+// shutServers waits until every answer is written.
+//
+// Failure: the last token of a long answer is known here, its job is done, but
+// the caller reads slowly and has most of it still to come; closing the
+// connection cuts it off. Callers come first, since peers may be reading
+// answers for theirs.
+func (n *Node) shutServers(ctx context.Context) bool {
+	whole := true
+	for _, name := range []string{"callers", "admin", "peers"} {
+		for _, l := range n.servers {
+			if l.name == name && l.server.Shutdown(ctx) != nil {
+				whole = false
+			}
+		}
+	}
+	return whole
 }
 
 func (n *Node) closeServers() {
