--- a/test/process/harness/build.go
+++ b/test/process/harness/build.go
@@ -2,7 +2,6 @@
 
 import (
 	"flag"
-	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -10,6 +9,8 @@
 	"strconv"
 	"sync"
 	"testing"
+
+	"github.com/juju/errors"
 )
 
 // modulePath is the path of the module whose programs are built.
@@ -87,7 +88,7 @@
 	}
 	out, err := exec.Command("go", append(arguments, programs[name])...).CombinedOutput()
 	if err != nil {
-		return "", fmt.Errorf("%w\n%s", err, out)
+		return "", errors.Annotate(err, string(out))
 	}
 	return path, nil
 }
--- a/test/standin/cmd/citronstep-standin/flags.go
+++ b/test/standin/cmd/citronstep-standin/flags.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"net"
 	"os"
 	"strconv"
@@ -175,7 +176,9 @@
 	}
 	secret, err := os.ReadFile(path)
 	if err != nil {
-		return ""
+		// Without its secret the stand-in would take calls from anyone.
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(usageStatus)
 	}
 	return strings.TrimSpace(string(secret))
 }
--- a/test/standin/cmd/citronstep-standin/main.go
+++ b/test/standin/cmd/citronstep-standin/main.go
@@ -25,6 +25,9 @@
 	"github.com/citronstep/citronstep/internal/standin"
 )
 
+// usageStatus is the exit status for a faulty command line.
+const usageStatus = 2
+
 // crashStatus is the exit status of a process that a fault crashed.
 const crashStatus = 3
 
@@ -32,7 +35,7 @@
 	logger := level.NewFilter(log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr)), level.AllowInfo())
 	f, err := parseFlags(os.Args[1:])
 	if err != nil {
-		os.Exit(2)
+		os.Exit(usageStatus)
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
