Recover from one control disk: citronstepd -recover

Cause: the consensus part can go on from one surviving disk, but nothing called it, and the operators' page said that no command did. Figures: internal/replica's TestRecoverFromTheSurvivor covers the function; the flag was not run under a process test.

--- a/cmd/citronstepd/main.go
+++ b/cmd/citronstepd/main.go
@@ -35,6 +35,7 @@
 func run() int {
 	file := flag.String("settings", "", "TOML `file` with the settings of this process")
 	check := flag.Bool("check", false, "check the settings and exit")
+	recoverState := flag.Bool("recover", false, "make the data folder of this stopped control process the start of a new cluster, and exit; a last resort (docs/operators/quorum-lost.md)")
 	dev := flag.Bool("dev", false, "run all roles and stand-in backend servers in this process")
 	flag.Parse()
 	switch {
@@ -54,9 +55,24 @@
 		fmt.Println("settings are good")
 		return 0
 	}
+	if *recoverState {
+		return recoverFolder(s)
+	}
 	return runNode(s, newLogger(s.Log.Level))
 }
 
+// recoverFolder is for the loss of a majority of the control disks.
+func recoverFolder(s *settings.Settings) int {
+	r, err := node.Recover(s)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "citronstepd:", err)
+		return exitFailure
+	}
+	fmt.Printf("new cluster %x from %x, log up to %d, surely committed up to %d\n",
+		r.NewCluster, r.OldCluster, r.LastIndex, r.CommitIndex)
+	return 0
+}
+
 func newLogger(name string) log.Logger {
 	logger := log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr))
 	logger = log.With(logger, "ts", log.DefaultTimestampUTC)
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -131,7 +131,7 @@
 		return failure.New(failure.TypeNotLeader, err.Error()).WithDetail(other.Leader.Address).WithRan(failure.RanNo)
 	case errors.Is(err, replica.ErrNotFounded):
 		return failure.New(failure.TypeNotFounded, "the cluster is not founded: run citronstep init").WithRan(failure.RanNo)
-	case errors.Is(err, replica.ErrNotProposed):
+	case errors.Is(err, replica.ErrNotProposed), errors.Is(err, replica.ErrRemoved), errors.Is(err, replica.ErrInvalidCommand):
 		return failure.New(failure.TypeUnavailable, err.Error()).WithRan(failure.RanNo).WithRetryAfter(time.Second)
 	case errors.Is(err, replica.ErrOutcomeUnknown):
 		return failure.New(failure.TypeOutcomeUnknown, err.Error()).WithRan(failure.RanUnknown)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -171,14 +171,12 @@
 		return nil
 	}
 	n.machine = control.NewMachine()
-	c := n.settings.Control
-	tick := time.Duration(c.TickMillis) * time.Millisecond
-	r, err := replica.Open(replica.Options{
-		Group: group, Folder: c.DataFolder, VM: n.settings.VM, DataCentre: n.settings.DataCentre,
-		Address: n.settings.Peers.Advertise, Peers: n.settings.Peers.Control, Machine: n.machine,
-		Logger: log.With(n.logger, "part", "replica"), Voters: c.Voters, Secret: n.tokens.peers,
-		TickInterval: tick, ElectionTicks: c.ElectionTicks, LocalAddr: n.localAddr(),
-	})
+	o := replicaOptions(n.settings)
+	o.Machine = n.machine
+	o.Logger = log.With(n.logger, "part", "replica")
+	o.Secret = n.tokens.peers
+	o.LocalAddr = n.localAddr()
+	r, err := replica.Open(o)
 	if err != nil {
 		return errors.Trace(err)
 	}
@@ -186,6 +184,23 @@
 	return nil
 }
 
+// replicaOptions are those that the settings alone give.
+func replicaOptions(s *settings.Settings) replica.Options {
+	return replica.Options{
+		Group: group, Folder: s.Control.DataFolder, VM: s.VM, DataCentre: s.DataCentre,
+		Address: s.Peers.Advertise, Peers: s.Peers.Control, Voters: s.Control.Voters,
+		TickInterval:  time.Duration(s.Control.TickMillis) * time.Millisecond,
+		ElectionTicks: s.Control.ElectionTicks,
+	}
+}
+
+// Recover makes the state in the data folder of a stopped control process the
+// start of a new cluster; see replica.Recover for what may be lost.
+func Recover(s *settings.Settings) (replica.Recovered, error) {
+	recovered, err := replica.Recover(replicaOptions(s))
+	return recovered, errors.Trace(err)
+}
+
 func (n *Node) makeEntry() error {
 	e := n.settings.Entry
 	self := blackboard.Entry{
