Read as a newcomer: names of the entry, node in three files, one start for both ways

Figures: linter clean, entry and node tests pass under the race detector. Conclusion: no behaviour changed, but that a job's context is set before others can find it.

--- a/cmd/citronstepd/dev.go
+++ b/cmd/citronstepd/dev.go
@@ -7,8 +7,6 @@
 	"fmt"
 	"net/http"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/go-kit/log"
@@ -19,7 +17,6 @@
 	"github.com/citronstep/citronstep/internal/auth"
 	"github.com/citronstep/citronstep/internal/blackboard"
 	"github.com/citronstep/citronstep/internal/failure"
-	"github.com/citronstep/citronstep/internal/node"
 	"github.com/citronstep/citronstep/internal/settings"
 	"github.com/citronstep/citronstep/internal/standin"
 )
@@ -44,27 +41,19 @@
 		return exitFailure
 	}
 	defer func() { _ = os.RemoveAll(folder) }()
-	s := settings.Dev(folder)
-	logger := log.With(newLogger(s.Log.Level), "vm", s.VM)
-	reportInvariants(logger)
-	n, err := node.New(s, logger)
+	p, err := startNode(settings.Dev(folder))
 	if err != nil {
-		_ = level.Error(logger).Log("event", "start_failed", "err", err)
 		return exitFailure
 	}
-	ctx, stop := context.WithCancel(context.Background())
-	defer stop()
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	done := make(chan error, 1)
-	go func() { done <- n.Run(ctx) }()
-	closeAll, err := startDev(ctx, s, logger)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	closeAll, err := startDev(ctx, p.settings, p.logger)
 	defer closeAll()
 	if err != nil {
-		_ = level.Error(logger).Log("event", "dev_failed", "err", err)
+		_ = level.Error(p.logger).Log("event", "dev_failed", "err", err)
 		return exitFailure
 	}
-	return serve(n, s, logger, signals, done, stop)
+	return p.serve()
 }
 
 // startDev founds the cluster, starts the stand-ins and waits until the first
--- a/cmd/citronstepd/main.go
+++ b/cmd/citronstepd/main.go
@@ -58,7 +58,7 @@
 	if *recoverState {
 		return recoverFolder(s)
 	}
-	return runNode(s, newLogger(s.Log.Level))
+	return runNode(s)
 }
 
 // recoverFolder is for the loss of a majority of the control disks.
@@ -79,59 +79,81 @@
 	return level.NewFilter(logger, level.Allow(level.ParseDefault(name, level.InfoValue())))
 }
 
-// runNode serves until a signal. The first SIGTERM or SIGINT stops gracefully;
-// a second one, or the settings' limit, ends the process at once.
-func runNode(s *settings.Settings, logger log.Logger) int {
-	logger = log.With(logger, "vm", s.VM)
+// process is a running node and what ends it.
+type process struct {
+	node     *node.Node
+	settings *settings.Settings
+	logger   log.Logger
+	signals  chan os.Signal
+	done     chan error
+	stop     context.CancelFunc
+}
+
+// startNode makes the node of the settings and runs it.
+func startNode(s *settings.Settings) (*process, error) {
+	logger := log.With(newLogger(s.Log.Level), "vm", s.VM)
 	reportInvariants(logger)
 	n, err := node.New(s, logger)
 	if err != nil {
 		_ = level.Error(logger).Log("event", "start_failed", "err", err)
-		return exitFailure
+		return nil, errors.Trace(err)
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	defer stop()
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
-	done := make(chan error, 1)
-	go func() { done <- n.Run(ctx) }()
-	return serve(n, s, logger, signals, done, stop)
+	p := &process{
+		node: n, settings: s, logger: logger, stop: stop,
+		signals: make(chan os.Signal, 2), done: make(chan error, 1),
+	}
+	signal.Notify(p.signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() { p.done <- n.Run(ctx) }()
+	return p, nil
+}
+
+// runNode serves until a signal. The first SIGTERM or SIGINT stops gracefully;
+// a second one, or the settings' limit, ends the process at once.
+func runNode(s *settings.Settings) int {
+	p, err := startNode(s)
+	if err != nil {
+		return exitFailure
+	}
+	return p.serve()
 }
 
-func serve(n *node.Node, s *settings.Settings, logger log.Logger, signals chan os.Signal, done chan error, stop func()) int {
+// serve waits for a signal or a failure and ends the node.
+func (p *process) serve() int {
 	code := 0
 	select {
-	case <-signals:
-		code = drain(n, s, logger, signals)
-		stop()
-		if err := <-done; err != nil {
-			_ = level.Error(logger).Log("event", "stop_failed", "err", err)
+	case <-p.signals:
+		code = p.drain()
+		p.stop()
+		if err := <-p.done; err != nil {
+			_ = level.Error(p.logger).Log("event", "stop_failed", "err", err)
 		}
-	case err := <-done:
-		_ = level.Error(logger).Log("event", "failed", "err", errors.Details(err))
+	case err := <-p.done:
+		_ = level.Error(p.logger).Log("event", "failed", "err", errors.Details(err))
 		code = exitFailure
 	}
-	if err := n.Close(); err != nil {
-		_ = level.Error(logger).Log("event", "close_failed", "err", err)
+	p.stop()
+	if err := p.node.Close(); err != nil {
+		_ = level.Error(p.logger).Log("event", "close_failed", "err", err)
 	}
-	_ = level.Info(logger).Log("event", "stopped", "code", code)
+	_ = level.Info(p.logger).Log("event", "stopped", "code", code)
 	return code
 }
 
-func drain(n *node.Node, s *settings.Settings, logger log.Logger, signals chan os.Signal) int {
-	_ = level.Info(logger).Log("event", "drain", "limit_ms", s.Entry.DrainMillis)
-	limit := time.Duration(s.Entry.DrainMillis) * time.Millisecond
+func (p *process) drain() int {
+	_ = level.Info(p.logger).Log("event", "drain", "limit_ms", p.settings.Entry.DrainMillis)
+	limit := time.Duration(p.settings.Entry.DrainMillis) * time.Millisecond
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	go func() {
 		select {
-		case <-signals:
+		case <-p.signals:
 			cancel()
 		case <-ctx.Done():
 		}
 	}()
-	if !n.Drain(ctx) {
-		_ = level.Warn(logger).Log("event", "drain_cut_short")
+	if !p.node.Drain(ctx) {
+		_ = level.Warn(p.logger).Log("event", "drain_cut_short")
 		return exitCutShort
 	}
 	return 0
--- a/internal/entry/holders.go
+++ b/internal/entry/holders.go
@@ -46,15 +46,15 @@
 	return &holders{keys: make(map[string]*holder), order: list.New()}
 }
 
-// held is the answer to a hold.
-type held struct {
+// holdAnswer is the answer to a hold.
+type holdAnswer struct {
 	entry  string
 	reused bool
 	begun  bool
 }
 
 // hold makes an entry the holder of a key that has none, and says who holds it.
-func (h *holders) hold(now time.Time, key, body, entry, job string, lifetime time.Duration) held {
+func (h *holders) hold(now time.Time, key, body, entry, job string, lifetime time.Duration) holdAnswer {
 	old, ok := h.keys[key]
 	if ok && now.After(old.until) {
 		h.drop(old)
@@ -63,16 +63,16 @@
 	if !ok {
 		begun := now.Before(h.unsureUntil)
 		h.add(now, &holder{key: key, body: body, entry: entry, job: job, begun: begun, until: now.Add(lifetime)})
-		return held{entry: entry, begun: begun}
+		return holdAnswer{entry: entry, begun: begun}
 	}
 	if old.body != body {
-		return held{reused: true}
+		return holdAnswer{reused: true}
 	}
 	if old.entry == "" {
 		old.entry, old.job = entry, job
 		old.until = now.Add(lifetime)
 	}
-	return held{entry: old.entry, begun: old.begun}
+	return holdAnswer{entry: old.entry, begun: old.begun}
 }
 
 // release notes how the holder's run ended. A run that began and has no whole
--- a/internal/entry/home.go
+++ b/internal/entry/home.go
@@ -28,9 +28,9 @@
 	holderTries = 3
 )
 
-// attached tells whether the job got its answer from the entry that holds its
-// key. Otherwise this entry is the holder and the job runs here.
-func (s *Server) attached(j *job) (bool, *failure.Error) {
+// answeredByHolder tells whether the job got its answer from another entry that
+// holds its key. Otherwise this entry is the holder and the job runs here.
+func (s *Server) answeredByHolder(j *job) (bool, *failure.Error) {
 	if j.key == "" || j.nonIdempotent {
 		return false, nil
 	}
@@ -46,7 +46,7 @@
 		case reply.Reused:
 			return false, failure.New(failure.TypeKeyReused, "the idempotency key belongs to another request").WithRan(failure.RanNo)
 		case reply.Holder == s.o.ID:
-			j.holds = true
+			j.isHolder = true
 			return false, nil
 		}
 		_ = level.Info(s.o.Logger).Log("event", "attach", "request", j.id, "to", reply.Holder, "reason", "holds the idempotency key")
@@ -79,7 +79,7 @@
 // release tells the home how the run ended. A resend that comes before the
 // home knows attaches here and finds the same.
 func (s *Server) release(j *job, whole, begun bool) {
-	if !j.holds {
+	if !j.isHolder {
 		return
 	}
 	client, err := s.home(j.key)
@@ -183,12 +183,12 @@
 // ServeAnswers gives a peer the answer of a key that is held here, from the
 // start and as it grows.
 func (s *Server) ServeAnswers(w http.ResponseWriter, r *http.Request) {
-	j, ok := s.running.attach(r.URL.Query().Get("key"))
+	j, ok := s.running.join(r.URL.Query().Get("key"))
 	if !ok {
 		failure.Write(w, failure.New(failure.TypeNotFound, "the key is not held here"))
 		return
 	}
-	defer s.leave(j)
+	defer s.detach(j)
 	encoder := json.NewEncoder(w)
 	for from := 0; ; {
 		ctx, cancel := context.WithTimeout(r.Context(), holderBeat)
--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -63,9 +63,9 @@
 	answer *answer
 	// finish is the finish reason of a whole answer.
 	finish string
-	// holds says that this entry is the holder of the job's key; begun that
+	// isHolder says that this entry is the holder of the job's key; begun that
 	// an earlier run of the key may have begun.
-	holds, begun bool
+	isHolder, begun bool
 	// replayed says that the answer was given from the at-most-once record.
 	replayed bool
 	// claimed says that this job holds its key's at-most-once record.
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -43,7 +43,7 @@
 		e.RequestID = j.id
 		return s.refusedAtDoor(c.Request(), e)
 	}
-	defer s.leave(running)
+	defer s.detach(running)
 	defer boundWrites(c, j)()
 	ctx, cancel := context.WithDeadline(c.Request().Context(), j.deadline)
 	defer cancel()
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -103,8 +103,15 @@
 		r.loads[id] = load(report)
 	}
 	r.routes[id] = route{
-		target: id, pool: g.Model, busy: r.loads[id].Running + r.loads[id].Queued, address: head.Address, group: g.ID, epoch: g.Epoch, head: head.VM, incarnation: head.Incarnation,
-		members: make(map[string]string, len(g.Members)),
+		target:      id,
+		pool:        g.Model,
+		busy:        r.busy(id),
+		address:     head.Address,
+		group:       g.ID,
+		epoch:       g.Epoch,
+		head:        head.VM,
+		incarnation: head.Incarnation,
+		members:     make(map[string]string, len(g.Members)),
 	}
 	for _, m := range g.Members {
 		r.routes[id].members[m.VM] = m.Incarnation
@@ -114,6 +121,9 @@
 	})
 }
 
+// busy is how many requests a target reports, running and waiting.
+func (r *routing) busy(id string) int { return r.loads[id].Running + r.loads[id].Queued }
+
 // quarantined tells whether a target is kept for a suspect request.
 func (r *routing) quarantined(pool, target string) bool {
 	q, ok := r.board.Quarantines[pool]
@@ -143,7 +153,13 @@
 		r.loads[id] = load(report)
 	}
 	r.routes[id] = route{
-		target: id, pool: servicePool(i.Service), busy: r.loads[id].Running + r.loads[id].Queued, address: i.Address, head: id, incarnation: i.Incarnation, members: map[string]string{id: i.Incarnation},
+		target:      id,
+		pool:        servicePool(i.Service),
+		busy:        r.busy(id),
+		address:     i.Address,
+		head:        id,
+		incarnation: i.Incarnation,
+		members:     map[string]string{id: i.Incarnation},
 	}
 	r.targets = append(r.targets, placement.Target{ID: id, DataCentre: i.DataCentre, Model: servicePool(i.Service), Plain: true})
 }
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -65,14 +65,14 @@
 		s.finish(j, e, false)
 		return
 	}
-	if done, e := s.attached(j); done || e != nil {
+	if done, e := s.answeredByHolder(j); done || e != nil {
 		s.finish(j, e, false)
 		return
 	}
 	g, e := s.dispatcher.enter(j)
 	j.queued = time.Since(j.arrived)
 	if e != nil {
-		s.finish(j, withRan(e, j.begun), false)
+		s.finish(j, afterAttempts(j.begun, e), false)
 		return
 	}
 	began := time.Now()
@@ -97,7 +97,7 @@
 		if e := s.mayDispatch(); e != nil {
 			s.dispatcher.attemptEnded(g.attempt, placement.Result{Cancelled: true})
 			g.end()
-			return withRan(e, begun)
+			return afterAttempts(begun, e)
 		}
 		out, e := attempt(j, g)
 		s.o.Metrics.Attempt(out.name(e))
@@ -111,12 +111,12 @@
 			begun = true
 		}
 		if stop != nil {
-			return withRan(stop, begun)
+			return afterAttempts(begun, stop)
 		}
 		j.tried = append(j.tried, g.route.target)
 		next, ok := s.dispatcher.again(j, earlier(j.deadline, time.Now().Add(failoverWait)))
 		if !ok {
-			return withRan(noBackendServer(), begun)
+			return afterAttempts(begun, noBackendServer())
 		}
 		g = next
 	}
@@ -162,9 +162,9 @@
 	return s.mayRetry(j, out, e)
 }
 
-// withRan corrects a refusal by what is known of earlier attempts: "no" is
-// said only when no attempt may have run.
-func withRan(e *failure.Error, begun bool) *failure.Error {
+// afterAttempts makes a refusal say what is known of all attempts made so far,
+// whatever the last one said: "no" only when none of them may have run.
+func afterAttempts(begun bool, e *failure.Error) *failure.Error {
 	if begun {
 		return e.WithRan(failure.RanUnknown)
 	}
--- a/internal/entry/running.go
+++ b/internal/entry/running.go
@@ -51,35 +51,37 @@
 	if s.o.Follower.Board().Suspects[j.body].Convicted() {
 		return nil, convicted()
 	}
-	first, e := s.enterRunning(j)
+	j.ctx, j.cancel = context.WithCancelCause(context.Background())
+	first, e := s.beginJob(j)
 	if e != nil {
+		j.cancel(nil)
 		return nil, e
 	}
 	if first != j {
+		j.cancel(nil)
 		_ = level.Info(s.o.Logger).Log("event", "attach", "request", j.id, "to", first.id, "reason", "same idempotency key")
 		return first, nil
 	}
-	j.ctx, j.cancel = context.WithCancelCause(context.Background())
 	deadline := time.AfterFunc(time.Until(j.deadline), func() { j.cancel(context.DeadlineExceeded) })
 	go func() {
 		defer s.work.Done()
 		defer j.cancel(nil)
 		defer deadline.Stop()
 		run(j)
-		s.running.leave(j)
+		s.running.end(j)
 	}()
 	return j, nil
 }
 
-// enterRunning counts the job in under the gate, so that a drain that has begun
+// beginJob counts the job in under the gate, so that a drain that has begun
 // to wait sees no job begin.
-func (s *Server) enterRunning(j *job) (*job, *failure.Error) {
+func (s *Server) beginJob(j *job) (*job, *failure.Error) {
 	s.gate.RLock()
 	defer s.gate.RUnlock()
 	if e := s.mayAdmit(); e != nil {
 		return nil, e
 	}
-	first, e := s.running.enter(j, s.limits(j.workspace))
+	first, e := s.running.begin(j, s.limits(j.workspace))
 	if e == nil && first == j {
 		s.work.Add(1)
 	}
@@ -99,10 +101,10 @@
 	return l
 }
 
-func (r *running) enter(j *job, l openLimits) (*job, *failure.Error) {
+func (r *running) begin(j *job, l openLimits) (*job, *failure.Error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.forget(time.Now())
+	r.dropOld(time.Now())
 	if first, ok := r.jobs[j.key]; ok && j.key != "" {
 		if first.body != j.body {
 			return nil, failure.New(failure.TypeKeyReused, "the idempotency key belongs to another request").WithRan(failure.RanNo)
@@ -123,8 +125,8 @@
 	return j, nil
 }
 
-// attach returns the keyed job that runs or ran here, counted in as a reader.
-func (r *running) attach(key string) (*job, bool) {
+// join returns the keyed job that runs or ran here, counted in as a reader.
+func (r *running) join(key string) (*job, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	j, ok := r.jobs[key]
@@ -134,9 +136,9 @@
 	return j, ok
 }
 
-// leave counts the job out. Its answer is kept for resends when it is whole;
+// end counts the job out. Its answer is kept for resends when it is whole;
 // a failure is not, so that a resend runs anew.
-func (r *running) leave(j *job) {
+func (r *running) end(j *job) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.total--
@@ -156,7 +158,7 @@
 	e := endedJob{key: j.key, job: j, bytes: j.keptBytes(), at: time.Now()}
 	r.ended = append(r.ended, e)
 	r.bytes += e.bytes
-	r.forget(time.Now())
+	r.dropOld(time.Now())
 }
 
 // strip drops what only a running job needs.
@@ -190,7 +192,7 @@
 	return r.total, r.bytes
 }
 
-func (r *running) forget(now time.Time) {
+func (r *running) dropOld(now time.Time) {
 	for len(r.ended) > 0 {
 		first := r.ended[0]
 		if len(r.ended) <= keptAnswers && r.bytes <= keptBytes && now.Sub(first.at) < keptFor {
@@ -204,9 +206,9 @@
 	}
 }
 
-// leave ends a caller's wait. When nobody waits any more the job is
+// detach ends a caller's wait. When nobody waits any more the job is
 // cancelled, unless its outcome has to be recorded for a resend.
-func (s *Server) leave(j *job) {
+func (s *Server) detach(j *job) {
 	if j.answer.detach() > 0 || j.nonIdempotent {
 		return
 	}
--- a/internal/entry/running_test.go
+++ b/internal/entry/running_test.go
@@ -22,10 +22,10 @@
 		j := &job{key: "w/" + strconv.Itoa(i), workspace: "w", answer: newAnswer(), service: &serviceCall{
 			call: backend.ServiceCall{Body: make([]byte, 10)}, header: http.Header{}, body: make([]byte, size),
 		}}
-		first, e := r.enter(j, openLimits{entry: 100, workspace: 100})
+		first, e := r.begin(j, openLimits{entry: 100, workspace: 100})
 		assert.Assert(t, e == nil && first == j)
 		j.answer.end("")
-		r.leave(j)
+		r.end(j)
 		assert.Assert(t, j.service.call.Body == nil, "the call is kept with its answer")
 	}
 	_, kept := r.counts()
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -114,7 +114,7 @@
 		e.RequestID = j.id
 		return s.refusedAtDoor(c.Request(), e)
 	}
-	defer s.leave(running)
+	defer s.detach(running)
 	defer boundWrites(c, j)()
 	ctx, cancel := context.WithDeadline(c.Request().Context(), j.deadline)
 	defer cancel()
--- /dev/null
+++ b/internal/node/servers.go
@@ -0,0 +1,121 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/pprof"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/juju/errors"
+	"github.com/twitchtv/twirp"
+
+	"github.com/citronstep/citronstep/internal/auth"
+	"github.com/citronstep/citronstep/internal/control"
+	"github.com/citronstep/citronstep/internal/entry"
+	"github.com/citronstep/citronstep/internal/hearing"
+	"github.com/citronstep/citronstep/internal/metrics"
+	"github.com/citronstep/citronstep/internal/replica"
+	"github.com/citronstep/citronstep/internal/rpc/noderpc"
+)
+
+// Limits of connections from outside.
+const (
+	readHeaderTimeout = 10 * time.Second
+	maxHeaderBytes    = 32 << 10
+	idleTimeout       = 2 * time.Minute
+)
+
+func (n *Node) listen() error {
+	if err := n.listenAt("peers", n.settings.Peers.Listen, n.peersHandler()); err != nil {
+		return errors.Trace(err)
+	}
+	if n.entry != nil {
+		if err := n.listenAt("callers", n.settings.Entry.Listen, n.entry.Handler()); err != nil {
+			return errors.Trace(err)
+		}
+	}
+	if n.settings.Admin.Listen == "" {
+		return nil
+	}
+	return errors.Trace(n.listenAt("admin", n.settings.Admin.Listen, n.adminHandler()))
+}
+
+// adminHandler serves operators: the admin API on a control process, and the
+// metrics on any.
+func (n *Node) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(metrics.Path, auth.Handler(n.tokens.admin, n.metrics.Handler()))
+	if n.control != nil {
+		forward := &control.Forwarder{Client: &http.Client{Transport: n.peers.Transport}, Token: n.tokens.peers}
+		mux.Handle("/admin/v1/", n.control.AdminHandler(n.tokens.admin, forward))
+	}
+	return mux
+}
+
+func (n *Node) listenAt(name, address string, h http.Handler) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return errors.Annotatef(err, "listening for %s", name)
+	}
+	server := &http.Server{
+		Handler: h, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
+	}
+	n.servers = append(n.servers, &listening{name: name, server: server, listener: l})
+	_ = level.Info(n.logger).Log("event", "listening", "for", name, "address", l.Addr())
+	return nil
+}
+
+// peersHandler serves the system's own processes.
+func (n *Node) peersHandler() http.Handler {
+	mux := http.NewServeMux()
+	entries := noderpc.NewEntriesServer(n.entriesService())
+	mux.Handle(entries.PathPrefix(), entries)
+	mux.Handle(metrics.Path, n.metrics.Handler())
+	mux.HandleFunc("/debug/pprof/", pprof.Index)
+	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	if n.entry != nil {
+		mux.HandleFunc(entry.PathAnswers, n.entry.ServeAnswers)
+	}
+	if n.control != nil {
+		board := noderpc.NewBoardServer(n.control)
+		mux.Handle(board.PathPrefix(), board)
+		mux.Handle("/admin/v1/", n.control.AdminHandler("", nil))
+	}
+	guarded := auth.Handler(n.tokens.peers, mux)
+	if n.replica == nil {
+		return guarded
+	}
+	// The replica checks the token itself.
+	whole := http.NewServeMux()
+	whole.Handle("/", guarded)
+	whole.Handle(replica.PathPrefix, n.replica.Handler())
+	return whole
+}
+
+// entriesService joins what hearing and entry serve to other entries.
+type entriesService struct {
+	*hearing.Hearing
+	entry.HomeService
+}
+
+func (n *Node) entriesService() noderpc.Entries {
+	if n.entry == nil {
+		return entriesService{n.hearing, noHome{}}
+	}
+	return entriesService{n.hearing, n.entry.Home()}
+}
+
+// noHome refuses to be the home of keys on a process without the entry role.
+type noHome struct{}
+
+// Hold refuses.
+func (noHome) Hold(context.Context, *noderpc.HoldRequest) (*noderpc.HoldReply, error) {
+	return nil, twirp.NotFound.Error("no entry role here")
+}
+
+// Release refuses.
+func (noHome) Release(context.Context, *noderpc.ReleaseRequest) (*noderpc.ReleaseReply, error) {
+	return nil, twirp.NotFound.Error("no entry role here")
+}
