One list of hop-by-hop headers, one way to start and relay a job; non-idempotent calls on fresh connections

Cause: two lists that differed, the same eight lines twice; the backend client's Fresh was never set, so the one dispatch of a non-idempotent call could be spent on a pooled connection that had gone silent. Change: as said.

--- a/internal/backend/http_service.go
+++ b/internal/backend/http_service.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strings"
 
 	"github.com/juju/errors"
 )
@@ -21,7 +22,7 @@
 		address: address,
 		method:  s.Method,
 		path:    s.Path,
-		header:  endToEnd(s.Header),
+		header:  EndToEnd(s.Header),
 		body:    s.Body,
 		fresh:   s.Fresh,
 	}
@@ -37,7 +38,7 @@
 	}
 	return &ServiceAnswer{
 		Status: x.response.StatusCode,
-		Header: endToEnd(x.response.Header),
+		Header: EndToEnd(x.response.Header),
 		Body:   &answerBody{exchange: x},
 	}, nil
 }
@@ -63,11 +64,16 @@
 	return nil
 }
 
-func endToEnd(h http.Header) http.Header {
+// EndToEnd returns a copy of a header without what belongs to one connection:
+// the hop-by-hop headers of HTTP and those that Connection names.
+func EndToEnd(h http.Header) http.Header {
 	out := h.Clone()
 	if out == nil {
 		out = http.Header{}
 	}
+	for _, name := range strings.Split(h.Get("Connection"), ",") {
+		out.Del(strings.TrimSpace(name))
+	}
 	for _, name := range hopHeaders {
 		out.Del(name)
 	}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -35,10 +35,20 @@
 	Usage   *usage   `json:"usage,omitempty"`
 }
 
-// answerCompletion runs the job, or attaches to the one that it repeats, and
-// relays the answer.
+// answerCompletion relays a completion's answer.
 func (s *Server) answerCompletion(c echo.Context, j *job, d dialect, stream bool) error {
-	running, e := s.start(j, s.runCompletion)
+	return s.withJob(c, j, s.runCompletion, func(ctx context.Context, running *job) error {
+		if stream {
+			return s.relayStream(ctx, c, running, d)
+		}
+		return s.relayWhole(ctx, c, running, d)
+	})
+}
+
+// withJob starts the job, or attaches to the one that it repeats, and calls
+// relay with that one until the caller's deadline.
+func (s *Server) withJob(c echo.Context, j *job, run func(*job), relay func(context.Context, *job) error) error {
+	running, e := s.start(j, run)
 	if e != nil {
 		e.RequestID = j.id
 		return s.refusedAtDoor(c.Request(), e)
@@ -47,10 +57,7 @@
 	defer boundWrites(c, j)()
 	ctx, cancel := context.WithDeadline(c.Request().Context(), j.deadline)
 	defer cancel()
-	if stream {
-		return s.relayStream(ctx, c, running, d)
-	}
-	return s.relayWhole(ctx, c, running, d)
+	return relay(ctx, running)
 }
 
 // refusedAtDoor completes a refusal given before it was asked whether an
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -33,21 +33,12 @@
 	body   []byte
 }
 
-// hopHeaders belong to one connection and are not passed on.
-var hopHeaders = []string{
-	"Connection", "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Authorization", "Content-Length", "Host",
-}
-
-func passedOn(h http.Header) http.Header {
-	c := h.Clone()
-	for _, name := range strings.Split(h.Get("Connection"), ",") {
-		c.Del(strings.TrimSpace(name))
-	}
-	for _, name := range hopHeaders {
-		c.Del(name)
-	}
-	return c
+// forwarded is a caller's header as a plain service gets it. The workspace's key
+// is ours and stays here.
+func forwarded(h http.Header) http.Header {
+	out := backend.EndToEnd(h)
+	out.Del("Authorization")
+	return out
 }
 
 // repeatable tells whether HTTP calls the method idempotent.
@@ -93,7 +84,7 @@
 	j.model = servicePool(name)
 	j.maxTokens = 1
 	j.service = &serviceCall{call: backend.ServiceCall{
-		Method: r.Method, Path: servicePath(r, name), Header: passedOn(r.Header), Body: body,
+		Method: r.Method, Path: servicePath(r, name), Header: forwarded(r.Header), Body: body,
 	}}
 	j.body = fingerprint("service", name, r.Method, j.service.call.Path, string(body))
 	return j, nil
@@ -109,23 +100,16 @@
 }
 
 func (s *Server) answerService(c echo.Context, j *job) error {
-	running, e := s.start(j, s.runService)
-	if e != nil {
-		e.RequestID = j.id
-		return s.refusedAtDoor(c.Request(), e)
-	}
-	defer s.detach(running)
-	defer boundWrites(c, j)()
-	ctx, cancel := context.WithDeadline(c.Request().Context(), j.deadline)
-	defer cancel()
-	_, p, err := running.answer.whole(ctx)
-	if err != nil {
-		return s.callerGone(ctx, running)
-	}
-	if p.failed != nil {
-		return p.failed
-	}
-	return running.service.write(c)
+	return s.withJob(c, j, s.runService, func(ctx context.Context, running *job) error {
+		_, p, err := running.answer.whole(ctx)
+		if err != nil {
+			return s.callerGone(ctx, running)
+		}
+		if p.failed != nil {
+			return p.failed
+		}
+		return running.service.write(c)
+	})
 }
 
 func (sc *serviceCall) write(c echo.Context) error {
@@ -166,6 +150,7 @@
 func (s *Server) call(j *job, g grant) (outcome, *failure.Error) {
 	sc := j.service
 	sc.call.Attempt = g.attempt
+	sc.call.Fresh = j.nonIdempotent
 	answer, err := s.o.Client.Call(j.ctx, g.route.address, sc.call)
 	if err != nil {
 		return s.serviceFailed(j, err)
@@ -178,7 +163,7 @@
 	if len(body) > maxServiceAnswer {
 		return outcomeBroken, failure.New(failure.TypeBackendFailed, "the service's answer is over the limit")
 	}
-	sc.status, sc.body, sc.header = answer.Status, bytes.Clone(body), passedOn(answer.Header)
+	sc.status, sc.body, sc.header = answer.Status, bytes.Clone(body), backend.EndToEnd(answer.Header)
 	return outcomeWhole, nil
 }
 
