Harness: processes end with a test process that is killed

Cause: test processes that were killed or ran out of their time left daemons behind, which listen and take a core's share for ever. Change: on Linux the kernel ends them with their parent.

--- /dev/null
+++ b/test/process/harness/orphans_linux.go
@@ -0,0 +1,9 @@
+package harness
+
+import "syscall"
+
+// dieWithTest makes a process end with the test process, also when that one is
+// killed or runs out of its time and so never comes to its cleanups.
+func dieWithTest() *syscall.SysProcAttr {
+	return &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+}
--- a/test/process/harness/process.go
+++ b/test/process/harness/process.go
@@ -58,6 +58,7 @@
 	command.Stdout = stdout
 	command.Stderr = log
 	command.Env = append(os.Environ(), "CITRONSTEP_INVARIANTS_FATAL=1")
+	command.SysProcAttr = dieWithTest()
 	if err := command.Start(); err != nil {
 		_ = log.Close()
 		p.t.Fatalf("starting %s: %v", p.Name, err)
