A body far over the limit is answered; a second signal and the limit of a stop are tested

Process tests for both, and for the second SIGTERM and the drain limit (exit status 3, the cut stream is not whole).

--- a/internal/entry/completion.go
+++ b/internal/entry/completion.go
@@ -8,7 +8,6 @@
 	"strings"
 	"time"
 
-	"github.com/juju/errors"
 	"github.com/labstack/echo/v4"
 
 	"github.com/citronstep/citronstep/internal/backend"
@@ -153,15 +152,20 @@
 	// A connection that can't take deadlines is one of a test.
 	_ = connection.SetReadDeadline(time.Now().Add(bodyTimeout))
 	defer func() { _ = connection.SetReadDeadline(time.Time{}) }()
-	limited := http.MaxBytesReader(c.Response(), c.Request().Body, s.o.Settings.MaxBodyBytes)
-	data, err := io.ReadAll(limited)
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, failure.New(failure.TypeBodyTooLarge, "the body is over the limit").
-			WithDetail("body").WithRan(failure.RanNo)
-	}
+	body := c.Request().Body
+	data, err := io.ReadAll(io.LimitReader(body, s.o.Settings.MaxBodyBytes+1))
 	if err != nil {
 		return nil, bad("the body was cut: "+err.Error(), "body")
 	}
-	return data, nil
+	if int64(len(data)) <= s.o.Settings.MaxBodyBytes {
+		return data, nil
+	}
+	// A caller that is still sending when the connection is closed sees a reset
+	// and no answer. What is over the limit is read and thrown away, in bounds.
+	_, _ = io.CopyN(io.Discard, body, maxDiscarded)
+	return nil, failure.New(failure.TypeBodyTooLarge, "the body is over the limit").
+		WithDetail("body").WithRan(failure.RanNo)
 }
+
+// maxDiscarded bounds what is read of a body past the limit, in bytes.
+const maxDiscarded = 64 << 20
--- /dev/null
+++ b/test/process/second_signal_test.go
@@ -0,0 +1,56 @@
+package process
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/citronstep/citronstep/internal/failure"
+	"github.com/citronstep/citronstep/internal/settings"
+	"github.com/citronstep/citronstep/test/process/harness"
+)
+
+// An operator stops an entry for maintenance, and one stream goes on for
+// minutes. The second signal must end the process at once, and its status must
+// say that work was cut off; so must the settings' limit, without a signal.
+func TestASecondSignalOrTheLimitEndsAStop(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name  string
+		limit int64
+		again bool
+	}{{"second signal", 60_000, true}, {"limit", 1_000, false}} {
+		t.Run(c.name, func(t *testing.T) {
+			system, _ := smallSystem(t, small(func(s *settings.Settings) { s.Entry.DrainMillis = c.limit }), 1, "-token-interval", "200ms")
+			entry := system.Node("n2")
+			request := harness.Completion{Model: "demo", Prompt: newPrompt("endless"), MaxTokens: 1000, Stream: true}
+			done := make(chan harness.Reply, 1)
+			go func() { done <- harness.Complete(t.Context(), entry.Entry, request) }()
+			harness.Await(t, "the stream runs", func() bool { return len(system.RunsOf(request.Prompt)) == 1 })
+			entry.Terminate()
+			harness.Await(t, "the entry drains", func() bool { return logHas(entry, "event=drain ") })
+			if c.again {
+				entry.Terminate()
+			}
+			assert.Equal(t, entry.Wait(30*time.Second), 3)
+			reply := <-done
+			assert.Assert(t, !reply.Whole, "a cut answer passed as whole")
+		})
+	}
+}
+
+// A job posts a body of megabytes, twelve times the limit. It must learn why
+// it is refused; a reset connection makes it send the same again.
+func TestABodyFarOverTheLimitIsAnswered(t *testing.T) {
+	t.Parallel()
+	c, _ := smallSystem(t, small(func(*settings.Settings) {}), 1)
+	for range 5 {
+		request := harness.Completion{Model: "demo", Prompt: strings.Repeat("x", 12<<20), MaxTokens: 1}
+		reply := harness.Complete(t.Context(), c.Node("n1").Entry, request)
+		assert.Equal(t, reply.Status, http.StatusRequestEntityTooLarge, "%+v", reply.Lost)
+		assert.Equal(t, reply.Refusal.Type, failure.TypeBodyTooLarge)
+	}
+}
