Liveness: the silence of most VMs at once is not their death

Cause: when the path from all backend servers to the entries fails for half a minute, every VM was concluded dead, every group torn down and loaded again through the rate-limited store. TestTheSilenceOfMostTearsNothingDown failed first (epoch 4 where 2 was expected). Ways weighed: never concluding death of more than half (nothing is rebuilt after a real loss); one longer time for all (each real loss waits longer); a longer time while more than half are silent (chosen). A first shape failed still: the first VMs to return ended the mass silence and the others were dead at once; so it counts for ten seconds past its end.

--- a/internal/controller/decisions_test.go
+++ b/internal/controller/decisions_test.go
@@ -272,3 +272,50 @@
 	assert.Assert(t, !known)
 	assert.Equal(t, w.board.Groups["demo-0"].State, blackboard.Released)
 }
+
+// At night the path from all backend servers to the entries fails for half a
+// minute and comes back. Every group was torn down meanwhile, and all weights
+// had to be loaded again through the store, for hours. Cause: the silence of
+// nearly all was taken for the death of each.
+func TestTheSilenceOfMostTearsNothingDown(t *testing.T) {
+	w := newWorld(t, 3, 2, 4, defaultPolicy, demoConfig(2, 3))
+	w.run(time.Minute)
+	before := map[string]uint64{}
+	for id, g := range w.board.Groups {
+		assert.Equal(t, g.State, blackboard.Serving)
+		before[id] = g.Epoch
+	}
+	for _, e := range w.byID {
+		e.pause(30 * time.Second)
+	}
+	w.run(2 * time.Minute)
+	finish(t, w)
+	for id, epoch := range before {
+		g := w.board.Groups[id]
+		assert.Equal(t, g.State, blackboard.Serving, g.Reason)
+		assert.Equal(t, g.Epoch, epoch)
+	}
+}
+
+// Most backend servers are gone for good. What is left must still be put to
+// use, after a longer wait.
+func TestTheDeathOfMostIsConcludedInTheEnd(t *testing.T) {
+	w := newWorld(t, 4, 2, 4, defaultPolicy, demoConfig(2, 3))
+	w.run(time.Minute)
+	dead := 0
+	for _, id := range sortedKeys(w.byID) {
+		if dead < 5 {
+			w.byID[id].kill()
+			dead++
+		}
+	}
+	w.run(massDeadAfter + 30*time.Second)
+	finish(t, w)
+	count := 0
+	for _, v := range w.board.VMs {
+		if v.Liveness == blackboard.Dead {
+			count++
+		}
+	}
+	assert.Equal(t, count, 5)
+}
--- a/internal/controller/liveness.go
+++ b/internal/controller/liveness.go
@@ -18,6 +18,11 @@
 	// tens of seconds, so waiting ten for a paused member costs less than a
 	// needless reload, and adds ten seconds to the downtime of a real loss.
 	deadAfter = 10 * time.Second
+	// massDeadAfter takes the place of deadAfter while more than half of the
+	// VMs that are not dead are silent at once, see massSilence.
+	massDeadAfter = time.Minute
+	// massLeast is the fewest VMs of which half says anything.
+	massLeast = 4
 	// strayWitness doubles the thresholds while the only process that heard a
 	// backend server is silent itself: the backend server may be looking for
 	// another entry.
@@ -48,13 +53,14 @@
 
 // liveness concludes alive, paused, dead or straggler from the evidence.
 func liveness(v View, now time.Time, a *Actions) {
+	dead := v.Memory.deadAfter(massSilence(v, now), now)
 	for _, id := range sortedKeys(v.Board.VMs) {
 		vm := v.Board.VMs[id]
 		r, heard := v.Evidence.Get(id)
 		if heard && r.Incarnation != vm.Incarnation {
 			continue
 		}
-		to := conclude(v, now, vm.Liveness, r, heard)
+		to := conclude(v, now, vm.Liveness, r, heard, dead)
 		if to == vm.Liveness {
 			forgetVM(v, now, a, vm)
 			continue
@@ -85,7 +91,7 @@
 		if heard && r.Incarnation != s.Incarnation {
 			continue
 		}
-		to := conclude(v, now, s.Liveness, r, heard)
+		to := conclude(v, now, s.Liveness, r, heard, deadAfter)
 		if to == blackboard.Dead && silence(v, now, r, heard) > forgetAfter {
 			v.Evidence.Forget(backend.KindService, id)
 			a.command(&blackboard.RemoveService{ID: id, Incarnation: s.Incarnation})
@@ -111,7 +117,48 @@
 	return now.Sub(from)
 }
 
-func conclude(v View, now time.Time, is blackboard.Liveness, r evidence.Report, heard bool) blackboard.Liveness {
+// deadAfter returns how long a VM must be silent to be dead. A mass silence
+// counts for some time past its end: the first to return end it, and the others
+// have a moment to be heard.
+func (m *Memory) deadAfter(mass bool, now time.Time) time.Duration {
+	if mass {
+		m.massSeen = now
+	}
+	if !m.massSeen.IsZero() && now.Sub(m.massSeen) < deadAfter {
+		return massDeadAfter
+	}
+	return deadAfter
+}
+
+// massSilence tells whether more than half of the VMs that are not dead are
+// silent at once.
+//
+// Failure: the path from the backend servers to the entries fails for half a
+// minute, and all groups are torn down and loaded again through the store, for
+// hours. Half of all VMs seldom die together, and a path that all use often
+// fails; so most being silent says more of the path than of the VMs. Routing
+// has stopped long before, so waiting lets no request through. The price is
+// that the loss of more than half is acted on after massDeadAfter: there is
+// little left then to rebuild with. A dark domain or data centre of up to half
+// is acted on as ever.
+func massSilence(v View, now time.Time) bool {
+	living, silent := 0, 0
+	for id, vm := range v.Board.VMs {
+		if vm.Liveness == blackboard.Dead {
+			continue
+		}
+		living++
+		r, heard := v.Evidence.Get(id)
+		if silence(v, now, r, heard) > pausedAfter {
+			silent++
+		}
+	}
+	return living >= massLeast && 2*silent > living
+}
+
+func conclude(
+	v View, now time.Time, is blackboard.Liveness, r evidence.Report, heard bool, dead time.Duration,
+) blackboard.Liveness {
 	if heard && now.Sub(r.HeardAt) <= evidence.RoutableAge {
 		return pace(is, r)
 	}
@@ -121,7 +168,7 @@
 	}
 	quiet := silence(v, now, r, heard)
 	switch {
-	case is == blackboard.Dead || quiet > deadAfter*scale:
+	case is == blackboard.Dead || quiet > dead*scale:
 		return blackboard.Dead
 	case quiet > pausedAfter*scale:
 		return blackboard.Paused
--- a/internal/controller/memory.go
+++ b/internal/controller/memory.go
@@ -15,7 +15,9 @@
 	// coveredSince is since when a majority of the entries has been heard
 	// without a break; zero while it is not.
 	coveredSince time.Time
-	orders       map[string]*orderRecord
+	// massSeen is when most VMs were last silent at once.
+	massSeen time.Time
+	orders   map[string]*orderRecord
 	// faults holds since when a group epoch has shown each of its faults.
 	faults map[groupEpoch]map[string]time.Time
 	// states holds since when this leader has seen a group epoch in its state.
