Refusals at the door carry the request id

Cause: the refusal of an unknown model had no request id in its body, though the header had one. Change: taken from the header.

--- a/internal/entry/completion.go
+++ b/internal/entry/completion.go
@@ -50,7 +50,7 @@
 	return func(c echo.Context) error {
 		j, stream, e := s.takeCompletion(c, d)
 		if e != nil {
-			return s.refusedAtDoor(c.Request(), e)
+			return s.refusedAtDoor(c, e)
 		}
 		return s.answerCompletion(c, j, d, stream)
 	}
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -50,8 +50,7 @@
 func (s *Server) withJob(c echo.Context, j *job, run func(*job), relay func(context.Context, *job) error) error {
 	running, e := s.start(j, run)
 	if e != nil {
-		e.RequestID = j.id
-		return s.refusedAtDoor(c.Request(), e)
+		return s.refusedAtDoor(c, e)
 	}
 	defer s.detach(running)
 	defer boundWrites(c, j)()
@@ -66,8 +65,11 @@
 // Failure: a job runs and its answer is lost; the caller resends under the same
 // key to an entry that refuses at once, for its own reasons, and says "not
 // run". The caller gives the work to someone else, and it is done twice.
-func (s *Server) refusedAtDoor(r *http.Request, e *failure.Error) *failure.Error {
-	if r.Header.Get(HeaderIdempotencyKey) != "" && e.Type != failure.TypeKeyReused {
+func (s *Server) refusedAtDoor(c echo.Context, e *failure.Error) *failure.Error {
+	refused := *e
+	e = &refused
+	e.RequestID = c.Response().Header().Get(HeaderRequestID)
+	if c.Request().Header.Get(HeaderIdempotencyKey) != "" && e.Type != failure.TypeKeyReused {
 		e = e.WithRan(failure.RanUnknown)
 	}
 	_ = level.Info(s.o.Logger).Log("event", "refuse", "request", e.RequestID, "type", e.Type, "ran", e.Ran,
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -163,7 +163,7 @@
 	return func(c echo.Context) error {
 		defer s.handlers.Add(-1)
 		if s.handlers.Add(1) > int64(handlersPerOpen*s.o.Settings.MaxOpen) && c.Path() != backend.PathAnnounce {
-			return s.refusedAtDoor(c.Request(), failure.New(failure.TypeOverloaded, "too many open requests").
+			return s.refusedAtDoor(c, failure.New(failure.TypeOverloaded, "too many open requests").
 				WithRan(failure.RanNo).WithRetryAfter(time.Second))
 		}
 		return next(c)
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -54,7 +54,7 @@
 func (s *Server) serveService(c echo.Context) error {
 	j, e := s.takeCall(c)
 	if e != nil {
-		return s.refusedAtDoor(c.Request(), e)
+		return s.refusedAtDoor(c, e)
 	}
 	return s.answerService(c, j)
 }
