At-most-once test: only the record may answer the resend

Cause: a trial without the record's writing passed TestRecordedAnswerOutlivesTheLeader: the resend reached the entry that ran the request and keeps its answer. Change: that entry is killed before the resend: stricter.

--- a/test/process/at_most_once_test.go
+++ b/test/process/at_most_once_test.go
@@ -113,6 +113,8 @@
 	reply := <-first
 	assert.Assert(t, reply.Right(request), "%+v", reply)
 
+	// The entry that ran it keeps the answer too; only the record may answer.
+	entry.Kill()
 	again := resendUntilFinal(t, c, request)
 	assert.Assert(t, again.Right(request), "%+v", again)
 	assert.Equal(t, len(c.RunsOf(request.Prompt)), 1)
