Exchange evidence over one connection a pair of entries

Cause: each entry asked each other one every 200 ms over Twirp with JSON lines of 251 bytes; 9 entries with 50 VMs cost a node about 50 KB/s by docs/CAPACITY.md where 3 KB/s are allowed.

Ruled out: asking less often (an HTTP question costs 0.4 KB whatever it brings) and UDP (loss, size and the token would need a protocol of their own, and firewalls forget flows as well).

Change: of two entries the one with the smaller id dials the other's peer listener and upgrades the connection; both send a frame each 300 ms. A frame echoes the newest one of the other side and says how long that was held, so lines are dated from before they were made, never from arrival. Lines leave out what the connection has said already. A connection that brings nothing for 800 ms is closed and dialled again with jitter. internal/evidence/wire codes it without I/O. The Digest call is gone. The table is still called each 200 ms, so that the detection of a stopped process is as it was.

--- a/internal/entry/home.go
+++ b/internal/entry/home.go
@@ -125,11 +125,6 @@
 // localHome is this entry as the home of a key.
 type localHome struct{ s *Server }
 
-// Digest is not served here; hearing serves it.
-func (h localHome) Digest(context.Context, *noderpc.DigestRequest) (*noderpc.DigestReply, error) {
-	return &noderpc.DigestReply{}, nil
-}
-
 // Hold answers the question who holds a key.
 func (h localHome) Hold(_ context.Context, r *noderpc.HoldRequest) (*noderpc.HoldReply, error) {
 	h.s.holdersMu.Lock()
--- a/internal/evidence/table.go
+++ b/internal/evidence/table.go
@@ -13,27 +13,32 @@
 	"github.com/citronstep/citronstep/internal/backend"
 )
 
-// The periods of the exchange. They belong together: an announcement waits at
-// most AnnounceInterval at the engine and DigestInterval at the entry that
-// heard it, so its age at another entry stays under RoutableAge with one
-// announcement or one digest lost.
+// The periods of the exchange. They belong together: a VM's newest state waits
+// at most AnnounceInterval at the engine and DigestInterval at the entry that
+// heard it. With one announcement lost its age at another entry is at most twice
+// AnnounceInterval and DigestInterval, 1.1 s; with one frame lost on the way at
+// most both and a retransmission of some 200 ms, 0.9 s. Both are under
+// RoutableAge with 100 ms for the way. A longer DigestInterval would save frames
+// and close routes when one announcement is lost.
 const (
 	// AnnounceInterval is what entries answer as AnnounceReply.IntervalMillis.
 	AnnounceInterval = 400 * time.Millisecond
-	// DigestInterval is how often a process asks each peer for its digest.
-	DigestInterval = 200 * time.Millisecond
+	// DigestInterval is how often a process sends each peer its digest.
+	DigestInterval = 300 * time.Millisecond
+	// ObserveInterval is how often a running process calls its table at least.
+	ObserveInterval = 200 * time.Millisecond
 	// RoutableAge bounds the age of the evidence that a member of a group is
 	// alive. A member that died less than this ago may still be routed to; a
 	// shorter bound would stop routing at each lost announcement.
 	RoutableAge = 1200 * time.Millisecond
 	// WitnessAge is how old the last digest of a peer may be for the peer to
-	// count as a witness: five digests in a row lost.
+	// count as a witness: three digests in a row lost.
 	WitnessAge = 1 * time.Second
 )
 
 const (
 	// pauseGap is the gap between two calls that shows that this process was
-	// stopped, as no running process lets DigestInterval pass five times.
+	// stopped, as no running process lets ObserveInterval pass five times.
 	pauseGap = 1 * time.Second
 	// wakeSettle is how long after such a gap direct announcements are not
 	// taken as fresh.
@@ -193,8 +198,9 @@
 	}
 }
 
-// Merge records the digest of a peer. asked is this process's clock when it
-// asked the peer for the digest, not when the answer arrived.
+// Merge records the digest of a peer. asked is a time of this process's clock
+// at which the peer had surely not made the digest yet, such as when it was
+// asked for; never the time at which it arrived.
 //
 // Failure: a digest is held up on its way for seconds, and its lines look
 // fresh on arrival. Each line was heard no earlier than asked minus its age,
--- /dev/null
+++ b/internal/evidence/wire/line.go
@@ -0,0 +1,239 @@
+package wire
+
+import (
+	"slices"
+
+	"github.com/juju/errors"
+	"google.golang.org/protobuf/encoding/protowire"
+
+	"github.com/citronstep/citronstep/internal/backend"
+	"github.com/citronstep/citronstep/internal/evidence"
+)
+
+// MaxRefs bounds the backend servers that one connection names: as many as an
+// evidence.Table holds, so that a table always fits a new connection.
+const MaxRefs = 8192
+
+// Fields of a line. Kind and id come with the first line of a backend server;
+// the sequence is left out when it is the next one, the age when it is zero, all
+// others when they are those of the last line of this backend server.
+const (
+	lineRef = protowire.Number(iota + 1)
+	lineSequence
+	lineAge
+	lineKind
+	lineID
+	lineIncarnation
+	lineGroup
+	lineEpoch
+	linePhase
+	lineLeaving
+	lineUnreachable
+	lineLoad
+	lineNoLoad
+	lineDetail
+)
+
+// ordinaryStep is the step of the sequence that is left out.
+const ordinaryStep = 1
+
+// kinds are the backend servers' kinds by their number on the wire.
+var kinds = []backend.Kind{backend.KindEngine, backend.KindService}
+
+type name struct {
+	kind backend.Kind
+	id   string
+}
+
+// lineEncoder writes the lines of one connection.
+type lineEncoder struct {
+	refs map[name]uint64
+	last []evidence.Heard
+}
+
+func newLineEncoder() *lineEncoder { return &lineEncoder{refs: make(map[name]uint64)} }
+
+// line returns the bytes of one line.
+func (e *lineEncoder) line(h evidence.Heard) ([]byte, error) {
+	ref, known := e.refs[name{h.Kind, h.ID}]
+	if !known {
+		if len(e.last) >= MaxRefs {
+			return nil, errors.Trace(ErrDictionaryFull)
+		}
+		e.last = append(e.last, evidence.Heard{})
+		ref = uint64(len(e.last))
+		e.refs[name{h.Kind, h.ID}] = ref
+	}
+	last := &e.last[ref-1]
+	if last.Incarnation != h.Incarnation {
+		last.Sequence = 0
+	}
+	b := putUint(nil, lineRef, ref)
+	if step := h.Sequence - last.Sequence; step != ordinaryStep {
+		b = putUint(b, lineSequence, step)
+	}
+	if h.AgeMillis > 0 {
+		b = putUint(b, lineAge, uint64(h.AgeMillis))
+	}
+	if !known {
+		b = putUint(b, lineKind, uint64(slices.Index(kinds, h.Kind)))
+		b = putString(b, lineID, h.ID)
+	}
+	b = putChanges(b, last, h)
+	*last = h
+	return b, nil
+}
+
+func putChanges(b []byte, last *evidence.Heard, h evidence.Heard) []byte {
+	if last.Incarnation != h.Incarnation {
+		b = putString(b, lineIncarnation, h.Incarnation)
+	}
+	if last.Group != h.Group {
+		b = putString(b, lineGroup, h.Group)
+	}
+	if last.Epoch != h.Epoch {
+		b = putUint(b, lineEpoch, h.Epoch)
+	}
+	if last.Phase != h.Phase {
+		b = putString(b, linePhase, string(h.Phase))
+	}
+	if last.Leaving != h.Leaving {
+		b = putUint(b, lineLeaving, protowire.EncodeBool(h.Leaving))
+	}
+	if !slices.Equal(last.Unreachable, h.Unreachable) {
+		b = putBytes(b, lineUnreachable, putList(nil, h.Unreachable))
+	}
+	switch {
+	case h.Load == nil && last.Load != nil:
+		b = putUint(b, lineNoLoad, 1)
+	case h.Load != nil && (last.Load == nil || *last.Load != *h.Load):
+		b = putBytes(b, lineLoad, putLoad(nil, h.Load))
+	}
+	if h.Detail != nil {
+		b = putBytes(b, lineDetail, putDetail(nil, h.Detail))
+	}
+	return b
+}
+
+// lineDecoder reads the lines of one connection.
+type lineDecoder struct{ last []evidence.Heard }
+
+// lineHead is what must be known before the rest of a line.
+type lineHead struct {
+	ref, kind, sequence, age uint64
+	id                       string
+	named                    bool
+}
+
+// line reads one line. What it leaves out is that of the last line of the same
+// backend server.
+func (d *lineDecoder) line(b []byte) (evidence.Heard, error) {
+	head := lineHead{sequence: ordinaryStep}
+	h, err := d.begin(b, &head)
+	if err != nil {
+		return h, errors.Trace(err)
+	}
+	before := h.Incarnation
+	if err := eachField(b, 0, func(v field) error { return readChange(v, &h) }); err != nil {
+		return h, errors.Trace(err)
+	}
+	if h.Incarnation == "" {
+		return h, errors.Annotate(ErrMalformed, "no incarnation")
+	}
+	if h.Incarnation != before {
+		h.Sequence = 0
+	}
+	h.Sequence += head.sequence
+	h.AgeMillis = int64(head.age)
+	d.last[head.ref-1] = h
+	d.last[head.ref-1].Detail = nil
+	return h, nil
+}
+
+// maxAge bounds the age of a line in milliseconds, far over the hour that a
+// table keeps one, so that no sum of times overflows.
+const maxAge = 1 << 40
+
+// begin finds the last line of the backend server, or adds it when it is new.
+func (d *lineDecoder) begin(b []byte, head *lineHead) (evidence.Heard, error) {
+	if err := eachField(b, 0, func(v field) error { return readHead(v, head) }); err != nil {
+		return evidence.Heard{}, errors.Trace(err)
+	}
+	known := uint64(len(d.last))
+	switch {
+	case head.age > maxAge:
+		return evidence.Heard{}, errors.Annotate(ErrMalformed, "age")
+	case head.ref >= 1 && head.ref <= known && !head.named:
+		return d.last[head.ref-1], nil
+	case head.ref != known+1 || !head.named || head.id == "" || head.kind >= uint64(len(kinds)):
+		return evidence.Heard{}, errors.Annotatef(ErrMalformed, "number %d", head.ref)
+	case known >= MaxRefs:
+		return evidence.Heard{}, errors.Trace(ErrDictionaryFull)
+	}
+	h := evidence.Heard{Kind: kinds[head.kind], ID: head.id}
+	d.last = append(d.last, h)
+	return h, nil
+}
+
+func readHead(v field, head *lineHead) error {
+	switch v.number {
+	case lineRef:
+		return v.asUint(&head.ref)
+	case lineSequence:
+		return v.asUint(&head.sequence)
+	case lineAge:
+		return v.asUint(&head.age)
+	case lineKind:
+		return v.asUint(&head.kind)
+	case lineID:
+		head.named = true
+		return v.asString(&head.id)
+	}
+	return nil
+}
+
+func readChange(v field, h *evidence.Heard) error {
+	switch v.number {
+	case lineRef, lineSequence, lineAge, lineKind, lineID:
+		return nil
+	case lineIncarnation:
+		return v.asString(&h.Incarnation)
+	case lineGroup:
+		return v.asString(&h.Group)
+	case lineEpoch:
+		return v.asUint(&h.Epoch)
+	case linePhase:
+		phase := ""
+		err := v.asString(&phase)
+		h.Phase = backend.Phase(phase)
+		return err
+	case lineLeaving:
+		leaving := uint64(0)
+		err := v.asUint(&leaving)
+		h.Leaving = protowire.DecodeBool(leaving)
+		return err
+	case lineNoLoad:
+		h.Load = nil
+		return nil
+	}
+	return readNested(v, h)
+}
+
+func readNested(v field, h *evidence.Heard) error {
+	var body []byte
+	if err := v.asMessage(&body); err != nil {
+		return err
+	}
+	var err error
+	switch v.number {
+	case lineUnreachable:
+		h.Unreachable, err = readList(body)
+	case lineLoad:
+		h.Load, err = readLoad(body)
+	case lineDetail:
+		h.Detail, err = readDetail(body)
+	default:
+		return v.wrong()
+	}
+	return errors.Trace(err)
+}
--- a/internal/hearing/hearing.go
+++ b/internal/hearing/hearing.go
@@ -5,21 +5,18 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-kit/log"
-	"github.com/go-kit/log/level"
-	"github.com/juju/errors"
 
 	"github.com/citronstep/citronstep/internal/auth"
 	"github.com/citronstep/citronstep/internal/backend"
 	"github.com/citronstep/citronstep/internal/blackboard"
 	"github.com/citronstep/citronstep/internal/evidence"
 	"github.com/citronstep/citronstep/internal/failure"
-	"github.com/citronstep/citronstep/internal/rpc/noderpc"
 )
 
 // maxAnnouncement bounds what a backend server may send at once, in bytes.
@@ -31,8 +28,10 @@
 	Self string
 	// Board returns the newest board.
 	Board func() *blackboard.Board
-	// HTTPClient carries the secret between our processes.
-	HTTPClient *http.Client
+	// Dial connects to another entry.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// PeerToken is the bearer token between our processes.
+	PeerToken string
 	// AnnounceToken is the token that backend servers announce with; empty
 	// accepts any.
 	AnnounceToken string
@@ -48,21 +47,15 @@
 	mu    sync.Mutex
 	table *evidence.Table
 
-	peersMu sync.Mutex
-	peers   map[string]*peer
-}
-
-type peer struct {
-	address string
-	client  noderpc.Entries
-	cursor  evidence.Cursor
-	asking  atomic.Bool
+	exchange *exchange
 }
 
 // New returns a Hearing that has heard nothing.
 func New(o Options) *Hearing {
 	run := uint64(time.Now().UnixNano())
-	return &Hearing{o: o, table: evidence.NewTable(o.Self, run), peers: make(map[string]*peer)}
+	h := &Hearing{o: o, table: evidence.NewTable(o.Self, run)}
+	h.exchange = newExchange(h)
+	return h
 }
 
 // With calls f with the table; no one else changes it meanwhile.
@@ -129,15 +122,18 @@
 	return list
 }
 
-// Run asks peers for their digests until the context ends.
+// Run exchanges what was heard with the other entries until the context ends.
+// All its connections have ended when it returns.
 func (h *Hearing) Run(ctx context.Context) {
-	ticker := time.NewTicker(evidence.DigestInterval)
+	h.exchange.start(ctx)
+	defer h.exchange.stop()
+	ticker := time.NewTicker(evidence.ObserveInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ticker.C:
 			h.witnessSelf()
-			h.askPeers(ctx)
+			h.exchange.follow()
 		case <-ctx.Done():
 			return
 		}
@@ -146,81 +142,5 @@
 
 // witnessSelf keeps the table's clock going on a process without peers.
 func (h *Hearing) witnessSelf() {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.table.Digest(time.Now(), evidence.Cursor{})
-}
-
-// Digest answers a peer.
-func (h *Hearing) Digest(_ context.Context, r *noderpc.DigestRequest) (*noderpc.DigestReply, error) {
-	h.mu.Lock()
-	lines, next := h.table.Digest(time.Now(), evidence.Cursor{Run: r.Run, Number: r.After})
-	h.mu.Unlock()
-	data, err := json.Marshal(lines)
-	if err != nil {
-		return nil, errors.Trace(err)
-	}
-	return &noderpc.DigestReply{Source: h.o.Self, Run: next.Run, Cursor: next.Number, Lines: data}, nil
-}
-
-// digestTimeout ends a call on a silent connection. It must be shorter than
-// the age at which evidence is too old to route by.
-const digestTimeout = 500 * time.Millisecond
-
-// askPeers asks each peer that has no call open. One silent peer must not
-// delay the others, nor this process's own digests.
-func (h *Hearing) askPeers(ctx context.Context) {
-	for _, p := range h.currentPeers() {
-		if !p.asking.CompareAndSwap(false, true) {
-			continue
-		}
-		go func() {
-			defer p.asking.Store(false)
-			h.ask(ctx, p)
-		}()
-	}
-}
-
-func (h *Hearing) currentPeers() []*peer {
-	h.peersMu.Lock()
-	defer h.peersMu.Unlock()
-	var list []*peer
-	entries := h.o.Board().Entries
-	for id, e := range entries {
-		if id == h.o.Self || e.PeerAddress == "" {
-			continue
-		}
-		p, ok := h.peers[id]
-		if !ok || p.address != e.PeerAddress {
-			p = &peer{address: e.PeerAddress, client: noderpc.NewEntriesProtobufClient("http://"+e.PeerAddress, h.o.HTTPClient)}
-			h.peers[id] = p
-		}
-		list = append(list, p)
-	}
-	for id := range h.peers {
-		if _, ok := entries[id]; !ok {
-			delete(h.peers, id)
-		}
-	}
-	return list
-}
-
-func (h *Hearing) ask(ctx context.Context, p *peer) {
-	ctx, cancel := context.WithTimeout(ctx, digestTimeout)
-	defer cancel()
-	asked := time.Now()
-	reply, err := p.client.Digest(ctx, &noderpc.DigestRequest{Source: h.o.Self, Run: p.cursor.Run, After: p.cursor.Number})
-	if err != nil {
-		_ = level.Debug(h.o.Logger).Log("event", "digest_failed", "peer", p.address, "err", err)
-		return
-	}
-	var lines []evidence.Heard
-	if err := json.Unmarshal(reply.Lines, &lines); err != nil {
-		_ = level.Warn(h.o.Logger).Log("event", "digest_malformed", "peer", p.address, "err", err)
-		return
-	}
-	p.cursor = evidence.Cursor{Run: reply.Run, Number: reply.Cursor}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.table.Merge(asked, reply.Source, lines)
+	h.With(func(t *evidence.Table) { t.Digest(time.Now(), evidence.Cursor{}) })
 }
--- /dev/null
+++ b/internal/hearing/measure_test.go
@@ -0,0 +1,68 @@
+package hearing
+
+import (
+	"flag"
+	"fmt"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/citronstep/citronstep/internal/evidence"
+)
+
+var (
+	measureFlag = flag.Bool("measure", false, "measure the exchange for longer and print the figures")
+	entriesFlag = flag.Int("entries", 9, "number of entries that TestTraffic measures")
+	vmsFlag     = flag.Int("vms", 50, "number of VMs that TestTraffic measures")
+)
+
+// TestTraffic measures what an entry reads and writes for the exchange, and the
+// processor time of all of it in this one process, while every VM announces
+// itself each evidence.AnnounceInterval to one of the entries.
+func TestTraffic(t *testing.T) {
+	entries, vms, span := 3, 4, 2*evidence.AnnounceInterval
+	if *measureFlag {
+		entries, vms, span = *entriesFlag, *vmsFlag, 10*time.Second
+	}
+	list := begin(t, entries)
+	announceAll := func(sequence uint64) {
+		for vm := range vms {
+			list[vm%entries].announce(fmt.Sprintf("vm-%03d", vm), sequence)
+		}
+	}
+	announceAll(1)
+	for _, p := range list {
+		for vm := range vms {
+			p.await(t, "every VM", knows(fmt.Sprintf("vm-%03d", vm), 1))
+		}
+	}
+	before, cpu, began := total(list), processor(), time.Now()
+	sequence := uint64(1)
+	for time.Since(began) < span {
+		sequence++
+		announceAll(sequence)
+		time.Sleep(evidence.AnnounceInterval)
+	}
+	seconds := time.Since(began).Seconds()
+	bytes := float64(total(list)-before) / seconds / float64(entries)
+	spent := (processor() - cpu).Seconds() / seconds / float64(entries)
+	t.Logf("%d entries, %d VMs: an entry reads %.2f KB/s and writes as much; %.2f%% of a core an entry", entries, vms, bytes/1000, spent*100)
+}
+
+// total returns the bytes read by all processes; each one passed a dialler's
+// connection once.
+func total(list []*process) int64 {
+	sum := int64(0)
+	for _, p := range list {
+		sum += p.read.Load() + p.written.Load()
+	}
+	return sum
+}
+
+func processor() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -45,6 +45,7 @@
 	logger   log.Logger
 	tokens   tokens
 	peers    *http.Client
+	dialer   *net.Dialer
 	backends *backend.HTTPClient
 
 	replica  *replica.Node
@@ -141,11 +142,11 @@
 )
 
 func (n *Node) makeClients() error {
-	dialer := &net.Dialer{Timeout: peerDialTimeout, LocalAddr: n.localAddr()}
+	n.dialer = &net.Dialer{Timeout: peerDialTimeout, LocalAddr: n.localAddr()}
 	n.peers = &http.Client{
 		Timeout: peerCallTimeout,
 		Transport: &auth.Transport{Token: n.tokens.peers, Base: &http.Transport{
-			DialContext: dialer.DialContext, IdleConnTimeout: peerIdle, MaxIdleConnsPerHost: 4,
+			DialContext: n.dialer.DialContext, IdleConnTimeout: peerIdle, MaxIdleConnsPerHost: 4,
 		}},
 	}
 	n.backends = backend.NewHTTPClient(backend.Options{
@@ -196,8 +197,8 @@
 		Watcher: client, Entry: self, Logger: log.With(n.logger, "part", "follow"), OnChange: n.boardChanged,
 	})
 	n.hearing = hearing.New(hearing.Options{
-		Self: n.settings.VM, Board: n.follower.Board, HTTPClient: n.peers, AnnounceToken: n.tokens.announce,
-		Logger: log.With(n.logger, "part", "hearing"), OnAnnouncement: n.announced,
+		Self: n.settings.VM, Board: n.follower.Board, Dial: n.dialer.DialContext, PeerToken: n.tokens.peers,
+		AnnounceToken: n.tokens.announce, Logger: log.With(n.logger, "part", "hearing"), OnAnnouncement: n.announced,
 	})
 	if e.Enabled {
 		n.entry = entry.NewServer(entry.Options{
@@ -279,6 +280,7 @@
 	mux := http.NewServeMux()
 	entries := noderpc.NewEntriesServer(n.entriesService())
 	mux.Handle(entries.PathPrefix(), entries)
+	mux.HandleFunc(hearing.PathExchange, n.hearing.ServeExchange)
 	mux.Handle(metrics.Path, n.metrics.Handler())
 	mux.HandleFunc("/debug/pprof/", pprof.Index)
 	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
@@ -301,17 +303,11 @@
 	return whole
 }
 
-// entriesService joins what hearing and entry serve to other entries.
-type entriesService struct {
-	*hearing.Hearing
-	entry.HomeService
-}
-
 func (n *Node) entriesService() noderpc.Entries {
 	if n.entry == nil {
-		return entriesService{n.hearing, noHome{}}
+		return noHome{}
 	}
-	return entriesService{n.hearing, n.entry.Home()}
+	return n.entry.Home()
 }
 
 // noHome refuses to be the home of keys on a process without the entry role.
