Leave unchanged fields of a load out of its line; measure traffic

Cause: an engine under work reports another load each 400 ms, and the whole load went out when one number of it had changed.

Change: only the numbers that differ. TestTraffic takes -load, and TestNodes -engines, for today's 9 entries and 50 VMs.

--- a/internal/evidence/wire/line.go
+++ b/internal/evidence/wire/line.go
@@ -107,7 +107,7 @@
 	case h.Load == nil && last.Load != nil:
 		b = putUint(b, lineNoLoad, 1)
 	case h.Load != nil && (last.Load == nil || *last.Load != *h.Load):
-		b = putBytes(b, lineLoad, putLoad(nil, h.Load))
+		b = putBytes(b, lineLoad, putLoad(nil, last.Load, h.Load))
 	}
 	if h.Detail != nil {
 		b = putBytes(b, lineDetail, putDetail(nil, h.Detail))
@@ -229,7 +229,7 @@
 	case lineUnreachable:
 		h.Unreachable, err = readList(body)
 	case lineLoad:
-		h.Load, err = readLoad(body)
+		h.Load, err = readLoad(body, h.Load)
 	case lineDetail:
 		h.Detail, err = readDetail(body)
 	default:
--- a/internal/evidence/wire/values.go
+++ b/internal/evidence/wire/values.go
@@ -20,20 +20,35 @@
 	loadAge
 )
 
-func putLoad(b []byte, l *backend.Load) []byte {
-	b = putInt(b, loadRunning, l.Running)
-	b = putInt(b, loadQueued, l.Queued)
-	b = putInt(b, loadTokens, l.TokensInFlight)
-	if l.TokensPerSecond != 0 {
+// putLoad writes what differs from the last load.
+func putLoad(b []byte, last, l *backend.Load) []byte {
+	if last == nil {
+		last = &backend.Load{}
+	}
+	b = putChanged(b, loadRunning, last.Running, l.Running)
+	b = putChanged(b, loadQueued, last.Queued, l.Queued)
+	b = putChanged(b, loadTokens, last.TokensInFlight, l.TokensInFlight)
+	if last.TokensPerSecond != l.TokensPerSecond {
 		b = protowire.AppendTag(b, loadRate, protowire.Fixed64Type)
 		b = protowire.AppendFixed64(b, math.Float64bits(l.TokensPerSecond))
 	}
-	b = putInt(b, loadCapacity, l.Capacity)
-	return putInt(b, loadAge, int(l.AtMillis))
+	b = putChanged(b, loadCapacity, last.Capacity, l.Capacity)
+	return putChanged(b, loadAge, int(last.AtMillis), int(l.AtMillis))
 }
 
-func readLoad(b []byte) (*backend.Load, error) {
+func putChanged(b []byte, number protowire.Number, last, v int) []byte {
+	if v == last {
+		return b
+	}
+	return putUint(b, number, protowire.EncodeZigZag(int64(v)))
+}
+
+// readLoad reads what differs from the last load.
+func readLoad(b []byte, last *backend.Load) (*backend.Load, error) {
 	l := &backend.Load{}
+	if last != nil {
+		*l = *last
+	}
 	err := eachField(b, 0, func(v field) error {
 		switch v.number {
 		case loadRunning:
--- a/internal/hearing/exchange_test.go
+++ b/internal/hearing/exchange_test.go
@@ -125,10 +125,12 @@
 	p.server.Close()
 }
 
-func (p *process) announce(vm string, sequence uint64) {
+func (p *process) announce(vm string, sequence uint64) { p.announceLoad(vm, sequence, nil) }
+
+func (p *process) announceLoad(vm string, sequence uint64, load *backend.Load) {
 	p.hear(backend.Announcement{
 		ID: vm, Kind: backend.KindEngine, Incarnation: "x", Sequence: sequence, Group: "demo-0", Epoch: 7,
-		Phase: backend.PhaseReady, Address: "10.0.0.1:1",
+		Phase: backend.PhaseReady, Address: "10.0.0.1:1", Load: load,
 	})
 }
 
--- a/internal/hearing/measure_test.go
+++ b/internal/hearing/measure_test.go
@@ -7,12 +7,14 @@
 	"testing"
 	"time"
 
+	"github.com/citronstep/citronstep/internal/backend"
 	"github.com/citronstep/citronstep/internal/evidence"
 )
 
 var (
 	measureFlag = flag.Bool("measure", false, "measure the exchange for longer and print the figures")
 	entriesFlag = flag.Int("entries", 9, "number of entries that TestTraffic measures")
+	loadFlag    = flag.Bool("load", false, "let every announcement bring another load")
 	vmsFlag     = flag.Int("vms", 50, "number of VMs that TestTraffic measures")
 )
 
@@ -27,7 +29,7 @@
 	list := begin(t, entries)
 	announceAll := func(sequence uint64) {
 		for vm := range vms {
-			list[vm%entries].announce(fmt.Sprintf("vm-%03d", vm), sequence)
+			list[vm%entries].announceLoad(fmt.Sprintf("vm-%03d", vm), sequence, loadOf(vm, sequence))
 		}
 	}
 	announceAll(1)
@@ -49,6 +51,18 @@
 	t.Logf("%d entries, %d VMs: an entry reads %.2f KB/s and writes as much; %.2f%% of a core an entry", entries, vms, bytes/1000, spent*100)
 }
 
+// loadOf returns no load, or one that differs from that of the sequence before.
+func loadOf(vm int, sequence uint64) *backend.Load {
+	if !*loadFlag {
+		return nil
+	}
+	n := vm + int(sequence)*7
+	return &backend.Load{
+		Running: n % 16, Queued: n % 3, TokensInFlight: 5000 + n%977, TokensPerSecond: float64(n) * 1.37,
+		Capacity: 8000, AtMillis: int64(n % 211),
+	}
+}
+
 // total returns the bytes read by all processes; each one passed a dialler's
 // connection once.
 func total(list []*process) int64 {
--- a/test/capacity/capacity_test.go
+++ b/test/capacity/capacity_test.go
@@ -26,6 +26,7 @@
 var (
 	measure = flag.Bool("measure", false, "measure at full sizes and print the tables")
 	entries = flag.String("entries", "4,9,30", "numbers of entry processes that TestNodes measures")
+	engines = flag.Int("engines", 8, "number of engines that TestNodes starts, a multiple of two")
 	window  = flag.Duration("window", 8*time.Second, "how long TestNodes measures each number")
 )
 
--- a/test/capacity/nodes_test.go
+++ b/test/capacity/nodes_test.go
@@ -23,7 +23,6 @@
 
 const (
 	controls   = 3
-	engines    = 8
 	vmsReplica = 2
 	// clockTick is the unit of processor time in /proc, in seconds.
 	clockTick = 0.01
@@ -128,14 +127,14 @@
 		announce = append(announce, n.Entry)
 	}
 	harness.StartProcess(s.t, "engines", folder, harness.Program(s.t, "citronstep-standin"),
-		"-engines", strconv.Itoa(engines), "-fabric-domain", "rack-1", "-data-centre", "dev", "-announce", strings.Join(announce, ","))
+		"-engines", strconv.Itoa(*engines), "-fabric-domain", "rack-1", "-data-centre", "dev", "-announce", strings.Join(announce, ","))
 }
 
 func (s *system) found() {
 	s.t.Helper()
 	request := adminapi.InitRequest{Initial: blackboard.ConfigChange{
 		ChangeID: "first",
-		Groups:   []blackboard.GroupSpec{{Name: "demo", Model: "demo", Replicas: engines / vmsReplica, VMsPerReplica: vmsReplica}},
+		Groups:   []blackboard.GroupSpec{{Name: "demo", Model: "demo", Replicas: *engines / vmsReplica, VMsPerReplica: vmsReplica}},
 		Presets:  []blackboard.Preset{{Name: "ordinary"}, {Name: "peak"}}, UsePreset: "ordinary",
 	}}
 	harness.Await(s.t, "the founding", func() bool {
@@ -167,7 +166,7 @@
 				leased++
 			}
 		}
-		return ok && serving == engines/vmsReplica && leased == len(s.nodes)
+		return ok && serving == *engines/vmsReplica && leased == len(s.nodes)
 	})
 }
 
