Measure the compact coding of evidence in the slopes

Cause: TestSlopes measured JSON lines, which nothing sends any more. Change: frames of internal/evidence/wire, dated half an interval after the announcement, and a digest with nothing new, which every peer costs.

--- /dev/null
+++ b/test/capacity/link_test.go
@@ -0,0 +1,58 @@
+package capacity
+
+import (
+	"testing"
+
+	"google.golang.org/protobuf/encoding/protowire"
+	"gotest.tools/v3/assert"
+
+	"github.com/citronstep/citronstep/internal/evidence"
+	"github.com/citronstep/citronstep/internal/evidence/wire"
+)
+
+// link is both sides of a connection that carries evidence one way.
+type link struct {
+	t        testing.TB
+	from, to *wire.Session
+}
+
+func newLink(t testing.TB) *link {
+	l := &link{t: t, from: wire.NewSession(), to: wire.NewSession()}
+	l.answer()
+	return l
+}
+
+// send returns the bytes of the frames with these lines.
+func (l *link) send(lines []evidence.Heard) []byte {
+	l.t.Helper()
+	data, err := l.from.Frames(epoch, lines)
+	assert.NilError(l.t, err)
+	return data
+}
+
+// receive returns the lines of frames.
+func (l *link) receive(data []byte) []evidence.Heard {
+	l.t.Helper()
+	return receive(l.t, l.to, data)
+}
+
+// answer sends a frame without lines the other way.
+func (l *link) answer() {
+	l.t.Helper()
+	data, err := l.to.Frames(epoch, nil)
+	assert.NilError(l.t, err)
+	receive(l.t, l.from, data)
+}
+
+func receive(t testing.TB, s *wire.Session, data []byte) []evidence.Heard {
+	t.Helper()
+	var lines []evidence.Heard
+	for len(data) > 0 {
+		body, size := protowire.ConsumeBytes(data)
+		assert.Assert(t, size > 0)
+		got, err := s.Receive(epoch, body)
+		assert.NilError(t, err)
+		lines, data = append(lines, got.Lines...), data[size:]
+	}
+	return lines
+}
--- a/test/capacity/slopes_test.go
+++ b/test/capacity/slopes_test.go
@@ -1,7 +1,6 @@
 package capacity
 
 import (
-	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -188,33 +187,33 @@
 }
 
 func measureEvidence(t *testing.T) {
-	var size, digest, merge, heap []point
+	// The mean line has waited for half an interval.
+	made := epoch.Add(evidence.DigestInterval / 2)
+	var size, nothing, exchanged, heap []point
 	for _, n := range sizes() {
 		x := float64(n)
 		table := heardOf(n, 1)
-		_, cursor := table.Digest(epoch, evidence.Cursor{})
+		first, cursor := table.Digest(epoch, evidence.Cursor{})
 		hear(table, n, 2, epoch)
-		lines, _ := table.Digest(epoch, cursor)
+		lines, newest := table.Digest(made, cursor)
 		assert.Equal(t, len(lines), n)
-		data, err := json.Marshal(lines)
-		assert.NilError(t, err)
-		size = append(size, point{x, float64(len(data))})
-		digest = append(digest, point{x, micros * timeOf(func() {
-			lines, _ := table.Digest(epoch, cursor)
-			_, _ = json.Marshal(lines)
-		})})
+		link := newLink(t)
+		link.receive(link.send(first))
+		size = append(size, point{x, float64(len(link.send(lines)))})
+		link = newLink(t)
 		other := evidence.NewTable("entry-2", 1)
-		merge = append(merge, point{x, micros * timeOf(func() {
-			var got []evidence.Heard
-			_ = json.Unmarshal(data, &got)
-			other.Merge(epoch, "entry-1", got)
+		exchanged = append(exchanged, point{x, micros * timeOf(func() {
+			lines, _ := table.Digest(made, cursor)
+			other.Merge(epoch, "entry-1", link.receive(link.send(lines)))
+			link.answer()
 		})})
+		nothing = append(nothing, point{x, micros * timeOf(func() { _, newest = table.Digest(made, newest) })})
 		heap = append(heap, point{x, heapOf(func() any { return heardOf(n, 1) })})
 	}
-	r := newReport(t, "Evidence against VMs; a digest holds every VM once, without details")
+	r := newReport(t, "Evidence against VMs; a digest holds every VM once, without details and with unchanged loads")
 	r.add("digest", size, "B")
-	r.add("digest, make and encode", digest, "µs")
-	r.add("digest, decode and merge", merge, "µs")
+	r.add("digest with nothing new, make", nothing, "µs")
+	r.add("digest, make, encode, decode and merge", exchanged, "µs")
 	r.add("memory of a table", heap, "B")
 	r.print()
 }
