--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -42,6 +42,8 @@
 	mu   sync.Mutex
 	// memory is used by the controllers' run and by answers of engines.
 	memory *controller.Memory
+	// replicas are the roles of the control replicas at the last step.
+	replicas map[string]string
 }
 
 // Run runs the controllers while this process leads, until the context ends.
@@ -64,10 +66,41 @@
 		if o == nil || o.term != term {
 			o = &office{term: term, memory: controller.NewMemory(time.Now(), s.o.OrderLease)}
 		}
+		s.noteReplicas(o)
 		s.step(ctx, o)
 	}
 }
 
+// noteReplicas writes an event for each control replica that came, went or
+// changed between voter and learner.
+func (s *Server) noteReplicas(o *office) {
+	now := make(map[string]string)
+	for _, r := range s.replicas() {
+		role := r.Role
+		if role == "leader" {
+			role = "voter"
+		}
+		now[r.VM+" "+r.ID] = role
+	}
+	if o.replicas != nil {
+		s.compareReplicas(o.replicas, now)
+	}
+	o.replicas = now
+}
+
+func (s *Server) compareReplicas(before, now map[string]string) {
+	for who, role := range now {
+		if before[who] != role {
+			s.event("replica", who, "is now a "+role)
+		}
+	}
+	for who := range before {
+		if _, ok := now[who]; !ok {
+			s.event("replica", who, "was removed")
+		}
+	}
+}
+
 // sampleInterval is the time between two samples of the control metrics.
 const sampleInterval = time.Second
 
@@ -86,8 +119,9 @@
 // read before the board, so that a board read under it is this leader's.
 func (s *Server) step(ctx context.Context, o *office) {
 	now := time.Now()
-	view := controller.View{Term: o.term, LeaseUntil: now.Add(s.o.Consensus.LeaseRemaining())}
+	view := controller.View{LeaseUntil: now.Add(s.o.Consensus.LeaseRemaining())}
 	view.Board, _ = s.o.Machine.Board()
+	view.Term = view.Board.TermBase + o.term
 	if view.Board.ClusterID == "" {
 		return
 	}
@@ -101,7 +135,7 @@
 	s.logDecisions(actions.Decisions)
 	s.propose(ctx, actions.Commands)
 	s.send(ctx, o, actions.Orders)
-	s.measure(view.Board, now)
+	s.measure(view, now)
 	s.upkeep(ctx, view.Board, now)
 }
 
@@ -170,8 +204,9 @@
 }
 
 // measure adds the time since the last step to the brief's two measures.
-func (s *Server) measure(board *blackboard.Board, now time.Time) {
-	at := present(board)
+func (s *Server) measure(view controller.View, now time.Time) {
+	var at adminapi.Measures
+	s.o.Evidence.With(func(t *evidence.Table) { at = controller.Measures(view.Board, t, now) })
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.meter.last.IsZero() {
@@ -205,6 +240,7 @@
 		_ = level.Warn(s.o.Logger).Log("event", "expire_failed", "err", err)
 	}
 	s.propose(ctx, s.goneEntries(board))
+	s.propose(ctx, oldSuspects(board, now))
 }
 
 func (s *Server) expireRecords(ctx context.Context, now time.Time) error {
@@ -218,6 +254,27 @@
 	return errors.Trace(err)
 }
 
+// How long a request stays suspect after its last crash: one that shared a
+// crash for an hour, one that was convicted for a day.
+const (
+	suspectFor   = time.Hour
+	convictedFor = 24 * time.Hour
+)
+
+func oldSuspects(board *blackboard.Board, now time.Time) []blackboard.Command {
+	var old []blackboard.Command
+	for fingerprint, suspect := range board.Suspects {
+		lifetime := suspectFor
+		if suspect.Convicted() {
+			lifetime = convictedFor
+		}
+		if now.Sub(time.UnixMilli(suspect.LastMillis)) > lifetime {
+			old = append(old, &blackboard.ForgetSuspect{Fingerprint: fingerprint})
+		}
+	}
+	return old
+}
+
 func (s *Server) goneEntries(board *blackboard.Board) []blackboard.Command {
 	s.mu.Lock()
 	defer s.mu.Unlock()
