--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -42,6 +42,7 @@
 	logger   log.Logger
 	tokens   tokens
 	peers    *http.Client
+	dialer   *net.Dialer
 	backends *backend.HTTPClient
 
 	replica  *replica.Node
@@ -138,11 +139,11 @@
 )
 
 func (n *Node) makeClients() error {
-	dialer := &net.Dialer{Timeout: peerDialTimeout, LocalAddr: n.localAddr()}
+	n.dialer = &net.Dialer{Timeout: peerDialTimeout, LocalAddr: n.localAddr()}
 	n.peers = &http.Client{
 		Timeout: peerCallTimeout,
 		Transport: &auth.Transport{Token: n.tokens.peers, Base: &http.Transport{
-			DialContext: dialer.DialContext, IdleConnTimeout: peerIdle, MaxIdleConnsPerHost: 4,
+			DialContext: n.dialer.DialContext, IdleConnTimeout: peerIdle, MaxIdleConnsPerHost: 4,
 		}},
 	}
 	n.backends = backend.NewHTTPClient(backend.Options{
@@ -208,7 +209,8 @@
 		Watcher: client, Entry: self, Logger: log.With(n.logger, "part", "follow"), OnChange: n.boardChanged,
 	})
 	n.hearing = hearing.New(hearing.Options{
-		Self: n.settings.VM, Board: n.follower.Board, Lease: n.follower.Lease, HTTPClient: n.peers, AnnounceToken: n.tokens.announce,
+		Self: n.settings.VM, Board: n.follower.Board, Lease: n.follower.Lease, Dial: n.dialer.DialContext,
+		PeerToken: n.tokens.peers, AnnounceToken: n.tokens.announce,
 		Logger: log.With(n.logger, "part", "hearing"), OnAnnouncement: n.announced,
 	})
 	if e.Enabled {
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -72,6 +72,7 @@
 	mux := http.NewServeMux()
 	entries := noderpc.NewEntriesServer(n.entriesService())
 	mux.Handle(entries.PathPrefix(), entries)
+	mux.HandleFunc(hearing.PathExchange, n.hearing.ServeExchange)
 	mux.Handle(metrics.Path, n.metrics.Handler())
 	mux.HandleFunc("/debug/pprof/", pprof.Index)
 	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
@@ -94,17 +95,11 @@
 	return whole
 }
 
-// entriesService joins what hearing and entry serve to other entries.
-type entriesService struct {
-	*hearing.Hearing
-	entry.HomeService
-}
-
 func (n *Node) entriesService() noderpc.Entries {
 	if n.entry == nil {
-		return entriesService{n.hearing, noHome{}}
+		return noHome{}
 	}
-	return entriesService{n.hearing, n.entry.Home()}
+	return n.entry.Home()
 }
 
 // noHome refuses to be the home of keys on a process without the entry role.
