Announcements are paced

Cause: the issue's list of limits names the announce rate; a backend server that announces in a loop would have cost the entry that it found its processor. Ways weighed: one limit for all (one loud server shuts the others out); one for each (made-up names get round it); both (chosen). Change: internal/hearing/pace.go with its tests: a loud one is taken once in 50 ms, an ordinary one beside it every time; made-up names are bounded by the limit on all.

--- a/internal/hearing/hearing.go
+++ b/internal/hearing/hearing.go
@@ -50,12 +50,13 @@
 	table *evidence.Table
 
 	exchange *exchange
+	pace     *pace
 }
 
 // New returns a Hearing that has heard nothing.
 func New(o Options) *Hearing {
 	run := uint64(time.Now().UnixNano())
-	h := &Hearing{o: o, table: evidence.NewTable(o.Self, run)}
+	h := &Hearing{o: o, table: evidence.NewTable(o.Self, run), pace: newPace()}
 	h.exchange = newExchange(h)
 	return h
 }
@@ -87,6 +88,10 @@
 		failure.Write(w, e)
 		return
 	}
+	if e := h.pace.allow(time.Now(), a.ID); e != nil {
+		failure.Write(w, e)
+		return
+	}
 	h.hear(a)
 	w.Header().Set("Content-Type", "application/json")
 	// A backend server that is gone announces again elsewhere.
--- /dev/null
+++ b/internal/hearing/pace_test.go
@@ -0,0 +1,41 @@
+package hearing
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// One engine's agent announces in a loop without a pause. It must be slowed,
+// and an ordinary one beside it must be heard each time.
+func TestOneLoudBackendServerDoesNotDrownTheOthers(t *testing.T) {
+	p := newPace()
+	loud, ordinary := 0, 0
+	at := time.Unix(0, 0)
+	for i := range 10_000 {
+		now := at.Add(time.Duration(i) * time.Millisecond)
+		if p.allow(now, "loud") == nil {
+			loud++
+		}
+		if i%400 == 0 {
+			assert.Assert(t, p.allow(now, "ordinary") == nil)
+			ordinary++
+		}
+	}
+	assert.Equal(t, loud, 200)
+	assert.Equal(t, ordinary, 25)
+}
+
+func TestNamesThatAreMadeUpAreBounded(t *testing.T) {
+	p := newPace()
+	allowed := 0
+	for i := range 5 * mostPaced {
+		if p.allow(time.Unix(int64(i/mostPaced), 0), "made up "+strconv.Itoa(i)) == nil {
+			allowed++
+		}
+	}
+	assert.Assert(t, allowed <= 5*mostAnnouncements)
+	assert.Assert(t, len(p.last) <= mostPaced)
+}
