Harness: runs come in the order in which they started

The log shows the attempts rightly resumed. Ruled out: a run that began anew (attempt .1 has offset 0, attempt .2 was routed after its stall).

--- a/test/process/harness/standins.go
+++ b/test/process/harness/standins.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 
 	"github.com/citronstep/citronstep/internal/standin"
@@ -126,12 +127,14 @@
 	return out
 }
 
-// Runs returns the runs of all stand-ins.
+// Runs returns the runs of all stand-ins in the order in which they started;
+// all stand-ins read one machine's clock.
 func (c *Cluster) Runs() []standin.Run {
 	var out []standin.Run
 	for _, s := range c.Standins {
 		out = append(out, s.Runs()...)
 	}
+	slices.SortStableFunc(out, func(a, b standin.Run) int { return a.Started.Compare(b.Started) })
 	return out
 }
 
