--- a/cmd/citronstepd/main.go
+++ b/cmd/citronstepd/main.go
@@ -19,6 +19,7 @@
 	"github.com/citronstep/citronstep/internal/invariant"
 	"github.com/citronstep/citronstep/internal/node"
 	"github.com/citronstep/citronstep/internal/settings"
+	"github.com/citronstep/citronstep/platform"
 )
 
 // Exit codes.
@@ -93,7 +94,7 @@
 func startNode(s *settings.Settings) (*process, error) {
 	logger := log.With(newLogger(s.Log.Level), "vm", s.VM)
 	reportInvariants(logger)
-	n, err := node.New(s, logger)
+	n, err := node.NewAdapted(s, logger, adapterOf(s))
 	if err != nil {
 		_ = level.Error(logger).Log("event", "start_failed", "err", err)
 		return nil, errors.Trace(err)
@@ -108,6 +109,14 @@
 	return p, nil
 }
 
+// adapterOf returns the adapter that the settings name.
+func adapterOf(s *settings.Settings) node.Adapter {
+	if s.Adapter.Kind == platform.Kind {
+		return platform.Adapter()
+	}
+	return node.Adapter{}
+}
+
 // runNode serves until a signal. The first SIGTERM or SIGINT stops gracefully;
 // a second one, or the settings' limit, ends the process at once.
 func runNode(s *settings.Settings) int {
--- a/internal/backend/announcement.go
+++ b/internal/backend/announcement.go
@@ -27,6 +27,10 @@
 	PhaseReady     Phase = "ready"
 	PhaseReleasing Phase = "releasing"
 	PhaseFailed    Phase = "failed"
+	// PhaseOpen and PhaseClosing are of the head of a group that opens: it
+	// takes requests, or finishes those that it has.
+	PhaseOpen    Phase = "open"
+	PhaseClosing Phase = "closing"
 )
 
 // Announcement is what a backend server posts to an entry about once a
--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -32,12 +32,21 @@
 	OrderLoad OrderKind = "load"
 	// OrderRelease makes the engine leave its group.
 	OrderRelease OrderKind = "release"
+	// OrderOpen makes the head of a group whose members are all ready take
+	// requests. OrderClose ends that: at once, or with Finish set once the
+	// requests that it has are done.
+	OrderOpen  OrderKind = "open"
+	OrderClose OrderKind = "close"
+	// OrderStage makes the engine fetch a model's weights to its host.
+	OrderStage OrderKind = "stage"
 )
 
 // GroupMember is one VM of a serving group, as an order names it.
 type GroupMember struct {
 	VM      string `json:"vm"`
 	Address string `json:"address"`
+	// Incarnation is the one that is to be the member.
+	Incarnation string `json:"incarnation,omitempty"`
 }
 
 // Order tells one engine what to do. Engines that check fencing refuse an
@@ -51,6 +60,8 @@
 	Model       string        `json:"model,omitempty"`
 	Members     []GroupMember `json:"members,omitempty"`
 	Rank        int           `json:"rank"`
+	// Finish is of OrderClose.
+	Finish bool `json:"finish,omitempty"`
 }
 
 // OrderReply is what the engine answered.
@@ -118,6 +129,12 @@
 	// silent; the making of a new one shows that the path works right before
 	// a call is sent whose unknown outcome would be final.
 	Fresh bool
+	// Verbatim passes a caller's own request on: Path and Host as they came, and
+	// an answer that ends with its connection is taken, though its end can't be
+	// told from a cut that looks like an ordinary close.
+	Verbatim bool
+	// Host is what the caller named, if Verbatim is set.
+	Host string
 }
 
 // ServiceAnswer is the head of a plain service's answer; Body ends with
@@ -126,6 +143,8 @@
 	Status int
 	Header http.Header
 	Body   io.ReadCloser
+	// Length is the announced length of Body, or -1.
+	Length int64
 }
 
 // Client talks to backend servers. Each error is a *CallError.
--- a/internal/backend/exchange.go
+++ b/internal/backend/exchange.go
@@ -122,6 +122,9 @@
 	body    []byte
 	// fresh asks for a connection that is not from the pool.
 	fresh bool
+	// opaque, if set, is the request's target as it is to stand on the wire, and
+	// host its Host.
+	opaque, host string
 }
 
 func (r outgoing) build(ctx context.Context) (*http.Request, error) {
@@ -133,6 +136,10 @@
 	if r.header != nil {
 		request.Header = r.header
 	}
+	if r.opaque != "" {
+		request.URL.Opaque = r.opaque
+		request.Host = r.host
+	}
 	request.ContentLength = int64(len(r.body))
 	return request, nil
 }
--- a/internal/backend/http_service.go
+++ b/internal/backend/http_service.go
@@ -26,12 +26,18 @@
 		body:    s.Body,
 		fresh:   s.Fresh,
 	}
-	r.header.Set(HeaderAttempt, s.Attempt)
+	if s.Verbatim {
+		r.host, r.opaque = s.Host, s.Path
+		r.path = "/"
+	}
+	if s.Attempt != "" {
+		r.header.Set(HeaderAttempt, s.Attempt)
+	}
 	x, err := c.send(ctx, r, 0)
 	if err != nil {
 		return nil, err
 	}
-	if err := checkAnswer(address, x.response); err != nil {
+	if err := checkAnswer(address, x.response, s.Verbatim); err != nil {
 		_ = x.response.Body.Close()
 		x.cancel(nil)
 		return nil, err
@@ -40,12 +46,13 @@
 		Status: x.response.StatusCode,
 		Header: EndToEnd(x.response.Header),
 		Body:   &answerBody{exchange: x},
+		Length: x.response.ContentLength,
 	}, nil
 }
 
 // checkAnswer finds a call that the service says it did not start, and an
 // answer whose end could not be told from a cut.
-func checkAnswer(address string, r *http.Response) error {
+func checkAnswer(address string, r *http.Response, unframed bool) error {
 	if r.Header.Get(HeaderStarted) == StartedNo {
 		return &CallError{
 			Address: address,
@@ -57,7 +64,7 @@
 	// An answer that announces neither its length nor chunks ends with the
 	// connection, so a cut one looks whole.
 	bodyless := r.Request.Method == http.MethodHead
-	if r.ContentLength < 0 && len(r.TransferEncoding) == 0 && !bodyless {
+	if r.ContentLength < 0 && len(r.TransferEncoding) == 0 && !bodyless && !unframed {
 		cause := errors.Annotate(ErrMalformed, "answer announces no end")
 		return &CallError{Address: address, Sent: SentUnknown, Status: r.StatusCode, Cause: cause}
 	}
--- a/internal/blackboard/command.go
+++ b/internal/blackboard/command.go
@@ -48,6 +48,8 @@
 	"forget_suspect":  func() Command { return &ForgetSuspect{} },
 	"take_quarantine": func() Command { return &TakeQuarantine{} },
 	"end_quarantine":  func() Command { return &EndQuarantine{} },
+	"replace_config":  func() Command { return &ReplaceConfiguration{} },
+	"batch":           func() Command { return &Batch{} },
 }
 
 // Encode returns a command as it is written to the log.
@@ -98,6 +100,10 @@
 		return "take_quarantine", nil
 	case *EndQuarantine, EndQuarantine:
 		return "end_quarantine", nil
+	case *ReplaceConfiguration, ReplaceConfiguration:
+		return "replace_config", nil
+	case *Batch, Batch:
+		return "batch", nil
 	}
 	return "", errors.Annotatef(ErrMalformed, "command %T", c)
 }
--- a/internal/blackboard/config.go
+++ b/internal/blackboard/config.go
@@ -21,6 +21,14 @@
 	// DrainedVMs and DrainedGroups are kept out of service until undrained.
 	DrainedVMs    map[string]bool `json:"drained_vms"`
 	DrainedGroups map[string]bool `json:"drained_groups"`
+	// Version is the operators' number of the whole configuration in force; 0
+	// while parts are changed one by one.
+	Version  uint64                 `json:"version,omitempty"`
+	Routes   map[string]Route       `json:"routes,omitempty"`
+	Services map[string]ServiceSpec `json:"services,omitempty"`
+	Limits   CallerLimits           `json:"limits"`
+	// Document is the whole configuration as sent, compressed.
+	Document []byte `json:"document,omitempty"`
 }
 
 // Workspace is a customer: its key, its limits and its share.
@@ -29,6 +37,12 @@
 	// KeySHA256 is the hex SHA-256 of the workspace's key; the key itself is
 	// neither stored nor logged.
 	KeySHA256 string `json:"key_sha256" toml:"key_sha256"`
+	// MoreKeysSHA256 are further keys, so that a key can be exchanged without
+	// a moment in which neither works.
+	MoreKeysSHA256 []string `json:"more_keys_sha256,omitempty" toml:"more_keys_sha256"`
+	// Priority ranks the workspace; 0 goes first. It comes before the priority
+	// of routes.
+	Priority int `json:"priority,omitempty" toml:"priority"`
 	// Share weighs the workspace against others of equal worth; 0 means 1.
 	Share int `json:"share" toml:"share"`
 	// MaxOpen bounds the open requests of the workspace on one entry; 0 is
@@ -57,6 +71,29 @@
 	Worth int `json:"worth" toml:"worth"`
 	// FabricDomain pins the groups to one domain; empty leaves the choice.
 	FabricDomain string `json:"fabric_domain,omitempty" toml:"fabric_domain"`
+	// Pool names the engine pool that the groups are formed from. Engines of a
+	// pool form a group among themselves, and it serves only once its first
+	// member is told to open. Empty takes any VM, whose engine serves as soon
+	// as the group is loaded.
+	Pool string `json:"pool,omitempty" toml:"pool"`
+	// Share, if Pool is set, takes the place of Replicas: the part of the
+	// pool's VMs that the spec's groups are to hold.
+	Share float64 `json:"share,omitempty" toml:"share"`
+}
+
+// keyHashes returns the hashes of all keys of the workspace.
+func (w Workspace) keyHashes() []string {
+	if w.KeySHA256 == "" {
+		return w.MoreKeysSHA256
+	}
+	return append([]string{w.KeySHA256}, w.MoreKeysSHA256...)
+}
+
+// KeyHashes calls f with the hash of each key of the workspace.
+func (w Workspace) KeyHashes(f func(hash string)) {
+	for _, hash := range w.keyHashes() {
+		f(hash)
+	}
 }
 
 // Preset is a named set of priorities, one of which is in force.
@@ -190,7 +227,7 @@
 		}
 	}
 	for _, name := range sortedKeys(c.Workspaces) {
-		if w := c.Workspaces[name]; name == "" || len(w.KeySHA256) != sha256HexLength || w.Share < 0 || w.MaxOpen < 0 {
+		if w := c.Workspaces[name]; name == "" || !w.hasGoodKeys(c.Version > 0) || w.Share < 0 || w.MaxOpen < 0 {
 			return failure.New(failure.TypeBadRequest,
 				"a workspace needs a name, key_sha256 of 64 hex digits, and share and max_open of 0 or more").WithDetail("workspaces." + name)
 		}
@@ -201,6 +238,16 @@
 				"a class needs a name and timeout_ms of 0 or more").WithDetail("classes." + name)
 		}
 	}
+	for _, name := range sortedKeys(c.Services) {
+		if e := c.Services[name].check(); e != nil {
+			return e
+		}
+	}
+	for _, name := range sortedKeys(c.Routes) {
+		if e := c.Routes[name].check(c); e != nil {
+			return e
+		}
+	}
 	if _, ok := c.Presets[c.ActivePreset]; c.ActivePreset != "" && !ok {
 		return failure.New(failure.TypeBadRequest, "the preset in force must exist").WithDetail("presets." + c.ActivePreset)
 	}
@@ -209,6 +256,18 @@
 
 const sha256HexLength = 64
 
+// hasGoodKeys tells whether each key is a hash. A workspace of a whole
+// configuration may have lost all its keys; any other has one.
+func (w Workspace) hasGoodKeys(mayHaveNone bool) bool {
+	hashes := w.keyHashes()
+	for _, hash := range hashes {
+		if len(hash) != sha256HexLength {
+			return false
+		}
+	}
+	return mayHaveNone || w.KeySHA256 != ""
+}
+
 // ClassWorth returns the worth of a class under the preset in force.
 func (c *Configuration) ClassWorth(class string) int {
 	if w, ok := c.Presets[c.ActivePreset].ClassWorth[class]; ok {
@@ -241,6 +300,8 @@
 	n.Presets = cloneMap(c.Presets)
 	n.DrainedVMs = cloneMap(c.DrainedVMs)
 	n.DrainedGroups = cloneMap(c.DrainedGroups)
+	n.Routes = cloneMap(c.Routes)
+	n.Services = cloneMap(c.Services)
 	return n
 }
 
--- a/internal/blackboard/entry.go
+++ b/internal/blackboard/entry.go
@@ -11,6 +11,9 @@
 	// PeerAddress is where the system's own processes reach it.
 	PeerAddress string `json:"peer_address"`
 	DataCentre  string `json:"data_centre"`
+	// Deaf says that the entry takes no announcements: it is no witness of
+	// backend servers, and nobody exchanges evidence with it.
+	Deaf bool `json:"deaf,omitempty"`
 }
 
 // PutEntry registers an entry, or its new address.
--- a/internal/blackboard/group.go
+++ b/internal/blackboard/group.go
@@ -52,11 +52,37 @@
 	DataCentre   string        `json:"data_centre"`
 	Members      []GroupMember `json:"members"`
 	Worth        int           `json:"worth"`
+	// Opens says that the group serves only while its first member, the head,
+	// is open; see GroupSpec.Pool.
+	Opens bool `json:"opens,omitempty"`
 	// Reason says why the group is in its state.
 	Reason      string `json:"reason,omitempty"`
 	SinceMillis int64  `json:"since_ms"`
 }
 
+// Phases of a member as group tables know them; package backend lists all.
+const (
+	phaseReady = "ready"
+	phaseOpen  = "open"
+)
+
+// Ready tells whether a member that reports this phase is ready to serve: the
+// head of a group that opens must be open.
+func (g Group) Ready(m GroupMember, phase string) bool {
+	if g.Opens && len(g.Members) > 0 && g.Members[0].VM == m.VM {
+		return phase == phaseOpen
+	}
+	return phase == phaseReady
+}
+
+// Head returns the member that takes the group's requests.
+func (g Group) Head() GroupMember {
+	if len(g.Members) == 0 {
+		return GroupMember{}
+	}
+	return g.Members[0]
+}
+
 // FormGroup makes free VMs of one fabric domain the members of a new epoch.
 type FormGroup struct {
 	Group     Group `json:"group"`
--- /dev/null
+++ b/internal/blackboard/replace.go
@@ -0,0 +1,133 @@
+package blackboard
+
+import (
+	"bytes"
+	"strings"
+
+	"github.com/citronstep/citronstep/internal/failure"
+)
+
+// ReplaceConfiguration puts a whole configuration in the place of the present
+// one. The highest version ever accepted is in force.
+type ReplaceConfiguration struct {
+	// Version is the operators' own number of this configuration.
+	Version    uint64        `json:"version"`
+	Routes     []Route       `json:"routes"`
+	Services   []ServiceSpec `json:"services"`
+	Workspaces []Workspace   `json:"workspaces"`
+	Limits     CallerLimits  `json:"limits"`
+	// Document is the configuration as the operator sent it, compressed, kept
+	// for reading back.
+	Document []byte `json:"document,omitempty"`
+}
+
+// CallerLimits bound what a caller may send, and how long it may take. Zero
+// fields leave the entry's own limits.
+type CallerLimits struct {
+	MaxHeaderBytes      int   `json:"max_header_bytes,omitempty" toml:"max_header_bytes"`
+	MaxBodyBytes        int64 `json:"max_body_bytes,omitempty" toml:"max_body_bytes"`
+	HeaderTimeoutMillis int64 `json:"header_timeout_ms,omitempty" toml:"header_timeout_ms"`
+	IdleTimeoutMillis   int64 `json:"idle_timeout_ms,omitempty" toml:"idle_timeout_ms"`
+}
+
+// ReplaceOutcome answers a ReplaceConfiguration.
+type ReplaceOutcome struct {
+	// Version is the version in force after the command.
+	Version uint64 `json:"version"`
+	// Replaced is false when a version at least as high was in force already.
+	Replaced bool           `json:"replaced"`
+	Failure  *failure.Error `json:"failure,omitempty"`
+}
+
+// apply takes the configuration in if its version is higher than the one in
+// force. It needs no expected revision: of two operators that race, the higher
+// version wins in whichever order the log has them, and a resend changes
+// nothing.
+func (c ReplaceConfiguration) apply(b *Board) (any, bool) {
+	in := b.Config.Version
+	if e := c.Check(); e != nil {
+		return ReplaceOutcome{Version: in, Failure: e}, false
+	}
+	if c.Version <= in {
+		return ReplaceOutcome{Version: in}, false
+	}
+	next := b.Config.clone()
+	c.edit(&next)
+	next.Revision = b.Config.Revision + 1
+	b.Config = next
+	return ReplaceOutcome{Version: c.Version, Replaced: true}, true
+}
+
+// Check refuses a configuration that could not be carried out, whatever its
+// version.
+func (c ReplaceConfiguration) Check() *failure.Error {
+	if c.Version == 0 {
+		return failure.New(failure.TypeBadRequest, "a configuration needs a version over 0").WithDetail("version")
+	}
+	if e := c.checkPlaces(); e != nil {
+		return e
+	}
+	if e := c.checkKeys(); e != nil {
+		return e
+	}
+	whole := Configuration{}
+	c.edit(&whole)
+	if len(whole.Routes) != len(c.Routes) || len(whole.Services) != len(c.Services) || len(whole.Workspaces) != len(c.Workspaces) {
+		return failure.New(failure.TypeBadRequest, "a name of a route, service or workspace stands twice")
+	}
+	return whole.check()
+}
+
+// checkPlaces refuses two routes for the same requests.
+func (c ReplaceConfiguration) checkPlaces() *failure.Error {
+	type place struct{ host, prefix string }
+	seen := make(map[place]string, len(c.Routes))
+	for _, r := range c.Routes {
+		p := place{strings.ToLower(r.Host), r.PathPrefix}
+		if other, taken := seen[p]; taken {
+			return failure.New(failure.TypeBadRequest, "routes "+other+" and "+r.Name+" have the same host and path prefix").
+				WithDetail("routes." + r.Name)
+		}
+		seen[p] = r.Name
+	}
+	return nil
+}
+
+// checkKeys refuses a key that two workspaces share: nobody could tell whose
+// request it is.
+func (c ReplaceConfiguration) checkKeys() *failure.Error {
+	owner := make(map[string]string)
+	for _, w := range c.Workspaces {
+		for _, hash := range w.keyHashes() {
+			if other, taken := owner[hash]; taken && other != w.Name {
+				return failure.New(failure.TypeBadRequest, "workspaces "+other+" and "+w.Name+" share a key").
+					WithDetail("workspaces." + w.Name)
+			}
+			owner[hash] = w.Name
+		}
+	}
+	return nil
+}
+
+// edit replaces all that a whole configuration states.
+func (c ReplaceConfiguration) edit(to *Configuration) {
+	to.Version = c.Version
+	to.Limits = c.Limits
+	to.Document = bytes.Clone(c.Document)
+	to.Routes = make(map[string]Route, len(c.Routes))
+	for _, r := range c.Routes {
+		to.Routes[r.Name] = r
+	}
+	to.Workspaces = make(map[string]Workspace, len(c.Workspaces))
+	for _, w := range c.Workspaces {
+		to.Workspaces[w.Name] = w
+	}
+	to.Services = make(map[string]ServiceSpec, len(c.Services))
+	to.Groups = make(map[string]GroupSpec)
+	for _, s := range c.Services {
+		to.Services[s.Name] = s
+		for _, g := range s.groupSpecs() {
+			to.Groups[g.Name] = g
+		}
+	}
+}
--- a/internal/blackboard/vm.go
+++ b/internal/blackboard/vm.go
@@ -21,11 +21,13 @@
 // announcement, liveness and group controllers. Read by: group controllers
 // and entries (addresses and epochs of members).
 type VM struct {
-	ID           string   `json:"id"`
-	Incarnation  string   `json:"incarnation"`
-	Address      string   `json:"address"`
-	DataCentre   string   `json:"data_centre"`
-	FabricDomain string   `json:"fabric_domain"`
+	ID           string `json:"id"`
+	Incarnation  string `json:"incarnation"`
+	Address      string `json:"address"`
+	DataCentre   string `json:"data_centre"`
+	FabricDomain string `json:"fabric_domain"`
+	// Pool is the engine pool that the VM announced itself for, if any.
+	Pool         string   `json:"pool,omitempty"`
 	Accelerators int      `json:"accelerators"`
 	Liveness     Liveness `json:"liveness"`
 	Leaving      bool     `json:"leaving,omitempty"`
--- a/internal/control/admin.go
+++ b/internal/control/admin.go
@@ -132,6 +132,19 @@
 	}
 	ctx, cancel := context.WithTimeout(c.Request().Context(), adminTimeout)
 	defer cancel()
+	if err := s.Found(ctx, r.Initial); err != nil {
+		return err
+	}
+	board, _ := s.o.Machine.Board()
+	if refusal := board.Changes[r.Initial.ChangeID].Failure; refusal != nil {
+		return refusal
+	}
+	return c.JSON(http.StatusOK, adminapi.InitReply{ClusterID: board.ClusterID})
+}
+
+// Found founds the cluster with an initial configuration, which may be empty.
+// A process that belongs to a cluster only makes sure that its board is begun.
+func (s *Server) Found(ctx context.Context, initial blackboard.ConfigChange) error {
 	if err := s.o.Consensus.Found(ctx); err != nil {
 		return foundingRefused(err)
 	}
@@ -140,14 +153,8 @@
 	}
 	id := strconv.FormatUint(s.o.Consensus.Status().Cluster, 16)
 	var verdict blackboard.Verdict
-	if err := s.commitBoard(ctx, &blackboard.Found{ClusterID: id, Initial: r.Initial, NowMillis: time.Now().UnixMilli()}, &verdict); err != nil {
-		return errors.Trace(err)
-	}
-	board, _ := s.o.Machine.Board()
-	if refusal := board.Changes[r.Initial.ChangeID].Failure; refusal != nil {
-		return refusal
-	}
-	return c.JSON(http.StatusOK, adminapi.InitReply{ClusterID: board.ClusterID})
+	return errors.Trace(s.commitBoard(ctx,
+		&blackboard.Found{ClusterID: id, Initial: initial, NowMillis: time.Now().UnixMilli()}, &verdict))
 }
 
 // foundingRefused tells a cluster that exists from a peer that did not answer,
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -119,7 +120,7 @@
 // read before the board, so that a board read under it is this leader's.
 func (s *Server) step(ctx context.Context, o *office) {
 	now := time.Now()
-	view := controller.View{LeaseUntil: now.Add(s.o.Consensus.LeaseRemaining())}
+	view := controller.View{Timing: s.o.Timing, LeaseUntil: now.Add(s.o.Consensus.LeaseRemaining())}
 	view.Board, _ = s.o.Machine.Board()
 	view.Term = view.Board.TermBase + o.term
 	if view.Board.ClusterID == "" {
@@ -158,25 +159,39 @@
 // not committed is decided anew in the next step.
 const commandTimeout = time.Second
 
-// propose commits the commands in order. A later one may build on an earlier
-// one, so the first failure ends the step; each command checks its own
-// preconditions when it is applied.
+// propose commits the commands in order, in as few entries of the log as they
+// fit. A later one may build on an earlier one, so the first failure ends the
+// step; each command checks its own preconditions when it is applied.
 func (s *Server) propose(ctx context.Context, commands []blackboard.Command) {
-	for _, c := range commands {
-		ctx, cancel := context.WithTimeout(ctx, commandTimeout)
-		var verdict blackboard.Verdict
-		err := s.commitBoard(ctx, c, &verdict)
-		cancel()
+	for batch := range slices.Chunk(commands, maxBatch) {
+		c, err := blackboard.NewBatch(batch)
+		if err == nil {
+			err = s.proposeOne(ctx, c)
+		}
 		if err != nil {
 			_ = level.Warn(s.o.Logger).Log("event", "command_failed", "err", err)
 			return
 		}
-		if !verdict.Applied {
-			_ = level.Debug(s.o.Logger).Log("event", "command_refused", "reason", verdict.Reason)
-		}
 	}
 }
 
+// maxBatch bounds the commands of one entry of the log; a command has a few
+// hundred bytes.
+const maxBatch = 256
+
+func (s *Server) proposeOne(ctx context.Context, c blackboard.Command) error {
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	var verdict blackboard.Verdict
+	if err := s.commitBoard(ctx, c, &verdict); err != nil {
+		return errors.Trace(err)
+	}
+	if !verdict.Applied {
+		_ = level.Debug(s.o.Logger).Log("event", "command_refused", "reason", verdict.Reason)
+	}
+	return nil
+}
+
 // send sends the orders side by side, each with its deadline, which lies
 // within this leader's lease.
 func (s *Server) send(ctx context.Context, o *office, orders []controller.PlannedOrder) {
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -13,6 +13,7 @@
 	"github.com/citronstep/citronstep/internal/backend"
 	"github.com/citronstep/citronstep/internal/blackboard"
 	"github.com/citronstep/citronstep/internal/clock"
+	"github.com/citronstep/citronstep/internal/controller"
 	"github.com/citronstep/citronstep/internal/evidence"
 	"github.com/citronstep/citronstep/internal/failure"
 	"github.com/citronstep/citronstep/internal/metrics"
@@ -56,6 +57,11 @@
 	// OrderLease is the longest lease of an earlier leader; a new leader gives
 	// no order before it has run out.
 	OrderLease time.Duration
+	// Timing is what the controllers go by where it is not the default.
+	Timing controller.Timing
+	// MinDisks is how many disks must hold a change before it is acknowledged;
+	// 0 leaves it to the majority of whatever voters there are.
+	MinDisks int
 	// VM is this machine's name.
 	VM      string
 	Metrics *metrics.Control
@@ -122,6 +128,42 @@
 	return errors.Trace(json.Unmarshal(data, result))
 }
 
+// proposeDurably writes a command of which someone outside is told that it is
+// kept. It refuses while a majority of the voters is fewer disks than MinDisks.
+//
+// Failure: right after the founding there is one voter. A change that it alone
+// has synced is acknowledged, its disk is lost, and the change is gone although
+// the cluster is meant to bear the loss. The voters are counted again after
+// the commit: a change of the membership may have come between.
+func (s *Server) proposeDurably(ctx context.Context, command []byte) ([]byte, error) {
+	if !s.durable() {
+		return nil, tooFewDisks().WithRan(failure.RanNo)
+	}
+	data, err := s.o.Consensus.Propose(ctx, command)
+	if err != nil {
+		return nil, typed(err)
+	}
+	if !s.durable() {
+		return nil, tooFewDisks().WithRan(failure.RanUnknown)
+	}
+	return data, nil
+}
+
+func tooFewDisks() *failure.Error {
+	return failure.New(failure.TypeUnavailable, "too few control VMs vote to keep a change safe").WithRetryAfter(time.Second)
+}
+
+// durable tells whether a majority of the voters is at least MinDisks disks.
+func (s *Server) durable() bool {
+	voters := 0
+	for _, m := range s.o.Consensus.Status().Members {
+		if !m.Learner {
+			voters++
+		}
+	}
+	return voters/2+1 >= s.o.MinDisks
+}
+
 // typed turns an error of the consensus replica into one for peers and
 // operators.
 func typed(err error) error {
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -41,6 +41,7 @@
 	}
 	entry := blackboard.Entry{
 		ID: r.EntryId, Address: r.Address, PeerAddress: r.PeerAddress, DataCentre: r.DataCentre,
+		Deaf: r.Deaf,
 	}
 	if board.Entries[r.EntryId] == entry {
 		return nil
@@ -102,6 +103,9 @@
 		return nil, rpcError(err)
 	}
 	reply.Term = term
+	for _, m := range s.o.Consensus.Status().Members {
+		reply.ControlAddresses = append(reply.ControlAddresses, m.Address)
+	}
 	reply.LeaseMs = s.o.Lease.Milliseconds()
 	return reply, nil
 }
@@ -124,9 +128,9 @@
 	if r.ClusterId != board.ClusterID {
 		return nil, rpcError(failure.New(failure.TypeConflict, "the entry follows another cluster").WithRan(failure.RanNo))
 	}
-	result, err := s.o.Consensus.Propose(ctx, Wrap(r.Machine, r.Command))
+	result, err := s.proposeDurably(ctx, Wrap(r.Machine, r.Command))
 	if err != nil {
-		return nil, rpcError(typed(err))
+		return nil, rpcError(err)
 	}
 	return &noderpc.CommitReply{Result: result}, nil
 }
--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"sync"
 
 	"github.com/juju/errors"
@@ -24,19 +25,61 @@
 // Client finds the leader among the control processes and remembers it.
 // It is safe for concurrent use.
 type Client struct {
-	addresses []string
-	boards    map[string]noderpc.Board
-	http      *http.Client
+	// seeds are the addresses of the settings.
+	seeds  []string
+	boards map[string]noderpc.Board
+	http   *http.Client
 
 	mu     sync.Mutex
 	leader string
 	next   int
+	// addresses are those that the cluster names, then the seeds.
+	addresses []string
 }
 
 // New returns a client of the control processes at the addresses. The HTTP
 // client adds the secret between our processes to each call.
 func New(addresses []string, client *http.Client) *Client {
-	return &Client{addresses: addresses, boards: make(map[string]noderpc.Board), http: client}
+	return &Client{seeds: addresses, addresses: addresses, boards: make(map[string]noderpc.Board), http: client}
+}
+
+// Learn takes in where the cluster's control processes are. The addresses of
+// the settings stay the last resort.
+//
+// Failure: control VMs are replaced one after the other, and a process that
+// knows only those of its settings finds none of them any more.
+func (c *Client) Learn(addresses []string) {
+	if len(addresses) == 0 {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	all := slices.Clone(addresses)
+	for _, seed := range c.seeds {
+		if !slices.Contains(all, seed) {
+			all = append(all, seed)
+		}
+	}
+	for address := range c.boards {
+		if !slices.Contains(all, address) {
+			delete(c.boards, address)
+		}
+	}
+	c.addresses = all
+}
+
+// Leader returns the peer address of the process last known to lead, or "".
+func (c *Client) Leader() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leader
+}
+
+// known returns how many control processes there are to ask.
+func (c *Client) known() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.addresses)
 }
 
 func (c *Client) board() (string, noderpc.Board) {
@@ -90,7 +133,7 @@
 // only a command that is safe to write twice may be sent again.
 func (c *Client) Commit(ctx context.Context, r *noderpc.CommitRequest) ([]byte, error) {
 	var err error
-	for range 2 * len(c.addresses) {
+	for range 2 * c.known() {
 		address, b := c.board()
 		var reply *noderpc.CommitReply
 		reply, err = b.Commit(ctx, r)
--- a/internal/controller/announcements.go
+++ b/internal/controller/announcements.go
@@ -30,7 +30,7 @@
 // heard within pausedAfter counts.
 func announcements(v View, now time.Time, a *Actions) {
 	for _, r := range v.Evidence.Reports() {
-		if r.Known == nil || now.Sub(r.HeardAt) > pausedAfter {
+		if r.Known == nil || now.Sub(r.HeardAt) > v.timing().Paused {
 			continue
 		}
 		switch r.Kind {
@@ -52,6 +52,7 @@
 	next.Incarnation = r.Incarnation
 	next.Address = r.Known.Address
 	next.DataCentre = r.Known.DataCentre
+	next.Pool = r.Known.Service
 	next.FabricDomain = r.Known.FabricDomain
 	next.Accelerators = r.Known.Accelerators
 	next.Leaving = r.Leaving
@@ -68,7 +69,7 @@
 
 func sameVM(a, b blackboard.VM) bool {
 	return a.Incarnation == b.Incarnation && a.Address == b.Address &&
-		a.DataCentre == b.DataCentre && a.FabricDomain == b.FabricDomain &&
+		a.DataCentre == b.DataCentre && a.Pool == b.Pool && a.FabricDomain == b.FabricDomain &&
 		a.Accelerators == b.Accelerators && a.Leaving == b.Leaving &&
 		slices.Equal(a.Weights, b.Weights)
 }
--- a/internal/controller/breaking.go
+++ b/internal/controller/breaking.go
@@ -102,14 +102,14 @@
 		return "is dead", 0
 	}
 	r, heard := v.Evidence.Get(m.VM)
-	if !heard || now.Sub(r.HeardAt) > evidence.RoutableAge {
+	if !heard || now.Sub(r.HeardAt) > v.Evidence.RoutableAge() {
 		return "", 0
 	}
 	if r.Incarnation != m.Incarnation {
 		if settled(r) {
 			return "restarted", 0
 		}
-		return "restarted", faultPatience
+		return "restarted", v.timing().Fault
 	}
 	return reportedFault(v, now, g, r)
 }
@@ -128,13 +128,13 @@
 			return lostFault(v, now, r.Unreachable[0])
 		}
 		if !inEpoch {
-			return "left the epoch", faultPatience
+			return "left the epoch", v.timing().Fault
 		}
-		if r.Phase != backend.PhaseReady {
-			return "is " + string(r.Phase), faultPatience
+		if !phaseFits(g, r) {
+			return "is " + string(r.Phase), v.timing().Fault
 		}
 	case blackboard.Loading:
-		if !inEpoch && v.Memory.inState(g, now) > startLimit {
+		if !inEpoch && v.Memory.inState(g, now) > v.timing().Start {
 			v.Memory.avoidAfterLoad(g, r.ID, now)
 			return "does not begin to load", 0
 		}
@@ -142,6 +142,15 @@
 	return "", 0
 }
 
+// phaseFits tells whether a member's phase is one of a group in service. The
+// head of a group that drains may have closed.
+func phaseFits(g blackboard.Group, r evidence.Report) bool {
+	if g.Opens && g.State == blackboard.Draining {
+		return true
+	}
+	return g.Ready(blackboard.GroupMember{VM: r.ID}, string(r.Phase))
+}
+
 // avoidAfterLoad leaves a VM out of new groups for a while when its load
 // failed. A VM that failed while serving is no worse than others: engines say
 // failed when they have lost a member for good, and are then needed as
@@ -154,7 +163,7 @@
 
 func lostFault(v View, now time.Time, lost string) (text string, patience time.Duration) {
 	r, heard := v.Evidence.Get(lost)
-	if heard && now.Sub(r.HeardAt) <= evidence.RoutableAge {
+	if heard && now.Sub(r.HeardAt) <= v.Evidence.RoutableAge() {
 		return "has lost " + lost + ", which is heard", faultPatience
 	}
 	return "has lost " + lost + ", which is silent", lostPatience
--- a/internal/controller/decisions_test.go
+++ b/internal/controller/decisions_test.go
@@ -55,7 +55,7 @@
 		vm.Flaps = flaps
 		for d := time.Duration(0); ; d += time.Second {
 			vm.SinceMillis = now.Add(-d).UnixMilli()
-			if steady(vm, now) {
+			if steady(View{}, vm, now) {
 				return d
 			}
 		}
@@ -65,7 +65,7 @@
 	assert.Equal(t, waited(3), 8*settleFirst)
 	assert.Equal(t, waited(40), settleMost)
 	vm.Liveness = blackboard.Straggler
-	assert.Assert(t, !steady(vm, now))
+	assert.Assert(t, !steady(View{}, vm, now))
 }
 
 // Liveness thrashes when one announcement is late. A straggler is told from a
@@ -76,14 +76,14 @@
 		gap  time.Duration
 		want blackboard.Liveness
 	}{
-		{blackboard.Alive, steadyGap, blackboard.Alive},
-		{blackboard.Alive, slowGap, blackboard.Alive},
-		{blackboard.Alive, slowGap + 1, blackboard.Straggler},
-		{blackboard.Straggler, steadyGap + 1, blackboard.Straggler},
-		{blackboard.Straggler, steadyGap, blackboard.Alive},
-		{blackboard.Paused, steadyGap, blackboard.Alive},
+		{blackboard.Alive, steadyGap * evidence.AnnounceInterval, blackboard.Alive},
+		{blackboard.Alive, slowGap * evidence.AnnounceInterval, blackboard.Alive},
+		{blackboard.Alive, slowGap*evidence.AnnounceInterval + 1, blackboard.Straggler},
+		{blackboard.Straggler, steadyGap*evidence.AnnounceInterval + 1, blackboard.Straggler},
+		{blackboard.Straggler, steadyGap * evidence.AnnounceInterval, blackboard.Alive},
+		{blackboard.Paused, steadyGap * evidence.AnnounceInterval, blackboard.Alive},
 	} {
-		assert.Equal(t, pace(c.is, evidence.Report{Gap: c.gap}), c.want)
+		assert.Equal(t, pace(c.is, evidence.Report{Gap: c.gap}, evidence.AnnounceInterval), c.want)
 	}
 }
 
--- a/internal/controller/draining.go
+++ b/internal/controller/draining.go
@@ -108,9 +108,13 @@
 // wanted returns how many replicas of a spec should run.
 func wanted(v View, spec string) int {
 	c := &v.Board.Config
-	if _, ok := c.Groups[spec]; !ok || c.DrainedGroups[spec] {
+	declared, ok := c.Groups[spec]
+	if !ok || c.DrainedGroups[spec] {
 		return 0
 	}
+	if declared.Pool != "" {
+		return wantedByShare(v, declared)
+	}
 	return c.GroupReplicas(spec)
 }
 
@@ -138,6 +142,11 @@
 				continue
 			}
 			counts[g.Spec]++
+			if g.Opens && wanted(v, g.Spec) > 0 {
+				// What a pool has formed beyond its share serves on: a pool that
+				// shrinks is no reason to break up what works.
+				continue
+			}
 			if counts[g.Spec] > wanted(v, g.Spec) {
 				surplus[id] = true
 			}
--- a/internal/controller/forming.go
+++ b/internal/controller/forming.go
@@ -28,7 +28,7 @@
 			delete(v.Memory.missing, spec.Name)
 			continue
 		}
-		if short <= replacing(v, spec.Name) {
+		if short <= replacing(v, spec.Name) || spec.Pool != "" {
 			continue
 		}
 		if domain := holdBack(v, now, spec, u); domain != "" {
@@ -79,6 +79,9 @@
 		return false
 	}
 	r, _ := v.Evidence.Get(vm.ID)
+	if spec.Pool != "" {
+		return r.Phase != backend.PhaseOpen && r.Phase != backend.PhaseClosing
+	}
 	return r.Phase == backend.PhaseIdle && r.Group == ""
 }
 
@@ -112,7 +115,7 @@
 	a.command(&blackboard.FormGroup{NowMillis: now.UnixMilli(), Group: blackboard.Group{
 		ID: id, Spec: spec.Name, Model: spec.Model, FabricDomain: best.domain,
 		DataCentre: best.members[0].DataCentre, Members: members,
-		Worth: v.Board.Config.GroupWorth(spec.Name), Reason: "wanted by its spec",
+		Worth: v.Board.Config.GroupWorth(spec.Name), Reason: "wanted by its spec", Opens: spec.Pool != "",
 	}})
 	d := Decision{Kind: "form", Subject: id, Choice: best.domain, Reason: best.reason()}
 	if len(found) > 1 {
--- a/internal/controller/liveness.go
+++ b/internal/controller/liveness.go
@@ -35,12 +35,12 @@
 	forgetAfter = 10 * time.Minute
 )
 
-// The thresholds of a straggler, as multiples of evidence.AnnounceInterval.
+// The thresholds of a straggler, in intervals between announcements.
 // A VM is a straggler from slowGap on and again alive below steadyGap; the
 // space between keeps one late announcement from changing anything.
 const (
-	slowGap   = 4 * evidence.AnnounceInterval
-	steadyGap = 3 * evidence.AnnounceInterval
+	slowGap   = 4
+	steadyGap = 3
 )
 
 // The time that a VM must have stayed alive before it may join a new group
@@ -53,7 +53,7 @@
 
 // liveness concludes alive, paused, dead or straggler from the evidence.
 func liveness(v View, now time.Time, a *Actions) {
-	dead := v.Memory.deadAfter(massSilence(v, now), now)
+	dead := v.Memory.deadAfter(massSilence(v, now), now, v.timing().Dead)
 	for _, id := range sortedKeys(v.Board.VMs) {
 		vm := v.Board.VMs[id]
 		r, heard := v.Evidence.Get(id)
@@ -91,7 +91,7 @@
 		if heard && r.Incarnation != s.Incarnation {
 			continue
 		}
-		to := conclude(v, now, s.Liveness, r, heard, deadAfter)
+		to := conclude(v, now, s.Liveness, r, heard, v.timing().Dead)
 		if to == blackboard.Dead && silence(v, now, r, heard) > forgetAfter {
 			v.Evidence.Forget(backend.KindService, id)
 			a.command(&blackboard.RemoveService{ID: id, Incarnation: s.Incarnation})
@@ -120,14 +120,14 @@
 // deadAfter returns how long a VM must be silent to be dead. A mass silence
 // counts for some time past its end: the first to return end it, and the others
 // have a moment to be heard.
-func (m *Memory) deadAfter(mass bool, now time.Time) time.Duration {
+func (m *Memory) deadAfter(mass bool, now time.Time, ordinary time.Duration) time.Duration {
 	if mass {
 		m.massSeen = now
 	}
-	if !m.massSeen.IsZero() && now.Sub(m.massSeen) < deadAfter {
+	if !m.massSeen.IsZero() && now.Sub(m.massSeen) < ordinary {
 		return massDeadAfter
 	}
-	return deadAfter
+	return ordinary
 }
 
 // massSilence tells whether more than half of the VMs that are not dead are
@@ -149,7 +149,7 @@
 		}
 		living++
 		r, heard := v.Evidence.Get(id)
-		if silence(v, now, r, heard) > pausedAfter {
+		if silence(v, now, r, heard) > v.timing().Paused {
 			silent++
 		}
 	}
@@ -159,8 +159,8 @@
 func conclude(
 	v View, now time.Time, is blackboard.Liveness, r evidence.Report, heard bool, dead time.Duration,
 ) blackboard.Liveness {
-	if heard && now.Sub(r.HeardAt) <= evidence.RoutableAge {
-		return pace(is, r)
+	if heard && now.Sub(r.HeardAt) <= v.Evidence.RoutableAge() {
+		return pace(is, r, v.Evidence.Interval())
 	}
 	scale := time.Duration(1)
 	if heard && !v.Evidence.Witness(now, r.Source, evidence.WitnessAge) {
@@ -170,25 +170,25 @@
 	switch {
 	case is == blackboard.Dead || quiet > dead*scale:
 		return blackboard.Dead
-	case quiet > pausedAfter*scale:
+	case quiet > v.timing().Paused*scale:
 		return blackboard.Paused
 	}
 	return is
 }
 
 // pace tells a straggler from a VM in good order.
-func pace(is blackboard.Liveness, r evidence.Report) blackboard.Liveness {
+func pace(is blackboard.Liveness, r evidence.Report, interval time.Duration) blackboard.Liveness {
 	switch {
-	case r.Gap > slowGap:
+	case r.Gap > slowGap*interval:
 		return blackboard.Straggler
-	case is == blackboard.Straggler && r.Gap > steadyGap:
+	case is == blackboard.Straggler && r.Gap > steadyGap*interval:
 		return blackboard.Straggler
 	}
 	return blackboard.Alive
 }
 
 // steady tells whether a VM has stayed alive long enough to join a group.
-func steady(vm blackboard.VM, now time.Time) bool {
+func steady(v View, vm blackboard.VM, now time.Time) bool {
 	if vm.Liveness != blackboard.Alive {
 		return false
 	}
@@ -197,7 +197,7 @@
 	}
 	need := settleMost
 	if vm.Flaps < 6 {
-		need = min(settleMost, settleFirst<<vm.Flaps)
+		need = min(settleMost, v.timing().Settle<<vm.Flaps)
 	}
 	age := now.UnixMilli() - vm.SinceMillis
 	return age < 0 || age >= need.Milliseconds()
--- a/internal/controller/loading.go
+++ b/internal/controller/loading.go
@@ -6,7 +6,6 @@
 
 	"github.com/citronstep/citronstep/internal/backend"
 	"github.com/citronstep/citronstep/internal/blackboard"
-	"github.com/citronstep/citronstep/internal/evidence"
 )
 
 // storeLoads is how many groups load from the weight store at once.
@@ -18,24 +17,24 @@
 // its time off the store, copying weights into accelerators.
 const storeLoads = 2
 
-// serveAge bounds the evidence on which a group is taken into service. Entries
-// ask for evidence of their own before they route.
-const serveAge = evidence.RoutableAge
-
 // loading lets formed groups load in order of worth, sends and resends the
 // orders, and takes a group into service when each member reports ready.
 func loading(v View, now time.Time, a *Actions) {
 	var at store
 	for _, g := range v.Board.Groups {
-		if g.State == blackboard.Loading && readsStore(v, g) {
+		if g.State == blackboard.Loading && !g.Opens && readsStore(v, g) {
 			at.begin(worthOf(v, g))
 		}
 	}
 	for _, g := range groupsByWorth(v) {
-		switch g.State {
-		case blackboard.Forming:
+		switch {
+		case g.Opens && g.State == blackboard.Forming:
+			startOpening(v, now, a, g)
+		case g.Opens && g.State == blackboard.Loading:
+			continueOpening(v, now, a, g)
+		case g.State == blackboard.Forming:
 			startLoading(v, now, a, g, &at)
-		case blackboard.Loading:
+		case g.State == blackboard.Loading:
 			continueLoading(v, now, a, g)
 		}
 	}
@@ -91,7 +90,7 @@
 	ready := 0
 	for rank, m := range g.Members {
 		r, heard := v.Evidence.Get(m.VM)
-		if !heard || r.Incarnation != m.Incarnation || now.Sub(r.HeardAt) > serveAge {
+		if !heard || r.Incarnation != m.Incarnation || now.Sub(r.HeardAt) > v.Evidence.RoutableAge() {
 			continue
 		}
 		inEpoch := r.Group == g.ID && r.Epoch == g.Epoch
--- a/internal/controller/memory.go
+++ b/internal/controller/memory.go
@@ -36,6 +36,8 @@
 	// missing holds since when a spec has had fewer groups than wanted.
 	missing map[string]time.Time
 	policy  policy
+	// loads holds when loads from the weight store of pools began of late.
+	loads []time.Time
 }
 
 type groupEpoch struct {
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -56,7 +56,7 @@
 		v.Memory.orders[vm.ID] = r
 	}
 	same := r.kind == o.Kind && r.target == target && r.incarnation == incarnation
-	if same && now.Sub(r.sentAt) < resendAfter {
+	if same && now.Sub(r.sentAt) < v.timing().Resend {
 		return false
 	}
 	if !same {
@@ -75,7 +75,7 @@
 func sendLoad(v View, now time.Time, a *Actions, g blackboard.Group, rank int) bool {
 	members := make([]backend.GroupMember, len(g.Members))
 	for i, m := range g.Members {
-		members[i] = backend.GroupMember{VM: m.VM, Address: m.Address}
+		members[i] = backend.GroupMember{VM: m.VM, Address: m.Address, Incarnation: m.Incarnation}
 	}
 	member := g.Members[rank]
 	return send(v, now, a, v.Board.VMs[member.VM], member.Incarnation, backend.Order{
--- a/internal/controller/releasing.go
+++ b/internal/controller/releasing.go
@@ -12,7 +12,13 @@
 // frees each VM on proof, and closes the group when all are free.
 func releasing(v View, now time.Time, a *Actions) {
 	for _, g := range groupsByWorth(v) {
-		if !toRelease(v, now, g) {
+		if !toRelease(v, now, a, g) {
+			continue
+		}
+		if g.Opens {
+			if releaseOpened(v, now, a, g) == 0 {
+				a.moveGroup(g, blackboard.Released, g.Reason, now)
+			}
 			continue
 		}
 		held := 0
@@ -30,16 +36,19 @@
 	}
 }
 
-func toRelease(v View, now time.Time, g blackboard.Group) bool {
+func toRelease(v View, now time.Time, a *Actions, g blackboard.Group) bool {
 	if g.State == blackboard.Broken {
 		return true
 	}
+	if g.Opens {
+		return g.State == blackboard.Draining && finishOpened(v, now, a, g)
+	}
 	return g.State == blackboard.Draining && drained(v, now, g)
 }
 
 func releaseMember(v View, now time.Time, a *Actions, g blackboard.Group, m blackboard.GroupMember, vm blackboard.VM) {
 	r, heard := v.Evidence.Get(m.VM)
-	if !heard || r.Incarnation != vm.Incarnation || now.Sub(r.HeardAt) > pausedAfter {
+	if !heard || r.Incarnation != vm.Incarnation || now.Sub(r.HeardAt) > v.timing().Paused {
 		return
 	}
 	if r.Group != "" && (r.Group != g.ID || r.Epoch != g.Epoch) {
@@ -105,7 +114,7 @@
 	for _, id := range sortedKeys(v.Board.VMs) {
 		vm := v.Board.VMs[id]
 		r, heard := v.Evidence.Get(id)
-		if !heard || r.Group == "" || now.Sub(r.HeardAt) > pausedAfter {
+		if !heard || r.Group == "" || now.Sub(r.HeardAt) > v.timing().Paused {
 			continue
 		}
 		if r.Incarnation != vm.Incarnation || r.Phase == backend.PhaseReleasing {
@@ -114,6 +123,11 @@
 		if r.Group == vm.Group && r.Epoch == vm.Epoch {
 			continue
 		}
+		if vm.Pool != "" && r.Phase != backend.PhaseOpen && r.Phase != backend.PhaseClosing {
+			// A member of a pool that does not serve harms nobody, and the next
+			// join takes it out.
+			continue
+		}
 		if sendRelease(v, now, a, vm, r.Incarnation, groupEpoch{r.Group, r.Epoch}) {
 			a.decide(Decision{Kind: "release", Subject: id, Choice: r.Group, Reason: "the blackboard gives the VM another epoch"})
 		}
--- a/internal/controller/takeover.go
+++ b/internal/controller/takeover.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/citronstep/citronstep/internal/blackboard"
-	"github.com/citronstep/citronstep/internal/evidence"
 )
 
 const (
@@ -51,17 +50,17 @@
 // flaps, straggles, leaves, is drained or failed its last load is not: it would
 // break the group that it joins.
 func suits(v View, now time.Time, vm blackboard.VM, spec blackboard.GroupSpec) bool {
-	if vm.Leaving || v.Board.Config.DrainedVMs[vm.ID] || vm.Accelerators < spec.Accelerators {
+	if vm.Pool != spec.Pool || vm.Leaving || v.Board.Config.DrainedVMs[vm.ID] || vm.Accelerators < spec.Accelerators {
 		return false
 	}
 	if spec.FabricDomain != "" && vm.FabricDomain != spec.FabricDomain {
 		return false
 	}
-	if now.Before(v.Memory.avoid[vm.ID]) || !steady(vm, now) {
+	if now.Before(v.Memory.avoid[vm.ID]) || !steady(v, vm, now) {
 		return false
 	}
 	r, heard := v.Evidence.Get(vm.ID)
-	return heard && r.Incarnation == vm.Incarnation && now.Sub(r.HeardAt) <= evidence.RoutableAge
+	return heard && r.Incarnation == vm.Incarnation && now.Sub(r.HeardAt) <= v.Evidence.RoutableAge()
 }
 
 // holdBack returns the domain that a short spec will form in as soon as VMs are
--- a/internal/controller/view.go
+++ b/internal/controller/view.go
@@ -24,8 +24,12 @@
 	Term uint64
 	// LeaseUntil is the end of the leader's lease by this process's clock.
 	LeaseUntil time.Time
+	// Timing holds what differs from the defaults.
+	Timing Timing
 }
 
+func (v View) timing() Timing { return v.Timing.withDefaults() }
+
 // Actions is what the controllers want done. Commands are proposed in their
 // order; each checks its own preconditions, so one that comes twice or too late
 // is refused and does no harm.
@@ -82,6 +86,7 @@
 	correcting(v, now, &a)
 	loading(v, now, &a)
 	forming(v, now, &a)
+	staging(v, now, &a)
 	v.Memory.tidy(v)
 	return a
 }
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -84,12 +84,12 @@
 	}
 }
 
-func newDispatcher(dataCentre string, seed uint64, logger log.Logger) *dispatcher {
+func newDispatcher(o placement.Options, logger log.Logger) *dispatcher {
 	return &dispatcher{
-		seed:    seed,
+		seed:    o.Seed,
 		logger:  logger,
-		queue:   admission.New(admission.Policy{Seed: seed}),
-		picker:  placement.New(placement.Options{Seed: seed, DataCentre: dataCentre}),
+		queue:   admission.New(admission.Policy{Seed: o.Seed}),
+		picker:  placement.New(o),
 		waiting: make(map[string]*ticket),
 		routes:  make(map[string]route),
 		models:  make(map[string]bool),
--- /dev/null
+++ b/internal/entry/forward.go
@@ -0,0 +1,310 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/go-kit/log/level"
+
+	"github.com/citronstep/citronstep/internal/auth"
+	"github.com/citronstep/citronstep/internal/backend"
+	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/failure"
+	"github.com/citronstep/citronstep/internal/placement"
+)
+
+// Forwarded is a caller's HTTP request for a route, as an ingress has decoded
+// it.
+type Forwarded struct {
+	// ID is the caller's own id of this send.
+	ID string
+	// Key is the workspace key; empty if the request carries none.
+	Key    string
+	Host   string
+	Method string
+	// Path is the request's path, Target the path with its query as sent.
+	Path, Target string
+	Header       http.Header
+	Body         []byte
+	// Timeout is how long the caller waits; 0 if it does not say.
+	Timeout time.Duration
+	// Model is the model asked for; empty for plain services.
+	Model string
+	// PromptTokens and AnswerTokens are the caller's counts of the prompt and of
+	// the longest answer; 0 if it does not say.
+	PromptTokens, AnswerTokens int
+	// Resume asks for the events after ResumeAfter.
+	Resume      bool
+	ResumeAfter uint64
+}
+
+// forwarding is the part of a job that only forwarded requests have.
+type forwarding struct {
+	request Forwarded
+	route   blackboard.Route
+	w       http.ResponseWriter
+	tokens  int
+	rank    int
+	// begun says that a part of the answer has been written.
+	begun bool
+	// resume and last name the last event that the caller has.
+	resume bool
+	last   uint64
+	// failed is the backend server's own failure. It is passed on when no
+	// further attempt is made.
+	failed *heldAnswer
+}
+
+// heldAnswer is a whole answer that is not written yet.
+type heldAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// forwardSequence makes jobs' ids unique where callers' ids are not.
+var forwardSequence atomic.Uint64
+
+// Forward answers a request of a route. It returns a failure when nothing has
+// been written to w, and panics with http.ErrAbortHandler when the answer that
+// has begun can't be completed, so that no caller takes it for a whole one.
+func (s *Server) Forward(ctx context.Context, w http.ResponseWriter, f Forwarded) *failure.Error {
+	j, e := s.takeForward(f)
+	if e == nil {
+		j.forward.w = w
+		e = s.forward(ctx, j)
+	}
+	if e == nil {
+		return nil
+	}
+	_ = level.Info(s.o.Logger).Log("event", "refuse", "request", f.ID, "type", e.Type, "ran", e.Ran, "reason", e.Message)
+	if j != nil && j.forward.begun {
+		panic(http.ErrAbortHandler)
+	}
+	return e
+}
+
+// takeForward finds the route and the workspace of a request.
+func (s *Server) takeForward(f Forwarded) (*job, *failure.Error) {
+	if e := s.mayAdmit(); e != nil {
+		return nil, e
+	}
+	table := s.routing.Load()
+	if table == nil {
+		return nil, failure.New(failure.TypeUnavailable, "this entry has no configuration yet").
+			WithRan(failure.RanNo).WithRetryAfter(noConfigurationRetryAfter)
+	}
+	route, ok := table.index.Find(f.Host, f.Path)
+	if !ok {
+		return nil, failure.New(failure.TypeNotFound, "no route for this host and path").WithRan(failure.RanNo)
+	}
+	workspace, e := s.forwardWorkspace(table, route, f.Key)
+	if e != nil {
+		return nil, e
+	}
+	return s.newForward(table, route, workspace, f), nil
+}
+
+// noConfigurationRetryAfter is about the time until a process that has just
+// started has its first configuration.
+const noConfigurationRetryAfter = 500 * time.Millisecond
+
+func (s *Server) forwardWorkspace(table *routingTable, route blackboard.Route, key string) (string, *failure.Error) {
+	if route.Public || len(table.config.Workspaces) == 0 {
+		return "", nil
+	}
+	if key != "" {
+		if name, ok := s.keys.workspace(s.o.Follower.Board(), auth.KeyHash(key)); ok {
+			return name, nil
+		}
+	}
+	return "", failure.New(failure.TypeUnauthenticated, "unknown workspace key").WithRan(failure.RanNo)
+}
+
+func (s *Server) newForward(table *routingTable, route blackboard.Route, workspace string, f Forwarded) *job {
+	now := time.Now()
+	wait := time.Duration(route.TimeoutMillis) * time.Millisecond
+	if f.Timeout > 0 {
+		wait = min(wait, f.Timeout)
+	}
+	j := &job{
+		id:            f.ID + "." + strconv.FormatUint(forwardSequence.Add(1), 36),
+		workspace:     workspace,
+		class:         route.Name,
+		nonIdempotent: !route.Repeatable(),
+		maxAttempts:   route.MaxAttempts,
+		arrived:       now,
+		deadline:      now.Add(wait),
+		answer:        newAnswer(),
+		forward: &forwarding{
+			request: f, route: route, tokens: 1, resume: f.Resume, last: f.ResumeAfter,
+			rank: rank(table.config.Workspaces[workspace].Priority),
+		},
+	}
+	service := route.ServiceFor(draw(f.ID))
+	j.model = servicePool(service)
+	if engine := table.config.Services[service].Engine; engine != nil {
+		j.model = f.Model
+		j.forward.tokens = engineTokens(engine, f)
+	}
+	return j
+}
+
+// engineTokens estimates the work of a request for an engine.
+func engineTokens(e *blackboard.EngineSpec, f Forwarded) int {
+	prompt, answer := f.PromptTokens, f.AnswerTokens
+	if prompt == 0 {
+		prompt = e.UsualPrompt
+	}
+	if answer == 0 {
+		answer = e.UsualAnswer
+	}
+	return max(1, prompt+answer)
+}
+
+// draw maps a request's id to [0, 1), so that its part of a split route does
+// not depend on the entry.
+func draw(id string) float64 {
+	const bits = 53
+	return float64(xxhash.Sum64String(id)>>(64-bits)) / (1 << bits)
+}
+
+func (s *Server) forward(ctx context.Context, j *job) *failure.Error {
+	ctx, j.cancel = context.WithCancelCause(ctx)
+	defer j.cancel(nil)
+	ctx, stop := context.WithDeadline(ctx, j.deadline)
+	defer stop()
+	j.ctx = ctx
+	if _, e := s.beginJob(j); e != nil {
+		return e
+	}
+	defer s.work.Done()
+	defer s.running.end(j)
+	s.run(j, s.attemptForward)
+	p, _ := j.answer.wait(context.Background(), 0)
+	if p.failed == nil {
+		return nil
+	}
+	if held := j.forward.failed; held != nil && !j.forward.begun && ctx.Err() == nil {
+		j.forward.write(held)
+		return nil
+	}
+	return p.failed
+}
+
+func (f *forwarding) write(a *heldAnswer) {
+	copyHeader(f.w.Header(), a.header)
+	f.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	f.w.WriteHeader(a.status)
+	f.begun = true
+	// A write fails only when the caller is gone.
+	_, _ = f.w.Write(a.body)
+}
+
+// copyHeader sets the header of an answer that is passed on. Without a type of
+// its own, net/http would guess one.
+func copyHeader(to, from http.Header) {
+	for name, values := range from {
+		to[name] = values
+	}
+	if _, typed := from["Content-Type"]; !typed {
+		to["Content-Type"] = nil
+	}
+}
+
+// attemptForward makes one attempt at a forwarded request.
+func (s *Server) attemptForward(j *job, g grant) (outcome, *failure.Error) {
+	began := time.Now()
+	result := placement.Result{Tokens: 1}
+	out, e := s.passOn(j, g, &result, began)
+	result.OK = out == outcomeWhole
+	result.Cancelled = out == outcomeEnded
+	result.Took = time.Since(began)
+	s.dispatcher.attemptEnded(g.attempt, result)
+	if out != outcomeWhole {
+		text := ""
+		if e != nil {
+			text = e.Error()
+		}
+		_ = level.Info(s.o.Logger).Log("event", "attempt_ended", "request", j.id, "attempt", g.attempt,
+			"target", g.route.target, "outcome", out.name(e), "err", text)
+	}
+	return out, e
+}
+
+func (s *Server) passOn(j *job, g grant, result *placement.Result, began time.Time) (outcome, *failure.Error) {
+	answer, err := s.o.Forwarder.Forward(j.ctx, j.forwardCall(g))
+	if err != nil {
+		return s.serviceFailed(j, err)
+	}
+	defer func() { _ = answer.Body.Close() }()
+	if answer.Load != nil {
+		s.dispatcher.report(time.Now(), g.route.target, s.loadOf(j, answer.Load))
+	}
+	if out, e, bad := j.judge(answer); bad {
+		return out, e
+	}
+	if j.forward.route.Kind == blackboard.RouteStreaming && answer.Status == http.StatusOK {
+		return s.relayEvents(j, g, answer, result, began)
+	}
+	return s.relayAnswer(j, answer)
+}
+
+func (j *job) forwardCall(g grant) backend.ForwardCall {
+	f := j.forward
+	return backend.ForwardCall{
+		ID: f.request.ID, Address: g.route.address, Incarnation: g.route.incarnation,
+		Method: f.request.Method, Path: f.request.Target, Host: f.request.Host, Header: f.request.Header, Body: f.request.Body,
+		Workspace: j.workspace, TimeLeft: time.Until(j.deadline), Rank: f.rank,
+		Resume: f.resume, ResumeAfter: f.last, Fresh: j.nonIdempotent,
+	}
+}
+
+// loadOf turns what a backend server says of itself into placement's terms: it
+// counts requests, placement counts their work.
+func (s *Server) loadOf(j *job, l *backend.ServerLoad) placement.Load {
+	each := 1
+	if table := s.routing.Load(); table != nil {
+		pool := table.config.Groups[j.model].Pool
+		if e := table.config.Services[pool].Engine; e != nil {
+			each = e.UsualTokens()
+		}
+	}
+	return placement.Load{Running: l.Running, Queued: l.Queued, TokensInFlight: (l.Running + l.Queued) * each, At: time.Now()}
+}
+
+// judge finds an answer that may not be passed on.
+//
+// Failure: a backend server sends a second answer to an earlier request where
+// the answer to this one is due, or bytes that prove nothing; the caller would
+// get another caller's answer. The id that the backend server echoes and its
+// proof tell them.
+func (j *job) judge(a *backend.ForwardAnswer) (outcome, *failure.Error, bool) {
+	switch {
+	case a.Foreign:
+		return outcomeBroken, failure.New(failure.TypeBackendFailed, "the backend server sent another request's answer"), true
+	case a.NotRun:
+		e := failure.New(failure.TypeOverloaded, "the backend server did not take the request, status "+strconv.Itoa(a.Status))
+		return outcomeNotStarted, e.WithRetryAfter(time.Second), true
+	case a.Status < http.StatusMultipleChoices && !a.Proven:
+		return outcomeBroken, failure.New(failure.TypeBackendFailed, "the answer lacks the backend server's proof"), true
+	case a.Status >= http.StatusInternalServerError:
+		return j.hold(a)
+	}
+	return outcomeWhole, nil, false
+}
+
+// hold keeps a failure of the backend server's own for when no further attempt
+// is made.
+func (j *job) hold(a *backend.ForwardAnswer) (outcome, *failure.Error, bool) {
+	e := failure.New(failure.TypeBackendFailed, "the backend server answered "+strconv.Itoa(a.Status))
+	body, err := readWhole(a)
+	if err == nil {
+		j.forward.failed = &heldAnswer{status: a.Status, header: backend.EndToEnd(a.Header), body: body}
+	}
+	return outcomeBroken, e, true
+}
--- /dev/null
+++ b/internal/entry/forward_relay.go
@@ -0,0 +1,167 @@
+package entry
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/citronstep/citronstep/internal/backend"
+	"github.com/citronstep/citronstep/internal/failure"
+	"github.com/citronstep/citronstep/internal/placement"
+)
+
+const (
+	// eventBuffer is the read buffer of one open stream, some twenty ordinary
+	// events.
+	eventBuffer = 4 << 10
+	// maxEvent bounds one event in bytes.
+	maxEvent = 1 << 20
+)
+
+// errAnswerTooLong is returned for an answer over maxServiceAnswer.
+const errAnswerTooLong = errors.ConstError("the answer is over the limit")
+
+// readWhole reads an answer to its end. One that ends early is an error.
+func readWhole(a *backend.ForwardAnswer) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(a.Body, maxServiceAnswer+1))
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if len(body) > maxServiceAnswer {
+		return nil, errors.Trace(errAnswerTooLong)
+	}
+	return body, nil
+}
+
+// relayAnswer passes on an answer that is not a stream, once it is whole.
+func (s *Server) relayAnswer(j *job, a *backend.ForwardAnswer) (outcome, *failure.Error) {
+	body, err := readWhole(a)
+	if err != nil {
+		return s.serviceFailed(j, err)
+	}
+	j.tokenSeen()
+	j.forward.write(&heldAnswer{status: a.Status, header: backend.EndToEnd(a.Header), body: body})
+	return outcomeWhole, nil
+}
+
+// relayEvents passes on a stream event by event. Only whole events are passed
+// on, in increasing order of their ids, so that another run can go on after the
+// last one.
+func (s *Server) relayEvents(j *job, g grant, a *backend.ForwardAnswer, result *placement.Result, began time.Time) (outcome, *failure.Error) {
+	events := eventReader{r: bufio.NewReaderSize(a.Body, eventBuffer)}
+	for {
+		e, err := events.next()
+		if err == io.EOF {
+			j.forward.start(a)
+			return outcomeWhole, nil
+		}
+		if err != nil {
+			return s.serviceFailed(j, err)
+		}
+		if result.FirstToken == 0 {
+			result.FirstToken = time.Since(began)
+			j.tokenSeen()
+		}
+		s.dispatcher.progress(g.attempt, 1)
+		if err := j.forward.pass(a, e, events.drained()); err != nil {
+			return outcomeEnded, nil
+		}
+	}
+}
+
+// start writes the head of the stream's first run.
+func (f *forwarding) start(a *backend.ForwardAnswer) {
+	if f.begun {
+		return
+	}
+	f.begun = true
+	copyHeader(f.w.Header(), backend.EndToEnd(a.Header))
+	f.w.WriteHeader(a.Status)
+}
+
+// pass writes one event, unless the caller has it already.
+func (f *forwarding) pass(a *backend.ForwardAnswer, e event, flush bool) error {
+	if e.numbered {
+		if f.resume && e.id <= f.last {
+			return nil
+		}
+		f.resume, f.last = true, e.id
+	}
+	f.start(a)
+	if _, err := f.w.Write(e.bytes); err != nil {
+		return errors.Trace(err)
+	}
+	if !flush {
+		return nil
+	}
+	return errors.Trace(http.NewResponseController(f.w).Flush())
+}
+
+// event is one server-sent event as it came.
+type event struct {
+	bytes    []byte
+	id       uint64
+	numbered bool
+}
+
+// eventReader cuts a stream into events. An event's bytes are valid until the
+// next one is read.
+type eventReader struct {
+	r   *bufio.Reader
+	buf []byte
+}
+
+var idField = []byte("id:")
+
+// next returns the next whole event, io.EOF at the end of a stream that ends
+// after a whole event, and backend.ErrCut when it ends within one.
+func (r *eventReader) next() (event, error) {
+	r.buf = r.buf[:0]
+	e := event{}
+	for {
+		from := len(r.buf)
+		if err := r.line(); err != nil {
+			if err == io.EOF && len(r.buf) > 0 {
+				return e, errors.Trace(backend.ErrCut)
+			}
+			return e, err
+		}
+		line := bytes.TrimRight(r.buf[from:], "\r\n")
+		if len(line) == 0 {
+			e.bytes = r.buf
+			return e, nil
+		}
+		if bytes.HasPrefix(line, idField) {
+			id, err := strconv.ParseUint(string(bytes.TrimSpace(line[len(idField):])), 10, 64)
+			if err != nil {
+				return e, errors.Annotate(backend.ErrMalformed, err.Error())
+			}
+			e.id, e.numbered = id, true
+		}
+	}
+}
+
+// line appends one line, with its end, to the buffer.
+func (r *eventReader) line() error {
+	for {
+		part, err := r.r.ReadSlice('\n')
+		r.buf = append(r.buf, part...)
+		switch {
+		case err == nil:
+			return nil
+		case err != bufio.ErrBufferFull:
+			return err
+		case len(r.buf) > maxEvent:
+			return errors.Trace(backend.ErrLineTooLong)
+		}
+	}
+}
+
+// drained tells whether nothing more has arrived, so that what was written
+// should leave now.
+func (r *eventReader) drained() bool { return r.r.Buffered() == 0 }
--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -57,6 +57,11 @@
 	extra     map[string]json.RawMessage
 	prefix    []uint64
 
+	// forward holds the request when it is passed on as it came.
+	forward *forwarding
+	// maxAttempts bounds the attempts; 0 is the entry's own limit.
+	maxAttempts int
+
 	// service holds the call when the request is for a plain service.
 	service *serviceCall
 
@@ -91,6 +96,9 @@
 
 // tokens estimates the work of the request.
 func (j *job) tokens() int {
+	if j.forward != nil {
+		return j.forward.tokens
+	}
 	return len(j.prompt)/bytesPerToken + j.maxTokens
 }
 
--- a/internal/entry/keys.go
+++ b/internal/entry/keys.go
@@ -27,7 +27,7 @@
 func (k *keyIndex) build(board *blackboard.Board) {
 	k.byHash = make(map[string]string, len(board.Config.Workspaces))
 	for name, w := range board.Config.Workspaces {
-		k.byHash[w.KeySHA256] = name
+		w.KeyHashes(func(hash string) { k.byHash[hash] = name })
 	}
 	k.revision, k.built = board.Config.Revision, true
 }
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -63,13 +63,33 @@
 	closed  map[string]string
 	// awaited are the pools with a target in quarantine.
 	awaited map[string]bool
+	// byBoard says that this process hears no announcements and goes by what
+	// the leader has concluded.
+	byBoard bool
+}
+
+// routable tells whether a group may get new work.
+func (r *routing) routable(t *evidence.Table, id string) (bool, string) {
+	if !r.byBoard {
+		return t.Routable(r.now, r.board, id)
+	}
+	g := r.board.Groups[id]
+	if !g.State.Routable() {
+		return false, "group is " + string(g.State)
+	}
+	for _, m := range g.Members {
+		if r.board.VMs[m.VM].Leaving {
+			return false, "member " + m.VM + " is leaving"
+		}
+	}
+	return true, ""
 }
 
 func (s *Server) updateRoutes() {
 	r := &routing{
 		now: time.Now(), board: s.o.Follower.Board(),
 		routes: make(map[string]route), loads: make(map[string]placement.Load), closed: make(map[string]string),
-		awaited: make(map[string]bool),
+		awaited: make(map[string]bool), byBoard: s.o.Settings.Deaf,
 	}
 	s.o.Hearing.With(func(t *evidence.Table) {
 		for id := range r.board.Groups {
@@ -88,7 +108,7 @@
 
 func (r *routing) addGroup(t *evidence.Table, id string) {
 	g := r.board.Groups[id]
-	if ok, reason := t.Routable(r.now, r.board, id); !ok {
+	if ok, reason := r.routable(t, id); !ok {
 		r.closed[id] = reason
 		return
 	}
@@ -97,7 +117,7 @@
 	}
 	head := g.Members[0]
 	report, _ := t.Get(head.VM)
-	capacity := 0
+	capacity := r.capacity(g.Model)
 	if report.Load != nil {
 		capacity = report.Load.Capacity
 		r.loads[id] = load(report)
@@ -121,6 +141,16 @@
 	})
 }
 
+// capacity is the work in tokens that a group of the model holds well, by the
+// published figures of its engines; 0 if there are none.
+func (r *routing) capacity(model string) int {
+	e := r.board.Config.Services[r.board.Config.Groups[model].Pool].Engine
+	if e == nil {
+		return 0
+	}
+	return e.Slots * e.UsualTokens()
+}
+
 // busy is how many requests a target reports, running and waiting.
 func (r *routing) busy(id string) int { return r.loads[id].Running + r.loads[id].Queued }
 
@@ -142,6 +172,10 @@
 	case i.Leaving || report.Leaving:
 		r.closed[id] = "instance is leaving"
 		return
+	case r.byBoard && i.Liveness == blackboard.Dead:
+		r.closed[id] = "instance is dead"
+		return
+	case r.byBoard:
 	case !ok || report.Incarnation != i.Incarnation || r.now.Sub(report.HeardAt) > evidence.RoutableAge:
 		r.closed[id] = "instance has no fresh evidence"
 		return
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -147,7 +147,7 @@
 		}
 		return nil
 	}
-	cut := out == outcomeBroken && e.Type == failure.TypeBackendFailed
+	cut := out == outcomeBroken && e.Type == failure.TypeBackendFailed && j.forward == nil
 	if cut && j.nonIdempotent {
 		// Its final answer is known; the crash is looked into beside it.
 		go s.blameIfCrashed(j, g.route, isolated, time.Now())
@@ -187,15 +187,31 @@
 	if out == outcomeBroken && j.nonIdempotent {
 		return failure.New(failure.TypeOutcomeUnknown, "the request was dispatched and its outcome is unknown: "+e.Message)
 	}
-	if j.attempts >= maxAttempts {
+	if j.attempts >= j.attemptLimit() {
 		return e.WithRetryAfter(time.Second)
 	}
-	if out == outcomeBroken && !s.dispatcher.allowRetry(j.workspace) {
+	if out == outcomeBroken && !s.dispatcher.allowRetry(j.retryBudget()) {
 		return e.WithRetryAfter(time.Second)
 	}
 	return nil
 }
 
+func (j *job) attemptLimit() int {
+	if j.maxAttempts > 0 {
+		return j.maxAttempts
+	}
+	return maxAttempts
+}
+
+// retryBudget names the budget that the job's retries are taken from. Requests
+// of routes share one, as the limit on them is one for the whole entry.
+func (j *job) retryBudget() string {
+	if j.forward != nil {
+		return ""
+	}
+	return j.workspace
+}
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
@@ -203,7 +219,8 @@
 	return b
 }
 
-// mayDispatch refuses while the configuration lease has run out.
+// mayDispatch refuses while the configuration lease has run out, unless the
+// settings say to serve on under the last configuration known.
 //
 // It is asked right before each dispatch and not only at the door: a request
 // may have waited, or this process may have been frozen, since the door.
@@ -211,6 +228,9 @@
 	if s.o.Follower.Lease() > 0 {
 		return nil
 	}
+	if s.o.Settings.ServeWithoutLease && s.o.Follower.Board().Config.Revision > 0 {
+		return nil
+	}
 	return failure.New(failure.TypeConfigurationStale,
 		"this entry has lost the control processes and admits nothing").
 		WithRan(failure.RanNo).WithRetryAfter(staleRetryAfter)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -24,6 +24,7 @@
 	"github.com/citronstep/citronstep/internal/failure"
 	"github.com/citronstep/citronstep/internal/hearing"
 	"github.com/citronstep/citronstep/internal/metrics"
+	"github.com/citronstep/citronstep/internal/placement"
 	"github.com/citronstep/citronstep/internal/rpc/noderpc"
 	"github.com/citronstep/citronstep/internal/settings"
 )
@@ -54,6 +55,8 @@
 	Metrics    *metrics.Entry
 	// Peers calls the other entries, with the secret between our processes.
 	Peers *http.Client
+	// Forwarder passes on the requests of routes; nil if none are taken.
+	Forwarder backend.Forwarder
 }
 
 // Server is the entry role of one process.
@@ -84,6 +87,8 @@
 	entryIDs []string
 	// policyRevision is the configuration that admission's policy is from.
 	policyRevision uint64
+	// routing is what requests of routes are judged by.
+	routing atomic.Pointer[routingTable]
 }
 
 // NewServer returns a server; Run keeps its routes.
@@ -99,7 +104,9 @@
 		open:         make(map[string]route),
 	}
 	s.holders.unsure(time.Now())
-	s.dispatcher = newDispatcher(o.DataCentre, h.Sum64(), o.Logger)
+	s.dispatcher = newDispatcher(placement.Options{
+		Seed: h.Sum64(), DataCentre: o.DataCentre, Ramp: time.Duration(o.Settings.RampMillis) * time.Millisecond,
+	}, o.Logger)
 	return s
 }
 
@@ -111,7 +118,7 @@
 	s.entriesChanged(b)
 	if b.Config.Revision != s.policyRevision {
 		s.policyRevision = b.Config.Revision
-		s.dispatcher.setPolicy(policyOf(b.Config))
+		s.takeConfiguration(b)
 	}
 	select {
 	case s.boardChanged <- struct{}{}:
@@ -125,6 +132,7 @@
 	if slices.Equal(ids, s.entryIDs) {
 		return
 	}
+	s.policyRevision = 0
 	s.entryIDs = ids
 	s.holdersMu.Lock()
 	defer s.holdersMu.Unlock()
@@ -187,15 +195,23 @@
 
 // serveReady tells the platform's balancer whether to send callers here.
 func (s *Server) serveReady(c echo.Context) error {
-	if s.leaving.Load() {
-		return failure.New(failure.TypeDraining, "this entry is stopping")
-	}
-	if e := s.mayDispatch(); e != nil {
+	if e := s.Ready(); e != nil {
 		return e
 	}
 	return c.String(http.StatusOK, "ready\n")
 }
 
+// Leaving tells whether the entry has asked its balancer to stop sending.
+func (s *Server) Leaving() bool { return s.leaving.Load() }
+
+// Ready tells why the balancer should not send callers here, or nil.
+func (s *Server) Ready() *failure.Error {
+	if s.leaving.Load() {
+		return failure.New(failure.TypeDraining, "this entry is stopping")
+	}
+	return s.mayDispatch()
+}
+
 // mayAdmit refuses new work while stopping or without a lease.
 func (s *Server) mayAdmit() *failure.Error {
 	if s.draining.Load() {
@@ -263,7 +279,7 @@
 	return int(math.Round(d.policy.Worth(workspace, class)))
 }
 
-// policyOf turns the preset in force into admission's policy.
+// policyOf turns the configuration in force into admission's policy.
 func policyOf(c blackboard.Configuration) admission.Policy {
 	p := admission.Policy{
 		Workspaces: make(map[string]admission.WorkspacePolicy),
@@ -278,6 +294,7 @@
 	for name := range c.Classes {
 		p.Classes[name] = admission.ClassPolicy{Worth: float64(c.ClassWorth(name))}
 	}
+	rankRoutes(c, &p)
 	return p
 }
 
--- a/internal/evidence/query.go
+++ b/internal/evidence/query.go
@@ -82,13 +82,17 @@
 // server that nobody on a majority hears can't be routed to by most entries, so
 // giving it up costs little even when it lives.
 func (t *Table) Covered(now time.Time, board *blackboard.Board) bool {
-	n := 0
-	for id := range board.Entries {
+	heard, all := 0, 0
+	for id, e := range board.Entries {
+		if e.Deaf {
+			continue
+		}
+		all++
 		if t.Witness(now, id, WitnessAge) {
-			n++
+			heard++
 		}
 	}
-	return n*2 > len(board.Entries)
+	return heard*2 > all
 }
 
 // Routable tells whether an entry may send new work to a group, and if not,
@@ -116,12 +120,12 @@
 }
 
 func (t *Table) memberFault(now time.Time, board *blackboard.Board, g blackboard.Group, m blackboard.GroupMember) string {
-	if !t.Fresh(now, m.VM, m.Incarnation, g.ID, g.Epoch, RoutableAge) {
+	if !t.Fresh(now, m.VM, m.Incarnation, g.ID, g.Epoch, t.RoutableAge()) {
 		return "has no fresh evidence in this epoch"
 	}
 	r, _ := t.Get(m.VM)
 	switch {
-	case r.Phase != backend.PhaseReady:
+	case !g.Ready(m, string(r.Phase)):
 		return "is " + string(r.Phase)
 	case len(r.Unreachable) > 0:
 		return "has lost " + r.Unreachable[0]
--- a/internal/evidence/table.go
+++ b/internal/evidence/table.go
@@ -27,10 +27,12 @@
 	DigestInterval = 300 * time.Millisecond
 	// ObserveInterval is how often a running process calls its table at least.
 	ObserveInterval = 200 * time.Millisecond
+	// routableIntervals is RoutableAge in announcements.
+	routableIntervals = 3
 	// RoutableAge bounds the age of the evidence that a member of a group is
 	// alive. A member that died less than this ago may still be routed to; a
 	// shorter bound would stop routing at each lost announcement.
-	RoutableAge = 1200 * time.Millisecond
+	RoutableAge = routableIntervals * AnnounceInterval
 	// WitnessAge is how old the last digest of a peer may be for the peer to
 	// count as a witness: three digests in a row lost.
 	WitnessAge = 1 * time.Second
@@ -136,6 +138,8 @@
 // Table is the evidence that one process holds.
 type Table struct {
 	self string
+	// interval is the time between two announcements of a backend server.
+	interval time.Duration
 	// at numbers the direct announcements of this run.
 	at       Cursor
 	records  map[key]*record
@@ -150,9 +154,48 @@
 // NewTable returns an empty table of the process whose entry id is self. run
 // differs for each start of that process.
 func NewTable(self string, run uint64) *Table {
-	return &Table{self: self, at: Cursor{Run: run}, records: make(map[key]*record), sources: make(map[string]time.Time)}
+	return &Table{self: self, interval: AnnounceInterval, at: Cursor{Run: run}, records: make(map[key]*record), sources: make(map[string]time.Time)}
 }
 
+// SetInterval states the time between two announcements of a backend server
+// where it is not AnnounceInterval: whoever makes the announcements sets it.
+func (t *Table) SetInterval(d time.Duration) { t.interval = d }
+
+// Interval returns the time between two announcements of a backend server.
+func (t *Table) Interval() time.Duration { return t.interval }
+
+// RoutableAge bounds the age of evidence at which a member counts as heard.
+func (t *Table) RoutableAge() time.Duration { return routableIntervals * t.interval }
+
+// Left records that a backend server has said that it is gone: no new work may
+// go there. It returns false when the incarnation is not known.
+//
+// A goodbye carries no sequence. It takes one far above those in use, so that
+// an announcement that was on its way does not bring the server back.
+func (t *Table) Left(now time.Time, source, incarnation string) bool {
+	for _, r := range t.records {
+		if r.report.Incarnation != incarnation {
+			continue
+		}
+		h := r.report.Heard
+		h.Leaving = true
+		h.Sequence += goodbyeStep
+		h.Detail = r.report.Known
+		if r.report.Leaving && r.report.Sequence >= goodbyeStep {
+			return true
+		}
+		r.advance(now, source, h)
+		t.at.Number++
+		r.heardNumber = t.at.Number
+		return true
+	}
+	return false
+}
+
+// goodbyeStep is the distance of a goodbye's sequence from the last one: more
+// announcements than a process makes in a year.
+const goodbyeStep = 1 << 32
+
 // observe notices that the process was stopped between two calls.
 //
 // Failure: an entry is frozen for ten seconds and a member dies meanwhile. The
@@ -277,7 +320,7 @@
 	if !known {
 		r = &record{retired: make(map[string]uint64)}
 		t.records[k] = r
-		r.start(heardAt, source, h)
+		r.start(heardAt, source, h, t.interval)
 		return r
 	}
 	if r.report.Incarnation == h.Incarnation {
@@ -291,7 +334,7 @@
 		return nil
 	}
 	r.retire()
-	r.start(heardAt, source, h)
+	r.start(heardAt, source, h, t.interval)
 	return r
 }
 
@@ -322,10 +365,10 @@
 	}
 }
 
-func (r *record) start(heardAt time.Time, source string, h Heard) {
+func (r *record) start(heardAt time.Time, source string, h Heard, interval time.Duration) {
 	r.report = Report{
 		Heard: h, HeardAt: heardAt, Source: source,
-		FirstHeard: heardAt, FirstSequence: h.Sequence, Gap: AnnounceInterval,
+		FirstHeard: heardAt, FirstSequence: h.Sequence, Gap: interval,
 	}
 	r.learn(h.Detail)
 }
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -29,6 +29,9 @@
 	Logger  log.Logger
 	// OnChange is called, from one goroutine, with each new board.
 	OnChange func(*blackboard.Board)
+	// OnControl is called with the peer addresses of the control replicas as
+	// the leader names them; nil if nobody needs them.
+	OnControl func([]string)
 }
 
 // Follower holds the newest board that it has applied. It is safe for
@@ -124,6 +127,7 @@
 		HaveRevision: board.Revision,
 		HaveConfig:   board.Config.Revision,
 		WaitMs:       watchWait.Milliseconds(),
+		Deaf:         f.o.Entry.Deaf,
 	})
 	if err != nil {
 		return errors.Trace(err)
@@ -132,6 +136,9 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
+	if f.o.OnControl != nil {
+		f.o.OnControl(reply.ControlAddresses)
+	}
 	f.take(next, asked, time.Duration(reply.LeaseMs)*time.Millisecond)
 	return nil
 }
--- a/internal/hearing/exchange.go
+++ b/internal/hearing/exchange.go
@@ -12,6 +12,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/juju/errors"
 
+	"github.com/citronstep/citronstep/internal/blackboard"
 	"github.com/citronstep/citronstep/internal/failure"
 )
 
@@ -87,8 +88,11 @@
 // follow dials entries that are new on the board, and leaves those that are
 // gone or have moved.
 func (x *exchange) follow() {
-	entries := x.hearing.o.Board().Entries
+	entries := listeners(x.hearing.o.Board().Entries)
 	self := x.hearing.o.Self
+	if _, registered := entries[self]; !registered {
+		return
+	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	for id, d := range x.dialled {
@@ -109,6 +113,17 @@
 	}
 }
 
+// listeners returns the entries that take announcements.
+func listeners(entries map[string]blackboard.Entry) map[string]blackboard.Entry {
+	out := make(map[string]blackboard.Entry, len(entries))
+	for id, e := range entries {
+		if !e.Deaf {
+			out[id] = e
+		}
+	}
+	return out
+}
+
 // dial keeps a connection to one entry; x.mu must be held.
 func (x *exchange) dial(id, address string) {
 	ctx, cancel := context.WithCancel(x.ctx)
--- a/internal/hearing/hearing.go
+++ b/internal/hearing/hearing.go
@@ -38,6 +38,9 @@
 	// accepts any.
 	AnnounceToken string
 	Logger        log.Logger
+	// Interval is the time between two announcements of a backend server; 0 is
+	// evidence.AnnounceInterval.
+	Interval time.Duration
 	// OnAnnouncement is called with each announcement heard here.
 	OnAnnouncement func(backend.Announcement)
 }
@@ -57,6 +60,9 @@
 func New(o Options) *Hearing {
 	run := uint64(time.Now().UnixNano())
 	h := &Hearing{o: o, table: evidence.NewTable(o.Self, run), pace: newPace()}
+	if o.Interval > 0 {
+		h.table.SetInterval(o.Interval)
+	}
 	h.exchange = newExchange(h)
 	return h
 }
@@ -96,7 +102,7 @@
 	w.Header().Set("Content-Type", "application/json")
 	// A backend server that is gone announces again elsewhere.
 	_ = json.NewEncoder(w).Encode(backend.AnnounceReply{
-		IntervalMillis: evidence.AnnounceInterval.Milliseconds(),
+		IntervalMillis: h.interval().Milliseconds(),
 		Entries:        h.addresses(),
 	})
 }
@@ -125,6 +131,31 @@
 	return nil
 }
 
+// Announce takes an announcement that an adapter has decoded.
+func (h *Hearing) Announce(a backend.Announcement) *failure.Error {
+	if h.o.Lease() <= 0 {
+		return cutOff()
+	}
+	if e := check(a); e != nil {
+		return e
+	}
+	h.hear(a)
+	return nil
+}
+
+// Left takes the goodbye of an incarnation that an adapter has decoded.
+func (h *Hearing) Left(incarnation string) *failure.Error {
+	if h.o.Lease() <= 0 {
+		return cutOff()
+	}
+	known := false
+	h.With(func(t *evidence.Table) { known = t.Left(time.Now(), h.o.Self, incarnation) })
+	if !known {
+		return failure.New(failure.TypeUnavailable, "the backend server has not been heard here; tell another process")
+	}
+	return nil
+}
+
 func (h *Hearing) hear(a backend.Announcement) {
 	h.mu.Lock()
 	h.table.Hear(time.Now(), h.o.Self, a)
@@ -134,6 +165,11 @@
 	}
 }
 
+func (h *Hearing) interval() (d time.Duration) {
+	h.With(func(t *evidence.Table) { d = t.Interval() })
+	return d
+}
+
 func (h *Hearing) addresses() []string {
 	var list []string
 	for _, e := range h.o.Board().Entries {
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -42,7 +42,7 @@
 // answers for theirs.
 func (n *Node) shutServers(ctx context.Context) bool {
 	whole := true
-	for _, name := range []string{"callers", "admin", "peers"} {
+	for _, name := range []string{"callers", "ready", "control", "admin", "peers"} {
 		for _, l := range n.servers {
 			if l.name == name && l.server.Shutdown(ctx) != nil {
 				whole = false
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -52,6 +52,8 @@
 	follower *follow.Follower
 	entry    *entry.Server
 	servers  []*listening
+	adapter  Adapter
+	commits  *controlclient.Client
 	metrics  *metrics.Metrics
 }
 
@@ -70,7 +72,12 @@
 // New makes the node and opens its listeners and its data folder. Close ends
 // what New began.
 func New(s *settings.Settings, logger log.Logger) (*Node, error) {
-	n := &Node{settings: s, logger: logger}
+	return NewAdapted(s, logger, Adapter{})
+}
+
+// NewAdapted makes a node that runs on a platform through an adapter.
+func NewAdapted(s *settings.Settings, logger log.Logger, a Adapter) (*Node, error) {
+	n := &Node{settings: s, logger: logger, adapter: a}
 	steps := []func() error{n.readTokens, n.makeMetrics, n.makeClients, n.makeControl, n.makeEntry, n.listen}
 	for _, step := range steps {
 		if err := step(); err != nil {
@@ -187,8 +194,9 @@
 	return replica.Options{
 		Group: group, Folder: s.Control.DataFolder, VM: s.VM, DataCentre: s.DataCentre,
 		Address: s.Peers.Advertise, Peers: s.Peers.Control, Voters: s.Control.Voters,
-		TickInterval:  time.Duration(s.Control.TickMillis) * time.Millisecond,
+		TickInterval:  millis(s.Control.TickMillis),
 		ElectionTicks: s.Control.ElectionTicks,
+		ReplaceAfter:  millis(s.Control.ReplaceAfterMillis),
 	}
 }
 
@@ -203,26 +211,35 @@
 	e := n.settings.Entry
 	self := blackboard.Entry{
 		ID: n.settings.VM, Address: e.Advertise, PeerAddress: n.settings.Peers.Advertise, DataCentre: n.settings.DataCentre,
+		Deaf: e.Deaf,
+	}
+	if e.Enabled && self.Address == "" {
+		self.Address = n.settings.Adapter.Callers
 	}
 	client := controlclient.New(n.settings.Peers.Control, n.peers)
 	n.follower = follow.New(follow.Options{
 		Watcher: client, Entry: self, Logger: log.With(n.logger, "part", "follow"), OnChange: n.boardChanged,
+		OnControl: client.Learn,
 	})
+	n.commits = client
 	n.hearing = hearing.New(hearing.Options{
 		Self: n.settings.VM, Board: n.follower.Board, Lease: n.follower.Lease, Dial: n.dialer.DialContext,
 		PeerToken: n.tokens.peers, AnnounceToken: n.tokens.announce,
 		Logger: log.With(n.logger, "part", "hearing"), OnAnnouncement: n.announced,
+		Interval: millis(n.settings.Control.AnnounceMillis),
 	})
 	if e.Enabled {
 		n.entry = entry.NewServer(entry.Options{
 			ID: n.settings.VM, DataCentre: n.settings.DataCentre, Settings: e, Follower: n.follower, Hearing: n.hearing,
 			Client: n.backends, Control: client, Logger: n.decisions("entry"), Metrics: n.metrics.Entry(), Peers: &http.Client{Transport: n.peers.Transport},
+			Forwarder: n.forwarder(),
 		})
 	}
 	if n.replica != nil {
 		c := n.settings.Control
 		n.control = control.NewServer(control.Options{
-			Machine: n.machine, Consensus: n.replica, Evidence: n.hearing, Orders: n.backends,
+			Machine: n.machine, Consensus: n.replica, Evidence: n.hearing, Orders: n.orders(),
+			MinDisks: c.MinDisks, Timing: n.timing(),
 			Logger: n.decisions("control"), VM: n.settings.VM, Step: controllerStep, Metrics: n.metrics.Control(),
 			Lease:      time.Duration(c.ConfigLeaseMillis) * time.Millisecond,
 			OrderLease: time.Duration(c.TickMillis*int64(c.ElectionTicks)) * time.Millisecond,
@@ -231,6 +248,8 @@
 	return nil
 }
 
+func millis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
+
 // decisions returns the logger of a part that logs its decisions at level info.
 func (n *Node) decisions(part string) log.Logger {
 	logger := log.With(n.logger, "part", part)
@@ -277,6 +296,9 @@
 	if n.control != nil {
 		n.goLoop(ctx, g, n.control.Run)
 		g.Go(func() error { return n.watchReplica(ctx) })
+		if n.settings.Control.Found {
+			n.goLoop(ctx, g, n.foundLoop)
+		}
 	}
 	g.Go(func() error {
 		<-ctx.Done()
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -31,7 +31,10 @@
 	if err := n.listenAt("peers", n.settings.Peers.Listen, n.peersHandler()); err != nil {
 		return errors.Trace(err)
 	}
-	if n.entry != nil {
+	if err := n.listenAtEdges(); err != nil {
+		return errors.Trace(err)
+	}
+	if n.entry != nil && n.settings.Entry.Listen != "" {
 		if err := n.listenAt("callers", n.settings.Entry.Listen, n.entry.Handler()); err != nil {
 			return errors.Trace(err)
 		}
--- a/internal/placement/options.go
+++ b/internal/placement/options.go
@@ -22,6 +22,8 @@
 	// TokenInterval is the longest time between two tokens of one request at
 	// which a backend server may be given more work.
 	TokenInterval time.Duration
+	// Ramp is how long a returning target takes until it gets its whole part.
+	Ramp time.Duration
 }
 
 // Defaults of the Options' fields.
@@ -45,6 +47,9 @@
 	if o.TokenInterval <= 0 {
 		o.TokenInterval = DefaultTokenInterval
 	}
+	if o.Ramp <= 0 {
+		o.Ramp = rampTime
+	}
 	return o
 }
 
--- a/internal/placement/picker.go
+++ b/internal/placement/picker.go
@@ -94,7 +94,7 @@
 	t := p.left[o.ID]
 	delete(p.left, o.ID)
 	if t == nil || t.Model != o.Model {
-		t = newTarget(o)
+		t = newTarget(o, p.options.Ramp)
 	}
 	t.vouched()
 	p.targets[o.ID] = t
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -71,14 +71,15 @@
 	reported   Load
 	mineAt     int
 	rampFrom   time.Time
+	rampTime   time.Duration
 	pace       pace
 	failures   int
 	avoidUntil time.Time
 	hints      hintList
 }
 
-func newTarget(t Target) *target {
-	return &target{Target: t, hash: xxhash.Sum64String(t.ID), limit: t.startLimit(), ledger: &ledger{}}
+func newTarget(t Target, ramp time.Duration) *target {
+	return &target{Target: t, rampTime: ramp, hash: xxhash.Sum64String(t.ID), limit: t.startLimit(), ledger: &ledger{}}
 }
 
 // startLimit is where the search for a target's limit begins, in tokens.
@@ -123,11 +124,11 @@
 		return 1
 	}
 	elapsed := now.Sub(t.rampFrom)
-	if elapsed >= rampTime {
+	if elapsed >= t.rampTime {
 		t.rampFrom = time.Time{}
 		return 1
 	}
-	return rampStart + (1-rampStart)*float64(elapsed)/float64(rampTime)
+	return rampStart + (1-rampStart)*float64(elapsed)/float64(t.rampTime)
 }
 
 // stalled tells whether the target holds attempts and none makes progress.
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -41,15 +41,33 @@
 	s.checkEntry(c)
 	s.checkControl(c)
 	s.checkPeers(c)
+	s.checkAdapter(c)
 	if level := s.Log.Level; !c.Has("log.level") && !slices.Contains(logLevels, level) {
 		c.Fault("log.level", quoted(level), strings.Join(logLevels, ", "))
 	}
 }
 
+// adapters are the kinds of adapter.
+var adapters = []string{"", "platform"}
+
+func (s *Settings) checkAdapter(c checker) {
+	a := s.Adapter
+	if !c.Has("adapter.kind") && !slices.Contains(adapters, a.Kind) {
+		c.Fault("adapter.kind", quoted(a.Kind), "platform, or left out")
+	}
+	for key, value := range map[string]string{"callers": a.Callers, "ready": a.Ready, "control": a.Control} {
+		if value != "" {
+			c.address("adapter."+key, value)
+		}
+	}
+}
+
 func (s *Settings) checkEntry(c checker) {
 	e := s.Entry
 	if e.Enabled {
-		c.address("entry.listen", e.Listen)
+		if s.Adapter.Kind == "" || e.Listen != "" {
+			c.address("entry.listen", e.Listen)
+		}
 		c.advertised("entry.advertise", e.Advertise, "entry.listen")
 	}
 	c.between("entry.max_body_bytes", e.MaxBodyBytes, 1, maxBody)
@@ -60,6 +78,13 @@
 	c.between("entry.token_gap_ms", e.TokenGapMillis, 1, hourMillis)
 	c.between("entry.drain_ms", e.DrainMillis, 0, hourMillis)
 	c.between("entry.balancer_ms", e.BalancerMillis, 0, minuteMillis)
+	c.between("entry.ramp_ms", e.RampMillis, 1, minuteMillis)
+	if !c.Has("entry.retry_ratio") && (e.RetryRatio < 0 || e.RetryRatio > 1) {
+		c.Fault("entry.retry_ratio", quoted(strconv.FormatFloat(e.RetryRatio, 'g', -1, 64)), "0 to 1")
+	}
+	if !c.Has("entry.retries_per_second") && e.RetriesPerSecond < 0 {
+		c.Fault("entry.retries_per_second", quoted(strconv.FormatFloat(e.RetriesPerSecond, 'g', -1, 64)), "0 or more")
+	}
 }
 
 func (s *Settings) checkControl(c checker) {
@@ -69,11 +94,18 @@
 			c.Fault("control.data_folder", "is missing", "a folder on a disk that outlives the process")
 		}
 		c.address("admin.listen", s.Admin.Listen)
-		c.tokenUnlessLoopback("admin.token_file", s.Admin.TokenFile, s.Admin.Listen)
+		if !s.Peers.Open {
+			c.tokenUnlessLoopback("admin.token_file", s.Admin.TokenFile, s.Admin.Listen)
+		}
 	}
 	if !c.Has("control.voters") && k.Voters != 1 && k.Voters != 3 && k.Voters != 5 {
 		c.Fault("control.voters", quoted(strconv.Itoa(k.Voters)), "1, 3 or 5")
 	}
+	c.between("control.min_disks", int64(k.MinDisks), 0, int64(k.Voters/2+1))
+	c.between("control.replace_after_ms", k.ReplaceAfterMillis, 1, hourMillis)
+	c.between("control.announce_ms", k.AnnounceMillis, 50, minuteMillis)
+	c.between("control.dead_ms", k.DeadMillis, k.AnnounceMillis, hourMillis)
+	c.between("control.stall_ms", k.StallMillis, 1, minuteMillis)
 	c.between("control.tick_ms", k.TickMillis, 5, 1000)
 	c.between("control.election_ticks", int64(k.ElectionTicks), 4, 100)
 	// A lease shorter than an election would close every entry at each change
@@ -86,7 +118,9 @@
 	p := s.Peers
 	c.address("peers.listen", p.Listen)
 	c.advertised("peers.advertise", p.Advertise, "peers.listen")
-	c.tokenUnlessLoopback("peers.token_file", p.TokenFile, p.Listen)
+	if !p.Open {
+		c.tokenUnlessLoopback("peers.token_file", p.TokenFile, p.Listen)
+	}
 	if len(p.Control) == 0 && !c.Has("peers.control") {
 		c.Fault("peers.control", "is missing", "the peer address of each control process, as IP:port")
 	}
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -19,6 +19,15 @@
 	DefaultElectionTicks           = 10
 	DefaultConfigLeaseMillis       = 3_000
 	DefaultLogLevel                = "info"
+	DefaultRampMillis              = 10_000
+	DefaultReplaceAfterMillis      = 600_000
+	DefaultAnnounceMillis          = 400
+	DefaultDeadMillis              = 10_000
+	DefaultStallMillis             = 4_000
+	// DefaultRetryRatio bounds the load that retries add to a tenth.
+	DefaultRetryRatio = 0.1
+	// DefaultRetriesPerSecond lets an idle system retry at all.
+	DefaultRetriesPerSecond = 1
 )
 
 func defaults() *Settings {
@@ -32,12 +41,20 @@
 			TokenGapMillis:          DefaultTokenGapMillis,
 			DrainMillis:             DefaultDrainMillis,
 			BalancerMillis:          DefaultBalancerMillis,
+			RampMillis:              DefaultRampMillis,
+			RetryRatio:              DefaultRetryRatio,
+			RetriesPerSecond:        DefaultRetriesPerSecond,
 		},
 		Control: Control{
 			Voters:            DefaultVoters,
 			TickMillis:        DefaultTickMillis,
 			ElectionTicks:     DefaultElectionTicks,
 			ConfigLeaseMillis: DefaultConfigLeaseMillis,
+
+			ReplaceAfterMillis: DefaultReplaceAfterMillis,
+			AnnounceMillis:     DefaultAnnounceMillis,
+			DeadMillis:         DefaultDeadMillis,
+			StallMillis:        DefaultStallMillis,
 		},
 		Log: Log{Level: DefaultLogLevel, Decisions: true},
 	}
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -1,6 +1,7 @@
 package settings
 
 import (
+	"net/netip"
 	"os"
 	"path/filepath"
 
@@ -61,6 +62,9 @@
 	if s.Peers.Advertise == "" {
 		s.Peers.Advertise = s.Peers.Listen
 	}
+	if s.Peers.SamePort {
+		s.Peers.takeOwnPort()
+	}
 	for _, path := range []*string{
 		&s.Control.DataFolder, &s.Admin.TokenFile, &s.Peers.TokenFile,
 		&s.Entry.AnnounceTokenFile, &s.Entry.BackendTokenFile,
@@ -70,3 +74,17 @@
 		}
 	}
 }
+
+// takeOwnPort gives each control address the port that this process listens on
+// for its peers. An address that is none stays as it is, for the check to name.
+func (p *Peers) takeOwnPort() {
+	own, err := netip.ParseAddrPort(p.Listen)
+	if err != nil {
+		return
+	}
+	for i, address := range p.Control {
+		if other, err := netip.ParseAddrPort(address); err == nil {
+			p.Control[i] = netip.AddrPortFrom(other.Addr(), own.Port()).String()
+		}
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -11,6 +11,7 @@
 	Admin      Admin   `toml:"admin"`
 	Peers      Peers   `toml:"peers"`
 	Log        Log     `toml:"log"`
+	Adapter    Adapter `toml:"adapter"`
 }
 
 // Entry are the settings of the entry role.
@@ -41,6 +42,33 @@
 	AnnounceTokenFile string `toml:"announce_token_file"`
 	// BackendTokenFile holds the token that our calls to backend servers carry.
 	BackendTokenFile string `toml:"backend_token_file"`
+	// Deaf takes no announcements of backend servers: the entry goes by what
+	// the leader concludes, and costs nothing for the exchange of evidence.
+	Deaf bool `toml:"deaf"`
+	// ServeWithoutLease goes on under the last configuration known while the
+	// control processes can't be reached; docs/design/configuration.md weighs
+	// it.
+	ServeWithoutLease bool `toml:"serve_without_lease"`
+	// RampMillis is how long a backend server that appears beside others takes
+	// until it gets its whole part of the work.
+	RampMillis int64 `toml:"ramp_ms"`
+	// RetryRatio and RetriesPerSecond bound what retries of routes' requests
+	// add: a part of the requests, and a number for all entries together.
+	RetryRatio       float64 `toml:"retry_ratio"`
+	RetriesPerSecond float64 `toml:"retries_per_second"`
+}
+
+// Adapter are the settings of the interface to a platform, for processes that
+// run on one.
+type Adapter struct {
+	// Kind names the adapter; empty is none.
+	Kind string `toml:"kind"`
+	// Callers, Ready and Control are where the adapter listens for callers'
+	// requests, for the balancer's question whether to send any, and for
+	// operators and backend servers.
+	Callers string `toml:"callers"`
+	Ready   string `toml:"ready"`
+	Control string `toml:"control"`
 }
 
 // Control are the settings of the control role.
@@ -50,6 +78,22 @@
 	DataFolder string `toml:"data_folder"`
 	// Voters is the wanted number of voting replicas: 1, 3 or 5.
 	Voters int `toml:"voters"`
+	// MinDisks is how many disks must hold a change before it is acknowledged;
+	// 0 leaves it to the majority of the voters.
+	MinDisks int `toml:"min_disks"`
+	// Found lets this process found the cluster when it is among peers.control
+	// and none of these belongs to one. True only at the first start of a whole
+	// system, with empty disks.
+	Found bool `toml:"found"`
+	// ReplaceAfterMillis is after how long a silent voter gives its vote to a
+	// replica that stands by.
+	ReplaceAfterMillis int64 `toml:"replace_after_ms"`
+	// AnnounceMillis is how often backend servers announce themselves; DeadMillis
+	// how long one must be silent to be given up; StallMillis how long the head
+	// of a group goes on after it has lost a member.
+	AnnounceMillis int64 `toml:"announce_ms"`
+	DeadMillis     int64 `toml:"dead_ms"`
+	StallMillis    int64 `toml:"stall_ms"`
 	// TickMillis is the consensus tick; ElectionTicks the election timeout.
 	TickMillis    int64 `toml:"tick_ms"`
 	ElectionTicks int   `toml:"election_ticks"`
@@ -75,6 +119,10 @@
 	Control []string `toml:"control"`
 	// TokenFile holds the secret between the system's own processes.
 	TokenFile string `toml:"token_file"`
+	// Open runs without that secret on addresses that other machines reach.
+	Open bool `toml:"open"`
+	// SamePort takes only the hosts of Control and the port of Listen.
+	SamePort bool `toml:"same_port"`
 }
 
 // Log are the settings of the log on standard error.
--- a/internal/tool/workspace.go
+++ b/internal/tool/workspace.go
@@ -5,6 +5,7 @@
 	"encoding/base64"
 	"flag"
 	"os"
+	"reflect"
 	"strconv"
 	"strings"
 
@@ -107,7 +108,7 @@
 		return err
 	}
 	next.Name = name
-	if known && next == old && f.changeID == "" {
+	if known && reflect.DeepEqual(next, old) && f.changeID == "" {
 		return i.unchanged(current)
 	}
 	return i.change(&f.changeFlags, current, blackboard.ConfigChange{Workspaces: []blackboard.Workspace{next}})
