Groups of pools: repaired on the entries' word, standbys loaded, controllers run on news

Cause: a group that lost a member was found by 3 s of silence, members were freed and joined a step at a time, loads at the start were held to the store's rate, and spares had to bring weights from their host (1.1 to 1.6 s).

What is left is refusals while groups are short.

--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -55,6 +55,7 @@
 	for {
 		select {
 		case <-ticker.C:
+		case <-s.woken:
 		case <-ctx.Done():
 			return
 		}
@@ -68,7 +69,12 @@
 			o = &office{term: term, memory: controller.NewMemory(time.Now(), s.o.OrderLease)}
 		}
 		s.noteReplicas(o)
-		s.step(ctx, o)
+		// What one run has written the next may build on at once.
+		for range maxRuns {
+			if !s.step(ctx, o) {
+				break
+			}
+		}
 	}
 }
 
@@ -116,15 +122,16 @@
 	s.o.Metrics.Sample(s.Status(), board.Config, leading, now)
 }
 
-// step runs the controllers once and carries out what they want. The lease is
+// step runs the controllers once and carries out what they want. It tells
+// whether anything was written. The lease is
 // read before the board, so that a board read under it is this leader's.
-func (s *Server) step(ctx context.Context, o *office) {
+func (s *Server) step(ctx context.Context, o *office) bool {
 	now := time.Now()
-	view := controller.View{Timing: s.o.Timing, LeaseUntil: now.Add(s.o.Consensus.LeaseRemaining())}
+	view := controller.View{Timing: s.o.Timing, Stalled: s.stalledGroups(now), LeaseUntil: now.Add(s.o.Consensus.LeaseRemaining())}
 	view.Board, _ = s.o.Machine.Board()
 	view.Term = view.Board.TermBase + o.term
 	if view.Board.ClusterID == "" {
-		return
+		return false
 	}
 	var actions controller.Actions
 	s.o.Evidence.With(func(t *evidence.Table) {
@@ -138,8 +145,13 @@
 	s.send(ctx, o, actions.Orders)
 	s.measure(view, now)
 	s.upkeep(ctx, view.Board, now)
+	return len(actions.Commands) > 0
 }
 
+// maxRuns bounds the runs of the controllers in one step; forming a group,
+// beginning to load and freeing members take a run each.
+const maxRuns = 4
+
 func (s *Server) logDecisions(decisions []controller.Decision) {
 	for _, d := range decisions {
 		_ = level.Info(s.o.Logger).Log("event", "decision", "kind", d.Kind, "subject", d.Subject,
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -76,13 +76,17 @@
 	term   uint64
 	events *eventLog
 	meter  meter
+	// stalled holds what entries told of groups without progress.
+	stalled map[controller.StalledGroup]time.Time
+	// woken asks for a step before its time.
+	woken chan struct{}
 	// sampled is when the metrics were last fed; Run alone uses it.
 	sampled time.Time
 }
 
 // NewServer returns a server; Run makes it work.
 func NewServer(o Options) *Server {
-	return &Server{o: o, events: newEventLog(), leases: newLeases(o.Lease, clock.Now())}
+	return &Server{o: o, woken: make(chan struct{}, 1), stalled: make(map[controller.StalledGroup]time.Time), events: newEventLog(), leases: newLeases(o.Lease, clock.Now())}
 }
 
 // leading returns the term that this process leads, or a typed refusal that
--- /dev/null
+++ b/internal/control/stalled.go
@@ -0,0 +1,62 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/citronstep/citronstep/internal/controller"
+	"github.com/citronstep/citronstep/internal/failure"
+	"github.com/citronstep/citronstep/internal/rpc/noderpc"
+)
+
+// stalledMemory is how long an entry's word on a group is kept.
+const stalledMemory = 5 * time.Second
+
+// Suspect takes an entry's word that groups make no progress. The entries have
+// requests running on them and so see it seconds before silence of a member
+// would show.
+func (s *Server) Suspect(_ context.Context, r *noderpc.SuspectRequest) (*noderpc.SuspectReply, error) {
+	if _, err := s.leading(); err != nil {
+		return nil, rpcError(err)
+	}
+	if board, _ := s.o.Machine.Board(); r.ClusterId != board.ClusterID {
+		return nil, rpcError(failure.New(failure.TypeConflict, "the entry follows another cluster").WithRan(failure.RanNo))
+	}
+	now := time.Now()
+	s.mu.Lock()
+	for _, g := range r.Groups {
+		s.stalled[controller.StalledGroup{Group: g.Group, Epoch: g.Epoch}] = now
+	}
+	s.mu.Unlock()
+	for _, g := range r.Groups {
+		_ = level.Info(s.o.Logger).Log("event", "group_suspected", "group", g.Group, "epoch", g.Epoch,
+			"by", r.EntryId, "silent_ms", g.SilentMs)
+	}
+	s.Wake()
+	return &noderpc.SuspectReply{}, nil
+}
+
+// Wake makes the controllers run now if this process leads.
+func (s *Server) Wake() {
+	select {
+	case s.woken <- struct{}{}:
+	default:
+	}
+}
+
+// stalledGroups returns what entries told of late.
+func (s *Server) stalledGroups(now time.Time) map[controller.StalledGroup]time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[controller.StalledGroup]time.Time, len(s.stalled))
+	for g, at := range s.stalled {
+		if now.Sub(at) > stalledMemory {
+			delete(s.stalled, g)
+			continue
+		}
+		out[g] = at
+	}
+	return out
+}
--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -128,6 +128,20 @@
 	return reply, errors.Trace(typed(err))
 }
 
+// Suspect tells the leader of groups without progress.
+func (c *Client) Suspect(ctx context.Context, r *noderpc.SuspectRequest) error {
+	var err error
+	for range 2 * c.known() {
+		address, b := c.board()
+		_, err = b.Suspect(ctx, r)
+		c.learn(address, err)
+		if err == nil || !refused(err) || ctx.Err() != nil {
+			break
+		}
+	}
+	return errors.Trace(typed(err))
+}
+
 // Commit writes a command through the leader. It follows refusals that prove
 // that nothing was written; any other failure leaves the outcome unknown, and
 // only a command that is safe to write twice may be sent again.
--- a/internal/controller/breaking.go
+++ b/internal/controller/breaking.go
@@ -22,6 +22,9 @@
 	loadLimit = 15 * time.Minute
 	// startLimit gives up a member that does not begin to load at all.
 	startLimit = 30 * time.Second
+	// stalledFor is how long an entry's word that a group makes no progress is
+	// acted on; an epoch that is broken for it does not come back.
+	stalledFor = 2 * time.Second
 	// avoidFor keeps a VM whose load failed out of new groups, so that one bad
 	// VM does not break group after group.
 	avoidFor = time.Minute
@@ -79,6 +82,9 @@
 
 func groupFaults(v View, now time.Time, g blackboard.Group) []fault {
 	var faults []fault
+	if at, told := v.Stalled[StalledGroup{g.ID, g.Epoch}]; told && g.Opens && now.Sub(at) < stalledFor {
+		faults = append(faults, fault{"no entry gets answers", 0})
+	}
 	if g.State == blackboard.Loading && v.Memory.inState(g, now) > loadLimit {
 		faults = append(faults, fault{"not loaded in time", 0})
 	}
--- a/internal/controller/forming.go
+++ b/internal/controller/forming.go
@@ -91,6 +91,9 @@
 	members []blackboard.VM
 	// fetches is how many members have to fetch weights from the store.
 	fetches int
+	// cold is how many members have to bring the weights from their host into
+	// their accelerators.
+	cold int
 	// siblings is how many groups of the spec the domain has already.
 	siblings int
 	// left is how many usable VMs of the domain stay over.
@@ -126,7 +129,7 @@
 }
 
 func (c candidate) reason() string {
-	return "fetches " + strconv.Itoa(c.fetches) + ", siblings " + strconv.Itoa(c.siblings) + ", left " + strconv.Itoa(c.left)
+	return "fetches " + strconv.Itoa(c.fetches) + ", cold " + strconv.Itoa(c.cold) + ", siblings " + strconv.Itoa(c.siblings) + ", left " + strconv.Itoa(c.left)
 }
 
 // candidates returns one candidate for each domain with room, best first:
@@ -157,6 +160,9 @@
 	if c.fetches != o.fetches {
 		return c.fetches < o.fetches
 	}
+	if c.cold != o.cold {
+		return c.cold < o.cold
+	}
 	if c.siblings != o.siblings {
 		return c.siblings < o.siblings
 	}
@@ -184,6 +190,9 @@
 		if x, y := holdsWeights(v, a.ID, spec.Model), holdsWeights(v, b.ID, spec.Model); x != y {
 			return x
 		}
+		if x, y := v.Memory.loaded(a) == spec.Model, v.Memory.loaded(b) == spec.Model; spec.Pool != "" && x != y {
+			return x
+		}
 		if a.Accelerators != b.Accelerators {
 			return a.Accelerators < b.Accelerators
 		}
@@ -194,6 +203,9 @@
 		if !holdsWeights(v, vm.ID, spec.Model) {
 			c.fetches++
 		}
+		if spec.Pool != "" && v.Memory.loaded(vm) != spec.Model {
+			c.cold++
+		}
 	}
 	for _, g := range v.Board.Groups {
 		if g.Spec == spec.Name && g.FabricDomain == domain && g.State != blackboard.Released && g.State != blackboard.Broken {
--- a/internal/controller/memory.go
+++ b/internal/controller/memory.go
@@ -38,6 +38,8 @@
 	policy  policy
 	// loads holds when loads from the weight store of pools began of late.
 	loads []time.Time
+	// models holds what VMs of pools have in their accelerators.
+	models map[string]loadedModel
 }
 
 type groupEpoch struct {
@@ -75,6 +77,7 @@
 		replace:    make(map[groupEpoch]bool),
 		avoid:      make(map[string]time.Time),
 		missing:    make(map[string]time.Time),
+		models:     make(map[string]loadedModel),
 		policy:     defaultPolicy,
 	}
 }
--- a/internal/controller/opening.go
+++ b/internal/controller/opening.go
@@ -91,8 +91,9 @@
 	return false
 }
 
-// releaseOpened tells all members to leave and frees them once the head surely
-// serves no more.
+// releaseOpened tells all members to leave and frees each that has done so, once
+// the head surely serves no more. The answer to the order also tells who of the
+// members is alive, seconds before silence would.
 //
 // Failure: a member joins another group while the head of its old one still
 // takes requests, and the VM works for two groups. Proof that the head has
@@ -111,7 +112,7 @@
 		if !heard || r.Incarnation != vm.Incarnation || now.Sub(r.HeardAt) > v.timing().Paused {
 			continue
 		}
-		if ended || r.Incarnation != m.Incarnation {
+		if r.Incarnation != m.Incarnation || (ended && (released(v, g, m) || r.Group != g.ID || r.Epoch != g.Epoch)) {
 			a.command(&blackboard.FreeVM{VM: m.VM, Group: g.ID, Epoch: g.Epoch, Incarnation: vm.Incarnation})
 			continue
 		}
--- a/internal/controller/sharing.go
+++ b/internal/controller/sharing.go
@@ -1,10 +1,12 @@
 package controller
 
 import (
+	"strings"
 	"time"
 
 	"github.com/citronstep/citronstep/internal/backend"
 	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/evidence"
 )
 
 const (
@@ -81,7 +83,7 @@
 // startOpening lets a group of a pool load when the weight store has room.
 func startOpening(v View, now time.Time, a *Actions, g blackboard.Group) {
 	perSecond := 0.0
-	if e := engineOf(v, g.Spec); e != nil {
+	if e := engineOf(v, g.Spec); e != nil && !untouched(v, v.Board.Config.Groups[g.Spec].Pool) {
 		perSecond = e.LoadsPerSecond
 	}
 	n := fetching(v, g)
@@ -91,9 +93,11 @@
 	a.moveGroup(g, blackboard.Loading, "the weight store has room", now)
 }
 
-// staging fetches weights to the hosts of VMs that stand by, so that they can
-// replace a member within a second or two: of the models that their domain
-// serves, the one with the fewest staged for each group.
+// staging makes VMs that stand by load a model that their domain serves, of
+// these the one with the fewest ready for each group. A standby is a group of
+// one that is never opened: its next group has its weights in the accelerators
+// already and is ready in a fraction of a second, where weights on the host
+// would take one or two.
 func staging(v View, now time.Time, a *Actions) {
 	domains := make(map[string]*standby)
 	for _, g := range v.Board.Groups {
@@ -130,33 +134,60 @@
 }
 
 func (d *standby) add(v View, vm blackboard.VM) {
-	for _, model := range vm.Weights {
-		if d.groups[model] > 0 {
-			d.staged[model]++
-			return
-		}
+	if model := v.Memory.loaded(vm); d.groups[model] > 0 {
+		d.staged[model]++
+		return
 	}
 	d.idle = append(d.idle, vm)
 }
 
 func (d *standby) stage(v View, now time.Time, a *Actions) {
 	for _, vm := range d.idle {
-		model := d.neediest()
+		model := d.choose(v, vm)
 		r, heard := v.Evidence.Get(vm.ID)
 		if model == "" || !heard || r.Incarnation != vm.Incarnation || now.Sub(r.HeardAt) > v.Evidence.RoutableAge() {
 			continue
 		}
 		d.staged[model]++
-		if sentRecently(v, now, vm.ID, backend.OrderStage) {
+		if joining(r) {
 			continue
 		}
-		if e := v.Board.Config.Services[vm.Pool].Engine; e == nil || !v.Memory.loadsAllowed(now, e.LoadsPerSecond, 1) {
+		e := v.Board.Config.Services[vm.Pool].Engine
+		if e == nil || (!holdsWeights(v, vm.ID, model) && !v.Memory.loadsAllowed(now, e.LoadsPerSecond, 1)) {
 			continue
 		}
-		send(v, now, a, vm, vm.Incarnation, backend.Order{Kind: backend.OrderStage, Model: model})
+		sendStandby(v, now, a, vm, model)
 	}
 }
 
+// joining tells whether a VM is at a join already.
+func joining(r evidence.Report) bool { return r.Phase == backend.PhaseLoading }
+
+// standbyPrefix begins the names of groups of one that are never opened.
+const standbyPrefix = "standby-"
+
+// sendStandby makes a VM that is in no group load a model. The epoch is one
+// that is given already, so that any group formed later is newer.
+func sendStandby(v View, now time.Time, a *Actions, vm blackboard.VM, model string) {
+	send(v, now, a, vm, vm.Incarnation, backend.Order{
+		Kind: backend.OrderLoad, Group: standbyPrefix + model, Model: model,
+		Token:   backend.FencingToken{Term: v.Term, Epoch: v.Board.NextEpoch - 1},
+		Members: []backend.GroupMember{{VM: vm.ID, Address: vm.Address, Incarnation: vm.Incarnation}},
+	})
+}
+
+// choose prefers a model whose weights the VM's host has, if the domain has no
+// more than one standby fewer of another.
+func (d *standby) choose(v View, vm blackboard.VM) string {
+	best := d.neediest()
+	for _, model := range vm.Weights {
+		if d.groups[model] > 0 && d.staged[model] <= d.staged[best] {
+			return model
+		}
+	}
+	return best
+}
+
 func (d *standby) neediest() string {
 	best := ""
 	for _, model := range sortedKeys(d.groups) {
@@ -167,11 +198,41 @@
 	return best
 }
 
-// stagePatience is how long a VM may take to report what it was told to stage:
-// longer than the longest load.
-const stagePatience = 30 * time.Second
+// noteModels notes which model each VM has in its accelerators: that of the last
+// group that it was ready in since its start.
+func (m *Memory) noteModels(v View) {
+	for id, vm := range v.Board.VMs {
+		r, heard := v.Evidence.Get(id)
+		if vm.Pool == "" || !heard || (r.Phase != backend.PhaseReady && r.Phase != backend.PhaseOpen) {
+			continue
+		}
+		if model, standby := strings.CutPrefix(r.Group, standbyPrefix); standby {
+			m.models[id] = loadedModel{r.Incarnation, model}
+			continue
+		}
+		if g, known := v.Board.Groups[r.Group]; known {
+			m.models[id] = loadedModel{r.Incarnation, g.Model}
+		}
+	}
+}
+
+type loadedModel struct{ incarnation, model string }
 
-func sentRecently(v View, now time.Time, vm string, kind backend.OrderKind) bool {
-	o := v.Memory.orders[vm]
-	return o != nil && o.kind == kind && now.Sub(o.sentAt) < stagePatience
+// loaded returns the model in a VM's accelerators, or "" if none is known.
+func (m *Memory) loaded(vm blackboard.VM) string {
+	if l := m.models[vm.ID]; l.incarnation == vm.Incarnation {
+		return l.model
+	}
+	return ""
+}
+
+// untouched tells whether no group of the pool has served yet. Nobody waits for
+// an answer then, and the weight store is there for the start alone.
+func untouched(v View, pool string) bool {
+	for _, g := range v.Board.Groups {
+		if g.Opens && v.Board.Config.Groups[g.Spec].Pool == pool && g.State != blackboard.Forming && g.State != blackboard.Loading {
+			return false
+		}
+	}
+	return true
 }
--- a/internal/controller/view.go
+++ b/internal/controller/view.go
@@ -24,10 +24,19 @@
 	Term uint64
 	// LeaseUntil is the end of the leader's lease by this process's clock.
 	LeaseUntil time.Time
+	// Stalled holds when an entry last told of a group epoch that it makes no
+	// progress on requests.
+	Stalled map[StalledGroup]time.Time
 	// Timing holds what differs from the defaults.
 	Timing Timing
 }
 
+// StalledGroup names one epoch of a group.
+type StalledGroup struct {
+	Group string
+	Epoch uint64
+}
+
 func (v View) timing() Timing { return v.Timing.withDefaults() }
 
 // Actions is what the controllers want done. Commands are proposed in their
@@ -77,6 +86,7 @@
 	var a Actions
 	v.Memory.cover(v, now)
 	v.Memory.watch(v, now)
+	v.Memory.noteModels(v)
 	announcements(v, now, &a)
 	liveness(v, now, &a)
 	breaking(v, now, &a)
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -72,6 +72,8 @@
 	// head and incarnation name the backend server that takes the request.
 	head        string
 	incarnation string
+	// progress is that of the group's streams here; nil for plain services.
+	progress *groupProgress
 	// members maps each backend server of the target to its incarnation.
 	members map[string]string
 }
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -237,9 +237,14 @@
 }
 
 func (s *Server) passOn(j *job, g grant, result *placement.Result, began time.Time) (outcome, *failure.Error) {
-	answer, err := s.o.Forwarder.Forward(j.ctx, j.forwardCall(g))
+	w := newWatchdog(j.ctx, patience{header: time.Until(j.deadline), firstToken: time.Until(j.deadline), gap: streamGap})
+	defer w.stop()
+	if g.route.progress != nil {
+		defer context.AfterFunc(g.route.progress.ctx, func() { w.cancel(errGroupLost) })()
+	}
+	answer, err := s.o.Forwarder.Forward(w.ctx, j.forwardCall(g))
 	if err != nil {
-		return s.serviceFailed(j, err)
+		return s.passFailed(j, g, w, err)
 	}
 	defer func() { _ = answer.Body.Close() }()
 	if answer.Load != nil {
@@ -249,11 +254,30 @@
 		return out, e
 	}
 	if j.forward.route.Kind == blackboard.RouteStreaming && answer.Status == http.StatusOK {
-		return s.relayEvents(j, g, answer, result, began)
+		return s.relayEvents(j, g, w, answer, result, began)
 	}
 	return s.relayAnswer(j, answer)
 }
 
+// streamGap ends a stream that brings nothing while others of its group do: its
+// connection has gone silent, or it alone was dropped. Requests that are put
+// back for want of memory may wait about a second.
+const streamGap = 1200 * time.Millisecond
+
+// passFailed sorts a failed attempt by what is certain of it.
+func (s *Server) passFailed(j *job, g grant, w *watchdog, err error) (outcome, *failure.Error) {
+	switch {
+	case j.ctx.Err() != nil:
+		return outcomeEnded, nil
+	case w.stalled():
+		s.o.Client.Retire(g.route.address)
+		return outcomeBroken, failure.New(failure.TypeStalled, "the stream made no progress in time")
+	case w.ctx.Err() != nil:
+		return outcomeBroken, failure.New(failure.TypeStalled, errGroupLost.Error())
+	}
+	return s.serviceFailed(j, err)
+}
+
 func (j *job) forwardCall(g grant) backend.ForwardCall {
 	f := j.forward
 	return backend.ForwardCall{
--- a/internal/entry/forward_relay.go
+++ b/internal/entry/forward_relay.go
@@ -52,8 +52,9 @@
 // relayEvents passes on a stream event by event. Only whole events are passed
 // on, in increasing order of their ids, so that another run can go on after the
 // last one.
-func (s *Server) relayEvents(j *job, g grant, a *backend.ForwardAnswer, result *placement.Result, began time.Time) (outcome, *failure.Error) {
+func (s *Server) relayEvents(j *job, g grant, w *watchdog, a *backend.ForwardAnswer, result *placement.Result, began time.Time) (outcome, *failure.Error) {
 	events := eventReader{r: bufio.NewReaderSize(a.Body, eventBuffer)}
+	progress := g.route.progress
 	for {
 		e, err := events.next()
 		if err == io.EOF {
@@ -61,12 +62,20 @@
 			return outcomeWhole, nil
 		}
 		if err != nil {
-			return s.serviceFailed(j, err)
+			return s.passFailed(j, g, w, err)
 		}
-		if result.FirstToken == 0 {
+		first := result.FirstToken == 0
+		if first {
 			result.FirstToken = time.Since(began)
 			j.tokenSeen()
 		}
+		w.progress(true)
+		if progress != nil {
+			progress.event(time.Now(), first)
+			if first {
+				defer progress.ended()
+			}
+		}
 		s.dispatcher.progress(g.attempt, 1)
 		if err := j.forward.pass(a, e, events.drained()); err != nil {
 			return outcomeEnded, nil
--- /dev/null
+++ b/internal/entry/progress.go
@@ -0,0 +1,163 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/juju/errors"
+
+	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/rpc/noderpc"
+)
+
+const (
+	// stallAfter is how long none of a group's begun streams may bring an event
+	// before this entry takes the group for stalled.
+	//
+	// Load: a member dies silently; the head holds all requests and takes new
+	// ones, and nothing moves until it gives up seconds later. Reason for 350
+	// ms: events come every 30 to 75 ms, and a pass that computes several long
+	// prompts takes up to 300.
+	stallAfter = 350 * time.Millisecond
+	// stallHold is how long such a group gets nothing new from this entry if the
+	// leader does not break it.
+	stallHold = 3 * time.Second
+	// suspectTimeout bounds the call that tells the leader.
+	suspectTimeout = time.Second
+)
+
+// errGroupLost is the cause of an attempt that is given up because its group
+// makes no progress or has been taken out of service.
+const errGroupLost = errors.ConstError("the group makes no progress or is broken")
+
+// groupEpoch names one epoch of a group.
+type groupEpoch struct {
+	group string
+	epoch uint64
+}
+
+// groupProgress follows the streams of this entry on one epoch of a group.
+type groupProgress struct {
+	// ctx ends when the group is lost; attempts on it then end too.
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+
+	mu sync.Mutex
+	// begun counts the streams that have brought an event and not ended.
+	begun int
+	// last is when any of them last brought one.
+	last time.Time
+	// heldUntil is set once the group was taken for stalled.
+	heldUntil time.Time
+}
+
+func newGroupProgress() *groupProgress {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	return &groupProgress{ctx: ctx, cancel: cancel}
+}
+
+// event notes an event of a stream; first is set for the stream's first.
+func (p *groupProgress) event(now time.Time, first bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if first {
+		p.begun++
+	}
+	p.last = now
+}
+
+// ended notes the end of a stream that had begun.
+func (p *groupProgress) ended() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.begun--
+}
+
+// silent returns for how long all begun streams have brought nothing, 0 if
+// there are none.
+func (p *groupProgress) silent(now time.Time) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.begun == 0 {
+		return 0
+	}
+	return now.Sub(p.last)
+}
+
+func (p *groupProgress) hold(until time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.heldUntil = until
+}
+
+func (p *groupProgress) held(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return now.Before(p.heldUntil)
+}
+
+// progressOf holds the progress of all groups that this entry sends to. It is
+// used by the routes' loop alone.
+type progressOf map[groupEpoch]*groupProgress
+
+// of returns the progress of a group's epoch, a new one if there is none or the
+// last was given up and its time is over.
+func (all progressOf) of(now time.Time, k groupEpoch) *groupProgress {
+	p := all[k]
+	if p == nil || (p.ctx.Err() != nil && !p.held(now)) {
+		p = newGroupProgress()
+		all[k] = p
+	}
+	return p
+}
+
+// follow ends the attempts on groups that are out of service for good. A group
+// that drains finishes what it has.
+func (all progressOf) follow(b *blackboard.Board) {
+	for k, p := range all {
+		g, known := b.Groups[k.group]
+		if known && g.Epoch == k.epoch && (g.State == blackboard.Serving || g.State == blackboard.Draining) {
+			continue
+		}
+		p.cancel(errGroupLost)
+		delete(all, k)
+	}
+}
+
+// checkProgress gives up groups whose streams have all ceased, and tells the
+// leader of them.
+func (s *Server) checkProgress(now time.Time) {
+	var silent []*noderpc.SuspectGroup
+	for k, p := range s.progress {
+		quiet := p.silent(now)
+		if quiet <= stallAfter || p.ctx.Err() != nil {
+			continue
+		}
+		p.hold(now.Add(stallHold))
+		p.cancel(errGroupLost)
+		_ = level.Info(s.o.Logger).Log("event", "group_stalled", "group", k.group, "epoch", k.epoch, "silent_ms", quiet.Milliseconds())
+		silent = append(silent, &noderpc.SuspectGroup{Group: k.group, Epoch: k.epoch, SilentMs: quiet.Milliseconds()})
+	}
+	if len(silent) == 0 {
+		return
+	}
+	s.updateRoutes()
+	if s.o.Suspects != nil {
+		go s.suspectGroups(silent)
+	}
+}
+
+// suspectGroups tells the leader once; if the call is lost, the leader finds
+// the member's silence, only later.
+func (s *Server) suspectGroups(groups []*noderpc.SuspectGroup) {
+	ctx, cancel := context.WithTimeout(context.Background(), suspectTimeout)
+	defer cancel()
+	err := s.o.Suspects.Suspect(ctx, &noderpc.SuspectRequest{
+		ClusterId: s.o.Follower.Board().ClusterID, EntryId: s.o.ID, Groups: groups,
+	})
+	if err != nil {
+		_ = level.Warn(s.o.Logger).Log("event", "suspicion_not_told", "err", err)
+	}
+}
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -46,7 +46,9 @@
 		case <-s.boardChanged:
 			s.updateRoutes()
 		case <-pump.C:
-			s.dispatcher.tick(time.Now())
+			now := time.Now()
+			s.checkProgress(now)
+			s.dispatcher.tick(now)
 		case <-ctx.Done():
 			return
 		}
@@ -66,6 +68,8 @@
 	// byBoard says that this process hears no announcements and goes by what
 	// the leader has concluded.
 	byBoard bool
+	// progress is this entry's own view of the groups.
+	progress progressOf
 }
 
 // routable tells whether a group may get new work.
@@ -89,8 +93,9 @@
 	r := &routing{
 		now: time.Now(), board: s.o.Follower.Board(),
 		routes: make(map[string]route), loads: make(map[string]placement.Load), closed: make(map[string]string),
-		awaited: make(map[string]bool), byBoard: s.o.Settings.Deaf,
+		awaited: make(map[string]bool), byBoard: s.o.Settings.Deaf, progress: s.progress,
 	}
+	s.progress.follow(r.board)
 	s.o.Hearing.With(func(t *evidence.Table) {
 		for id := range r.board.Groups {
 			r.addGroup(t, id)
@@ -115,6 +120,11 @@
 	if r.quarantined(g.Model, id) {
 		return
 	}
+	progress := r.progress.of(r.now, groupEpoch{g.ID, g.Epoch})
+	if progress.held(r.now) {
+		r.closed[id] = "its streams make no progress"
+		return
+	}
 	head := g.Members[0]
 	report, _ := t.Get(head.VM)
 	capacity := r.capacity(g.Model)
@@ -131,6 +141,7 @@
 		epoch:       g.Epoch,
 		head:        head.VM,
 		incarnation: head.Incarnation,
+		progress:    progress,
 		members:     make(map[string]string, len(g.Members)),
 	}
 	for _, m := range g.Members {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -57,6 +57,14 @@
 	Peers *http.Client
 	// Forwarder passes on the requests of routes; nil if none are taken.
 	Forwarder backend.Forwarder
+	// Suspects tells the leader of groups without progress; nil if nobody is to
+	// be told.
+	Suspects Suspecter
+}
+
+// Suspecter tells the leader of groups without progress.
+type Suspecter interface {
+	Suspect(ctx context.Context, r *noderpc.SuspectRequest) error
 }
 
 // Server is the entry role of one process.
@@ -73,6 +81,8 @@
 	boardChanged chan struct{}
 	// open are the routes of the last look, for the log alone.
 	open map[string]route
+	// progress is used by the routes' loop alone.
+	progress progressOf
 	// work counts the running jobs, for a graceful stop. It grows only under
 	// the gate, and not once draining is set.
 	work sync.WaitGroup
@@ -102,6 +112,7 @@
 		holders:      newHolders(),
 		boardChanged: make(chan struct{}, 1),
 		open:         make(map[string]route),
+		progress:     make(progressOf),
 	}
 	s.holders.unsure(time.Now())
 	s.dispatcher = newDispatcher(placement.Options{
--- a/internal/hearing/hearing.go
+++ b/internal/hearing/hearing.go
@@ -41,6 +41,9 @@
 	// Interval is the time between two announcements of a backend server; 0 is
 	// evidence.AnnounceInterval.
 	Interval time.Duration
+	// OnChange is called when an announcement taken by Announce says something
+	// new of a group; nil if nobody needs to know.
+	OnChange func()
 	// OnAnnouncement is called with each announcement heard here.
 	OnAnnouncement func(backend.Announcement)
 }
@@ -139,10 +142,28 @@
 	if e := check(a); e != nil {
 		return e
 	}
+	changed := h.news(a)
 	h.hear(a)
+	if changed && h.o.OnChange != nil {
+		h.o.OnChange()
+	}
 	return nil
 }
 
+// news tells whether an announcement differs from what was known in a way that
+// the controllers wait for.
+func (h *Hearing) news(a backend.Announcement) (changed bool) {
+	h.With(func(t *evidence.Table) {
+		r, known := t.Get(a.ID)
+		if a.Kind == backend.KindService {
+			r, known = t.GetService(a.ID)
+		}
+		changed = !known || r.Incarnation != a.Incarnation || r.Group != a.Group || r.Epoch != a.Epoch ||
+			r.Phase != a.Phase || r.Leaving != a.Leaving
+	})
+	return changed
+}
+
 // Left takes the goodbye of an incarnation that an adapter has decoded.
 func (h *Hearing) Left(incarnation string) *failure.Error {
 	if h.o.Lease() <= 0 {
--- a/internal/node/adapter.go
+++ b/internal/node/adapter.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/go-kit/log"
 	"github.com/juju/errors"
@@ -91,9 +92,19 @@
 	return t
 }
 
+// controllerStep returns the time between two runs of the controllers.
+func (n *Node) controllerStep() time.Duration {
+	if n.settings.Control.AnnounceMillis == settings.DefaultAnnounceMillis {
+		return controllerStep
+	}
+	return quickStep
+}
+
 // Times for engines of pools, which tell of a change at once and join again
 // within a second or two.
 const (
+	// quickStep is what the leader adds to each turn of a repair at most.
+	quickStep   = 50e6
 	quickFault  = 300e6 // 300 ms: an announcement under way passes
 	quickStart  = 6e9   // 6 s: an order that is carried out late may still come
 	quickResend = 700e6 // 700 ms: several times an order's answer and the report that follows
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -226,13 +226,13 @@
 		Self: n.settings.VM, Board: n.follower.Board, Lease: n.follower.Lease, Dial: n.dialer.DialContext,
 		PeerToken: n.tokens.peers, AnnounceToken: n.tokens.announce,
 		Logger: log.With(n.logger, "part", "hearing"), OnAnnouncement: n.announced,
-		Interval: millis(n.settings.Control.AnnounceMillis),
+		Interval: millis(n.settings.Control.AnnounceMillis), OnChange: n.evidenceChanged,
 	})
 	if e.Enabled {
 		n.entry = entry.NewServer(entry.Options{
 			ID: n.settings.VM, DataCentre: n.settings.DataCentre, Settings: e, Follower: n.follower, Hearing: n.hearing,
 			Client: n.backends, Control: client, Logger: n.decisions("entry"), Metrics: n.metrics.Entry(), Peers: &http.Client{Transport: n.peers.Transport},
-			Forwarder: n.forwarder(),
+			Forwarder: n.forwarder(), Suspects: client,
 		})
 	}
 	if n.replica != nil {
@@ -240,7 +240,7 @@
 		n.control = control.NewServer(control.Options{
 			Machine: n.machine, Consensus: n.replica, Evidence: n.hearing, Orders: n.orders(),
 			MinDisks: c.MinDisks, Timing: n.timing(),
-			Logger: n.decisions("control"), VM: n.settings.VM, Step: controllerStep, Metrics: n.metrics.Control(),
+			Logger: n.decisions("control"), VM: n.settings.VM, Step: n.controllerStep(), Metrics: n.metrics.Control(),
 			Lease:      time.Duration(c.ConfigLeaseMillis) * time.Millisecond,
 			OrderLease: time.Duration(c.TickMillis*int64(c.ElectionTicks)) * time.Millisecond,
 		})
@@ -265,6 +265,14 @@
 	}
 }
 
+// evidenceChanged runs the controllers at once: a group that waits for this word
+// is up that much sooner.
+func (n *Node) evidenceChanged() {
+	if n.control != nil {
+		n.control.Wake()
+	}
+}
+
 func (n *Node) announced(a backend.Announcement) {
 	if n.entry != nil {
 		n.entry.Announced(a)
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -62,6 +62,7 @@
 	if s.Peers.Advertise == "" {
 		s.Peers.Advertise = s.Peers.Listen
 	}
+	s.fillTimes()
 	if s.Peers.SamePort {
 		s.Peers.takeOwnPort()
 	}
@@ -88,3 +89,21 @@
 		}
 	}
 }
+
+// fillTimes takes 0 for the default where 0 itself makes no sense.
+func (s *Settings) fillTimes() {
+	for _, t := range []struct {
+		field *int64
+		value int64
+	}{
+		{&s.Entry.RampMillis, DefaultRampMillis},
+		{&s.Control.ReplaceAfterMillis, DefaultReplaceAfterMillis},
+		{&s.Control.AnnounceMillis, DefaultAnnounceMillis},
+		{&s.Control.DeadMillis, DefaultDeadMillis},
+		{&s.Control.StallMillis, DefaultStallMillis},
+	} {
+		if *t.field == 0 {
+			*t.field = t.value
+		}
+	}
+}
