--- a/cmd/citronstepd/dev.go
+++ b/cmd/citronstepd/dev.go
@@ -41,7 +41,7 @@
 		return exitFailure
 	}
 	defer func() { _ = os.RemoveAll(folder) }()
-	p, err := startNode(settings.Dev(folder))
+	p, err := startNode(settings.Dev(folder), "")
 	if err != nil {
 		return exitFailure
 	}
--- a/cmd/citronstepd/main.go
+++ b/cmd/citronstepd/main.go
@@ -59,7 +59,7 @@
 	if *recoverState {
 		return recoverFolder(s)
 	}
-	return runNode(s)
+	return runNode(s, *file)
 }
 
 // recoverFolder is for the loss of a majority of the control disks.
@@ -86,12 +86,15 @@
 	settings *settings.Settings
 	logger   log.Logger
 	signals  chan os.Signal
+	reloads  chan os.Signal
+	// file is where the settings came from; empty for -dev.
+	file string
 	done     chan error
 	stop     context.CancelFunc
 }
 
 // startNode makes the node of the settings and runs it.
-func startNode(s *settings.Settings) (*process, error) {
+func startNode(s *settings.Settings, file string) (*process, error) {
 	logger := log.With(newLogger(s.Log.Level), "vm", s.VM)
 	reportInvariants(logger)
 	n, err := node.NewAdapted(s, logger, adapterOf(s))
@@ -102,9 +105,11 @@
 	ctx, stop := context.WithCancel(context.Background())
 	p := &process{
 		node: n, settings: s, logger: logger, stop: stop,
-		signals: make(chan os.Signal, 2), done: make(chan error, 1),
+		signals: make(chan os.Signal, 2), reloads: make(chan os.Signal, 1), done: make(chan error, 1), file: file,
 	}
 	signal.Notify(p.signals, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(p.reloads, syscall.SIGHUP)
+	go p.reloadLoop(ctx)
 	go func() { p.done <- n.Run(ctx) }()
 	return p, nil
 }
@@ -119,8 +124,8 @@
 
 // runNode serves until a signal. The first SIGTERM or SIGINT stops gracefully;
 // a second one, or the settings' limit, ends the process at once.
-func runNode(s *settings.Settings) int {
-	p, err := startNode(s)
+func runNode(s *settings.Settings, file string) int {
+	p, err := startNode(s, file)
 	if err != nil {
 		return exitFailure
 	}
--- a/internal/blackboard/board.go
+++ b/internal/blackboard/board.go
@@ -69,12 +69,23 @@
 // Encode returns the board as a snapshot.
 func (b *Board) Encode() ([]byte, error) {
 	data, err := json.Marshal(b)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	data, err = pack(data)
 	return data, errors.Trace(err)
 }
 
 // Decode returns the board that a snapshot holds.
 func Decode(snapshot []byte) (*Board, error) {
 	b := &Board{}
+	if packed(snapshot) {
+		plain, err := unpack(snapshot)
+		if err != nil {
+			return nil, errors.WithType(errors.Annotate(err, "blackboard snapshot"), ErrMalformed)
+		}
+		snapshot = plain
+	}
 	if err := json.Unmarshal(snapshot, b); err != nil {
 		return nil, errors.WithType(errors.Annotate(err, "blackboard snapshot"), ErrMalformed)
 	}
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -30,6 +30,9 @@
 	// kept holds the commands that led to the last len(kept) revisions.
 	kept    [][]byte
 	changed chan struct{}
+	// encoded is the board of revision encodedAt as a snapshot.
+	encoded   []byte
+	encodedAt uint64
 }
 
 // NewMachine returns an empty machine.
@@ -100,6 +103,21 @@
 	return m.board, m.changed
 }
 
+// Encoded returns the board as a snapshot. It is made once for each revision,
+// as all entries ask for it at once after a restart of all.
+func (m *Machine) Encoded() ([]byte, *blackboard.Board, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.encoded == nil || m.encodedAt != m.board.Revision {
+		data, err := m.board.Encode()
+		if err != nil {
+			return nil, nil, errors.Trace(err)
+		}
+		m.encoded, m.encodedAt = data, m.board.Revision
+	}
+	return m.encoded, m.board, nil
+}
+
 // Since returns the commands that lead from a revision to the present board,
 // or false when they are no longer kept.
 func (m *Machine) Since(revision uint64) (*blackboard.Board, [][]byte, bool) {
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -75,6 +75,23 @@
 	}
 }
 
+// maxCatchUp is how many bytes of commands an entry is sent before it gets a
+// snapshot instead.
+//
+// Failure: all processes restart at once after hundreds of changes. Each entry
+// asks for all commands since the founding, megabytes that the leader's link
+// can't carry to all of them within the time of a watch, so none ever catches
+// up. A snapshot holds the last state alone.
+const maxCatchUp = 32 << 10
+
+func bytesOf(commands [][]byte) int {
+	n := 0
+	for _, c := range commands {
+		n += len(c)
+	}
+	return n
+}
+
 // answerWatch grants a lease only while this process surely leads.
 //
 // It guards against a leader that was frozen or cut off during the wait: it
@@ -88,16 +105,15 @@
 	if _, known := board.Entries[r.EntryId]; !known {
 		return nil, rpcError(failure.New(failure.TypeUnavailable, "the entry was forgotten; ask again").WithRan(failure.RanNo))
 	}
-	reply := &noderpc.WatchReply{ClusterId: board.ClusterID, Revision: board.Revision}
-	if ok {
-		reply.Commands = commands
-	} else {
-		snapshot, err := board.Encode()
+	reply := &noderpc.WatchReply{Commands: commands}
+	if !ok || bytesOf(commands) > maxCatchUp {
+		snapshot, whole, err := s.o.Machine.Encoded()
 		if err != nil {
 			return nil, rpcError(err)
 		}
-		reply.Snapshot = snapshot
+		reply.Snapshot, reply.Commands, board = snapshot, nil, whole
 	}
+	reply.ClusterId, reply.Revision = board.ClusterID, board.Revision
 	term, err := s.leading()
 	if err != nil {
 		return nil, rpcError(err)
--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -68,6 +68,15 @@
 	c.addresses = all
 }
 
+// Reseed replaces the addresses of the settings.
+func (c *Client) Reseed(seeds []string) {
+	c.mu.Lock()
+	c.seeds = slices.Clone(seeds)
+	known := slices.Clone(c.addresses)
+	c.mu.Unlock()
+	c.Learn(known)
+}
+
 // Leader returns the peer address of the process last known to lead, or "".
 func (c *Client) Leader() string {
 	c.mu.Lock()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -316,6 +316,15 @@
 	return errors.Trace(g.Wait())
 }
 
+// Reload takes in what may change while the process runs: where the control
+// processes are.
+func (n *Node) Reload(s *settings.Settings) {
+	n.commits.Reseed(s.Peers.Control)
+	if n.replica != nil {
+		n.replica.SetPeers(s.Peers.Control)
+	}
+}
+
 func (n *Node) goLoop(ctx context.Context, g *errgroup.Group, loop func(context.Context)) {
 	g.Go(func() error {
 		loop(ctx)
@@ -326,6 +335,7 @@
 func (n *Node) watchReplica(ctx context.Context) error {
 	select {
 	case <-n.replica.Failed():
+		n.waitForDisk(ctx)
 		return errors.Annotate(ErrReplicaFailed, errText(n.replica.Status().Err))
 	case <-ctx.Done():
 		return nil
--- a/internal/replica/found.go
+++ b/internal/replica/found.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -54,6 +55,19 @@
 	return errors.Trace(foundErr)
 }
 
+// SetPeers replaces the addresses under which this node looks for its cluster.
+func (n *Node) SetPeers(addresses []string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.peers = slices.Clone(addresses)
+}
+
+func (n *Node) peerAddresses() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.peers
+}
+
 func (n *Node) beginFounding() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -71,9 +85,10 @@
 }
 
 func (n *Node) askAllPeers(ctx context.Context) error {
-	results := make([]error, len(n.opts.Peers))
+	peers := n.peerAddresses()
+	results := make([]error, len(peers))
 	var asking sync.WaitGroup
-	for i, address := range n.opts.Peers {
+	for i, address := range peers {
 		asking.Add(1)
 		go func() {
 			defer asking.Done()
@@ -170,7 +185,7 @@
 
 // askToJoin asks one peer after the other, and the leader that one names.
 func (n *Node) askToJoin(ctx context.Context) {
-	for _, address := range n.opts.Peers {
+	for _, address := range n.peerAddresses() {
 		if address == n.opts.Address || ctx.Err() != nil {
 			continue
 		}
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -52,6 +52,7 @@
 	mu       sync.Mutex
 	identity wal.Identity
 	founding bool
+	peers    []string
 	view     view
 	changed  chan struct{}
 	err      error
@@ -113,6 +114,7 @@
 		joins:     map[raft.NodeID]join{},
 		identity:  identity,
 		changed:   make(chan struct{}),
+		peers:     opts.Peers,
 	}
 	if err := n.startCore(store.Saved()); err != nil {
 		_ = store.Close()
