Pools: one model a fabric domain, standbys loaded with it, groups formed of loaded VMs only

Cause: a group formed with one member that had to load (16 s) held its survivors for as long; what stood by in a mixed domain held the other model.

Ruled out: too few VMs (12 to 15 stood free meanwhile).

Change: each domain serves one model, by share; all its VMs load it; a group is formed only of VMs that have it on their host at least.

Left: loads side by side slow each other down.

--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -120,6 +120,9 @@
 	s.sampled = now
 	board, _ := s.o.Machine.Board()
 	s.o.Metrics.Sample(s.Status(), board.Config, leading, now)
+	if leading {
+		s.logPools(board)
+	}
 }
 
 // step runs the controllers once and carries out what they want. It tells
--- a/internal/controller/draining.go
+++ b/internal/controller/draining.go
@@ -113,7 +113,7 @@
 		return 0
 	}
 	if declared.Pool != "" {
-		return wantedByShare(v, declared)
+		return wantedOfPool(v, declared)
 	}
 	return c.GroupReplicas(spec)
 }
--- a/internal/controller/forming.go
+++ b/internal/controller/forming.go
@@ -147,10 +147,19 @@
 	var found []candidate
 	for _, domain := range sortedKeys(domains) {
 		vms := domains[domain]
+		if spec.Pool != "" && v.Memory.domains[domain].Name != spec.Name {
+			continue
+		}
 		if len(vms) < spec.VMsPerReplica+v.reserve(now, spec, domain) {
 			continue
 		}
-		found = append(found, choose(v, domain, vms, spec))
+		c := choose(v, domain, vms, spec)
+		if spec.Pool != "" && c.fetches > 0 {
+			// Members that hold the weights don't wait in a group for one that
+			// loads them: they may be needed for another before it is ready.
+			continue
+		}
+		found = append(found, c)
 	}
 	sort.SliceStable(found, func(i, j int) bool { return found[i].better(found[j]) })
 	return found
--- a/internal/controller/memory.go
+++ b/internal/controller/memory.go
@@ -40,6 +40,8 @@
 	loads []time.Time
 	// models holds what VMs of pools have in their accelerators.
 	models map[string]loadedModel
+	// domains holds the spec that each fabric domain of a pool serves.
+	domains map[string]blackboard.GroupSpec
 }
 
 type groupEpoch struct {
--- a/internal/controller/sharing.go
+++ b/internal/controller/sharing.go
@@ -9,40 +9,26 @@
 	"github.com/citronstep/citronstep/internal/evidence"
 )
 
-const (
-	// fill is the part of a pool's VMs that serving groups are to hold. The
-	// rest stand by, staged, for the members that fail.
-	//
-	// Load: members of serving groups fail every few seconds and many do not
-	// return. Harm: without a spare in the domain the survivors of a group stand
-	// idle until one comes. Reason for 0.82: in domains of nine it leaves two
-	// beside a group of four and one of three.
-	fill = 0.82
-	// storeWindow is the time over which loads are counted against the rate of
-	// the weight store.
-	storeWindow = 5 * time.Second
-)
-
-// wantedByShare returns how many groups a pooled spec should have: its share of
-// the VMs that are alive, in whole groups.
-func wantedByShare(v View, spec blackboard.GroupSpec) int {
-	total := 0.0
-	for _, other := range v.Board.Config.Groups {
-		if other.Pool == spec.Pool {
-			total += other.Share
-		}
-	}
-	if total <= 0 || spec.Share <= 0 {
-		return 0
-	}
-	living := 0
+// storeWindow is the time over which loads are counted against the rate of the
+// weight store.
+const storeWindow = 5 * time.Second
+
+// wantedOfPool returns how many groups a spec of a pool should have: as many as
+// the VMs of its domains make. What is left over in a domain stands by.
+func wantedOfPool(v View, spec blackboard.GroupSpec) int {
+	living := make(map[string]int)
 	for _, vm := range v.Board.VMs {
 		if vm.Pool == spec.Pool && !vm.Leaving && vm.Liveness != blackboard.Dead {
-			living++
+			living[vm.FabricDomain]++
 		}
 	}
-	groups := fill * float64(living) * spec.Share / total / float64(spec.VMsPerReplica)
-	return max(1, int(groups))
+	groups := 0
+	for domain, n := range living {
+		if v.Memory.domains[domain].Name == spec.Name {
+			groups += n / spec.VMsPerReplica
+		}
+	}
+	return groups
 }
 
 // loadsAllowed tells whether n more loads from the weight store may begin, and
@@ -93,71 +79,42 @@
 	a.moveGroup(g, blackboard.Loading, "the weight store has room", now)
 }
 
-// staging makes VMs that stand by load a model that their domain serves, of
-// these the one with the fewest ready for each group. A standby is a group of
-// one that is never opened: its next group has its weights in the accelerators
-// already and is ready in a fraction of a second, where weights on the host
-// would take one or two.
+// staging makes VMs that stand by load the model of their domain. A standby is
+// a group of one that is never opened: its next group has its weights in the
+// accelerators already and is ready in a fraction of a second, where weights on
+// the host would take one or two.
 func staging(v View, now time.Time, a *Actions) {
-	domains := make(map[string]*standby)
-	for _, g := range v.Board.Groups {
-		if g.Opens && (g.State == blackboard.Serving || g.State == blackboard.Loading || g.State == blackboard.Forming) {
-			domainOf(domains, g.FabricDomain).groups[g.Model]++
-		}
-	}
 	for _, id := range sortedKeys(v.Board.VMs) {
 		vm := v.Board.VMs[id]
 		if vm.Pool == "" || !vm.Free() || vm.Leaving || vm.Liveness != blackboard.Alive {
 			continue
 		}
-		domainOf(domains, vm.FabricDomain).add(v, vm)
-	}
-	for _, name := range sortedKeys(domains) {
-		domains[name].stage(v, now, a)
+		model := v.Memory.domains[vm.FabricDomain].Model
+		r, heard := v.Evidence.Get(id)
+		fresh := heard && r.Incarnation == vm.Incarnation && now.Sub(r.HeardAt) <= v.Evidence.RoutableAge()
+		if model == "" || !fresh || joining(r) || v.Memory.loaded(vm) == model {
+			continue
+		}
+		stageOne(v, now, a, vm, model)
 	}
 }
 
-// standby is what one fabric domain serves and what stands by in it.
-type standby struct {
-	groups map[string]int
-	staged map[string]int
-	idle   []blackboard.VM
-}
-
-func domainOf(domains map[string]*standby, name string) *standby {
-	d := domains[name]
-	if d == nil {
-		d = &standby{groups: make(map[string]int), staged: make(map[string]int)}
-		domains[name] = d
+func stageOne(v View, now time.Time, a *Actions, vm blackboard.VM, model string) {
+	e := v.Board.Config.Services[vm.Pool].Engine
+	if e == nil {
+		return
 	}
-	return d
-}
-
-func (d *standby) add(v View, vm blackboard.VM) {
-	if model := v.Memory.loaded(vm); d.groups[model] > 0 {
-		d.staged[model]++
+	perSecond := e.LoadsPerSecond
+	if untouched(v, vm.Pool) {
+		perSecond = 0
+	}
+	if o := v.Memory.orders[vm.ID]; o != nil && now.Sub(o.sentAt) < v.timing().Resend {
 		return
 	}
-	d.idle = append(d.idle, vm)
-}
-
-func (d *standby) stage(v View, now time.Time, a *Actions) {
-	for _, vm := range d.idle {
-		model := d.choose(v, vm)
-		r, heard := v.Evidence.Get(vm.ID)
-		if model == "" || !heard || r.Incarnation != vm.Incarnation || now.Sub(r.HeardAt) > v.Evidence.RoutableAge() {
-			continue
-		}
-		d.staged[model]++
-		if joining(r) {
-			continue
-		}
-		e := v.Board.Config.Services[vm.Pool].Engine
-		if e == nil || (!holdsWeights(v, vm.ID, model) && !v.Memory.loadsAllowed(now, e.LoadsPerSecond, 1)) {
-			continue
-		}
-		sendStandby(v, now, a, vm, model)
+	if !holdsWeights(v, vm.ID, model) && !v.Memory.loadsAllowed(now, perSecond, 1) {
+		return
 	}
+	sendStandby(v, now, a, vm, model)
 }
 
 // joining tells whether a VM is at a join already.
@@ -176,28 +133,6 @@
 	})
 }
 
-// choose prefers a model whose weights the VM's host has, if the domain has no
-// more than one standby fewer of another.
-func (d *standby) choose(v View, vm blackboard.VM) string {
-	best := d.neediest()
-	for _, model := range vm.Weights {
-		if d.groups[model] > 0 && d.staged[model] <= d.staged[best] {
-			return model
-		}
-	}
-	return best
-}
-
-func (d *standby) neediest() string {
-	best := ""
-	for _, model := range sortedKeys(d.groups) {
-		if best == "" || d.staged[model]*d.groups[best] < d.staged[best]*d.groups[model] {
-			best = model
-		}
-	}
-	return best
-}
-
 // noteModels notes which model each VM has in its accelerators: that of the last
 // group that it was ready in since its start.
 func (m *Memory) noteModels(v View) {
--- a/internal/controller/view.go
+++ b/internal/controller/view.go
@@ -87,6 +87,7 @@
 	v.Memory.cover(v, now)
 	v.Memory.watch(v, now)
 	v.Memory.noteModels(v)
+	v.Memory.domains = domainModels(v)
 	announcements(v, now, &a)
 	liveness(v, now, &a)
 	breaking(v, now, &a)
