Standby loads bounded by the store, nearest group first

Cause: twenty VMs loaded at once, and the store made each take three times as long.

Change: no more loads run than the store serves at full speed; the VM whose domain lacks fewest for its next group goes first.

--- a/internal/controller/sharing.go
+++ b/internal/controller/sharing.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"sort"
 	"strings"
 	"time"
 
@@ -84,37 +85,78 @@
 // accelerators already and is ready in a fraction of a second, where weights on
 // the host would take one or two.
 func staging(v View, now time.Time, a *Actions) {
+	wait, running := standbys(v, now)
+	for _, s := range wait {
+		stageOne(v, now, a, s, running)
+	}
+}
+
+// standby is a VM that has to load its domain's model.
+type standby struct {
+	vm    blackboard.VM
+	model string
+	// short is how many loaded VMs its domain lacks for its next group.
+	short int
+	// fetches says that the weights come from the store.
+	fetches bool
+}
+
+// standbys returns the VMs that have to load, those first whose domain is
+// nearest to its next group, and how many VMs of each pool load from the store.
+//
+// Load: half a domain comes back empty while others lack one member each. The
+// store serves a few loads at full speed; the first to end should make a group
+// whole.
+func standbys(v View, now time.Time) ([]standby, map[string]int) {
+	loaded := make(map[string]int)
+	running := make(map[string]int)
+	var wait []standby
 	for _, id := range sortedKeys(v.Board.VMs) {
 		vm := v.Board.VMs[id]
 		if vm.Pool == "" || !vm.Free() || vm.Leaving || vm.Liveness != blackboard.Alive {
 			continue
 		}
-		model := v.Memory.domains[vm.FabricDomain].Model
+		spec := v.Memory.domains[vm.FabricDomain]
 		r, heard := v.Evidence.Get(id)
 		fresh := heard && r.Incarnation == vm.Incarnation && now.Sub(r.HeardAt) <= v.Evidence.RoutableAge()
-		if model == "" || !fresh || joining(r) || v.Memory.loaded(vm) == model {
-			continue
+		switch {
+		case spec.Model == "" || !fresh:
+		case joining(r):
+			loaded[vm.FabricDomain]++
+			if !holdsWeights(v, id, spec.Model) {
+				running[vm.Pool]++
+			}
+		case v.Memory.loaded(vm) == spec.Model:
+			loaded[vm.FabricDomain]++
+		default:
+			wait = append(wait, standby{vm: vm, model: spec.Model, fetches: !holdsWeights(v, id, spec.Model)})
 		}
-		stageOne(v, now, a, vm, model)
 	}
+	for i := range wait {
+		size := v.Memory.domains[wait[i].vm.FabricDomain].VMsPerReplica
+		wait[i].short = size - loaded[wait[i].vm.FabricDomain]%size
+	}
+	sort.SliceStable(wait, func(i, j int) bool { return wait[i].short < wait[j].short })
+	return wait, running
 }
 
-func stageOne(v View, now time.Time, a *Actions, vm blackboard.VM, model string) {
-	e := v.Board.Config.Services[vm.Pool].Engine
+func stageOne(v View, now time.Time, a *Actions, s standby, running map[string]int) {
+	e := v.Board.Config.Services[s.vm.Pool].Engine
 	if e == nil {
 		return
 	}
-	perSecond := e.LoadsPerSecond
-	if untouched(v, vm.Pool) {
-		perSecond = 0
-	}
-	if o := v.Memory.orders[vm.ID]; o != nil && now.Sub(o.sentAt) < v.timing().Resend {
+	if o := v.Memory.orders[s.vm.ID]; o != nil && now.Sub(o.sentAt) < v.timing().Resend {
 		return
 	}
-	if !holdsWeights(v, vm.ID, model) && !v.Memory.loadsAllowed(now, perSecond, 1) {
-		return
+	if s.fetches && !untouched(v, s.vm.Pool) {
+		if running[s.vm.Pool] >= max(1, e.LoadsAtOnce) || !v.Memory.loadsAllowed(now, e.LoadsPerSecond, 1) {
+			return
+		}
+	}
+	if s.fetches {
+		running[s.vm.Pool]++
 	}
-	sendStandby(v, now, a, vm, model)
+	sendStandby(v, now, a, s.vm, s.model)
 }
 
 // joining tells whether a VM is at a join already.
