Pools: models divided among domains by counting domains; a flapping VM waits 8 s at most

Cause: at a start the VMs of a domain announce themselves one after the other, and models were chosen by the first of them: 4 domains of 6 for the model with half of the share (grown).

--- a/internal/controller/domains.go
+++ b/internal/controller/domains.go
@@ -13,45 +13,45 @@
 // the next group within half a second. A domain keeps its model while it has a
 // group of it; an empty one gets the model that is furthest below its share.
 func domainModels(v View) map[string]blackboard.GroupSpec {
-	sizes := make(map[string]map[string]int)
+	domains := make(map[string]map[string]bool)
 	for _, vm := range v.Board.VMs {
 		if vm.Pool == "" || vm.Leaving || vm.Liveness == blackboard.Dead {
 			continue
 		}
-		if sizes[vm.Pool] == nil {
-			sizes[vm.Pool] = make(map[string]int)
+		if domains[vm.Pool] == nil {
+			domains[vm.Pool] = make(map[string]bool)
 		}
-		sizes[vm.Pool][vm.FabricDomain]++
+		domains[vm.Pool][vm.FabricDomain] = true
 	}
 	models := make(map[string]blackboard.GroupSpec)
-	for _, pool := range sortedKeys(sizes) {
-		assignPool(v, pool, sizes[pool], models)
+	for _, pool := range sortedKeys(domains) {
+		assignPool(v, pool, sortedKeys(domains[pool]), models)
 	}
 	return models
 }
 
 // assignPool gives the domains of one pool their models.
-func assignPool(v View, pool string, sizes map[string]int, models map[string]blackboard.GroupSpec) {
+func assignPool(v View, pool string, domains []string, models map[string]blackboard.GroupSpec) {
 	specs := poolSpecs(v, pool)
 	if len(specs) == 0 {
 		return
 	}
 	held := heldModels(v, pool)
-	given := make(map[string]float64)
+	given := make(map[string]int)
 	var open []string
-	for _, domain := range sortedKeys(sizes) {
+	for _, domain := range domains {
 		spec, ok := held[domain]
 		if !ok {
 			open = append(open, domain)
 			continue
 		}
 		models[domain] = spec
-		given[spec.Name] += float64(sizes[domain])
+		given[spec.Name]++
 	}
 	for _, domain := range open {
-		spec := furthestBelow(specs, given, sizes[domain])
+		spec := furthestBelow(specs, given)
 		models[domain] = spec
-		given[spec.Name] += float64(sizes[domain])
+		given[spec.Name]++
 	}
 }
 
@@ -103,12 +103,14 @@
 	return held
 }
 
-// furthestBelow returns the spec whose part of the VMs, with n more, would be
-// the smallest against its share.
-func furthestBelow(specs []blackboard.GroupSpec, given map[string]float64, n int) blackboard.GroupSpec {
+// furthestBelow returns the spec with the fewest domains against its share, as
+// the Sainte-Laguë method divides seats. Domains are counted and not their VMs:
+// at a start a domain's first VMs announce themselves before the others, and its
+// model would be chosen by a part of it.
+func furthestBelow(specs []blackboard.GroupSpec, given map[string]int) blackboard.GroupSpec {
 	best := specs[0]
 	for _, spec := range specs[1:] {
-		if (given[spec.Name]+float64(n)/2)/spec.Share < (given[best.Name]+float64(n)/2)/best.Share {
+		if (float64(given[spec.Name])+0.5)/spec.Share < (float64(given[best.Name])+0.5)/best.Share {
 			best = spec
 		}
 	}
--- a/internal/controller/liveness.go
+++ b/internal/controller/liveness.go
@@ -195,9 +195,10 @@
 	if vm.Flaps == 0 {
 		return true
 	}
-	need := settleMost
+	most := v.timing().SettleMost
+	need := most
 	if vm.Flaps < 6 {
-		need = min(settleMost, v.timing().Settle<<vm.Flaps)
+		need = min(most, v.timing().Settle<<vm.Flaps)
 	}
 	age := now.UnixMilli() - vm.SinceMillis
 	return age < 0 || age >= need.Milliseconds()
--- a/internal/controller/timing.go
+++ b/internal/controller/timing.go
@@ -15,8 +15,9 @@
 	Start time.Duration
 	// Resend is when an order that shows no effect is sent again.
 	Resend time.Duration
-	// Settle is the first wait of a VM that returned, see steady.
-	Settle time.Duration
+	// Settle is the first wait of a VM that returned, SettleMost the longest; see
+	// steady.
+	Settle, SettleMost time.Duration
 	// Stall is how long the head of a group that lost a member goes on as if
 	// nothing had happened, before it gives up by itself. Only groups that open
 	// have it.
@@ -32,7 +33,7 @@
 		value time.Duration
 	}{
 		{&t.Paused, pausedAfter}, {&t.Dead, deadAfter}, {&t.Fault, faultPatience}, {&t.Start, startLimit},
-		{&t.Resend, resendAfter}, {&t.Settle, settleFirst}, {&t.Stall, DefaultStall},
+		{&t.Resend, resendAfter}, {&t.Settle, settleFirst}, {&t.SettleMost, settleMost}, {&t.Stall, DefaultStall},
 	} {
 		if *d.field == 0 {
 			*d.field = d.value
--- a/internal/node/adapter.go
+++ b/internal/node/adapter.go
@@ -89,6 +89,7 @@
 	t.Start = quickStart
 	t.Resend = quickResend
 	t.Settle = quickSettle
+	t.SettleMost = quickSettleMost
 	return t
 }
 
@@ -109,4 +110,7 @@
 	quickStart  = 6e9   // 6 s: an order that is carried out late may still come
 	quickResend = 700e6 // 700 ms: several times an order's answer and the report that follows
 	quickSettle = 250e6 // 250 ms
+	// quickSettleMost is 8 s: a VM that flaps costs its group a second each time,
+	// one that is left out strands its accelerators.
+	quickSettleMost = 8e9
 )
