--- a/internal/controller/domains.go
+++ b/internal/controller/domains.go
@@ -12,6 +12,10 @@
 // group wait for a load. With one model a domain, whatever lives in it can form
 // the next group within half a second. A domain keeps its model while it has a
 // group of it; an empty one gets the model that is furthest below its share.
+//
+// A choice stands from when it is made. Made anew with each domain that comes
+// to be known, it changed while the VMs of the first ones were loading, and a
+// pool of six domains ended with two of one model and four of the other.
 func domainModels(v View) map[string]blackboard.GroupSpec {
 	domains := make(map[string]map[string]bool)
 	for _, vm := range v.Board.VMs {
@@ -42,6 +46,10 @@
 	for _, domain := range domains {
 		spec, ok := held[domain]
 		if !ok {
+			// What this leader chose before stands: the VMs are loading it.
+			spec, ok = v.Board.Config.Groups[v.Memory.domains[domain].Name]
+		}
+		if !ok || spec.Pool != pool {
 			open = append(open, domain)
 			continue
 		}
--- a/internal/controller/opening_sim_test.go
+++ b/internal/controller/opening_sim_test.go
@@ -62,6 +62,8 @@
 	orders  []poolOrder
 	ready   map[string]bool
 	served  time.Duration
+	// load is how long weights take from the store.
+	load time.Duration
 	faulty  bool
 }
 
@@ -74,7 +76,7 @@
 func newPoolWorld(t *testing.T, seed uint64, domains, each int) *poolWorld {
 	w := &poolWorld{
 		t: t, r: rand.New(rand.NewPCG(seed, 99)), now: simStart, board: blackboard.New(),
-		table: evidence.NewTable("e", 1), ready: make(map[string]bool), term: 1,
+		table: evidence.NewTable("e", 1), ready: make(map[string]bool), term: 1, load: 14 * time.Second,
 	}
 	w.table.SetInterval(simBeat)
 	w.memory = NewMemory(w.now, 0)
@@ -242,7 +244,7 @@
 	case e.staged == o.Model:
 		delay = 1500 * time.Millisecond
 	default:
-		delay = 14 * time.Second
+		delay = w.load
 	}
 	e.group, e.epoch, e.members, e.model, e.staged, e.lostAt = o.Group, o.Token.Epoch, members, o.Model, o.Model, time.Time{}
 	e.phase, e.phaseAt, e.beatAt = backend.PhaseLoading, w.now.Add(delay), w.now
@@ -398,6 +400,28 @@
 	assert.DeepEqual(t, w.serving(), map[string]int{"wide": 6, "narrow": 9})
 }
 
+// The domains of a pool come to be known one after the other, the first by name
+// last, and each while the VMs of the one before are loading. The model that a
+// domain was given must stand, and all be divided by their shares in the end.
+func TestDomainsThatComeOneByOneKeepTheirModels(t *testing.T) {
+	w := newPoolWorld(t, 4, 0, 0)
+	view := View{Board: w.board, Evidence: w.table, Memory: w.memory}
+	given := make(map[string]string)
+	counts := make(map[string]int)
+	for d := 5; d >= 0; d-- {
+		domain := fmt.Sprintf("d%d", d)
+		w.apply(&blackboard.PutVM{VM: blackboard.VM{ID: domain, Incarnation: "1", Pool: "pool", FabricDomain: domain}})
+		view.Board = w.board
+		w.memory.domains = domainModels(view)
+		given[domain] = w.memory.domains[domain].Name
+		counts[given[domain]]++
+		for known, model := range given {
+			assert.Equal(t, w.memory.domains[known].Name, model, "%s when %s came", known, domain)
+		}
+	}
+	assert.DeepEqual(t, counts, map[string]int{"wide": 3, "narrow": 3})
+}
+
 // A member of a serving group dies. The group must serve again on the domain's
 // standby within two seconds of the entries' word, and no VM stay in the old
 // one.
