--- a/cmd/citronstepd/main.go
+++ b/cmd/citronstepd/main.go
@@ -17,6 +17,7 @@
 	"github.com/juju/errors"
 
 	"github.com/citronstep/citronstep/internal/invariant"
+	"github.com/citronstep/citronstep/internal/logsink"
 	"github.com/citronstep/citronstep/internal/node"
 	"github.com/citronstep/citronstep/internal/settings"
 	"github.com/citronstep/citronstep/platform"
@@ -29,8 +30,24 @@
 	exitCutShort = 3
 )
 
+// logs takes the log to standard output without ever waiting for its reader.
+var logs = logsink.New(os.Stdout)
+
+// closeTimeout bounds the wait for a reader of the log at the end.
+const closeTimeout = time.Second
+
 func main() {
-	os.Exit(run())
+	code := run()
+	closed := make(chan struct{})
+	go func() {
+		logs.Close()
+		close(closed)
+	}()
+	select {
+	case <-closed:
+	case <-time.After(closeTimeout):
+	}
+	os.Exit(code)
 }
 
 func run() int {
@@ -75,7 +92,7 @@
 }
 
 func newLogger(name string) log.Logger {
-	logger := log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr))
+	logger := log.NewLogfmtLogger(logs)
 	logger = log.With(logger, "ts", log.DefaultTimestampUTC)
 	return level.NewFilter(logger, level.Allow(level.ParseDefault(name, level.InfoValue())))
 }
@@ -89,8 +106,8 @@
 	reloads  chan os.Signal
 	// file is where the settings came from; empty for -dev.
 	file string
-	done     chan error
-	stop     context.CancelFunc
+	done chan error
+	stop context.CancelFunc
 }
 
 // startNode makes the node of the settings and runs it.
--- a/internal/blackboard/compress.go
+++ b/internal/blackboard/compress.go
@@ -5,6 +5,7 @@
 	"compress/gzip"
 	"encoding/json"
 	"io"
+	"sync"
 
 	"github.com/juju/errors"
 )
@@ -13,11 +14,16 @@
 // board with thousands of routes takes a few megabytes.
 const maxUncompressed = 64 << 20
 
+// compressors are kept between uses: a new one takes most of a megabyte.
+var compressors = sync.Pool{New: func() any { return gzip.NewWriter(io.Discard) }}
+
 // pack returns data compressed. Configurations repeat their field names and
 // take a tenth of their size, and each goes to every entry.
 func pack(data []byte) ([]byte, error) {
 	var b bytes.Buffer
-	z := gzip.NewWriter(&b)
+	z := compressors.Get().(*gzip.Writer)
+	defer compressors.Put(z)
+	z.Reset(&b)
 	if _, err := z.Write(data); err != nil {
 		return nil, errors.Trace(err)
 	}
--- a/internal/blackboard/config.go
+++ b/internal/blackboard/config.go
@@ -27,7 +27,7 @@
 	Routes   map[string]Route       `json:"routes,omitempty"`
 	Services map[string]ServiceSpec `json:"services,omitempty"`
 	Limits   CallerLimits           `json:"limits"`
-	// Document is the whole configuration as sent, compressed.
+	// Document is the whole configuration as the operator sent it.
 	Document []byte `json:"document,omitempty"`
 }
 
--- a/internal/blackboard/replace.go
+++ b/internal/blackboard/replace.go
@@ -16,8 +16,8 @@
 	Services   []ServiceSpec `json:"services"`
 	Workspaces []Workspace   `json:"workspaces"`
 	Limits     CallerLimits  `json:"limits"`
-	// Document is the configuration as the operator sent it, compressed, kept
-	// for reading back.
+	// Document is the configuration as the operator sent it, kept for reading
+	// back.
 	Document []byte `json:"document,omitempty"`
 }
 
--- a/internal/controller/opening_sim_test.go
+++ b/internal/controller/opening_sim_test.go
@@ -21,7 +21,7 @@
 	address, id, domain string
 	sequence            uint64
 	starts              int
-	alive, gone, cut    bool
+	alive, cut          bool
 	backAt, cutUntil    time.Time
 	// What it has been told.
 	group   string
@@ -41,7 +41,6 @@
 type poolOrder struct {
 	at   time.Time
 	to   string
-	id   string
 	from *Memory
 	plan PlannedOrder
 	// answered says that the sender hears of it.
@@ -63,8 +62,8 @@
 	ready   map[string]bool
 	served  time.Duration
 	// load is how long weights take from the store.
-	load time.Duration
-	faulty  bool
+	load   time.Duration
+	faulty bool
 }
 
 const (
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -125,7 +125,7 @@
 	SamePort bool `toml:"same_port"`
 }
 
-// Log are the settings of the log on standard error.
+// Log are the settings of the log on standard output.
 type Log struct {
 	// Level is debug, info, warn or error.
 	Level string `toml:"level"`
--- a/test/process/harness/process.go
+++ b/test/process/harness/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"io"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -55,7 +56,7 @@
 	}
 	command := exec.Command(p.path, p.args...)
 	stdout := &lineBuffer{}
-	command.Stdout = stdout
+	command.Stdout = io.MultiWriter(stdout, log)
 	command.Stderr = log
 	command.Env = append(os.Environ(), "CITRONSTEP_INVARIANTS_FATAL=1")
 	command.SysProcAttr = dieWithTest()
@@ -141,7 +142,7 @@
 	return p.status
 }
 
-// Log returns all that the process has written to standard error.
+// Log returns all that the process has written.
 func (p *Process) Log() string {
 	text, _ := os.ReadFile(p.logPath)
 	return string(text)
