Three entries must see a group silent together before it is broken

Cause: while a link loses packets, streams that cross it pause for a fifth of a second; an entry with one stream of a group took the group for lost and the leader took its word.

Ruled out: packet loss at the engines' side (other streams of these groups moved).

Change: the leader believes three entries within 250 ms, two that last a second or one that lasts two; an entry gives a group up by itself with three silent streams, or after a silence longer than a packet's resend.

--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -130,8 +130,9 @@
 // read before the board, so that a board read under it is this leader's.
 func (s *Server) step(ctx context.Context, o *office) bool {
 	now := time.Now()
-	view := controller.View{Timing: s.o.Timing, Stalled: s.stalledGroups(now), LeaseUntil: now.Add(s.o.Consensus.LeaseRemaining())}
+	view := controller.View{Timing: s.o.Timing, LeaseUntil: now.Add(s.o.Consensus.LeaseRemaining())}
 	view.Board, _ = s.o.Machine.Board()
+	view.Stalled = s.stalledGroups(now, view.Board)
 	view.Term = view.Board.TermBase + o.term
 	if view.Board.ClusterID == "" {
 		return false
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -76,8 +76,8 @@
 	term   uint64
 	events *eventLog
 	meter  meter
-	// stalled holds what entries told of groups without progress.
-	stalled map[controller.StalledGroup]time.Time
+	// stalls holds what entries told of groups without progress.
+	stalls *controller.Stalls
 	// woken asks for a step before its time.
 	woken chan struct{}
 	// sampled is when the metrics were last fed; Run alone uses it.
@@ -86,7 +86,7 @@
 
 // NewServer returns a server; Run makes it work.
 func NewServer(o Options) *Server {
-	return &Server{o: o, woken: make(chan struct{}, 1), stalled: make(map[controller.StalledGroup]time.Time), events: newEventLog(), leases: newLeases(o.Lease, clock.Now())}
+	return &Server{o: o, woken: make(chan struct{}, 1), stalls: controller.NewStalls(), events: newEventLog(), leases: newLeases(o.Lease, clock.Now())}
 }
 
 // leading returns the term that this process leads, or a typed refusal that
--- a/internal/control/stalled.go
+++ b/internal/control/stalled.go
@@ -6,14 +6,12 @@
 
 	"github.com/go-kit/log/level"
 
+	"github.com/citronstep/citronstep/internal/blackboard"
 	"github.com/citronstep/citronstep/internal/controller"
 	"github.com/citronstep/citronstep/internal/failure"
 	"github.com/citronstep/citronstep/internal/rpc/noderpc"
 )
 
-// stalledMemory is how long an entry's word on a group is kept.
-const stalledMemory = 5 * time.Second
-
 // Suspect takes an entry's word that groups make no progress. The entries have
 // requests running on them and so see it seconds before silence of a member
 // would show.
@@ -27,7 +25,8 @@
 	now := time.Now()
 	s.mu.Lock()
 	for _, g := range r.Groups {
-		s.stalled[controller.StalledGroup{Group: g.Group, Epoch: g.Epoch}] = now
+		group := controller.StalledGroup{Group: g.Group, Epoch: g.Epoch}
+		s.stalls.Note(now, r.EntryId, group, time.Duration(g.SilentMs)*time.Millisecond)
 	}
 	s.mu.Unlock()
 	for _, g := range r.Groups {
@@ -46,17 +45,15 @@
 	}
 }
 
-// stalledGroups returns what entries told of late.
-func (s *Server) stalledGroups(now time.Time) map[controller.StalledGroup]time.Time {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	out := make(map[controller.StalledGroup]time.Time, len(s.stalled))
-	for g, at := range s.stalled {
-		if now.Sub(at) > stalledMemory {
-			delete(s.stalled, g)
-			continue
+// stalledGroups returns the groups that entries are believed to see stand still.
+func (s *Server) stalledGroups(now time.Time, board *blackboard.Board) map[controller.StalledGroup]time.Time {
+	entries := 0
+	for _, e := range board.Entries {
+		if e.Address != "" {
+			entries++
 		}
-		out[g] = at
 	}
-	return out
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stalls.Stalled(now, entries)
 }
--- a/internal/controller/opening_sim_test.go
+++ b/internal/controller/opening_sim_test.go
@@ -32,6 +32,11 @@
 	phaseAt time.Time
 	model   string
 	staged  string
+	// last is the head of the last group that it was in since its start, and
+	// that group, also once it has left.
+	last      string
+	lastGroup string
+	lastEpoch uint64
 	// lostAt is when an open head lost a member.
 	lostAt time.Time
 	beatAt time.Time
@@ -108,7 +113,7 @@
 	e.id = e.address + "#" + strconv.Itoa(e.starts)
 	e.alive, e.sequence, e.highest = true, 0, 0
 	e.leave(now)
-	e.model = ""
+	e.model, e.last = "", ""
 	e.beatAt = now
 }
 
@@ -134,13 +139,11 @@
 	return fmt.Sprint(id, group, epoch, members)
 }
 
-// head returns the engine that heads e's group, if it still does.
+// head returns the engine that heads the group that e was last in, if it still
+// does: a member that has left an open group is not free to join another.
 func (w *poolWorld) head(e *poolEngine) *poolEngine {
-	if len(e.members) == 0 {
-		return nil
-	}
-	h := w.engine(e.members[0])
-	if h == nil || !h.alive || h.group != e.group || h.epoch != e.epoch {
+	h := w.engine(e.last)
+	if h == nil || !h.alive || h.group != e.lastGroup || h.epoch != e.lastEpoch {
 		return nil
 	}
 	return h
@@ -231,10 +234,12 @@
 	if same {
 		return fmt.Sprint(members) == fmt.Sprint(e.members)
 	}
-	if h := w.head(e); h != nil {
+	// An order that comes late may take it into the group that it has left.
+	again := e.lastGroup == o.Group && e.lastEpoch == o.Token.Epoch
+	if h := w.head(e); h != nil && !again {
 		serving := h.phase == backend.PhaseOpen || h.phase == backend.PhaseClosing
 		assert.Assert(w.t, !serving, "%s joins %s epoch %d while %s, the head of its group %s epoch %d, is %s",
-			e.id, o.Group, o.Token.Epoch, h.id, e.group, e.epoch, h.phase)
+			e.id, o.Group, o.Token.Epoch, h.id, e.lastGroup, e.lastEpoch, h.phase)
 	}
 	e.highest = o.Token.Epoch
 	delay := 200 * time.Millisecond
@@ -246,6 +251,7 @@
 		delay = w.load
 	}
 	e.group, e.epoch, e.members, e.model, e.staged, e.lostAt = o.Group, o.Token.Epoch, members, o.Model, o.Model, time.Time{}
+	e.last, e.lastGroup, e.lastEpoch = members[0], o.Group, o.Token.Epoch
 	e.phase, e.phaseAt, e.beatAt = backend.PhaseLoading, w.now.Add(delay), w.now
 	return true
 }
--- a/internal/entry/progress.go
+++ b/internal/entry/progress.go
@@ -29,6 +29,15 @@
 	// stallHold is how long such a group gets nothing new from this entry if the
 	// leader does not break it.
 	stallHold = 3 * time.Second
+	// severalStreams is from how many silent streams on the group itself is the
+	// likely cause, and not one connection.
+	severalStreams = 3
+	// lossAllowance is what a lost packet adds to a pause: the least time after
+	// which TCP sends it again, twice.
+	lossAllowance = 400 * time.Millisecond
+	// tellAgain and tellLast are when the leader hears of a silence again.
+	tellAgain = time.Second
+	tellLast  = 2 * time.Second
 	// suspectTimeout bounds the call that tells the leader.
 	suspectTimeout = time.Second
 )
@@ -57,6 +66,8 @@
 	begun int
 	// last is when any of them last brought one.
 	last time.Time
+	// told is how many of tellAt this silence has passed.
+	told int
 	// heldUntil is set once the group was taken for stalled.
 	heldUntil time.Time
 }
@@ -87,6 +98,7 @@
 		p.begun++
 	}
 	p.last = now
+	p.told = 0
 }
 
 // ended notes the end of a stream that had begun.
@@ -96,6 +108,36 @@
 	p.begun--
 }
 
+// lost tells whether this entry should give the group up by itself: several of
+// its streams are silent, or one for longer than a lost packet takes to come
+// again. The leader, which hears all entries, is mostly quicker.
+func (p *groupProgress) lost(quiet time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.begun >= severalStreams {
+		return quiet > p.patience
+	}
+	return quiet > p.patience+lossAllowance
+}
+
+// due tells whether the leader should hear of a silence, which is when it
+// begins to count, and again when it has lasted.
+func (p *groupProgress) due(quiet time.Duration) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	passed := 0
+	for _, at := range []time.Duration{p.patience, tellAgain, tellLast} {
+		if quiet > at {
+			passed++
+		}
+	}
+	if passed <= p.told {
+		return false
+	}
+	p.told = passed
+	return true
+}
+
 // silent returns for how long all begun streams have brought nothing, 0 if
 // there are none.
 func (p *groupProgress) silent(now time.Time) time.Duration {
@@ -147,29 +189,36 @@
 	}
 }
 
-// checkProgress gives up groups whose streams have all ceased, and tells the
-// leader of them.
+// checkProgress tells the leader of groups whose streams have all ceased, and
+// gives up those that are surely lost.
 func (s *Server) checkProgress(now time.Time) {
 	var silent []*noderpc.SuspectGroup
 	for k, p := range s.progress {
 		quiet := p.silent(now)
-		if quiet <= p.patience || p.ctx.Err() != nil {
+		if quiet <= p.patience {
 			continue
 		}
-		p.hold(now.Add(stallHold))
-		p.cancel(errGroupLost)
-		_ = level.Info(s.o.Logger).Log("event", "group_stalled", "group", k.group, "epoch", k.epoch, "silent_ms", quiet.Milliseconds())
-		silent = append(silent, &noderpc.SuspectGroup{Group: k.group, Epoch: k.epoch, SilentMs: quiet.Milliseconds()})
-	}
-	if len(silent) == 0 {
-		return
+		if p.due(quiet) {
+			silent = append(silent, &noderpc.SuspectGroup{Group: k.group, Epoch: k.epoch, SilentMs: quiet.Milliseconds()})
+		}
+		if p.ctx.Err() == nil && p.lost(quiet) {
+			s.giveUpGroup(now, k, p, quiet)
+		}
 	}
-	s.updateRoutes()
-	if s.o.Suspects != nil {
+	if len(silent) > 0 && s.o.Suspects != nil {
 		go s.suspectGroups(silent)
 	}
 }
 
+// giveUpGroup ends this entry's attempts on a group and sends it nothing more for
+// a while.
+func (s *Server) giveUpGroup(now time.Time, k groupEpoch, p *groupProgress, quiet time.Duration) {
+	p.hold(now.Add(stallHold))
+	p.cancel(errGroupLost)
+	_ = level.Info(s.o.Logger).Log("event", "group_stalled", "group", k.group, "epoch", k.epoch, "silent_ms", quiet.Milliseconds())
+	s.updateRoutes()
+}
+
 // suspectGroups tells the leader once; if the call is lost, the leader finds
 // the member's silence, only later.
 func (s *Server) suspectGroups(groups []*noderpc.SuspectGroup) {
--- a/internal/entry/progress_test.go
+++ b/internal/entry/progress_test.go
@@ -74,3 +74,21 @@
 	assert.Equal(t, patienceWith(c, "other"), stallAfter)
 	assert.Equal(t, patienceWith(c, "none"), stallAfter)
 }
+
+// A link loses packets: an entry's one stream pauses for longer than a pass. The
+// entry tells the leader once and goes on waiting; with several streams silent,
+// or one for long, it gives the group up.
+func TestOneSilentStreamIsNotALostGroup(t *testing.T) {
+	at := time.Unix(0, 0)
+	p := newGroupProgress(250 * time.Millisecond)
+	p.event(at, true)
+	assert.Assert(t, p.due(300*time.Millisecond))
+	assert.Assert(t, !p.due(400*time.Millisecond), "told once")
+	assert.Assert(t, !p.lost(400*time.Millisecond))
+	assert.Assert(t, p.lost(700*time.Millisecond))
+	assert.Assert(t, p.due(1100*time.Millisecond), "told again")
+	p.event(at, true)
+	p.event(at, true)
+	assert.Assert(t, p.lost(300*time.Millisecond))
+	assert.Assert(t, p.due(300*time.Millisecond), "a new silence")
+}
