Callers' idle connections are closed when an entry begins to refuse

Cause: a caller that kept a connection idle since before the stop spent its one retry on a refusal. Ruled out for the rest of the refusals: the balancer, which sends to all of a data centre whose entries stop one after the other.

--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -236,9 +236,9 @@
 }
 
 // Drain stops gracefully: readiness goes off, the balancer gets its time, new
-// work is refused, and running work finishes. It returns false when the
-// context ended first.
-func (s *Server) Drain(ctx context.Context) bool {
+// work is refused, and running work finishes. refusing is called when new work
+// begins to be refused. It returns false when the context ended first.
+func (s *Server) Drain(ctx context.Context, refusing func()) bool {
 	s.leaving.Store(true)
 	wait := time.NewTimer(time.Duration(s.o.Settings.BalancerMillis) * time.Millisecond)
 	defer wait.Stop()
@@ -249,6 +249,7 @@
 	s.gate.Lock()
 	s.draining.Store(true)
 	s.gate.Unlock()
+	refusing()
 	finished := make(chan struct{})
 	go func() {
 		s.work.Wait()
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -12,13 +12,26 @@
 // ended first.
 func (n *Node) Drain(ctx context.Context) bool {
 	n.handOver(ctx)
-	if n.entry != nil && !n.entry.Drain(ctx) {
+	if n.entry != nil && !n.entry.Drain(ctx, n.closeIdleCallers) {
 		return false
 	}
 	_ = level.Info(n.logger).Log("event", "drained_jobs")
 	return n.shutServers(ctx)
 }
 
+// closeIdleCallers ends the callers' connections that carry no request.
+//
+// Failure: a caller has kept a connection idle since before the stop and knows
+// nothing of it; its next request is refused, and the one retry that it has is
+// used up. Closed, it sends that request to another entry in the first place.
+func (n *Node) closeIdleCallers() {
+	for _, l := range n.servers {
+		if l.name == "callers" {
+			l.server.SetKeepAlivesEnabled(false)
+		}
+	}
+}
+
 // handOverTimeout is a few election timeouts: a leader that can't hand over in
 // that time is replaced by an election when it stops.
 const handOverTimeout = 2 * time.Second
