--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -37,8 +37,6 @@
 	// requests that it has are done.
 	OrderOpen  OrderKind = "open"
 	OrderClose OrderKind = "close"
-	// OrderStage makes the engine fetch a model's weights to its host.
-	OrderStage OrderKind = "stage"
 )
 
 // GroupMember is one VM of a serving group, as an order names it.
--- /dev/null
+++ b/internal/control/watch_test.go
@@ -0,0 +1,124 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"gotest.tools/v3/assert"
+
+	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/raft"
+	"github.com/citronstep/citronstep/internal/replica"
+	"github.com/citronstep/citronstep/internal/rpc/noderpc"
+)
+
+// applying is a consensus replica that leads and applies at once.
+type applying struct {
+	machine *Machine
+	voters  int
+	// after is the voters once a command was proposed; 0 leaves them.
+	after int
+}
+
+func (a *applying) Propose(_ context.Context, command []byte) ([]byte, error) {
+	result := a.machine.Apply(1, command)
+	if a.after > 0 {
+		a.voters = a.after
+	}
+	return result, nil
+}
+
+func (a *applying) ReadBarrier(context.Context) error        { return nil }
+func (a *applying) LeaseRemaining() time.Duration            { return time.Minute }
+func (a *applying) Found(context.Context) error              { return nil }
+func (a *applying) TransferLeadership(context.Context) error { return nil }
+
+func (a *applying) Status() replica.Status {
+	s := replica.Status{Founded: true, Term: 1}
+	for i := range a.voters {
+		s.Members = append(s.Members, raft.Member{ID: raft.NodeID(i + 1), Address: fmt.Sprint("m", i)})
+	}
+	return s
+}
+
+func leadingServer(t *testing.T, minDisks, voters int) (*Server, *applying) {
+	t.Helper()
+	m := NewMachine()
+	c := &applying{machine: m, voters: voters}
+	s := NewServer(Options{Machine: m, Consensus: c, Logger: log.NewNopLogger(), Lease: time.Second, MinDisks: minDisks})
+	var verdict blackboard.Verdict
+	assert.NilError(t, s.commitBoard(context.Background(), &blackboard.Found{ClusterID: "c"}, &verdict))
+	assert.NilError(t, s.commitBoard(context.Background(), &blackboard.PutEntry{Entry: blackboard.Entry{ID: "e"}}, &verdict))
+	return s, c
+}
+
+func wholeConfiguration(version uint64) *blackboard.ReplaceConfiguration {
+	return &blackboard.ReplaceConfiguration{
+		Version:  version,
+		Services: []blackboard.ServiceSpec{{Name: strings.Repeat("x", int(version%7)+1)}},
+		Document: []byte(fmt.Sprint(version, strings.Repeat(" padding", 100))),
+	}
+}
+
+// All processes restart after hundreds of changes, and each entry asks for all
+// that has happened. Sent as commands that is more than the leader's link
+// carries in the time of a watch, and no entry ever catches up. It must be a
+// snapshot of what is left of them, and a short way behind still commands.
+func TestAnEntryFarBehindGetsASnapshot(t *testing.T) {
+	s, _ := leadingServer(t, 0, 1)
+	for v := range uint64(300) {
+		var outcome blackboard.ReplaceOutcome
+		assert.NilError(t, s.commitBoard(context.Background(), wholeConfiguration(v+1), &outcome))
+		assert.Assert(t, outcome.Replaced)
+	}
+	far, err := s.answerWatch(&noderpc.WatchRequest{EntryId: "e"})
+	assert.NilError(t, err)
+	assert.Equal(t, len(far.Commands), 0)
+	assert.Assert(t, len(far.Snapshot) > 0 && len(far.Snapshot) < maxCatchUp, "%d bytes", len(far.Snapshot))
+	board, err := blackboard.Decode(far.Snapshot)
+	assert.NilError(t, err)
+	assert.Equal(t, board.Config.Version, uint64(300))
+	assert.Equal(t, board.Revision, far.Revision)
+
+	near, err := s.answerWatch(&noderpc.WatchRequest{EntryId: "e", HaveRevision: far.Revision - 2})
+	assert.NilError(t, err)
+	assert.Equal(t, len(near.Commands), 2)
+	assert.Equal(t, len(near.Snapshot), 0)
+	assert.DeepEqual(t, near.ControlAddresses, []string{"m0"})
+}
+
+// A cluster has just been founded and has one voter, or loses voters while a
+// change is committed. The loss of that one disk would lose the change, so it
+// must not be acknowledged until a majority is as many disks as asked for.
+func TestNoAcknowledgementOnTooFewDisks(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		voters, after int
+		want          string
+	}{
+		{"one voter", 1, 0, "no"},
+		{"four voters", 4, 0, ""},
+		{"five voters", 5, 0, ""},
+		{"three voters", 3, 0, "no"},
+		{"falls to three meanwhile", 5, 3, "unknown"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s, consensus := leadingServer(t, 3, c.voters)
+			consensus.after = c.after
+			encoded, err := blackboard.Encode(wholeConfiguration(4))
+			assert.NilError(t, err)
+			_, err = s.proposeDurably(context.Background(), Wrap(noderpc.Machine_MACHINE_BOARD, encoded))
+			if c.want == "" {
+				assert.NilError(t, err)
+				return
+			}
+			assert.ErrorContains(t, err, "too few control VMs")
+			board, _ := s.o.Machine.Board()
+			assert.Equal(t, board.Config.Version == 0, c.want == "no", "what is said not to be written is not")
+		})
+	}
+}
--- a/internal/entry/finish.go
+++ b/internal/entry/finish.go
@@ -46,12 +46,21 @@
 		go s.release(j, false, false)
 	}
 	j.answer.fail(&c)
-	_ = level.Info(s.o.Logger).Log("event", "refuse", "request", j.id, "type", c.Type, "ran", c.Ran, "reason", c.Message)
+	s.logRefusal(j, &c)
 	if j.claimed {
 		s.settle(j, &c, mayHaveRun)
 	}
 }
 
+// logRefusal writes why a request that was taken got no answer, with what
+// decided it.
+func (s *Server) logRefusal(j *job, e *failure.Error) {
+	_ = level.Info(s.o.Logger).Log("event", "refuse", "request", j.id, "type", e.Type, "ran", e.Ran, "reason", e.Message,
+		"class", j.class, "workspace", j.workspace, "model", j.model, "tokens", j.tokens(), "attempts", j.attempts,
+		"queued_ms", j.queued.Milliseconds(), "left_ms", time.Until(j.deadline).Milliseconds(),
+		"retry_after_ms", e.RetryAfter.Milliseconds(), "config", s.o.Follower.Board().Config.Revision)
+}
+
 // meter records the request's final answer.
 func (s *Server) meter(j *job, e *failure.Error) {
 	r := metrics.Request{
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -81,7 +81,10 @@
 	if e == nil {
 		return nil
 	}
-	_ = level.Info(s.o.Logger).Log("event", "refuse", "request", f.ID, "type", e.Type, "ran", e.Ran, "reason", e.Message)
+	if j == nil {
+		_ = level.Info(s.o.Logger).Log("event", "refuse", "request", f.ID, "type", e.Type, "ran", e.Ran, "reason", e.Message,
+			"at", "door", "config", s.o.Follower.Board().Config.Revision)
+	}
 	if j != nil && j.forward.begun {
 		panic(http.ErrAbortHandler)
 	}
@@ -180,6 +183,7 @@
 	defer stop()
 	j.ctx = ctx
 	if _, e := s.beginJob(j); e != nil {
+		s.logRefusal(j, e)
 		return e
 	}
 	defer s.work.Done()
--- a/internal/entry/routing_table.go
+++ b/internal/entry/routing_table.go
@@ -25,6 +25,16 @@
 	s.dispatcher.setPolicy(p)
 }
 
+// MaxBodyBytes returns how large a caller's body may be by the configuration in
+// force, or most if it does not say or says more.
+func (s *Server) MaxBodyBytes(most int64) int64 {
+	table := s.routing.Load()
+	if table == nil || table.config.Limits.MaxBodyBytes <= 0 {
+		return most
+	}
+	return min(most, table.config.Limits.MaxBodyBytes)
+}
+
 // callersEntries returns how many entries take callers' requests and so share
 // the limit on retries.
 func callersEntries(b *blackboard.Board) int {
--- a/internal/node/adapter.go
+++ b/internal/node/adapter.go
@@ -105,12 +105,15 @@
 // within a second or two.
 const (
 	// quickStep is what the leader adds to each turn of a repair at most.
-	quickStep   = 50e6
-	quickFault  = 300e6 // 300 ms: an announcement under way passes
-	quickStart  = 6e9   // 6 s: an order that is carried out late may still come
-	quickResend = 700e6 // 700 ms: several times an order's answer and the report that follows
-	quickSettle = 250e6 // 250 ms
-	// quickSettleMost is 8 s: a VM that flaps costs its group a second each time,
-	// one that is left out strands its accelerators.
-	quickSettleMost = 8e9
+	quickStep = 50 * time.Millisecond
+	// quickFault lets an announcement pass that was under way.
+	quickFault = 300 * time.Millisecond
+	// quickStart is within which an order that is carried out late mostly comes.
+	quickStart = 6 * time.Second
+	// quickResend is several times an order's answer and the report that follows.
+	quickResend = 700 * time.Millisecond
+	// quickSettle and quickSettleMost: a VM that flaps costs its group a second
+	// each time, one that is left out strands its accelerators.
+	quickSettle     = 250 * time.Millisecond
+	quickSettleMost = 8 * time.Second
 )
--- a/test/process/harness/process.go
+++ b/test/process/harness/process.go
@@ -128,6 +128,9 @@
 // Terminate asks the process to end by SIGTERM, and does not wait.
 func (p *Process) Terminate() { p.signal(syscall.SIGTERM) }
 
+// Reload asks the process by SIGHUP to read its settings again.
+func (p *Process) Reload() { p.signal(syscall.SIGHUP) }
+
 // Wait waits for the end and returns the exit status, which is -1 for an end
 // by signal. The test fails when the process has not ended in time.
 func (p *Process) Wait(timeout time.Duration) int {
