Names of the stall reports; entries log the configuration that they take in

Cause: reading the diff as a newcomer: words, beliefs and untouched pools are metaphors; and a log did not tell when an entry took a configuration in.

Change: reports that are confirmed, pools that have never served, an event configuration_taken with revision and version.

--- a/internal/control/stalled.go
+++ b/internal/control/stalled.go
@@ -12,7 +12,7 @@
 	"github.com/citronstep/citronstep/internal/rpc/noderpc"
 )
 
-// Suspect takes an entry's word that groups make no progress. The entries have
+// Suspect takes an entry's report that groups make no progress. The entries have
 // requests running on them and so see it seconds before silence of a member
 // would show.
 func (s *Server) Suspect(_ context.Context, r *noderpc.SuspectRequest) (*noderpc.SuspectReply, error) {
--- a/internal/controller/opening.go
+++ b/internal/controller/opening.go
@@ -31,7 +31,7 @@
 //
 // Failure: a group opens with a member that never joined, and answers are made
 // by half a model. The engines do not look, so the order to open is sent only
-// on each member's own word, under the incarnation that was asked to join.
+// on each member's own report, under the incarnation that was asked to join.
 func continueOpening(v View, now time.Time, a *Actions, g blackboard.Group) {
 	ready, open := 0, false
 	for rank, m := range g.Members {
@@ -97,7 +97,7 @@
 //
 // Failure: a member joins another group while the head of its old one still
 // takes requests, and the VM works for two groups. Proof that the head has
-// stopped is one of three: its own word, a new incarnation of it, or, while it
+// stopped is one of three: its own report, a new incarnation of it, or, while it
 // is silent, that another member has left it for longer than Timing.Stall,
 // after which it gives up by itself wherever it is.
 func releaseOpened(v View, now time.Time, a *Actions, g blackboard.Group) (held int) {
@@ -121,7 +121,7 @@
 	return held
 }
 
-// headEnded tells whether the head has left the epoch by its own word. A late
+// headEnded tells whether the head has left the epoch by its own report. A late
 // order to open this epoch does nothing on a head that has left it.
 func headEnded(v View, now time.Time, g blackboard.Group) bool {
 	head := g.Head()
--- a/internal/controller/sharing.go
+++ b/internal/controller/sharing.go
@@ -70,7 +70,7 @@
 // startOpening lets a group of a pool load when the weight store has room.
 func startOpening(v View, now time.Time, a *Actions, g blackboard.Group) {
 	perSecond := 0.0
-	if e := engineOf(v, g.Spec); e != nil && !untouched(v, v.Board.Config.Groups[g.Spec].Pool) {
+	if e := engineOf(v, g.Spec); e != nil && !neverServed(v, v.Board.Config.Groups[g.Spec].Pool) {
 		perSecond = e.LoadsPerSecond
 	}
 	n := fetching(v, g)
@@ -148,7 +148,7 @@
 	if o := v.Memory.orders[s.vm.ID]; o != nil && now.Sub(o.sentAt) < v.timing().Resend {
 		return
 	}
-	if s.fetches && !untouched(v, s.vm.Pool) {
+	if s.fetches && !neverServed(v, s.vm.Pool) {
 		if running[s.vm.Pool] >= max(1, e.LoadsAtOnce) || !v.Memory.loadsAllowed(now, e.LoadsPerSecond, 1) {
 			return
 		}
@@ -203,9 +203,9 @@
 	return ""
 }
 
-// untouched tells whether no group of the pool has served yet. Nobody waits for
+// neverServed tells whether no group of the pool has served yet. Nobody waits for
 // an answer then, and the weight store is there for the start alone.
-func untouched(v View, pool string) bool {
+func neverServed(v View, pool string) bool {
 	for _, g := range v.Board.Groups {
 		if g.Opens && v.Board.Config.Groups[g.Spec].Pool == pool && g.State != blackboard.Forming && g.State != blackboard.Loading {
 			return false
--- a/internal/controller/stalls.go
+++ b/internal/controller/stalls.go
@@ -8,7 +8,7 @@
 	//
 	// Load: a link loses one packet in forty; each stream that crosses it stands
 	// still for a fifth of a second now and then, and each entry has one or two
-	// streams of a group. Harm of taking one entry's word: all groups behind the
+	// streams of a group. Harm of acting on one entry's report: all groups behind the
 	// link are broken, one after the other, and their streams with them. Reason
 	// for three within stallTogether: streams that lose packets do so each at a
 	// time of its own; those of a group that stands still all stop in one pass.
@@ -19,65 +19,66 @@
 	// too, and a packet is seldom lost three times in a row.
 	longStall    = time.Second
 	lastingStall = 2 * time.Second
-	// stallMemory is how long an entry's word is kept.
+	// stallMemory is how long an entry's report is kept.
 	stallMemory = 5 * time.Second
 )
 
 // Stalls gathers what entries say of groups that make no progress, and decides
-// when to believe them. It is not safe for concurrent use.
+// when they confirm each other. It is not safe for concurrent use.
 type Stalls struct {
-	words map[StalledGroup]map[string]stallWord
+	reports map[StalledGroup]map[string]stallReport
 }
 
-// stallWord is what one entry last said of a group.
-type stallWord struct {
+// stallReport is what one entry last said of a group.
+type stallReport struct {
 	at     time.Time
 	silent time.Duration
 }
 
 // NewStalls returns Stalls that have heard nothing.
-func NewStalls() *Stalls { return &Stalls{words: make(map[StalledGroup]map[string]stallWord)} }
+func NewStalls() *Stalls { return &Stalls{reports: make(map[StalledGroup]map[string]stallReport)} }
 
-// Note takes an entry's word that all its streams on a group have been silent
+// Note takes an entry's report that all its streams on a group have been silent
 // for so long.
 func (s *Stalls) Note(now time.Time, entry string, g StalledGroup, silent time.Duration) {
-	if s.words[g] == nil {
-		s.words[g] = make(map[string]stallWord)
+	if s.reports[g] == nil {
+		s.reports[g] = make(map[string]stallReport)
 	}
-	s.words[g][entry] = stallWord{now, silent}
+	s.reports[g][entry] = stallReport{now, silent}
 }
 
-// Stalled returns the groups that are believed to stand still, and since when
-// they are. entries is how many take callers' requests.
+// Stalled returns the groups whose stall is confirmed, each with the time now.
+// entries is how many take callers' requests.
 func (s *Stalls) Stalled(now time.Time, entries int) map[StalledGroup]time.Time {
 	out := make(map[StalledGroup]time.Time)
-	for g, words := range s.words {
-		if believed(now, words, entries) {
+	for g, reports := range s.reports {
+		if confirmed(now, reports, entries) {
 			out[g] = now
 		}
-		for entry, word := range words {
-			if now.Sub(word.at) > stallMemory {
-				delete(words, entry)
+		for entry, report := range reports {
+			if now.Sub(report.at) > stallMemory {
+				delete(reports, entry)
 			}
 		}
-		if len(words) == 0 {
-			delete(s.words, g)
+		if len(reports) == 0 {
+			delete(s.reports, g)
 		}
 	}
 	return out
 }
 
-func believed(now time.Time, words map[string]stallWord, entries int) bool {
+// confirmed tells whether the reports on one group bear each other out.
+func confirmed(now time.Time, reports map[string]stallReport, entries int) bool {
 	together, long := 0, 0
-	for _, word := range words {
-		age := now.Sub(word.at)
+	for _, report := range reports {
+		age := now.Sub(report.at)
 		if age <= stallTogether {
 			together++
 		}
-		if word.silent >= longStall && age <= longStall {
+		if report.silent >= longStall && age <= longStall {
 			long++
 		}
-		if word.silent >= lastingStall && age <= stallTogether {
+		if report.silent >= lastingStall && age <= stallTogether {
 			return true
 		}
 	}
--- a/internal/controller/stalls_test.go
+++ b/internal/controller/stalls_test.go
@@ -26,8 +26,8 @@
 }
 
 // A member dies. All entries with streams on the group find it silent within
-// one pass, and it is believed at the third of them.
-func TestAStallIsBelievedWhenEntriesSeeItTogether(t *testing.T) {
+// one pass, and it is confirmed at the third of them.
+func TestAStallIsConfirmedWhenEntriesSeeItTogether(t *testing.T) {
 	s, g := NewStalls(), StalledGroup{"g", 1}
 	for i, want := range []bool{false, false, true} {
 		now := simStart.Add(time.Duration(i) * 40 * time.Millisecond)
@@ -40,8 +40,8 @@
 }
 
 // A group that only one entry uses loses a member. Nobody else can say so; it
-// is believed once it has lasted.
-func TestAStallThatOneEntrySeesIsBelievedWhenItLasts(t *testing.T) {
+// is confirmed once it has lasted.
+func TestAStallThatOneEntrySeesIsConfirmedWhenItLasts(t *testing.T) {
 	s, g := NewStalls(), StalledGroup{"g", 1}
 	for _, c := range []struct {
 		silent time.Duration
@@ -57,9 +57,9 @@
 	assert.Assert(t, stalled, "with one entry in all, its word is all there is")
 }
 
-func TestWordsAreForgotten(t *testing.T) {
+func TestReportsAreForgotten(t *testing.T) {
 	s := NewStalls()
 	s.Note(simStart, "entry", StalledGroup{"g", 1}, time.Second)
 	s.Stalled(simStart.Add(2*stallMemory), 9)
-	assert.Equal(t, len(s.words), 0)
+	assert.Equal(t, len(s.reports), 0)
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"github.com/juju/errors"
 	"github.com/labstack/echo/v4"
 
@@ -128,6 +129,10 @@
 func (s *Server) BoardChanged(b *blackboard.Board) {
 	s.entriesChanged(b)
 	if b.Config.Revision != s.policyRevision {
+		if s.policyRevision != 0 || b.Config.Version != 0 {
+			_ = level.Info(s.o.Logger).Log("event", "configuration_taken", "revision", b.Config.Revision, "version", b.Config.Version,
+				"board", b.Revision)
+		}
 		s.policyRevision = b.Config.Revision
 		s.takeConfiguration(b)
 	}
