--- a/internal/blackboard/apply_bench_test.go
+++ b/internal/blackboard/apply_bench_test.go
@@ -6,7 +6,7 @@
 )
 
 // BenchmarkApply is one command of a controller on a board of the size of
-// letter 1, as each replica and each entry applies it:
+// docs/CAPACITY.md, as each replica and each entry applies it:
 //
 //	go test -run '^$' -bench BenchmarkApply -benchmem ./internal/blackboard
 func BenchmarkApply(b *testing.B) {
--- a/internal/controller/run_bench_test.go
+++ b/internal/controller/run_bench_test.go
@@ -11,7 +11,7 @@
 )
 
 // BenchmarkRun is one run of all controllers with nothing to do, and the time
-// to take one digest line, at today's size and at the size of letter 1:
+// to take one digest line, at today's size and at the size of docs/CAPACITY.md:
 //
 //	go test -run '^$' -bench BenchmarkRun -benchmem ./internal/controller
 func BenchmarkRun(b *testing.B) {
--- a/test/capacity/slopes_test.go
+++ b/test/capacity/slopes_test.go
@@ -16,7 +16,7 @@
 	"github.com/citronstep/citronstep/internal/record"
 )
 
-// vmsPerGroup is the size of a replica at the size of letter 1.
+// vmsPerGroup is the size of a replica at the size of docs/CAPACITY.md.
 const vmsPerGroup = 8
 
 var epoch = time.Unix(1_000_000, 0)
