Whole configurations by the product's own admin API and citronstep replace

Cause: routes by host and path, services with engine figures, and workspaces with several keys and a priority came in through the platform's adapter alone.

Change: POST /admin/v1/whole-configuration takes a blackboard.ReplaceConfiguration, the same command that the adapter writes, acknowledged under the same rule of disks; citronstep replace reads it from TOML, with the place of each fault, and waits until it is in force. Documents of apply take more_keys_sha256 and priority of workspaces as well.

Ruled out: making apply take both kinds of document. Rows that are merged and a whole that replaces differ in what a missing row means.

--- a/internal/adminapi/adminapi.go
+++ b/internal/adminapi/adminapi.go
@@ -15,6 +15,9 @@
 	// PathConfiguration: GET answers blackboard.Configuration; POST takes a
 	// blackboard.ConfigChange and answers ChangeReply.
 	PathConfiguration = "/admin/v1/configuration"
+	// PathWholeConfiguration: POST takes a blackboard.ReplaceConfiguration and
+	// answers ReplaceReply. It is safe to resend.
+	PathWholeConfiguration = "/admin/v1/whole-configuration"
 	// PathInForce: GET with ?revision=N, answers InForce.
 	PathInForce = "/admin/v1/in-force"
 	// PathEvents: GET with ?after=SEQUENCE&wait_ms=N, answers Events.
@@ -38,6 +41,16 @@
 	Revision uint64 `json:"revision"`
 }
 
+// ReplaceReply answers a whole configuration.
+type ReplaceReply struct {
+	// Version is the operators' number of the configuration that is accepted now,
+	// Revision its configuration revision.
+	Version  uint64 `json:"version"`
+	Revision uint64 `json:"revision"`
+	// Replaced is false when a version at least as high was accepted before.
+	Replaced bool `json:"replaced"`
+}
+
 // InForce says whether a configuration revision is in force everywhere: each
 // entry holds it, or its lease has run out and it admits nothing.
 type InForce struct {
--- a/internal/control/whole_configuration.go
+++ b/internal/control/whole_configuration.go
@@ -3,9 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"net/http"
+	"strconv"
 
 	"github.com/juju/errors"
+	"github.com/labstack/echo/v4"
 
+	"github.com/citronstep/citronstep/internal/adminapi"
 	"github.com/citronstep/citronstep/internal/blackboard"
 	"github.com/citronstep/citronstep/internal/failure"
 	"github.com/citronstep/citronstep/internal/rpc/noderpc"
@@ -20,6 +24,20 @@
 // another process. An error says by its type whether the outcome is known; the
 // command may be sent again, as a version is taken in once.
 func (s *Server) Replace(ctx context.Context, through Committer, c *blackboard.ReplaceConfiguration) (blackboard.ReplaceOutcome, error) {
+	return replaceBy(c, func(encoded []byte) ([]byte, error) {
+		board, _ := s.o.Machine.Board()
+		if board.ClusterID == "" {
+			return nil, failure.New(failure.TypeNotFounded, "this process has not joined the cluster yet").WithRan(failure.RanNo)
+		}
+		return through.Commit(ctx, &noderpc.CommitRequest{
+			ClusterId: board.ClusterID, Machine: noderpc.Machine_MACHINE_BOARD, Command: encoded,
+		})
+	})
+}
+
+// replaceBy checks a whole configuration, has it written by commit and reads the
+// outcome.
+func replaceBy(c *blackboard.ReplaceConfiguration, commit func(encoded []byte) ([]byte, error)) (blackboard.ReplaceOutcome, error) {
 	var outcome blackboard.ReplaceOutcome
 	if e := c.Check(); e != nil {
 		return outcome, e
@@ -28,13 +46,7 @@
 	if err != nil {
 		return outcome, errors.Trace(err)
 	}
-	board, _ := s.o.Machine.Board()
-	if board.ClusterID == "" {
-		return outcome, failure.New(failure.TypeNotFounded, "this process has not joined the cluster yet").WithRan(failure.RanNo)
-	}
-	data, err := through.Commit(ctx, &noderpc.CommitRequest{
-		ClusterId: board.ClusterID, Machine: noderpc.Machine_MACHINE_BOARD, Command: encoded,
-	})
+	data, err := commit(encoded)
 	if err != nil {
 		return outcome, errors.Trace(err)
 	}
@@ -47,6 +59,28 @@
 	return outcome, nil
 }
 
+// postWholeConfiguration takes a whole configuration from an operator.
+func (s *Server) postWholeConfiguration(c echo.Context) error {
+	var whole blackboard.ReplaceConfiguration
+	if err := decode(c, &whole); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(c.Request().Context(), adminTimeout)
+	defer cancel()
+	outcome, err := replaceBy(&whole, func(encoded []byte) ([]byte, error) {
+		return s.proposeDurably(ctx, Wrap(noderpc.Machine_MACHINE_BOARD, encoded))
+	})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	board, _ := s.o.Machine.Board()
+	version := strconv.FormatUint(outcome.Version, 10)
+	s.event("configuration", version, "whole configuration of version "+version+" accepted")
+	return c.JSON(http.StatusOK, adminapi.ReplaceReply{
+		Version: outcome.Version, Revision: board.Config.Revision, Replaced: outcome.Replaced,
+	})
+}
+
 // Newest returns the configuration in force, if this process leads and so
 // surely knows it; else a failure of type not_leader, with the leader's peer
 // address as its detail if one is known.
--- a/internal/tomlfile/decode.go
+++ b/internal/tomlfile/decode.go
@@ -89,6 +89,10 @@
 
 func (d *Document) fill(key string, to reflect.Value, value any) {
 	switch to.Kind() {
+	case reflect.Pointer:
+		to.Set(reflect.New(to.Type().Elem()))
+		d.fill(key, to.Elem(), value)
+		return
 	case reflect.Struct:
 		if tree, ok := value.(map[string]any); ok {
 			d.fillStruct(key, to, tree)
@@ -148,6 +152,10 @@
 			to.SetInt(v)
 			return true
 		}
+		if to.CanUint() && v >= 0 && !to.OverflowUint(uint64(v)) {
+			to.SetUint(uint64(v))
+			return true
+		}
 		if to.CanFloat() {
 			to.SetFloat(float64(v))
 			return true
@@ -169,6 +177,8 @@
 		return "true or false"
 	case reflect.Int, reflect.Int64:
 		return "a whole number"
+	case reflect.Uint64:
+		return "a whole number of 0 or more"
 	case reflect.Float64:
 		return "a finite number"
 	case reflect.Slice:
--- a/internal/tool/document.go
+++ b/internal/tool/document.go
@@ -26,15 +26,20 @@
 // documentWorkspace names its key by a file or by the key's hash, so that no
 // document holds a key.
 type documentWorkspace struct {
-	Name      string `toml:"name"`
-	KeyFile   string `toml:"key_file"`
-	KeySHA256 string `toml:"key_sha256"`
-	Share     int    `toml:"share"`
-	MaxOpen   int    `toml:"max_open"`
+	Name           string   `toml:"name"`
+	KeyFile        string   `toml:"key_file"`
+	KeySHA256      string   `toml:"key_sha256"`
+	MoreKeysSHA256 []string `toml:"more_keys_sha256"`
+	Priority       int      `toml:"priority"`
+	Share          int      `toml:"share"`
+	MaxOpen        int      `toml:"max_open"`
 }
 
 func (w documentWorkspace) workspace() blackboard.Workspace {
-	return blackboard.Workspace{Name: w.Name, KeySHA256: w.KeySHA256, Share: w.Share, MaxOpen: w.MaxOpen}
+	return blackboard.Workspace{
+		Name: w.Name, KeySHA256: w.KeySHA256, MoreKeysSHA256: w.MoreKeysSHA256,
+		Priority: w.Priority, Share: w.Share, MaxOpen: w.MaxOpen,
+	}
 }
 
 // loadedDocument is a checked document with the places of its keys.
@@ -77,9 +82,12 @@
 	return hex.EncodeToString(sum[:])
 }
 
-func (d *loadedDocument) resolveKeys(folder string) {
-	for i := range d.Workspaces {
-		w := &d.Workspaces[i]
+func (d *loadedDocument) resolveKeys(folder string) { resolveKeys(d.source, d.Workspaces, folder) }
+
+// resolveKeys reads the keys that workspaces name by a file.
+func resolveKeys(source *tomlfile.Document, workspaces []documentWorkspace, folder string) {
+	for i := range workspaces {
+		w := &workspaces[i]
 		if w.KeyFile == "" || w.KeySHA256 != "" {
 			continue
 		}
@@ -89,7 +97,7 @@
 		}
 		key, err := settings.ReadToken(path)
 		if err != nil {
-			d.source.Fault(elementKey("workspace", i, "key_file"), err.Error(),
+			source.Fault(elementKey("workspace", i, "key_file"), err.Error(),
 				"a file with the workspace's key, readable by its owner or group only")
 			continue
 		}
@@ -102,6 +110,8 @@
 	hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
 )
 
+const allowedHash = "64 lower-case hex digits: the SHA-256 of the key"
+
 const allowedName = "1 to 64 letters, digits, '.', '_' or '-', the first a letter or digit; each name once"
 
 func elementKey(array string, i int, key string) string {
@@ -146,7 +156,12 @@
 		case (w.KeyFile == "") == (w.KeySHA256 == ""):
 			d.source.Fault(key("key_file"), "one key is needed", "either key_file or key_sha256")
 		case w.KeySHA256 != "" && !hashPattern.MatchString(w.KeySHA256):
-			d.source.Fault(key("key_sha256"), strconv.Quote(w.KeySHA256), "64 lower-case hex digits: the SHA-256 of the key")
+			d.source.Fault(key("key_sha256"), strconv.Quote(w.KeySHA256), allowedHash)
+		}
+		for k, hash := range w.MoreKeysSHA256 {
+			if !hashPattern.MatchString(hash) {
+				d.source.Fault(key("more_keys_sha256["+strconv.Itoa(k)+"]"), strconv.Quote(hash), allowedHash)
+			}
 		}
 		d.atLeast(key("share"), int64(w.Share), 0)
 		d.atLeast(key("max_open"), int64(w.MaxOpen), 0)
--- a/internal/tool/fake_test.go
+++ b/internal/tool/fake_test.go
@@ -44,6 +44,7 @@
 	mux.HandleFunc("POST "+adminapi.PathInit, f.found)
 	mux.HandleFunc("GET "+adminapi.PathConfiguration, f.configuration)
 	mux.HandleFunc("POST "+adminapi.PathConfiguration, f.change)
+	mux.HandleFunc("POST "+adminapi.PathWholeConfiguration, f.replace)
 	mux.HandleFunc("GET "+adminapi.PathInForce, f.inForce)
 	mux.HandleFunc("GET "+adminapi.PathEvents, f.nextEvents)
 	f.Server = httptest.NewServer(f.authenticated(mux))
@@ -133,6 +134,14 @@
 	}
 }
 
+func (f *fakeAdmin) replace(w http.ResponseWriter, r *http.Request) {
+	var c blackboard.ReplaceConfiguration
+	_ = json.NewDecoder(r.Body).Decode(&c)
+	var outcome blackboard.ReplaceOutcome
+	_ = json.Unmarshal(f.apply(c), &outcome)
+	answer(w, adminapi.ReplaceReply{Version: outcome.Version, Revision: f.board.Config.Revision, Replaced: outcome.Replaced})
+}
+
 func (f *fakeAdmin) inForce(w http.ResponseWriter, r *http.Request) {
 	revision, _ := strconv.ParseUint(r.URL.Query().Get("revision"), 10, 64)
 	reply := adminapi.InForce{Revision: revision, InForce: f.pending <= 0}
--- /dev/null
+++ b/internal/tool/replace.go
@@ -0,0 +1,106 @@
+package tool
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/citronstep/citronstep/internal/adminapi"
+	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/tomlfile"
+)
+
+func replaceCommand() command {
+	return command{
+		name:      "replace",
+		arguments: "FILE.toml",
+		summary:   "Put a whole configuration of routes, services and workspaces in force",
+		details: `Sends the document as one whole: routes, services, workspaces and limits that it
+lacks are gone. Its version decides: the highest one ever accepted is in force, in
+whatever order documents arrive, so that it is safe to send one again. Waits until
+it is in force everywhere.
+
+Example: citronstep replace routes.toml
+`,
+		setup: func(set *flag.FlagSet) func(*invocation) error {
+			wait := set.Duration("wait", defaultWait, "how long to wait until the configuration is in force everywhere; 0 returns once it is accepted")
+			return func(i *invocation) error {
+				if err := i.want(1); err != nil {
+					return err
+				}
+				whole, err := loadWholeDocument(i.args[0])
+				if err != nil {
+					return err
+				}
+				return i.replace(whole, *wait)
+			}
+		},
+	}
+}
+
+// wholeDocument is what replace reads.
+type wholeDocument struct {
+	Version    uint64                   `toml:"version"`
+	Routes     []blackboard.Route       `toml:"route"`
+	Services   []blackboard.ServiceSpec `toml:"service"`
+	Workspaces []documentWorkspace      `toml:"workspace"`
+	Limits     blackboard.CallerLimits  `toml:"limits"`
+}
+
+// loadWholeDocument reads and checks the document at path. The error holds the
+// faults of the file with their places, or else what could not be carried out.
+func loadWholeDocument(path string) (*blackboard.ReplaceConfiguration, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, usagef("%v", err)
+	}
+	var d wholeDocument
+	source := tomlfile.Decode(path, data, &d)
+	if !source.SyntaxBroken() {
+		resolveKeys(source, d.Workspaces, filepath.Dir(path))
+	}
+	if err := source.Faults().OrNil(); err != nil {
+		return nil, err
+	}
+	whole := &blackboard.ReplaceConfiguration{Version: d.Version, Routes: d.Routes, Services: d.Services, Limits: d.Limits}
+	for _, w := range d.Workspaces {
+		whole.Workspaces = append(whole.Workspaces, w.workspace())
+	}
+	if e := whole.Check(); e != nil {
+		return nil, usagef("%s: %s (%s)", path, e.Message, e.Detail)
+	}
+	return whole, nil
+}
+
+// replace sends a whole configuration and waits until it is in force.
+func (i *invocation) replace(whole *blackboard.ReplaceConfiguration, wait time.Duration) error {
+	var reply adminapi.ReplaceReply
+	if err := i.admin.post(i.ctx, adminapi.PathWholeConfiguration, whole, &reply, ""); err != nil {
+		return errors.Trace(err)
+	}
+	waited := i.awaitInForce(wait, reply.Revision)
+	if i.json {
+		if err := i.printJSON(reply); err != nil {
+			return errors.Trace(err)
+		}
+		return waited
+	}
+	i.reportReplaced(whole.Version, reply, waited == nil && wait > 0)
+	return waited
+}
+
+func (i *invocation) reportReplaced(sent uint64, r adminapi.ReplaceReply, inForce bool) {
+	switch {
+	case r.Version > sent:
+		i.say("no change: version %d is newer than the %d that was sent", r.Version, sent)
+	case !r.Replaced:
+		i.say("no change: version %d was accepted before, as revision %d or earlier", r.Version, r.Revision)
+	case inForce:
+		i.say("version %d is accepted as revision %d and in force everywhere", r.Version, r.Revision)
+	default:
+		i.say("version %d is accepted as revision %d", r.Version, r.Revision)
+	}
+}
--- a/internal/tool/tool.go
+++ b/internal/tool/tool.go
@@ -44,7 +44,7 @@
 // commands returns all subcommands in the order of the help.
 func commands() []command {
 	return []command{
-		initCommand(), statusCommand(), applyCommand(), diffCommand(),
+		initCommand(), statusCommand(), applyCommand(), diffCommand(), replaceCommand(),
 		presetCommand(), workspaceCommand(), groupCommand(),
 		drainCommand(), undrainCommand(), eventsCommand(), loadCommand(),
 	}
