Entries begin with what a majority last knew while nobody leads

Change: an entry with serve_without_lease and no configuration asks all control processes at once, each until it answers, what they last knew. One that names a leader sends it there. With no leader, the newest board that a majority holds is taken without a lease; it is committed, so the leader's goes on from it. Requests that come in the first second of an entry wait for its first configuration. Connections between our processes are given up after 0.4 s.

What is left is the time that a restarted control process takes to apply its log.

--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -119,13 +119,42 @@
 		return nil, rpcError(err)
 	}
 	reply.Term = term
-	for _, m := range s.o.Consensus.Status().Members {
-		reply.ControlAddresses = append(reply.ControlAddresses, m.Address)
-	}
+	reply.ControlAddresses = s.controlAddresses()
 	reply.LeaseMs = s.o.Lease.Milliseconds()
 	return reply, nil
 }
 
+// LastKnown returns what this process has applied, leading or not, and the leader
+// if it knows one. An entry that has just started asks for it. What is applied is
+// committed, so the leader's board only ever goes on from it.
+func (s *Server) LastKnown(_ context.Context, r *noderpc.LastKnownRequest) (*noderpc.LastKnownReply, error) {
+	reply := &noderpc.LastKnownReply{
+		ControlAddresses: s.controlAddresses(), LeaderAddress: s.o.Consensus.Status().Leader.Address,
+	}
+	board, _ := s.o.Machine.Board()
+	if board.Config.Revision > 0 {
+		reply.Revision = board.Revision
+	}
+	if !r.Board || reply.Revision == 0 {
+		return reply, nil
+	}
+	snapshot, board, err := s.o.Machine.Encoded()
+	if err != nil {
+		return nil, rpcError(err)
+	}
+	reply.Snapshot, reply.Revision = snapshot, board.Revision
+	return reply, nil
+}
+
+// controlAddresses are the peer addresses of all control replicas.
+func (s *Server) controlAddresses() []string {
+	var addresses []string
+	for _, m := range s.o.Consensus.Status().Members {
+		addresses = append(addresses, m.Address)
+	}
+	return addresses
+}
+
 // grant notes the lease before the board is read. Noted after, a change
 // accepted in between would be reported in force while the answer, with the
 // board before it, gives a lapsed entry a fresh lease.
--- a/internal/control/watch_test.go
+++ b/internal/control/watch_test.go
@@ -122,3 +122,35 @@
 		})
 	}
 }
+
+// A control process whose disk was lost is back and has not caught up. An entry
+// that starts without a leader asks it; it must say that it holds nothing, and
+// once it holds a configuration it must give it whether it leads or not.
+func TestOnlyAConfigurationThatIsHeldIsGivenAsLastKnown(t *testing.T) {
+	empty := NewServer(Options{Machine: NewMachine(), Consensus: &applying{}, Logger: log.NewNopLogger()})
+	reply, err := empty.LastKnown(context.Background(), &noderpc.LastKnownRequest{Board: true})
+	assert.NilError(t, err)
+	assert.Equal(t, reply.Revision, uint64(0))
+	assert.Equal(t, len(reply.Snapshot), 0)
+
+	s, _ := leadingServer(t, 0, 3)
+	var outcome blackboard.ReplaceOutcome
+	assert.NilError(t, s.commitBoard(context.Background(), wholeConfiguration(7), &outcome))
+	s.o.Consensus = &follower{s.o.Consensus}
+	_, err = s.leading()
+	assert.ErrorContains(t, err, "does not lead")
+	reply, err = s.LastKnown(context.Background(), &noderpc.LastKnownRequest{})
+	assert.NilError(t, err)
+	assert.Equal(t, len(reply.Snapshot), 0)
+	reply, err = s.LastKnown(context.Background(), &noderpc.LastKnownRequest{Board: true})
+	assert.NilError(t, err)
+	board, err := blackboard.Decode(reply.Snapshot)
+	assert.NilError(t, err)
+	assert.Equal(t, board.Config.Version, uint64(7))
+	assert.Equal(t, len(reply.ControlAddresses), 3)
+}
+
+// follower is a consensus replica that does not lead.
+type follower struct{ Consensus }
+
+func (follower) LeaseRemaining() time.Duration { return 0 }
--- a/internal/entry/completion.go
+++ b/internal/entry/completion.go
@@ -59,6 +59,7 @@
 // takeCompletion reads and checks a completion request. It returns the job
 // and whether the answer is to be streamed.
 func (s *Server) takeCompletion(c echo.Context, d dialect) (*job, bool, *failure.Error) {
+	s.awaitConfiguration(c.Request().Context())
 	board := s.o.Follower.Board()
 	j, e := s.head(c.Request(), board)
 	if e != nil {
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -73,6 +73,7 @@
 // been written to w, and panics with http.ErrAbortHandler when the answer that
 // has begun can't be completed, so that no caller takes it for a whole one.
 func (s *Server) Forward(ctx context.Context, w http.ResponseWriter, f Forwarded) *failure.Error {
+	s.awaitConfiguration(ctx)
 	j, e := s.takeForward(f)
 	if e == nil {
 		j.forward.w = w
--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -80,7 +80,7 @@
 
 // routed is an entry with a plain service of three instances and a route of
 // each kind to it.
-func routed(t *testing.T, f *scripted) *Server {
+func unconfigured(t *testing.T, f *scripted) *Server {
 	t.Helper()
 	key := strings.Repeat("0", 64)
 	c := &blackboard.ReplaceConfiguration{
@@ -118,7 +118,13 @@
 		ID: "e", Settings: settings.Entry{MaxOpen: 10, Deaf: true, RampMillis: 1, RetryRatio: 1, RetriesPerSecond: 100},
 		Follower: follower, Hearing: heard, Logger: log.NewNopLogger(), Forwarder: f,
 	})
-	s.BoardChanged(board)
+	return s
+}
+
+// routed returns a server that has taken its configuration in.
+func routed(t *testing.T, f *scripted) *Server {
+	s := unconfigured(t, f)
+	s.BoardChanged(s.o.Follower.Board())
 	s.updateRoutes()
 	return s
 }
@@ -265,6 +271,34 @@
 	assert.Assert(t, s.Ready() != nil)
 }
 
+// All processes restart after a loss of power, and callers connect before this
+// entry has heard from the control processes. A caller that is refused spends its
+// only retry, and all come back in the same moment. Its request must wait for the
+// configuration, which is about to come, and be served.
+func TestARequestWaitsForTheFirstConfiguration(t *testing.T) {
+	s := unconfigured(t, &scripted{answers: []func(backend.ForwardCall) (*backend.ForwardAnswer, error){answering(200, "own", false)}})
+	answered := make(chan string)
+	go func() {
+		w, _, _ := send(s, Forwarded{Path: "/many/x"})
+		answered <- w.Body.String()
+	}()
+	s.updateRoutes()
+	s.BoardChanged(s.o.Follower.Board())
+	s.updateRoutes()
+	assert.Equal(t, <-answered, "own")
+}
+
+// The control processes are lost for good while an entry restarts. Nobody knows
+// when there will be a configuration, so callers must be told at once once the
+// first moment is over, and not each be held for it.
+func TestOnlyAYoungEntryLetsRequestsWait(t *testing.T) {
+	s := unconfigured(t, &scripted{})
+	s.started = time.Now().Add(-firstConfigurationWait)
+	_, e, _ := send(s, Forwarded{Path: "/many/x"})
+	assert.Equal(t, e.Type, failure.TypeUnavailable)
+	assert.Equal(t, e.Ran, failure.RanNo)
+}
+
 // The control processes are lost. An entry that is set to serve on does so
 // under the configuration that it has; any other refuses.
 func TestServingOnWithoutALease(t *testing.T) {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -100,6 +100,11 @@
 	policyRevision uint64
 	// routing is what requests of routes are judged by.
 	routing atomic.Pointer[routingTable]
+	// configured closes with the first configuration.
+	configured chan struct{}
+	configure  sync.Once
+	// started is when this process began.
+	started time.Time
 }
 
 // NewServer returns a server; Run keeps its routes.
@@ -114,6 +119,8 @@
 		boardChanged: make(chan struct{}, 1),
 		open:         make(map[string]route),
 		progress:     make(progressOf),
+		configured:   make(chan struct{}),
+		started:      time.Now(),
 	}
 	s.holders.unsure(time.Now())
 	s.dispatcher = newDispatcher(placement.Options{
@@ -136,6 +143,9 @@
 		s.policyRevision = b.Config.Revision
 		s.takeConfiguration(b)
 	}
+	if b.Config.Revision > 0 {
+		s.configure.Do(func() { close(s.configured) })
+	}
 	select {
 	case s.boardChanged <- struct{}{}:
 	default:
@@ -228,6 +238,38 @@
 	return s.mayDispatch()
 }
 
+// firstConfigurationWait is how long after its start an entry lets requests wait
+// for its first configuration.
+//
+// Load: an entry restarts, or all do, and callers connect before it has heard
+// from the control processes. Harm of refusing them: a caller has few retries and
+// spends one, and all come back in the same moment. Reason for the limit: with
+// control processes that answer, the configuration is there 0.3 s after the start;
+// where it is not after this, nobody knows when it will be, and callers are told
+// so at once.
+const firstConfigurationWait = time.Second
+
+// awaitConfiguration waits for the first configuration, if this process has only
+// just started.
+func (s *Server) awaitConfiguration(ctx context.Context) {
+	select {
+	case <-s.configured:
+		return
+	default:
+	}
+	left := firstConfigurationWait - time.Since(s.started)
+	if left <= 0 {
+		return
+	}
+	timer := time.NewTimer(left)
+	defer timer.Stop()
+	select {
+	case <-s.configured:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // drainingRetryAfter is short, as any other entry serves the caller at once.
 const drainingRetryAfter = 50 * time.Millisecond
 
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -62,8 +62,9 @@
 // takeCall reads and checks a call. A POST or PATCH counts as non-idempotent
 // unless the caller says otherwise.
 func (s *Server) takeCall(c echo.Context) (*job, *failure.Error) {
-	board := s.o.Follower.Board()
 	r := c.Request()
+	s.awaitConfiguration(r.Context())
+	board := s.o.Follower.Board()
 	j, e := s.head(r, board)
 	if e != nil {
 		return nil, e
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -17,9 +17,11 @@
 	"github.com/citronstep/citronstep/internal/rpc/noderpc"
 )
 
-// Watcher asks the leader what has changed.
+// Watcher asks the leader what has changed, and all control processes what they
+// last knew.
 type Watcher interface {
 	Watch(ctx context.Context, r *noderpc.WatchRequest) (*noderpc.WatchReply, error)
+	LastKnown(ctx context.Context) (*noderpc.LastKnownReply, error)
 }
 
 // Options are what a Follower is made of.
@@ -32,6 +34,9 @@
 	// OnControl is called with the peer addresses of the control replicas as
 	// the leader names them; nil if nobody needs them.
 	OnControl func([]string)
+	// StartWithoutLease lets an entry that holds no board begin with what the
+	// control processes last knew, while none of them leads.
+	StartWithoutLease bool
 }
 
 // Follower holds the newest board that it has applied. It is safe for
@@ -50,7 +55,8 @@
 //
 // It starts empty, never from a file, so that an entry that restarts after
 // hundreds of changes serves nothing under an old configuration: its first
-// lease comes with the leader's newest board.
+// lease comes with the leader's newest board. Options.StartWithoutLease trades
+// some of that for an earlier start.
 func New(o Options) *Follower {
 	return &Follower{o: o, board: blackboard.New()}
 }
@@ -97,13 +103,65 @@
 // Run follows the leader until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if err := f.step(ctx); err != nil {
+		if err := f.next(ctx); err != nil {
 			_ = level.Debug(f.o.Logger).Log("event", "watch_failed", "err", err)
 			pause(ctx, watchPause)
 		}
 	}
 }
 
+// next makes one call to the control processes.
+func (f *Follower) next(ctx context.Context) error {
+	if !f.o.StartWithoutLease || f.Board().Revision > 0 {
+		return f.step(ctx)
+	}
+	led, err := f.begin(ctx)
+	if err != nil || !led {
+		return errors.Trace(err)
+	}
+	return f.step(ctx)
+}
+
+// begin asks all control processes what they last knew. It tells whether there
+// is a leader to watch; while there is none, it takes the newest board that a
+// majority holds, without a lease.
+//
+// Load: all processes lose power and come back together. The entries listen
+// within 0.1 s, while the control processes may elect nobody before the promises
+// that they may have given an earlier leader have run out, and a VM that is
+// still without power lets a connection hang; measured, entries had a
+// configuration 1.1 s after they listened. Harm: all callers of that second are
+// refused, and come back at once on top of the others. The board holds what is
+// committed, so the leader's only ever goes on from it; it may lack the last
+// change until then.
+func (f *Follower) begin(ctx context.Context) (led bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	reply, err := f.o.Watcher.LastKnown(ctx)
+	if err != nil {
+		return false, errors.Trace(err)
+	}
+	f.tellControl(reply.ControlAddresses)
+	if reply.LeaderAddress != "" {
+		return true, nil
+	}
+	next, err := advance(f.Board(), &noderpc.WatchReply{Snapshot: reply.Snapshot})
+	if err != nil {
+		return false, errors.Trace(err)
+	}
+	_ = level.Info(f.o.Logger).Log("event", "started_without_leader", "board", next.Revision,
+		"configuration", next.Config.Revision, "reason", "no control process leads; this is what a majority last knew")
+	f.take(next, clock.Now(), 0)
+	return false, nil
+}
+
+// tellControl passes on where the control processes are.
+func (f *Follower) tellControl(addresses []string) {
+	if f.o.OnControl != nil {
+		f.o.OnControl(addresses)
+	}
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
@@ -136,9 +194,7 @@
 	if err != nil {
 		return errors.Trace(err)
 	}
-	if f.o.OnControl != nil {
-		f.o.OnControl(reply.ControlAddresses)
-	}
+	f.tellControl(reply.ControlAddresses)
 	f.take(next, asked, time.Duration(reply.LeaseMs)*time.Millisecond)
 	return nil
 }
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -9,6 +9,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/failure"
 	"github.com/citronstep/citronstep/internal/rpc/noderpc"
 )
 
@@ -20,10 +21,30 @@
 	snapshot bool
 	delay    time.Duration
 	asked    uint64
+	// leaderless refuses watches.
+	leaderless bool
+	// lastKnown counts the questions for what was last known.
+	lastKnown int
+}
+
+func (l *leader) LastKnown(context.Context) (*noderpc.LastKnownReply, error) {
+	l.lastKnown++
+	if !l.leaderless {
+		return &noderpc.LastKnownReply{LeaderAddress: "leader"}, nil
+	}
+	b := blackboard.New()
+	for _, c := range l.commands[:l.have] {
+		b, _, _ = b.Apply(c)
+	}
+	snapshot, err := b.Encode()
+	return &noderpc.LastKnownReply{Snapshot: snapshot, Revision: b.Revision, ControlAddresses: []string{"a"}}, err
 }
 
 func (l *leader) Watch(_ context.Context, r *noderpc.WatchRequest) (*noderpc.WatchReply, error) {
 	l.asked = r.HaveConfig
+	if l.leaderless {
+		return nil, failure.New(failure.TypeNotLeader, "this control process does not lead")
+	}
 	time.Sleep(l.delay)
 	reply := &noderpc.WatchReply{LeaseMs: 1000}
 	if !l.snapshot && r.HaveRevision <= uint64(l.have) {
@@ -95,3 +116,45 @@
 	assert.NilError(t, f.step(context.Background()))
 	assert.Assert(t, f.Lease() <= 700*time.Millisecond)
 }
+
+// following runs a follower until done tells it to end.
+func following(t *testing.T, f *Follower, done func() bool) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	f.o.OnChange = func(*blackboard.Board) {
+		if done() {
+			cancel()
+		}
+	}
+	f.Run(ctx)
+}
+
+// All processes lose power. The entries are back at once, and the control
+// processes may elect nobody for a while; all callers of that time would be
+// refused. The entry must begin with what was last known, without a lease, and
+// go on by the leader's word once there is one.
+func TestAnEntryBeginsWithoutALeader(t *testing.T) {
+	l := &leader{commands: commands(t), have: 2, leaderless: true}
+	f := newFollower(l)
+	f.o.StartWithoutLease = true
+	following(t, f, func() bool { return true })
+	assert.Equal(t, f.Board().Config.ActivePreset, "second")
+	assert.Equal(t, f.Lease(), time.Duration(0))
+	l.have, l.leaderless = 3, false
+	following(t, f, func() bool { return f.Board().Config.ActivePreset == "third" })
+	assert.Assert(t, f.Lease() > 0)
+	assert.Equal(t, l.lastKnown, 1)
+}
+
+// One entry restarts while the control processes have a leader. It must begin
+// with the leader's board and a lease, and not with another process's.
+func TestAnEntryBeginsWithTheLeaderIfThereIsOne(t *testing.T) {
+	l := &leader{commands: commands(t), have: 3}
+	f := newFollower(l)
+	f.o.StartWithoutLease = true
+	following(t, f, func() bool { return true })
+	assert.Equal(t, l.lastKnown, 1)
+	assert.Equal(t, f.Board().Config.ActivePreset, "third")
+	assert.Assert(t, f.Lease() > 0)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -138,7 +138,12 @@
 
 // Times of calls between our processes.
 const (
-	peerDialTimeout = time.Second
+	// A VM without power lets a connection hang; the farthest data centres of a
+	// deployment are a tenth of this away.
+	peerDialTimeout = 400 * time.Millisecond
+	// backendDialTimeout bounds a connection to a backend server, which may be
+	// slow to take one under load.
+	backendDialTimeout = time.Second
 	// peerIdle is how long an idle connection between our processes is kept.
 	peerIdle = 30 * time.Second
 	// peerCallTimeout bounds any call between our processes.
@@ -154,7 +159,7 @@
 		}},
 	}
 	n.backends = backend.NewHTTPClient(backend.Options{
-		Logger: n.logger, Secret: n.tokens.backend, DialTimeout: peerDialTimeout,
+		Logger: n.logger, Secret: n.tokens.backend, DialTimeout: backendDialTimeout,
 		HeaderTimeout: time.Duration(n.settings.Entry.HeaderTimeoutMillis) * time.Millisecond,
 	})
 	return nil
@@ -219,7 +224,7 @@
 	client := controlclient.New(n.settings.Peers.Control, n.peers)
 	n.follower = follow.New(follow.Options{
 		Watcher: client, Entry: self, Logger: log.With(n.logger, "part", "follow"), OnChange: n.boardChanged,
-		OnControl: client.Learn,
+		OnControl: client.Learn, StartWithoutLease: e.ServeWithoutLease,
 	})
 	n.commits = client
 	n.hearing = hearing.New(hearing.Options{
