A stall needs witnesses of two data centres

Groups that had truly lost a member were reported by 5 to 27 entries of two or three data centres within 50 ms.

Ruled out: slow engines (their groups are reported from everywhere; three times the same group, still open); raising the patience, which finds true stalls later.

Change: three reports within 100 ms, of two data centres where there are two, or six of one.

TestABadLinkOfOneDataCentreBreaksNoGroup fails with the limits as before (3 of one data centre in 250 ms).

--- a/internal/control/stalled.go
+++ b/internal/control/stalled.go
@@ -19,14 +19,16 @@
 	if _, err := s.leading(); err != nil {
 		return nil, rpcError(err)
 	}
-	if board, _ := s.o.Machine.Board(); r.ClusterId != board.ClusterID {
+	board, _ := s.o.Machine.Board()
+	if r.ClusterId != board.ClusterID {
 		return nil, rpcError(failure.New(failure.TypeConflict, "the entry follows another cluster").WithRan(failure.RanNo))
 	}
 	now := time.Now()
+	dataCentre := board.Entries[r.EntryId].DataCentre
 	s.mu.Lock()
 	for _, g := range r.Groups {
 		group := controller.StalledGroup{Group: g.Group, Epoch: g.Epoch}
-		s.stalls.Note(now, r.EntryId, group, time.Duration(g.SilentMs)*time.Millisecond)
+		s.stalls.Note(now, r.EntryId, dataCentre, group, time.Duration(g.SilentMs)*time.Millisecond)
 	}
 	s.mu.Unlock()
 	for _, g := range r.Groups {
@@ -47,10 +49,10 @@
 
 // stalledGroups returns the groups that entries are believed to see stand still.
 func (s *Server) stalledGroups(now time.Time, board *blackboard.Board) map[controller.StalledGroup]time.Time {
-	entries := 0
+	entries := make(map[string]int)
 	for _, e := range board.Entries {
 		if e.Address != "" {
-			entries++
+			entries[e.DataCentre]++
 		}
 	}
 	s.mu.Lock()
--- a/internal/controller/stalls_test.go
+++ b/internal/controller/stalls_test.go
@@ -9,6 +9,39 @@
 	"gotest.tools/v3/assert"
 )
 
+// threeDataCentres counts 80 entries by data centre.
+var threeDataCentres = map[string]int{"dc-0": 27, "dc-1": 27, "dc-2": 26}
+
+// The links of one data centre lose packets for five seconds. Each of its entries
+// has a stream or two on each of 33 groups and finds one of them silent now and
+// then, some fifty times a second in all. The groups work; broken one after the
+// other, they would take all their streams with them.
+func TestABadLinkOfOneDataCentreBreaksNoGroup(t *testing.T) {
+	r := rand.New(rand.NewPCG(5, 1))
+	s := NewStalls()
+	for step := range 250 {
+		now := simStart.Add(time.Duration(step) * 20 * time.Millisecond)
+		for range 1 + r.IntN(2) {
+			g := StalledGroup{fmt.Sprint("g", r.IntN(33)), 1}
+			s.Note(now, fmt.Sprint("entry-", r.IntN(27)), "dc-2", g, 235*time.Millisecond)
+		}
+		assert.Equal(t, len(s.Stalled(now, threeDataCentres)), 0, "at step %d", step)
+	}
+}
+
+// All callers are in one data centre, and a member of a group dies. No entry of
+// another data centre can say so; the many of this one must do.
+func TestManyOfOneDataCentreConfirmAStall(t *testing.T) {
+	s, g := NewStalls(), StalledGroup{"g", 1}
+	for i := range sameLinkWitnesses {
+		_, early := s.Stalled(simStart, threeDataCentres)[g]
+		assert.Assert(t, !early, "after %d", i)
+		s.Note(simStart, fmt.Sprint("entry-", i), "dc-2", g, 240*time.Millisecond)
+	}
+	_, stalled := s.Stalled(simStart, threeDataCentres)[g]
+	assert.Assert(t, stalled)
+}
+
 // A link loses packets for five seconds. Of 80 entries, each with a stream on
 // the group, some find it silent at any moment, each for a fifth of a second.
 // The group works and must not be broken.
@@ -18,9 +51,10 @@
 	for step := range 100 {
 		now := simStart.Add(time.Duration(step) * 50 * time.Millisecond)
 		if r.IntN(10) == 0 {
-			s.Note(now, fmt.Sprint("entry-", r.IntN(80)), g, 270*time.Millisecond)
+			entry := r.IntN(80)
+			s.Note(now, fmt.Sprint("entry-", entry), fmt.Sprint("dc-", entry%3), g, 270*time.Millisecond)
 		}
-		_, stalled := s.Stalled(now, 80)[g]
+		_, stalled := s.Stalled(now, threeDataCentres)[g]
 		assert.Assert(t, !stalled, "at step %d", step)
 	}
 }
@@ -31,11 +65,11 @@
 	s, g := NewStalls(), StalledGroup{"g", 1}
 	for i, want := range []bool{false, false, true} {
 		now := simStart.Add(time.Duration(i) * 40 * time.Millisecond)
-		s.Note(now, fmt.Sprint("entry-", i), g, 240*time.Millisecond)
-		_, stalled := s.Stalled(now, 80)[g]
+		s.Note(now, fmt.Sprint("entry-", i), fmt.Sprint("dc-", i%2), g, 240*time.Millisecond)
+		_, stalled := s.Stalled(now, threeDataCentres)[g]
 		assert.Equal(t, stalled, want, "after %d", i+1)
 	}
-	_, other := s.Stalled(simStart, 80)[StalledGroup{"g", 2}]
+	_, other := s.Stalled(simStart, threeDataCentres)[StalledGroup{"g", 2}]
 	assert.Assert(t, !other, "another epoch is another group")
 }
 
@@ -48,18 +82,18 @@
 		want   bool
 	}{{240 * time.Millisecond, false}, {time.Second, false}, {2 * time.Second, true}} {
 		now := simStart.Add(c.silent)
-		s.Note(now, "entry", g, c.silent)
-		_, stalled := s.Stalled(now, 80)[g]
+		s.Note(now, "entry", "dc-0", g, c.silent)
+		_, stalled := s.Stalled(now, threeDataCentres)[g]
 		assert.Equal(t, stalled, c.want, "%s", c.silent)
 	}
-	s.Note(simStart, "only", g, 240*time.Millisecond)
-	_, stalled := s.Stalled(simStart, 1)[g]
+	s.Note(simStart, "only", "dc-0", g, 240*time.Millisecond)
+	_, stalled := s.Stalled(simStart, map[string]int{"dc-0": 1})[g]
 	assert.Assert(t, stalled, "with one entry in all, its word is all there is")
 }
 
 func TestReportsAreForgotten(t *testing.T) {
 	s := NewStalls()
-	s.Note(simStart, "entry", StalledGroup{"g", 1}, time.Second)
-	s.Stalled(simStart.Add(2*stallMemory), 9)
+	s.Note(simStart, "entry", "dc-0", StalledGroup{"g", 1}, time.Second)
+	s.Stalled(simStart.Add(2*stallMemory), threeDataCentres)
 	assert.Equal(t, len(s.reports), 0)
 }
