--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -68,7 +68,8 @@
 	HeartbeatTicks int
 	// MaxBatch bounds the proposals that share one sync. Default 1024.
 	MaxBatch int
-	// SnapshotEntries is after how many entries the log is compacted. Default 1024.
+	// SnapshotEntries is after how many entries the log is compacted. Default 128:
+	// a restart applies at most that many again, see defaultSnapshotEntries.
 	SnapshotEntries uint64
 	// ReplaceAfter is after how long a silent voter gives its place to a
 	// learner that stands by. Default 10 minutes: longer than a restart of a
@@ -87,12 +88,18 @@
 }
 
 const (
-	defaultVoters          = 3
-	defaultTickInterval    = 50 * time.Millisecond
-	defaultElectionTicks   = 20
-	defaultHeartbeatTicks  = 4
-	defaultMaxBatch        = 1024
-	defaultSnapshotEntries = 1024
+	defaultVoters         = 3
+	defaultTickInterval   = 50 * time.Millisecond
+	defaultElectionTicks  = 20
+	defaultHeartbeatTicks = 4
+	defaultMaxBatch       = 1024
+	// defaultSnapshotEntries bounds what a restart has to apply again.
+	//
+	// Load: all processes lose power, and callers wait for the control processes.
+	// Harm of 1,024: 450 entries, twenty of them whole configurations, took a
+	// replica with 0.48 of a core 0.3 s after it listened. A snapshot of 222 VMs
+	// and 33 groups takes some milliseconds each 128 entries.
+	defaultSnapshotEntries = 128
 	defaultReplaceAfter    = 10 * time.Minute
 	// maxCommandBytes bounds one command, so that the commands ahead of the
 	// commit index stay within a node's memory.
