citronstep explain: the cause of a failed request from the logs alone

Change: citronstep explain ID LOG... reads logfmt of any number of processes, takes the lines of the request and of its groups, its entry's configuration and the leader, puts them in order (one VM's lines as it wrote them, several VMs' by clocks that may differ by -skew) and ends with the cause in a sentence.

--- /dev/null
+++ b/internal/tool/explain.go
@@ -0,0 +1,89 @@
+package tool
+
+import (
+	"flag"
+	"os"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/citronstep/citronstep/internal/explain"
+	"github.com/citronstep/citronstep/internal/failure"
+)
+
+// defaultSkew is how far apart the clocks of two VMs may be: some seconds, as
+// where a clock has just been set.
+const defaultSkew = 5 * time.Second
+
+func explainCommand() command {
+	return command{
+		name:      "explain",
+		arguments: "ID LOG...",
+		summary:   "Say from the logs of several processes why a request failed or was late",
+		details: `Reads the logs that processes wrote to standard output ("-" is standard input),
+shows the lines of the request with the id and of what it depended on in order,
+and ends with the cause in a sentence. The id is the caller's own or the one that
+an entry logged. No process is asked. Exit code 4 means that no line names the
+request: it never came to these entries, or its lines were dropped.
+
+Example: citronstep explain 9c41d07be2a35f68 entry-*.log control-*.log
+`,
+		setup: func(set *flag.FlagSet) func(*invocation) error {
+			skew := set.Duration("skew", defaultSkew, "how far apart the clocks of two VMs may be")
+			return func(i *invocation) error { return i.explain(*skew) }
+		},
+	}
+}
+
+// explainResult is the JSON form of an explanation.
+type explainResult struct {
+	Cause string   `json:"cause"`
+	Lines []string `json:"lines"`
+}
+
+func (i *invocation) explain(skew time.Duration) error {
+	if len(i.args) < 2 {
+		return usagef("an id and the logs of one process or more are needed")
+	}
+	logs := &explain.Logs{}
+	for _, path := range i.args[1:] {
+		if err := readLog(logs, path); err != nil {
+			return err
+		}
+	}
+	story, err := logs.Explain(i.args[0], skew)
+	if errors.Is(err, explain.ErrNoLines) {
+		return failure.New(failure.TypeNotFound, explain.ErrNoLines.Error()).WithDetail(i.args[0])
+	}
+	if err != nil {
+		return errors.Trace(err)
+	}
+	return i.tell(story)
+}
+
+func readLog(logs *explain.Logs, path string) error {
+	if path == "-" {
+		return errors.Trace(logs.Read(os.Stdin))
+	}
+	file, err := os.Open(path)
+	if err != nil {
+		return usagef("%v", err)
+	}
+	defer func() { _ = file.Close() }()
+	return errors.Annotate(logs.Read(file), path)
+}
+
+func (i *invocation) tell(story explain.Story) error {
+	if i.json {
+		result := explainResult{Cause: story.Cause}
+		for _, line := range story.Lines {
+			result.Lines = append(result.Lines, line.Text)
+		}
+		return i.printJSON(result)
+	}
+	for _, line := range story.Lines {
+		i.say("%s", line.Text)
+	}
+	i.say("\n%s", story.Cause)
+	return nil
+}
