Retries are earned by the requests of their service; lines of requests are bounded

What admitted requests earn went to the budget of their workspace, what retries spend came from one without a name, which had but 8 a second for all entries together.

In the same files: entries write the lines of a request through requestlog (1,000 a second and process), with one more line for answers that took a second attempt or too long; engines are told which requests have begun, are on time, are late.

--- a/internal/admission/door_test.go
+++ b/internal/admission/door_test.go
@@ -177,3 +177,34 @@
 	assert.Assert(t, allowed >= 9 && allowed <= 10, "%d", allowed)
 	assert.Assert(t, q.AllowRetry(start, "tank"))
 }
+
+// Backend servers lose the answers of 145 requests a second for four seconds,
+// after minutes in which next to nothing was repeated. What the requests of the
+// last ten seconds allow may be repeated at once, and in no ten seconds more.
+func TestRetriesOfAnyTenSecondsAreBounded(t *testing.T) {
+	policy := twoClasses()
+	policy.RetryRatio, policy.RetryPerSecond = 0.15, 0.1
+	q := New(policy)
+	now := start
+	allowed := make(map[int]int)
+	for second := range 60 {
+		for i := range 6 {
+			r := request(fmt.Sprint(second, "-", i), "audit", "memo", 1)
+			r.RetryBudget = "service"
+			mustQueue(t, q, now, r)
+		}
+		for second >= 40 && q.AllowRetry(now, "service") {
+			allowed[second]++
+		}
+		now = now.Add(time.Second)
+	}
+	assert.Equal(t, allowed[40], 11, "0.15 of 66 requests and 1.1 beside")
+	for from := 40; from < 50; from++ {
+		sum := 0
+		for second := from; second < from+10; second++ {
+			sum += allowed[second]
+		}
+		assert.Assert(t, sum <= 11, "%d in ten seconds from %d", sum, from)
+	}
+	assert.Assert(t, q.AllowRetry(now, "audit"), "the workspace's own budget is another")
+}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -91,7 +91,7 @@
 		return Decision{Refusal: refusal}
 	}
 	q.insert(now, m, it)
-	q.retries.earn(now, q.policy, r.Workspace)
+	q.retries.of(now, r.budgetName()).second(now).admitted++
 	q.counters.Queued++
 	return Decision{Queued: true, Evicted: evicted}
 }
--- a/internal/admission/queue_test.go
+++ b/internal/admission/queue_test.go
@@ -279,7 +279,7 @@
 			assert.Assert(t, len(b.flows) <= 2, "%d flows", len(b.flows))
 		}
 	}
-	assert.Assert(t, len(q.retries) <= retryWorkspaces+int(forgetAfter/time.Second))
+	assert.Assert(t, len(q.retries) <= retryBudgetLimit+int(forgetAfter/time.Second))
 	assert.Equal(t, len(q.workspaces)+len(q.running)+len(q.keys)+len(q.items), 0)
 }
 
--- a/internal/admission/request.go
+++ b/internal/admission/request.go
@@ -17,6 +17,9 @@
 	Arrived time.Time
 	// Deadline is when the whole answer is due; zero means none.
 	Deadline time.Time
+	// RetryBudget names the budget that retries of the request are taken from;
+	// empty is the workspace's.
+	RetryBudget string
 	// Resend says that the caller sent this request before.
 	Resend bool
 	// Reserve is set by Next: the part of each backend server, from 0 to 1,
--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"time"
 
-	"github.com/go-kit/log/level"
 	"github.com/juju/errors"
 
 	"github.com/citronstep/citronstep/internal/failure"
@@ -40,7 +39,7 @@
 		return failure.New(failure.TypeUnavailable, "the request could not be claimed: "+err.Error()).
 			WithRan(failure.RanUnknown).WithRetryAfter(time.Second)
 	}
-	_ = level.Info(s.o.Logger).Log("event", "claim", "request", j.id, "granted", out.Granted, "state", out.State, "holder", out.Entry)
+	j.lines.Info("event", "claim", "request", j.id, "granted", out.Granted, "state", out.State, "holder", out.Entry)
 	return s.answerClaim(j, out)
 }
 
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -6,9 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/go-kit/log"
-	"github.com/go-kit/log/level"
-
 	"github.com/citronstep/citronstep/internal/admission"
 	"github.com/citronstep/citronstep/internal/failure"
 	"github.com/citronstep/citronstep/internal/placement"
@@ -32,7 +29,6 @@
 type dispatcher struct {
 	policy admission.Policy
 	seed   uint64
-	logger log.Logger
 
 	mu      sync.Mutex
 	queue   *admission.Queue
@@ -86,10 +82,9 @@
 	}
 }
 
-func newDispatcher(o placement.Options, logger log.Logger) *dispatcher {
+func newDispatcher(o placement.Options) *dispatcher {
 	return &dispatcher{
 		seed:    o.Seed,
-		logger:  logger,
 		queue:   admission.New(admission.Policy{Seed: o.Seed}),
 		picker:  placement.New(o),
 		waiting: make(map[string]*ticket),
@@ -154,7 +149,7 @@
 	now := time.Now()
 	decision := d.queue.Offer(now, admission.Request{
 		ID: j.id, Workspace: j.workspace, Class: j.class, Model: j.model, IdempotencyKey: j.key,
-		Tokens: j.tokens(), Arrived: j.arrived, Deadline: j.deadline,
+		Tokens: j.tokens(), Arrived: j.arrived, Deadline: j.deadline, RetryBudget: j.retryBudget(),
 	})
 	d.refuse(decision.Evicted)
 	if decision.Refusal != nil {
@@ -228,7 +223,7 @@
 	}
 	g := grant{attempt: j.nextAttempt(), route: d.routes[c.ID]}
 	d.picker.Started(now, g.attempt, c.ID, j.tokens())
-	_ = level.Info(d.logger).Log("event", "route", "request", j.id, "attempt", g.attempt, "model", j.model,
+	j.lines.Info("event", "route", "request", j.id, "attempt", g.attempt, "model", j.model,
 		"class", j.class, "workspace", j.workspace, "choice", c.ID, "runner_up", c.RunnerUp, "reason", c.Reason,
 		"score", c.Score, "queued_ms", now.Sub(j.arrived).Milliseconds())
 	return g, true
@@ -294,10 +289,10 @@
 	return len(d.routes), len(d.waiting)
 }
 
-func (d *dispatcher) allowRetry(workspace string) bool {
+func (d *dispatcher) allowRetry(budget string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.queue.AllowRetry(time.Now(), workspace)
+	return d.queue.AllowRetry(time.Now(), budget)
 }
 
 func (d *dispatcher) progress(attempt string, tokens int) {
--- a/internal/entry/finish.go
+++ b/internal/entry/finish.go
@@ -6,8 +6,6 @@
 	"net/http"
 	"time"
 
-	"github.com/go-kit/log/level"
-
 	"github.com/citronstep/citronstep/internal/failure"
 	"github.com/citronstep/citronstep/internal/metrics"
 	"github.com/citronstep/citronstep/internal/record"
@@ -31,6 +29,7 @@
 	}
 	go s.release(j, true, true)
 	j.answer.end(j.finish)
+	s.logAnswer(j)
 }
 
 // fail gives the failure to the callers at once, and only then writes what
@@ -55,10 +54,27 @@
 // logRefusal writes why a request that was taken got no answer, with what
 // decided it.
 func (s *Server) logRefusal(j *job, e *failure.Error) {
-	_ = level.Info(s.o.Logger).Log("event", "refuse", "request", j.id, "type", e.Type, "ran", e.Ran, "reason", e.Message,
+	j.lines.Info("event", "refuse", "request", j.id, "type", e.Type, "ran", e.Ran, "reason", e.Message,
 		"class", j.class, "workspace", j.workspace, "model", j.model, "tokens", j.tokens(), "attempts", j.attempts,
 		"queued_ms", j.queued.Milliseconds(), "left_ms", time.Until(j.deadline).Milliseconds(),
 		"retry_after_ms", e.RetryAfter.Milliseconds(), "config", s.o.Follower.Board().Config.Revision)
+	j.lines.End(true)
+}
+
+// logAnswer writes how a request was answered that took more than one attempt or
+// longer than its objective. The others have nothing to explain.
+func (s *Server) logAnswer(j *job) {
+	took := j.firstToken
+	if took == 0 {
+		took = time.Since(j.arrived)
+	}
+	late := j.forward != nil && j.forward.route.ObjectiveMillis > 0 && took.Milliseconds() > j.forward.route.ObjectiveMillis
+	if j.attempts > 1 || late {
+		j.lines.Info("event", "answer", "request", j.id, "attempts", j.attempts, "queued_ms", j.queued.Milliseconds(),
+			"first_ms", took.Milliseconds(), "took_ms", time.Since(j.arrived).Milliseconds(), "late", late,
+			"config", s.o.Follower.Board().Config.Revision)
+	}
+	j.lines.End(false)
 }
 
 // meter records the request's final answer.
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/go-kit/log/level"
 
 	"github.com/citronstep/citronstep/internal/auth"
 	"github.com/citronstep/citronstep/internal/backend"
@@ -48,7 +47,10 @@
 	route   blackboard.Route
 	w       http.ResponseWriter
 	tokens  int
-	rank    int
+	// service is the one of the route that takes the request.
+	service string
+	// priority is the workspace's.
+	priority int
 	// begun says that a part of the answer has been written.
 	begun bool
 	// resume and last name the last event that the caller has.
@@ -83,8 +85,7 @@
 		return nil
 	}
 	if j == nil {
-		_ = level.Info(s.o.Logger).Log("event", "refuse", "request", f.ID, "type", e.Type, "ran", e.Ran, "reason", e.Message,
-			"at", "door", "config", s.o.Follower.Board().Config.Revision)
+		s.logAtDoor(f.ID, e)
 	}
 	if j != nil && j.forward.begun {
 		panic(http.ErrAbortHandler)
@@ -144,12 +145,14 @@
 		arrived:       now,
 		deadline:      now.Add(wait),
 		answer:        newAnswer(),
+		lines:         s.requests.Request(),
 		forward: &forwarding{
 			request: f, route: route, tokens: 1, resume: f.Resume, last: f.ResumeAfter,
-			rank: rank(table.config.Workspaces[workspace].Priority),
+			priority: table.config.Workspaces[workspace].Priority,
 		},
 	}
 	service := route.ServiceFor(draw(f.ID))
+	j.forward.service = service
 	j.model = servicePool(service)
 	if engine := table.config.Services[service].Engine; engine != nil {
 		j.model = f.Model
@@ -235,7 +238,7 @@
 		if e != nil {
 			text = e.Error()
 		}
-		_ = level.Info(s.o.Logger).Log("event", "attempt_ended", "request", j.id, "attempt", g.attempt,
+		j.lines.Info("event", "attempt_ended", "request", j.id, "attempt", g.attempt,
 			"target", g.route.target, "outcome", out.name(e), "err", text)
 	}
 	return out, e
@@ -288,7 +291,7 @@
 	return backend.ForwardCall{
 		ID: f.request.ID, Address: g.route.address, Incarnation: g.route.incarnation,
 		Method: f.request.Method, Path: f.request.Target, Host: f.request.Host, Header: f.request.Header, Body: f.request.Body,
-		Workspace: j.workspace, TimeLeft: time.Until(j.deadline), Rank: f.rank,
+		Workspace: j.workspace, TimeLeft: time.Until(j.deadline), Rank: engineRank(f.priority, j.urgency(time.Now())),
 		Resume: f.resume, ResumeAfter: f.last, Fresh: j.nonIdempotent,
 	}
 }
@@ -318,7 +321,7 @@
 		return outcomeBroken, failure.New(failure.TypeBackendFailed, "the backend server sent another request's answer"), true
 	case a.NotRun:
 		e := failure.New(failure.TypeOverloaded, "the backend server did not take the request, status "+strconv.Itoa(a.Status))
-		return outcomeNotStarted, e.WithRetryAfter(time.Second), true
+		return outcomeRejected, e.WithRetryAfter(time.Second), true
 	case a.Status < http.StatusMultipleChoices && !a.Proven:
 		return outcomeBroken, failure.New(failure.TypeBackendFailed, "the answer lacks the backend server's proof"), true
 	case a.Status >= http.StatusInternalServerError:
--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -13,6 +13,8 @@
 	"github.com/go-kit/log"
 	"gotest.tools/v3/assert"
 
+	"github.com/citronstep/citronstep/internal/admission"
+	"github.com/citronstep/citronstep/internal/auth"
 	"github.com/citronstep/citronstep/internal/backend"
 	"github.com/citronstep/citronstep/internal/blackboard"
 	"github.com/citronstep/citronstep/internal/failure"
@@ -78,11 +80,11 @@
 	return b.String()
 }
 
-// routed is an entry with a plain service of three instances and a route of
-// each kind to it.
+// unconfigured is an entry before a plain service of three instances and a route
+// of each kind to it, which has not taken its configuration in.
 func unconfigured(t *testing.T, f *scripted) *Server {
 	t.Helper()
-	key := strings.Repeat("0", 64)
+	key := auth.KeyHash("good")
 	c := &blackboard.ReplaceConfiguration{
 		Version:    1,
 		Services:   []blackboard.ServiceSpec{{Name: "files"}},
@@ -271,6 +273,41 @@
 	assert.Assert(t, s.Ready() != nil)
 }
 
+// Backend servers lose the answers of some requests, which may run again. What
+// the requests of their service have earned must pay for it, whichever workspaces
+// they are of; refused for want of a budget, callers would spend their own retries.
+func TestRetriesArePaidByTheRequestsOfTheirService(t *testing.T) {
+	f := &scripted{answers: []func(backend.ForwardCall) (*backend.ForwardAnswer, error){
+		answering(200, "1", false), answering(200, "2", false), answering(200, "cut", true), answering(200, "whole", false),
+		answering(200, "cut", true),
+	}}
+	s := routed(t, f)
+	s.dispatcher.setPolicy(admission.Policy{RetryRatio: 0.34, RetryPerSecond: 0.001})
+	for _, want := range []string{"1", "2", "whole"} {
+		w, e, _ := send(s, Forwarded{ID: want, Path: "/keyed/x", Key: "good"})
+		assert.Assert(t, e == nil, "%v", e)
+		assert.Equal(t, w.Body.String(), want)
+	}
+	_, e, _ := send(s, Forwarded{ID: "4", Path: "/keyed/x", Key: "good"})
+	assert.Equal(t, e.Type, failure.TypeBackendFailed)
+	assert.Equal(t, len(f.calls), 5, "the budget is spent")
+}
+
+// A backend server that is full says that it has not run the request. Sending it
+// elsewhere adds load too, so it is paid from the same budget; past it the
+// caller is told that the request did not run.
+func TestRejectedAttemptsCountAgainstTheBudget(t *testing.T) {
+	rejected := func(backend.ForwardCall) (*backend.ForwardAnswer, error) {
+		return &backend.ForwardAnswer{Status: 503, NotRun: true, Body: io.NopCloser(strings.NewReader(""))}, nil
+	}
+	f := &scripted{answers: []func(backend.ForwardCall) (*backend.ForwardAnswer, error){rejected, rejected}}
+	s := routed(t, f)
+	s.dispatcher.setPolicy(admission.Policy{RetryRatio: 0.001, RetryPerSecond: 0.001})
+	_, e, _ := send(s, Forwarded{Path: "/many/x"})
+	assert.Equal(t, e.Ran, failure.RanNo)
+	assert.Equal(t, len(f.calls), 1)
+}
+
 // All processes restart after a loss of power, and callers connect before this
 // entry has heard from the control processes. A caller that is refused spends its
 // only retry, and all come back in the same moment. Its request must wait for the
--- a/internal/entry/home.go
+++ b/internal/entry/home.go
@@ -8,7 +8,6 @@
 	"net/url"
 	"time"
 
-	"github.com/go-kit/log/level"
 	"github.com/juju/errors"
 
 	"github.com/citronstep/citronstep/internal/failure"
@@ -37,7 +36,7 @@
 	for range holderTries {
 		reply, err := s.hold(j)
 		if err != nil {
-			_ = level.Info(s.o.Logger).Log("event", "home_unreachable", "request", j.id, "err", err)
+			j.lines.Info("event", "home_unreachable", "request", j.id, "err", err)
 			j.begun = true
 			return false, nil
 		}
@@ -49,7 +48,7 @@
 			j.isHolder = true
 			return false, nil
 		}
-		_ = level.Info(s.o.Logger).Log("event", "attach", "request", j.id, "to", reply.Holder, "reason", "holds the idempotency key")
+		j.lines.Info("event", "attach", "request", j.id, "to", reply.Holder, "reason", "holds the idempotency key")
 		if done, e := s.readHolder(j, reply.Holder); done {
 			return true, e
 		}
--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -14,6 +14,7 @@
 	"github.com/citronstep/citronstep/internal/auth"
 	"github.com/citronstep/citronstep/internal/blackboard"
 	"github.com/citronstep/citronstep/internal/failure"
+	"github.com/citronstep/citronstep/internal/requestlog"
 )
 
 // The headers that callers may send.
@@ -66,6 +67,8 @@
 	service *serviceCall
 
 	answer *answer
+	// lines are what is logged of the request.
+	lines *requestlog.Lines
 	// finish is the finish reason of a whole answer.
 	finish string
 	// isHolder says that this entry is the holder of the job's key; begun that
@@ -127,6 +130,7 @@
 		nonIdempotent: r.Header.Get(HeaderNonIdempotent) == "true",
 		arrived:       time.Now(),
 		answer:        newAnswer(),
+		lines:         s.requests.Request(),
 	}
 	if _, known := board.Config.Classes[j.class]; j.class != "" && !known {
 		return nil, bad("unknown request class", HeaderClass)
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"time"
 
-	"github.com/go-kit/log/level"
 	"github.com/labstack/echo/v4"
 
 	"github.com/citronstep/citronstep/internal/failure"
@@ -72,11 +71,18 @@
 	if c.Request().Header.Get(HeaderIdempotencyKey) != "" && e.Type != failure.TypeKeyReused {
 		e = e.WithRan(failure.RanUnknown)
 	}
-	_ = level.Info(s.o.Logger).Log("event", "refuse", "request", e.RequestID, "type", e.Type, "ran", e.Ran,
-		"at", "door", "reason", e.Message)
+	s.logAtDoor(e.RequestID, e)
 	return e
 }
 
+// logAtDoor writes why a request was refused before anything was decided on it.
+func (s *Server) logAtDoor(id string, e *failure.Error) {
+	lines := s.requests.Request()
+	lines.Info("event", "refuse", "request", id, "type", e.Type, "ran", e.Ran, "reason", e.Message,
+		"at", "door", "retry_after_ms", e.RetryAfter.Milliseconds(), "config", s.o.Follower.Board().Config.Revision)
+	lines.End(true)
+}
+
 // writeGrace is how long past the deadline an answer may still be written.
 const writeGrace = 30 * time.Second
 
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/go-kit/log/level"
 	"github.com/juju/errors"
 
 	"github.com/citronstep/citronstep/internal/admission"
@@ -27,9 +26,12 @@
 const (
 	// outcomeWhole: the end mark came and everything checked out.
 	outcomeWhole outcome = iota
-	// outcomeNotStarted: surely nothing ran; another target may be tried
-	// whatever the request is.
+	// outcomeNotStarted: nothing was sent; another target may be tried whatever
+	// the request is.
 	outcomeNotStarted
+	// outcomeRejected: the backend server says that it has not run the request.
+	// Another may be tried, but the load of the attempt has been added.
+	outcomeRejected
 	// outcomeBroken: the attempt may have run and has no whole answer.
 	outcomeBroken
 	// outcomeEnded: the job's own context ended.
@@ -43,6 +45,8 @@
 		return "whole"
 	case o == outcomeNotStarted:
 		return "not_started"
+	case o == outcomeRejected:
+		return "rejected"
 	case o == outcomeEnded:
 		return "ended"
 	case e != nil && e.Type == failure.TypeStalled:
@@ -131,7 +135,7 @@
 	}
 	s.dispatcher.attemptEnded(g.attempt, placement.Result{Cancelled: true})
 	isolated.giveBack = giveBack
-	_ = level.Info(s.o.Logger).Log("event", "route", "request", j.id, "attempt", isolated.attempt,
+	j.lines.Info("event", "route", "request", j.id, "attempt", isolated.attempt,
 		"choice", isolated.route.target, "runner_up", g.route.target, "reason", "suspect runs alone")
 	return isolated
 }
@@ -190,7 +194,7 @@
 	if j.attempts >= j.attemptLimit() {
 		return e.WithRetryAfter(time.Second)
 	}
-	if out == outcomeBroken && !s.dispatcher.allowRetry(j.retryBudget()) {
+	if (out == outcomeBroken || out == outcomeRejected) && !s.dispatcher.allowRetry(j.retryBudget()) {
 		return e.WithRetryAfter(time.Second)
 	}
 	return nil
@@ -204,10 +208,11 @@
 }
 
 // retryBudget names the budget that the job's retries are taken from. Requests
-// of routes share one, as the limit on them is one for the whole entry.
+// of routes have one for each service, as what its backend servers bear is limited
+// for them alone.
 func (j *job) retryBudget() string {
 	if j.forward != nil {
-		return ""
+		return "service " + j.forward.service
 	}
 	return j.workspace
 }
@@ -270,7 +275,7 @@
 	if e != nil {
 		text = e.Error()
 	}
-	_ = level.Info(s.o.Logger).Log("event", "attempt_ended", "request", j.id, "attempt", g.attempt,
+	j.lines.Info("event", "attempt_ended", "request", j.id, "attempt", g.attempt,
 		"target", g.route.target, "outcome", out.name(e), "err", text)
 }
 
--- a/internal/entry/running.go
+++ b/internal/entry/running.go
@@ -5,8 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/go-kit/log/level"
-
 	"github.com/citronstep/citronstep/internal/backend"
 	"github.com/citronstep/citronstep/internal/failure"
 )
@@ -59,7 +57,8 @@
 	}
 	if first != j {
 		j.cancel(nil)
-		_ = level.Info(s.o.Logger).Log("event", "attach", "request", j.id, "to", first.id, "reason", "same idempotency key")
+		j.lines.Info("event", "attach", "request", j.id, "to", first.id, "reason", "same idempotency key")
+		j.lines.End(false)
 		return first, nil
 	}
 	deadline := time.AfterFunc(time.Until(j.deadline), func() { j.cancel(context.DeadlineExceeded) })
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -26,6 +26,7 @@
 	"github.com/citronstep/citronstep/internal/hearing"
 	"github.com/citronstep/citronstep/internal/metrics"
 	"github.com/citronstep/citronstep/internal/placement"
+	"github.com/citronstep/citronstep/internal/requestlog"
 	"github.com/citronstep/citronstep/internal/rpc/noderpc"
 	"github.com/citronstep/citronstep/internal/settings"
 )
@@ -53,7 +54,9 @@
 	Client     backend.Client
 	Control    Committer
 	Logger     log.Logger
-	Metrics    *metrics.Entry
+	// RequestLinesPerSecond bounds the lines about requests; 0 is no bound.
+	RequestLinesPerSecond int
+	Metrics               *metrics.Entry
 	// Peers calls the other entries, with the secret between our processes.
 	Peers *http.Client
 	// Forwarder passes on the requests of routes; nil if none are taken.
@@ -71,6 +74,7 @@
 // Server is the entry role of one process.
 type Server struct {
 	o          Options
+	requests   *requestlog.Log
 	dispatcher *dispatcher
 	running    *running
 	isolation  *isolation
@@ -113,6 +117,7 @@
 	_, _ = h.Write([]byte(o.ID))
 	s := &Server{
 		o:            o,
+		requests:     requestlog.New(o.Logger, o.RequestLinesPerSecond),
 		running:      newRunning(),
 		isolation:    newIsolation(),
 		holders:      newHolders(),
@@ -125,7 +130,7 @@
 	s.holders.unsure(time.Now())
 	s.dispatcher = newDispatcher(placement.Options{
 		Seed: h.Sum64(), DataCentre: o.DataCentre, Ramp: time.Duration(o.Settings.RampMillis) * time.Millisecond,
-	}, o.Logger)
+	})
 	return s
 }
 
--- /dev/null
+++ b/internal/entry/urgency_test.go
@@ -0,0 +1,49 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/citronstep/citronstep/internal/backend"
+	"github.com/citronstep/citronstep/internal/blackboard"
+)
+
+// Entries come back from an outage with a backlog that is late already, while a
+// group loses a member and its streams go on elsewhere. A stream that has begun
+// must come first and the backlog last; no urgency may lift a workspace over
+// one of a higher priority.
+func TestEnginesTakeWhatCanStillBeOnTimeFirst(t *testing.T) {
+	now := time.Now()
+	j := &job{arrived: now, forward: &forwarding{route: blackboard.Route{ObjectiveMillis: 200}}}
+	assert.Equal(t, j.urgency(now.Add(150*time.Millisecond)), urgentOnTime)
+	assert.Equal(t, j.urgency(now.Add(250*time.Millisecond)), urgentLate)
+	j.forward.begun = true
+	assert.Equal(t, j.urgency(now.Add(time.Second)), urgentBegun)
+	j = &job{arrived: now, forward: &forwarding{}}
+	assert.Equal(t, j.urgency(now.Add(time.Hour)), urgentOnTime, "without an objective nothing is late")
+
+	last := -1
+	for priority := range 3 {
+		for _, u := range []urgency{urgentBegun, urgentOnTime, urgentLate} {
+			r := engineRank(priority, u)
+			assert.Assert(t, r > last, "priority %d, urgency %d", priority, u)
+			last = r
+		}
+	}
+	assert.Equal(t, engineRank(7, urgentBegun), lowestRank)
+}
+
+// A stream breaks off in the middle and goes on in another run. The engine must
+// be told that a caller waits for the next event.
+func TestAStreamThatGoesOnIsMoreUrgent(t *testing.T) {
+	f := &scripted{answers: []func(backend.ForwardCall) (*backend.ForwardAnswer, error){
+		answering(200, events("1", "2")+"id: 3", true),
+		answering(200, events("3"), false),
+	}}
+	_, e, aborted := send(routed(t, f), Forwarded{Path: "/stream/x"})
+	assert.Assert(t, e == nil && !aborted)
+	assert.Equal(t, f.calls[0].Rank, engineRank(0, urgentOnTime))
+	assert.Equal(t, f.calls[1].Rank, engineRank(0, urgentBegun))
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -236,7 +236,7 @@
 	if e.Enabled {
 		n.entry = entry.NewServer(entry.Options{
 			ID: n.settings.VM, DataCentre: n.settings.DataCentre, Settings: e, Follower: n.follower, Hearing: n.hearing,
-			Client: n.backends, Control: client, Logger: n.decisions("entry"), Metrics: n.metrics.Entry(), Peers: &http.Client{Transport: n.peers.Transport},
+			Client: n.backends, Control: client, Logger: n.decisions("entry"), RequestLinesPerSecond: n.settings.Log.RequestLinesPerSecond, Metrics: n.metrics.Entry(), Peers: &http.Client{Transport: n.peers.Transport},
 			Forwarder: n.forwarder(), Suspects: client,
 		})
 	}
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -42,6 +42,9 @@
 	s.checkControl(c)
 	s.checkPeers(c)
 	s.checkAdapter(c)
+	if n := s.Log.RequestLinesPerSecond; n < 0 && !c.Has("log.request_lines_per_second") {
+		c.Fault("log.request_lines_per_second", strconv.Itoa(n), "0 or more; 0 is no bound")
+	}
 	if level := s.Log.Level; !c.Has("log.level") && !slices.Contains(logLevels, level) {
 		c.Fault("log.level", quoted(level), strings.Join(logLevels, ", "))
 	}
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -19,11 +19,14 @@
 	DefaultElectionTicks           = 10
 	DefaultConfigLeaseMillis       = 3_000
 	DefaultLogLevel                = "info"
-	DefaultRampMillis              = 10_000
-	DefaultReplaceAfterMillis      = 600_000
-	DefaultAnnounceMillis          = 400
-	DefaultDeadMillis              = 10_000
-	DefaultStallMillis             = 4_000
+	// DefaultRequestLinesPerSecond is what 300 requests a second need with three
+	// lines each, a tenth of what a core writes in a second.
+	DefaultRequestLinesPerSecond = 1_000
+	DefaultRampMillis            = 10_000
+	DefaultReplaceAfterMillis    = 600_000
+	DefaultAnnounceMillis        = 400
+	DefaultDeadMillis            = 10_000
+	DefaultStallMillis           = 4_000
 	// DefaultRetryRatio bounds the load that retries add to a tenth.
 	DefaultRetryRatio = 0.1
 	// DefaultRetriesPerSecond lets an idle system retry at all.
@@ -56,7 +59,7 @@
 			DeadMillis:         DefaultDeadMillis,
 			StallMillis:        DefaultStallMillis,
 		},
-		Log: Log{Level: DefaultLogLevel, Decisions: true},
+		Log: Log{Level: DefaultLogLevel, Decisions: true, RequestLinesPerSecond: DefaultRequestLinesPerSecond},
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -131,4 +131,6 @@
 	Level string `toml:"level"`
 	// Decisions writes a line for each routing and placement decision.
 	Decisions bool `toml:"decisions"`
+	// RequestLinesPerSecond bounds the lines about requests; 0 is no bound.
+	RequestLinesPerSecond int `toml:"request_lines_per_second"`
 }
