Entries ask the control VMs of the cluster, not only those of the settings, what they last knew

Of three known, one held a configuration, which is no majority; entries waited for the leader and noticed it 0.55 s after it led, since a process that had answered was not asked again.

Change: a survey that asks again (30 ms after no answer, 150 ms after one) and learns the cluster's members from whichever answers; a majority of those counts. The decision is a step machine without I/O.

--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"slices"
 	"sync"
-	"time"
 
 	"github.com/juju/errors"
 	"github.com/twitchtv/twirp"
@@ -133,110 +132,6 @@
 	return reply, errors.Trace(typed(err))
 }
 
-// Times of the questions about what was last known.
-const (
-	// lastKnownTimeout bounds one question: some round trips of the farthest data
-	// centres. A VM that has no power yet does not answer at all, and each
-	// question tries it anew.
-	lastKnownTimeout = 200 * time.Millisecond
-	// lastKnownPause is the wait before a process that refused is asked again; one
-	// that is just starting refuses connections for some tenths of a second.
-	lastKnownPause = 20 * time.Millisecond
-)
-
-// LastKnown asks all control processes what they last knew. The reply either
-// names the leader, whom the next call goes to, or there is none and it holds the
-// newest board that a majority of the known processes has.
-//
-// Failure: the process that is asked has been away for long, and callers are
-// served under a configuration of long ago. An acknowledged configuration is on
-// the disks of a majority, so one of any majority holds it, though it may not
-// know yet that it is committed.
-func (c *Client) LastKnown(ctx context.Context) (*noderpc.LastKnownReply, error) {
-	best, err := c.askAll(ctx)
-	if err != nil {
-		return nil, errors.Trace(err)
-	}
-	if best.reply.LeaderAddress != "" {
-		c.follow(best.reply.LeaderAddress)
-		return best.reply, nil
-	}
-	reply, err := best.from.LastKnown(ctx, &noderpc.LastKnownRequest{Board: true})
-	return reply, errors.Trace(typed(err))
-}
-
-// lastKnown is one control process's answer.
-type lastKnown struct {
-	from  noderpc.Board
-	reply *noderpc.LastKnownReply
-	err   error
-}
-
-// askAll asks all known control processes side by side until enough have
-// answered, and returns the answer that counts.
-func (c *Client) askAll(ctx context.Context) (lastKnown, error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	all := c.all()
-	answers := make(chan lastKnown, len(all))
-	for _, b := range all {
-		go func() { answers <- askUntilAnswered(ctx, b) }()
-	}
-	return newest(answers, len(all))
-}
-
-// askUntilAnswered asks one control process until it says something that counts
-// or the context ends.
-func askUntilAnswered(ctx context.Context, b noderpc.Board) lastKnown {
-	for {
-		reply, err := askOnce(ctx, b)
-		if err == nil && (reply.LeaderAddress != "" || reply.Revision > 0) {
-			return lastKnown{b, reply, nil}
-		}
-		select {
-		case <-ctx.Done():
-			return lastKnown{b, reply, err}
-		case <-time.After(lastKnownPause):
-		}
-	}
-}
-
-func askOnce(ctx context.Context, b noderpc.Board) (*noderpc.LastKnownReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, lastKnownTimeout)
-	defer cancel()
-	reply, err := b.LastKnown(ctx, &noderpc.LastKnownRequest{})
-	return reply, errors.Trace(err)
-}
-
-// newest returns the first answer that names a leader, or else the newest of a
-// majority that hold a configuration, or the last error.
-func newest(answers <-chan lastKnown, asked int) (lastKnown, error) {
-	var best lastKnown
-	var failed error = failure.New(failure.TypeUnavailable, "no majority of the control processes holds a configuration")
-	holders := 0
-	for range asked {
-		a := <-answers
-		if a.err != nil {
-			failed = a.err
-			continue
-		}
-		if a.reply.LeaderAddress != "" {
-			return a, nil
-		}
-		if a.reply.Revision == 0 {
-			continue
-		}
-		holders++
-		if best.reply == nil || a.reply.Revision > best.reply.Revision {
-			best = a
-		}
-		if holders > asked/2 {
-			return best, nil
-		}
-	}
-	return lastKnown{}, errors.Trace(typed(failed))
-}
-
 // follow makes the next call go to the leader that a control process names.
 func (c *Client) follow(leader string) {
 	c.mu.Lock()
@@ -244,15 +139,18 @@
 	c.leader = leader
 }
 
-// all returns the clients of all known control processes.
-func (c *Client) all() []noderpc.Board {
+// all returns the addresses of all known control processes.
+func (c *Client) all() []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var all []noderpc.Board
-	for _, address := range c.addresses {
-		all = append(all, c.at(address))
-	}
-	return all
+	return slices.Clone(c.addresses)
+}
+
+// boardOf returns the client of one control process.
+func (c *Client) boardOf(address string) noderpc.Board {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.at(address)
 }
 
 // at returns the client of one control process. The lock is held.
--- /dev/null
+++ b/internal/controlclient/survey.go
@@ -0,0 +1,158 @@
+package controlclient
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/citronstep/citronstep/internal/failure"
+	"github.com/citronstep/citronstep/internal/rpc/noderpc"
+)
+
+// Times of the questions about what was last known.
+const (
+	// lastKnownTimeout bounds one question: some round trips of the farthest data
+	// centres. A VM that has no power yet does not answer at all, and each
+	// question tries it anew.
+	lastKnownTimeout = 200 * time.Millisecond
+	// lastKnownPause is the wait before a process is asked again that gave no
+	// answer; one that is just starting refuses connections for some tenths of a
+	// second, which costs it nothing.
+	lastKnownPause = 30 * time.Millisecond
+	// lastKnownAgain is the same for one that answered: all entries ask at once
+	// while it has its log to apply.
+	lastKnownAgain = 150 * time.Millisecond
+)
+
+// errNoMajority is returned when the time is up before a majority has answered.
+const errNoMajority = errors.ConstError("no majority of the control processes holds a configuration, and none knows a leader")
+
+// LastKnown asks all control processes what they last knew, again and again until
+// enough have answered or the context ends. The reply either names the leader, whom
+// the next call goes to, or there is none and it holds the newest board that a
+// majority has.
+//
+// Failure: the process that is asked has been away for long, and callers are
+// served under a configuration of long ago. An acknowledged configuration is on
+// the disks of a majority, so one of any majority holds it, though it may not
+// know yet that it is committed. Those that the settings name may be just the
+// ones whose disks were lost; the others are learned from whichever answers.
+func (c *Client) LastKnown(ctx context.Context) (*noderpc.LastKnownReply, error) {
+	best, err := c.survey(ctx)
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	if best.reply.LeaderAddress != "" {
+		c.follow(best.reply.LeaderAddress)
+		return best.reply, nil
+	}
+	reply, err := c.boardOf(best.address).LastKnown(ctx, &noderpc.LastKnownRequest{Board: true})
+	return reply, errors.Trace(typed(err))
+}
+
+// lastKnown is one control process's answer.
+type lastKnown struct {
+	address string
+	reply   *noderpc.LastKnownReply
+}
+
+// survey asks until the answers suffice.
+func (c *Client) survey(ctx context.Context) (lastKnown, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	answers := make(chan lastKnown)
+	poll := newPoll(c.all())
+	for _, address := range poll.known {
+		go c.ask(ctx, address, answers)
+	}
+	for {
+		select {
+		case a := <-answers:
+			for _, address := range poll.learn(a.reply.ControlAddresses) {
+				go c.ask(ctx, address, answers)
+			}
+			if best, ok := poll.take(a); ok {
+				return best, nil
+			}
+		case <-ctx.Done():
+			return lastKnown{}, errors.Trace(failure.New(failure.TypeUnavailable, errNoMajority.Error()).WithRan(failure.RanNo))
+		}
+	}
+}
+
+// ask passes on each answer of one control process until the context ends.
+func (c *Client) ask(ctx context.Context, address string, answers chan<- lastKnown) {
+	for ctx.Err() == nil {
+		pause := lastKnownPause
+		if reply, err := c.askOnce(ctx, address); err == nil {
+			pause = lastKnownAgain
+			select {
+			case answers <- lastKnown{address, reply}:
+			case <-ctx.Done():
+			}
+		}
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (c *Client) askOnce(ctx context.Context, address string) (*noderpc.LastKnownReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, lastKnownTimeout)
+	defer cancel()
+	reply, err := c.boardOf(address).LastKnown(ctx, &noderpc.LastKnownRequest{})
+	return reply, errors.Trace(err)
+}
+
+// poll gathers the answers of one survey.
+type poll struct {
+	// known are the control processes: those of the settings, and the cluster's
+	// own in their place once one has named them.
+	known  []string
+	named  bool
+	latest map[string]lastKnown
+}
+
+func newPoll(known []string) *poll {
+	return &poll{known: slices.Clone(known), latest: make(map[string]lastKnown)}
+}
+
+// learn takes in which control processes the cluster has, and returns those that
+// have not been asked.
+func (p *poll) learn(members []string) (fresh []string) {
+	if p.named || len(members) == 0 {
+		return nil
+	}
+	for _, address := range members {
+		if !slices.Contains(p.known, address) {
+			fresh = append(fresh, address)
+		}
+	}
+	p.known, p.named = slices.Clone(members), true
+	return fresh
+}
+
+// take notes an answer, and returns the one that counts if there is: the first
+// that names a leader, or else the newest board of a majority.
+func (p *poll) take(a lastKnown) (lastKnown, bool) {
+	if a.reply.LeaderAddress != "" {
+		return a, true
+	}
+	p.latest[a.address] = a
+	var best lastKnown
+	holders := 0
+	for _, address := range p.known {
+		held, ok := p.latest[address]
+		if !ok || held.reply.Revision == 0 {
+			continue
+		}
+		holders++
+		if best.reply == nil || held.reply.Revision > best.reply.Revision {
+			best = held
+		}
+	}
+	return best, holders > len(p.known)/2
+}
