A soak: faults that overlap, lost disks, delays, reloads and rolling restarts

test/randomrun becomes test/soak: several faults go on side by side, each on processes of its own; new are delayed links, SIGHUP, restarts of nodes in turn, changes of presets, and a control VM that comes back with an empty disk while no other fault meets it. It is built on test/workload and test/process/harness, as before.

--- a/test/process/random_run_test.go
+++ b/test/process/random_run_test.go
@@ -12,7 +12,7 @@
 // Callers resend without end while engines give bad answers, processes are
 // killed, frozen, cut off and stopped as planned. In the end no answer may be
 // lost, doubled, crossed or cut, nothing non-idempotent may have run twice, and
-// no "not run" may be false. Longer: go run ./test/randomrun -h.
+// no "not run" may be false. Longer: go run ./test/soak -h.
 func TestRandomRun(t *testing.T) {
 	t.Parallel()
 	report := workload.Run(t, workload.Options{Seed: 1, Duration: 15 * time.Second, Callers: 8})
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -1,8 +1,8 @@
-// Command randomrun drives a whole system of real processes with resending
+// Command soak drives a whole system of real processes with resending
 // callers under seeded faults, and checks every answer.
 //
-//	go run ./test/randomrun -seed 1 -duration 30s
-//	go run ./test/randomrun -seed 1 -runs 20 -duration 1m
+//	go run ./test/soak -seed 1 -duration 30s
+//	go run ./test/soak -seed 1 -runs 20 -duration 1m
 //
 // It ends with status 1 when a run has found a violation.
 package main
@@ -22,11 +22,13 @@
 	runs := flag.Int("runs", 1, "number of runs, each with the next seed")
 	duration := flag.Duration("duration", 30*time.Second, "time of faults in each run")
 	callers := flag.Int("callers", 8, "number of callers")
+	overlap := flag.Int("overlap", 2, "how many faults go on side by side")
+	groups := flag.Int("groups", 3, "number of serving groups, of two engines each")
 	keep := flag.Bool("logs", false, "show the end of each process's log when a run fails")
 	flag.Parse()
 	status := 0
 	for i := range *runs {
-		o := workload.Options{Seed: *seed + uint64(i), Duration: *duration, Callers: *callers}
+		o := workload.Options{Seed: *seed + uint64(i), Duration: *duration, Callers: *callers, Overlap: *overlap, Groups: *groups}
 		if !one(o, *keep) {
 			status = 1
 		}
--- a/test/soak/runner.go
+++ b/test/soak/runner.go
@@ -64,7 +64,7 @@
 
 // TempDir returns a folder that goes with the run.
 func (r *runner) TempDir() string {
-	folder, err := os.MkdirTemp("", "citronstep-randomrun-")
+	folder, err := os.MkdirTemp("", "citronstep-soak-")
 	if err != nil {
 		r.Fatalf("temporary folder: %v", err)
 	}
--- a/test/workload/faults.go
+++ b/test/workload/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/citronstep/citronstep/internal/blackboard"
@@ -20,20 +21,50 @@
 	stopTime = 60 * time.Second
 )
 
-// faulter makes faults and planned stops, one after the other in seeded order;
-// some go on while the next ones happen.
+// faulter makes faults and planned stops on processes of its own, one after the
+// other in seeded order; some go on while the next ones happen.
 type faulter struct {
 	t       harness.T
 	cluster *harness.Cluster
+	nodes   []*harness.Node
 	engines []*harness.Standin
 	service []*harness.Standin
 	random  *rand.Rand
+	// alone is held for writing by a fault that no other may meet.
+	alone *sync.RWMutex
+	name  string
 	// drained is the VM that is drained, or empty.
 	drained string
 	changes int
 	Log     []string
 }
 
+// newFaulters divides the processes among the faulters.
+func newFaulters(t harness.T, c *harness.Cluster, engines, services []*harness.Standin, o Options) []*faulter {
+	alone := &sync.RWMutex{}
+	all := make([]*faulter, o.Overlap)
+	for i := range all {
+		all[i] = &faulter{
+			t: t, cluster: c, random: rand.New(rand.NewPCG(o.Seed, uint64(i))), alone: alone, name: strconv.Itoa(i),
+			nodes: share(c.Nodes, i, o.Overlap), engines: share(engines, i, o.Overlap), service: share(services, i, o.Overlap),
+		}
+	}
+	return all
+}
+
+// share returns every n-th of all from the i-th on, or the last if there are too
+// few.
+func share[V any](all []V, i, n int) []V {
+	var out []V
+	for j := i; j < len(all); j += n {
+		out = append(out, all[j])
+	}
+	if len(out) == 0 {
+		return all[len(all)-1:]
+	}
+	return out
+}
+
 // fault is one kind of fault. It returns when the system has its processes
 // again.
 type fault struct {
@@ -41,6 +72,10 @@
 	do   func(context.Context, *faulter)
 }
 
+// diskLost is the one fault that no other may meet: the system bears the loss of
+// one disk of three at a time.
+const diskLost = "lost disk of a control VM"
+
 var faults = []fault{
 	{"bad answers of an engine", badAnswers},
 	{"bad answers of an engine", badAnswers},
@@ -60,6 +95,12 @@
 	{"cut of an engine", func(ctx context.Context, f *faulter) { f.cut(ctx, f.engine().Link) }},
 	{"one-way cut of an engine", func(ctx context.Context, f *faulter) { f.cutOneWay(ctx, f.engine().Link) }},
 	{"cut of a node", func(ctx context.Context, f *faulter) { f.cut(ctx, f.node().Peers) }},
+	{"delay of an engine", func(ctx context.Context, f *faulter) { f.delay(ctx, f.engine().Link) }},
+	{"delay of a node", func(ctx context.Context, f *faulter) { f.delay(ctx, f.node().Peers) }},
+	{"reload of a node", func(_ context.Context, f *faulter) { f.node().Reload() }},
+	{"restart of nodes in turn", restartInTurn},
+	{"change of a preset", changePreset},
+	{diskLost, loseDisk},
 	{"slow engine", slowEngine},
 	{"kill of an entry and an engine together", killTogether},
 	{"kill of two engines in a row", killInARow},
@@ -75,19 +116,32 @@
 		}
 		one := faults[f.random.IntN(len(faults))]
 		f.Log = append(f.Log, one.name)
-		one.do(ctx, f)
+		f.doOne(ctx, one)
 	}
 }
 
+func (f *faulter) doOne(ctx context.Context, one fault) {
+	if one.name == diskLost {
+		f.alone.Lock()
+		defer f.alone.Unlock()
+	} else {
+		f.alone.RLock()
+		defer f.alone.RUnlock()
+	}
+	one.do(ctx, f)
+}
+
 // heal ends all faults.
 func (f *faulter) heal() {
 	for _, s := range append(append([]*harness.Standin(nil), f.engines...), f.service...) {
 		s.Link.Heal()
+		s.Link.ResetToxics()
 		leaving := false
 		s.Fault(standin.FaultOrder{Leaving: &leaving})
 	}
-	for _, n := range f.cluster.Nodes {
+	for _, n := range f.nodes {
 		n.Peers.Heal()
+		n.Peers.ResetToxics()
 	}
 	if f.drained != "" {
 		f.change(blackboard.ConfigChange{UndrainVMs: []string{f.drained}})
@@ -97,9 +151,7 @@
 
 func (f *faulter) engine() *harness.Standin   { return f.engines[f.random.IntN(len(f.engines))] }
 func (f *faulter) instance() *harness.Standin { return f.service[f.random.IntN(len(f.service))] }
-func (f *faulter) node() *harness.Node {
-	return f.cluster.Nodes[f.random.IntN(len(f.cluster.Nodes))]
-}
+func (f *faulter) node() *harness.Node        { return f.nodes[f.random.IntN(len(f.nodes))] }
 
 func (f *faulter) lasting() time.Duration { return time.Duration(f.random.Int64N(int64(faultTime))) }
 
@@ -131,8 +183,68 @@
 	p.Resume()
 }
 
-func stopEntry(_ context.Context, f *faulter) {
-	n := f.node()
+// most is the longest delay that a link is given, in milliseconds: over the
+// timeouts of calls between processes.
+const most = 900
+
+func (f *faulter) delay(ctx context.Context, l *harness.Link) {
+	l.AddToxic(harness.Toxic{
+		Name: "delay", Type: "latency", Attributes: map[string]int{"latency": f.random.IntN(most), "jitter": f.random.IntN(most / 3)},
+	})
+	wait(ctx, f.lasting())
+	l.ResetToxics()
+}
+
+func restartInTurn(_ context.Context, f *faulter) {
+	for _, n := range f.nodes {
+		f.stop(n)
+	}
+}
+
+func changePreset(_ context.Context, f *faulter) {
+	f.change(blackboard.ConfigChange{Presets: []blackboard.Preset{{
+		Name: "soak-" + f.name, ClassWorth: map[string]int{"batch": f.random.IntN(50)},
+	}}})
+}
+
+// voterTime bounds the wait until a control VM whose disk was lost votes again.
+const voterTime = 60 * time.Second
+
+func loseDisk(_ context.Context, f *faulter) {
+	for _, n := range f.nodes {
+		if !n.Spec.Control {
+			continue
+		}
+		n.Kill()
+		n.LoseData()
+		n.Start()
+		f.awaitVoters()
+		return
+	}
+}
+
+func (f *faulter) awaitVoters() {
+	for end := time.Now().Add(voterTime); time.Now().Before(end); time.Sleep(pauseBetween / 10) {
+		status, err := f.cluster.Status()
+		if err != nil {
+			continue
+		}
+		voters := 0
+		for _, r := range status.Replicas {
+			if r.Role != "learner" {
+				voters++
+			}
+		}
+		if voters == 3 {
+			return
+		}
+	}
+	f.t.Errorf("a control VM whose disk was lost does not vote again within %s", voterTime)
+}
+
+func stopEntry(_ context.Context, f *faulter) { f.stop(f.node()) }
+
+func (f *faulter) stop(n *harness.Node) {
 	n.Terminate()
 	if status := n.Wait(stopTime); status != 0 {
 		f.t.Errorf("graceful stop of %s ended with status %d", n.Spec.Name, status)
@@ -199,6 +311,6 @@
 
 func (f *faulter) change(c blackboard.ConfigChange) {
 	f.changes++
-	c.ChangeID = "random-" + strconv.Itoa(f.changes)
+	c.ChangeID = "random-" + f.name + "-" + strconv.Itoa(f.changes)
 	f.cluster.Change(c)
 }
--- a/test/workload/run.go
+++ b/test/workload/run.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/citronstep/citronstep/internal/blackboard"
@@ -18,6 +18,21 @@
 	// Duration is how long faults go on and new work is begun.
 	Duration time.Duration
 	Callers  int
+	// Overlap is how many faults and planned stops go on side by side, each on
+	// processes of its own; 0 is one.
+	Overlap int
+	// Groups is how many serving groups there are; 0 is three.
+	Groups int
+}
+
+func (o Options) withDefaults() Options {
+	if o.Overlap == 0 {
+		o.Overlap = 1
+	}
+	if o.Groups == 0 {
+		o.Groups = defaultGroups
+	}
+	return o
 }
 
 // Report is what a random run found.
@@ -35,38 +50,39 @@
 
 // The sizes of the system of a random run.
 const (
-	groups        = 3
+	defaultGroups = 3
 	vmsPerReplica = 2
-	engines       = 7
 	instances     = 2
 )
 
 // Run starts a system, drives it and checks it. Violations of the processes'
 // own invariants end them and are found in their logs.
 func Run(t harness.T, o Options) Report {
+	o = o.withDefaults()
 	c := harness.NewCluster(t, spec())
 	c.Found(blackboard.GroupSpec{
-		Name: "memos", Model: model, Replicas: groups, VMsPerReplica: vmsPerReplica, Worth: 10,
+		Name: "memos", Model: model, Replicas: o.Groups, VMsPerReplica: vmsPerReplica, Worth: 10,
 	})
-	f := &faulter{t: t, cluster: c, random: rand.New(rand.NewPCG(o.Seed, 0))}
-	f.engines = c.StartEngines(engines, "vm", "d1", "-token-interval", "5ms", "-load-time", "200ms", "-group-timeout", "1s")
+	engines := c.StartEngines(o.Groups*vmsPerReplica+1, "vm", "d1", "-token-interval", "5ms", "-load-time", "200ms", "-group-timeout", "1s")
+	var services []*harness.Standin
 	for _, id := range []string{"records-1", "records-2"}[:instances] {
-		f.service = append(f.service, c.StartService(id, service, "-call-time", "10ms"))
+		services = append(services, c.StartService(id, service, "-call-time", "10ms"))
 	}
-	c.AwaitGroups(model, groups)
+	c.AwaitGroups(model, o.Groups)
 	c.AwaitReady()
 
+	faulters := newFaulters(t, c, engines, services, o)
 	callers := &callers{cluster: c, seed: o.Seed, count: o.Callers}
-	drive(f, callers, o.Duration)
+	drive(faulters, callers, o.Duration)
 	runs := c.Runs()
-	report := summarise(callers.works, runs, f.Log)
+	report := summarise(callers.works, runs, faulters)
 	report.Violations = append(Check(callers.works, runs), invariantsBroken(c)...)
 	return report
 }
 
 // drive lets callers and faults go on for the duration, heals, and waits for
 // the callers to settle what they have begun.
-func drive(f *faulter, callers *callers, duration time.Duration) {
+func drive(faulters []*faulter, callers *callers, duration time.Duration) {
 	stop := make(chan struct{})
 	done := make(chan struct{})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -77,8 +93,14 @@
 	}()
 	faultsCtx, endFaults := context.WithTimeout(ctx, duration)
 	defer endFaults()
-	f.run(faultsCtx)
-	f.heal()
+	var all sync.WaitGroup
+	for _, f := range faulters {
+		all.Go(func() { f.run(faultsCtx) })
+	}
+	all.Wait()
+	for _, f := range faulters {
+		f.heal()
+	}
 	close(stop)
 	settle := time.AfterFunc(settleTime, cancel)
 	defer settle.Stop()
@@ -96,8 +118,11 @@
 	return s
 }
 
-func summarise(works []*Work, runs []standin.Run, faults []string) Report {
-	r := Report{Works: len(works), Runs: len(runs), Faults: faults}
+func summarise(works []*Work, runs []standin.Run, faulters []*faulter) Report {
+	r := Report{Works: len(works), Runs: len(runs)}
+	for _, f := range faulters {
+		r.Faults = append(r.Faults, f.Log...)
+	}
 	for _, w := range works {
 		for _, s := range w.Sends {
 			r.Sends++
