--- /dev/null
+++ b/internal/controller/opening_test.go
@@ -0,0 +1,144 @@
+package controller
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/citronstep/citronstep/internal/backend"
+	"github.com/citronstep/citronstep/internal/blackboard"
+)
+
+// A pool starts empty: each domain gets one model by its share, all groups
+// stand within the time of one load, and no VM is left loading for nothing.
+func TestAPoolFormsAllItsGroups(t *testing.T) {
+	w := newPoolWorld(t, 1, 6, 9)
+	w.run(25 * time.Second)
+	assert.DeepEqual(t, w.serving(), map[string]int{"wide": 6, "narrow": 9})
+}
+
+// The domains of a pool come to be known one after the other, the first by name
+// last, and each while the VMs of the one before are loading. The model that a
+// domain was given must stand, and all be divided by their shares in the end.
+func TestDomainsThatComeOneByOneKeepTheirModels(t *testing.T) {
+	w := newPoolWorld(t, 4, 0, 0)
+	view := View{Board: w.board, Evidence: w.table, Memory: w.memory}
+	given := make(map[string]string)
+	counts := make(map[string]int)
+	for d := 5; d >= 0; d-- {
+		domain := fmt.Sprintf("d%d", d)
+		w.apply(&blackboard.PutVM{VM: blackboard.VM{ID: domain, Incarnation: "1", Pool: "pool", FabricDomain: domain}})
+		view.Board = w.board
+		w.memory.domains = domainModels(view)
+		given[domain] = w.memory.domains[domain].Name
+		counts[given[domain]]++
+		for known, model := range given {
+			assert.Equal(t, w.memory.domains[known].Name, model, "%s when %s came", known, domain)
+		}
+	}
+	assert.DeepEqual(t, counts, map[string]int{"wide": 3, "narrow": 3})
+}
+
+// A member of a serving group dies. The group must serve again on the domain's
+// standby within two seconds of the entries' word, and no VM stay in the old
+// one.
+func TestAStandbyReplacesALostMember(t *testing.T) {
+	w := newPoolWorld(t, 2, 1, 9)
+	w.run(25 * time.Second)
+	assert.DeepEqual(t, w.serving(), map[string]int{"wide": 2})
+	var victim *poolEngine
+	for _, g := range w.board.Groups {
+		if g.State == blackboard.Serving {
+			victim = w.engine(g.Members[1].Incarnation)
+		}
+	}
+	victim.alive = false
+	w.run(2 * time.Second)
+	assert.DeepEqual(t, w.serving(), map[string]int{"wide": 2})
+}
+
+// The paths from half of the VMs to the control processes fail for eight seconds,
+// while callers' requests still reach them. All groups answer all the while; taken
+// out of service for the silence of a member, they would be missing for as long
+// as it takes to form them again.
+func TestGroupsThatAnswerServeOnWhileTheirMembersAreSilent(t *testing.T) {
+	w := newPoolWorld(t, 5, 6, 9)
+	w.run(25 * time.Second)
+	all := w.serving()
+	for i, e := range w.engines {
+		if i%2 == 0 {
+			e.cut, e.cutUntil = true, w.now.Add(8*time.Second)
+		}
+	}
+	for range 16 {
+		w.run(500 * time.Millisecond)
+		assert.DeepEqual(t, w.serving(), all)
+	}
+	w.run(10 * time.Second)
+	assert.DeepEqual(t, w.serving(), all)
+}
+
+// Members of a group die that nobody uses, so that no entry can tell. The head
+// says so once it has noticed; a group whose head dies is found by silence alone,
+// and its other members must serve again in the end.
+func TestAGroupThatNobodyUsesIsGivenUpInTheEnd(t *testing.T) {
+	w := newPoolWorld(t, 6, 1, 9)
+	w.unused = true
+	w.run(25 * time.Second)
+	assert.DeepEqual(t, w.serving(), map[string]int{"wide": 2})
+	w.engine(w.board.Groups["wide-0"].Members[1].Incarnation).alive = false
+	w.engine(w.board.Groups["wide-1"].Members[0].Incarnation).alive = false
+	w.run(8 * time.Second)
+	assert.Assert(t, w.board.Groups["wide-0"].State != blackboard.Serving, "its head has said that it broke")
+	assert.Assert(t, w.board.Groups["wide-1"].State == blackboard.Serving, "nothing but silence speaks against it yet")
+	w.run(silentLimit)
+	assert.Assert(t, w.board.Groups["wide-1"].State != blackboard.Serving)
+}
+
+// The head of a group is cut off from the control processes and goes on
+// serving; another member dies at the same time. The survivors must not be
+// used before the head has surely given up.
+func TestSurvivorsWaitForAHeadThatIsCutOff(t *testing.T) {
+	w := newPoolWorld(t, 3, 1, 4)
+	w.run(25 * time.Second)
+	assert.DeepEqual(t, w.serving(), map[string]int{"wide": 1})
+	head := w.engine(w.board.Groups["wide-0"].Members[0].Incarnation)
+	other := w.engine(w.board.Groups["wide-0"].Members[1].Incarnation)
+	head.cut, head.cutUntil = true, w.now.Add(time.Minute)
+	other.alive, other.backAt = false, w.now.Add(500*time.Millisecond)
+	w.run(20 * time.Second)
+	assert.Equal(t, head.phase, backend.PhaseFailed)
+}
+
+// Members die, return, are cut off and work on, domains go dark, leaders change
+// and forget, orders are lost or carried out up to 12 s late, and entries
+// suspect groups wrongly. Never may a group serve without each member having
+// been ready in its epoch, nor a VM join another group while the head of its
+// own serves; and when the troubles end, all groups must stand again.
+//
+// CITRONSTEP_SIM_SEEDS and CITRONSTEP_SIM_FIRST choose more seeds.
+func TestPoolsUnderRandomFaults(t *testing.T) {
+	seeds, first := 24, 1
+	if text := os.Getenv("CITRONSTEP_SIM_SEEDS"); text != "" {
+		seeds, _ = strconv.Atoi(text)
+	}
+	if text := os.Getenv("CITRONSTEP_SIM_FIRST"); text != "" {
+		first, _ = strconv.Atoi(text)
+	}
+	for seed := first; seed < first+seeds; seed++ {
+		t.Run(strconv.Itoa(seed), func(t *testing.T) {
+			w := newPoolWorld(t, uint64(seed), 3, 9)
+			w.run(20 * time.Second)
+			w.faulty = true
+			w.run(60 * time.Second)
+			w.faulty = false
+			w.run(75 * time.Second)
+			got := w.serving()
+			assert.Assert(t, got["wide"] >= 2 && got["wide"]*4+got["narrow"]*3 >= 24, "after the troubles: %v", got)
+		})
+	}
+}
--- a/internal/entry/routing_table.go
+++ b/internal/entry/routing_table.go
@@ -25,14 +25,20 @@
 	s.dispatcher.setPolicy(p)
 }
 
-// MaxBodyBytes returns how large a caller's body may be by the configuration in
-// force, or most if it does not say or says more.
-func (s *Server) MaxBodyBytes(most int64) int64 {
+// CallerLimits returns what the configuration in force allows callers, each limit
+// as in most if it does not say or says more.
+func (s *Server) CallerLimits(most blackboard.CallerLimits) blackboard.CallerLimits {
 	table := s.routing.Load()
-	if table == nil || table.config.Limits.MaxBodyBytes <= 0 {
+	if table == nil {
 		return most
 	}
-	return min(most, table.config.Limits.MaxBodyBytes)
+	if n := table.config.Limits.MaxBodyBytes; n > 0 {
+		most.MaxBodyBytes = min(most.MaxBodyBytes, n)
+	}
+	if n := table.config.Limits.MaxHeaderBytes; n > 0 {
+		most.MaxHeaderBytes = min(most.MaxHeaderBytes, n)
+	}
+	return most
 }
 
 // callersEntries returns how many entries take callers' requests and so share
--- a/internal/failure/failure.go
+++ b/internal/failure/failure.go
@@ -23,6 +23,7 @@
 	TypeUnknownModel       Type = "unknown_model"
 	TypeUnknownService     Type = "unknown_service"
 	TypeBodyTooLarge       Type = "body_too_large"
+	TypeHeaderTooLarge     Type = "header_too_large"
 	TypeOverloaded         Type = "overloaded"
 	TypeDeadlineExceeded   Type = "deadline_exceeded"
 	TypeNoBackendServer    Type = "no_backend_server"
--- a/internal/failure/http.go
+++ b/internal/failure/http.go
@@ -16,6 +16,7 @@
 	TypeUnknownModel:       http.StatusNotFound,
 	TypeUnknownService:     http.StatusNotFound,
 	TypeBodyTooLarge:       http.StatusRequestEntityTooLarge,
+	TypeHeaderTooLarge:     http.StatusRequestHeaderFieldsTooLarge,
 	TypeOverloaded:         http.StatusTooManyRequests,
 	TypeDeadlineExceeded:   http.StatusGatewayTimeout,
 	TypeNoBackendServer:    http.StatusServiceUnavailable,
