--- a/internal/entry/finish.go
+++ b/internal/entry/finish.go
@@ -54,7 +54,7 @@
 // logRefusal writes why a request that was taken got no answer, with what
 // decided it.
 func (s *Server) logRefusal(j *job, e *failure.Error) {
-	j.lines.Info("event", "refuse", "request", j.id, "type", e.Type, "ran", e.Ran, "reason", e.Message,
+	j.lines.Info("event", "refuse", "request", j.id, "type", e.Type, "ran", e.Ran, "reason", e.Message, "detail", e.Detail,
 		"class", j.class, "workspace", j.workspace, "model", j.model, "tokens", j.tokens(), "attempts", j.attempts,
 		"queued_ms", j.queued.Milliseconds(), "left_ms", time.Until(j.deadline).Milliseconds(),
 		"retry_after_ms", e.RetryAfter.Milliseconds(), "config", s.o.Follower.Board().Config.Revision)
--- a/internal/entry/forward_test.go
+++ b/internal/entry/forward_test.go
@@ -291,6 +291,7 @@
 	_, e, _ := send(s, Forwarded{ID: "4", Path: "/keyed/x", Key: "good"})
 	assert.Equal(t, e.Type, failure.TypeBackendFailed)
 	assert.Equal(t, len(f.calls), 5, "the budget is spent")
+	assert.Equal(t, e.Detail, "no further attempt: the retry budget of service files is spent")
 }
 
 // A backend server that is full says that it has not run the request. Sending it
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -195,7 +195,7 @@
 		return e.WithRetryAfter(time.Second)
 	}
 	if (out == outcomeBroken || out == outcomeRejected) && !s.dispatcher.allowRetry(j.retryBudget()) {
-		return e.WithRetryAfter(time.Second)
+		return e.WithDetail("no further attempt: the retry budget of " + j.retryBudget() + " is spent").WithRetryAfter(time.Second)
 	}
 	return nil
 }
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -45,7 +45,10 @@
 		if refusal.Fields["ran"] == "no" {
 			return text + "; surely nothing ran, and no further attempt was allowed."
 		}
-		return text + "; no further attempt was left or the retry budget of its service was spent."
+		if detail := refusal.Fields["detail"]; detail != "" {
+			return text + "; " + detail + "."
+		}
+		return text + "; no further attempt was left."
 	}
 	return fmt.Sprintf("It was refused by %s before anything was sent (%s) after %s ms in the queue, with %s ms left; it did not run, and was told to come back after %s ms.",
 		refusal.VM, refusal.Fields["reason"], refusal.Fields["queued_ms"], refusal.Fields["left_ms"], refusal.Fields["retry_after_ms"])
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -63,6 +63,8 @@
 		{"its answer was lost", ended + line(`event=refuse request=abc.1 type=outcome_unknown ran=unknown reason="its outcome is unknown"`),
 			"connection reset by peer). It may run once only and had been sent, so it was not sent again"},
 		{"no attempt left", ended + line(`event=refuse request=abc.1 type=backend_failed ran=unknown reason="x"`), "no further attempt was left"},
+		{"no budget left", ended + line(`event=refuse request=abc.1 type=backend_failed ran=unknown reason="x" detail="no further attempt: the retry budget of service pool is spent"`),
+			"no further attempt: the retry budget of service pool is spent."},
 		{"rejected everywhere", ended + line(`event=refuse request=abc.1 type=overloaded ran=no reason="x"`), "surely nothing ran"},
 		{"without a configuration", line(`event=refuse request=abc type=configuration_stale ran=no reason="lost" at=door`) +
 			"ts=2026-03-13T01:29:39.000Z vm=core-2 event=leading term=4\n", "had no leader until core-2 led at 01:29:39.000"},
