Assert that a group opened is whole and that no member heads another

Cause: two of the controllers' rules, a whole group before it opens and no join while a member heads another group, held by construction only; a change of the code around them would have gone unseen until a play broke.

Ruled out: a check in the agent's part alone. It sees one VM, not the group.

Change: invariants opened_group_is_whole and no_join_while_head, checked when the orders are made; a member that says it heads an older group is told to leave it first (that path was a load order before). Test TestNoJoinWhileAMemberHeadsAnotherGroup fails without the change.

--- a/internal/controller/opening.go
+++ b/internal/controller/opening.go
@@ -5,6 +5,8 @@
 
 	"github.com/citronstep/citronstep/internal/backend"
 	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/evidence"
+	"github.com/citronstep/citronstep/internal/invariant"
 )
 
 // The controllers' part for groups that open: engines of a pool form the group
@@ -40,6 +42,8 @@
 			continue
 		}
 		switch {
+		case headElsewhere(r, g.ID, g.Epoch):
+			// A late order has made it serve again; correcting tells it to leave.
 		case r.Group != g.ID || r.Epoch != g.Epoch:
 			sendLoad(v, now, a, g, rank)
 		case r.Phase == backend.PhaseReady:
@@ -61,12 +65,38 @@
 }
 
 func sendOpen(v View, now time.Time, a *Actions, g blackboard.Group) {
+	if !invariant.Check(whole(v, g), "opened_group_is_whole", "group %s epoch %d", g.ID, g.Epoch) {
+		return
+	}
 	head := g.Head()
 	send(v, now, a, v.Board.VMs[head.VM], head.Incarnation, backend.Order{
 		Kind: backend.OrderOpen, Group: g.ID, Token: backend.FencingToken{Term: v.Term, Epoch: g.Epoch},
 	})
 }
 
+// whole tells whether a group has as many members as its model needs, and each
+// has said in this epoch and under the incarnation that was asked to join that it
+// is ready.
+func whole(v View, g blackboard.Group) bool {
+	if spec, known := v.Board.Config.Groups[g.Spec]; known && len(g.Members) != spec.VMsPerReplica {
+		return false
+	}
+	for _, m := range g.Members {
+		r, heard := v.Evidence.Get(m.VM)
+		if !heard || r.Incarnation != m.Incarnation || r.Group != g.ID || r.Epoch != g.Epoch || r.Phase != backend.PhaseReady {
+			return false
+		}
+	}
+	return true
+}
+
+// headElsewhere tells whether a VM says that it heads another group that takes
+// requests or is about to end. It must leave that one before it joins any other.
+func headElsewhere(r evidence.Report, group string, epoch uint64) bool {
+	serving := r.Phase == backend.PhaseOpen || r.Phase == backend.PhaseClosing
+	return serving && (r.Group != group || r.Epoch != epoch)
+}
+
 // finishOpened lets the head of a draining group finish its requests, and tells
 // whether it has.
 func finishOpened(v View, now time.Time, a *Actions, g blackboard.Group) bool {
--- a/internal/controller/opening_test.go
+++ b/internal/controller/opening_test.go
@@ -114,6 +114,34 @@
 	assert.Equal(t, head.phase, backend.PhaseFailed)
 }
 
+// A group loads, and a late order of an earlier leader makes one of its members
+// serve for an older group again. Joined to the new one it would serve for two; it
+// must be told to leave the old one first, and join once it has.
+func TestNoJoinWhileAMemberHeadsAnotherGroup(t *testing.T) {
+	w := newPoolWorld(t, 8, 1, 4)
+	for step := 0; step < 400 && w.board.Groups["wide-0"].State != blackboard.Loading; step++ {
+		w.run(simStep)
+	}
+	g := w.board.Groups["wide-0"]
+	assert.Equal(t, g.State, blackboard.Loading)
+	e := w.engine(g.Members[1].Incarnation)
+	e.group, e.epoch, e.members, e.phase, e.beatAt = "old-0", 1, []string{e.id}, backend.PhaseOpen, w.now
+	w.beat(e)
+	w.orders = nil
+	for range 20 {
+		w.now = w.now.Add(simStep)
+		w.lead()
+	}
+	kinds := make(map[backend.OrderKind]int)
+	for _, o := range w.orders {
+		if o.to == e.address {
+			kinds[o.plan.Order.Kind]++
+		}
+	}
+	assert.Equal(t, kinds[backend.OrderLoad], 0)
+	assert.Assert(t, kinds[backend.OrderRelease] > 0)
+}
+
 // Members die, return, are cut off and work on, domains go dark, leaders change
 // and forget, orders are lost or carried out up to 12 s late, and entries
 // suspect groups wrongly. Never may a group serve without each member having
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -5,6 +5,7 @@
 
 	"github.com/citronstep/citronstep/internal/backend"
 	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/invariant"
 )
 
 const (
@@ -78,6 +79,11 @@
 		members[i] = backend.GroupMember{VM: m.VM, Address: m.Address, Incarnation: m.Incarnation}
 	}
 	member := g.Members[rank]
+	r, _ := v.Evidence.Get(member.VM)
+	if !invariant.Check(!headElsewhere(r, g.ID, g.Epoch), "no_join_while_head", "VM %s heads %s epoch %d, joins %s epoch %d",
+		member.VM, r.Group, r.Epoch, g.ID, g.Epoch) {
+		return false
+	}
 	return send(v, now, a, v.Board.VMs[member.VM], member.Incarnation, backend.Order{
 		Kind:  backend.OrderLoad,
 		Token: backend.FencingToken{Term: v.Term, Epoch: g.Epoch},
