A gate per model holds the surplus back while first events come late

Ruled out: refusing more by the queue's estimate (it cannot see what the other entries sent); a fixed limit a group (engines differ, and deployments as well); slowness of the groups (their own queues were full, step times as ever).

Change: admission.Gate, a window per model for requests sent whose first event has not come, that follows the time to the first event as a part of the objective; surplus waits newest first in its workspaces' shares. Also the invariants non_idempotent_sent_once and not_run_is_true at entries.

--- a/internal/admission/flow.go
+++ b/internal/admission/flow.go
@@ -150,8 +150,9 @@
 	l.short = max(l.short, worth)
 }
 
-// best returns the head of the flow that is furthest behind its share.
-func (b *band) best(full lanes) *item {
+// best returns the head of the flow that is furthest behind its share, or its
+// newest request.
+func (b *band) best(full lanes, newestFirst bool) *item {
 	var best *flow
 	for _, f := range b.active {
 		if full.blocked(f.key.long, b.worth) {
@@ -161,8 +162,11 @@
 			best = f
 		}
 	}
-	if best == nil {
+	switch {
+	case best == nil:
 		return nil
+	case newestFirst:
+		return best.last
 	}
 	return best.first
 }
--- a/internal/admission/model.go
+++ b/internal/admission/model.go
@@ -23,6 +23,8 @@
 	waiting int
 	seq     uint64
 	starved bool
+	// newestFirst serves the newest request of a flow first.
+	newestFirst bool
 	// used is when a request was last admitted.
 	used time.Time
 	// top is the greatest worth that arrived of late.
@@ -173,7 +175,7 @@
 func (m *modelQueue) candidate(full lanes) *item {
 	var best *item
 	for _, b := range m.bands {
-		head := b.best(full)
+		head := b.best(full, m.newestFirst)
 		if head == nil {
 			continue
 		}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -269,6 +269,15 @@
 	return Request{}, expired, false
 }
 
+// NewestFirst sets whether requests of a model are served newest first within
+// their workspaces' shares: under an overload what has waited is late already, and
+// served first it makes each newcomer late as well.
+func (q *Queue) NewestFirst(model string, on bool) {
+	if m := q.models[model]; m != nil {
+		m.newestFirst = on
+	}
+}
+
 // drop forgets a model that nobody asks for any more.
 func (q *Queue) drop(m *modelQueue) {
 	if m == nil || m.waiting > 0 {
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -30,9 +30,12 @@
 	policy admission.Policy
 	seed   uint64
 
-	mu      sync.Mutex
-	queue   *admission.Queue
-	picker  *placement.Picker
+	mu     sync.Mutex
+	queue  *admission.Queue
+	picker *placement.Picker
+	// gates are by model; unbegun holds the models of the attempts that they count.
+	gates   map[string]*admission.Gate
+	unbegun map[string]string
 	waiting map[string]*ticket
 	routes  map[string]route
 	models  map[string]bool
@@ -87,6 +90,8 @@
 		seed:    o.Seed,
 		queue:   admission.New(admission.Policy{Seed: o.Seed}),
 		picker:  placement.New(o),
+		gates:   make(map[string]*admission.Gate),
+		unbegun: make(map[string]string),
 		waiting: make(map[string]*ticket),
 		routes:  make(map[string]route),
 		models:  make(map[string]bool),
@@ -104,6 +109,7 @@
 	for _, t := range targets {
 		d.models[t.Model] = true
 	}
+	d.dropGates()
 	d.picker.SetTargets(now, targets)
 	close(d.changed)
 	d.changed = make(chan struct{})
@@ -178,7 +184,7 @@
 	select {
 	case g := <-t.granted:
 		if g.refused == nil {
-			d.picker.Finished(now, g.attempt, placement.Result{Cancelled: true})
+			d.finished(now, g.attempt, placement.Result{Cancelled: true})
 			d.queue.Done(now, admission.Outcome{ID: t.job.id})
 		}
 	default:
@@ -189,9 +195,12 @@
 
 // pump lets waiting requests go while there is room. The lock is held.
 func (d *dispatcher) pump(now time.Time) {
+	for model, gate := range d.gates {
+		d.queue.NewestFirst(model, gate.Limiting())
+	}
 	for {
 		r, expired, ok := d.queue.Next(now, func(r admission.Request) bool {
-			return d.picker.HasRoom(now, r.Model, r.Tokens, r.Reserve)
+			return d.gateOf(r.Model).Room(now) && d.picker.HasRoom(now, r.Model, r.Tokens, r.Reserve)
 		})
 		d.refuse(expired)
 		if !ok {
@@ -223,6 +232,10 @@
 	}
 	g := grant{attempt: j.nextAttempt(), route: d.routes[c.ID]}
 	d.picker.Started(now, g.attempt, c.ID, j.tokens())
+	if j.gated() {
+		d.gateOf(j.model).Sent()
+		d.unbegun[g.attempt] = j.model
+	}
 	j.lines.Info("event", "route", "request", j.id, "attempt", g.attempt, "model", j.model,
 		"class", j.class, "workspace", j.workspace, "choice", c.ID, "runner_up", c.RunnerUp, "reason", c.Reason,
 		"score", c.Score, "queued_ms", now.Sub(j.arrived).Milliseconds())
@@ -305,7 +318,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	d.picker.Finished(now, attempt, r)
+	d.finished(now, attempt, r)
 	d.pump(now)
 }
 
--- a/internal/entry/finish.go
+++ b/internal/entry/finish.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/citronstep/citronstep/internal/failure"
+	"github.com/citronstep/citronstep/internal/invariant"
 	"github.com/citronstep/citronstep/internal/metrics"
 	"github.com/citronstep/citronstep/internal/record"
 )
@@ -38,6 +39,9 @@
 func (s *Server) fail(j *job, e *failure.Error, mayHaveRun bool) {
 	c := *e
 	c.RequestID = j.id
+	if !invariant.Check(c.Ran != failure.RanNo || !j.mayHaveRun, "not_run_is_true", "request %s: %s", j.id, c.Message) {
+		c.Ran = failure.RanUnknown
+	}
 	begun := c.Ran != failure.RanNo
 	if begun {
 		s.release(j, false, true)
--- /dev/null
+++ b/internal/entry/gates.go
@@ -0,0 +1,52 @@
+package entry
+
+import (
+	"maps"
+	"time"
+
+	"github.com/citronstep/citronstep/internal/admission"
+	"github.com/citronstep/citronstep/internal/placement"
+)
+
+// gateOf returns the gate of a model. The lock is held.
+func (d *dispatcher) gateOf(model string) *admission.Gate {
+	gate := d.gates[model]
+	if gate == nil {
+		gate = admission.NewGate()
+		d.gates[model] = gate
+	}
+	return gate
+}
+
+// dropGates forgets the gates of models without a target. One whose attempts
+// have yet to begin or end stays. The lock is held.
+func (d *dispatcher) dropGates() {
+	maps.DeleteFunc(d.gates, func(model string, gate *admission.Gate) bool {
+		return !d.models[model] && gate.Idle()
+	})
+}
+
+// began notes the first event of a job's attempt.
+func (d *dispatcher) began(j *job, attempt string, took time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	model, counted := d.unbegun[attempt]
+	if !counted {
+		return
+	}
+	delete(d.unbegun, attempt)
+	now := time.Now()
+	objective := time.Duration(j.forward.route.ObjectiveMillis) * time.Millisecond
+	d.gateOf(model).Began(now, took, objective)
+	d.pump(now)
+}
+
+// finished takes an attempt off its target and its model's gate. The lock is
+// held.
+func (d *dispatcher) finished(now time.Time, attempt string, r placement.Result) {
+	d.picker.Finished(now, attempt, r)
+	if model, counted := d.unbegun[attempt]; counted {
+		delete(d.unbegun, attempt)
+		d.gateOf(model).Ended()
+	}
+}
--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -67,6 +67,8 @@
 	service *serviceCall
 
 	answer *answer
+	// mayHaveRun says that an attempt of this job may have run, or did.
+	mayHaveRun bool
 	// lines are what is logged of the request.
 	lines *requestlog.Lines
 	// finish is the finish reason of a whole answer.
@@ -105,6 +107,12 @@
 	return len(j.prompt)/bytesPerToken + j.maxTokens
 }
 
+// gated tells whether a model's gate counts the job: its answer is a stream that
+// should begin within an objective.
+func (j *job) gated() bool {
+	return j.forward != nil && j.forward.route.Kind == blackboard.RouteStreaming && j.forward.route.ObjectiveMillis > 0
+}
+
 // nextAttempt returns a new attempt's id. Engines echo it on each token, so
 // that a late answer of an earlier attempt is told from this one's.
 func (j *job) nextAttempt() string {
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -9,6 +9,7 @@
 	"github.com/citronstep/citronstep/internal/admission"
 	"github.com/citronstep/citronstep/internal/backend"
 	"github.com/citronstep/citronstep/internal/failure"
+	"github.com/citronstep/citronstep/internal/invariant"
 	"github.com/citronstep/citronstep/internal/placement"
 )
 
@@ -103,7 +104,13 @@
 			g.end()
 			return afterAttempts(begun, e)
 		}
+		if !j.maySend() {
+			s.dispatcher.attemptEnded(g.attempt, placement.Result{Cancelled: true})
+			g.end()
+			return afterAttempts(true, failure.New(failure.TypeOutcomeUnknown, "the request may have run and may not run again"))
+		}
 		out, e := attempt(j, g)
+		j.mayHaveRun = j.mayHaveRun || out == outcomeBroken || out == outcomeWhole
 		s.o.Metrics.Attempt(out.name(e))
 		stop := s.afterAttempt(j, g, out, e)
 		switch out {
@@ -126,6 +133,12 @@
 	}
 }
 
+// maySend asserts that a request that may run once only is not sent when it may
+// have run. What decides on retries has seen to that already.
+func (j *job) maySend() bool {
+	return invariant.Check(!j.nonIdempotent || !j.mayHaveRun, "non_idempotent_sent_once", "request %s, attempt %d", j.id, j.attempts)
+}
+
 // alone exchanges a suspect's grant for one where it runs alone, if that can
 // be had in time.
 func (s *Server) alone(j *job, g grant) grant {
