--- a/internal/controller/opening_test.go
+++ b/internal/controller/opening_test.go
@@ -142,6 +142,31 @@
 	assert.Assert(t, kinds[backend.OrderRelease] > 0)
 }
 
+// A group loads, a member crashes and its address answers under a new incarnation,
+// which repeats what its predecessor last said: ready, in this group and epoch. It
+// has joined nothing. A group that is opened on its word answers with half a model.
+func TestAReadyReportOfAnotherIncarnationOpensNothing(t *testing.T) {
+	w := newPoolWorld(t, 8, 1, 4)
+	for step := 0; step < 400 && w.board.Groups["wide-0"].State != blackboard.Loading; step++ {
+		w.run(simStep)
+	}
+	g := w.board.Groups["wide-0"]
+	assert.Equal(t, g.State, blackboard.Loading)
+	for i, m := range g.Members {
+		e := w.engine(m.Incarnation)
+		e.group, e.epoch, e.phase, e.beatAt = g.ID, g.Epoch, backend.PhaseReady, w.now
+		if i == 1 {
+			e.id += "-again"
+		}
+		w.beat(e)
+	}
+	w.orders = nil
+	w.lead()
+	for _, o := range w.orders {
+		assert.Assert(t, o.plan.Order.Kind != backend.OrderOpen, "opened at %s", o.to)
+	}
+}
+
 // Members die, return, are cut off and work on, domains go dark, leaders change
 // and forget, orders are lost or carried out up to 12 s late, and entries
 // suspect groups wrongly. Never may a group serve without each member having
