--- a/test/process/harness/process.go
+++ b/test/process/harness/process.go
@@ -30,6 +30,9 @@
 	args    []string
 	logPath string
 
+	// unread makes the next start one whose standard output nobody reads.
+	unread bool
+
 	mu      sync.Mutex
 	command *exec.Cmd
 	stdout  *lineBuffer
@@ -57,6 +60,9 @@
 	command := exec.Command(p.path, p.args...)
 	stdout := &lineBuffer{}
 	command.Stdout = io.MultiWriter(stdout, log)
+	if p.unread {
+		command.Stdout = p.unreadPipe()
+	}
 	command.Stderr = log
 	command.Env = append(os.Environ(), "CITRONSTEP_INVARIANTS_FATAL=1")
 	command.SysProcAttr = dieWithTest()
@@ -71,6 +77,22 @@
 	go p.reap(command, log, done)
 }
 
+// StopReading makes the process, from its next start on, one whose standard output
+// is a pipe that nobody reads. Its log holds nothing then but standard error.
+func (p *Process) StopReading() { p.unread = true }
+
+func (p *Process) unreadPipe() *os.File {
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		p.t.Fatalf("pipe of %s: %v", p.Name, err)
+	}
+	p.t.Cleanup(func() {
+		_ = writer.Close()
+		_ = reader.Close()
+	})
+	return writer
+}
+
 func (p *Process) reap(command *exec.Cmd, log *os.File, done chan struct{}) {
 	_ = command.Wait()
 	_ = log.Close()
