A backend server's start tells its lives apart; heartbeats of other writers name nobody

The incarnation was the id alone and a heartbeat's order its sequence alone, so a reborn member was taken for the ready one, its first heartbeats for old ones; an unknown state counted as ready, a missing domain made a plain service of an engine. Missing fields, other types, unknown states are refused whole, with a line that is bounded in length and number. Pools and plain services are taken up only as the configuration has them.

--- a/internal/backend/announcement.go
+++ b/internal/backend/announcement.go
@@ -41,6 +41,10 @@
 	// Incarnation changes each time the process starts. Work and group
 	// membership of an earlier incarnation are gone.
 	Incarnation string `json:"incarnation"`
+	// StartedMillis is when this incarnation started, in Unix milliseconds by the
+	// clock of its host; 0 where the protocol does not tell. Of two incarnations
+	// of one backend server the one that started later is the present one.
+	StartedMillis int64 `json:"started_ms,omitempty"`
 	// Sequence grows with each announcement of one incarnation, so that a
 	// delayed copy is told from a newer one.
 	Sequence     uint64 `json:"sequence"`
--- a/internal/blackboard/service.go
+++ b/internal/blackboard/service.go
@@ -3,13 +3,16 @@
 // ServiceInstance is one backend server of a plain service. Written by: the
 // announcement controller. Read by: entries.
 type ServiceInstance struct {
-	ID          string   `json:"id"`
-	Service     string   `json:"service"`
-	Incarnation string   `json:"incarnation"`
-	Address     string   `json:"address"`
-	DataCentre  string   `json:"data_centre"`
-	Liveness    Liveness `json:"liveness"`
-	Leaving     bool     `json:"leaving,omitempty"`
+	ID          string `json:"id"`
+	Service     string `json:"service"`
+	Incarnation string `json:"incarnation"`
+	// StartedMillis is when the incarnation started, by its host's clock; 0 is
+	// unknown.
+	StartedMillis int64    `json:"started_ms,omitempty"`
+	Address       string   `json:"address"`
+	DataCentre    string   `json:"data_centre"`
+	Liveness      Liveness `json:"liveness"`
+	Leaving       bool     `json:"leaving,omitempty"`
 }
 
 // PutService records what a plain service's instance announced, or what the
@@ -22,6 +25,9 @@
 	if b.Services[c.Instance.ID] == c.Instance {
 		return refused("no change")
 	}
+	if c.Instance.StartedMillis < b.Services[c.Instance.ID].StartedMillis {
+		return refused("an earlier incarnation")
+	}
 	b.Services = cloneMap(b.Services)
 	b.Services[c.Instance.ID] = c.Instance
 	return applied()
--- a/internal/blackboard/vm.go
+++ b/internal/blackboard/vm.go
@@ -21,11 +21,14 @@
 // announcement, liveness and group controllers. Read by: group controllers
 // and entries (addresses and epochs of members).
 type VM struct {
-	ID           string `json:"id"`
-	Incarnation  string `json:"incarnation"`
-	Address      string `json:"address"`
-	DataCentre   string `json:"data_centre"`
-	FabricDomain string `json:"fabric_domain"`
+	ID          string `json:"id"`
+	Incarnation string `json:"incarnation"`
+	// StartedMillis is when the incarnation started, by its host's clock; 0 is
+	// unknown.
+	StartedMillis int64  `json:"started_ms,omitempty"`
+	Address       string `json:"address"`
+	DataCentre    string `json:"data_centre"`
+	FabricDomain  string `json:"fabric_domain"`
 	// Pool is the engine pool that the VM announced itself for, if any.
 	Pool         string   `json:"pool,omitempty"`
 	Accelerators int      `json:"accelerators"`
@@ -68,7 +71,9 @@
 
 // PutVM records what a VM announced. It touches neither group nor liveness of
 // a VM that it knows; a new incarnation is recorded, and the group that ran
-// under the old one stays until FreeVM names the new incarnation.
+// under the old one stays until FreeVM names the new incarnation. One that
+// started before the known one is refused: it comes from a leader that heard of
+// it late.
 type PutVM struct {
 	VM VM `json:"vm"`
 }
@@ -85,6 +90,9 @@
 	if known && old.same(next) {
 		return refused("no change")
 	}
+	if known && next.StartedMillis < old.StartedMillis {
+		return refused("an earlier incarnation")
+	}
 	if known && old.Incarnation != next.Incarnation {
 		next.flap(c.VM.SinceMillis)
 	}
--- a/internal/controller/announcements.go
+++ b/internal/controller/announcements.go
@@ -17,8 +17,13 @@
 // alone; a live process goes on announcing.
 const settleAnnouncements = 2
 
-// settled tells whether a report's incarnation goes on announcing.
-func settled(r evidence.Report) bool {
+// replaces tells whether the incarnation of a report has taken the place of one
+// that the blackboard holds and that started at startedMillis. Where the start is
+// told it decides at once; elsewhere the new incarnation must go on announcing.
+func replaces(r evidence.Report, startedMillis int64) bool {
+	if r.StartedMillis != startedMillis {
+		return r.StartedMillis > startedMillis
+	}
 	return r.Sequence >= r.FirstSequence+settleAnnouncements-1
 }
 
@@ -30,7 +35,7 @@
 // heard within pausedAfter counts.
 func announcements(v View, now time.Time, a *Actions) {
 	for _, r := range v.Evidence.Reports() {
-		if r.Known == nil || now.Sub(r.HeardAt) > v.timing().Paused {
+		if r.Known == nil || now.Sub(r.HeardAt) > v.timing().Paused || !fits(v, r) {
 			continue
 		}
 		switch r.Kind {
@@ -44,12 +49,13 @@
 
 func announceVM(v View, now time.Time, a *Actions, r evidence.Report) {
 	old, known := v.Board.VMs[r.ID]
-	if known && old.Incarnation != r.Incarnation && !settled(r) {
+	if known && old.Incarnation != r.Incarnation && !replaces(r, old.StartedMillis) {
 		return
 	}
 	next := old
 	next.ID = r.ID
 	next.Incarnation = r.Incarnation
+	next.StartedMillis = r.StartedMillis
 	next.Address = r.Known.Address
 	next.DataCentre = r.Known.DataCentre
 	next.Pool = r.Known.Service
@@ -67,6 +73,23 @@
 	a.command(&blackboard.PutVM{VM: next})
 }
 
+// fits tells whether the configuration has use for a backend server of this kind:
+// engines belong to a pool that is configured, or to none, and instances of plain
+// services to anything that is not a pool.
+//
+// Failure: an announcement of an engine by another writer lacks its fabric domain,
+// or names a pool that nobody configured. Taken up, the engine would be called like
+// a plain service and run requests outside any group. It is left out, and taken
+// up once a configuration fits it.
+func fits(v View, r evidence.Report) bool {
+	spec, configured := v.Board.Config.Services[r.Known.Service]
+	pool := configured && spec.Engine != nil
+	if r.Kind == backend.KindService {
+		return !pool
+	}
+	return pool || r.Known.Service == ""
+}
+
 func sameVM(a, b blackboard.VM) bool {
 	return a.Incarnation == b.Incarnation && a.Address == b.Address &&
 		a.DataCentre == b.DataCentre && a.Pool == b.Pool && a.FabricDomain == b.FabricDomain &&
@@ -76,11 +99,11 @@
 
 func announceService(v View, now time.Time, a *Actions, r evidence.Report) {
 	old, known := v.Board.Services[r.ID]
-	if known && old.Incarnation != r.Incarnation && !settled(r) {
+	if known && old.Incarnation != r.Incarnation && !replaces(r, old.StartedMillis) {
 		return
 	}
 	next := blackboard.ServiceInstance{
-		ID: r.ID, Service: r.Known.Service, Incarnation: r.Incarnation,
+		ID: r.ID, Service: r.Known.Service, Incarnation: r.Incarnation, StartedMillis: r.StartedMillis,
 		Address: r.Known.Address, DataCentre: r.Known.DataCentre,
 		Liveness: old.Liveness, Leaving: r.Leaving,
 	}
--- a/internal/controller/opening.go
+++ b/internal/controller/opening.go
@@ -108,7 +108,7 @@
 	r, heard := v.Evidence.Get(head.VM)
 	inEpoch := heard && r.Incarnation == head.Incarnation && r.Group == g.ID && r.Epoch == g.Epoch
 	switch {
-	case draining > finishLimit, heard && r.Incarnation != head.Incarnation:
+	case draining > finishLimit, heard && r.Incarnation != head.Incarnation && succeeded(v, head, r):
 		return true
 	case inEpoch && r.Phase != backend.PhaseOpen && r.Phase != backend.PhaseClosing:
 		return true
@@ -157,7 +157,7 @@
 	head := g.Head()
 	r, heard := v.Evidence.Get(head.VM)
 	if heard && r.Incarnation != head.Incarnation {
-		return settled(r)
+		return succeeded(v, head, r)
 	}
 	if now.Before(v.Memory.ordersFrom) {
 		return false
--- a/internal/controller/opening_sim_test.go
+++ b/internal/controller/opening_sim_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -18,10 +19,14 @@
 // and checks neither that all members are there nor that it is in one group.
 type poolEngine struct {
 	address, id, domain string
-	sequence            uint64
-	starts              int
-	alive, cut          bool
-	backAt, cutUntil    time.Time
+	// born is when the present life began. It stays 0 unless reborn, which says that
+	// the engine keeps its id when it starts again.
+	born             int64
+	reborn           bool
+	sequence         uint64
+	starts           int
+	alive, cut       bool
+	backAt, cutUntil time.Time
 	// What it has been told.
 	group   string
 	epoch   uint64
@@ -63,6 +68,7 @@
 	term    uint64
 	engines []*poolEngine
 	orders  []poolOrder
+	late    []lateWord
 	ready   map[string]bool
 	served  time.Duration
 	// load is how long weights take from the store.
@@ -79,6 +85,12 @@
 )
 
 func newPoolWorld(t *testing.T, seed uint64, domains, each int) *poolWorld {
+	return newPoolWorldOf(t, seed, domains, each, false)
+}
+
+// newPoolWorldOf returns a pool whose engines keep their ids when they start
+// again, if reborn, or get new ones.
+func newPoolWorldOf(t *testing.T, seed uint64, domains, each int, reborn bool) *poolWorld {
 	w := &poolWorld{
 		t: t, r: rand.New(rand.NewPCG(seed, 99)), now: simStart, board: blackboard.New(),
 		table: evidence.NewTable("e", 1), ready: make(map[string]bool), term: 1, load: 14 * time.Second,
@@ -94,7 +106,7 @@
 	}}})
 	for d := range domains {
 		for i := range each {
-			e := &poolEngine{address: fmt.Sprintf("vm-%d-%d", d, i), domain: fmt.Sprintf("d%d", d)}
+			e := &poolEngine{address: fmt.Sprintf("vm-%d-%d", d, i), domain: fmt.Sprintf("d%d", d), reborn: reborn}
 			e.start(w.now)
 			w.engines = append(w.engines, e)
 		}
@@ -111,13 +123,29 @@
 
 func (e *poolEngine) start(now time.Time) {
 	e.starts++
-	e.id = e.address + "#" + strconv.Itoa(e.starts)
+	if e.reborn {
+		e.id, e.born = e.address+"#1", now.UnixMilli()
+	} else {
+		e.id = e.address + "#" + strconv.Itoa(e.starts)
+	}
 	e.alive, e.sequence, e.highest = true, 0, 0
 	e.leave(now)
 	e.model, e.last = "", ""
 	e.beatAt = now
 }
 
+// incarnation is the product's name of the present life.
+func (e *poolEngine) incarnation() string { return e.id + lifeMark + strconv.FormatInt(e.born, 10) }
+
+// lifeMark ends the id in an incarnation.
+const lifeMark = "@"
+
+// engineID is the id in an incarnation, which is all that orders carry.
+func engineID(incarnation string) string {
+	id, _, _ := strings.Cut(incarnation, lifeMark)
+	return id
+}
+
 func (e *poolEngine) leave(now time.Time) {
 	e.group, e.epoch, e.members, e.phase, e.phaseAt, e.lostAt = "", 0, nil, backend.PhaseIdle, now, time.Time{}
 	e.beatAt = now
@@ -127,9 +155,10 @@
 	e.phase, e.phaseAt, e.beatAt = p, now, now
 }
 
-func (w *poolWorld) engine(id string) *poolEngine {
+// engine returns the engine with this id, or that of this incarnation.
+func (w *poolWorld) engine(name string) *poolEngine {
 	for _, e := range w.engines {
-		if e.id == id {
+		if e.id == engineID(name) {
 			return e
 		}
 	}
@@ -226,7 +255,7 @@
 func (w *poolWorld) join(e *poolEngine, o backend.Order) bool {
 	var members []string
 	for _, m := range o.Members {
-		members = append(members, m.Incarnation)
+		members = append(members, engineID(m.Incarnation))
 	}
 	if o.Token.Epoch < e.highest {
 		return false
@@ -267,10 +296,36 @@
 	if e.staged != "" {
 		staged = []string{e.staged}
 	}
-	w.table.Hear(w.now, "e", backend.Announcement{
-		ID: e.address, Incarnation: e.id, Sequence: e.sequence, Kind: backend.KindEngine, Address: e.address,
-		FabricDomain: e.domain, Accelerators: 1, Service: "pool", Group: e.group, Epoch: e.epoch, Phase: e.phase, Weights: staged,
-	})
+	a := backend.Announcement{
+		ID: e.address, Incarnation: e.incarnation(), StartedMillis: e.born, Sequence: e.sequence, Kind: backend.KindEngine,
+		Address: e.address, FabricDomain: e.domain, Accelerators: 1, Service: "pool",
+		Group: e.group, Epoch: e.epoch, Phase: e.phase, Weights: staged,
+	}
+	if e.reborn && w.faulty && w.r.IntN(8) == 0 {
+		// Held up on its way; the sender may have started again by then.
+		w.late = append(w.late, lateWord{w.now.Add(time.Duration(w.r.IntN(9000)) * time.Millisecond), a})
+		return
+	}
+	w.table.Hear(w.now, "e", a)
+}
+
+// lateWord is an announcement on its way.
+type lateWord struct {
+	at time.Time
+	a  backend.Announcement
+}
+
+// hearLate lets announcements arrive that were held up.
+func (w *poolWorld) hearLate() {
+	var left []lateWord
+	for _, l := range w.late {
+		if w.now.Before(l.at) {
+			left = append(left, l)
+			continue
+		}
+		w.table.Hear(w.now, "e", l.a)
+	}
+	w.late = left
 }
 
 // lead runs the controllers once, as the leader does.
@@ -333,8 +388,9 @@
 			continue
 		}
 		for _, e := range w.engines {
-			// An order names the incarnation; any other refuses it.
-			if e.address != o.to || !e.alive || e.cut || e.id != o.plan.Order.Incarnation {
+			// An order names the id; any other refuses it, but not a later life of
+			// the same id.
+			if e.address != o.to || !e.alive || e.cut || e.id != engineID(o.plan.Order.Incarnation) {
 				continue
 			}
 			accepted := w.take(e, o.plan.Order)
@@ -383,6 +439,7 @@
 			w.disturb()
 		}
 		w.deliver()
+		w.hearLate()
 		for _, e := range w.engines {
 			w.step(e)
 			w.beat(e)
--- a/internal/controller/opening_test.go
+++ b/internal/controller/opening_test.go
@@ -174,7 +174,14 @@
 // own serves; and when the troubles end, all groups must stand again.
 //
 // CITRONSTEP_SIM_SEEDS and CITRONSTEP_SIM_FIRST choose more seeds.
-func TestPoolsUnderRandomFaults(t *testing.T) {
+func TestPoolsUnderRandomFaults(t *testing.T) { poolsUnderRandomFaults(t, false) }
+
+// The same, and engines keep their ids when they start again: orders to the life
+// before are carried out by the next, and announcements of the life before arrive
+// up to 9 s late.
+func TestPoolsWhoseEnginesAreRebornUnderRandomFaults(t *testing.T) { poolsUnderRandomFaults(t, true) }
+
+func poolsUnderRandomFaults(t *testing.T, reborn bool) {
 	seeds, first := 24, 1
 	if text := os.Getenv("CITRONSTEP_SIM_SEEDS"); text != "" {
 		seeds, _ = strconv.Atoi(text)
@@ -184,7 +191,7 @@
 	}
 	for seed := first; seed < first+seeds; seed++ {
 		t.Run(strconv.Itoa(seed), func(t *testing.T) {
-			w := newPoolWorld(t, uint64(seed), 3, 9)
+			w := newPoolWorldOf(t, uint64(seed), 3, 9, reborn)
 			w.run(20 * time.Second)
 			w.faulty = true
 			w.run(60 * time.Second)
--- a/internal/controller/releasing.go
+++ b/internal/controller/releasing.go
@@ -62,6 +62,13 @@
 	sendRelease(v, now, a, vm, vm.Incarnation, groupEpoch{g.ID, g.Epoch})
 }
 
+// succeeded tells whether the incarnation that a member had is gone: the
+// blackboard holds the one of the report, or will.
+func succeeded(v View, m blackboard.GroupMember, r evidence.Report) bool {
+	vm := v.Board.VMs[m.VM]
+	return vm.Incarnation == r.Incarnation || replaces(r, vm.StartedMillis)
+}
+
 // freed tells whether a VM has proved that the epoch no longer runs on it.
 //
 // Failure: a VM is thought free while its old group still runs, or will run
@@ -88,7 +95,7 @@
 		return false
 	}
 	if r.Incarnation != m.Incarnation {
-		return settled(r)
+		return replaces(r, 0)
 	}
 	if o == nil || o.kind != backend.OrderRelease || o.target != (groupEpoch{g.ID, g.Epoch}) {
 		return false
--- a/internal/evidence/table.go
+++ b/internal/evidence/table.go
@@ -76,13 +76,15 @@
 // Heard is one line of a digest: the newest announcement of one backend server
 // that the sender heard itself.
 type Heard struct {
-	Kind        backend.Kind  `json:"kind"`
-	ID          string        `json:"id"`
-	Incarnation string        `json:"incarnation"`
-	Sequence    uint64        `json:"sequence"`
-	Group       string        `json:"group,omitempty"`
-	Epoch       uint64        `json:"epoch,omitempty"`
-	Phase       backend.Phase `json:"phase,omitempty"`
+	Kind        backend.Kind `json:"kind"`
+	ID          string       `json:"id"`
+	Incarnation string       `json:"incarnation"`
+	// StartedMillis is that of the announcement; 0 is unknown.
+	StartedMillis int64         `json:"started_ms,omitempty"`
+	Sequence      uint64        `json:"sequence"`
+	Group         string        `json:"group,omitempty"`
+	Epoch         uint64        `json:"epoch,omitempty"`
+	Phase         backend.Phase `json:"phase,omitempty"`
 	// AgeMillis is how long before the digest the sender heard it.
 	AgeMillis   int64         `json:"age_ms"`
 	Leaving     bool          `json:"leaving,omitempty"`
@@ -168,13 +170,13 @@
 func (t *Table) RoutableAge() time.Duration { return routableIntervals * t.interval }
 
 // Left records that a backend server has said that it is gone: no new work may
-// go there. It returns false when the incarnation is not known.
+// go there. It returns false when nothing is known that is matches.
 //
 // A goodbye carries no sequence. It takes one far above those in use, so that
 // an announcement that was on its way does not bring the server back.
-func (t *Table) Left(now time.Time, source, incarnation string) bool {
+func (t *Table) Left(now time.Time, source string, is func(incarnation string) bool) bool {
 	for _, r := range t.records {
-		if r.report.Incarnation != incarnation {
+		if !is(r.report.Incarnation) {
 			continue
 		}
 		h := r.report.Heard
@@ -221,7 +223,7 @@
 		heardAt = t.beforePause
 	}
 	h := Heard{
-		Kind: a.Kind, ID: a.ID, Incarnation: a.Incarnation, Sequence: a.Sequence,
+		Kind: a.Kind, ID: a.ID, Incarnation: a.Incarnation, StartedMillis: a.StartedMillis, Sequence: a.Sequence,
 		Group: a.Group, Epoch: a.Epoch, Phase: a.Phase, Leaving: a.Leaving,
 		Unreachable: a.Unreachable, Load: a.Load,
 		Detail: &Detail{
@@ -342,10 +344,15 @@
 // one.
 //
 // Failure: a copy of an announcement of the incarnation before the present one
-// arrives late, and the VM looks restarted. A retired incarnation is therefore
-// believed only when it goes on announcing while the present one is silent, and
-// an unknown one only when it was heard after the present one.
+// arrives late, and the VM looks restarted. Where the start is told, it decides:
+// one VM runs one backend server, so the one that started last is the present
+// one, however late the other's announcement arrives. Elsewhere a retired
+// incarnation is believed only when it goes on announcing while the present one is
+// silent, and an unknown one only when it was heard after the present one.
 func (r *record) succeeds(heardAt time.Time, h Heard) bool {
+	if h.StartedMillis != r.report.StartedMillis {
+		return h.StartedMillis > r.report.StartedMillis
+	}
 	last, retired := r.retired[h.Incarnation]
 	if retired {
 		return h.Sequence > last && heardAt.Sub(r.report.HeardAt) > comeBack
--- a/internal/evidence/table_test.go
+++ b/internal/evidence/table_test.go
@@ -182,3 +182,31 @@
 		})
 	}
 }
+
+// A backend server starts again, and an announcement of its earlier life arrives
+// seconds later with a higher sequence. Where starts are told, nothing that the
+// earlier life says changes anything any more, however long the present one is
+// silent, and the present one counts from its first word, whatever its sequence.
+func TestTheLaterStartIsThePresentLife(t *testing.T) {
+	life := func(started int64, sequence uint64) backend.Announcement {
+		a := said(fmt.Sprint("x@", started), sequence)
+		a.StartedMillis = started
+		return a
+	}
+	table := NewTable("a", 1)
+	table.Hear(at(0), "a", life(10, 50))
+	table.Hear(at(400), "a", life(20, 1))
+	r, _ := table.Get("vm")
+	assert.Equal(t, r.Incarnation, "x@20")
+	tick(table, 400, 9000)
+	for i := range uint64(4) {
+		table.Hear(at(9000+int(i)), "a", life(10, 51+i))
+	}
+	table.Hear(at(9005), "a", said("x@0", 99))
+	r, _ = table.Get("vm")
+	assert.Equal(t, r.Incarnation, "x@20")
+	assert.Equal(t, r.HeardAt, at(400))
+	table.Merge(at(9100), "b", []Heard{{Kind: backend.KindEngine, ID: "vm", Incarnation: "x@30", StartedMillis: 30, Sequence: 1, AgeMillis: 9000}})
+	r, _ = table.Get("vm")
+	assert.Equal(t, r.Incarnation, "x@30", "heard before the present one, but it started later")
+}
--- a/internal/evidence/wire/line.go
+++ b/internal/evidence/wire/line.go
@@ -32,6 +32,7 @@
 	lineLoad
 	lineNoLoad
 	lineDetail
+	lineStarted
 )
 
 // ordinaryStep is the step of the sequence that is left out.
@@ -112,6 +113,9 @@
 	if h.Detail != nil {
 		b = putBytes(b, lineDetail, putDetail(nil, h.Detail))
 	}
+	if last.StartedMillis != h.StartedMillis {
+		b = putUint(b, lineStarted, uint64(h.StartedMillis))
+	}
 	return b
 }
 
@@ -198,6 +202,11 @@
 		return nil
 	case lineIncarnation:
 		return v.asString(&h.Incarnation)
+	case lineStarted:
+		started := uint64(0)
+		err := v.asUint(&started)
+		h.StartedMillis = int64(started)
+		return err
 	case lineGroup:
 		return v.asString(&h.Group)
 	case lineEpoch:
--- a/internal/hearing/hearing.go
+++ b/internal/hearing/hearing.go
@@ -164,13 +164,14 @@
 	return changed
 }
 
-// Left takes the goodbye of an incarnation that an adapter has decoded.
-func (h *Hearing) Left(incarnation string) *failure.Error {
+// Left takes the goodbye of a backend server that an adapter has decoded; is tells
+// which incarnations it speaks for.
+func (h *Hearing) Left(is func(incarnation string) bool) *failure.Error {
 	if h.o.Lease() <= 0 {
 		return cutOff()
 	}
 	known := false
-	h.With(func(t *evidence.Table) { known = t.Left(time.Now(), h.o.Self, incarnation) })
+	h.With(func(t *evidence.Table) { known = t.Left(time.Now(), h.o.Self, is) })
 	if !known {
 		return failure.New(failure.TypeUnavailable, "the backend server has not been heard here; tell another process")
 	}
--- /dev/null
+++ b/internal/logsink/limit_test.go
@@ -0,0 +1,28 @@
+package logsink
+
+import (
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"gotest.tools/v3/assert"
+)
+
+// Another writer sends a thousand heartbeats a second that can't be read. The log
+// shows the first of each second and how many it left out.
+func TestALimitedLogTellsWhatItLeftOut(t *testing.T) {
+	var lines [][]any
+	l := Limit(log.LoggerFunc(func(keyvals ...any) error {
+		lines = append(lines, keyvals)
+		return nil
+	}), 3)
+	now := time.Unix(100, 0)
+	l.now = func() time.Time { return now }
+	for range 1000 {
+		assert.NilError(t, l.Log("event", "refuse"))
+	}
+	assert.Equal(t, len(lines), 3)
+	now = now.Add(time.Second)
+	assert.NilError(t, l.Log("event", "refuse"))
+	assert.DeepEqual(t, lines[3], []any{"event", "refuse", "dropped_before", 997})
+}
