--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -188,7 +188,7 @@
 	o.Logger = log.With(n.logger, "part", "replica")
 	o.Secret = n.tokens.peers
 	o.LocalAddr = n.localAddr()
-	r, err := replica.Open(o)
+	r, err := n.openReplica(o)
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -94,22 +94,24 @@
 	if err := opts.check(); err != nil {
 		return nil, errors.Trace(err)
 	}
-	store, err := wal.Open(opts.Folder)
+	full := &fullDisk{stop: make(chan struct{})}
+	store, err := wal.Open(opts.Folder, full)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
 	identity := store.Identity()
 	opts.Logger = log.With(opts.Logger, "component", "replica", "node", idString(identity.Node))
+	full.logger = logger{opts.Logger}
 	n := &Node{
 		id:        identity.Node,
 		opts:      opts,
-		logger:    logger{opts.Logger},
+		logger:    full.logger,
 		wal:       store,
 		transport: newTransport(opts, identity.Node),
 		inbox:     make(chan []raft.Message, inboxSize),
 		proposals: make(chan *proposal, proposalQueue),
 		calls:     make(chan func()),
-		stop:      make(chan struct{}),
+		stop:      full.stop,
 		failed:    make(chan struct{}),
 		waiters:   map[uint64]*proposal{},
 		reads:     map[uint64]*proposal{},
--- a/internal/replica/recover.go
+++ b/internal/replica/recover.go
@@ -34,7 +34,7 @@
 // the highest last index, as Status and Recovered show them.
 func Recover(opts Options) (Recovered, error) {
 	opts = opts.withDefaults()
-	store, err := wal.Open(opts.Folder)
+	store, err := wal.Open(opts.Folder, nil)
 	if err != nil {
 		return Recovered{}, errors.Trace(err)
 	}
--- /dev/null
+++ b/internal/wal/room_test.go
@@ -0,0 +1,176 @@
+package wal
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+
+	"github.com/juju/errors"
+	"gotest.tools/v3/assert"
+
+	"github.com/citronstep/citronstep/internal/raft"
+)
+
+// smallDisk lets files of this process grow up to a size, and gives way after a
+// few tries.
+type smallDisk struct {
+	t            *testing.T
+	old          syscall.Rlimit
+	tries, after int
+	regained     int
+}
+
+// shrink makes every write beyond bytes fail, as on a disk that takes no more.
+func (d *smallDisk) shrink(bytes uint64) {
+	assert.NilError(d.t, syscall.Getrlimit(syscall.RLIMIT_FSIZE, &d.old))
+	assert.NilError(d.t, syscall.Setrlimit(syscall.RLIMIT_FSIZE, &syscall.Rlimit{Cur: bytes, Max: d.old.Max}))
+	d.tries = 0
+}
+
+// inChild runs a test in a process of its own, whose files alone are bounded: go
+// test itself writes files. It returns true in that process.
+func inChild(t *testing.T) bool {
+	t.Helper()
+	const mark = "CITRONSTEP_SMALL_DISK"
+	if os.Getenv(mark) != "" {
+		return true
+	}
+	c := exec.Command(os.Args[0], "-test.run=^"+t.Name()+"$", "-test.count=1")
+	c.Env = append(os.Environ(), mark+"=1")
+	text, err := c.CombinedOutput()
+	assert.NilError(t, err, string(text))
+	return false
+}
+
+func (d *smallDisk) grow() { assert.NilError(d.t, syscall.Setrlimit(syscall.RLIMIT_FSIZE, &d.old)) }
+
+// NoRoom gives way after some tries.
+func (d *smallDisk) NoRoom(err error) bool {
+	assert.Assert(d.t, errors.Is(err, ErrNoRoom))
+	d.tries++
+	if d.tries >= d.after {
+		d.grow()
+	}
+	return true
+}
+
+// Room counts the waits that ended.
+func (d *smallDisk) Room() { d.regained++ }
+
+// writes are the kinds of write, each on a folder with 40 entries.
+var writes = map[string]func(w *WAL) error{
+	"identity": func(w *WAL) error {
+		id := w.Identity()
+		id.Cluster = 99
+		return w.SetIdentity(id)
+	},
+	"entries": func(w *WAL) error {
+		entries := []raft.Entry{{Term: 4, Index: 38, Data: make([]byte, 60<<10)}, {Term: 4, Index: 39, Data: make([]byte, 60<<10)}}
+		return w.Save(raft.Ready{MustPersist: true, Entries: entries, HardState: raft.HardState{Term: 4, Commit: 39}})
+	},
+	"snapshot": func(w *WAL) error {
+		s := raft.Snapshot{Index: 50, Term: 3, Data: make([]byte, 200<<10)}
+		return w.Save(raft.Ready{MustPersist: true, Snapshot: &s, HardState: raft.HardState{Term: 5, Commit: 50}})
+	},
+	"compaction": func(w *WAL) error {
+		return w.Compact(raft.Snapshot{Index: 20, Term: 3, Data: make([]byte, 200<<10)}, raft.Position{Index: 10, Term: 3})
+	},
+}
+
+// The disk takes no more bytes, from the first page of a transaction on or from one
+// in its middle. The replica's process ended, was started again, and ended at its
+// next write; now the write waits, and what is read back afterwards is exactly
+// what the same write leaves behind on a disk with room.
+func TestAWriteWaitsForRoom(t *testing.T) {
+	if !inChild(t) {
+		return
+	}
+	waits := 0
+	for name, write := range writes {
+		want := after(t, write, nil, 0)
+		for room := uint64(0); room < 512<<10; room += 12 << 10 {
+			d := &smallDisk{t: t, after: 1 + int(room/(12<<10))%3}
+			got := after(t, write, d, room)
+			assert.DeepEqual(t, got, want)
+			assert.Equal(t, d.regained > 0, d.tries > 0, "%s with room for %d bytes", name, room)
+			waits += d.regained
+		}
+	}
+	assert.Assert(t, waits > 40, "%d", waits)
+}
+
+// after returns what a folder holds after a write that found the disk small.
+func after(t *testing.T, write func(*WAL) error, d *smallDisk, room uint64) string {
+	t.Helper()
+	folder := written(t)
+	var waiter Waiter
+	if d != nil {
+		waiter = d
+	}
+	w, err := Open(folder, waiter)
+	assert.NilError(t, err)
+	w.identity.Node = 7
+	if d != nil {
+		d.shrink(room)
+	}
+	err = write(w)
+	if d != nil {
+		d.grow()
+	}
+	assert.NilError(t, err)
+	assert.NilError(t, w.Close())
+	w, err = Open(folder, nil)
+	assert.NilError(t, err)
+	defer func() { assert.NilError(t, w.Close()) }()
+	id := w.Identity()
+	s := w.Saved()
+	return fmt.Sprintf("%d %+v %+v %+v", id.Cluster, s.HardState, s.Base, s.Snapshot.Index) + fmt.Sprint(len(s.Snapshot.Data), len(s.Entries))
+}
+
+// A write is given up while the disk is full, as the process is told to stop. What
+// was acknowledged before it must be read back whole.
+func TestAWriteThatIsGivenUpLeavesWhatWasThere(t *testing.T) {
+	if !inChild(t) {
+		return
+	}
+	for name, write := range writes {
+		folder := written(t)
+		w, err := Open(folder, nil)
+		assert.NilError(t, err)
+		d := &smallDisk{t: t}
+		d.shrink(8 << 10)
+		err = write(w)
+		d.grow()
+		assert.Assert(t, errors.Is(err, ErrNoRoom), "%s: %v", name, err)
+		assert.NilError(t, w.Close())
+		w, err = Open(folder, nil)
+		assert.NilError(t, err)
+		s := w.Saved()
+		assert.Equal(t, len(s.Entries), 40)
+		assert.Equal(t, s.HardState.Commit, uint64(40))
+		assert.NilError(t, w.Close())
+	}
+}
+
+// A process starts for the first time while its disk is full. It must learn that
+// there is no room, not that its folder is damaged, and start well once there is.
+func TestAFolderThatFindsNoRoomIsNotDamaged(t *testing.T) {
+	if !inChild(t) {
+		return
+	}
+	for _, room := range []uint64{0, 4 << 10, 12 << 10, 20 << 10} {
+		folder := filepath.Join(t.TempDir(), "data")
+		d := &smallDisk{t: t}
+		d.shrink(room)
+		w, err := Open(folder, nil)
+		d.grow()
+		assert.Assert(t, errors.Is(err, ErrNoRoom), "room for %d bytes: %v", room, err)
+		assert.Assert(t, w == nil)
+		w, err = Open(folder, nil)
+		assert.NilError(t, err, "room for %d bytes at first", room)
+		assert.NilError(t, w.Close())
+	}
+}
--- a/internal/wal/wal.go
+++ b/internal/wal/wal.go
@@ -80,17 +80,28 @@
 type WAL struct {
 	path     string
 	db       *bolt.DB
+	waiter   Waiter
 	identity Identity
 	saved    raft.Saved
 }
 
-// Open opens the data folder, or makes it with a new random identity.
-func Open(folder string) (*WAL, error) {
+// Open opens the data folder, or makes it with a new random identity. It returns
+// ErrNoRoom if the disk has no room for that. The waiter is asked when a later
+// write finds none; nil gives such writes up.
+func Open(folder string, waiter Waiter) (*WAL, error) {
+	w, err := open(folder, waiter)
+	if isNoRoom(err) {
+		return nil, errors.Annotate(ErrNoRoom, err.Error())
+	}
+	return w, errors.Trace(err)
+}
+
+func open(folder string, waiter Waiter) (*WAL, error) {
 	path := filepath.Join(folder, FileName)
 	if err := os.MkdirAll(folder, folderMode); err != nil {
 		return nil, errors.Annotatef(err, "making the data folder %s", folder)
 	}
-	w := &WAL{path: path}
+	w := &WAL{path: path, waiter: waiter}
 	if err := w.guard("file", w.openFile); err != nil {
 		return nil, errors.Trace(err)
 	}
@@ -102,7 +113,11 @@
 }
 
 func (w *WAL) openFile() error {
-	_, statErr := os.Stat(w.path)
+	if _, err := os.Stat(w.path); os.IsNotExist(err) {
+		if err := makeFile(w.path); err != nil {
+			return errors.Annotatef(err, "making %s", w.path)
+		}
+	}
 	db, err := bolt.Open(w.path, fileMode, &bolt.Options{Timeout: lockTimeout})
 	switch {
 	case errors.Is(err, berrors.ErrTimeout):
@@ -110,23 +125,43 @@
 	case errors.Is(err, berrors.ErrInvalid), errors.Is(err, berrors.ErrChecksum),
 		errors.Is(err, berrors.ErrVersionMismatch):
 		return w.corrupt("file header", err.Error())
-	case err != nil && statErr == nil && !os.IsPermission(err):
-		return w.corrupt("file header", err.Error())
-	case err != nil:
+	case isNoRoom(err), os.IsPermission(err):
 		return errors.Annotatef(err, "opening %s", w.path)
+	case err != nil:
+		return w.corrupt("file header", err.Error())
 	}
 	w.db = db
-	if os.IsNotExist(statErr) {
-		// The file's name must outlast a crash like its contents, or the
-		// replica would come back without the votes it has answered with.
-		if err := syncFolder(filepath.Dir(w.path)); err != nil {
-			_ = db.Close()
-			return errors.Trace(err)
-		}
-	}
 	return nil
 }
 
+// newSuffix ends the name of a file that is being made.
+const newSuffix = ".new"
+
+// makeFile makes an empty store under another name and gives it its own once it is
+// whole.
+//
+// Failure: the disk fills, or the power fails, while the first pages are written.
+// A file that is cut short there holds nothing yet, but can't be told from one
+// that was damaged later. The name and the file must outlast a crash together, or
+// the replica would come back without the votes it has answered with.
+func makeFile(path string) error {
+	unfinished := path + newSuffix
+	if err := os.Remove(unfinished); err != nil && !os.IsNotExist(err) {
+		return errors.Trace(err)
+	}
+	db, err := bolt.Open(unfinished, fileMode, &bolt.Options{Timeout: lockTimeout})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	if err := db.Close(); err != nil {
+		return errors.Trace(err)
+	}
+	if err := os.Rename(unfinished, path); err != nil {
+		return errors.Trace(err)
+	}
+	return errors.Trace(syncFolder(filepath.Dir(path)))
+}
+
 func syncFolder(folder string) error {
 	for _, name := range []string{folder, filepath.Dir(folder)} {
 		f, err := os.Open(name)
@@ -289,8 +324,8 @@
 	return putRecord(meta, keySnapshot, data)
 }
 
-// update runs f in one transaction that is synced before update returns.
-func (w *WAL) update(f func(tx *bolt.Tx) error) error {
+// updateOnce runs f in one transaction that is synced before it returns.
+func (w *WAL) updateOnce(f func(tx *bolt.Tx) error) error {
 	return w.guard("write", func() error {
 		err := w.db.Update(f)
 		if errors.Is(err, berrors.ErrDatabaseNotOpen) {
--- a/internal/wal/wal_test.go
+++ b/internal/wal/wal_test.go
@@ -14,9 +14,9 @@
 	"github.com/citronstep/citronstep/internal/raft"
 )
 
-func open(t *testing.T, folder string) *WAL {
+func openAt(t *testing.T, folder string) *WAL {
 	t.Helper()
-	w, err := Open(folder)
+	w, err := Open(folder, nil)
 	assert.NilError(t, err)
 	return w
 }
@@ -36,7 +36,7 @@
 func written(t *testing.T) string {
 	t.Helper()
 	folder := filepath.Join(t.TempDir(), "data")
-	w := open(t, folder)
+	w := openAt(t, folder)
 	save(t, w, 3, 1, 40)
 	assert.NilError(t, w.Close())
 	return folder
@@ -46,7 +46,7 @@
 // vote, log and snapshot; a rewritten end of the log replaces the old one.
 func TestReopen(t *testing.T) {
 	folder := filepath.Join(t.TempDir(), "data")
-	w := open(t, folder)
+	w := openAt(t, folder)
 	id := w.Identity()
 	assert.Assert(t, id.Node != 0)
 	save(t, w, 3, 1, 40)
@@ -58,12 +58,12 @@
 		Membership: raft.Membership{Members: []raft.Member{{ID: 5, VM: "a"}}},
 	}
 	assert.NilError(t, w.Compact(snapshot, raft.Position{Index: 10, Term: 3}))
-	_, err := Open(folder)
+	_, err := Open(folder, nil)
 	assert.Assert(t, errors.Is(err, ErrLocked), "%v", err)
 	assert.NilError(t, w.Close())
 	assert.Assert(t, errors.Is(w.SetIdentity(id), ErrClosed))
 
-	w = open(t, folder)
+	w = openAt(t, folder)
 	defer func() { assert.NilError(t, w.Close()) }()
 	assert.Equal(t, w.Identity(), id)
 	s := w.Saved()
@@ -87,7 +87,7 @@
 	path := filepath.Join(folder, FileName)
 	before, err := os.ReadFile(path)
 	assert.NilError(t, err)
-	w, err := Open(folder)
+	w, err := Open(folder, nil)
 	if err == nil {
 		_ = w.Close()
 	}
@@ -143,7 +143,7 @@
 func TestMissingEntries(t *testing.T) {
 	for _, index := range []uint64{1, 20, 40} {
 		folder := written(t)
-		w := open(t, folder)
+		w := openAt(t, folder)
 		assert.NilError(t, w.db.Update(func(tx *bolt.Tx) error {
 			return tx.Bucket(bucketEntries).Delete(entryKey(index))
 		}))
@@ -156,7 +156,7 @@
 // all of it or nothing; here the transaction fails after half of the entries.
 func TestHalfWrittenStepIsNotThere(t *testing.T) {
 	folder := written(t)
-	w := open(t, folder)
+	w := openAt(t, folder)
 	err := w.update(func(tx *bolt.Tx) error {
 		if err := appendEntries(tx, []raft.Entry{{Term: 9, Index: 38}}); err != nil {
 			return err
@@ -165,7 +165,7 @@
 	})
 	assert.Assert(t, errors.Is(err, ErrClosed))
 	assert.NilError(t, w.Close())
-	w = open(t, folder)
+	w = openAt(t, folder)
 	defer func() { assert.NilError(t, w.Close()) }()
 	s := w.Saved()
 	assert.Equal(t, len(s.Entries), 40)
