Requests that can still be on time go before those that are late already

Ruled out: groups that were not whole (51 VMs served throughout), limits that grow from a tenth (the first 149 were sent within 0.3 s). Change: each request of a stream says until when it must be sent to begin on time, by its objective and the time to first events as seen of late. Within a class of worth, flows with one that can be on time go first, and in a flow the oldest of these; the others follow in their order of arrival. Nothing is held back, and what can't be answered in its deadline is refused as before.

--- a/internal/admission/flow.go
+++ b/internal/admission/flow.go
@@ -1,5 +1,7 @@
 package admission
 
+import "time"
+
 // flowKey names the requests that are served in arrival order.
 type flowKey struct {
 	workspace string
@@ -150,15 +152,15 @@
 	l.short = max(l.short, worth)
 }
 
-// best returns the head of the flow that is furthest behind its share, or its
-// newest request.
-func (b *band) best(full lanes, newestFirst bool) *item {
+// best returns a request of the flow that is furthest behind its share: of the
+// flows that hold one which can still be on time, if there are any.
+func (b *band) best(now time.Time, full lanes, newestFirst bool) *item {
 	var best *flow
 	for _, f := range b.active {
 		if full.blocked(f.key.long, b.worth) {
 			continue
 		}
-		if best == nil || f.finish < best.finish || (f.finish == best.finish && f.first.seq < best.first.seq) {
+		if best == nil || f.before(best, now) {
 			best = f
 		}
 	}
@@ -168,7 +170,46 @@
 	case newestFirst:
 		return best.last
 	}
-	return best.first
+	return best.next(now)
+}
+
+// before tells whether a flow is served before another.
+func (f *flow) before(o *flow, now time.Time) bool {
+	if mine, other := f.onTime(now), o.onTime(now); mine != other {
+		return mine
+	}
+	if f.finish != o.finish {
+		return f.finish < o.finish
+	}
+	return f.first.seq < o.first.seq
+}
+
+// onTime tells whether the flow holds a request that can still be on time. Those of
+// one flow have one objective, so if any can, the last one can.
+func (f *flow) onTime(now time.Time) bool { return f.last.onTime(now) }
+
+func (it *item) onTime(now time.Time) bool {
+	return !it.request.OnTimeUntil.IsZero() && !now.After(it.request.OnTimeUntil)
+}
+
+// next returns the oldest request that can still be on time, or else the oldest.
+//
+// Load: all processes come back after a loss of power, and a second of callers'
+// requests with them. Harm of first come, first served: the groups work for two
+// seconds on what is late already, and each that comes meanwhile waits until it is
+// late too; measured, 59 of 260 were on time in these two seconds, with 0.5 s in the
+// queue at the median and 0.2 s at the groups. Those that are late follow as soon as
+// there is room, in the order in which they came, and before their deadline or are
+// refused when that is out of reach.
+func (f *flow) next(now time.Time) *item {
+	if !f.onTime(now) {
+		return f.first
+	}
+	it := f.last
+	for it.prev != nil && it.prev.onTime(now) {
+		it = it.prev
+	}
+	return it
 }
 
 // newest returns the last request of the flow that holds most for its share,
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -72,6 +72,17 @@
 // Limiting tells whether the gate holds requests back at present loads.
 func (g *Gate) Limiting() bool { return g.window < gateOpen }
 
+const (
+	// firstLeast and firstMost bound Expected: with too little, requests count as on
+	// time that have no chance, with too much none does.
+	firstLeast = 0.3
+	firstMost  = 0.9
+)
+
+// Expected is the part of the objective that a request spends at a group until its
+// first event, as seen of late.
+func (g *Gate) Expected() float64 { return min(max(g.pressure, firstLeast), firstMost) }
+
 // Idle tells whether no request is between its sending and its first event.
 func (g *Gate) Idle() bool { return g.unbegun == 0 }
 
--- a/internal/admission/model.go
+++ b/internal/admission/model.go
@@ -131,13 +131,13 @@
 }
 
 // next picks the request to place, or nil if none fits.
-func (m *modelQueue) next(policy Policy, fits func(Request) bool) *item {
+func (m *modelQueue) next(now time.Time, policy Policy, fits func(Request) bool) *item {
 	if m.waiting == 0 {
 		return nil
 	}
 	var full lanes
 	for {
-		it := m.candidate(full)
+		it := m.candidate(now, full)
 		if it == nil {
 			m.starved = true
 			return nil
@@ -172,10 +172,10 @@
 // strict order alone the lesser classes would get nothing and their callers
 // would send again for ever; with it they get FloorShare of the tokens, shared
 // between the bands that wait.
-func (m *modelQueue) candidate(full lanes) *item {
+func (m *modelQueue) candidate(now time.Time, full lanes) *item {
 	var best *item
 	for _, b := range m.bands {
-		head := b.best(full, m.newestFirst)
+		head := b.best(now, full, m.newestFirst)
 		if head == nil {
 			continue
 		}
--- /dev/null
+++ b/internal/admission/ontime_test.go
@@ -0,0 +1,95 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// replayBacklog replays callers who come back together: 150 requests of ten workspaces wait
+// when the first server is there, all late already, and 80 more come each second to
+// slots that serve 100. It returns how many of those that came later were sent on
+// time, and when the last of the backlog was sent.
+func replayBacklog(t *testing.T, ordered bool) (onTime, later int, cleared time.Duration) {
+	t.Helper()
+	const (
+		slots     = 100
+		work      = time.Second
+		objective = 250 * time.Millisecond
+		deadline  = 8 * time.Second
+		waiting   = 150
+	)
+	q, now := New(Policy{}), start
+	var busy []time.Time
+	offer := func(id string, arrived time.Time) {
+		r := Request{ID: id, Workspace: fmt.Sprint("w", len(id)%10), Class: "c", Model: "m", Tokens: 1000, Arrived: arrived, Deadline: arrived.Add(deadline)}
+		if ordered {
+			r.OnTimeUntil = arrived.Add(objective)
+		}
+		assert.Assert(t, q.Offer(now, r).Queued, "%s", id)
+	}
+	arrivals := make(map[string]time.Time)
+	for i := range waiting {
+		offer(fmt.Sprint("old", i), now.Add(-time.Second))
+	}
+	for step := 0; step < 6000; step++ {
+		now = now.Add(time.Millisecond)
+		if step%1000 < 960 && step%12 == 0 {
+			id := fmt.Sprint("new", step)
+			arrivals[id] = now
+			offer(id, now)
+		}
+		for len(busy) > 0 && !now.Before(busy[0]) {
+			busy = busy[1:]
+		}
+		for len(busy) < slots {
+			r, expired, ok := q.Next(now, func(Request) bool { return true })
+			assert.Equal(t, len(expired), 0)
+			if !ok {
+				break
+			}
+			// The backlog fills the slots at once; they end one after the other.
+			busy = append(busy, now.Add(work+time.Duration(len(busy))*time.Millisecond))
+			q.Done(now, Outcome{ID: r.ID})
+			if at, new := arrivals[r.ID]; !new {
+				cleared = now.Sub(start)
+			} else if now.Sub(at) <= objective {
+				onTime++
+			}
+		}
+	}
+	return onTime, len(arrivals), cleared
+}
+
+// All processes come back after a loss of power, and a second of callers' requests
+// with them. Served first come, first served, those that come in the next seconds
+// wait until they are late too. Served as long as they can be on time, they are, and
+// what was late already follows within its deadline.
+func TestThoseThatCanBeOnTimeGoBeforeALateBacklog(t *testing.T) {
+	before, all, _ := replayBacklog(t, false)
+	after, _, cleared := replayBacklog(t, true)
+	t.Logf("on time of %d: %d before, %d now, backlog cleared after %s", all, before, after, cleared)
+	assert.Assert(t, after >= before+all/8, "%d of %d, %d before", after, all, before)
+	assert.Assert(t, cleared > 0 && cleared < 7*time.Second, "the last of the backlog after %s", cleared)
+}
+
+// Requests of one workspace that are late already, and one that is not: it goes first,
+// then the others in the order in which they came.
+func TestLateRequestsFollowInTheirOrder(t *testing.T) {
+	q := New(Policy{})
+	for i, until := range []time.Duration{-3, -2, -1, 5, 6} {
+		r := Request{ID: fmt.Sprint(i), Workspace: "w", Class: "c", Model: "m", Tokens: 1, Arrived: start, OnTimeUntil: start.Add(until * time.Second)}
+		assert.Assert(t, q.Offer(start, r).Queued)
+	}
+	var order string
+	for {
+		r, _, ok := q.Next(start, func(Request) bool { return true })
+		if !ok {
+			break
+		}
+		order += r.ID
+	}
+	assert.Equal(t, order, "34012")
+}
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -268,7 +268,7 @@
 		if m.idle(now) {
 			idle = m
 		}
-		it := m.next(q.policy, fits)
+		it := m.next(now, q.policy, fits)
 		if it == nil {
 			continue
 		}
--- a/internal/admission/request.go
+++ b/internal/admission/request.go
@@ -17,6 +17,9 @@
 	Arrived time.Time
 	// Deadline is when the whole answer is due; zero means none.
 	Deadline time.Time
+	// OnTimeUntil is until when it must reach a backend server for its answer to
+	// begin within its objective; zero means that it has none.
+	OnTimeUntil time.Time
 	// RetryBudget names the budget that retries of the request are taken from;
 	// empty is the workspace's.
 	RetryBudget string
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -156,6 +156,7 @@
 	decision := d.queue.Offer(now, admission.Request{
 		ID: j.id, Workspace: j.workspace, Class: j.class, Model: j.model, IdempotencyKey: j.key,
 		Tokens: j.tokens(), Arrived: j.arrived, Deadline: j.deadline, RetryBudget: j.retryBudget(),
+		OnTimeUntil: d.onTimeUntil(j),
 	})
 	d.refuse(decision.Evicted)
 	if decision.Refusal != nil {
--- a/internal/entry/gates.go
+++ b/internal/entry/gates.go
@@ -41,6 +41,17 @@
 	d.pump(now)
 }
 
+// onTimeUntil is until when a job must be sent for its first event to be on time;
+// zero for one without an objective for that. The lock is held.
+func (d *dispatcher) onTimeUntil(j *job) time.Time {
+	if !j.gated() {
+		return time.Time{}
+	}
+	objective := time.Duration(j.forward.route.ObjectiveMillis) * time.Millisecond
+	left := 1 - d.gateOf(j.model).Expected()
+	return j.arrived.Add(time.Duration(left * float64(objective)))
+}
+
 // finished takes an attempt off its target and its model's gate. The lock is
 // held.
 func (d *dispatcher) finished(now time.Time, attempt string, r placement.Result) {
