One test for a group that is to stay; the domains of pools gathered apart from their layout

Cause: what counts as a group that stands was written twice, once with a check that is always true; packPools gathered and decided; a variable hid a constant's name. Ruled out: nothing to rule out, no behaviour is meant to change. Change: stands(view, group) is used by forming and packing; poolDomains apart.

--- a/internal/controller/forming.go
+++ b/internal/controller/forming.go
@@ -53,8 +53,8 @@
 // groupsIn returns how many groups of a spec stand in a domain.
 func groupsIn(v View, domain, spec string) int {
 	n := 0
-	for id, g := range v.Board.Groups {
-		if g.FabricDomain == domain && g.Spec == spec && stands(v, g, id) {
+	for _, g := range v.Board.Groups {
+		if g.FabricDomain == domain && g.Spec == spec && stands(v, g) {
 			n++
 		}
 	}
@@ -77,8 +77,7 @@
 func missing(v View, spec string) int {
 	have := 0
 	for _, g := range v.Board.Groups {
-		active := g.State == blackboard.Forming || g.State == blackboard.Loading || g.State == blackboard.Serving
-		if g.Spec == spec && active && !outgoing(v, g) {
+		if g.Spec == spec && stands(v, g) {
 			have++
 		}
 	}
--- a/internal/controller/packing.go
+++ b/internal/controller/packing.go
@@ -27,6 +27,18 @@
 // packPools decides what the fabric domains of the pools form and what their other
 // VMs hold; package packing tells how.
 func packPools(v View, now time.Time, a *Actions) {
+	domains := poolDomains(v, now)
+	was := v.Memory.layouts
+	v.Memory.layouts = make(map[string]packing.Layout)
+	for _, pool := range sortedKeys(domains) {
+		packPool(v, now, pool, domains[pool], was)
+	}
+	tellLayouts(v, a, was)
+}
+
+// poolDomains returns the domains of each pool, by pool and name, with their VMs and
+// the groups that stand in them.
+func poolDomains(v View, now time.Time) map[string]map[string]*packing.Domain {
 	domains := make(map[string]map[string]*packing.Domain)
 	for _, id := range sortedKeys(v.Board.VMs) {
 		vm := v.Board.VMs[id]
@@ -43,18 +55,13 @@
 		}
 		d.VMs = append(d.VMs, packed(v, vm))
 	}
-	for id, g := range v.Board.Groups {
+	for _, g := range v.Board.Groups {
 		d := domains[v.Board.Config.Groups[g.Spec].Pool][g.FabricDomain]
-		if d != nil && stands(v, g, id) {
+		if d != nil && stands(v, g) {
 			d.Groups[g.Spec]++
 		}
 	}
-	was := v.Memory.layouts
-	v.Memory.layouts = make(map[string]packing.Layout)
-	for _, pool := range sortedKeys(domains) {
-		packPool(v, now, pool, domains[pool], was)
-	}
-	tellLayouts(v, a, was)
+	return domains
 }
 
 // counts tells whether a VM counts towards what its domain can form.
@@ -67,15 +74,15 @@
 }
 
 // stands tells whether a group is to stay: it serves or is on its way to.
-func stands(v View, g blackboard.Group, id string) bool {
+func stands(v View, g blackboard.Group) bool {
 	active := g.State == blackboard.Forming || g.State == blackboard.Loading || g.State == blackboard.Serving
-	return active && !outgoing(v, g) && v.Board.Groups[id].Epoch == g.Epoch
+	return active && !outgoing(v, g)
 }
 
 // packed returns what the packing needs to know of a VM.
 func packed(v View, vm blackboard.VM) packing.VM {
 	g, grouped := v.Board.Groups[vm.Group]
-	grouped = grouped && g.Epoch == vm.Epoch && stands(v, g, vm.Group)
+	grouped = grouped && g.Epoch == vm.Epoch && stands(v, g)
 	return packing.VM{
 		ID: vm.ID, Grouped: grouped, Away: vm.Liveness != blackboard.Alive,
 		Loaded: v.Memory.loaded(vm), Staged: vm.Weights,
--- a/internal/placement/packing/packing.go
+++ b/internal/placement/packing/packing.go
@@ -193,15 +193,15 @@
 
 // nearest returns the option that differs least from what was chosen before.
 func (p *plan) nearest(options []option, before map[string]int) int {
-	best, least := 0, math.MaxInt
+	best, smallest := 0, math.MaxInt
 	for i, o := range options {
 		distance := 0
 		for k, n := range o.groups {
 			change := n - before[p.models[k].Name]
 			distance += max(change, -change) * p.models[k].Size
 		}
-		if distance < least {
-			best, least = i, distance
+		if distance < smallest {
+			best, smallest = i, distance
 		}
 	}
 	return best
