Blackboard: the commands of one batch, and of one answer to a watch, share one copy of each table

Cause: each command of a batch copied the table of VMs, and each walked all members of all groups to check the invariant. Entries also copied the table for each command of one answer.

Ruled out: a persistent map from a library.

Change: commands are applied to a draft that copies a table at its first write and checks the groups that it touched. A command that breaks an invariant is still left out alone. ApplyAll applies one answer in one draft.

--- a/internal/blackboard/batch.go
+++ b/internal/blackboard/batch.go
@@ -35,26 +35,54 @@
 
 // apply returns applied when any of the commands changed the board, and else
 // the last refusal.
-func (c Batch) apply(b *Board) (any, bool) {
-	var refusal any = Verdict{Reason: "empty batch"}
-	changed := false
+//
+// The commands share one draft. Should one of them break an invariant, which no
+// command that checks its preconditions does, all are applied anew with a draft
+// each, so that the one is left out and the others stay.
+func (c Batch) apply(d *draft) (any, bool) {
+	next := d.draft()
+	refusal, changed := c.applyAll(next, applyIn)
+	if changed && !next.consistent() {
+		next = d.draft()
+		refusal, changed = c.applyAll(next, applyApart)
+	}
+	if !changed {
+		return refusal, false
+	}
+	d.become(next)
+	return applied()
+}
+
+// applyAll applies the commands in order. A command that is refused has changed nothing.
+func (c Batch) applyAll(d *draft, apply func(*draft, Command) (any, bool)) (refusal any, changed bool) {
+	refusal = Verdict{Reason: "empty batch"}
 	for _, encoded := range c.Commands {
 		command, err := decodeCommand(encoded)
 		if err != nil {
 			refusal = Verdict{Reason: err.Error()}
 			continue
 		}
-		next := *b
-		result, did := command.apply(&next)
-		if !did || !next.consistent() {
+		result, did := apply(d, command)
+		if !did {
 			refusal = result
 			continue
 		}
-		*b = next
 		changed = true
 	}
-	if changed {
-		return applied()
+	return refusal, changed
+}
+
+// applyIn applies a command to the draft itself.
+func applyIn(d *draft, c Command) (any, bool) { return c.apply(d) }
+
+// applyApart applies a command to a draft of its own, and takes that over unless it
+// breaks an invariant.
+func applyApart(d *draft, c Command) (any, bool) {
+	next := d.draft()
+	result, did := c.apply(next)
+	if !did || !next.consistent() {
+		return result, false
 	}
-	return refusal, false
+	d.become(next)
+	return result, true
 }
--- a/internal/blackboard/board.go
+++ b/internal/blackboard/board.go
@@ -5,7 +5,7 @@
 // Commands come from the consensus log in one order and apply without clock,
 // randomness or I/O, so every replica and every entry that applies the same
 // commands holds the same Board. A Board that has been published is never
-// changed: applying clones what it touches.
+// changed: applying copies what it touches, see draft.
 package blackboard
 
 import (
@@ -90,6 +90,9 @@
 		return nil, errors.WithType(errors.Annotate(err, "blackboard snapshot"), ErrMalformed)
 	}
 	b.fill()
+	if !b.consistent() {
+		return nil, errors.Annotate(ErrInconsistent, "blackboard snapshot")
+	}
 	return b, nil
 }
 
@@ -100,8 +103,8 @@
 	if err != nil {
 		return b, nil, errors.Trace(err)
 	}
-	next := *b
-	result, changed := command.apply(&next)
+	next := b.draft()
+	result, changed := command.apply(next)
 	data, err := json.Marshal(result)
 	if err != nil {
 		return b, nil, errors.Trace(err)
@@ -113,7 +116,36 @@
 	if !next.consistent() {
 		return b, data, errors.Trace(ErrInconsistent)
 	}
-	return &next, data, nil
+	board := next.Board
+	return &board, data, nil
+}
+
+// ApplyAll returns the board after commands that have each changed a board before,
+// as the log keeps them for those that follow it. It ends where Apply one by one
+// ends, but copies each table once.
+//
+// Load: entries get the changes of some tenths of a second at once. With a copy
+// for each of 20 commands an entry spent 6.5 ms on them at 1,096 VMs, with one copy
+// 0.3 ms (BenchmarkFollow).
+func (b *Board) ApplyAll(commands [][]byte) (*Board, error) {
+	if len(commands) == 0 {
+		return b, nil
+	}
+	next := b.draft()
+	for _, encoded := range commands {
+		command, err := decodeCommand(encoded)
+		if err != nil {
+			return b, errors.Trace(err)
+		}
+		if _, changed := command.apply(next); changed {
+			next.Revision++
+		}
+	}
+	if !next.consistent() {
+		return b, errors.Trace(ErrInconsistent)
+	}
+	board := next.Board
+	return &board, nil
 }
 
 func (b *Board) remember(id string, outcome ChangeOutcome) {
--- a/internal/blackboard/command.go
+++ b/internal/blackboard/command.go
@@ -6,10 +6,11 @@
 	"github.com/juju/errors"
 )
 
-// Command is one typed change of the board. Its apply method may assign to
-// the board's fields but must clone every map before writing to it.
+// Command is one typed change of the board. Its apply method writes VMs and groups
+// through the draft, and clones any other map before writing to it. It checks all
+// that it may refuse for before it writes.
 type Command interface {
-	apply(b *Board) (result any, changed bool)
+	apply(d *draft) (result any, changed bool)
 }
 
 // Verdict is the result of a controller's command.
@@ -136,17 +137,17 @@
 	NowMillis int64 `json:"now_ms"`
 }
 
-func (c Found) apply(b *Board) (any, bool) {
-	if b.ClusterID != "" {
+func (c Found) apply(d *draft) (any, bool) {
+	if d.ClusterID != "" {
 		return refused("founded already")
 	}
-	b.ClusterID = c.ClusterID
+	d.ClusterID = c.ClusterID
 	if c.NowMillis > 0 {
-		b.TermBase = uint64(c.NowMillis)
-		b.NextEpoch = uint64(c.NowMillis)
+		d.TermBase = uint64(c.NowMillis)
+		d.NextEpoch = uint64(c.NowMillis)
 	}
 	if c.Initial.ChangeID != "" {
-		c.Initial.apply(b)
+		c.Initial.apply(d)
 	}
 	return applied()
 }
--- a/internal/blackboard/config.go
+++ b/internal/blackboard/config.go
@@ -1,6 +1,7 @@
 package blackboard
 
 import (
+	"maps"
 	"sort"
 
 	"github.com/citronstep/citronstep/internal/failure"
@@ -150,15 +151,15 @@
 //
 // Two operators that race under one expected revision get one winner: the
 // log orders them, and the second finds the revision moved.
-func (c ConfigChange) apply(b *Board) (any, bool) {
+func (c ConfigChange) apply(d *draft) (any, bool) {
 	if c.ChangeID == "" {
-		return ChangeOutcome{b.Config.Revision, failure.New(failure.TypeBadRequest, "change_id is missing")}, false
+		return ChangeOutcome{d.Config.Revision, failure.New(failure.TypeBadRequest, "change_id is missing")}, false
 	}
-	if old, ok := b.Changes[c.ChangeID]; ok {
+	if old, ok := d.Changes[c.ChangeID]; ok {
 		return old, false
 	}
-	outcome := c.decide(b)
-	b.remember(c.ChangeID, outcome)
+	outcome := c.decide(&d.Board)
+	d.remember(c.ChangeID, outcome)
 	return outcome, true
 }
 
@@ -306,11 +307,10 @@
 }
 
 func cloneMap[V any](m map[string]V) map[string]V {
-	n := make(map[string]V, len(m)+1)
-	for k, v := range m {
-		n[k] = v
+	if m == nil {
+		return make(map[string]V)
 	}
-	return n
+	return maps.Clone(m)
 }
 
 func sortedKeys[V any](m map[string]V) []string {
--- a/internal/blackboard/entry.go
+++ b/internal/blackboard/entry.go
@@ -21,12 +21,12 @@
 	Entry Entry `json:"entry"`
 }
 
-func (c PutEntry) apply(b *Board) (any, bool) {
-	if b.Entries[c.Entry.ID] == c.Entry {
+func (c PutEntry) apply(d *draft) (any, bool) {
+	if d.Entries[c.Entry.ID] == c.Entry {
 		return refused("no change")
 	}
-	b.Entries = cloneMap(b.Entries)
-	b.Entries[c.Entry.ID] = c.Entry
+	d.Entries = cloneMap(d.Entries)
+	d.Entries[c.Entry.ID] = c.Entry
 	return applied()
 }
 
@@ -35,11 +35,11 @@
 	ID string `json:"id"`
 }
 
-func (c RemoveEntry) apply(b *Board) (any, bool) {
-	if _, ok := b.Entries[c.ID]; !ok {
+func (c RemoveEntry) apply(d *draft) (any, bool) {
+	if _, ok := d.Entries[c.ID]; !ok {
 		return refused("unknown entry")
 	}
-	b.Entries = cloneMap(b.Entries)
-	delete(b.Entries, c.ID)
+	d.Entries = cloneMap(d.Entries)
+	delete(d.Entries, c.ID)
 	return applied()
 }
--- a/internal/blackboard/group.go
+++ b/internal/blackboard/group.go
@@ -1,7 +1,5 @@
 package blackboard
 
-import "github.com/citronstep/citronstep/internal/invariant"
-
 // GroupState is where a serving group stands.
 type GroupState string
 
@@ -91,34 +89,44 @@
 
 // apply checks and writes all member rows in one step, so two groups that
 // race for one VM get it one after the other or not at all.
-func (c FormGroup) apply(b *Board) (any, bool) {
+func (c FormGroup) apply(d *draft) (any, bool) {
 	g := c.Group
-	if old, ok := b.Groups[g.ID]; ok && old.State != Released {
+	if old, ok := d.Groups[g.ID]; ok && old.State != Released {
 		return refused("an earlier epoch is not released")
 	}
 	if len(g.Members) == 0 {
 		return refused("no members")
 	}
-	vms := cloneMap(b.VMs)
+	if reason := d.mayJoin(g); reason != "" {
+		return refused(reason)
+	}
+	g.Epoch = d.NextEpoch
+	g.State = Forming
+	g.SinceMillis = c.NowMillis
+	d.NextEpoch++
+	for _, m := range g.Members {
+		v := d.VMs[m.VM]
+		v.Group, v.Epoch = g.ID, g.Epoch
+		d.putVM(v)
+	}
+	d.putGroup(g)
+	return Verdict{Applied: true, Epoch: g.Epoch}, true
+}
+
+// mayJoin returns why the members of a group that is to form can't all join it, or "".
+func (b *Board) mayJoin(g Group) string {
+	seen := make(map[string]bool, len(g.Members))
 	for _, m := range g.Members {
-		v, ok := vms[m.VM]
-		if !ok || !v.Free() || v.Incarnation != m.Incarnation {
-			return refused("VM " + m.VM + " is not free under this incarnation")
+		v, ok := b.VMs[m.VM]
+		if !ok || !v.Free() || v.Incarnation != m.Incarnation || seen[m.VM] {
+			return "VM " + m.VM + " is not free under this incarnation"
 		}
 		if v.FabricDomain != g.FabricDomain {
-			return refused("VM " + m.VM + " is in another fabric domain")
+			return "VM " + m.VM + " is in another fabric domain"
 		}
-		v.Group, v.Epoch = g.ID, b.NextEpoch
-		vms[m.VM] = v
+		seen[m.VM] = true
 	}
-	g.Epoch = b.NextEpoch
-	g.State = Forming
-	g.SinceMillis = c.NowMillis
-	b.NextEpoch++
-	b.VMs = vms
-	b.Groups = cloneMap(b.Groups)
-	b.Groups[g.ID] = g
-	return Verdict{Applied: true, Epoch: g.Epoch}, true
+	return ""
 }
 
 // SetGroupState moves one epoch of a group from one state to another.
@@ -131,20 +139,19 @@
 	NowMillis int64      `json:"now_ms"`
 }
 
-func (c SetGroupState) apply(b *Board) (any, bool) {
-	g, ok := b.Groups[c.Group]
+func (c SetGroupState) apply(d *draft) (any, bool) {
+	g, ok := d.Groups[c.Group]
 	if !ok || g.Epoch != c.Epoch || g.State != c.From {
 		return refused("the group is in another epoch or state")
 	}
 	if !mayFollow(c.From, c.To) {
 		return refused("no such transition")
 	}
-	if c.To == Released && b.holds(g) {
+	if c.To == Released && d.holds(g) {
 		return refused("a member still holds the epoch")
 	}
 	g.State, g.Reason, g.SinceMillis = c.To, c.Reason, c.NowMillis
-	b.Groups = cloneMap(b.Groups)
-	b.Groups[g.ID] = g
+	d.putGroup(g)
 	return applied()
 }
 
@@ -166,25 +173,3 @@
 	}
 	return false
 }
-
-// consistent asserts that each member of a group that is not released or
-// broken up holds that group and epoch, so no VM is in two groups and no
-// group serves with a member missing from its row.
-func (b *Board) consistent() bool {
-	for _, g := range b.Groups {
-		if !g.State.holdsMembers() {
-			continue
-		}
-		for _, m := range g.Members {
-			v, ok := b.VMs[m.VM]
-			if ok && v.Group == g.ID && v.Epoch == g.Epoch {
-				continue
-			}
-			if !invariant.Check(false, "vm_in_one_group",
-				"group %s epoch %d has member %s, which holds %q epoch %d", g.ID, g.Epoch, m.VM, v.Group, v.Epoch) {
-				return false
-			}
-		}
-	}
-	return true
-}
--- a/internal/blackboard/patch.go
+++ b/internal/blackboard/patch.go
@@ -28,15 +28,15 @@
 
 // apply takes the changes in. The document as the operator sent it is not among
 // them; only control processes keep it.
-func (c PatchConfiguration) apply(b *Board) (any, bool) {
-	next := b.Config.clone()
+func (c PatchConfiguration) apply(d *draft) (any, bool) {
+	next := d.Config.clone()
 	next.Version, next.Limits, next.Document = c.Version, c.Limits, nil
 	patchRows(next.Routes, c.Routes, c.RemoveRoutes, func(r Route) string { return r.Name })
 	patchRows(next.Services, c.Services, c.RemoveServices, func(s ServiceSpec) string { return s.Name })
 	patchRows(next.Workspaces, c.Workspaces, c.RemoveWorkspaces, func(w Workspace) string { return w.Name })
 	next.Groups = groupsOf(next.Services)
-	next.Revision = b.Config.Revision + 1
-	b.Config = next
+	next.Revision = d.Config.Revision + 1
+	d.Config = next
 	return applied()
 }
 
--- a/internal/blackboard/quarantine.go
+++ b/internal/blackboard/quarantine.go
@@ -23,13 +23,13 @@
 	NowMillis  int64      `json:"now_ms"`
 }
 
-func (c TakeQuarantine) apply(b *Board) (any, bool) {
-	old, ok := b.Quarantines[c.Quarantine.Pool]
+func (c TakeQuarantine) apply(d *draft) (any, bool) {
+	old, ok := d.Quarantines[c.Quarantine.Pool]
 	if ok && old.Holds(c.NowMillis) && old.Entry != c.Quarantine.Entry {
 		return refused("the pool has a quarantine")
 	}
-	b.Quarantines = cloneMap(b.Quarantines)
-	b.Quarantines[c.Quarantine.Pool] = c.Quarantine
+	d.Quarantines = cloneMap(d.Quarantines)
+	d.Quarantines[c.Quarantine.Pool] = c.Quarantine
 	return applied()
 }
 
@@ -39,11 +39,11 @@
 	Entry string `json:"entry"`
 }
 
-func (c EndQuarantine) apply(b *Board) (any, bool) {
-	if old, ok := b.Quarantines[c.Pool]; !ok || old.Entry != c.Entry {
+func (c EndQuarantine) apply(d *draft) (any, bool) {
+	if old, ok := d.Quarantines[c.Pool]; !ok || old.Entry != c.Entry {
 		return refused("no such quarantine")
 	}
-	b.Quarantines = cloneMap(b.Quarantines)
-	delete(b.Quarantines, c.Pool)
+	d.Quarantines = cloneMap(d.Quarantines)
+	delete(d.Quarantines, c.Pool)
 	return applied()
 }
--- a/internal/blackboard/replace.go
+++ b/internal/blackboard/replace.go
@@ -43,18 +43,18 @@
 // force. It needs no expected revision: of two operators that race, the higher
 // version wins in whichever order the log has them, and a resend changes
 // nothing.
-func (c ReplaceConfiguration) apply(b *Board) (any, bool) {
-	in := b.Config.Version
+func (c ReplaceConfiguration) apply(d *draft) (any, bool) {
+	in := d.Config.Version
 	if e := c.Check(); e != nil {
 		return ReplaceOutcome{Version: in, Failure: e}, false
 	}
 	if c.Version <= in {
 		return ReplaceOutcome{Version: in}, false
 	}
-	next := b.Config.clone()
+	next := d.Config.clone()
 	c.edit(&next)
-	next.Revision = b.Config.Revision + 1
-	b.Config = next
+	next.Revision = d.Config.Revision + 1
+	d.Config = next
 	return ReplaceOutcome{Version: c.Version, Replaced: true}, true
 }
 
--- a/internal/blackboard/service.go
+++ b/internal/blackboard/service.go
@@ -21,15 +21,15 @@
 	Instance ServiceInstance `json:"instance"`
 }
 
-func (c PutService) apply(b *Board) (any, bool) {
-	if b.Services[c.Instance.ID] == c.Instance {
+func (c PutService) apply(d *draft) (any, bool) {
+	if d.Services[c.Instance.ID] == c.Instance {
 		return refused("no change")
 	}
-	if c.Instance.StartedMillis < b.Services[c.Instance.ID].StartedMillis {
+	if c.Instance.StartedMillis < d.Services[c.Instance.ID].StartedMillis {
 		return refused("an earlier incarnation")
 	}
-	b.Services = cloneMap(b.Services)
-	b.Services[c.Instance.ID] = c.Instance
+	d.Services = cloneMap(d.Services)
+	d.Services[c.Instance.ID] = c.Instance
 	return applied()
 }
 
@@ -39,11 +39,11 @@
 	Incarnation string `json:"incarnation"`
 }
 
-func (c RemoveService) apply(b *Board) (any, bool) {
-	if s, ok := b.Services[c.ID]; !ok || s.Incarnation != c.Incarnation {
+func (c RemoveService) apply(d *draft) (any, bool) {
+	if s, ok := d.Services[c.ID]; !ok || s.Incarnation != c.Incarnation {
 		return refused("another incarnation")
 	}
-	b.Services = cloneMap(b.Services)
-	delete(b.Services, c.ID)
+	d.Services = cloneMap(d.Services)
+	delete(d.Services, c.ID)
 	return applied()
 }
--- a/internal/blackboard/suspect.go
+++ b/internal/blackboard/suspect.go
@@ -33,8 +33,8 @@
 	NowMillis int64 `json:"now_ms"`
 }
 
-func (c ReportCrash) apply(b *Board) (any, bool) {
-	suspects := cloneMap(b.Suspects)
+func (c ReportCrash) apply(d *draft) (any, bool) {
+	suspects := cloneMap(d.Suspects)
 	changed := false
 	for _, f := range c.Fingerprints {
 		s := suspects[f]
@@ -57,7 +57,7 @@
 	for len(suspects) > maxSuspects {
 		delete(suspects, oldestSuspect(suspects))
 	}
-	b.Suspects = suspects
+	d.Suspects = suspects
 	return applied()
 }
 
@@ -85,11 +85,11 @@
 	Fingerprint string `json:"fingerprint"`
 }
 
-func (c ForgetSuspect) apply(b *Board) (any, bool) {
-	if _, ok := b.Suspects[c.Fingerprint]; !ok {
+func (c ForgetSuspect) apply(d *draft) (any, bool) {
+	if _, ok := d.Suspects[c.Fingerprint]; !ok {
 		return refused("no suspect")
 	}
-	b.Suspects = cloneMap(b.Suspects)
-	delete(b.Suspects, c.Fingerprint)
+	d.Suspects = cloneMap(d.Suspects)
+	delete(d.Suspects, c.Fingerprint)
 	return applied()
 }
--- a/internal/blackboard/vm.go
+++ b/internal/blackboard/vm.go
@@ -78,8 +78,8 @@
 	VM VM `json:"vm"`
 }
 
-func (c PutVM) apply(b *Board) (any, bool) {
-	old, known := b.VMs[c.VM.ID]
+func (c PutVM) apply(d *draft) (any, bool) {
+	old, known := d.VMs[c.VM.ID]
 	next := c.VM
 	next.Group, next.Epoch = old.Group, old.Epoch
 	if known {
@@ -96,8 +96,7 @@
 	if known && old.Incarnation != next.Incarnation {
 		next.flap(c.VM.SinceMillis)
 	}
-	b.VMs = cloneMap(b.VMs)
-	b.VMs[next.ID] = next
+	d.putVM(next)
 	return applied()
 }
 
@@ -110,8 +109,8 @@
 	Returned    bool     `json:"returned,omitempty"`
 }
 
-func (c SetLiveness) apply(b *Board) (any, bool) {
-	v, ok := b.VMs[c.VM]
+func (c SetLiveness) apply(d *draft) (any, bool) {
+	v, ok := d.VMs[c.VM]
 	if !ok || v.Incarnation != c.Incarnation {
 		return refused("another incarnation")
 	}
@@ -123,8 +122,7 @@
 		v.flap(c.NowMillis)
 	}
 	v.SinceMillis = c.NowMillis
-	b.VMs = cloneMap(b.VMs)
-	b.VMs[c.VM] = v
+	d.putVM(v)
 	return applied()
 }
 
@@ -140,17 +138,16 @@
 	Incarnation string `json:"incarnation"`
 }
 
-func (c FreeVM) apply(b *Board) (any, bool) {
-	v, ok := b.VMs[c.VM]
+func (c FreeVM) apply(d *draft) (any, bool) {
+	v, ok := d.VMs[c.VM]
 	if !ok || v.Group != c.Group || v.Epoch != c.Epoch || v.Incarnation != c.Incarnation {
 		return refused("the VM holds another group, epoch or incarnation")
 	}
-	if g, ok := b.Groups[c.Group]; ok && g.Epoch == c.Epoch && g.State.holdsMembers() {
+	if g, ok := d.Groups[c.Group]; ok && g.Epoch == c.Epoch && g.State.holdsMembers() {
 		return refused("the group is " + string(g.State))
 	}
 	v.Group, v.Epoch = "", 0
-	b.VMs = cloneMap(b.VMs)
-	b.VMs[c.VM] = v
+	d.putVM(v)
 	return applied()
 }
 
@@ -163,18 +160,17 @@
 	Incarnation string `json:"incarnation"`
 }
 
-func (c RemoveVM) apply(b *Board) (any, bool) {
-	v, ok := b.VMs[c.VM]
+func (c RemoveVM) apply(d *draft) (any, bool) {
+	v, ok := d.VMs[c.VM]
 	if !ok || v.Incarnation != c.Incarnation {
 		return refused("another incarnation")
 	}
 	if v.Liveness != Dead {
 		return refused("the VM is " + string(v.Liveness))
 	}
-	if g, ok := b.Groups[v.Group]; ok && g.Epoch == v.Epoch && g.State.holdsMembers() {
+	if g, ok := d.Groups[v.Group]; ok && g.Epoch == v.Epoch && g.State.holdsMembers() {
 		return refused("its group is " + string(g.State))
 	}
-	b.VMs = cloneMap(b.VMs)
-	delete(b.VMs, c.VM)
+	d.removeVM(c.VM)
 	return applied()
 }
--- a/internal/controller/run_bench_test.go
+++ b/internal/controller/run_bench_test.go
@@ -15,7 +15,7 @@
 //
 //	go test -run '^$' -bench BenchmarkRun -benchmem ./internal/controller
 func BenchmarkRun(b *testing.B) {
-	for _, vms := range []int{50, 200, 710} {
+	for _, vms := range []int{50, 200, 710, 1096} {
 		b.Run(fmt.Sprintf("vms=%d", vms), func(b *testing.B) {
 			v, now := steadyView(vms)
 			b.ReportAllocs()
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -212,10 +212,8 @@
 			return nil, errors.Trace(err)
 		}
 	}
-	for _, command := range reply.Commands {
-		if next, _, err = next.Apply(command); err != nil {
-			return nil, errors.Trace(err)
-		}
+	if next, err = next.ApplyAll(reply.Commands); err != nil {
+		return nil, errors.Trace(err)
 	}
 	forward := next.Config.Revision >= board.Config.Revision && next.Revision >= board.Revision
 	same := board.ClusterID == "" || board.ClusterID == next.ClusterID
