Entries look at their routes anew only where something can have changed

Cause: an entry that hears no announcements rebuilt all its routes ten times a second, with a map of members for each group. At 79 groups of 1,095 VMs a look takes 0.29 ms and 120 KB: 2.9 of the 7.4 ms of processor time that such an entry used in a second.

Change: it looks on a new board, while a group is held, and while a quarantine is on the board. Processes that hear announcements look as before.

--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -42,7 +42,9 @@
 	for {
 		select {
 		case <-ticker.C:
-			s.updateRoutes()
+			if !s.routesStand() {
+				s.updateRoutes()
+			}
 		case <-s.boardChanged:
 			s.updateRoutes()
 		case <-pump.C:
@@ -70,6 +72,8 @@
 	byBoard bool
 	// progress is this entry's own view of the groups.
 	progress progressOf
+	// held says that a group gets nothing for a while by this entry's own view.
+	held bool
 }
 
 // routable tells whether a group may get new work.
@@ -89,6 +93,18 @@
 	return true, ""
 }
 
+// routesStand tells whether a new look at the routes would find what the last one
+// found: this process hears no announcements, the board is the same, and nothing on it
+// or here ends with time alone.
+//
+// Load: a pool of 79 groups and 1,095 VMs, an entry with six requests a second. A look takes
+// 0.29 ms; at ten a second it was half of all that the entry used
+// (BenchmarkUpdateRoutes).
+func (s *Server) routesStand() bool {
+	board := s.o.Follower.Board()
+	return s.o.Settings.Deaf && board == s.routedBy && !s.routesHeld && len(board.Quarantines) == 0
+}
+
 func (s *Server) updateRoutes() {
 	r := &routing{
 		now: time.Now(), board: s.o.Follower.Board(),
@@ -104,6 +120,7 @@
 			r.addService(t, id)
 		}
 	})
+	s.routedBy, s.routesHeld = r.board, r.held
 	s.logRouteChanges(r)
 	s.dispatcher.setRoutes(r.now, r.routes, r.targets, r.awaited)
 	for id, l := range r.loads {
@@ -122,6 +139,7 @@
 	}
 	progress := r.progress.of(r.now, groupEpoch{g.ID, g.Epoch}, patienceWith(&r.board.Config, g.Model))
 	if progress.held(r.now) {
+		r.held = true
 		r.closed[id] = "its streams make no progress"
 		return
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -100,6 +100,10 @@
 	leaving atomic.Bool
 	// entryIDs are the registered entries of the last board.
 	entryIDs []string
+	// routedBy is the board that the routes were last taken from, and routesHeld says
+	// that a group on it was then held; the routes' loop alone uses them.
+	routedBy   *blackboard.Board
+	routesHeld bool
 	// policyRevision is the configuration that admission's policy is from.
 	policyRevision uint64
 	// routing is what requests of routes are judged by.
