Layouts go by what the pool's own history shows; loads on their way count against the store

Cause of the first: a dead VM counted for its domain for 10 s, a group was reckoned to live 60 s, and a tenth of the VMs to be away, whatever the pool did. A domain that loses a VM each three seconds for good counted three that never come back, and waited for a wide group while fifteen VMs stood free.

Each counted the store as free and began as many loads as it serves at full speed; 31 of 11 began within two seconds, and all took three times as long.

Change: the leader learns for each pool what part of its VMs is away, how long a VM lives, how many new ones come, whether those that fell silent come back and when, with priors that decay; what a new leader can it reads off the board. A layout that lacks VMs is worth what is left of a group's life after the wait and the load. A load under way counts as half done. The outlook stands in the reason of each pack decision.

--- a/internal/controller/memory.go
+++ b/internal/controller/memory.go
@@ -47,6 +47,8 @@
 	// far the domains without a layout have come to be known.
 	layouts  map[string]packing.Layout
 	gathered map[string]gathering
+	// histories holds what was seen of the VMs of each pool.
+	histories map[string]*history
 }
 
 type groupEpoch struct {
@@ -88,6 +90,7 @@
 		missing:    make(map[string]time.Time),
 		models:     make(map[string]loadedModel),
 		gathered:   make(map[string]gathering),
+		histories:  make(map[string]*history),
 		policy:     defaultPolicy,
 	}
 }
--- a/internal/controller/opening_sim_test.go
+++ b/internal/controller/opening_sim_test.go
@@ -76,6 +76,8 @@
 	faulty bool
 	// unused says that no callers use the groups, so that no entry tells anything.
 	unused bool
+	// way is how long an order is on its way.
+	way time.Duration
 	// processor is what the leader sends orders with; nil sends at once.
 	processor *busyProcessor
 }
@@ -95,7 +97,7 @@
 func newPoolWorldOf(t *testing.T, seed uint64, domains, each int, reborn bool) *poolWorld {
 	w := &poolWorld{
 		t: t, r: rand.New(rand.NewPCG(seed, 99)), now: simStart, board: blackboard.New(),
-		table: evidence.NewTable("e", 1), ready: make(map[string]bool), term: 1, load: 14 * time.Second,
+		table: evidence.NewTable("e", 1), ready: make(map[string]bool), term: 1, load: 14 * time.Second, way: 10 * time.Millisecond,
 	}
 	w.table.SetInterval(simBeat)
 	w.memory = NewMemory(w.now, 0)
@@ -214,6 +216,7 @@
 	switch {
 	case e.phase == backend.PhaseLoading && !now.Before(e.phaseAt):
 		e.to(now, backend.PhaseReady)
+		e.staged = e.model
 		w.ready[readyKey(e.id, e.group, e.epoch, e.members)] = true
 	case e.phase == backend.PhaseClosing:
 		e.to(now, backend.PhaseReady)
@@ -299,7 +302,7 @@
 	default:
 		delay = w.load
 	}
-	e.group, e.epoch, e.members, e.model, e.staged, e.lostAt = o.Group, o.Token.Epoch, members, o.Model, o.Model, time.Time{}
+	e.group, e.epoch, e.members, e.model, e.lostAt = o.Group, o.Token.Epoch, members, o.Model, time.Time{}
 	e.last, e.lastGroup, e.lastEpoch = members[0], o.Group, o.Token.Epoch
 	e.phase, e.phaseAt, e.beatAt = backend.PhaseLoading, w.now.Add(delay), w.now
 	return true
@@ -385,7 +388,7 @@
 // send puts an order on its way: most arrive at once, some are lost, some are
 // carried out seconds later without an answer.
 func (w *poolWorld) send(p PlannedOrder) {
-	o := poolOrder{at: w.now.Add(10 * time.Millisecond), to: p.VM, from: w.memory, plan: p, answered: true}
+	o := poolOrder{at: w.now.Add(w.way), to: p.VM, from: w.memory, plan: p, answered: true}
 	if w.processor != nil {
 		sent, inTime := w.processor.send(w.now, p.Deadline)
 		if !inTime {
--- a/internal/controller/packing.go
+++ b/internal/controller/packing.go
@@ -10,10 +10,6 @@
 )
 
 const (
-	// expectedBack is how long the place of a VM that died is kept in its domain:
-	// VMs that crash are back after some seconds, with their weights on their
-	// hosts, and to load another model on the others in the meantime takes longer.
-	expectedBack = 10 * time.Second
 	// gatherFor is how long a pool that has never served, and a domain of one, waits
 	// for more VMs before anything is loaded in it, in intervals between announcements. At a
 	// start its VMs come to be known one after the other within one interval; chosen
@@ -27,52 +23,83 @@
 // packPools decides what the fabric domains of the pools form and what their other
 // VMs hold; package packing tells how.
 func packPools(v View, now time.Time, a *Actions) {
-	domains := poolDomains(v, now)
 	was := v.Memory.layouts
 	v.Memory.layouts = make(map[string]packing.Layout)
-	for _, pool := range sortedKeys(domains) {
-		packPool(v, now, pool, domains[pool], was)
+	vms := poolVMs(v)
+	for _, pool := range sortedKeys(vms) {
+		h := v.Memory.historyOf(pool, now)
+		h.see(now, vms[pool], heldVMs(v, vms[pool]))
+		domains := poolDomains(v, now, pool, vms[pool], h)
+		outlook := h.outlook(now, vms[pool], len(domains))
+		packPool(v, now, pool, domains, outlook, was)
+		tellLayouts(v, a, domains, outlook, was)
 	}
-	tellLayouts(v, a, was)
 }
 
-// poolDomains returns the domains of each pool, by pool and name, with their VMs and
-// the groups that stand in them.
-func poolDomains(v View, now time.Time) map[string]map[string]*packing.Domain {
-	domains := make(map[string]map[string]*packing.Domain)
+// poolVMs returns the VMs of each pool that are not leaving.
+func poolVMs(v View) map[string][]blackboard.VM {
+	pools := make(map[string][]blackboard.VM)
 	for _, id := range v.vmIDs() {
 		vm := v.Board.VMs[id]
-		if vm.Pool == "" || vm.Leaving || !counts(v, now, vm) {
+		if vm.Pool == "" || vm.Leaving {
 			continue
 		}
-		if domains[vm.Pool] == nil {
-			domains[vm.Pool] = make(map[string]*packing.Domain)
+		if pools[vm.Pool] == nil {
+			pools[vm.Pool] = make([]blackboard.VM, 0, len(v.Board.VMs))
 		}
-		d := domains[vm.Pool][vm.FabricDomain]
+		pools[vm.Pool] = append(pools[vm.Pool], vm)
+	}
+	return pools
+}
+
+// heldVMs counts the VMs that live and are held by a group that is being taken apart.
+func heldVMs(v View, vms []blackboard.VM) int {
+	n := 0
+	for _, vm := range vms {
+		g := v.Board.Groups[vm.Group]
+		if vm.Liveness != blackboard.Dead && vm.Group != "" && g.Epoch == vm.Epoch && !stands(v, g) {
+			n++
+		}
+	}
+	return n
+}
+
+func (m *Memory) historyOf(pool string, now time.Time) *history {
+	h := m.histories[pool]
+	if h == nil {
+		h = newHistory(now)
+		m.histories[pool] = h
+	}
+	return h
+}
+
+// poolDomains returns the domains of a pool by name, with their VMs and the groups that
+// stand in them.
+func poolDomains(v View, now time.Time, pool string, vms []blackboard.VM, h *history) map[string]*packing.Domain {
+	domains := make(map[string]*packing.Domain)
+	for _, vm := range vms {
+		if !working(v, vm) && h.back(age(now, vm)) < likelyBack {
+			continue
+		}
+		d := domains[vm.FabricDomain]
 		if d == nil {
 			d = &packing.Domain{Name: vm.FabricDomain, Groups: make(map[string]int)}
-			domains[vm.Pool][vm.FabricDomain] = d
+			domains[vm.FabricDomain] = d
+		}
+		row := packed(v, vm)
+		if row.Away {
+			row.Returns = h.perSecond(age(now, vm))
 		}
-		d.VMs = append(d.VMs, packed(v, vm))
+		d.VMs = append(d.VMs, row)
 	}
 	for _, g := range v.Board.Groups {
-		d := domains[v.Board.Config.Groups[g.Spec].Pool][g.FabricDomain]
-		if d != nil && stands(v, g) {
+		if d := domains[g.FabricDomain]; d != nil && v.Board.Config.Groups[g.Spec].Pool == pool && stands(v, g) {
 			d.Groups[g.Spec]++
 		}
 	}
 	return domains
 }
 
-// counts tells whether a VM counts towards what its domain can form.
-func counts(v View, now time.Time, vm blackboard.VM) bool {
-	if working(v, vm) {
-		return true
-	}
-	dead := time.Duration(now.UnixMilli()-vm.SinceMillis) * time.Millisecond
-	return dead >= 0 && dead < expectedBack
-}
-
 // stands tells whether a group is to stay: it serves or is on its way to.
 func stands(v View, g blackboard.Group) bool {
 	active := g.State == blackboard.Forming || g.State == blackboard.Loading || g.State == blackboard.Serving
@@ -83,14 +110,32 @@
 func packed(v View, vm blackboard.VM) packing.VM {
 	g, grouped := v.Board.Groups[vm.Group]
 	grouped = grouped && g.Epoch == vm.Epoch && stands(v, g)
+	loading := ""
+	if !grouped {
+		loading = loadingModel(v, vm)
+	}
 	return packing.VM{
 		ID: vm.ID, Grouped: grouped, Away: vm.Liveness != blackboard.Alive,
-		Loaded: v.Memory.loaded(vm), Staged: vm.Weights,
+		Loaded: v.Memory.loaded(vm), Staged: vm.Weights, Loading: loading,
 	}
 }
 
+// loadingModel returns the model that a VM says it is loading, or "".
+func loadingModel(v View, vm blackboard.VM) string {
+	r, heard := v.Evidence.Get(vm.ID)
+	if !heard || r.Incarnation != vm.Incarnation || !joining(r) {
+		return ""
+	}
+	if model, standby := strings.CutPrefix(r.Group, standbyPrefix); standby {
+		return model
+	}
+	return v.Board.Groups[r.Group].Model
+}
+
 // packPool lays out the domains of one pool.
-func packPool(v View, now time.Time, pool string, byName map[string]*packing.Domain, was map[string]packing.Layout) {
+func packPool(
+	v View, now time.Time, pool string, byName map[string]*packing.Domain, outlook packing.Outlook, was map[string]packing.Layout,
+) {
 	models := poolModels(v, pool)
 	if len(models) == 0 {
 		return
@@ -112,7 +157,7 @@
 	if starting && !known && v.gathers(pool, all, now) {
 		return
 	}
-	for name, layout := range packing.Plan(models, domains, starting) {
+	for name, layout := range packing.Plan(models, domains, outlook, starting) {
 		v.Memory.layouts[name] = layout
 	}
 }
@@ -166,13 +211,16 @@
 	return now.Sub(g.since) < gatherFor*each && now.Sub(g.first) < gatherMost*each
 }
 
-// tellLayouts logs each layout that has changed.
-func tellLayouts(v View, a *Actions, was map[string]packing.Layout) {
-	for _, domain := range sortedKeys(v.Memory.layouts) {
+// tellLayouts logs each layout of a pool's domains that has changed.
+func tellLayouts(v View, a *Actions, domains map[string]*packing.Domain, o packing.Outlook, was map[string]packing.Layout) {
+	for _, domain := range sortedKeys(domains) {
 		now, before := layoutText(v.Memory.layouts[domain]), layoutText(was[domain])
-		if now != before {
-			a.decide(Decision{Kind: "pack", Subject: domain, Choice: now, RunnerUp: before, Reason: "worth most with the VMs that live"})
+		if now == before {
+			continue
 		}
+		a.decide(Decision{Kind: "pack", Subject: domain, Choice: now, RunnerUp: before, Reason: fmt.Sprintf(
+			"worth most with %d VMs, while %.2f are away, a VM lives %.0f s and a domain gets %.3f new ones a second",
+			len(domains[domain].VMs), o.Away, o.Life.Seconds(), o.Newcomers)})
 	}
 }
 
--- a/internal/controller/sharing.go
+++ b/internal/controller/sharing.go
@@ -133,6 +133,10 @@
 			}
 		case v.Memory.loaded(vm) == model:
 			loaded[domainModel{vm.FabricDomain, model}]++
+		case v.Memory.toldToStandBy(vm, model, now, v.timing().Resend):
+			if !holdsWeights(v, id, model) {
+				running[vm.Pool]++
+			}
 		default:
 			wait = append(wait, standby{vm: vm, model: model, fetches: !holdsWeights(v, id, model)})
 		}
@@ -145,6 +149,19 @@
 	return wait, running
 }
 
+// toldToStandBy tells whether a VM was told so recently to load a model that it may not
+// have said yet that it does.
+//
+// Load: a domain of empty VMs comes, and the weight store serves eleven loads at full
+// speed. Between the orders and the first words of those loading pass some runs of the
+// controllers; each took the store for free and began eleven more, and all took three
+// times as long.
+func (m *Memory) toldToStandBy(vm blackboard.VM, model string, now time.Time, within time.Duration) bool {
+	o := m.orders[vm.ID]
+	return o != nil && o.kind == backend.OrderLoad && o.target.group == standbyPrefix+model &&
+		o.incarnation == vm.Incarnation && now.Sub(o.sentAt) < within
+}
+
 func stageOne(v View, now time.Time, a *Actions, s standby, running map[string]int) {
 	e := v.Board.Config.Services[s.vm.Pool].Engine
 	if e == nil {
--- a/internal/placement/packing/expect.go
+++ b/internal/placement/packing/expect.go
@@ -2,16 +2,6 @@
 
 import "math"
 
-// away is the part of a pool's VMs that is reckoned with as away at any moment:
-// dead, on their way back, or held by a group that is being taken apart. On days
-// with failures each few seconds 5 to 15 in 100 were.
-//
-// It is what speaks for one model in a domain. VMs that hold one model stand in for
-// each other, while with two models a loss strands the rest of a group although
-// enough VMs of the other are over: of 162 VMs in domains of 27, with 12 and 6 to a
-// group, 40 to 58 stood free with two models in each domain and 18 to 28 with one.
-const away = 0.1
-
 // expectation names one mean.
 type expectation struct{ groups, size, over int }
 
@@ -23,6 +13,7 @@
 		return mean
 	}
 	holders := groups*size + over
+	away := p.outlook.Away
 	mean := 0.0
 	// probability is that of exactly lost of the holders being away.
 	probability := math.Pow(1-away, float64(holders))
--- a/internal/placement/packing/packing.go
+++ b/internal/placement/packing/packing.go
@@ -9,7 +9,8 @@
 // and weights take tens of seconds to load.
 //
 // In: each domain's VMs with what they hold, the groups that stand (they are never
-// given up here), and the models' sizes, shares and load times. Out: how many groups
+// given up here), the models' sizes, shares and load times, and what the pool's history
+// lets expect of its VMs. Out: how many groups
 // of each model each domain should have, and the model that each VM in no group
 // should hold. All of it is as old as the evidence that it is made from, some
 // seconds at most. The package has no I/O, no clock and no memory: what was chosen
@@ -19,7 +20,9 @@
 // groups (proportional fairness). Its best is reached where VMs are divided by
 // shares, a model without a group is out of the question, and the next group is
 // worth most where there are fewest. Groups are counted as what is left of them on
-// average while some VMs are away (expect.go), and less while they have to load.
+// average while some VMs are away (expect.go), and less while they wait for VMs or have
+// to load (outlook.go): a layout that can't be filled is worth what it serves until then,
+// which is nothing.
 package packing
 
 import (
@@ -29,10 +32,6 @@
 )
 
 const (
-	// horizon is how long a group is reckoned to live: where VMs fail every few
-	// seconds, groups were seen to live 20 to 30 s, and calm pools lose little by
-	// the same figure. A group that loads for a quarter of it is worth three quarters.
-	horizon = 60 * time.Second
 	// least is what a domain's choice must gain, in parts of the worth served, to be
 	// made anew: less than that is within what one VM more or less changes, and each
 	// change costs loads.
@@ -57,16 +56,20 @@
 	Load, Warm time.Duration
 }
 
-// VM is a VM that may be used, or is expected back within seconds.
+// VM is a VM that may be used, or may be expected back.
 type VM struct {
 	ID string
 	// Grouped says that it is in a group that stands.
 	Grouped bool
-	// Away says that it can't be given orders now.
-	Away bool
-	// Loaded is the model in its accelerators, Staged those on its host.
-	Loaded string
-	Staged []string
+	// Away says that it can't be given orders now, and Returns how often in a second
+	// a VM that is away as long comes back.
+	Away    bool
+	Returns float64
+	// Loaded is the model in its accelerators, Staged those on its host, and Loading the one
+	// that it is loading.
+	Loaded  string
+	Staged  []string
+	Loading string
 }
 
 // Domain is one fabric domain.
@@ -90,8 +93,8 @@
 
 // Plan returns the layout of each domain by name. starting says that nobody is
 // served yet, when loads cost next to nothing.
-func Plan(models []Model, domains []Domain, starting bool) map[string]Layout {
-	p := newPlan(models, starting)
+func Plan(models []Model, domains []Domain, outlook Outlook, starting bool) map[string]Layout {
+	p := newPlan(models, outlook, starting)
 	for _, d := range domains {
 		p.add(d)
 	}
@@ -107,6 +110,7 @@
 // plan is one run. Groups are counted in slices, one place for each model.
 type plan struct {
 	models   []Model
+	outlook  Outlook
 	starting bool
 	places   []place
 	// sums are the groups of each model over all domains, as they count.
@@ -115,8 +119,11 @@
 	known map[expectation]float64
 }
 
-func newPlan(models []Model, starting bool) *plan {
-	return &plan{models: models, starting: starting, sums: make([]float64, len(models)), known: make(map[expectation]float64)}
+func newPlan(models []Model, outlook Outlook, starting bool) *plan {
+	return &plan{
+		models: models, outlook: outlook, starting: starting,
+		sums: make([]float64, len(models)), known: make(map[expectation]float64),
+	}
 }
 
 // place is one domain of a plan.
@@ -302,46 +309,69 @@
 }
 
 // counts returns what a domain's groups count: what is left of them on average,
-// less the time of those that have to load first.
+// less the time in which those that are still to form wait for VMs and weights.
 func (p *plan) counts(d Domain, groups []int, room int) []float64 {
 	counts := make([]float64, len(groups))
 	over := spread(p.models, groups, room)
+	short := missing(p.models, d, groups)
 	for i, m := range p.models {
 		if groups[i] == 0 {
 			continue
 		}
 		n := p.left(groups[i], m.Size, over[i])
 		if !p.starting {
-			n *= 1 - p.waiting(d, m, groups[i]-d.Groups[m.Name])/float64(groups[i])
+			further := groups[i] - d.Groups[m.Name]
+			n *= 1 - p.waiting(d, m, further, short)/float64(groups[i])
+			short = max(0, short-further*m.Size)
 		}
 		counts[i] = n
 	}
 	return counts
 }
 
-// waiting returns how many of n further groups of a model are lost to loading.
-func (p *plan) waiting(d Domain, m Model, n int) float64 {
-	loaded, staged := 0, 0
+// waiting returns how many of n further groups of a model are lost to waiting, where
+// the layout is short of some VMs: those for the last of the groups.
+func (p *plan) waiting(d Domain, m Model, n, short int) float64 {
+	has := holding(d, m)
+	lost := 0.0
+	for k := 1; k <= n; k++ {
+		lacks := min(m.Size, short-(n-k)*m.Size)
+		first := p.outlook.wait(d, lacks) + has.until(m, k*m.Size)
+		lost += 1 - p.outlook.served(m.Size, first)
+	}
+	return lost
+}
+
+// holders counts the VMs in no group by how near they are to having a model loaded.
+type holders struct{ loaded, staged, loading int }
+
+func holding(d Domain, m Model) holders {
+	var h holders
 	for _, vm := range d.VMs {
 		switch {
 		case vm.Grouped:
 		case vm.Loaded == m.Name:
-			loaded++
+			h.loaded++
 		case slices.Contains(vm.Staged, m.Name):
-			staged++
+			h.staged++
+		case vm.Loading == m.Name:
+			h.loading++
 		}
 	}
-	lost := 0.0
-	for k := 1; k <= n; k++ {
-		switch {
-		case k*m.Size <= loaded:
-		case k*m.Size <= loaded+staged:
-			lost += part(m.Warm)
-		default:
-			lost += part(m.Load)
-		}
-	}
-	return lost
+	return h
 }
 
-func part(d time.Duration) float64 { return min(1, d.Seconds()/horizon.Seconds()) }
+// until returns how long it takes until n VMs have a model loaded. Of a load that is
+// under way, half is reckoned to be done: a layout that is given up for another and taken
+// again a moment later would never be loaded.
+func (h holders) until(m Model, n int) time.Duration {
+	switch {
+	case n <= h.loaded:
+		return 0
+	case n <= h.loaded+h.staged:
+		return m.Warm
+	case n <= h.loaded+h.staged+h.loading:
+		return m.Load / 2
+	}
+	return m.Load
+}
--- a/internal/placement/packing/packing_test.go
+++ b/internal/placement/packing/packing_test.go
@@ -57,7 +57,7 @@
 		{37, 16, 4, 0.5, false, map[string]int{"wide": 6, "narrow": 27}},
 		{73, 32, 8, 0.5, false, map[string]int{"wide": 6, "narrow": 27}},
 	} {
-		layouts := Plan(models(c.wide, c.narrow, c.share), pool(6, c.each), true)
+		layouts := Plan(models(c.wide, c.narrow, c.share), pool(6, c.each), Usual(), true)
 		assert.DeepEqual(t, total(layouts), c.want)
 		for domain, l := range layouts {
 			assert.Equal(t, len(l.Groups) == 2, c.mixed, "%d VMs: %s %v", c.each, domain, l.Groups)
@@ -73,12 +73,12 @@
 		ms := models(2+r.IntN(5), 1+r.IntN(4), 0.2+0.6*r.Float64())
 		domains := pool(1+r.IntN(3), 3+r.IntN(9))
 		starting := r.IntN(2) == 0
-		got := newPlan(ms, starting)
+		got := newPlan(ms, Usual(), starting)
 		for _, d := range domains {
 			got.add(d)
 		}
 		got.improve()
-		best := newPlan(ms, starting)
+		best := newPlan(ms, Usual(), starting)
 		most := search(best, domains)
 		worth := got.worth(option{counts: make([]float64, len(ms))})
 		assert.Assert(t, worth > most-0.02, "worth %.4f, best %.4f, %d domains of %d, sizes %d and %d",
@@ -100,9 +100,9 @@
 	return best
 }
 
-// held returns a domain of eleven in which a group of each model stands and the two
+// heldDomain returns a domain of eleven in which a group of each model stands and the two
 // VMs that are over hold one model each.
-func held() Domain {
+func heldDomain() Domain {
 	d := Domain{Name: "d", Groups: map[string]int{"wide": 1, "narrow": 1}, Before: map[string]int{"wide": 1, "narrow": 1}}
 	add := func(n int, model string, grouped bool) {
 		for range n {
@@ -120,13 +120,13 @@
 // standby of the other model keeps what it holds, and the one that died is expected
 // to stand by for the wide model again: nothing is loaded from the store.
 func TestALossIsRepairedWithoutALoad(t *testing.T) {
-	d := held()
+	d := heldDomain()
 	d.Groups["wide"] = 0
 	for i := range 6 {
 		d.VMs[i].Grouped = false
 	}
 	d.VMs[5].Away, d.VMs[5].Loaded = true, ""
-	l := Plan(models(6, 3, 0.67), []Domain{d}, false)["d"]
+	l := Plan(models(6, 3, 0.67), []Domain{d}, Usual(), false)["d"]
 	assert.DeepEqual(t, l.Groups, map[string]int{"wide": 1, "narrow": 1})
 	for _, vm := range d.VMs {
 		if !vm.Grouped {
@@ -139,7 +139,7 @@
 // kept, and the VMs that are left of a group that can't be made whole form what they
 // can, although that costs loads.
 func TestWhatIsLeftOfAGroupIsUsed(t *testing.T) {
-	d := held()
+	d := heldDomain()
 	d.Groups["wide"] = 0
 	d.VMs = d.VMs[2:]
 	for i := range 4 {
@@ -155,7 +155,7 @@
 	}
 	assert.Equal(t, len(d.VMs), 9)
 	d.VMs = d.VMs[:8]
-	l := Plan(models(6, 3, 0.67), append(others, d), false)["d"]
+	l := Plan(models(6, 3, 0.67), append(others, d), Usual(), false)["d"]
 	assert.DeepEqual(t, l.Groups, map[string]int{"narrow": 2})
 	assert.Equal(t, len(l.Hold), 5)
 }
@@ -168,7 +168,7 @@
 	for i := range domains {
 		domains[i].VMs = pool(1, 27)[0].VMs
 	}
-	first := Plan(ms, domains, true)
+	first := Plan(ms, domains, Usual(), true)
 	r := rand.New(rand.NewPCG(3, 4))
 	for range 200 {
 		for i := range domains {
@@ -179,7 +179,7 @@
 				domains[i].VMs[k].Loaded = first[domains[i].Name].Hold["00-00"]
 			}
 		}
-		for name, l := range Plan(ms, domains, false) {
+		for name, l := range Plan(ms, domains, Usual(), false) {
 			assert.DeepEqual(t, l.Groups, first[name].Groups)
 		}
 	}
@@ -192,7 +192,7 @@
 		b.Run(fmt.Sprintf("%d-VMs", c.domains*c.each), func(b *testing.B) {
 			ms, domains := models(c.wide, c.narrow, 0.5), pool(c.domains, c.each)
 			for b.Loop() {
-				Plan(ms, domains, true)
+				Plan(ms, domains, Usual(), true)
 			}
 		})
 	}
