citronstep pools: VM-seconds by state, breaks by reason and repairs by step, from the logs

Operators could read one pool line a second and had to add up by hand where VMs stood idle and which step of a repair took long.

Names of commands come from the table of types, as the switch had grown past what the linter allows.

--- a/internal/blackboard/command.go
+++ b/internal/blackboard/command.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"reflect"
 
 	"github.com/juju/errors"
 )
@@ -69,48 +70,22 @@
 	return data, errors.Trace(err)
 }
 
+// commandNames are the names in the log by type.
+var commandNames = func() map[reflect.Type]string {
+	names := make(map[reflect.Type]string, len(commandTypes))
+	for name, build := range commandTypes {
+		names[reflect.TypeOf(build()).Elem()] = name
+	}
+	return names
+}()
+
 func commandName(c Command) (string, error) {
-	switch c.(type) {
-	case *Found, Found:
-		return "found", nil
-	case *ConfigChange, ConfigChange:
-		return "config_change", nil
-	case *PutVM, PutVM:
-		return "put_vm", nil
-	case *SetLiveness, SetLiveness:
-		return "set_liveness", nil
-	case *FreeVM, FreeVM:
-		return "free_vm", nil
-	case *RemoveVM, RemoveVM:
-		return "remove_vm", nil
-	case *FormGroup, FormGroup:
-		return "form_group", nil
-	case *SetGroupState, SetGroupState:
-		return "set_group", nil
-	case *PutService, PutService:
-		return "put_service", nil
-	case *RemoveService, RemoveService:
-		return "remove_service", nil
-	case *PutEntry, PutEntry:
-		return "put_entry", nil
-	case *RemoveEntry, RemoveEntry:
-		return "remove_entry", nil
-	case *ReportCrash, ReportCrash:
-		return "report_crash", nil
-	case *ForgetSuspect, ForgetSuspect:
-		return "forget_suspect", nil
-	case *TakeQuarantine, TakeQuarantine:
-		return "take_quarantine", nil
-	case *EndQuarantine, EndQuarantine:
-		return "end_quarantine", nil
-	case *ReplaceConfiguration, ReplaceConfiguration:
-		return "replace_config", nil
-	case *NoteWait, NoteWait:
-		return "note_wait", nil
-	case *Patch, Patch:
-		return "patch", nil
-	case *Batch, Batch:
-		return "batch", nil
+	t := reflect.TypeOf(c)
+	if t != nil && t.Kind() == reflect.Pointer {
+		t = t.Elem()
+	}
+	if name, known := commandNames[t]; known {
+		return name, nil
 	}
 	return "", errors.Annotatef(ErrMalformed, "command %T", c)
 }
--- /dev/null
+++ b/internal/tool/pools.go
@@ -0,0 +1,73 @@
+package tool
+
+import (
+	"flag"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/citronstep/citronstep/internal/explain"
+)
+
+func poolsCommand() command {
+	return command{
+		name:      "pools",
+		arguments: "LOG...",
+		summary:   "Sum up from the logs of control processes how VMs of pools were used and groups repaired",
+		details: `Reads the logs that control processes wrote to standard output ("-" is standard
+input) and prints VM-seconds by state for each pool, the groups that broke by reason,
+the steps of their repairs, and how many suspicions of entries were acted on. Give the logs of
+all control processes: only the one that leads writes these lines. Seconds in which
+none led are not counted.
+
+Example: citronstep pools control-*.log
+`,
+		setup: func(*flag.FlagSet) func(*invocation) error {
+			return func(i *invocation) error { return i.pools() }
+		},
+	}
+}
+
+func (i *invocation) pools() error {
+	if len(i.args) == 0 {
+		return usagef("the logs of one process or more are needed")
+	}
+	logs := &explain.Logs{}
+	for _, path := range i.args {
+		if err := readLog(logs, path); err != nil {
+			return err
+		}
+	}
+	report := logs.Pools()
+	if i.json {
+		return i.printJSON(report)
+	}
+	i.sayPools(report)
+	return nil
+}
+
+func (i *invocation) sayPools(r explain.PoolReport) {
+	for _, pool := range slices.Sorted(maps.Keys(r.Seconds)) {
+		i.say("pool %s, VM-seconds:", pool)
+		total := 0.0
+		for _, seconds := range r.Seconds[pool] {
+			total += seconds
+		}
+		for _, state := range slices.Sorted(maps.Keys(r.Seconds[pool])) {
+			seconds := r.Seconds[pool][state]
+			i.say("  %-8s %10.0f  %5.1f%%", state, seconds, 100*seconds/max(total, 1))
+		}
+	}
+	i.say("groups that broke: %d", len(r.Repairs))
+	for _, reason := range slices.Sorted(maps.Keys(r.Reasons)) {
+		i.say("  %4d  %s", r.Reasons[reason], reason)
+	}
+	i.sayStep(r, "broken to formed", func(r explain.Repair) time.Duration { return r.Formed })
+	i.sayStep(r, "formed to serving", func(r explain.Repair) time.Duration { return r.Served })
+	i.say("suspected by entries: %d epochs of groups, broken for it: %d", r.Suspected, r.Acted)
+}
+
+func (i *invocation) sayStep(r explain.PoolReport, name string, step func(explain.Repair) time.Duration) {
+	median, longest, shown := r.Steps(step)
+	i.say("%s: median %d ms, longest %d ms, of %d repairs", name, median.Milliseconds(), longest.Milliseconds(), shown)
+}
