3,000 backend servers: announcements divided, order connections kept for a second, a window that follows answers

Changes - Past 1,500 backend servers each announces itself to one of the processes that take announcements, by rendezvous hash; news go to the others within 25 ms. - Connections for orders are kept for a second. - The window of orders doubles, up to 128, while all are answered from one run to the next, and halves while most are not.

--- a/internal/controller/view.go
+++ b/internal/controller/view.go
@@ -87,6 +87,7 @@
 func Run(v View, now time.Time) Actions {
 	var a Actions
 	v = v.sorted()
+	v.Memory.window.adapt()
 	v.Memory.cover(v, now)
 	v.Memory.watch(v, now)
 	v.Memory.noteModels(v)
--- a/internal/controller/window_test.go
+++ b/internal/controller/window_test.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -78,6 +79,30 @@
 	assert.Assert(t, n["wide"]*32+n["narrow"]*8 >= 5*64, "%v", n)
 }
 
+// On a pool of 3,000 VMs a run of the controllers and the rest after it take a tenth of a
+// second, and 32 orders are answered in a third of it. The window must grow while they
+// are, and shrink again when answers cease to come in time.
+func TestTheWindowFollowsTheAnswers(t *testing.T) {
+	w := newWindow()
+	fill := func(now time.Time) (n int) {
+		for ; w.room(now); n++ {
+			w.sent(fmt.Sprint(now.UnixNano(), n), now)
+		}
+		return n
+	}
+	now := simStart
+	for _, want := range []int{32, 64, 128, 128} {
+		w.adapt()
+		assert.Equal(t, fill(now), want)
+		clear(w.flying)
+		now = now.Add(100 * time.Millisecond)
+	}
+	w.adapt()
+	assert.Equal(t, fill(now), 128)
+	w.adapt()
+	assert.Equal(t, w.size, 64)
+}
+
 // A fabric domain of 73 VMs goes dark while others need orders. The orders to the dark
 // ones are never answered; they must not keep the places of those that would be.
 func TestSilentEnginesHoldUpNobody(t *testing.T) {
--- a/internal/evidence/query.go
+++ b/internal/evidence/query.go
@@ -45,6 +45,9 @@
 	return all
 }
 
+// Known returns how many backend servers are known.
+func (t *Table) Known() int { return len(t.records) }
+
 // Forget drops what is known of a backend server that has long been gone.
 func (t *Table) Forget(kind backend.Kind, id string) {
 	delete(t.records, key{kind, id})
--- a/internal/hearing/connection.go
+++ b/internal/hearing/connection.go
@@ -40,6 +40,8 @@
 	// dated is signalled when the first frame has arrived, as lines can be sent
 	// from then on.
 	dated chan struct{}
+	// news is signalled when there is something to send before its time.
+	news chan struct{}
 
 	mu      sync.Mutex
 	session *wire.Session
@@ -49,7 +51,7 @@
 func (h *Hearing) newConnection(peer string, conn net.Conn, reader *bufio.Reader) *connection {
 	return &connection{
 		hearing: h, peer: peer, conn: conn, reader: reader,
-		dated: make(chan struct{}, 1), session: wire.NewSession(),
+		dated: make(chan struct{}, 1), news: make(chan struct{}, 1), session: wire.NewSession(),
 	}
 }
 
@@ -87,12 +89,23 @@
 		select {
 		case <-ticker.C:
 		case <-c.dated:
+		case <-c.news:
+			// What else is heard meanwhile goes in the same frame.
+			sleep(ctx, pushGap)
 		case <-ctx.Done():
 			return nil
 		}
 	}
 }
 
+// push asks for a frame before its time.
+func (c *connection) push() {
+	select {
+	case c.news <- struct{}{}:
+	default:
+	}
+}
+
 func (c *connection) send() error {
 	data, err := c.next()
 	if err != nil {
--- a/internal/hearing/exchange.go
+++ b/internal/hearing/exchange.go
@@ -56,6 +56,8 @@
 	ctx     context.Context
 	dialled map[string]*dialler
 	taken   map[string]*connection
+	// open are the connections that run now, dialled or taken.
+	open map[*connection]bool
 }
 
 type dialler struct {
@@ -64,7 +66,32 @@
 }
 
 func newExchange(h *Hearing) *exchange {
-	return &exchange{hearing: h, dialled: make(map[string]*dialler), taken: make(map[string]*connection)}
+	return &exchange{hearing: h, dialled: make(map[string]*dialler), taken: make(map[string]*connection), open: make(map[*connection]bool)}
+}
+
+// push sends what was heard to all peers before its time.
+//
+// Load: a backend server tells a process that does not lead that it has joined its group.
+// Told with the next digest, up to 0.3 s later, each step of a repair would take that
+// much longer.
+func (x *exchange) push() {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for c := range x.open {
+		c.push()
+	}
+}
+
+// run runs a connection and counts it as open meanwhile.
+func (x *exchange) run(ctx context.Context, c *connection) error {
+	x.mu.Lock()
+	x.open[c] = true
+	x.mu.Unlock()
+	err := c.run(ctx)
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	delete(x.open, c)
+	return errors.Trace(err)
 }
 
 func (x *exchange) start(ctx context.Context) {
@@ -137,7 +164,7 @@
 		conn, reader, err := x.connect(ctx, id, address)
 		if err == nil {
 			bound = firstRetry
-			err = x.hearing.newConnection(id, conn, reader).run(ctx)
+			err = x.run(ctx, x.hearing.newConnection(id, conn, reader))
 		}
 		_ = level.Debug(x.hearing.o.Logger).Log("event", "evidence_connection_ended", "peer", id, "address", address, "err", err)
 		sleep(ctx, rand.N(bound))
@@ -263,7 +290,7 @@
 	x.mu.Unlock()
 
 	defer x.wg.Done()
-	err := c.run(ctx)
+	err := x.run(ctx, c)
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if x.taken[c.peer] == c {
--- a/internal/hearing/hearing.go
+++ b/internal/hearing/hearing.go
@@ -54,6 +54,7 @@
 
 	mu    sync.Mutex
 	table *evidence.Table
+	homes homes
 
 	exchange *exchange
 	pace     *pace
@@ -147,6 +148,9 @@
 	if changed && h.o.OnChange != nil {
 		h.o.OnChange()
 	}
+	if changed && h.spreading() {
+		h.exchange.push()
+	}
 	return nil
 }
 
--- /dev/null
+++ b/internal/hearing/home.go
@@ -0,0 +1,99 @@
+package hearing
+
+import (
+	"hash/fnv"
+	"time"
+
+	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/evidence"
+)
+
+const (
+	// leaderTakes is how many backend servers announce themselves to the leader alone,
+	// which acts on their word: 1,250 announcements a second at 1,500, about a third of
+	// a small control VM's processor and of its descriptors.
+	leaderTakes = 1500
+	// leaderAgain is when they go back to the leader, so that one VM more or less moves
+	// nobody.
+	leaderAgain = 1200
+	// homesAge is how long the list of processes that take announcements is kept.
+	homesAge = 200 * time.Millisecond
+	// pushGap is the least time between two frames to a peer: news of hundreds of
+	// backend servers within a second goes in some frames.
+	pushGap = 25 * time.Millisecond
+)
+
+// homes are the processes that backend servers announce themselves to.
+type homes struct {
+	at time.Time
+	// spread says that there are too many for the leader alone.
+	spread bool
+	takers []blackboard.Entry
+}
+
+// Home returns the peer address of the process that a backend server should announce
+// itself to; leader is that of the one that leads, "" if none is known.
+//
+// Load: 3,000 backend servers announce themselves, 2,500 times a second. Harm where all go
+// to the leader: it has neither the processor nor the descriptors for them beside its
+// orders and watches; "too many open files" ended the forming of groups at 544 of 2,800
+// VMs. Past leaderTakes they are divided among all processes that take announcements
+// and were heard within the last second, each by the rendezvous hash of its id, so that one that
+// is lost moves its own part alone. What they hear goes to the others at once, see push.
+func (h *Hearing) Home(id, leader string) string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := time.Now()
+	if now.Sub(h.homes.at) > homesAge {
+		h.lookForHomes(now)
+	}
+	if !h.homes.spread || len(h.homes.takers) == 0 {
+		return leader
+	}
+	return rendezvous(h.homes.takers, id).PeerAddress
+}
+
+// lookForHomes renews the list. The lock is held.
+func (h *Hearing) lookForHomes(now time.Time) {
+	h.homes.at = now
+	known := h.table.Known()
+	h.homes.spread = known > leaderTakes || (h.homes.spread && known > leaderAgain)
+	h.homes.takers = h.homes.takers[:0]
+	for id, e := range listeners(h.o.Board().Entries) {
+		if id == h.o.Self || h.table.Witness(now, id, evidence.WitnessAge) {
+			h.homes.takers = append(h.homes.takers, e)
+		}
+	}
+}
+
+// rendezvous returns the entry of the greatest weight for an id.
+func rendezvous(entries []blackboard.Entry, id string) blackboard.Entry {
+	var best blackboard.Entry
+	var most uint64
+	for _, e := range entries {
+		f := fnv.New64a()
+		_, _ = f.Write([]byte(e.ID))
+		_, _ = f.Write([]byte{0})
+		_, _ = f.Write([]byte(id))
+		if w := mix(f.Sum64()); best.ID == "" || w > most {
+			best, most = e, w
+		}
+	}
+	return best
+}
+
+// mix spreads the bits of a hash, whose last bytes otherwise decide little.
+func mix(h uint64) uint64 {
+	h ^= h >> 33
+	h *= 0xff51afd7ed558ccd
+	h ^= h >> 33
+	h *= 0xc4ceb9fe1a85ec53
+	return h ^ h>>33
+}
+
+// spreading tells whether announcements are divided among several processes.
+func (h *Hearing) spreading() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.homes.spread
+}
--- /dev/null
+++ b/internal/hearing/home_test.go
@@ -0,0 +1,88 @@
+package hearing
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"gotest.tools/v3/assert"
+
+	"github.com/citronstep/citronstep/internal/backend"
+	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/evidence"
+)
+
+// controlVM returns a process that takes announcements beside four others and a hundred that
+// do not, and has heard so many backend servers.
+func controlVM(servers int) *Hearing {
+	board := blackboard.New()
+	for n := range 5 {
+		id := fmt.Sprint("core-", n)
+		board.Entries[id] = blackboard.Entry{ID: id, PeerAddress: id}
+	}
+	for n := range 100 {
+		id := fmt.Sprint("entry-", n)
+		board.Entries[id] = blackboard.Entry{ID: id, PeerAddress: id, Deaf: true}
+	}
+	h := New(Options{
+		Self: "core-0", Board: func() *blackboard.Board { return board }, Lease: func() time.Duration { return time.Minute },
+		Logger: log.NewNopLogger(),
+	})
+	now := time.Now()
+	h.With(func(t *evidence.Table) {
+		for n := range 5 {
+			t.Merge(now, fmt.Sprint("core-", n), nil)
+		}
+		for n := range servers {
+			t.Hear(now, "core-0", backend.Announcement{ID: fmt.Sprint("vm-", n), Kind: backend.KindEngine, Incarnation: "a", Sequence: 1})
+		}
+	})
+	return h
+}
+
+// homesOf counts where so many backend servers are sent.
+func homesOf(h *Hearing, servers int) map[string]int {
+	count := make(map[string]int)
+	for n := range servers {
+		count[h.Home(fmt.Sprint("vm-", n), "core-3")]++
+	}
+	return count
+}
+
+// On a pool of some hundreds the leader acts on each word at once, so all must go to it.
+func TestFewBackendServersAnnounceThemselvesToTheLeader(t *testing.T) {
+	assert.DeepEqual(t, homesOf(controlVM(leaderTakes), leaderTakes), map[string]int{"core-3": leaderTakes})
+}
+
+// 3,000 backend servers announce themselves 2,500 times a second, each on a connection of its
+// own. One control VM had neither the processor nor the descriptors for all of them. They
+// must be divided evenly among those that take announcements; one that falls silent loses
+// its part, and nobody else is moved.
+func TestManyBackendServersAreDivided(t *testing.T) {
+	const servers = 3000
+	h := controlVM(servers)
+	before := make(map[string]string)
+	for n := range servers {
+		id := fmt.Sprint("vm-", n)
+		before[id] = h.Home(id, "core-3")
+	}
+	for home, n := range homesOf(h, servers) {
+		assert.Assert(t, n > servers/5*8/10 && n < servers/5*12/10, "%s takes %d", home, n)
+	}
+
+	h.With(func(t *evidence.Table) {
+		for n := range 4 {
+			t.Merge(time.Now().Add(2*evidence.WitnessAge), fmt.Sprint("core-", n), nil)
+		}
+	})
+	h.mu.Lock()
+	h.lookForHomes(time.Now().Add(2 * evidence.WitnessAge))
+	h.homes.at = time.Now().Add(time.Minute)
+	h.mu.Unlock()
+	for id, home := range before {
+		now := h.Home(id, "core-3")
+		assert.Assert(t, now != "core-4")
+		assert.Assert(t, home == "core-4" || now == home, "%s moved from %s to %s", id, home, now)
+	}
+}
--- a/internal/node/adapter.go
+++ b/internal/node/adapter.go
@@ -63,9 +63,9 @@
 
 func (n *Node) orders() control.OrderSender {
 	if n.adapter.Orders == nil {
-		return n.backends
+		return n.ordered
 	}
-	return n.adapter.Orders(n.backends)
+	return n.adapter.Orders(n.ordered)
 }
 
 func (n *Node) forwarder() backend.Forwarder {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,6 +44,8 @@
 	peers    *http.Client
 	dialer   *net.Dialer
 	backends *backend.HTTPClient
+	// ordered carries orders to engines.
+	ordered *backend.HTTPClient
 
 	replica  *replica.Node
 	machine  *control.Machine
@@ -146,6 +148,10 @@
 	// row took one request in a hundred 2.15 s, measured while groups lost
 	// members. The farthest data centres of a deployment are half of this away.
 	backendDialTimeout = 200 * time.Millisecond
+	// orderIdle is how long an idle connection for orders is kept: a group is joined and
+	// opened within it. The leader orders each VM of a pool now and then; kept for
+	// longer, the connections to 3,000 VMs took all of its 4,096 descriptors.
+	orderIdle = time.Second
 	// peerIdle is how long an idle connection between our processes is kept.
 	peerIdle = 30 * time.Second
 	// peerCallTimeout bounds any call between our processes.
@@ -160,10 +166,13 @@
 			DialContext: n.dialer.DialContext, IdleConnTimeout: peerIdle, MaxIdleConnsPerHost: 4,
 		}},
 	}
-	n.backends = backend.NewHTTPClient(backend.Options{
+	o := backend.Options{
 		Logger: n.logger, Secret: n.tokens.backend, DialTimeout: backendDialTimeout,
 		HeaderTimeout: time.Duration(n.settings.Entry.HeaderTimeoutMillis) * time.Millisecond,
-	})
+	}
+	n.backends = backend.NewHTTPClient(o)
+	o.IdleTimeout = orderIdle
+	n.ordered = backend.NewHTTPClient(o)
 	return nil
 }
 
@@ -368,8 +377,10 @@
 	for _, l := range n.servers {
 		_ = l.listener.Close()
 	}
-	if n.backends != nil {
-		n.backends.Close()
+	for _, c := range []*backend.HTTPClient{n.backends, n.ordered} {
+		if c != nil {
+			c.Close()
+		}
 	}
 	if n.metrics != nil {
 		_ = n.metrics.Close()
