A request that is convicted while it waits for a turn alone is refused, not sent

Change: an attempt looks at the board for a conviction as it does for the lease. Test: TestARequestConvictedWhileItWaitsIsNotSent fails without it (one attempt made).

--- /dev/null
+++ b/internal/entry/isolate_test.go
@@ -0,0 +1,60 @@
+package entry
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/failure"
+	"github.com/citronstep/citronstep/internal/rpc/noderpc"
+)
+
+// changingBoard is a follower whose board changes.
+type changingBoard struct {
+	board atomic.Pointer[blackboard.Board]
+}
+
+func (f *changingBoard) Board() *blackboard.Board { return f.board.Load() }
+func (f *changingBoard) Lease() time.Duration     { return time.Minute }
+func (f *changingBoard) Granted() time.Duration   { return time.Second }
+
+// cutOff is a committer that reaches no control process.
+type cutOff struct{}
+
+func (cutOff) Commit(context.Context, *noderpc.CommitRequest) ([]byte, error) {
+	return nil, failure.New(failure.TypeUnavailable, "no control process answers")
+}
+
+// A request has crashed its second backend server at another entry, which refuses it, and
+// the caller sends it here before this entry's board tells. Here it is a suspect that waits
+// for a turn alone; by the time it has one, or gives up waiting, the board tells. It must
+// be refused then: sent on, it crashed a third backend server.
+func TestARequestConvictedWhileItWaitsIsNotSent(t *testing.T) {
+	follower := &changingBoard{}
+	before := blackboard.New()
+	before.Suspects["body"] = blackboard.Suspect{Fingerprint: "body", Crashes: 1, Incarnations: []string{"a"}}
+	follower.board.Store(before)
+	s := deafServer(before)
+	s.o.Follower, s.o.Control = follower, cutOff{}
+	after := blackboard.New()
+	after.Suspects["body"] = blackboard.Suspect{Fingerprint: "body", Crashes: 2, Alone: 1, Incarnations: []string{"a", "b"}}
+	assert.Assert(t, after.Suspects["body"].Convicted())
+
+	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(300*time.Millisecond))
+	defer cancel()
+	j := &job{id: "j", model: "m", body: "body", ctx: ctx, deadline: time.Now().Add(300 * time.Millisecond)}
+	time.AfterFunc(50*time.Millisecond, func() { follower.board.Store(after) })
+	sent := 0
+	e := s.attempts(j, grant{attempt: "j.1"}, func(*job, grant) (outcome, *failure.Error) {
+		sent++
+		return outcomeWhole, nil
+	})
+	assert.Equal(t, sent, 0)
+	assert.Assert(t, e != nil)
+	assert.Equal(t, e.Type, failure.TypePoisoned)
+	assert.Equal(t, e.Ran, failure.RanNo)
+}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -99,7 +99,7 @@
 		if j.suspect {
 			g = s.alone(j, g)
 		}
-		if e := s.mayDispatch(); e != nil {
+		if e := s.mayAttempt(j); e != nil {
 			s.dispatcher.attemptEnded(g.attempt, placement.Result{Cancelled: true})
 			g.end()
 			return afterAttempts(begun, e)
@@ -133,6 +133,19 @@
 	}
 }
 
+// mayAttempt refuses a further attempt that must not be made any more.
+//
+// Failure: a request crashes its second backend server at one entry and is refused there;
+// its caller sends it to another entry within a millisecond, before that one's board tells
+// of it. It waits eight seconds for a turn alone and crashes a third. What has been learned
+// while it waited counts.
+func (s *Server) mayAttempt(j *job) *failure.Error {
+	if s.o.Follower.Board().Suspects[j.body].Convicted() {
+		return convicted()
+	}
+	return s.mayDispatch()
+}
+
 // maySend asserts that a request that may run once only is not sent when it may
 // have run. What decides on retries has seen to that already.
 func (j *job) maySend() bool {
