--- a/internal/controller/store_test.go
+++ b/internal/controller/store_test.go
@@ -24,7 +24,7 @@
 
 // A pool of 365 VMs starts, and its leader can send sixty orders a second. Callers come
 // when a third of the VMs have theirs. The groups were allowed to load when the store was
-// free; the rest of their orders went out as the leader found time, and 200 loads began
+// free; the rest of their orders went out as the leader found time, and 119 loads began
 // within five seconds. From the callers' coming on the rate must hold, orders on their way
 // included, and groups must still come to serve one after the other.
 func TestLoadsKeepToTheStoreOnceCallersHaveCome(t *testing.T) {
