Entries log and count the rate limits that backend servers name

Why: no log line and no metric told whether an answer with a limit reached an entry, so hypothesis 1 (not read) could not be told from 2 (obeyed by each entry alone) and 3 (obeyed too late, or passed by).

Change: the adapter decodes the limit; an entry writes a line when a backend server begins to name one, names another or ceases to, and counts its attempts on such servers; the line of each attempt names the backend server beside the group. Nothing is decided by it yet.

An answer without a limit ends one only if its request was sent after the limit was named, as answers overtake each other.

--- a/internal/backend/forward.go
+++ b/internal/backend/forward.go
@@ -57,6 +57,9 @@
 	AtFault string
 	// Load is what the backend server says of itself; nil if nothing.
 	Load *ServerLoad
+	// RateLimit is how many requests a second the backend server takes from all
+	// entries together; nil if the answer names no limit.
+	RateLimit *float64
 }
 
 // ServerLoad is a backend server's load as its answers state it.
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -245,7 +245,7 @@
 		d.unbegun[g.attempt] = j.model
 	}
 	j.lines.Info("event", "route", "request", j.id, "attempt", g.attempt, "model", j.model,
-		"class", j.class, "workspace", j.workspace, "choice", c.ID, "runner_up", c.RunnerUp, "reason", c.Reason,
+		"class", j.class, "workspace", j.workspace, "choice", c.ID, "server", g.route.head, "runner_up", c.RunnerUp, "reason", c.Reason,
 		"score", c.Score, "queued_ms", now.Sub(j.arrived).Milliseconds())
 	return g, true
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -108,6 +108,8 @@
 	policyRevision uint64
 	// waits is what this entry has learned of how long callers wait.
 	waits *callerWaits
+	// rateLimits are those that backend servers have named.
+	rateLimits *rateLimits
 	// callers tells the controllers when the first request comes.
 	callers callers
 	// routing is what requests of routes are judged by.
@@ -133,6 +135,7 @@
 		open:         make(map[string]route),
 		progress:     make(progressOf),
 		waits:        newCallerWaits(time.Now().Add(time.Duration(h.Sum64() % uint64(waitsInterval)))),
+		rateLimits:   newRateLimits(),
 		configured:   make(chan struct{}),
 		started:      time.Now(),
 	}
@@ -331,7 +334,7 @@
 	routes, waiting := s.dispatcher.counts()
 	s.o.Metrics.Sample(metrics.EntrySample{
 		Open: open, Waiting: waiting, Routes: routes, Lease: s.o.Follower.Lease(),
-		ConfigRevision: s.o.Follower.Board().Config.Revision,
+		ConfigRevision: s.o.Follower.Board().Config.Revision, RateLimited: s.rateLimits.count(),
 	})
 }
 
--- a/internal/metrics/definitions.go
+++ b/internal/metrics/definitions.go
@@ -38,12 +38,16 @@
 
 // The names of all metrics.
 const (
-	nameRequests       = prefix + "requests_total"
-	nameWhole          = prefix + "request_seconds"
-	nameFirstToken     = prefix + "first_token_seconds"
-	nameQueued         = prefix + "queue_seconds"
-	nameTokens         = prefix + "tokens_total"
-	nameAttempts       = prefix + "attempts_total"
+	nameRequests    = prefix + "requests_total"
+	nameWhole       = prefix + "request_seconds"
+	nameFirstToken  = prefix + "first_token_seconds"
+	nameQueued      = prefix + "queue_seconds"
+	nameTokens      = prefix + "tokens_total"
+	nameAttempts    = prefix + "attempts_total"
+	nameRateLimited = prefix + "rate_limited_servers"
+
+	nameRateLimitedAttempts = prefix + "rate_limited_attempts_total"
+
 	nameClaims         = prefix + "claim_seconds"
 	nameOpen           = prefix + "open_requests"
 	nameWaiting        = prefix + "waiting_requests"
@@ -80,6 +84,8 @@
 		{nameQueued, KindHistogram, []string{"class"}, "Time that a request waited for room before its first attempt, or before it was refused.", requestBuckets},
 		{nameTokens, KindCounter, []string{"class"}, "Tokens of whole answers.", nil},
 		{nameAttempts, KindCounter, []string{"outcome"}, "Attempts on backend servers by how they ended.", nil},
+		{nameRateLimited, KindGauge, nil, "Backend servers that name a rate limit, as this entry knows.", nil},
+		{nameRateLimitedAttempts, KindCounter, nil, "Attempts of this entry on backend servers that name a rate limit.", nil},
 		{nameClaims, KindHistogram, nil, "Time of writing an at-most-once claim on a majority of the control processes.", commitBuckets},
 		{nameOpen, KindGauge, nil, "Requests open on this entry.", nil},
 		{nameWaiting, KindGauge, nil, "Requests waiting for room on this entry.", nil},
--- a/internal/metrics/entry.go
+++ b/internal/metrics/entry.go
@@ -61,6 +61,14 @@
 	e.scope.Tagged(map[string]string{"outcome": outcome}).Counter(nameAttempts).Inc(1)
 }
 
+// RateLimitedAttempt counts an attempt on a backend server that names a rate limit.
+func (e *Entry) RateLimitedAttempt() {
+	if e == nil {
+		return
+	}
+	e.scope.Counter(nameRateLimitedAttempts).Inc(1)
+}
+
 // Claim records the time of writing an at-most-once claim.
 func (e *Entry) Claim(took time.Duration) {
 	if e == nil {
@@ -72,8 +80,10 @@
 // EntrySample is the present state of an entry.
 type EntrySample struct {
 	Open, Waiting, Routes int
-	Lease                 time.Duration
-	ConfigRevision        uint64
+	// RateLimited counts the backend servers that name a rate limit.
+	RateLimited    int
+	Lease          time.Duration
+	ConfigRevision uint64
 }
 
 // Sample sets the gauges of the entry role.
@@ -84,6 +94,7 @@
 	e.scope.Gauge(nameOpen).Update(float64(s.Open))
 	e.scope.Gauge(nameWaiting).Update(float64(s.Waiting))
 	e.scope.Gauge(nameRoutes).Update(float64(s.Routes))
+	e.scope.Gauge(nameRateLimited).Update(float64(s.RateLimited))
 	e.scope.Gauge(nameLease).Update(max(0, s.Lease).Seconds())
 	e.scope.Gauge(nameConfigRevision).Update(float64(s.ConfigRevision))
 }
