Entries share the rate limit that a backend server names

Cause: a limit that holds for all entries together was not decoded, so nothing acted on it; and nothing of ours could have: each entry decides by itself how much to send, and knows of the others only what reports of load show.

Ruled out: obeyed by each entry alone, and obeyed too late (both need a decision that reads the limit; there was none).

Change: a limit goes to the board, so that all entries know it and its end. The entries that are chosen for a backend server, five and one more for each request a second, each send a fifth or less of the limit, evenly; the others send it nothing. Requests of the 4 s before count, so that a server in need gets its rest at once. Second attempts and requests that run alone keep to it as well. Where each server of a pool limits its rate, a request for which no place is left before its deadline is refused at once. The leader ends a limit that nobody has confirmed for 30 s.

Why it works: what n entries send in a window of w seconds is at most n more than w times the limit, whatever they know of each other beyond the board's list; n is bounded by the limit.

The guards of placement/throttle.go were taken out one at a time: no sharing, equal parts for all, requests of before not counted; each makes a test fail.

--- a/internal/admission/model.go
+++ b/internal/admission/model.go
@@ -276,6 +276,20 @@
 	return fromSeconds(min(ordinary, (own+float64(it.request.Tokens))/floor))
 }
 
+// ahead returns how many waiting requests have a worth or more.
+func (m *modelQueue) ahead(worth float64) int {
+	n := 0
+	for _, b := range m.bands {
+		if b.worth < worth {
+			continue
+		}
+		for _, f := range b.active {
+			n += f.count
+		}
+	}
+	return n
+}
+
 // aheadOf estimates the tokens of the band that are served before a newcomer.
 func (b *band) aheadOf(it *item, share float64) float64 {
 	own := 0.0
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -151,6 +151,9 @@
 // measured, 68 such refusals in a minute of 40,000 requests.
 func (q *Queue) refuseAtDoor(now time.Time, m *modelQueue, it *item) *Refusal {
 	wait := m.waitFor(it, q.policy)
+	if places := it.request.Places; places > 0 && m.ahead(it.worth) >= places {
+		return q.refuse(now, m, it, ReasonDeadlineUnreachable, wait)
+	}
 	if !it.latestStart.IsZero() && now.After(it.latestStart) {
 		if m.waiting > 0 || now.After(it.lastChance) {
 			return q.refuse(now, m, it, ReasonDeadlinePassed, 0)
--- a/internal/admission/request.go
+++ b/internal/admission/request.go
@@ -20,6 +20,9 @@
 	// OnTimeUntil is until when it must reach a backend server for its answer to
 	// begin within its objective; zero means that it has none.
 	OnTimeUntil time.Time
+	// Places is how many requests of the model, this one included, can be placed before
+	// the deadline at most; 0 is no bound.
+	Places int
 	// RetryBudget names the budget that retries of the request are taken from;
 	// empty is the workspace's.
 	RetryBudget string
--- a/internal/blackboard/board.go
+++ b/internal/blackboard/board.go
@@ -30,6 +30,8 @@
 	Quarantines map[string]Quarantine `json:"quarantines"`
 	// Waits is how long callers wait when they first ask, in milliseconds, by route.
 	Waits map[string]int64 `json:"waits,omitempty"`
+	// RateLimits are those that backend servers name, by incarnation.
+	RateLimits map[string]RateLimit `json:"rate_limits,omitempty"`
 	// CallersMillis is when callers first asked for anything, by an entry's clock; 0 if
 	// none has.
 	CallersMillis int64 `json:"callers_ms,omitempty"`
@@ -62,6 +64,7 @@
 	b.Suspects = orEmpty(b.Suspects)
 	b.Quarantines = orEmpty(b.Quarantines)
 	b.Waits = orEmpty(b.Waits)
+	b.RateLimits = orEmpty(b.RateLimits)
 	b.Changes = orEmpty(b.Changes)
 }
 
--- a/internal/blackboard/command.go
+++ b/internal/blackboard/command.go
@@ -52,6 +52,7 @@
 	"end_quarantine":  func() Command { return &EndQuarantine{} },
 	"replace_config":  func() Command { return &ReplaceConfiguration{} },
 	"note_wait":       func() Command { return &NoteWait{} },
+	"note_rate_limit": func() Command { return &NoteRateLimit{} },
 	"note_callers":    func() Command { return &NoteCallers{} },
 	"patch":           func() Command { return &Patch{} },
 	"batch":           func() Command { return &Batch{} },
--- a/internal/blackboard/copy.go
+++ b/internal/blackboard/copy.go
@@ -3,7 +3,7 @@
 import "github.com/juju/errors"
 
 // Entries go by a part of the board: the configuration, the groups that serve, the
-// plain services, the entries, the suspects, how long callers wait. Of VMs they need to know which are
+// plain services, the entries, the suspects, how long callers wait, the rate limits of backend servers. Of VMs they need to know which are
 // leaving. What they hold is called the entry's copy here.
 //
 // Load: a pool of 1,095 VMs starts, or loses a domain, and 195 entries follow the board.
@@ -31,7 +31,7 @@
 	c.Revision, c.ClusterID, c.Config = b.Revision, b.ClusterID, b.Config
 	c.Config.Document = nil
 	c.Services, c.Entries, c.Suspects, c.Quarantines = b.Services, b.Entries, b.Suspects, b.Quarantines
-	c.Waits, c.CallersMillis = b.Waits, b.CallersMillis
+	c.Waits, c.RateLimits, c.CallersMillis = b.Waits, b.RateLimits, b.CallersMillis
 	for id, g := range b.Groups {
 		if row, ok := copied(g); ok {
 			c.Groups[id] = row
--- a/internal/blackboard/patch.go
+++ b/internal/blackboard/patch.go
@@ -12,7 +12,7 @@
 // Change names the rows of an entry's copy that one command changed.
 type Change struct {
 	groups, leaving, services, entries, suspects, quarantines, waits []string
-	routes, configured, workspaces                                   []string
+	rateLimits, routes, configured, workspaces                       []string
 	// version says that the operators' whole configuration changed, parts that anything
 	// else of the configuration did, and callers that callers have come.
 	version, parts, callers bool
@@ -21,7 +21,8 @@
 // Concerns tells whether an entry's copy differs by the change in anything but its
 // revision.
 func (c Change) Concerns() bool {
-	rows := len(c.groups) + len(c.leaving) + len(c.services) + len(c.entries) + len(c.suspects) + len(c.quarantines) + len(c.waits)
+	rows := len(c.groups) + len(c.leaving) + len(c.services) + len(c.entries) + len(c.suspects) + len(c.quarantines) + len(c.waits) +
+		len(c.rateLimits)
 	return rows > 0 || c.version || c.parts || c.callers
 }
 
@@ -33,6 +34,7 @@
 		suspects:    changedRows(before.Suspects, d.Suspects),
 		quarantines: changedRows(before.Quarantines, d.Quarantines),
 		waits:       changedRows(before.Waits, d.Waits),
+		rateLimits:  changedRows(before.RateLimits, d.RateLimits),
 		callers:     before.CallersMillis != d.CallersMillis,
 	}
 	for id := range d.groups {
@@ -100,6 +102,7 @@
 	Suspects    Rows[Suspect]         `json:"suspects,omitzero"`
 	Quarantines Rows[Quarantine]      `json:"quarantines,omitzero"`
 	Waits       Rows[int64]           `json:"waits,omitzero"`
+	RateLimits  Rows[RateLimit]       `json:"rate_limits,omitzero"`
 	// CallersMillis is the board's own.
 	CallersMillis int64 `json:"callers_ms,omitempty"`
 
@@ -168,6 +171,7 @@
 	p.Suspects = rowsOf(b.Suspects, named(changes, func(c Change) []string { return c.suspects }))
 	p.Quarantines = rowsOf(b.Quarantines, named(changes, func(c Change) []string { return c.quarantines }))
 	p.Waits = rowsOf(b.Waits, named(changes, func(c Change) []string { return c.waits }))
+	p.RateLimits = rowsOf(b.RateLimits, named(changes, func(c Change) []string { return c.rateLimits }))
 	switch {
 	case slices.ContainsFunc(changes, func(c Change) bool { return c.parts }):
 		config := b.Config
@@ -231,7 +235,8 @@
 	d.Groups, d.VMs = p.Groups.in(d.Groups), p.Leaving.in(d.VMs)
 	d.Services, d.Entries = p.Services.in(d.Services), p.Entries.in(d.Entries)
 	d.Suspects, d.Quarantines = p.Suspects.in(d.Suspects), p.Quarantines.in(d.Quarantines)
-	d.Waits, d.CallersMillis = p.Waits.in(d.Waits), p.CallersMillis
+	d.Waits, d.RateLimits = p.Waits.in(d.Waits), p.RateLimits.in(d.RateLimits)
+	d.CallersMillis = p.CallersMillis
 	if p.Config != nil {
 		d.Config = p.Config.clone()
 	}
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -301,6 +301,7 @@
 	}
 	s.propose(ctx, s.goneEntries(board))
 	s.propose(ctx, oldSuspects(board, now))
+	s.propose(ctx, s.rateLimits.unconfirmed(now, board))
 }
 
 func (s *Server) expireRecords(ctx context.Context, now time.Time) error {
--- /dev/null
+++ b/internal/control/rate_limits.go
@@ -0,0 +1,40 @@
+package control
+
+import (
+	"time"
+
+	"github.com/citronstep/citronstep/internal/blackboard"
+)
+
+// rateLimitFor is how long a backend server's rate limit holds that no entry confirms:
+// those that share it send it nothing, and the others have no part of it.
+const rateLimitFor = 30 * time.Second
+
+// rateLimitAges is when this process first saw each rate limit as it is on the board. Ages
+// are counted here, as the clocks of entries may be wrong.
+type rateLimitAges map[string]seenRateLimit
+
+type seenRateLimit struct {
+	limit blackboard.RateLimit
+	since time.Time
+}
+
+// unconfirmed returns the commands that end the limits that no entry has confirmed for long.
+func (a rateLimitAges) unconfirmed(now time.Time, board *blackboard.Board) []blackboard.Command {
+	var ended []blackboard.Command
+	for incarnation := range a {
+		if _, known := board.RateLimits[incarnation]; !known {
+			delete(a, incarnation)
+		}
+	}
+	for incarnation, limit := range board.RateLimits {
+		seen, known := a[incarnation]
+		switch {
+		case !known || seen.limit != limit:
+			a[incarnation] = seenRateLimit{limit: limit, since: now}
+		case now.Sub(seen.since) > rateLimitFor:
+			ended = append(ended, &blackboard.NoteRateLimit{Incarnation: incarnation})
+		}
+	}
+	return ended
+}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -73,9 +73,11 @@
 
 	mu     sync.Mutex
 	leases *leases
-	term   uint64
-	events *eventLog
-	meter  meter
+	// rateLimits is used by Run alone.
+	rateLimits rateLimitAges
+	term       uint64
+	events     *eventLog
+	meter      meter
 	// stalls holds what entries told of groups without progress.
 	stalls *controller.Stalls
 	// woken asks for a step before its time.
@@ -86,7 +88,10 @@
 
 // NewServer returns a server; Run makes it work.
 func NewServer(o Options) *Server {
-	return &Server{o: o, woken: make(chan struct{}, 1), stalls: controller.NewStalls(), events: newEventLog(), leases: newLeases(o.Lease, clock.Now())}
+	return &Server{
+		o: o, woken: make(chan struct{}, 1), stalls: controller.NewStalls(), events: newEventLog(),
+		leases: newLeases(o.Lease, clock.Now()), rateLimits: make(rateLimitAges),
+	}
 }
 
 // leading returns the term that this process leads, or a typed refusal that
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -99,11 +99,21 @@
 	}
 }
 
-// setPeers says how many entries take callers' requests.
-func (d *dispatcher) setPeers(n int) {
+// setEntries names the entries that take callers' requests.
+func (d *dispatcher) setEntries(ids []string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.picker.SetPeers(n)
+	d.picker.SetEntries(ids)
+}
+
+// limitRate puts the rate limit of a backend server in force and returns this entry's
+// share of it; nil ends the limit.
+func (d *dispatcher) limitRate(now time.Time, incarnation string, perSecond *float64) float64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	share := d.picker.LimitRate(now, incarnation, perSecond)
+	d.pump(now)
+	return share
 }
 
 // setRoutes replaces the routable targets. awaited names the pools that have a
@@ -160,10 +170,14 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
+	places, limited := d.picker.Places(now, j.deadline, j.model)
+	if limited && places == 0 {
+		return nil, rateLimited()
+	}
 	decision := d.queue.Offer(now, admission.Request{
 		ID: j.id, Workspace: j.workspace, Class: j.class, Model: j.model, IdempotencyKey: j.key,
 		Tokens: j.tokens(), Arrived: j.arrived, Deadline: j.deadline, RetryBudget: j.retryBudget(),
-		OnTimeUntil: d.onTimeUntil(j),
+		OnTimeUntil: d.onTimeUntil(j), Places: places,
 	})
 	d.refuse(decision.Evicted)
 	if decision.Refusal != nil {
@@ -263,21 +277,33 @@
 }
 
 // again picks a target for another attempt of a job that runs already. When
-// there is none it waits, as groups fail over within seconds.
+// there is none it waits, as groups fail over within seconds and rate limits leave
+// room again.
 func (d *dispatcher) again(j *job, until time.Time) (grant, bool) {
 	timer := time.NewTimer(time.Until(until))
 	defer timer.Stop()
 	for {
 		d.mu.Lock()
-		g, ok := d.choose(time.Now(), j)
+		now := time.Now()
+		g, ok := d.choose(now, j)
+		opens, throttled := d.picker.Throttled(now, j.model, j.tried)
 		changed := d.changed
 		d.mu.Unlock()
 		if ok {
 			return g, true
 		}
-		// A target that failed this request once may have come back.
-		j.tried = nil
+		var open <-chan time.Time
+		switch {
+		case throttled && opens.After(until):
+			return grant{}, false
+		case throttled:
+			open = time.After(opens.Sub(now))
+		default:
+			// A target that failed this request once may have come back.
+			j.tried = nil
+		}
 		select {
+		case <-open:
 		case <-changed:
 		case <-timer.C:
 			return grant{}, false
@@ -287,13 +313,22 @@
 	}
 }
 
-// idlest returns the routable target of a pool that reports the least work.
+// sentAlone notes a request that runs alone on a target.
+func (d *dispatcher) sentAlone(now time.Time, target string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.picker.Sent(now, target)
+}
+
+// idlest returns the routable target of a pool that reports the least work, of those whose
+// backend servers take a request now.
 func (d *dispatcher) idlest(pool string) (route, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	now := time.Now()
 	best, found := route{}, false
 	for _, r := range d.routes {
-		if r.pool != pool {
+		if r.pool != pool || d.picker.Shut(now, r.target) {
 			continue
 		}
 		if !found || r.busy < best.busy || (r.busy == best.busy && r.target < best.target) {
@@ -362,6 +397,15 @@
 		WithRan(failure.RanNo).WithRetryAfter(r.RetryAfter)
 }
 
+// rateLimitedRetryAfter is short, as other entries may have a share.
+const rateLimitedRetryAfter = 100 * time.Millisecond
+
+// rateLimited refuses a request that no backend server takes from this entry in time.
+func rateLimited() *failure.Error {
+	return failure.New(failure.TypeOverloaded, "the rate limits of all backend servers leave this entry no share in time").
+		WithRan(failure.RanNo).WithRetryAfter(rateLimitedRetryAfter)
+}
+
 // noGroupRetryAfter is about the time in which a broken group is replaced.
 const noGroupRetryAfter = 2 * time.Second
 
--- a/internal/entry/rate_limits.go
+++ b/internal/entry/rate_limits.go
@@ -1,65 +1,166 @@
 package entry
 
 import (
+	"context"
 	"sync"
 	"time"
 
 	"github.com/go-kit/log/level"
 
 	"github.com/citronstep/citronstep/internal/backend"
+	"github.com/citronstep/citronstep/internal/blackboard"
 )
 
-// rateLimits holds the rate limits that backend servers name in their answers. It is
-// safe for concurrent use.
+// rateLimits holds the rate limits of backend servers: what they name in their answers to
+// this entry, and what other entries have written to the board. It is safe for concurrent use.
 type rateLimits struct {
 	mu sync.Mutex
-	// named is by incarnation.
-	named map[string]rateLimit
+	// known is by incarnation.
+	known map[string]rateLimit
+	// board are the limits on the board that was last followed.
+	board map[string]blackboard.RateLimit
+	// toldAt is when this entry last wrote of a backend server to the board.
+	toldAt map[string]time.Time
 }
 
-// rateLimit is what a backend server last named.
+// rateLimit is what this entry goes by for one backend server.
 type rateLimit struct {
-	// perSecond is how many requests a second it takes from all entries together.
-	perSecond float64
-	// at is when the answer came.
+	// perSecond is how many requests a second it takes from all entries together; nil for
+	// one that has ceased to name a limit, until the board says so too.
+	perSecond *float64
+	// at is when the entry learned it.
 	at time.Time
+	// heard says that an answer to this entry told it, and not the board.
+	heard bool
 }
 
-func newRateLimits() *rateLimits { return &rateLimits{named: make(map[string]rateLimit)} }
+// value is the limit for the log; 0 for none.
+func (l rateLimit) value() float64 {
+	if l.perSecond == nil {
+		return 0
+	}
+	return *l.perSecond
+}
+
+// limitChange is a limit that has changed; a nil perSecond ends it.
+type limitChange struct {
+	incarnation       string
+	perSecond, before *float64
+}
+
+const (
+	// confirmEvery is how often the board hears of a limit that stays. The leader ends
+	// those that nobody confirms.
+	confirmEvery = 10 * time.Second
+	// tellLimitAgain is the time between two words to the board about one backend server.
+	tellLimitAgain = time.Second
+)
+
+func newRateLimits() *rateLimits {
+	return &rateLimits{known: make(map[string]rateLimit), toldAt: make(map[string]time.Time)}
+}
 
-// heard takes in what the answer to a request says, which was sent at a time; nil is no
-// limit. It returns the limit of before, and whether the answer changed anything.
+// hear takes in what the answer to a request says, which was sent at a time; nil is no
+// limit. It tells whether that changes anything.
 //
-// Answers overtake each other, so one without a limit ends only a limit that was named
+// Answers overtake each other, so one without a limit ends only a limit that was learned
 // before its request was sent.
-func (l *rateLimits) heard(now, sent time.Time, incarnation string, limit *float64) (before rateLimit, changed bool) {
+func (l *rateLimits) hear(now, sent time.Time, incarnation string, limit *float64) (limitChange, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	before, known := l.named[incarnation]
+	before, known := l.known[incarnation]
+	change := limitChange{incarnation: incarnation, perSecond: limit, before: before.perSecond}
 	switch {
 	case limit != nil:
-		l.named[incarnation] = rateLimit{perSecond: *limit, at: now}
-		return before, !known || before.perSecond != *limit
-	case known && sent.After(before.at):
-		delete(l.named, incarnation)
-		return before, true
+		l.known[incarnation] = rateLimit{perSecond: limit, at: now, heard: true}
+		return change, before.perSecond == nil || *before.perSecond != *limit
+	case known && before.perSecond != nil && sent.After(before.at):
+		l.known[incarnation] = rateLimit{at: now, heard: true}
+		return change, true
 	}
-	return before, false
+	return change, false
 }
 
-// limits tells whether a backend server names a limit.
+// follow takes in the limits of a board and returns what they change. A row that has not
+// changed says nothing: what this entry has heard since is newer.
+func (l *rateLimits) follow(now time.Time, board map[string]blackboard.RateLimit) []limitChange {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var changes []limitChange
+	for incarnation := range l.board {
+		if _, kept := board[incarnation]; kept {
+			continue
+		}
+		before := l.known[incarnation]
+		delete(l.known, incarnation)
+		delete(l.toldAt, incarnation)
+		if before.perSecond != nil {
+			changes = append(changes, limitChange{incarnation: incarnation, before: before.perSecond})
+		}
+	}
+	for incarnation, row := range board {
+		if old, known := l.board[incarnation]; known && old == row {
+			continue
+		}
+		before := l.known[incarnation]
+		if before.perSecond != nil && row.Near(*before.perSecond) {
+			continue
+		}
+		perSecond := row.PerSecond
+		l.known[incarnation] = rateLimit{perSecond: &perSecond, at: now}
+		changes = append(changes, limitChange{incarnation: incarnation, perSecond: &perSecond, before: before.perSecond})
+	}
+	l.board = board
+	return changes
+}
+
+// due returns the limits that the board should hold and does not.
+func (l *rateLimits) due(now time.Time) []blackboard.NoteRateLimit {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var notes []blackboard.NoteRateLimit
+	for incarnation, limit := range l.known {
+		if !limit.heard || now.Sub(l.toldAt[incarnation]) < tellLimitAgain {
+			continue
+		}
+		row, onBoard := l.board[incarnation]
+		switch {
+		case limit.perSecond == nil && !onBoard:
+			delete(l.known, incarnation)
+			delete(l.toldAt, incarnation)
+			continue
+		case limit.perSecond == nil:
+		case onBoard && row.Near(*limit.perSecond) && limit.at.UnixMilli()-row.HeardMillis < confirmEvery.Milliseconds():
+			continue
+		}
+		note := blackboard.NoteRateLimit{Incarnation: incarnation}
+		if limit.perSecond != nil {
+			note.Limit = &blackboard.RateLimit{PerSecond: *limit.perSecond, HeardMillis: limit.at.UnixMilli()}
+		}
+		l.toldAt[incarnation] = now
+		notes = append(notes, note)
+	}
+	return notes
+}
+
+// limits tells whether a backend server limits its rate.
 func (l *rateLimits) limits(incarnation string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	_, known := l.named[incarnation]
-	return known
+	return l.known[incarnation].perSecond != nil
 }
 
-// count returns how many backend servers name a limit.
+// count returns how many backend servers limit their rate.
 func (l *rateLimits) count() int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return len(l.named)
+	n := 0
+	for _, limit := range l.known {
+		if limit.perSecond != nil {
+			n++
+		}
+	}
+	return n
 }
 
 // hearRateLimit takes in what an answer says of its backend server's rate limit. An
@@ -69,14 +170,41 @@
 	if a.OtherServer || (!genuine && a.RateLimit == nil) {
 		return
 	}
-	before, changed := s.rateLimits.heard(time.Now(), sent, r.incarnation, a.RateLimit)
-	if !changed {
+	if change, ok := s.rateLimits.hear(time.Now(), sent, r.incarnation, a.RateLimit); ok {
+		s.limitRate(change, "answer")
+	}
+}
+
+// followRateLimits takes in the limits of a board.
+func (s *Server) followRateLimits(b *blackboard.Board) {
+	for _, change := range s.rateLimits.follow(time.Now(), b.RateLimits) {
+		s.limitRate(change, "board")
+	}
+}
+
+// limitRate puts a changed limit in force on this entry.
+func (s *Server) limitRate(c limitChange, source string) {
+	share := s.dispatcher.limitRate(time.Now(), c.incarnation, c.perSecond)
+	event := "rate_limit_ended"
+	if c.perSecond != nil {
+		event = "rate_limit_named"
+	}
+	_ = level.Info(s.o.Logger).Log("event", event, "incarnation", c.incarnation, "by", source,
+		"per_second", rateLimit{perSecond: c.perSecond}.value(), "before", rateLimit{perSecond: c.before}.value(), "share", share)
+}
+
+// tellRateLimits writes to the board what this entry has heard and the board lacks.
+func (s *Server) tellRateLimits(ctx context.Context, now time.Time) {
+	if s.o.Control == nil {
 		return
 	}
-	event, perSecond := "rate_limit_ended", 0.0
-	if a.RateLimit != nil {
-		event, perSecond = "rate_limit_named", *a.RateLimit
+	for _, note := range s.rateLimits.due(now) {
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, boardTimeout)
+			defer cancel()
+			err := s.commitBoard(ctx, &note, nil)
+			_ = level.Info(s.o.Logger).Log("event", "rate_limit_told", "incarnation", note.Incarnation,
+				"ended", note.Limit == nil, "err", errText(err))
+		}()
 	}
-	_ = level.Info(s.o.Logger).Log("event", event, "server", r.head, "incarnation", r.incarnation, "target", r.target,
-		"per_second", perSecond, "before", before.perSecond, "sent_ms_ago", time.Since(sent).Milliseconds())
 }
--- a/internal/entry/rate_limits_test.go
+++ b/internal/entry/rate_limits_test.go
@@ -5,22 +5,78 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/citronstep/citronstep/internal/blackboard"
 )
 
+// limitTimes are whole seconds after a start.
+func limitTimes() func(int) time.Time {
+	start := time.Now()
+	return func(n int) time.Time { return start.Add(time.Duration(n) * time.Second) }
+}
+
+func limits(perSecond float64, heard time.Time) map[string]blackboard.RateLimit {
+	return map[string]blackboard.RateLimit{"i": {PerSecond: perSecond, HeardMillis: heard.UnixMilli()}}
+}
+
 // Guards against a rate limit that ends with an answer to a request sent before it was named.
 func TestAnEarlierRequestDoesNotEndARateLimit(t *testing.T) {
-	l, named, sent := newRateLimits(), 1.8, time.Now()
-	second := func(n int) time.Time { return sent.Add(time.Duration(n) * time.Second) }
+	l, named, second := newRateLimits(), 1.8, limitTimes()
 
-	_, changed := l.heard(second(2), second(1), "i", &named)
+	_, changed := l.hear(second(2), second(1), "i", &named)
 	assert.Assert(t, changed)
-	_, changed = l.heard(second(3), second(1), "i", &named)
+	_, changed = l.hear(second(3), second(1), "i", &named)
 	assert.Assert(t, !changed)
-	_, changed = l.heard(second(4), second(2), "i", nil)
+	_, changed = l.hear(second(4), second(2), "i", nil)
 	assert.Assert(t, !changed)
 	assert.Equal(t, l.count(), 1)
 
-	_, changed = l.heard(second(6), second(5), "i", nil)
+	_, changed = l.hear(second(6), second(5), "i", nil)
 	assert.Assert(t, changed)
 	assert.Assert(t, !l.limits("i"))
 }
+
+// Guards against entries that do not know what a backend server has told another one.
+func TestARateLimitIsTakenFromTheBoard(t *testing.T) {
+	l, second := newRateLimits(), limitTimes()
+
+	changes := l.follow(second(1), limits(2, second(0)))
+	assert.Equal(t, len(changes), 1)
+	assert.Equal(t, *changes[0].perSecond, 2.0)
+	assert.Assert(t, l.limits("i"))
+	assert.Equal(t, len(l.follow(second(2), limits(2, second(1)))), 0)
+	assert.Equal(t, len(l.due(second(30))), 0, "only what was heard here is told")
+
+	changes = l.follow(second(31), nil)
+	assert.Equal(t, len(changes), 1)
+	assert.Assert(t, changes[0].perSecond == nil)
+	assert.Assert(t, !l.limits("i"))
+}
+
+// Guards against a limit that the board lacks because one word to it was lost, and against a
+// word for each answer.
+func TestTheBoardHearsOfARateLimitUntilItHoldsIt(t *testing.T) {
+	l, named, second := newRateLimits(), 2.0, limitTimes()
+
+	l.hear(second(1), second(0), "i", &named)
+	notes := l.due(second(1))
+	assert.Equal(t, len(notes), 1)
+	assert.Equal(t, notes[0].Limit.PerSecond, 2.0)
+	assert.Equal(t, len(l.due(second(1))), 0)
+	assert.Equal(t, len(l.due(second(3))), 1, "the first word was lost")
+
+	l.follow(second(3), limits(2, second(1)))
+	assert.Equal(t, len(l.due(second(5))), 0)
+	near := 2.1
+	l.hear(second(6), second(5), "i", &near)
+	assert.Equal(t, len(l.due(second(7))), 0, "nearly the same")
+	l.hear(second(13), second(12), "i", &named)
+	assert.Equal(t, len(l.due(second(13))), 1, "the limit is confirmed")
+
+	l.hear(second(15), second(14), "i", nil)
+	notes = l.due(second(15))
+	assert.Equal(t, len(notes), 1)
+	assert.Assert(t, notes[0].Limit == nil)
+	l.follow(second(16), nil)
+	assert.Equal(t, len(l.due(second(17))), 0)
+}
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -52,6 +52,7 @@
 			now := time.Now()
 			s.checkProgress(now)
 			s.tellCallers(ctx, now)
+			s.tellRateLimits(ctx, now)
 			s.dispatcher.tick(now)
 		case <-ctx.Done():
 			return
@@ -124,7 +125,8 @@
 	})
 	s.routedBy, s.routesHeld = r.board, r.held
 	s.logRouteChanges(r)
-	s.dispatcher.setPeers(callersEntries(r.board))
+	s.dispatcher.setEntries(callersEntries(r.board))
+	s.followRateLimits(r.board)
 	s.dispatcher.setRoutes(r.now, r.routes, r.targets, r.awaited)
 	for id, l := range r.loads {
 		s.dispatcher.report(r.now, id, l)
@@ -169,7 +171,8 @@
 		r.routes[id].members[m.VM] = m.Incarnation
 	}
 	r.targets = append(r.targets, placement.Target{
-		ID: id, DataCentre: g.DataCentre, FabricDomain: g.FabricDomain, Model: g.Model, Capacity: capacity,
+		ID: id, Server: head.Incarnation, DataCentre: g.DataCentre, FabricDomain: g.FabricDomain, Model: g.Model,
+		Capacity: capacity,
 	})
 }
 
@@ -227,7 +230,9 @@
 		incarnation: i.Incarnation,
 		members:     map[string]string{id: i.Incarnation},
 	}
-	r.targets = append(r.targets, placement.Target{ID: id, DataCentre: i.DataCentre, Model: servicePool(i.Service), Plain: true})
+	r.targets = append(r.targets, placement.Target{
+		ID: id, Server: i.Incarnation, DataCentre: i.DataCentre, Model: servicePool(i.Service), Plain: true,
+	})
 }
 
 func load(r evidence.Report) placement.Load {
--- a/internal/entry/routing_table.go
+++ b/internal/entry/routing_table.go
@@ -19,7 +19,7 @@
 	p := policyOf(b.Config)
 	if b.Config.Version > 0 {
 		p.RetryRatio = s.o.Settings.RetryRatio
-		p.RetryPerSecond = s.o.Settings.RetriesPerSecond / float64(callersEntries(b))
+		p.RetryPerSecond = s.o.Settings.RetriesPerSecond / float64(len(callersEntries(b)))
 		s.routing.Store(&routingTable{config: &b.Config, index: blackboard.NewRouteIndex(b.Config.Routes)})
 	}
 	s.dispatcher.setPolicy(p)
@@ -41,16 +41,19 @@
 	return most
 }
 
-// callersEntries returns how many entries take callers' requests and so share
-// the limit on retries.
-func callersEntries(b *blackboard.Board) int {
-	n := 0
-	for _, e := range b.Entries {
+// callersEntries returns the entries that take callers' requests, and so share the limit
+// on retries and the rate limits of backend servers; one without a name if there are none.
+func callersEntries(b *blackboard.Board) []string {
+	var ids []string
+	for id, e := range b.Entries {
 		if e.Address != "" {
-			n++
+			ids = append(ids, id)
 		}
 	}
-	return max(1, n)
+	if len(ids) == 0 {
+		return []string{""}
+	}
+	return ids
 }
 
 const (
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -161,6 +161,7 @@
 	}
 	s.dispatcher.attemptEnded(g.attempt, placement.Result{Cancelled: true})
 	isolated.giveBack = giveBack
+	s.dispatcher.sentAlone(time.Now(), isolated.route.target)
 	j.lines.Info("event", "route", "request", j.id, "attempt", isolated.attempt,
 		"choice", isolated.route.target, "runner_up", g.route.target, "reason", "suspect runs alone")
 	return isolated
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -141,7 +141,7 @@
 	}
 	s.holders.unsure(time.Now())
 	s.dispatcher = newDispatcher(placement.Options{
-		Seed: h.Sum64(), DataCentre: o.DataCentre, Ramp: time.Duration(o.Settings.RampMillis) * time.Millisecond,
+		Seed: h.Sum64(), Entry: o.ID, DataCentre: o.DataCentre, Ramp: time.Duration(o.Settings.RampMillis) * time.Millisecond,
 	})
 	return s
 }
--- a/internal/placement/ledger.go
+++ b/internal/placement/ledger.go
@@ -39,3 +39,18 @@
 	}
 	return sum
 }
+
+// given returns how often work was given after t.
+func (l *ledger) given(t time.Time) int {
+	n := 0
+	for i := 1; i <= l.count; i++ {
+		c := l.changes[(l.next-i+ledgerSize)%ledgerSize]
+		if !c.at.After(t) {
+			break
+		}
+		if c.tokens > 0 {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/placement/options.go
+++ b/internal/placement/options.go
@@ -12,6 +12,8 @@
 type Options struct {
 	// Seed makes the samples of two entries differ.
 	Seed uint64
+	// Entry is the id of this entry.
+	Entry string
 	// DataCentre is the one this process runs in.
 	DataCentre string
 	// LongTokens is the work from which a request counts as long.
@@ -55,7 +57,10 @@
 
 // Target is a backend server that requests may be routed to.
 type Target struct {
-	ID           string
+	ID string
+	// Server is the backend server that takes the target's requests. Its rate limit holds
+	// for each target that it ever heads.
+	Server       string
 	DataCentre   string
 	FabricDomain string
 	// Model is the model or the plain service.
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -76,8 +76,9 @@
 	}
 }
 
-// Pick chooses a target for r. It returns false if the model has no target
-// that r doesn't exclude. A target without room is chosen only if none has.
+// Pick chooses a target for r. It returns false if the model has no target that r
+// doesn't exclude and that is open by its backend server's rate limit. A target without
+// room is chosen only if none has.
 //
 // Holders of the prefix, the two servers it hashes to and two drawn at random
 // compete by load. Taking the least loaded of all instead would send every
@@ -140,6 +141,15 @@
 	return s
 }
 
+// barred tells whether t may not be chosen for r at all.
+func (t *target) barred(now time.Time, r Request) bool {
+	return t.throttle.shut(now) || excluded(t, r.Exclude)
+}
+
+func excluded(t *target, exclude []string) bool {
+	return len(exclude) > 0 && slices.Contains(exclude, t.ID)
+}
+
 // leastScore is a bound below score that is quick to compute.
 func (t *target) leastScore(r *Request) float64 {
 	s := (t.load + float64(r.Tokens)) / t.limit
@@ -157,7 +167,7 @@
 	bound := loadBound * pool.mean()
 	gain := cachedGain * float64(blocks) / float64(len(r.Prefix))
 	for _, t := range held {
-		if t.pool == pool && t.listed && !slices.Contains(r.Exclude, t.ID) {
+		if t.pool == pool && t.listed && !t.barred(now, r) {
 			c.offer(t, p.score(now, t, r)-bounded(t, r, bound, gain), ReasonCached)
 		}
 	}
@@ -195,7 +205,7 @@
 	}
 	bound := loadBound * load / max(limit, 1)
 	for i, t := range [2]*target{first, second} {
-		if t == nil || slices.Contains(r.Exclude, t.ID) {
+		if t == nil || t.barred(now, r) {
 			continue
 		}
 		gain := affinityGain / float64(i+1)
@@ -209,7 +219,7 @@
 	second := (first + 1 + p.draw(max(1, n-1))) % n
 	for _, i := range [2]int{first, second} {
 		t := pool.targets[i]
-		if !slices.Contains(r.Exclude, t.ID) {
+		if !t.barred(now, r) {
 			c.offer(t, p.score(now, t, r), ReasonTwoChoices)
 		}
 	}
@@ -220,7 +230,7 @@
 		if c.second != nil && t.leastScore(&r) >= c.secondScore {
 			continue
 		}
-		if len(r.Exclude) == 0 || !slices.Contains(r.Exclude, t.ID) {
+		if !t.barred(now, r) {
 			c.offer(t, p.score(now, t, r), ReasonLeastLoaded)
 		}
 	}
@@ -237,7 +247,7 @@
 		due = now.Add(-probeInterval)
 	}
 	for _, t := range pool.targets {
-		if !t.pace.slow || due.Before(t.pace.probeAt) || slices.Contains(r.Exclude, t.ID) {
+		if !t.pace.slow || due.Before(t.pace.probeAt) || t.barred(now, r) {
 			continue
 		}
 		if t.room(now, r.Tokens, r.Reserve, &p.options) {
--- a/internal/placement/picker.go
+++ b/internal/placement/picker.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/citronstep/citronstep/internal/invariant"
 )
 
@@ -15,8 +17,12 @@
 	running map[string]*attempt
 	hints   hints
 	random  uint64
-	// peers is how many entries send to the backend servers.
-	peers int
+	// self and entries are the hashes of this entry and of all that send to the backend
+	// servers.
+	self    uint64
+	entries []uint64
+	// throttles are by backend server. They outlive the targets that it heads.
+	throttles map[string]*throttle
 	// left holds targets that were taken off the list. One that returns keeps
 	// its limit, its pace and the attempts that it still holds.
 	left map[string]*target
@@ -42,6 +48,9 @@
 // New returns a Picker without targets.
 func New(o Options) *Picker {
 	return &Picker{
+		self:      xxhash.Sum64String(o.Entry),
+		throttles: make(map[string]*throttle),
+
 		options: o.withDefaults(),
 		targets: make(map[string]*target),
 		pools:   make(map[string]*pool),
@@ -53,10 +62,6 @@
 	}
 }
 
-// SetPeers says how many entries send to the backend servers, this one included. It
-// counts for models that are new.
-func (p *Picker) SetPeers(n int) { p.peers = n }
-
 // SetTargets replaces the set of routable targets. A target that is left out
 // gets nothing new at once; its attempts go on. One that comes beside others
 // gets its part by the ramp.
@@ -87,6 +92,7 @@
 		}
 	}
 	t.restate(o)
+	t.throttle = p.throttles[o.Server]
 	t.listed = true
 	t.domain = p.domain(domainKey{o.DataCentre, o.FabricDomain})
 }
@@ -139,7 +145,7 @@
 	for _, t := range p.targets {
 		pool := p.pools[t.Model]
 		if pool == nil {
-			pool = newPool(p.peers)
+			pool = newPool(len(p.entries))
 			p.pools[t.Model] = pool
 		}
 		t.pool = pool
@@ -205,6 +211,7 @@
 		t.pendingLong++
 	}
 	t.give(now, tokens)
+	t.throttle.sent(now)
 }
 
 // give adds tokens of work, or takes them off if they are negative.
--- a/internal/placement/picker_test.go
+++ b/internal/placement/picker_test.go
@@ -325,11 +325,11 @@
 // requests to 312 places within half a second. Together they must send about what the
 // groups hold, and with the first reports go by what is there.
 func TestAnEntryThatHasJustStartedReckonsWithItsPeers(t *testing.T) {
-	const peers, targets, tokens = 6, 12, 400
+	const entries, targets, tokens = 6, 12, 400
 	sent := 0
-	for seed := range uint64(peers) {
+	for seed := range uint64(entries) {
 		p := New(Options{Seed: seed, DataCentre: "dc"})
-		p.SetPeers(peers)
+		p.SetEntries([]string{"a", "b", "c", "d", "e", "f"})
 		p.SetTargets(start, groups(targets))
 		for n := 0; p.HasRoom(start, "m", tokens, 0); n++ {
 			c, ok := p.Pick(start, Request{ID: fmt.Sprint(n), Model: "m", Tokens: tokens})
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -67,6 +67,8 @@
 	// pendingLong counts this process's long attempts without a first token.
 	pendingLong int
 	ledger      *ledger
+	// throttle is that of Server; nil without a rate limit.
+	throttle *throttle
 
 	reported   Load
 	mineAt     int
@@ -153,6 +155,9 @@
 // room tells whether the request fits now. An idle target takes any request:
 // one larger than the limit would never run otherwise.
 func (t *target) room(now time.Time, tokens int, reserve float64, o *Options) bool {
+	if t.throttle.shut(now) {
+		return false
+	}
 	if t.surelyFull(tokens, reserve) {
 		t.blocked = true
 		return false
--- /dev/null
+++ b/internal/placement/throttle_test.go
@@ -0,0 +1,209 @@
+package placement
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// What a backend server bears that limits its rate, in any span of limitSpan.
+const (
+	limitSpan   = 4 * time.Second
+	limitFactor = 1.5
+	limitSlack  = 5
+)
+
+// limitedPool are entries that send to ten backend servers, the first of which, "s0", names
+// a limit after limitedAt.
+type limitedPool struct {
+	random  *rand.Rand
+	pickers []*Picker
+	limit   float64
+	// known holds for each entry whether it has learned the limit.
+	known []bool
+	// arrivals are the times of the requests that s0 got.
+	arrivals []time.Duration
+	refused  int
+}
+
+const limitedAt = 10 * time.Second
+
+func newLimitedPool(entries int, limit float64) *limitedPool {
+	w := &limitedPool{random: rand.New(rand.NewPCG(uint64(entries), 1)), limit: limit, known: make([]bool, entries)}
+	var ids []string
+	for i := range entries {
+		ids = append(ids, fmt.Sprint("entry-", i))
+	}
+	list := groups(10)
+	for i := range list {
+		list[i].Server, list[i].Capacity = fmt.Sprint("s", i), 1<<30
+	}
+	for i, id := range ids {
+		p := New(Options{Seed: uint64(i), Entry: id, DataCentre: "dc"})
+		p.SetEntries(ids)
+		p.SetTargets(start, list)
+		w.pickers = append(w.pickers, p)
+	}
+	return w
+}
+
+// run lets all entries together send perSecond requests a second until an end.
+func (w *limitedPool) run(perSecond float64, end time.Duration) {
+	next := time.Duration(0)
+	for n := 0; next < end; n++ {
+		entry := w.random.IntN(len(w.pickers))
+		w.send(entry, next, fmt.Sprint(n))
+		next += time.Duration(w.random.ExpFloat64() / perSecond * float64(time.Second))
+	}
+}
+
+// send sends one request, which is answered at once. Entries learn the limit of the first
+// answer that names it, a tenth of a second after the one that got it.
+func (w *limitedPool) send(entry int, after time.Duration, id string) {
+	p, now := w.pickers[entry], at(after)
+	if after >= limitedAt+100*time.Millisecond && len(w.arrivals) > 0 && !w.known[entry] {
+		w.known[entry] = true
+		p.LimitRate(now, "s0", &w.limit)
+	}
+	if !p.HasRoom(now, "m", 100, 0) {
+		w.refused++
+		return
+	}
+	c, ok := p.Pick(now, Request{Model: "m", Tokens: 100})
+	if !ok {
+		w.refused++
+		return
+	}
+	p.Started(now, id, c.ID, 100)
+	p.Finished(now, id, Result{OK: true, Took: time.Millisecond})
+	if p.targets[c.ID].Server == "s0" {
+		w.arrivals = append(w.arrivals, after)
+	}
+}
+
+// most returns the most arrivals in a span that ends after a time.
+func (w *limitedPool) most(from time.Duration) int {
+	most := 0
+	for i, last := range w.arrivals {
+		n := 0
+		for j := i; j >= 0 && last-w.arrivals[j] < limitSpan; j-- {
+			n++
+		}
+		if last >= from {
+			most = max(most, n)
+		}
+	}
+	return most
+}
+
+// Guards against entries that each hold to a rate limit alone.
+func TestEntriesShareARateLimit(t *testing.T) {
+	for _, entries := range []int{1, 2, 6, 9, 45, 195} {
+		for _, limit := range []float64{0, 0.5, 1.8, 5, 20, 1e300} {
+			w := newLimitedPool(entries, limit)
+			w.run(10*(min(limit, 20)+8), 3*time.Minute)
+			allowed := limitFactor*limit*limitSpan.Seconds() + limitSlack
+			most := w.most(limitedAt + 2*limitSpan)
+			assert.Assert(t, float64(most) <= allowed, "%d entries, limit %g: %d requests in %s, allowed %g", entries, limit, most, limitSpan, allowed)
+			assert.Equal(t, w.refused, 0)
+		}
+	}
+}
+
+// Guards against a limit that is shared out so finely that the backend server stands idle.
+func TestARateLimitIsUsed(t *testing.T) {
+	const limit = 5
+	for _, entries := range []int{1, 6, 45} {
+		w := newLimitedPool(entries, limit)
+		w.run(100*float64(entries), time.Minute)
+		n := 0
+		for _, a := range w.arrivals {
+			if a > 2*limitedAt {
+				n++
+			}
+		}
+		used := float64(n) / (time.Minute - 2*limitedAt).Seconds() / limit
+		assert.Assert(t, used > 0.6 && used <= 1, "%d entries use %.2f of the limit", entries, used)
+	}
+}
+
+// Guards against requests of before that come on top of the limit.
+func TestRequestsOfBeforeCountAgainstARateLimit(t *testing.T) {
+	limit := 2.0
+	busy, idle := picker(1), picker(1)
+	for _, p := range []*Picker{busy, idle} {
+		list := groups(1)
+		list[0].Server = "s"
+		p.SetTargets(start, list)
+	}
+	for i := range 10 {
+		busy.Started(start, fmt.Sprint(i), "g000", 1)
+	}
+	busy.LimitRate(at(time.Second), "s", &limit)
+	idle.LimitRate(at(time.Second), "s", &limit)
+	assert.Assert(t, !idle.Shut(at(time.Second), "g000"))
+	assert.Assert(t, busy.Shut(at(4900*time.Millisecond), "g000"))
+	assert.Assert(t, !busy.Shut(at(time.Second+countedFor), "g000"))
+}
+
+// Guards against a limit that is forgotten when another group forms behind the same head.
+func TestARateLimitOutlivesTheGroup(t *testing.T) {
+	limit := 1.0
+	list := groups(2)
+	list[0].Server, list[1].Server = "s", "s"
+	p := picker(0)
+	p.SetTargets(start, list[:1])
+	p.LimitRate(start, "s", &limit)
+	p.Started(start, "a", "g000", 1)
+	p.SetTargets(start, list[1:])
+	assert.Assert(t, p.Shut(at(900*time.Millisecond), "g001"))
+	assert.Assert(t, !p.Shut(at(time.Second), "g001"))
+
+	opens, throttled := p.Throttled(at(900*time.Millisecond), "m", nil)
+	assert.Assert(t, throttled)
+	assert.Equal(t, opens, at(time.Second))
+	p.LimitRate(start, "s", nil)
+	assert.Assert(t, !p.Shut(start, "g001"))
+}
+
+// Guards against entries that have saved up a request each and send them at the same moment.
+func TestABurstAtAllEntriesKeepsToARateLimit(t *testing.T) {
+	for _, entries := range []int{6, 45, 195} {
+		const limit = 1.8
+		w := newLimitedPool(entries, limit)
+		w.run(100*float64(entries), limitedAt+2*time.Second)
+		w.arrivals = w.arrivals[:1]
+		for entry := range entries {
+			for n := range 20 {
+				w.send(entry, 10*time.Minute, fmt.Sprint("burst-", entry, "-", n))
+			}
+		}
+		most := w.most(limitedAt)
+		assert.Assert(t, most <= int(limitFactor*limit*limitSpan.Seconds())+limitSlack, "%d entries: %d at once", entries, most)
+	}
+}
+
+// Guards against requests that wait for more places than the rate limits leave.
+func TestPlacesWithinRateLimits(t *testing.T) {
+	limit := 2.0
+	p := picker(2)
+	list := groups(2)
+	list[0].Server, list[1].Server = "a", "b"
+	p.SetTargets(start, list)
+	p.LimitRate(start, "a", &limit)
+	_, limited := p.Places(start, at(time.Second), "m")
+	assert.Assert(t, !limited, "b takes any number")
+	p.LimitRate(start, "b", &limit)
+	places, limited := p.Places(start, at(time.Second), "m")
+	assert.Assert(t, limited)
+	assert.Equal(t, places, 6)
+	p.Started(start, "x", "g000", 1)
+	p.Started(start, "y", "g001", 1)
+	places, _ = p.Places(start, at(time.Second), "m")
+	assert.Equal(t, places, 4)
+	places, _ = p.Places(start, at(100*time.Millisecond), "m")
+	assert.Equal(t, places, 0)
+}
