Our own protocol: backend servers can name a rate limit, and it is heard in each answer

Our own protocol had no word for a limit at all, so an engine or a plain service of our own in need could say nothing.

Change: the header Citronstep-Rate-Limit on answers to generations and calls, and on refusals; the entry takes it in as it does that of forwarded requests. The stand-in can name one (fault rate_limit).

Ruled out: putting it into announcements. They are late by up to a second, and entries that are set to be deaf hear none.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -111,6 +111,9 @@
 	// included. It returns io.EOF only after the end mark; a stream cut
 	// before it returns ErrCut. Events are not checked otherwise.
 	Next() (Token, error)
+	// RateLimit is how many requests a second the engine takes from all entries together;
+	// nil if it names no limit.
+	RateLimit() *float64
 	// Close ends the stream and its connection if it is still open.
 	Close() error
 }
@@ -143,6 +146,9 @@
 	Body   io.ReadCloser
 	// Length is the announced length of Body, or -1.
 	Length int64
+	// RateLimit is how many requests a second the service takes from all entries together;
+	// nil if it names no limit.
+	RateLimit *float64
 }
 
 // Client talks to backend servers. Each error is a *CallError.
@@ -180,7 +186,10 @@
 	Busy bool
 	// RetryAfter is what the backend server asked for, or 0.
 	RetryAfter time.Duration
-	Cause      error
+	// RateLimit is how many requests a second the backend server takes from all entries
+	// together; nil if it names no limit or gave no answer.
+	RateLimit *float64
+	Cause     error
 }
 
 // Error returns the address, the stage and the cause.
--- a/internal/backend/http_client.go
+++ b/internal/backend/http_client.go
@@ -98,7 +98,9 @@
 // refused reads an answer other than 200. Only an explicit "started": false
 // proves that nothing ran: a 5xx may come from a process that failed halfway.
 func (c *HTTPClient) refused(address string, x *exchange) error {
-	e := &CallError{Address: address, Sent: SentUnknown, Status: x.response.StatusCode}
+	e := &CallError{
+		Address: address, Sent: SentUnknown, Status: x.response.StatusCode, RateLimit: rateLimitOf(x.response.Header),
+	}
 	body, err := c.readReply(x)
 	if err != nil {
 		e.Cause = err
--- a/internal/backend/http_service.go
+++ b/internal/backend/http_service.go
@@ -47,6 +47,8 @@
 		Header: EndToEnd(x.response.Header),
 		Body:   &answerBody{exchange: x},
 		Length: x.response.ContentLength,
+
+		RateLimit: rateLimitOf(x.response.Header),
 	}, nil
 }
 
@@ -58,7 +60,10 @@
 			Address: address,
 			Sent:    SentRefused,
 			Status:  r.StatusCode,
-			Busy:    r.StatusCode == http.StatusTooManyRequests || r.StatusCode == http.StatusServiceUnavailable,
+
+			RateLimit: rateLimitOf(r.Header),
+
+			Busy: r.StatusCode == http.StatusTooManyRequests || r.StatusCode == http.StatusServiceUnavailable,
 		}
 	}
 	// An answer that announces neither its length nor chunks ends with the
--- a/internal/backend/paths.go
+++ b/internal/backend/paths.go
@@ -21,6 +21,10 @@
 	StartedNo = "false"
 )
 
+// HeaderRateLimit is how a backend server says, on any answer to a generation or a call,
+// how many requests a second it takes from all entries together.
+const HeaderRateLimit = "Citronstep-Rate-Limit"
+
 // Refusal is the body of an engine's answer to a generation that it did not
 // start. Started must be present and false: an answer without it proves
 // nothing.
--- a/internal/backend/sse_stream.go
+++ b/internal/backend/sse_stream.go
@@ -45,6 +45,9 @@
 	}
 }
 
+// RateLimit is that of the answer's header. See TokenStream.
+func (s *sseStream) RateLimit() *float64 { return rateLimitOf(s.exchange.response.Header) }
+
 // Next returns the next event. See TokenStream.
 func (s *sseStream) Next() (Token, error) {
 	if s.ended.Load() {
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -228,9 +228,6 @@
 // attemptForward makes one attempt at a forwarded request.
 func (s *Server) attemptForward(j *job, g grant) (outcome, *failure.Error) {
 	began := time.Now()
-	if s.rateLimits.limits(g.route.incarnation) {
-		s.o.Metrics.RateLimitedAttempt()
-	}
 	result := placement.Result{Tokens: 1}
 	out, e := s.passOn(j, g, &result, began)
 	result.OK = out == outcomeWhole
@@ -262,7 +259,7 @@
 	if answer.Load != nil {
 		s.dispatcher.report(time.Now(), g.route.target, s.loadOf(j, answer.Load))
 	}
-	s.hearRateLimit(g.route, answer, began)
+	s.hearForwarded(g.route, answer, began)
 	if out, e, bad := j.judge(answer); bad {
 		return out, e
 	}
--- a/internal/entry/rate_limits.go
+++ b/internal/entry/rate_limits.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/go-kit/log/level"
+	"github.com/juju/errors"
 
 	"github.com/citronstep/citronstep/internal/backend"
 	"github.com/citronstep/citronstep/internal/blackboard"
@@ -163,14 +164,28 @@
 	return n
 }
 
-// hearRateLimit takes in what an answer says of its backend server's rate limit. An
-// answer that proves nothing may lack the limit for any reason.
-func (s *Server) hearRateLimit(r route, a *backend.ForwardAnswer, sent time.Time) {
+// hearForwarded takes in what the answer to a forwarded request says of its backend
+// server's rate limit. One that proves nothing may lack the limit for any reason.
+func (s *Server) hearForwarded(r route, a *backend.ForwardAnswer, sent time.Time) {
 	genuine := !a.Foreign && (a.Proven || a.NotRun)
 	if a.OtherServer || (!genuine && a.RateLimit == nil) {
 		return
 	}
-	if change, ok := s.rateLimits.hear(time.Now(), sent, r.incarnation, a.RateLimit); ok {
+	s.hearRateLimit(r, a.RateLimit, sent)
+}
+
+// hearRefused takes in what a failed call says of its backend server's rate limit.
+func (s *Server) hearRefused(r route, err error, sent time.Time) {
+	var call *backend.CallError
+	if errors.As(err, &call) && (call.RateLimit != nil || call.Sent == backend.SentRefused) {
+		s.hearRateLimit(r, call.RateLimit, sent)
+	}
+}
+
+// hearRateLimit takes in the rate limit in the answer to a request, which was sent at a
+// time; nil is none.
+func (s *Server) hearRateLimit(r route, limit *float64, sent time.Time) {
+	if change, ok := s.rateLimits.hear(time.Now(), sent, r.incarnation, limit); ok {
 		s.limitRate(change, "answer")
 	}
 }
--- a/internal/entry/rate_limits_test.go
+++ b/internal/entry/rate_limits_test.go
@@ -1,12 +1,16 @@
 package entry
 
 import (
+	"context"
+	"net/http"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/citronstep/citronstep/internal/backend"
 	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/placement"
 )
 
 // limitTimes are whole seconds after a start.
@@ -80,3 +84,35 @@
 	l.follow(second(16), nil)
 	assert.Equal(t, len(l.due(second(17))), 0)
 }
+
+// limitingClient answers calls and refuses generations, and names a rate limit in both.
+type limitingClient struct {
+	backend.Client
+	perSecond float64
+}
+
+func (c limitingClient) Call(context.Context, string, backend.ServiceCall) (*backend.ServiceAnswer, error) {
+	return &backend.ServiceAnswer{Status: http.StatusOK, Body: http.NoBody, RateLimit: &c.perSecond}, nil
+}
+
+func (c limitingClient) Generate(context.Context, string, backend.Generation) (backend.TokenStream, error) {
+	return nil, &backend.CallError{Sent: backend.SentRefused, RateLimit: &c.perSecond}
+}
+
+// Guards against limits that are heard in the answers to forwarded requests alone.
+func TestARateLimitIsHeardInEachKindOfAnswer(t *testing.T) {
+	s := routed(t, &scripted{})
+	s.o.Client = limitingClient{perSecond: 2}
+	j := &job{ctx: context.Background(), service: &serviceCall{}, answer: newAnswer()}
+	began := time.Now()
+
+	out, _ := s.call(j, grant{route: route{incarnation: "i-a"}})
+	assert.Equal(t, out, outcomeWhole)
+	assert.Assert(t, s.rateLimits.limits("i-a"))
+
+	w := newWatchdog(j.ctx, patience{header: time.Minute})
+	defer w.stop()
+	out, _ = s.stream(w, j, grant{route: route{incarnation: "i-b"}}, &placement.Result{}, began)
+	assert.Equal(t, out, outcomeNotStarted)
+	assert.Assert(t, s.rateLimits.limits("i-b"))
+}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -109,6 +109,9 @@
 			g.end()
 			return afterAttempts(true, failure.New(failure.TypeOutcomeUnknown, "the request may have run and may not run again"))
 		}
+		if s.rateLimits.limits(g.route.incarnation) {
+			s.o.Metrics.RateLimitedAttempt()
+		}
 		out, e := attempt(j, g)
 		j.mayHaveRun = j.mayHaveRun || out == outcomeBroken || out == outcomeWhole
 		s.o.Metrics.Attempt(out.name(e))
@@ -327,9 +330,11 @@
 func (s *Server) stream(w *watchdog, j *job, g grant, result *placement.Result, began time.Time) (outcome, *failure.Error) {
 	stream, err := s.o.Client.Generate(w.ctx, g.route.address, s.generation(j, g))
 	if err != nil {
+		s.hearRefused(g.route, err, began)
 		return s.callFailed(j, w, err)
 	}
 	defer func() { _ = stream.Close() }()
+	s.hearRateLimit(g.route, stream.RateLimit(), began)
 	w.headerSeen()
 	first := true
 	for {
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -152,11 +152,14 @@
 	sc := j.service
 	sc.call.Attempt = g.attempt
 	sc.call.Fresh = j.nonIdempotent
+	began := time.Now()
 	answer, err := s.o.Client.Call(j.ctx, g.route.address, sc.call)
 	if err != nil {
+		s.hearRefused(g.route, err, began)
 		return s.serviceFailed(j, err)
 	}
 	defer func() { _ = answer.Body.Close() }()
+	s.hearRateLimit(g.route, answer.RateLimit, began)
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxServiceAnswer+1))
 	if err != nil {
 		return s.serviceFailed(j, err)
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -1,9 +1,13 @@
 package standin
 
 import (
+	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/citronstep/citronstep/internal/backend"
 )
 
 // StreamFault names what is wrong with an answer.
@@ -60,7 +64,10 @@
 	// Muted stops the announcements while all else goes on.
 	Muted bool `json:"muted,omitempty"`
 	// FullQueue refuses all new work as busy.
-	FullQueue bool         `json:"full_queue,omitempty"`
+	FullQueue bool `json:"full_queue,omitempty"`
+	// RateLimit is named in each answer to a generation or call, in requests a second; 0
+	// names none. Nothing is refused for it.
+	RateLimit float64      `json:"rate_limit,omitempty"`
 	Stream    StreamFaults `json:"stream,omitzero"`
 }
 
@@ -98,6 +105,13 @@
 	return b.faults
 }
 
+// nameRateLimit names the rate limit in the header of an answer, if there is one.
+func (b *faultBox) nameRateLimit(h http.Header) {
+	if limit := b.get().RateLimit; limit > 0 {
+		h.Set(backend.HeaderRateLimit, strconv.FormatFloat(limit, 'f', -1, 64))
+	}
+}
+
 // crashes tells whether a request with this text crashes the stand-in.
 func (b *faultBox) crashes(text string) bool {
 	marker := b.get().CrashMarker
--- a/internal/standin/generate.go
+++ b/internal/standin/generate.go
@@ -30,6 +30,7 @@
 		refuse(w, http.StatusUnauthorized, backend.Refusal{Message: "unknown bearer token"})
 		return
 	}
+	e.faults.nameRateLimit(w.Header())
 	s := e.now()
 	group := s.holds(g)
 	if group == nil || !group.enter(time.Now()) {
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -92,6 +92,7 @@
 		notStarted(w, http.StatusUnauthorized)
 		return
 	}
+	s.faults.nameRateLimit(w.Header())
 	if s.faults.get().FullQueue || !s.enter() {
 		notStarted(w, http.StatusServiceUnavailable)
 		return
