An engine that is full is left alone for the time that it names

An engine that asked for five seconds was tried again after a quarter of a second, by each entry.

Change: the time reaches placement with the end of the attempt and bounds the back-off from below, ten seconds at most, as one wrong word must not take an engine out for good.

Ruled out: counting it as a rate limit. A refusal speaks of one moment and one entry, a limit of all entries for as long as it is named.

Test: TestABusyTargetIsLeftAloneAsLongAsItAsked fails without the bound (tried); TestARateLimitIsHeardInEachKindOfAnswer covers the way from the answer.

--- a/internal/entry/rate_limits_test.go
+++ b/internal/entry/rate_limits_test.go
@@ -96,7 +96,7 @@
 }
 
 func (c limitingClient) Generate(context.Context, string, backend.Generation) (backend.TokenStream, error) {
-	return nil, &backend.CallError{Sent: backend.SentRefused, RateLimit: &c.perSecond}
+	return nil, &backend.CallError{Sent: backend.SentRefused, RateLimit: &c.perSecond, RetryAfter: time.Second}
 }
 
 // Guards against limits that are heard in the answers to forwarded requests alone.
@@ -112,7 +112,9 @@
 
 	w := newWatchdog(j.ctx, patience{header: time.Minute})
 	defer w.stop()
-	out, _ = s.stream(w, j, grant{route: route{incarnation: "i-b"}}, &placement.Result{}, began)
+	var result placement.Result
+	out, _ = s.stream(w, j, grant{route: route{incarnation: "i-b"}}, &result, began)
 	assert.Equal(t, out, outcomeNotStarted)
+	assert.Equal(t, result.RetryAfter, time.Second)
 	assert.Assert(t, s.rateLimits.limits("i-b"))
 }
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -331,6 +331,7 @@
 	stream, err := s.o.Client.Generate(w.ctx, g.route.address, s.generation(j, g))
 	if err != nil {
 		s.hearRefused(g.route, err, began)
+		result.RetryAfter = retryAfterOf(err)
 		return s.callFailed(j, w, err)
 	}
 	defer func() { _ = stream.Close() }()
@@ -402,6 +403,16 @@
 	return nil
 }
 
+// retryAfterOf returns how long a backend server that refused a call asked to be left
+// alone; 0 if it did not.
+func retryAfterOf(err error) time.Duration {
+	var call *backend.CallError
+	if !errors.As(err, &call) {
+		return 0
+	}
+	return call.RetryAfter
+}
+
 // callFailed sorts a failed call by what is certain of it.
 func (s *Server) callFailed(j *job, w *watchdog, err error) (outcome, *failure.Error) {
 	if j.ctx.Err() != nil {
--- a/internal/placement/domain.go
+++ b/internal/placement/domain.go
@@ -50,11 +50,15 @@
 	d.avoidUntil = time.Time{}
 }
 
-// failure notes a failed attempt on t.
-func (t *target) failure(now time.Time) {
+// maxRetryAfter bounds how long a backend server is left alone at its own word.
+const maxRetryAfter = 10 * time.Second
+
+// failure notes a failed attempt on t, whose backend server asked to be left alone for a
+// while, or 0.
+func (t *target) failure(now time.Time, retryAfter time.Duration) {
 	t.failures++
-	backoff := firstBackoff << min(t.failures-1, 8)
-	t.avoidUntil = now.Add(min(backoff, maxBackoff))
+	backoff := min(firstBackoff<<min(t.failures-1, 8), maxBackoff)
+	t.avoidUntil = now.Add(max(backoff, min(retryAfter, maxRetryAfter)))
 	t.domain.failure(now, t.ID)
 	t.pool.failure(now)
 }
--- a/internal/placement/health_test.go
+++ b/internal/placement/health_test.go
@@ -170,3 +170,16 @@
 		assert.Equal(t, x.pace.slow, id == "s2", id)
 	}
 }
+
+// Guards against a full backend server that is asked again before the time that it named.
+func TestABusyTargetIsLeftAloneAsLongAsItAsked(t *testing.T) {
+	p := picker(1)
+	p.Started(start, "a", "g000", 100)
+	p.Finished(start, "a", Result{RetryAfter: 5 * time.Second})
+	assert.Assert(t, !p.HasRoom(at(4900*time.Millisecond), "m", 100, 0))
+	assert.Assert(t, p.HasRoom(at(5*time.Second), "m", 100, 0))
+
+	p.Started(start, "b", "g000", 100)
+	p.Finished(start, "b", Result{RetryAfter: time.Hour})
+	assert.Assert(t, p.HasRoom(at(maxRetryAfter), "m", 100, 0))
+}
--- a/internal/placement/options.go
+++ b/internal/placement/options.go
@@ -143,6 +143,8 @@
 	// Cancelled is true if this side ended the attempt; it is then no sign of
 	// a fault.
 	Cancelled bool
+	// RetryAfter is how long the backend server asked to be left alone; 0 if it did not.
+	RetryAfter time.Duration
 	// FirstToken and Took are counted from Started.
 	FirstToken time.Duration
 	Took       time.Duration
--- a/internal/placement/picker.go
+++ b/internal/placement/picker.go
@@ -264,7 +264,7 @@
 		t.success(now)
 		t.judgeWhole(now, a, r)
 	case !r.Cancelled:
-		t.failure(now)
+		t.failure(now, r.RetryAfter)
 	}
 }
 
