Entry: refusals and outcomes of attempts in files of their own

Moved as they were: what turns a decision into a caller's refusal, and how an attempt can end. No other change; the tests of the package pass.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"context"
 	"maps"
 	"sync"
 	"time"
@@ -384,41 +383,3 @@
 	defer d.mu.Unlock()
 	d.pump(now)
 }
-
-// refusal turns a decision of admission into the caller's answer. Admission
-// refuses only what has not been sent anywhere.
-func refusal(r admission.Refusal) *failure.Error {
-	t := failure.TypeOverloaded
-	switch r.Reason {
-	case admission.ReasonDeadlinePassed, admission.ReasonDeadlineUnreachable, admission.ReasonExpired:
-		t = failure.TypeDeadlineExceeded
-	}
-	return failure.New(t, "refused: "+string(r.Reason)).WithDetail(r.Detail).
-		WithRan(failure.RanNo).WithRetryAfter(r.RetryAfter)
-}
-
-// rateLimitedRetryAfter is short, as other entries may have a share.
-const rateLimitedRetryAfter = 100 * time.Millisecond
-
-// rateLimited refuses a request that no backend server takes from this entry in time.
-func rateLimited() *failure.Error {
-	return failure.New(failure.TypeOverloaded, "the rate limits of all backend servers leave this entry no share in time").
-		WithRan(failure.RanNo).WithRetryAfter(rateLimitedRetryAfter)
-}
-
-// noGroupRetryAfter is about the time in which a broken group is replaced.
-const noGroupRetryAfter = 2 * time.Second
-
-func noBackendServer() *failure.Error {
-	return failure.New(failure.TypeNoBackendServer, "no backend server for this request is in service").
-		WithRan(failure.RanNo).WithRetryAfter(noGroupRetryAfter)
-}
-
-// ended says why a job's context ended before it was sent anywhere.
-func ended(ctx context.Context) *failure.Error {
-	e := failure.New(failure.TypeDeadlineExceeded, "the deadline passed while the request waited")
-	if ctx.Err() == context.Canceled {
-		e = failure.New(failure.TypeUnavailable, "the caller is gone")
-	}
-	return e.WithRan(failure.RanNo).WithRetryAfter(time.Second)
-}
