Soak: backend servers name rate limits beside the faults

The soak and the random run knew no rate limit, so their being clean said nothing about one. A stand-in is told a limit by an order of its own, which changes none of its faults; what names limits draws from a source of its own, so that a seed makes the same faults as before. The report counts the limits that nodes took in, and TestRandomRunWithRateLimits fails if there were none.

What it checks is that answers stay right and refusals true; how much a backend server gets is checked by platform/rate_limit_process_test.go, without faults.

--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -64,10 +64,7 @@
 	// Muted stops the announcements while all else goes on.
 	Muted bool `json:"muted,omitempty"`
 	// FullQueue refuses all new work as busy.
-	FullQueue bool `json:"full_queue,omitempty"`
-	// RateLimit is named in each answer to a generation or call, in requests a second; 0
-	// names none. Nothing is refused for it.
-	RateLimit float64      `json:"rate_limit,omitempty"`
+	FullQueue bool         `json:"full_queue,omitempty"`
 	Stream    StreamFaults `json:"stream,omitzero"`
 }
 
@@ -83,13 +80,17 @@
 	Silence bool `json:"silence,omitempty"`
 	// Leaving announces that the stand-in wants no new work.
 	Leaving *bool `json:"leaving,omitempty"`
+	// RateLimit is named from now on in each answer to a generation or call, in requests a
+	// second; 0 names none. Nothing is refused for it, and such an order changes nothing else.
+	RateLimit *float64 `json:"rate_limit,omitempty"`
 }
 
 // faultBox holds the faults in force.
 type faultBox struct {
-	mu     sync.Mutex
-	faults Faults
-	used   int
+	mu        sync.Mutex
+	faults    Faults
+	rateLimit float64
+	used      int
 }
 
 func (b *faultBox) set(f Faults) {
@@ -105,10 +106,18 @@
 	return b.faults
 }
 
+func (b *faultBox) limitRate(perSecond float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.rateLimit = perSecond
+}
+
 // nameRateLimit names the rate limit in the header of an answer, if there is one.
 func (b *faultBox) nameRateLimit(h http.Header) {
-	if limit := b.get().RateLimit; limit > 0 {
-		h.Set(backend.HeaderRateLimit, strconv.FormatFloat(limit, 'f', -1, 64))
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.rateLimit > 0 {
+		h.Set(backend.HeaderRateLimit, strconv.FormatFloat(b.rateLimit, 'f', -1, 64))
 	}
 }
 
--- a/internal/standin/host.go
+++ b/internal/standin/host.go
@@ -122,6 +122,10 @@
 
 // Apply puts faults in force, and does those that happen once.
 func (h *host) Apply(o FaultOrder) {
+	if o.RateLimit != nil {
+		h.faults.limitRate(*o.RateLimit)
+		return
+	}
 	h.faults.set(o.Faults)
 	if o.Leaving != nil {
 		h.mu.Lock()
--- a/test/process/random_run_test.go
+++ b/test/process/random_run_test.go
@@ -18,6 +18,13 @@
 	checkRun(t, workload.Options{Seed: 1, Duration: 15 * time.Second, Callers: 8})
 }
 
+// Guards against answers that are wrong or missing while backend servers name rate limits.
+func TestRandomRunWithRateLimits(t *testing.T) {
+	t.Parallel()
+	report := checkRun(t, workload.Options{Seed: 2, Duration: 15 * time.Second, Callers: 8, RateLimits: true})
+	assert.Assert(t, report.RateLimits > 0)
+}
+
 // Seeds that failed once, each with its cause. They run shorter here than by
 // command, where they run as they failed.
 func TestSeedsThatFailedOnce(t *testing.T) {
@@ -35,11 +42,12 @@
 	}
 }
 
-func checkRun(t *testing.T, o workload.Options) {
+func checkRun(t *testing.T, o workload.Options) workload.Report {
 	t.Helper()
 	report := workload.Run(t, o)
 	t.Logf("%d works, %d sends: %d whole, %d not run, %d unknown, %d lost; %d runs; faults %q",
 		report.Works, report.Sends, report.Whole, report.NotRun, report.Unknown, report.Lost, report.Runs, report.Faults)
 	assert.Equal(t, len(report.Violations), 0, "%q", report.Violations)
 	assert.Assert(t, report.Whole > 0)
+	return report
 }
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -24,11 +24,14 @@
 	callers := flag.Int("callers", 8, "number of callers")
 	overlap := flag.Int("overlap", 2, "how many faults go on side by side")
 	groups := flag.Int("groups", 3, "number of serving groups, of two engines each")
+	limits := flag.Bool("rate-limits", false, "backend servers name rate limits beside the faults")
 	keep := flag.Bool("logs", false, "show the end of each process's log when a run fails")
 	flag.Parse()
 	status := 0
 	for i := range *runs {
-		o := workload.Options{Seed: *seed + uint64(i), Duration: *duration, Callers: *callers, Overlap: *overlap, Groups: *groups}
+		o := workload.Options{
+			Seed: *seed + uint64(i), Duration: *duration, Callers: *callers, Overlap: *overlap, Groups: *groups, RateLimits: *limits,
+		}
 		if !one(o, *keep) {
 			status = 1
 		}
@@ -40,9 +43,9 @@
 func one(o workload.Options, logs bool) bool {
 	t := &runner{logs: logs}
 	report := t.run(func() workload.Report { return workload.Run(t, o) })
-	fmt.Printf("seed %d: %d works, %d sends: %d whole, %d not run, %d unknown, %d lost; %d runs; %d faults; %d violations\n",
+	fmt.Printf("seed %d: %d works, %d sends: %d whole, %d not run, %d unknown, %d lost; %d runs; %d faults; %d rate limits taken in; %d violations\n",
 		o.Seed, report.Works, report.Sends, report.Whole, report.NotRun, report.Unknown, report.Lost,
-		report.Runs, len(report.Faults), len(report.Violations))
+		report.Runs, len(report.Faults), report.RateLimits, len(report.Violations))
 	for _, v := range report.Violations {
 		fmt.Println("  violation:", v)
 	}
--- a/test/workload/run.go
+++ b/test/workload/run.go
@@ -23,6 +23,8 @@
 	Overlap int
 	// Groups is how many serving groups there are; 0 is three.
 	Groups int
+	// RateLimits makes backend servers name rate limits beside the faults.
+	RateLimits bool
 }
 
 func (o Options) withDefaults() Options {
@@ -46,6 +48,8 @@
 	Runs       int
 	Faults     []string
 	Violations []string
+	// RateLimits counts how often a node took in a rate limit.
+	RateLimits int
 }
 
 // The sizes of the system of a random run.
@@ -73,16 +77,23 @@
 
 	faulters := newFaulters(t, c, engines, services, o)
 	callers := &callers{cluster: c, seed: o.Seed, count: o.Callers}
-	drive(faulters, callers, o.Duration)
+	var limits *limiter
+	if o.RateLimits {
+		limits = newLimiter(o.Seed, append(append([]*harness.Standin(nil), engines...), services...))
+	}
+	drive(faulters, limits, callers, o.Duration)
 	runs := c.Runs()
 	report := summarise(callers.works, runs, faulters)
+	for _, n := range c.Nodes {
+		report.RateLimits += strings.Count(n.Log(), "event=rate_limit_named")
+	}
 	report.Violations = append(Check(callers.works, runs), invariantsBroken(c)...)
 	return report
 }
 
 // drive lets callers and faults go on for the duration, heals, and waits for
 // the callers to settle what they have begun.
-func drive(faulters []*faulter, callers *callers, duration time.Duration) {
+func drive(faulters []*faulter, limits *limiter, callers *callers, duration time.Duration) {
 	stop := make(chan struct{})
 	done := make(chan struct{})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -97,6 +108,9 @@
 	for _, f := range faulters {
 		all.Go(func() { f.run(faultsCtx) })
 	}
+	if limits != nil {
+		all.Go(func() { limits.run(faultsCtx) })
+	}
 	all.Wait()
 	for _, f := range faulters {
 		f.heal()
