A request is placed with a fifth of its time left, or refused at once

Cause: places were counted up to the deadline itself, so that a request was let in for one that opens when its answer is of no use any more.

Change: places are counted up to four fifths of the time that is left. Ruled out: load alone. The load made the wait longer, but without it a place 18 ms before the deadline is counted as well.

Test: TestARequestIsRefusedAtOnceForAPlaceThatComesTooLate fails without it (tried).

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -169,7 +169,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	places, limited := d.picker.Places(now, j.deadline, j.model)
+	places, limited := d.picker.Places(now, j.placeBy(now), j.model)
 	if limited && places == 0 {
 		return nil, rateLimited()
 	}
--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -110,6 +110,14 @@
 	return len(j.prompt)/bytesPerToken + j.maxTokens
 }
 
+// answerPart is the part of a request's time that is left for its answer when it is placed.
+const answerPart = 5
+
+// placeBy returns until when the job must be placed for its answer to be of use.
+func (j *job) placeBy(now time.Time) time.Time {
+	return j.deadline.Add(-j.deadline.Sub(now) / answerPart)
+}
+
 // gated tells whether a model's gate counts the job: its answer is a stream that
 // should begin within an objective.
 func (j *job) gated() bool {
--- a/internal/entry/rate_limits_test.go
+++ b/internal/entry/rate_limits_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/citronstep/citronstep/internal/backend"
 	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/failure"
 	"github.com/citronstep/citronstep/internal/placement"
 )
 
@@ -118,3 +119,23 @@
 	assert.Equal(t, result.RetryAfter, time.Second)
 	assert.Assert(t, s.rateLimits.limits("i-b"))
 }
+
+// Guards against a request that waits for a place which opens right before its deadline.
+func TestARequestIsRefusedAtOnceForAPlaceThatComesTooLate(t *testing.T) {
+	s, perSecond := routed(t, &scripted{}), 0.5
+	now := time.Now()
+	for _, incarnation := range []string{"i-a", "i-b", "i-c"} {
+		s.dispatcher.limitRate(now, incarnation, &perSecond)
+	}
+	for _, target := range []string{"a", "b", "c"} {
+		s.dispatcher.sentAlone(now, target)
+	}
+	offer := func(left time.Duration) *failure.Error {
+		_, e := s.dispatcher.offer(&job{id: left.String(), model: servicePool("files"), deadline: now.Add(left)})
+		return e
+	}
+	late := offer(2100 * time.Millisecond)
+	assert.Assert(t, late != nil)
+	assert.Equal(t, late.Type, failure.TypeOverloaded)
+	assert.Assert(t, offer(3*time.Second) == nil)
+}
