--- a/internal/adminapi/adminapi.go
+++ b/internal/adminapi/adminapi.go
@@ -20,6 +20,10 @@
 	PathWholeConfiguration = "/admin/v1/whole-configuration"
 	// PathInForce: GET with ?revision=N, answers InForce.
 	PathInForce = "/admin/v1/in-force"
+	// PathEvacuations: GET answers Evacuations. With a data centre as one more segment, POST
+	// orders its evacuation and DELETE ends it; both answer EvacuationReply and are safe to
+	// resend.
+	PathEvacuations = "/admin/v1/evacuations"
 	// PathEvents: GET with ?after=SEQUENCE&wait_ms=N, answers Events.
 	PathEvents = "/admin/v1/events"
 )
@@ -60,6 +64,34 @@
 	Pending []string `json:"pending,omitempty"`
 }
 
+// EvacuationReply answers an order to evacuate a data centre, or to end that.
+type EvacuationReply struct {
+	// Revision is the board revision that holds the order.
+	Revision uint64 `json:"revision"`
+	// Changed is false when the order held already.
+	Changed bool `json:"changed"`
+}
+
+// Evacuations are the data centres that are evacuated.
+type Evacuations struct {
+	Evacuations []Evacuation `json:"evacuations"`
+}
+
+// Evacuation is one data centre whose backend servers get nothing new.
+type Evacuation struct {
+	DataCentre  string `json:"data_centre"`
+	SinceMillis int64  `json:"since_ms"`
+	Revision    uint64 `json:"revision"`
+	// InForce says that each entry holds the order, or its lease has run out. Requests
+	// that it had sent before may still run.
+	InForce bool `json:"in_force"`
+	// Pending lists the entries that hold neither.
+	Pending []string `json:"pending,omitempty"`
+	// Groups and Services stand by in the data centre for its return.
+	Groups   []string `json:"groups,omitempty"`
+	Services []string `json:"services,omitempty"`
+}
+
 // Status is the state of the whole system as the leader sees it.
 type Status struct {
 	ClusterID      string                       `json:"cluster_id"`
@@ -111,7 +143,7 @@
 type Event struct {
 	Sequence uint64 `json:"sequence"`
 	AtMillis int64  `json:"at_ms"`
-	// Kind is group, vm, entry, configuration or replica.
+	// Kind is group, vm, entry, configuration, evacuation or replica.
 	Kind    string `json:"kind"`
 	Subject string `json:"subject"`
 	Text    string `json:"text"`
--- a/internal/admission/model.go
+++ b/internal/admission/model.go
@@ -14,6 +14,8 @@
 // for the same backend servers, so each is ordered by itself.
 type modelQueue struct {
 	name string
+	// model is that of its requests.
+	model string
 	// bands are sorted by worth, greatest first.
 	bands []*band
 	rate  serviceRate
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -78,7 +78,8 @@
 		q.counters.Joined++
 		return Decision{Joined: id}
 	}
-	m := q.model(r.Model)
+	m := q.model(r.queue())
+	m.model = r.Model
 	m.tick(now)
 	if !q.unused(r.ID) {
 		return Decision{Refusal: &Refusal{Reason: ReasonIDInUse, RetryAfter: q.policy.MinRetryAfter}}
@@ -206,7 +207,7 @@
 }
 
 func (q *Queue) evict(now time.Time, it *item, reason Reason) Eviction {
-	m := q.models[it.request.Model]
+	m := q.models[it.request.queue()]
 	q.remove(it)
 	refusal := q.refuse(now, m, it, reason, m.waitFor(it, q.policy))
 	q.counters.Evicted++
@@ -241,7 +242,7 @@
 
 // remove takes it out of every index.
 func (q *Queue) remove(it *item) {
-	q.models[it.request.Model].remove(it)
+	q.models[it.request.queue()].remove(it)
 	if it.index != notInHeap {
 		heap.Remove(&q.deadlines, it.index)
 	}
@@ -286,8 +287,10 @@
 // their workspaces' shares: under an overload what has waited is late already, and
 // served first it makes each newcomer late as well.
 func (q *Queue) NewestFirst(model string, on bool) {
-	if m := q.models[model]; m != nil {
-		m.newestFirst = on
+	for _, m := range q.order {
+		if m.model == model {
+			m.newestFirst = on
+		}
 	}
 }
 
--- a/internal/admission/request.go
+++ b/internal/admission/request.go
@@ -8,6 +8,9 @@
 	Workspace string
 	Class     string
 	Model     string
+	// Homes names the regions that may serve the request; empty is any. Requests of a model
+	// wait apart for each, as they compete for other backend servers.
+	Homes string
 	// IdempotencyKey is the caller's, or empty. It is compared within the
 	// workspace.
 	IdempotencyKey string
@@ -33,6 +36,14 @@
 	Reserve float64
 }
 
+// queue names the queue that the request waits in.
+func (r Request) queue() string {
+	if r.Homes == "" {
+		return r.Model
+	}
+	return r.Model + " in " + r.Homes
+}
+
 // Reason says why a request was refused. Its value appears in logs and
 // metrics.
 type Reason string
--- a/internal/backend/announcement.go
+++ b/internal/backend/announcement.go
@@ -54,6 +54,9 @@
 	FabricDomain string `json:"fabric_domain"`
 	// Leaving asks the system to send no new work.
 	Leaving bool `json:"leaving,omitempty"`
+	// ColdMillis is how much longer the backend server bears fewer requests than usual, as
+	// it started or stood idle not long ago; 0 if it bears its usual load.
+	ColdMillis int64 `json:"cold_ms,omitempty"`
 	// Load may lag the truth by seconds; Load.AtMillis says by how much.
 	Load *Load `json:"load,omitempty"`
 
--- a/internal/blackboard/board.go
+++ b/internal/blackboard/board.go
@@ -32,6 +32,9 @@
 	Waits map[string]int64 `json:"waits,omitempty"`
 	// RateLimits are those that backend servers name, by incarnation.
 	RateLimits map[string]RateLimit `json:"rate_limits,omitempty"`
+	// Evacuations are by data centre, ColdServers by incarnation.
+	Evacuations map[string]Evacuation `json:"evacuations,omitempty"`
+	ColdServers map[string]ColdServer `json:"cold_servers,omitempty"`
 	// CallersMillis is when callers first asked for anything, by an entry's clock; 0 if
 	// none has.
 	CallersMillis int64 `json:"callers_ms,omitempty"`
@@ -65,6 +68,8 @@
 	b.Quarantines = orEmpty(b.Quarantines)
 	b.Waits = orEmpty(b.Waits)
 	b.RateLimits = orEmpty(b.RateLimits)
+	b.Evacuations = orEmpty(b.Evacuations)
+	b.ColdServers = orEmpty(b.ColdServers)
 	b.Changes = orEmpty(b.Changes)
 }
 
--- a/internal/blackboard/command.go
+++ b/internal/blackboard/command.go
@@ -54,6 +54,8 @@
 	"note_wait":       func() Command { return &NoteWait{} },
 	"note_rate_limit": func() Command { return &NoteRateLimit{} },
 	"note_callers":    func() Command { return &NoteCallers{} },
+	"set_evacuation":  func() Command { return &SetEvacuation{} },
+	"note_cold":       func() Command { return &NoteCold{} },
 	"patch":           func() Command { return &Patch{} },
 	"batch":           func() Command { return &Batch{} },
 }
--- a/internal/blackboard/config.go
+++ b/internal/blackboard/config.go
@@ -44,6 +44,9 @@
 	// Priority ranks the workspace; 0 goes first. It comes before the priority
 	// of routes.
 	Priority int `json:"priority,omitempty" toml:"priority"`
+	// Homes are the regions whose backend servers may take its requests; empty is any. Where
+	// a route has homes too, both bind.
+	Homes []string `json:"homes,omitempty" toml:"homes"`
 	// Share weighs the workspace against others of equal worth; 0 means 1.
 	Share int `json:"share" toml:"share"`
 	// MaxOpen bounds the open requests of the workspace on one entry; 0 is
--- a/internal/blackboard/copy.go
+++ b/internal/blackboard/copy.go
@@ -3,8 +3,9 @@
 import "github.com/juju/errors"
 
 // Entries go by a part of the board: the configuration, the groups that serve, the
-// plain services, the entries, the suspects, how long callers wait, the rate limits of backend servers. Of VMs they need to know which are
-// leaving. What they hold is called the entry's copy here.
+// plain services, the entries, the suspects, how long callers wait, the rate limits of
+// backend servers, those that are cold, and the data centres that are evacuated. Of VMs they
+// need to know which are leaving. What they hold is called the entry's copy here.
 //
 // Load: a pool of 1,095 VMs starts, or loses a domain, and 195 entries follow the board.
 // Sent whole, each row of a VM goes 195 times over the leader's link, 68 MB in all,
@@ -32,6 +33,7 @@
 	c.Config.Document = nil
 	c.Services, c.Entries, c.Suspects, c.Quarantines = b.Services, b.Entries, b.Suspects, b.Quarantines
 	c.Waits, c.RateLimits, c.CallersMillis = b.Waits, b.RateLimits, b.CallersMillis
+	c.Evacuations, c.ColdServers = b.Evacuations, b.ColdServers
 	for id, g := range b.Groups {
 		if row, ok := copied(g); ok {
 			c.Groups[id] = row
--- a/internal/blackboard/group.go
+++ b/internal/blackboard/group.go
@@ -41,15 +41,17 @@
 // controllers. Read by: entries, which route to it, and the admin API.
 type Group struct {
 	// ID is the spec's name and the replica's number, such as "demo-0".
-	ID           string        `json:"id"`
-	Spec         string        `json:"spec"`
-	Model        string        `json:"model"`
-	Epoch        uint64        `json:"epoch"`
-	State        GroupState    `json:"state"`
-	FabricDomain string        `json:"fabric_domain"`
-	DataCentre   string        `json:"data_centre"`
-	Members      []GroupMember `json:"members"`
-	Worth        int           `json:"worth"`
+	ID           string     `json:"id"`
+	Spec         string     `json:"spec"`
+	Model        string     `json:"model"`
+	Epoch        uint64     `json:"epoch"`
+	State        GroupState `json:"state"`
+	FabricDomain string     `json:"fabric_domain"`
+	// DataCentre is that of the head, OtherDataCentres those of members elsewhere.
+	DataCentre       string        `json:"data_centre"`
+	OtherDataCentres []string      `json:"other_data_centres,omitempty"`
+	Members          []GroupMember `json:"members"`
+	Worth            int           `json:"worth"`
 	// Opens says that the group serves only while its first member, the head,
 	// is open; see GroupSpec.Pool.
 	Opens bool `json:"opens,omitempty"`
--- a/internal/blackboard/patch.go
+++ b/internal/blackboard/patch.go
@@ -12,7 +12,7 @@
 // Change names the rows of an entry's copy that one command changed.
 type Change struct {
 	groups, leaving, services, entries, suspects, quarantines, waits []string
-	rateLimits, routes, configured, workspaces                       []string
+	rateLimits, evacuations, cold, routes, configured, workspaces    []string
 	// version says that the operators' whole configuration changed, parts that anything
 	// else of the configuration did, and callers that callers have come.
 	version, parts, callers bool
@@ -22,7 +22,7 @@
 // revision.
 func (c Change) Concerns() bool {
 	rows := len(c.groups) + len(c.leaving) + len(c.services) + len(c.entries) + len(c.suspects) + len(c.quarantines) + len(c.waits) +
-		len(c.rateLimits)
+		len(c.rateLimits) + len(c.evacuations) + len(c.cold)
 	return rows > 0 || c.version || c.parts || c.callers
 }
 
@@ -35,6 +35,8 @@
 		quarantines: changedRows(before.Quarantines, d.Quarantines),
 		waits:       changedRows(before.Waits, d.Waits),
 		rateLimits:  changedRows(before.RateLimits, d.RateLimits),
+		evacuations: changedRows(before.Evacuations, d.Evacuations),
+		cold:        changedRows(before.ColdServers, d.ColdServers),
 		callers:     before.CallersMillis != d.CallersMillis,
 	}
 	for id := range d.groups {
@@ -103,6 +105,8 @@
 	Quarantines Rows[Quarantine]      `json:"quarantines,omitzero"`
 	Waits       Rows[int64]           `json:"waits,omitzero"`
 	RateLimits  Rows[RateLimit]       `json:"rate_limits,omitzero"`
+	Evacuations Rows[Evacuation]      `json:"evacuations,omitzero"`
+	ColdServers Rows[ColdServer]      `json:"cold_servers,omitzero"`
 	// CallersMillis is the board's own.
 	CallersMillis int64 `json:"callers_ms,omitempty"`
 
@@ -172,6 +176,8 @@
 	p.Quarantines = rowsOf(b.Quarantines, named(changes, func(c Change) []string { return c.quarantines }))
 	p.Waits = rowsOf(b.Waits, named(changes, func(c Change) []string { return c.waits }))
 	p.RateLimits = rowsOf(b.RateLimits, named(changes, func(c Change) []string { return c.rateLimits }))
+	p.Evacuations = rowsOf(b.Evacuations, named(changes, func(c Change) []string { return c.evacuations }))
+	p.ColdServers = rowsOf(b.ColdServers, named(changes, func(c Change) []string { return c.cold }))
 	switch {
 	case slices.ContainsFunc(changes, func(c Change) bool { return c.parts }):
 		config := b.Config
@@ -236,6 +242,7 @@
 	d.Services, d.Entries = p.Services.in(d.Services), p.Entries.in(d.Entries)
 	d.Suspects, d.Quarantines = p.Suspects.in(d.Suspects), p.Quarantines.in(d.Quarantines)
 	d.Waits, d.RateLimits = p.Waits.in(d.Waits), p.RateLimits.in(d.RateLimits)
+	d.Evacuations, d.ColdServers = p.Evacuations.in(d.Evacuations), p.ColdServers.in(d.ColdServers)
 	d.CallersMillis = p.CallersMillis
 	if p.Config != nil {
 		d.Config = p.Config.clone()
--- a/internal/blackboard/route.go
+++ b/internal/blackboard/route.go
@@ -45,6 +45,8 @@
 	MaxAttempts int `json:"max_attempts" toml:"max_attempts"`
 	// Priority ranks the route; 0 goes first.
 	Priority int `json:"priority" toml:"priority"`
+	// Homes are the regions whose backend servers may take its requests; empty is any.
+	Homes []string `json:"homes,omitempty" toml:"homes"`
 	// Backends are the services that share the route's requests by weight.
 	Backends []WeightedService `json:"backends" toml:"backends"`
 }
--- a/internal/blackboard/service_spec.go
+++ b/internal/blackboard/service_spec.go
@@ -15,6 +15,10 @@
 	HealthPath string `json:"health_path,omitempty" toml:"health_path"`
 	// MaxConnections is what one instance accepts of all entries together.
 	MaxConnections int `json:"max_connections,omitempty" toml:"max_connections"`
+	// ColdMillis is how long an instance is cold after it has started, and ColdPerSecond how
+	// many requests a second it bears of all entries together meanwhile; 0 is no limit.
+	ColdMillis    int64   `json:"cold_ms,omitempty" toml:"cold_ms"`
+	ColdPerSecond float64 `json:"cold_per_second,omitempty" toml:"cold_per_second"`
 	// Engine holds the figures of an engine pool; nil for a plain service.
 	Engine *EngineSpec `json:"engine,omitempty" toml:"engine"`
 }
@@ -95,6 +99,9 @@
 	if s.Name == "" {
 		return bad("a service needs a name")
 	}
+	if s.ColdMillis < 0 || s.ColdPerSecond < 0 {
+		return bad("cold_ms and cold_per_second are 0 or more")
+	}
 	if s.Engine == nil {
 		return nil
 	}
--- a/internal/control/admin.go
+++ b/internal/control/admin.go
@@ -45,6 +45,9 @@
 	e.POST(adminapi.PathConfiguration, s.postConfiguration)
 	e.POST(adminapi.PathWholeConfiguration, s.postWholeConfiguration)
 	e.GET(adminapi.PathInForce, s.getInForce)
+	e.GET(adminapi.PathEvacuations, s.getEvacuations)
+	e.POST(adminapi.PathEvacuations+"/:data_centre", s.postEvacuation)
+	e.DELETE(adminapi.PathEvacuations+"/:data_centre", s.deleteEvacuation)
 	e.GET(adminapi.PathEvents, s.getEvents)
 	return e
 }
--- /dev/null
+++ b/internal/control/evacuation.go
@@ -0,0 +1,140 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/labstack/echo/v4"
+
+	"github.com/citronstep/citronstep/internal/adminapi"
+	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/clock"
+	"github.com/citronstep/citronstep/internal/failure"
+	"github.com/citronstep/citronstep/internal/rpc/noderpc"
+)
+
+// Evacuate orders the evacuation of a data centre, or ends it, through the leader, which may
+// be another process. An error says by its type whether the outcome is known; the order may
+// be sent again.
+func (s *Server) Evacuate(ctx context.Context, through Committer, dataCentre string, end bool) (blackboard.EvacuationOutcome, error) {
+	return s.evacuateBy(dataCentre, end, func(encoded []byte) ([]byte, error) {
+		board := s.o.Machine.Board()
+		if board.ClusterID == "" {
+			return nil, failure.New(failure.TypeNotFounded, "this process has not joined the cluster yet").WithRan(failure.RanNo)
+		}
+		return through.Commit(ctx, &noderpc.CommitRequest{
+			ClusterId: board.ClusterID, Machine: noderpc.Machine_MACHINE_BOARD, Command: encoded,
+		})
+	})
+}
+
+// evacuateBy checks an order, has it written by commit and reads the outcome.
+func (s *Server) evacuateBy(dataCentre string, end bool, commit func(encoded []byte) ([]byte, error)) (blackboard.EvacuationOutcome, error) {
+	var outcome blackboard.EvacuationOutcome
+	if e := s.knows(dataCentre); e != nil {
+		return outcome, e
+	}
+	encoded, err := blackboard.Encode(&blackboard.SetEvacuation{DataCentre: dataCentre, End: end, NowMillis: time.Now().UnixMilli()})
+	if err != nil {
+		return outcome, errors.Trace(err)
+	}
+	data, err := commit(encoded)
+	if err != nil {
+		return outcome, errors.Trace(err)
+	}
+	if err := json.Unmarshal(data, &outcome); err != nil {
+		return outcome, errors.Trace(err)
+	}
+	if outcome.Failure != nil {
+		return outcome, outcome.Failure
+	}
+	s.noteEvacuation(dataCentre, end, outcome)
+	return outcome, nil
+}
+
+// knows refuses a data centre that neither the board nor the settings name.
+func (s *Server) knows(dataCentre string) *failure.Error {
+	known := s.o.Machine.Board().DataCentres()
+	for _, named := range s.o.DataCentres {
+		if !slices.Contains(known, named) {
+			known = append(known, named)
+		}
+	}
+	if slices.Contains(known, dataCentre) {
+		return nil
+	}
+	slices.Sort(known)
+	return failure.New(failure.TypeNotFound, "no such data centre; known are "+strings.Join(known, ", ")).WithDetail(dataCentre)
+}
+
+func (s *Server) noteEvacuation(dataCentre string, end bool, outcome blackboard.EvacuationOutcome) {
+	text := "evacuation ordered"
+	if end {
+		text = "evacuation ended"
+	}
+	if !outcome.Changed {
+		text += ", as before"
+	}
+	s.event("evacuation", dataCentre, text)
+}
+
+// postEvacuation and deleteEvacuation take an operator's order.
+func (s *Server) postEvacuation(c echo.Context) error { return s.takeEvacuation(c, false) }
+
+func (s *Server) deleteEvacuation(c echo.Context) error { return s.takeEvacuation(c, true) }
+
+func (s *Server) takeEvacuation(c echo.Context, end bool) error {
+	ctx, cancel := context.WithTimeout(c.Request().Context(), adminTimeout)
+	defer cancel()
+	outcome, err := s.evacuateBy(c.Param("data_centre"), end, func(encoded []byte) ([]byte, error) {
+		return s.proposeDurably(ctx, Wrap(noderpc.Machine_MACHINE_BOARD, encoded))
+	})
+	if err != nil {
+		return errors.Trace(err)
+	}
+	return c.JSON(http.StatusOK, adminapi.EvacuationReply{Revision: outcome.Revision, Changed: outcome.Changed})
+}
+
+// getEvacuations lists the data centres that are evacuated. Like getInForce it answers only
+// while leading, checked after the leases were read.
+func (s *Server) getEvacuations(c echo.Context) error {
+	if _, err := s.leading(); err != nil {
+		return err
+	}
+	board := s.o.Machine.Board()
+	list := adminapi.Evacuations{}
+	for _, dataCentre := range sortedKeys(board.Evacuations) {
+		list.Evacuations = append(list.Evacuations, s.evacuationOf(board, dataCentre))
+	}
+	if _, err := s.leading(); err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, list)
+}
+
+// evacuationOf describes one evacuation.
+func (s *Server) evacuationOf(board *blackboard.Board, dataCentre string) adminapi.Evacuation {
+	row := board.Evacuations[dataCentre]
+	s.mu.Lock()
+	late := s.leases.pendingBoard(s.leases.known(board.Entries), row.Revision, clock.Now())
+	s.mu.Unlock()
+	e := adminapi.Evacuation{
+		DataCentre: dataCentre, SinceMillis: row.SinceMillis, Revision: row.Revision, InForce: len(late) == 0, Pending: late,
+	}
+	for _, id := range sortedKeys(board.Groups) {
+		if g := board.Groups[id]; g.State == blackboard.Serving && g.DataCentre == dataCentre {
+			e.Groups = append(e.Groups, id)
+		}
+	}
+	for _, id := range sortedKeys(board.Services) {
+		if board.Services[id].DataCentre == dataCentre {
+			e.Services = append(e.Services, id)
+		}
+	}
+	return e
+}
--- a/internal/control/leases.go
+++ b/internal/control/leases.go
@@ -29,8 +29,9 @@
 }
 
 type holding struct {
-	config uint64
-	until  clock.Boot
+	// config is the configuration revision, board that of the board.
+	config, board uint64
+	until         clock.Boot
 }
 
 func newLeases(length time.Duration, now clock.Boot) *leases {
@@ -43,12 +44,10 @@
 	return time.Duration(float64(l.length) * clockDrift)
 }
 
-// acknowledge notes the configuration that an entry says it holds.
-func (l *leases) acknowledge(entry string, config uint64) {
+// acknowledge notes the revisions of configuration and board that an entry says it holds.
+func (l *leases) acknowledge(entry string, config, board uint64) {
 	h := l.holding(entry)
-	if config > h.config {
-		h.config = config
-	}
+	h.config, h.board = max(h.config, config), max(h.board, board)
 	l.holds[entry] = h
 }
 
@@ -92,10 +91,20 @@
 // pending returns those of the entries that may still serve on a
 // configuration older than revision.
 func (l *leases) pending(entries []string, revision uint64, now clock.Boot) []string {
+	return l.late(entries, now, func(h holding) bool { return h.config < revision })
+}
+
+// pendingBoard returns those of the entries that may still serve on a board older than
+// revision.
+func (l *leases) pendingBoard(entries []string, revision uint64, now clock.Boot) []string {
+	return l.late(entries, now, func(h holding) bool { return h.board < revision })
+}
+
+// late returns those of the entries that are behind and hold a lease.
+func (l *leases) late(entries []string, now clock.Boot, behind func(holding) bool) []string {
 	var late []string
 	for _, e := range entries {
-		h := l.holding(e)
-		if h.config < revision && l.remaining(e, now) > 0 {
+		if behind(l.holding(e)) && l.remaining(e, now) > 0 {
 			late = append(late, e)
 		}
 	}
--- a/internal/control/leases_test.go
+++ b/internal/control/leases_test.go
@@ -25,26 +25,26 @@
 		{"a new leader counts all as leased", func(*leases) {}, length, []string{"cut", "near"}},
 		{"their leases end", func(*leases) {}, length + time.Second, nil},
 		{"both hold it", func(l *leases) {
-			l.acknowledge("near", 5)
-			l.acknowledge("cut", 5)
+			l.acknowledge("near", 5, 0)
+			l.acknowledge("cut", 5, 0)
 		}, 0, nil},
-		{"one holds it", func(l *leases) { l.acknowledge("near", 5) }, 0, []string{"cut"}},
+		{"one holds it", func(l *leases) { l.acknowledge("near", 5, 0) }, 0, []string{"cut"}},
 		{"one holds an older one", func(l *leases) {
-			l.acknowledge("near", 5)
-			l.acknowledge("cut", 4)
+			l.acknowledge("near", 5, 0)
+			l.acknowledge("cut", 4, 0)
 		}, 0, []string{"cut"}},
 		{"a lease granted late runs on", func(l *leases) {
-			l.acknowledge("near", 5)
+			l.acknowledge("near", 5, 0)
 			l.grant("cut", start.Add(2*time.Second))
 		}, 4 * time.Second, []string{"cut"}},
 		{"and ends by the margin for a slow clock", func(l *leases) {
-			l.acknowledge("near", 5)
+			l.acknowledge("near", 5, 0)
 			l.grant("cut", start.Add(2*time.Second))
 		}, 5*time.Second + 31*time.Millisecond, nil},
 		{"an old acknowledgement takes nothing back", func(l *leases) {
-			l.acknowledge("near", 5)
-			l.acknowledge("cut", 5)
-			l.acknowledge("cut", 4)
+			l.acknowledge("near", 5, 0)
+			l.acknowledge("cut", 5, 0)
+			l.acknowledge("cut", 4, 0)
 		}, 0, nil},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -63,8 +63,10 @@
 	// 0 leaves it to the majority of whatever voters there are.
 	MinDisks int
 	// VM is this machine's name.
-	VM      string
-	Metrics *metrics.Control
+	VM string
+	// DataCentres are those that the settings name; the board may know others.
+	DataCentres []string
+	Metrics     *metrics.Control
 }
 
 // Server is the control role of one process.
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -71,7 +71,7 @@
 func (s *Server) acknowledge(r *noderpc.WatchRequest) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.leases.acknowledge(r.EntryId, r.HaveConfig)
+	s.leases.acknowledge(r.EntryId, r.HaveConfig, r.HaveRevision)
 }
 
 // waitForChange waits until there is something new for the entry, and tells whether
--- a/internal/controller/draining.go
+++ b/internal/controller/draining.go
@@ -1,6 +1,7 @@
 package controller
 
 import (
+	"slices"
 	"time"
 
 	"github.com/citronstep/citronstep/internal/blackboard"
@@ -66,6 +67,9 @@
 	if c.DrainedGroups[g.ID] {
 		return "group is drained", replaceWait(v, g)
 	}
+	if partlyEvacuated(v, g) {
+		return "a part of its members lies in a data centre that is evacuated", 0
+	}
 	for _, m := range g.Members {
 		if c.DrainedVMs[m.VM] {
 			return "member " + m.VM + " is drained", replaceWait(v, g)
@@ -77,6 +81,17 @@
 	return "", 0
 }
 
+// partlyEvacuated tells whether some members of a group lie in data centres that are
+// evacuated and some do not. The latter are of use elsewhere, while a group that lies
+// there whole is kept for the return.
+func partlyEvacuated(v View, g blackboard.Group) bool {
+	if len(g.OtherDataCentres) == 0 || !v.Board.EvacuatesGroup(g) {
+		return false
+	}
+	return !v.Board.Evacuated(g.DataCentre) ||
+		slices.ContainsFunc(g.OtherDataCentres, func(dataCentre string) bool { return !v.Board.Evacuated(dataCentre) })
+}
+
 // replaceWait returns how long a drain that an operator asked for leaves the
 // group serving.
 func replaceWait(v View, g blackboard.Group) time.Duration {
@@ -93,7 +108,7 @@
 // towards the wanted replicas and a replacement may form beside it.
 func outgoing(v View, g blackboard.Group) bool {
 	c := &v.Board.Config
-	if c.DrainedGroups[g.ID] || v.Memory.replace[groupEpoch{g.ID, g.Epoch}] {
+	if c.DrainedGroups[g.ID] || v.Memory.replace[groupEpoch{g.ID, g.Epoch}] || v.Board.EvacuatesGroup(g) {
 		return true
 	}
 	if v.order != nil {
--- a/internal/controller/forming.go
+++ b/internal/controller/forming.go
@@ -81,7 +81,7 @@
 	}
 	domains := make(map[string][]blackboard.VM)
 	for _, id := range v.vmIDs() {
-		if vm := v.Board.VMs[id]; usable(v, now, vm, spec) {
+		if vm := v.Board.VMs[id]; usable(v, now, vm, spec) && !v.Board.Evacuated(vm.DataCentre) {
 			domains[vm.FabricDomain] = append(domains[vm.FabricDomain], vm)
 		}
 	}
@@ -177,6 +177,7 @@
 // form forms the first of the candidates.
 func form(v View, now time.Time, a *Actions, spec blackboard.GroupSpec, u *use, found []candidate) {
 	best := found[0]
+	v.warmestFirst(now, best.members)
 	u.formed[domainModel{best.domain, spec.Name}]++
 	id := nextID(v, spec.Name, u)
 	members := make([]blackboard.GroupMember, len(best.members))
@@ -186,7 +187,7 @@
 	}
 	a.command(&blackboard.FormGroup{NowMillis: now.UnixMilli(), Group: blackboard.Group{
 		ID: id, Spec: spec.Name, Model: spec.Model, FabricDomain: best.domain,
-		DataCentre: best.members[0].DataCentre, Members: members,
+		DataCentre: best.members[0].DataCentre, OtherDataCentres: otherDataCentres(best.members), Members: members,
 		Worth: v.Board.Config.GroupWorth(spec.Name), Reason: "wanted by its spec", Opens: spec.Pool != "",
 	}})
 	d := Decision{Kind: "form", Subject: id, Choice: best.domain, Reason: best.reason()}
@@ -196,6 +197,25 @@
 	a.decide(d)
 }
 
+// warmestFirst makes a member the head that is not cold, if there is one: the head takes the
+// group's requests, and one that is cold bears fewer.
+func (v View) warmestFirst(now time.Time, members []blackboard.VM) {
+	slices.SortStableFunc(members, func(a, b blackboard.VM) int {
+		return v.coldUntil(now, a.ID).Compare(v.coldUntil(now, b.ID))
+	})
+}
+
+// otherDataCentres returns the data centres of members that are not that of the head.
+func otherDataCentres(members []blackboard.VM) []string {
+	var others []string
+	for _, vm := range members[1:] {
+		if vm.DataCentre != members[0].DataCentre && !slices.Contains(others, vm.DataCentre) {
+			others = append(others, vm.DataCentre)
+		}
+	}
+	return others
+}
+
 func (c candidate) reason() string {
 	return "fetches " + strconv.Itoa(c.fetches) + ", cold " + strconv.Itoa(c.cold) + ", siblings " + strconv.Itoa(c.siblings) + ", left " + strconv.Itoa(c.left)
 }
--- a/internal/controller/memory.go
+++ b/internal/controller/memory.go
@@ -51,6 +51,10 @@
 	gathered map[string]gathering
 	// histories holds what was seen of the VMs of each pool.
 	histories map[string]*history
+	// left holds the layouts of domains whose data centre is evacuated, for their return.
+	left map[string]packing.Layout
+	// marked holds since when this leader has seen the mark of each cold backend server.
+	marked map[string]time.Time
 }
 
 type groupEpoch struct {
@@ -96,6 +100,8 @@
 		stores:     make(map[string]*weightStore),
 		gathered:   make(map[string]gathering),
 		histories:  make(map[string]*history),
+		left:       make(map[string]packing.Layout),
+		marked:     make(map[string]time.Time),
 		policy:     defaultPolicy,
 	}
 }
--- a/internal/controller/opening_sim_test.go
+++ b/internal/controller/opening_sim_test.go
@@ -19,6 +19,9 @@
 // and checks neither that all members are there nor that it is in one group.
 type poolEngine struct {
 	address, id, domain string
+	dataCentre          string
+	// coldUntil is until when it is cold.
+	coldUntil time.Time
 	// born is when the present life began. It stays 0 unless reborn, which says that
 	// the engine keeps its id when it starts again.
 	born             int64
@@ -87,6 +90,10 @@
 	processor *busyProcessor
 	// callersAt is when callers come; zero lets them come once a group serves.
 	callersAt time.Time
+	// cold is how long engines are cold after they have started, and coldPerSecond what their
+	// service states for it.
+	cold          time.Duration
+	coldPerSecond float64
 	// fetched are the times at which engines began to load from the store after that.
 	fetched []time.Time
 }
@@ -132,7 +139,8 @@
 
 func (w *poolWorld) configure(version uint64, models []blackboard.ModelSpec) {
 	w.apply(&blackboard.ReplaceConfiguration{Version: version, Services: []blackboard.ServiceSpec{{
-		Name: "pool", Engine: &blackboard.EngineSpec{Slots: 4, LoadsPerSecond: w.storeRate, LoadsAtOnce: w.storeAtOnce, Models: models},
+		Name: "pool", ColdMillis: w.cold.Milliseconds(), ColdPerSecond: w.coldPerSecond,
+		Engine: &blackboard.EngineSpec{Slots: 4, LoadsPerSecond: w.storeRate, LoadsAtOnce: w.storeAtOnce, Models: models},
 	}}})
 }
 
@@ -216,6 +224,7 @@
 	if !e.backAt.IsZero() && !now.Before(e.backAt) {
 		e.backAt = time.Time{}
 		e.start(now)
+		e.coldUntil = now.Add(w.cold)
 	}
 	if e.cut && !now.Before(e.cutUntil) {
 		e.cut = false
@@ -334,7 +343,7 @@
 	}
 	a := backend.Announcement{
 		ID: e.address, Incarnation: e.incarnation(), StartedMillis: e.born, Sequence: e.sequence, Kind: backend.KindEngine,
-		Address: e.address, FabricDomain: e.domain, Accelerators: 1, Service: "pool",
+		Address: e.address, DataCentre: e.dataCentre, ColdMillis: max(0, e.coldUntil.Sub(w.now).Milliseconds()), FabricDomain: e.domain, Accelerators: 1, Service: "pool",
 		Group: e.group, Epoch: e.epoch, Phase: e.phase, Weights: staged,
 	}
 	if e.reborn && w.faulty && w.r.IntN(8) == 0 {
--- a/internal/controller/packing.go
+++ b/internal/controller/packing.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"strings"
 	"time"
 
@@ -26,7 +27,7 @@
 // packPools decides what the fabric domains of the pools form and what their other
 // VMs hold; package packing tells how.
 func packPools(v View, now time.Time, a *Actions) {
-	was := v.Memory.layouts
+	was := v.Memory.layoutsOfBefore(v)
 	v.Memory.layouts = make(map[string]packing.Layout)
 	vms := poolVMs(v)
 	for _, pool := range sortedKeys(vms) {
@@ -45,12 +46,43 @@
 	}
 }
 
-// poolVMs returns the VMs of each pool that are not leaving.
+// layoutsOfBefore returns the layouts of the last run, and those that domains had before
+// their data centre was evacuated. The latter are kept for the return.
+func (m *Memory) layoutsOfBefore(v View) map[string]packing.Layout {
+	if len(v.Board.Evacuations) == 0 && len(m.left) == 0 {
+		return m.layouts
+	}
+	evacuated := make(map[string]bool)
+	for _, vm := range v.Board.VMs {
+		if v.Board.Evacuated(vm.DataCentre) {
+			evacuated[vm.FabricDomain] = true
+		}
+	}
+	was := maps.Clone(m.layouts)
+	if was == nil {
+		was = make(map[string]packing.Layout)
+	}
+	for domain, layout := range m.left {
+		if _, laidOut := was[domain]; !laidOut {
+			was[domain] = layout
+		}
+	}
+	clear(m.left)
+	for domain := range evacuated {
+		if layout, laidOut := was[domain]; laidOut {
+			m.left[domain] = layout
+		}
+	}
+	return was
+}
+
+// poolVMs returns the VMs of each pool that are not leaving and whose data centre is not
+// evacuated.
 func poolVMs(v View) map[string][]blackboard.VM {
 	pools := make(map[string][]blackboard.VM)
 	for _, id := range v.vmIDs() {
 		vm := v.Board.VMs[id]
-		if vm.Pool == "" || vm.Leaving {
+		if vm.Pool == "" || vm.Leaving || v.Board.Evacuated(vm.DataCentre) {
 			continue
 		}
 		if pools[vm.Pool] == nil {
--- a/internal/controller/view.go
+++ b/internal/controller/view.go
@@ -61,7 +61,7 @@
 
 // Decision is one line of the decision log.
 type Decision struct {
-	// Kind is pack, form, load, serve, break, release, drain or vm.
+	// Kind is pack, form, load, serve, break, release, drain, cold or vm.
 	Kind     string
 	Subject  string
 	Choice   string
@@ -97,6 +97,7 @@
 	liveness(v, now, &a)
 	breaking(v, now, &a)
 	straggling(v, now)
+	marking(v, now, &a)
 	draining(v, now, &a)
 	releasing(v, now, &a)
 	correcting(v, now, &a)
--- /dev/null
+++ b/internal/entry/cold.go
@@ -0,0 +1,55 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/placement"
+)
+
+// followCold limits the requests to the backend servers that a board marks as cold, and ends
+// the limits of those that it no longer does.
+func (s *Server) followCold(b *blackboard.Board) {
+	limits := s.coldLimits(b)
+	for incarnation := range s.cold {
+		if _, cold := limits[incarnation]; !cold {
+			s.limitCold(incarnation, nil)
+		}
+	}
+	for incarnation, limit := range limits {
+		if s.cold[incarnation] != limit {
+			s.limitCold(incarnation, &limit)
+		}
+	}
+	s.cold = limits
+}
+
+// coldLimits returns the limits of the backend servers that a board marks as cold.
+func (s *Server) coldLimits(b *blackboard.Board) map[string]placement.RateLimit {
+	if len(b.ColdServers) == 0 {
+		return nil
+	}
+	limits := make(map[string]placement.RateLimit, len(b.ColdServers))
+	for incarnation, row := range b.ColdServers {
+		perSecond := b.Config.Services[row.Service].ColdPerSecond
+		if perSecond <= 0 {
+			continue
+		}
+		allowed := perSecond*s.o.Settings.ColdFactor + s.o.Settings.ColdSlack
+		limits[incarnation] = placement.ColdLimit(perSecond, allowed)
+	}
+	return limits
+}
+
+// limitCold puts the limit of a cold backend server in force on this entry; nil ends it.
+func (s *Server) limitCold(incarnation string, limit *placement.RateLimit) {
+	share := s.dispatcher.limitRate(time.Now(), incarnation, placement.Cold, limit)
+	if limit == nil {
+		_ = level.Info(s.o.Logger).Log("event", "cold_ended", "incarnation", incarnation)
+		return
+	}
+	_ = level.Info(s.o.Logger).Log("event", "cold", "incarnation", incarnation, "per_second", limit.PerSecond,
+		"sharing", limit.Sharing, "share", share)
+}
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -38,6 +38,8 @@
 	waiting map[string]*ticket
 	routes  map[string]route
 	models  map[string]bool
+	// evacuated holds the pools whose targets all lie in data centres that are evacuated.
+	evacuated map[string]bool
 	// changed closes when the routes change.
 	changed chan struct{}
 }
@@ -62,6 +64,8 @@
 	target string
 	// pool is the model or the plain service.
 	pool string
+	// region is that of the target's data centre.
+	region string
 	// busy is how many requests the target reports, running and waiting.
 	busy    int
 	address string
@@ -105,16 +109,24 @@
 	d.picker.SetEntries(ids)
 }
 
-// limitRate puts the rate limit of a backend server in force and returns this entry's
-// share of it; nil ends the limit.
-func (d *dispatcher) limitRate(now time.Time, incarnation string, perSecond *float64) float64 {
+// limitRate puts the rate limit that a backend server has for a cause in force and returns
+// this entry's share of it; nil ends the limit.
+func (d *dispatcher) limitRate(now time.Time, incarnation string, cause placement.Cause, limit *placement.RateLimit) float64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	share := d.picker.LimitRate(now, incarnation, perSecond)
+	share := d.picker.LimitRate(now, incarnation, cause, limit)
 	d.pump(now)
 	return share
 }
 
+// setEvacuated names the pools whose targets all lie in data centres that are evacuated:
+// their requests are refused at once.
+func (d *dispatcher) setEvacuated(pools map[string]bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.evacuated = pools
+}
+
 // setRoutes replaces the routable targets. awaited names the pools that have a
 // target in quarantine: their requests wait for it rather than be refused.
 func (d *dispatcher) setRoutes(now time.Time, routes map[string]route, targets []placement.Target, awaited map[string]bool) {
@@ -147,7 +159,7 @@
 			return g, g.refused
 		case <-looks.C:
 			routeless++
-			if d.hasRoute(j.model) {
+			if d.hasRoute(j) {
 				routeless = 0
 			}
 			if routeless >= failoverLooks {
@@ -159,22 +171,29 @@
 	}
 }
 
-func (d *dispatcher) hasRoute(model string) bool {
+// hasRoute tells whether there is, or will be, a target for the job.
+func (d *dispatcher) hasRoute(j *job) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.models[model]
+	if j.homes == nil {
+		return d.models[j.model]
+	}
+	return d.picker.Serves(j.model, j.homes)
 }
 
 func (d *dispatcher) offer(j *job) (*ticket, *failure.Error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	places, limited := d.picker.Places(now, j.placeBy(now), j.model)
+	if d.evacuated[j.model] {
+		return nil, evacuatedEverywhere()
+	}
+	places, limited := d.picker.Places(now, j.placeBy(now), j.model, j.homes)
 	if limited && places == 0 {
 		return nil, rateLimited()
 	}
 	decision := d.queue.Offer(now, admission.Request{
-		ID: j.id, Workspace: j.workspace, Class: j.class, Model: j.model, IdempotencyKey: j.key,
+		ID: j.id, Workspace: j.workspace, Class: j.class, Model: j.model, Homes: j.homesName(), IdempotencyKey: j.key,
 		Tokens: j.tokens(), Arrived: j.arrived, Deadline: j.deadline, RetryBudget: j.retryBudget(),
 		OnTimeUntil: d.onTimeUntil(j), Places: places,
 	})
@@ -221,7 +240,7 @@
 	}
 	for {
 		r, expired, ok := d.queue.Next(now, func(r admission.Request) bool {
-			return d.gateOf(r.Model).Room(now) && d.picker.HasRoom(now, r.Model, r.Tokens, r.Reserve)
+			return d.gateOf(r.Model).Room(now) && d.picker.HasRoom(now, d.waiting[r.ID].job.placed(r.Reserve))
 		})
 		d.refuse(expired)
 		if !ok {
@@ -245,9 +264,7 @@
 
 // choose picks the target of the job's next attempt. The lock is held.
 func (d *dispatcher) choose(now time.Time, j *job) (grant, bool) {
-	c, ok := d.picker.Pick(now, placement.Request{
-		ID: j.id, Model: j.model, Prefix: j.prefix, Tokens: j.tokens(), Reserve: j.reserve, Exclude: j.tried,
-	})
+	c, ok := d.picker.Pick(now, j.placed(j.reserve))
 	if !ok {
 		return grant{}, false
 	}
@@ -285,7 +302,7 @@
 		d.mu.Lock()
 		now := time.Now()
 		g, ok := d.choose(now, j)
-		opens, throttled := d.picker.Throttled(now, j.model, j.tried)
+		opens, passes, throttled := d.picker.Throttled(now, j.placed(j.reserve))
 		changed := d.changed
 		d.mu.Unlock()
 		if ok {
@@ -293,7 +310,7 @@
 		}
 		var open <-chan time.Time
 		switch {
-		case throttled && opens.After(until):
+		case throttled && opens.After(until) && !passes:
 			return grant{}, false
 		case throttled:
 			open = time.After(opens.Sub(now))
@@ -319,15 +336,15 @@
 	d.picker.Sent(now, target)
 }
 
-// idlest returns the routable target of a pool that reports the least work, of those whose
+// idlest returns the routable target of a pool, in the homes given, that reports the least work, of those whose
 // backend servers take a request now.
-func (d *dispatcher) idlest(pool string) (route, bool) {
+func (d *dispatcher) idlest(pool string, homes []string) (route, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
 	best, found := route{}, false
 	for _, r := range d.routes {
-		if r.pool != pool || d.picker.Shut(now, r.target) {
+		if r.pool != pool || !within(homes, r.region) || d.picker.Shut(now, r.target) {
 			continue
 		}
 		if !found || r.busy < best.busy || (r.busy == best.busy && r.target < best.target) {
--- /dev/null
+++ b/internal/entry/evacuation_test.go
@@ -0,0 +1,99 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/citronstep/citronstep/internal/backend"
+	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/failure"
+)
+
+// spread puts the instances a, b and c in data centres of their own names.
+func spread(s *Server) *blackboard.Board {
+	board := *s.o.Follower.Board()
+	board.Services = make(map[string]blackboard.ServiceInstance)
+	for id, i := range s.o.Follower.Board().Services {
+		i.DataCentre = "dc-" + id
+		board.Services[id] = i
+	}
+	return &board
+}
+
+// evacuate lets a server follow a board on which data centres are evacuated.
+func evacuate(s *Server, board *blackboard.Board, dataCentres ...string) {
+	next := *board
+	next.Revision++
+	next.Evacuations = make(map[string]blackboard.Evacuation)
+	for _, dataCentre := range dataCentres {
+		next.Evacuations[dataCentre] = blackboard.Evacuation{Revision: next.Revision}
+	}
+	s.o.Follower = fixedBoard{board: &next, lease: time.Minute}
+	s.updateRoutes()
+}
+
+// Guards against requests and retries that go to a data centre which is evacuated.
+func TestNothingIsSentToAnEvacuatedDataCentre(t *testing.T) {
+	failing := answering(500, "failed", false)
+	f := &scripted{}
+	for range 6 {
+		f.answers = append(f.answers, failing)
+	}
+	s := routed(t, f)
+	evacuate(s, spread(s), "dc-b")
+	for range 3 {
+		send(s, Forwarded{Path: "/many/x"})
+	}
+	assert.Assert(t, len(f.calls) > 1)
+	for _, c := range f.calls {
+		assert.Assert(t, c.Incarnation != "i-b")
+	}
+
+	evacuate(s, spread(s))
+	assert.Equal(t, len(s.open), 3)
+}
+
+// Guards against callers that are refused before another data centre can serve, and against
+// requests that go on to one that is evacuated.
+func TestWhatNoOtherDataCentreServesIsServedForAMoment(t *testing.T) {
+	s := routed(t, &scripted{answers: []func(backend.ForwardCall) (*backend.ForwardAnswer, error){answering(200, "x", false)}})
+	s.o.Settings.EvacuateMillis = 500
+	evacuate(s, spread(s), "dc-a", "dc-b", "dc-c")
+	assert.Equal(t, len(s.open), 3)
+	assert.Assert(t, !s.routesStand(), "they close with time alone")
+	_, e, _ := send(s, Forwarded{Path: "/many/x"})
+	assert.Assert(t, e == nil)
+
+	for dataCentre := range s.evacuations {
+		s.evacuations[dataCentre] = time.Now().Add(-time.Second)
+	}
+	s.updateRoutes()
+	assert.Equal(t, len(s.open), 0)
+	began := time.Now()
+	_, e, _ = send(s, Forwarded{Path: "/many/x"})
+	assert.Equal(t, e.Type, failure.TypeNoBackendServer)
+	assert.Equal(t, e.Ran, failure.RanNo)
+	assert.Assert(t, e.RetryAfter > 0 && time.Since(began) < failoverWait, "refused at once")
+}
+
+// Guards against an entry that sends a cold backend server its whole part, and one that
+// spares it for good.
+func TestAColdBackendServerGetsItsShare(t *testing.T) {
+	s := routed(t, &scripted{})
+	s.o.Settings.ColdFactor = 1
+	board := spread(s)
+	board.Config.Services = map[string]blackboard.ServiceSpec{"files": {Name: "files", ColdPerSecond: 1}}
+	board.ColdServers = map[string]blackboard.ColdServer{"i-a": {Service: "files"}, "i-b": {Service: "unknown"}}
+	evacuate(s, board)
+	now := time.Now()
+	assert.Equal(t, len(s.cold), 1)
+	s.dispatcher.sentAlone(now, "a")
+	assert.Assert(t, s.dispatcher.picker.Shut(now, "a"))
+	assert.Assert(t, !s.dispatcher.picker.Shut(now, "b"))
+
+	board.ColdServers = nil
+	evacuate(s, board)
+	assert.Assert(t, !s.dispatcher.picker.Shut(now, "a"))
+}
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -53,6 +53,10 @@
 	priority int
 	// begun says that a part of the answer has been written.
 	begun bool
+	// out writes a stream to the caller; nil until it has begun.
+	out *outbox
+	// held is how much of whole answers counts towards the entry's memory, in bytes.
+	held int
 	// resume and last name the last event that the caller has.
 	resume bool
 	last   uint64
@@ -111,7 +115,11 @@
 	if e != nil {
 		return nil, e
 	}
-	return s.newForward(table, route, workspace, f), nil
+	j := s.newForward(table, route, workspace, f)
+	if e := s.checkHomes(j.homes); e != nil {
+		return nil, e
+	}
+	return j, nil
 }
 
 // noConfigurationRetryAfter is about the time until a process that has just
@@ -152,6 +160,7 @@
 			priority: table.config.Workspaces[workspace].Priority,
 		},
 	}
+	j.homes = homesOf(route.Homes, table.config.Workspaces[workspace].Homes)
 	service := route.ServiceFor(draw(f.ID))
 	j.forward.service = service
 	j.model = servicePool(service)
@@ -187,13 +196,18 @@
 	ctx, stop := context.WithDeadline(ctx, j.deadline)
 	defer stop()
 	j.ctx = ctx
+	defer boundWrites(j.forward.w, j)()
 	if _, e := s.beginJob(j); e != nil {
 		s.logRefusal(j, e)
 		return e
 	}
 	defer s.work.Done()
 	defer s.running.end(j)
+	defer func() { s.memory.give(j.forward.held) }()
 	s.run(j, s.attemptForward)
+	if e := j.forward.end(); e != nil {
+		return e
+	}
 	p, _ := j.answer.wait(context.Background(), 0)
 	if p.failed == nil {
 		return nil
@@ -205,6 +219,17 @@
 	return p.failed
 }
 
+// end waits until the caller has been written all that it gets of a stream.
+func (f *forwarding) end() *failure.Error {
+	if f.out == nil {
+		return nil
+	}
+	if err := f.out.close(); err != nil {
+		return failure.New(failure.TypeOutcomeUnknown, "the caller is gone: "+err.Error()).WithRan(failure.RanUnknown)
+	}
+	return nil
+}
+
 func (f *forwarding) write(a *heldAnswer) {
 	copyHeader(f.w.Header(), a.header)
 	f.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
@@ -260,7 +285,7 @@
 		s.dispatcher.report(time.Now(), g.route.target, s.loadOf(j, answer.Load))
 	}
 	s.hearForwarded(g.route, answer, began)
-	if out, e, bad := j.judge(answer); bad {
+	if out, e, bad := j.judge(s.memory, answer); bad {
 		return out, e
 	}
 	if j.forward.route.Kind == blackboard.RouteStreaming && answer.Status == http.StatusOK {
@@ -317,7 +342,7 @@
 // the answer to this one is due, or bytes that prove nothing; the caller would
 // get another caller's answer. The id that the backend server echoes and its
 // proof tell them.
-func (j *job) judge(a *backend.ForwardAnswer) (outcome, *failure.Error, bool) {
+func (j *job) judge(m *memory, a *backend.ForwardAnswer) (outcome, *failure.Error, bool) {
 	switch {
 	case a.Foreign:
 		return outcomeBroken, failure.New(failure.TypeBackendFailed, "the backend server sent another request's answer"), true
@@ -327,16 +352,16 @@
 	case a.Status < http.StatusMultipleChoices && !a.Proven:
 		return outcomeBroken, failure.New(failure.TypeBackendFailed, "the answer lacks the backend server's proof"), true
 	case a.Status >= http.StatusInternalServerError:
-		return j.hold(a)
+		return j.hold(m, a)
 	}
 	return outcomeWhole, nil, false
 }
 
 // hold keeps a failure of the backend server's own for when no further attempt
 // is made.
-func (j *job) hold(a *backend.ForwardAnswer) (outcome, *failure.Error, bool) {
+func (j *job) hold(m *memory, a *backend.ForwardAnswer) (outcome, *failure.Error, bool) {
 	e := failure.New(failure.TypeBackendFailed, "the backend server answered "+strconv.Itoa(a.Status))
-	body, err := readWhole(a)
+	body, err := j.readWhole(m, a)
 	if err == nil {
 		j.forward.failed = &heldAnswer{status: a.Status, header: backend.EndToEnd(a.Header), body: body}
 	}
--- a/internal/entry/forward_bench_test.go
+++ b/internal/entry/forward_bench_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 	"strings"
@@ -25,7 +26,8 @@
 		ids[i] = strconv.Itoa(i + 1)
 	}
 	text := strings.ReplaceAll(events(ids...), "token", strings.Repeat("t", 60))
-	f := &forwarding{w: discard{http.Header{}}}
+	j := &job{ctx: context.Background(), forward: &forwarding{w: discard{http.Header{}}}}
+	m := newMemory(1 << 30)
 	r := newEventReader(strings.NewReader(text))
 	answer := &backend.ForwardAnswer{Status: http.StatusOK, Header: http.Header{}}
 	b.ReportAllocs()
@@ -35,7 +37,7 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		if err := f.pass(answer, e, true); err != nil {
+		if err := j.pass(m, answer, e, true); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/internal/entry/forward_relay.go
+++ b/internal/entry/forward_relay.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"io"
-	"net/http"
 	"strconv"
 	"time"
 
@@ -19,6 +18,8 @@
 	// eventBuffer is the read buffer of one open stream, some twenty ordinary
 	// events.
 	eventBuffer = 4 << 10
+	// answerChunk is how much of a whole answer is read at once, in bytes.
+	answerChunk = 32 << 10
 	// maxEvent bounds one event in bytes.
 	maxEvent = 1 << 20
 )
@@ -26,21 +27,32 @@
 // errAnswerTooLong is returned for an answer over maxServiceAnswer.
 const errAnswerTooLong = errors.ConstError("the answer is over the limit")
 
-// readWhole reads an answer to its end. One that ends early is an error.
-func readWhole(a *backend.ForwardAnswer) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxServiceAnswer+1))
-	if err != nil {
-		return nil, errors.Trace(err)
-	}
-	if len(body) > maxServiceAnswer {
-		return nil, errors.Trace(errAnswerTooLong)
+// readWhole reads an answer to its end. One that ends early is an error. What is held
+// counts until the caller has it; while there is no room, the answer is not read.
+func (j *job) readWhole(m *memory, a *backend.ForwardAnswer) ([]byte, error) {
+	var body bytes.Buffer
+	for {
+		if err := m.await(j.ctx, answerChunk); err != nil {
+			return nil, errors.Trace(err)
+		}
+		j.forward.held += answerChunk
+		n, err := io.CopyN(&body, a.Body, answerChunk)
+		m.give(answerChunk - int(n))
+		j.forward.held -= answerChunk - int(n)
+		switch {
+		case body.Len() > maxServiceAnswer:
+			return nil, errors.Trace(errAnswerTooLong)
+		case errors.Is(err, io.EOF):
+			return body.Bytes(), nil
+		case err != nil:
+			return nil, errors.Trace(err)
+		}
 	}
-	return body, nil
 }
 
 // relayAnswer passes on an answer that is not a stream, once it is whole.
 func (s *Server) relayAnswer(j *job, a *backend.ForwardAnswer) (outcome, *failure.Error) {
-	body, err := readWhole(a)
+	body, err := j.readWhole(s.memory, a)
 	if err != nil {
 		return s.serviceFailed(j, err)
 	}
@@ -58,7 +70,7 @@
 	for {
 		e, err := events.next()
 		if err == io.EOF {
-			j.forward.start(a)
+			j.forward.start(s.memory, a)
 			return outcomeWhole, nil
 		}
 		if err != nil {
@@ -78,38 +90,34 @@
 			}
 		}
 		s.dispatcher.progress(g.attempt, 1)
-		if err := j.forward.pass(a, e, events.drained()); err != nil {
+		if err := j.pass(s.memory, a, e, events.drained()); err != nil {
 			return outcomeEnded, nil
 		}
 	}
 }
 
 // start writes the head of the stream's first run.
-func (f *forwarding) start(a *backend.ForwardAnswer) {
+func (f *forwarding) start(m *memory, a *backend.ForwardAnswer) {
 	if f.begun {
 		return
 	}
 	f.begun = true
 	copyHeader(f.w.Header(), backend.EndToEnd(a.Header))
 	f.w.WriteHeader(a.Status)
+	f.out = newOutbox(f.w, m)
 }
 
-// pass writes one event, unless the caller has it already.
-func (f *forwarding) pass(a *backend.ForwardAnswer, e event, flush bool) error {
+// pass passes one event on, unless the caller has it already.
+func (j *job) pass(m *memory, a *backend.ForwardAnswer, e event, flush bool) error {
+	f := j.forward
 	if e.numbered {
 		if f.resume && e.id <= f.last {
 			return nil
 		}
 		f.resume, f.last = true, e.id
 	}
-	f.start(a)
-	if _, err := f.w.Write(e.bytes); err != nil {
-		return errors.Trace(err)
-	}
-	if !flush {
-		return nil
-	}
-	return errors.Trace(http.NewResponseController(f.w).Flush())
+	f.start(m, a)
+	return errors.Trace(f.out.put(j.ctx, e.bytes, flush))
 }
 
 // event is one server-sent event as it came.
--- /dev/null
+++ b/internal/entry/homes_test.go
@@ -0,0 +1,86 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/citronstep/citronstep/internal/backend"
+	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/failure"
+)
+
+func TestHomesOfRouteAndWorkspaceBothBind(t *testing.T) {
+	assert.Assert(t, homesOf(nil, nil) == nil)
+	assert.DeepEqual(t, homesOf([]string{"b", "a"}, nil), []string{"a", "b"})
+	assert.DeepEqual(t, homesOf([]string{"a", "b"}, []string{"b", "c"}), []string{"b"})
+	none := homesOf([]string{"a"}, []string{"b"})
+	assert.Assert(t, none != nil && len(none) == 0)
+	assert.Assert(t, within(nil, "a") && !within(none, "a") && !within([]string{"a"}, ""))
+}
+
+// homed is a server before three instances in two of three regions, whose route "many" has
+// homes.
+func homed(t *testing.T, f *scripted, homes ...string) *Server {
+	t.Helper()
+	s := unconfigured(t, f)
+	board := spread(s)
+	s.o.Regions = map[string]string{"dc-a": "north", "dc-b": "south", "dc-c": "south", "dc-d": "west"}
+	routes := make(map[string]blackboard.Route)
+	for name, r := range board.Config.Routes {
+		if name == "many" {
+			r.Homes = homes
+		}
+		routes[name] = r
+	}
+	board.Config.Routes = routes
+	s.o.Follower = fixedBoard{board: board, lease: time.Minute}
+	s.BoardChanged(board)
+	s.updateRoutes()
+	return s
+}
+
+// Guards against a request that reaches a backend server outside its homes, at its first
+// attempt or a later one.
+func TestARequestStaysInItsHomes(t *testing.T) {
+	f := &scripted{}
+	for range 6 {
+		f.answers = append(f.answers, answering(500, "failed", false))
+	}
+	s := homed(t, f, "south")
+	for range 3 {
+		send(s, Forwarded{Path: "/many/x"})
+	}
+	assert.Assert(t, len(f.calls) > 1)
+	for _, c := range f.calls {
+		assert.Assert(t, c.Incarnation != "i-a")
+	}
+}
+
+// Guards against a request without a backend server in its homes that holds up the others.
+func TestARequestWithoutABackendServerInItsHomesWaitsAlone(t *testing.T) {
+	f := &scripted{answers: []func(backend.ForwardCall) (*backend.ForwardAnswer, error){answering(200, events("1"), false)}}
+	s := homed(t, f, "west")
+	refused := make(chan *failure.Error)
+	go func() {
+		_, e, _ := send(s, Forwarded{ID: "homed", Path: "/many/x"})
+		refused <- e
+	}()
+	w, e, _ := send(s, Forwarded{ID: "free", Path: "/stream/x"})
+	assert.Assert(t, e == nil)
+	assert.Equal(t, w.Code, 200)
+	e = <-refused
+	assert.Equal(t, e.Ran, failure.RanNo)
+	assert.Equal(t, len(f.calls), 1)
+}
+
+// Guards against a request that is held although no region can ever serve it.
+func TestARequestWithoutAKnownHomeIsRefusedAtOnce(t *testing.T) {
+	s := homed(t, &scripted{}, "elsewhere")
+	began := time.Now()
+	_, e, _ := send(s, Forwarded{Path: "/many/x"})
+	assert.Equal(t, e.Type, failure.TypeNoBackendServer)
+	assert.Equal(t, e.Ran, failure.RanNo)
+	assert.Assert(t, time.Since(began) < failoverWait)
+}
--- a/internal/entry/isolate.go
+++ b/internal/entry/isolate.go
@@ -108,12 +108,12 @@
 // emptyTarget returns a target that this entry keeps in quarantine and that
 // runs nothing. The caller has the turn.
 func (s *Server) emptyTarget(j *job, t *turns, until time.Time) (route, bool) {
-	if t.held != nil && s.stillHeld(t) {
+	if t.held != nil && within(j.homes, t.held.region) && s.stillHeld(t) {
 		return *t.held, true
 	}
 	t.held = nil
 	for time.Now().Before(until) && j.ctx.Err() == nil {
-		r, ok := s.dispatcher.idlest(j.model)
+		r, ok := s.dispatcher.idlest(j.model, j.homes)
 		if !ok || !s.takeQuarantine(j, r.target) {
 			time.Sleep(alonePoll)
 			continue
@@ -142,10 +142,13 @@
 	if changed, _ := s.lookAt(r, time.Now()); changed {
 		return false
 	}
+	board := s.o.Follower.Board()
 	if r.group == "" {
-		return true
+		return !board.Evacuated(board.Services[r.target].DataCentre)
+	}
+	if board.EvacuatesGroup(board.Groups[r.group]) {
+		return false
 	}
-	board := s.o.Follower.Board()
 	ok := board.Groups[r.group].Epoch == r.epoch
 	s.o.Hearing.With(func(t *evidence.Table) {
 		routable, _ := t.Routable(time.Now(), board, r.group)
--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -86,6 +86,8 @@
 	ctx     context.Context
 	cancel  context.CancelCauseFunc
 
+	// homes are the regions whose backend servers may take the request; nil is any.
+	homes []string
 	// reserve is the part of each target that this request leaves free for
 	// requests of greater worth.
 	reserve float64
@@ -153,6 +155,10 @@
 		answer:        newAnswer(),
 		lines:         s.requests.Request(),
 	}
+	j.homes = homesOf(board.Config.Workspaces[workspace].Homes)
+	if e := s.checkHomes(j.homes); e != nil {
+		return nil, e
+	}
 	if _, known := board.Config.Classes[j.class]; j.class != "" && !known {
 		return nil, bad("unknown request class", HeaderClass)
 	}
--- /dev/null
+++ b/internal/entry/outbox_test.go
@@ -0,0 +1,167 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/citronstep/citronstep/internal/backend"
+)
+
+// slowCaller is a caller that reads nothing until it is let.
+type slowCaller struct {
+	reads chan struct{}
+	mu    sync.Mutex
+	got   bytes.Buffer
+}
+
+func newSlowCaller() *slowCaller { return &slowCaller{reads: make(chan struct{})} }
+
+func (c *slowCaller) Header() http.Header { return make(http.Header) }
+func (c *slowCaller) WriteHeader(int)     {}
+func (c *slowCaller) Flush()              {}
+
+func (c *slowCaller) Write(p []byte) (int, error) {
+	<-c.reads
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.got.Write(p)
+}
+
+// countedBody tells how much of an answer has been read.
+type countedBody struct {
+	from io.Reader
+	mu   sync.Mutex
+	read int
+	end  chan struct{}
+	once sync.Once
+}
+
+func newCountedBody(text string) *countedBody {
+	return &countedBody{from: strings.NewReader(text), end: make(chan struct{})}
+}
+
+func (b *countedBody) Close() error { return nil }
+
+func (b *countedBody) Read(p []byte) (int, error) {
+	n, err := b.from.Read(p[:min(len(p), 512)])
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.read += n
+	if err != nil {
+		b.once.Do(func() { close(b.end) })
+	}
+	return n, err
+}
+
+func (b *countedBody) so() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.read
+}
+
+// streamTo sends a request for a stream whose answer is text, to be read by the caller.
+func streamTo(s *Server, caller *slowCaller, body *countedBody) (ended chan struct{}) {
+	s.o.Forwarder = &scripted{answers: []func(backend.ForwardCall) (*backend.ForwardAnswer, error){
+		func(backend.ForwardCall) (*backend.ForwardAnswer, error) {
+			return &backend.ForwardAnswer{Status: 200, Header: http.Header{}, Body: body, Length: -1, Proven: true}, nil
+		},
+	}}
+	ended = make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = s.Forward(context.Background(), caller, Forwarded{ID: "id", Host: "h", Method: http.MethodPost, Path: "/stream/x"})
+	}()
+	return ended
+}
+
+func longStream(events int) string {
+	var b strings.Builder
+	for i := range events {
+		fmt.Fprintf(&b, "id: %d\ndata: %s\n\n", i+1, strings.Repeat("x", 100))
+	}
+	return b.String()
+}
+
+// Guards against a backend server that holds an answer, and cuts it off, as the caller reads
+// nothing.
+func TestACallerThatReadsNothingHoldsUpNoBackendServer(t *testing.T) {
+	text := longStream(200)
+	s, caller, body := routed(t, &scripted{}), newSlowCaller(), newCountedBody(text)
+	ended := streamTo(s, caller, body)
+	<-body.end
+	assert.Assert(t, s.memory.held() > 0)
+	close(caller.reads)
+	<-ended
+	assert.Equal(t, caller.got.String(), text)
+	assert.Equal(t, s.memory.held(), int64(0))
+}
+
+// Guards against an entry that runs out of memory by callers that read nothing.
+func TestWhatIsHeldForACallerIsBounded(t *testing.T) {
+	for _, limit := range []int64{4 << 10, 1 << 30} {
+		text := longStream(2000)
+		s, caller, body := routed(t, &scripted{}), newSlowCaller(), newCountedBody(text)
+		s.memory = newMemory(limit)
+		ended := streamTo(s, caller, body)
+		bound := min(limit, outboxLimit)
+		for s.memory.held() < bound-256 {
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(20 * time.Millisecond)
+		assert.Assert(t, s.memory.held() <= bound+256, "%d bytes held", s.memory.held())
+		assert.Assert(t, body.so() < int(bound)+2*eventBuffer, "%d bytes read", body.so())
+		close(caller.reads)
+		<-ended
+		assert.Equal(t, caller.got.String(), text)
+		assert.Equal(t, s.memory.held(), int64(0))
+	}
+}
+
+// Guards against whole answers that are read without a bound while others wait for their
+// callers, and against one that is not delivered for it.
+func TestAWholeAnswerWaitsForRoom(t *testing.T) {
+	s := routed(t, &scripted{answers: []func(backend.ForwardCall) (*backend.ForwardAnswer, error){answering(200, "whole", false)}})
+	s.memory = newMemory(answerChunk)
+	s.memory.force(1)
+	done := make(chan string)
+	go func() {
+		w, _, _ := send(s, Forwarded{Path: "/many/x"})
+		done <- w.Body.String()
+	}()
+	select {
+	case <-done:
+		t.Fatal("read without room")
+	case <-time.After(50 * time.Millisecond):
+	}
+	s.memory.give(1)
+	assert.Equal(t, <-done, "whole")
+	assert.Equal(t, s.memory.held(), int64(0))
+}
+
+// Guards against request bodies, sent on slowly by their callers or read slowly by backend
+// servers, that fill the memory.
+func TestRequestBodiesAreBoundedTogether(t *testing.T) {
+	s := routed(t, &scripted{})
+	s.memory = newMemory(1000)
+	first := s.HoldBody(strings.NewReader(strings.Repeat("a", 800)))
+	_, err := io.ReadAll(first)
+	assert.NilError(t, err)
+	second := s.HoldBody(strings.NewReader(strings.Repeat("b", 800)))
+	_, err = io.ReadAll(second)
+	assert.Assert(t, IsMemory(err))
+	second.Release()
+	first.Release()
+	assert.Equal(t, s.memory.held(), int64(0))
+	third := s.HoldBody(strings.NewReader(strings.Repeat("c", 800)))
+	_, err = io.ReadAll(third)
+	assert.NilError(t, err)
+}
--- a/internal/entry/rate_limits.go
+++ b/internal/entry/rate_limits.go
@@ -10,6 +10,7 @@
 
 	"github.com/citronstep/citronstep/internal/backend"
 	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/placement"
 )
 
 // rateLimits holds the rate limits of backend servers: what they name in their answers to
@@ -49,6 +50,15 @@
 	perSecond, before *float64
 }
 
+// limit returns the limit to be kept; nil for none.
+func (c limitChange) limit() *placement.RateLimit {
+	if c.perSecond == nil {
+		return nil
+	}
+	limit := placement.NamedLimit(*c.perSecond)
+	return &limit
+}
+
 const (
 	// confirmEvery is how often the board hears of a limit that stays. The leader ends
 	// those that nobody confirms.
@@ -199,7 +209,7 @@
 
 // limitRate puts a changed limit in force on this entry.
 func (s *Server) limitRate(c limitChange, source string) {
-	share := s.dispatcher.limitRate(time.Now(), c.incarnation, c.perSecond)
+	share := s.dispatcher.limitRate(time.Now(), c.incarnation, placement.Named, c.limit())
 	event := "rate_limit_ended"
 	if c.perSecond != nil {
 		event = "rate_limit_named"
--- a/internal/entry/rate_limits_test.go
+++ b/internal/entry/rate_limits_test.go
@@ -122,10 +122,10 @@
 
 // Guards against a request that waits for a place which opens right before its deadline.
 func TestARequestIsRefusedAtOnceForAPlaceThatComesTooLate(t *testing.T) {
-	s, perSecond := routed(t, &scripted{}), 0.5
+	s, limit := routed(t, &scripted{}), placement.NamedLimit(0.5)
 	now := time.Now()
 	for _, incarnation := range []string{"i-a", "i-b", "i-c"} {
-		s.dispatcher.limitRate(now, incarnation, &perSecond)
+		s.dispatcher.limitRate(now, incarnation, placement.Named, &limit)
 	}
 	for _, target := range []string{"a", "b", "c"} {
 		s.dispatcher.sentAlone(now, target)
--- a/internal/entry/refusals.go
+++ b/internal/entry/refusals.go
@@ -29,6 +29,16 @@
 		WithRan(failure.RanNo).WithRetryAfter(rateLimitedRetryAfter)
 }
 
+// evacuatedRetryAfter is about the time in which a group forms elsewhere.
+const evacuatedRetryAfter = time.Second
+
+// evacuatedEverywhere refuses a request whose backend servers all lie in data centres that
+// are evacuated.
+func evacuatedEverywhere() *failure.Error {
+	return failure.New(failure.TypeNoBackendServer, "all backend servers for this request are in data centres that are evacuated").
+		WithRan(failure.RanNo).WithRetryAfter(evacuatedRetryAfter)
+}
+
 // noGroupRetryAfter is about the time in which a broken group is replaced.
 const noGroupRetryAfter = 2 * time.Second
 
--- a/internal/entry/relay.go
+++ b/internal/entry/relay.go
@@ -52,7 +52,7 @@
 		return s.refusedAtDoor(c, e)
 	}
 	defer s.detach(running)
-	defer boundWrites(c, j)()
+	defer boundWrites(c.Response(), j)()
 	ctx, cancel := context.WithDeadline(c.Request().Context(), j.deadline)
 	defer cancel()
 	return relay(ctx, running)
@@ -89,8 +89,8 @@
 // boundWrites ends the connection of a caller that reads nothing: a blocked
 // write hears of no deadline but the connection's own. The function that it
 // returns takes the deadline off, for the connection's next request.
-func boundWrites(c echo.Context, j *job) func() {
-	connection := http.NewResponseController(c.Response())
+func boundWrites(w http.ResponseWriter, j *job) func() {
+	connection := http.NewResponseController(w)
 	// A connection that can't take deadlines is one of a test.
 	_ = connection.SetWriteDeadline(j.deadline.Add(writeGrace))
 	return func() { _ = connection.SetWriteDeadline(time.Time{}) }
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -75,8 +75,13 @@
 	byBoard bool
 	// progress is this entry's own view of the groups.
 	progress progressOf
-	// held says that a group gets nothing for a while by this entry's own view.
+	// held says that a group gets nothing for a while by this entry's own view, or that one
+	// is open for a moment more.
 	held bool
+	// evacuated are the targets that lie in a data centre that is evacuated.
+	evacuated map[string]bool
+	// regions are those of data centres.
+	regions map[string]string
 }
 
 // routable tells whether a group may get new work.
@@ -112,7 +117,8 @@
 	r := &routing{
 		now: time.Now(), board: s.o.Follower.Board(),
 		routes: make(map[string]route), loads: make(map[string]placement.Load), closed: make(map[string]string),
-		awaited: make(map[string]bool), byBoard: s.o.Settings.Deaf, progress: s.progress,
+		awaited: make(map[string]bool), byBoard: s.o.Settings.Deaf, progress: s.progress, evacuated: make(map[string]bool),
+		regions: s.o.Regions,
 	}
 	s.progress.follow(r.board)
 	s.o.Hearing.With(func(t *evidence.Table) {
@@ -123,10 +129,14 @@
 			r.addService(t, id)
 		}
 	})
+	s.followEvacuations(r.now, r.board)
+	emptied := r.evacuate(r.now, s.evacuations, time.Duration(s.o.Settings.EvacuateMillis)*time.Millisecond)
 	s.routedBy, s.routesHeld = r.board, r.held
 	s.logRouteChanges(r)
 	s.dispatcher.setEntries(callersEntries(r.board))
 	s.followRateLimits(r.board)
+	s.followCold(r.board)
+	s.dispatcher.setEvacuated(emptied)
 	s.dispatcher.setRoutes(r.now, r.routes, r.targets, r.awaited)
 	for id, l := range r.loads {
 		s.dispatcher.report(r.now, id, l)
@@ -158,6 +168,7 @@
 	r.routes[id] = route{
 		target:      id,
 		pool:        g.Model,
+		region:      r.regions[g.DataCentre],
 		busy:        r.busy(id),
 		address:     head.Address,
 		group:       g.ID,
@@ -170,8 +181,11 @@
 	for _, m := range g.Members {
 		r.routes[id].members[m.VM] = m.Incarnation
 	}
+	if r.board.EvacuatesGroup(g) {
+		r.evacuated[id] = true
+	}
 	r.targets = append(r.targets, placement.Target{
-		ID: id, Server: head.Incarnation, DataCentre: g.DataCentre, FabricDomain: g.FabricDomain, Model: g.Model,
+		ID: id, Server: head.Incarnation, DataCentre: g.DataCentre, Region: r.regions[g.DataCentre], FabricDomain: g.FabricDomain, Model: g.Model,
 		Capacity: capacity,
 	})
 }
@@ -224,14 +238,18 @@
 	r.routes[id] = route{
 		target:      id,
 		pool:        servicePool(i.Service),
+		region:      r.regions[i.DataCentre],
 		busy:        r.busy(id),
 		address:     i.Address,
 		head:        id,
 		incarnation: i.Incarnation,
 		members:     map[string]string{id: i.Incarnation},
 	}
+	if r.board.Evacuated(i.DataCentre) {
+		r.evacuated[id] = true
+	}
 	r.targets = append(r.targets, placement.Target{
-		ID: id, Server: i.Incarnation, DataCentre: i.DataCentre, Model: servicePool(i.Service), Plain: true,
+		ID: id, Server: i.Incarnation, DataCentre: i.DataCentre, Region: r.regions[i.DataCentre], Model: servicePool(i.Service), Plain: true,
 	})
 }
 
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -48,12 +48,14 @@
 type Options struct {
 	ID         string
 	DataCentre string
-	Settings   settings.Entry
-	Follower   Follower
-	Hearing    *hearing.Hearing
-	Client     backend.Client
-	Control    Committer
-	Logger     log.Logger
+	// Regions names the region of each data centre.
+	Regions  map[string]string
+	Settings settings.Entry
+	Follower Follower
+	Hearing  *hearing.Hearing
+	Client   backend.Client
+	Control  Committer
+	Logger   log.Logger
 	// RequestLinesPerSecond bounds the lines about requests; 0 is no bound.
 	RequestLinesPerSecond int
 	Metrics               *metrics.Entry
@@ -110,6 +112,12 @@
 	waits *callerWaits
 	// rateLimits are those that backend servers have named.
 	rateLimits *rateLimits
+	// memory bounds what is held for slow readers and writers.
+	memory *memory
+	// cold holds the limits of backend servers that are cold, and evacuations the data
+	// centres that are evacuated; the routes' loop alone uses them.
+	cold        map[string]placement.RateLimit
+	evacuations evacuations
 	// callers tells the controllers when the first request comes.
 	callers callers
 	// routing is what requests of routes are judged by.
@@ -136,6 +144,8 @@
 		progress:     make(progressOf),
 		waits:        newCallerWaits(time.Now().Add(time.Duration(h.Sum64() % uint64(waitsInterval)))),
 		rateLimits:   newRateLimits(),
+		evacuations:  make(evacuations),
+		memory:       newMemory(o.Settings.MaxHeldBytes),
 		configured:   make(chan struct{}),
 		started:      time.Now(),
 	}
--- a/internal/evidence/table.go
+++ b/internal/evidence/table.go
@@ -86,8 +86,10 @@
 	Epoch         uint64        `json:"epoch,omitempty"`
 	Phase         backend.Phase `json:"phase,omitempty"`
 	// AgeMillis is how long before the digest the sender heard it.
-	AgeMillis   int64         `json:"age_ms"`
-	Leaving     bool          `json:"leaving,omitempty"`
+	AgeMillis int64 `json:"age_ms"`
+	Leaving   bool  `json:"leaving,omitempty"`
+	// ColdMillis is how much longer it was cold when it was heard.
+	ColdMillis  int64         `json:"cold_ms,omitempty"`
 	Unreachable []string      `json:"unreachable,omitempty"`
 	Load        *backend.Load `json:"load,omitempty"`
 	// Detail is sent when it has changed since the receiver's cursor.
@@ -112,6 +114,12 @@
 	Gap time.Duration
 }
 
+// ColdUntil is until when the backend server is cold by what it announced; its past if it
+// is not.
+func (r *Report) ColdUntil() time.Time {
+	return r.HeardAt.Add(time.Duration(r.ColdMillis) * time.Millisecond)
+}
+
 type key struct {
 	kind backend.Kind
 	id   string
@@ -224,7 +232,7 @@
 	}
 	h := Heard{
 		Kind: a.Kind, ID: a.ID, Incarnation: a.Incarnation, StartedMillis: a.StartedMillis, Sequence: a.Sequence,
-		Group: a.Group, Epoch: a.Epoch, Phase: a.Phase, Leaving: a.Leaving,
+		Group: a.Group, Epoch: a.Epoch, Phase: a.Phase, Leaving: a.Leaving, ColdMillis: a.ColdMillis,
 		Unreachable: a.Unreachable, Load: a.Load,
 		Detail: &Detail{
 			Address: a.Address, DataCentre: a.DataCentre, FabricDomain: a.FabricDomain,
--- a/internal/evidence/wire/line.go
+++ b/internal/evidence/wire/line.go
@@ -33,6 +33,7 @@
 	lineNoLoad
 	lineDetail
 	lineStarted
+	lineCold
 )
 
 // ordinaryStep is the step of the sequence that is left out.
@@ -116,6 +117,9 @@
 	if last.StartedMillis != h.StartedMillis {
 		b = putUint(b, lineStarted, uint64(h.StartedMillis))
 	}
+	if last.ColdMillis != h.ColdMillis {
+		b = putUint(b, lineCold, uint64(h.ColdMillis))
+	}
 	return b
 }
 
@@ -207,6 +211,11 @@
 		err := v.asUint(&started)
 		h.StartedMillis = int64(started)
 		return err
+	case lineCold:
+		cold := uint64(0)
+		err := v.asUint(&cold)
+		h.ColdMillis = int64(min(cold, maxAge))
+		return err
 	case lineGroup:
 		return v.asString(&h.Group)
 	case lineEpoch:
--- a/internal/hearing/hearing.go
+++ b/internal/hearing/hearing.go
@@ -19,6 +19,9 @@
 	"github.com/citronstep/citronstep/internal/failure"
 )
 
+// maxColdMillis bounds for how long a backend server may say that it is cold: one hour.
+const maxColdMillis = 60 * 60 * 1000
+
 // maxAnnouncement bounds what a backend server may send at once, in bytes.
 const maxAnnouncement = 64 << 10
 
@@ -132,6 +135,9 @@
 	if a.Kind == backend.KindService && a.Service == "" {
 		return failure.New(failure.TypeBadRequest, "a service needs its name").WithDetail("service")
 	}
+	if a.ColdMillis < 0 || a.ColdMillis > maxColdMillis {
+		return failure.New(failure.TypeBadRequest, "cold_ms is 0 to 3600000").WithDetail("cold_ms")
+	}
 	return nil
 }
 
@@ -163,7 +169,7 @@
 			r, known = t.GetService(a.ID)
 		}
 		changed = !known || r.Incarnation != a.Incarnation || r.Group != a.Group || r.Epoch != a.Epoch ||
-			r.Phase != a.Phase || r.Leaving != a.Leaving
+			r.Phase != a.Phase || r.Leaving != a.Leaving || (a.ColdMillis > 0 && r.ColdMillis == 0)
 	})
 	return changed
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,8 +4,10 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/go-kit/log"
@@ -246,7 +248,7 @@
 	})
 	if e.Enabled {
 		n.entry = entry.NewServer(entry.Options{
-			ID: n.settings.VM, DataCentre: n.settings.DataCentre, Settings: e, Follower: n.follower, Hearing: n.hearing,
+			ID: n.settings.VM, DataCentre: n.settings.DataCentre, Regions: n.settings.Regions, Settings: e, Follower: n.follower, Hearing: n.hearing,
 			Client: n.backends, Control: client, Logger: n.decisions("entry"), RequestLinesPerSecond: n.settings.Log.RequestLinesPerSecond, Metrics: n.metrics.Entry(), Peers: &http.Client{Transport: n.peers.Transport},
 			Forwarder: n.forwarder(), Suspects: client,
 		})
@@ -255,7 +257,7 @@
 		c := n.settings.Control
 		n.control = control.NewServer(control.Options{
 			Machine: n.machine, Consensus: n.replica, Evidence: n.hearing, Orders: n.orders(),
-			MinDisks: c.MinDisks, Timing: n.timing(),
+			MinDisks: c.MinDisks, Timing: n.timing(), DataCentres: slices.Sorted(maps.Keys(n.settings.Regions)),
 			Logger: n.decisions("control"), VM: n.settings.VM, Step: n.controllerStep(), Metrics: n.metrics.Control(),
 			Lease:      time.Duration(c.ConfigLeaseMillis) * time.Millisecond,
 			OrderLease: time.Duration(c.TickMillis*int64(c.ElectionTicks)) * time.Millisecond,
--- a/internal/placement/bench_test.go
+++ b/internal/placement/bench_test.go
@@ -46,7 +46,7 @@
 	b.ReportAllocs()
 	for b.Loop() {
 		now = now.Add(cacheTime)
-		if p.HasRoom(now, "m", 50000, 0) {
+		if p.HasRoom(now, Request{Model: "m", Tokens: 50000}) {
 			b.Fatal("room")
 		}
 	}
--- a/internal/placement/health_test.go
+++ b/internal/placement/health_test.go
@@ -87,15 +87,15 @@
 		assert.Assert(t, c.ID >= "g004", c.ID)
 	}
 	p.SetTargets(start, groups(4))
-	assert.Assert(t, !p.HasRoom(start, "m", 100, 0))
-	assert.Assert(t, p.HasRoom(at(domainBackoff), "m", 100, 0))
+	assert.Assert(t, !p.HasRoom(start, Request{Model: "m", Tokens: 100}))
+	assert.Assert(t, p.HasRoom(at(domainBackoff), Request{Model: "m", Tokens: 100}))
 }
 
 func TestCancelledAttemptIsNoFault(t *testing.T) {
 	p := picker(1)
 	p.Started(start, "a", "g000", 100)
 	p.Finished(start, "a", Result{Cancelled: true})
-	assert.Assert(t, p.HasRoom(start, "m", 100, 0))
+	assert.Assert(t, p.HasRoom(start, Request{Model: "m", Tokens: 100}))
 	assert.Equal(t, p.targets["g000"].mine, 0)
 }
 
@@ -176,10 +176,10 @@
 	p := picker(1)
 	p.Started(start, "a", "g000", 100)
 	p.Finished(start, "a", Result{RetryAfter: 5 * time.Second})
-	assert.Assert(t, !p.HasRoom(at(4900*time.Millisecond), "m", 100, 0))
-	assert.Assert(t, p.HasRoom(at(5*time.Second), "m", 100, 0))
+	assert.Assert(t, !p.HasRoom(at(4900*time.Millisecond), Request{Model: "m", Tokens: 100}))
+	assert.Assert(t, p.HasRoom(at(5*time.Second), Request{Model: "m", Tokens: 100}))
 
 	p.Started(start, "b", "g000", 100)
 	p.Finished(start, "b", Result{RetryAfter: time.Hour})
-	assert.Assert(t, p.HasRoom(at(maxRetryAfter), "m", 100, 0))
+	assert.Assert(t, p.HasRoom(at(maxRetryAfter), Request{Model: "m", Tokens: 100}))
 }
--- a/internal/placement/options.go
+++ b/internal/placement/options.go
@@ -60,8 +60,10 @@
 	ID string
 	// Server is the backend server that takes the target's requests. Its rate limit holds
 	// for each target that it ever heads.
-	Server       string
-	DataCentre   string
+	Server     string
+	DataCentre string
+	// Region is that of its data centre; empty if none is known.
+	Region       string
 	FabricDomain string
 	// Model is the model or the plain service.
 	Model string
@@ -99,6 +101,8 @@
 	// Reserve is the part of each backend server, from 0 to 1, that this
 	// request must leave free for requests of greater worth.
 	Reserve float64
+	// Homes are the regions that may serve the request; nil is any.
+	Homes []string
 	// Exclude names backend servers that failed this request.
 	Exclude []string
 }
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -35,28 +35,35 @@
 	sort.Slice(p.targets, func(i, j int) bool { return p.targets[i].ID < p.targets[j].ID })
 }
 
-// HasRoom tells whether a request of this size and worth could be placed now.
-// reserve is the part of each server to be left free for greater worth.
-func (p *Picker) HasRoom(now time.Time, model string, tokens int, reserve float64) bool {
-	pool := p.pools[model]
+// HasRoom tells whether a request could be placed now.
+func (p *Picker) HasRoom(now time.Time, r Request) bool {
+	pool := p.pools[r.Model]
 	if pool == nil {
 		return false
 	}
-	tokens = max(1, tokens)
-	none := pool.full.lane(tokens >= p.options.LongTokens)
-	if none.covers(now, tokens, reserve) {
+	r.Tokens = max(1, r.Tokens)
+	none := pool.full.lane(r.Tokens >= p.options.LongTokens)
+	if none.covers(now, r.Tokens, r.Reserve) {
 		return false
 	}
-	if pool.room(now, tokens, reserve, &p.options) {
+	if pool.room(now, r, &p.options) {
 		return true
 	}
-	if pool.refresh(now) && pool.room(now, tokens, reserve, &p.options) {
+	if pool.refresh(now) && pool.room(now, r, &p.options) {
 		return true
 	}
-	none.remember(now, tokens, reserve)
+	if r.Homes == nil {
+		none.remember(now, r.Tokens, r.Reserve)
+	}
 	return false
 }
 
+// Serves tells whether a model has a target in one of the regions; nil is any.
+func (p *Picker) Serves(model string, homes []string) bool {
+	pool := p.pools[model]
+	return pool != nil && slices.ContainsFunc(pool.targets, func(t *target) bool { return t.within(homes) })
+}
+
 // choice collects the best and second best of the candidates.
 type choice struct {
 	best, second             *target
@@ -77,11 +84,11 @@
 }
 
 // Pick chooses a target for r. It returns false if the model has no target that r
-// doesn't exclude and that is open by its backend server's rate limit. A target without
+// doesn't exclude, that lies in its homes and is open by its backend server's rate limit. A target without
 // room is chosen only if none has.
 //
-// Holders of the prefix, the two servers it hashes to and two drawn at random
-// compete by load. Taking the least loaded of all instead would send every
+// Holders of the prefix, the two servers it hashes to, two drawn at random and those whose
+// limited rate this entry shares compete by load. Taking the least loaded of all instead would send every
 // entry's requests to one server until the next report.
 func (p *Picker) Pick(now time.Time, r Request) (Choice, bool) {
 	pool := p.pools[r.Model]
@@ -96,6 +103,7 @@
 	cached := p.offerCached(now, pool, r, &c)
 	p.offerAffinity(now, pool, r, &c)
 	p.offerRandom(now, pool, r, &c)
+	p.offerShared(now, pool, r, &c)
 	if c.best == nil || c.bestScore >= slowCost {
 		p.offerAll(now, pool, r, &c)
 	}
@@ -143,7 +151,12 @@
 
 // barred tells whether t may not be chosen for r at all.
 func (t *target) barred(now time.Time, r Request) bool {
-	return t.throttle.shut(now) || excluded(t, r.Exclude)
+	return t.throttle.shut(now) || excluded(t, r.Exclude) || !t.within(r.Homes)
+}
+
+// within tells whether t lies in one of the regions; nil is any.
+func (t *target) within(homes []string) bool {
+	return homes == nil || slices.Contains(homes, t.Region)
 }
 
 func excluded(t *target, exclude []string) bool {
@@ -225,6 +238,19 @@
 	}
 }
 
+// offerShared offers the targets of which this entry has a share: few entries do, and in a
+// large pool two draws at random would seldom meet them.
+func (p *Picker) offerShared(now time.Time, pool *pool, r Request, c *choice) {
+	if len(p.throttles) == 0 {
+		return
+	}
+	for _, t := range pool.targets {
+		if t.throttle != nil && !t.barred(now, r) {
+			c.offer(t, p.score(now, t, r), ReasonTwoChoices)
+		}
+	}
+}
+
 func (p *Picker) offerAll(now time.Time, pool *pool, r Request, c *choice) {
 	for _, t := range pool.targets {
 		if c.second != nil && t.leastScore(&r) >= c.secondScore {
--- a/internal/placement/picker_test.go
+++ b/internal/placement/picker_test.go
@@ -124,9 +124,9 @@
 	p.Report(at(time.Second), "g000", Load{Running: 1, TokensInFlight: 4500, At: at(500 * time.Millisecond)})
 	// The others hold an eighth as much and are taken to have sent as much more.
 	assert.Equal(t, p.targets["g000"].load, 4500+5000*1.125)
-	assert.Assert(t, !p.HasRoom(at(time.Second), "m", 2000, 0))
+	assert.Assert(t, !p.HasRoom(at(time.Second), Request{Model: "m", Tokens: 2000}))
 	p.Finished(at(time.Second), "unseen", Result{OK: true})
-	assert.Assert(t, p.HasRoom(at(time.Second), "m", 2000, 0))
+	assert.Assert(t, p.HasRoom(at(time.Second), Request{Model: "m", Tokens: 2000}))
 }
 
 // A group is full with work of another entry when its reports cease to come. It
@@ -134,8 +134,8 @@
 func TestTargetThatCeasedToReportIsUsedAgain(t *testing.T) {
 	p := picker(1)
 	p.Report(start, "g000", Load{Running: 9, TokensInFlight: 10000, At: start})
-	assert.Assert(t, !p.HasRoom(at(time.Second), "m", 500, 0))
-	assert.Assert(t, p.HasRoom(at(2*staleAfter), "m", 500, 0))
+	assert.Assert(t, !p.HasRoom(at(time.Second), Request{Model: "m", Tokens: 500}))
+	assert.Assert(t, p.HasRoom(at(2*staleAfter), Request{Model: "m", Tokens: 500}))
 }
 
 // One engine's clock is an hour ahead. Its reports are still taken in.
@@ -166,7 +166,7 @@
 	low := limit()
 	for i := range 20 {
 		now := at(time.Duration(10+i) * time.Second)
-		assert.Assert(t, !p.HasRoom(now, "m", 4000, 0))
+		assert.Assert(t, !p.HasRoom(now, Request{Model: "m", Tokens: 4000}))
 		p.Report(now, "g000", Load{Running: 10, TokensInFlight: 10000, At: now})
 	}
 	assert.Assert(t, limit() > low*1.5)
@@ -189,7 +189,7 @@
 	p := New(Options{DataCentre: "dc"})
 	p.SetTargets(start, []Target{{ID: "s", DataCentre: "dc", Model: "files", Plain: true}})
 	calls := 0
-	for p.HasRoom(start, "files", 1, 0) {
+	for p.HasRoom(start, Request{Model: "files", Tokens: 1}) {
 		p.Started(start, fmt.Sprint(calls), "s", 1)
 		calls++
 	}
@@ -245,8 +245,8 @@
 	p := picker(1)
 	p.Started(start, "long", "g000", 5000)
 	p.Progress(start, "long", 1)
-	assert.Assert(t, !p.HasRoom(start, "m", 4200, 0))
-	assert.Assert(t, p.HasRoom(start, "m", 3000, 0))
+	assert.Assert(t, !p.HasRoom(start, Request{Model: "m", Tokens: 4200}))
+	assert.Assert(t, p.HasRoom(start, Request{Model: "m", Tokens: 3000}))
 }
 
 // Drafts come together. Lookups placed behind their prompts would wait for all
@@ -255,18 +255,18 @@
 	p := New(Options{DataCentre: "dc"})
 	p.SetTargets(start, []Target{{ID: "g", DataCentre: "dc", Model: "m", Capacity: 100000}})
 	p.Started(start, "first", "g", 5000)
-	assert.Assert(t, !p.HasRoom(start, "m", 5000, 0))
-	assert.Assert(t, p.HasRoom(start, "m", 500, 0))
+	assert.Assert(t, !p.HasRoom(start, Request{Model: "m", Tokens: 5000}))
+	assert.Assert(t, p.HasRoom(start, Request{Model: "m", Tokens: 500}))
 	p.Progress(start, "first", 1)
-	assert.Assert(t, p.HasRoom(start, "m", 5000, 0))
+	assert.Assert(t, p.HasRoom(start, Request{Model: "m", Tokens: 5000}))
 }
 
 func TestReserveKeepsRoomForGreaterWorth(t *testing.T) {
 	p := picker(1)
 	p.Started(start, "a", "g000", 4000)
 	p.Started(start, "b", "g000", 4000)
-	assert.Assert(t, !p.HasRoom(start, "m", 1500, 0.1))
-	assert.Assert(t, p.HasRoom(start, "m", 1500, 0))
+	assert.Assert(t, !p.HasRoom(start, Request{Model: "m", Tokens: 1500, Reserve: 0.1}))
+	assert.Assert(t, p.HasRoom(start, Request{Model: "m", Tokens: 1500}))
 }
 
 // One data centre of three goes away. Its targets are unlisted; the own data
@@ -331,7 +331,7 @@
 		p := New(Options{Seed: seed, DataCentre: "dc"})
 		p.SetEntries([]string{"a", "b", "c", "d", "e", "f"})
 		p.SetTargets(start, groups(targets))
-		for n := 0; p.HasRoom(start, "m", tokens, 0); n++ {
+		for n := 0; p.HasRoom(start, Request{Model: "m", Tokens: tokens}); n++ {
 			c, ok := p.Pick(start, Request{ID: fmt.Sprint(n), Model: "m", Tokens: tokens})
 			assert.Assert(t, ok)
 			p.Started(start, fmt.Sprint(n), c.ID, tokens)
--- a/internal/placement/pool.go
+++ b/internal/placement/pool.go
@@ -48,9 +48,9 @@
 }
 
 // room tells whether the request fits on some target.
-func (p *pool) room(now time.Time, tokens int, reserve float64, o *Options) bool {
+func (p *pool) room(now time.Time, r Request, o *Options) bool {
 	for _, t := range p.targets {
-		if t.room(now, tokens, reserve, o) {
+		if t.within(r.Homes) && t.room(now, r.Tokens, r.Reserve, o) {
 			return true
 		}
 	}
--- a/internal/placement/throttle_test.go
+++ b/internal/placement/throttle_test.go
@@ -66,9 +66,10 @@
 	p, now := w.pickers[entry], at(after)
 	if after >= limitedAt+100*time.Millisecond && len(w.arrivals) > 0 && !w.known[entry] {
 		w.known[entry] = true
-		p.LimitRate(now, "s0", &w.limit)
+		limit := NamedLimit(w.limit)
+		p.LimitRate(now, "s0", Named, &limit)
 	}
-	if !p.HasRoom(now, "m", 100, 0) {
+	if !p.HasRoom(now, Request{Model: "m", Tokens: 100}) {
 		w.refused++
 		return
 	}
@@ -132,7 +133,7 @@
 
 // Guards against requests of before that come on top of the limit.
 func TestRequestsOfBeforeCountAgainstARateLimit(t *testing.T) {
-	limit := 2.0
+	limit := NamedLimit(2)
 	busy, idle := picker(1), picker(1)
 	for _, p := range []*Picker{busy, idle} {
 		list := groups(1)
@@ -142,8 +143,8 @@
 	for i := range 10 {
 		busy.Started(start, fmt.Sprint(i), "g000", 1)
 	}
-	busy.LimitRate(at(time.Second), "s", &limit)
-	idle.LimitRate(at(time.Second), "s", &limit)
+	busy.LimitRate(at(time.Second), "s", Named, &limit)
+	idle.LimitRate(at(time.Second), "s", Named, &limit)
 	assert.Assert(t, !idle.Shut(at(time.Second), "g000"))
 	assert.Assert(t, busy.Shut(at(4900*time.Millisecond), "g000"))
 	assert.Assert(t, !busy.Shut(at(time.Second+countedFor), "g000"))
@@ -151,21 +152,21 @@
 
 // Guards against a limit that is forgotten when another group forms behind the same head.
 func TestARateLimitOutlivesTheGroup(t *testing.T) {
-	limit := 1.0
+	limit := NamedLimit(1)
 	list := groups(2)
 	list[0].Server, list[1].Server = "s", "s"
 	p := picker(0)
 	p.SetTargets(start, list[:1])
-	p.LimitRate(start, "s", &limit)
+	p.LimitRate(start, "s", Named, &limit)
 	p.Started(start, "a", "g000", 1)
 	p.SetTargets(start, list[1:])
 	assert.Assert(t, p.Shut(at(900*time.Millisecond), "g001"))
 	assert.Assert(t, !p.Shut(at(time.Second), "g001"))
 
-	opens, throttled := p.Throttled(at(900*time.Millisecond), "m", nil)
+	opens, _, throttled := p.Throttled(at(900*time.Millisecond), Request{Model: "m"})
 	assert.Assert(t, throttled)
 	assert.Equal(t, opens, at(time.Second))
-	p.LimitRate(start, "s", nil)
+	p.LimitRate(start, "s", Named, nil)
 	assert.Assert(t, !p.Shut(start, "g001"))
 }
 
@@ -188,22 +189,22 @@
 
 // Guards against requests that wait for more places than the rate limits leave.
 func TestPlacesWithinRateLimits(t *testing.T) {
-	limit := 2.0
+	limit := NamedLimit(2)
 	p := picker(2)
 	list := groups(2)
 	list[0].Server, list[1].Server = "a", "b"
 	p.SetTargets(start, list)
-	p.LimitRate(start, "a", &limit)
-	_, limited := p.Places(start, at(time.Second), "m")
+	p.LimitRate(start, "a", Named, &limit)
+	_, limited := p.Places(start, at(time.Second), "m", nil)
 	assert.Assert(t, !limited, "b takes any number")
-	p.LimitRate(start, "b", &limit)
-	places, limited := p.Places(start, at(time.Second), "m")
+	p.LimitRate(start, "b", Named, &limit)
+	places, limited := p.Places(start, at(time.Second), "m", nil)
 	assert.Assert(t, limited)
 	assert.Equal(t, places, 6)
 	p.Started(start, "x", "g000", 1)
 	p.Started(start, "y", "g001", 1)
-	places, _ = p.Places(start, at(time.Second), "m")
+	places, _ = p.Places(start, at(time.Second), "m", nil)
 	assert.Equal(t, places, 4)
-	places, _ = p.Places(start, at(100*time.Millisecond), "m")
+	places, _ = p.Places(start, at(100*time.Millisecond), "m", nil)
 	assert.Equal(t, places, 0)
 }
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -18,6 +18,8 @@
 	// maxBody keeps one caller from holding more memory than a small VM can
 	// spare; the limit is multiplied by the open requests.
 	maxBody = 64 << 20
+	// maxHeld is far past the memory of one small VM.
+	maxHeld = 16 << 30
 	// maxOpenRequests is far past what one small VM relays.
 	maxOpenRequests = 1 << 20
 	hourMillis      = 3_600_000
@@ -74,6 +76,7 @@
 		c.advertised("entry.advertise", e.Advertise, "entry.listen")
 	}
 	c.between("entry.max_body_bytes", e.MaxBodyBytes, 1, maxBody)
+	c.between("entry.max_held_bytes", e.MaxHeldBytes, 1, maxHeld)
 	c.between("entry.max_open", int64(e.MaxOpen), 1, maxOpenRequests)
 	c.between("entry.default_timeout_ms", e.DefaultTimeoutMillis, 1, hourMillis)
 	c.between("entry.header_timeout_ms", e.HeaderTimeoutMillis, 1, minuteMillis)
@@ -85,9 +88,10 @@
 	if !c.Has("entry.retry_ratio") && (e.RetryRatio < 0 || e.RetryRatio > 1) {
 		c.Fault("entry.retry_ratio", quoted(strconv.FormatFloat(e.RetryRatio, 'g', -1, 64)), "0 to 1")
 	}
-	if !c.Has("entry.retries_per_second") && e.RetriesPerSecond < 0 {
-		c.Fault("entry.retries_per_second", quoted(strconv.FormatFloat(e.RetriesPerSecond, 'g', -1, 64)), "0 or more")
-	}
+	c.atLeast("entry.retries_per_second", e.RetriesPerSecond, 0)
+	c.between("entry.evacuate_ms", e.EvacuateMillis, 0, hourMillis)
+	c.atLeast("entry.cold_factor", e.ColdFactor, 1)
+	c.atLeast("entry.cold_slack", e.ColdSlack, 0)
 }
 
 func (s *Settings) checkControl(c checker) {
@@ -193,4 +197,11 @@
 		strconv.FormatInt(low, 10)+" to "+strconv.FormatInt(high, 10))
 }
 
+func (c checker) atLeast(key string, value, low float64) {
+	if c.Has(key) || value >= low {
+		return
+	}
+	c.Fault(key, quoted(strconv.FormatFloat(value, 'g', -1, 64)), strconv.FormatFloat(low, 'g', -1, 64)+" or more")
+}
+
 func quoted(value string) string { return "\"" + strings.ToValidUTF8(value, "?") + "\"" }
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -8,6 +8,7 @@
 const (
 	DefaultMaxBodyBytes            = 1 << 20
 	DefaultMaxOpen                 = 4096
+	DefaultMaxHeldBytes            = 64 << 20
 	DefaultTimeoutMillis           = 60_000
 	DefaultHeaderTimeoutMillis     = 2_000
 	DefaultFirstTokenTimeoutMillis = 10_000
@@ -31,6 +32,10 @@
 	DefaultRetryRatio = 0.1
 	// DefaultRetriesPerSecond lets an idle system retry at all.
 	DefaultRetriesPerSecond = 1
+	DefaultEvacuateMillis   = 5_000
+	// DefaultColdFactor leaves half of the stated rate for requests that come in bursts.
+	DefaultColdFactor = 1.5
+	DefaultColdSlack  = 1
 )
 
 func defaults() *Settings {
@@ -38,6 +43,7 @@
 		Entry: Entry{
 			MaxBodyBytes:            DefaultMaxBodyBytes,
 			MaxOpen:                 DefaultMaxOpen,
+			MaxHeldBytes:            DefaultMaxHeldBytes,
 			DefaultTimeoutMillis:    DefaultTimeoutMillis,
 			HeaderTimeoutMillis:     DefaultHeaderTimeoutMillis,
 			FirstTokenTimeoutMillis: DefaultFirstTokenTimeoutMillis,
@@ -47,6 +53,9 @@
 			RampMillis:              DefaultRampMillis,
 			RetryRatio:              DefaultRetryRatio,
 			RetriesPerSecond:        DefaultRetriesPerSecond,
+			EvacuateMillis:          DefaultEvacuateMillis,
+			ColdFactor:              DefaultColdFactor,
+			ColdSlack:               DefaultColdSlack,
 		},
 		Control: Control{
 			Voters:            DefaultVoters,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -12,6 +12,8 @@
 	Peers      Peers   `toml:"peers"`
 	Log        Log     `toml:"log"`
 	Adapter    Adapter `toml:"adapter"`
+	// Regions names the region of each data centre.
+	Regions map[string]string `toml:"regions"`
 }
 
 // Entry are the settings of the entry role.
@@ -23,6 +25,9 @@
 	Advertise string `toml:"advertise"`
 	// MaxBodyBytes bounds a request's body.
 	MaxBodyBytes int64 `toml:"max_body_bytes"`
+	// MaxHeldBytes bounds the request bodies and the answers that this entry holds for
+	// callers and backend servers that read or write slowly.
+	MaxHeldBytes int64 `toml:"max_held_bytes"`
 	// MaxOpen bounds the open requests of this entry.
 	MaxOpen int `toml:"max_open"`
 	// DefaultTimeoutMillis is the deadline of a request whose header and
@@ -56,6 +61,14 @@
 	// add: a part of the requests, and a number for all entries together.
 	RetryRatio       float64 `toml:"retry_ratio"`
 	RetriesPerSecond float64 `toml:"retries_per_second"`
+	// EvacuateMillis is the time in which the evacuation of a data centre must be in force
+	// on all entries.
+	EvacuateMillis int64 `toml:"evacuate_ms"`
+	// ColdFactor and ColdSlack are what a cold backend server bears of all entries together
+	// in any second: a factor on the rate that its service states, and a number of requests
+	// beside it.
+	ColdFactor float64 `toml:"cold_factor"`
+	ColdSlack  float64 `toml:"cold_slack"`
 }
 
 // Adapter are the settings of the interface to a platform, for processes that
--- a/internal/tool/events.go
+++ b/internal/tool/events.go
@@ -26,7 +26,7 @@
 			f := eventFlags{}
 			set.Uint64Var(&f.after, "after", 0, "show events past this sequence number")
 			set.BoolVar(&f.follow, "follow", false, "go on until interrupted")
-			set.StringVar(&f.kind, "kind", "", "only group, vm, entry, configuration or replica")
+			set.StringVar(&f.kind, "kind", "", "only group, vm, entry, configuration, evacuation or replica")
 			return func(i *invocation) error { return i.events(f) }
 		},
 	}
--- a/internal/tool/fake_test.go
+++ b/internal/tool/fake_test.go
@@ -47,6 +47,9 @@
 	mux.HandleFunc("POST "+adminapi.PathWholeConfiguration, f.replace)
 	mux.HandleFunc("GET "+adminapi.PathInForce, f.inForce)
 	mux.HandleFunc("GET "+adminapi.PathEvents, f.nextEvents)
+	mux.HandleFunc("GET "+adminapi.PathEvacuations, f.evacuations)
+	mux.HandleFunc("POST "+adminapi.PathEvacuations+"/{name}", f.evacuate)
+	mux.HandleFunc("DELETE "+adminapi.PathEvacuations+"/{name}", f.evacuate)
 	f.Server = httptest.NewServer(f.authenticated(mux))
 	t.Cleanup(f.Close)
 	return f
@@ -114,6 +117,27 @@
 	return result
 }
 
+func (f *fakeAdmin) evacuate(w http.ResponseWriter, r *http.Request) {
+	var outcome blackboard.EvacuationOutcome
+	order := blackboard.SetEvacuation{DataCentre: r.PathValue("name"), End: r.Method == http.MethodDelete, NowMillis: 1_700_000_000_000}
+	_ = json.Unmarshal(f.apply(order), &outcome)
+	answer(w, adminapi.EvacuationReply{Revision: outcome.Revision, Changed: outcome.Changed})
+}
+
+func (f *fakeAdmin) evacuations(w http.ResponseWriter, _ *http.Request) {
+	list := adminapi.Evacuations{}
+	for _, name := range sortedKeys(f.board.Evacuations) {
+		row := f.board.Evacuations[name]
+		e := adminapi.Evacuation{DataCentre: name, SinceMillis: row.SinceMillis, Revision: row.Revision, InForce: f.pending == 0}
+		if f.pending > 0 {
+			f.pending--
+			e.Pending = []string{"entry-1"}
+		}
+		list.Evacuations = append(list.Evacuations, e)
+	}
+	answer(w, list)
+}
+
 func (f *fakeAdmin) configuration(w http.ResponseWriter, _ *http.Request) { answer(w, f.board.Config) }
 
 func (f *fakeAdmin) change(w http.ResponseWriter, r *http.Request) {
--- a/internal/tool/tool.go
+++ b/internal/tool/tool.go
@@ -46,7 +46,7 @@
 	return []command{
 		initCommand(), statusCommand(), applyCommand(), diffCommand(), replaceCommand(),
 		presetCommand(), workspaceCommand(), groupCommand(),
-		drainCommand(), undrainCommand(), eventsCommand(), explainCommand(), poolsCommand(), loadCommand(),
+		drainCommand(), undrainCommand(), evacuateCommand(), returnCommand(), eventsCommand(), explainCommand(), poolsCommand(), loadCommand(),
 	}
 }
 
