Layouts spread each model over data centres

Cause: the layout gave both domains of c to the narrow model, 8 of its 12 groups, and both of b to the wide one. The plan weighed models and domains and knew nothing of data centres, so that chance decided whether one of them held most of a model. The same holds for the loss of a data centre.

Ruled out: the throttle of cold servers (none is cold at that time), waiting for repairs (126 of 138 VMs serve).

Domains of a pool in one data centre are weighed as before.

--- a/internal/controller/packing.go
+++ b/internal/controller/packing.go
@@ -124,7 +124,7 @@
 		}
 		d := domains[vm.FabricDomain]
 		if d == nil {
-			d = &packing.Domain{Name: vm.FabricDomain, Groups: make(map[string]int)}
+			d = &packing.Domain{Name: vm.FabricDomain, DataCentre: vm.DataCentre, Groups: make(map[string]int)}
 			domains[vm.FabricDomain] = d
 		}
 		row := packed(v, vm)
--- a/internal/placement/packing/packing.go
+++ b/internal/placement/packing/packing.go
@@ -22,7 +22,8 @@
 // worth most where there are fewest. Groups are counted as what is left of them on
 // average while some VMs are away (expect.go), and less while they wait for VMs or have
 // to load (outlook.go): a layout that can't be filled is worth what it serves until then,
-// which is nothing.
+// which is nothing. With some weight, what is left while one data centre is lost or evacuated
+// counts as well (centres.go), so that no data centre holds most groups of a model.
 package packing
 
 import (
@@ -76,7 +77,9 @@
 // Domain is one fabric domain.
 type Domain struct {
 	Name string
-	VMs  []VM
+	// DataCentre is that of its VMs, or of one of them.
+	DataCentre string
+	VMs        []VM
 	// Groups counts the groups that stand, by model.
 	Groups map[string]int
 	// Before is what was chosen for it before; nil if nothing was.
@@ -114,8 +117,10 @@
 	outlook  Outlook
 	starting bool
 	places   []place
-	// sums are the groups of each model over all domains, as they count.
-	sums []float64
+	// sums are the groups of each model over all domains, as they count, and centres those
+	// of each data centre.
+	sums    []float64
+	centres []centre
 	// known are the means that were computed before.
 	known map[expectation]float64
 	// kinds are those of the places, by their options.
@@ -133,8 +138,10 @@
 type place struct {
 	options []option
 	chosen  int
-	// kind is the same for places with the same options.
+	// kind is the same for places with the same options in one data centre.
 	kind int
+	// centre is the index of its data centre.
+	centre int
 	// settled says that the choice was made before.
 	settled bool
 }
@@ -160,19 +167,19 @@
 // add takes in one domain and chooses for it what was chosen before, as far as
 // its VMs still make it, or else what is worth most next to the domains before it.
 func (p *plan) add(d Domain) {
-	pl := place{options: p.options(d), settled: d.Before != nil}
-	pl.kind = p.kindOf(pl.options)
+	pl := place{options: p.options(d), settled: d.Before != nil, centre: p.centreOf(d.DataCentre)}
+	pl.kind = p.kindOf(pl)
 	pl.chosen = p.best(pl, -1)
 	if pl.settled {
 		pl.chosen = p.nearest(pl.options, d.Before)
 	}
-	p.count(pl.options[pl.chosen], 1)
+	p.count(pl, pl.chosen, 1)
 	p.places = append(p.places, pl)
 }
 
-// kindOf returns a number that is the same for equal options.
-func (p *plan) kindOf(options []option) int {
-	key := fmt.Sprint(options)
+// kindOf returns a number that is the same for equal options in one data centre.
+func (p *plan) kindOf(pl place) int {
+	key := fmt.Sprint(pl.centre, pl.options)
 	kind, known := p.kinds[key]
 	if !known {
 		kind = len(p.kinds)
@@ -181,34 +188,27 @@
 	return kind
 }
 
-func (p *plan) count(o option, sign float64) {
-	for i, c := range o.counts {
+// count adds one of a place's options to the sums, or takes it off.
+func (p *plan) count(pl place, chosen int, sign float64) {
+	in := p.centres[pl.centre].sums
+	for i, c := range pl.options[chosen].counts {
 		p.sums[i] += sign * c
+		in[i] += sign * c
 	}
 }
 
-// worth is what the sums are worth together with one more option.
-func (p *plan) worth(o option) float64 {
-	total, shares := 0.0, 0.0
-	for i, m := range p.models {
-		total += m.Share * math.Log(max(none, p.sums[i]+o.counts[i]))
-		shares += m.Share
-	}
-	return total / max(shares, none)
-}
-
 // best returns the option that is worth most; keep is chosen unless another gains
 // enough, -1 for none.
 func (p *plan) best(pl place, keep int) int {
 	best, worth := 0, math.Inf(-1)
 	if keep >= 0 {
-		best, worth = keep, p.worth(pl.options[keep])+least
+		best, worth = keep, p.worth(pl, keep)+least
 		if !pl.settled {
 			worth -= least
 		}
 	}
-	for i, o := range pl.options {
-		if w := p.worth(o); i != keep && w > worth+1e-9 {
+	for i := range pl.options {
+		if w := p.worth(pl, i); i != keep && w > worth+1e-9 {
 			best, worth = i, w
 		}
 	}
@@ -247,11 +247,11 @@
 
 func (p *plan) improveOne(i int) bool {
 	pl := &p.places[i]
-	p.count(pl.options[pl.chosen], -1)
+	p.count(*pl, pl.chosen, -1)
 	next := p.best(*pl, pl.chosen)
 	changed := next != pl.chosen
 	pl.chosen = next
-	p.count(pl.options[pl.chosen], 1)
+	p.count(*pl, pl.chosen, 1)
 	return changed
 }
 
@@ -282,28 +282,28 @@
 }
 
 func (p *plan) exchange(a, b *place) bool {
-	p.count(a.options[a.chosen], -1)
-	p.count(b.options[b.chosen], -1)
+	p.count(*a, a.chosen, -1)
+	p.count(*b, b.chosen, -1)
 	wasA, wasB := a.chosen, b.chosen
-	best := p.worthOfTwo(a.options[wasA], b.options[wasB]) + 1e-9
-	for i, x := range a.options {
-		for j, y := range b.options {
-			if w := p.worthOfTwo(x, y); w > best {
+	best := math.Inf(-1)
+	for i := range a.options {
+		p.count(*a, i, 1)
+		for j := range b.options {
+			w := p.worth(*b, j)
+			if i == wasA && j == wasB {
+				w += 1e-9
+			}
+			if w > best {
 				best, a.chosen, b.chosen = w, i, j
 			}
 		}
+		p.count(*a, i, -1)
 	}
-	p.count(a.options[a.chosen], 1)
-	p.count(b.options[b.chosen], 1)
+	p.count(*a, a.chosen, 1)
+	p.count(*b, b.chosen, 1)
 	return a.chosen != wasA || b.chosen != wasB
 }
 
-func (p *plan) worthOfTwo(x, y option) float64 {
-	p.count(x, 1)
-	defer p.count(x, -1)
-	return p.worth(y)
-}
-
 // options returns the layouts of a domain: all that its VMs make beside the groups
 // that stand. Those that leave room for a further group are among them, as what
 // stands by may be worth more.
--- a/internal/placement/packing/packing_test.go
+++ b/internal/placement/packing/packing_test.go
@@ -73,6 +73,10 @@
 		ms := models(2+r.IntN(5), 1+r.IntN(4), 0.2+0.6*r.Float64())
 		domains := pool(1+r.IntN(3), 3+r.IntN(9))
 		starting := r.IntN(2) == 0
+		centres := 1 + r.IntN(3)
+		for i := range domains {
+			domains[i].DataCentre = fmt.Sprint("dc-", i%centres)
+		}
 		got := newPlan(ms, Usual(), starting)
 		for _, d := range domains {
 			got.add(d)
@@ -80,22 +84,28 @@
 		got.improve()
 		best := newPlan(ms, Usual(), starting)
 		most := search(best, domains)
-		worth := got.worth(option{counts: make([]float64, len(ms))})
+		worth := got.worth(nothing(len(ms)), 0)
 		assert.Assert(t, worth > most-0.02, "worth %.4f, best %.4f, %d domains of %d, sizes %d and %d",
 			worth, most, len(domains), len(domains[0].VMs), ms[1].Size, ms[0].Size)
 	}
 }
 
+// nothing is a place that adds no groups.
+func nothing(models int) place {
+	return place{options: []option{{counts: make([]float64, models)}}}
+}
+
 // search returns the worth of the best choice for all domains.
 func search(p *plan, domains []Domain) float64 {
 	if len(domains) == 0 {
-		return p.worth(option{counts: make([]float64, len(p.models))})
+		return p.worth(nothing(len(p.models)), 0)
 	}
 	best := math.Inf(-1)
-	for _, o := range p.options(domains[0]) {
-		p.count(o, 1)
+	pl := place{options: p.options(domains[0]), centre: p.centreOf(domains[0].DataCentre)}
+	for i := range pl.options {
+		p.count(pl, i, 1)
 		best = max(best, search(p, domains[1:]))
-		p.count(o, -1)
+		p.count(pl, i, -1)
 	}
 	return best
 }
