--- a/internal/admission/loans_test.go
+++ b/internal/admission/loans_test.go
@@ -15,7 +15,7 @@
 	bornRatio = 0.2
 	// ownRatio is what entries go by: the most of a count that goes up and down is over its mean.
 	ownRatio = 0.13
-	bornSpan  = 10 * time.Second
+	bornSpan = 10 * time.Second
 )
 
 // retryFleet are entries that send requests to one service and repeat those that fail.
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -16,7 +16,7 @@
 
 // maxWatchWait bounds how long a watch is held, so that an entry's lease,
 // counted from when it sent the watch, is renewed well before it runs out.
-const maxWatchWait = time.Second
+const maxWatchWait = 1500 * time.Millisecond
 
 // Watch answers an entry's long poll: what changed since its revision, and a
 // new lease on the configuration that it then holds.
