Control processes that do not lead answer watches of a large fleet

What grows with the fleet: each entry asks the leader twice a second, and each change of the board is an answer to each. At 986 entries that is 1,972 renewals a second and up to 2,465 answers while changes come quickly, where 800 were meant (control/slots.go: the time between two slots is cut at 400 ms); and while nobody leads, all entries ask again every 50 ms.

Change: from 400 entries on a watch may be spread. It goes to one of all control processes, by rendezvous hashing; one that does not lead answers it from its applied log, with a lease that the leader has renewed since the watch came, in one message for all entries that wait, ten times a second at most. No lease comes with a board behind the leader's at the time of the grant, so "in force" holds as before. While nobody leads the watch is held. Entries that are not registered, or are ahead, are left to the leader. Below 400 entries nothing changes.

--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -51,6 +51,9 @@
 
 // Run runs the controllers while this process leads, until the context ends.
 func (s *Server) Run(ctx context.Context) {
+	if s.o.Renewer != nil {
+		go s.renewLoop(ctx)
+	}
 	ticker := time.NewTicker(s.o.Step)
 	defer ticker.Stop()
 	var o *office
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -62,6 +62,9 @@
 	// MinDisks is how many disks must hold a change before it is acknowledged;
 	// 0 leaves it to the majority of whatever voters there are.
 	MinDisks int
+	// Renewer renews leases through the leader; nil if this process answers no watches for
+	// another one.
+	Renewer Renewer
 	// VM is this machine's name.
 	VM string
 	// DataCentres are those that the settings name; the board may know others.
@@ -78,6 +81,7 @@
 	// rateLimits is used by Run alone.
 	rateLimits rateLimitAges
 	term       uint64
+	relay      *relay
 	events     *eventLog
 	meter      meter
 	// stalls holds what entries told of groups without progress.
@@ -91,7 +95,7 @@
 // NewServer returns a server; Run makes it work.
 func NewServer(o Options) *Server {
 	return &Server{
-		o: o, woken: make(chan struct{}, 1), stalls: controller.NewStalls(), events: newEventLog(),
+		o: o, woken: make(chan struct{}, 1), stalls: controller.NewStalls(), events: newEventLog(), relay: newRelay(),
 		leases: newLeases(o.Lease, clock.Now()), rateLimits: make(rateLimitAges),
 	}
 }
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -16,12 +16,15 @@
 
 // maxWatchWait bounds how long a watch is held, so that an entry's lease,
 // counted from when it sent the watch, is renewed well before it runs out.
-const maxWatchWait = 1500 * time.Millisecond
+const maxWatchWait = time.Second
 
 // Watch answers an entry's long poll: what changed since its revision, and a
 // new lease on the configuration that it then holds.
 func (s *Server) Watch(ctx context.Context, r *noderpc.WatchRequest) (*noderpc.WatchReply, error) {
 	if _, err := s.leading(); err != nil {
+		if r.Spread && s.o.Renewer != nil {
+			return s.relayWatch(ctx, r)
+		}
 		return nil, rpcError(err)
 	}
 	if err := s.admitEntry(ctx, r); err != nil {
@@ -29,16 +32,24 @@
 	}
 	s.acknowledge(r)
 	if s.waitForChange(ctx, r) && r.HaveRevision > 0 {
-		s.waitForSlot(ctx, r.EntryId)
+		s.waitForSlot(ctx, r.EntryId, s.answered(r))
 	}
 	return s.answerWatch(r)
 }
 
+// answered is how many entries this process answers, the one of a watch among them.
+func (s *Server) answered(r *noderpc.WatchRequest) int {
+	entries := len(s.o.Machine.Board().Entries)
+	if !r.Spread {
+		return entries
+	}
+	return entries / max(1, len(s.o.Consensus.Status().Members))
+}
+
 // waitForSlot holds the answer back until the entry's turn. An entry that has no
 // board yet does not wait: it can serve nobody without one.
-func (s *Server) waitForSlot(ctx context.Context, entry string) {
-	board := s.o.Machine.Board()
-	timer := time.NewTimer(untilSlot(entry, len(board.Entries), time.Now()))
+func (s *Server) waitForSlot(ctx context.Context, entry string, entries int) {
+	timer := time.NewTimer(untilSlot(entry, entries, time.Now()))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
@@ -53,10 +64,7 @@
 	if r.ClusterId != "" && r.ClusterId != board.ClusterID {
 		return errors.Trace(failure.New(failure.TypeConflict, "the entry follows another cluster"))
 	}
-	entry := blackboard.Entry{
-		ID: r.EntryId, Address: r.Address, PeerAddress: r.PeerAddress, DataCentre: r.DataCentre,
-		Deaf: r.Deaf,
-	}
+	entry := entryOf(r)
 	if board.Entries[r.EntryId] == entry {
 		return nil
 	}
@@ -68,6 +76,13 @@
 	return nil
 }
 
+// entryOf returns the row of the entry that watches.
+func entryOf(r *noderpc.WatchRequest) blackboard.Entry {
+	return blackboard.Entry{
+		ID: r.EntryId, Address: r.Address, PeerAddress: r.PeerAddress, DataCentre: r.DataCentre, Deaf: r.Deaf,
+	}
+}
+
 func (s *Server) acknowledge(r *noderpc.WatchRequest) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -102,6 +117,20 @@
 // newer configuration does.
 func (s *Server) answerWatch(r *noderpc.WatchRequest) (*noderpc.WatchReply, error) {
 	s.grant(r.EntryId)
+	reply, err := s.replyTo(r, 0, s.o.Lease)
+	if err != nil {
+		return nil, err
+	}
+	term, err := s.leading()
+	if err != nil {
+		return nil, rpcError(err)
+	}
+	reply.Term = term
+	return reply, nil
+}
+
+// replyTo returns what has changed for an entry since its revision, with a lease.
+func (s *Server) replyTo(r *noderpc.WatchRequest, term uint64, lease time.Duration) (*noderpc.WatchReply, error) {
 	board, patch, ok, err := s.o.Machine.PatchSince(r.HaveRevision)
 	if err != nil {
 		return nil, rpcError(err)
@@ -121,13 +150,9 @@
 		reply.Snapshot, board = snapshot, whole
 	}
 	reply.ClusterId, reply.Revision = board.ClusterID, board.Revision
-	term, err := s.leading()
-	if err != nil {
-		return nil, rpcError(err)
-	}
 	reply.Term = term
 	reply.ControlAddresses = s.controlAddresses()
-	reply.LeaseMs = s.o.Lease.Milliseconds()
+	reply.LeaseMs = lease.Milliseconds()
 	return reply, nil
 }
 
--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/juju/errors"
 	"github.com/twitchtv/twirp"
@@ -35,12 +36,14 @@
 	next   int
 	// addresses are those that the cluster names, then the seeds.
 	addresses []string
+	// avoided holds until when a process gets no spread watches.
+	avoided map[string]time.Time
 }
 
 // New returns a client of the control processes at the addresses. The HTTP
 // client adds the secret between our processes to each call.
 func New(addresses []string, client *http.Client) *Client {
-	return &Client{seeds: addresses, addresses: addresses, boards: make(map[string]noderpc.Board), http: client}
+	return &Client{seeds: addresses, addresses: addresses, boards: make(map[string]noderpc.Board), http: client, avoided: make(map[string]time.Time)}
 }
 
 // Learn takes in where the cluster's control processes are. The addresses of
@@ -124,8 +127,14 @@
 }
 
 // Watch calls the process last known to lead, once. After a failure the next
-// call goes to another process.
+// call goes to another process. A watch that may be spread goes to one of all
+// control processes, chosen for the entry.
 func (c *Client) Watch(ctx context.Context, r *noderpc.WatchRequest) (*noderpc.WatchReply, error) {
+	if r.Spread {
+		if address, ok := c.spreadTo(time.Now(), r.EntryId); ok {
+			return c.watchAt(ctx, address, r)
+		}
+	}
 	address, b := c.board()
 	reply, err := b.Watch(ctx, r)
 	c.learn(address, err)
--- /dev/null
+++ b/internal/controlclient/spread.go
@@ -0,0 +1,61 @@
+package controlclient
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
+
+	"github.com/citronstep/citronstep/internal/rpc/noderpc"
+)
+
+// How long a process gets no spread watches of this entry: after a refusal, and after no
+// answer. A silent one costs a whole watch each time.
+const (
+	avoidRefusing = 2 * time.Second
+	avoidSilent   = 15 * time.Second
+)
+
+// spreadTo returns the control process that answers an entry's watches, by rendezvous
+// hashing; false if all are avoided.
+func (c *Client) spreadTo(now time.Time, entry string) (best string, found bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var most uint64
+	for _, address := range c.addresses {
+		if now.Before(c.avoided[address]) {
+			continue
+		}
+		if w := xxhash.Sum64String(entry + "\x00" + address); !found || w > most {
+			best, most, found = address, w, true
+		}
+	}
+	return best, found
+}
+
+func (c *Client) watchAt(ctx context.Context, address string, r *noderpc.WatchRequest) (*noderpc.WatchReply, error) {
+	reply, err := c.boardOf(address).Watch(ctx, r)
+	if err != nil {
+		c.avoid(time.Now(), address, ctx.Err() != nil)
+	}
+	return reply, errors.Trace(typed(err))
+}
+
+// avoid keeps further watches from a process that gave none; silent says that it gave no
+// answer at all in time.
+func (c *Client) avoid(now time.Time, address string, silent bool) {
+	wait := avoidRefusing
+	if silent {
+		wait = avoidSilent
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.avoided[address] = now.Add(wait)
+}
+
+// Renew calls the leader to renew leases of entries whose watches the caller answers.
+func (c *Client) Renew(ctx context.Context, leader string, r *noderpc.RenewRequest) (*noderpc.RenewReply, error) {
+	reply, err := c.boardOf(leader).Renew(ctx, r)
+	return reply, errors.Trace(typed(err))
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -63,28 +63,18 @@
 
 // Times of the watch.
 const (
-	// leastWait and longestWait bound how long the leader may hold a watch with nothing new.
-	leastWait   = 500 * time.Millisecond
-	longestWait = 1200 * time.Millisecond
-	// renewalsPerSecond is how many watches of all entries the leader answers in a second
-	// while nothing changes, as far as longestWait allows.
-	renewalsPerSecond = 800
-	// watchGrace is how much longer a watch may take before its connection counts as silent.
-	// Together with longestWait it is shorter than the lease, so that another control
-	// process is asked before the lease runs out.
-	watchGrace = 700 * time.Millisecond
+	// watchWait is how long the leader may hold a watch with nothing new.
+	watchWait = 500 * time.Millisecond
+	// watchTimeout ends a watch on a connection that has gone silent. It is
+	// shorter than the lease, so that another control process is asked
+	// before the lease runs out.
+	watchTimeout = 1200 * time.Millisecond
+	// spreadFrom is from how many entries on the control processes share the watches.
+	spreadFrom = 400
 	// watchPause keeps a refused watch from spinning.
 	watchPause = 50 * time.Millisecond
 )
 
-// waitOf returns how long the leader may hold a watch of one of some entries.
-//
-// Load: a thousand entries renew their leases twice a second each; the answers, which tell
-// nothing new, take a third of the leader's processor.
-func waitOf(entries int) time.Duration {
-	return min(max(leastWait, time.Duration(entries)*time.Second/renewalsPerSecond), longestWait)
-}
-
 // Board returns the newest board applied here.
 func (f *Follower) Board() *blackboard.Board {
 	f.mu.Lock()
@@ -147,7 +137,7 @@
 // committed, so the leader's only ever goes on from it; it may lack the last
 // change until then.
 func (f *Follower) begin(ctx context.Context) (led bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, leastWait+watchGrace)
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
 	reply, err := f.o.Watcher.LastKnown(ctx)
 	if err != nil {
@@ -186,8 +176,7 @@
 func (f *Follower) step(ctx context.Context) error {
 	board := f.Board()
 	asked := clock.Now()
-	wait := waitOf(len(board.Entries))
-	ctx, cancel := context.WithTimeout(ctx, wait+watchGrace)
+	ctx, cancel := context.WithTimeout(ctx, watchTimeout)
 	defer cancel()
 	reply, err := f.o.Watcher.Watch(ctx, &noderpc.WatchRequest{
 		ClusterId:    board.ClusterID,
@@ -197,7 +186,8 @@
 		DataCentre:   f.o.Entry.DataCentre,
 		HaveRevision: board.Revision,
 		HaveConfig:   board.Config.Revision,
-		WaitMs:       wait.Milliseconds(),
+		WaitMs:       watchWait.Milliseconds(),
+		Spread:       len(board.Entries) >= spreadFrom,
 		Deaf:         f.o.Entry.Deaf,
 	})
 	if err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -257,7 +257,7 @@
 		c := n.settings.Control
 		n.control = control.NewServer(control.Options{
 			Machine: n.machine, Consensus: n.replica, Evidence: n.hearing, Orders: n.orders(),
-			MinDisks: c.MinDisks, Timing: n.timing(), DataCentres: slices.Sorted(maps.Keys(n.settings.Regions)),
+			MinDisks: c.MinDisks, Timing: n.timing(), Renewer: client, DataCentres: slices.Sorted(maps.Keys(n.settings.Regions)),
 			Logger: n.decisions("control"), VM: n.settings.VM, Step: n.controllerStep(), Metrics: n.metrics.Control(),
 			Lease:      time.Duration(c.ConfigLeaseMillis) * time.Millisecond,
 			OrderLease: time.Duration(c.TickMillis*int64(c.ElectionTicks)) * time.Millisecond,
