--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -41,6 +41,8 @@
 	// encoded is the board of revision encodedAt as a snapshot.
 	encoded   []byte
 	encodedAt uint64
+	// encodings counts the snapshots made for entries.
+	encodings int
 }
 
 // NewMachine returns an empty machine.
@@ -132,19 +134,37 @@
 	m.changed = make(chan struct{})
 }
 
-// Encoded returns the board as a snapshot for entries. It is made once for each revision,
-// as all entries ask for it at once after a restart of all.
-func (m *Machine) Encoded() ([]byte, *blackboard.Board, error) {
+// encodedFor is how many revisions a snapshot for entries is used, with a patch for what has
+// changed since.
+const encodedFor = 256
+
+// Encoded returns the board for an entry that holds none: a snapshot and, if that is not of
+// the present revision, the command that takes it there.
+//
+// Load: half of a thousand entries come back from a loss of power within a second, while each
+// word of the backend servers makes a new revision. Made anew for each revision, the
+// snapshots took the new leader's whole processor, and it lost its office.
+func (m *Machine) Encoded() (snapshot []byte, commands [][]byte, board *blackboard.Board, err error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.encoded == nil || m.encodedAt != m.board.Revision {
+	behind := m.board.Revision - m.encodedAt
+	if m.encoded == nil || m.encodedAt > m.board.Revision || behind > encodedFor || behind > uint64(len(m.kept)) {
 		data, err := m.board.EncodeForEntries()
 		if err != nil {
-			return nil, nil, errors.Trace(err)
+			return nil, nil, nil, errors.Trace(err)
 		}
 		m.encoded, m.encodedAt = data, m.board.Revision
+		m.encodings++
+		return m.encoded, nil, m.board, nil
+	}
+	if behind == 0 {
+		return m.encoded, nil, m.board, nil
 	}
-	return m.encoded, m.board, nil
+	patch, err := m.patchSince(m.encodedAt)
+	if err != nil {
+		return nil, nil, nil, errors.Trace(err)
+	}
+	return m.encoded, [][]byte{patch}, m.board, nil
 }
 
 // PatchSince returns the command that takes an entry's copy from a revision to the
@@ -160,18 +180,29 @@
 	if behind == 0 {
 		return m.board, nil, true, nil
 	}
+	patch, err := m.patchSince(revision)
+	if err != nil {
+		return nil, nil, false, errors.Trace(err)
+	}
+	return m.board, patch, true, nil
+}
+
+// patchSince returns the command that takes an entry's copy from a revision, which must be
+// among those kept, to the present board. The lock is held.
+func (m *Machine) patchSince(revision uint64) ([]byte, error) {
 	if patch, known := m.patches[revision]; known {
-		return m.board, patch, true, nil
+		return patch, nil
 	}
+	behind := m.board.Revision - revision
 	patch, err := m.board.PatchFor(m.kept[uint64(len(m.kept))-behind:])
 	if err != nil {
-		return nil, nil, false, errors.Trace(err)
+		return nil, errors.Trace(err)
 	}
 	if m.patches == nil || len(m.patches) >= maxKeptPatches {
 		m.patches = make(map[uint64][]byte)
 	}
 	m.patches[revision] = patch
-	return m.board, patch, true, nil
+	return patch, nil
 }
 
 // Snapshot returns both machines: the length of the board's part, then the
@@ -214,7 +245,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.board, m.records, m.kept, m.patches = board, records, nil, nil
+	m.board, m.records, m.kept, m.patches, m.encoded = board, records, nil, nil, nil
 	m.tellNews()
 	return nil
 }
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -143,11 +143,11 @@
 		reply.Commands = [][]byte{patch}
 	}
 	if !ok {
-		snapshot, whole, err := s.o.Machine.Encoded()
+		snapshot, commands, whole, err := s.o.Machine.Encoded()
 		if err != nil {
 			return nil, rpcError(err)
 		}
-		reply.Snapshot, board = snapshot, whole
+		reply.Snapshot, reply.Commands, board = snapshot, commands, whole
 	}
 	reply.ClusterId, reply.Revision = board.ClusterID, board.Revision
 	reply.Term = term
@@ -164,17 +164,18 @@
 		ControlAddresses: s.controlAddresses(), LeaderAddress: s.o.Consensus.Status().Leader.Address,
 	}
 	board := s.o.Machine.Board()
+	reply.Entries = int64(len(board.Entries))
 	if board.Config.Revision > 0 {
 		reply.Revision = board.Revision
 	}
 	if !r.Board || reply.Revision == 0 {
 		return reply, nil
 	}
-	snapshot, board, err := s.o.Machine.Encoded()
+	snapshot, commands, board, err := s.o.Machine.Encoded()
 	if err != nil {
 		return nil, rpcError(err)
 	}
-	reply.Snapshot, reply.Revision = snapshot, board.Revision
+	reply.Snapshot, reply.Commands, reply.Revision = snapshot, commands, board.Revision
 	return reply, nil
 }
 
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -49,6 +49,8 @@
 	until clock.Boot
 	// granted is the length of the last lease.
 	granted time.Duration
+	// entries is how many entries the control processes named at the start; Run alone uses it.
+	entries int
 }
 
 // New returns a follower that holds an empty board and no lease.
@@ -144,10 +146,11 @@
 		return false, errors.Trace(err)
 	}
 	f.tellControl(reply.ControlAddresses)
+	f.entries = int(reply.Entries)
 	if reply.LeaderAddress != "" {
 		return true, nil
 	}
-	next, err := advance(f.Board(), &noderpc.WatchReply{Snapshot: reply.Snapshot})
+	next, err := advance(f.Board(), &noderpc.WatchReply{Snapshot: reply.Snapshot, Commands: reply.Commands})
 	if err != nil {
 		return false, errors.Trace(err)
 	}
@@ -187,7 +190,7 @@
 		HaveRevision: board.Revision,
 		HaveConfig:   board.Config.Revision,
 		WaitMs:       watchWait.Milliseconds(),
-		Spread:       len(board.Entries) >= spreadFrom,
+		Spread:       max(len(board.Entries), f.entries) >= spreadFrom,
 		Deaf:         f.o.Entry.Deaf,
 	})
 	if err != nil {
