A model that nothing has served for three seconds is refused at once

Cause: the wait for a group to fail over was given to each request, however long ago the last group had gone.

Change: an entry notes since when a model or a service has had no target, and refuses at once when that is longer than the wait. Within it requests wait as before.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -38,6 +38,10 @@
 	waiting map[string]*ticket
 	routes  map[string]route
 	models  map[string]bool
+	// gone holds since when pools have had no target, and lookedAt when this entry
+	// first looked.
+	gone     map[string]time.Time
+	lookedAt time.Time
 	// evacuated holds the pools whose targets all lie in data centres that are evacuated.
 	evacuated map[string]bool
 	// changed closes when the routes change.
@@ -98,6 +102,7 @@
 		waiting: make(map[string]*ticket),
 		routes:  make(map[string]route),
 		models:  make(map[string]bool),
+		gone:    make(map[string]time.Time),
 		changed: make(chan struct{}),
 	}
 }
@@ -133,10 +138,11 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.routes = routes
-	d.models = maps.Clone(awaited)
+	models := maps.Clone(awaited)
 	for _, t := range targets {
-		d.models[t.Model] = true
+		models[t.Model] = true
 	}
+	d.noteGone(now, models)
 	d.dropGates()
 	d.picker.SetTargets(now, targets)
 	close(d.changed)
@@ -144,6 +150,34 @@
 	d.pump(now)
 }
 
+// noteGone takes in which pools have a target, and notes since when others have none.
+func (d *dispatcher) noteGone(now time.Time, models map[string]bool) {
+	if d.lookedAt.IsZero() {
+		d.lookedAt = now
+	}
+	for model := range d.models {
+		if !models[model] {
+			d.gone[model] = now
+		}
+	}
+	for model := range models {
+		delete(d.gone, model)
+	}
+	d.models = models
+}
+
+// goneFor returns for how long a pool has had no target.
+func (d *dispatcher) goneFor(now time.Time, model string) time.Duration {
+	if d.models[model] || d.lookedAt.IsZero() {
+		return 0
+	}
+	since, noted := d.gone[model]
+	if !noted {
+		since = d.lookedAt
+	}
+	return now.Sub(since)
+}
+
 // enter offers the job to admission and waits until it may run.
 func (d *dispatcher) enter(j *job) (grant, *failure.Error) {
 	t, e := d.offer(j)
@@ -185,8 +219,12 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	if d.evacuated[j.model] {
+	switch {
+	case d.evacuated[j.model]:
 		return nil, evacuatedEverywhere()
+	case d.goneFor(now, j.model) > failoverWait:
+		// What has not failed over in this time is not about to.
+		return nil, noBackendServer()
 	}
 	places, limited := d.picker.Places(now, j.placeBy(now), j.model, j.homes)
 	if limited && places == 0 {
