--- a/internal/admission/flow.go
+++ b/internal/admission/flow.go
@@ -197,9 +197,7 @@
 // Load: all processes come back after a loss of power, and a second of callers'
 // requests with them. Harm of first come, first served: the groups work for two
 // seconds on what is late already, and each that comes meanwhile waits until it is
-// late too; measured, 59 of 260 were on time in these two seconds, with 0.5 s in the
-// queue at the median and 0.2 s at the groups. Those that are late follow as soon as
-// there is room, in the order in which they came, and before their deadline or are
+// late too. Those that are late follow as soon as there is room, in the order in which they came, and before their deadline or are
 // refused when that is out of reach.
 func (f *flow) next(now time.Time) *item {
 	if !f.onTime(now) {
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -37,8 +37,7 @@
 //
 // Load: more arrives for seconds than the groups begin in the same time. Harm of
 // sending all on: they wait in the engines' own queues, first come, first served, and
-// each is answered, each too late; measured, one in five was on time while nine in ten
-// were answered. With the surplus waiting here, newest first, most are on time, and
+// each is answered, each too late. With the surplus waiting here, newest first, most are on time, and
 // those passed over still follow before their deadline once there is room. The
 // window follows what it is for, the time to the first event as a part of the objective,
 // since no entry sees what the others have sent.
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -148,8 +148,7 @@
 // One that may just be in time is let in while nothing waits. Load: for some seconds
 // one request in ten takes three times as long, and the others are as quick as
 // ever. Harm of going by what nine in ten end within: callers with time left were told
-// that no server could answer in it, and of their next tries the same was said;
-// measured, 68 such refusals in a minute of 40,000 requests.
+// that no server could answer in it, and of their next tries the same was said.
 func (q *Queue) refuseAtDoor(now time.Time, m *modelQueue, it *item) *Refusal {
 	wait := m.waitFor(it, q.policy)
 	if places := it.request.Places; places > 0 && m.ahead(it.worth) >= places {
--- a/internal/admission/waits.go
+++ b/internal/admission/waits.go
@@ -21,14 +21,12 @@
 // Waits learns how long the callers of each route wait when they first ask, and
 // tells from what is left of that how long ago a request was first sent.
 //
-// Load: all processes lose power for a second and a half. The requests of that time come
-// as later tries in the half second after, together with newcomers; an entry that has
-// just started takes all for new. Harm: what is late whatever is done takes the slots, and
-// newcomers wait behind it: of 2,202 requests of two seconds 883 were on time at 195
-// entries, 46 of 298 at six. A caller that gives less time of its own accord must
-// not be taken for late, so the time is learned from the route's callers: a request counts as
-// begun before by as much as it is short of what nine in ten give. An estimate is kept where
-// it outlives the process; see Share.
+// After all processes have lost power, the requests of that time come back as later tries
+// together with newcomers, and an entry that has just started takes all for new: what is
+// late whatever is done would take the slots, and newcomers would wait behind it. A caller
+// that gives less time of its own accord must not be taken for late, so the time is learned
+// from the route's callers: a request counts as begun before by as much as it is short of
+// what nine in ten give. An estimate is kept where it outlives the process; see Share.
 type Waits struct {
 	routes map[string]*waitOf
 }
--- a/internal/blackboard/board.go
+++ b/internal/blackboard/board.go
@@ -153,9 +153,8 @@
 // as the log keeps them for those that follow it. It ends where Apply one by one
 // ends, but copies each table once.
 //
-// Load: entries get the changes of some tenths of a second at once. With a copy
-// for each of 20 commands an entry spent 6.5 ms on them at 1,096 VMs, with one copy
-// 0.3 ms (BenchmarkFollow).
+// Load: entries get the changes of some tenths of a second at once; with a copy for
+// each command the copies are most of the cost (BenchmarkFollow).
 func (b *Board) ApplyAll(commands [][]byte) (*Board, error) {
 	if len(commands) == 0 {
 		return b, nil
--- a/internal/blackboard/copy.go
+++ b/internal/blackboard/copy.go
@@ -7,10 +7,10 @@
 // backend servers, those that are cold, and the data centres that are evacuated. Of VMs they
 // need to know which are leaving. What they hold is called the entry's copy here.
 //
-// Load: a pool of 1,095 VMs starts, or loses a domain, and 195 entries follow the board.
-// Sent whole, each row of a VM goes 195 times over the leader's link, 68 MB in all,
-// which a link of 170 Mbit/s carries in three seconds; heartbeats of the consensus
-// wait behind them. The groups that serve are a sixth of it, sent once each.
+// Load: a pool of a thousand VMs starts, or loses a domain, and hundreds of entries follow
+// the board. Sent whole, each row of a VM goes to each of them over the leader's link, and
+// heartbeats of the consensus wait behind. The groups that serve are a small part of
+// it, sent once each.
 
 // copied returns the row of a group in an entry's copy, and whether it has one.
 // Entries need the members of a group that serves alone, and of one that has ceased
--- a/internal/blackboard/draft.go
+++ b/internal/blackboard/draft.go
@@ -11,8 +11,7 @@
 //
 // Load: a pool of 1,095 VMs starts, or loses a fabric domain; one batch holds
 // hundreds of commands, and each replica and each entry applies it. With a copy of
-// all VMs for each command, a batch of 256 took 75 ms of processor time, with one
-// copy, 1.8 ms (BenchmarkApplyBatch).
+// all VMs for each command, the copies are most of the cost (BenchmarkApplyBatch).
 type draft struct {
 	Board
 	// ownVMs and ownGroups say that the table is a copy of this draft's own.
--- a/internal/blackboard/patch.go
+++ b/internal/blackboard/patch.go
@@ -89,9 +89,8 @@
 // they are now, so that a row that changed many times is sent once.
 //
 // Load: operators change one route of a thousand, several times a second. Sent
-// whole, a configuration of 1,480 routes filled the leader's link for 0.4 s with
-// its copies for 85 entries; heartbeats of the consensus waited behind them and
-// the leader lost its office again and again.
+// whole, the copies for all entries fill the leader's link, and heartbeats of the
+// consensus wait behind them.
 type Patch struct {
 	// Revision is that of the board that it leads to.
 	Revision  uint64 `json:"revision"`
--- a/internal/control/evacuation.go
+++ b/internal/control/evacuation.go
@@ -22,15 +22,7 @@
 // be another process. An error says by its type whether the outcome is known; the order may
 // be sent again.
 func (s *Server) Evacuate(ctx context.Context, through Committer, dataCentre string, end bool) (blackboard.EvacuationOutcome, error) {
-	return s.evacuateBy(dataCentre, end, func(encoded []byte) ([]byte, error) {
-		board := s.o.Machine.Board()
-		if board.ClusterID == "" {
-			return nil, failure.New(failure.TypeNotFounded, "this process has not joined the cluster yet").WithRan(failure.RanNo)
-		}
-		return through.Commit(ctx, &noderpc.CommitRequest{
-			ClusterId: board.ClusterID, Machine: noderpc.Machine_MACHINE_BOARD, Command: encoded,
-		})
-	})
+	return s.evacuateBy(dataCentre, end, func(encoded []byte) ([]byte, error) { return s.commitThrough(ctx, through, encoded) })
 }
 
 // evacuateBy checks an order, has it written by commit and reads the outcome.
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -88,7 +88,7 @@
 // controllersRest is how many times as long as the controllers ran they rest after it.
 //
 // Load: hundreds of backend servers tell of a change each within a second, and each
-// word wakes the controllers. A run over 1,095 VMs takes some milliseconds; run after
+// word wakes the controllers. A run over a large pool takes some milliseconds; run after
 // each word they take the whole processor, and what the consensus has to send waits.
 // With a rest of three times the run they take a quarter of it, and what was told
 // meanwhile is dealt with in one run.
--- a/internal/control/whole_configuration.go
+++ b/internal/control/whole_configuration.go
@@ -24,14 +24,17 @@
 // another process. An error says by its type whether the outcome is known; the
 // command may be sent again, as a version is taken in once.
 func (s *Server) Replace(ctx context.Context, through Committer, c *blackboard.ReplaceConfiguration) (blackboard.ReplaceOutcome, error) {
-	return replaceBy(c, func(encoded []byte) ([]byte, error) {
-		board := s.o.Machine.Board()
-		if board.ClusterID == "" {
-			return nil, failure.New(failure.TypeNotFounded, "this process has not joined the cluster yet").WithRan(failure.RanNo)
-		}
-		return through.Commit(ctx, &noderpc.CommitRequest{
-			ClusterId: board.ClusterID, Machine: noderpc.Machine_MACHINE_BOARD, Command: encoded,
-		})
+	return replaceBy(c, func(encoded []byte) ([]byte, error) { return s.commitThrough(ctx, through, encoded) })
+}
+
+// commitThrough writes a command of the board through the leader.
+func (s *Server) commitThrough(ctx context.Context, through Committer, encoded []byte) ([]byte, error) {
+	board := s.o.Machine.Board()
+	if board.ClusterID == "" {
+		return nil, failure.New(failure.TypeNotFounded, "this process has not joined the cluster yet").WithRan(failure.RanNo)
+	}
+	return through.Commit(ctx, &noderpc.CommitRequest{
+		ClusterId: board.ClusterID, Machine: noderpc.Machine_MACHINE_BOARD, Command: encoded,
 	})
 }
 
--- a/internal/controller/breaking.go
+++ b/internal/controller/breaking.go
@@ -30,8 +30,7 @@
 	//
 	// Load: the paths from many VMs to the control processes fail while callers'
 	// requests still reach them. Harm of breaking their groups by that silence:
-	// measured, 27 of 217 VMs cut off for 5 s took 15 of 33 groups out of service
-	// that answered all the while. Entries tell within half a second of a
+	// half of the groups go out of service while all of them answer. Entries tell within half a second of a
 	// group whose streams have ceased, and its head says so after Timing.Stall; the
 	// limit is for a group that nobody uses, which keeps its VMs from others.
 	silentLimit = 30 * time.Second
--- a/internal/controller/forming.go
+++ b/internal/controller/forming.go
@@ -153,9 +153,8 @@
 
 // formSome forms up to n groups of a spec and returns how many.
 //
-// Load: a pool of 3,000 VMs in 273 domains starts, and 546 groups are due in one run. A
-// group changes what its own domain has to offer and no other; with all domains looked at
-// anew for each group the run took 0.7 s of a processor.
+// A group changes what its own domain has to offer and no other, so only that domain is
+// looked at again: a large pool that starts has hundreds of groups due in one run.
 func formSome(v View, now time.Time, a *Actions, spec blackboard.GroupSpec, u *use, n int) (formed int) {
 	found := candidates(v, now, spec, u)
 	for formed < n && len(found) > 0 {
--- a/internal/controller/stalls.go
+++ b/internal/controller/stalls.go
@@ -7,15 +7,12 @@
 	// a group silent at the same time for it to be broken.
 	//
 	// Load: the links of one data centre lose a packet in twenty-five; each stream
-	// that crosses them stands still for a fifth of a second now and then, and each
-	// of 29 entries there has one or two streams of a group. Harm of acting on one
+	// that crosses them stands still for a moment now and then, and each entry there
+	// has one or two streams of a group. Harm of acting on one
 	// entry's report, or on several of that data centre: groups in order are broken
 	// one after the other, and their streams with them. Reason for the limits:
 	// streams that lose packets do so each at a time of its own and on one way; those
 	// of a group that stands still all stop in one pass, wherever they come from.
-	// Measured in one day with such a link, the groups that had stopped were reported by
-	// 5 to 27 entries of two or three data centres within 50 ms, the 18 in order that
-	// were broken by 3 to 6 entries of one data centre within 250 ms.
 	stallWitnesses = 3
 	// sameLinkWitnesses suffice if they are all of one data centre, as when all
 	// callers are there: more than are wrong together.
--- a/internal/controller/window.go
+++ b/internal/controller/window.go
@@ -21,8 +21,8 @@
 //
 // Load: a pool of 1,095 VMs starts, or a fabric domain comes back, and as many orders
 // are due at once. Harm of sending all: their goroutines queue for the processor, the
-// heartbeats of the consensus behind them; measured, 1,799 of 2,820 orders ended at
-// their deadline before they were sent, and five leaders followed each other. Sent as
+// heartbeats of the consensus behind them; most orders end at their deadline before
+// they are sent, and the leader loses its office. Sent as
 // answers come back, each order has its whole deadline, and those for the groups that are
 // worth most go first.
 type window struct {
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -105,9 +105,8 @@
 // found: this process hears no announcements, the board is the same, and nothing on it
 // or here ends with time alone.
 //
-// Load: a pool of 79 groups and 1,095 VMs, an entry with six requests a second. A look takes
-// 0.29 ms; at ten a second it was half of all that the entry used
-// (BenchmarkUpdateRoutes).
+// Load: a pool of a hundred groups and an entry with a few requests a second, where a look
+// at all routes ten times a second is half of all that it does (BenchmarkUpdateRoutes).
 func (s *Server) routesStand() bool {
 	board := s.o.Follower.Board()
 	return s.o.Settings.Deaf && board == s.routedBy && !s.routesHeld && len(board.Quarantines) == 0
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -133,8 +133,7 @@
 // Load: all processes lose power and come back together. The entries listen
 // within 0.1 s, while the control processes may elect nobody before the promises
 // that they may have given an earlier leader have run out, and a VM that is
-// still without power lets a connection hang; measured, entries had a
-// configuration 1.1 s after they listened. Harm: all callers of that second are
+// still without power lets a connection hang. Harm: all callers of that second are
 // refused, and come back at once on top of the others. The board holds what is
 // committed, so the leader's only ever goes on from it; it may lack the last
 // change until then.
--- a/internal/hearing/home.go
+++ b/internal/hearing/home.go
@@ -34,10 +34,9 @@
 // Home returns the peer address of the process that a backend server should announce
 // itself to; leader is that of the one that leads, "" if none is known.
 //
-// Load: 3,000 backend servers announce themselves, 2,500 times a second. Harm where all go
+// Load: thousands of backend servers announce themselves each second. Harm where all go
 // to the leader: it has neither the processor nor the descriptors for them beside its
-// orders and watches; "too many open files" ended the forming of groups at 544 of 2,800
-// VMs. Past leaderTakes they are divided among all processes that take announcements
+// orders and watches. Past leaderTakes they are divided among all processes that take announcements
 // and were heard within the last second, but for the leader, which has the orders and the
 // watches; each by the rendezvous hash of its id, so that one that is lost moves its own part
 // alone. What they hear goes to the others at once, see push.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -146,13 +146,12 @@
 	// deployment are a tenth of this away.
 	peerDialTimeout = 400 * time.Millisecond
 	// backendDialTimeout bounds a connection to a backend server. One that has gone
-	// dark lets it hang, and the request with it: with a second, two of them in a
-	// row took one request in a hundred 2.15 s, measured while groups lost
-	// members. The farthest data centres of a deployment are half of this away.
+	// dark lets it hang, and the request with it, twice where two are tried. The
+	// farthest data centres of a deployment are half of this away.
 	backendDialTimeout = 200 * time.Millisecond
 	// orderIdle is how long an idle connection for orders is kept: a group is joined and
 	// opened within it. The leader orders each VM of a pool now and then; kept for
-	// longer, the connections to 3,000 VMs took all of its 4,096 descriptors.
+	// longer, the connections to a large pool take all of its descriptors.
 	orderIdle = time.Second
 	// peerIdle is how long an idle connection between our processes is kept.
 	peerIdle = 30 * time.Second
