--- a/test/capacity/capacity_test.go
+++ b/test/capacity/capacity_test.go
@@ -6,6 +6,7 @@
 //
 //	go test ./test/capacity -run TestSlopes -v -args -measure
 //	go test ./test/capacity -run TestNodes -v -args -measure
+//	go test ./test/capacity -run TestFleet -v -args -measure
 //
 // they print the tables of the page. Figures are of the machine they ran on.
 package capacity
@@ -27,7 +28,10 @@
 	measure = flag.Bool("measure", false, "measure at full sizes and print the tables")
 	entries = flag.String("entries", "4,9,30", "numbers of entry processes that TestNodes measures")
 	engines = flag.Int("engines", 8, "number of engines that TestNodes starts, a multiple of two")
-	window  = flag.Duration("window", 8*time.Second, "how long TestNodes measures each number")
+	window  = flag.Duration("window", 8*time.Second, "how long TestNodes and TestFleet measure each number")
+	fleets  = flag.String("fleets", "300,1000,2000", "numbers of entries that TestFleet measures")
+
+	serversPerEntry = flag.Int("servers", 3, "backend servers that TestFleet announces for each entry")
 )
 
 func TestMain(m *testing.M) {
--- /dev/null
+++ b/test/capacity/fleet_entries_test.go
@@ -0,0 +1,144 @@
+package capacity
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"github.com/citronstep/citronstep/internal/backend"
+	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/controlclient"
+	"github.com/citronstep/citronstep/internal/follow"
+	"github.com/citronstep/citronstep/test/process/harness"
+)
+
+// announceEvery is the time between two announcements of a backend server.
+const announceEvery = time.Second
+
+// announcers is how many announcements are under way at most.
+const announcers = 64
+
+// fleet is the followers of a system's entries.
+type fleet struct {
+	t         *testing.T
+	followers []*follow.Follower
+}
+
+// followAll starts the followers of n entries, each with connections of its own.
+func followAll(t *testing.T, s *system, n int) *fleet {
+	t.Helper()
+	f := &fleet{t: t}
+	ctx, running := untilCleanup(t)
+	for i := range n {
+		name := fmt.Sprintf("entry-%04d", i)
+		transport := &http.Transport{IdleConnTimeout: time.Minute}
+		client := controlclient.New(s.control, &http.Client{Transport: transport})
+		follower := follow.New(follow.Options{
+			Watcher: client, Logger: log.NewNopLogger(), OnControl: client.Learn, StartWithoutLease: true,
+			Entry: blackboard.Entry{ID: name, Address: name + ":8080", PeerAddress: name + ":8081", DataCentre: "dev", Deaf: true},
+		})
+		f.followers = append(f.followers, follower)
+		running.Go(func() {
+			defer transport.CloseIdleConnections()
+			follower.Run(ctx)
+		})
+	}
+	return f
+}
+
+// untilCleanup returns a context that ends with the test, and a group that the test waits
+// for then.
+func untilCleanup(t *testing.T) (context.Context, *sync.WaitGroup) {
+	ctx, cancel := context.WithCancel(context.Background())
+	running := new(sync.WaitGroup)
+	t.Cleanup(func() {
+		cancel()
+		running.Wait()
+	})
+	return ctx, running
+}
+
+// awaitLeases waits until all entries hold a lease.
+func (f *fleet) awaitLeases() {
+	f.t.Helper()
+	f.await("all entries with a lease", func(e *follow.Follower) bool { return e.Lease() > 0 })
+}
+
+// awaitConfiguration waits until all entries hold a revision of the configuration.
+func (f *fleet) awaitConfiguration(revision uint64) {
+	f.t.Helper()
+	f.await("the configuration at all entries", func(e *follow.Follower) bool { return e.Board().Config.Revision >= revision })
+}
+
+func (f *fleet) await(what string, holds func(*follow.Follower) bool) {
+	f.t.Helper()
+	harness.Await(f.t, what, func() bool {
+		for _, e := range f.followers {
+			if !holds(e) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// announceAll announces n engines without a group to the control processes, each once
+// in announceEvery, until the test ends.
+func announceAll(t *testing.T, s *system, n int) {
+	t.Helper()
+	ctx, running := untilCleanup(t)
+	client := &http.Client{Timeout: announceEvery, Transport: &http.Transport{MaxIdleConnsPerHost: announcers}}
+	due := make(chan int)
+	for range announcers {
+		running.Go(func() {
+			for i := range due {
+				announceOnce(ctx, client, s.nodes[i%(len(s.nodes)-1)].Entry, i)
+			}
+		})
+	}
+	running.Go(func() {
+		defer close(due)
+		ticker := time.NewTicker(announceEvery / time.Duration(max(1, n)))
+		defer ticker.Stop()
+		began, sent := time.Now(), 0
+		for ctx.Err() == nil {
+			<-ticker.C
+			for ; time.Duration(sent)*announceEvery/time.Duration(max(1, n)) < time.Since(began); sent++ {
+				due <- sent % n
+			}
+		}
+	})
+}
+
+// announceOnce sends one announcement. What is not taken is sent again a second later, as
+// by a backend server.
+func announceOnce(ctx context.Context, client *http.Client, entry string, i int) {
+	body, err := json.Marshal(&backend.Announcement{
+		ID: vmName(i), Incarnation: "first", Sequence: uint64(time.Now().UnixNano()), Kind: backend.KindEngine, Address: vmName(i) + ":9000",
+		DataCentre: "dev", FabricDomain: fmt.Sprint("rack-", i/vmsInDomain), Accelerators: 1, Phase: backend.PhaseIdle,
+	})
+	if err != nil {
+		return
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+entry+backend.PathAnnounce, bytes.NewReader(body))
+	if err != nil {
+		return
+	}
+	reply, err := client.Do(r)
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, reply.Body)
+	_ = reply.Body.Close()
+}
+
+// vmsInDomain is how many VMs a fabric domain has.
+const vmsInDomain = 73
--- a/test/capacity/nodes_test.go
+++ b/test/capacity/nodes_test.go
@@ -32,8 +32,10 @@
 
 // system is a running system of real processes, without links between them.
 type system struct {
-	t        *testing.T
-	nodes    []*harness.Node
+	t     *testing.T
+	nodes []*harness.Node
+	// control holds the peer addresses of the control processes.
+	control  []string
 	revision uint64
 }
 
@@ -43,12 +45,7 @@
 func TestNodes(t *testing.T) {
 	counts, span := []int{4}, 200*time.Millisecond
 	if *measure {
-		counts, span = nil, *window
-		for _, text := range strings.Split(*entries, ",") {
-			n, err := strconv.Atoi(text)
-			assert.NilError(t, err)
-			counts = append(counts, n)
-		}
+		counts, span = numbers(t, *entries), *window
 	}
 	lines := []string{
 		"| entries | role | core, % | memory, MB | read, KB/s | written, KB/s | in force, median ms | 99th ms | changes |",
@@ -62,6 +59,17 @@
 	}
 }
 
+func numbers(t *testing.T, list string) []int {
+	t.Helper()
+	var all []int
+	for _, text := range strings.Split(list, ",") {
+		n, err := strconv.Atoi(text)
+		assert.NilError(t, err)
+		all = append(all, n)
+	}
+	return all
+}
+
 func measureSystem(t *testing.T, entryCount int, span time.Duration) []string {
 	s := startSystem(t, entryCount)
 	s.found()
@@ -94,19 +102,25 @@
 	path := harness.Program(t, "citronstepd")
 	for _, n := range all {
 		n.Peers.Control = control
-		node := &harness.Node{Entry: n.Entry.Listen, Admin: n.Admin.Listen, Folder: filepath.Join(folder, n.VM)}
-		assert.NilError(t, os.MkdirAll(node.Folder, 0o700))
-		body, err := toml.Marshal(n)
-		assert.NilError(t, err)
-		file := filepath.Join(node.Folder, "settings.toml")
-		assert.NilError(t, os.WriteFile(file, body, 0o600))
-		node.Process = harness.StartProcess(t, n.VM, node.Folder, path, "-settings", file)
-		s.nodes = append(s.nodes, node)
+		s.nodes = append(s.nodes, startNode(t, path, filepath.Join(folder, n.VM), n))
 	}
 	s.startEngines(folder)
 	return s
 }
 
+// startNode starts a daemon with its settings.
+func startNode(t *testing.T, path, folder string, n *settings.Settings) *harness.Node {
+	t.Helper()
+	node := &harness.Node{Entry: n.Entry.Listen, Admin: n.Admin.Listen, Folder: folder}
+	assert.NilError(t, os.MkdirAll(folder, 0o700))
+	body, err := toml.Marshal(n)
+	assert.NilError(t, err)
+	file := filepath.Join(folder, "settings.toml")
+	assert.NilError(t, os.WriteFile(file, body, 0o600))
+	node.Process = harness.StartProcess(t, n.VM, folder, path, "-settings", file)
+	return node
+}
+
 func nodeSettings(t *testing.T, folder, name string, control bool) *settings.Settings {
 	s := settings.Dev(folder)
 	s.VM = name
@@ -131,11 +145,15 @@
 }
 
 func (s *system) found() {
+	s.t.Helper()
+	s.foundWith(blackboard.GroupSpec{Name: "demo", Model: "demo", Replicas: *engines / vmsReplica, VMsPerReplica: vmsReplica})
+}
+
+// foundWith founds the cluster with two presets to change between.
+func (s *system) foundWith(groups ...blackboard.GroupSpec) {
 	s.t.Helper()
 	request := adminapi.InitRequest{Initial: blackboard.ConfigChange{
-		ChangeID: "first",
-		Groups:   []blackboard.GroupSpec{{Name: "demo", Model: "demo", Replicas: *engines / vmsReplica, VMsPerReplica: vmsReplica}},
-		Presets:  []blackboard.Preset{{Name: "ordinary"}, {Name: "peak"}}, UsePreset: "ordinary",
+		ChangeID: "first", Groups: groups, Presets: []blackboard.Preset{{Name: "ordinary"}, {Name: "peak"}}, UsePreset: "ordinary",
 	}}
 	harness.Await(s.t, "the founding", func() bool {
 		var reply adminapi.InitReply
