--- a/test/capacity/fleet_entries_test.go
+++ b/test/capacity/fleet_entries_test.go
@@ -94,6 +94,9 @@
 // in announceEvery, until the test ends.
 func announceAll(t *testing.T, s *system, n int) {
 	t.Helper()
+	if n == 0 {
+		return
+	}
 	ctx, running := untilCleanup(t)
 	client := &http.Client{Timeout: announceEvery, Transport: &http.Transport{MaxIdleConnsPerHost: announcers}}
 	due := make(chan int)
@@ -106,12 +109,12 @@
 	}
 	running.Go(func() {
 		defer close(due)
-		ticker := time.NewTicker(announceEvery / time.Duration(max(1, n)))
+		ticker := time.NewTicker(announceEvery / time.Duration(n))
 		defer ticker.Stop()
 		began, sent := time.Now(), 0
 		for ctx.Err() == nil {
 			<-ticker.C
-			for ; time.Duration(sent)*announceEvery/time.Duration(max(1, n)) < time.Since(began); sent++ {
+			for ; time.Duration(sent)*announceEvery/time.Duration(n) < time.Since(began); sent++ {
 				due <- sent % n
 			}
 		}
