A new leader grants no lease before it has applied what earlier leaders committed

What callers would have seen: after a change of leader, an entry that starts, or lags, gets a lease on a configuration that an acknowledged change had replaced, for as long as the new leader applies its backlog; withdrawn keys work again.

Cause: the lease was valid once an entry of the own term was committed. The replica publishes its state before it applies what was committed, so between the two the lease stood over a state machine that lacked hundreds of commands. On small boards the apply takes microseconds; a registration clones a table of the entries, so its time grows with the fleet, and so does the backlog of a follower.

Change: the lease begins once the entry that opens the term is applied; those who wait for a change of state are woken when a lease comes or goes. The test fails without it: a lease of 1h0m2.375s where none may be.

--- a/internal/raft/directed_test.go
+++ b/internal/raft/directed_test.go
@@ -157,6 +157,25 @@
 	assert.Assert(t, n.LeaseExpiry() > b.now)
 }
 
+// Failure: a new leader knows that all of its predecessors' entries are committed and still
+// applies them. With its lease it would grant others one on a state of long before.
+func TestNoLeaseBeforeTheEntriesOfEarlierLeadersAreApplied(t *testing.T) {
+	b := newBench(t, 3, 0)
+	b.holds[MessageAppendReply] = true
+	n := b.leader()
+	for _, m := range b.held {
+		if m.To == n.cfg.ID {
+			n.Step(b.now, m)
+		}
+	}
+	assert.Assert(t, n.ownTermCommitted())
+	assert.Equal(t, n.LeaseExpiry(), time.Duration(0))
+
+	b.holds[MessageAppendReply] = false
+	b.settle()
+	assert.Assert(t, n.LeaseExpiry() > b.now)
+}
+
 // Story: a leader's process is stopped for ten seconds and wakes. Before it
 // has looked at any message it is asked for its lease, and for a read.
 func TestFrozenLeaderHasNoLease(t *testing.T) {
--- a/internal/raft/lease.go
+++ b/internal/raft/lease.go
@@ -52,10 +52,11 @@
 // that they answered, to elect nobody for an election timeout. The lease
 // counts from the sending and is shorter by LeaseMargin, so it ends first also
 // when the clocks run at different rates. It holds only after an entry of
-// this leader's own term is committed: before, it may not know of all that
-// earlier leaders committed.
+// this leader's own term is applied: before it is committed, the leader may not
+// know of all that earlier leaders committed, and before it is applied, the state
+// machine lacks some of that.
 func (n *Node) LeaseExpiry() time.Duration {
-	if n.role != RoleLeader || n.transfer.told || !n.ownTermCommitted() {
+	if n.role != RoleLeader || n.transfer.told || n.log.applied < n.openingIndex {
 		return 0
 	}
 	acked := n.quorumAckedAt()
--- a/internal/replica/process.go
+++ b/internal/replica/process.go
@@ -163,7 +163,8 @@
 	n.mu.Lock()
 	old := n.view
 	n.view = v
-	if visiblyChanged(old.status, v.status) {
+	leaseCameOrWent := (old.leaseExpiry == 0) != (v.leaseExpiry == 0)
+	if visiblyChanged(old.status, v.status) || leaseCameOrWent {
 		close(n.changed)
 		n.changed = make(chan struct{})
 	}
