Entries that start ask control processes one after the other, and no faster than these answer

What callers saw: in the fleet's measurement 2,000 entries took 40 s until all held a lease, and 4,000 did not come up within 60 s. The control processes were not busy (0.3 to 0.6 of a core): 1,094 of 2,000 entries were in their survey at 17 s, with 11,000 questions under way.

Causes, all growing with entries times control processes: each entry asked all control processes at once, and again whenever an answer was late; a late answer ends its connection, and what is asked anew is late again. An entry that followers don't know asked one after the other, with a survey before each.

Change: a survey asks one process, in an order that differs from entry to entry, and one more after each step of 30 ms or the time in which the processes can answer all entries (which a first answer tells); timeouts double while answers are late; questions that found no leader are repeated at a pace by the number of entries. A refusal that names the leader is followed within the same call; the test fails without it (not_leader). Small sites keep their times but for 30 ms between one process and the next.

--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -118,21 +118,33 @@
 		// may have gone silent with it, and each call would find one more.
 		c.http.CloseIdleConnections()
 	}
-	var te twirp.Error
-	if errors.As(err, &te) && te.Meta(MetaLeader) != "" && te.Meta(MetaLeader) != address {
-		c.leader = te.Meta(MetaLeader)
+	if leader := leaderIn(err); leader != "" && leader != address {
+		c.leader = leader
 		return
 	}
 	c.next++
 }
 
+// leaderIn returns the leader that a refusal names, or "".
+func leaderIn(err error) string {
+	var te twirp.Error
+	if !errors.As(err, &te) {
+		return ""
+	}
+	return te.Meta(MetaLeader)
+}
+
 // Watch calls the process last known to lead, once. After a failure the next
 // call goes to another process. A watch that may be spread goes to one of all
-// control processes, chosen for the entry.
+// control processes, chosen for the entry, and to the leader if that one can't answer
+// and names it.
 func (c *Client) Watch(ctx context.Context, r *noderpc.WatchRequest) (*noderpc.WatchReply, error) {
 	if r.Spread {
 		if address, ok := c.spreadTo(time.Now(), r.EntryId); ok {
-			return c.watchAt(ctx, address, r)
+			reply, err := c.watchAt(ctx, address, r)
+			if !c.followTo(address, err) {
+				return reply, errors.Trace(typed(err))
+			}
 		}
 	}
 	address, b := c.board()
@@ -148,6 +160,17 @@
 	c.leader = leader
 }
 
+// followTo makes the next call go to the leader that a process has named in its refusal,
+// and tells whether it has named another one than itself.
+func (c *Client) followTo(address string, err error) bool {
+	leader := leaderIn(err)
+	if leader == "" || leader == address {
+		return false
+	}
+	c.follow(leader)
+	return true
+}
+
 // all returns the addresses of all known control processes.
 func (c *Client) all() []string {
 	c.mu.Lock()
--- a/internal/controlclient/spread.go
+++ b/internal/controlclient/spread.go
@@ -39,7 +39,7 @@
 	if err != nil {
 		c.avoid(time.Now(), address, ctx.Err() != nil)
 	}
-	return reply, errors.Trace(typed(err))
+	return reply, err
 }
 
 // avoid keeps further watches from a process that gave none; silent says that it gave no
--- /dev/null
+++ b/internal/controlclient/spread_test.go
@@ -0,0 +1,62 @@
+package controlclient
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/twitchtv/twirp"
+	"gotest.tools/v3/assert"
+
+	"github.com/citronstep/citronstep/internal/failure"
+	"github.com/citronstep/citronstep/internal/rpc/noderpc"
+)
+
+// board answers watches for a control process; the calls that a test doesn't need are missing.
+type board struct {
+	noderpc.Board
+	watch func() (*noderpc.WatchReply, error)
+	calls int
+}
+
+func (b *board) Watch(context.Context, *noderpc.WatchRequest) (*noderpc.WatchReply, error) {
+	b.calls++
+	return b.watch()
+}
+
+// serve returns the address of a control process.
+func serve(t *testing.T, b *board) string {
+	t.Helper()
+	s := httptest.NewServer(noderpc.NewBoardServer(b))
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+// Failure: a thousand entries start for the first time, and each asks one follower after the
+// other, none of which knows it, with a survey of all control processes before each watch.
+func TestAnEntryThatFollowersDoNotKnowAsksTheLeaderAtOnce(t *testing.T) {
+	leader := &board{watch: func() (*noderpc.WatchReply, error) { return &noderpc.WatchReply{Revision: 7}, nil }}
+	at := serve(t, leader)
+	refusing := func() (*noderpc.WatchReply, error) {
+		return nil, twirp.NewError(twirp.FailedPrecondition, "does not lead").
+			WithMeta(MetaType, string(failure.TypeNotLeader)).WithMeta(MetaLeader, at)
+	}
+	followers, addresses := []*board{}, []string{}
+	for range 4 {
+		f := &board{watch: refusing}
+		followers, addresses = append(followers, f), append(addresses, serve(t, f))
+	}
+	c := New(addresses, http.DefaultClient)
+
+	reply, err := c.Watch(context.Background(), &noderpc.WatchRequest{EntryId: "e", Spread: true})
+
+	assert.NilError(t, err)
+	assert.Equal(t, reply.Revision, uint64(7))
+	asked := 0
+	for _, f := range followers {
+		asked += f.calls
+	}
+	assert.Equal(t, asked, 1)
+}
--- a/internal/controlclient/survey.go
+++ b/internal/controlclient/survey.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -11,26 +12,11 @@
 	"github.com/citronstep/citronstep/internal/rpc/noderpc"
 )
 
-// Times of the questions about what was last known.
-const (
-	// lastKnownTimeout bounds one question: some round trips of the farthest data
-	// centres. A VM that has no power yet does not answer at all, and each
-	// question tries it anew.
-	lastKnownTimeout = 200 * time.Millisecond
-	// lastKnownPause is the wait before a process is asked again that gave no
-	// answer; one that is just starting refuses connections for some tenths of a
-	// second, which costs it nothing.
-	lastKnownPause = 30 * time.Millisecond
-	// lastKnownAgain is the same for one that answered: all entries ask at once
-	// while it has its log to apply.
-	lastKnownAgain = 150 * time.Millisecond
-)
-
 // errNoMajority is returned when the time is up before a majority has answered.
 const errNoMajority = errors.ConstError("no majority of the control processes holds a configuration, and none knows a leader")
 
-// LastKnown asks all control processes what they last knew, again and again until
-// enough have answered or the context ends. The reply either names the leader, whom
+// LastKnown asks control processes what they last knew, one after the other and again and
+// again until enough have answered or the context ends. The reply either names the leader, whom
 // the next call goes to, or there is none and it holds the newest board that a
 // majority has.
 //
@@ -58,21 +44,26 @@
 	reply   *noderpc.LastKnownReply
 }
 
-// survey asks until the answers suffice.
+// survey asks until the answers suffice: one process, and one more after each step.
 func (c *Client) survey(ctx context.Context) (lastKnown, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	answers := make(chan lastKnown)
-	poll := newPoll(c.all())
-	for _, address := range poll.known {
-		go c.ask(ctx, address, answers)
-	}
+	poll := newPoll(shuffled(c.all()))
+	unasked, pace := poll.known, pace{}
+	widen := time.NewTimer(0)
+	defer widen.Stop()
 	for {
 		select {
-		case a := <-answers:
-			for _, address := range poll.learn(a.reply.ControlAddresses) {
-				go c.ask(ctx, address, answers)
+		case <-widen.C:
+			if len(unasked) > 0 {
+				go c.ask(ctx, unasked[0], answers)
+				unasked = unasked[1:]
 			}
+			widen.Reset(pace.step(len(poll.known)))
+		case a := <-answers:
+			pace.learn(a.reply)
+			unasked = append(unasked, poll.learn(a.reply.ControlAddresses)...)
 			if best, ok := poll.take(a); ok {
 				return best, nil
 			}
@@ -82,28 +73,39 @@
 	}
 }
 
+// shuffled returns the addresses in an order that differs from entry to entry.
+func shuffled(addresses []string) []string {
+	out := slices.Clone(addresses)
+	rand.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out
+}
+
 // ask passes on each answer of one control process until the context ends.
 func (c *Client) ask(ctx context.Context, address string, answers chan<- lastKnown) {
+	var pace pace
 	for ctx.Err() == nil {
-		pause := lastKnownPause
-		if reply, err := c.askOnce(ctx, address); err == nil {
-			pause = lastKnownAgain
+		reply, err := c.askOnce(ctx, address, pace.timeout())
+		if err == nil {
+			pace.learn(reply)
 			select {
 			case answers <- lastKnown{address, reply}:
 			case <-ctx.Done():
 			}
 		}
 		select {
-		case <-time.After(pause):
+		case <-time.After(pace.pause(err)):
 		case <-ctx.Done():
 		}
 	}
 }
 
-func (c *Client) askOnce(ctx context.Context, address string) (*noderpc.LastKnownReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, lastKnownTimeout)
+func (c *Client) askOnce(ctx context.Context, address string, timeout time.Duration) (*noderpc.LastKnownReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	reply, err := c.boardOf(address).LastKnown(ctx, &noderpc.LastKnownRequest{})
+	if err != nil && ctx.Err() != nil {
+		return nil, errors.Trace(ctx.Err())
+	}
 	return reply, errors.Trace(err)
 }
 
--- a/test/capacity/fleet_test.go
+++ b/test/capacity/fleet_test.go
@@ -38,8 +38,8 @@
 		counts, span = numbers(t, *fleets), *window
 	}
 	lines := []string{
-		"| entries | servers | role | core, % | memory, MB | in all entries, median ms | longest ms | changes | next change after the leader's end, ms |",
-		"| --- | --- | --- | --- | --- | --- | --- | --- | --- |",
+		"| entries | servers | role | core, % | memory, MB | in all entries, median ms | longest ms | changes | next change after the leader's end, ms | all entries started, ms |",
+		"| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |",
 	}
 	for _, n := range counts {
 		t.Run(strconv.Itoa(n), func(t *testing.T) { lines = append(lines, measureFleet(t, n, span)...) })
@@ -53,8 +53,10 @@
 func measureFleet(t *testing.T, entryCount int, span time.Duration) []string {
 	s := startControls(t)
 	s.foundWith()
+	began := time.Now()
 	f := followAll(t, s, entryCount)
 	f.awaitLeases()
+	started := time.Since(began)
 	servers := 0
 	if *measure {
 		servers = *serversPerEntry * entryCount
@@ -75,10 +77,11 @@
 	f.awaitConfiguration(s.revision)
 
 	last := len(used) - 1
-	times := fmt.Sprintf("%.0f | %.0f | %d | %d", inForce[len(inForce)/2], inForce[len(inForce)-1], len(inForce), outage.Milliseconds())
+	times := fmt.Sprintf("%.0f | %.0f | %d | %d | %d", inForce[len(inForce)/2], inForce[len(inForce)-1], len(inForce),
+		outage.Milliseconds(), started.Milliseconds())
 	return []string{
 		fleetLine(entryCount, servers, "leader", used[last], times),
-		fleetLine(entryCount, servers, "others, mean", mean(used[:last]), "| | |"),
+		fleetLine(entryCount, servers, "others, mean", mean(used[:last]), "| | | |"),
 	}
 }
 
