--- a/test/capacity/fleet_test.go
+++ b/test/capacity/fleet_test.go
@@ -24,14 +24,7 @@
 // shortFleet is the least number of entries whose watches are spread.
 const shortFleet = 420
 
-// TestFleet measures what a fleet of entries costs its control processes: processor
-// time and memory of the leader and of the others, the time from a change to all
-// entries, and the time without one after the leader's end. The control processes
-// are real; the entries are the part of one that follows the blackboard, in the
-// test's own process.
-//
-// Failure: one process answers the watches of a thousand entries and has no processor
-// time left for consensus.
+// Failure: one process answers the watches of a thousand entries and has no processor time left for consensus.
 func TestFleet(t *testing.T) {
 	counts, span := []int{shortFleet}, 200*time.Millisecond
 	if *measure {
@@ -49,7 +42,10 @@
 	}
 }
 
-// measureFleet returns the lines of the table for one number of entries.
+// measureFleet returns the lines of the table for one number of entries: what the control
+// processes, which are real, spend on followers of the blackboard in the test's own
+// process, how long a change takes to all of these, and how long none is possible
+// after the leader's end.
 func measureFleet(t *testing.T, entryCount int, span time.Duration) []string {
 	s := startControls(t)
 	s.foundWith()
