entry: log and count what backend servers state about themselves in answers

Why: no log line and no metric told whether Retry-After of a backend server reached an entry, so the hypotheses "not read", "a preference, not a bound" and "shortened" could not be told apart.

Change: backend.Notice is what a backend server states in the header of an answer: its rate limit, Retry-After and that it is leaving. It replaces the rate limit that each kind of answer carried by itself, so that a statement which is decoded for one kind is there for all: forwarded answers, token streams, answers of plain services, refusals. Our own protocol gets Retry-After and Citronstep-Leaving. An entry writes event=backoff_requested, server_leaving and retry_after_invalid, and event=attempt_against_notice for an attempt on a backend server that asked for none; four metrics count the same. No decision reads it yet.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"io"
 	"net/http"
-	"time"
 )
 
 // FencingToken determines which of two orders to an engine is newer. A later leader
@@ -111,9 +110,8 @@
 	// It returns io.EOF only after the end mark, and ErrCut if the stream ends
 	// before. It does not check events otherwise.
 	Next() (Token, error)
-	// RateLimit returns how many requests per second the engine accepts from all entries
-	// together; nil if it states no limit.
-	RateLimit() *float64
+	// Notice returns what the engine states about itself.
+	Notice() Notice
 	// Close ends the stream and its connection if it is still open.
 	Close() error
 }
@@ -146,9 +144,7 @@
 	Body   io.ReadCloser
 	// Length is the announced length of Body, or -1.
 	Length int64
-	// RateLimit is how many requests per second the service accepts from all entries
-	// together; nil if it states no limit.
-	RateLimit *float64
+	Notice Notice
 }
 
 // Client makes calls to backend servers. Each error is a *CallError.
@@ -185,12 +181,9 @@
 	Status int
 	// Busy is set if the backend server refused for lack of capacity.
 	Busy bool
-	// RetryAfter is the wait that the backend server requested, or 0.
-	RetryAfter time.Duration
-	// RateLimit is how many requests per second the backend server accepts from all
-	// entries together; nil if it states no limit or gave no answer.
-	RateLimit *float64
-	Cause     error
+	// Notice is what the backend server states about itself; empty if it gave no answer.
+	Notice Notice
+	Cause  error
 }
 
 // Error returns the address, the stage and the cause as text.
--- a/internal/backend/forward.go
+++ b/internal/backend/forward.go
@@ -55,9 +55,8 @@
 	AtFault string
 	// Load is the load that the backend server reports; nil if it reports none.
 	Load *ServerLoad
-	// RateLimit is how many requests per second the backend server accepts from all
-	// entries together; nil if the answer states no limit.
-	RateLimit *float64
+	// Notice is what the backend server states about itself.
+	Notice Notice
 }
 
 // ServerLoad is the load that a backend server reports in its answers.
--- a/internal/backend/http_client.go
+++ b/internal/backend/http_client.go
@@ -100,7 +100,7 @@
 // failed during the run.
 func (c *HTTPClient) refusalError(address string, x *httpExchange) error {
 	e := &CallError{
-		Address: address, Stage: StageUnknown, Status: x.response.StatusCode, RateLimit: rateLimitOf(x.response.Header),
+		Address: address, Stage: StageUnknown, Status: x.response.StatusCode, Notice: noticeOf(x.response),
 	}
 	body, err := c.readReply(x)
 	if err != nil {
@@ -116,7 +116,8 @@
 		e.Stage = StageRefused
 	}
 	e.Busy = r.Busy
-	e.RetryAfter = time.Duration(max(r.RetryAfterMillis, 0)) * time.Millisecond
+	asked := min(max(r.RetryAfterMillis, 0), MaxRetryAfter.Milliseconds())
+	e.Notice.RetryAfter = max(e.Notice.RetryAfter, time.Duration(asked)*time.Millisecond)
 	if r.Message != "" {
 		e.Cause = &serverMessage{r.Message}
 	}
--- a/internal/backend/http_service.go
+++ b/internal/backend/http_service.go
@@ -47,8 +47,7 @@
 		Header: EndToEnd(x.response.Header),
 		Body:   &answerBody{exchange: x},
 		Length: x.response.ContentLength,
-
-		RateLimit: rateLimitOf(x.response.Header),
+		Notice: noticeOf(x.response),
 	}, nil
 }
 
@@ -61,8 +60,7 @@
 			Address: address,
 			Stage:   StageRefused,
 			Status:  r.StatusCode,
-
-			RateLimit: rateLimitOf(r.Header),
+			Notice:  noticeOf(r),
 
 			Busy: r.StatusCode == http.StatusTooManyRequests || r.StatusCode == http.StatusServiceUnavailable,
 		}
--- a/internal/backend/paths.go
+++ b/internal/backend/paths.go
@@ -25,6 +25,14 @@
 // entries together. It may appear on any answer to a generation or a call.
 const HeaderRateLimit = "Citronstep-Rate-Limit"
 
+// HeaderRetryAfter states for how many seconds a backend server that refuses a generation or a
+// call with status 503 or 429 accepts no request from the same process.
+const HeaderRetryAfter = "Retry-After"
+
+// HeaderLeaving states, with a true value, that a backend server is about to stop and accepts
+// no new work. It may appear on any answer to a generation or a call.
+const HeaderLeaving = "Citronstep-Leaving"
+
 // Refusal is the body of an engine's answer to a generation that it did not start.
 // Started must be present and false; otherwise the answer does not prove that nothing
 // ran.
--- a/internal/backend/rate_limit.go
+++ b/internal/backend/rate_limit.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"net/http"
 	"strconv"
 	"strings"
 )
@@ -16,5 +15,3 @@
 	}
 	return &perSecond
 }
-
-func rateLimitOf(h http.Header) *float64 { return ParseRateLimit(h.Get(HeaderRateLimit)) }
--- a/internal/backend/rate_limit_test.go
+++ b/internal/backend/rate_limit_test.go
@@ -28,19 +28,19 @@
 
 	stream, err := c.Generate(ctx, address, Generation{})
 	assert.NilError(t, err)
-	assert.Equal(t, *stream.RateLimit(), 1.5)
+	assert.Equal(t, *stream.Notice().RateLimit, 1.5)
 	assert.NilError(t, stream.Close())
 
 	answer, err := c.Call(ctx, address, ServiceCall{Method: http.MethodGet, Path: "/"})
 	assert.NilError(t, err)
-	assert.Equal(t, *answer.RateLimit, 1.5)
+	assert.Equal(t, *answer.Notice.RateLimit, 1.5)
 	assert.NilError(t, answer.Body.Close())
 
 	var refused *CallError
 	_, err = c.Call(ctx, address, ServiceCall{Method: http.MethodGet, Path: "/refused"})
 	assert.Assert(t, errors.As(err, &refused))
-	assert.Equal(t, *refused.RateLimit, 1.5)
+	assert.Equal(t, *refused.Notice.RateLimit, 1.5)
 	_, err = c.Order(ctx, address, Order{})
 	assert.Assert(t, errors.As(err, &refused))
-	assert.Equal(t, *refused.RateLimit, 1.5)
+	assert.Equal(t, *refused.Notice.RateLimit, 1.5)
 }
--- a/internal/backend/sse_stream.go
+++ b/internal/backend/sse_stream.go
@@ -45,8 +45,8 @@
 	}
 }
 
-// RateLimit returns the rate limit in the response header. See TokenStream.
-func (s *sseStream) RateLimit() *float64 { return rateLimitOf(s.exchange.response.Header) }
+// Notice returns the notice in the response header. See TokenStream.
+func (s *sseStream) Notice() Notice { return noticeOf(s.exchange.response) }
 
 // Next returns the next event. See TokenStream.
 func (s *sseStream) Next() (Token, error) {
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -126,6 +126,30 @@
 	return share
 }
 
+// recordBackoff records that a backend server asked this entry not to send it any request until
+// a time. It reports whether that is later than it asked before.
+func (d *dispatcher) recordBackoff(now time.Time, incarnation string, until time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.picker.RecordBackoff(now, incarnation, until)
+}
+
+// isBackedOff reports whether a backend server has asked this entry not to send it any request
+// now.
+func (d *dispatcher) isBackedOff(now time.Time, incarnation string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.picker.IsBackedOff(now, incarnation)
+}
+
+// backoffCount returns how many backend servers have asked this entry not to send them any
+// request now.
+func (d *dispatcher) backoffCount(now time.Time) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.picker.BackoffCount(now)
+}
+
 // setEvacuated sets the pools whose targets are all in evacuated data centres. Their requests
 // are refused at once.
 func (d *dispatcher) setEvacuated(pools map[string]bool) {
--- /dev/null
+++ b/internal/entry/notices.go
@@ -0,0 +1,71 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/go-kit/log/level"
+	"github.com/juju/errors"
+
+	"github.com/citronstep/citronstep/internal/backend"
+)
+
+// observeForwarded processes what a backend server states about itself in the answer to a
+// forwarded request that was sent at the time sent. An answer without a valid proof may lack a
+// header for any reason.
+func (s *Server) observeForwarded(r route, a *backend.ForwardAnswer, sent time.Time) {
+	if a.OtherServer {
+		return
+	}
+	isComplete := !a.IsOtherRequest && (a.Proven || a.NotRun)
+	s.observeNotice(r, a.Notice, isComplete, sent)
+}
+
+// observeRefusal processes what a backend server states about itself in the answer to a failed
+// call.
+func (s *Server) observeRefusal(r route, err error, sent time.Time) {
+	var call *backend.CallError
+	if errors.As(err, &call) {
+		s.observeNotice(r, call.Notice, call.Stage == backend.StageRefused, sent)
+	}
+}
+
+// observeNotice processes what a backend server states about itself in the answer to a request
+// that was sent at the time sent. isComplete is set if a statement that is missing from the
+// answer is known not to have been made.
+func (s *Server) observeNotice(r route, n backend.Notice, isComplete bool, sent time.Time) {
+	if n.RateLimit != nil || isComplete {
+		s.observeRateLimit(r, n.RateLimit, sent)
+	}
+	s.observeBackoff(r, n)
+	s.observeLeaving(r, n)
+}
+
+// observeBackoff records that a backend server asked this entry not to send it any request.
+func (s *Server) observeBackoff(r route, n backend.Notice) {
+	if n.InvalidRetryAfter != "" {
+		_ = level.Info(s.o.Logger).Log("event", "retry_after_invalid", "server", r.head, "incarnation", r.incarnation,
+			"value", clip(n.InvalidRetryAfter))
+	}
+	if n.RetryAfter <= 0 {
+		return
+	}
+	s.o.Metrics.BackoffRequested()
+	now := time.Now()
+	extended := s.dispatcher.recordBackoff(now, r.incarnation, now.Add(n.RetryAfter))
+	_ = level.Info(s.o.Logger).Log("event", "backoff_requested", "server", r.head, "incarnation", r.incarnation,
+		"target", r.target, "retry_after_ms", n.RetryAfter.Milliseconds(), "extended", extended)
+}
+
+// observeLeaving records that a backend server is about to stop.
+func (s *Server) observeLeaving(r route, n backend.Notice) {
+	if !n.IsLeaving || !s.leavingServers.add(time.Now(), r.incarnation) {
+		return
+	}
+	s.o.Metrics.ServerLeaving()
+	_ = level.Info(s.o.Logger).Log("event", "server_leaving", "server", r.head, "incarnation", r.incarnation, "target", r.target)
+}
+
+// maxLoggedHeader bounds the part of a header that a log line quotes, in bytes.
+const maxLoggedHeader = 64
+
+func clip(text string) string { return text[:min(len(text), maxLoggedHeader)] }
--- a/internal/entry/rate_limits.go
+++ b/internal/entry/rate_limits.go
@@ -6,9 +6,7 @@
 	"time"
 
 	"github.com/go-kit/log/level"
-	"github.com/juju/errors"
 
-	"github.com/citronstep/citronstep/internal/backend"
 	"github.com/citronstep/citronstep/internal/blackboard"
 	"github.com/citronstep/citronstep/internal/placement"
 )
@@ -176,24 +174,6 @@
 	return n
 }
 
-// observeForwarded records the rate limit in the answer to a forwarded request. An answer
-// without a valid proof may lack the limit for any reason.
-func (s *Server) observeForwarded(r route, a *backend.ForwardAnswer, sent time.Time) {
-	genuine := !a.IsOtherRequest && (a.Proven || a.NotRun)
-	if a.OtherServer || (!genuine && a.RateLimit == nil) {
-		return
-	}
-	s.observeRateLimit(r, a.RateLimit, sent)
-}
-
-// observeRefusal records the rate limit in the answer to a failed call.
-func (s *Server) observeRefusal(r route, err error, sent time.Time) {
-	var call *backend.CallError
-	if errors.As(err, &call) && (call.RateLimit != nil || call.Stage == backend.StageRefused) {
-		s.observeRateLimit(r, call.RateLimit, sent)
-	}
-}
-
 // observeRateLimit records and applies the rate limit in an answer to a request that was sent
 // at the time sent; nil is no limit.
 func (s *Server) observeRateLimit(r route, limit *float64, sent time.Time) {
--- a/internal/entry/rate_limits_test.go
+++ b/internal/entry/rate_limits_test.go
@@ -95,11 +95,11 @@
 }
 
 func (c limitingClient) Call(context.Context, string, backend.ServiceCall) (*backend.ServiceAnswer, error) {
-	return &backend.ServiceAnswer{Status: http.StatusOK, Body: http.NoBody, RateLimit: &c.perSecond}, nil
+	return &backend.ServiceAnswer{Status: http.StatusOK, Body: http.NoBody, Notice: backend.Notice{RateLimit: &c.perSecond}}, nil
 }
 
 func (c limitingClient) Generate(context.Context, string, backend.Generation) (backend.TokenStream, error) {
-	return nil, &backend.CallError{Stage: backend.StageRefused, RateLimit: &c.perSecond, RetryAfter: time.Second}
+	return nil, &backend.CallError{Stage: backend.StageRefused, Notice: backend.Notice{RateLimit: &c.perSecond, RetryAfter: time.Second}}
 }
 
 // Guards against observing limits only in the answers to forwarded requests.
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -76,6 +76,7 @@
 		if s.rateLimits.isLimited(g.route.incarnation) {
 			s.o.Metrics.RateLimitedAttempt()
 		}
+		s.noteAttemptAgainstNotice(j, g)
 		out, e := attempt(j, g)
 		j.mayHaveRun = j.mayHaveRun || out == outcomeBroken || out == outcomeComplete
 		s.o.Metrics.Attempt(out.name(e))
@@ -100,6 +101,19 @@
 	}
 }
 
+// noteAttemptAgainstNotice logs and counts an attempt on a backend server that has asked for no
+// request.
+func (s *Server) noteAttemptAgainstNotice(j *job, g grant) {
+	isBackedOff := s.dispatcher.isBackedOff(time.Now(), g.route.incarnation)
+	isLeaving := s.leavingServers.contains(g.route.incarnation)
+	if !isBackedOff && !isLeaving {
+		return
+	}
+	s.o.Metrics.AttemptAgainstNotice(isBackedOff)
+	j.lines.Info("event", "attempt_against_notice", "request", j.id, "attempt", g.attempt, "server", g.route.head,
+		"backed_off", isBackedOff, "leaving", isLeaving)
+}
+
 // mayAttempt refuses a further attempt that must not be made any more.
 //
 // Failure: a request crashes its second backend server at another entry and is refused there.
@@ -299,7 +313,7 @@
 		return s.classifyCallError(j, w, err)
 	}
 	defer func() { _ = stream.Close() }()
-	s.observeRateLimit(g.route, stream.RateLimit(), began)
+	s.observeNotice(g.route, stream.Notice(), true, began)
 	w.headerReceived()
 	first := true
 	for {
@@ -374,7 +388,7 @@
 	if !errors.As(err, &call) {
 		return 0
 	}
-	return call.RetryAfter
+	return call.Notice.RetryAfter
 }
 
 // classifyCallError returns the outcome of a failed call by what is certain about it.
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -110,6 +110,8 @@
 	waitEstimates *waitEstimates
 	// rateLimits holds the rate limits that backend servers state.
 	rateLimits *rateLimits
+	// leavingServers holds the backend servers that state in their answers that they are leaving.
+	leavingServers *leavingServers
 	// retryLoans holds the retries that this entry borrows and lends.
 	retryLoans *retryLoans
 	// memory limits the bytes held for slow readers and writers.
@@ -135,21 +137,22 @@
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(o.ID))
 	s := &Server{
-		o:             o,
-		requests:      requestlog.New(o.Logger, o.RequestLinesPerSecond),
-		jobs:          newJobTable(),
-		isolation:     newIsolation(),
-		holders:       newHolders(),
-		boardChanged:  make(chan struct{}, 1),
-		loggedRoutes:  make(map[string]route),
-		progress:      make(progressByEpoch),
-		waitEstimates: newWaitEstimates(time.Now().Add(time.Duration(h.Sum64() % uint64(waitReportInterval)))),
-		rateLimits:    newRateLimits(),
-		evacuations:   make(evacuations),
-		retryLoans:    newRetryLoans(),
-		memory:        newMemoryBudget(o.Settings.MaxHeldBytes),
-		configured:    make(chan struct{}),
-		startedAt:     time.Now(),
+		o:              o,
+		requests:       requestlog.New(o.Logger, o.RequestLinesPerSecond),
+		jobs:           newJobTable(),
+		isolation:      newIsolation(),
+		holders:        newHolders(),
+		boardChanged:   make(chan struct{}, 1),
+		loggedRoutes:   make(map[string]route),
+		progress:       make(progressByEpoch),
+		waitEstimates:  newWaitEstimates(time.Now().Add(time.Duration(h.Sum64() % uint64(waitReportInterval)))),
+		rateLimits:     newRateLimits(),
+		leavingServers: newLeavingServers(),
+		evacuations:    make(evacuations),
+		retryLoans:     newRetryLoans(),
+		memory:         newMemoryBudget(o.Settings.MaxHeldBytes),
+		configured:     make(chan struct{}),
+		startedAt:      time.Now(),
 	}
 	s.holders.assumeBegun(time.Now())
 	s.dispatcher = newDispatcher(placement.Options{
@@ -347,6 +350,7 @@
 	s.o.Metrics.Sample(metrics.EntrySample{
 		Open: open, Waiting: waiting, Routes: routes, Lease: s.o.Follower.LeaseRemaining(),
 		ConfigRevision: s.o.Follower.Board().Config.Revision, RateLimited: s.rateLimits.count(),
+		BackedOff: s.dispatcher.backoffCount(time.Now()),
 	})
 }
 
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -159,7 +159,7 @@
 		return s.classifyServiceError(j, err)
 	}
 	defer func() { _ = answer.Body.Close() }()
-	s.observeRateLimit(g.route, answer.RateLimit, began)
+	s.observeNotice(g.route, answer.Notice, true, began)
 	body, err := io.ReadAll(io.LimitReader(answer.Body, maxServiceAnswer+1))
 	if err != nil {
 		return s.classifyServiceError(j, err)
--- a/internal/metrics/definitions.go
+++ b/internal/metrics/definitions.go
@@ -48,6 +48,11 @@
 
 	nameRateLimitedAttempts = prefix + "rate_limited_attempts_total"
 
+	nameBackedOff             = prefix + "backed_off_servers"
+	nameBackoffRequests       = prefix + "backoff_requests_total"
+	nameServersLeaving        = prefix + "servers_leaving_total"
+	nameAttemptsAgainstNotice = prefix + "attempts_against_notice_total"
+
 	nameClaimTime      = prefix + "claim_seconds"
 	nameOpen           = prefix + "open_requests"
 	nameWaiting        = prefix + "waiting_requests"
@@ -86,6 +91,10 @@
 		{nameAttempts, KindCounter, []string{"outcome"}, "Attempts on backend servers by how they ended.", nil},
 		{nameRateLimited, KindGauge, nil, "Backend servers that name a rate limit, as this entry knows.", nil},
 		{nameRateLimitedAttempts, KindCounter, nil, "Attempts of this entry on backend servers that name a rate limit.", nil},
+		{nameBackedOff, KindGauge, nil, "Backend servers that have asked this entry for no request for a time that has not passed.", nil},
+		{nameBackoffRequests, KindCounter, nil, "Answers in which a backend server asked this entry for no request for a time.", nil},
+		{nameServersLeaving, KindCounter, nil, "Backend servers that have stated in an answer to this entry that they are leaving.", nil},
+		{nameAttemptsAgainstNotice, KindCounter, []string{"reason"}, "Attempts that began on a backend server that had asked this entry for no request.", nil},
 		{nameClaimTime, KindHistogram, nil, "Time of writing an at-most-once claim on a majority of the control processes.", commitBuckets},
 		{nameOpen, KindGauge, nil, "Requests open on this entry.", nil},
 		{nameWaiting, KindGauge, nil, "Requests waiting for room on this entry.", nil},
--- a/internal/metrics/entry.go
+++ b/internal/metrics/entry.go
@@ -70,6 +70,35 @@
 	e.scope.Counter(nameRateLimitedAttempts).Inc(1)
 }
 
+// BackoffRequested counts an answer in which a backend server asked for no request for a time.
+func (e *Entry) BackoffRequested() {
+	if e == nil {
+		return
+	}
+	e.scope.Counter(nameBackoffRequests).Inc(1)
+}
+
+// ServerLeaving counts a backend server that has stated in an answer that it is leaving.
+func (e *Entry) ServerLeaving() {
+	if e == nil {
+		return
+	}
+	e.scope.Counter(nameServersLeaving).Inc(1)
+}
+
+// AttemptAgainstNotice counts an attempt on a backend server that has asked for no request: for a
+// time if isBackedOff is set, or because it is leaving.
+func (e *Entry) AttemptAgainstNotice(isBackedOff bool) {
+	if e == nil {
+		return
+	}
+	reason := "leaving"
+	if isBackedOff {
+		reason = "backoff"
+	}
+	e.scope.Tagged(map[string]string{"reason": reason}).Counter(nameAttemptsAgainstNotice).Inc(1)
+}
+
 // Claim records the duration of writing an at-most-once claim.
 func (e *Entry) Claim(took time.Duration) {
 	if e == nil {
@@ -82,7 +111,9 @@
 type EntrySample struct {
 	Open, Waiting, Routes int
 	// RateLimited counts the backend servers that have announced a rate limit.
-	RateLimited    int
+	RateLimited int
+	// BackedOff counts the backend servers that have asked for no request for a time.
+	BackedOff      int
 	Lease          time.Duration
 	ConfigRevision uint64
 }
@@ -96,6 +127,7 @@
 	e.scope.Gauge(nameWaiting).Update(float64(s.Waiting))
 	e.scope.Gauge(nameRoutes).Update(float64(s.Routes))
 	e.scope.Gauge(nameRateLimited).Update(float64(s.RateLimited))
+	e.scope.Gauge(nameBackedOff).Update(float64(s.BackedOff))
 	e.scope.Gauge(nameLease).Update(max(0, s.Lease).Seconds())
 	e.scope.Gauge(nameConfigRevision).Update(float64(s.ConfigRevision))
 }
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -99,6 +99,9 @@
 	e.Request(Request{})
 	e.Attempt("whole")
 	e.Claim(0)
+	e.BackoffRequested()
+	e.ServerLeaving()
+	e.AttemptAgainstNotice(true)
 	e.Sample(EntrySample{})
 	var c *Control
 	c.Sample(adminapi.Status{}, blackboard.Configuration{}, true, time.Time{})
--- a/internal/placement/picker.go
+++ b/internal/placement/picker.go
@@ -24,6 +24,8 @@
 	// throttles are keyed by backend server. They outlive the targets that a backend server
 	// heads.
 	throttles map[string]*throttle
+	// backoffs are keyed by backend server and outlive the targets that it heads.
+	backoffs map[string]*backoff
 	// unlisted holds targets that SetTargets removed. A target that returns keeps its limit,
 	// its pace and its attempts in flight.
 	unlisted map[string]*target
@@ -51,6 +53,7 @@
 	return &Picker{
 		selfHash:  xxhash.Sum64String(o.Entry),
 		throttles: make(map[string]*throttle),
+		backoffs:  make(map[string]*backoff),
 
 		options:  o.withDefaults(),
 		targets:  make(map[string]*target),
@@ -93,6 +96,7 @@
 	}
 	t.updateDescription(o)
 	t.throttle = p.throttles[o.Server]
+	t.backoff = p.backoffs[o.Server]
 	t.isListed = true
 	t.domain = p.domain(domainKey{o.DataCentre, o.FabricDomain})
 }
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -69,6 +69,8 @@
 	ledger              *ledger
 	// throttle is the throttle of Server; nil without a rate limit.
 	throttle *throttle
+	// backoff is the back-off that Server has requested; nil if it requested none.
+	backoff *backoff
 
 	reported    Load
 	ownAtReport int
