entry: back off from a backend server for the time in its Retry-After

What callers saw: rejected requests that ran on a second backend server later than need be, and refusals after attempts that could not succeed.

Cause: no decision read Retry-After. After a rejection only the entry's own back-off acted, 0.25 s doubled up to 2 s, and as a cost of the choice, not as a bound. Of our own protocol an engine's retry_after_ms was read as such a cost too, for 10 s at most; Retry-After of plain services was not read. Evidence: with the log lines of each attempt against a back-off followed an event=backoff_requested of the same backend server, with reason two_choices and a score far below that of an avoided target. Ruled out by the same lines: sends that pass over a ranking, and an event that ends the time early.

Change: the time is a bound that belongs to the incarnation. placement/blocked.go says for rate limits and back-offs alike when a target may be sent its next request; each way of choosing asks it: first and further attempts, probes, requests that run alone. The latest end of several answers holds. A request that was granted and not yet sent is checked again once its connection is there (backend.Permit); it then goes elsewhere and counts neither as an attempt nor against the retry budget. Where all backend servers of a request are blocked for too long, it is refused at once with the time until the first of them is free.

TestBusyTargetIsAvoidedForItsRetryAfter asserted that a backend server that asks for an hour is used again after 10 s. That was wrong: it had asked for no request. It is replaced by TestTargetIsNotUsedDuringItsBackoff, which holds for 5 s and for the whole hour, and for the choice as well as for the capacity.

Why it works: no way of choosing a target is left that does not ask, and what was chosen before the answer came is asked again at the last moment before a byte is sent.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -88,6 +88,7 @@
 	Priority int `json:"priority"`
 	// Parameters are the caller's other sampling parameters, passed on unchanged.
 	Parameters map[string]json.RawMessage `json:"parameters,omitempty"`
+	Permit     Permit                     `json:"-"`
 }
 
 // Token is one event of a generation's stream.
@@ -133,7 +134,8 @@
 	// be distinguished from a cut that looks like an ordinary close.
 	Verbatim bool
 	// Host is the caller's Host header, if Verbatim is set.
-	Host string
+	Host   string
+	Permit Permit
 }
 
 // ServiceAnswer is the head of a plain service's answer; Body ends with
--- a/internal/backend/errors.go
+++ b/internal/backend/errors.go
@@ -2,6 +2,9 @@
 
 import "github.com/juju/errors"
 
+// ErrWithheld is the cause of a call that was not sent because its Permit refused it.
+const ErrWithheld = errors.ConstError("withheld, the backend server has asked for no request")
+
 // ErrCut is returned for a stream that ended before its end mark, and for a body that
 // ended before its announced length.
 const ErrCut = errors.ConstError("stream cut before its end mark")
--- a/internal/backend/forward.go
+++ b/internal/backend/forward.go
@@ -32,6 +32,7 @@
 	ResumeAfter uint64
 	// NewConnection requests a new connection, see ServiceCall.NewConnection.
 	NewConnection bool
+	Permit        Permit
 }
 
 // ForwardAnswer is the head of the answer to a ForwardCall. The caller must close Body.
--- a/internal/backend/http_client.go
+++ b/internal/backend/http_client.go
@@ -36,7 +36,7 @@
 // Generate starts one attempt and returns its stream once the engine's response header
 // has arrived.
 func (c *HTTPClient) Generate(ctx context.Context, address string, g Generation) (TokenStream, error) {
-	x, err := c.post(ctx, address, PathGenerate, g)
+	x, err := c.post(ctx, address, PathGenerate, g, g.Permit)
 	if err != nil {
 		return nil, err
 	}
@@ -48,7 +48,7 @@
 
 // Cancel requests that the engine stop an attempt.
 func (c *HTTPClient) Cancel(ctx context.Context, address, attempt string) error {
-	x, err := c.post(ctx, address, PathCancel, CancelRequest{Attempt: attempt})
+	x, err := c.post(ctx, address, PathCancel, CancelRequest{Attempt: attempt}, nil)
 	if err != nil {
 		return err
 	}
@@ -61,7 +61,7 @@
 
 // Order sends one order. A refusal as stale is an answer, not an error.
 func (c *HTTPClient) Order(ctx context.Context, address string, o Order) (OrderReply, error) {
-	x, err := c.post(ctx, address, PathOrders, o)
+	x, err := c.post(ctx, address, PathOrders, o, nil)
 	if err != nil {
 		return OrderReply{}, err
 	}
@@ -80,7 +80,7 @@
 	return reply, nil
 }
 
-func (c *HTTPClient) post(ctx context.Context, address, path string, message any) (*httpExchange, error) {
+func (c *HTTPClient) post(ctx context.Context, address, path string, message any, permit Permit) (*httpExchange, error) {
 	body, err := json.Marshal(message)
 	if err != nil {
 		return nil, &CallError{Address: address, Stage: StageNotSent, Cause: errors.Trace(err)}
@@ -91,6 +91,7 @@
 		path:    path,
 		header:  http.Header{"Content-Type": {"application/json"}},
 		body:    body,
+		permit:  permit,
 	}
 	return c.send(ctx, r, c.options.HeaderTimeout)
 }
--- a/internal/backend/http_exchange.go
+++ b/internal/backend/http_exchange.go
@@ -35,7 +35,7 @@
 // wait for the response header.
 func (c *HTTPClient) send(ctx context.Context, r outgoingRequest, headerTimeout time.Duration) (*httpExchange, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	var used usedConn
+	used := usedConn{permit: r.permit}
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: used.got})
 	request, err := r.build(traced)
 	if err != nil {
@@ -50,6 +50,9 @@
 	if err != nil {
 		sent := used.sent()
 		cause := causeOf(ctx, err)
+		if used.isWithheld {
+			cause = errors.Trace(ErrWithheld)
+		}
 		c.retireIfSilent(ctx, r.address, used)
 		cancel(nil)
 		return nil, &CallError{Address: r.address, Stage: sent, Cause: cause}
@@ -88,6 +91,9 @@
 	// isReused is set if the connection came from the pool.
 	isReused bool
 	gotAt    time.Time
+	permit   Permit
+	// isWithheld is set if permit refused the request. The connection is then sealed.
+	isWithheld bool
 }
 
 func (u *usedConn) got(info httptrace.GotConnInfo) {
@@ -100,6 +106,10 @@
 	}
 	u.conn = conn
 	u.writesBefore = conn.writeCount()
+	if !u.permit.allows() {
+		u.isWithheld = true
+		conn.seal(u.writesBefore)
+	}
 }
 
 // sent closes the connection and returns the stage that the request reached on it.
@@ -125,6 +135,7 @@
 	// opaque, if set, is the request target exactly as sent on the wire; host is then
 	// the Host header.
 	opaque, host string
+	permit       Permit
 }
 
 func (r outgoingRequest) build(ctx context.Context) (*http.Request, error) {
--- a/internal/backend/http_service.go
+++ b/internal/backend/http_service.go
@@ -25,6 +25,7 @@
 		header:  EndToEnd(s.Header),
 		body:    s.Body,
 		fresh:   s.NewConnection,
+		permit:  s.Permit,
 	}
 	if s.Verbatim {
 		r.host, r.opaque = s.Host, s.Path
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -126,30 +126,6 @@
 	return share
 }
 
-// recordBackoff records that a backend server asked this entry not to send it any request until
-// a time. It reports whether that is later than it asked before.
-func (d *dispatcher) recordBackoff(now time.Time, incarnation string, until time.Time) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.picker.RecordBackoff(now, incarnation, until)
-}
-
-// isBackedOff reports whether a backend server has asked this entry not to send it any request
-// now.
-func (d *dispatcher) isBackedOff(now time.Time, incarnation string) bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.picker.IsBackedOff(now, incarnation)
-}
-
-// backoffCount returns how many backend servers have asked this entry not to send them any
-// request now.
-func (d *dispatcher) backoffCount(now time.Time) int {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.picker.BackoffCount(now)
-}
-
 // setEvacuated sets the pools whose targets are all in evacuated data centres. Their requests
 // are refused at once.
 func (d *dispatcher) setEvacuated(pools map[string]bool) {
@@ -254,7 +230,7 @@
 	}
 	slots, limited := d.picker.SendCapacity(now, j.placeBy(now), j.model, j.homes)
 	if limited && slots == 0 {
-		return nil, rateLimitRefusal()
+		return nil, d.blockedRefusal(now, j)
 	}
 	decision := d.queue.Offer(now, admission.Request{
 		ID: j.id, Workspace: j.workspace, Class: j.class, Model: j.model, Homes: j.homesName(), IdempotencyKey: j.key,
@@ -356,67 +332,6 @@
 	}
 }
 
-// nextTarget picks a target for a further attempt of a running job. If there is none it waits
-// until the given time, as groups fail over within seconds and rate limits free capacity again.
-func (d *dispatcher) nextTarget(j *job, until time.Time) (grant, bool) {
-	timer := time.NewTimer(time.Until(until))
-	defer timer.Stop()
-	for {
-		d.mu.Lock()
-		now := time.Now()
-		g, ok := d.pickTarget(now, j)
-		opensAt, isTemporary, throttled := d.picker.RateLimitedUntil(now, j.placementRequest(j.reserve))
-		changed := d.changed
-		d.mu.Unlock()
-		if ok {
-			return g, true
-		}
-		var open <-chan time.Time
-		switch {
-		case throttled && opensAt.After(until) && !isTemporary:
-			return grant{}, false
-		case throttled:
-			open = time.After(opensAt.Sub(now))
-		default:
-			// A target that has failed this request may have recovered.
-			j.tried = nil
-		}
-		select {
-		case <-open:
-		case <-changed:
-		case <-timer.C:
-			return grant{}, false
-		case <-j.ctx.Done():
-			return grant{}, false
-		}
-	}
-}
-
-// noteIsolated records a request that was sent to a target in isolation.
-func (d *dispatcher) noteIsolated(now time.Time, target string) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.picker.RecordSend(now, target)
-}
-
-// leastBusy returns the target of a pool that reports the fewest requests, among those that lie
-// in homes and whose rate limits allow a request now.
-func (d *dispatcher) leastBusy(pool string, homes []string) (route, bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	now := time.Now()
-	best, found := route{}, false
-	for _, r := range d.routes {
-		if r.pool != pool || !allowsRegion(homes, r.region) || d.picker.IsRateLimited(now, r.target) {
-			continue
-		}
-		if !found || r.requestCount < best.requestCount || (r.requestCount == best.requestCount && r.target < best.target) {
-			best, found = r, true
-		}
-	}
-	return best, found
-}
-
 // counts returns the number of routable targets and of waiting requests.
 func (d *dispatcher) counts() (routes, waiting int) {
 	d.mu.Lock()
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -256,7 +256,7 @@
 	result := placement.Result{Tokens: 1}
 	out, e := s.relayAttempt(j, g, &result, began)
 	result.OK = out == outcomeComplete
-	result.Cancelled = out == outcomeJobEnded
+	result.Cancelled = out == outcomeJobEnded || out == outcomeWithheld
 	result.Duration = time.Since(began)
 	s.dispatcher.attemptEnded(g.attempt, result)
 	if out != outcomeComplete {
@@ -276,7 +276,7 @@
 	if g.route.progress != nil {
 		defer context.AfterFunc(g.route.progress.ctx, func() { w.cancel(errGroupLost) })()
 	}
-	answer, err := s.o.Forwarder.Forward(w.ctx, j.forwardCall(g))
+	answer, err := s.o.Forwarder.Forward(w.ctx, s.forwardCall(j, g))
 	if err != nil {
 		return s.classifyRelayError(j, g, w, err)
 	}
@@ -313,13 +313,14 @@
 	return s.classifyServiceError(j, err)
 }
 
-func (j *job) forwardCall(g grant) backend.ForwardCall {
+func (s *Server) forwardCall(j *job, g grant) backend.ForwardCall {
 	f := j.forward
 	return backend.ForwardCall{
 		ID: f.request.ID, Address: g.route.address, Incarnation: g.route.incarnation,
 		Method: f.request.Method, Path: f.request.Target, Host: f.request.Host, Header: f.request.Header, Body: f.request.Body,
 		Workspace: j.workspace, TimeLeft: time.Until(j.deadline), Rank: engineRank(f.priority, j.deadlinePriority(time.Now())),
 		Resume: f.resume, ResumeAfter: f.last, NewConnection: j.nonIdempotent,
+		Permit: s.permit(g.route),
 	}
 }
 
--- a/internal/entry/isolation.go
+++ b/internal/entry/isolation.go
@@ -130,9 +130,10 @@
 }
 
 // canReuseTarget reports whether the quarantined target can take another suspect: it has not
-// crashed, and the quarantine lasts longer than the next attempt.
+// crashed, it is not blocked, and the quarantine lasts longer than the next attempt.
 func (s *Server) canReuseTarget(t *suspectQueue) bool {
-	return time.Now().Before(t.reuseUntil) && s.inService(*t.target)
+	now := time.Now()
+	return now.Before(t.reuseUntil) && s.inService(*t.target) && !s.dispatcher.isBlocked(now, t.target.target)
 }
 
 // inService reports whether a target would be routable without the quarantine, in the same
--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -98,6 +98,9 @@
 	// queued is the time from the arrival to the first attempt, firstToken the time from the
 	// arrival to the first token.
 	queued, firstToken time.Duration
+	// withheld counts the attempts that were not sent, as their backend server had asked for no
+	// request.
+	withheld int
 	// suspect is set if a backend server crashed while it ran the request. crashes counts the
 	// crashes that this job has seen.
 	suspect bool
--- a/internal/entry/leaving.go
+++ b/internal/entry/leaving.go
@@ -36,11 +36,3 @@
 	l.since[incarnation] = now
 	return true
 }
-
-// contains reports whether an incarnation is leaving.
-func (l *leavingServers) contains(incarnation string) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	_, known := l.since[incarnation]
-	return known
-}
--- a/internal/entry/notices.go
+++ b/internal/entry/notices.go
@@ -69,3 +69,17 @@
 const maxLoggedHeader = 64
 
 func clip(text string) string { return text[:min(len(text), maxLoggedHeader)] }
+
+// permit returns the check whether a request may still be sent to the target that it was granted.
+func (s *Server) permit(r route) backend.Permit {
+	return func() bool { return !s.dispatcher.isBackedOff(time.Now(), r.incarnation) }
+}
+
+// noteWithheld records an attempt that was not sent, because its backend server had asked for no
+// request.
+func (s *Server) noteWithheld(j *job, g grant) {
+	j.withheld++
+	isBackedOff := s.dispatcher.isBackedOff(time.Now(), g.route.incarnation)
+	s.o.Metrics.AttemptWithheld(isBackedOff)
+	j.lines.Info("event", "attempt_withheld", "request", j.id, "attempt", g.attempt, "server", g.route.head, "backed_off", isBackedOff)
+}
--- a/internal/entry/outcome.go
+++ b/internal/entry/outcome.go
@@ -1,6 +1,11 @@
 package entry
 
-import "github.com/citronstep/citronstep/internal/failure"
+import (
+	"github.com/juju/errors"
+
+	"github.com/citronstep/citronstep/internal/backend"
+	"github.com/citronstep/citronstep/internal/failure"
+)
 
 // outcome is how one attempt ended.
 type outcome int
@@ -10,6 +15,9 @@
 	outcomeComplete outcome = iota
 	// outcomeNotStarted: nothing was sent. Any request may be tried on another target.
 	outcomeNotStarted
+	// outcomeWithheld: nothing was sent, because the backend server asked for no request after it
+	// had been chosen. Another may be tried, and the attempt does not count.
+	outcomeWithheld
 	// outcomeRejected: the backend server states that it has not run the request. Another may
 	// be tried, but the attempt has added its load.
 	outcomeRejected
@@ -26,6 +34,8 @@
 		return "whole"
 	case o == outcomeNotStarted:
 		return "not_started"
+	case o == outcomeWithheld:
+		return "withheld"
 	case o == outcomeRejected:
 		return "rejected"
 	case o == outcomeJobEnded:
@@ -35,3 +45,15 @@
 	}
 	return "broken"
 }
+
+// outcomeOfCallError returns the outcome of a failed call by how far it got.
+func outcomeOfCallError(err error) outcome {
+	var call *backend.CallError
+	switch {
+	case errors.Is(err, backend.ErrWithheld):
+		return outcomeWithheld
+	case errors.As(err, &call) && call.Stage != backend.StageUnknown:
+		return outcomeNotStarted
+	}
+	return outcomeBroken
+}
--- a/internal/entry/refusals.go
+++ b/internal/entry/refusals.go
@@ -29,6 +29,25 @@
 		WithRan(failure.RanNo).WithRetryAfter(rateLimitedRetryAfter)
 }
 
+// failedRetryAfter is when a caller should come back whose request failed on backend servers.
+const failedRetryAfter = time.Second
+
+const (
+	// maxBlockedRetryAfter bounds the Retry-After of requests whose backend servers have asked this
+	// entry for no request: other entries may serve the caller before.
+	maxBlockedRetryAfter = 30 * time.Second
+	// blockedRetryJitter is the greatest addition to that Retry-After, as a fraction of it. It
+	// keeps callers from returning together at the end of a back-off.
+	blockedRetryJitter = 0.25
+)
+
+// backoffRefusal refuses a request whose backend servers have all asked this entry for no request
+// for longer than the request can wait. A backend server becomes free after the given time.
+func backoffRefusal(after time.Duration) *failure.Error {
+	return failure.New(failure.TypeOverloaded, "all backend servers have asked this entry to back off").
+		WithRan(failure.RanNo).WithRetryAfter(after)
+}
+
 // evacuatedRetryAfter is about the time in which a group forms in another data centre.
 const evacuatedRetryAfter = time.Second
 
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -76,9 +76,11 @@
 		if s.rateLimits.isLimited(g.route.incarnation) {
 			s.o.Metrics.RateLimitedAttempt()
 		}
-		s.noteAttemptAgainstNotice(j, g)
 		out, e := attempt(j, g)
 		j.mayHaveRun = j.mayHaveRun || out == outcomeBroken || out == outcomeComplete
+		if out == outcomeWithheld {
+			s.noteWithheld(j, g)
+		}
 		s.o.Metrics.Attempt(out.name(e))
 		stop := s.afterAttempt(j, g, out, e)
 		switch out {
@@ -93,27 +95,14 @@
 			return withRanState(begun, stop)
 		}
 		j.tried = append(j.tried, g.route.target)
-		next, ok := s.dispatcher.nextTarget(j, earlier(j.deadline, time.Now().Add(failoverWait)))
-		if !ok {
-			return withRanState(begun, noBackendServer())
+		next, e := s.dispatcher.nextTarget(j, earlier(j.deadline, time.Now().Add(failoverWait)))
+		if e != nil {
+			return withRanState(begun, e)
 		}
 		g = next
 	}
 }
 
-// noteAttemptAgainstNotice logs and counts an attempt on a backend server that has asked for no
-// request.
-func (s *Server) noteAttemptAgainstNotice(j *job, g grant) {
-	isBackedOff := s.dispatcher.isBackedOff(time.Now(), g.route.incarnation)
-	isLeaving := s.leavingServers.contains(g.route.incarnation)
-	if !isBackedOff && !isLeaving {
-		return
-	}
-	s.o.Metrics.AttemptAgainstNotice(isBackedOff)
-	j.lines.Info("event", "attempt_against_notice", "request", j.id, "attempt", g.attempt, "server", g.route.head,
-		"backed_off", isBackedOff, "leaving", isLeaving)
-}
-
 // mayAttempt refuses a further attempt that must not be made any more.
 //
 // Failure: a request crashes its second backend server at another entry and is refused there.
@@ -201,11 +190,11 @@
 	if out == outcomeBroken && j.nonIdempotent {
 		return failure.New(failure.TypeOutcomeUnknown, "the request was dispatched and its outcome is unknown: "+e.Message)
 	}
-	if j.attempts >= j.attemptLimit() {
-		return e.WithRetryAfter(time.Second)
+	if j.attempts-j.withheld >= j.attemptLimit() {
+		return e.WithRetryAfter(s.dispatcher.retryAfter(j))
 	}
 	if (out == outcomeBroken || out == outcomeRejected) && !s.takeRetry(j) {
-		return e.WithDetail("no further attempt: the retry budget of " + j.retryBudget() + " is spent").WithRetryAfter(time.Second)
+		return e.WithDetail("no further attempt: the retry budget of " + j.retryBudget() + " is spent").WithRetryAfter(s.dispatcher.retryAfter(j))
 	}
 	return nil
 }
@@ -263,7 +252,7 @@
 	result := placement.Result{}
 	out, e := s.streamTokens(w, j, g, &result, began)
 	result.OK = out == outcomeComplete
-	result.Cancelled = out == outcomeJobEnded
+	result.Cancelled = out == outcomeJobEnded || out == outcomeWithheld
 	result.Duration = time.Since(began)
 	s.dispatcher.attemptEnded(g.attempt, result)
 	if out != outcomeComplete {
@@ -278,7 +267,7 @@
 	if stalled {
 		s.o.Client.RetireConnections(g.route.address)
 	}
-	if out != outcomeNotStarted {
+	if out != outcomeNotStarted && out != outcomeWithheld {
 		go s.cancelAttempt(g)
 	}
 	text := ""
@@ -309,7 +298,6 @@
 	stream, err := s.o.Client.Generate(w.ctx, g.route.address, s.generation(j, g))
 	if err != nil {
 		s.observeRefusal(g.route, err, began)
-		result.RetryAfter = retryAfterOf(err)
 		return s.classifyCallError(j, w, err)
 	}
 	defer func() { _ = stream.Close() }()
@@ -347,7 +335,7 @@
 	return backend.Generation{
 		Attempt: g.attempt, Request: j.id, Group: g.route.group, Epoch: g.route.epoch, Model: j.model,
 		Prompt: j.prompt, MaxTokens: j.maxTokens, Offset: j.answer.length(), Generated: j.answer.text(),
-		Priority: s.priority(j), Parameters: j.extra,
+		Priority: s.priority(j), Parameters: j.extra, Permit: s.permit(g.route),
 	}
 }
 
@@ -381,16 +369,6 @@
 	return nil
 }
 
-// retryAfterOf returns the pause that a backend server asked for when it refused a call; 0 if
-// it asked for none.
-func retryAfterOf(err error) time.Duration {
-	var call *backend.CallError
-	if !errors.As(err, &call) {
-		return 0
-	}
-	return call.Notice.RetryAfter
-}
-
 // classifyCallError returns the outcome of a failed call by what is certain about it.
 func (s *Server) classifyCallError(j *job, w *watchdog, err error) (outcome, *failure.Error) {
 	if j.ctx.Err() != nil {
@@ -399,10 +377,5 @@
 	if w.stalled() {
 		return outcomeBroken, failure.New(failure.TypeBackendStalled, "the backend server made no progress in time")
 	}
-	e := failure.New(failure.TypeBackendFailed, err.Error())
-	var call *backend.CallError
-	if errors.As(err, &call) && call.Stage != backend.StageUnknown {
-		return outcomeNotStarted, e
-	}
-	return outcomeBroken, e
+	return outcomeOfCallError(err), failure.New(failure.TypeBackendFailed, err.Error())
 }
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -8,7 +8,6 @@
 	"strings"
 	"time"
 
-	"github.com/juju/errors"
 	"github.com/labstack/echo/v4"
 
 	"github.com/citronstep/citronstep/internal/backend"
@@ -143,7 +142,7 @@
 	began := time.Now()
 	out, e := s.call(j, g)
 	s.dispatcher.attemptEnded(g.attempt, placement.Result{
-		OK: out == outcomeComplete, Cancelled: out == outcomeJobEnded, Duration: time.Since(began), FirstToken: time.Since(began), Tokens: 1,
+		OK: out == outcomeComplete, Cancelled: out == outcomeJobEnded || out == outcomeWithheld, Duration: time.Since(began), FirstToken: time.Since(began), Tokens: 1,
 	})
 	return out, e
 }
@@ -152,6 +151,7 @@
 	sc := j.service
 	sc.call.Attempt = g.attempt
 	sc.call.NewConnection = j.nonIdempotent
+	sc.call.Permit = s.permit(g.route)
 	began := time.Now()
 	answer, err := s.o.Client.Call(j.ctx, g.route.address, sc.call)
 	if err != nil {
@@ -175,10 +175,5 @@
 	if j.ctx.Err() != nil {
 		return outcomeJobEnded, nil
 	}
-	e := failure.New(failure.TypeBackendFailed, err.Error())
-	var call *backend.CallError
-	if errors.As(err, &call) && call.Stage != backend.StageUnknown {
-		return outcomeNotStarted, e
-	}
-	return outcomeBroken, e
+	return outcomeOfCallError(err), failure.New(failure.TypeBackendFailed, err.Error())
 }
--- a/internal/metrics/definitions.go
+++ b/internal/metrics/definitions.go
@@ -48,10 +48,10 @@
 
 	nameRateLimitedAttempts = prefix + "rate_limited_attempts_total"
 
-	nameBackedOff             = prefix + "backed_off_servers"
-	nameBackoffRequests       = prefix + "backoff_requests_total"
-	nameServersLeaving        = prefix + "servers_leaving_total"
-	nameAttemptsAgainstNotice = prefix + "attempts_against_notice_total"
+	nameBackedOff        = prefix + "backed_off_servers"
+	nameBackoffRequests  = prefix + "backoff_requests_total"
+	nameServersLeaving   = prefix + "servers_leaving_total"
+	nameAttemptsWithheld = prefix + "attempts_withheld_total"
 
 	nameClaimTime      = prefix + "claim_seconds"
 	nameOpen           = prefix + "open_requests"
@@ -94,7 +94,7 @@
 		{nameBackedOff, KindGauge, nil, "Backend servers that have asked this entry for no request for a time that has not passed.", nil},
 		{nameBackoffRequests, KindCounter, nil, "Answers in which a backend server asked this entry for no request for a time.", nil},
 		{nameServersLeaving, KindCounter, nil, "Backend servers that have stated in an answer to this entry that they are leaving.", nil},
-		{nameAttemptsAgainstNotice, KindCounter, []string{"reason"}, "Attempts that began on a backend server that had asked this entry for no request.", nil},
+		{nameAttemptsWithheld, KindCounter, []string{"reason"}, "Attempts that were not sent because their backend server had asked for no request after it was chosen.", nil},
 		{nameClaimTime, KindHistogram, nil, "Time of writing an at-most-once claim on a majority of the control processes.", commitBuckets},
 		{nameOpen, KindGauge, nil, "Requests open on this entry.", nil},
 		{nameWaiting, KindGauge, nil, "Requests waiting for room on this entry.", nil},
--- a/internal/metrics/entry.go
+++ b/internal/metrics/entry.go
@@ -86,9 +86,9 @@
 	e.scope.Counter(nameServersLeaving).Inc(1)
 }
 
-// AttemptAgainstNotice counts an attempt on a backend server that has asked for no request: for a
-// time if isBackedOff is set, or because it is leaving.
-func (e *Entry) AttemptAgainstNotice(isBackedOff bool) {
+// AttemptWithheld counts an attempt that was not sent because its backend server had asked for no
+// request: for a time if isBackedOff is set, or because it is leaving.
+func (e *Entry) AttemptWithheld(isBackedOff bool) {
 	if e == nil {
 		return
 	}
@@ -96,7 +96,7 @@
 	if isBackedOff {
 		reason = "backoff"
 	}
-	e.scope.Tagged(map[string]string{"reason": reason}).Counter(nameAttemptsAgainstNotice).Inc(1)
+	e.scope.Tagged(map[string]string{"reason": reason}).Counter(nameAttemptsWithheld).Inc(1)
 }
 
 // Claim records the duration of writing an at-most-once claim.
--- a/internal/placement/backoff.go
+++ b/internal/placement/backoff.go
@@ -1,6 +1,9 @@
 package placement
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // backoff is the time for which a backend server asked this entry not to send it any request.
 type backoff struct{ until time.Time }
@@ -50,3 +53,12 @@
 		}
 	}
 }
+
+// HasBackoff reports whether a backend server of a model, in the given regions, has asked this
+// entry not to send it any request now.
+func (p *Picker) HasBackoff(now time.Time, model string, homes []string) bool {
+	pool := p.pools[model]
+	return pool != nil && slices.ContainsFunc(pool.targets, func(t *target) bool {
+		return t.isInRegions(homes) && t.backoff.isInForce(now)
+	})
+}
--- a/internal/placement/domain.go
+++ b/internal/placement/domain.go
@@ -50,15 +50,10 @@
 	d.avoidUntil = time.Time{}
 }
 
-// maxRetryAfter bounds how long a target is avoided because its backend server asked for it.
-const maxRetryAfter = 10 * time.Second
-
-// recordFailure records a failed attempt on t. retryAfter is how long the backend server asked
-// not to receive requests; 0 if it did not ask.
-func (t *target) recordFailure(now time.Time, retryAfter time.Duration) {
+// recordFailure records a failed attempt on t.
+func (t *target) recordFailure(now time.Time) {
 	t.failures++
-	backoff := min(initialBackoff<<min(t.failures-1, 8), maxBackoff)
-	t.avoidUntil = now.Add(max(backoff, min(retryAfter, maxRetryAfter)))
+	t.avoidUntil = now.Add(min(initialBackoff<<min(t.failures-1, 8), maxBackoff))
 	t.domain.recordFailure(now, t.ID)
 	t.pool.detectOutage(now)
 }
--- a/internal/placement/options.go
+++ b/internal/placement/options.go
@@ -148,9 +148,6 @@
 	// Cancelled is true if this side ended the attempt. A cancelled attempt does not count as a
 	// fault.
 	Cancelled bool
-	// RetryAfter is how long the backend server asked not to receive requests; 0 if it did not
-	// ask.
-	RetryAfter time.Duration
 	// FirstToken and Duration are measured from the call of RecordStart.
 	FirstToken time.Duration
 	Duration   time.Duration
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -84,7 +84,8 @@
 }
 
 // Pick chooses a target for r. It returns false if no target of the model is eligible: not
-// excluded by r, in one of r's regions and not blocked by its backend server's rate limit. A
+// excluded by r, in one of r's regions and not blocked by its backend server's rate limits or
+// back-off. A
 // target without free capacity is chosen only if no target has some.
 //
 // The candidates are the holders of the prefix, the two targets that the prefix hashes to, two
@@ -152,7 +153,7 @@
 
 // isIneligible reports whether t must not be chosen for r at all.
 func (t *target) isIneligible(now time.Time, r Request) bool {
-	return t.throttle.isBlocked(now) || isExcluded(t, r.Exclude) || !t.isInRegions(r.Homes)
+	return t.isBlocked(now) || isExcluded(t, r.Exclude) || !t.isInRegions(r.Homes)
 }
 
 // isInRegions reports whether t lies in one of the regions; nil allows any region.
--- a/internal/placement/picker.go
+++ b/internal/placement/picker.go
@@ -268,7 +268,7 @@
 		t.recordSuccess(now)
 		t.judgeUnstreamed(now, a, r)
 	case !r.Cancelled:
-		t.recordFailure(now, r.RetryAfter)
+		t.recordFailure(now)
 	}
 }
 
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -158,7 +158,7 @@
 // request larger than the limit would never run otherwise. If the limit holds the request back,
 // hasCapacity sets limitReached.
 func (t *target) hasCapacity(now time.Time, tokens int, reserve float64, o *Options) bool {
-	if t.throttle.isBlocked(now) {
+	if t.isBlocked(now) {
 		return false
 	}
 	if t.exceedsLimit(tokens, reserve) {
--- a/internal/placement/throttle.go
+++ b/internal/placement/throttle.go
@@ -93,28 +93,17 @@
 	return time.Duration(float64(time.Second) / t.share)
 }
 
-// nextSend returns when the next request may be sent.
-func (t *throttle) nextSend() time.Time { return t.lastSend.Add(t.interval()) }
-
-// isBlocked reports whether a request must wait or use another backend server. A nil throttle
-// never blocks.
-func (t *throttle) isBlocked(now time.Time) bool { return t != nil && now.Before(t.nextSend()) }
+// nextSend returns when the next request may be sent; zero for a nil throttle.
+func (t *throttle) nextSend() time.Time {
+	if t == nil {
+		return time.Time{}
+	}
+	return t.lastSend.Add(t.interval())
+}
 
 // isTemporary reports whether the limit ends by itself within seconds.
 func (t *throttle) isTemporary() bool { return t.limits[CauseNamed] == nil }
 
-// capacity returns how many requests may be sent between now and until.
-func (t *throttle) capacity(now, until time.Time) int {
-	first := t.nextSend()
-	if first.Before(now) {
-		first = now
-	}
-	if until.Before(first) {
-		return 0
-	}
-	return 1 + int(until.Sub(first)/t.interval())
-}
-
 func (t *throttle) recordSend(now time.Time) {
 	if t != nil {
 		t.lastSend = now
@@ -242,57 +231,6 @@
 	return limit.PerSecond / float64(sharing), float64(rank) / float64(sharing)
 }
 
-// RateLimitedUntil reports whether the rate limits of their backend servers block all targets that
-// a request may use, and when the first of them may receive a request again. isTemporary is true
-// if one of these limits ends by itself, perhaps sooner.
-func (p *Picker) RateLimitedUntil(now time.Time, r Request) (nextSend time.Time, isTemporary, throttled bool) {
-	pool := p.pools[r.Model]
-	if pool == nil {
-		return time.Time{}, false, false
-	}
-	for _, t := range pool.targets {
-		if isExcluded(t, r.Exclude) || !t.isInRegions(r.Homes) {
-			continue
-		}
-		if !t.throttle.isBlocked(now) {
-			return time.Time{}, false, false
-		}
-		isTemporary = isTemporary || t.throttle.isTemporary()
-		if at := t.throttle.nextSend(); nextSend.IsZero() || at.Before(nextSend) {
-			nextSend = at
-		}
-	}
-	return nextSend, isTemporary, !nextSend.IsZero()
-}
-
-// SendCapacity returns how many requests this entry may send to the backend servers of a model, in
-// the given regions, from now until a time. limited is false if one of them has no rate limit,
-// or one that ends by itself.
-func (p *Picker) SendCapacity(now, until time.Time, model string, homes []string) (capacity int, limited bool) {
-	pool := p.pools[model]
-	if pool == nil {
-		return 0, false
-	}
-	for _, t := range pool.targets {
-		if !t.isInRegions(homes) {
-			continue
-		}
-		if t.throttle == nil || t.throttle.isTemporary() {
-			return 0, false
-		}
-		limited = true
-		capacity += t.throttle.capacity(now, until)
-	}
-	return capacity, limited
-}
-
-// IsRateLimited reports whether the rate limit of a target's backend server blocks requests of this
-// entry now.
-func (p *Picker) IsRateLimited(now time.Time, id string) bool {
-	t := p.targets[id]
-	return t != nil && t.throttle.isBlocked(now)
-}
-
 // RecordSend records a request to a target that Pick did not choose.
 func (p *Picker) RecordSend(now time.Time, id string) {
 	if t := p.targets[id]; t != nil {
