entry: send nothing new to a backend server that answers that it is leaving

What callers saw: not seen by callers.

Only announcements closed a target, and they do not arrive where the backend server is cut off from the control processes, or the entry is.

Change: an entry that reads it in an answer, of whichever kind, closes the target at once; what was granted there and not yet sent is withheld and goes elsewhere. An announcement that does not say so changes nothing, as it may be older. A new incarnation is used, and so is a backend server whose announcements said it and no longer do. An answer 421 counts too: either the backend server heads no group any more, or it has ended.

Why it works: the answer reaches the entry on the connection that requests use, so an entry that can still send to the backend server can also learn that it must not.

--- a/internal/entry/isolation.go
+++ b/internal/entry/isolation.go
@@ -139,6 +139,9 @@
 // inService reports whether a target would be routable without the quarantine, in the same
 // epoch and incarnation.
 func (s *Server) inService(r route) bool {
+	if s.leavingServers.contains(r.incarnation) {
+		return false
+	}
 	if changed, _ := s.checkMembers(r, time.Now()); changed {
 		return false
 	}
--- /dev/null
+++ b/internal/entry/leaving_test.go
@@ -0,0 +1,79 @@
+package entry
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/citronstep/citronstep/internal/backend"
+	"github.com/citronstep/citronstep/internal/blackboard"
+)
+
+// headOf returns the route of a group, by its head's incarnation.
+func headOf(s *Server, group string) route {
+	return s.loggedRoutes[group]
+}
+
+// Guards against new requests to a group whose head says in an answer that it is leaving, while no
+// announcement says so.
+func TestGroupIsClosedOnceItsHeadAnswersThatItIsLeaving(t *testing.T) {
+	s := deafServer(servingPool(2, 4, 1, 2))
+	s.updateRoutes()
+	r := headOf(s, "wide-0")
+	s.observeForwarded(r, &backend.ForwardAnswer{Status: http.StatusOK, Proven: true, Notice: backend.Notice{IsLeaving: true}}, time.Now())
+	select {
+	case <-s.updateNow:
+	default:
+		t.Fatal("the routes are not updated at once")
+	}
+	s.updateRoutes()
+	assert.Equal(t, len(s.loggedRoutes), 2)
+	assert.Equal(t, headOf(s, "wide-0").target, "")
+	assert.Assert(t, !s.permit(r)(), "a request that was granted before is withheld")
+	assert.Assert(t, !s.inService(r), "nor does a suspect request run there")
+
+	next := *s.o.Follower.Board()
+	next.Groups = map[string]blackboard.Group{"wide-0": next.Groups["wide-0"]}
+	next.Groups["wide-0"].Members[0].Incarnation = "restarted"
+	s.o.Follower = fixedBoard{board: &next, lease: time.Minute}
+	s.updateRoutes()
+	assert.Equal(t, headOf(s, "wide-0").incarnation, "restarted", "a new start is not leaving")
+}
+
+// Guards against a notice that is dropped in one kind of answer.
+func TestLeavingIsObservedInEachKindOfAnswer(t *testing.T) {
+	notice := backend.Notice{IsLeaving: true}
+	s := configuredServer(t, &scriptedForwarder{})
+	now := time.Now()
+	s.observeForwarded(route{incarnation: "answered"}, &backend.ForwardAnswer{Status: 200, Proven: true, Notice: notice}, now)
+	s.observeForwarded(route{incarnation: "rejected"}, &backend.ForwardAnswer{Status: 503, NotRun: true, Notice: notice}, now)
+	s.observeForwarded(route{incarnation: "failed"}, &backend.ForwardAnswer{Status: 500, Notice: notice}, now)
+	s.observeForwarded(route{incarnation: "misdirected"}, &backend.ForwardAnswer{Status: 421, NotRun: true, OtherServer: true, Notice: notice}, now)
+	s.observeNotice(route{incarnation: "streamed"}, notice, true, now)
+	s.observeRefusal(route{incarnation: "refused"}, &backend.CallError{Stage: backend.StageRefused, Notice: notice}, now)
+	for _, incarnation := range []string{"answered", "rejected", "failed", "misdirected", "streamed", "refused"} {
+		assert.Assert(t, s.leavingServers.contains(incarnation), incarnation)
+	}
+}
+
+// Guards against a backend server that is used again because of an announcement from before it began
+// to leave, and against one that stays after all and is never used again.
+func TestLeavingEndsOnlyByALaterAnnouncement(t *testing.T) {
+	l, now := newLeavingServers(), time.Now()
+	assert.Assert(t, !l.update("i", false))
+	assert.Assert(t, l.update("i", true), "by an announcement alone")
+	assert.Assert(t, !l.update("i", false))
+
+	assert.Assert(t, l.add(now, "i"))
+	assert.Assert(t, !l.add(now, "i"))
+	assert.Assert(t, l.update("i", false), "the announcement may be older than the answer")
+	assert.Assert(t, l.update("i", true))
+	assert.Assert(t, !l.update("i", false), "the backend server no longer says so")
+	assert.Assert(t, !l.contains("i"))
+
+	l.add(now, "old")
+	l.add(now.Add(leavingRetention+time.Second), "new")
+	assert.Equal(t, len(l.notices), 1)
+}
--- a/internal/entry/notices.go
+++ b/internal/entry/notices.go
@@ -14,6 +14,9 @@
 // header for any reason.
 func (s *Server) observeForwarded(r route, a *backend.ForwardAnswer, sent time.Time) {
 	if a.OtherServer {
+		// Either the backend server heads no group any more and states that it is leaving, or it
+		// has ended and another one has its address. It must not be used in either case.
+		s.observeLeaving(r, a.Notice)
 		return
 	}
 	isComplete := !a.IsOtherRequest && (a.Proven || a.NotRun)
@@ -63,6 +66,7 @@
 	}
 	s.o.Metrics.ServerLeaving()
 	_ = level.Info(s.o.Logger).Log("event", "server_leaving", "server", r.head, "incarnation", r.incarnation, "target", r.target)
+	s.wakeRouteLoop()
 }
 
 // maxLoggedHeader bounds the part of a header that a log line quotes, in bytes.
@@ -72,7 +76,9 @@
 
 // permit returns the check whether a request may still be sent to the target that it was granted.
 func (s *Server) permit(r route) backend.Permit {
-	return func() bool { return !s.dispatcher.isBackedOff(time.Now(), r.incarnation) }
+	return func() bool {
+		return !s.dispatcher.isBackedOff(time.Now(), r.incarnation) && !s.leavingServers.contains(r.incarnation)
+	}
 }
 
 // noteWithheld records an attempt that was not sent, because its backend server had asked for no
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -46,7 +46,7 @@
 				s.updateRoutes()
 			}
 			s.reportWaits(ctx, time.Now())
-		case <-s.boardChanged:
+		case <-s.updateNow:
 			s.updateRoutes()
 		case <-dispatchTicker.C:
 			now := time.Now()
@@ -80,6 +80,8 @@
 	changesWithTime bool
 	// evacuated holds the targets in evacuated data centres.
 	evacuated map[string]bool
+	// leaving holds the backend servers that state in their answers that they are leaving.
+	leaving *leavingServers
 	// regions holds the region of each data centre.
 	regions map[string]string
 }
@@ -117,7 +119,7 @@
 		now: time.Now(), board: s.o.Follower.Board(),
 		routes: make(map[string]route), loads: make(map[string]placement.Load), closed: make(map[string]string),
 		quarantinedPools: make(map[string]bool), usesBoardLiveness: s.o.Settings.Deaf, progress: s.progress, evacuated: make(map[string]bool),
-		regions: s.o.Regions,
+		regions: s.o.Regions, leaving: s.leavingServers,
 	}
 	s.progress.update(r.board)
 	s.o.Announcements.WithTable(func(t *evidence.Table) {
@@ -144,10 +146,15 @@
 
 func (r *routeUpdate) addGroup(t *evidence.Table, id string) {
 	g := r.board.Groups[id]
+	isLeaving := r.isHeadLeaving(t, g)
 	if ok, reason := r.routable(t, id); !ok {
 		r.closed[id] = reason
 		return
 	}
+	if isLeaving {
+		r.closed[id] = "the head is leaving"
+		return
+	}
 	if r.closeIfQuarantined(g.Model, id) {
 		return
 	}
@@ -189,6 +196,18 @@
 	})
 }
 
+// isHeadLeaving reports whether the head of a group says that it is leaving, in its announcements
+// or in its answers.
+func (r *routeUpdate) isHeadLeaving(t *evidence.Table, g blackboard.Group) bool {
+	if len(g.Members) == 0 {
+		return false
+	}
+	head := g.Members[0]
+	report, _ := t.Get(head.VM)
+	announced := r.board.VMs[head.VM].Leaving || (report.Incarnation == head.Incarnation && report.Leaving)
+	return r.leaving.update(head.Incarnation, announced)
+}
+
 // capacity returns the work that a group of the model sustains by the published figures of its
 // engines, in tokens; 0 if there are none.
 func (r *routeUpdate) capacity(model string) int {
@@ -218,7 +237,7 @@
 	i := r.board.Services[id]
 	report, ok := t.GetService(id)
 	switch {
-	case i.Leaving || report.Leaving:
+	case r.leaving.update(i.Incarnation, i.Leaving || report.Leaving):
 		r.closed[id] = "instance is leaving"
 		return
 	case r.usesBoardLiveness && i.Liveness == blackboard.Dead:
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -82,8 +82,8 @@
 	holdersMu sync.Mutex
 	holders   *holders
 	keys      keyIndex
-	// boardChanged wakes the route loop.
-	boardChanged chan struct{}
+	// updateNow wakes the route loop.
+	updateNow chan struct{}
 	// loggedRoutes are the routes of the last update, kept for the log alone.
 	loggedRoutes map[string]route
 	// progress is used by the route loop alone.
@@ -142,7 +142,7 @@
 		jobs:           newJobTable(),
 		isolation:      newIsolation(),
 		holders:        newHolders(),
-		boardChanged:   make(chan struct{}, 1),
+		updateNow:      make(chan struct{}, 1),
 		loggedRoutes:   make(map[string]route),
 		progress:       make(progressByEpoch),
 		waitEstimates:  newWaitEstimates(time.Now().Add(time.Duration(h.Sum64() % uint64(waitReportInterval)))),
@@ -179,8 +179,13 @@
 	if b.Config.Revision > 0 {
 		s.configuredOnce.Do(func() { close(s.configured) })
 	}
+	s.wakeRouteLoop()
+}
+
+// wakeRouteLoop makes the route loop update the routes at once.
+func (s *Server) wakeRouteLoop() {
 	select {
-	case s.boardChanged <- struct{}{}:
+	case s.updateNow <- struct{}{}:
 	default:
 	}
 }
