standin: ask for back-offs, say in answers that it is leaving, record arrivals

What callers saw: nothing; tests. The stand-ins of our own protocol learn both headers, and a test can count from what has reached them.

--- a/internal/standin/debug_api.go
+++ b/internal/standin/debug_api.go
@@ -7,14 +7,20 @@
 
 // The paths by which tests control a stand-in and read its runs.
 const (
-	PathRuns   = "/debug/runs"
-	PathFaults = "/debug/faults"
+	PathRuns     = "/debug/runs"
+	PathArrivals = "/debug/arrivals"
+	PathFaults   = "/debug/faults"
 )
 
 func (h *host) serveRuns(w http.ResponseWriter, _ *http.Request) {
 	writeJSON(w, http.StatusOK, h.Runs())
 }
 
+// serveArrivals sends the arrivals since the start of the process.
+func (h *host) serveArrivals(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, h.faults.received())
+}
+
 // serveFaults sends the response before it applies the faults: a pause, a silence or a crash
 // would delay or lose the response.
 func (h *host) serveFaults(w http.ResponseWriter, r *http.Request) {
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -70,6 +70,7 @@
 	mux.HandleFunc("POST "+backend.PathCancel, e.serveCancel)
 	mux.HandleFunc("POST "+pathMember, e.serveMember)
 	mux.HandleFunc("GET "+PathRuns, func(w http.ResponseWriter, r *http.Request) { e.serveRuns(w, r) })
+	mux.HandleFunc("GET "+PathArrivals, func(w http.ResponseWriter, r *http.Request) { e.serveArrivals(w, r) })
 	mux.HandleFunc("POST "+PathFaults, func(w http.ResponseWriter, r *http.Request) { e.serveFaults(w, r) })
 	return mux
 }
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -83,6 +83,10 @@
 	// second; 0 announces none. It causes no refusals, and an order with RateLimit changes
 	// nothing else.
 	RateLimit *float64 `json:"rate_limit,omitempty"`
+	// RetryAfterMillis makes the stand-in refuse each further generation or call and ask in the
+	// refusal for a back-off of so long; 0 ends it. An order with RetryAfterMillis changes nothing
+	// else.
+	RetryAfterMillis *int64 `json:"retry_after_ms,omitempty"`
 }
 
 // faultState holds the active faults.
@@ -90,6 +94,12 @@
 	mu        sync.Mutex
 	faults    Faults
 	rateLimit float64
+	// retryAfter is the back-off that refusals ask for; 0 if requests are not refused for it.
+	retryAfter time.Duration
+	// isLeaving is set while answers state that the stand-in is leaving.
+	isLeaving bool
+	// arrivals holds the generations and calls that have arrived.
+	arrivals []Arrival
 	// faultyAnswers counts the answers that got the fault of Faults.Stream.
 	faultyAnswers int
 }
@@ -113,13 +123,41 @@
 	b.rateLimit = perSecond
 }
 
-// nameRateLimit sets the rate limit header of an answer, if a rate limit is configured.
-func (b *faultState) nameRateLimit(h http.Header) {
+func (b *faultState) backOff(retryAfter time.Duration) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.retryAfter = retryAfter
+}
+
+func (b *faultState) leave(isLeaving bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.isLeaving = isLeaving
+}
+
+// receive records a generation or call, sets the headers of its answer in which the stand-in
+// states something about itself, and reports whether it refuses the request and asks for a
+// back-off.
+func (b *faultState) receive(h http.Header) (isRefused bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.arrivals = append(b.arrivals, Arrival{At: time.Now(), RetryAfter: b.retryAfter, IsLeaving: b.isLeaving})
 	if b.rateLimit > 0 {
 		h.Set(backend.HeaderRateLimit, strconv.FormatFloat(b.rateLimit, 'f', -1, 64))
 	}
+	if b.isLeaving {
+		h.Set(backend.HeaderLeaving, "true")
+	}
+	if b.retryAfter > 0 {
+		h.Set(backend.HeaderRetryAfter, strconv.FormatFloat(b.retryAfter.Seconds(), 'f', -1, 64))
+	}
+	return b.retryAfter > 0
+}
+
+func (b *faultState) received() []Arrival {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]Arrival(nil), b.arrivals...)
 }
 
 // crashes reports whether a request with this text crashes the stand-in.
--- a/internal/standin/generate.go
+++ b/internal/standin/generate.go
@@ -30,7 +30,10 @@
 		refuse(w, http.StatusUnauthorized, backend.Refusal{Message: "unknown bearer token"})
 		return
 	}
-	e.faults.nameRateLimit(w.Header())
+	if e.faults.receive(w.Header()) {
+		refuse(w, http.StatusServiceUnavailable, backend.Refusal{Busy: true, Message: "asks for a back-off"})
+		return
+	}
 	s := e.currentState()
 	group := s.membershipFor(g)
 	if group == nil || !group.enter(time.Now()) {
--- a/internal/standin/host.go
+++ b/internal/standin/host.go
@@ -124,16 +124,22 @@
 }
 
 // Apply sets the persistent faults and carries out the one-time faults. An order with a rate
-// limit sets only the rate limit.
+// limit or a back-off sets only these.
 func (h *host) Apply(o FaultOrder) {
 	if o.RateLimit != nil {
 		h.faults.limitRate(*o.RateLimit)
+	}
+	if o.RetryAfterMillis != nil {
+		h.faults.backOff(time.Duration(*o.RetryAfterMillis) * time.Millisecond)
+	}
+	if o.RateLimit != nil || o.RetryAfterMillis != nil {
 		return
 	}
 	h.faults.set(o.Faults)
 	if o.Leaving != nil {
 		h.mu.Lock()
 		h.leaving = *o.Leaving
+		h.faults.leave(h.leaving)
 		h.mu.Unlock()
 	}
 	if o.PauseMillis > 0 {
--- a/internal/standin/runs.go
+++ b/internal/standin/runs.go
@@ -38,6 +38,15 @@
 	Outcome  Outcome   `json:"outcome,omitempty"`
 }
 
+// Arrival is one generation or call that reached a stand-in, whether or not it ran.
+type Arrival struct {
+	At time.Time `json:"at"`
+	// RetryAfter is the back-off that the answer, a refusal, asks for; 0 if it asks for none.
+	RetryAfter time.Duration `json:"retry_after,omitempty"`
+	// IsLeaving is set if the answer states that the stand-in is leaving.
+	IsLeaving bool `json:"is_leaving,omitempty"`
+}
+
 // Recorder stores the runs of one or more stand-ins. It survives their simulated crashes, and
 // can write each start and end to a file that survives the process.
 type Recorder struct {
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -68,6 +68,7 @@
 func (s *Service) routes() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+PathRuns, func(w http.ResponseWriter, r *http.Request) { s.serveRuns(w, r) })
+	mux.HandleFunc("GET "+PathArrivals, func(w http.ResponseWriter, r *http.Request) { s.serveArrivals(w, r) })
 	mux.HandleFunc("POST "+PathFaults, func(w http.ResponseWriter, r *http.Request) { s.serveFaults(w, r) })
 	mux.HandleFunc("/", s.serveCall)
 	return mux
@@ -92,8 +93,7 @@
 		refuseCall(w, http.StatusUnauthorized)
 		return
 	}
-	s.faults.nameRateLimit(w.Header())
-	if s.faults.get().FullQueue || !s.enter() {
+	if s.faults.receive(w.Header()) || s.faults.get().FullQueue || !s.enter() {
 		refuseCall(w, http.StatusServiceUnavailable)
 		return
 	}
--- a/test/process/harness/standins.go
+++ b/test/process/harness/standins.go
@@ -100,6 +100,22 @@
 	})
 }
 
+// Arrivals returns the generations and calls that have reached the stand-in since its process
+// started.
+func (s *Standin) Arrivals() []standin.Arrival {
+	s.t.Helper()
+	response, err := noKeepAliveClient.Get("http://" + s.Direct + standin.PathArrivals)
+	if err != nil {
+		s.t.Fatalf("arrivals of %s: %v", s.ID, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	var out []standin.Arrival
+	if err := json.NewDecoder(response.Body).Decode(&out); err != nil {
+		s.t.Fatalf("arrivals of %s: %v", s.ID, err)
+	}
+	return out
+}
+
 // Runs returns the runs since the first start of the process, each in its last recorded state, in
 // the order of their starts. Restarts don't clear them.
 func (s *Standin) Runs() []standin.Run {
