controller: send no orders to an engine within its Retry-After

The answer to an order can carry Retry-After, too; the adapter dropped it with the rest of the refusal, and of our own protocol it was decoded and not used.

The leader plans no order to that incarnation before the time has passed.

--- a/internal/controller/memory.go
+++ b/internal/controller/memory.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/citronstep/citronstep/internal/backend"
 	"github.com/citronstep/citronstep/internal/blackboard"
 	"github.com/citronstep/citronstep/internal/placement/packing"
@@ -78,6 +80,8 @@
 	// lastLoadDeadline is the latest deadline of any load order sent to the VM.
 	lastLoadDeadline time.Time
 	accepted         bool
+	// notBefore is the end of the back-off that the engine asked for when it refused an order.
+	notBefore time.Time
 	// acceptedAt is when the engine's acceptance arrived.
 	acceptedAt time.Time
 	// firstSequence is the sequence number of the first announcement received after the
@@ -116,6 +120,9 @@
 func (m *Memory) RecordAnswer(now time.Time, o PlannedOrder, reply backend.OrderReply, err error) {
 	m.window.recordAnswer(o.VM)
 	r, ok := m.orders[o.VM]
+	if ok && r.incarnation == o.Order.Incarnation {
+		r.recordBackoff(now, err)
+	}
 	if !ok || err != nil || !reply.Accepted {
 		return
 	}
@@ -127,6 +134,17 @@
 	r.acceptedAt = now
 }
 
+// recordBackoff records the back-off that an engine asks for in its answer to an order.
+func (r *orderRecord) recordBackoff(now time.Time, err error) {
+	var call *backend.CallError
+	if !errors.As(err, &call) {
+		return
+	}
+	if until := now.Add(call.Notice.RetryAfter); until.After(r.notBefore) {
+		r.notBefore = until
+	}
+}
+
 // sinceLoadOrder returns the time since this leader first ordered a VM to load an epoch; 0 if it
 // has not ordered that.
 func (m *Memory) sinceLoadOrder(vm string, epoch groupEpoch, now time.Time) time.Duration {
--- a/internal/controller/orders.go
+++ b/internal/controller/orders.go
@@ -42,8 +42,9 @@
 }
 
 // send plans an order. It plans nothing if the lease is too short, the same order was sent less
-// than Timing.ResendAfter ago, too many orders are in flight, or the weight store has no capacity
-// for the load that the order starts; then a later run plans the order.
+// than Timing.ResendAfter ago, the engine has asked for a back-off, too many orders are in flight,
+// or the weight store has no capacity for the load that the order starts; then a later run plans
+// the order.
 func send(v View, now time.Time, a *Actions, vm blackboard.VM, incarnation string, o backend.Order) bool {
 	deadline, ok := orderDeadline(v, now)
 	if !ok {
@@ -58,6 +59,9 @@
 		r = &orderRecord{}
 		v.Memory.orders[vm.ID] = r
 	}
+	if r.incarnation == incarnation && now.Before(r.notBefore) {
+		return false
+	}
 	same := r.kind == o.Kind && r.target == target && r.incarnation == incarnation
 	if same && now.Sub(r.sentAt) < v.timing().ResendAfter {
 		return false
@@ -68,7 +72,9 @@
 		return false
 	}
 	if !same {
-		*r = orderRecord{kind: o.Kind, target: target, incarnation: incarnation, firstSentAt: now, lastLoadDeadline: r.lastLoadDeadline}
+		*r = orderRecord{
+			kind: o.Kind, target: target, incarnation: incarnation, firstSentAt: now, lastLoadDeadline: r.lastLoadDeadline,
+		}
 	}
 	r.sentAt, r.fetches = now, loads
 	v.Memory.window.recordSent(vm.ID, now)
