placement: a requested back-off is no failure of the fabric domain

What callers saw: where two of up to four backend servers of a fabric domain, or of the plain services of a data centre, reject requests with Retry-After, requests waited up to two seconds for the others. Found by a test of the back-off: the third instance of a service got nothing.

Cause: a rejection counts as a failed attempt, and half of a domain's targets failing within seconds counts as the loss of the domain. A backend server that says when to come back is there.

Change: a failed attempt on a backend server that has asked for a back-off says nothing of its domain. A rejection without Retry-After counts as before: a head answers so for a lost member.

TestBackoffIsNoFailureOfTheFabricDomain fails without the change: no capacity is left.

--- a/internal/placement/backoff_test.go
+++ b/internal/placement/backoff_test.go
@@ -184,3 +184,16 @@
 		assert.Assert(t, r.next > 100, "seed %d: %d requests sent", seed, r.next)
 	}
 }
+
+// Guards against a fabric domain that is avoided because two of its backend servers work and have
+// asked for a back-off: the others would get no request for two seconds.
+func TestBackoffIsNoFailureOfTheFabricDomain(t *testing.T) {
+	p := newServerPicker(3)
+	for i, id := range []string{"g000", "g001"} {
+		p.RecordStart(start, id, id, 100)
+		p.RecordBackoff(start, fmt.Sprint("s", i), at(5*time.Second))
+		p.RecordFinish(start, id, Result{})
+	}
+	assert.Assert(t, p.HasCapacity(start, Request{Model: "m", Tokens: 100}))
+	assert.Equal(t, mustPick(t, p, start, Request{Tokens: 100}).ID, "g002")
+}
--- a/internal/placement/domain.go
+++ b/internal/placement/domain.go
@@ -54,7 +54,10 @@
 func (t *target) recordFailure(now time.Time) {
 	t.failures++
 	t.avoidUntil = now.Add(min(initialBackoff<<min(t.failures-1, 8), maxBackoff))
-	t.domain.recordFailure(now, t.ID)
+	if !t.backoff.isInForce(now) {
+		// A backend server that asks for a back-off works, so its domain is not at fault.
+		t.domain.recordFailure(now, t.ID)
+	}
 	t.pool.detectOutage(now)
 }
 
