entry: a later announcement ends a notice of leaving

What callers saw: nothing yet; found by reading against the soak, whose engines leave and then stay. Our own protocol lets a backend server take `leaving` back.

Cause: an entry that read it in an answer and saw no announcement say so, because it was paused or cut off meanwhile, would not have used the backend server again for as long as its process ran.

Change: an announcement that reaches this entry 10 s after the last such answer and does not say so ends the notice. Entries that take no announcements go by the board, as before. A report of another incarnation of a plain service no longer counts for the one on the board.

--- a/internal/entry/leaving.go
+++ b/internal/entry/leaving.go
@@ -9,6 +9,10 @@
 // A backend server stops within seconds or minutes of its first notice.
 const leavingRetention = time.Hour
 
+// leavingOverride is how long after the last answer that said so an announcement must arrive to
+// show that the backend server is not leaving. Announcements may arrive seconds late.
+const leavingOverride = 10 * time.Second
+
 // leavingServers holds the incarnations of backend servers that have stated in an answer to this
 // entry that they are about to stop. A backend server that reaches no process which takes
 // announcements says so in its answers alone. It is safe for concurrent use.
@@ -19,7 +23,8 @@
 
 // leavingNotice is what is known of one incarnation that is leaving.
 type leavingNotice struct {
-	since time.Time
+	// last is when the last answer that said so arrived.
+	last time.Time
 	// isAnnounced is set once an announcement has confirmed that the backend server is leaving.
 	isAnnounced bool
 }
@@ -28,19 +33,20 @@
 	return &leavingServers{notices: make(map[string]*leavingNotice)}
 }
 
-// add adds an incarnation and reports whether it is new.
+// add records an answer of an incarnation that is leaving, and reports whether it is the first.
 func (l *leavingServers) add(now time.Time, incarnation string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.notices[incarnation] != nil {
+	if n := l.notices[incarnation]; n != nil {
+		n.last = now
 		return false
 	}
 	for other, n := range l.notices {
-		if now.Sub(n.since) > leavingRetention {
+		if now.Sub(n.last) > leavingRetention {
 			delete(l.notices, other)
 		}
 	}
-	l.notices[incarnation] = &leavingNotice{since: now}
+	l.notices[incarnation] = &leavingNotice{last: now}
 	return true
 }
 
@@ -51,12 +57,13 @@
 	return l.notices[incarnation] != nil
 }
 
-// update takes in whether the announcements of an incarnation say that it is leaving, and reports
-// whether it is.
+// update takes in whether the latest announcement of an incarnation says that it is leaving, and
+// reports whether it is. announcedAt is when this entry received the announcement; zero if it
+// receives none and goes by the board.
 //
-// Announcements that do not say so may be older than the answer that did. Only one that no longer
-// says so, after another that did, shows that the backend server stays.
-func (l *leavingServers) update(incarnation string, isAnnounced bool) bool {
+// An announcement that does not say so may be older than the answer that did. The backend server
+// stays only if an earlier announcement said so, or if this one came leavingOverride later.
+func (l *leavingServers) update(incarnation string, isAnnounced bool, announcedAt time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	n := l.notices[incarnation]
@@ -65,7 +72,7 @@
 		return isAnnounced
 	case isAnnounced:
 		n.isAnnounced = true
-	case n.isAnnounced:
+	case n.isAnnounced, announcedAt.Sub(n.last) > leavingOverride:
 		delete(l.notices, incarnation)
 		return false
 	}
--- a/internal/entry/leaving_test.go
+++ b/internal/entry/leaving_test.go
@@ -62,17 +62,22 @@
 // to leave, and against one that stays after all and is never used again.
 func TestLeavingEndsOnlyByALaterAnnouncement(t *testing.T) {
 	l, now := newLeavingServers(), time.Now()
-	assert.Assert(t, !l.update("i", false))
-	assert.Assert(t, l.update("i", true), "by an announcement alone")
-	assert.Assert(t, !l.update("i", false))
+	never := time.Time{}
+	assert.Assert(t, !l.update("i", false, never))
+	assert.Assert(t, l.update("i", true, never), "by an announcement alone")
+	assert.Assert(t, !l.update("i", false, never))
 
 	assert.Assert(t, l.add(now, "i"))
-	assert.Assert(t, !l.add(now, "i"))
-	assert.Assert(t, l.update("i", false), "the announcement may be older than the answer")
-	assert.Assert(t, l.update("i", true))
-	assert.Assert(t, !l.update("i", false), "the backend server no longer says so")
+	assert.Assert(t, !l.add(now.Add(time.Second), "i"))
+	assert.Assert(t, l.update("i", false, never))
+	assert.Assert(t, l.update("i", false, now.Add(leavingOverride)), "the announcement may be older than the answer")
+	assert.Assert(t, l.update("i", true, now))
+	assert.Assert(t, !l.update("i", false, now), "the backend server no longer says so")
 	assert.Assert(t, !l.contains("i"))
 
+	l.add(now, "i")
+	assert.Assert(t, !l.update("i", false, now.Add(leavingOverride+time.Second)), "a much later announcement")
+
 	l.add(now, "old")
 	l.add(now.Add(leavingRetention+time.Second), "new")
 	assert.Equal(t, len(l.notices), 1)
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -204,8 +204,10 @@
 	}
 	head := g.Members[0]
 	report, _ := t.Get(head.VM)
-	announced := r.board.VMs[head.VM].Leaving || (report.Incarnation == head.Incarnation && report.Leaving)
-	return r.leaving.update(head.Incarnation, announced)
+	if report.Incarnation != head.Incarnation {
+		report = evidence.Report{}
+	}
+	return r.leaving.update(head.Incarnation, report.Leaving || r.board.VMs[head.VM].Leaving, report.ReceivedAt)
 }
 
 // capacity returns the work that a group of the model sustains by the published figures of its
@@ -236,15 +238,18 @@
 func (r *routeUpdate) addService(t *evidence.Table, id string) {
 	i := r.board.Services[id]
 	report, ok := t.GetService(id)
+	if report.Incarnation != i.Incarnation {
+		report, ok = evidence.Report{}, false
+	}
 	switch {
-	case r.leaving.update(i.Incarnation, i.Leaving || report.Leaving):
+	case r.leaving.update(i.Incarnation, report.Leaving || i.Leaving, report.ReceivedAt):
 		r.closed[id] = "instance is leaving"
 		return
 	case r.usesBoardLiveness && i.Liveness == blackboard.Dead:
 		r.closed[id] = "instance is dead"
 		return
 	case r.usesBoardLiveness:
-	case !ok || report.Incarnation != i.Incarnation || r.now.Sub(report.ReceivedAt) > evidence.RoutableAge:
+	case !ok || r.now.Sub(report.ReceivedAt) > evidence.RoutableAge:
 		r.closed[id] = "instance has no fresh evidence"
 		return
 	}
