--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -138,10 +138,12 @@
 // receive records a generation or call, sets the headers of its answer in which the stand-in
 // states something about itself, and reports whether it refuses the request and asks for a
 // back-off.
-func (b *faultState) receive(h http.Header) (isRefused bool) {
+func (b *faultState) receive(h http.Header, incarnation, attempt string) (isRefused bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.arrivals = append(b.arrivals, Arrival{At: time.Now(), RetryAfter: b.retryAfter, IsLeaving: b.isLeaving})
+	b.arrivals = append(b.arrivals, Arrival{
+		At: time.Now(), Incarnation: incarnation, Attempt: attempt, RetryAfter: b.retryAfter, IsLeaving: b.isLeaving,
+	})
 	if b.rateLimit > 0 {
 		h.Set(backend.HeaderRateLimit, strconv.FormatFloat(b.rateLimit, 'f', -1, 64))
 	}
--- a/internal/standin/generate.go
+++ b/internal/standin/generate.go
@@ -30,7 +30,7 @@
 		refuse(w, http.StatusUnauthorized, backend.Refusal{Message: "unknown bearer token"})
 		return
 	}
-	if e.faults.receive(w.Header()) {
+	if e.faults.receive(w.Header(), e.Incarnation(), g.Attempt) {
 		refuse(w, http.StatusServiceUnavailable, backend.Refusal{Busy: true, Message: "asks for a back-off"})
 		return
 	}
--- a/internal/standin/runs.go
+++ b/internal/standin/runs.go
@@ -40,7 +40,9 @@
 
 // Arrival is one generation or call that reached a stand-in, whether or not it ran.
 type Arrival struct {
-	At time.Time `json:"at"`
+	At          time.Time `json:"at"`
+	Incarnation string    `json:"incarnation"`
+	Attempt     string    `json:"attempt"`
 	// RetryAfter is the back-off that the answer, a refusal, asks for; 0 if it asks for none.
 	RetryAfter time.Duration `json:"retry_after,omitempty"`
 	// IsLeaving is set if the answer states that the stand-in is leaving.
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -93,7 +93,7 @@
 		refuseCall(w, http.StatusUnauthorized)
 		return
 	}
-	if s.faults.receive(w.Header()) || s.faults.get().FullQueue || !s.enter() {
+	if s.faults.receive(w.Header(), s.Incarnation(), r.Header.Get(backend.HeaderAttempt)) || s.faults.get().FullQueue || !s.enter() {
 		refuseCall(w, http.StatusServiceUnavailable)
 		return
 	}
--- a/test/process/random_run_test.go
+++ b/test/process/random_run_test.go
@@ -25,6 +25,14 @@
 	assert.Assert(t, report.RateLimitsRecorded > 0)
 }
 
+// Guards against wrong or missing answers, and against requests within a back-off, while backend
+// servers refuse requests and ask for back-offs.
+func TestRandomRunWithBackoffs(t *testing.T) {
+	t.Parallel()
+	report := checkRun(t, workload.Options{Seed: 3, Duration: 15 * time.Second, Callers: 8, Backoffs: true})
+	assert.Assert(t, report.BackoffsChecked > 0)
+}
+
 // Repeats seeds that once failed, each with its cause. Here they run for a shorter time than in
 // ./test/soak, where they failed.
 func TestSeedsThatFailedOnce(t *testing.T) {
--- a/test/workload/run.go
+++ b/test/workload/run.go
@@ -23,8 +23,11 @@
 	ConcurrentFaults int
 	// Groups is the number of serving groups; 0 means three.
 	Groups int
-	// RateLimitsRecorded makes backend servers state rate limits in addition to the faults.
+	// RateLimits makes backend servers state rate limits in addition to the faults.
 	RateLimits bool
+	// Backoffs makes backend servers refuse requests and ask for back-offs in addition to the
+	// faults.
+	Backoffs bool
 }
 
 func (o Options) withDefaults() Options {
@@ -50,6 +53,9 @@
 	Violations []string
 	// RateLimitsRecorded counts the rate limits that nodes recorded in their logs.
 	RateLimitsRecorded int
+	// BackoffsRecorded counts the back-offs that nodes recorded in their logs, and BackoffsChecked
+	// those that the checker found in the logs and counted arrivals for.
+	BackoffsRecorded, BackoffsChecked int
 }
 
 // The size of the system in a random run.
@@ -77,23 +83,35 @@
 
 	injectors := newFaultInjectors(t, c, engines, services, o)
 	callers := &callers{cluster: c, seed: o.Seed, count: o.Callers}
-	var limits *rateLimitInjector
+	servers := append(append([]*harness.Standin(nil), engines...), services...)
+	var others []injector
 	if o.RateLimits {
-		limits = newRateLimitInjector(o.Seed, append(append([]*harness.Standin(nil), engines...), services...))
+		others = append(others, newRateLimitInjector(o.Seed, servers))
 	}
-	drive(injectors, limits, callers, o.Duration)
+	if o.Backoffs {
+		others = append(others, newBackoffInjector(o.Seed, servers))
+	}
+	drive(injectors, others, callers, o.Duration)
 	runs := c.Runs()
 	report := summarise(callers.works, runs, injectors)
 	for _, n := range c.Nodes {
 		report.RateLimitsRecorded += strings.Count(n.Log(), "event=rate_limit_named")
 	}
 	report.Violations = append(Check(callers.works, runs), findPanics(c)...)
+	if o.Backoffs {
+		backoffs := newBackoffChecker(c, callers.works)
+		report.Violations = append(report.Violations, backoffs.check(servers)...)
+		report.BackoffsRecorded, report.BackoffsChecked = backoffs.recorded, backoffs.checked
+	}
 	return report
 }
 
+// injector changes what backend servers state about themselves until the context ends.
+type injector interface{ run(context.Context) }
+
 // drive runs callers and faults for the duration, ends all faults, and waits until the callers
 // have settled the works that they have begun.
-func drive(injectors []*faultInjector, limits *rateLimitInjector, callers *callers, duration time.Duration) {
+func drive(injectors []*faultInjector, others []injector, callers *callers, duration time.Duration) {
 	stop := make(chan struct{})
 	done := make(chan struct{})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -108,8 +126,8 @@
 	for _, f := range injectors {
 		all.Go(func() { f.run(faultsCtx) })
 	}
-	if limits != nil {
-		all.Go(func() { limits.run(faultsCtx) })
+	for _, i := range others {
+		all.Go(func() { i.run(faultsCtx) })
 	}
 	all.Wait()
 	for _, f := range injectors {
