entry: keep a notice of leaving for ten seconds against announcements

What callers saw: nothing; found by reading. An entry that takes no announcements goes by the board, and a new leader may have received a late announcement from before the backend server began to leave. The row then says for a moment that it stays, and the entry would have used it again.

Change: for 10 s after the last answer that said so, no announcement ends the notice.

TestLeavingEndsOnlyByALaterAnnouncement has the case; in a trial without the change it fails.

--- a/internal/entry/leaving.go
+++ b/internal/entry/leaving.go
@@ -9,8 +9,8 @@
 // A backend server stops within seconds or minutes of its first notice.
 const leavingRetention = time.Hour
 
-// leavingOverride is how long after the last answer that said so an announcement must arrive to
-// show that the backend server is not leaving. Announcements may arrive seconds late.
+// leavingOverride is how long after the last answer that said so announcements can show that the
+// backend server stays. Announcements may arrive seconds late, also at a new leader.
 const leavingOverride = 10 * time.Second
 
 // leavingServers holds the incarnations of backend servers that have stated in an answer to this
@@ -61,9 +61,10 @@
 // reports whether it is. announcedAt is when this entry received the announcement; zero if it
 // receives none and goes by the board.
 //
-// An announcement that does not say so may be older than the answer that did. The backend server
-// stays only if an earlier announcement said so, or if this one came leavingOverride later.
-func (l *leavingServers) update(incarnation string, isAnnounced bool, announcedAt time.Time) bool {
+// An announcement that does not say so may be older than the answer that did. After
+// leavingOverride the backend server stays if an earlier announcement said so, or if this one
+// arrived after leavingOverride.
+func (l *leavingServers) update(now time.Time, incarnation string, isAnnounced bool, announcedAt time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	n := l.notices[incarnation]
@@ -72,6 +73,7 @@
 		return isAnnounced
 	case isAnnounced:
 		n.isAnnounced = true
+	case now.Sub(n.last) <= leavingOverride:
 	case n.isAnnounced, announcedAt.Sub(n.last) > leavingOverride:
 		delete(l.notices, incarnation)
 		return false
--- a/internal/entry/leaving_test.go
+++ b/internal/entry/leaving_test.go
@@ -62,21 +62,22 @@
 // to leave, and against one that stays after all and is never used again.
 func TestLeavingEndsOnlyByALaterAnnouncement(t *testing.T) {
 	l, now := newLeavingServers(), time.Now()
-	never := time.Time{}
-	assert.Assert(t, !l.update("i", false, never))
-	assert.Assert(t, l.update("i", true, never), "by an announcement alone")
-	assert.Assert(t, !l.update("i", false, never))
+	soon, later, never := now.Add(leavingOverride), now.Add(leavingOverride+2*time.Second), time.Time{}
+	assert.Assert(t, !l.update(now, "i", false, never))
+	assert.Assert(t, l.update(now, "i", true, never), "by an announcement alone")
+	assert.Assert(t, !l.update(now, "i", false, never))
 
 	assert.Assert(t, l.add(now, "i"))
 	assert.Assert(t, !l.add(now.Add(time.Second), "i"))
-	assert.Assert(t, l.update("i", false, never))
-	assert.Assert(t, l.update("i", false, now.Add(leavingOverride)), "the announcement may be older than the answer")
-	assert.Assert(t, l.update("i", true, now))
-	assert.Assert(t, !l.update("i", false, now), "the backend server no longer says so")
+	assert.Assert(t, l.update(later, "i", false, never), "no announcement says anything")
+	assert.Assert(t, l.update(later, "i", false, soon), "the announcement may be older than the answer")
+	assert.Assert(t, l.update(now, "i", true, now))
+	assert.Assert(t, l.update(soon, "i", false, soon), "an older announcement, at a new leader")
+	assert.Assert(t, !l.update(later, "i", false, soon), "the backend server no longer says so")
 	assert.Assert(t, !l.contains("i"))
 
 	l.add(now, "i")
-	assert.Assert(t, !l.update("i", false, now.Add(leavingOverride+time.Second)), "a much later announcement")
+	assert.Assert(t, !l.update(later, "i", false, later), "a much later announcement")
 
 	l.add(now, "old")
 	l.add(now.Add(leavingRetention+time.Second), "new")
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -207,7 +207,7 @@
 	if report.Incarnation != head.Incarnation {
 		report = evidence.Report{}
 	}
-	return r.leaving.update(head.Incarnation, report.Leaving || r.board.VMs[head.VM].Leaving, report.ReceivedAt)
+	return r.leaving.update(r.now, head.Incarnation, report.Leaving || r.board.VMs[head.VM].Leaving, report.ReceivedAt)
 }
 
 // capacity returns the work that a group of the model sustains by the published figures of its
@@ -242,7 +242,7 @@
 		report, ok = evidence.Report{}, false
 	}
 	switch {
-	case r.leaving.update(i.Incarnation, report.Leaving || i.Leaving, report.ReceivedAt):
+	case r.leaving.update(r.now, i.Incarnation, report.Leaving || i.Leaving, report.ReceivedAt):
 		r.closed[id] = "instance is leaving"
 		return
 	case r.usesBoardLiveness && i.Liveness == blackboard.Dead:
