entry: log and count attempts that were cut, with the request's fingerprint

What callers saw: groups of one model crash one after the other while two requests come again and again.

Added: event=attempt_cut with the fingerprint, the backend server and whether the entry checks for a crash; citronstep_cut_attempts_total, citronstep_crash_reports_total, citronstep_suspect_requests and citronstep_refused_crashing_requests. The fingerprint of a request of a route is workspace, host, method, target and body. No decision reads any of it: the check still leaves requests of routes out.

So ordinary requests seldom share one, and resends do.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -184,6 +184,17 @@
 	return max(1, prompt+answer)
 }
 
+// contentFingerprint returns the job's fingerprint. That of a forwarded request is computed on
+// first use. The request's id, key and other headers differ between two sends of one request and
+// are left out.
+func (j *job) contentFingerprint() string {
+	if j.fingerprint == "" && j.forward != nil {
+		r := &j.forward.request
+		j.fingerprint = fingerprint("route", j.workspace, r.Host, r.Method, r.Target, string(r.Body))
+	}
+	return j.fingerprint
+}
+
 // hashFraction maps an id to [0, 1). A request of a split route gets the same service on every
 // entry.
 func hashFraction(id string) float64 {
--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -45,7 +45,8 @@
 	class     string
 	// key is the workspace and the idempotency key; empty without an idempotency key.
 	key string
-	// fingerprint is a hash of the request's contents.
+	// fingerprint is a hash of the request's contents; empty for a forwarded request until
+	// contentFingerprint has been called.
 	fingerprint   string
 	nonIdempotent bool
 	arrived       time.Time
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -150,7 +150,11 @@
 		}
 		return nil
 	}
-	cut := out == outcomeBroken && e.Type == failure.TypeBackendFailed && j.forward == nil
+	cut := out == outcomeBroken && e.Type == failure.TypeBackendFailed
+	if cut {
+		s.noteCut(j, g.route, j.forward == nil)
+	}
+	cut = cut && j.forward == nil
 	if cut && j.nonIdempotent {
 		// The final answer is known already; whether the server crashed is checked in the
 		// background.
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -375,11 +375,12 @@
 	open, _ := s.jobs.counts()
 	routes, waiting := s.dispatcher.counts()
 	sharedWaiting, grants := s.sharedQueueSizes()
+	suspects := s.o.Follower.Board().Suspects
 	s.o.Metrics.Sample(metrics.EntrySample{
 		Open: open, Waiting: waiting, Routes: routes, Lease: s.o.Follower.LeaseRemaining(),
 		ConfigRevision: s.o.Follower.Board().Config.Revision, RateLimited: s.rateLimits.count(),
 		BackedOff: s.dispatcher.backoffCount(time.Now()), RequestLimits: s.dispatcher.requestLimits(),
-		SharedWaiting: sharedWaiting, Grants: grants,
+		SharedWaiting: sharedWaiting, Grants: grants, Suspects: len(suspects), Attributed: countAttributed(suspects),
 	})
 }
 
--- a/internal/entry/suspect.go
+++ b/internal/entry/suspect.go
@@ -87,6 +87,14 @@
 	return s.hasCrashed(ctx, r, cut) && s.reportCrash(j, r, alone).IsAttributed()
 }
 
+// noteCut logs that an attempt was cut, with what tells the request and the crash apart from
+// others. isChecked states whether the entry checks if the backend server crashed.
+func (s *Server) noteCut(j *job, r route, isChecked bool) {
+	s.o.Metrics.AttemptCut(isChecked)
+	j.lines.Info("event", "attempt_cut", "request", j.id, "fingerprint", j.contentFingerprint(),
+		"server", r.head, "unit", r.crashID(), "checked", isChecked)
+}
+
 // reportCrash counts a crash against the job and returns the request's crash counts.
 func (s *Server) reportCrash(j *job, r route, alone bool) blackboard.Suspect {
 	ctx, cancel := context.WithTimeout(context.Background(), boardTimeout)
@@ -94,6 +102,7 @@
 	err := s.commitBoard(ctx, &blackboard.ReportCrash{
 		Fingerprints: []string{j.fingerprint}, Incarnation: r.crashID(), Alone: alone, NowMillis: time.Now().UnixMilli(),
 	}, nil)
+	s.o.Metrics.CrashReported(err == nil)
 	_ = level.Warn(s.o.Logger).Log("event", "crash", "request", j.id, "fingerprint", j.fingerprint, "unit", r.crashID(), "alone", alone, "err", errText(err))
 	known := s.o.Follower.Board().Suspects[j.fingerprint]
 	if j.nonIdempotent {
@@ -109,6 +118,16 @@
 	return known
 }
 
+func countAttributed(suspects map[string]blackboard.Suspect) int {
+	n := 0
+	for _, suspect := range suspects {
+		if suspect.IsAttributed() {
+			n++
+		}
+	}
+	return n
+}
+
 // clearSuspect removes a suspect that was answered completely while it ran in isolation.
 func (s *Server) clearSuspect(j *job) {
 	ctx, cancel := context.WithTimeout(context.Background(), boardTimeout)
--- a/internal/metrics/entry.go
+++ b/internal/metrics/entry.go
@@ -1,6 +1,7 @@
 package metrics
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -62,6 +63,30 @@
 	e.scope.Tagged(map[string]string{"outcome": outcome}).Counter(nameAttempts).Inc(1)
 }
 
+// AttemptCut counts an attempt that may have run and was cut before its end, by whether the entry
+// checks if the backend server crashed.
+func (e *Entry) AttemptCut(isChecked bool) {
+	if e == nil {
+		return
+	}
+	e.scope.Tagged(map[string]string{"checked": strconv.FormatBool(isChecked)}).Counter(nameAttemptsCut).Inc(1)
+}
+
+// CrashReported counts a report of a crash to the leader by whether the leader took it.
+func (e *Entry) CrashReported(taken bool) {
+	if e == nil {
+		return
+	}
+	e.scope.Tagged(map[string]string{"outcome": reportOutcome(taken)}).Counter(nameCrashReports).Inc(1)
+}
+
+func reportOutcome(taken bool) string {
+	if taken {
+		return "taken"
+	}
+	return "lost"
+}
+
 // RateLimitedAttempt counts an attempt on a backend server that has announced a rate limit.
 func (e *Entry) RateLimitedAttempt() {
 	if e == nil {
@@ -104,11 +129,7 @@
 	if e == nil {
 		return
 	}
-	outcome := "lost"
-	if taken {
-		outcome = "taken"
-	}
-	e.scope.Tagged(map[string]string{"outcome": outcome}).Counter(nameDemandReports).Inc(1)
+	e.scope.Tagged(map[string]string{"outcome": reportOutcome(taken)}).Counter(nameDemandReports).Inc(1)
 }
 
 // CoordinatorDecision counts a decision of this entry as a coordinator: "granted", "decide", or
@@ -178,6 +199,9 @@
 	SharedWaiting, Grants int
 	Lease                 time.Duration
 	ConfigRevision        uint64
+	// Suspects counts the requests on the board that were running when a backend server crashed,
+	// Attributed those of them that are refused for it.
+	Suspects, Attributed int
 	// RequestLimits holds the limit of a serving group in requests by model.
 	RequestLimits map[string]int
 }
@@ -194,6 +218,8 @@
 	e.scope.Gauge(nameBackedOff).Update(float64(s.BackedOff))
 	e.scope.Gauge(nameSharedWaiting).Update(float64(s.SharedWaiting))
 	e.scope.Gauge(nameGrants).Update(float64(s.Grants))
+	e.scope.Gauge(nameSuspects).Update(float64(s.Suspects))
+	e.scope.Gauge(nameAttributed).Update(float64(s.Attributed))
 	e.scope.Gauge(nameLease).Update(max(0, s.Lease).Seconds())
 	e.scope.Gauge(nameConfigRevision).Update(float64(s.ConfigRevision))
 	for model, limit := range s.RequestLimits {
