entry: attribute crashes to requests of routes too, and refuse them

Cause: the accounting of crashes began with 'not for requests of routes' (run.go, afterAttempt), so nothing was reported, counted or refused. Class: a promise of the product that one kind of request does not get. docs/PROOFS.md named the gap, and no test did. Ruled out by the test and its lines: different fingerprints of the sends (one for 17 and one for 24), a check that comes too late (none was made).

Taking the guard's exception out alone would not have done. So: - a crash is told by one probe of the server's address, for all attempts that it cut; a planned stop, a cut link and a server that broke off one answer are none; - one write for a crash, at most ten a second for an entry, tried again through elections; - the board counts crashes that followed one another, and blames a request if no other suspect was in all of them; a request answered in the last half minute is not reported, and an answer clears; - requests with an objective, and those of entries that hear no announcements, are not isolated; - a target that crashed is closed at that entry at once. On the platform it is 503 if this send has not run, 502 otherwise, where it was 422.

Tests changed: TestCrashIsReportedAfterAnElection goes through the new writer and asks for a longer election as well; TestRequestWithCrashesAttributedWhileItWaitsIsNotSent runs on an entry that hears announcements, as others do not wait any more.

--- a/internal/blackboard/command.go
+++ b/internal/blackboard/command.go
@@ -49,6 +49,7 @@
 	"remove_entry":    func() Command { return &RemoveEntry{} },
 	"report_crash":    func() Command { return &ReportCrash{} },
 	"forget_suspect":  func() Command { return &ForgetSuspect{} },
+	"retry_suspect":   func() Command { return &RetryAttributed{} },
 	"take_quarantine": func() Command { return &TakeQuarantine{} },
 	"end_quarantine":  func() Command { return &EndQuarantine{} },
 	"replace_config":  func() Command { return &ReplaceConfiguration{} },
--- /dev/null
+++ b/internal/blackboard/suspect_test.go
@@ -0,0 +1,144 @@
+package blackboard
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// crashBoard applies reports of crashes to a board.
+type crashBoard struct {
+	t     *testing.T
+	board *Board
+}
+
+func newCrashBoard(t *testing.T) *crashBoard { return &crashBoard{t, New()} }
+
+// report reports the crash of a backend server at the time end that ended runs of the requests,
+// all sent at the time sent. Times are in milliseconds.
+func (c *crashBoard) report(incarnation string, sent, end int64, fingerprints ...string) {
+	c.t.Helper()
+	r := &ReportCrash{Fingerprints: fingerprints, Incarnation: incarnation, NowMillis: end}
+	for range fingerprints {
+		r.SentMillis = append(r.SentMillis, sent)
+	}
+	c.board, _ = verdict(c.t, c.board, r)
+}
+
+func (c *crashBoard) isAttributed(fingerprint string) bool {
+	return c.board.Suspects[fingerprint].IsAttributed()
+}
+
+// Guards against a request that goes on crashing backend servers because others shared its crashes.
+func TestCrashesAreAttributedToTheRequestInAllOfThem(t *testing.T) {
+	c := newCrashBoard(t)
+	c.report("a", 0, 1000, "cause", "other", "third")
+	c.report("b", 1100, 2000, "cause", "other")
+	assert.Assert(t, !c.isAttributed("cause"))
+	c.report("c", 2100, 3000, "cause", "third")
+	assert.Assert(t, c.isAttributed("cause"))
+	assert.Assert(t, !c.isAttributed("other"))
+	assert.Assert(t, !c.isAttributed("third"))
+}
+
+// Guards against requests that are refused because they met the cause of the crashes again each
+// time that they were sent on.
+func TestRequestThatSharedAllCrashesWithTheCauseIsNotBlamed(t *testing.T) {
+	c := newCrashBoard(t)
+	for i, incarnation := range []string{"a", "b"} {
+		c.report(incarnation, int64(1000*i), int64(1000*i+900), "cause", "unlucky")
+	}
+	c.report("c", 2000, 2900, "unlucky")
+	c.report("c", 2000, 2900, "cause")
+	assert.Assert(t, !c.isAttributed("unlucky"), "the cause was in all its crashes")
+	assert.Assert(t, !c.isAttributed("cause"), "so was the other one")
+	c.report("d", 3000, 3900, "cause")
+	assert.Assert(t, c.isAttributed("cause"))
+	assert.Assert(t, !c.isAttributed("unlucky"))
+}
+
+// Guards against two requests that are always sent together and crash servers without end.
+func TestInseparableRequestsAreBothBlamedInTheEnd(t *testing.T) {
+	c := newCrashBoard(t)
+	for i := range inseparableCrashes {
+		assert.Assert(t, !c.isAttributed("one"))
+		c.report(fmt.Sprint("server-", i), int64(1000*i), int64(1000*i+900), "one", "two")
+	}
+	assert.Assert(t, c.isAttributed("one"))
+	assert.Assert(t, c.isAttributed("two"))
+}
+
+// Guards against a popular request that is refused because a data centre failed: it was running
+// on many backend servers, which all crashed at once.
+func TestSimultaneousCrashesAreAttributedToNoRequest(t *testing.T) {
+	c := newCrashBoard(t)
+	for i := range 40 {
+		c.report(fmt.Sprint("server-", i), int64(i), 1000+int64(i), "popular")
+	}
+	assert.Equal(t, c.board.Suspects["popular"].Crashes, 1)
+	assert.Assert(t, !c.isAttributed("popular"))
+}
+
+// Guards against crashes that are lost because the reports of two entries arrive in another order.
+func TestOrderOfReportsDoesNotMatter(t *testing.T) {
+	c := newCrashBoard(t)
+	c.report("c", 2100, 3000, "cause")
+	c.report("a", 0, 1000, "cause")
+	c.report("b", 1100, 2000, "cause")
+	assert.Assert(t, c.isAttributed("cause"))
+	c.report("b", 1100, 2000, "cause")
+	assert.Equal(t, c.board.Suspects["cause"].Crashes, 3, "two entries report one crash")
+}
+
+// Guards against a full table that forgets the requests that crashes are attributed to.
+func TestFullTableKeepsAttributedRequests(t *testing.T) {
+	c := newCrashBoard(t)
+	for i, incarnation := range []string{"a", "b", "c"} {
+		c.report(incarnation, int64(1000*i), int64(1000*i+900), "cause")
+	}
+	const many = 300
+	for i := range maxSuspects/many + 2 {
+		fingerprints := make([]string, many)
+		for k := range fingerprints {
+			fingerprints[k] = fmt.Sprintf("other-%d-%d", i, k)
+		}
+		c.report(fmt.Sprint("later-", i), 10_000, int64(20_000+i), fingerprints...)
+	}
+	assert.Equal(t, len(c.board.Suspects), maxSuspects)
+	assert.Assert(t, c.isAttributed("cause"))
+}
+
+// Guards against a request that is refused for a day because its backend servers crashed for a
+// reason of their own: it may run once more after a while, on one entry.
+func TestAttributedRequestMayRunOnceMore(t *testing.T) {
+	c := newCrashBoard(t)
+	retry := func(at time.Duration) bool {
+		board, v := verdict(t, c.board, &RetryAttributed{Fingerprint: "cause", NowMillis: at.Milliseconds()})
+		c.board = board
+		return v.Applied
+	}
+	assert.Assert(t, !retry(time.Hour), "not a suspect")
+	for i, incarnation := range []string{"a", "b", "c"} {
+		c.report(incarnation, int64(1000*i), int64(1000*i+900), "cause")
+	}
+	last := 2900 * time.Millisecond
+	assert.Assert(t, !retry(last+firstRetryAfter-time.Second))
+	assert.Assert(t, retry(last+firstRetryAfter))
+	assert.Assert(t, !retry(last+firstRetryAfter), "granted to one entry")
+	assert.Assert(t, c.isAttributed("cause"), "others are refused meanwhile")
+
+	again := last + firstRetryAfter + time.Second
+	c.report("d", (last + firstRetryAfter).Milliseconds(), again.Milliseconds(), "cause")
+	assert.Assert(t, !retry(again+2*firstRetryAfter-time.Second), "the time doubles")
+	assert.Assert(t, retry(again+2*firstRetryAfter))
+	assert.Equal(t, c.board.Suspects["cause"].ExpiresMillis(), (again + attributedLifetime).Milliseconds())
+}
+
+// Rows that an earlier version wrote hold counts and no runs.
+func TestSuspectOfAnEarlierVersionStaysAttributed(t *testing.T) {
+	assert.Assert(t, Suspect{Crashes: 3}.IsAttributed())
+	assert.Assert(t, Suspect{Crashes: 2, Alone: 1}.IsAttributed())
+	assert.Assert(t, !Suspect{Crashes: 2}.IsAttributed())
+}
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -321,21 +321,10 @@
 	return errors.Trace(err)
 }
 
-// Lifetimes of a suspected request after its last crash: one that was running when a backend
-// server crashed, and one that a crash was attributed to (convicted on the board).
-const (
-	suspectLifetime    = time.Hour
-	attributedLifetime = 24 * time.Hour
-)
-
 func expiredSuspects(board *blackboard.Board, now time.Time) []blackboard.Command {
 	var old []blackboard.Command
 	for fingerprint, suspect := range board.Suspects {
-		lifetime := suspectLifetime
-		if suspect.IsAttributed() {
-			lifetime = attributedLifetime
-		}
-		if now.Sub(time.UnixMilli(suspect.LastMillis)) > lifetime {
+		if now.UnixMilli() > suspect.ExpiresMillis() {
 			old = append(old, &blackboard.ForgetSuspect{Fingerprint: fingerprint})
 		}
 	}
--- /dev/null
+++ b/internal/entry/crash_check.go
@@ -0,0 +1,225 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/citronstep/citronstep/internal/backend"
+	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/evidence"
+)
+
+// Times of telling a crash from a cut connection.
+const (
+	// crashWait is how long a check waits for evidence: longer than two missed announcements.
+	crashWait = 2500 * time.Millisecond
+	crashPoll = 50 * time.Millisecond
+	// aliveAfterCut is how long after the cut a server must have announced itself to count as
+	// alive. An earlier announcement may have been in flight at the crash.
+	aliveAfterCut = 300 * time.Millisecond
+	// probeDelay is the time from the cut to the probe: a process that ends closes its
+	// connections and its listener one after the other.
+	probeDelay = 10 * time.Millisecond
+	// crashRetention is how long a crash is remembered for attempts that notice it later, and
+	// liveRetention how long a server that was found alive is not probed again.
+	crashRetention = 10 * time.Second
+	liveRetention  = time.Second
+)
+
+// crashVerdict is what is known of a backend server that closed a connection early.
+type crashVerdict string
+
+const (
+	verdictOpen    crashVerdict = ""
+	verdictCrashed crashVerdict = "crashed"
+	verdictAlive   crashVerdict = "alive"
+	verdictPlanned crashVerdict = "planned_stop"
+	verdictUnknown crashVerdict = "unknown"
+)
+
+// crashEvidence is what an entry knows of the backend servers of a target after the target has
+// closed a connection early.
+type crashEvidence struct {
+	// isLeaving is set if one of them had stated that it is about to stop.
+	isLeaving bool
+	// listener is the state of the address that requests are sent to.
+	listener backend.ListenState
+	// isReplaced is set if one of them has a new incarnation, isAnnounced if all have announced
+	// themselves since.
+	isReplaced, isAnnounced bool
+	// hearsAnnouncements is set if this entry receives announcements, and isOver once it has
+	// waited for them.
+	hearsAnnouncements, isOver bool
+}
+
+// verdict tells a crash from a planned stop and from a server that broke off one answer.
+//
+// A host whose address refuses connections runs and has no such process, so a cut link is no
+// crash. Silence counts as a crash only for an entry that would hear the server.
+func (e crashEvidence) verdict() crashVerdict {
+	switch {
+	case e.isLeaving:
+		return verdictPlanned
+	case e.isReplaced, e.listener == backend.NotListening:
+		return verdictCrashed
+	case e.isAnnounced, !e.hearsAnnouncements && e.listener == backend.Listening:
+		return verdictAlive
+	case !e.isOver:
+		return verdictOpen
+	case e.hearsAnnouncements:
+		return verdictCrashed
+	}
+	return verdictUnknown
+}
+
+// crashCheck finds out whether a target crashed. All attempts of this entry on the target that
+// were cut share one check.
+type crashCheck struct {
+	route route
+	cutAt time.Time
+	// done is closed with the verdict.
+	done    chan struct{}
+	verdict crashVerdict
+	// endedAt is when the verdict was reached.
+	endedAt time.Time
+	// cuts holds the attempts that wait for the verdict.
+	cuts []cutAttempt
+	// reported is closed once the crash is written to the board; nil if there is no crash.
+	reported <-chan struct{}
+}
+
+// cutAttempt is an attempt that ended because its target closed the connection early.
+type cutAttempt struct {
+	request, fingerprint string
+	// sent and cut are when the attempt began and ended.
+	sent, cut time.Time
+	isAlone   bool
+}
+
+// crashChecks holds the checks that run, and those whose verdict is still in use, by crashID.
+type crashChecks struct {
+	mu     sync.Mutex
+	checks map[string]*crashCheck
+}
+
+func newCrashChecks() *crashChecks { return &crashChecks{checks: make(map[string]*crashCheck)} }
+
+// join returns the check of a target. isNew is set if the caller is to run it. isOver is set if
+// the verdict is known already; otherwise the attempt waits for it with the others.
+func (c *crashChecks) join(now time.Time, r route, a cutAttempt) (check *crashCheck, isNew, isOver bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id, old := range c.checks {
+		if old.isOutdated(now) {
+			delete(c.checks, id)
+		}
+	}
+	check = c.checks[r.crashID()]
+	if check == nil {
+		check = &crashCheck{route: r, cutAt: a.cut, done: make(chan struct{})}
+		c.checks[r.crashID()] = check
+		isNew = true
+	}
+	if check.verdict != verdictOpen {
+		return check, false, true
+	}
+	check.cuts = append(check.cuts, a)
+	return check, isNew, false
+}
+
+func (c *crashCheck) isOutdated(now time.Time) bool {
+	switch c.verdict {
+	case verdictOpen:
+		return false
+	case verdictCrashed:
+		return now.Sub(c.endedAt) > crashRetention
+	}
+	return now.Sub(c.endedAt) > liveRetention
+}
+
+// conclude sets the verdict and returns the attempts that waited for it.
+func (c *crashChecks) conclude(now time.Time, check *crashCheck, v crashVerdict) []cutAttempt {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	check.verdict, check.endedAt = v, now
+	cuts := check.cuts
+	check.cuts = nil
+	return cuts
+}
+
+// hasCrashed reports whether a target is known to have crashed.
+func (c *crashChecks) hasCrashed(now time.Time, crashID string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	check := c.checks[crashID]
+	return check != nil && check.verdict == verdictCrashed && !check.isOutdated(now)
+}
+
+// crashID identifies the crash for all entries that saw it, by a group's epoch or an instance's
+// incarnation.
+func (r route) crashID() string {
+	if r.group != "" {
+		return r.group + "@" + formatEpoch(r.epoch)
+	}
+	return r.head + "@" + r.incarnation
+}
+
+// findCrashVerdict collects evidence until it allows a verdict.
+func (s *Server) findCrashVerdict(check *crashCheck) crashVerdict {
+	e := crashEvidence{hearsAnnouncements: !s.o.Settings.Deaf, listener: backend.ListenUnknown}
+	time.Sleep(probeDelay)
+	for {
+		e.isLeaving = s.isStopping(check.route)
+		e.isReplaced, e.isAnnounced = s.checkMembers(check.route, check.cutAt.Add(aliveAfterCut))
+		e.isOver = time.Since(check.cutAt) >= crashWait
+		if v := e.verdict(); v != verdictOpen {
+			return v
+		}
+		if e.listener == backend.ListenUnknown && s.o.Prober != nil {
+			e.listener = s.o.Prober.ProbeListener(context.Background(), check.route.address)
+			if e.listener != backend.ListenUnknown {
+				continue
+			}
+		}
+		time.Sleep(crashPoll)
+	}
+}
+
+// isStopping reports whether the target is taken out of service or a backend server of it is
+// about to stop.
+func (s *Server) isStopping(r route) bool {
+	board := s.o.Follower.Board()
+	if r.group == "" {
+		i, ok := board.Services[r.target]
+		return !ok || i.Leaving || s.leavingServers.contains(r.incarnation)
+	}
+	for id := range r.members {
+		if board.VMs[id].Leaving {
+			return true
+		}
+	}
+	return board.Groups[r.group].State == blackboard.Draining || s.leavingServers.contains(r.incarnation)
+}
+
+// checkMembers reports whether any member has an incarnation other than the one that the
+// attempt was sent to, and whether all members have announced themselves after a time. An entry
+// that receives no announcements knows the incarnations of plain services by the board.
+func (s *Server) checkMembers(r route, after time.Time) (changed, alive bool) {
+	if s.o.Settings.Deaf {
+		i, ok := s.o.Follower.Board().Services[r.target]
+		return r.group == "" && ok && i.Incarnation != r.incarnation, false
+	}
+	alive = true
+	s.o.Announcements.WithTable(func(t *evidence.Table) {
+		for id, incarnation := range r.members {
+			report, ok := t.Get(id)
+			if r.group == "" {
+				report, ok = t.GetService(id)
+			}
+			changed = changed || (ok && report.Incarnation != incarnation)
+			alive = alive && ok && report.ReceivedAt.After(after)
+		}
+	})
+	return changed, alive
+}
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -209,6 +209,12 @@
 	defer stop()
 	j.ctx = ctx
 	defer limitWriteTime(j.forward.w, j)()
+	if e := s.checkCrashes(j); e != nil {
+		e = withRanState(false, e)
+		s.recordMetrics(j, e)
+		s.logRefusal(j, e)
+		return e
+	}
 	if _, e := s.beginJob(j); e != nil {
 		s.logRefusal(j, e)
 		return e
@@ -374,8 +380,9 @@
 func (j *job) bufferFailure(m *memoryBudget, a *backend.ForwardAnswer) (outcome, *failure.Error, bool) {
 	e := failure.New(failure.TypeBackendFailed, "the backend server answered "+strconv.Itoa(a.Status))
 	body, err := j.readComplete(m, a)
-	if err == nil {
-		j.forward.backendFailure = &bufferedAnswer{status: a.Status, header: backend.EndToEnd(a.Header), body: body}
+	if err != nil {
+		return outcomeOfCallError(err), e, true
 	}
+	j.forward.backendFailure = &bufferedAnswer{status: a.Status, header: backend.EndToEnd(a.Header), body: body}
 	return outcomeBroken, e, true
 }
--- a/internal/entry/isolation.go
+++ b/internal/entry/isolation.go
@@ -141,7 +141,7 @@
 // inService reports whether a target would be routable without the quarantine, in the same
 // epoch and incarnation.
 func (s *Server) inService(r route) bool {
-	if s.leavingServers.contains(r.incarnation) {
+	if s.leavingServers.contains(r.incarnation) || s.crashChecks.hasCrashed(time.Now(), r.crashID()) {
 		return false
 	}
 	if changed, _ := s.checkMembers(r, time.Now()); changed {
--- a/internal/entry/isolation_test.go
+++ b/internal/entry/isolation_test.go
@@ -40,12 +40,13 @@
 func TestRequestWithCrashesAttributedWhileItWaitsIsNotSent(t *testing.T) {
 	follower := &changingBoard{}
 	before := blackboard.New()
-	before.Suspects["body"] = blackboard.Suspect{Fingerprint: "body", Crashes: 1, Incarnations: []string{"a"}}
+	before.Suspects["body"] = blackboard.Suspect{Fingerprint: "body", Crashes: 1, Runs: []blackboard.CrashedRun{{Incarnation: "a"}}}
 	follower.board.Store(before)
 	s := deafServer(before)
+	s.o.Settings.Deaf = false
 	s.o.Follower, s.o.Control = follower, unreachableControl{}
 	after := blackboard.New()
-	after.Suspects["body"] = blackboard.Suspect{Fingerprint: "body", Crashes: 2, Alone: 1, Incarnations: []string{"a", "b"}}
+	after.Suspects["body"] = blackboard.Suspect{Fingerprint: "body", Crashes: 2, Alone: 1, Runs: []blackboard.CrashedRun{{Incarnation: "a"}, {Incarnation: "b"}}}
 	assert.Assert(t, after.Suspects["body"].IsAttributed())
 
 	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(300*time.Millisecond))
--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -108,6 +108,9 @@
 	// crashes that this job has seen.
 	suspect bool
 	crashes int
+	// isRetryGranted is set if crashes are attributed to the request and this job is its granted
+	// further run.
+	isRetryGranted bool
 	// countsAsDemand is set if the job is a first try for a model whose demand is observed.
 	countsAsDemand bool
 }
--- a/internal/entry/job_table.go
+++ b/internal/entry/job_table.go
@@ -47,8 +47,8 @@
 	if e := s.mayAdmit(); e != nil {
 		return nil, e
 	}
-	if s.o.Follower.Board().Suspects[j.fingerprint].IsAttributed() {
-		return nil, crashRefusal()
+	if e := s.checkCrashes(j); e != nil {
+		return nil, e
 	}
 	j.ctx, j.cancel = context.WithCancelCause(context.Background())
 	first, e := s.beginJob(j)
--- a/internal/entry/outcome.go
+++ b/internal/entry/outcome.go
@@ -21,12 +21,18 @@
 	// outcomeRejected: the backend server states that it has not run the request. Another may
 	// be tried, but the attempt has added its load.
 	outcomeRejected
-	// outcomeBroken: the attempt may have run and has no complete answer.
+	// outcomeCut: the backend server closed the connection of an attempt that may have run before
+	// the end of its answer.
+	outcomeCut
+	// outcomeBroken: the attempt may have run and has no complete answer for another reason.
 	outcomeBroken
 	// outcomeJobEnded: the job's own context ended.
 	outcomeJobEnded
 )
 
+// mayHaveRun reports whether the attempt may have run without a complete answer.
+func (o outcome) mayHaveRun() bool { return o == outcomeCut || o == outcomeBroken }
+
 // name returns the outcome's name in metrics and logs.
 func (o outcome) name(e *failure.Error) string {
 	switch {
@@ -54,6 +60,13 @@
 		return outcomeWithheld
 	case errors.As(err, &call) && call.Stage != backend.StageUnknown:
 		return outcomeNotStarted
+	case isAnswerInvalid(err):
+		return outcomeBroken
 	}
-	return outcomeBroken
+	return outcomeCut
+}
+
+// isAnswerInvalid reports whether a call failed because of what the backend server sent.
+func isAnswerInvalid(err error) bool {
+	return errors.Is(err, backend.ErrMalformed) || errors.Is(err, backend.ErrLineTooLong) || errors.Is(err, errAnswerTooLong)
 }
--- a/internal/entry/record_writes_test.go
+++ b/internal/entry/record_writes_test.go
@@ -254,12 +254,15 @@
 // Guards against a crash that no entry but one knows of: its report was refused during an election
 // and not sent again.
 func TestCrashIsReportedAfterAnElection(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		s, control := deafServer(servingPool(1, 1, 1, 1)), newRecordControl()
-		now := time.Now()
-		control.leaderless = []interval{{now, now.Add(time.Second)}}
-		s.o.Control = control
-		s.reportCrash(&job{id: "j", fingerprint: "body"}, route{group: "wide-0"}, false)
-		assert.Equal(t, control.applied, 1)
-	})
+	for _, election := range []time.Duration{time.Second, 5 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			s, control := deafServer(servingPool(1, 1, 1, 1)), newRecordControl()
+			now := time.Now()
+			control.leaderless = []interval{{now, now.Add(election)}}
+			s.o.Control = control
+			check := &crashCheck{route: route{group: "wide-0"}, verdict: verdictCrashed}
+			<-s.reportCuts(check, []cutAttempt{{request: "j", fingerprint: "body", sent: now, cut: now}})
+			assert.Equal(t, control.applied, 1)
+		})
+	}
 }
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -90,10 +90,25 @@
 	evacuated   map[string]clock.Boot
 	// leaving holds the backend servers that state in their answers that they are leaving.
 	leaving *leavingServers
+	// crashes knows the targets that have crashed.
+	crashes *crashChecks
 	// regions holds the region of each data centre.
 	regions map[string]string
 }
 
+// closeIfCrashed closes a target whose process is known to be gone, and reports whether it is.
+//
+// Failure: the leader takes seconds to see that a head has crashed. Until then requests are sent
+// there, are refused by its host, and use up their attempts.
+func (r *routeUpdate) closeIfCrashed(rt route) bool {
+	if !r.crashes.hasCrashed(r.now, rt.crashID()) {
+		return false
+	}
+	r.changesWithTime = true
+	r.closed[rt.target] = "the backend server has crashed"
+	return true
+}
+
 // routable reports whether a group may receive new work, and if not, why.
 func (r *routeUpdate) routable(t *evidence.Table, id string) (bool, string) {
 	if !r.usesBoardLiveness {
@@ -128,7 +143,7 @@
 		now: time.Now(), board: s.o.Follower.Board(),
 		routes: make(map[string]route), loads: make(map[string]placement.Load), closed: make(map[string]string),
 		quarantinedPools: make(map[string]bool), usesBoardLiveness: s.o.Settings.Deaf, progress: s.progress, evacuated: make(map[string]clock.Boot),
-		regions: s.o.Regions, leaving: s.leavingServers, evacuations: s.evacuations,
+		regions: s.o.Regions, leaving: s.leavingServers, evacuations: s.evacuations, crashes: s.crashChecks,
 	}
 	s.progress.update(r.board)
 	s.updateEvacuations(r.board)
@@ -165,7 +180,7 @@
 		r.closed[id] = "the head is leaving"
 		return
 	}
-	if r.closeIfQuarantined(g.Model, id) {
+	if r.closeIfCrashed(route{target: id, group: g.ID, epoch: g.Epoch}) || r.closeIfQuarantined(g.Model, id) {
 		return
 	}
 	progress := r.progress.getOrAdd(r.now, groupEpoch{g.ID, g.Epoch}, silenceLimitFor(&r.board.Config, g.Model))
@@ -261,7 +276,7 @@
 		r.closed[id] = "instance has no fresh evidence"
 		return
 	}
-	if r.closeIfQuarantined(servicePool(i.Service), id) {
+	if r.closeIfCrashed(route{target: id, head: id, incarnation: i.Incarnation}) || r.closeIfQuarantined(servicePool(i.Service), id) {
 		return
 	}
 	if report.Load != nil {
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -48,6 +48,9 @@
 	}
 	began := time.Now()
 	e = s.runAttempts(j, g, attempt)
+	if e == nil {
+		s.noteAnswered(j)
+	}
 	s.dispatcher.jobEnded(admission.Outcome{
 		ID: j.id, Answered: e == nil, Tokens: j.tokens(), Took: time.Since(began),
 	})
@@ -56,9 +59,7 @@
 
 // runAttempts makes attempts until one gives the complete answer or no further one may be made.
 func (s *Server) runAttempts(j *job, g grant, attempt attemptFunc) *failure.Error {
-	if s.o.Follower.Board().Suspects[j.fingerprint].Crashes > 0 {
-		j.suspect = true
-	}
+	j.suspect = s.mayIsolate(j) && s.suspectOf(j).Crashes > 0
 	begun := j.begun
 	for {
 		if j.suspect {
@@ -77,20 +78,21 @@
 		if s.rateLimits.isLimited(g.route.incarnation) {
 			s.o.Metrics.RateLimitedAttempt()
 		}
+		sent := time.Now()
 		out, e := attempt(j, g)
 		s.returnGrant(j, out != outcomeWithheld)
-		j.mayHaveRun = j.mayHaveRun || out == outcomeBroken || out == outcomeComplete
+		j.mayHaveRun = j.mayHaveRun || out.mayHaveRun() || out == outcomeComplete
 		if out == outcomeWithheld {
 			s.noteWithheld(j, g)
 		}
 		s.o.Metrics.Attempt(out.name(e))
-		stop := s.afterAttempt(j, g, out, e)
+		stop := s.afterAttempt(j, g, out, e, sent)
 		switch out {
 		case outcomeComplete:
 			return nil
 		case outcomeJobEnded:
 			return jobEndedFailure(j)
-		case outcomeBroken:
+		case outcomeCut, outcomeBroken:
 			begun = true
 		}
 		if stop != nil {
@@ -112,8 +114,8 @@
 // crash. The request waits eight seconds for a turn in isolation and crashes a third backend
 // server. So the board is checked again after the wait.
 func (s *Server) mayAttempt(j *job) *failure.Error {
-	if s.o.Follower.Board().Suspects[j.fingerprint].IsAttributed() {
-		return crashRefusal()
+	if e := s.checkCrashes(j); e != nil {
+		return e
 	}
 	return s.mayDispatch()
 }
@@ -139,35 +141,37 @@
 	return isolated
 }
 
-// afterAttempt processes the result of an attempt. It returns the final failure if no other
-// attempt may be made.
-func (s *Server) afterAttempt(j *job, g grant, out outcome, e *failure.Error) *failure.Error {
-	isolated := g.endTurn != nil
+// afterAttempt processes the result of an attempt that was sent at the time sent. It returns the
+// final failure if no other attempt may be made.
+func (s *Server) afterAttempt(j *job, g grant, out outcome, e *failure.Error, sent time.Time) *failure.Error {
 	defer g.end()
-	if out == outcomeComplete {
-		if isolated {
-			s.clearSuspect(j)
-		}
+	switch out {
+	case outcomeComplete, outcomeJobEnded:
 		return nil
+	case outcomeCut:
+		if stop := s.afterCut(j, g, sent); stop != nil {
+			return stop
+		}
 	}
-	cut := out == outcomeBroken && e.Type == failure.TypeBackendFailed
-	if cut {
-		s.noteCut(j, g.route, j.forward == nil)
-	}
-	cut = cut && j.forward == nil
-	if cut && j.nonIdempotent {
-		// The final answer is known already; whether the server crashed is checked in the
-		// background.
-		go s.reportIfCrashed(j, g.route, isolated, time.Now())
-		return s.mayRetry(j, out, e)
-	}
-	if cut && s.reportIfCrashed(j, g.route, isolated, time.Now()) {
+	return s.mayRetry(j, out, e)
+}
+
+// afterCut processes an attempt whose target closed the connection early. It refuses a request
+// that crashed the target, if that is attributed to it. The next attempt of a request with an
+// objective does not wait for the verdict, and the answer of a non-idempotent request is final
+// without one.
+func (s *Server) afterCut(j *job, g grant, sent time.Time) *failure.Error {
+	isAlone := g.endTurn != nil
+	check := s.observeCut(j, g.route, isAlone, sent)
+	switch {
+	case j.isRetryGranted:
 		return crashRefusal()
-	}
-	if out == outcomeJobEnded {
+	case j.nonIdempotent || !s.mayIsolate(j):
 		return nil
+	case s.awaitCrashCounts(j, check, isAlone).IsAttributed():
+		return crashRefusal()
 	}
-	return s.mayRetry(j, out, e)
+	return nil
 }
 
 // withRanState makes a refusal state what is known of all attempts so far, whatever the last
@@ -193,13 +197,13 @@
 // The retry budget limits the load after an outage. Without it, each failed attempt would cause
 // more attempts just when capacity is lowest.
 func (s *Server) mayRetry(j *job, out outcome, e *failure.Error) *failure.Error {
-	if out == outcomeBroken && j.nonIdempotent {
+	if out.mayHaveRun() && j.nonIdempotent {
 		return failure.New(failure.TypeOutcomeUnknown, "the request was dispatched and its outcome is unknown: "+e.Message)
 	}
 	if j.attempts-j.withheld >= j.attemptLimit() {
 		return e.WithRetryAfter(s.dispatcher.retryAfter(j))
 	}
-	if (out == outcomeBroken || out == outcomeRejected) && !s.takeRetry(j) {
+	if (out.mayHaveRun() || out == outcomeRejected) && !s.takeRetry(j) {
 		return e.WithDetail("no further attempt: the retry budget of " + j.retryBudget() + " is spent").WithRetryAfter(s.dispatcher.retryAfter(j))
 	}
 	return nil
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -66,6 +66,9 @@
 	Peers *http.Client
 	// Forwarder forwards the requests of routes; nil if the entry serves none.
 	Forwarder backend.Forwarder
+	// Prober finds out whether a backend server that closed a connection still listens; nil if
+	// announcements alone tell.
+	Prober backend.ListenProber
 	// StallReporter reports groups without progress to the leader; nil if there are no reports.
 	StallReporter StallReporter
 	// DemandReporter reports the observed demand to the leader; nil if there are no reports.
@@ -84,6 +87,11 @@
 	dispatcher *dispatcher
 	jobs       *jobTable
 	isolation  *isolation
+	// crashChecks tells crashes of backend servers from cut connections, suspectWriter writes
+	// what this entry learns of suspects, and recentAnswers clears requests.
+	crashChecks   *crashChecks
+	suspectWriter suspectWriter
+	recentAnswers *recentAnswers
 	// holders is this entry's table as the home of keys.
 	holdersMu sync.Mutex
 	holders   *holders
@@ -159,6 +167,8 @@
 		requests:       requestlog.New(o.Logger, o.RequestLinesPerSecond),
 		jobs:           newJobTable(),
 		isolation:      newIsolation(),
+		crashChecks:    newCrashChecks(),
+		recentAnswers:  newRecentAnswers(time.Now()),
 		holders:        newHolders(),
 		updateNow:      make(chan struct{}, 1),
 		loggedRoutes:   make(map[string]route),
--- a/internal/entry/suspect.go
+++ b/internal/entry/suspect.go
@@ -11,111 +11,163 @@
 	"github.com/juju/errors"
 
 	"github.com/citronstep/citronstep/internal/blackboard"
-	"github.com/citronstep/citronstep/internal/evidence"
 	"github.com/citronstep/citronstep/internal/failure"
 	"github.com/citronstep/citronstep/internal/rpc/noderpc"
 )
 
 // A request that crashes each backend server that runs it, resent by its caller without end,
 // would take down one group after another. Each request in flight when a backend server crashes
-// becomes a suspect. Its next attempt runs in isolation, on a target that all entries keep
-// free. A second crash there is attributed to the request and harms no other request, and a
-// complete answer clears it. The blackboard holds the crash counts by the request's
-// fingerprint, so that they apply across entries and resends.
-
-// Times of telling a crash from a cut connection.
-const (
-	// crashWait is how long an attempt's end waits for evidence of a crash: longer than two
-	// missed announcements.
-	crashWait = 2500 * time.Millisecond
-	crashPoll = 50 * time.Millisecond
-	// aliveAfterCut is how long after the cut a server must have announced itself to count as
-	// alive. An earlier announcement may have been in flight at the crash.
-	aliveAfterCut = 300 * time.Millisecond
-)
+// becomes a suspect, of whatever kind it is. The blackboard holds its crashes by the request's
+// fingerprint, so that they apply across entries and resends, and attributes them (Suspect). A
+// complete answer clears a suspect.
+//
+// The next attempt of a suspect runs in isolation, on a target that all entries keep free: a
+// second crash there is attributed to the request and harms no other one. Requests with an
+// objective are not isolated, since the answer would be late. Crashes are attributed to them by
+// their number.
+
+// observeCut takes in an attempt that ended because its target closed the connection early. It
+// returns the check that tells whether the target crashed.
+func (s *Server) observeCut(j *job, r route, isAlone bool, sent time.Time) *crashCheck {
+	now := time.Now()
+	a := cutAttempt{request: j.id, fingerprint: j.contentFingerprint(), sent: sent, cut: now, isAlone: isAlone}
+	check, isNew, isOver := s.crashChecks.join(now, r, a)
+	s.o.Metrics.AttemptCut()
+	j.lines.Info("event", "attempt_cut", "request", j.id, "fingerprint", a.fingerprint, "server", r.head, "unit", r.crashID())
+	switch {
+	case isNew:
+		go s.runCrashCheck(check)
+	case isOver:
+		s.reportCuts(check, []cutAttempt{a})
+	}
+	return check
+}
+
+func (s *Server) runCrashCheck(check *crashCheck) {
+	v := s.findCrashVerdict(check)
+	cuts := s.crashChecks.conclude(time.Now(), check, v)
+	_ = level.Info(s.o.Logger).Log("event", "crash_check", "unit", check.route.crashID(), "server", check.route.head,
+		"verdict", v, "took_ms", time.Since(check.cutAt).Milliseconds(), "requests", len(cuts))
+	check.reported = s.reportCuts(check, cuts)
+	if v == verdictCrashed {
+		s.wakeRouteLoop()
+	}
+	close(check.done)
+}
 
-// hasCrashed reports whether a backend server of the attempt's target crashed about when the
-// attempt was cut. A server that closes the connection and then stays silent counts as crashed.
-// A server that dies with its VM closes no connection; its attempts stall instead.
-func (s *Server) hasCrashed(ctx context.Context, r route, cut time.Time) bool {
-	for time.Since(cut) < crashWait && ctx.Err() == nil {
-		changed, alive := s.checkMembers(r, cut.Add(aliveAfterCut))
-		if changed {
-			return true
+// reportCuts reports the requests that a crash ended to the board. It leaves out those that were
+// answered recently. The returned channel is closed once the report is written.
+func (s *Server) reportCuts(check *crashCheck, cuts []cutAttempt) <-chan struct{} {
+	if check.verdict != verdictCrashed {
+		return nil
+	}
+	now := time.Now()
+	reports := map[bool]*blackboard.ReportCrash{}
+	for _, a := range cuts {
+		counted := !s.recentAnswers.contains(now, a.fingerprint)
+		_ = level.Warn(s.o.Logger).Log("event", "crash", "request", a.request, "fingerprint", a.fingerprint,
+			"unit", check.route.crashID(), "alone", a.isAlone, "ran_ms", a.cut.Sub(a.sent).Milliseconds(), "counted", counted)
+		if !counted {
+			continue
 		}
-		if alive {
-			return false
+		r := reports[a.isAlone]
+		if r == nil {
+			r = &blackboard.ReportCrash{Incarnation: check.route.crashID(), Alone: a.isAlone, NowMillis: a.cut.UnixMilli()}
+			reports[a.isAlone] = r
 		}
-		time.Sleep(crashPoll)
+		r.Fingerprints = append(r.Fingerprints, a.fingerprint)
+		// The clock may have been stepped since the attempt was sent.
+		r.SentMillis = append(r.SentMillis, r.NowMillis-a.cut.Sub(a.sent).Milliseconds())
+	}
+	var written <-chan struct{}
+	for _, r := range reports {
+		written = s.writeSuspect(r)
 	}
-	return ctx.Err() == nil
+	return written
 }
 
-// checkMembers reports whether any member has an incarnation other than the one that the
-// attempt was sent to, and whether all members have announced themselves after a time.
-func (s *Server) checkMembers(r route, after time.Time) (changed, alive bool) {
-	alive = true
-	s.o.Announcements.WithTable(func(t *evidence.Table) {
-		for id, incarnation := range r.members {
-			report, ok := t.Get(id)
-			if r.group == "" {
-				report, ok = t.GetService(id)
-			}
-			changed = changed || (ok && report.Incarnation != incarnation)
-			alive = alive && ok && report.ReceivedAt.After(after)
+// awaitCrashCounts waits for the verdict about a cut attempt, and until the board has the report
+// of a crash. It returns the request's crashes; none if the target did not crash.
+func (s *Server) awaitCrashCounts(j *job, check *crashCheck, isAlone bool) blackboard.Suspect {
+	select {
+	case <-check.done:
+	case <-j.ctx.Done():
+		return blackboard.Suspect{}
+	}
+	if check.verdict != verdictCrashed {
+		return blackboard.Suspect{}
+	}
+	if check.reported != nil {
+		limit := time.NewTimer(boardTimeout)
+		defer limit.Stop()
+		select {
+		case <-check.reported:
+		case <-limit.C:
+		case <-j.ctx.Done():
 		}
-	})
-	return changed, alive
+	}
+	j.suspect = true
+	j.crashes++
+	// This entry's board may not show yet what the entry has seen itself.
+	known := s.o.Follower.Board().Suspects[j.fingerprint]
+	known.Crashes = max(known.Crashes, j.crashes)
+	if isAlone {
+		known.Alone = max(known.Alone, 1)
+	}
+	return known
 }
 
-// crashID identifies the crash for all entries that saw it, by a group's epoch or an instance's
-// incarnation.
-func (r route) crashID() string {
-	if r.group != "" {
-		return r.group + "@" + formatEpoch(r.epoch)
-	}
-	return r.head + "@" + r.incarnation
+// mayIsolate reports whether the job waits for a turn in isolation once it is a suspect. An entry
+// that hears no announcements can't tell when a target is empty.
+func (s *Server) mayIsolate(j *job) bool {
+	hasObjective := j.forward != nil && j.forward.route.ObjectiveMillis > 0
+	return !hasObjective && !s.o.Settings.Deaf
 }
 
-// reportIfCrashed counts a crash against the job if there was one. It reports whether the crash
-// is thereby attributed to the request.
-func (s *Server) reportIfCrashed(j *job, r route, alone bool, cut time.Time) bool {
-	ctx := j.ctx
-	if j.nonIdempotent {
-		ctx = context.Background()
+// suspectOf returns what the board holds about the job's crashes. Without suspects on the board
+// the job needs no fingerprint.
+func (s *Server) suspectOf(j *job) blackboard.Suspect {
+	suspects := s.o.Follower.Board().Suspects
+	if len(suspects) == 0 {
+		return blackboard.Suspect{}
 	}
-	return s.hasCrashed(ctx, r, cut) && s.reportCrash(j, r, alone).IsAttributed()
+	return suspects[j.contentFingerprint()]
 }
 
-// noteCut logs that an attempt was cut, with what tells the request and the crash apart from
-// others. isChecked states whether the entry checks if the backend server crashed.
-func (s *Server) noteCut(j *job, r route, isChecked bool) {
-	s.o.Metrics.AttemptCut(isChecked)
-	j.lines.Info("event", "attempt_cut", "request", j.id, "fingerprint", j.contentFingerprint(),
-		"server", r.head, "unit", r.crashID(), "checked", isChecked)
+// checkCrashes refuses a job that crashes are attributed to, with the time from which it may run
+// once more. This entry's own recent answer to the request says more than the board.
+func (s *Server) checkCrashes(j *job) *failure.Error {
+	now := time.Now()
+	suspect := s.suspectOf(j)
+	if !suspect.IsAttributed() || j.isRetryGranted || s.recentAnswers.contains(now, suspect.Fingerprint) {
+		return nil
+	}
+	wait := time.Duration(suspect.RetryAtMillis()-now.UnixMilli()) * time.Millisecond
+	if wait <= 0 && s.takeRetryOfAttributed(j) {
+		return nil
+	}
+	return crashRefusal().WithRetryAfter(max(wait, time.Second))
 }
 
-// reportCrash counts a crash against the job and returns the request's crash counts.
-func (s *Server) reportCrash(j *job, r route, alone bool) blackboard.Suspect {
+// takeRetryOfAttributed requests the one further run that an attributed request may have at times.
+func (s *Server) takeRetryOfAttributed(j *job) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), boardTimeout)
 	defer cancel()
-	err := s.commitBoard(ctx, &blackboard.ReportCrash{
-		Fingerprints: []string{j.fingerprint}, Incarnation: r.crashID(), Alone: alone, NowMillis: time.Now().UnixMilli(),
-	}, nil)
-	s.o.Metrics.CrashReported(err == nil)
-	_ = level.Warn(s.o.Logger).Log("event", "crash", "request", j.id, "fingerprint", j.fingerprint, "unit", r.crashID(), "alone", alone, "err", errText(err))
-	known := s.o.Follower.Board().Suspects[j.fingerprint]
-	if j.nonIdempotent {
-		return known
-	}
-	j.suspect = true
-	j.crashes++
-	// This entry's board may not show yet what the entry has seen itself.
-	known.Crashes = max(known.Crashes, j.crashes)
-	if alone {
-		known.Alone = max(known.Alone, 1)
+	var verdict blackboard.Verdict
+	err := s.commitBoard(ctx, &blackboard.RetryAttributed{Fingerprint: j.fingerprint, NowMillis: time.Now().UnixMilli()}, &verdict)
+	j.isRetryGranted = err == nil && verdict.Applied
+	j.lines.Info("event", "suspect_retry", "request", j.id, "fingerprint", j.fingerprint, "granted", j.isRetryGranted,
+		"reason", verdict.Reason, "err", errText(err))
+	return j.isRetryGranted
+}
+
+// noteAnswered takes in that a job was answered completely, which shows that the request does not
+// crash its backend servers. A suspect with one crash stays on the board, to save the write.
+func (s *Server) noteAnswered(j *job) {
+	s.recentAnswers.add(time.Now(), j.contentFingerprint())
+	if suspect := s.suspectOf(j); suspect.Crashes > 1 || suspect.Alone > 0 || j.suspect {
+		s.writeSuspect(&blackboard.ForgetSuspect{Fingerprint: j.fingerprint})
 	}
-	return known
 }
 
 func countAttributed(suspects map[string]blackboard.Suspect) int {
@@ -128,20 +180,10 @@
 	return n
 }
 
-// clearSuspect removes a suspect that was answered completely while it ran in isolation.
-func (s *Server) clearSuspect(j *job) {
-	ctx, cancel := context.WithTimeout(context.Background(), boardTimeout)
-	defer cancel()
-	// If this fails, the request runs in isolation once more and is cleared then.
-	if err := s.commitBoard(ctx, &blackboard.ForgetSuspect{Fingerprint: j.fingerprint}, nil); err != nil {
-		j.lines.Info("event", "suspect_not_cleared", "request", j.id, "fingerprint", j.fingerprint, "err", err)
-	}
-}
-
 // crashRefusal returns the final failure of a request that crashes backend servers.
 func crashRefusal() *failure.Error {
 	return failure.New(failure.TypeRequestCrashesBackend,
-		"this request crashed the backend servers that ran it and will not be run again").WithRan(failure.RanUnknown)
+		"this request crashed the backend servers that ran it and is not run again for now").WithRan(failure.RanUnknown)
 }
 
 const boardTimeout = 2 * time.Second
--- a/internal/metrics/definitions.go
+++ b/internal/metrics/definitions.go
@@ -52,7 +52,7 @@
 
 	nameBackedOff        = prefix + "backed_off_servers"
 	nameAttemptsCut      = prefix + "cut_attempts_total"
-	nameCrashReports     = prefix + "crash_reports_total"
+	nameSuspectWrites    = prefix + "suspect_writes_total"
 	nameSuspects         = prefix + "suspect_requests"
 	nameAttributed       = prefix + "refused_crashing_requests"
 	nameBackoffRequests  = prefix + "backoff_requests_total"
@@ -111,8 +111,8 @@
 		{nameAttempts, KindCounter, []string{"outcome"}, "Attempts on backend servers by how they ended.", nil},
 		{nameRateLimited, KindGauge, nil, "Backend servers that name a rate limit, as this entry knows.", nil},
 		{nameRateLimitedAttempts, KindCounter, nil, "Attempts of this entry on backend servers that name a rate limit.", nil},
-		{nameAttemptsCut, KindCounter, []string{"checked"}, "Attempts that may have run and were cut before their end, by whether the entry checks if the backend server crashed.", nil},
-		{nameCrashReports, KindCounter, []string{"outcome"}, "Reports of crashes to the leader, by whether the leader took them.", nil},
+		{nameAttemptsCut, KindCounter, nil, "Attempts that may have run and whose backend server closed the connection before their end.", nil},
+		{nameSuspectWrites, KindCounter, []string{"outcome"}, "Crashes and answers of suspects written to the board, by whether the leader took them.", nil},
 		{nameSuspects, KindGauge, nil, "Requests on the board that were running when a backend server crashed.", nil},
 		{nameAttributed, KindGauge, nil, "Requests on the board that are refused because they crash backend servers.", nil},
 		{nameBackedOff, KindGauge, nil, "Backend servers that have asked this entry for no request for a time that has not passed.", nil},
--- a/internal/metrics/entry.go
+++ b/internal/metrics/entry.go
@@ -1,7 +1,6 @@
 package metrics
 
 import (
-	"strconv"
 	"time"
 
 	"github.com/uber-go/tally/v4"
@@ -63,21 +62,21 @@
 	e.scope.Tagged(map[string]string{"outcome": outcome}).Counter(nameAttempts).Inc(1)
 }
 
-// AttemptCut counts an attempt that may have run and was cut before its end, by whether the entry
-// checks if the backend server crashed.
-func (e *Entry) AttemptCut(isChecked bool) {
+// AttemptCut counts an attempt that may have run and whose backend server closed the connection
+// before its end.
+func (e *Entry) AttemptCut() {
 	if e == nil {
 		return
 	}
-	e.scope.Tagged(map[string]string{"checked": strconv.FormatBool(isChecked)}).Counter(nameAttemptsCut).Inc(1)
+	e.scope.Counter(nameAttemptsCut).Inc(1)
 }
 
-// CrashReported counts a report of a crash to the leader by whether the leader took it.
-func (e *Entry) CrashReported(taken bool) {
+// SuspectWrite counts what this entry writes about suspects by whether the leader took it.
+func (e *Entry) SuspectWrite(taken bool) {
 	if e == nil {
 		return
 	}
-	e.scope.Tagged(map[string]string{"outcome": reportOutcome(taken)}).Counter(nameCrashReports).Inc(1)
+	e.scope.Tagged(map[string]string{"outcome": reportOutcome(taken)}).Counter(nameSuspectWrites).Inc(1)
 }
 
 func reportOutcome(taken bool) string {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -252,7 +252,7 @@
 		n.entry = entry.NewServer(entry.Options{
 			ID: n.settings.VM, DataCentre: n.settings.DataCentre, Regions: n.settings.Regions, Settings: e, Follower: n.follower, Announcements: n.announcements,
 			Client: n.backendClient, Control: client, Logger: n.decisionLogger("entry"), RequestLinesPerSecond: n.settings.Log.RequestLinesPerSecond, Metrics: n.metrics.Entry(), Peers: &http.Client{Transport: n.peerClient.Transport},
-			Forwarder: n.forwarder(), StallReporter: client, DemandReporter: client,
+			Forwarder: n.forwarder(), Prober: n.backendClient, StallReporter: client, DemandReporter: client,
 		})
 	}
 	if n.replica != nil {
