--- a/internal/entry/crashes_test.go
+++ b/internal/entry/crashes_test.go
@@ -202,6 +202,22 @@
 	assert.Equal(t, e.Type, failure.TypeRequestCrashesBackend)
 }
 
+// Guards against a request that was answered by one release of its backend servers and crashes those
+// of the next one without end.
+func TestAnswerExcusesFewCrashes(t *testing.T) {
+	now := time.Unix(0, 0)
+	r := newRecentAnswers(now)
+	for range 2 {
+		r.add(now, "a")
+		for range maxForgivenCrashes {
+			assert.Assert(t, r.forgive(now, "a"))
+		}
+	}
+	assert.Assert(t, !r.forgive(now, "a"))
+	assert.Assert(t, !r.contains(now, "a"))
+	assert.Assert(t, !r.forgive(now, "b"))
+}
+
 func TestRecentAnswersAreForgotten(t *testing.T) {
 	now := time.Unix(0, 0)
 	r := newRecentAnswers(now)
--- a/internal/entry/suspect.go
+++ b/internal/entry/suspect.go
@@ -64,7 +64,7 @@
 	now := time.Now()
 	reports := map[bool]*blackboard.ReportCrash{}
 	for _, a := range cuts {
-		counted := !s.recentAnswers.contains(now, a.fingerprint)
+		counted := !s.recentAnswers.forgive(now, a.fingerprint)
 		_ = level.Warn(s.o.Logger).Log("event", "crash", "request", a.request, "fingerprint", a.fingerprint,
 			"unit", check.route.crashID(), "alone", a.isAlone, "ran_ms", a.cut.Sub(a.sent).Milliseconds(), "counted", counted)
 		if !counted {
