soak: callers resend requests that crash backend servers

A completion and a call are sent again and again to random entries beside the faults, with -crashes. The checker counts their runs: past 3 s after the third crash at most three, where no process of the system was disturbed within 3 s.

--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -71,6 +71,9 @@
 // that take effect when the post arrives.
 type FaultOrder struct {
 	Faults
+	// LastingCrashMarker, if not nil, sets a CrashMarker that other orders do not replace. Such an
+	// order sets nothing else.
+	LastingCrashMarker *string `json:"lasting_crash_marker,omitempty"`
 	// Crash crashes the stand-in, which restarts as a new incarnation.
 	Crash bool `json:"crash,omitempty"`
 	// PauseMillis pauses the whole stand-in for this time.
@@ -91,9 +94,11 @@
 
 // faultState holds the active faults.
 type faultState struct {
-	mu        sync.Mutex
-	faults    Faults
-	rateLimit float64
+	mu     sync.Mutex
+	faults Faults
+	// lastingCrashMarker is the crash marker that set does not replace; empty for none.
+	lastingCrashMarker string
+	rateLimit          float64
 	// retryAfter is the back-off that refusals ask for; 0 if requests are not refused for it.
 	retryAfter time.Duration
 	// isLeaving is set while answers state that the stand-in is leaving.
@@ -164,8 +169,20 @@
 
 // crashes reports whether a request with this text crashes the stand-in.
 func (b *faultState) crashes(text string) bool {
-	marker := b.get().CrashMarker
-	return marker != "" && strings.Contains(text, marker)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, marker := range []string{b.faults.CrashMarker, b.lastingCrashMarker} {
+		if marker != "" && strings.Contains(text, marker) {
+			return true
+		}
+	}
+	return false
+}
+
+func (b *faultState) crashOn(marker string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.lastingCrashMarker = marker
 }
 
 // takeStream returns the fault for a new answer and counts it against Answers.
--- a/internal/standin/host.go
+++ b/internal/standin/host.go
@@ -124,7 +124,7 @@
 }
 
 // Apply sets the persistent faults and carries out the one-time faults. An order with a rate
-// limit or a back-off sets only these.
+// limit, a back-off or a lasting crash marker sets only these.
 func (h *host) Apply(o FaultOrder) {
 	if o.RateLimit != nil {
 		h.faults.limitRate(*o.RateLimit)
@@ -132,7 +132,10 @@
 	if o.RetryAfterMillis != nil {
 		h.faults.backOff(time.Duration(*o.RetryAfterMillis) * time.Millisecond)
 	}
-	if o.RateLimit != nil || o.RetryAfterMillis != nil {
+	if o.LastingCrashMarker != nil {
+		h.faults.crashOn(*o.LastingCrashMarker)
+	}
+	if o.RateLimit != nil || o.RetryAfterMillis != nil || o.LastingCrashMarker != nil {
 		return
 	}
 	h.faults.set(o.Faults)
--- a/test/process/random_run_test.go
+++ b/test/process/random_run_test.go
@@ -33,6 +33,14 @@
 	assert.Assert(t, report.BackoffsChecked > 0)
 }
 
+// Guards against requests that crash backend servers without end, and against wrong or missing
+// answers of others beside them.
+func TestRandomRunWithCrashingRequests(t *testing.T) {
+	t.Parallel()
+	report := checkRun(t, workload.Options{Seed: 4, Duration: 15 * time.Second, Callers: 8, Groups: 4, Crashes: true})
+	assert.Assert(t, report.Crashes > 0)
+}
+
 // Repeats seeds that once failed, each with its cause. Here they run for a shorter time than in
 // ./test/soak, where they failed.
 func TestSeedsThatFailedOnce(t *testing.T) {
--- /dev/null
+++ b/test/workload/crashes.go
@@ -0,0 +1,116 @@
+package workload
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/citronstep/citronstep/internal/standin"
+	"github.com/citronstep/citronstep/test/process/harness"
+)
+
+const (
+	// crashingName is the prompt and the body of the requests that crash backend servers.
+	crashingName = "a request that crashes its backend server"
+	// crashingPause is the longest time between two sends of one of them.
+	crashingPause = 400 * time.Millisecond
+	// crashingStream is the random stream of their caller. It keeps its draws apart from those of
+	// the injectors.
+	crashingStream = 1<<32 + 2
+	// crashesUntilBound is how many backend servers such a request may crash before the bound on
+	// further sends holds, contactTime after the last of these crashes, and maxSendsPastBound how
+	// many may reach backend servers from then on.
+	crashesUntilBound = 3
+	contactTime       = 3 * time.Second
+	maxSendsPastBound = 3
+)
+
+// interval is a time from its first to its last moment.
+type interval struct{ from, to time.Time }
+
+// disturbances returns when faults concerned processes of the system.
+func disturbances(injectors []*faultInjector) []interval {
+	var all []interval
+	for _, f := range injectors {
+		all = append(all, f.disturbances...)
+	}
+	return all
+}
+
+// crashingCaller resends a completion and a call that crash each backend server that runs them.
+type crashingCaller struct {
+	cluster *harness.Cluster
+	servers []*harness.Standin
+	random  *rand.Rand
+	works   []*Work
+	// sends counts the sends, crashes the crashes by them.
+	sends, crashes int
+}
+
+func newCrashingCaller(c *harness.Cluster, seed uint64, servers []*harness.Standin) *crashingCaller {
+	return &crashingCaller{
+		cluster: c, servers: servers, random: rand.New(rand.NewPCG(seed, crashingStream)),
+		works: []*Work{
+			{Name: crashingName, MaxTokens: 8, Stream: true},
+			{Name: crashingName, IsServiceCall: true, Method: http.MethodPut},
+		},
+	}
+}
+
+func (c *crashingCaller) run(ctx context.Context) {
+	marker := crashingName
+	for ctx.Err() == nil {
+		for _, s := range c.servers {
+			// A stand-in that was killed has lost its marker.
+			s.Fault(standin.FaultOrder{LastingCrashMarker: &marker})
+		}
+		entries := c.cluster.Entries()
+		c.sends++
+		send(ctx, entries[c.random.IntN(len(entries))], c.works[c.random.IntN(len(c.works))])
+		wait(ctx, time.Duration(c.random.Int64N(int64(crashingPause))))
+	}
+}
+
+// check returns the requests that reached too many backend servers past the bound. It counts
+// what began while no process of the system had been disturbed for contactTime.
+func (c *crashingCaller) check(runs []standin.Run, disturbed []interval) (violations []string) {
+	for _, w := range c.works {
+		crashes, past := 0, 0
+		var bound time.Time
+		for _, run := range runs {
+			switch {
+			case run.Work != w.identity():
+				continue
+			case run.Outcome == standin.OutcomeFinished:
+				// The server had lost its marker; the answer clears the request.
+				crashes, past = 0, 0
+				continue
+			case run.Outcome != standin.OutcomeCrashed:
+				continue
+			}
+			crashes++
+			c.crashes++
+			if crashes == crashesUntilBound {
+				bound = run.Started.Add(contactTime)
+			}
+			if crashes > crashesUntilBound && run.Started.After(bound) && isCalm(run.Started, disturbed) {
+				past++
+			}
+		}
+		if past > maxSendsPastBound {
+			violations = append(violations, fmt.Sprintf("%q (call %t) reached backend servers %d times past the bound", w.Name, w.IsServiceCall, past))
+		}
+	}
+	return violations
+}
+
+func isCalm(at time.Time, disturbed []interval) bool {
+	for _, d := range disturbed {
+		if at.After(d.from) && at.Before(d.to.Add(contactTime)) {
+			return false
+		}
+	}
+	return true
+}
--- a/test/workload/faults.go
+++ b/test/workload/faults.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -38,6 +39,8 @@
 	changes int
 	// Log holds the names of the injected faults in order.
 	Log []string
+	// disturbances holds when faults concerned processes of the system.
+	disturbances []interval
 }
 
 // newFaultInjectors divides the processes among the injectors.
@@ -72,6 +75,17 @@
 	inject func(context.Context, *faultInjector)
 }
 
+// disturbsNodes reports whether the fault concerns processes of the system, or their state or
+// links.
+func (f fault) disturbsNodes() bool {
+	for _, part := range []string{"entry", "node", "peer", "control VM", "preset"} {
+		if strings.Contains(f.name, part) {
+			return true
+		}
+	}
+	return false
+}
+
 // diskLost is the one fault that must not overlap with any other: the system can sustain the loss
 // of one disk of three at a time.
 const diskLost = "lost disk of a control VM"
@@ -116,7 +130,11 @@
 		}
 		next := faults[f.random.IntN(len(faults))]
 		f.Log = append(f.Log, next.name)
+		began := time.Now()
 		f.inject(ctx, next)
+		if next.disturbsNodes() {
+			f.disturbances = append(f.disturbances, interval{began, time.Now()})
+		}
 	}
 }
 
--- a/test/workload/run.go
+++ b/test/workload/run.go
@@ -28,6 +28,9 @@
 	// Backoffs makes backend servers refuse requests and ask for back-offs in addition to the
 	// faults.
 	Backoffs bool
+	// Crashes makes callers resend requests that crash each backend server that runs them, in
+	// addition to the faults.
+	Crashes bool
 }
 
 func (o Options) withDefaults() Options {
@@ -56,6 +59,8 @@
 	// BackoffsRecorded counts the back-offs that nodes recorded in their logs, and BackoffsChecked
 	// those that the checker found in the logs and counted arrivals for.
 	BackoffsRecorded, BackoffsChecked int
+	// CrashingSends counts the sends of such requests, Crashes the crashes by them.
+	CrashingSends, Crashes int
 }
 
 // The size of the system in a random run.
@@ -91,6 +96,10 @@
 	if o.Backoffs {
 		others = append(others, newBackoffInjector(o.Seed, servers))
 	}
+	crashing := newCrashingCaller(c, o.Seed, servers)
+	if o.Crashes {
+		others = append(others, crashing)
+	}
 	drive(injectors, others, callers, o.Duration)
 	runs := c.Runs()
 	report := summarise(callers.works, runs, injectors)
@@ -103,6 +112,10 @@
 		report.Violations = append(report.Violations, backoffs.check(servers)...)
 		report.BackoffsRecorded, report.BackoffsChecked = backoffs.recorded, backoffs.checked
 	}
+	if o.Crashes {
+		report.Violations = append(report.Violations, crashing.check(runs, disturbances(injectors))...)
+		report.CrashingSends, report.Crashes = crashing.sends, crashing.crashes
+	}
 	return report
 }
 
