controller: the simulated tests run side by side

They share no state, so they run in parallel; the readiness of members is keyed by a struct, and two asserts on each step of each member, which formatted their arguments through reflection, are plain conditions with the same failure.

--- a/internal/controller/faults_test.go
+++ b/internal/controller/faults_test.go
@@ -46,6 +46,7 @@
 // Each case gives the announcement of a member of a serving group, and how long the fault must
 // last.
 func TestFaultsOfAServingGroup(t *testing.T) {
+	t.Parallel()
 	for _, c := range []struct {
 		name    string
 		change  func(*backend.Announcement)
@@ -82,6 +83,7 @@
 // assigns a new epoch to the engine, which reports an old one. The engine must receive the order
 // to leave first, and the order to load only once it reports idle.
 func TestAnEngineInAnotherEpochLeavesFirst(t *testing.T) {
+	t.Parallel()
 	v, now := reportedView(blackboard.Loading, func(a *backend.Announcement) { a.Group, a.Epoch = "demo-4", 5 })
 	a := Run(v, now)
 	assert.Equal(t, len(a.Orders), 1)
@@ -106,6 +108,7 @@
 // Guards against new work for a leaving VM after a leader change: an entry that the VM left long
 // ago forwarded an old announcement of it. Only recent announcements may change a row.
 func TestOldAnnouncementsChangeNoRow(t *testing.T) {
+	t.Parallel()
 	v, now := reportedView(blackboard.Serving, func(a *backend.Announcement) { a.Weights = []string{"demo"} })
 	puts := func(at time.Time) (n int) {
 		var a Actions
@@ -118,6 +121,7 @@
 
 // Guards against a new group that breaks at once because it includes a VM that can't take part.
 func TestOnlyAHealthyVMIsUsable(t *testing.T) {
+	t.Parallel()
 	idle := func(a *backend.Announcement) { a.Group, a.Epoch, a.Phase = "", 0, backend.PhaseIdle }
 	for _, c := range []struct {
 		name     string
@@ -150,6 +154,7 @@
 // Guards against two faults: all groups load at once from a store of fixed rate and all finish
 // last, or the group with the highest worth waits behind a load that does not end.
 func TestLoadsBeginInOrderOfWorth(t *testing.T) {
+	t.Parallel()
 	config := func(worths ...int) blackboard.ConfigChange {
 		var c blackboard.ConfigChange
 		for i, w := range worths {
--- a/internal/controller/opening_sim_test.go
+++ b/internal/controller/opening_sim_test.go
@@ -76,7 +76,7 @@
 	engines []*poolEngine
 	orders  []poolOrder
 	delayed []delayedAnnouncement
-	ready   map[string]bool
+	ready   map[readiness]bool
 	served  time.Duration
 	// load is how long loading weights from the store takes, and busyLoad how long it takes once
 	// callers have arrived, if that is longer.
@@ -130,7 +130,7 @@
 func newPoolWorldOf(t *testing.T, seed uint64, domains, each int, keepsID bool) *poolWorld {
 	w := &poolWorld{
 		t: t, r: rand.New(rand.NewPCG(seed, 99)), now: simStart, board: blackboard.New(),
-		table: evidence.NewTable("e", 1), ready: make(map[string]bool), term: 1, load: 14 * time.Second, orderDelay: 10 * time.Millisecond,
+		table: evidence.NewTable("e", 1), ready: make(map[readiness]bool), term: 1, load: 14 * time.Second, orderDelay: 10 * time.Millisecond,
 		storeRate: 4.5, storeAtOnce: 6, stageOrders: make(map[string]int),
 	}
 	w.table.SetInterval(simAnnounceInterval)
@@ -230,8 +230,11 @@
 	return nil
 }
 
-func readyKey(id, group string, epoch uint64, members []string) string {
-	return fmt.Sprint(id, group, epoch, members)
+// readiness is an engine's readiness in one group, epoch and list of members.
+type readiness struct {
+	id, group string
+	epoch     uint64
+	members   string
 }
 
 // head returns the head of the group that e was last in, if that engine is still in the group. A
@@ -269,7 +272,7 @@
 	case e.phase == backend.PhaseLoading && !now.Before(e.phaseAt):
 		e.to(now, backend.PhaseReady)
 		e.staged = e.model
-		w.ready[readyKey(e.id, e.group, e.epoch, e.members)] = true
+		w.ready[readiness{e.id, e.group, e.epoch, strings.Join(e.members, " ")}] = true
 	case e.phase == backend.PhaseClosing:
 		e.to(now, backend.PhaseReady)
 	case e.phase == backend.PhaseOpen:
@@ -281,14 +284,18 @@
 // that the head opened with all members.
 func (w *poolWorld) watchMembers(e *poolEngine) {
 	lost := false
+	members := strings.Join(e.members, " ")
 	for _, id := range e.members {
-		assert.Assert(w.t, w.ready[readyKey(id, e.group, e.epoch, e.members)],
-			"%s serves for %s epoch %d, and %s was never ready in it", e.id, e.group, e.epoch, id)
+		if !w.ready[readiness{id, e.group, e.epoch, members}] {
+			w.t.Fatalf("%s serves for %s epoch %d, and %s was never ready in it", e.id, e.group, e.epoch, id)
+		}
 		m := w.engine(id)
 		lost = lost || m == nil || !m.alive || m.group != e.group || m.epoch != e.epoch
 	}
 	size := w.board.Config.Groups[e.model].VMsPerReplica
-	assert.Equal(w.t, len(e.members), size, "%s serves with the wrong number of members", e.id)
+	if len(e.members) != size {
+		w.t.Fatalf("%s serves with %d members, not %d", e.id, len(e.members), size)
+	}
 	switch {
 	case !lost:
 		e.lostAt = time.Time{}
--- a/internal/controller/opening_test.go
+++ b/internal/controller/opening_test.go
@@ -17,6 +17,7 @@
 // A pool starts empty. Each domain gets its models by their shares, all groups must serve within
 // the time of one load, and no VM may be left loading without need.
 func TestAPoolFormsAllItsGroups(t *testing.T) {
+	t.Parallel()
 	w := newPoolWorld(t, 1, 6, 9)
 	w.run(25 * time.Second)
 	assert.DeepEqual(t, w.serving(), map[string]int{"wide": 6, "narrow": 9})
@@ -26,6 +27,7 @@
 // the VMs of the others load. No layout may be chosen from a part of the VMs, an existing layout
 // must stay, and in the end all VMs must be divided by the models' shares.
 func TestDomainsThatComeOneByOneKeepTheirModels(t *testing.T) {
+	t.Parallel()
 	w := newPoolWorld(t, 4, 0, 0)
 	const apart = 5 * time.Millisecond
 	comes := func(domain string, i int) {
@@ -68,6 +70,7 @@
 // A member of a serving group dies. The group must serve again on the domain's standby within two
 // seconds of the entries' reports, and no VM may stay in the old group.
 func TestAStandbyReplacesALostMember(t *testing.T) {
+	t.Parallel()
 	w := newPoolWorld(t, 2, 1, 9)
 	w.serveOnly("wide")
 	w.run(25 * time.Second)
@@ -87,6 +90,7 @@
 // from half of the VMs to the control processes fail for eight seconds, while callers' requests
 // still reach the VMs. Forming the groups again would leave them out of service for longer.
 func TestGroupsThatAnswerServeOnWhileTheirMembersAreSilent(t *testing.T) {
+	t.Parallel()
 	w := newPoolWorld(t, 5, 6, 9)
 	w.run(25 * time.Second)
 	all := w.serving()
@@ -107,6 +111,7 @@
 // has noticed. The other group loses its head, which only silence shows; it must be broken in the
 // end.
 func TestAnUnusedGroupIsBrokenEventually(t *testing.T) {
+	t.Parallel()
 	w := newPoolWorld(t, 6, 1, 9)
 	w.serveOnly("wide")
 	w.unused = true
@@ -125,6 +130,7 @@
 // member dies at the same time. The survivors must not be used before the head has certainly
 // stopped serving.
 func TestSurvivorsWaitForAHeadThatIsCutOff(t *testing.T) {
+	t.Parallel()
 	w := newPoolWorld(t, 3, 1, 4)
 	w.run(25 * time.Second)
 	assert.DeepEqual(t, w.serving(), map[string]int{"wide": 1})
@@ -140,6 +146,7 @@
 // leader makes one of its members serve for an older group again. The member must receive the
 // order to leave the old group first, and may join once it has left.
 func TestNoJoinWhileAMemberHeadsAnotherGroup(t *testing.T) {
+	t.Parallel()
 	w := newPoolWorld(t, 8, 1, 4)
 	for step := 0; step < 400 && w.board.Groups["wide-0"].State != blackboard.Loading; step++ {
 		w.run(simStep)
@@ -168,6 +175,7 @@
 // new incarnation at its address repeats the last report of its predecessor: ready, in this group
 // and epoch. The new incarnation has joined nothing, so the group must not open on its report.
 func TestAReadyReportOfAnotherIncarnationOpensNothing(t *testing.T) {
+	t.Parallel()
 	w := newPoolWorld(t, 8, 1, 4)
 	for step := 0; step < 400 && w.board.Groups["wide-0"].State != blackboard.Loading; step++ {
 		w.run(simStep)
@@ -196,16 +204,23 @@
 // groups must serve again.
 //
 // CITRONSTEP_SIM_SEEDS and CITRONSTEP_SIM_FIRST choose more seeds.
-func TestPoolsUnderRandomFaults(t *testing.T) { poolsUnderRandomFaults(t, false, 0) }
+func TestPoolsUnderRandomFaults(t *testing.T) {
+	t.Parallel()
+	poolsUnderRandomFaults(t, false, 0)
+}
 
 // The same faults with engines that keep their IDs when they restart: an incarnation carries out
 // orders for its predecessor, and announcements of the predecessor arrive up to 9 s late.
 func TestPoolsWithRestartingEnginesUnderRandomFaults(t *testing.T) {
+	t.Parallel()
 	poolsUnderRandomFaults(t, true, 0)
 }
 
 // The same faults with engines that keep their IDs and whose hosts hold a further model.
-func TestPoolsThatStageUnderRandomFaults(t *testing.T) { poolsUnderRandomFaults(t, true, 1) }
+func TestPoolsThatStageUnderRandomFaults(t *testing.T) {
+	t.Parallel()
+	poolsUnderRandomFaults(t, true, 1)
+}
 
 func poolsUnderRandomFaults(t *testing.T, keepsID bool, stagedModels int) {
 	seeds, first := 24, 1
@@ -217,6 +232,7 @@
 	}
 	for seed := first; seed < first+seeds; seed++ {
 		t.Run(strconv.Itoa(seed), func(t *testing.T) {
+			t.Parallel()
 			w := newPoolWorldOf(t, uint64(seed), 3, 9, keepsID)
 			w.stagedModels = stagedModels
 			w.configure(2, simModels)
--- a/internal/controller/staging_test.go
+++ b/internal/controller/staging_test.go
@@ -41,6 +41,7 @@
 // Guards against loads from the store in traffic: every VM holds both models before the first
 // request, and no load begins after it.
 func TestEveryHostHoldsTheOtherModelBeforeCallersArrive(t *testing.T) {
+	t.Parallel()
 	w := newStagingWorld(t, 6, 27, 14*time.Second)
 	w.run(13 * time.Second)
 	assert.Equal(t, w.countHoldingBoth(), len(w.engines))
@@ -53,6 +54,7 @@
 
 // Guards against groups that come into service later because hosts stage meanwhile.
 func TestStagingDelaysNoGroup(t *testing.T) {
+	t.Parallel()
 	serves := func(stagedModels int) (counts []int) {
 		w := newStagingWorld(t, 6, 27, 20*time.Second)
 		w.stagedModels = stagedModels
@@ -68,6 +70,7 @@
 
 // Guards against loads beyond the store's rate when callers arrive while hosts still stage.
 func TestStagingRespectsTheStoreRateOnceCallersArrive(t *testing.T) {
+	t.Parallel()
 	for _, after := range []time.Duration{3, 4, 5, 6} {
 		w := newStagingWorld(t, 15, 27, after*time.Second)
 		w.run(30 * time.Second)
@@ -80,6 +83,7 @@
 // Guards against a pool of one model, or of models without load times, that receives orders to
 // stage.
 func TestOnlyPoolsOfSeveralModelsWithLoadTimesStage(t *testing.T) {
+	t.Parallel()
 	unstated := []blackboard.ModelSpec{{Name: "wide", VMs: 4, Share: 0.5}, {Name: "narrow", VMs: 2, Share: 0.5}}
 	for _, models := range [][]blackboard.ModelSpec{stagingModels[:1], unstated} {
 		w := newStagingWorld(t, 2, 9, 20*time.Second)
@@ -92,6 +96,7 @@
 // Guards against a group that waits for loads from the store while the only free VM holds its
 // model on its host and another in its accelerators.
 func TestABrokenGroupServesAgainWithin3Seconds(t *testing.T) {
+	t.Parallel()
 	for _, model := range []string{"wide", "narrow"} {
 		w := newStagingWorld(t, 1, 9, 10*time.Second)
 		w.run(20 * time.Second)
@@ -118,6 +123,7 @@
 // Guards against a VM that loads from the store although its host kept a model: it restarts, and
 // loads that model first. One load, for the other model, makes it ready for both again.
 func TestAVMThatRestartsHoldsBothModelsAfterOneLoad(t *testing.T) {
+	t.Parallel()
 	w := newStagingWorld(t, 1, 9, 10*time.Second)
 	w.run(15 * time.Second)
 	e := w.freeEngine()
@@ -133,6 +139,7 @@
 // Guards against a load for each member of a group that breaks and forms again: each join makes
 // the host hold the model of the join.
 func TestMembersOfGroupsStageNothingInTraffic(t *testing.T) {
+	t.Parallel()
 	w := newStagingWorld(t, 1, 9, 10*time.Second)
 	w.run(15 * time.Second)
 	for _, e := range w.engines {
@@ -146,6 +153,7 @@
 
 // Guards against orders repeated by a new leader: it is lost while hosts stage.
 func TestANewLeaderDoesNotOrderAllStagingAgain(t *testing.T) {
+	t.Parallel()
 	w := newStagingWorld(t, 6, 27, time.Minute)
 	for step := 0; step < 200 && w.countHoldingBoth() < 40; step++ {
 		w.run(simStep)
@@ -167,6 +175,7 @@
 // Guards against a new leader that makes VMs load the model of their hosts, because it does not
 // know that their accelerators hold another.
 func TestANewLeaderKnowsWhatFreeVMsHold(t *testing.T) {
+	t.Parallel()
 	w := newStagingWorld(t, 1, 9, 10*time.Second)
 	w.run(15 * time.Second)
 	w.engine(w.board.Groups["wide-0"].Members[1].Incarnation).alive = false
@@ -183,6 +192,7 @@
 
 // Guards against loads without end at VMs that never report the staged model.
 func TestOrdersToStageAreBounded(t *testing.T) {
+	t.Parallel()
 	w := newStagingWorld(t, 1, 9, 10*time.Second)
 	w.ignoresStaging = true
 	w.run(10 * time.Minute)
@@ -195,6 +205,7 @@
 // Guards against a VM that is lost while its host stages: it must not count against the store for
 // as long as it is dead, and it must stage again when it returns.
 func TestAVMLostWhileItStages(t *testing.T) {
+	t.Parallel()
 	w := newStagingWorld(t, 1, 9, 10*time.Second)
 	w.run(15 * time.Second)
 	e := w.freeEngine()
@@ -210,6 +221,7 @@
 
 // Guards against repeated orders, and against groups whose loads wait, while the store is slow.
 func TestASlowStoreIsNotOrderedTwice(t *testing.T) {
+	t.Parallel()
 	w := newStagingWorld(t, 1, 9, 10*time.Second)
 	w.busyLoad = 25 * time.Second
 	w.run(15 * time.Second)
--- a/internal/controller/turning_test.go
+++ b/internal/controller/turning_test.go
@@ -112,6 +112,7 @@
 // The wide model's requests grow fivefold for good while the narrow model's groups are mostly
 // idle. Groups must be turned within seconds, as far as the narrow model's own demand allows.
 func TestLayoutsFollowALastingChange(t *testing.T) {
+	t.Parallel()
 	w := newTurningWorld(t, true)
 	w.ask(6.9, 2.7)
 	w.runFor(10 * time.Second)
@@ -122,6 +123,7 @@
 
 // The narrow model's requests double while the wide model needs less than half of its groups.
 func TestANarrowModelGainsGroups(t *testing.T) {
+	t.Parallel()
 	w := newTurningWorld(t, true)
 	w.ask(1.4, 13)
 	w.runFor(10 * time.Second)
@@ -134,6 +136,7 @@
 // Guards against layouts that are turned to and fro by traffic that swings, with the models in
 // phase or against each other.
 func TestASwingTurnsNothing(t *testing.T) {
+	t.Parallel()
 	for _, swing := range []float64{0.2, 0.55} {
 		for _, phase := range []float64{0, math.Pi} {
 			w := newTurningWorld(t, true)
@@ -150,6 +153,7 @@
 // Guards against a model that gives up in the trough of a swing what it needs at the next peak,
 // because the other model is short all the time.
 func TestAModelKeepsGroupsForItsPeaks(t *testing.T) {
+	t.Parallel()
 	w := newTurningWorld(t, true)
 	w.swing(func(elapsed time.Duration) (float64, float64) {
 		at := 1 + 0.55*math.Sin(2*math.Pi*elapsed.Seconds()/13)
@@ -162,6 +166,7 @@
 // Guards against groups that are turned to and fro by a swing that exceeds what the groups of
 // either model serve.
 func TestAGreatSwingIsTurnedForSeldom(t *testing.T) {
+	t.Parallel()
 	w := newTurningWorld(t, true)
 	w.swing(func(elapsed time.Duration) (float64, float64) {
 		if int(elapsed.Seconds()/12)%2 == 0 {
@@ -178,6 +183,7 @@
 // Guards against a turn that is stuck or that puts a VM into two groups when the leader is lost
 // in any of its steps.
 func TestATurnSurvivesTheLossOfItsLeader(t *testing.T) {
+	t.Parallel()
 	for step := range 14 {
 		w := newTurningWorld(t, true)
 		w.ask(6.9, 2.7)
@@ -194,6 +200,7 @@
 // Guards against a group that is broken for its members' leaving while they are being released, a
 // fault's timeout later than it could be released.
 func TestATurnedGroupIsReleasedAndNotBroken(t *testing.T) {
+	t.Parallel()
 	w := newTurningWorld(t, true)
 	w.ask(6.9, 2.7)
 	for range 200 {
@@ -208,6 +215,7 @@
 // Guards against a turn that breaks both models when engines leave orders unanswered and carry
 // them out late.
 func TestATurnSurvivesUnansweredOrders(t *testing.T) {
+	t.Parallel()
 	w := newTurningWorld(t, true)
 	w.ask(6.9, 2.7)
 	w.runFor(2 * time.Second)
@@ -222,6 +230,7 @@
 // Guards against groups that are given up twice when a new leader sees the opposite shortage in
 // the middle of a turn.
 func TestTwoLeadersWithDifferentViews(t *testing.T) {
+	t.Parallel()
 	w := newTurningWorld(t, true)
 	w.ask(6.9, 2.7)
 	w.runFor(4 * time.Second)
@@ -236,6 +245,7 @@
 
 // Guards against groups that are turned by demand that an earlier leader wrote to the board.
 func TestANewLeaderWithoutReportsTurnsNothing(t *testing.T) {
+	t.Parallel()
 	w := newTurningWorld(t, true)
 	before := w.observe
 	w.ask(6.9, 2.7)
@@ -253,6 +263,7 @@
 
 // Guards against layouts that follow demand of minutes ago. The declared shares must hold again.
 func TestStaleDemandCountsForNothing(t *testing.T) {
+	t.Parallel()
 	w := newTurningWorld(t, true)
 	models := func(age time.Duration) int {
 		known := 0
@@ -274,6 +285,7 @@
 // Guards against groups that are given up although their VMs would have to load the other model
 // from the store.
 func TestVMsWithoutTheOtherModelAreNotTurned(t *testing.T) {
+	t.Parallel()
 	w := newTurningWorld(t, false)
 	w.ask(6.9, 2.7)
 	w.runFor(20 * time.Second)
@@ -282,6 +294,7 @@
 
 // Guards against turns by figures alone while callers are served on time.
 func TestAModelWhoseCallersAreServedGainsNoGroups(t *testing.T) {
+	t.Parallel()
 	w := newTurningWorld(t, true)
 	before := w.observe
 	w.ask(6.9, 2.7)
