blackboard: servers that crash by themselves blame no request

- Runs that were sent to an incarnation after the first of its runs had ended do not count.
- Five crashes instead of three are needed if servers of the same pool crashed without the request meanwhile and nobody is blamed for it.
- The first further run is granted after a minute instead of five.
Verdicts are taken in the order of fingerprints, as one counts for the next; a test compares 30 replicas.

--- a/internal/blackboard/patch.go
+++ b/internal/blackboard/patch.go
@@ -32,7 +32,7 @@
 	c := Change{
 		services:       changedRows(before.Services, d.Services),
 		entries:        changedRows(before.Entries, d.Entries),
-		suspects:       changedRows(before.Suspects, d.Suspects),
+		suspects:       changedRowsBy(before.Suspects, d.Suspects, Suspect.equal),
 		quarantines:    changedRows(before.Quarantines, d.Quarantines),
 		waits:          changedRows(before.CallerTimeouts, d.CallerTimeouts),
 		rateLimits:     changedRows(before.RateLimits, d.RateLimits),
@@ -67,13 +67,19 @@
 
 // changedRows returns the names of rows that were added, modified or removed.
 func changedRows[V any](from, to map[string]V) []string {
+	return changedRowsBy(from, to, func(a, b V) bool { return reflect.DeepEqual(a, b) })
+}
+
+// changedRowsBy is changedRows with a comparison of rows. Large tables that change in a storm need
+// one without reflection.
+func changedRowsBy[V any](from, to map[string]V, equal func(a, b V) bool) []string {
 	if reflect.ValueOf(from).Pointer() == reflect.ValueOf(to).Pointer() {
 		return nil
 	}
 	var names []string
 	for name, row := range to {
 		old, known := from[name]
-		if !known || !reflect.DeepEqual(old, row) {
+		if !known || !equal(old, row) {
 			names = append(names, name)
 		}
 	}
--- a/internal/blackboard/suspect.go
+++ b/internal/blackboard/suspect.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -31,8 +33,10 @@
 // the reporting entry's clock.
 type CrashedRun struct {
 	Incarnation string `json:"incarnation"`
-	SentMillis  int64  `json:"sent_ms"`
-	EndMillis   int64  `json:"end_ms"`
+	// Pool is the model or the plain service that the backend server served.
+	Pool       string `json:"pool,omitempty"`
+	SentMillis int64  `json:"sent_ms"`
+	EndMillis  int64  `json:"end_ms"`
 }
 
 const (
@@ -40,6 +44,9 @@
 	// request, if no other suspect was running in all of them. In fewer, requests that are sent
 	// again after a crash meet the request that causes it once more by chance.
 	attributedCrashes = 3
+	// crashesAmongOthers is how many are attributed if backend servers of the pool also crashed
+	// without the request in that time, for no known cause.
+	crashesAmongOthers = 5
 	// inseparableCrashes is how many are attributed although another suspect was running in all
 	// of them.
 	inseparableCrashes = 6
@@ -64,7 +71,7 @@
 //
 // The causes of crashes pass: backend servers that crash under all requests are replaced, and
 // requests that were sent again and again until then must not be refused for good.
-const firstRetryAfter = 5 * time.Minute
+const firstRetryAfter = time.Minute
 
 // IsAttributed reports whether crashes are attributed to the request: it ran alone in one of two
 // crashes, or it alone was running in all of several.
@@ -104,6 +111,25 @@
 	return s, true
 }
 
+// withoutRunsAfter returns the suspect without a run on a crashed incarnation that was sent after
+// the crash.
+func (s Suspect) withoutRunsAfter(crash int64, incarnation string) Suspect {
+	isAfter := func(r CrashedRun) bool {
+		return r.Incarnation == incarnation && r.SentMillis > crash+clockTolerance.Milliseconds()
+	}
+	if slices.ContainsFunc(s.Runs, isAfter) {
+		s.Runs = slices.DeleteFunc(slices.Clone(s.Runs), isAfter)
+		s.Crashes = successiveRuns(s.Runs)
+	}
+	return s
+}
+
+func (s Suspect) equal(other Suspect) bool {
+	hasSameCounts := s.Crashes == other.Crashes && s.Alone == other.Alone && s.Attributed == other.Attributed
+	hasSameTimes := s.LastMillis == other.LastMillis && s.Retries == other.Retries && s.RetryMillis == other.RetryMillis
+	return s.Fingerprint == other.Fingerprint && hasSameCounts && hasSameTimes && slices.Equal(s.Runs, other.Runs)
+}
+
 func (s Suspect) wasRunningOn(incarnation string) bool {
 	return slices.ContainsFunc(s.Runs, func(r CrashedRun) bool { return r.Incarnation == incarnation })
 }
@@ -142,6 +168,7 @@
 	// SentMillis holds when each of them was sent; empty in reports of older versions.
 	SentMillis  []int64 `json:"sent_ms,omitempty"`
 	Incarnation string  `json:"incarnation"`
+	Pool        string  `json:"pool,omitempty"`
 	// Alone states that a single request was in flight on the backend server.
 	Alone bool `json:"alone"`
 	// NowMillis is the time of the crash.
@@ -163,22 +190,40 @@
 	if !changed {
 		return refused("counted already")
 	}
+	removeRunsAfterCrash(suspects, c.Incarnation)
 	attribute(suspects, c.Incarnation)
-	for len(suspects) > maxSuspects {
-		delete(suspects, leastSuspect(suspects))
-	}
+	removeLeast(suspects, len(suspects)-maxSuspects)
 	d.Suspects = suspects
 	return applied()
 }
 
 func (c ReportCrash) run(i int) CrashedRun {
-	r := CrashedRun{Incarnation: c.Incarnation, SentMillis: c.NowMillis, EndMillis: c.NowMillis}
+	r := CrashedRun{Incarnation: c.Incarnation, Pool: c.Pool, SentMillis: c.NowMillis, EndMillis: c.NowMillis}
 	if i < len(c.SentMillis) {
 		r.SentMillis = c.SentMillis[i]
 	}
 	return r
 }
 
+// removeRunsAfterCrash removes the runs that were sent to a crashed incarnation after the first of
+// its runs had ended. Such a run met the crashed server: a proxy before it accepts connections and
+// closes them.
+func removeRunsAfterCrash(suspects map[string]Suspect, incarnation string) {
+	crash := int64(math.MaxInt64)
+	for _, s := range suspects {
+		for _, r := range s.Runs {
+			if r.Incarnation == incarnation {
+				crash = min(crash, r.EndMillis)
+			}
+		}
+	}
+	for f, s := range suspects {
+		if s.wasRunningOn(incarnation) {
+			suspects[f] = s.withoutRunsAfter(crash, incarnation)
+		}
+	}
+}
+
 // attribute decides again which of the suspects that were running on a crashed incarnation the
 // crashes are attributed to.
 //
@@ -187,11 +232,18 @@
 // chance. They differ from the cause in the crashes of which they were in no part, so a suspect
 // is blamed once no other one was in all of its crashes.
 func attribute(suspects map[string]Suspect, incarnation string) {
+	var candidates []string
 	for f, s := range suspects {
-		if s.Crashes < attributedCrashes || !s.wasRunningOn(incarnation) {
-			continue
+		if s.Crashes >= attributedCrashes && s.wasRunningOn(incarnation) {
+			candidates = append(candidates, f)
 		}
-		isAttributed := s.Crashes >= inseparableCrashes || !isCoveredByAnother(suspects, s)
+	}
+	// The order matters, as attributed crashes count as explained.
+	slices.Sort(candidates)
+	for _, f := range candidates {
+		s := suspects[f]
+		isAttributed := s.Crashes >= neededCrashes(suspects, s) &&
+			(s.Crashes >= inseparableCrashes || !isCoveredByAnother(suspects, s))
 		if isAttributed != s.Attributed {
 			s.Attributed = isAttributed
 			suspects[f] = s
@@ -199,32 +251,63 @@
 	}
 }
 
-func isCoveredByAnother(suspects map[string]Suspect, s Suspect) bool {
-	for f, other := range suspects {
-		if f != s.Fingerprint && other.wasRunningInAllOf(s) {
+// neededCrashes returns how many crashes are attributed to a suspect.
+//
+// Failure: backend servers crash by themselves, one after the other. A request that is sent on
+// after each crash is running in three of them by chance.
+func neededCrashes(suspects map[string]Suspect, s Suspect) int {
+	first, pool := s.Runs[0].SentMillis, s.Runs[0].Pool
+	for _, r := range s.Runs {
+		first = min(first, r.SentMillis)
+	}
+	for _, other := range suspects {
+		for _, r := range other.Runs {
+			isOther := r.Pool == pool && r.EndMillis >= first && !s.wasRunningOn(r.Incarnation)
+			if isOther && !isExplained(suspects, r.Incarnation) {
+				return crashesAmongOthers
+			}
+		}
+	}
+	return attributedCrashes
+}
+
+// isExplained reports whether the crash of an incarnation is attributed to a suspect.
+func isExplained(suspects map[string]Suspect, incarnation string) bool {
+	for _, s := range suspects {
+		if s.IsAttributed() && s.wasRunningOn(incarnation) {
 			return true
 		}
 	}
 	return false
 }
 
-// leastSuspect returns the suspect to remove from a full table: one without attributed crashes
-// before others, then the one whose last crash is the oldest.
-func leastSuspect(suspects map[string]Suspect) string {
-	least := ""
-	for _, f := range sortedKeys(suspects) {
-		if least == "" || isLessSuspect(suspects[f], suspects[least]) {
-			least = f
+func isCoveredByAnother(suspects map[string]Suspect, s Suspect) bool {
+	for f, other := range suspects {
+		if f != s.Fingerprint && other.wasRunningInAllOf(s) {
+			return true
 		}
 	}
-	return least
+	return false
 }
 
-func isLessSuspect(a, b Suspect) bool {
-	if a.IsAttributed() != b.IsAttributed() {
-		return b.IsAttributed()
+// removeLeast removes n suspects from a full table: those without attributed crashes before others,
+// then those whose last crash is the oldest.
+func removeLeast(suspects map[string]Suspect, n int) {
+	if n <= 0 {
+		return
+	}
+	order := slices.SortedFunc(maps.Values(suspects), func(a, b Suspect) int {
+		switch {
+		case a.IsAttributed() && !b.IsAttributed():
+			return 1
+		case b.IsAttributed() && !a.IsAttributed():
+			return -1
+		}
+		return cmp.Or(cmp.Compare(a.LastMillis, b.LastMillis), cmp.Compare(a.Fingerprint, b.Fingerprint))
+	})
+	for _, s := range order[:n] {
+		delete(suspects, s.Fingerprint)
 	}
-	return a.LastMillis < b.LastMillis
 }
 
 // ForgetSuspect removes a suspect that was answered completely, or whose last crash was long ago.
--- a/internal/blackboard/suspect_test.go
+++ b/internal/blackboard/suspect_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"testing"
 	"time"
 
@@ -81,6 +82,41 @@
 	assert.Assert(t, !c.isAttributed("popular"))
 }
 
+// Guards against requests that are refused because backend servers crash by themselves, and the
+// requests are sent on to the next one that does.
+func TestCrashesWithoutACommonRequestNeedMoreEvidence(t *testing.T) {
+	c := newCrashBoard(t)
+	c.report("z", 0, 500, "somebody")
+	for i := range crashesAmongOthers {
+		assert.Assert(t, !c.isAttributed("unlucky"), "%d crashes", i)
+		c.report(fmt.Sprint("server-", i), int64(1000*i), int64(1000*i+900), "unlucky")
+	}
+	assert.Assert(t, c.isAttributed("unlucky"))
+}
+
+// Guards against two causes at a time of which each hides the other.
+func TestTwoCausesAreBothFound(t *testing.T) {
+	c := newCrashBoard(t)
+	for i := range crashesAmongOthers {
+		c.report(fmt.Sprint("a-", i), int64(1000*i), int64(1000*i+400), "one")
+		c.report(fmt.Sprint("b-", i), int64(1000*i+500), int64(1000*i+900), "two")
+	}
+	assert.Assert(t, c.isAttributed("one"))
+	assert.Assert(t, c.isAttributed("two"))
+}
+
+// Guards against requests that are blamed for a crash because they were sent to the crashed server
+// through a proxy that accepts connections for it.
+func TestRunThatWasSentAfterTheCrashDoesNotCount(t *testing.T) {
+	c := newCrashBoard(t)
+	c.report("a", 700, 710, "late")
+	c.report("a", 0, 500, "cause")
+	c.report("a", 600, 605, "later")
+	assert.Equal(t, c.board.Suspects["cause"].Crashes, 1)
+	assert.Equal(t, c.board.Suspects["late"].Crashes, 0)
+	assert.Equal(t, c.board.Suspects["later"].Crashes, 0)
+}
+
 // Guards against crashes that are lost because the reports of two entries arrive in another order.
 func TestOrderOfReportsDoesNotMatter(t *testing.T) {
 	c := newCrashBoard(t)
@@ -142,3 +178,66 @@
 	assert.Assert(t, Suspect{Crashes: 2, Alone: 1}.IsAttributed())
 	assert.Assert(t, !Suspect{Crashes: 2}.IsAttributed())
 }
+
+// Guards against replicas that come to different verdicts about one log.
+func TestVerdictsDoNotDependOnTheOrderOfMaps(t *testing.T) {
+	want := ""
+	for range 30 {
+		c := newCrashBoard(t)
+		for i := range 6 {
+			for k := range 4 {
+				c.report(fmt.Sprintf("server-%d-%d", i, k), int64(1000*i), int64(1000*i+900), fmt.Sprint("one-", k), fmt.Sprint("two-", (k+i)%5), fmt.Sprint("three-", i%3))
+			}
+		}
+		data, err := c.board.Encode()
+		assert.NilError(t, err)
+		if want == "" {
+			want = string(data)
+		}
+		assert.Equal(t, string(data), want)
+	}
+}
+
+func BenchmarkReportCrash(b *testing.B) {
+	board := New()
+	for i := range maxSuspects / 32 {
+		r := &ReportCrash{Incarnation: fmt.Sprint("server-", i), Pool: "m", NowMillis: int64(1000 * i)}
+		for k := range 32 {
+			r.Fingerprints = append(r.Fingerprints, fmt.Sprintf("%032x", 32*i+k))
+			r.SentMillis = append(r.SentMillis, int64(1000*i-500))
+		}
+		encoded, err := Encode(r)
+		assert.NilError(b, err)
+		board, _, err = board.Apply(encoded)
+		assert.NilError(b, err)
+	}
+	report := &ReportCrash{Incarnation: "next", Pool: "m", NowMillis: 1e6, SentMillis: make([]int64, 32)}
+	for k := range 32 {
+		report.Fingerprints = append(report.Fingerprints, fmt.Sprintf("%032x", k))
+	}
+	encoded, err := Encode(report)
+	assert.NilError(b, err)
+	for b.Loop() {
+		_, _, err := board.Apply(encoded)
+		assert.NilError(b, err)
+	}
+}
+
+// Guards against a change of a suspect that entries never learn of.
+func TestEachFieldOfASuspectIsCompared(t *testing.T) {
+	for i := range reflect.TypeFor[Suspect]().NumField() {
+		changed := Suspect{}
+		field := reflect.ValueOf(&changed).Elem().Field(i)
+		switch field.Kind() {
+		case reflect.String:
+			field.SetString("x")
+		case reflect.Bool:
+			field.SetBool(true)
+		case reflect.Slice:
+			field.Set(reflect.MakeSlice(field.Type(), 1, 1))
+		default:
+			field.SetInt(1)
+		}
+		assert.Assert(t, !changed.equal(Suspect{}), reflect.TypeFor[Suspect]().Field(i).Name)
+	}
+}
--- a/internal/entry/suspect.go
+++ b/internal/entry/suspect.go
@@ -72,7 +72,7 @@
 		}
 		r := reports[a.isAlone]
 		if r == nil {
-			r = &blackboard.ReportCrash{Incarnation: check.route.crashID(), Alone: a.isAlone, NowMillis: a.cut.UnixMilli()}
+			r = &blackboard.ReportCrash{Incarnation: check.route.crashID(), Pool: check.route.pool, Alone: a.isAlone, NowMillis: a.cut.UnixMilli()}
 			reports[a.isAlone] = r
 		}
 		r.Fingerprints = append(r.Fingerprints, a.fingerprint)
