entry: one request in many attempts is excused once for a crash

Many attempts of one popular request end in one crash. Each of them used up one of the three crashes that an answer excuses, so that the request was reported with the first crash. One attempt of each request counts now; TestRequestThatIsAnsweredElsewhereIsNotBlamed has ten in each crash. reportCuts is split into what counts and what is written.

--- a/internal/entry/crashes_test.go
+++ b/internal/entry/crashes_test.go
@@ -152,7 +152,10 @@
 			sent := time.Now()
 			time.Sleep(time.Second)
 			s.noteAnswered(routeJob("answered", "popular"))
-			<-s.observeCut(routeJob(fmt.Sprint(n), "popular"), groupRoute(uint64(n)), false, sent).done
+			for range 10 {
+				s.observeCut(routeJob(fmt.Sprint(n), "popular"), groupRoute(uint64(n)), false, sent)
+			}
+			time.Sleep(time.Second)
 		}
 		time.Sleep(time.Second)
 		assert.Equal(t, len(control.Board().Suspects), 0)
--- a/internal/entry/suspect.go
+++ b/internal/entry/suspect.go
@@ -43,6 +43,7 @@
 	return check
 }
 
+// runCrashCheck finds the verdict of a check and closes a target that has crashed.
 func (s *Server) runCrashCheck(check *crashCheck) {
 	v := s.findCrashVerdict(check)
 	cuts := s.crashChecks.conclude(time.Now(), check, v)
@@ -55,35 +56,61 @@
 	close(check.done)
 }
 
-// reportCuts reports the requests that a crash ended to the board. It leaves out those that were
-// answered recently. The returned channel is closed once the report is written.
+// reportCuts reports the requests that a crash ended to the board. The returned channel is closed
+// once the report is written; it is nil if there is nothing to report.
 func (s *Server) reportCuts(check *crashCheck, cuts []cutAttempt) <-chan struct{} {
 	if check.verdict != verdictCrashed {
 		return nil
 	}
+	var shared, alone []cutAttempt
+	for _, a := range s.countedCuts(check, cuts) {
+		if a.isAlone {
+			alone = append(alone, a)
+			continue
+		}
+		shared = append(shared, a)
+	}
+	written := s.writeCrash(check, shared, false)
+	if len(alone) > 0 {
+		written = s.writeCrash(check, alone, true)
+	}
+	return written
+}
+
+// countedCuts returns one attempt of each request that a crash ended. It leaves out the requests
+// that were answered recently.
+func (s *Server) countedCuts(check *crashCheck, cuts []cutAttempt) []cutAttempt {
 	now := time.Now()
-	reports := map[bool]*blackboard.ReportCrash{}
+	seen := make(map[string]bool, len(cuts))
+	var counted []cutAttempt
 	for _, a := range cuts {
-		counted := !s.recentAnswers.forgive(now, a.fingerprint)
-		_ = level.Warn(s.o.Logger).Log("event", "crash", "request", a.request, "fingerprint", a.fingerprint,
-			"unit", check.route.crashID(), "alone", a.isAlone, "ran_ms", a.cut.Sub(a.sent).Milliseconds(), "counted", counted)
-		if !counted {
+		if seen[a.fingerprint] {
 			continue
 		}
-		r := reports[a.isAlone]
-		if r == nil {
-			r = &blackboard.ReportCrash{Incarnation: check.route.crashID(), Pool: check.route.pool, Alone: a.isAlone, NowMillis: a.cut.UnixMilli()}
-			reports[a.isAlone] = r
+		seen[a.fingerprint] = true
+		isCounted := !s.recentAnswers.forgive(now, a.fingerprint)
+		if isCounted {
+			counted = append(counted, a)
 		}
-		r.Fingerprints = append(r.Fingerprints, a.fingerprint)
-		// The clock may have been stepped since the attempt was sent.
-		r.SentMillis = append(r.SentMillis, r.NowMillis-a.cut.Sub(a.sent).Milliseconds())
+		_ = level.Warn(s.o.Logger).Log("event", "crash", "request", a.request, "fingerprint", a.fingerprint,
+			"unit", check.route.crashID(), "alone", a.isAlone, "ran_ms", a.cut.Sub(a.sent).Milliseconds(), "counted", isCounted)
+	}
+	return counted
+}
+
+// writeCrash writes the crash of a target that ended the attempts.
+func (s *Server) writeCrash(check *crashCheck, cuts []cutAttempt, alone bool) <-chan struct{} {
+	if len(cuts) == 0 {
+		return nil
 	}
-	var written <-chan struct{}
-	for _, r := range reports {
-		written = s.writeSuspect(r)
+	end := cuts[0].cut.UnixMilli()
+	c := &blackboard.ReportCrash{Incarnation: check.route.crashID(), Pool: check.route.pool, Alone: alone, NowMillis: end}
+	for _, a := range cuts {
+		c.Fingerprints = append(c.Fingerprints, a.fingerprint)
+		// The clock may have been stepped since the attempt was sent.
+		c.SentMillis = append(c.SentMillis, end-a.cut.Sub(a.sent).Milliseconds())
 	}
-	return written
+	return s.writeSuspect(c)
 }
 
 // awaitCrashCounts waits for the verdict about a cut attempt, and until the board has the report
@@ -98,13 +125,7 @@
 		return blackboard.Suspect{}
 	}
 	if check.reported != nil {
-		limit := time.NewTimer(boardTimeout)
-		defer limit.Stop()
-		select {
-		case <-check.reported:
-		case <-limit.C:
-		case <-j.ctx.Done():
-		}
+		awaitDone(j.ctx, check.reported, boardTimeout)
 	}
 	j.suspect = true
 	j.crashes++
@@ -117,6 +138,17 @@
 	return known
 }
 
+// awaitDone returns once done is closed, after the limit or at the end of ctx.
+func awaitDone(ctx context.Context, done <-chan struct{}, limit time.Duration) {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // mayIsolate reports whether the job waits for a turn in isolation once it is a suspect. An entry
 // that hears no announcements can't tell when a target is empty.
 func (s *Server) mayIsolate(j *job) bool {
