--- a/internal/entry/finish.go
+++ b/internal/entry/finish.go
@@ -64,10 +64,14 @@
 
 // logRefusal logs why an accepted request got no answer, with the values that decided it.
 func (s *Server) logRefusal(j *job, e *failure.Error) {
-	j.lines.Info("event", "refuse", "request", j.id, "type", e.Type, "ran", e.Ran, "reason", e.Message, "detail", e.Detail,
+	line := []any{"event", "refuse", "request", j.id, "type", e.Type, "ran", e.Ran, "reason", e.Message, "detail", e.Detail,
 		"class", j.class, "workspace", j.workspace, "model", j.model, "tokens", j.tokens(), "attempts", j.attempts,
 		"queued_ms", j.queued.Milliseconds(), "left_ms", time.Until(j.deadline).Milliseconds(),
-		"retry_after_ms", e.RetryAfter.Milliseconds(), "config", s.o.Follower.Board().Config.Revision)
+		"retry_after_ms", e.RetryAfter.Milliseconds(), "config", s.o.Follower.Board().Config.Revision}
+	if e.Type == failure.TypeRequestCrashesBackend {
+		line = append(line, "fingerprint", j.fingerprint)
+	}
+	j.lines.Info(line...)
 	j.lines.End(true)
 }
 
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -9,6 +9,8 @@
 func cause(own, all []Line) string {
 	last := own[len(own)-1]
 	switch {
+	case last.Event == "refuse" && last.Fields["type"] == "request_crashes_backend":
+		return refusedAsCrashing(last, all)
 	case last.Event == "refuse" && last.Fields["at"] == "door":
 		return refusedAtAdmission(last, all)
 	case last.Event == "refuse":
@@ -35,6 +37,21 @@
 	return text + "."
 }
 
+// refusedAsCrashing explains a refusal of a request that crashes are attributed to.
+func refusedAsCrashing(refusal Line, all []Line) string {
+	var crashes []string
+	for _, line := range all {
+		if line.Event == "crash" {
+			crashes = append(crashes, fmt.Sprintf("%s at %s under %s", line.Fields["unit"], timeOfDay(line), line.Fields["request"]))
+		}
+	}
+	text := fmt.Sprintf("It was refused by %s because backend servers crash while they run what it asks", refusal.VM)
+	if len(crashes) > 0 {
+		text += ": " + strings.Join(crashes, ", ")
+	}
+	return text + fmt.Sprintf(". The caller was asked to retry after %s ms.", refusal.Fields["retry_after_ms"])
+}
+
 // refused explains a refusal of a request that was taken.
 func refused(refusal Line, own, all []Line) string {
 	if failed, ok := lastLine(own, "attempt_ended"); ok {
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -93,6 +93,7 @@
 	own = sortLines(own)
 	w := window{own[0].At.Add(-lookBehind - skew), own[len(own)-1].At.Add(lookAhead + skew)}
 	all := append(slices.Clone(own), l.related(own, w)...)
+	all = append(all, l.crashesBefore(own)...)
 	all = sortLines(all)
 	return Story{Lines: all, Cause: cause(own, all)}, nil
 }
@@ -141,6 +142,24 @@
 	return found
 }
 
+// crashesBefore returns the crashes of the same request's earlier sends for which a send was
+// refused, whenever they were.
+func (l *Logs) crashesBefore(own []Line) []Line {
+	refusal, ok := lastLine(own, "refuse")
+	fingerprint := refusal.Fields["fingerprint"]
+	if !ok || fingerprint == "" {
+		return nil
+	}
+	var found []Line
+	for _, line := range l.lines {
+		isOwn := slices.ContainsFunc(own, func(o Line) bool { return o.index == line.index })
+		if line.Event == "crash" && line.Fields["fingerprint"] == fingerprint && !isOwn {
+			found = append(found, line)
+		}
+	}
+	return found
+}
+
 // isRelated reports whether a line is about one of the groups, about an entry that handled the
 // request, or about a change of leader.
 func isRelated(line Line, groups, vms map[string]bool) bool {
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -68,6 +68,10 @@
 		{"rejected everywhere", ended + line(`event=refuse request=abc.1 type=overloaded ran=no reason="x"`), "surely nothing ran"},
 		{"without a configuration", line(`event=refuse request=abc type=configuration_stale ran=no reason="lost" at=door`) +
 			"ts=2026-03-13T01:29:39.000Z vm=core-2 event=leading term=4\n", "had no leader until core-2 led at 01:29:39.000"},
+		{"crashes are attributed to it", line(`event=crash request=abd.1 fingerprint=f unit=m-1@7`) + line(`event=crash request=abe.1 fingerprint=f unit=m-2@8`) +
+			line(`event=crash request=other.1 fingerprint=g unit=m-3@9`) +
+			line(`event=refuse request=abc.1 type=request_crashes_backend ran=no reason="x" retry_after_ms=60000 fingerprint=f`),
+			"what it asks: m-1@7 at 01:29:38.100 under abd.1, m-2@8 at 01:29:38.100 under abe.1. The caller was asked to retry after 60000 ms."},
 		{"still under way", ended, "still under way"},
 		{"nothing wrong", line("event=route request=abc.1 choice=m-1"), "These logs show no failure"},
 	} {
