blackboard: four crashes are enough beside others, five in any case

The users allow three further sends from 3 s after the third crash. With five and six, a request that two callers send at a time could have passed that bound where servers of its pool crash for other reasons as well, as two crashes at one moment count once.

--- a/internal/blackboard/suspect.go
+++ b/internal/blackboard/suspect.go
@@ -46,10 +46,10 @@
 	attributedCrashes = 3
 	// crashesAmongOthers is how many are attributed if backend servers of the pool also crashed
 	// without the request in that time, for no known cause.
-	crashesAmongOthers = 5
+	crashesAmongOthers = 4
 	// inseparableCrashes is how many are attributed although another suspect was running in all
 	// of them.
-	inseparableCrashes = 6
+	inseparableCrashes = 5
 	// maxRuns bounds the runs of one suspect. It is above inseparableCrashes, so that a suspect
 	// that crashes are attributed to covers the runs of the others.
 	maxRuns = 16
