--- a/test/process/notice_test.go
+++ b/test/process/notice_test.go
@@ -107,6 +107,7 @@
 	for _, s := range []*harness.Standin{engines[0], services[0]} {
 		s.Fault(standin.FaultOrder{RetryAfterMillis: &none})
 		arrivals := s.Arrivals()
+		assert.Assert(t, len(arrivals) > 0, "%s got no request", s.ID)
 		assert.Assert(t, arrivals[len(arrivals)-1].RetryAfter > 0, "%s rejected no request", s.ID)
 		assert.Assert(t, maxInBackoff(arrivals) <= maxArrivalsInBackoff, "%s got %d requests in its back-off", s.ID, maxInBackoff(arrivals))
 	}
