harness: a change that conflicted is sent again under a new id

Two fault injectors change the configuration at one moment. The second gets a conflict, which the board records as the outcome of its change id, and each further try under the same id gets the recorded outcome. That is what the product promises of an id; the harness reused it with another expected revision.

--- a/test/process/harness/operator.go
+++ b/test/process/harness/operator.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -125,7 +126,7 @@
 // the change is accepted, and fails the test if the change is malformed.
 func (c *Cluster) Change(change blackboard.ConfigChange) {
 	c.T.Helper()
-	shown := ""
+	id, conflicts, shown := change.ChangeID, 0, ""
 	// Each new error is logged, so that the log explains a change that is never accepted.
 	logNewReason := func(err error) {
 		if err != nil && err.Error() != shown {
@@ -146,6 +147,11 @@
 			c.T.Fatalf("change %s: %v", change.ChangeID, err)
 		}
 		logNewReason(err)
+		if failure.Is(err, failure.TypeConflict) {
+			// A conflict is the outcome of its id for good.
+			conflicts++
+			change.ChangeID = fmt.Sprintf("%s-%d", id, conflicts)
+		}
 		return err == nil
 	})
 }
