Tell failed connections to backend servers from slow ones, by line and metric

What callers saw: entries cut off from all backend servers refused or held nearly all requests.

Added: the kind of connection and the time waited in the text of a failed call; the same for an attempt that ended with its job, which had no text; event=server_not_connected when dials to a server begin to fail, and event=server_connected when they succeed again, once each; citronstep_backend_dial_seconds by outcome. No decision changes.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
+	"time"
 )
 
 // FencingToken determines which of two orders to an engine is newer. A later leader
@@ -188,12 +190,29 @@
 	Busy bool
 	// Notice is what the backend server states about itself; empty if it gave no answer.
 	Notice Notice
-	Cause  error
+	// Connection is the connection that the call was made on, and Waited the time from the
+	// call's start to its failure; both are empty if an answer arrived.
+	Connection Connection
+	Waited     time.Duration
+	Cause      error
 }
 
+// Connection is the kind of connection that a call was made on.
+type Connection string
+
+// The kinds of connections. NoConnection means that none could be made.
+const (
+	NoConnection     Connection = "none"
+	NewConnection    Connection = "new"
+	PooledConnection Connection = "pooled"
+)
+
 // Error returns the address, the stage and the cause as text.
 func (e *CallError) Error() string {
 	text := "backend server " + e.Address + ": " + e.Stage.String()
+	if e.Connection != "" {
+		text += fmt.Sprintf(" (connection: %s, waited %d ms)", e.Connection, e.Waited.Milliseconds())
+	}
 	if e.Cause != nil {
 		text += ": " + e.Cause.Error()
 	}
--- a/internal/backend/http_exchange.go
+++ b/internal/backend/http_exchange.go
@@ -34,6 +34,7 @@
 // send makes one request on one connection. If headerTimeout is 0, only ctx bounds the
 // wait for the response header.
 func (c *HTTPClient) send(ctx context.Context, r outgoingRequest, headerTimeout time.Duration) (*httpExchange, error) {
+	began := time.Now()
 	ctx, cancel := context.WithCancelCause(ctx)
 	used := usedConn{permit: r.permit}
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: used.got})
@@ -55,7 +56,7 @@
 		}
 		c.retireIfSilent(ctx, r.address, used)
 		cancel(nil)
-		return nil, &CallError{Address: r.address, Stage: sent, Cause: cause}
+		return nil, &CallError{Address: r.address, Stage: sent, Connection: used.kind(), Waited: time.Since(began), Cause: cause}
 	}
 	return &httpExchange{response: response, ctx: ctx, cancel: cancel}, nil
 }
@@ -112,6 +113,17 @@
 	}
 }
 
+// kind returns the kind of the connection.
+func (u *usedConn) kind() Connection {
+	switch {
+	case u.gotAt.IsZero():
+		return NoConnection
+	case u.isReused:
+		return PooledConnection
+	}
+	return NewConnection
+}
+
 // sent closes the connection and returns the stage that the request reached on it.
 func (u *usedConn) sent() Stage {
 	if u.isUnsealed {
--- a/internal/backend/options.go
+++ b/internal/backend/options.go
@@ -15,6 +15,8 @@
 	Secret string
 	// DialTimeout bounds the time to make a connection; default 1 s.
 	DialTimeout time.Duration
+	// OnDial receives the outcome of each dial and the time that it took; nil for none.
+	OnDial func(DialOutcome, time.Duration)
 	// HeaderTimeout bounds the wait for an engine's response header, which
 	// engines send before they queue; default 3 s. A plain service's header
 	// waits for its work, so only the call's context bounds it.
--- a/internal/backend/transports.go
+++ b/internal/backend/transports.go
@@ -14,6 +14,7 @@
 // address can be retired without affecting the others.
 type transports struct {
 	options Options
+	dials   *dialLog
 
 	// fresh pools no connections: each request makes a new one.
 	fresh *http.Transport
@@ -28,7 +29,7 @@
 }
 
 func newTransports(o Options) *transports {
-	t := &transports{options: o, byAddress: map[string]*addressTransport{}}
+	t := &transports{options: o, dials: newDialLog(o.Logger, o.OnDial), byAddress: map[string]*addressTransport{}}
 	t.fresh = t.build()
 	t.fresh.DisableKeepAlives = true
 	return t
@@ -95,7 +96,9 @@
 
 func (t *transports) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: t.options.DialTimeout}
+	began := time.Now()
 	conn, err := dialer.DialContext(ctx, network, address)
+	t.dials.record(time.Now(), address, time.Since(began), err)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -321,7 +321,7 @@
 func (s *Server) classifyRelayError(j *job, g grant, w *watchdog, err error) (outcome, *failure.Error) {
 	switch {
 	case j.ctx.Err() != nil:
-		return outcomeJobEnded, nil
+		return outcomeJobEnded, failure.New(failure.TypeBackendFailed, err.Error())
 	case w.stalled():
 		s.o.Client.RetireConnections(g.route.address)
 		return outcomeBroken, failure.New(failure.TypeBackendStalled, "the stream made no progress in time")
--- a/internal/metrics/definitions.go
+++ b/internal/metrics/definitions.go
@@ -51,6 +51,7 @@
 	nameRateLimitedAttempts = prefix + "rate_limited_attempts_total"
 
 	nameBackedOff        = prefix + "backed_off_servers"
+	nameDialTime         = prefix + "backend_dial_seconds"
 	nameAttemptsCut      = prefix + "cut_attempts_total"
 	nameSuspectWrites    = prefix + "suspect_writes_total"
 	nameSuspects         = prefix + "suspect_requests"
@@ -111,6 +112,7 @@
 		{nameAttempts, KindCounter, []string{"outcome"}, "Attempts on backend servers by how they ended.", nil},
 		{nameRateLimited, KindGauge, nil, "Backend servers that name a rate limit, as this entry knows.", nil},
 		{nameRateLimitedAttempts, KindCounter, nil, "Attempts of this entry on backend servers that name a rate limit.", nil},
+		{nameDialTime, KindHistogram, []string{"outcome"}, "Time of connecting to a backend server, by whether it connected, was refused, timed out or failed.", commitBuckets},
 		{nameAttemptsCut, KindCounter, nil, "Attempts that may have run and whose backend server closed the connection before their end.", nil},
 		{nameSuspectWrites, KindCounter, []string{"outcome"}, "Crashes and answers of suspects written to the board, by whether the leader took them.", nil},
 		{nameSuspects, KindGauge, nil, "Requests on the board that were running when a backend server crashed.", nil},
--- a/internal/metrics/entry.go
+++ b/internal/metrics/entry.go
@@ -62,6 +62,15 @@
 	e.scope.Tagged(map[string]string{"outcome": outcome}).Counter(nameAttempts).Inc(1)
 }
 
+// Dial records a connection that was attempted to a backend server by how the attempt ended:
+// "connected", "refused", "timed_out" or "failed".
+func (e *Entry) Dial(outcome string, took time.Duration) {
+	if e == nil {
+		return
+	}
+	e.scope.Tagged(map[string]string{"outcome": outcome}).Timer(nameDialTime).Record(took)
+}
+
 // AttemptCut counts an attempt that may have run and whose backend server closed the connection
 // before its end.
 func (e *Entry) AttemptCut() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -174,7 +174,11 @@
 		Logger: n.logger, Secret: n.tokens.backend, DialTimeout: backendDialTimeout,
 		HeaderTimeout: time.Duration(n.settings.Entry.HeaderTimeoutMillis) * time.Millisecond,
 	}
+	o.Logger = n.decisionLogger("entry")
+	entryMetrics := n.metrics.Entry()
+	o.OnDial = func(outcome backend.DialOutcome, took time.Duration) { entryMetrics.Dial(string(outcome), took) }
 	n.backendClient = backend.NewHTTPClient(o)
+	o.Logger, o.OnDial = n.logger, nil
 	o.IdleTimeout = orderIdleTimeout
 	n.orderClient = backend.NewHTTPClient(o)
 	return nil
