--- a/internal/backend/options.go
+++ b/internal/backend/options.go
@@ -1,6 +1,8 @@
 package backend
 
 import (
+	"context"
+	"net"
 	"time"
 
 	"github.com/go-kit/log"
@@ -13,6 +15,8 @@
 	// Secret is the bearer token that orders, generations and calls carry.
 	// It is never logged.
 	Secret string
+	// Dial makes connections to backend servers; default net.Dialer.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// DialTimeout bounds the time to make a connection; default 1 s.
 	DialTimeout time.Duration
 	// OnDial receives the outcome of each dial and the time that it took; nil for none.
@@ -64,6 +68,9 @@
 	setDefault(&o.IdleTimeout, defaultIdleTimeout)
 	setDefault(&o.SuspectAfter, defaultSuspectAfter)
 	setDefault(&o.ForgetAfter, defaultForgetAfter)
+	if o.Dial == nil {
+		o.Dial = new(net.Dialer).DialContext
+	}
 	if o.Logger == nil {
 		o.Logger = log.NewNopLogger()
 	}
--- a/internal/backend/probe.go
+++ b/internal/backend/probe.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"syscall"
 	"time"
 
@@ -35,7 +34,7 @@
 func (c *HTTPClient) ProbeListener(ctx context.Context, address string) ListenState {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	conn, err := c.options.Dial(ctx, "tcp", address)
 	switch {
 	case err == nil:
 		_ = conn.Close()
--- a/internal/backend/transports.go
+++ b/internal/backend/transports.go
@@ -95,9 +95,10 @@
 }
 
 func (t *transports) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	dialer := net.Dialer{Timeout: t.options.DialTimeout}
+	ctx, cancel := context.WithTimeout(ctx, t.options.DialTimeout)
+	defer cancel()
 	began := time.Now()
-	conn, err := dialer.DialContext(ctx, network, address)
+	conn, err := t.options.Dial(ctx, network, address)
 	t.dials.record(time.Now(), address, time.Since(began), err)
 	if err != nil {
 		return nil, errors.Trace(err)
--- a/internal/node/adapter.go
+++ b/internal/node/adapter.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"context"
+	"net"
 	"net/http"
 	"time"
 
@@ -23,6 +25,8 @@
 	Orders func(*backend.HTTPClient) control.OrderSender
 	// Forwarder returns the forwarder of callers' requests.
 	Forwarder func(*backend.HTTPClient) backend.Forwarder
+	// DialBackend makes the connections to backend servers; nil for net.Dialer.
+	DialBackend func(ctx context.Context, network, address string) (net.Conn, error)
 	// Servers returns the servers that the process runs beside its own APIs.
 	Servers func(Components) []AdapterServer
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -171,7 +171,7 @@
 		}},
 	}
 	o := backend.Options{
-		Logger: n.logger, Secret: n.tokens.backend, DialTimeout: backendDialTimeout,
+		Logger: n.logger, Secret: n.tokens.backend, Dial: n.adapter.DialBackend, DialTimeout: backendDialTimeout,
 		HeaderTimeout: time.Duration(n.settings.Entry.HeaderTimeoutMillis) * time.Millisecond,
 	}
 	o.Logger = n.decisionLogger("entry")
