An entry whose links to backend servers are down reaches them through another entry

What callers saw: entries cut off from all backend servers served 12 of 158 and 8 of 73 first tries, the others 686 of 686 and 744 of 746. Cause: an entry had one way to a backend server, its own connection; each attempt of a cut entry failed on it, whatever it decided. Ruled out: broken groups (none was broken) and refusals of crashing requests at others (none).

Change: a call that gets no connection asks another entry to connect and carries on over that (internal/relay). The other entry passes bytes on and decides nothing, so each guard of a request (deadline, at most once, retry budget, limits, streams and their resume, crashes, "not run") stays with the entry that took it. It connects itself and never through a third, and refuses while it is cut off: one hop at most. The stream between the two is framed, so that a lost peer is no end of an answer. No byte goes a second way if any went the first. internal/backend remembers per server which way worked, checks the direct one twice a second while requests use the longer one, returns after two successes (up to sixteen while a link flaps), and goes straight to peers once it has reached no server directly. If nobody reaches a server, calls fail at once as not sent. A call that waits on a silent open connection ends when the path is proven lost, unless it may run once only. Peers are of the entry's region, ordered differently by each entry, of its data centre and others by turns; an entry relays 512 connections at most.

Weighed: readiness off (the balancer uses all entries of a data centre when most are off, and open connections stay); forwarding whole requests to a peer (two queues, two retry budgets, claims and records in two places: each guard anew); publishing who reaches whom (a belief that is old when it is needed; asking takes one round trip).

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -94,6 +94,8 @@
 	// Parameters are the caller's other sampling parameters, passed on unchanged.
 	Parameters map[string]json.RawMessage `json:"parameters,omitempty"`
 	Permit     Permit                     `json:"-"`
+	// OnRelay is called with the peer if one relays the call; it may be nil.
+	OnRelay func(peer string) `json:"-"`
 }
 
 // Token is one event of a generation's stream.
@@ -141,6 +143,10 @@
 	// Host is the caller's Host header, if Verbatim is set.
 	Host   string
 	Permit Permit
+	// RequestID is the caller's id of the request, for the logs of a peer that relays the call.
+	// OnRelay is called with that peer; it may be nil.
+	RequestID string
+	OnRelay   func(peer string)
 }
 
 // ServiceAnswer is the head of a plain service's answer; Body ends with
--- a/internal/backend/forward.go
+++ b/internal/backend/forward.go
@@ -33,6 +33,8 @@
 	// NewConnection requests a new connection, see ServiceCall.NewConnection.
 	NewConnection bool
 	Permit        Permit
+	// OnRelay is called with the peer if one relays the call; it may be nil.
+	OnRelay func(peer string)
 }
 
 // ForwardAnswer is the head of the answer to a ForwardCall. The caller must close Body.
--- a/internal/backend/http_client.go
+++ b/internal/backend/http_client.go
@@ -36,7 +36,9 @@
 // Generate starts one attempt and returns its stream once the engine's response header
 // has arrived.
 func (c *HTTPClient) Generate(ctx context.Context, address string, g Generation) (TokenStream, error) {
-	x, err := c.post(ctx, address, PathGenerate, g, g.Permit)
+	x, err := c.postRequest(ctx, g, outgoingRequest{
+		address: address, path: PathGenerate, permit: g.Permit, request: g.Request, onRelay: g.OnRelay,
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -48,7 +50,7 @@
 
 // Cancel requests that the engine stop an attempt.
 func (c *HTTPClient) Cancel(ctx context.Context, address, attempt string) error {
-	x, err := c.post(ctx, address, PathCancel, CancelRequest{Attempt: attempt}, nil)
+	x, err := c.post(ctx, address, PathCancel, CancelRequest{Attempt: attempt})
 	if err != nil {
 		return err
 	}
@@ -61,7 +63,7 @@
 
 // Order sends one order. A refusal as stale is an answer, not an error.
 func (c *HTTPClient) Order(ctx context.Context, address string, o Order) (OrderReply, error) {
-	x, err := c.post(ctx, address, PathOrders, o, nil)
+	x, err := c.post(ctx, address, PathOrders, o)
 	if err != nil {
 		return OrderReply{}, err
 	}
@@ -80,19 +82,18 @@
 	return reply, nil
 }
 
-func (c *HTTPClient) post(ctx context.Context, address, path string, message any, permit Permit) (*httpExchange, error) {
+func (c *HTTPClient) post(ctx context.Context, address, path string, message any) (*httpExchange, error) {
+	return c.postRequest(ctx, message, outgoingRequest{address: address, path: path})
+}
+
+// postRequest sends a message as JSON.
+func (c *HTTPClient) postRequest(ctx context.Context, message any, r outgoingRequest) (*httpExchange, error) {
 	body, err := json.Marshal(message)
 	if err != nil {
-		return nil, &CallError{Address: address, Stage: StageNotSent, Cause: errors.Trace(err)}
-	}
-	r := outgoingRequest{
-		address: address,
-		method:  http.MethodPost,
-		path:    path,
-		header:  http.Header{"Content-Type": {"application/json"}},
-		body:    body,
-		permit:  permit,
+		return nil, &CallError{Address: r.address, Stage: StageNotSent, Cause: errors.Trace(err)}
 	}
+	r.method, r.body = http.MethodPost, body
+	r.header = http.Header{"Content-Type": {"application/json"}}
 	return c.send(ctx, r, c.options.HeaderTimeout)
 }
 
--- a/internal/backend/http_exchange.go
+++ b/internal/backend/http_exchange.go
@@ -31,12 +31,12 @@
 
 func (nonRewindableBody) Close() error { return nil }
 
-// send makes one request on one connection. If headerTimeout is 0, only ctx bounds the
+// sendOn makes one request on one connection. If headerTimeout is 0, only ctx bounds the
 // wait for the response header.
-func (c *HTTPClient) send(ctx context.Context, r outgoingRequest, headerTimeout time.Duration) (*httpExchange, error) {
+func (c *HTTPClient) sendOn(ctx context.Context, t *http.Transport, r outgoingRequest, headerTimeout time.Duration) (*httpExchange, error) {
 	began := time.Now()
-	ctx, cancel := context.WithCancelCause(ctx)
-	used := usedConn{permit: r.permit}
+	ctx, cancel := context.WithCancelCause(context.WithValue(ctx, requestKey{}, r.request))
+	used := usedConn{permit: r.permit, onRelay: r.onRelay}
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: used.got})
 	request, err := r.build(traced)
 	if err != nil {
@@ -45,9 +45,11 @@
 	}
 	c.authorise(request)
 	stop := startTimer(headerTimeout, func() { cancel(errHeaderTimeout) })
+	stopWatch := c.watchPath(t, r, func() { cancel(errPathLost) })
 	//nolint:bodyclose // the caller that gets the exchange closes the body
-	response, err := c.transportFor(r).RoundTrip(request)
+	response, err := t.RoundTrip(request)
 	stop()
+	stopWatch()
 	if err != nil {
 		sent := used.sent()
 		cause := causeOf(ctx, err)
@@ -93,6 +95,8 @@
 	isReused bool
 	gotAt    time.Time
 	permit   Permit
+	// onRelay is called with the peer if one relays the connection; it may be nil.
+	onRelay func(peer string)
 	// isWithheld is set if permit refused the request. The connection is then sealed.
 	isWithheld bool
 }
@@ -111,6 +115,9 @@
 		u.isWithheld = true
 		conn.seal(u.writesBefore)
 	}
+	if peer := relayPeer(conn); peer != "" && u.onRelay != nil {
+		u.onRelay(peer)
+	}
 }
 
 // kind returns the kind of the connection.
@@ -148,6 +155,10 @@
 	// the Host header.
 	opaque, host string
 	permit       Permit
+	// request names the caller's request in the logs of a peer that relays it, and onRelay is
+	// called with that peer; both may be empty.
+	request string
+	onRelay func(peer string)
 }
 
 func (r outgoingRequest) build(ctx context.Context) (*http.Request, error) {
--- a/internal/backend/http_service.go
+++ b/internal/backend/http_service.go
@@ -26,6 +26,8 @@
 		body:    s.Body,
 		fresh:   s.NewConnection,
 		permit:  s.Permit,
+		request: s.RequestID,
+		onRelay: s.OnRelay,
 	}
 	if s.Verbatim {
 		r.host, r.opaque = s.Host, s.Path
--- a/internal/backend/options.go
+++ b/internal/backend/options.go
@@ -17,6 +17,10 @@
 	Secret string
 	// Dial makes connections to backend servers; default net.Dialer.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Relay connects to backend servers through other entries; nil if there are none.
+	Relay RelayDialer
+	// OnPathCheck receives the result of each check of an address; nil for none.
+	OnPathCheck func(ListenState)
 	// DialTimeout bounds the time to make a connection; default 1 s.
 	DialTimeout time.Duration
 	// OnDial receives the outcome of each dial and the time that it took; nil for none.
--- /dev/null
+++ b/internal/backend/path_check.go
@@ -0,0 +1,151 @@
+package backend
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+
+	"github.com/citronstep/citronstep/internal/relay"
+)
+
+// ListenState is what connection attempts show of an address.
+type ListenState string
+
+// The states. An address is ListenUnknown if nobody who was asked got an answer from its host in
+// time.
+const (
+	ListenUnknown ListenState = "unknown"
+	Listening     ListenState = "listening"
+	NotListening  ListenState = "not_listening"
+	// ListeningToPeers means that a process listens, and that this process does not reach it while
+	// another entry does.
+	ListeningToPeers ListenState = "listening_to_peers"
+)
+
+const (
+	// probeTimeout is the time limit of a probe: a few round trips between data centres, and one
+	// lost packet.
+	probeTimeout = 400 * time.Millisecond
+	// peerProbeDelay is how long the direct way may take before peers are asked: ten times a round
+	// trip between data centres.
+	peerProbeDelay = 50 * time.Millisecond
+)
+
+// errPathLost is the cause of a call that ended because its connection hangs: the direct way to its
+// backend server is down, and a peer reaches the server.
+const errPathLost = errors.ConstError("the direct way to the backend server is down")
+
+// ListenProber finds out whether a process listens at an address.
+type ListenProber interface {
+	ProbeListener(ctx context.Context, address string) ListenState
+}
+
+var _ ListenProber = (*HTTPClient)(nil)
+
+// ProbeListener opens a connection to address and closes it unused. If that fails, or takes long,
+// it has peers do the same: a connection that fails from here alone shows that this process's own
+// link is down.
+func (c *HTTPClient) ProbeListener(ctx context.Context, address string) ListenState {
+	state, _ := c.probe(ctx, address)
+	if c.options.OnPathCheck != nil {
+		c.options.OnPathCheck(state)
+	}
+	return state
+}
+
+// probe returns the state of an address and whether its host did not answer this process in time.
+func (c *HTTPClient) probe(ctx context.Context, address string) (state ListenState, hangs bool) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	direct := make(chan ListenState, 1)
+	go func() { direct <- c.probeDirect(ctx, address) }()
+	if c.options.Relay == nil {
+		state = <-direct
+		return state, state == ListenUnknown
+	}
+	own := ListenUnknown
+	delay := time.NewTimer(peerProbeDelay)
+	defer delay.Stop()
+	select {
+	case own = <-direct:
+		if own == Listening {
+			return own, false
+		}
+	case <-delay.C:
+	}
+	state = combineProbes(own, c.probeByPeer(ctx, address, own))
+	if state == ListeningToPeers {
+		c.recordRelayed(address, "a probe found it "+string(own))
+	}
+	return state, own == ListenUnknown
+}
+
+// combineProbes returns what a failed probe of this process and one of its peers show together. A
+// refused connection proves that no process listens only if no peer says otherwise.
+func combineProbes(own, byPeer ListenState) ListenState {
+	switch {
+	case byPeer == Listening:
+		return ListeningToPeers
+	case own == NotListening || byPeer == NotListening:
+		return byPeer
+	}
+	return ListenUnknown
+}
+
+// probeDirect connects to address from this process.
+func (c *HTTPClient) probeDirect(ctx context.Context, address string) ListenState {
+	conn, err := c.options.Dial(ctx, "tcp", address)
+	switch {
+	case err == nil:
+		closeProbe(conn)
+		c.transports.paths.connected(time.Now(), address)
+		return Listening
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return NotListening
+	case errors.Is(err, syscall.ECONNRESET):
+		return Listening
+	}
+	return ListenUnknown
+}
+
+// probeByPeer has peers connect to address. Without peers, what this process itself found has to
+// do.
+func (c *HTTPClient) probeByPeer(ctx context.Context, address string, own ListenState) ListenState {
+	conn, err := c.options.Relay.Dial(ctx, address, "")
+	switch {
+	case err == nil:
+		closeProbe(conn)
+		return Listening
+	case errors.Is(err, relay.ErrRefused):
+		return NotListening
+	case errors.Is(err, relay.ErrNoPeer):
+		return own
+	}
+	return ListenUnknown
+}
+
+func closeProbe(conn net.Conn) { _ = conn.Close() }
+
+// watchPath checks the path to a backend server that has sent no response header within
+// SuspectAfter, and calls lost if connections to it hang. The returned function ends the watch.
+//
+// Failure: the links of this process to all backend servers go silent. Requests on open connections
+// wait for their deadlines, although another entry reaches the servers. A call that may run once
+// is left alone: its connection may come back, and it can't be sent again.
+func (c *HTTPClient) watchPath(t *http.Transport, r outgoingRequest, lost func()) (stop func()) {
+	if c.options.Relay == nil || t == c.transports.relayed || r.fresh {
+		return func() {}
+	}
+	return startTimer(c.options.SuspectAfter, func() {
+		if c.transports.isHeardSince(r.address, time.Now().Add(-c.options.SuspectAfter)) {
+			return
+		}
+		if state, hangs := c.probe(context.Background(), r.address); state == ListeningToPeers && hangs {
+			lost()
+		}
+	})
+}
--- a/internal/backend/sealed_conn.go
+++ b/internal/backend/sealed_conn.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"time"
 )
 
 // sealedConn counts the writes to a connection, so that a failed call can prove that
@@ -14,12 +15,27 @@
 // afterwards.
 type sealedConn struct {
 	net.Conn
+	// heard receive the time at which bytes arrive.
+	heard []*lastTime
 
 	mu     sync.Mutex
 	writes uint64
 	sealed bool
 }
 
+// Read records when bytes arrive.
+func (c *sealedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n == 0 || len(c.heard) == 0 {
+		return n, err
+	}
+	now := time.Now()
+	for _, heard := range c.heard {
+		heard.set(now)
+	}
+	return n, err
+}
+
 // Write counts each attempt to write, including failed ones: a part may have been
 // sent.
 func (c *sealedConn) Write(p []byte) (int, error) {
--- /dev/null
+++ b/internal/backend/server_paths.go
@@ -0,0 +1,244 @@
+package backend
+
+import (
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+)
+
+const (
+	// pathCheckInterval is the time between two checks whether a backend server can be reached
+	// directly again.
+	pathCheckInterval = 500 * time.Millisecond
+	// checksToRestore is how many checks in a row must succeed before requests go the direct way
+	// again. It doubles, up to maxChecksToRestore, each time that the direct way is lost again
+	// within flapWindow: each loss breaks off the requests that are on it.
+	checksToRestore    = 2
+	maxChecksToRestore = 16
+	flapWindow         = 30 * time.Second
+	// pathRetention is how long the path to a backend server is remembered after its last use.
+	pathRetention = time.Minute
+	// unreachableTime is how long calls fail at once after neither this process nor its peers
+	// reached a backend server. One call at a time then tries again.
+	unreachableTime = 300 * time.Millisecond
+	// cutOffServers is how many backend servers must be reachable through peers alone before this
+	// process takes its own links for the cause.
+	cutOffServers = 2
+)
+
+// path is how this process reaches one backend server. The zero value is the direct way.
+type path struct {
+	lastUsed time.Time
+	// relayedSince is set while the server is reached through peers. checkAt is when the direct
+	// way is checked next, and successes counts the checks in a row that succeeded.
+	relayedSince time.Time
+	checkAt      time.Time
+	successes    int
+	// needed is how many checks must succeed; restoredAt is when they last did.
+	needed     int
+	restoredAt time.Time
+	// unreachableUntil is set after nobody reached the server.
+	unreachableUntil time.Time
+}
+
+// paths decides how backend servers are reached: directly, or through another entry while the
+// direct way is down. What this process alone fails to reach is not taken for down. It has no I/O
+// and is safe for concurrent use.
+type paths struct {
+	logger log.Logger
+	// heard is when bytes last arrived on any direct connection.
+	heard lastTime
+
+	mu        sync.Mutex
+	byAddress map[string]*path
+	// relayed is how many servers are reached through peers. lastConnected is when any server was
+	// last connected directly, and lastCut when one was last found out of reach.
+	relayed                int
+	lastConnected, lastCut time.Time
+}
+
+func newPaths(logger log.Logger) *paths {
+	return &paths{logger: logger, byAddress: make(map[string]*path)}
+}
+
+// way is how a call is to be made.
+type way int
+
+// The ways. wayNone means that nobody reached the server a moment ago.
+const (
+	wayDirect way = iota
+	wayRelayed
+	wayNone
+)
+
+// choose returns the way for a call and whether the caller is to check the direct way beside it.
+func (p *paths) choose(now time.Time, address string) (w way, check bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	to := p.byAddress[address]
+	if to == nil {
+		if !p.isCutOffLocked() {
+			return wayDirect, false
+		}
+		to = p.add(now, address)
+		p.relay(now, address, to, "no backend server is reached directly")
+	}
+	to.lastUsed = now
+	switch {
+	case now.Before(to.unreachableUntil):
+		return wayNone, false
+	case !to.unreachableUntil.IsZero():
+		to.unreachableUntil = now.Add(unreachableTime)
+	}
+	if to.relayedSince.IsZero() {
+		return wayDirect, false
+	}
+	return wayRelayed, to.takeCheck(now)
+}
+
+// takeCheck reports whether a check of the direct way is due, and schedules the next one.
+func (to *path) takeCheck(now time.Time) bool {
+	if now.Before(to.checkAt) {
+		return false
+	}
+	to.checkAt = now.Add(pathCheckInterval)
+	return true
+}
+
+// add returns a new path and forgets those that are no longer used. The caller holds the lock.
+func (p *paths) add(now time.Time, address string) *path {
+	for other, to := range p.byAddress {
+		if now.Sub(to.lastUsed) > pathRetention {
+			p.endRelay(to)
+			delete(p.byAddress, other)
+		}
+	}
+	to := &path{lastUsed: now}
+	p.byAddress[address] = to
+	return to
+}
+
+// connected records that a backend server was reached directly.
+func (p *paths) connected(now time.Time, address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lastConnected = now
+	if to := p.byAddress[address]; to != nil {
+		to.unreachableUntil = time.Time{}
+	}
+}
+
+// connectedByPeer records that a peer reached a backend server that this process failed to reach.
+// It reports whether that is new.
+func (p *paths) connectedByPeer(now time.Time, address, cause string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	to := p.byAddress[address]
+	if to == nil {
+		to = p.add(now, address)
+	}
+	to.unreachableUntil = time.Time{}
+	if !to.relayedSince.IsZero() {
+		return false
+	}
+	p.lastCut = now
+	p.relay(now, address, to, cause)
+	return true
+}
+
+// relay begins to reach a server through peers. The caller holds the lock.
+func (p *paths) relay(now time.Time, address string, to *path, cause string) {
+	to.needed = max(checksToRestore, to.needed)
+	if now.Sub(to.restoredAt) < flapWindow {
+		to.needed = min(2*to.needed, maxChecksToRestore)
+	}
+	to.relayedSince, to.successes = now, 0
+	to.checkAt = now.Add(pathCheckInterval)
+	p.relayed++
+	_ = level.Info(p.logger).Log("event", "server_relayed", "server", address, "cause", cause, "relayed_servers", p.relayed,
+		"last_direct_ms", sinceMillis(now, p.lastDirect()))
+}
+
+// endRelay ends a server's relay without a check. The caller holds the lock.
+func (p *paths) endRelay(to *path) {
+	if !to.relayedSince.IsZero() {
+		p.relayed--
+	}
+	to.relayedSince = time.Time{}
+}
+
+// checked records the result of a check of the direct way.
+func (p *paths) checked(now time.Time, address string, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if ok {
+		p.lastConnected = now
+	}
+	to := p.byAddress[address]
+	if to == nil || to.relayedSince.IsZero() {
+		return
+	}
+	if !ok {
+		to.successes = 0
+		return
+	}
+	to.successes++
+	if to.successes < to.needed {
+		return
+	}
+	took := now.Sub(to.relayedSince)
+	p.endRelay(to)
+	if now.Sub(to.restoredAt) >= flapWindow {
+		to.needed = checksToRestore
+	}
+	to.restoredAt = now
+	_ = level.Info(p.logger).Log("event", "server_direct", "server", address, "relayed_for_ms", took.Milliseconds(),
+		"checks", to.successes, "relayed_servers", p.relayed)
+}
+
+// unreachable records that neither this process nor its peers reached a backend server.
+func (p *paths) unreachable(now time.Time, address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	to := p.byAddress[address]
+	if to == nil {
+		to = p.add(now, address)
+	}
+	to.unreachableUntil = now.Add(unreachableTime)
+}
+
+// isCutOff reports whether this process reaches backend servers only through peers.
+func (p *paths) isCutOff() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.isCutOffLocked()
+}
+
+func (p *paths) isCutOffLocked() bool {
+	return p.relayed >= cutOffServers && p.lastDirect().Before(p.lastCut)
+}
+
+// lastDirect returns when any backend server was last reached directly. The caller holds the lock.
+func (p *paths) lastDirect() time.Time {
+	if heard := p.heard.get(); heard.After(p.lastConnected) {
+		return heard
+	}
+	return p.lastConnected
+}
+
+// relayedCount returns how many backend servers are reached through peers.
+func (p *paths) relayedCount() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.relayed
+}
+
+// sinceMillis returns the time since t in milliseconds, or -1 if t is not set.
+func sinceMillis(now, t time.Time) int64 {
+	if t.IsZero() {
+		return -1
+	}
+	return now.Sub(t).Milliseconds()
+}
--- a/internal/backend/transports.go
+++ b/internal/backend/transports.go
@@ -15,9 +15,11 @@
 type transports struct {
 	options Options
 	dials   *dialLog
+	paths   *paths
 
-	// fresh pools no connections: each request makes a new one.
-	fresh *http.Transport
+	// fresh pools no connections: each request makes a new one. relayed does the same through
+	// peers, so that the direct way is used as soon as it is back.
+	fresh, relayed *http.Transport
 
 	mu        sync.Mutex
 	byAddress map[string]*addressTransport
@@ -26,12 +28,18 @@
 type addressTransport struct {
 	transport *http.Transport
 	lastUsed  time.Time
+	// heard is when bytes last arrived on one of its connections.
+	heard *lastTime
 }
 
 func newTransports(o Options) *transports {
-	t := &transports{options: o, dials: newDialLog(o.Logger, o.OnDial), byAddress: map[string]*addressTransport{}}
-	t.fresh = t.build()
+	t := &transports{
+		options: o, dials: newDialLog(o.Logger, o.OnDial), paths: newPaths(o.Logger), byAddress: map[string]*addressTransport{},
+	}
+	t.fresh = t.build(t.dialHeard(&t.paths.heard))
 	t.fresh.DisableKeepAlives = true
+	t.relayed = t.build(t.dialRelayed)
+	t.relayed.DisableKeepAlives = true
 	return t
 }
 
@@ -42,7 +50,8 @@
 	at, ok := t.byAddress[address]
 	if !ok {
 		t.dropUnused(now)
-		at = &addressTransport{transport: t.build()}
+		heard := new(lastTime)
+		at = &addressTransport{transport: t.build(t.dialHeard(heard, &t.paths.heard)), heard: heard}
 		t.byAddress[address] = at
 	}
 	at.lastUsed = now
@@ -83,9 +92,12 @@
 	}
 }
 
-func (t *transports) build() *http.Transport {
+// dialFunc makes a connection.
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+func (t *transports) build(dial dialFunc) *http.Transport {
 	return &http.Transport{
-		DialContext:            t.dial,
+		DialContext:            dial,
 		DisableCompression:     true,
 		MaxIdleConns:           t.options.MaxIdle,
 		MaxIdleConnsPerHost:    t.options.MaxIdle,
@@ -94,14 +106,32 @@
 	}
 }
 
-func (t *transports) dial(ctx context.Context, network, address string) (net.Conn, error) {
+// dialHeard returns a function that makes direct connections, which record in heard when bytes
+// arrive.
+func (t *transports) dialHeard(heard ...*lastTime) dialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := t.dialDirect(ctx, network, address)
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		t.paths.connected(time.Now(), address)
+		return &sealedConn{Conn: conn, heard: heard}, nil
+	}
+}
+
+// isHeardSince reports whether bytes have arrived from an address directly since a time.
+func (t *transports) isHeardSince(address string, since time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	at, ok := t.byAddress[address]
+	return ok && at.heard.get().After(since)
+}
+
+func (t *transports) dialDirect(ctx context.Context, network, address string) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, t.options.DialTimeout)
 	defer cancel()
 	began := time.Now()
 	conn, err := t.options.Dial(ctx, network, address)
 	t.dials.record(time.Now(), address, time.Since(began), err)
-	if err != nil {
-		return nil, errors.Trace(err)
-	}
-	return &sealedConn{Conn: conn}, nil
+	return conn, err
 }
--- /dev/null
+++ b/internal/entry/relays.go
@@ -0,0 +1,106 @@
+package entry
+
+import (
+	"net/http"
+	"sync"
+
+	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/relay"
+)
+
+// ServerPaths tells how this entry reaches backend servers.
+type ServerPaths interface {
+	// IsCutOff reports whether the entry reaches backend servers only through other entries.
+	IsCutOff() bool
+	// RelayedServers returns how many backend servers it reaches through other entries alone.
+	RelayedServers() int
+}
+
+// PeerSetter receives the entries that may relay for this one.
+type PeerSetter interface{ SetPeers([]relay.Peer) }
+
+// ServeRelay relays a connection to a backend server for another entry.
+func (s *Server) ServeRelay(w http.ResponseWriter, r *http.Request) { s.relays.ServeHTTP(w, r) }
+
+// CloseRelays ends the connections that this entry relays.
+func (s *Server) CloseRelays() { s.relays.Close() }
+
+func (s *Server) newRelayServer() *relay.Server {
+	return relay.NewServer(relay.ServerOptions{
+		IsServer: s.isBackendServer, IsCutOff: s.isCutOff, Begin: s.beginRelay, Dial: s.o.DialBackend, Logger: s.o.Logger,
+		OnEnd: func(o relay.Outcome) { s.o.Metrics.Relay(string(o)) },
+	})
+}
+
+func (s *Server) isCutOff() bool { return s.o.Paths != nil && s.o.Paths.IsCutOff() }
+
+func (s *Server) relayedServers() int {
+	if s.o.Paths == nil {
+		return 0
+	}
+	return s.o.Paths.RelayedServers()
+}
+
+// beginRelay counts a relay as work that a graceful stop waits for.
+func (s *Server) beginRelay() (end func(), ok bool) {
+	s.drainMu.RLock()
+	defer s.drainMu.RUnlock()
+	if s.draining.Load() {
+		return nil, false
+	}
+	s.work.Add(1)
+	return s.work.Done, true
+}
+
+// relayPeers returns the entries that may relay for this one: those of its region that serve
+// callers. Requests stay in the region that their callers sent them to.
+func (s *Server) relayPeers(b *blackboard.Board) []relay.Peer {
+	var peers []relay.Peer
+	for id, e := range b.Entries {
+		if id == s.o.ID || e.Address == "" || s.o.Regions[e.DataCentre] != s.o.Regions[s.o.DataCentre] {
+			continue
+		}
+		peers = append(peers, relay.Peer{ID: id, Address: e.PeerAddress, DataCentre: e.DataCentre})
+	}
+	return peers
+}
+
+// onRelay returns a function that logs and counts a peer's relay of an attempt.
+func (s *Server) onRelay(j *job, g grant) func(peer string) {
+	return func(peer string) {
+		s.o.Metrics.RelayedAttempt()
+		j.lines.Info("event", "relayed", "request", j.id, "attempt", g.attempt, "target", g.route.target,
+			"server", g.route.address, "peer", peer)
+	}
+}
+
+// backendAddresses holds the addresses of the backend servers of one board that take requests: the
+// heads of groups and the plain servers.
+type backendAddresses struct {
+	mu        sync.Mutex
+	board     *blackboard.Board
+	addresses map[string]bool
+}
+
+// isBackendServer reports whether an address is that of a backend server on the board. An entry
+// connects its peers to nothing else.
+func (s *Server) isBackendServer(address string) bool {
+	return s.backendAddresses.contains(s.o.Follower.Board(), address)
+}
+
+func (a *backendAddresses) contains(b *blackboard.Board, address string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.board != b {
+		a.board, a.addresses = b, make(map[string]bool, len(b.Groups)+len(b.Services))
+		for _, g := range b.Groups {
+			if len(g.Members) > 0 {
+				a.addresses[g.Members[0].Address] = true
+			}
+		}
+		for _, i := range b.Services {
+			a.addresses[i.Address] = true
+		}
+	}
+	return a.addresses[address]
+}
--- /dev/null
+++ b/internal/entry/relays_test.go
@@ -0,0 +1,45 @@
+package entry
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/citronstep/citronstep/internal/backend"
+	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/relay"
+)
+
+// Guards against requests that are relayed in another region than their callers sent them to, and
+// by processes that serve no callers.
+func TestPeersThatRelayAreOfTheRegion(t *testing.T) {
+	s, _, _ := crashServer(backend.Listening)
+	s.o.ID, s.o.DataCentre = "self", "a"
+	s.o.Regions = map[string]string{"a": "east", "b": "east", "c": "west"}
+	b := &blackboard.Board{}
+	b.Entries = map[string]blackboard.Entry{
+		"self": {Address: "10.0.0.1:80", DataCentre: "a"},
+		"near": {Address: "10.0.0.2:80", PeerAddress: "10.0.0.2:81", DataCentre: "b"},
+		"far":  {Address: "10.0.0.3:80", PeerAddress: "10.0.0.3:81", DataCentre: "c"},
+		"idle": {PeerAddress: "10.0.0.4:81", DataCentre: "a"},
+	}
+	assert.DeepEqual(t, s.relayPeers(b), []relay.Peer{{ID: "near", Address: "10.0.0.2:81", DataCentre: "b"}})
+}
+
+// Guards against relays that a graceful stop cuts off, and against new ones while it waits.
+func TestGracefulStopWaitsForRelays(t *testing.T) {
+	s, _, _ := crashServer(backend.Listening)
+	end, ok := s.beginRelay()
+	assert.Assert(t, ok)
+	stopped := make(chan bool, 1)
+	go func() { stopped <- s.Drain(t.Context(), func() {}) }()
+	for !s.draining.Load() {
+		time.Sleep(time.Millisecond)
+	}
+	_, ok = s.beginRelay()
+	assert.Assert(t, !ok)
+	assert.Equal(t, len(stopped), 0)
+	end()
+	assert.Assert(t, <-stopped)
+}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -7,6 +7,7 @@
 	"hash/fnv"
 	"maps"
 	"math"
+	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -26,6 +27,7 @@
 	"github.com/citronstep/citronstep/internal/failure"
 	"github.com/citronstep/citronstep/internal/metrics"
 	"github.com/citronstep/citronstep/internal/placement"
+	"github.com/citronstep/citronstep/internal/relay"
 	"github.com/citronstep/citronstep/internal/requestlog"
 	"github.com/citronstep/citronstep/internal/rpc/noderpc"
 	"github.com/citronstep/citronstep/internal/settings"
@@ -69,6 +71,12 @@
 	// Prober finds out whether a backend server that closed a connection still listens; nil if
 	// announcements alone tell.
 	Prober backend.ListenProber
+	// DialBackend connects to backend servers on behalf of other entries, Paths tells how this entry
+	// reaches them, and RelayPeers receives the entries that may relay for this one. Paths and
+	// RelayPeers are nil if no entry relays for this one.
+	DialBackend func(ctx context.Context, network, address string) (net.Conn, error)
+	Paths       ServerPaths
+	RelayPeers  PeerSetter
 	// StallReporter reports groups without progress to the leader; nil if there are no reports.
 	StallReporter StallReporter
 	// DemandReporter reports the observed demand to the leader; nil if there are no reports.
@@ -144,6 +152,10 @@
 	// withdrawals holds the claims that are being withdrawn although they may not have been
 	// written.
 	withdrawals *withdrawals
+	// relays relays connections to backend servers for other entries, whose addresses
+	// backendAddresses holds.
+	relays           *relay.Server
+	backendAddresses backendAddresses
 	// callerReport reports to the controllers that callers have begun to send requests.
 	callerReport firstCallerReport
 	// demand counts the requests of each model for the leader.
@@ -187,6 +199,7 @@
 		startedAt:      time.Now(),
 	}
 	s.holders.assumeBegun(time.Now())
+	s.relays = s.newRelayServer()
 	s.dispatcher = newDispatcher(placement.Options{
 		Seed: h.Sum64(), Entry: o.ID, DataCentre: o.DataCentre, Ramp: time.Duration(o.Settings.RampMillis) * time.Millisecond,
 	})
@@ -231,6 +244,9 @@
 	}
 	s.policyRevision = 0
 	s.entryIDs = ids
+	if s.o.RelayPeers != nil {
+		s.o.RelayPeers.SetPeers(s.relayPeers(b))
+	}
 	s.holdersMu.Lock()
 	defer s.holdersMu.Unlock()
 	s.holders.assumeBegun(time.Now())
@@ -391,6 +407,7 @@
 		ConfigRevision: s.o.Follower.Board().Config.Revision, RateLimited: s.rateLimits.count(),
 		BackedOff: s.dispatcher.backoffCount(time.Now()), RequestLimits: s.dispatcher.requestLimits(),
 		SharedWaiting: sharedWaiting, Grants: grants, Suspects: len(suspects), Attributed: countAttributed(suspects),
+		RelayedServers: s.relayedServers(), OpenRelays: s.relays.Open(),
 	})
 }
 
--- a/internal/metrics/definitions.go
+++ b/internal/metrics/definitions.go
@@ -52,6 +52,11 @@
 
 	nameBackedOff        = prefix + "backed_off_servers"
 	nameDialTime         = prefix + "backend_dial_seconds"
+	nameRelayedServers   = prefix + "relayed_servers"
+	nameRelayedAttempts  = prefix + "relayed_attempts_total"
+	nameRelays           = prefix + "relays_total"
+	nameOpenRelays       = prefix + "open_relays"
+	namePathChecks       = prefix + "path_checks_total"
 	nameAttemptsCut      = prefix + "cut_attempts_total"
 	nameSuspectWrites    = prefix + "suspect_writes_total"
 	nameSuspects         = prefix + "suspect_requests"
@@ -113,6 +118,11 @@
 		{nameRateLimited, KindGauge, nil, "Backend servers that name a rate limit, as this entry knows.", nil},
 		{nameRateLimitedAttempts, KindCounter, nil, "Attempts of this entry on backend servers that name a rate limit.", nil},
 		{nameDialTime, KindHistogram, []string{"outcome"}, "Time of connecting to a backend server, by whether it connected, was refused, timed out or failed.", commitBuckets},
+		{nameRelayedServers, KindGauge, nil, "Backend servers that this entry reaches through other entries alone.", nil},
+		{nameRelayedAttempts, KindCounter, nil, "Attempts of this entry that another entry relayed.", nil},
+		{nameRelays, KindCounter, []string{"outcome"}, "Requests of other entries for a relay through this one, by how they ended.", nil},
+		{nameOpenRelays, KindGauge, nil, "Connections that this entry relays for others now.", nil},
+		{namePathChecks, KindCounter, []string{"state"}, "Checks whether a backend server can be reached, by what they found.", nil},
 		{nameAttemptsCut, KindCounter, nil, "Attempts that may have run and whose backend server closed the connection before their end.", nil},
 		{nameSuspectWrites, KindCounter, []string{"outcome"}, "Crashes and answers of suspects written to the board, by whether the leader took them.", nil},
 		{nameSuspects, KindGauge, nil, "Requests on the board that were running when a backend server crashed.", nil},
--- a/internal/metrics/entry.go
+++ b/internal/metrics/entry.go
@@ -71,6 +71,30 @@
 	e.scope.Tagged(map[string]string{"outcome": outcome}).Timer(nameDialTime).Record(took)
 }
 
+// RelayedAttempt counts an attempt that another entry relayed.
+func (e *Entry) RelayedAttempt() {
+	if e == nil {
+		return
+	}
+	e.scope.Counter(nameRelayedAttempts).Inc(1)
+}
+
+// Relay counts a request of another entry for a relay by how it ended.
+func (e *Entry) Relay(outcome string) {
+	if e == nil {
+		return
+	}
+	e.scope.Tagged(map[string]string{"outcome": outcome}).Counter(nameRelays).Inc(1)
+}
+
+// PathCheck counts a check whether a backend server can be reached by what it found.
+func (e *Entry) PathCheck(state string) {
+	if e == nil {
+		return
+	}
+	e.scope.Tagged(map[string]string{"state": state}).Counter(namePathChecks).Inc(1)
+}
+
 // AttemptCut counts an attempt that may have run and whose backend server closed the connection
 // before its end.
 func (e *Entry) AttemptCut() {
@@ -210,6 +234,9 @@
 	// Suspects counts the requests on the board that were running when a backend server crashed,
 	// Attributed those of them that are refused for it.
 	Suspects, Attributed int
+	// RelayedServers counts the backend servers that are reached through other entries, OpenRelays
+	// the connections that are relayed for others.
+	RelayedServers, OpenRelays int
 	// RequestLimits holds the limit of a serving group in requests by model.
 	RequestLimits map[string]int
 }
@@ -226,6 +253,8 @@
 	e.scope.Gauge(nameBackedOff).Update(float64(s.BackedOff))
 	e.scope.Gauge(nameSharedWaiting).Update(float64(s.SharedWaiting))
 	e.scope.Gauge(nameGrants).Update(float64(s.Grants))
+	e.scope.Gauge(nameRelayedServers).Update(float64(s.RelayedServers))
+	e.scope.Gauge(nameOpenRelays).Update(float64(s.OpenRelays))
 	e.scope.Gauge(nameSuspects).Update(float64(s.Suspects))
 	e.scope.Gauge(nameAttributed).Update(float64(s.Attributed))
 	e.scope.Gauge(nameLease).Update(max(0, s.Lease).Seconds())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,6 +25,7 @@
 	"github.com/citronstep/citronstep/internal/follow"
 	"github.com/citronstep/citronstep/internal/metrics"
 	"github.com/citronstep/citronstep/internal/raft"
+	"github.com/citronstep/citronstep/internal/relay"
 	"github.com/citronstep/citronstep/internal/replica"
 	"github.com/citronstep/citronstep/internal/settings"
 )
@@ -46,6 +47,8 @@
 	peerClient    *http.Client
 	dialer        *net.Dialer
 	backendClient *backend.HTTPClient
+	// relayDialer connects to backend servers through other entries; nil without the entry role.
+	relayDialer *relay.Dialer
 	// orderClient carries orders to engines.
 	orderClient *backend.HTTPClient
 
@@ -171,19 +174,39 @@
 		}},
 	}
 	o := backend.Options{
-		Logger: n.logger, Secret: n.tokens.backend, Dial: n.adapter.DialBackend, DialTimeout: backendDialTimeout,
+		Logger: n.logger, Secret: n.tokens.backend, Dial: n.dialBackend(), DialTimeout: backendDialTimeout,
 		HeaderTimeout: time.Duration(n.settings.Entry.HeaderTimeoutMillis) * time.Millisecond,
 	}
-	o.Logger = n.decisionLogger("entry")
-	entryMetrics := n.metrics.Entry()
-	o.OnDial = func(outcome backend.DialOutcome, took time.Duration) { entryMetrics.Dial(string(outcome), took) }
-	n.backendClient = backend.NewHTTPClient(o)
-	o.Logger, o.OnDial = n.logger, nil
-	o.IdleTimeout = orderIdleTimeout
-	n.orderClient = backend.NewHTTPClient(o)
+	orders := o
+	orders.IdleTimeout = orderIdleTimeout
+	n.orderClient = backend.NewHTTPClient(orders)
+	n.backendClient = backend.NewHTTPClient(n.entryOptions(o))
 	return nil
 }
 
+// entryOptions completes the options of the client that carries callers' requests.
+func (n *Node) entryOptions(o backend.Options) backend.Options {
+	if !n.settings.Entry.Enabled {
+		return o
+	}
+	n.relayDialer = relay.NewDialer(relay.DialerOptions{
+		Entry: n.settings.VM, DataCentre: n.settings.DataCentre, Dial: n.dialer.DialContext, Token: n.tokens.peers,
+	})
+	m := n.metrics.Entry()
+	o.Logger, o.Relay = n.decisionLogger("entry"), n.relayDialer
+	o.OnDial = func(outcome backend.DialOutcome, took time.Duration) { m.Dial(string(outcome), took) }
+	o.OnPathCheck = func(state backend.ListenState) { m.PathCheck(string(state)) }
+	return o
+}
+
+// dialBackend returns the function that connects to backend servers.
+func (n *Node) dialBackend() func(ctx context.Context, network, address string) (net.Conn, error) {
+	if n.adapter.DialBackend != nil {
+		return n.adapter.DialBackend
+	}
+	return new(net.Dialer).DialContext
+}
+
 // localAddr returns the source address of connections to peers: the IP on which this
 // process listens for peers, or nil if that is unspecified. Peers of a VM with several
 // addresses then observe the one in its settings.
@@ -256,7 +279,7 @@
 		n.entry = entry.NewServer(entry.Options{
 			ID: n.settings.VM, DataCentre: n.settings.DataCentre, Regions: n.settings.Regions, Settings: e, Follower: n.follower, Announcements: n.announcements,
 			Client: n.backendClient, Control: client, Logger: n.decisionLogger("entry"), RequestLinesPerSecond: n.settings.Log.RequestLinesPerSecond, Metrics: n.metrics.Entry(), Peers: &http.Client{Transport: n.peerClient.Transport},
-			Forwarder: n.forwarder(), Prober: n.backendClient, StallReporter: client, DemandReporter: client,
+			Forwarder: n.forwarder(), Prober: n.backendClient, DialBackend: n.dialBackend(), Paths: n.backendClient, RelayPeers: n.relayDialer, StallReporter: client, DemandReporter: client,
 		})
 	}
 	if n.replica != nil {
@@ -390,6 +413,9 @@
 			c.Close()
 		}
 	}
+	if n.entry != nil {
+		n.entry.CloseRelays()
+	}
 	if n.metrics != nil {
 		_ = n.metrics.Close()
 	}
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -16,6 +16,7 @@
 	"github.com/citronstep/citronstep/internal/control"
 	"github.com/citronstep/citronstep/internal/entry"
 	"github.com/citronstep/citronstep/internal/metrics"
+	"github.com/citronstep/citronstep/internal/relay"
 	"github.com/citronstep/citronstep/internal/replica"
 	"github.com/citronstep/citronstep/internal/rpc/noderpc"
 )
@@ -81,6 +82,7 @@
 	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
 	if n.entry != nil {
 		mux.HandleFunc(entry.PathAnswers, n.entry.ServeAnswers)
+		mux.HandleFunc(relay.Path, n.entry.ServeRelay)
 	}
 	if n.control != nil {
 		board := noderpc.NewBoardServer(n.control)
--- /dev/null
+++ b/internal/relay/server.go
@@ -0,0 +1,206 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+)
+
+const (
+	// maxRelays bounds the connections that an entry relays at a time, and so the memory and the
+	// file descriptors that its peers use here, beside its own callers.
+	maxRelays = 512
+	// serverDialTimeout bounds the dial to a backend server. Its peer gives up soon after.
+	serverDialTimeout = 200 * time.Millisecond
+	// upBuffer and downBuffer are the buffers of one relay towards the backend server and from it,
+	// in bytes.
+	upBuffer   = 4 << 10
+	downBuffer = maxPayload
+)
+
+// ServerOptions configure a Server.
+type ServerOptions struct {
+	// IsServer reports whether an address is that of a backend server.
+	IsServer func(address string) bool
+	// IsCutOff reports whether this entry reaches backend servers only through peers.
+	IsCutOff func() bool
+	// Begin counts a relay as work that a graceful stop waits for. It returns false once no new
+	// work is admitted; otherwise the returned function ends the work.
+	Begin func() (end func(), ok bool)
+	// Dial connects to a backend server.
+	Dial   func(ctx context.Context, network, address string) (net.Conn, error)
+	Logger log.Logger
+	// OnEnd receives how each request for a relay ended; nil for none.
+	OnEnd func(Outcome)
+}
+
+// Server relays connections for the other entries.
+type Server struct {
+	o ServerOptions
+
+	mu sync.Mutex
+	// open holds both ends of the open relays.
+	open map[*pair]struct{}
+}
+
+// pair is the two connections of a relay.
+type pair struct {
+	peer   *Conn
+	server net.Conn
+	// isClosed is set once the peer has closed the relay.
+	isClosed atomic.Bool
+}
+
+// NewServer returns a Server.
+func NewServer(o ServerOptions) *Server {
+	if o.OnEnd == nil {
+		o.OnEnd = func(Outcome) {}
+	}
+	return &Server{o: o, open: make(map[*pair]struct{})}
+}
+
+// Open returns the number of open relays.
+func (s *Server) Open() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.open)
+}
+
+// Close ends all relays.
+func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for p := range s.open {
+		_ = p.peer.Close()
+		_ = p.server.Close()
+	}
+}
+
+// ServeHTTP connects to the named backend server and relays the connection until either end closes
+// it.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	began := time.Now()
+	address := r.URL.Query().Get(paramServer)
+	outcome := s.serve(w, r, address)
+	s.o.OnEnd(outcome)
+	_ = level.Info(s.o.Logger).Log("event", "relay_ended", "request", r.Header.Get(headerRequest), "for", r.Header.Get(headerEntry),
+		"server", address, "outcome", outcome, "took_ms", time.Since(began).Milliseconds())
+}
+
+func (s *Server) serve(w http.ResponseWriter, r *http.Request, address string) Outcome {
+	end, ok := s.o.Begin()
+	if !ok || !s.o.IsServer(address) {
+		if ok {
+			end()
+		}
+		refuse(w, OutcomeUnknown)
+		return OutcomeUnknown
+	}
+	defer end()
+	if s.o.IsCutOff() {
+		refuse(w, OutcomeCutOff)
+		return OutcomeCutOff
+	}
+	if s.Open() >= maxRelays {
+		refuse(w, OutcomeBusy)
+		return OutcomeBusy
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), serverDialTimeout)
+	server, err := s.o.Dial(ctx, "tcp", address)
+	cancel()
+	if err != nil {
+		outcome := dialOutcome(err)
+		refuse(w, outcome)
+		return outcome
+	}
+	defer func() { _ = server.Close() }()
+	peer, err := accept(w)
+	if err != nil {
+		return OutcomeCut
+	}
+	defer func() { _ = peer.Close() }()
+	return s.relay(&pair{peer: peer, server: server})
+}
+
+// accept upgrades the connection of a request for a relay.
+func accept(w http.ResponseWriter) (*Conn, error) {
+	conn, buffered, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return nil, err
+	}
+	// The HTTP server may have set deadlines for the request.
+	if err := conn.SetDeadline(time.Time{}); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	const answer = "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: " + upgradeToken + "\r\n\r\n"
+	if _, err := io.WriteString(conn, answer); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return newConn(conn, bufio.NewReaderSize(buffered.Reader, readBuffer), ""), nil
+}
+
+// relay copies both directions until the backend server's stream or the peer's connection ends.
+func (s *Server) relay(p *pair) Outcome {
+	s.mu.Lock()
+	s.open[p] = struct{}{}
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		delete(s.open, p)
+		s.mu.Unlock()
+	}()
+	upEnded := make(chan struct{})
+	go func() {
+		defer close(upEnded)
+		copyUp(p)
+	}()
+	outcome := copyDown(p)
+	_ = p.peer.Close()
+	_ = p.server.Close()
+	<-upEnded
+	return outcome
+}
+
+// copyUp copies from the peer to the backend server. It closes the connection to the backend
+// server when the peer is gone, so that the server stops work that nobody waits for.
+func copyUp(p *pair) {
+	_, err := io.CopyBuffer(onlyWriter{p.server}, onlyReader{p.peer}, make([]byte, upBuffer))
+	if half, ok := p.server.(interface{ CloseWrite() error }); err == nil && ok {
+		_ = half.CloseWrite()
+		return
+	}
+	p.isClosed.Store(true)
+	_ = p.server.Close()
+}
+
+// copyDown copies from the backend server to the peer. It ends the peer's stream only if the
+// backend server has ended its own.
+func copyDown(p *pair) Outcome {
+	_, err := io.CopyBuffer(onlyWriter{p.peer}, onlyReader{p.server}, make([]byte, downBuffer))
+	switch {
+	case p.isClosed.Load():
+		return OutcomeClosed
+	case err != nil:
+		return OutcomeCut
+	case p.peer.CloseWrite() != nil:
+		return OutcomeClosed
+	}
+	return OutcomeComplete
+}
+
+// onlyReader and onlyWriter hide the methods with which io.CopyBuffer would allocate buffers of
+// its own.
+type (
+	onlyReader struct{ io.Reader }
+	onlyWriter struct{ io.Writer }
+)
