A server that another entry reaches has not crashed

What callers saw: in the same cut three entries wrote 69 reports of crashes that had not happened and closed each of their targets for 10 s, so that callers would have been refused after the links were back. Cause: the class of the incident, what one entry sees taken for the state of the server: a refused connection of this entry alone was the verdict "crashed".

--- a/internal/entry/crash_check.go
+++ b/internal/entry/crash_check.go
@@ -35,6 +35,7 @@
 	verdictCrashed crashVerdict = "crashed"
 	verdictAlive   crashVerdict = "alive"
 	verdictPlanned crashVerdict = "planned_stop"
+	verdictCutOff  crashVerdict = "cut_off"
 	verdictUnknown crashVerdict = "unknown"
 )
 
@@ -55,13 +56,17 @@
 
 // verdict tells a crash from a planned stop and from a server that broke off one answer.
 //
-// A host whose address refuses connections runs and has no such process, so a cut link is no
-// crash. Silence counts as a crash only for an entry that would hear the server.
+// A host whose address refuses the connections of this entry and of its peers runs and has no such
+// process. A server that peers reach lives, and this entry's link to it is down. Silence counts as a crash only for an entry that would hear the server.
 func (e crashEvidence) verdict() crashVerdict {
 	switch {
 	case e.isLeaving:
 		return verdictPlanned
-	case e.isReplaced, e.listener == backend.NotListening:
+	case e.isReplaced:
+		return verdictCrashed
+	case e.listener == backend.ListeningToPeers:
+		return verdictCutOff
+	case e.listener == backend.NotListening:
 		return verdictCrashed
 	case e.isAnnounced, !e.hearsAnnouncements && e.listener == backend.Listening:
 		return verdictAlive
--- a/internal/entry/crashes_test.go
+++ b/internal/entry/crashes_test.go
@@ -83,6 +83,9 @@
 	}{
 		"no process listens":            {crashEvidence{listener: backend.NotListening}, verdictCrashed},
 		"a new incarnation":             {crashEvidence{isReplaced: true, listener: backend.Listening}, verdictCrashed},
+		"peers reach it":                {crashEvidence{listener: backend.ListeningToPeers}, verdictCutOff},
+		"peers reach the next life":     {crashEvidence{isReplaced: true, listener: backend.ListeningToPeers}, verdictCrashed},
+		"cut off, would hear it":        {crashEvidence{listener: backend.ListeningToPeers, hearsAnnouncements: true, isOver: true}, verdictCutOff},
 		"a planned stop":                {crashEvidence{isLeaving: true, listener: backend.NotListening}, verdictPlanned},
 		"one answer was broken off":     {crashEvidence{listener: backend.Listening}, verdictAlive},
 		"announced since":               {crashEvidence{isAnnounced: true, hearsAnnouncements: true}, verdictAlive},
