A silent link of one entry is not held against a group

Three entries of two data centres that lose their links at one moment are the witnesses that the leader asks for, and it would break sound groups; each would send nothing to any group for 3 s. Before a silence is held against a group, the entry now checks its link to the head: if a peer reaches it and this entry does not, its attempts end and are made again through the peer, and the group is neither reported nor suspended.

--- a/internal/entry/group_progress.go
+++ b/internal/entry/group_progress.go
@@ -69,6 +69,9 @@
 	last time.Time
 	// reportsSent is how many report times the current silence has passed.
 	reportsSent int
+	// link is the check of this entry's own link to the group's head during the current silence;
+	// nil if none has begun.
+	link *linkCheck
 	// suspendedUntil is set once this entry considered the group stalled.
 	suspendedUntil time.Time
 }
@@ -100,6 +103,7 @@
 	}
 	p.last = now
 	p.reportsSent = 0
+	p.link = nil
 }
 
 // ended records the end of a stream that had begun.
@@ -199,6 +203,14 @@
 		if silence <= p.silenceLimit {
 			continue
 		}
+		switch s.linkDuringSilence(now, k, p) {
+		case linkUnchecked:
+			continue
+		case linkDown:
+			s.endAttemptsOnLink(k, p, silence)
+			continue
+		case linkUp:
+		}
 		if p.isReportDue(silence) {
 			silent = append(silent, &noderpc.SuspectGroup{Group: k.group, Epoch: k.epoch, SilentMs: silence.Milliseconds()})
 		}
