--- a/internal/backend/path_check.go
+++ b/internal/backend/path_check.go
@@ -33,6 +33,10 @@
 	// peerProbeDelay is how long the direct way may take before peers are asked: ten times a round
 	// trip between data centres.
 	peerProbeDelay = 50 * time.Millisecond
+	// directProbeGrace is how much longer than a peer this process may take to connect. Both begin
+	// at the same time, so that a server that was silent for a moment is not taken for cut off, and
+	// neither is one whose answer to the first probe was lost.
+	directProbeGrace = 20 * time.Millisecond
 )
 
 // errPathLost is the cause of a call that ended because its connection hangs: the direct way to its
@@ -61,29 +65,46 @@
 func (c *HTTPClient) probe(ctx context.Context, address string) (state ListenState, hangs bool) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	direct := make(chan ListenState, 1)
-	go func() { direct <- c.probeDirect(ctx, address) }()
+	direct := c.startProbe(ctx, address)
 	if c.options.Relay == nil {
 		state = <-direct
 		return state, state == ListenUnknown
 	}
-	own := ListenUnknown
-	delay := time.NewTimer(peerProbeDelay)
-	defer delay.Stop()
-	select {
-	case own = <-direct:
-		if own == Listening {
-			return own, false
-		}
-	case <-delay.C:
+	own := awaitProbe(direct, peerProbeDelay)
+	if own == Listening {
+		return own, false
+	}
+	again := c.startProbe(ctx, address)
+	byPeer := c.probeByPeer(ctx, address, own)
+	if byPeer == Listening && awaitProbe(again, directProbeGrace) == Listening {
+		return Listening, false
 	}
-	state = combineProbes(own, c.probeByPeer(ctx, address, own))
+	state = combineProbes(own, byPeer)
 	if state == ListeningToPeers {
-		c.recordRelayed(address, "a probe found it "+string(own))
+		c.recordRelayed(address, "a probe found it "+string(own), true)
 	}
 	return state, own == ListenUnknown
 }
 
+// startProbe connects to address from this process and sends the result to the returned channel.
+func (c *HTTPClient) startProbe(ctx context.Context, address string) <-chan ListenState {
+	result := make(chan ListenState, 1)
+	go func() { result <- c.probeDirect(ctx, address) }()
+	return result
+}
+
+// awaitProbe returns the result of a probe, or ListenUnknown if there is none in time.
+func awaitProbe(result <-chan ListenState, limit time.Duration) ListenState {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case state := <-result:
+		return state
+	case <-timer.C:
+		return ListenUnknown
+	}
+}
+
 // combineProbes returns what a failed probe of this process and one of its peers show together. A
 // refused connection proves that no process listens only if no peer says otherwise.
 func combineProbes(own, byPeer ListenState) ListenState {
--- a/internal/backend/relayed.go
+++ b/internal/backend/relayed.go
@@ -63,7 +63,7 @@
 	x, secondErr := c.sendOn(ctx, second, r, headerTimeout)
 	if !failedToConnect(ctx, secondErr) {
 		if second == c.transports.relayed {
-			c.recordRelayed(r.address, causeText(err))
+			c.recordRelayed(r.address, causeText(err), dialOutcome(err) == DialRefused)
 		}
 		return x, secondErr
 	}
@@ -74,9 +74,10 @@
 }
 
 // recordRelayed records that a server was reached through a peer after the direct way had failed,
-// and retires the connections that were made directly: they may carry nothing any more.
-func (c *HTTPClient) recordRelayed(address, cause string) {
-	if c.transports.paths.connectedByPeer(time.Now(), address, cause) {
+// and retires the connections that were made directly: they may carry nothing any more. isProven is
+// set if a lost packet can't explain the failure.
+func (c *HTTPClient) recordRelayed(address, cause string, isProven bool) {
+	if c.transports.paths.connectedByPeer(time.Now(), address, cause, isProven) {
 		c.transports.retire(address)
 	}
 }
--- a/internal/backend/server_paths.go
+++ b/internal/backend/server_paths.go
@@ -18,6 +18,9 @@
 	checksToRestore    = 2
 	maxChecksToRestore = 16
 	flapWindow         = 30 * time.Second
+	// timeoutsToRelay is how many dials in a row must time out, while a peer connects, before the
+	// direct way counts as down.
+	timeoutsToRelay = 2
 	// pathRetention is how long the path to a backend server is remembered after its last use.
 	pathRetention = time.Minute
 	// unreachableTime is how long calls fail at once after neither this process nor its peers
@@ -39,6 +42,8 @@
 	// needed is how many checks must succeed; restoredAt is when they last did.
 	needed     int
 	restoredAt time.Time
+	// timeouts counts the dials in a row that timed out while a peer connected.
+	timeouts int
 	// unreachableUntil is set after nobody reached the server.
 	unreachableUntil time.Time
 }
@@ -127,12 +132,14 @@
 	p.lastConnected = now
 	if to := p.byAddress[address]; to != nil {
 		to.unreachableUntil = time.Time{}
+		to.timeouts = 0
 	}
 }
 
 // connectedByPeer records that a peer reached a backend server that this process failed to reach.
-// It reports whether that is new.
-func (p *paths) connectedByPeer(now time.Time, address, cause string) bool {
+// It reports whether the server is reached through peers from now on: at once if isProven is set, and
+// otherwise after the second time, since a lost packet alone makes one dial time out.
+func (p *paths) connectedByPeer(now time.Time, address, cause string, isProven bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	to := p.byAddress[address]
@@ -140,7 +147,8 @@
 		to = p.add(now, address)
 	}
 	to.unreachableUntil = time.Time{}
-	if !to.relayedSince.IsZero() {
+	to.timeouts++
+	if !to.relayedSince.IsZero() || (!isProven && to.timeouts < timeoutsToRelay) {
 		return false
 	}
 	p.lastCut = now
--- a/internal/entry/link_check.go
+++ b/internal/entry/link_check.go
@@ -13,7 +13,7 @@
 // linkCheckWait is how long a silence is not held against a group while this entry's own link to
 // it is checked: longer than the check takes if a peer reaches the group's head. A report that is
 // later by this much is still far earlier than the leader's own observation.
-const linkCheckWait = 80 * time.Millisecond
+const linkCheckWait = 100 * time.Millisecond
 
 // errLinkLost is the cause of an attempt that ends because this entry's link to a group is down.
 const errLinkLost = errors.ConstError("the link to the group is down")
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -7,6 +7,10 @@
 
 // cause returns a sentence that states why the request ended as it did.
 func cause(own, all []Line) string {
+	own = withoutRelays(own)
+	if len(own) == 0 {
+		return "These logs show only that its connection was relayed: the log of the entry that took it is missing."
+	}
 	last := own[len(own)-1]
 	switch {
 	case last.Event == "refuse" && last.Fields["type"] == "request_crashes_backend":
@@ -55,7 +59,7 @@
 // refused explains a refusal of a request that was taken.
 func refused(refusal Line, own, all []Line) string {
 	if failed, ok := lastLine(own, "attempt_ended"); ok {
-		text := "It failed after an attempt that " + describeAttempt(failed, all)
+		text := "It failed after an attempt that " + describeAttempt(failed, all) + describeRelay(own)
 		if refusal.Fields["type"] == "outcome_unknown" {
 			return text + ". It may run once only and had been sent, so it was not sent again: whether it ran is not known."
 		}
@@ -73,7 +77,7 @@
 
 // answered explains an answer that took several attempts or too long.
 func answered(answer Line, own, all []Line) string {
-	text := fmt.Sprintf("It was answered after %s ms", answer.Fields["first_ms"])
+	text := fmt.Sprintf("It was answered after %s ms", answer.Fields["first_ms"]) + describeRelay(own)
 	if failed, ok := lastLine(own, "attempt_ended"); ok {
 		return text + ", in attempt " + answer.Fields["attempts"] + ", after one that " + describeAttempt(failed, all) + "."
 	}
@@ -101,6 +105,27 @@
 	return text
 }
 
+// describeRelay returns which entry relayed the last attempt, if one did.
+func describeRelay(own []Line) string {
+	relayed, ok := lastLine(own, "relayed")
+	if !ok {
+		return ""
+	}
+	return ", relayed by " + relayed.Fields["peer"] + ", as " + relayed.VM + " did not reach " + relayed.Fields["server"] + " itself"
+}
+
+// withoutRelays leaves out the lines of the entries that relayed a connection. They end after the
+// entry that took the request has answered it.
+func withoutRelays(lines []Line) []Line {
+	var own []Line
+	for _, line := range lines {
+		if line.Event != "relay_ended" {
+			own = append(own, line)
+		}
+	}
+	return own
+}
+
 // lastLine returns the last line of an event, if there is one.
 func lastLine(lines []Line, event string) (Line, bool) {
 	for i := len(lines) - 1; i >= 0; i-- {
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -124,9 +124,12 @@
 
 // related returns the lines about the dependencies of the request within the window.
 func (l *Logs) related(own []Line, w window) []Line {
-	groups, vms := make(map[string]bool), make(map[string]bool)
+	groups, vms, servers := make(map[string]bool), make(map[string]bool), make(map[string]bool)
 	for _, line := range own {
 		vms[line.VM] = true
+		if line.Event == "relayed" {
+			servers[line.Fields["server"]] = true
+		}
 		for _, field := range []string{"choice", "target"} {
 			if name := line.Fields[field]; name != "" {
 				groups[name] = true
@@ -135,7 +138,7 @@
 	}
 	var found []Line
 	for _, line := range l.lines {
-		if line.Fields["request"] == "" && w.contains(line.At) && isRelated(line, groups, vms) {
+		if line.Fields["request"] == "" && w.contains(line.At) && isRelated(line, groups, vms, servers) {
 			found = append(found, line)
 		}
 	}
@@ -161,10 +164,12 @@
 }
 
 // isRelated reports whether a line is about one of the groups, about an entry that handled the
-// request, or about a change of leader.
-func isRelated(line Line, groups, vms map[string]bool) bool {
+// request and its way to one of the servers, or about a change of leader.
+func isRelated(line Line, groups, vms, servers map[string]bool) bool {
 	switch line.Event {
-	case "group_stalled", "group_suspected":
+	case "server_relayed", "server_direct":
+		return vms[line.VM] && servers[line.Fields["server"]]
+	case "group_stalled", "group_suspected", "group_link_down":
 		return groups[line.Fields["group"]]
 	case "decision":
 		return groups[line.Fields["subject"]]
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -54,6 +54,32 @@
 	assert.Assert(t, is.Contains(story.Cause, `m-8, a group that core-1 took out of service at 01:29:39.060 because no entry gets answers`))
 }
 
+// A request reached an entry without links to backend servers. Given the logs of both entries, the
+// explanation must contain the lost way and the relay, and name both entries.
+func TestExplainRelayedRequest(t *testing.T) {
+	const entry = `
+ts=2026-03-13T01:29:38.000Z vm=front-1 event=server_relayed server=10.0.0.1:80 cause="connection refused" relayed_servers=1
+ts=2026-03-13T01:29:38.050Z vm=front-1 event=server_relayed server=10.0.0.9:80 cause="connection refused" relayed_servers=2
+ts=2026-03-13T01:29:38.100Z vm=front-1 event=route request=abc.1 attempt=abc.1.1 choice=m-8 queued_ms=0
+ts=2026-03-13T01:29:38.110Z vm=front-1 event=relayed request=abc.1 attempt=abc.1.1 target=m-8 server=10.0.0.1:80 peer=front-2
+ts=2026-03-13T01:29:39.500Z vm=front-1 event=answer request=abc.1 attempts=1 queued_ms=0 first_ms=90 took_ms=1400 late=false
+`
+	const peer = `
+ts=2026-03-13T01:29:39.510Z vm=front-2 event=relay_ended request=abc for=front-1 server=10.0.0.1:80 outcome=complete took_ms=1390
+`
+	story, err := logs(t, entry, peer).Explain("abc", time.Second)
+	assert.NilError(t, err)
+	var events []string
+	for _, line := range story.Lines {
+		events = append(events, line.Event)
+	}
+	assert.DeepEqual(t, events, []string{"server_relayed", "route", "relayed", "answer", "relay_ended"})
+	assert.Assert(t, is.Contains(story.Cause, "answered after 90 ms, relayed by front-2, as front-1 did not reach 10.0.0.1:80 itself"))
+	story, err = logs(t, peer).Explain("abc", time.Second)
+	assert.NilError(t, err)
+	assert.Assert(t, is.Contains(story.Cause, "the log of the entry that took it is missing"))
+}
+
 func TestRefusalCauses(t *testing.T) {
 	line := func(rest string) string { return "ts=2026-03-13T01:29:38.1Z vm=front-1 " + rest + "\n" }
 	ended := line(`event=attempt_ended request=abc.1 target=10.0.0.1:80 outcome=broken err="backend_failed: read: connection reset by peer"`)
