test: daemons under test can lose their links to backend servers; the soak does it

The daemon built for tests (tag citronstep_test_links) dials through test/serverlinks and follows a file that says how its links fail: reset, hang, or refuse new ones. The product's build has none of it. The soak cuts entries off among its other faults.

--- a/cmd/citronstepd/main.go
+++ b/cmd/citronstepd/main.go
@@ -7,6 +7,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"net"
 	"os"
 	"os/signal"
 	"syscall"
@@ -133,12 +134,17 @@
 	return p, nil
 }
 
-// adapterOf returns the adapter that the settings name, or a zero Adapter for none.
+// dialBackend connects to backend servers; nil for net.Dialer. Only builds for tests set it.
+var dialBackend func(ctx context.Context, network, address string) (net.Conn, error)
+
+// adapterOf returns the adapter that the settings name, or an empty one for none.
 func adapterOf(s *settings.Settings) node.Adapter {
+	a := node.Adapter{}
 	if s.Adapter.Kind == platform.Kind {
-		return platform.Adapter()
+		a = platform.Adapter()
 	}
-	return node.Adapter{}
+	a.DialBackend = dialBackend
+	return a
 }
 
 // runNode serves until a signal and returns the exit code. The first SIGTERM or
--- a/test/process/harness/build.go
+++ b/test/process/harness/build.go
@@ -23,6 +23,9 @@
 	"citronstep-standin": modulePath + "/test/standin/cmd/citronstep-standin",
 }
 
+// buildTag adds the means to cut a daemon's links to backend servers.
+const buildTag = "citronstep_test_links"
+
 var raceBuild = flag.Bool("process-race", false, "build the processes under test with the race detector")
 
 // builder holds the folder of built programs and the path of each program built so far.
@@ -84,7 +87,7 @@
 		builder.folder = folder
 	}
 	path := filepath.Join(builder.folder, name)
-	arguments := []string{"build", "-o", path}
+	arguments := []string{"build", "-tags", buildTag, "-o", path}
 	if *raceBuild {
 		arguments = append(arguments, "-race")
 	}
--- a/test/process/harness/process.go
+++ b/test/process/harness/process.go
@@ -10,6 +10,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/citronstep/citronstep/test/serverlinks"
 )
 
 const (
@@ -64,7 +66,7 @@
 		command.Stdout = p.newUnreadPipe()
 	}
 	command.Stderr = log
-	command.Env = append(os.Environ(), "CITRONSTEP_INVARIANTS_FATAL=1")
+	command.Env = append(os.Environ(), "CITRONSTEP_INVARIANTS_FATAL=1", serverlinks.Variable+"="+p.serverLinksFile())
 	command.SysProcAttr = killedWithParent()
 	if err := command.Start(); err != nil {
 		_ = log.Close()
@@ -77,6 +79,20 @@
 	go p.reap(command, log, done)
 }
 
+func (p *Process) serverLinksFile() string { return p.logPath + ".server-links" }
+
+// CutServers makes the links of a daemon to all backend servers fail in the named way, see
+// serverlinks.Names.
+func (p *Process) CutServers(how string) {
+	p.t.Helper()
+	if err := os.WriteFile(p.serverLinksFile(), []byte(how), 0o600); err != nil {
+		p.t.Fatalf("links of %s: %v", p.Name, err)
+	}
+}
+
+// HealServers ends a fault of CutServers.
+func (p *Process) HealServers() { _ = os.Remove(p.serverLinksFile()) }
+
 // StopReading attaches standard output, from the next start on, to a pipe that nobody reads. The
 // log then receives standard error only.
 func (p *Process) StopReading() { p.stdoutUnread = true }
--- a/test/workload/faults.go
+++ b/test/workload/faults.go
@@ -11,6 +11,7 @@
 	"github.com/citronstep/citronstep/internal/blackboard"
 	"github.com/citronstep/citronstep/internal/standin"
 	"github.com/citronstep/citronstep/test/process/harness"
+	"github.com/citronstep/citronstep/test/serverlinks"
 )
 
 const (
@@ -111,6 +112,8 @@
 	{"cut of a node", func(ctx context.Context, f *faultInjector) { f.cut(ctx, f.node().Peers) }},
 	{"delay of an engine", func(ctx context.Context, f *faultInjector) { f.delay(ctx, f.engine().Link) }},
 	{"delay of a node", func(ctx context.Context, f *faultInjector) { f.delay(ctx, f.node().Peers) }},
+	{"entry cut off from backend servers", cutServers},
+	{"entry cut off from backend servers", cutServers},
 	{"reload of a node", func(_ context.Context, f *faultInjector) { f.node().Reload() }},
 	{"restart of nodes in turn", restartInTurn},
 	{"change of a preset", changePreset},
@@ -122,6 +125,15 @@
 	{"leaving engine", leave},
 }
 
+// cutServers cuts an entry off from all backend servers in one of several ways.
+func cutServers(ctx context.Context, f *faultInjector) {
+	n := f.node()
+	ways := serverlinks.Names()
+	n.CutServers(ways[f.random.IntN(len(ways))])
+	defer n.HealServers()
+	wait(ctx, time.Duration(f.random.Int64N(int64(maxFaultDuration))))
+}
+
 func (f *faultInjector) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		wait(ctx, time.Duration(f.random.Int64N(int64(maxFaultPause))))
