Requests that no entry can serve are refused at once; idle entries don't take their links for down

What callers saw: with the links of all entries down and silent, requests waited 2.0 s for a target that had failed a moment ago, and one plain call of four its whole 2 s, before a true 503. Cause: placement avoids targets that failed for up to 2 s, and the queue holds requests meanwhile, though no entry reached any of them. Now a request is refused on arrival while the last try of each of its targets, by this entry and its peers, failed; targets are tried again every 300 ms while requests come. TestRequestIsRefusedAtOnceIfNoEntryReachesItsTargets.

--- a/internal/backend/relayed.go
+++ b/internal/backend/relayed.go
@@ -106,8 +106,27 @@
 	c.transports.paths.checked(time.Now(), address, err == nil)
 }
 
+// IsUnreachable reports whether neither this process nor its peers reached a backend server at the
+// last try. It has the server tried again from time to time.
+func (c *HTTPClient) IsUnreachable(address string) bool {
+	if time.Since(c.transports.paths.lastUnreachable.get()) > pathRetention {
+		return false
+	}
+	unreachable, tryAgain := c.transports.paths.isUnreachable(time.Now(), address)
+	if tryAgain {
+		go c.probeUnreachable(address)
+	}
+	return unreachable
+}
+
+func (c *HTTPClient) probeUnreachable(address string) {
+	if state, _ := c.probe(context.Background(), address); state != Listening && state != ListeningToPeers {
+		c.transports.paths.unreachable(time.Now(), address)
+	}
+}
+
 // IsCutOff reports whether this process reaches backend servers only through its peers.
-func (c *HTTPClient) IsCutOff() bool { return c.transports.paths.isCutOff() }
+func (c *HTTPClient) IsCutOff() bool { return c.transports.paths.isCutOff(time.Now()) }
 
 // RelayedServers returns how many backend servers this process reaches through its peers alone.
 func (c *HTTPClient) RelayedServers() int { return c.transports.paths.relayedCount() }
--- a/internal/backend/relayed_test.go
+++ b/internal/backend/relayed_test.go
@@ -172,6 +172,14 @@
 	}
 	assert.Equal(t, l.direct.Load(), int64(1))
 	assert.Equal(t, l.relayed.Load(), int64(1))
+	assert.Assert(t, c.IsUnreachable(gone))
+
+	again, err := net.Listen("tcp", gone)
+	assert.NilError(t, err)
+	defer func() { _ = again.Close() }()
+	for c.IsUnreachable(gone) {
+		time.Sleep(time.Millisecond)
+	}
 }
 
 // Guards against calls that wait for their deadline on an open connection that has gone silent with
--- a/internal/backend/server_paths.go
+++ b/internal/backend/server_paths.go
@@ -29,6 +29,8 @@
 	// cutOffServers is how many backend servers must be reachable through peers alone before this
 	// process takes its own links for the cause.
 	cutOffServers = 2
+	// cutOffSilence is how long it must have heard of no server by then: longer than streams pause.
+	cutOffSilence = time.Second
 )
 
 // path is how this process reaches one backend server. The zero value is the direct way.
@@ -44,7 +46,8 @@
 	restoredAt time.Time
 	// timeouts counts the dials in a row that timed out while a peer connected.
 	timeouts int
-	// unreachableUntil is set after nobody reached the server.
+	// unreachableUntil is set after nobody reached the server, until somebody does. It is when the
+	// next try is due.
 	unreachableUntil time.Time
 }
 
@@ -55,13 +58,15 @@
 	logger log.Logger
 	// heard is when bytes last arrived on any direct connection.
 	heard lastTime
+	// lastUnreachable is when a backend server was last found that nobody reached.
+	lastUnreachable lastTime
 
 	mu        sync.Mutex
 	byAddress map[string]*path
-	// relayed is how many servers are reached through peers. lastConnected is when any server was
-	// last connected directly, and lastCut when one was last found out of reach.
-	relayed                int
-	lastConnected, lastCut time.Time
+	// relayed is how many servers are reached through peers, and firstCut when the first of them was
+	// found out of reach. lastConnected is when any server was last connected directly.
+	relayed                 int
+	firstCut, lastConnected time.Time
 }
 
 func newPaths(logger log.Logger) *paths {
@@ -84,11 +89,13 @@
 	defer p.mu.Unlock()
 	to := p.byAddress[address]
 	if to == nil {
-		if !p.isCutOffLocked() {
+		if !p.isCutOffLocked(now) {
 			return wayDirect, false
 		}
 		to = p.add(now, address)
 		p.relay(now, address, to, "no backend server is reached directly")
+		// Nothing has shown that this server can't be reached, so it is checked at once.
+		to.checkAt, to.needed = now, 1
 	}
 	to.lastUsed = now
 	switch {
@@ -151,7 +158,6 @@
 	if !to.relayedSince.IsZero() || (!isProven && to.timeouts < timeoutsToRelay) {
 		return false
 	}
-	p.lastCut = now
 	p.relay(now, address, to, cause)
 	return true
 }
@@ -164,6 +170,9 @@
 	}
 	to.relayedSince, to.successes = now, 0
 	to.checkAt = now.Add(pathCheckInterval)
+	if p.relayed == 0 {
+		p.firstCut = now
+	}
 	p.relayed++
 	_ = level.Info(p.logger).Log("event", "server_relayed", "server", address, "cause", cause, "relayed_servers", p.relayed,
 		"last_direct_ms", sinceMillis(now, p.lastDirect()))
@@ -215,17 +224,36 @@
 		to = p.add(now, address)
 	}
 	to.unreachableUntil = now.Add(unreachableTime)
+	p.lastUnreachable.set(now)
+}
+
+// isUnreachable reports whether nobody reached a backend server at the last try, and whether the
+// caller is to try again.
+func (p *paths) isUnreachable(now time.Time, address string) (unreachable, tryAgain bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	to := p.byAddress[address]
+	if to == nil || to.unreachableUntil.IsZero() {
+		return false, false
+	}
+	to.lastUsed = now
+	if now.Before(to.unreachableUntil) {
+		return true, false
+	}
+	to.unreachableUntil = now.Add(unreachableTime)
+	return true, true
 }
 
 // isCutOff reports whether this process reaches backend servers only through peers.
-func (p *paths) isCutOff() bool {
+func (p *paths) isCutOff(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.isCutOffLocked()
+	return p.isCutOffLocked(now)
 }
 
-func (p *paths) isCutOffLocked() bool {
-	return p.relayed >= cutOffServers && p.lastDirect().Before(p.lastCut)
+func (p *paths) isCutOffLocked(now time.Time) bool {
+	since := now.Add(-cutOffSilence)
+	return p.relayed >= cutOffServers && p.firstCut.Before(since) && p.lastDirect().Before(since)
 }
 
 // lastDirect returns when any backend server was last reached directly. The caller holds the lock.
--- a/internal/backend/server_paths_test.go
+++ b/internal/backend/server_paths_test.go
@@ -84,14 +84,16 @@
 	p.connected(now, firstServer)
 	now = now.Add(time.Second)
 	p.connectedByPeer(now, firstServer, "refused", true)
-	assert.Assert(t, !p.isCutOff(), "one server")
+	p.heard.set(now.Add(cutOffSilence / 2))
+	now = now.Add(2 * cutOffSilence)
+	assert.Assert(t, !p.isCutOff(now), "one server")
 	p.connectedByPeer(now, secondServer, "refused", true)
-	assert.Assert(t, p.isCutOff())
+	assert.Assert(t, p.isCutOff(now))
 	assert.Equal(t, p.wayTo(now, thirdServer), wayRelayed)
 	assert.Equal(t, p.relayedCount(), 3)
 
 	p.heard.set(now.Add(time.Millisecond))
-	assert.Assert(t, !p.isCutOff(), "an open connection carries data")
+	assert.Assert(t, !p.isCutOff(now), "an open connection carries data")
 	assert.Equal(t, p.wayTo(now, "10.0.0.4:80"), wayDirect)
 }
 
--- a/internal/entry/relays.go
+++ b/internal/entry/relays.go
@@ -3,8 +3,10 @@
 import (
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/failure"
 	"github.com/citronstep/citronstep/internal/relay"
 )
 
@@ -12,6 +14,8 @@
 type ServerPaths interface {
 	// IsCutOff reports whether the entry reaches backend servers only through other entries.
 	IsCutOff() bool
+	// IsUnreachable reports whether no entry reached a backend server at the last try.
+	IsUnreachable(address string) bool
 	// RelayedServers returns how many backend servers it reaches through other entries alone.
 	RelayedServers() int
 }
@@ -104,3 +108,36 @@
 	}
 	return a.addresses[address]
 }
+
+// unreachableRetryAfter is longer than a backend server that nobody reached takes to be tried again.
+const unreachableRetryAfter = time.Second
+
+// refuseUnreachable refuses a job if no entry reaches any of its targets.
+//
+// Failure: all targets have failed a moment ago and are avoided. Requests wait for one that is tried
+// again, some until their deadlines, although nothing can serve them.
+func (s *Server) refuseUnreachable(j *job) *failure.Error {
+	if s.o.Paths == nil || !s.dispatcher.areAllUnreachable(j, s.o.Paths.IsUnreachable) {
+		return nil
+	}
+	spread := time.Duration(hashFraction(j.id) * float64(unreachableRetryAfter))
+	return failure.New(failure.TypeNoBackendServer, "no entry reaches a backend server for this request").
+		WithRan(failure.RanNo).WithRetryAfter(unreachableRetryAfter + spread)
+}
+
+// areAllUnreachable reports whether the job has targets and all of them are unreachable.
+func (d *dispatcher) areAllUnreachable(j *job, isUnreachable func(address string) bool) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	found := false
+	for _, r := range d.routes {
+		if r.pool != j.model || !allowsRegion(j.homes, r.region) {
+			continue
+		}
+		if !isUnreachable(r.address) {
+			return false
+		}
+		found = true
+	}
+	return found
+}
--- a/internal/entry/relays_test.go
+++ b/internal/entry/relays_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/citronstep/citronstep/internal/backend"
 	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/failure"
 	"github.com/citronstep/citronstep/internal/relay"
 )
 
@@ -43,3 +44,35 @@
 	end()
 	assert.Assert(t, <-stopped)
 }
+
+// fixedPaths reaches all servers but those in unreachable.
+type fixedPaths struct{ unreachable map[string]bool }
+
+func (fixedPaths) IsCutOff() bool                      { return false }
+func (fixedPaths) RelayedServers() int                 { return 0 }
+func (p fixedPaths) IsUnreachable(address string) bool { return p.unreachable[address] }
+
+// Guards against requests that wait although no entry reaches any of their targets, and against
+// requests that are refused while one is reached.
+func TestRequestIsRefusedAtOnceIfNoEntryReachesItsTargets(t *testing.T) {
+	s, _, _ := crashServer(backend.Listening)
+	s.updateRoutes()
+	paths := fixedPaths{make(map[string]bool)}
+	s.o.Paths = paths
+	j := &job{id: "a", model: s.dispatcher.routes["wide-0"].pool}
+	assert.Assert(t, s.refuseUnreachable(j) == nil)
+	last := ""
+	for _, r := range s.dispatcher.routes {
+		if r.pool == j.model {
+			last = r.address
+			paths.unreachable[last] = true
+		}
+	}
+	e := s.refuseUnreachable(j)
+	assert.Assert(t, e != nil)
+	assert.Equal(t, e.Ran, failure.RanNo)
+	assert.Assert(t, e.RetryAfter >= unreachableRetryAfter)
+	delete(paths.unreachable, last)
+	assert.Assert(t, s.refuseUnreachable(j) == nil)
+	assert.Assert(t, s.refuseUnreachable(&job{id: "b", model: "absent"}) == nil, "a pool without targets waits for a failover")
+}
--- a/internal/entry/shared_queue.go
+++ b/internal/entry/shared_queue.go
@@ -142,6 +142,9 @@
 // admit waits until the job may run: in the shared queue while its model is short of room,
 // otherwise, or if no coordinator answers, in this entry's own queue.
 func (s *Server) admit(j *job) (grant, *failure.Error) {
+	if e := s.refuseUnreachable(j); e != nil {
+		return grant{}, e
+	}
 	for s.usesSharedQueue(time.Now(), j) {
 		reply, part, home, cause := s.acquire(j)
 		if cause != "" {
