--- a/internal/backend/path_check.go
+++ b/internal/backend/path_check.go
@@ -30,7 +30,7 @@
 	// probeTimeout is the time limit of a probe: a few round trips between data centres, and one
 	// lost packet.
 	probeTimeout = 400 * time.Millisecond
-	// peerProbeDelay is how long the direct way may take before peers are asked: ten times a round
+	// peerProbeDelay is how long the direct path may take before peers are asked: ten times a round
 	// trip between data centres.
 	peerProbeDelay = 50 * time.Millisecond
 	// directProbeGrace is how much longer than a peer this process may take to connect. Both begin
@@ -39,9 +39,9 @@
 	directProbeGrace = 20 * time.Millisecond
 )
 
-// errPathLost is the cause of a call that ended because its connection hangs: the direct way to its
+// errPathLost is the cause of a call that ended because its connection hangs: the direct path to its
 // backend server is down, and a peer reaches the server.
-const errPathLost = errors.ConstError("the direct way to the backend server is down")
+const errPathLost = errors.ConstError("the direct path to the backend server is down")
 
 // ListenProber finds out whether a process listens at an address.
 type ListenProber interface {
--- a/internal/backend/relayed.go
+++ b/internal/backend/relayed.go
@@ -34,28 +34,28 @@
 	return &sealedConn{Conn: conn}, nil
 }
 
-// send makes one request: directly or, while the direct way is down, through a peer. A request goes
-// a second way only if no byte of it was sent the first way.
+// send makes one request: directly or, while the direct path is down, through a peer. A request goes
+// a second path only if no byte of it was sent on the first.
 func (c *HTTPClient) send(ctx context.Context, r outgoingRequest, headerTimeout time.Duration) (*httpExchange, error) {
 	if c.options.Relay == nil {
 		return c.sendOn(ctx, c.transportFor(r), r, headerTimeout)
 	}
-	w, check := c.transports.paths.choose(time.Now(), r.address)
+	kind, check := c.transports.paths.choose(time.Now(), r.address)
 	if check {
 		go c.checkDirect(r.address)
 	}
-	switch w {
-	case wayNone:
+	switch kind {
+	case pathNone:
 		return nil, &CallError{Address: r.address, Stage: StageNotSent, Connection: NoConnection, Cause: errors.Trace(ErrNotReached)}
-	case wayRelayed:
-		return c.sendSecondWay(ctx, c.transports.relayed, c.transportFor(r), r, headerTimeout)
+	case pathRelayed:
+		return c.sendWithFallback(ctx, c.transports.relayed, c.transportFor(r), r, headerTimeout)
 	}
-	return c.sendSecondWay(ctx, c.transportFor(r), c.transports.relayed, r, headerTimeout)
+	return c.sendWithFallback(ctx, c.transportFor(r), c.transports.relayed, r, headerTimeout)
 }
 
-// sendSecondWay makes one request on the first transport or, if that could not connect, on the
+// sendWithFallback makes one request on the first transport or, if that could not connect, on the
 // second.
-func (c *HTTPClient) sendSecondWay(ctx context.Context, first, second *http.Transport, r outgoingRequest, headerTimeout time.Duration) (*httpExchange, error) {
+func (c *HTTPClient) sendWithFallback(ctx context.Context, first, second *http.Transport, r outgoingRequest, headerTimeout time.Duration) (*httpExchange, error) {
 	x, err := c.sendOn(ctx, first, r, headerTimeout)
 	if !failedToConnect(ctx, err) {
 		return x, err
@@ -73,7 +73,7 @@
 	return nil, errors.Wrap(secondErr, err)
 }
 
-// recordRelayed records that a server was reached through a peer after the direct way had failed,
+// recordRelayed records that a server was reached through a peer after the direct path had failed,
 // and retires the connections that were made directly: they may carry nothing any more. isProven is
 // set if a lost packet can't explain the failure.
 func (c *HTTPClient) recordRelayed(address, cause string, isProven bool) {
--- a/internal/backend/relayed_test.go
+++ b/internal/backend/relayed_test.go
@@ -100,7 +100,7 @@
 }
 
 // Guards against calls that fail while this process's own links are refused or silent, and another
-// entry reaches the server; and against calls that stay on that way.
+// entry reaches the server; and against calls that stay on that path.
 func TestCallsGoThroughAPeerWhileLinksAreDown(t *testing.T) {
 	for name, fault := range map[string]func(*testLinks) *atomic.Bool{
 		"refused": func(l *testLinks) *atomic.Bool { return &l.refused },
@@ -116,7 +116,7 @@
 				assert.Equal(t, got, "/x")
 				assert.Equal(t, peer, "peer")
 			}
-			assert.Assert(t, l.direct.Load() <= timeoutsToRelay, "later calls take the way that worked")
+			assert.Assert(t, l.direct.Load() <= timeoutsToRelay, "later calls take the path that worked")
 			assert.Equal(t, c.RelayedServers(), 1)
 			down.Store(false)
 			for {
@@ -133,7 +133,7 @@
 }
 
 // Guards against a call that is sent a second time after a part of it was sent.
-func TestCallThatWasSentTakesNoSecondWay(t *testing.T) {
+func TestCallThatWasSentTakesNoSecondPath(t *testing.T) {
 	c, l, _ := startRelayedClient(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
--- a/internal/backend/server_paths.go
+++ b/internal/backend/server_paths.go
@@ -12,14 +12,14 @@
 	// pathCheckInterval is the time between two checks whether a backend server can be reached
 	// directly again.
 	pathCheckInterval = 500 * time.Millisecond
-	// checksToRestore is how many checks in a row must succeed before requests go the direct way
-	// again. It doubles, up to maxChecksToRestore, each time that the direct way is lost again
+	// checksToRestore is how many checks in a row must succeed before requests go the direct path
+	// again. It doubles, up to maxChecksToRestore, each time that the direct path is lost again
 	// within flapWindow: each loss breaks off the requests that are on it.
 	checksToRestore    = 2
 	maxChecksToRestore = 16
 	flapWindow         = 30 * time.Second
 	// timeoutsToRelay is how many dials in a row must time out, while a peer connects, before the
-	// direct way counts as down.
+	// direct path counts as down.
 	timeoutsToRelay = 2
 	// pathRetention is how long the path to a backend server is remembered after its last use.
 	pathRetention = time.Minute
@@ -33,11 +33,11 @@
 	cutOffSilence = time.Second
 )
 
-// path is how this process reaches one backend server. The zero value is the direct way.
+// path is how this process reaches one backend server. The zero value is the direct path.
 type path struct {
 	lastUsed time.Time
 	// relayedSince is set while the server is reached through peers. checkAt is when the direct
-	// way is checked next, and successes counts the checks in a row that succeeded.
+	// path is checked next, and successes counts the checks in a row that succeeded.
 	relayedSince time.Time
 	checkAt      time.Time
 	successes    int
@@ -52,7 +52,7 @@
 }
 
 // paths decides how backend servers are reached: directly, or through another entry while the
-// direct way is down. What this process alone fails to reach is not taken for down. It has no I/O
+// direct path is down. What this process alone fails to reach is not taken for down. It has no I/O
 // and is safe for concurrent use.
 type paths struct {
 	logger log.Logger
@@ -73,24 +73,24 @@
 	return &paths{logger: logger, byAddress: make(map[string]*path)}
 }
 
-// way is how a call is to be made.
-type way int
+// pathKind is the kind of path that a call is to take.
+type pathKind int
 
-// The ways. wayNone means that nobody reached the server a moment ago.
+// The kinds of paths. pathNone means that nobody reached the server a moment ago.
 const (
-	wayDirect way = iota
-	wayRelayed
-	wayNone
+	pathDirect pathKind = iota
+	pathRelayed
+	pathNone
 )
 
-// choose returns the way for a call and whether the caller is to check the direct way beside it.
-func (p *paths) choose(now time.Time, address string) (w way, check bool) {
+// choose returns the path for a call and whether the caller is to check the direct path beside it.
+func (p *paths) choose(now time.Time, address string) (kind pathKind, check bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	to := p.byAddress[address]
 	if to == nil {
 		if !p.isCutOffLocked(now) {
-			return wayDirect, false
+			return pathDirect, false
 		}
 		to = p.add(now, address)
 		p.relay(now, address, to, "no backend server is reached directly")
@@ -100,17 +100,17 @@
 	to.lastUsed = now
 	switch {
 	case now.Before(to.unreachableUntil):
-		return wayNone, false
+		return pathNone, false
 	case !to.unreachableUntil.IsZero():
 		to.unreachableUntil = now.Add(unreachableTime)
 	}
 	if to.relayedSince.IsZero() {
-		return wayDirect, false
+		return pathDirect, false
 	}
-	return wayRelayed, to.takeCheck(now)
+	return pathRelayed, to.takeCheck(now)
 }
 
-// takeCheck reports whether a check of the direct way is due, and schedules the next one.
+// takeCheck reports whether a check of the direct path is due, and schedules the next one.
 func (to *path) takeCheck(now time.Time) bool {
 	if now.Before(to.checkAt) {
 		return false
@@ -186,7 +186,7 @@
 	to.relayedSince = time.Time{}
 }
 
-// checked records the result of a check of the direct way.
+// checked records the result of a check of the direct path.
 func (p *paths) checked(now time.Time, address string, ok bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/backend/server_paths_bench_test.go
+++ b/internal/backend/server_paths_bench_test.go
@@ -6,9 +6,9 @@
 	"time"
 )
 
-// BenchmarkChooseWay measures what an ordinary call pays, while many other servers are reached
+// BenchmarkChoosePath measures what an ordinary call pays, while many other servers are reached
 // through peers.
-func BenchmarkChooseWay(b *testing.B) {
+func BenchmarkChoosePath(b *testing.B) {
 	p, now := newTestPaths(), time.Now()
 	for i := range 1000 {
 		p.connectedByPeer(now, fmt.Sprintf("10.1.%d.%d:80", i/250, i%250), "refused", true)
--- a/internal/backend/server_paths_test.go
+++ b/internal/backend/server_paths_test.go
@@ -16,21 +16,21 @@
 
 func newTestPaths() *paths { return newPaths(log.NewNopLogger()) }
 
-func (p *paths) wayTo(now time.Time, address string) way {
+func (p *paths) pathTo(now time.Time, address string) pathKind {
 	w, _ := p.choose(now, address)
 	return w
 }
 
-// Guards against requests that stay on the longer way after the links are back, and against those
+// Guards against requests that stay on the relayed path after the links are back, and against those
 // that go back at the first sign of them.
-func TestDirectWayIsUsedAgainAfterTwoChecks(t *testing.T) {
+func TestDirectPathIsUsedAgainAfterTwoChecks(t *testing.T) {
 	p, now := newTestPaths(), time.Now()
-	assert.Equal(t, p.wayTo(now, firstServer), wayDirect)
+	assert.Equal(t, p.pathTo(now, firstServer), pathDirect)
 	assert.Assert(t, p.connectedByPeer(now, firstServer, "refused", true))
 	assert.Assert(t, !p.connectedByPeer(now, firstServer, "refused", true))
 	w, check := p.choose(now, firstServer)
-	assert.Equal(t, w, wayRelayed)
-	assert.Assert(t, !check, "the direct way has just failed")
+	assert.Equal(t, w, pathRelayed)
+	assert.Assert(t, !check, "the direct path has just failed")
 	now = now.Add(pathCheckInterval)
 	_, check = p.choose(now, firstServer)
 	assert.Assert(t, check)
@@ -38,24 +38,24 @@
 	assert.Assert(t, !check, "one check at a time")
 	for _, ok := range []bool{true, false, true} {
 		p.checked(now, firstServer, ok)
-		assert.Equal(t, p.wayTo(now, firstServer), wayRelayed)
+		assert.Equal(t, p.pathTo(now, firstServer), pathRelayed)
 	}
 	p.checked(now, firstServer, true)
-	assert.Equal(t, p.wayTo(now, firstServer), wayDirect)
+	assert.Equal(t, p.pathTo(now, firstServer), pathDirect)
 	assert.Equal(t, p.relayedCount(), 0)
 }
 
-// Guards against requests that alternate between the two ways with a link that comes and goes.
+// Guards against requests that alternate between the two paths with a link that comes and goes.
 func TestFlappingLinkIsTrustedLater(t *testing.T) {
 	p, now := newTestPaths(), time.Now()
 	for _, needed := range []int{2, 4, 8, 16, 16} {
 		assert.Assert(t, p.connectedByPeer(now, firstServer, "refused", true))
 		for range needed - 1 {
 			p.checked(now, firstServer, true)
-			assert.Equal(t, p.wayTo(now, firstServer), wayRelayed)
+			assert.Equal(t, p.pathTo(now, firstServer), pathRelayed)
 		}
 		p.checked(now, firstServer, true)
-		assert.Equal(t, p.wayTo(now, firstServer), wayDirect)
+		assert.Equal(t, p.pathTo(now, firstServer), pathDirect)
 	}
 	now = now.Add(flapWindow)
 	assert.Assert(t, p.connectedByPeer(now, firstServer, "refused", true))
@@ -66,15 +66,15 @@
 	assert.Equal(t, p.byAddress[firstServer].needed, checksToRestore)
 }
 
-// Guards against a longer way that is taken because one packet was lost.
-func TestOneTimeoutIsNoLostWay(t *testing.T) {
+// Guards against a relayed path that is taken because one packet was lost.
+func TestOneTimeoutIsNoLostPath(t *testing.T) {
 	p, now := newTestPaths(), time.Now()
 	assert.Assert(t, !p.connectedByPeer(now, firstServer, "timed out", false))
-	assert.Equal(t, p.wayTo(now, firstServer), wayDirect)
+	assert.Equal(t, p.pathTo(now, firstServer), pathDirect)
 	p.connected(now, firstServer)
 	assert.Assert(t, !p.connectedByPeer(now, firstServer, "timed out", false))
 	assert.Assert(t, p.connectedByPeer(now, firstServer, "timed out", false))
-	assert.Equal(t, p.wayTo(now, firstServer), wayRelayed)
+	assert.Equal(t, p.pathTo(now, firstServer), pathRelayed)
 }
 
 // Guards against an entry that takes its links for down because some servers are, and against one
@@ -89,12 +89,12 @@
 	assert.Assert(t, !p.isCutOff(now), "one server")
 	p.connectedByPeer(now, secondServer, "refused", true)
 	assert.Assert(t, p.isCutOff(now))
-	assert.Equal(t, p.wayTo(now, thirdServer), wayRelayed)
+	assert.Equal(t, p.pathTo(now, thirdServer), pathRelayed)
 	assert.Equal(t, p.relayedCount(), 3)
 
 	p.heard.set(now.Add(time.Millisecond))
 	assert.Assert(t, !p.isCutOff(now), "an open connection carries data")
-	assert.Equal(t, p.wayTo(now, "10.0.0.4:80"), wayDirect)
+	assert.Equal(t, p.pathTo(now, "10.0.0.4:80"), pathDirect)
 }
 
 // Guards against callers that wait for the time-outs of dials while no entry reaches a server, and
@@ -102,13 +102,13 @@
 func TestUnreachableServerIsTriedByOneCallAtATime(t *testing.T) {
 	p, now := newTestPaths(), time.Now()
 	p.unreachable(now, firstServer)
-	assert.Equal(t, p.wayTo(now, firstServer), wayNone)
+	assert.Equal(t, p.pathTo(now, firstServer), pathNone)
 	now = now.Add(unreachableTime)
-	assert.Equal(t, p.wayTo(now, firstServer), wayDirect, "one call tries")
-	assert.Equal(t, p.wayTo(now, firstServer), wayNone, "the others don't wait for it")
+	assert.Equal(t, p.pathTo(now, firstServer), pathDirect, "one call tries")
+	assert.Equal(t, p.pathTo(now, firstServer), pathNone, "the others don't wait for it")
 	p.connected(now, firstServer)
-	assert.Equal(t, p.wayTo(now, firstServer), wayDirect)
-	assert.Equal(t, p.wayTo(now, firstServer), wayDirect)
+	assert.Equal(t, p.pathTo(now, firstServer), pathDirect)
+	assert.Equal(t, p.pathTo(now, firstServer), pathDirect)
 }
 
 // Guards against a table that grows with each address that a backend server has ever had.
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -164,7 +164,7 @@
 }
 
 // isRelated reports whether a line is about one of the groups, about an entry that handled the
-// request and its way to one of the servers, or about a change of leader.
+// request and its path to one of the servers, or about a change of leader.
 func isRelated(line Line, groups, vms, servers map[string]bool) bool {
 	switch line.Event {
 	case "server_relayed", "server_direct":
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -55,7 +55,7 @@
 }
 
 // A request reached an entry without links to backend servers. Given the logs of both entries, the
-// explanation must contain the lost way and the relay, and name both entries.
+// explanation must contain the lost path and the relay, and name both entries.
 func TestExplainRelayedRequest(t *testing.T) {
 	const entry = `
 ts=2026-03-13T01:29:38.000Z vm=front-1 event=server_relayed server=10.0.0.1:80 cause="connection refused" relayed_servers=1
