A target that ramps up gets its share of an idle pool

Cause: the score of a target divided its load, the new request included, by the fraction of its limit that it may use yet. In an idle pool both loads are the request's own, so the ramping target lost each comparison for the whole ramp. Now only the load that it has is weighed by the ramp. A loaded pool still spares it (TestReturningTargetIsRampedUp, unchanged).

--- a/internal/placement/health_test.go
+++ b/internal/placement/health_test.go
@@ -173,3 +173,21 @@
 		assert.Equal(t, x.pace.isSlow, id == "s2", id)
 	}
 }
+
+// Guards against a sound target that gets no request while it ramps up, because the others are idle
+// as well and each tie goes to them.
+func TestRampingTargetGetsItsShareOfAnIdlePool(t *testing.T) {
+	p := newPicker(1)
+	p.SetTargets(start, groups(2))
+	sent := 0
+	for i := range 100 {
+		now := at(time.Duration(i) * 10 * time.Millisecond)
+		c := mustPick(t, p, now, Request{Tokens: 10})
+		p.RecordStart(now, fmt.Sprint(i), c.ID, 10)
+		p.RecordFinish(now.Add(5*time.Millisecond), fmt.Sprint(i), Result{OK: true})
+		if c.ID == "g001" {
+			sent++
+		}
+	}
+	assert.Assert(t, sent >= 20, "%d of 100 sent to the ramping target", sent)
+}
--- a/internal/placement/pick.go
+++ b/internal/placement/pick.go
@@ -135,7 +135,7 @@
 // score returns the load of t with r added, as a fraction of t's usable limit, plus the costs
 // of choosing t.
 func (p *Picker) score(now time.Time, t *target, r Request) float64 {
-	s := t.relativeLoad(now, &r) / t.limitFraction(now)
+	s := t.relativeLoad(now, &r) / t.pace.speed()
 	if t.DataCentre != p.options.DataCentre {
 		s += remoteCost
 	}
@@ -168,12 +168,14 @@
 	return len(exclude) > 0 && slices.Contains(exclude, t.ID)
 }
 
-// relativeLoad returns the load of t with r added, as a fraction of t's limit.
+// relativeLoad returns the load of t with r added, as a fraction of t's limit. While t ramps up,
+// the load that it has weighs more, and r does not: an idle pool would send t nothing otherwise.
 func (t *target) relativeLoad(now time.Time, r *Request) float64 {
+	ramp := t.rampFraction(now)
 	if limit := t.pool.occupancy.limit(r.Objective); limit > 0 {
-		return (t.requests(now) + 1) / float64(limit)
+		return (t.requests(now)/ramp + 1) / float64(limit)
 	}
-	return (t.load + float64(r.Tokens)) / t.limit
+	return (t.load/ramp + float64(r.Tokens)) / t.limit
 }
 
 // minScore returns a lower bound of score that is quick to compute.
