Name the evidence of each crash verdict, when a crash is written, and what the board counts

What callers saw: a crashing request was sent on, and the lines could not tell why its crashes did not count. A check that ended as unknown named no evidence, no line said when a report reached the leader, and none showed what the board made of it.

No decision changes. The dial through peers returns who was refused and who said nothing (relay.DialError); event=crash_check has it beside what the entry's own connection met. event=suspects_written and event=suspects_not_written tell when a report is written. The leader logs event=suspect when what the board counts of a request changes: runs, crashes that followed one another, how many are needed, and the request that hides it. citronstep_crash_checks_total counts verdicts. explain shows these lines for each send that was cut, so one id is enough; TestRefusalCauses has the case.

--- a/internal/backend/path_check.go
+++ b/internal/backend/path_check.go
@@ -43,9 +43,17 @@
 // backend server is down, and a peer reaches the server.
 const errPathLost = errors.ConstError("the direct path to the backend server is down")
 
+// ListenProbe is what a check of an address found.
+type ListenProbe struct {
+	State ListenState
+	// Own is what this process found by itself, Peers what the peers said that it asked.
+	Own   ListenState
+	Peers relay.PeerAnswers
+}
+
 // ListenProber finds out whether a process listens at an address.
 type ListenProber interface {
-	ProbeListener(ctx context.Context, address string) ListenState
+	ProbeListener(ctx context.Context, address string) ListenProbe
 }
 
 var _ ListenProber = (*HTTPClient)(nil)
@@ -53,37 +61,36 @@
 // ProbeListener opens a connection to address and closes it unused. If that fails, or takes long,
 // it has peers do the same: a connection that fails from here alone shows that this process's own
 // link is down.
-func (c *HTTPClient) ProbeListener(ctx context.Context, address string) ListenState {
-	state, _ := c.probe(ctx, address)
+func (c *HTTPClient) ProbeListener(ctx context.Context, address string) ListenProbe {
+	p := c.probe(ctx, address)
 	if c.options.OnPathCheck != nil {
-		c.options.OnPathCheck(state)
+		c.options.OnPathCheck(p.State)
 	}
-	return state
+	return p
 }
 
-// probe returns the state of an address and whether its host did not answer this process in time.
-func (c *HTTPClient) probe(ctx context.Context, address string) (state ListenState, hangs bool) {
+func (c *HTTPClient) probe(ctx context.Context, address string) ListenProbe {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	direct := c.startProbe(ctx, address)
 	if c.options.Relay == nil {
-		state = <-direct
-		return state, state == ListenUnknown
+		own := <-direct
+		return ListenProbe{State: own, Own: own}
 	}
 	own := awaitProbe(direct, peerProbeDelay)
 	if own == Listening {
-		return own, false
+		return ListenProbe{State: own, Own: own}
 	}
 	again := c.startProbe(ctx, address)
-	byPeer := c.probeByPeer(ctx, address, own)
+	byPeer, answers := c.probeByPeer(ctx, address, own)
 	if byPeer == Listening && awaitProbe(again, directProbeGrace) == Listening {
-		return Listening, false
+		return ListenProbe{State: Listening, Own: Listening}
 	}
-	state = combineProbes(own, byPeer)
-	if state == ListeningToPeers {
+	p := ListenProbe{State: combineProbes(own, byPeer), Own: own, Peers: answers}
+	if p.State == ListeningToPeers {
 		c.recordRelayed(address, "a probe found it "+string(own), true)
 	}
-	return state, own == ListenUnknown
+	return p
 }
 
 // startProbe connects to address from this process and sends the result to the returned channel.
@@ -135,18 +142,23 @@
 
 // probeByPeer has peers connect to address. Without peers, what this process itself found has to
 // do.
-func (c *HTTPClient) probeByPeer(ctx context.Context, address string, own ListenState) ListenState {
+func (c *HTTPClient) probeByPeer(ctx context.Context, address string, own ListenState) (ListenState, relay.PeerAnswers) {
 	conn, err := c.options.Relay.Dial(ctx, address, "")
-	switch {
-	case err == nil:
+	if err == nil {
 		closeProbe(conn)
-		return Listening
+		return Listening, relay.PeerAnswers{}
+	}
+	var failed *relay.DialError
+	if !errors.As(err, &failed) {
+		return ListenUnknown, relay.PeerAnswers{}
+	}
+	switch {
 	case errors.Is(err, relay.ErrRefused):
-		return NotListening
+		return NotListening, failed.Answers
 	case errors.Is(err, relay.ErrNoPeer):
-		return own
+		return own, failed.Answers
 	}
-	return ListenUnknown
+	return ListenUnknown, failed.Answers
 }
 
 func closeProbe(conn net.Conn) { _ = conn.Close() }
@@ -165,7 +177,7 @@
 		if c.transports.isHeardSince(r.address, time.Now().Add(-c.options.SuspectAfter)) {
 			return
 		}
-		if state, hangs := c.probe(context.Background(), r.address); state == ListeningToPeers && hangs {
+		if p := c.probe(context.Background(), r.address); p.State == ListeningToPeers && p.Own == ListenUnknown {
 			lost()
 		}
 	})
--- a/internal/backend/relayed.go
+++ b/internal/backend/relayed.go
@@ -120,7 +120,7 @@
 }
 
 func (c *HTTPClient) probeUnreachable(address string) {
-	if state, _ := c.probe(context.Background(), address); state != Listening && state != ListeningToPeers {
+	if p := c.probe(context.Background(), address); p.State != Listening && p.State != ListeningToPeers {
 		c.transports.paths.unreachable(time.Now(), address)
 	}
 }
--- a/internal/blackboard/suspect.go
+++ b/internal/blackboard/suspect.go
@@ -243,7 +243,7 @@
 	for _, f := range candidates {
 		s := suspects[f]
 		isAttributed := s.Crashes >= neededCrashes(suspects, s) &&
-			(s.Crashes >= inseparableCrashes || !isCoveredByAnother(suspects, s))
+			(s.Crashes >= inseparableCrashes || coveringSuspect(suspects, s) == "")
 		if isAttributed != s.Attributed {
 			s.Attributed = isAttributed
 			suspects[f] = s
@@ -281,13 +281,16 @@
 	return false
 }
 
-func isCoveredByAnother(suspects map[string]Suspect, s Suspect) bool {
+// coveringSuspect returns the first other suspect, by fingerprint, that was running in all crashes
+// of s, or "".
+func coveringSuspect(suspects map[string]Suspect, s Suspect) string {
+	first := ""
 	for f, other := range suspects {
-		if f != s.Fingerprint && other.wasRunningInAllOf(s) {
-			return true
+		if f != s.Fingerprint && (first == "" || f < first) && other.wasRunningInAllOf(s) {
+			first = f
 		}
 	}
-	return false
+	return first
 }
 
 // removeLeast removes n suspects from a full table: those without attributed crashes before others,
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -182,6 +182,7 @@
 	s.propose(ctx, actions.Commands)
 	s.send(ctx, o, actions.Orders)
 	s.measure(view, now)
+	s.logSuspects(s.o.Machine.Board())
 	s.upkeep(ctx, view.Board, now)
 	s.writeDemand(ctx, view.Board, now, view.Demand)
 	return len(actions.Commands) > 0
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -93,6 +93,8 @@
 	demandMinEntries int
 	// demandWrittenAt is when the demand was last written to the board; only Run uses it.
 	demandWrittenAt time.Time
+	// suspectLog holds what was logged of the suspects; only Run uses it.
+	suspectLog suspectLog
 	// woken triggers a step before the next tick.
 	woken chan struct{}
 	// sampled is the time of the last metrics sample; only Run uses it.
--- a/internal/entry/crash_check.go
+++ b/internal/entry/crash_check.go
@@ -88,6 +88,8 @@
 	verdict crashVerdict
 	// endedAt is when the verdict was reached.
 	endedAt time.Time
+	// probe is the last check of the target's address. Only the check itself uses it.
+	probe backend.ListenProbe
 	// cuts holds the attempts that wait for the verdict.
 	cuts []cutAttempt
 	// reported is closed once the crash is written to the board; nil if there is no crash.
@@ -182,7 +184,8 @@
 			return v
 		}
 		if e.listener == backend.ListenUnknown && s.o.Prober != nil {
-			e.listener = s.o.Prober.ProbeListener(context.Background(), check.route.address)
+			check.probe = s.o.Prober.ProbeListener(context.Background(), check.route.address)
+			e.listener = check.probe.State
 			if e.listener != backend.ListenUnknown {
 				continue
 			}
--- a/internal/entry/crashes_test.go
+++ b/internal/entry/crashes_test.go
@@ -49,9 +49,9 @@
 	probes atomic.Int64
 }
 
-func (p *fixedProber) ProbeListener(context.Context, string) backend.ListenState {
+func (p *fixedProber) ProbeListener(context.Context, string) backend.ListenProbe {
 	p.probes.Add(1)
-	return p.state
+	return backend.ListenProbe{State: p.state}
 }
 
 // crashServer returns an entry that hears no announcements, the control process that it writes to,
--- a/internal/entry/link_check.go
+++ b/internal/entry/link_check.go
@@ -59,7 +59,7 @@
 
 func (s *Server) checkLink(address string, p *groupProgress, check *linkCheck) {
 	state := linkUp
-	if s.o.Prober.ProbeListener(context.Background(), address) == backend.ListeningToPeers {
+	if s.o.Prober.ProbeListener(context.Background(), address).State == backend.ListeningToPeers {
 		state = linkDown
 	}
 	p.mu.Lock()
--- a/internal/entry/link_check_test.go
+++ b/internal/entry/link_check_test.go
@@ -25,9 +25,9 @@
 // blockedProber gets no answer in time.
 type blockedProber struct{}
 
-func (blockedProber) ProbeListener(context.Context, string) backend.ListenState {
+func (blockedProber) ProbeListener(context.Context, string) backend.ListenProbe {
 	time.Sleep(400 * time.Millisecond)
-	return backend.ListenUnknown
+	return backend.ListenProbe{State: backend.ListenUnknown}
 }
 
 // Guards against sound groups that the leader breaks because the links of some entries are down, and
--- a/internal/entry/suspect.go
+++ b/internal/entry/suspect.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -47,8 +48,10 @@
 func (s *Server) runCrashCheck(check *crashCheck) {
 	v := s.findCrashVerdict(check)
 	cuts := s.crashChecks.conclude(time.Now(), check, v)
+	s.o.Metrics.CrashCheck(string(v))
 	_ = level.Info(s.o.Logger).Log("event", "crash_check", "unit", check.route.crashID(), "server", check.route.head,
-		"verdict", v, "took_ms", time.Since(check.cutAt).Milliseconds(), "requests", len(cuts))
+		"verdict", v, "took_ms", time.Since(check.cutAt).Milliseconds(), "requests", len(cuts), "own_probe", check.probe.Own,
+		"refused_by", strings.Join(check.probe.Peers.Refused, ","), "absent", strings.Join(check.probe.Peers.Absent, ","))
 	check.reported = s.reportCuts(check, cuts)
 	if v == verdictCrashed {
 		s.wakeRouteLoop()
--- a/internal/entry/suspect_writer.go
+++ b/internal/entry/suspect_writer.go
@@ -93,8 +93,10 @@
 			s.o.Metrics.SuspectWrite(true)
 			close(w.done)
 		}
+		_ = level.Info(s.o.Logger).Log("event", "suspects_written", "commands", len(batch), "waited_ms", time.Since(batch[0].since).Milliseconds())
 		return
 	}
+	_ = level.Warn(s.o.Logger).Log("event", "suspects_not_written", "commands", len(batch), "waited_ms", time.Since(batch[0].since).Milliseconds(), "err", err)
 	s.retrySuspectWrites(batch, err)
 }
 
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -59,7 +59,7 @@
 // refused explains a refusal of a request that was taken.
 func refused(refusal Line, own, all []Line) string {
 	if failed, ok := lastLine(own, "attempt_ended"); ok {
-		text := "It failed after an attempt that " + describeAttempt(failed, all) + describeRelay(own)
+		text := "It failed after an attempt that " + describeAttempt(failed, all) + describeRelay(own) + describeCrashCheck(all)
 		if refusal.Fields["type"] == "outcome_unknown" {
 			return text + ". It may run once only and had been sent, so it was not sent again: whether it ran is not known."
 		}
@@ -105,6 +105,23 @@
 	return text
 }
 
+// describeCrashCheck returns the verdict of the last check whether a backend server had crashed under
+// the request, with its evidence.
+func describeCrashCheck(all []Line) string {
+	check, ok := lastLine(all, "crash_check")
+	if !ok {
+		return ""
+	}
+	text := "; the verdict on " + check.Fields["unit"] + " was " + check.Fields["verdict"] + ", as the entry found its address " + check.Fields["own_probe"]
+	if refused := check.Fields["refused_by"]; refused != "" {
+		text += ", " + refused + " were refused"
+	}
+	if absent := check.Fields["absent"]; absent != "" {
+		text += ", and " + absent + " said nothing"
+	}
+	return text
+}
+
 // describeRelay returns which entry relayed the last attempt, if one did.
 func describeRelay(own []Line) string {
 	relayed, ok := lastLine(own, "relayed")
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -93,7 +93,7 @@
 	own = sortLines(own)
 	w := window{own[0].At.Add(-lookBehind - skew), own[len(own)-1].At.Add(lookAhead + skew)}
 	all := append(slices.Clone(own), l.related(own, w)...)
-	all = append(all, l.crashesBefore(own)...)
+	all = append(all, l.ofFingerprint(own)...)
 	all = sortLines(all)
 	return Story{Lines: all, Cause: cause(own, all)}, nil
 }
@@ -125,8 +125,12 @@
 // related returns the lines about the dependencies of the request within the window.
 func (l *Logs) related(own []Line, w window) []Line {
 	groups, vms, servers := make(map[string]bool), make(map[string]bool), make(map[string]bool)
+	cut := make(map[string]bool)
 	for _, line := range own {
 		vms[line.VM] = true
+		if line.Event == "attempt_cut" {
+			cut[line.Fields["unit"]] = true
+		}
 		if line.Event == "relayed" {
 			servers[line.Fields["server"]] = true
 		}
@@ -138,25 +142,31 @@
 	}
 	var found []Line
 	for _, line := range l.lines {
-		if line.Fields["request"] == "" && w.contains(line.At) && isRelated(line, groups, vms, servers) {
+		isCheck := line.Event == "crash_check" && vms[line.VM] && cut[line.Fields["unit"]]
+		if line.Fields["request"] == "" && w.contains(line.At) && (isCheck || isRelated(line, groups, vms, servers)) {
 			found = append(found, line)
 		}
 	}
 	return found
 }
 
-// crashesBefore returns the crashes of the same request's earlier sends for which a send was
-// refused, whenever they were.
-func (l *Logs) crashesBefore(own []Line) []Line {
-	refusal, ok := lastLine(own, "refuse")
-	fingerprint := refusal.Fields["fingerprint"]
-	if !ok || fingerprint == "" {
+// ofFingerprint returns what the logs show, at any time, of the crashes under other sends of the
+// same request, and of what the board counted.
+func (l *Logs) ofFingerprint(own []Line) []Line {
+	fingerprint := ""
+	for _, line := range own {
+		if f := line.Fields["fingerprint"]; f != "" {
+			fingerprint = f
+		}
+	}
+	if fingerprint == "" {
 		return nil
 	}
 	var found []Line
 	for _, line := range l.lines {
 		isOwn := slices.ContainsFunc(own, func(o Line) bool { return o.index == line.index })
-		if line.Event == "crash" && line.Fields["fingerprint"] == fingerprint && !isOwn {
+		isCounted := line.Event == "crash" || line.Event == "suspect"
+		if isCounted && line.Fields["fingerprint"] == fingerprint && !isOwn {
 			found = append(found, line)
 		}
 	}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -98,6 +98,10 @@
 			line(`event=crash request=other.1 fingerprint=g unit=m-3@9`) +
 			line(`event=refuse request=abc.1 type=request_crashes_backend ran=no reason="x" retry_after_ms=60000 fingerprint=f`),
 			"what it asks: m-1@7 at 01:29:38.100 under abd.1, m-2@8 at 01:29:38.100 under abe.1. The caller was asked to retry after 60000 ms."},
+		{"a crash that was not counted", line(`event=attempt_cut request=abc.1 fingerprint=f unit=m-1@7`) +
+			line(`event=crash_check unit=m-1@7 verdict=unknown own_probe=not_listening refused_by=front-2,front-3 absent=front-4:silent`) + ended +
+			line(`event=refuse request=abc.1 type=backend_failed ran=unknown reason="x"`),
+			"the verdict on m-1@7 was unknown, as the entry found its address not_listening, front-2,front-3 were refused, and front-4:silent said nothing"},
 		{"still under way", ended, "still under way"},
 		{"nothing wrong", line("event=route request=abc.1 choice=m-1"), "These logs show no failure"},
 	} {
--- a/internal/metrics/definitions.go
+++ b/internal/metrics/definitions.go
@@ -58,6 +58,7 @@
 	nameOpenRelays       = prefix + "open_relays"
 	namePathChecks       = prefix + "path_checks_total"
 	nameAttemptsCut      = prefix + "cut_attempts_total"
+	nameCrashChecks      = prefix + "crash_checks_total"
 	nameSuspectWrites    = prefix + "suspect_writes_total"
 	nameSuspects         = prefix + "suspect_requests"
 	nameAttributed       = prefix + "refused_crashing_requests"
@@ -124,6 +125,7 @@
 		{nameOpenRelays, KindGauge, nil, "Connections that this entry relays for others now.", nil},
 		{namePathChecks, KindCounter, []string{"state"}, "Checks whether a backend server can be reached, by what they found.", nil},
 		{nameAttemptsCut, KindCounter, nil, "Attempts that may have run and whose backend server closed the connection before their end.", nil},
+		{nameCrashChecks, KindCounter, []string{"verdict"}, "Checks whether a backend server that closed a connection early has crashed, by verdict.", nil},
 		{nameSuspectWrites, KindCounter, []string{"outcome"}, "Crashes and answers of suspects written to the board, by whether the leader took them.", nil},
 		{nameSuspects, KindGauge, nil, "Requests on the board that were running when a backend server crashed.", nil},
 		{nameAttributed, KindGauge, nil, "Requests on the board that are refused because they crash backend servers.", nil},
--- a/internal/metrics/entry.go
+++ b/internal/metrics/entry.go
@@ -104,6 +104,14 @@
 	e.scope.Counter(nameAttemptsCut).Inc(1)
 }
 
+// CrashCheck counts a check whether a backend server has crashed by its verdict.
+func (e *Entry) CrashCheck(verdict string) {
+	if e == nil {
+		return
+	}
+	e.scope.Tagged(map[string]string{"verdict": verdict}).Counter(nameCrashChecks).Inc(1)
+}
+
 // SuspectWrite counts what this entry writes about suspects by whether the leader took it.
 func (e *Entry) SuspectWrite(taken bool) {
 	if e == nil {
--- a/internal/relay/dialer.go
+++ b/internal/relay/dialer.go
@@ -69,39 +69,29 @@
 func (d *Dialer) Dial(ctx context.Context, address, request string) (*Conn, error) {
 	peers := d.candidates(time.Now())
 	if len(peers) == 0 {
-		return nil, errors.Trace(ErrNoPeer)
+		return nil, errors.Trace(&DialError{cause: ErrNoPeer})
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	results := make(chan result, len(peers))
-	asked, answered, refused := 0, 0, 0
+	answers, asked := newDialAnswers(peers), 0
 	// Connections that are made after this call has returned are closed.
-	defer func() { go closeLate(results, asked-answered) }()
+	defer func() { go closeLate(results, asked-len(answers.outcomes)) }()
 	for {
 		if asked < len(peers) {
 			peer := peers[asked]
 			asked++
 			go func() { results <- d.ask(ctx, peer, address, request) }()
 		}
-		r, ok := awaitResult(ctx, results)
-		if ok {
-			answered++
+		if r, ok := awaitResult(ctx, results); ok {
+			answers.add(r)
 			d.note(time.Now(), r)
+			if r.conn != nil {
+				return r.conn, nil
+			}
 		}
-		switch {
-		case r.conn != nil:
-			return r.conn, nil
-		case r.outcome == OutcomeRefused:
-			refused++
-		}
-		switch {
-		case ctx.Err() != nil:
-			return nil, errors.Trace(ErrNotConnected)
-		case answered < len(peers):
-		case refused == answered:
-			return nil, errors.Trace(ErrRefused)
-		default:
-			return nil, errors.Trace(ErrNotConnected)
+		if ctx.Err() != nil || answers.isComplete() {
+			return nil, errors.Trace(answers.failure())
 		}
 	}
 }
