An entry that says nothing about a backend server does not change the verdict on it

Cause: "crashed" needed all peers that were asked to be refused as well.

Now a server that nobody connects to has crashed if two entries were refused; who says nothing is left out. The word of one entry alone counts after half a second without contradiction, if that entry connects to another backend server. A peer that connects still overrides everything, so an entry whose own link is down is not believed.

--- a/internal/backend/path_check.go
+++ b/internal/backend/path_check.go
@@ -24,6 +24,9 @@
 	// ListeningToPeers means that a process listens, and that this process does not reach it while
 	// another entry does.
 	ListeningToPeers ListenState = "listening_to_peers"
+	// RefusedOnce means that the address refused one process, this one or a peer, and that the others
+	// that were asked said nothing.
+	RefusedOnce ListenState = "refused_once"
 )
 
 const (
@@ -82,11 +85,14 @@
 		return ListenProbe{State: own, Own: own}
 	}
 	again := c.startProbe(ctx, address)
-	byPeer, answers := c.probeByPeer(ctx, address, own)
-	if byPeer == Listening && awaitProbe(again, directProbeGrace) == Listening {
+	isConnected, answers := c.probeByPeer(ctx, address)
+	if isConnected && awaitProbe(again, directProbeGrace) == Listening {
 		return ListenProbe{State: Listening, Own: Listening}
 	}
-	p := ListenProbe{State: combineProbes(own, byPeer), Own: own, Peers: answers}
+	p := ListenProbe{State: ListeningToPeers, Own: own, Peers: answers}
+	if !isConnected {
+		p.State = combineRefusals(own, answers)
+	}
 	if p.State == ListeningToPeers {
 		c.recordRelayed(address, "a probe found it "+string(own), true)
 	}
@@ -112,16 +118,22 @@
 	}
 }
 
-// combineProbes returns what a failed probe of this process and one of its peers show together. A
-// refused connection proves that no process listens only if no peer says otherwise.
-func combineProbes(own, byPeer ListenState) ListenState {
+// combineRefusals returns what this process and its peers found of an address that none of them
+// connected to. A peer that said nothing changes nothing: it may be down, frozen or cut off itself.
+//
+// Failure: one entry is down, and with it no entry can tell that a backend server has crashed.
+func combineRefusals(own ListenState, peers relay.PeerAnswers) ListenState {
+	refusals := len(peers.Refused)
+	if own == NotListening {
+		refusals++
+	}
 	switch {
-	case byPeer == Listening:
-		return ListeningToPeers
-	case own == NotListening || byPeer == NotListening:
-		return byPeer
+	case refusals == 0:
+		return ListenUnknown
+	case refusals > 1 || len(peers.Absent) == 0:
+		return NotListening
 	}
-	return ListenUnknown
+	return RefusedOnce
 }
 
 // probeDirect connects to address from this process.
@@ -140,25 +152,18 @@
 	return ListenUnknown
 }
 
-// probeByPeer has peers connect to address. Without peers, what this process itself found has to
-// do.
-func (c *HTTPClient) probeByPeer(ctx context.Context, address string, own ListenState) (ListenState, relay.PeerAnswers) {
+// probeByPeer has peers connect to address.
+func (c *HTTPClient) probeByPeer(ctx context.Context, address string) (isConnected bool, answers relay.PeerAnswers) {
 	conn, err := c.options.Relay.Dial(ctx, address, "")
 	if err == nil {
 		closeProbe(conn)
-		return Listening, relay.PeerAnswers{}
+		return true, relay.PeerAnswers{}
 	}
 	var failed *relay.DialError
-	if !errors.As(err, &failed) {
-		return ListenUnknown, relay.PeerAnswers{}
-	}
-	switch {
-	case errors.Is(err, relay.ErrRefused):
-		return NotListening, failed.Answers
-	case errors.Is(err, relay.ErrNoPeer):
-		return own, failed.Answers
+	if errors.As(err, &failed) {
+		answers = failed.Answers
 	}
-	return ListenUnknown, failed.Answers
+	return false, answers
 }
 
 func closeProbe(conn net.Conn) { _ = conn.Close() }
--- a/internal/backend/relayed_test.go
+++ b/internal/backend/relayed_test.go
@@ -222,6 +222,28 @@
 	assert.Equal(t, c.ProbeListener(t.Context(), address).State, NotListening, "without peers")
 }
 
+// Guards against crashes that nobody can confirm while a peer is absent, and against a server that is
+// taken for gone on the word of one entry.
+func TestAbsentPeersChangeNothing(t *testing.T) {
+	refused, absent := []string{"a"}, []string{"b:silent", "c:cut_off"}
+	for _, c := range []struct {
+		own   ListenState
+		peers relay.PeerAnswers
+		want  ListenState
+	}{
+		{NotListening, relay.PeerAnswers{Refused: refused, Absent: absent}, NotListening},
+		{ListenUnknown, relay.PeerAnswers{Refused: []string{"a", "d"}, Absent: absent}, NotListening},
+		{NotListening, relay.PeerAnswers{Absent: absent}, RefusedOnce},
+		{ListenUnknown, relay.PeerAnswers{Refused: refused, Absent: absent}, RefusedOnce},
+		{ListenUnknown, relay.PeerAnswers{Refused: refused}, NotListening},
+		{NotListening, relay.PeerAnswers{}, NotListening},
+		{ListenUnknown, relay.PeerAnswers{Absent: absent}, ListenUnknown},
+		{ListenUnknown, relay.PeerAnswers{}, ListenUnknown},
+	} {
+		assert.Equal(t, combineRefusals(c.own, c.peers), c.want, "%+v", c)
+	}
+}
+
 // Guards against an answer that is not passed on because its path was checked in vain.
 func TestSlowServerIsNotTakenForASilentLink(t *testing.T) {
 	c, l, _ := startRelayedClient(t)
--- a/internal/entry/crash_check.go
+++ b/internal/entry/crash_check.go
@@ -18,6 +18,9 @@
 	// aliveAfterCut is how long after the cut a server must have announced itself to count as
 	// alive. An earlier announcement may have been in flight at the crash.
 	aliveAfterCut = 300 * time.Millisecond
+	// oneWitnessWait is how long a check whose address refused one process waits for the word of
+	// another: two rounds of questions to peers.
+	oneWitnessWait = 500 * time.Millisecond
 	// probeDelay is the time from the cut to the probe: a process that ends closes its
 	// connections and its listener one after the other.
 	probeDelay = 10 * time.Millisecond
@@ -46,18 +49,22 @@
 	isLeaving bool
 	// listener is the state of the address that requests are sent to.
 	listener backend.ListenState
+	// reachesOthers is set if this entry has connected to another backend server since.
+	reachesOthers bool
 	// isReplaced is set if one of them has a new incarnation, isAnnounced if all have announced
 	// themselves since.
 	isReplaced, isAnnounced bool
-	// hearsAnnouncements is set if this entry receives announcements, and isOver once it has
-	// waited for them.
-	hearsAnnouncements, isOver bool
+	// hearsAnnouncements is set if this entry receives announcements.
+	hearsAnnouncements bool
+	// waited is the time since the connection was closed.
+	waited time.Duration
 }
 
 // verdict tells a crash from a planned stop and from a server that broke off one answer.
 //
-// A host whose address refuses the connections of this entry and of its peers runs and has no such
-// process. A server that peers reach lives, and this entry's link to it is down. Silence counts as a crash only for an entry that would hear the server.
+// A host whose address refuses the connections of two entries runs and has no such process. A server that peers reach lives, and this
+// entry's link to it is down. The word of one entry, with nobody to confirm it, counts once this entry is known to have links. Silence
+// counts as a crash only for an entry that would hear the server.
 func (e crashEvidence) verdict() crashVerdict {
 	switch {
 	case e.isLeaving:
@@ -66,11 +73,11 @@
 		return verdictCrashed
 	case e.listener == backend.ListeningToPeers:
 		return verdictCutOff
-	case e.listener == backend.NotListening:
+	case e.listener == backend.NotListening, e.listener == backend.RefusedOnce && e.reachesOthers && e.waited >= oneWitnessWait:
 		return verdictCrashed
 	case e.isAnnounced, !e.hearsAnnouncements && e.listener == backend.Listening:
 		return verdictAlive
-	case !e.isOver:
+	case e.waited < crashWait:
 		return verdictOpen
 	case e.hearsAnnouncements:
 		return verdictCrashed
@@ -179,14 +186,15 @@
 	for {
 		e.isLeaving = s.isStopping(check.route)
 		e.isReplaced, e.isAnnounced = s.checkMembers(check.route, check.cutAt.Add(aliveAfterCut))
-		e.isOver = time.Since(check.cutAt) >= crashWait
+		e.waited = time.Since(check.cutAt)
 		if v := e.verdict(); v != verdictOpen {
 			return v
 		}
-		if e.listener == backend.ListenUnknown && s.o.Prober != nil {
+		if s.o.Prober != nil && !e.isListenerKnown() {
 			check.probe = s.o.Prober.ProbeListener(context.Background(), check.route.address)
 			e.listener = check.probe.State
-			if e.listener != backend.ListenUnknown {
+			e.reachesOthers = e.listener == backend.RefusedOnce && s.reachesServerBeside(check.route.address)
+			if e.isListenerKnown() {
 				continue
 			}
 		}
@@ -194,6 +202,18 @@
 	}
 }
 
+// isListenerKnown reports whether another probe of the address would tell nothing more.
+func (e crashEvidence) isListenerKnown() bool {
+	return e.listener != backend.ListenUnknown && e.listener != backend.RefusedOnce
+}
+
+// reachesServerBeside reports whether this entry connects to a backend server other than the one at
+// address.
+func (s *Server) reachesServerBeside(address string) bool {
+	other, ok := s.dispatcher.addressBeside(address)
+	return ok && s.o.Prober.ProbeListener(context.Background(), other).State == backend.Listening
+}
+
 // isStopping reports whether the target is taken out of service or a backend server of it is
 // about to stop.
 func (s *Server) isStopping(r route) bool {
