A refused connection counts as a crash only for an entry that reaches other servers

Entries whose links refuse all connections confirmed to each other that sound servers had crashed, and requests were blamed for it.

Cause: a refusal was taken as the word of the server's host, though the entry's own link may have refused it. A relaying entry answered "refused" without knowing whether its links work; it knows itself as cut off only a second after it has reached two servers through others.

Now an entry that is refused connects to another backend server of the board, up to three drawn at random, before it counts its own refusal or tells a peer of it; without a connection it says that it is cut off.

TestOnlyRefusalsOfAllPeersAreARefusal has the peer without links.

--- a/internal/backend/options.go
+++ b/internal/backend/options.go
@@ -19,6 +19,9 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Relay connects to backend servers through other entries; nil if there are none.
 	Relay RelayDialer
+	// OtherServers returns a few backend servers that are not at an address, to tell a server that is
+	// gone from links that are down; nil if there are none.
+	OtherServers func(beside string) []string
 	// OnPathCheck receives the result of each check of an address; nil for none.
 	OnPathCheck func(ListenState)
 	// DialTimeout bounds the time to make a connection; default 1 s.
--- a/internal/backend/path_check.go
+++ b/internal/backend/path_check.go
@@ -27,6 +27,8 @@
 	// RefusedOnce means that the address refused one process, this one or a peer, and that the others
 	// that were asked said nothing.
 	RefusedOnce ListenState = "refused_once"
+	// NoLinks means that the address refused this process, which reaches no other backend server either.
+	NoLinks ListenState = "no_links"
 )
 
 const (
@@ -91,7 +93,10 @@
 	}
 	p := ListenProbe{State: ListeningToPeers, Own: own, Peers: answers}
 	if !isConnected {
-		p.State = combineRefusals(own, answers)
+		if own == NotListening && !c.HasLinks(ctx, address) {
+			p.Own = NoLinks
+		}
+		p.State = combineRefusals(p.Own, answers)
 	}
 	if p.State == ListeningToPeers {
 		c.recordRelayed(address, "a probe found it "+string(own), true)
--- a/internal/backend/relayed_test.go
+++ b/internal/backend/relayed_test.go
@@ -69,7 +69,8 @@
 	t.Helper()
 	peer := relay.NewServer(relay.ServerOptions{
 		IsServer: func(string) bool { return true }, IsCutOff: func() bool { return false },
-		Begin: func() (func(), bool) { return func() {}, true }, Dial: new(net.Dialer).DialContext, Logger: log.NewNopLogger(),
+		HasLinks: func(context.Context, string) bool { return true },
+		Begin:    func() (func(), bool) { return func() {}, true }, Dial: new(net.Dialer).DialContext, Logger: log.NewNopLogger(),
 	})
 	peerServer := httptest.NewServer(peer)
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = fmt.Fprint(w, r.URL.Path) }))
--- a/internal/entry/crash_check.go
+++ b/internal/entry/crash_check.go
@@ -49,8 +49,6 @@
 	isLeaving bool
 	// listener is the state of the address that requests are sent to.
 	listener backend.ListenState
-	// reachesOthers is set if this entry has connected to another backend server since.
-	reachesOthers bool
 	// isReplaced is set if one of them has a new incarnation, isAnnounced if all have announced
 	// themselves since.
 	isReplaced, isAnnounced bool
@@ -63,8 +61,8 @@
 // verdict tells a crash from a planned stop and from a server that broke off one answer.
 //
 // A host whose address refuses the connections of two entries runs and has no such process. A server that peers reach lives, and this
-// entry's link to it is down. The word of one entry, with nobody to confirm it, counts once this entry is known to have links. Silence
-// counts as a crash only for an entry that would hear the server.
+// entry's link to it is down. The word of one entry counts once nobody has contradicted it for a while. Silence counts as a crash only for
+// an entry that would hear the server.
 func (e crashEvidence) verdict() crashVerdict {
 	switch {
 	case e.isLeaving:
@@ -73,7 +71,7 @@
 		return verdictCrashed
 	case e.listener == backend.ListeningToPeers:
 		return verdictCutOff
-	case e.listener == backend.NotListening, e.listener == backend.RefusedOnce && e.reachesOthers && e.waited >= oneWitnessWait:
+	case e.listener == backend.NotListening, e.listener == backend.RefusedOnce && e.waited >= oneWitnessWait:
 		return verdictCrashed
 	case e.isAnnounced, !e.hearsAnnouncements && e.listener == backend.Listening:
 		return verdictAlive
@@ -193,7 +191,6 @@
 		if s.o.Prober != nil && !e.isListenerKnown() {
 			check.probe = s.o.Prober.ProbeListener(context.Background(), check.route.address)
 			e.listener = check.probe.State
-			e.reachesOthers = e.listener == backend.RefusedOnce && s.reachesServerBeside(check.route.address)
 			if e.isListenerKnown() {
 				continue
 			}
@@ -207,13 +204,6 @@
 	return e.listener != backend.ListenUnknown && e.listener != backend.RefusedOnce
 }
 
-// reachesServerBeside reports whether this entry connects to a backend server other than the one at
-// address.
-func (s *Server) reachesServerBeside(address string) bool {
-	other, ok := s.dispatcher.addressBeside(address)
-	return ok && s.o.Prober.ProbeListener(context.Background(), other).State == backend.Listening
-}
-
 // isStopping reports whether the target is taken out of service or a backend server of it is
 // about to stop.
 func (s *Server) isStopping(r route) bool {
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -346,18 +346,6 @@
 	}
 }
 
-// addressBeside returns the address of any target other than the one at address.
-func (d *dispatcher) addressBeside(address string) (string, bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	for _, r := range d.routes {
-		if r.address != "" && r.address != address {
-			return r.address, true
-		}
-	}
-	return "", false
-}
-
 // counts returns the number of routable targets and of waiting requests.
 func (d *dispatcher) counts() (routes, waiting int) {
 	d.mu.Lock()
--- a/internal/entry/relays.go
+++ b/internal/entry/relays.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"net/http"
 	"sync"
 	"time"
@@ -16,6 +17,8 @@
 	IsCutOff() bool
 	// IsUnreachable reports whether no entry reached a backend server at the last try.
 	IsUnreachable(address string) bool
+	// HasLinks reports whether the entry connects to a backend server that is not at an address.
+	HasLinks(ctx context.Context, beside string) bool
 	// RelayedServers returns how many backend servers it reaches through other entries alone.
 	RelayedServers() int
 }
@@ -31,13 +34,17 @@
 
 func (s *Server) newRelayServer() *relay.Server {
 	return relay.NewServer(relay.ServerOptions{
-		IsServer: s.isBackendServer, IsCutOff: s.isCutOff, Begin: s.beginRelay, Dial: s.o.DialBackend, Logger: s.o.Logger,
+		IsServer: s.isBackendServer, IsCutOff: s.isCutOff, HasLinks: s.hasLinks, Begin: s.beginRelay, Dial: s.o.DialBackend, Logger: s.o.Logger,
 		OnEnd: func(o relay.Outcome) { s.o.Metrics.Relay(string(o)) },
 	})
 }
 
 func (s *Server) isCutOff() bool { return s.o.Paths != nil && s.o.Paths.IsCutOff() }
 
+func (s *Server) hasLinks(ctx context.Context, beside string) bool {
+	return s.o.Paths == nil || s.o.Paths.HasLinks(ctx, beside)
+}
+
 func (s *Server) relayedServers() int {
 	if s.o.Paths == nil {
 		return 0
@@ -92,21 +99,51 @@
 	return s.backendAddresses.contains(s.o.Follower.Board(), address)
 }
 
+// maxOtherServers bounds the backend servers that show whether an entry's links work.
+const maxOtherServers = 3
+
+// OtherServers returns a few backend servers on the board that are not at an address, drawn at random.
+func (s *Server) OtherServers(beside string) []string {
+	return s.backendAddresses.others(s.o.Follower.Board(), beside)
+}
+
 func (a *backendAddresses) contains(b *blackboard.Board, address string) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.board != b {
-		a.board, a.addresses = b, make(map[string]bool, len(b.Groups)+len(b.Services))
-		for _, g := range b.Groups {
-			if len(g.Members) > 0 {
-				a.addresses[g.Members[0].Address] = true
-			}
+	a.follow(b)
+	return a.addresses[address]
+}
+
+func (a *backendAddresses) others(b *blackboard.Board, beside string) []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.follow(b)
+	var others []string
+	for address := range a.addresses {
+		if len(others) == maxOtherServers {
+			break
 		}
-		for _, i := range b.Services {
-			a.addresses[i.Address] = true
+		if address != beside {
+			others = append(others, address)
 		}
 	}
-	return a.addresses[address]
+	return others
+}
+
+// follow collects the addresses of a board. The caller holds the lock.
+func (a *backendAddresses) follow(b *blackboard.Board) {
+	if a.board == b {
+		return
+	}
+	a.board, a.addresses = b, make(map[string]bool, len(b.Groups)+len(b.Services))
+	for _, g := range b.Groups {
+		if len(g.Members) > 0 {
+			a.addresses[g.Members[0].Address] = true
+		}
+	}
+	for _, i := range b.Services {
+		a.addresses[i.Address] = true
+	}
 }
 
 // unreachableRetryAfter is longer than a backend server that nobody reached takes to be tried again.
--- a/internal/entry/relays_test.go
+++ b/internal/entry/relays_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -48,9 +49,10 @@
 // fixedPaths reaches all servers but those in unreachable.
 type fixedPaths struct{ unreachable map[string]bool }
 
-func (fixedPaths) IsCutOff() bool                      { return false }
-func (fixedPaths) RelayedServers() int                 { return 0 }
-func (p fixedPaths) IsUnreachable(address string) bool { return p.unreachable[address] }
+func (fixedPaths) IsCutOff() bool                        { return false }
+func (fixedPaths) RelayedServers() int                   { return 0 }
+func (fixedPaths) HasLinks(context.Context, string) bool { return true }
+func (p fixedPaths) IsUnreachable(address string) bool   { return p.unreachable[address] }
 
 // Guards against requests that wait although no entry reaches any of their targets, and against
 // requests that are refused while one is reached.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -195,6 +195,7 @@
 	m := n.metrics.Entry()
 	o.Logger, o.Relay = n.decisionLogger("entry"), n.relayDialer
 	o.OnDial = func(outcome backend.DialOutcome, took time.Duration) { m.Dial(string(outcome), took) }
+	o.OtherServers = func(beside string) []string { return n.entry.OtherServers(beside) }
 	o.OnPathCheck = func(state backend.ListenState) { m.PathCheck(string(state)) }
 	return o
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -68,6 +68,7 @@
 	dials          atomic.Int64
 	isCutOff       atomic.Bool
 	refusesServers atomic.Bool
+	hasNoLinks     atomic.Bool
 	outcomes       chan Outcome
 }
 
@@ -77,6 +78,7 @@
 	p.server = NewServer(ServerOptions{
 		IsServer: func(address string) bool { return !strings.HasPrefix(address, "10.") },
 		IsCutOff: p.isCutOff.Load,
+		HasLinks: func(context.Context, string) bool { return !p.hasNoLinks.Load() },
 		Begin:    func() (func(), bool) { return func() {}, true },
 		Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
 			p.dials.Add(1)
@@ -201,6 +203,9 @@
 	b.refusesServers.Store(true)
 	_, err := newTestDialer(a, b).Dial(t.Context(), server.address(), "r")
 	assert.Assert(t, errors.Is(err, ErrRefused))
+	b.hasNoLinks.Store(true)
+	_, err = newTestDialer(a, b).Dial(t.Context(), server.address(), "r")
+	assert.Assert(t, errors.Is(err, ErrNotConnected), "its links refuse all connections")
 	b.isCutOff.Store(true)
 	_, err = newTestDialer(a, b).Dial(t.Context(), server.address(), "r")
 	assert.Assert(t, errors.Is(err, ErrNotConnected))
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -32,6 +32,9 @@
 	IsServer func(address string) bool
 	// IsCutOff reports whether this entry reaches backend servers only through peers.
 	IsCutOff func() bool
+	// HasLinks reports whether this entry reaches a backend server that is not at an address. It is
+	// asked before the peer is told that the address refused the connection.
+	HasLinks func(ctx context.Context, beside string) bool
 	// Begin counts a relay as work that a graceful stop waits for. It returns false once no new
 	// work is admitted; otherwise the returned function ends the work.
 	Begin func() (end func(), ok bool)
@@ -118,6 +121,9 @@
 	cancel()
 	if err != nil {
 		outcome := dialOutcome(err)
+		if outcome == OutcomeRefused && !s.o.HasLinks(r.Context(), address) {
+			outcome = OutcomeCutOff
+		}
 		refuse(w, outcome)
 		return outcome
 	}
