Crashes are put in order by the clock of the leader, not by those of the entries

Cause: each report has times by the clock of its entry, and the board compares them: a run counts if it was sent after the crash before it, and is removed if it was sent after its own crash. Ruled out: verdicts (244 crashed, 0 unknown), lost writes (none in the log).

Reports now carry lengths as well: how long before the moment of sending the server crashed, and each request was sent. The leader sets the times by them, and those of retries, with a clock that steps don't move. What is in the log has the fields it had, so replicas of both versions apply the same; reports of older entries are taken as they are.

TestStepsOfClocksHideNoCrash: two of three crashes counted without the change, three with it. TestCommittedCrashHasTheTimeOfTheLeader.

--- a/internal/blackboard/suspect.go
+++ b/internal/blackboard/suspect.go
@@ -30,7 +30,7 @@
 }
 
 // CrashedRun is one run of a request that the crash of its backend server ended. The times are of
-// the reporting entry's clock.
+// the leader's clock.
 type CrashedRun struct {
 	Incarnation string `json:"incarnation"`
 	// Pool is the model or the plain service that the backend server served.
@@ -53,8 +53,8 @@
 	// maxRuns bounds the runs of one suspect. It is above inseparableCrashes, so that a suspect
 	// that crashes are attributed to covers the runs of the others.
 	maxRuns = 16
-	// clockTolerance is the difference between the clocks of two entries at which a run still
-	// counts as sent after a crash.
+	// clockTolerance is how far the times of two reports may be off, by the time that each took to
+	// reach the leader, for a run to count as sent after a crash.
 	clockTolerance = 50 * time.Millisecond
 	// maxSuspects bounds the table.
 	maxSuspects = 2048
@@ -173,6 +173,22 @@
 	Alone bool `json:"alone"`
 	// NowMillis is the time of the crash.
 	NowMillis int64 `json:"now_ms"`
+	// EndAgoMillis and SentAgoMillis hold how long before the command was sent to the leader the
+	// server crashed and each request was sent. The leader sets the other times by them. They are
+	// not set in reports of older versions, nor in the log.
+	EndAgoMillis  int64   `json:"end_ago_ms,omitempty"`
+	SentAgoMillis []int64 `json:"sent_ago_ms,omitempty"`
+}
+
+func (c *ReportCrash) setTimes(now time.Time) {
+	if len(c.SentAgoMillis) != len(c.Fingerprints) {
+		return
+	}
+	c.NowMillis, c.SentMillis = now.UnixMilli()-c.EndAgoMillis, nil
+	for _, ago := range c.SentAgoMillis {
+		c.SentMillis = append(c.SentMillis, now.UnixMilli()-ago)
+	}
+	c.EndAgoMillis, c.SentAgoMillis = 0, nil
 }
 
 func (c ReportCrash) apply(d *draft) (any, bool) {
@@ -334,6 +350,8 @@
 	NowMillis   int64  `json:"now_ms"`
 }
 
+func (c *RetryAttributed) setTimes(now time.Time) { c.NowMillis = now.UnixMilli() }
+
 func (c RetryAttributed) apply(d *draft) (any, bool) {
 	s, ok := d.Suspects[c.Fingerprint]
 	if !ok || !s.IsAttributed() {
--- a/internal/blackboard/suspect_test.go
+++ b/internal/blackboard/suspect_test.go
@@ -128,6 +128,34 @@
 	assert.Equal(t, c.board.Suspects["cause"].Crashes, 3, "two entries report one crash")
 }
 
+// Guards against a request that is sent on without end while the clocks of entries are stepped: by
+// their times its crashes overlap, or its runs were sent after the crashes.
+func TestStepsOfClocksHideNoCrash(t *testing.T) {
+	c := newCrashBoard(t)
+	steps := []time.Duration{0, 2400 * time.Millisecond, -2400 * time.Millisecond}
+	report := func(at time.Duration, step time.Duration, incarnation, fingerprint string) {
+		const ran, delay = 400 * time.Millisecond, 30 * time.Millisecond
+		end := at + step
+		encoded, err := Encode(&ReportCrash{
+			Fingerprints: []string{fingerprint}, Incarnation: incarnation, NowMillis: end.Milliseconds(),
+			SentMillis:   []int64{(end - ran).Milliseconds()},
+			EndAgoMillis: delay.Milliseconds(), SentAgoMillis: []int64{(delay + ran).Milliseconds()},
+		})
+		assert.NilError(t, err)
+		encoded, err = SetTimes(encoded, time.UnixMilli((at + delay).Milliseconds()))
+		assert.NilError(t, err)
+		c.board, _, err = c.board.Apply(encoded)
+		assert.NilError(t, err)
+	}
+	for i := range attributedCrashes {
+		at, incarnation := time.Duration(i+10)*500*time.Millisecond, fmt.Sprint("server-", i)
+		report(at, steps[i], incarnation, "cause")
+		report(at, steps[(i+1)%3], incarnation, fmt.Sprint("beside-", i))
+	}
+	assert.Equal(t, c.board.Suspects["cause"].Crashes, attributedCrashes)
+	assert.Assert(t, c.isAttributed("cause"))
+}
+
 // Guards against a full table that forgets the requests that crashes are attributed to.
 func TestFullTableKeepsAttributedRequests(t *testing.T) {
 	c := newCrashBoard(t)
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -93,6 +93,8 @@
 	demandMinEntries int
 	// demandWrittenAt is when the demand was last written to the board; only Run uses it.
 	demandWrittenAt time.Time
+	// steady times what entries report.
+	steady steadyClock
 	// suspectLog holds what was logged of the suspects; only Run uses it.
 	suspectLog suspectLog
 	// woken triggers a step before the next tick.
@@ -106,7 +108,7 @@
 	return &Server{
 		o: o, woken: make(chan struct{}, 1), stalls: controller.NewStallReports(), events: newEventLog(), relay: newRelay(),
 		leases: newLeases(o.EntryLease, clock.Now()), rateLimits: make(rateLimitAges), demand: demand.NewTable(),
-		demandMinEntries: demand.MinEntries,
+		demandMinEntries: demand.MinEntries, steady: newSteadyClock(),
 	}
 }
 
--- a/internal/control/watch.go
+++ b/internal/control/watch.go
@@ -204,7 +204,14 @@
 	if r.ClusterId != board.ClusterID {
 		return nil, rpcError(failure.New(failure.TypeConflict, "the entry follows another cluster").WithRan(failure.RanNo))
 	}
-	result, err := s.proposeDurably(ctx, LogCommand(r.Machine, r.Command))
+	command := r.Command
+	if r.Machine == noderpc.Machine_MACHINE_BOARD {
+		var err error
+		if command, err = blackboard.SetTimes(command, s.steady.now()); err != nil {
+			return nil, rpcError(failure.New(failure.TypeBadRequest, err.Error()).WithRan(failure.RanNo))
+		}
+	}
+	result, err := s.proposeDurably(ctx, LogCommand(r.Machine, command))
 	if err != nil {
 		return nil, rpcError(err)
 	}
--- a/internal/control/watch_test.go
+++ b/internal/control/watch_test.go
@@ -197,3 +197,18 @@
 	assert.Assert(t, needsUpdate)
 	<-changed
 }
+
+// Guards against the times of crashes that are compared by the clocks of the entries that report them.
+func TestCommittedCrashHasTheTimeOfTheLeader(t *testing.T) {
+	s, _ := leadingServer(t, 0, 1)
+	encoded, err := blackboard.Encode(&blackboard.ReportCrash{
+		Fingerprints: []string{"f"}, Incarnation: "i", EndAgoMillis: 1000, SentAgoMillis: []int64{3000},
+	})
+	assert.NilError(t, err)
+	_, err = s.Commit(t.Context(), &noderpc.CommitRequest{ClusterId: "c", Machine: noderpc.Machine_MACHINE_BOARD, Command: encoded})
+	assert.NilError(t, err)
+	run := s.o.Machine.Board().Suspects["f"].Runs[0]
+	assert.Equal(t, run.EndMillis-run.SentMillis, int64(2000))
+	assert.Assert(t, time.Since(time.UnixMilli(run.EndMillis)) >= time.Second)
+	assert.Assert(t, time.Since(time.UnixMilli(run.EndMillis)) < time.Minute)
+}
--- a/internal/entry/suspect.go
+++ b/internal/entry/suspect.go
@@ -106,14 +106,24 @@
 	if len(cuts) == 0 {
 		return nil
 	}
-	end := cuts[0].cut.UnixMilli()
-	c := &blackboard.ReportCrash{Incarnation: check.route.crashID(), Pool: check.route.pool, Alone: alone, NowMillis: end}
+	return s.writeSuspect(func(now time.Time) blackboard.Command { return crashReport(check.route, cuts, alone, now) })
+}
+
+// crashReport returns the report of a crash that is sent to the leader now. The times are also given as
+// lengths, since the clock may have been stepped, and since the leader's differs.
+func crashReport(r route, cuts []cutAttempt, alone bool, now time.Time) *blackboard.ReportCrash {
+	ended := now.Sub(cuts[0].cut)
+	c := &blackboard.ReportCrash{
+		Incarnation: r.crashID(), Pool: r.pool, Alone: alone,
+		NowMillis: now.Add(-ended).UnixMilli(), EndAgoMillis: ended.Milliseconds(),
+	}
 	for _, a := range cuts {
+		ago := ended + a.cut.Sub(a.sent)
 		c.Fingerprints = append(c.Fingerprints, a.fingerprint)
-		// The clock may have been stepped since the attempt was sent.
-		c.SentMillis = append(c.SentMillis, end-a.cut.Sub(a.sent).Milliseconds())
+		c.SentMillis = append(c.SentMillis, now.Add(-ago).UnixMilli())
+		c.SentAgoMillis = append(c.SentAgoMillis, ago.Milliseconds())
 	}
-	return s.writeSuspect(c)
+	return c
 }
 
 // awaitCrashCounts waits for the verdict about a cut attempt, and until the board has the report
@@ -201,7 +211,8 @@
 func (s *Server) noteAnswered(j *job) {
 	s.recentAnswers.add(time.Now(), j.contentFingerprint())
 	if suspect := s.suspectOf(j); suspect.Crashes > 1 || suspect.Alone > 0 || j.suspect {
-		s.writeSuspect(&blackboard.ForgetSuspect{Fingerprint: j.fingerprint})
+		answered := &blackboard.ForgetSuspect{Fingerprint: j.fingerprint}
+		s.writeSuspect(func(time.Time) blackboard.Command { return answered })
 	}
 }
 
@@ -231,15 +242,23 @@
 // their crashes are refused during the election and not sent again, and a request that crashed one
 // server crashes the next through another entry.
 func (s *Server) commitBoard(ctx context.Context, c blackboard.Command, verdict *blackboard.Verdict) error {
-	encoded, err := blackboard.Encode(c)
-	if err != nil {
-		return errors.Trace(err)
-	}
-	r := &noderpc.CommitRequest{
-		ClusterId: s.o.Follower.Board().ClusterID, Machine: noderpc.Machine_MACHINE_BOARD, Command: encoded,
-	}
+	return s.commitBoardLatest(ctx, func() (blackboard.Command, error) { return c, nil }, verdict)
+}
+
+// commitBoardLatest does the same with a command that is made anew for each try.
+func (s *Server) commitBoardLatest(ctx context.Context, make func() (blackboard.Command, error), verdict *blackboard.Verdict) error {
 	for tries := 1; ; tries++ {
-		result, err := s.o.Control.Commit(ctx, r)
+		c, err := make()
+		if err != nil {
+			return errors.Trace(err)
+		}
+		encoded, err := blackboard.Encode(c)
+		if err != nil {
+			return errors.Trace(err)
+		}
+		result, err := s.o.Control.Commit(ctx, &noderpc.CommitRequest{
+			ClusterId: s.o.Follower.Board().ClusterID, Machine: noderpc.Machine_MACHINE_BOARD, Command: encoded,
+		})
 		switch {
 		case err != nil && failure.From(err).Type == failure.TypeNotLeader && sleep(ctx, recordRetryDelay(tries, rand.Float64())):
 			continue
--- a/internal/entry/suspect_writer.go
+++ b/internal/entry/suspect_writer.go
@@ -31,7 +31,8 @@
 }
 
 type suspectWrite struct {
-	command blackboard.Command
+	// command returns the command as it is at a time.
+	command func(now time.Time) blackboard.Command
 	since   time.Time
 	// done is closed once the command is written or given up.
 	done chan struct{}
@@ -39,8 +40,8 @@
 
 // writeSuspect writes a command about suspects in the background. It returns a channel that is
 // closed once the command is written or given up.
-func (s *Server) writeSuspect(c blackboard.Command) <-chan struct{} {
-	w := suspectWrite{command: c, since: time.Now(), done: make(chan struct{})}
+func (s *Server) writeSuspect(command func(now time.Time) blackboard.Command) <-chan struct{} {
+	w := suspectWrite{command: command, since: time.Now(), done: make(chan struct{})}
 	q := &s.suspectWriter
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -78,16 +79,15 @@
 // writeSuspectBatch writes commands together. If the write fails, those that are not too old are
 // written with the next batch. Each command changes nothing if it is written twice.
 func (s *Server) writeSuspectBatch(batch []suspectWrite) {
-	commands := make([]blackboard.Command, len(batch))
-	for i, w := range batch {
-		commands[i] = w.command
-	}
-	c, err := blackboard.NewBatch(commands)
-	if err == nil {
-		ctx, cancel := context.WithTimeout(context.Background(), boardTimeout)
-		err = s.commitBoard(ctx, c, nil)
-		cancel()
-	}
+	ctx, cancel := context.WithTimeout(context.Background(), boardTimeout)
+	defer cancel()
+	err := s.commitBoardLatest(ctx, func() (blackboard.Command, error) {
+		commands := make([]blackboard.Command, len(batch))
+		for i, w := range batch {
+			commands[i] = w.command(time.Now())
+		}
+		return blackboard.NewBatch(commands)
+	}, nil)
 	if err == nil {
 		for _, w := range batch {
 			s.o.Metrics.SuspectWrite(true)
