An entry counts the crashes that it has seen before the board shows them

Now the writer keeps the change of each report beside its command, and an entry goes by the board's table with its own pending changes, and those written in the last 2 s. They are tried for ten minutes, twice a second while none succeeds.

TestEntryWithoutALeaderCountsWhatItHasSeen: sent on after three crashes before, refused now.

--- a/internal/blackboard/suspect.go
+++ b/internal/blackboard/suspect.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"math"
+	"reflect"
 	"slices"
 	"time"
 )
@@ -191,8 +192,38 @@
 	c.EndAgoMillis, c.SentAgoMillis = 0, nil
 }
 
+// SuspectChange is a command that changes the table of suspects alone.
+type SuspectChange interface {
+	Command
+	changeSuspects(suspects map[string]Suspect) bool
+}
+
+// ChangeSuspects returns a copy of a table of suspects with changes that the board does not show yet.
+// One that it shows already changes nothing.
+func ChangeSuspects(suspects map[string]Suspect, changes []SuspectChange) map[string]Suspect {
+	next := cloneMap(suspects)
+	for _, c := range changes {
+		c.changeSuspects(next)
+	}
+	return next
+}
+
+// IsSameTable reports whether two boards have one table of suspects. A table is copied before it
+// changes.
+func IsSameTable(a, b map[string]Suspect) bool {
+	return reflect.ValueOf(a).UnsafePointer() == reflect.ValueOf(b).UnsafePointer()
+}
+
 func (c ReportCrash) apply(d *draft) (any, bool) {
 	suspects := cloneMap(d.Suspects)
+	if !c.changeSuspects(suspects) {
+		return refused("counted already")
+	}
+	d.Suspects = suspects
+	return applied()
+}
+
+func (c ReportCrash) changeSuspects(suspects map[string]Suspect) bool {
 	changed := false
 	for i, f := range c.Fingerprints {
 		s, added := suspects[f].withRun(c.run(i), c.Alone)
@@ -203,14 +234,12 @@
 		suspects[f] = s
 		changed = true
 	}
-	if !changed {
-		return refused("counted already")
+	if changed {
+		removeRunsAfterCrash(suspects, c.Incarnation)
+		attribute(suspects, c.Incarnation)
+		removeLeast(suspects, len(suspects)-maxSuspects)
 	}
-	removeRunsAfterCrash(suspects, c.Incarnation)
-	attribute(suspects, c.Incarnation)
-	removeLeast(suspects, len(suspects)-maxSuspects)
-	d.Suspects = suspects
-	return applied()
+	return changed
 }
 
 func (c ReportCrash) run(i int) CrashedRun {
@@ -335,14 +364,20 @@
 }
 
 func (c ForgetSuspect) apply(d *draft) (any, bool) {
-	if _, ok := d.Suspects[c.Fingerprint]; !ok {
+	suspects := cloneMap(d.Suspects)
+	if !c.changeSuspects(suspects) {
 		return refused("no suspect")
 	}
-	d.Suspects = cloneMap(d.Suspects)
-	delete(d.Suspects, c.Fingerprint)
+	d.Suspects = suspects
 	return applied()
 }
 
+func (c ForgetSuspect) changeSuspects(suspects map[string]Suspect) bool {
+	_, ok := suspects[c.Fingerprint]
+	delete(suspects, c.Fingerprint)
+	return ok
+}
+
 // RetryAttributed requests that a request which crashes are attributed to may run once more. The
 // entry that it is granted to runs the request once.
 type RetryAttributed struct {
--- a/internal/control/suspect_log.go
+++ b/internal/control/suspect_log.go
@@ -1,8 +1,6 @@
 package control
 
 import (
-	"reflect"
-
 	"github.com/go-kit/log/level"
 
 	"github.com/citronstep/citronstep/internal/blackboard"
@@ -19,8 +17,7 @@
 // logSuspects logs the suspects that have changed since the last call. Only Run calls it.
 func (s *Server) logSuspects(board *blackboard.Board) {
 	l := &s.suspectLog
-	// The board's maps are copied before a change, so an unchanged map is the same one.
-	if reflect.ValueOf(l.suspects).UnsafePointer() == reflect.ValueOf(board.Suspects).UnsafePointer() {
+	if blackboard.IsSameTable(l.suspects, board.Suspects) {
 		return
 	}
 	l.suspects = board.Suspects
--- a/internal/entry/crashes_test.go
+++ b/internal/entry/crashes_test.go
@@ -23,6 +23,8 @@
 	changingBoard
 	mu      sync.Mutex
 	commits int
+	// isUnreachable makes commits fail.
+	isUnreachable atomic.Bool
 }
 
 func newBoardControl(board *blackboard.Board) *boardControl {
@@ -32,6 +34,9 @@
 }
 
 func (c *boardControl) Commit(_ context.Context, r *noderpc.CommitRequest) ([]byte, error) {
+	if c.isUnreachable.Load() {
+		return nil, failure.New(failure.TypeUnavailable, "no control process answers")
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.commits++
@@ -271,3 +276,26 @@
 	assert.Equal(t, len(s.loggedRoutes), 2)
 	assert.Assert(t, !s.areRoutesCurrent(), "it may open again with time")
 }
+
+// Guards against an entry that reaches no control process and goes on sending a request that it has seen
+// crash three backend servers itself.
+func TestEntryWithoutALeaderCountsWhatItHasSeen(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, control, _ := crashServer(backend.NotListening)
+		control.isUnreachable.Store(true)
+		for n := range 3 {
+			assert.Assert(t, s.checkCrashes(routeJob("before", "body")) == nil)
+			sent := time.Now()
+			time.Sleep(time.Second)
+			<-s.observeCut(routeJob(fmt.Sprint(n), "body"), groupRoute(uint64(n)), false, sent).done
+		}
+		assert.Assert(t, s.checkCrashes(routeJob("after", "body")) != nil)
+		assert.Assert(t, s.checkCrashes(routeJob("other", "another body")) == nil)
+		time.Sleep(time.Minute)
+		assert.Assert(t, s.checkCrashes(routeJob("later", "body")) != nil, "no leader grants a further run")
+
+		control.isUnreachable.Store(false)
+		time.Sleep(time.Second)
+		assert.Equal(t, control.Board().Suspects[routeJob("x", "body").contentFingerprint()].Crashes, 3, "the reports are written later")
+	})
+}
--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -104,10 +104,8 @@
 	// withheld counts the attempts that were not sent, as their backend server had asked for no
 	// request.
 	withheld int
-	// suspect is set if a backend server crashed while it ran the request. crashes counts the
-	// crashes that this job has seen.
+	// suspect is set if a backend server crashed while it ran the request.
 	suspect bool
-	crashes int
 	// isRetryGranted is set if crashes are attributed to the request and this job is its granted
 	// further run.
 	isRetryGranted bool
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -168,7 +168,7 @@
 		return crashRefusal()
 	case j.nonIdempotent || !s.mayIsolate(j):
 		return nil
-	case s.awaitCrashCounts(j, check, isAlone).IsAttributed():
+	case s.awaitCrashCounts(j, check).IsAttributed():
 		return crashRefusal()
 	}
 	return nil
--- a/internal/entry/suspect.go
+++ b/internal/entry/suspect.go
@@ -106,7 +106,8 @@
 	if len(cuts) == 0 {
 		return nil
 	}
-	return s.writeSuspect(func(now time.Time) blackboard.Command { return crashReport(check.route, cuts, alone, now) })
+	report := func(now time.Time) *blackboard.ReportCrash { return crashReport(check.route, cuts, alone, now) }
+	return s.writeSuspect(report(time.Now()), func(now time.Time) blackboard.Command { return report(now) })
 }
 
 // crashReport returns the report of a crash that is sent to the leader now. The times are also given as
@@ -128,7 +129,7 @@
 
 // awaitCrashCounts waits for the verdict about a cut attempt, and until the board has the report
 // of a crash. It returns the request's crashes; none if the target did not crash.
-func (s *Server) awaitCrashCounts(j *job, check *crashCheck, isAlone bool) blackboard.Suspect {
+func (s *Server) awaitCrashCounts(j *job, check *crashCheck) blackboard.Suspect {
 	select {
 	case <-check.done:
 	case <-j.ctx.Done():
@@ -141,14 +142,7 @@
 		awaitDone(j.ctx, check.reported, boardTimeout)
 	}
 	j.suspect = true
-	j.crashes++
-	// This entry's board may not show yet what the entry has seen itself.
-	known := s.o.Follower.Board().Suspects[j.fingerprint]
-	known.Crashes = max(known.Crashes, j.crashes)
-	if isAlone {
-		known.Alone = max(known.Alone, 1)
-	}
-	return known
+	return s.suspectOf(j)
 }
 
 // awaitDone returns once done is closed, after the limit or at the end of ctx.
@@ -169,10 +163,10 @@
 	return !hasObjective && !s.o.Settings.Deaf
 }
 
-// suspectOf returns what the board holds about the job's crashes. Without suspects on the board
-// the job needs no fingerprint.
+// suspectOf returns what this entry knows about the job's crashes. Without suspects the job needs no
+// fingerprint.
 func (s *Server) suspectOf(j *job) blackboard.Suspect {
-	suspects := s.o.Follower.Board().Suspects
+	suspects := s.suspects()
 	if len(suspects) == 0 {
 		return blackboard.Suspect{}
 	}
@@ -212,7 +206,7 @@
 	s.recentAnswers.add(time.Now(), j.contentFingerprint())
 	if suspect := s.suspectOf(j); suspect.Crashes > 1 || suspect.Alone > 0 || j.suspect {
 		answered := &blackboard.ForgetSuspect{Fingerprint: j.fingerprint}
-		s.writeSuspect(func(time.Time) blackboard.Command { return answered })
+		s.writeSuspect(answered, func(time.Time) blackboard.Command { return answered })
 	}
 }
 
--- a/internal/entry/suspect_writer.go
+++ b/internal/entry/suspect_writer.go
@@ -15,33 +15,80 @@
 	// comes up in between goes into one write, which bounds the writes when many backend servers
 	// crash while hundreds of requests run on them.
 	suspectWriteInterval = 100 * time.Millisecond
-	// suspectWriteLifetime is how long a write is tried again. Callers have given up by then.
-	suspectWriteLifetime = 30 * time.Second
+	// suspectRetryInterval is the least time between two writes while none succeeds.
+	suspectRetryInterval = 500 * time.Millisecond
+	// suspectWriteLifetime is how long a write is tried again, and how long an entry that can't write goes
+	// by what it has seen itself.
+	suspectWriteLifetime = 10 * time.Minute
+	// unseenTime is how long what was written counts beside the board, which may not show it yet.
+	unseenTime = 2 * time.Second
 	// maxSuspectWrites bounds the commands that wait to be written.
 	maxSuspectWrites = 1024
 )
 
-// suspectWriter writes what this entry learns of suspects to the board, one write at a time.
+// suspectWriter writes what this entry learns of suspects to the board, one write at a time. Until the
+// board shows it, this entry goes by it already.
+//
+// Failure: an entry that is cut off from the leader sees one request crash one backend server after the
+// other, and goes on sending it, as the board shows no crash.
 type suspectWriter struct {
 	mu sync.Mutex
 	// pending holds the commands that are not written yet, and isWriting is set while a
-	// goroutine writes.
-	pending   []suspectWrite
-	isWriting bool
+	// goroutine writes. written holds those of the last unseenTime.
+	pending, written []suspectWrite
+	isWriting        bool
+	// table is the board's table from, changed by what is pending and written; nil if that has
+	// changed since.
+	from, table map[string]blackboard.Suspect
 }
 
 type suspectWrite struct {
-	// command returns the command as it is at a time.
-	command func(now time.Time) blackboard.Command
-	since   time.Time
+	// change is what the command changes, by the clock of this entry.
+	change blackboard.SuspectChange
+	// command returns the command as it is to be sent at a time.
+	command          func(now time.Time) blackboard.Command
+	since, writtenAt time.Time
 	// done is closed once the command is written or given up.
 	done chan struct{}
 }
 
-// writeSuspect writes a command about suspects in the background. It returns a channel that is
+// suspects returns the board's table of suspects with what this entry knows beside it. The result is not
+// changed.
+func (s *Server) suspects() map[string]blackboard.Suspect {
+	return s.suspectWriter.changed(time.Now(), s.o.Follower.Board().Suspects)
+}
+
+func (q *suspectWriter) changed(now time.Time, board map[string]blackboard.Suspect) map[string]blackboard.Suspect {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.forgetSeen(now)
+	if len(q.pending)+len(q.written) == 0 {
+		return board
+	}
+	if q.table == nil || !blackboard.IsSameTable(q.from, board) {
+		var changes []blackboard.SuspectChange
+		for _, w := range q.written {
+			changes = append(changes, w.change)
+		}
+		for _, w := range q.pending {
+			changes = append(changes, w.change)
+		}
+		q.from, q.table = board, blackboard.ChangeSuspects(board, changes)
+	}
+	return q.table
+}
+
+// forgetSeen forgets what the board has shown by now. The caller holds the lock.
+func (q *suspectWriter) forgetSeen(now time.Time) {
+	for len(q.written) > 0 && now.Sub(q.written[0].writtenAt) > unseenTime {
+		q.written, q.table = q.written[1:], nil
+	}
+}
+
+// writeSuspect writes a change of the suspects in the background. It returns a channel that is
 // closed once the command is written or given up.
-func (s *Server) writeSuspect(command func(now time.Time) blackboard.Command) <-chan struct{} {
-	w := suspectWrite{command: command, since: time.Now(), done: make(chan struct{})}
+func (s *Server) writeSuspect(change blackboard.SuspectChange, command func(now time.Time) blackboard.Command) <-chan struct{} {
+	w := suspectWrite{change: change, command: command, since: time.Now(), done: make(chan struct{})}
 	q := &s.suspectWriter
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -50,7 +97,7 @@
 		s.logSuspectWriteLost(1, "too many wait")
 		return w.done
 	}
-	q.pending = append(q.pending, w)
+	q.pending, q.table = append(q.pending, w), nil
 	if !q.isWriting {
 		q.isWriting = true
 		go s.writeSuspects()
@@ -60,25 +107,30 @@
 
 // writeSuspects writes until no command is left.
 func (s *Server) writeSuspects() {
-	q := &s.suspectWriter
 	for {
-		q.mu.Lock()
-		batch := q.pending
-		q.pending = nil
-		q.isWriting = len(batch) > 0
-		q.mu.Unlock()
+		batch := s.suspectWriter.next()
 		if len(batch) == 0 {
 			return
 		}
-		began := time.Now()
-		s.writeSuspectBatch(batch)
-		time.Sleep(suspectWriteInterval - time.Since(began))
+		began, interval := time.Now(), suspectWriteInterval
+		if !s.writeSuspectBatch(batch) {
+			interval = suspectRetryInterval
+		}
+		time.Sleep(interval - time.Since(began))
 	}
 }
 
-// writeSuspectBatch writes commands together. If the write fails, those that are not too old are
-// written with the next batch. Each command changes nothing if it is written twice.
-func (s *Server) writeSuspectBatch(batch []suspectWrite) {
+// next returns the commands that are to be written. Without any, the writing ends.
+func (q *suspectWriter) next() []suspectWrite {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.isWriting = len(q.pending) > 0
+	return q.pending[:len(q.pending):len(q.pending)]
+}
+
+// writeSuspectBatch writes the first pending commands together and reports whether that succeeded. If
+// it failed, those that are too old are given up. Each command changes nothing if it is written twice.
+func (s *Server) writeSuspectBatch(batch []suspectWrite) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), boardTimeout)
 	defer cancel()
 	err := s.commitBoardLatest(ctx, func() (blackboard.Command, error) {
@@ -88,31 +140,41 @@
 		}
 		return blackboard.NewBatch(commands)
 	}, nil)
-	if err == nil {
-		for _, w := range batch {
-			s.o.Metrics.SuspectWrite(true)
-			close(w.done)
-		}
-		_ = level.Info(s.o.Logger).Log("event", "suspects_written", "commands", len(batch), "waited_ms", time.Since(batch[0].since).Milliseconds())
-		return
+	waited := time.Since(batch[0].since).Milliseconds()
+	if err != nil {
+		_ = level.Warn(s.o.Logger).Log("event", "suspects_not_written", "commands", len(batch), "waited_ms", waited, "err", err)
+		s.giveUpOldSuspectWrites(err)
+		return false
+	}
+	_ = level.Info(s.o.Logger).Log("event", "suspects_written", "commands", len(batch), "waited_ms", waited)
+	for range batch {
+		s.o.Metrics.SuspectWrite(true)
 	}
-	_ = level.Warn(s.o.Logger).Log("event", "suspects_not_written", "commands", len(batch), "waited_ms", time.Since(batch[0].since).Milliseconds(), "err", err)
-	s.retrySuspectWrites(batch, err)
+	s.suspectWriter.wrote(time.Now(), len(batch))
+	return true
 }
 
-func (s *Server) retrySuspectWrites(batch []suspectWrite, err error) {
-	var again []suspectWrite
-	for _, w := range batch {
-		if time.Since(w.since) < suspectWriteLifetime {
-			again = append(again, w)
-			continue
-		}
+// wrote takes in that the first n pending commands are written.
+func (q *suspectWriter) wrote(now time.Time, n int) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, w := range q.pending[:n] {
+		w.writtenAt = now
+		q.written = append(q.written, w)
 		close(w.done)
+	}
+	q.pending, q.table = q.pending[n:], nil
+}
+
+func (s *Server) giveUpOldSuspectWrites(err error) {
+	q := &s.suspectWriter
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for len(q.pending) > 0 && time.Since(q.pending[0].since) >= suspectWriteLifetime {
+		close(q.pending[0].done)
+		q.pending, q.table = q.pending[1:], nil
 		s.logSuspectWriteLost(1, err.Error())
 	}
-	s.suspectWriter.mu.Lock()
-	defer s.suspectWriter.mu.Unlock()
-	s.suspectWriter.pending = append(again, s.suspectWriter.pending...)
 }
 
 func (s *Server) logSuspectWriteLost(n int, reason string) {
