Answers clear a suspect by their number, after its first crash and over all entries

Cause: two excuses that each entry gave by itself. An answer of the last half minute took three crashes out of the reports of the entry that had given it, and overrode the board's count there for up to a minute; any answer removed the request from the board. The rule is on the sum over all entries.

Now every crash is reported, and the board counts answers to runs that were sent when the request was known as a suspect. Two for each crash clear it; answers are written until they would clear one crash more, so that a popular request is cleared before its next crash. An answer from before the first crash clears nothing. One in isolation counts for a crash; that of a granted further run clears the request until its next crash. In a mixed version older control processes remove an answered suspect, as they did; the log's command and the revisions stay the same.

TestAnswersInBetweenDoNotClearTheCause, TestAnswerToARunFromBeforeTheCrashClearsNothing, TestRequestThatIsAnsweredOftenIsNotBlamed, TestAnswersClearARequestThatWasBlamed.

Tests replaced: TestAnswerExcusesFewCrashes and TestRecentAnswersAreForgotten tested the memory that is gone. TestRequestThatIsAnsweredElsewhereIsNotBlamed answered the popular request once for each crash and asked that it leaves no row; that is the request that crashes every other server. It now answers four times a crash, and asserts after each answer and crash that an attempt may be made. TestCrashingRequestOfARouteIsRefusedAtOnce asked for an empty table after a granted answer; it now asserts that the request runs again, and that its next crash refuses it at once.

--- a/internal/blackboard/command.go
+++ b/internal/blackboard/command.go
@@ -48,7 +48,7 @@
 	"put_entry":       func() Command { return &PutEntry{} },
 	"remove_entry":    func() Command { return &RemoveEntry{} },
 	"report_crash":    func() Command { return &ReportCrash{} },
-	"forget_suspect":  func() Command { return &ForgetSuspect{} },
+	"forget_suspect":  func() Command { return &ClearSuspect{} },
 	"retry_suspect":   func() Command { return &RetryAttributed{} },
 	"take_quarantine": func() Command { return &TakeQuarantine{} },
 	"end_quarantine":  func() Command { return &EndQuarantine{} },
--- a/internal/blackboard/command_test.go
+++ b/internal/blackboard/command_test.go
@@ -105,7 +105,7 @@
 		{"removed while alive", nil, RemoveVM{VM: "3", Incarnation: "a"}, "the VM is alive"},
 		{"unknown entry", nil, RemoveEntry{ID: "x"}, "unknown entry"},
 		{"unknown service", nil, RemoveService{ID: "x"}, "another incarnation"},
-		{"unknown suspect", nil, ForgetSuspect{"x"}, "no suspect"},
+		{"unknown suspect", nil, ClearSuspect{Fingerprint: "x"}, "no suspect"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			b, _ := verdict(t, formed(t), Found{ClusterID: "c"})
--- a/internal/blackboard/suspect.go
+++ b/internal/blackboard/suspect.go
@@ -10,7 +10,7 @@
 )
 
 // Suspect is a request, identified by its fingerprint, that was running on backend servers
-// when they crashed. Written by: entries, through ReportCrash, ForgetSuspect and
+// when they crashed. Written by: entries, through ReportCrash, ClearSuspect and
 // RetryAttributed. Read by: entries, which refuse a suspect once IsAttributed reports true.
 type Suspect struct {
 	Fingerprint string `json:"fingerprint"`
@@ -19,6 +19,9 @@
 	Crashes int `json:"crashes"`
 	// Alone counts those that crashed while no other request was running on them.
 	Alone int `json:"alone"`
+	// Answers counts complete answers of runs that were sent when the request was a suspect already,
+	// up to as many as clear it of one more crash than it has.
+	Answers int `json:"answers,omitempty"`
 	// Runs holds the request's runs that a crash ended, at most maxRuns.
 	Runs []CrashedRun `json:"runs,omitempty"`
 	// Attributed is set if crashes are attributed to the request by the runs of all suspects.
@@ -51,6 +54,9 @@
 	// inseparableCrashes is how many are attributed although another suspect was running in all
 	// of them.
 	inseparableCrashes = 5
+	// answersPerCrash is how many answers speak against one crash. A request that crashes its backend
+	// server every other time is not cleared by the answers in between.
+	answersPerCrash = 2
 	// maxRuns bounds the runs of one suspect. It is above inseparableCrashes, so that a suspect
 	// that crashes are attributed to covers the runs of the others.
 	maxRuns = 16
@@ -74,9 +80,24 @@
 // requests that were sent again and again until then must not be refused for good.
 const firstRetryAfter = time.Minute
 
+// isCleared reports whether the request was answered so often that it is not the cause of the crashes.
+func (s Suspect) isCleared() bool { return s.Answers > 0 && s.Answers >= answersPerCrash*len(s.Runs) }
+
+// IsSuspected reports whether the request may be the cause of a crash.
+func (s Suspect) IsSuspected() bool { return s.Crashes > 0 && !s.isCleared() }
+
+// NeedsAnswers reports whether an answer to the request is to be counted: its answers don't clear it of
+// its crashes and of one more yet.
+func (s Suspect) NeedsAnswers() bool { return s.Crashes > 0 && s.Answers < s.maxAnswers() }
+
+func (s Suspect) maxAnswers() int { return answersPerCrash * (len(s.Runs) + 1) }
+
 // IsAttributed reports whether crashes are attributed to the request: it ran alone in one of two
-// crashes, or it alone was running in all of several.
+// crashes, or it alone was running in all of several, and answers don't clear it.
 func (s Suspect) IsAttributed() bool {
+	if s.isCleared() {
+		return false
+	}
 	// Rows of older versions have no runs.
 	byCount := len(s.Runs) == 0 && s.Crashes >= attributedCrashes
 	return (s.Alone >= 1 && s.Crashes >= 2) || s.Attributed || byCount
@@ -126,7 +147,8 @@
 }
 
 func (s Suspect) equal(other Suspect) bool {
-	hasSameCounts := s.Crashes == other.Crashes && s.Alone == other.Alone && s.Attributed == other.Attributed
+	hasSameCounts := s.Crashes == other.Crashes && s.Alone == other.Alone && s.Attributed == other.Attributed &&
+		s.Answers == other.Answers
 	hasSameTimes := s.LastMillis == other.LastMillis && s.Retries == other.Retries && s.RetryMillis == other.RetryMillis
 	return s.Fingerprint == other.Fingerprint && hasSameCounts && hasSameTimes && slices.Equal(s.Runs, other.Runs)
 }
@@ -327,11 +349,11 @@
 }
 
 // coveringSuspect returns the first other suspect, by fingerprint, that was running in all crashes
-// of s, or "".
+// of s and is not cleared, or "".
 func coveringSuspect(suspects map[string]Suspect, s Suspect) string {
 	first := ""
 	for f, other := range suspects {
-		if f != s.Fingerprint && (first == "" || f < first) && other.wasRunningInAllOf(s) {
+		if f != s.Fingerprint && (first == "" || f < first) && !other.isCleared() && other.wasRunningInAllOf(s) {
 			first = f
 		}
 	}
@@ -358,12 +380,29 @@
 	}
 }
 
-// ForgetSuspect removes a suspect that was answered completely, or whose last crash was long ago.
-type ForgetSuspect struct {
+// ClearSuspect counts answers to a suspect, or removes it if there are none: its last crash was long
+// ago.
+type ClearSuspect struct {
 	Fingerprint string `json:"fingerprint"`
+	// Answers counts complete answers of runs that were sent when the request was a suspect. Control
+	// processes of older versions remove a suspect that was answered.
+	Answers int `json:"answers,omitempty"`
+	// Granted states that a further run of an attributed request was answered. That clears the
+	// request until its next crash.
+	Granted bool `json:"granted,omitempty"`
+}
+
+// Answered returns the command that counts an answer to a suspect. One that ran alone speaks against a
+// whole crash.
+func Answered(fingerprint string, alone, granted bool) *ClearSuspect {
+	c := &ClearSuspect{Fingerprint: fingerprint, Answers: 1, Granted: granted}
+	if alone {
+		c.Answers = answersPerCrash
+	}
+	return c
 }
 
-func (c ForgetSuspect) apply(d *draft) (any, bool) {
+func (c ClearSuspect) apply(d *draft) (any, bool) {
 	suspects := cloneMap(d.Suspects)
 	if !c.changeSuspects(suspects) {
 		return refused("no suspect")
@@ -372,10 +411,27 @@
 	return applied()
 }
 
-func (c ForgetSuspect) changeSuspects(suspects map[string]Suspect) bool {
-	_, ok := suspects[c.Fingerprint]
-	delete(suspects, c.Fingerprint)
-	return ok
+func (c ClearSuspect) changeSuspects(suspects map[string]Suspect) bool {
+	s, ok := suspects[c.Fingerprint]
+	switch {
+	case !ok:
+		return false
+	case c.Answers == 0:
+		delete(suspects, c.Fingerprint)
+		return true
+	case !s.NeedsAnswers():
+		return false
+	}
+	s.Answers = min(s.Answers+c.Answers, s.maxAnswers())
+	if c.Granted {
+		s.Answers = max(s.Answers, answersPerCrash*len(s.Runs))
+	}
+	suspects[c.Fingerprint] = s
+	// The request no longer hides another one that was in the same crashes.
+	for _, r := range s.Runs {
+		attribute(suspects, r.Incarnation)
+	}
+	return true
 }
 
 // RetryAttributed requests that a request which crashes are attributed to may run once more. The
--- a/internal/blackboard/suspect_test.go
+++ b/internal/blackboard/suspect_test.go
@@ -94,6 +94,54 @@
 	assert.Assert(t, c.isAttributed("unlucky"))
 }
 
+func (c *crashBoard) answer(fingerprint string, n int) {
+	c.t.Helper()
+	for range n {
+		c.board, _ = verdict(c.t, c.board, Answered(fingerprint, false, false))
+	}
+}
+
+// Guards against a request that crashes its backend server every other time and is cleared by the answers
+// in between.
+func TestAnswersInBetweenDoNotClearTheCause(t *testing.T) {
+	c := newCrashBoard(t)
+	for i := range attributedCrashes {
+		assert.Assert(t, !c.isAttributed("cause"))
+		c.report(fmt.Sprint("server-", i), int64(1000*i), int64(1000*i+900), "cause")
+		c.answer("cause", 1)
+	}
+	assert.Assert(t, c.isAttributed("cause"))
+}
+
+// Guards against a popular request that is blamed because servers crash by themselves while it runs
+// nearly everywhere, and against one that hides the cause of crashes.
+func TestRequestThatIsAnsweredOftenIsNotBlamed(t *testing.T) {
+	c := newCrashBoard(t)
+	for i := range 2 * inseparableCrashes {
+		c.report(fmt.Sprint("server-", i), int64(1000*i), int64(1000*i+900), "popular")
+		assert.Assert(t, !c.isAttributed("popular"), "%d crashes", i+1)
+		c.answer("popular", 100)
+	}
+	for i := range attributedCrashes {
+		c.report(fmt.Sprint("next-", i), int64(20_000+1000*i), int64(20_000+1000*i+900), "popular", "cause")
+		c.answer("popular", 100)
+	}
+	assert.Assert(t, c.isAttributed("cause"))
+	assert.Assert(t, !c.isAttributed("popular"))
+}
+
+// Guards against a request that is refused for a minute although others were answered meanwhile: answers
+// to the runs that are still under way clear it.
+func TestAnswersClearARequestThatWasBlamed(t *testing.T) {
+	c := newCrashBoard(t)
+	for i := range attributedCrashes {
+		c.report(fmt.Sprint("server-", i), int64(1000*i), int64(1000*i+900), "popular")
+	}
+	assert.Assert(t, c.isAttributed("popular"))
+	c.answer("popular", answersPerCrash*attributedCrashes)
+	assert.Assert(t, !c.isAttributed("popular"))
+}
+
 // Guards against two causes at a time of which each hides the other.
 func TestTwoCausesAreBothFound(t *testing.T) {
 	c := newCrashBoard(t)
--- a/internal/control/leader.go
+++ b/internal/control/leader.go
@@ -326,7 +326,7 @@
 	var old []blackboard.Command
 	for fingerprint, suspect := range board.Suspects {
 		if now.UnixMilli() > suspect.ExpiresMillis() {
-			old = append(old, &blackboard.ForgetSuspect{Fingerprint: fingerprint})
+			old = append(old, &blackboard.ClearSuspect{Fingerprint: fingerprint})
 		}
 	}
 	return old
--- a/internal/entry/crashes_test.go
+++ b/internal/entry/crashes_test.go
@@ -129,7 +129,7 @@
 // Guards against a request of a route that is sent on after it has crashed three backend servers.
 func TestCrashingRequestOfARouteIsRefusedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s, control, _ := crashServer(backend.NotListening)
+		s, _, _ := crashServer(backend.NotListening)
 		for n := range 3 {
 			assert.Assert(t, s.checkCrashes(routeJob("before", "body")) == nil)
 			sent := time.Now()
@@ -145,11 +145,14 @@
 
 		time.Sleep(e.RetryAfter)
 		retry := routeJob("retry", "body")
-		assert.Assert(t, s.checkCrashes(retry) == nil, "it may run once more")
+		assert.Assert(t, s.mayAttempt(retry) == nil, "it may run once more")
 		assert.Assert(t, s.checkCrashes(routeJob("beside", "body")) != nil, "and no other send of it")
 		s.noteAnswered(retry)
 		time.Sleep(time.Second)
-		assert.Equal(t, len(control.Board().Suspects), 0, "an answer clears it")
+		assert.Assert(t, s.checkCrashes(routeJob("cleared", "body")) == nil, "an answer clears it")
+		<-s.observeCut(routeJob("again", "body"), groupRoute(9), false, time.Now()).done
+		assert.Assert(t, s.checkCrashes(routeJob("refused", "body")) != nil, "until its next crash")
+		time.Sleep(time.Second)
 	})
 }
 
@@ -157,18 +160,37 @@
 // crashed, while others answered it.
 func TestRequestThatIsAnsweredElsewhereIsNotBlamed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s, control, _ := crashServer(backend.NotListening)
+		s, _, _ := crashServer(backend.NotListening)
 		for n := range 10 {
 			sent := time.Now()
 			time.Sleep(time.Second)
-			s.noteAnswered(routeJob("answered", "popular"))
 			for range 10 {
 				s.observeCut(routeJob(fmt.Sprint(n), "popular"), groupRoute(uint64(n)), false, sent)
 			}
 			time.Sleep(time.Second)
+			for range 4 {
+				j := routeJob("answered", "popular")
+				assert.Assert(t, s.mayAttempt(j) == nil, "after %d crashes", n+1)
+				s.noteAnswered(j)
+			}
+			time.Sleep(time.Second)
 		}
+	})
+}
+
+// Guards against an answer from before the first crash that excuses later ones.
+func TestAnswerToARunFromBeforeTheCrashClearsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, control, _ := crashServer(backend.NotListening)
+		early := routeJob("early", "body")
+		assert.Assert(t, s.mayAttempt(early) == nil)
+		<-s.observeCut(routeJob("1", "body"), groupRoute(1), false, time.Now()).done
+		time.Sleep(time.Second)
+		s.noteAnswered(early)
 		time.Sleep(time.Second)
-		assert.Equal(t, len(control.Board().Suspects), 0)
+		suspect := control.Board().Suspects[early.contentFingerprint()]
+		assert.Equal(t, suspect.Answers, 0)
+		assert.Assert(t, suspect.IsSuspected())
 	})
 }
 
@@ -215,34 +237,6 @@
 	assert.Equal(t, e.Type, failure.TypeRequestCrashesBackend)
 }
 
-// Guards against a request that was answered by one release of its backend servers and crashes those
-// of the next one without end.
-func TestAnswerExcusesFewCrashes(t *testing.T) {
-	now := time.Unix(0, 0)
-	r := newRecentAnswers(now)
-	for range 2 {
-		r.add(now, "a")
-		for range maxForgivenCrashes {
-			assert.Assert(t, r.forgive(now, "a"))
-		}
-	}
-	assert.Assert(t, !r.forgive(now, "a"))
-	assert.Assert(t, !r.contains(now, "a"))
-	assert.Assert(t, !r.forgive(now, "b"))
-}
-
-func TestRecentAnswersAreForgotten(t *testing.T) {
-	now := time.Unix(0, 0)
-	r := newRecentAnswers(now)
-	r.add(now, "a")
-	assert.Assert(t, r.contains(now.Add(answerMemory+time.Second), "a"))
-	assert.Assert(t, !r.contains(now.Add(3*answerMemory), "a"))
-	for i := range 5 * maxRecentAnswers {
-		r.add(now, fmt.Sprint(i))
-	}
-	assert.Assert(t, len(r.current)+len(r.previous) <= 2*maxRecentAnswers)
-}
-
 func BenchmarkContentFingerprint(b *testing.B) {
 	for _, bytes := range []int{0, 1500, 4 << 20} {
 		body := string(make([]byte, bytes))
--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -106,6 +106,9 @@
 	withheld int
 	// suspect is set if a backend server crashed while it ran the request.
 	suspect bool
+	// wasSuspect is set if the request was known as a suspect when its last attempt was sent, isAlone
+	// if that ran in isolation.
+	wasSuspect, isAlone bool
 	// isRetryGranted is set if crashes are attributed to the request and this job is its granted
 	// further run.
 	isRetryGranted bool
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -59,7 +59,7 @@
 
 // runAttempts makes attempts until one gives the complete answer or no further one may be made.
 func (s *Server) runAttempts(j *job, g grant, attempt attemptFunc) *failure.Error {
-	j.suspect = s.mayIsolate(j) && s.suspectOf(j).Crashes > 0
+	j.suspect = s.mayIsolate(j) && s.suspectOf(j).IsSuspected()
 	begun := j.begun
 	for {
 		if j.suspect {
@@ -78,6 +78,7 @@
 		if s.rateLimits.isLimited(g.route.incarnation) {
 			s.o.Metrics.RateLimitedAttempt()
 		}
+		j.isAlone = g.endTurn != nil
 		sent := time.Now()
 		out, e := attempt(j, g)
 		s.returnGrant(j, out != outcomeWithheld)
@@ -117,6 +118,7 @@
 	if e := s.checkCrashes(j); e != nil {
 		return e
 	}
+	j.wasSuspect = s.suspectOf(j).Crashes > 0
 	return s.mayDispatch()
 }
 
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -93,11 +93,10 @@
 	dispatcher *dispatcher
 	jobs       *jobTable
 	isolation  *isolation
-	// crashChecks tells crashes of backend servers from cut connections, suspectWriter writes
-	// what this entry learns of suspects, and recentAnswers clears requests.
+	// crashChecks tells crashes of backend servers from cut connections, suspectWriter writes what
+	// this entry learns of suspects.
 	crashChecks   *crashChecks
 	suspectWriter suspectWriter
-	recentAnswers *recentAnswers
 	// holders is this entry's table as the home of keys.
 	holdersMu sync.Mutex
 	holders   *holders
@@ -178,7 +177,6 @@
 		jobs:           newJobTable(),
 		isolation:      newIsolation(),
 		crashChecks:    newCrashChecks(),
-		recentAnswers:  newRecentAnswers(time.Now()),
 		holders:        newHolders(),
 		updateNow:      make(chan struct{}, 1),
 		loggedRoutes:   make(map[string]route),
--- a/internal/entry/shared_queue.go
+++ b/internal/entry/shared_queue.go
@@ -136,7 +136,7 @@
 // with an objective. Further attempts, resumed streams and suspects are decided here.
 func (s *Server) usesSharedQueue(now time.Time, j *job) bool {
 	return j.isGated() && !j.forward.resume && !j.nonIdempotent && s.dispatcher.isShort(now, j.model) &&
-		s.suspectOf(j).Crashes == 0
+		!s.suspectOf(j).IsSuspected()
 }
 
 // admit waits until the job may run: in the shared queue while its model is short of room,
--- a/internal/entry/suspect.go
+++ b/internal/entry/suspect.go
@@ -19,8 +19,8 @@
 // A request that crashes each backend server that runs it, resent by its caller without end,
 // would take down one group after another. Each request in flight when a backend server crashes
 // becomes a suspect, of whatever kind it is. The blackboard holds its crashes by the request's
-// fingerprint, so that they apply across entries and resends, and attributes them (Suspect). A
-// complete answer clears a suspect.
+// fingerprint, so that they apply across entries and resends, and attributes them (Suspect). Complete
+// answers clear a suspect.
 //
 // The next attempt of a suspect runs in isolation, on a target that all entries keep free: a
 // second crash there is attributed to the request and harms no other one. Requests with an
@@ -66,7 +66,7 @@
 		return nil
 	}
 	var shared, alone []cutAttempt
-	for _, a := range s.countedCuts(check, cuts) {
+	for _, a := range s.cutsByRequest(check, cuts) {
 		if a.isAlone {
 			alone = append(alone, a)
 			continue
@@ -80,25 +80,20 @@
 	return written
 }
 
-// countedCuts returns one attempt of each request that a crash ended. It leaves out the requests
-// that were answered recently.
-func (s *Server) countedCuts(check *crashCheck, cuts []cutAttempt) []cutAttempt {
-	now := time.Now()
+// cutsByRequest returns one attempt of each request that a crash ended.
+func (s *Server) cutsByRequest(check *crashCheck, cuts []cutAttempt) []cutAttempt {
 	seen := make(map[string]bool, len(cuts))
-	var counted []cutAttempt
+	var first []cutAttempt
 	for _, a := range cuts {
 		if seen[a.fingerprint] {
 			continue
 		}
 		seen[a.fingerprint] = true
-		isCounted := !s.recentAnswers.forgive(now, a.fingerprint)
-		if isCounted {
-			counted = append(counted, a)
-		}
+		first = append(first, a)
 		_ = level.Warn(s.o.Logger).Log("event", "crash", "request", a.request, "fingerprint", a.fingerprint,
-			"unit", check.route.crashID(), "alone", a.isAlone, "ran_ms", a.cut.Sub(a.sent).Milliseconds(), "counted", isCounted)
+			"unit", check.route.crashID(), "alone", a.isAlone, "ran_ms", a.cut.Sub(a.sent).Milliseconds())
 	}
-	return counted
+	return first
 }
 
 // writeCrash writes the crash of a target that ended the attempts.
@@ -174,11 +169,11 @@
 }
 
 // checkCrashes refuses a job that crashes are attributed to, with the time from which it may run
-// once more. This entry's own recent answer to the request says more than the board.
+// once more.
 func (s *Server) checkCrashes(j *job) *failure.Error {
 	now := time.Now()
 	suspect := s.suspectOf(j)
-	if !suspect.IsAttributed() || j.isRetryGranted || s.recentAnswers.contains(now, suspect.Fingerprint) {
+	if !suspect.IsAttributed() || j.isRetryGranted {
 		return nil
 	}
 	wait := time.Duration(suspect.RetryAtMillis()-now.UnixMilli()) * time.Millisecond
@@ -200,14 +195,14 @@
 	return j.isRetryGranted
 }
 
-// noteAnswered takes in that a job was answered completely, which shows that the request does not
-// crash its backend servers. A suspect with one crash stays on the board, to save the write.
+// noteAnswered counts an answer to a suspect that was known as one when the answered run was sent. An
+// answer to an earlier run does not show that the request has not come to crash its backend servers since.
 func (s *Server) noteAnswered(j *job) {
-	s.recentAnswers.add(time.Now(), j.contentFingerprint())
-	if suspect := s.suspectOf(j); suspect.Crashes > 1 || suspect.Alone > 0 || j.suspect {
-		answered := &blackboard.ForgetSuspect{Fingerprint: j.fingerprint}
-		s.writeSuspect(answered, func(time.Time) blackboard.Command { return answered })
+	if !j.wasSuspect || !s.suspectOf(j).NeedsAnswers() {
+		return
 	}
+	answered := blackboard.Answered(j.contentFingerprint(), j.isAlone, j.isRetryGranted)
+	s.writeSuspect(answered, func(time.Time) blackboard.Command { return answered })
 }
 
 func countAttributed(suspects map[string]blackboard.Suspect) int {
--- a/internal/entry/suspect_writer.go
+++ b/internal/entry/suspect_writer.go
@@ -34,7 +34,7 @@
 type suspectWriter struct {
 	mu sync.Mutex
 	// pending holds the commands that are not written yet, and isWriting is set while a
-	// goroutine writes. written holds those of the last unseenTime.
+	// goroutine writes. written holds the crashes that were written in the last unseenTime.
 	pending, written []suspectWrite
 	isWriting        bool
 	// table is the board's table from, changed by what is pending and written; nil if that has
@@ -160,7 +160,10 @@
 	defer q.mu.Unlock()
 	for _, w := range q.pending[:n] {
 		w.writtenAt = now
-		q.written = append(q.written, w)
+		// A crash counts once; an answer would count again beside the board's.
+		if _, ok := w.change.(*blackboard.ReportCrash); ok {
+			q.written = append(q.written, w)
+		}
 		close(w.done)
 	}
 	q.pending, q.table = q.pending[n:], nil
