Servers of several data centres that crash at once under one request count each

What callers saw: a request that several callers send at the same moment crashed as many servers with each round as there were callers.

Cause: runs that overlap counted as one crash, so that a failing data centre is held against no request. Servers in different data centres fail at once for no such reason.

A report now names the data centre, and runs must follow one another only within one. Within one data centre the rule is as it was: callers that send at the same moment count once there. Reports of older entries name none and count as before.

TestSimultaneousCrashesInSeveralDataCentresCount: one crash counted before, three now.

--- a/internal/blackboard/suspect.go
+++ b/internal/blackboard/suspect.go
@@ -14,8 +14,8 @@
 // RetryAttributed. Read by: entries, which refuse a suspect once IsAttributed reports true.
 type Suspect struct {
 	Fingerprint string `json:"fingerprint"`
-	// Crashes counts the crashes that followed one another: the run that each of them ended was
-	// sent after the crash before it.
+	// Crashes counts the crashes that followed one another in a data centre, over all data centres: the
+	// run that each of them ended was sent after the crash before it there.
 	Crashes int `json:"crashes"`
 	// Alone counts those that crashed while no other request was running on them.
 	Alone int `json:"alone"`
@@ -37,8 +37,10 @@
 // the leader's clock.
 type CrashedRun struct {
 	Incarnation string `json:"incarnation"`
-	// Pool is the model or the plain service that the backend server served.
+	// Pool is the model or the plain service that the backend server served, DataCentre where it was;
+	// empty in reports of older versions.
 	Pool       string `json:"pool,omitempty"`
+	DataCentre string `json:"data_centre,omitempty"`
 	SentMillis int64  `json:"sent_ms"`
 	EndMillis  int64  `json:"end_ms"`
 }
@@ -168,17 +170,20 @@
 }
 
 // successiveRuns returns the largest number of runs each of which was sent after the one before
-// it had ended.
+// it in its data centre had ended.
 //
 // Failure: a data centre fails, and a request that many callers send at the same time is running
-// on many of its backend servers. They all crash at once, whatever ran on them.
+// on many of its backend servers. They all crash at once, whatever ran on them. Servers of several
+// data centres that crash at once have the request in common.
 func successiveRuns(runs []CrashedRun) int {
 	runs = slices.SortedFunc(slices.Values(runs), func(a, b CrashedRun) int { return cmp.Compare(a.EndMillis, b.EndMillis) })
 	n := 0
-	var end int64
+	ends := make(map[string]int64)
 	for _, r := range runs {
-		if n == 0 || r.SentMillis+clockTolerance.Milliseconds() >= end {
-			n, end = n+1, r.EndMillis
+		end, ok := ends[r.DataCentre]
+		if !ok || r.SentMillis+clockTolerance.Milliseconds() >= end {
+			n++
+			ends[r.DataCentre] = r.EndMillis
 		}
 	}
 	return n
@@ -192,6 +197,7 @@
 	SentMillis  []int64 `json:"sent_ms,omitempty"`
 	Incarnation string  `json:"incarnation"`
 	Pool        string  `json:"pool,omitempty"`
+	DataCentre  string  `json:"data_centre,omitempty"`
 	// Alone states that a single request was in flight on the backend server.
 	Alone bool `json:"alone"`
 	// NowMillis is the time of the crash.
@@ -265,7 +271,7 @@
 }
 
 func (c ReportCrash) run(i int) CrashedRun {
-	r := CrashedRun{Incarnation: c.Incarnation, Pool: c.Pool, SentMillis: c.NowMillis, EndMillis: c.NowMillis}
+	r := CrashedRun{Incarnation: c.Incarnation, Pool: c.Pool, DataCentre: c.DataCentre, SentMillis: c.NowMillis, EndMillis: c.NowMillis}
 	if i < len(c.SentMillis) {
 		r.SentMillis = c.SentMillis[i]
 	}
--- a/internal/blackboard/suspect_test.go
+++ b/internal/blackboard/suspect_test.go
@@ -82,6 +82,20 @@
 	assert.Assert(t, !c.isAttributed("popular"))
 }
 
+// Guards against a request that many callers send at the same moment and that crashes servers of several
+// data centres at once, which have nothing else in common.
+func TestSimultaneousCrashesInSeveralDataCentresCount(t *testing.T) {
+	c := newCrashBoard(t)
+	for i := range 2 * attributedCrashes {
+		c.board, _ = verdict(t, c.board, &ReportCrash{
+			Fingerprints: []string{"cause"}, SentMillis: []int64{int64(i)}, Incarnation: fmt.Sprint("server-", i),
+			DataCentre: fmt.Sprint("dc-", i%attributedCrashes), NowMillis: 1000 + int64(i),
+		})
+	}
+	assert.Equal(t, c.board.Suspects["cause"].Crashes, attributedCrashes)
+	assert.Assert(t, c.isAttributed("cause"))
+}
+
 // Guards against requests that are refused because backend servers crash by themselves, and the
 // requests are sent on to the next one that does.
 func TestCrashesWithoutACommonRequestNeedMoreEvidence(t *testing.T) {
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -75,8 +75,8 @@
 	target string
 	// pool is the model, or the name of a plain service.
 	pool string
-	// region is the region of the target's data centre.
-	region string
+	// dataCentre is where the target's head is, region the region of that.
+	dataCentre, region string
 	// requestCount is how many requests the target reports, running and queued.
 	requestCount int
 	address      string
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -199,6 +199,7 @@
 	r.routes[id] = route{
 		target:       id,
 		pool:         g.Model,
+		dataCentre:   g.DataCentre,
 		region:       r.regions[g.DataCentre],
 		requestCount: r.requestCount(id),
 		address:      head.Address,
@@ -285,6 +286,7 @@
 	r.routes[id] = route{
 		target:       id,
 		pool:         servicePool(i.Service),
+		dataCentre:   i.DataCentre,
 		region:       r.regions[i.DataCentre],
 		requestCount: r.requestCount(id),
 		address:      i.Address,
--- a/internal/entry/suspect.go
+++ b/internal/entry/suspect.go
@@ -110,7 +110,7 @@
 func crashReport(r route, cuts []cutAttempt, alone bool, now time.Time) *blackboard.ReportCrash {
 	ended := now.Sub(cuts[0].cut)
 	c := &blackboard.ReportCrash{
-		Incarnation: r.crashID(), Pool: r.pool, Alone: alone,
+		Incarnation: r.crashID(), Pool: r.pool, DataCentre: r.dataCentre, Alone: alone,
 		NowMillis: now.Add(-ended).UnixMilli(), EndAgoMillis: ended.Milliseconds(),
 	}
 	for _, a := range cuts {
