The cost of a crash report no longer grows with the square of the suspects

Cause: for each suspect of a report with three crashes, every run of the table was looked up in every row to see whether its crash is explained.

A report that the board shows already is refused before the table is copied, an answer looks at others only when it clears its request, and the leader's event=suspect lines are computed for changed rows alone, with their answers.

--- a/internal/blackboard/suspect.go
+++ b/internal/blackboard/suspect.go
@@ -209,6 +209,30 @@
 	SentAgoMillis []int64 `json:"sent_ago_ms,omitempty"`
 }
 
+// After returns the report as it is to be sent now, a while after it was made.
+func (c *ReportCrash) After(passed time.Duration, now time.Time) *ReportCrash {
+	next := *c
+	next.EndAgoMillis += passed.Milliseconds()
+	next.NowMillis = now.UnixMilli() - next.EndAgoMillis
+	next.SentAgoMillis, next.SentMillis = nil, nil
+	for _, ago := range c.SentAgoMillis {
+		ago += passed.Milliseconds()
+		next.SentAgoMillis = append(next.SentAgoMillis, ago)
+		next.SentMillis = append(next.SentMillis, now.UnixMilli()-ago)
+	}
+	return &next
+}
+
+// IsIn reports whether a table of suspects shows the crash for all requests of the report.
+func (c ReportCrash) IsIn(suspects map[string]Suspect) bool {
+	for _, f := range c.Fingerprints {
+		if !suspects[f].wasRunningOn(c.Incarnation) {
+			return false
+		}
+	}
+	return true
+}
+
 func (c *ReportCrash) setTimes(now time.Time) {
 	if len(c.SentAgoMillis) != len(c.Fingerprints) {
 		return
@@ -243,6 +267,9 @@
 }
 
 func (c ReportCrash) apply(d *draft) (any, bool) {
+	if c.IsIn(d.Suspects) {
+		return refused("counted already")
+	}
 	suspects := cloneMap(d.Suspects)
 	if !c.changeSuspects(suspects) {
 		return refused("counted already")
@@ -311,15 +338,20 @@
 			candidates = append(candidates, f)
 		}
 	}
+	if len(candidates) == 0 {
+		return
+	}
 	// The order matters, as attributed crashes count as explained.
 	slices.Sort(candidates)
+	unexplained := unexplainedCrashes(suspects)
 	for _, f := range candidates {
 		s := suspects[f]
-		isAttributed := s.Crashes >= neededCrashes(suspects, s) &&
+		isAttributed := s.Crashes >= neededCrashes(unexplained, s) &&
 			(s.Crashes >= inseparableCrashes || coveringSuspect(suspects, s) == "")
 		if isAttributed != s.Attributed {
 			s.Attributed = isAttributed
 			suspects[f] = s
+			unexplained = unexplainedCrashes(suspects)
 		}
 	}
 }
@@ -328,30 +360,40 @@
 //
 // Failure: backend servers crash by themselves, one after the other. A request that is sent on
 // after each crash is running in three of them by chance.
-func neededCrashes(suspects map[string]Suspect, s Suspect) int {
+func neededCrashes(unexplained map[string]CrashedRun, s Suspect) int {
 	first, pool := s.Runs[0].SentMillis, s.Runs[0].Pool
 	for _, r := range s.Runs {
 		first = min(first, r.SentMillis)
 	}
-	for _, other := range suspects {
-		for _, r := range other.Runs {
-			isOther := r.Pool == pool && r.EndMillis >= first && !s.wasRunningOn(r.Incarnation)
-			if isOther && !isExplained(suspects, r.Incarnation) {
-				return crashesAmongOthers
-			}
+	for incarnation, last := range unexplained {
+		if last.Pool == pool && last.EndMillis >= first && !s.wasRunningOn(incarnation) {
+			return crashesAmongOthers
 		}
 	}
 	return attributedCrashes
 }
 
-// isExplained reports whether the crash of an incarnation is attributed to a suspect.
-func isExplained(suspects map[string]Suspect, incarnation string) bool {
+// unexplainedCrashes returns the last run that was ended by each crash that is attributed to no suspect,
+// by incarnation.
+func unexplainedCrashes(suspects map[string]Suspect) map[string]CrashedRun {
+	explained := make(map[string]bool)
+	for _, s := range suspects {
+		if !s.IsAttributed() {
+			continue
+		}
+		for _, r := range s.Runs {
+			explained[r.Incarnation] = true
+		}
+	}
+	unexplained := make(map[string]CrashedRun)
 	for _, s := range suspects {
-		if s.IsAttributed() && s.wasRunningOn(incarnation) {
-			return true
+		for _, r := range s.Runs {
+			if last, ok := unexplained[r.Incarnation]; !explained[r.Incarnation] && (!ok || r.EndMillis > last.EndMillis) {
+				unexplained[r.Incarnation] = r
+			}
 		}
 	}
-	return false
+	return unexplained
 }
 
 // coveringSuspect returns the first other suspect, by fingerprint, that was running in all crashes
@@ -428,11 +470,15 @@
 	case !s.NeedsAnswers():
 		return false
 	}
+	wasCleared := s.isCleared()
 	s.Answers = min(s.Answers+c.Answers, s.maxAnswers())
 	if c.Granted {
 		s.Answers = max(s.Answers, answersPerCrash*len(s.Runs))
 	}
 	suspects[c.Fingerprint] = s
+	if s.isCleared() == wasCleared {
+		return true
+	}
 	// The request no longer hides another one that was in the same crashes.
 	for _, r := range s.Runs {
 		attribute(suspects, r.Incarnation)
--- a/internal/blackboard/suspect_test.go
+++ b/internal/blackboard/suspect_test.go
@@ -313,6 +313,41 @@
 	}
 }
 
+// A table as after several causes at a time, each of which has cut hundreds of other requests.
+func BenchmarkReportCrashAmongSuspects(b *testing.B) {
+	board := New()
+	apply := func(c Command) {
+		encoded, err := Encode(c)
+		assert.NilError(b, err)
+		board, _, err = board.Apply(encoded)
+		assert.NilError(b, err)
+	}
+	for i := range 20 {
+		r := &ReportCrash{Incarnation: fmt.Sprint("server-", i), Pool: "m", NowMillis: int64(1000*i + 900)}
+		for k := range 60 {
+			f := fmt.Sprintf("%d-%d", i, k)
+			if k < 20 {
+				f = fmt.Sprint("again-", (i*7+k)%80)
+			}
+			r.Fingerprints, r.SentMillis = append(r.Fingerprints, f), append(r.SentMillis, int64(1000*i))
+		}
+		r.Fingerprints = append(r.Fingerprints, fmt.Sprint("cause-", i%3))
+		r.SentMillis = append(r.SentMillis, int64(1000*i))
+		apply(r)
+	}
+	report := &ReportCrash{Incarnation: "next", Pool: "m", NowMillis: 1e6}
+	for k := range 60 {
+		report.Fingerprints = append(report.Fingerprints, fmt.Sprint("again-", k))
+		report.SentMillis = append(report.SentMillis, 999_000)
+	}
+	encoded, err := Encode(report)
+	assert.NilError(b, err)
+	for b.Loop() {
+		_, _, err := board.Apply(encoded)
+		assert.NilError(b, err)
+	}
+}
+
 // Guards against a change of a suspect that entries never learn of.
 func TestEachFieldOfASuspectIsCompared(t *testing.T) {
 	for i := range reflect.TypeFor[Suspect]().NumField() {
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -95,8 +95,8 @@
 	demandWrittenAt time.Time
 	// steady times what entries report.
 	steady steadyClock
-	// suspectLog holds what was logged of the suspects; only Run uses it.
-	suspectLog suspectLog
+	// loggedSuspects is the table of suspects at the last call of logSuspects; only Run uses it.
+	loggedSuspects map[string]blackboard.Suspect
 	// woken triggers a step before the next tick.
 	woken chan struct{}
 	// sampled is the time of the last metrics sample; only Run uses it.
