Crashes that can't be written yet are counted over all entries

What callers saw: while no control process leads, each entry counts only what it has seen itself: with six entries and a caller that comes back each 1.2 s a request crashed all eight groups, 14 sends past the bound. With 986 entries it is three servers for each of them.

Cause: entries know of each other's crashes through the board alone. An entry that reaches no leader, or while there is none, tells nobody.

A report that is not written within 0.5 s, or whose writing has failed, now goes to six entries drawn at random. They count it at once, and write it after a random time of up to a second unless the board shows it by then; where they can't write either, they send it on, each report once for each entry, so that it reaches all in a few rounds. What another entry has written meanwhile is not written again. Nothing is sent while writes succeed.

TestForwardedCrashIsCountedAtOnceAndWrittenOnce.

--- a/internal/entry/crashes_test.go
+++ b/internal/entry/crashes_test.go
@@ -1,9 +1,12 @@
 package entry
 
 import (
+	"bytes"
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -289,7 +292,34 @@
 		assert.Assert(t, s.checkCrashes(routeJob("later", "body")) != nil, "no leader grants a further run")
 
 		control.isUnreachable.Store(false)
-		time.Sleep(time.Second)
+		time.Sleep(2 * time.Second)
 		assert.Equal(t, control.Board().Suspects[routeJob("x", "body").contentFingerprint()].Crashes, 3, "the reports are written later")
 	})
 }
+
+// Guards against a crash that several peers forward and that counts, or is written, more than once.
+func TestForwardedCrashIsCountedAtOnceAndWrittenOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		cut, control, _ := crashServer(backend.NotListening)
+		control.isUnreachable.Store(true)
+		s, reached, _ := crashServer(backend.NotListening)
+		for n := range 3 {
+			sent := time.Now()
+			time.Sleep(time.Second)
+			<-cut.observeCut(routeJob(fmt.Sprint(n), "body"), groupRoute(uint64(n)), false, sent).done
+		}
+		body, err := json.Marshal(cut.suspectWriter.takeUnforwarded(time.Now()))
+		assert.NilError(t, err)
+		for range 4 {
+			answer := httptest.NewRecorder()
+			s.ServeCrashes(answer, httptest.NewRequest(http.MethodPost, PathCrashes, bytes.NewReader(body)))
+			assert.Equal(t, answer.Code, http.StatusNoContent)
+			assert.Assert(t, s.checkCrashes(routeJob("after", "body")) != nil)
+		}
+		assert.Equal(t, len(cut.suspectWriter.takeUnforwarded(time.Now())), 0)
+		control.isUnreachable.Store(false)
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, reached.Board().Suspects[routeJob("x", "body").contentFingerprint()].Crashes, 3)
+		assert.Assert(t, reached.commits <= 3)
+	})
+}
--- a/internal/entry/suspect.go
+++ b/internal/entry/suspect.go
@@ -101,25 +101,21 @@
 	if len(cuts) == 0 {
 		return nil
 	}
-	report := func(now time.Time) *blackboard.ReportCrash { return crashReport(check.route, cuts, alone, now) }
-	return s.writeSuspect(report(time.Now()), func(now time.Time) blackboard.Command { return report(now) })
+	return s.writeSuspect(crashReport(check.route, cuts, alone, time.Now()))
 }
 
-// crashReport returns the report of a crash that is sent to the leader now. The times are also given as
-// lengths, since the clock may have been stepped, and since the leader's differs.
+// crashReport returns the report of a crash as of now. Its times are lengths of time first of all: the
+// clock may have been stepped meanwhile, and the leader's differs.
 func crashReport(r route, cuts []cutAttempt, alone bool, now time.Time) *blackboard.ReportCrash {
-	ended := now.Sub(cuts[0].cut)
 	c := &blackboard.ReportCrash{
 		Incarnation: r.crashID(), Pool: r.pool, DataCentre: r.dataCentre, Alone: alone,
-		NowMillis: now.Add(-ended).UnixMilli(), EndAgoMillis: ended.Milliseconds(),
+		EndAgoMillis: now.Sub(cuts[0].cut).Milliseconds(),
 	}
 	for _, a := range cuts {
-		ago := ended + a.cut.Sub(a.sent)
 		c.Fingerprints = append(c.Fingerprints, a.fingerprint)
-		c.SentMillis = append(c.SentMillis, now.Add(-ago).UnixMilli())
-		c.SentAgoMillis = append(c.SentAgoMillis, ago.Milliseconds())
+		c.SentAgoMillis = append(c.SentAgoMillis, c.EndAgoMillis+a.cut.Sub(a.sent).Milliseconds())
 	}
-	return c
+	return c.After(0, now)
 }
 
 // awaitCrashCounts waits for the verdict about a cut attempt, and until the board has the report
@@ -201,8 +197,7 @@
 	if !j.wasSuspect || !s.suspectOf(j).NeedsAnswers() {
 		return
 	}
-	answered := blackboard.Answered(j.contentFingerprint(), j.isAlone, j.isRetryGranted)
-	s.writeSuspect(answered, func(time.Time) blackboard.Command { return answered })
+	s.writeSuspect(blackboard.Answered(j.contentFingerprint(), j.isAlone, j.isRetryGranted))
 }
 
 func countAttributed(suspects map[string]blackboard.Suspect) int {
--- a/internal/entry/suspect_writer.go
+++ b/internal/entry/suspect_writer.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -15,7 +17,9 @@
 	// comes up in between goes into one write, which bounds the writes when many backend servers
 	// crash while hundreds of requests run on them.
 	suspectWriteInterval = 100 * time.Millisecond
-	// suspectRetryInterval is the least time between two writes while none succeeds.
+	// suspectRetryInterval is the least time between two writes while none succeeds. Up to as much is
+	// added at random: once there is a leader again, most entries find on the board what others
+	// have written.
 	suspectRetryInterval = 500 * time.Millisecond
 	// suspectWriteLifetime is how long a write is tried again, and how long an entry that can't write goes
 	// by what it has seen itself.
@@ -35,7 +39,7 @@
 	mu sync.Mutex
 	// pending holds the commands that are not written yet, and isWriting is set while a
 	// goroutine writes. written holds the crashes that were written in the last unseenTime.
-	pending, written []suspectWrite
+	pending, written []*suspectWrite
 	isWriting        bool
 	// table is the board's table from, changed by what is pending and written; nil if that has
 	// changed since.
@@ -43,15 +47,29 @@
 }
 
 type suspectWrite struct {
-	// change is what the command changes, by the clock of this entry.
-	change blackboard.SuspectChange
-	// command returns the command as it is to be sent at a time.
-	command          func(now time.Time) blackboard.Command
+	// change is the command as of since.
+	change           blackboard.SuspectChange
 	since, writtenAt time.Time
+	// isForwarded is set once peers have been sent the command.
+	isForwarded bool
 	// done is closed once the command is written or given up.
 	done chan struct{}
 }
 
+// command returns the command as it is to be sent now.
+func (w *suspectWrite) command(now time.Time) blackboard.Command {
+	if report, ok := w.change.(*blackboard.ReportCrash); ok {
+		return report.After(now.Sub(w.since), now)
+	}
+	return w.change
+}
+
+// isShown reports whether the board shows the change already, as another entry has written it.
+func (w *suspectWrite) isShown(board map[string]blackboard.Suspect) bool {
+	report, ok := w.change.(*blackboard.ReportCrash)
+	return ok && report.IsIn(board)
+}
+
 // suspects returns the board's table of suspects with what this entry knows beside it. The result is not
 // changed.
 func (s *Server) suspects() map[string]blackboard.Suspect {
@@ -78,6 +96,21 @@
 	return q.table
 }
 
+// addToTable takes a new change into the table. The caller holds the lock.
+func (q *suspectWriter) addToTable(change blackboard.SuspectChange) {
+	if q.table != nil {
+		q.table = blackboard.ChangeSuspects(q.table, []blackboard.SuspectChange{change})
+	}
+}
+
+// observe counts a crash that is to be written later.
+func (q *suspectWriter) observe(now time.Time, report *blackboard.ReportCrash) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.written = append(q.written, &suspectWrite{change: report, writtenAt: now})
+	q.addToTable(report)
+}
+
 // forgetSeen forgets what the board has shown by now. The caller holds the lock.
 func (q *suspectWriter) forgetSeen(now time.Time) {
 	for len(q.written) > 0 && now.Sub(q.written[0].writtenAt) > unseenTime {
@@ -87,8 +120,8 @@
 
 // writeSuspect writes a change of the suspects in the background. It returns a channel that is
 // closed once the command is written or given up.
-func (s *Server) writeSuspect(change blackboard.SuspectChange, command func(now time.Time) blackboard.Command) <-chan struct{} {
-	w := suspectWrite{change: change, command: command, since: time.Now(), done: make(chan struct{})}
+func (s *Server) writeSuspect(change blackboard.SuspectChange) <-chan struct{} {
+	w := &suspectWrite{change: change, since: time.Now(), done: make(chan struct{})}
 	q := &s.suspectWriter
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -97,7 +130,8 @@
 		s.logSuspectWriteLost(1, "too many wait")
 		return w.done
 	}
-	q.pending, q.table = append(q.pending, w), nil
+	q.pending = append(q.pending, w)
+	q.addToTable(w.change)
 	if !q.isWriting {
 		q.isWriting = true
 		go s.writeSuspects()
@@ -108,31 +142,41 @@
 // writeSuspects writes until no command is left.
 func (s *Server) writeSuspects() {
 	for {
-		batch := s.suspectWriter.next()
+		batch := s.suspectWriter.next(s.o.Follower.Board().Suspects)
 		if len(batch) == 0 {
 			return
 		}
 		began, interval := time.Now(), suspectWriteInterval
 		if !s.writeSuspectBatch(batch) {
-			interval = suspectRetryInterval
+			interval = suspectRetryInterval + rand.N(suspectRetryInterval)
 		}
 		time.Sleep(interval - time.Since(began))
 	}
 }
 
-// next returns the commands that are to be written. Without any, the writing ends.
-func (q *suspectWriter) next() []suspectWrite {
+// next returns the commands that are to be written, without those that the board shows. Without any,
+// the writing ends.
+func (q *suspectWriter) next(board map[string]blackboard.Suspect) []*suspectWrite {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	q.pending = slices.DeleteFunc(q.pending, func(w *suspectWrite) bool {
+		if !w.isShown(board) {
+			return false
+		}
+		close(w.done)
+		return true
+	})
 	q.isWriting = len(q.pending) > 0
-	return q.pending[:len(q.pending):len(q.pending)]
+	return slices.Clone(q.pending)
 }
 
 // writeSuspectBatch writes the first pending commands together and reports whether that succeeded. If
 // it failed, those that are too old are given up. Each command changes nothing if it is written twice.
-func (s *Server) writeSuspectBatch(batch []suspectWrite) bool {
+func (s *Server) writeSuspectBatch(batch []*suspectWrite) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), boardTimeout)
 	defer cancel()
+	forward := time.AfterFunc(forwardAfter, s.forwardCrashes)
+	defer forward.Stop()
 	err := s.commitBoardLatest(ctx, func() (blackboard.Command, error) {
 		commands := make([]blackboard.Command, len(batch))
 		for i, w := range batch {
@@ -144,6 +188,7 @@
 	if err != nil {
 		_ = level.Warn(s.o.Logger).Log("event", "suspects_not_written", "commands", len(batch), "waited_ms", waited, "err", err)
 		s.giveUpOldSuspectWrites(err)
+		s.forwardCrashes()
 		return false
 	}
 	_ = level.Info(s.o.Logger).Log("event", "suspects_written", "commands", len(batch), "waited_ms", waited)
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -83,6 +83,7 @@
 	if n.entry != nil {
 		mux.HandleFunc(entry.PathAnswers, n.entry.ServeAnswers)
 		mux.HandleFunc(relay.Path, n.entry.ServeRelay)
+		mux.HandleFunc(entry.PathCrashes, n.entry.ServeCrashes)
 	}
 	if n.control != nil {
 		board := noderpc.NewBoardServer(n.control)
