Reports of crashes are not marked as sent on while there is no peer

What callers would have seen: an entry whose board shows no other entry yet took its reports for sent on, and sent them to nobody later.

The peers are now drawn first.

--- a/internal/entry/crash_forward.go
+++ b/internal/entry/crash_forward.go
@@ -39,9 +39,12 @@
 // Failure: no control process leads. Each entry counts the crashes that it has seen itself, and a
 // request crashes as many servers as that allows at each of hundreds of entries.
 func (s *Server) forwardCrashes() {
-	reports := s.suspectWriter.takeUnforwarded(time.Now())
 	peers := s.forwardPeers()
-	if len(reports) == 0 || len(peers) == 0 || s.o.Peers == nil {
+	if len(peers) == 0 || s.o.Peers == nil {
+		return
+	}
+	reports := s.suspectWriter.takeUnforwarded(time.Now())
+	if len(reports) == 0 {
 		return
 	}
 	body, err := json.Marshal(reports)
