A request that crashes are attributed to while it waits for a connection is not sent

What callers saw: nothing measured; found by going through the places where the count is made and where the send is. The check stands before each attempt, and a connection, direct and then through a peer, may take 450 ms after it, in which the third crash of a storm is counted.

The permit, which each attempt asks for once more when its connection is there, on the direct path and on the relayed one, now asks for crashes as well. What is withheld was not sent; the next attempt is refused by the check. event=attempt_withheld and its counter name the reason; the reason passed is new where what withheld it was over when it was noted.

TestRequestThatIsBlamedBeforeItIsSentIsWithheld: the permit allowed it before.

--- a/internal/entry/backoff_test.go
+++ b/internal/entry/backoff_test.go
@@ -110,7 +110,7 @@
 	assert.Assert(t, e == nil, "max_attempts is 2, and nothing was sent twice")
 	assert.Equal(t, w.Body.String(), "x")
 
-	permit := s.permit(route{incarnation: "i-a"})
+	permit := s.permit(&job{}, route{incarnation: "i-a"})
 	s.dispatcher.recordBackoff(time.Now(), "i-a", time.Now().Add(time.Minute))
 	assert.Assert(t, !permit())
 }
--- a/internal/entry/crashes_test.go
+++ b/internal/entry/crashes_test.go
@@ -231,6 +231,26 @@
 	})
 }
 
+// Guards against a request that is sent although its third crash was counted while it waited for a
+// connection.
+func TestRequestThatIsBlamedBeforeItIsSentIsWithheld(t *testing.T) {
+	s, control, _ := crashServer(backend.NotListening)
+	j, granted := routeJob("1", "body"), routeJob("2", "body")
+	granted.isRetryGranted = true
+	assert.Assert(t, s.mayAttempt(j) == nil)
+	permit := s.permit(j, groupRoute(1))
+	assert.Assert(t, permit())
+	blamed := *control.Board()
+	fingerprint := j.contentFingerprint()
+	blamed.Suspects = map[string]blackboard.Suspect{fingerprint: {
+		Fingerprint: fingerprint, Crashes: 3, Attributed: true, Runs: make([]blackboard.CrashedRun, 3), LastMillis: time.Now().UnixMilli(),
+	}}
+	control.board.Store(&blamed)
+	assert.Assert(t, !permit())
+	assert.Assert(t, s.mayAttempt(j) != nil)
+	assert.Assert(t, s.permit(granted, groupRoute(1))())
+}
+
 // Guards against a granted further run that goes on to a second backend server.
 func TestGrantedRunEndsWithItsFirstCrash(t *testing.T) {
 	s, _, _ := crashServer(backend.NotListening)
--- a/internal/entry/evacuation_test.go
+++ b/internal/entry/evacuation_test.go
@@ -72,7 +72,7 @@
 	evacuateSince(s, board, clock.Now(), "dc-a")
 	assert.Equal(t, len(s.loggedRoutes), 3)
 	assert.Assert(t, s.areRoutesCurrent(), "nothing closes yet")
-	assert.Assert(t, s.permit(s.loggedRoutes["a"])())
+	assert.Assert(t, s.permit(&job{}, s.loggedRoutes["a"])())
 
 	evacuateSince(s, board, clock.Now(), "dc-a", "dc-b", "dc-c")
 	_, e, _ := send(s, ForwardRequest{Path: "/many/x"})
@@ -80,7 +80,7 @@
 
 	open := s.loggedRoutes["a"]
 	open.closesAt = clock.Now().Add(-time.Millisecond)
-	assert.Assert(t, !s.permit(open)(), "granted before the closing time and not sent yet")
+	assert.Assert(t, !s.permit(&job{}, open)(), "granted before the closing time and not sent yet")
 	s.routesCloseAt = clock.Now().Add(-time.Millisecond)
 	assert.Assert(t, !s.areRoutesCurrent(), "the targets close with time alone")
 
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -338,7 +338,7 @@
 		Method: f.request.Method, Path: f.request.Target, Host: f.request.Host, Header: f.request.Header, Body: f.request.Body,
 		Workspace: j.workspace, TimeLeft: time.Until(j.deadline), Rank: engineRank(f.priority, j.deadlinePriority(time.Now())),
 		Resume: f.resume, ResumeAfter: f.last, NewConnection: j.nonIdempotent,
-		Permit: s.permit(g.route), OnRelay: s.onRelay(j, g),
+		Permit: s.permit(j, g.route), OnRelay: s.onRelay(j, g),
 	}
 }
 
--- a/internal/entry/leaving_test.go
+++ b/internal/entry/leaving_test.go
@@ -31,7 +31,7 @@
 	s.updateRoutes()
 	assert.Equal(t, len(s.loggedRoutes), 2)
 	assert.Equal(t, headOf(s, "wide-0").target, "")
-	assert.Assert(t, !s.permit(r)(), "a request that was granted before is withheld")
+	assert.Assert(t, !s.permit(&job{}, r)(), "a request that was granted before is withheld")
 	assert.Assert(t, !s.inService(r), "nor does a suspect request run there")
 
 	next := *s.o.Follower.Board()
--- a/internal/entry/notices.go
+++ b/internal/entry/notices.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/go-kit/log/level"
@@ -76,20 +77,32 @@
 func clip(text string) string { return text[:min(len(text), maxLoggedHeader)] }
 
 // permit returns the check whether a request may still be sent to the target that it was granted.
-func (s *Server) permit(r route) backend.Permit {
-	return func() bool {
-		if r.closesAt != 0 && clock.Now() >= r.closesAt {
-			return false
-		}
-		return !s.dispatcher.isBackedOff(time.Now(), r.incarnation) && !s.leavingServers.contains(r.incarnation)
+//
+// Failure: the third crash of a request is counted while its next attempt waits for a connection, and it
+// crashes a fourth backend server.
+func (s *Server) permit(j *job, r route) backend.Permit {
+	return func() bool { return s.withholdReason(j, r) == "" }
+}
+
+// withholdReason returns why a request must not be sent to the target that it was granted, or "".
+func (s *Server) withholdReason(j *job, r route) string {
+	switch {
+	case r.closesAt != 0 && clock.Now() >= r.closesAt:
+		return "evacuated"
+	case s.dispatcher.isBackedOff(time.Now(), r.incarnation):
+		return "backoff"
+	case s.leavingServers.contains(r.incarnation):
+		return "leaving"
+	case !j.isRetryGranted && s.suspectOf(j).IsAttributed():
+		return "crashes"
 	}
+	return ""
 }
 
-// noteWithheld records an attempt that was not sent, because its backend server had asked for no
-// request.
+// noteWithheld records an attempt that was not sent.
 func (s *Server) noteWithheld(j *job, g grant) {
 	j.withheld++
-	isBackedOff := s.dispatcher.isBackedOff(time.Now(), g.route.incarnation)
-	s.o.Metrics.AttemptWithheld(isBackedOff)
-	j.lines.Info("event", "attempt_withheld", "request", j.id, "attempt", g.attempt, "server", g.route.head, "backed_off", isBackedOff)
+	reason := cmp.Or(s.withholdReason(j, g.route), "passed")
+	s.o.Metrics.AttemptWithheld(reason)
+	j.lines.Info("event", "attempt_withheld", "request", j.id, "attempt", g.attempt, "server", g.route.head, "reason", reason)
 }
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -347,7 +347,7 @@
 	return backend.Generation{
 		Attempt: g.attempt, Request: j.id, Group: g.route.group, Epoch: g.route.epoch, Model: j.model,
 		Prompt: j.prompt, MaxTokens: j.maxTokens, Offset: j.answer.length(), Generated: j.answer.text(),
-		Priority: s.priority(j), Parameters: j.extra, Permit: s.permit(g.route),
+		Priority: s.priority(j), Parameters: j.extra, Permit: s.permit(j, g.route),
 		OnRelay: s.onRelay(j, g),
 	}
 }
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -151,7 +151,7 @@
 	sc := j.service
 	sc.call.Attempt = g.attempt
 	sc.call.NewConnection = j.nonIdempotent
-	sc.call.Permit = s.permit(g.route)
+	sc.call.Permit = s.permit(j, g.route)
 	sc.call.RequestID, sc.call.OnRelay = j.id, s.onRelay(j, g)
 	began := time.Now()
 	answer, err := s.o.Client.Call(j.ctx, g.route.address, sc.call)
--- a/internal/metrics/definitions.go
+++ b/internal/metrics/definitions.go
@@ -132,7 +132,7 @@
 		{nameBackedOff, KindGauge, nil, "Backend servers that have asked this entry for no request for a time that has not passed.", nil},
 		{nameBackoffRequests, KindCounter, nil, "Answers in which a backend server asked this entry for no request for a time.", nil},
 		{nameServersLeaving, KindCounter, nil, "Backend servers that have stated in an answer to this entry that they are leaving.", nil},
-		{nameAttemptsWithheld, KindCounter, []string{"reason"}, "Attempts that were not sent because their backend server had asked for no request after it was chosen.", nil},
+		{nameAttemptsWithheld, KindCounter, []string{"reason"}, "Attempts that were not sent after their backend server was chosen, by reason.", nil},
 		{nameCoordinatorDecisions, KindCounter, []string{"outcome"}, "Decisions of this entry for requests of all entries that waited in a shared queue.", nil},
 		{nameCoordinatorFallbacks, KindCounter, []string{"cause"}, "Requests that this entry decided itself although their model was short of room.", nil},
 		{nameSharedWaiting, KindGauge, nil, "Requests of all entries that wait in the shared queues of this entry.", nil},
--- a/internal/metrics/entry.go
+++ b/internal/metrics/entry.go
@@ -151,16 +151,11 @@
 	e.scope.Counter(nameServersLeaving).Inc(1)
 }
 
-// AttemptWithheld counts an attempt that was not sent because its backend server had asked for no
-// request: for a time if isBackedOff is set, or because it is leaving.
-func (e *Entry) AttemptWithheld(isBackedOff bool) {
+// AttemptWithheld counts an attempt that was not sent after its target had been chosen, by the reason.
+func (e *Entry) AttemptWithheld(reason string) {
 	if e == nil {
 		return
 	}
-	reason := "leaving"
-	if isBackedOff {
-		reason = "backoff"
-	}
 	e.scope.Tagged(map[string]string{"reason": reason}).Counter(nameAttemptsWithheld).Inc(1)
 }
 
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -117,7 +117,7 @@
 	e.RecordWrite("answer", RecordWritten, 0)
 	e.BackoffRequested()
 	e.ServerLeaving()
-	e.AttemptWithheld(true)
+	e.AttemptWithheld("backoff")
 	e.Sample(EntrySample{})
 	var c *Control
 	c.Sample(adminapi.Status{}, blackboard.Configuration{}, true, time.Time{})
