A stand-in has its faults in force before it answers the order

What was seen: TestRefusedAsNotRunDidNotRun, known red, got whole answers from a stand-in that had taken the order to refuse.

Cause: the stand-in answered first and applied the faults afterwards, so that a pause or a crash would not lose the answer. The next request could overtake the faults. Ruled out: the product, which sent to the one group as its log shows.

Persistent faults and statements are now set before the answer; a pause, a silence and a crash follow it as before. TestFaultsAreInForceWhenTheirOrderIsAnswered fails without the change.

--- a/internal/standin/debug_api.go
+++ b/internal/standin/debug_api.go
@@ -21,18 +21,19 @@
 	writeJSON(w, http.StatusOK, h.faults.received())
 }
 
-// serveFaults sends the response before it applies the faults: a pause, a silence or a crash
-// would delay or lose the response.
+// serveFaults sends the response once the persistent faults are in force, so that the next request
+// meets them, and before a pause, a silence or a crash, which would delay or lose the response.
 func (h *host) serveFaults(w http.ResponseWriter, r *http.Request) {
 	var o FaultOrder
 	if err := json.NewDecoder(r.Body).Decode(&o); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	h.setFaults(o)
 	w.Header().Set("Content-Length", "0")
 	w.WriteHeader(http.StatusOK)
 	_ = http.NewResponseController(w).Flush()
-	h.Apply(o)
+	h.strike(o)
 }
 
 func writeJSON(w http.ResponseWriter, status int, body any) {
--- a/internal/standin/host.go
+++ b/internal/standin/host.go
@@ -126,6 +126,17 @@
 // Apply sets the persistent faults and carries out the one-time faults. An order with a rate
 // limit, a back-off or a lasting crash marker sets only these.
 func (h *host) Apply(o FaultOrder) {
+	h.setFaults(o)
+	h.strike(o)
+}
+
+// isPartial reports whether the order sets one statement or marker alone.
+func (o FaultOrder) isPartial() bool {
+	return o.RateLimit != nil || o.RetryAfterMillis != nil || o.LastingCrashMarker != nil
+}
+
+// setFaults sets the persistent faults and what the stand-in states about itself.
+func (h *host) setFaults(o FaultOrder) {
 	if o.RateLimit != nil {
 		h.faults.limitRate(*o.RateLimit)
 	}
@@ -135,7 +146,7 @@
 	if o.LastingCrashMarker != nil {
 		h.faults.crashOn(*o.LastingCrashMarker)
 	}
-	if o.RateLimit != nil || o.RetryAfterMillis != nil || o.LastingCrashMarker != nil {
+	if o.isPartial() {
 		return
 	}
 	h.faults.set(o.Faults)
@@ -145,6 +156,13 @@
 		h.faults.leave(h.leaving)
 		h.mu.Unlock()
 	}
+}
+
+// strike applies the one-time faults.
+func (h *host) strike(o FaultOrder) {
+	if o.isPartial() {
+		return
+	}
 	if o.PauseMillis > 0 {
 		h.server.gate.closeFor(time.Duration(o.PauseMillis) * time.Millisecond)
 	}
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -394,3 +394,24 @@
 	assert.ErrorIs(t, err, backend.ErrCut)
 	assert.NilError(t, answer.Body.Close())
 }
+
+// faultWatcher is a response whose header is checked against the faults in force when it is sent.
+type faultWatcher struct {
+	*httptest.ResponseRecorder
+	onHeader func()
+}
+
+func (w faultWatcher) WriteHeader(status int) {
+	w.onHeader()
+	w.ResponseRecorder.WriteHeader(status)
+}
+
+// Guards against a request that is sent right after a fault order was answered and doesn't meet the fault.
+func TestFaultsAreInForceWhenTheirOrderIsAnswered(t *testing.T) {
+	e := startEngine(t, EngineOptions{Common: Common{ID: "vm-0"}})
+	inForce := false
+	w := faultWatcher{httptest.NewRecorder(), func() { inForce = e.faults.get().FullQueue }}
+	e.serveFaults(w, httptest.NewRequest(http.MethodPost, PathFaults, strings.NewReader(`{"full_queue":true}`)))
+	assert.Equal(t, w.Code, http.StatusOK)
+	assert.Assert(t, inForce)
+}
