A request that crashes once in isolation beside other crashes needs one crash more

Cause: a second crash is attributed at once if the request ran alone in one of the two. Where servers crash by themselves, as the soak kills them, an innocent request meets one crash, is isolated, and the server that it runs on alone is killed.

The rule that holds for requests that are not isolated now holds for these too: if servers of the pool crashed without the request meanwhile and nobody is blamed for that, one more crash is needed. TestCrashInIsolationAmongOthersNeedsMoreEvidence. TestRequestThatCrashesEnginesIsStopped still asserts two crashes where nothing else crashes. In TestRequestWithCrashesAttributedWhileItWaitsIsNotSent the board's row is marked as attributed, which is now decided where it is written.

--- a/internal/blackboard/suspect.go
+++ b/internal/blackboard/suspect.go
@@ -50,6 +50,8 @@
 	// request, if no other suspect was running in all of them. In fewer, requests that are sent
 	// again after a crash meet the request that causes it once more by chance.
 	attributedCrashes = 3
+	// isolatedCrashes is how many are attributed to a request that ran alone in one of them.
+	isolatedCrashes = 2
 	// crashesAmongOthers is how many are attributed if backend servers of the pool also crashed
 	// without the request in that time, for no known cause.
 	crashesAmongOthers = 4
@@ -100,9 +102,11 @@
 	if s.isCleared() {
 		return false
 	}
+	if len(s.Runs) > 0 {
+		return s.Attributed
+	}
 	// Rows of older versions have no runs.
-	byCount := len(s.Runs) == 0 && s.Crashes >= attributedCrashes
-	return (s.Alone >= 1 && s.Crashes >= 2) || s.Attributed || byCount
+	return (s.Alone >= 1 && s.Crashes >= isolatedCrashes) || s.Crashes >= attributedCrashes
 }
 
 // ExpiresMillis returns when the suspect is to be forgotten.
@@ -334,7 +338,7 @@
 func attribute(suspects map[string]Suspect, incarnation string) {
 	var candidates []string
 	for f, s := range suspects {
-		if s.Crashes >= attributedCrashes && s.wasRunningOn(incarnation) {
+		if s.Crashes >= isolatedCrashes && s.wasRunningOn(incarnation) {
 			candidates = append(candidates, f)
 		}
 	}
@@ -346,8 +350,7 @@
 	unexplained := unexplainedCrashes(suspects)
 	for _, f := range candidates {
 		s := suspects[f]
-		isAttributed := s.Crashes >= neededCrashes(unexplained, s) &&
-			(s.Crashes >= inseparableCrashes || coveringSuspect(suspects, s) == "")
+		isAttributed := isCause(suspects, neededCrashes(unexplained, s), s)
 		if isAttributed != s.Attributed {
 			s.Attributed = isAttributed
 			suspects[f] = s
@@ -356,10 +359,20 @@
 	}
 }
 
-// neededCrashes returns how many crashes are attributed to a suspect.
+// isCause reports whether a suspect's crashes are attributed to it. One that ran alone in a crash needs
+// fewer, and no comparison with others.
+func isCause(suspects map[string]Suspect, needed int, s Suspect) bool {
+	if s.Alone > 0 && s.Crashes >= needed+isolatedCrashes-attributedCrashes {
+		return true
+	}
+	return s.Crashes >= needed && (s.Crashes >= inseparableCrashes || coveringSuspect(suspects, s) == "")
+}
+
+// neededCrashes returns how many crashes are attributed to a suspect: one more if backend servers of its
+// pool have crashed without it meanwhile and nobody is blamed for that.
 //
 // Failure: backend servers crash by themselves, one after the other. A request that is sent on
-// after each crash is running in three of them by chance.
+// after each crash is running in three of them by chance, or in two, alone in one of them.
 func neededCrashes(unexplained map[string]CrashedRun, s Suspect) int {
 	first, pool := s.Runs[0].SentMillis, s.Runs[0].Pool
 	for _, r := range s.Runs {
--- a/internal/blackboard/suspect_test.go
+++ b/internal/blackboard/suspect_test.go
@@ -156,6 +156,23 @@
 	assert.Assert(t, !c.isAttributed("popular"))
 }
 
+// Guards against requests that are refused because backend servers crash by themselves, one of them
+// while a request runs on it alone.
+func TestCrashInIsolationAmongOthersNeedsMoreEvidence(t *testing.T) {
+	for _, others := range []bool{false, true} {
+		c := newCrashBoard(t)
+		if others {
+			c.report("z", 50, 500, "somebody")
+		}
+		c.report("a", 0, 1000, "suspect", "beside")
+		c.board, _ = verdict(t, c.board, &ReportCrash{Fingerprints: []string{"suspect"}, SentMillis: []int64{1100}, Incarnation: "b", Alone: true, NowMillis: 2000})
+		assert.Equal(t, c.isAttributed("suspect"), !others)
+		c.report("c", 2100, 3000, "suspect")
+		assert.Assert(t, c.isAttributed("suspect"))
+		assert.Assert(t, !c.isAttributed("beside"))
+	}
+}
+
 // Guards against two causes at a time of which each hides the other.
 func TestTwoCausesAreBothFound(t *testing.T) {
 	c := newCrashBoard(t)
--- a/internal/entry/isolation_test.go
+++ b/internal/entry/isolation_test.go
@@ -46,7 +46,7 @@
 	s.o.Settings.Deaf = false
 	s.o.Follower, s.o.Control = follower, unreachableControl{}
 	after := blackboard.New()
-	after.Suspects["body"] = blackboard.Suspect{Fingerprint: "body", Crashes: 2, Alone: 1, Runs: []blackboard.CrashedRun{{Incarnation: "a"}, {Incarnation: "b"}}}
+	after.Suspects["body"] = blackboard.Suspect{Fingerprint: "body", Crashes: 2, Alone: 1, Attributed: true, Runs: []blackboard.CrashedRun{{Incarnation: "a"}, {Incarnation: "b"}}}
 	assert.Assert(t, after.Suspects["body"].IsAttributed())
 
 	ctx, cancel := context.WithDeadline(context.Background(), time.Now().Add(300*time.Millisecond))
