soak: a request that crashes nothing is not to be refused for it

One request had been refused as crashing for a minute, and was settled in the end, so no check said so.

The checker now names each such request.

--- a/test/workload/crashes.go
+++ b/test/workload/crashes.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/citronstep/citronstep/internal/failure"
 	"github.com/citronstep/citronstep/internal/standin"
 	"github.com/citronstep/citronstep/test/process/harness"
 )
@@ -106,6 +107,23 @@
 	return violations
 }
 
+// findBlamed returns the works that were refused because crashes were attributed to them. None of them
+// crashes a backend server.
+func findBlamed(works []*Work) (violations []string) {
+	for _, w := range works {
+		blamed := 0
+		for _, s := range w.Sends {
+			if s.Reply.Refusal != nil && s.Reply.Refusal.Type == failure.TypeRequestCrashesBackend {
+				blamed++
+			}
+		}
+		if blamed > 0 {
+			violations = append(violations, fmt.Sprintf("%q crashes no backend server and was refused for it in %d of %d sends", w.Name, blamed, len(w.Sends)))
+		}
+	}
+	return violations
+}
+
 func isCalm(at time.Time, disturbed []interval) bool {
 	for _, d := range disturbed {
 		if at.After(d.from) && at.Before(d.to.Add(contactTime)) {
