--- a/internal/blackboard/attribution.go
+++ b/internal/blackboard/attribution.go
@@ -1,5 +1,123 @@
 package blackboard
 
+import (
+	"cmp"
+	"slices"
+)
+
+// successiveRuns returns the largest number of runs each of which was sent after the one before
+// it in its data centre had ended.
+//
+// Failure: a data centre fails, and a request that many callers send at the same time is running
+// on many of its backend servers. They all crash at once, whatever ran on them. Servers of several
+// data centres that crash at once have the request in common.
+func successiveRuns(runs []CrashedRun) int {
+	runs = slices.SortedFunc(slices.Values(runs), func(a, b CrashedRun) int { return cmp.Compare(a.EndMillis, b.EndMillis) })
+	n := 0
+	ends := make(map[string]int64)
+	for _, r := range runs {
+		end, ok := ends[r.DataCentre]
+		if !ok || r.SentMillis+clockTolerance.Milliseconds() >= end {
+			n++
+			ends[r.DataCentre] = r.EndMillis
+		}
+	}
+	return n
+}
+
+// attribute decides again which of the suspects that were running on a crashed incarnation the
+// crashes are attributed to.
+//
+// Failure: requests that a crash cuts are sent to another group at once, where the request that
+// causes the crashes may follow. After three crashes some of them have been in all three by
+// chance. They differ from the cause in the crashes of which they were in no part, so a suspect
+// is blamed once no other one was in all of its crashes.
+func attribute(suspects map[string]Suspect, incarnation string) {
+	var candidates []string
+	for f, s := range suspects {
+		if s.Crashes >= isolatedCrashes && s.wasRunningOn(incarnation) {
+			candidates = append(candidates, f)
+		}
+	}
+	if len(candidates) == 0 {
+		return
+	}
+	// The order matters, as attributed crashes count as explained.
+	slices.Sort(candidates)
+	unexplained := unexplainedCrashes(suspects)
+	for _, f := range candidates {
+		s := suspects[f]
+		isAttributed := isCause(suspects, neededCrashes(unexplained, s), s)
+		if isAttributed != s.Attributed {
+			s.Attributed = isAttributed
+			suspects[f] = s
+			unexplained = unexplainedCrashes(suspects)
+		}
+	}
+}
+
+// isCause reports whether a suspect's crashes are attributed to it. One that ran alone in a crash needs
+// fewer, and no comparison with others.
+func isCause(suspects map[string]Suspect, needed int, s Suspect) bool {
+	if s.Alone > 0 && s.Crashes >= needed+isolatedCrashes-attributedCrashes {
+		return true
+	}
+	return s.Crashes >= needed && (s.Crashes >= inseparableCrashes || coveringSuspect(suspects, s) == "")
+}
+
+// neededCrashes returns how many crashes are attributed to a suspect: one more if backend servers of its
+// pool have crashed without it meanwhile and nobody is blamed for that.
+//
+// Failure: backend servers crash by themselves, one after the other. A request that is sent on
+// after each crash is running in three of them by chance, or in two, alone in one of them.
+func neededCrashes(unexplained map[string]CrashedRun, s Suspect) int {
+	first, pool := s.Runs[0].SentMillis, s.Runs[0].Pool
+	for _, r := range s.Runs {
+		first = min(first, r.SentMillis)
+	}
+	for incarnation, last := range unexplained {
+		if last.Pool == pool && last.EndMillis >= first && !s.wasRunningOn(incarnation) {
+			return crashesAmongOthers
+		}
+	}
+	return attributedCrashes
+}
+
+// unexplainedCrashes returns the last run that was ended by each crash that is attributed to no suspect,
+// by incarnation.
+func unexplainedCrashes(suspects map[string]Suspect) map[string]CrashedRun {
+	explained := make(map[string]bool)
+	for _, s := range suspects {
+		if !s.IsAttributed() {
+			continue
+		}
+		for _, r := range s.Runs {
+			explained[r.Incarnation] = true
+		}
+	}
+	unexplained := make(map[string]CrashedRun)
+	for _, s := range suspects {
+		for _, r := range s.Runs {
+			if last, ok := unexplained[r.Incarnation]; !explained[r.Incarnation] && (!ok || r.EndMillis > last.EndMillis) {
+				unexplained[r.Incarnation] = r
+			}
+		}
+	}
+	return unexplained
+}
+
+// coveringSuspect returns the first other suspect, by fingerprint, that was running in all crashes
+// of s and is not cleared, or "".
+func coveringSuspect(suspects map[string]Suspect, s Suspect) string {
+	first := ""
+	for f, other := range suspects {
+		if f != s.Fingerprint && (first == "" || f < first) && !other.isCleared() && other.wasRunningInAllOf(s) {
+			first = f
+		}
+	}
+	return first
+}
+
 // Attribution is why crashes are attributed to a suspect, or not.
 type Attribution struct {
 	// Runs counts the crashes that ended a run of the request, Crashes those of them that followed
