An entry makes its table of suspects anew at most every two seconds for what the board has shown

What callers saw: nothing measured; found by reading. While no control process leads, a peer's reports count for 2 s each before they are to be written, and the end of each made the next request build the whole table again: about a millisecond a report, with a hundred reports up to a hundred times.

What the board has shown is now forgotten together, once in two seconds. A crash that stands in the table and on the board counts once, so that keeping it longer changes nothing. Tests of internal/entry under the race detector pass.

--- a/internal/entry/suspect_writer.go
+++ b/internal/entry/suspect_writer.go
@@ -24,7 +24,8 @@
 	// suspectWriteLifetime is how long a write is tried again, and how long an entry that can't write goes
 	// by what it has seen itself.
 	suspectWriteLifetime = 10 * time.Minute
-	// unseenTime is how long what was written counts beside the board, which may not show it yet.
+	// unseenTime is how long what was written counts at least beside the board, which may not show it
+	// yet.
 	unseenTime = 2 * time.Second
 	// maxSuspectWrites bounds the commands that wait to be written.
 	maxSuspectWrites = 1024
@@ -41,6 +42,8 @@
 	// goroutine writes. written holds the crashes that were written in the last unseenTime.
 	pending, written []*suspectWrite
 	isWriting        bool
+	// forgotAt is when written was last gone through.
+	forgotAt time.Time
 	// table is the board's table from, changed by what is pending and written; nil if that has
 	// changed since.
 	from, table map[string]blackboard.Suspect
@@ -111,10 +114,17 @@
 	q.addToTable(report)
 }
 
-// forgetSeen forgets what the board has shown by now. The caller holds the lock.
+// forgetSeen forgets what the board has shown by now, at most once in unseenTime, as the table is then made
+// anew. The caller holds the lock.
 func (q *suspectWriter) forgetSeen(now time.Time) {
-	for len(q.written) > 0 && now.Sub(q.written[0].writtenAt) > unseenTime {
-		q.written, q.table = q.written[1:], nil
+	if len(q.written) == 0 || now.Sub(q.forgotAt) < unseenTime {
+		return
+	}
+	q.forgotAt = now
+	before := len(q.written)
+	q.written = slices.DeleteFunc(q.written, func(w *suspectWrite) bool { return now.Sub(w.writtenAt) > unseenTime })
+	if len(q.written) < before {
+		q.table = nil
 	}
 }
 
