A request that was answered does not hide, and is not blamed beside, one that never was

After five crashes that it shared with the cause, both were blamed, as its answers were still under two a crash; refused, it got no further answer that could clear it.

Between two suspects in the same crashes, one with an answer since the first crash and one without, the second is the cause by far the likelier. The first no longer covers it, so that the cause is found after three crashes, and is not blamed itself while the other covers it, however many crashes they share. A first answer has the decision taken again.

TestAnsweredRequestIsNotBlamedBesideOneThatNeverWas fails without the change.

--- a/internal/blackboard/attribution.go
+++ b/internal/blackboard/attribution.go
@@ -62,7 +62,12 @@
 	if s.Alone > 0 && s.Crashes >= needed+isolatedCrashes-attributedCrashes {
 		return true
 	}
-	return s.Crashes >= needed && (s.Crashes >= inseparableCrashes || coveringSuspect(suspects, s) == "")
+	if s.Crashes < needed {
+		return false
+	}
+	covering := coveringSuspect(suspects, s)
+	isLessLikely := s.Answers > 0 && covering != "" && suspects[covering].Answers == 0
+	return covering == "" || (s.Crashes >= inseparableCrashes && !isLessLikely)
 }
 
 // neededCrashes returns how many crashes are attributed to a suspect: one more if backend servers of its
@@ -106,16 +111,28 @@
 	return unexplained
 }
 
-// coveringSuspect returns the first other suspect, by fingerprint, that was running in all crashes
-// of s and is not cleared, or "".
+// coveringSuspect returns another suspect that was running in all crashes of s and is not cleared, or "".
+// One that was never answered comes first. One that was answered does not cover one that was not: it is
+// less likely to be the cause.
 func coveringSuspect(suspects map[string]Suspect, s Suspect) string {
-	first := ""
+	best := ""
 	for f, other := range suspects {
-		if f != s.Fingerprint && (first == "" || f < first) && !other.isCleared() && other.wasRunningInAllOf(s) {
-			first = f
+		isLessLikely := other.isCleared() || (other.Answers > 0 && s.Answers == 0)
+		if f == s.Fingerprint || isLessLikely || !other.wasRunningInAllOf(s) {
+			continue
+		}
+		if best == "" || comesFirst(other, suspects[best]) {
+			best = f
 		}
 	}
-	return first
+	return best
+}
+
+func comesFirst(a, b Suspect) bool {
+	if (a.Answers == 0) != (b.Answers == 0) {
+		return a.Answers == 0
+	}
+	return a.Fingerprint < b.Fingerprint
 }
 
 // Attribution is why crashes are attributed to a suspect, or not.
--- a/internal/blackboard/clear_suspect.go
+++ b/internal/blackboard/clear_suspect.go
@@ -44,13 +44,13 @@
 	case !s.NeedsAnswers():
 		return false
 	}
-	wasCleared := s.isCleared()
+	wasCleared, wasAnswered := s.isCleared(), s.Answers > 0
 	s.Answers = min(s.Answers+c.Answers, s.maxAnswers())
 	if c.Granted {
 		s.Answers = max(s.Answers, answersPerCrash*len(s.Runs))
 	}
 	suspects[c.Fingerprint] = s
-	if s.isCleared() == wasCleared {
+	if wasAnswered && s.isCleared() == wasCleared {
 		return true
 	}
 	// The request no longer hides another one that was in the same crashes.
--- a/internal/blackboard/suspect_test.go
+++ b/internal/blackboard/suspect_test.go
@@ -144,6 +144,22 @@
 	assert.Assert(t, !c.isAttributed("popular"))
 }
 
+// Guards against a popular request that is blamed together with the cause because its answers are still few,
+// and that is then refused everywhere, so that no answer can clear it.
+func TestAnsweredRequestIsNotBlamedBesideOneThatNeverWas(t *testing.T) {
+	c := newCrashBoard(t)
+	for i := range attributedCrashes {
+		c.report(fmt.Sprint("server-", i), int64(1000*i), int64(1000*i+900), "a popular one", "cause")
+	}
+	assert.Assert(t, !c.isAttributed("cause"), "nothing tells them apart")
+	c.answer("a popular one", 1)
+	assert.Assert(t, c.isAttributed("cause"))
+	for i := range inseparableCrashes {
+		c.report(fmt.Sprint("next-", i), int64(10_000+1000*i), int64(10_000+1000*i+900), "a popular one", "cause")
+		assert.Assert(t, !c.isAttributed("a popular one"), "%d further crashes", i+1)
+	}
+}
+
 // Guards against a request that is refused for a minute although others were answered meanwhile: answers
 // to the runs that are still under way clear it.
 func TestAnswersClearARequestThatWasBlamed(t *testing.T) {
