--- a/internal/entry/finish.go
+++ b/internal/entry/finish.go
@@ -85,6 +85,7 @@
 			"config", s.o.Follower.Board().Config.Revision}
 		if j.forward != nil {
 			line = append(line, j.forward.firstEvent.fields()...)
+			line = append(line, "parts", partNames(j.sharedParts()))
 		}
 		j.lines.Info(line...)
 	}
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -35,6 +36,9 @@
 	// PromptTokens and AnswerTokens are the caller's counts of the prompt and of the longest
 	// answer, in tokens; 0 if the caller does not state them.
 	PromptTokens, AnswerTokens int
+	// SharedParts identifies the parts of the prompt that other requests may have in common, in
+	// their order.
+	SharedParts []string
 	// Resume asks for the events after the event with id ResumeAfter.
 	Resume      bool
 	ResumeAfter uint64
@@ -195,6 +199,23 @@
 	return j.fingerprint
 }
 
+// sharedParts identifies the parts of the job's prompt that other requests may have in common.
+func (j *job) sharedParts() []string {
+	if j.forward == nil {
+		return nil
+	}
+	return j.forward.request.SharedParts
+}
+
+// maxLoggedParts bounds the part names of one log line, in bytes. Callers choose the names.
+const maxLoggedParts = 256
+
+// partNames returns the names of parts for the log.
+func partNames(parts []string) string {
+	names := strings.Join(parts, ",")
+	return names[:min(len(names), maxLoggedParts)]
+}
+
 // hashFraction maps an id to [0, 1). A request of a split route gets the same service on every
 // entry.
 func hashFraction(id string) float64 {
--- a/internal/entry/suspect.go
+++ b/internal/entry/suspect.go
@@ -31,7 +31,7 @@
 // returns the check that tells whether the target crashed.
 func (s *Server) observeCut(j *job, r route, isAlone bool, sent time.Time) *crashCheck {
 	now := time.Now()
-	a := cutAttempt{request: j.id, fingerprint: j.contentFingerprint(), sent: sent, cut: now, isAlone: isAlone}
+	a := cutAttempt{request: j.id, fingerprint: j.contentFingerprint(), parts: j.sharedParts(), sent: sent, cut: now, isAlone: isAlone}
 	check, isNew, isOver := s.crashChecks.join(now, r, a)
 	s.o.Metrics.AttemptCut()
 	j.lines.Info("event", "attempt_cut", "request", j.id, "fingerprint", a.fingerprint, "server", r.head, "unit", r.crashID())
@@ -91,7 +91,8 @@
 		seen[a.fingerprint] = true
 		first = append(first, a)
 		_ = level.Warn(s.o.Logger).Log("event", "crash", "request", a.request, "fingerprint", a.fingerprint,
-			"unit", check.route.crashID(), "alone", a.isAlone, "ran_ms", a.cut.Sub(a.sent).Milliseconds())
+			"unit", check.route.crashID(), "alone", a.isAlone, "ran_ms", a.cut.Sub(a.sent).Milliseconds(),
+			"parts", partNames(a.parts))
 	}
 	return first
 }
