Crashes are counted for the parts that prompts have in common, and such a part is refused by itself

Cause: the only thing that crashes could be held against was a whole request, by the hash of its contents. What requests have in common was decoded nowhere. The class: a cause is sought in one kind of thing only, the one that the last incident named. Ruled out: excused crashes (no request had more than four) and late verdicts (57 to 99 ms, written within 0.1 s).

Change: the board's table of suspects has causes of two kinds, requests and prompt parts. A report of a crash names the parts that were running with the requests, in the same write. The parts that most requests begin with are in nearly all crashes as well, so a part is judged by answers: a complete answer to a run that was sent after a crash clears its parts of it. A part that was never answered is refused after three crashes that followed one another (four beside unexplained ones), or five; one that was answered before after five, once other parts have been answered meanwhile, and entries go on for two seconds, in which an answer clears it. A less likely part is held only for crashes that no likelier one was in; one request that covers a part's crashes is held in its place, and a request is not held for the crashes of a part. Refused are requests of the workspaces under whose requests servers crashed, of all once there are two. A request that waits in the queue is refused at once. Three further runs are granted in all, none to a request with two causes. Answers that end with their connection, and failures, clear nothing.

Why it works: what crashes each server that begins to answer it is never answered, so answers tell it from all that merely is popular, and they come within a second or two, the rule's bound after three.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -157,7 +157,9 @@
 	Body   io.ReadCloser
 	// Length is the announced length of Body, or -1.
 	Length int64
-	Notice Notice
+	// EndsWithConnection is set if the answer announces no end: one that is cut looks complete.
+	EndsWithConnection bool
+	Notice             Notice
 }
 
 // Client makes calls to backend servers. Each error is a *CallError.
--- a/internal/backend/forward.go
+++ b/internal/backend/forward.go
@@ -45,6 +45,8 @@
 	Body io.ReadCloser
 	// Length is the announced length of Body, or -1.
 	Length int64
+	// EndsWithConnection is set if the answer announces no end: one that is cut looks complete.
+	EndsWithConnection bool
 	// NotRun is set if the backend server did not run the request and never will.
 	NotRun bool
 	// OtherServer is set if another backend server now has the address.
--- a/internal/backend/http_service.go
+++ b/internal/backend/http_service.go
@@ -50,7 +50,9 @@
 		Header: EndToEnd(x.response.Header),
 		Body:   &answerBody{exchange: x},
 		Length: x.response.ContentLength,
-		Notice: noticeOf(x.response),
+
+		EndsWithConnection: endsWithConnection(x.response),
+		Notice:             noticeOf(x.response),
 	}, nil
 }
 
@@ -70,14 +72,19 @@
 	}
 	// An answer that announces neither its length nor chunks ends with the
 	// connection, so a cut answer appears complete.
-	bodyless := r.Request.Method == http.MethodHead
-	if r.ContentLength < 0 && len(r.TransferEncoding) == 0 && !bodyless && !allowUnframed {
+	if endsWithConnection(r) && !allowUnframed {
 		cause := errors.Annotate(ErrMalformed, "answer announces no end")
 		return &CallError{Address: address, Stage: StageUnknown, Status: r.StatusCode, Cause: cause}
 	}
 	return nil
 }
 
+// endsWithConnection reports whether an answer announces neither its length nor chunks.
+func endsWithConnection(r *http.Response) bool {
+	bodyless := r.Request.Method == http.MethodHead
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0 && !bodyless
+}
+
 // EndToEnd returns a copy of h without the headers that apply to one connection: the
 // hop-by-hop headers of HTTP and those that the Connection header names.
 func EndToEnd(h http.Header) http.Header {
--- a/internal/blackboard/attribution.go
+++ b/internal/blackboard/attribution.go
@@ -35,7 +35,7 @@
 func attribute(suspects map[string]Suspect, incarnation string) {
 	var candidates []string
 	for f, s := range suspects {
-		if s.Crashes >= isolatedCrashes && s.wasRunningOn(incarnation) {
+		if s.Kind == CauseRequest && s.Crashes >= isolatedCrashes && s.wasRunningOn(incarnation) {
 			candidates = append(candidates, f)
 		}
 	}
@@ -56,9 +56,12 @@
 	}
 }
 
-// isCause reports whether a suspect's crashes are attributed to it. One that ran alone in a crash needs
+// isCause reports whether a request's crashes are attributed to it. One that ran alone in a crash needs
 // fewer, and no comparison with others.
 func isCause(suspects map[string]Suspect, needed int, s Suspect) bool {
+	if isExplainedByPart(suspects, s) {
+		return false
+	}
 	if s.Alone > 0 && s.Crashes >= needed+isolatedCrashes-attributedCrashes {
 		return true
 	}
@@ -111,12 +114,15 @@
 	return unexplained
 }
 
-// coveringSuspect returns another suspect that was running in all crashes of s and is not cleared, or "".
+// coveringSuspect returns another request that was running in all crashes of s and is not cleared, or "".
 // One that was never answered comes first. One that was answered does not cover one that was not: it is
 // less likely to be the cause.
 func coveringSuspect(suspects map[string]Suspect, s Suspect) string {
 	best := ""
 	for f, other := range suspects {
+		if other.Kind != CauseRequest {
+			continue
+		}
 		isLessLikely := other.isCleared() || (other.Answers > 0 && s.Answers == 0)
 		if f == s.Fingerprint || isLessLikely || !other.wasRunningInAllOf(s) {
 			continue
--- a/internal/blackboard/clear_suspect.go
+++ b/internal/blackboard/clear_suspect.go
@@ -1,6 +1,9 @@
 package blackboard
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // ClearSuspect counts answers to a suspect, or removes it if there are none: its last crash was long
 // ago.
@@ -12,6 +15,10 @@
 	// Granted states that a further run of an attributed request was answered. That clears the
 	// request until its next crash.
 	Granted bool `json:"granted,omitempty"`
+	// SentMillis is when the answered run was sent, SentAgoMillis how long before the command was sent; see
+	// ReportCrash. They are set for parts of prompts alone.
+	SentMillis    int64 `json:"sent_ms,omitempty"`
+	SentAgoMillis int64 `json:"sent_ago_ms,omitempty"`
 }
 
 // Answered returns the command that counts an answer to a suspect. One that ran alone speaks against a
@@ -41,6 +48,8 @@
 	case c.Answers == 0:
 		delete(suspects, c.Fingerprint)
 		return true
+	case s.Kind == CausePart:
+		return c.clearPart(suspects, s)
 	case !s.NeedsAnswers():
 		return false
 	}
@@ -60,6 +69,46 @@
 	return true
 }
 
+// AnsweredPart returns the command that takes in an answer to a request with a part. Its run was sent the given
+// time ago.
+func AnsweredPart(fingerprint string, sentAgo time.Duration, granted bool) *ClearSuspect {
+	return &ClearSuspect{Fingerprint: fingerprint, Answers: 1, Granted: granted, SentAgoMillis: max(1, sentAgo.Milliseconds())}
+}
+
+// After returns the command as it is to be sent now, a while after it was made.
+func (c *ClearSuspect) After(passed time.Duration, now time.Time) *ClearSuspect {
+	next := *c
+	if c.SentAgoMillis > 0 {
+		next.SentAgoMillis += passed.Milliseconds()
+		next.SentMillis = now.UnixMilli() - next.SentAgoMillis
+	}
+	return &next
+}
+
+func (c *ClearSuspect) setTimes(now time.Time) {
+	if c.SentAgoMillis > 0 {
+		c.SentMillis, c.SentAgoMillis = now.UnixMilli()-c.SentAgoMillis, 0
+	}
+}
+
+// clearPart clears a part of the crashes before the answered run was sent: what crashes each server that begins to
+// answer it had not been answered.
+func (c ClearSuspect) clearPart(suspects map[string]Suspect, s Suspect) bool {
+	n := len(s.Runs)
+	s.Runs = slices.DeleteFunc(slices.Clone(s.Runs), func(r CrashedRun) bool {
+		return c.Granted || r.EndMillis+clockTolerance.Milliseconds() <= c.SentMillis
+	})
+	if len(s.Runs) == n {
+		return false
+	}
+	s.Crashes = successiveRuns(s.Runs)
+	s.AnsweredBefore, s.AnsweredMillis = true, max(s.AnsweredMillis, c.SentMillis)
+	s.Attributed, s.Inseparable, s.Retries, s.RetryMillis = false, false, 0, 0
+	suspects[s.Fingerprint] = s
+	attributeParts(suspects)
+	return true
+}
+
 // RetryAttributed requests that a request which crashes are attributed to may run once more. The
 // entry that it is granted to runs the request once.
 type RetryAttributed struct {
--- a/internal/blackboard/crash_report.go
+++ b/internal/blackboard/crash_report.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"math"
 	"reflect"
 	"slices"
@@ -13,6 +12,8 @@
 type ReportCrash struct {
 	// Fingerprints identify the requests that the reporting entry had in flight.
 	Fingerprints []string `json:"fingerprints"`
+	// Parts holds the parts that the prompts of these requests may have in common with others.
+	Parts []RunningPart `json:"parts,omitempty"`
 	// SentMillis holds when each of them was sent; empty in reports of older versions.
 	SentMillis  []int64 `json:"sent_ms,omitempty"`
 	Incarnation string  `json:"incarnation"`
@@ -40,11 +41,21 @@
 		next.SentAgoMillis = append(next.SentAgoMillis, ago)
 		next.SentMillis = append(next.SentMillis, now.UnixMilli()-ago)
 	}
+	next.Parts = slices.Clone(c.Parts)
+	for i := range next.Parts {
+		next.Parts[i].SentAgoMillis += passed.Milliseconds()
+		next.Parts[i].SentMillis = now.UnixMilli() - next.Parts[i].SentAgoMillis
+	}
 	return &next
 }
 
-// IsIn reports whether a table of suspects shows the crash for all requests of the report.
+// IsIn reports whether a table of suspects shows the crash for all that was running by the report.
 func (c ReportCrash) IsIn(suspects map[string]Suspect) bool {
+	for _, p := range c.Parts {
+		if s := suspects[p.Fingerprint]; !s.wasRunningOn(c.Incarnation) && !s.isFullSince(c.NowMillis) {
+			return false
+		}
+	}
 	for _, f := range c.Fingerprints {
 		if !suspects[f].wasRunningOn(c.Incarnation) {
 			return false
@@ -61,6 +72,9 @@
 	for _, ago := range c.SentAgoMillis {
 		c.SentMillis = append(c.SentMillis, now.UnixMilli()-ago)
 	}
+	for i, p := range c.Parts {
+		c.Parts[i].SentMillis, c.Parts[i].SentAgoMillis = now.UnixMilli()-p.SentAgoMillis, 0
+	}
 	c.EndAgoMillis, c.SentAgoMillis = 0, nil
 }
 
@@ -109,20 +123,30 @@
 		suspects[f] = s
 		changed = true
 	}
+	for _, p := range c.Parts {
+		s, added := suspects[p.Fingerprint].withRunningPart(p, c.runSent(p.SentMillis))
+		suspects[p.Fingerprint] = s
+		changed = changed || added
+	}
 	if changed {
 		removeRunsAfterCrash(suspects, c.Incarnation)
+		attributeParts(suspects)
 		attribute(suspects, c.Incarnation)
-		removeLeast(suspects, len(suspects)-maxSuspects)
+		removeLeastOf(suspects, CauseRequest, maxSuspects)
+		removeLeastOf(suspects, CausePart, maxParts)
 	}
 	return changed
 }
 
 func (c ReportCrash) run(i int) CrashedRun {
-	r := CrashedRun{Incarnation: c.Incarnation, Pool: c.Pool, DataCentre: c.DataCentre, SentMillis: c.NowMillis, EndMillis: c.NowMillis}
 	if i < len(c.SentMillis) {
-		r.SentMillis = c.SentMillis[i]
+		return c.runSent(c.SentMillis[i])
 	}
-	return r
+	return c.runSent(c.NowMillis)
+}
+
+func (c ReportCrash) runSent(sentMillis int64) CrashedRun {
+	return CrashedRun{Incarnation: c.Incarnation, Pool: c.Pool, DataCentre: c.DataCentre, SentMillis: sentMillis, EndMillis: c.NowMillis}
 }
 
 // removeRunsAfterCrash removes the runs that were sent to a crashed incarnation after the first of
@@ -144,22 +168,30 @@
 	}
 }
 
-// removeLeast removes n suspects from a full table: those without attributed crashes before others,
-// then those whose last crash is the oldest.
-func removeLeast(suspects map[string]Suspect, n int) {
-	if n <= 0 {
+// removeLeastOf removes the least suspects of a kind that has more than limit: those without attributed
+// crashes before others, then those whose last crash is the oldest. Parts with few crashes go first.
+func removeLeastOf(suspects map[string]Suspect, kind CauseKind, limit int) {
+	if len(suspects) <= limit {
 		return
 	}
-	order := slices.SortedFunc(maps.Values(suspects), func(a, b Suspect) int {
+	var order []Suspect
+	for _, s := range suspects {
+		if s.Kind == kind {
+			order = append(order, s)
+		}
+	}
+	slices.SortFunc(order, func(a, b Suspect) int {
 		switch {
 		case a.IsAttributed() && !b.IsAttributed():
 			return 1
 		case b.IsAttributed() && !a.IsAttributed():
 			return -1
+		case kind == CausePart && len(a.Runs) != len(b.Runs):
+			return cmp.Compare(len(a.Runs), len(b.Runs))
 		}
 		return cmp.Or(cmp.Compare(a.LastMillis, b.LastMillis), cmp.Compare(a.Fingerprint, b.Fingerprint))
 	})
-	for _, s := range order[:n] {
+	for _, s := range order[:max(0, len(order)-limit)] {
 		delete(suspects, s.Fingerprint)
 	}
 }
--- /dev/null
+++ b/internal/blackboard/part_attribution.go
@@ -0,0 +1,156 @@
+package blackboard
+
+import (
+	"cmp"
+	"slices"
+)
+
+// wasAnswered reports whether requests with a part were answered before its crashes, or entries can't tell.
+func (s Suspect) wasAnswered() bool { return s.AnsweredBefore || !s.NeverAnswered }
+
+// partCandidate is a part that crashes may be attributed to.
+type partCandidate struct {
+	Suspect
+	runSet string
+}
+
+// attributeParts decides again to which parts of prompts crashes are attributed.
+//
+// Failure: a part crashes one backend server after the other, under requests no two of which are alike. The parts
+// that most requests begin with are running in nearly all of these crashes too. They differ from the cause in
+// that requests with them were answered before, and are answered meanwhile, which clears them. So a part that was
+// never answered comes first, and another one is held only for the crashes that no likelier one was running in.
+func attributeParts(suspects map[string]Suspect) {
+	candidates := partCandidates(suspects)
+	explained := make(map[string]bool)
+	for len(candidates) > 0 {
+		n := 1
+		for n < len(candidates) && candidates[n].isInseparableFrom(candidates[0]) {
+			n++
+		}
+		for _, c := range candidates[:n] {
+			left := c.runsBeside(explained)
+			isAttributed := c.staysAttributed(left) || (hasPartEvidence(suspects, c, left, n > 1) && !isCoveredByRequest(suspects, c.Suspect))
+			if s := c.Suspect; s.Attributed != isAttributed || s.Inseparable != (isAttributed && n > 1) {
+				s.Attributed, s.Inseparable = isAttributed, isAttributed && n > 1
+				suspects[s.Fingerprint] = s
+			}
+		}
+		for _, r := range candidates[0].Runs {
+			explained[r.Incarnation] = true
+		}
+		candidates = candidates[n:]
+	}
+}
+
+// partCandidates returns the parts with minPartRuns crashes or more, the likeliest cause first, and of equally
+// likely ones that with the most crashes.
+func partCandidates(suspects map[string]Suspect) []partCandidate {
+	var candidates []partCandidate
+	for _, s := range suspects {
+		if s.Kind == CausePart && len(s.Runs) >= minPartRuns {
+			candidates = append(candidates, partCandidate{Suspect: s, runSet: s.runSet()})
+		}
+	}
+	slices.SortFunc(candidates, func(a, b partCandidate) int {
+		switch {
+		case a.wasAnswered() && !b.wasAnswered():
+			return 1
+		case b.wasAnswered() && !a.wasAnswered():
+			return -1
+		}
+		return cmp.Or(
+			cmp.Compare(len(b.Runs), len(a.Runs)),
+			cmp.Compare(a.runSet, b.runSet),
+			cmp.Compare(a.Fingerprint, b.Fingerprint),
+		)
+	})
+	return candidates
+}
+
+// isInseparableFrom reports whether two equally likely parts were running in the same crashes.
+func (c partCandidate) isInseparableFrom(other partCandidate) bool {
+	return c.wasAnswered() == other.wasAnswered() && c.runSet == other.runSet
+}
+
+// runsBeside returns the runs that were ended by crashes without an explanation.
+func (c partCandidate) runsBeside(explained map[string]bool) []CrashedRun {
+	return slices.DeleteFunc(slices.Clone(c.Runs), func(r CrashedRun) bool { return explained[r.Incarnation] })
+}
+
+// staysAttributed reports whether crashes stay attributed to a part: until it is answered, or, if it could not be
+// told from another one, until the other one explains all its crashes.
+func (c partCandidate) staysAttributed(left []CrashedRun) bool {
+	return c.Attributed && (!c.Inseparable || len(left) > 0)
+}
+
+// hasPartEvidence reports whether the crashes in left suffice to attribute them to a part.
+func hasPartEvidence(suspects map[string]Suspect, c partCandidate, left []CrashedRun, isInseparable bool) bool {
+	if len(left) < attributedCrashes {
+		return false
+	}
+	left = withoutOtherRequests(suspects, c.Suspect, left)
+	if c.wasAnswered() {
+		return len(left) >= certainPartCrashes && (isAnotherAnswered(suspects, c.Suspect) || isUnansweredForLong(left))
+	}
+	if len(left) >= certainPartCrashes {
+		return true
+	}
+	n := successiveRuns(left)
+	return !isInseparable && n >= attributedCrashes && n >= neededCrashes(unexplainedCrashes(suspects), c.Suspect)
+}
+
+// withoutOtherRequests returns the runs of a part without those that were ended by a request which has also crashed
+// servers that the part was not running on.
+func withoutOtherRequests(suspects map[string]Suspect, part Suspect, runs []CrashedRun) []CrashedRun {
+	for _, s := range suspects {
+		if s.Kind == CauseRequest && s.IsAttributed() && !part.wasRunningInAllOf(s) {
+			runs = slices.DeleteFunc(runs, func(r CrashedRun) bool { return s.wasRunningOn(r.Incarnation) })
+		}
+	}
+	return runs
+}
+
+// isAnotherAnswered reports whether a request with another part that was sent after a part's first crash has been
+// answered, so that some with the part should have been as well.
+func isAnotherAnswered(suspects map[string]Suspect, s Suspect) bool {
+	first := s.firstEndMillis()
+	for _, other := range suspects {
+		if other.Kind == CausePart && other.Fingerprint != s.Fingerprint && other.AnsweredMillis > first {
+			return true
+		}
+	}
+	return false
+}
+
+// isUnansweredForLong reports whether servers crashed one after the other for a while, without an answer.
+func isUnansweredForLong(runs []CrashedRun) bool {
+	first := Suspect{Runs: runs}.firstEndMillis()
+	last := first
+	for _, r := range runs {
+		last = max(last, r.EndMillis)
+	}
+	return last-first >= unansweredSpan.Milliseconds() && successiveRuns(runs) >= certainPartCrashes
+}
+
+// isCoveredByRequest reports whether one request that is not answered was running in all crashes of a part: then
+// it is the request that is held for them.
+func isCoveredByRequest(suspects map[string]Suspect, part Suspect) bool {
+	for _, s := range suspects {
+		if s.Kind == CauseRequest && s.Answers == 0 && s.wasRunningInAllOf(part) {
+			return true
+		}
+	}
+	return false
+}
+
+// isExplainedByPart reports whether one part to which crashes are attributed was running in all crashes of a
+// request.
+func isExplainedByPart(suspects map[string]Suspect, request Suspect) bool {
+	for _, s := range suspects {
+		if s.Kind == CausePart && s.IsAttributed() && s.wasRunningInAllOf(request) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/blackboard/prompt_part.go
@@ -0,0 +1,133 @@
+package blackboard
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// RunningPart is a part of a prompt that was running on a backend server when it crashed.
+type RunningPart struct {
+	Fingerprint string `json:"fingerprint"`
+	Name        string `json:"name"`
+	// Workspaces holds the workspaces whose requests with the part were running, at most maxPartWorkspaces.
+	Workspaces []string `json:"workspaces,omitempty"`
+	// SentMillis is when the last of these requests was sent, SentAgoMillis how long before the command was
+	// sent; see ReportCrash.
+	SentMillis    int64 `json:"sent_ms,omitempty"`
+	SentAgoMillis int64 `json:"sent_ago_ms,omitempty"`
+	// Answered states that the entry has answered a request with the part lately, Unanswered that it has not
+	// and would know.
+	Answered   bool `json:"answered,omitempty"`
+	Unanswered bool `json:"unanswered,omitempty"`
+}
+
+// Add takes in a request with the part that was sent the given time before the report.
+func (p *RunningPart) Add(workspace string, sentAgo time.Duration) {
+	if !slices.Contains(p.Workspaces, workspace) && len(p.Workspaces) < maxPartWorkspaces {
+		p.Workspaces = append(p.Workspaces, workspace)
+	}
+	if ago := sentAgo.Milliseconds(); p.SentAgoMillis == 0 || ago < p.SentAgoMillis {
+		p.SentAgoMillis = ago
+	}
+}
+
+const (
+	// maxParts bounds the parts in the table of suspects.
+	maxParts = 2048
+	// maxPartWorkspaces is the number of workspaces from which on a part is refused to all of them.
+	maxPartWorkspaces = 2
+	// maxPartName bounds the name of a part, in bytes.
+	maxPartName = 64
+	// minPartRuns is the least number of crashes with which a part may come to be refused.
+	minPartRuns = 2
+	// certainPartCrashes is how many crashes are attributed to a part whether or not they followed one
+	// another.
+	certainPartCrashes = 5
+	// unansweredSpan is how long requests with a part that was answered before must have crashed servers if
+	// nothing else is answered either.
+	unansweredSpan = 2 * time.Second
+	// maxPartRetries bounds the further runs that are granted while crashes are attributed to a part.
+	// partRetryFactor is by how much the time to the next one grows, and inseparableRetryAfter the time to the
+	// first one for requests that hold only one of several parts that were always running together.
+	maxPartRetries        = 3
+	partRetryFactor       = 10
+	inseparableRetryAfter = 5 * time.Second
+)
+
+// AppliesTo reports whether requests of a workspace are refused for the suspect. A part that crashed servers
+// under the requests of one workspace alone is refused to that workspace alone.
+func (s Suspect) AppliesTo(workspace string) bool {
+	return s.Kind != CausePart || len(s.Workspaces) >= maxPartWorkspaces || slices.Contains(s.Workspaces, workspace)
+}
+
+func (s Suspect) partRetryAtMillis() int64 {
+	if s.Retries >= maxPartRetries {
+		return s.LastMillis + attributedLifetime.Milliseconds()
+	}
+	wait := firstRetryAfter
+	for range s.Retries {
+		wait *= partRetryFactor
+	}
+	if s.Inseparable && s.Retries == 0 {
+		wait = inseparableRetryAfter
+	}
+	return max(s.LastMillis, s.RetryMillis) + wait.Milliseconds()
+}
+
+// AwaitsComparison reports whether a part was running in so many crashes that only the answers to requests with
+// other parts are missing to attribute them to it.
+func (s Suspect) AwaitsComparison() bool {
+	return s.Kind == CausePart && !s.Attributed && len(s.Runs) >= certainPartCrashes
+}
+
+// MayBeAttributed reports whether a part was running in crashes enough to be attributed to it soon.
+func (s Suspect) MayBeAttributed() bool { return s.Kind == CausePart && len(s.Runs) >= minPartRuns }
+
+// withRunningPart returns a part's row with one more run that a crash ended, and whether the row changed.
+func (s Suspect) withRunningPart(p RunningPart, r CrashedRun) (Suspect, bool) {
+	before := s
+	s.Fingerprint, s.Kind, s.Name = p.Fingerprint, CausePart, p.Name[:min(len(p.Name), maxPartName)]
+	s.AnsweredBefore = s.AnsweredBefore || p.Answered
+	s.NeverAnswered = s.NeverAnswered || p.Unanswered
+	for _, w := range p.Workspaces {
+		if !slices.Contains(s.Workspaces, w) && len(s.Workspaces) < maxPartWorkspaces {
+			s.Workspaces = append(slices.Clone(s.Workspaces), w)
+		}
+	}
+	if s.wasRunningOn(r.Incarnation) || s.isFullSince(r.EndMillis) {
+		return s, !s.equal(before)
+	}
+	if len(s.Runs) >= maxRuns {
+		s.Runs = slices.Delete(slices.Clone(s.Runs), s.oldestRun(), s.oldestRun()+1)
+	}
+	s, _ = s.withRun(r, false)
+	return s, true
+}
+
+// isFullSince reports whether a part's row has no place for a crash at a time, as all in it are later.
+func (s Suspect) isFullSince(endMillis int64) bool {
+	return len(s.Runs) >= maxRuns && s.Runs[s.oldestRun()].EndMillis >= endMillis
+}
+
+func (s Suspect) firstEndMillis() int64 { return s.Runs[s.oldestRun()].EndMillis }
+
+func (s Suspect) oldestRun() int {
+	oldest := 0
+	for i, r := range s.Runs {
+		if r.EndMillis < s.Runs[oldest].EndMillis {
+			oldest = i
+		}
+	}
+	return oldest
+}
+
+// runSet identifies the set of crashed servers that a suspect was running on.
+func (s Suspect) runSet() string {
+	incarnations := make([]string, len(s.Runs))
+	for i, r := range s.Runs {
+		incarnations[i] = r.Incarnation
+	}
+	slices.Sort(incarnations)
+	return strings.Join(incarnations, " ")
+}
--- a/internal/blackboard/suspect.go
+++ b/internal/blackboard/suspect.go
@@ -5,11 +5,37 @@
 	"time"
 )
 
-// Suspect is a request, identified by its fingerprint, that was running on backend servers
-// when they crashed. Written by: entries, through ReportCrash, ClearSuspect and
-// RetryAttributed. Read by: entries, which refuse a suspect once IsAttributed reports true.
+// CauseKind tells what a suspect is.
+type CauseKind string
+
+// The kinds of causes that crashes may have.
+const (
+	// CauseRequest is a request with all that it holds.
+	CauseRequest CauseKind = ""
+	// CausePart is a part of prompts that several requests have in common.
+	CausePart CauseKind = "prompt_part"
+)
+
+// Suspect is a possible cause of crashes, identified by its fingerprint: it was running on backend
+// servers when they crashed. Written by: entries, through ReportCrash, ClearSuspect and
+// RetryAttributed. Read by: entries, which refuse the requests of a suspect once IsAttributed reports
+// true.
 type Suspect struct {
-	Fingerprint string `json:"fingerprint"`
+	Fingerprint string    `json:"fingerprint"`
+	Kind        CauseKind `json:"kind,omitempty"`
+	// Name is the start of the name that callers give a part; empty for a request.
+	Name string `json:"name,omitempty"`
+	// Workspaces holds the first maxPartWorkspaces workspaces under whose requests with a part servers
+	// crashed.
+	Workspaces []string `json:"workspaces,omitempty"`
+	// AnsweredBefore is set if an entry had answered a request with the part before one of the crashes,
+	// NeverAnswered if one that would know had not. AnsweredMillis is when the last run was sent that has been
+	// answered since the first crash.
+	AnsweredBefore bool  `json:"answered_before,omitempty"`
+	NeverAnswered  bool  `json:"never_answered,omitempty"`
+	AnsweredMillis int64 `json:"answered_ms,omitempty"`
+	// Inseparable is set if crashes are attributed to a part that another one was always running with.
+	Inseparable bool `json:"inseparable,omitempty"`
 	// Crashes counts the crashes that followed one another in a data centre, over all data centres: the
 	// run that each of them ended was sent after the crash before it there.
 	Crashes int `json:"crashes"`
@@ -70,6 +96,7 @@
 // Lifetimes of a suspect after its last crash.
 const (
 	suspectLifetime    = time.Hour
+	partLifetime       = 10 * time.Minute
 	attributedLifetime = 24 * time.Hour
 )
 
@@ -88,7 +115,12 @@
 
 // NeedsAnswers reports whether an answer to the request is to be counted: its answers don't clear it of
 // its crashes and of one more yet.
-func (s Suspect) NeedsAnswers() bool { return s.Crashes > 0 && s.Answers < s.maxAnswers() }
+func (s Suspect) NeedsAnswers() bool {
+	if s.Kind == CausePart {
+		return len(s.Runs) > 0
+	}
+	return s.Crashes > 0 && s.Answers < s.maxAnswers()
+}
 
 func (s Suspect) maxAnswers() int { return answersPerCrash * (len(s.Runs) + 1) }
 
@@ -108,6 +140,9 @@
 // ExpiresMillis returns when the suspect is to be forgotten.
 func (s Suspect) ExpiresMillis() int64 {
 	lifetime := suspectLifetime
+	if s.Kind == CausePart {
+		lifetime = partLifetime
+	}
 	if s.IsAttributed() {
 		lifetime = attributedLifetime
 	}
@@ -116,6 +151,9 @@
 
 // RetryAtMillis returns from when on an attributed request may run once more.
 func (s Suspect) RetryAtMillis() int64 {
+	if s.Kind == CausePart {
+		return s.partRetryAtMillis()
+	}
 	wait := min(firstRetryAfter<<min(s.Retries, 16), attributedLifetime)
 	return max(s.LastMillis, s.RetryMillis) + wait.Milliseconds()
 }
@@ -149,10 +187,13 @@
 }
 
 func (s Suspect) equal(other Suspect) bool {
+	isSameCause := s.Fingerprint == other.Fingerprint && s.Kind == other.Kind && s.Name == other.Name &&
+		slices.Equal(s.Workspaces, other.Workspaces) && s.AnsweredBefore == other.AnsweredBefore &&
+		s.NeverAnswered == other.NeverAnswered && s.AnsweredMillis == other.AnsweredMillis && s.Inseparable == other.Inseparable
 	hasSameCounts := s.Crashes == other.Crashes && s.Alone == other.Alone && s.Attributed == other.Attributed &&
 		s.Answers == other.Answers
 	hasSameTimes := s.LastMillis == other.LastMillis && s.Retries == other.Retries && s.RetryMillis == other.RetryMillis
-	return s.Fingerprint == other.Fingerprint && hasSameCounts && hasSameTimes && slices.Equal(s.Runs, other.Runs)
+	return isSameCause && hasSameCounts && hasSameTimes && slices.Equal(s.Runs, other.Runs)
 }
 
 func (s Suspect) wasRunningOn(incarnation string) bool {
--- a/internal/entry/answer_grace.go
+++ b/internal/entry/answer_grace.go
@@ -15,23 +15,39 @@
 	// attributed to it: until the reports of all entries about the last crash have been written. It
 	// lies well within the time in which a request that has come to crash its servers must be stopped.
 	attributionGrace = 500 * time.Millisecond
+	// partGraceLength is the same for a part of prompts: until requests with it that were sent since its crashes have
+	// been answered.
+	partGraceLength = 2 * time.Second
+	// answerHistory is how long an entry has to run to know that it has not answered something lately.
+	answerHistory = 10 * time.Second
 )
 
-// answerGrace tells the requests that this entry has answered lately. It is safe for concurrent use.
+// answerGrace tells the requests, or the parts of prompts, that this entry has answered lately. It is safe for
+// concurrent use.
 //
 // Failure: entries report a crash one after the other. Until the report about its cause is written, a
 // popular request that was running there stands alone in three crashes, and is refused.
 type answerGrace struct {
+	// length is for how long after its attribution a suspect is still sent.
+	length time.Duration
+	// startedAt is the start of this process.
+	startedAt time.Time
+
 	mu sync.Mutex
 	// current and previous hold the fingerprints of answered requests; current was begun at since.
 	current, previous map[string]bool
 	since             time.Time
+	// isSet is set once setAttributed has been called.
+	isSet bool
 	// attributed holds since when crashes are attributed to requests that were answered.
 	attributed map[string]time.Time
 }
 
-func newAnswerGrace(now time.Time) *answerGrace {
-	return &answerGrace{current: make(map[string]bool), since: now, attributed: make(map[string]time.Time)}
+func newAnswerGrace(now time.Time, length time.Duration) *answerGrace {
+	return &answerGrace{
+		length: length, startedAt: now, since: now,
+		current: make(map[string]bool), attributed: make(map[string]time.Time),
+	}
 }
 
 // answered records an answer.
@@ -44,12 +60,51 @@
 	g.current[fingerprint] = true
 }
 
-// allows reports whether a request that crashes are attributed to is still sent. The time runs once for
-// each request, from the first call, until cleared is called.
-func (g *answerGrace) allows(now time.Time, fingerprint string) bool {
+// wasAnswered reports whether this entry has answered something lately. It can't tell (isKnown) if it has not
+// and started a short time ago.
+func (g *answerGrace) wasAnswered(now time.Time, fingerprint string) (answered, isKnown bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	answered = g.current[fingerprint] || g.previous[fingerprint]
+	return answered, answered || now.Sub(g.startedAt) >= answerHistory
+}
+
+// isAttributed reports whether the grace of a suspect has begun.
+func (g *answerGrace) isAttributed(fingerprint string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	_, ok := g.attributed[fingerprint]
+	return ok
+}
+
+// setAttributed sets the suspects that crashes are attributed to. The grace of new ones runs from now; that of
+// those in the first call is over, as this process has just started.
+func (g *answerGrace) setAttributed(now time.Time, fingerprints map[string]bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for f := range g.attributed {
+		if !fingerprints[f] {
+			delete(g.attributed, f)
+		}
+	}
+	if !g.isSet {
+		now = now.Add(-g.length)
+	}
+	g.isSet = true
+	for f := range fingerprints {
+		if _, ok := g.attributed[f]; !ok {
+			g.attributed[f] = now
+		}
+	}
+}
+
+// allows reports whether a suspect that crashes are attributed to is still sent, as this entry or another one
+// (elsewhere) has answered it lately. The time runs once for each suspect, from setAttributed or the first call,
+// until cleared is called.
+func (g *answerGrace) allows(now time.Time, fingerprint string, elsewhere bool) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.current[fingerprint] && !g.previous[fingerprint] {
+	if !elsewhere && !g.current[fingerprint] && !g.previous[fingerprint] {
 		return false
 	}
 	first, ok := g.attributed[fingerprint]
@@ -57,7 +112,7 @@
 		first = now
 		g.attributed[fingerprint] = now
 	}
-	return now.Sub(first) < attributionGrace
+	return now.Sub(first) < g.length
 }
 
 // cleared records that no crashes are attributed to a request.
--- a/internal/entry/crash_check.go
+++ b/internal/entry/crash_check.go
@@ -104,7 +104,8 @@
 // cutAttempt is an attempt that ended because its target closed the connection early.
 type cutAttempt struct {
 	request, fingerprint string
-	parts                []string
+	workspace            string
+	parts                []promptPart
 	// sent and cut are when the attempt began and ended.
 	sent, cut time.Time
 	isAlone   bool
--- a/internal/entry/crashes_test.go
+++ b/internal/entry/crashes_test.go
@@ -238,7 +238,7 @@
 func TestRequestThatIsBlamedBeforeItIsSentIsWithheld(t *testing.T) {
 	s, control, _ := crashServer(backend.NotListening)
 	j, granted := routeJob("1", "body"), routeJob("2", "body")
-	granted.isRetryGranted = true
+	granted.retryGranted = granted.contentFingerprint()
 	assert.Assert(t, s.mayAttempt(j) == nil)
 	permit := s.permit(j, groupRoute(1))
 	assert.Assert(t, permit())
@@ -257,7 +257,7 @@
 func TestGrantedRunEndsWithItsFirstCrash(t *testing.T) {
 	s, _, _ := crashServer(backend.NotListening)
 	j := routeJob("retry", "body")
-	j.isRetryGranted = true
+	j.retryGranted = j.contentFingerprint()
 	e := s.afterAttempt(j, grant{route: groupRoute(1)}, outcomeCut, failure.New(failure.TypeBackendFailed, "cut"), time.Now())
 	assert.Equal(t, e.Type, failure.TypeRequestCrashesBackend)
 }
@@ -350,18 +350,18 @@
 // written, and against one that goes on because it was answered before it came to crash its servers.
 func TestAnsweredRequestIsSentForAMomentAfterItIsBlamed(t *testing.T) {
 	now := time.Unix(1000, 0)
-	g := newAnswerGrace(now)
-	assert.Assert(t, !g.allows(now, "a"))
+	g := newAnswerGrace(now, attributionGrace)
+	assert.Assert(t, !g.allows(now, "a", false))
 	g.answered(now, "a")
-	assert.Assert(t, g.allows(now, "a"))
+	assert.Assert(t, g.allows(now, "a", false))
 	g.answered(now, "a")
-	assert.Assert(t, g.allows(now.Add(attributionGrace/2), "a"))
-	assert.Assert(t, !g.allows(now.Add(attributionGrace), "a"), "answers don't prolong it")
+	assert.Assert(t, g.allows(now.Add(attributionGrace/2), "a", false))
+	assert.Assert(t, !g.allows(now.Add(attributionGrace), "a", false), "answers don't prolong it")
 	g.cleared("a")
-	assert.Assert(t, g.allows(now.Add(attributionGrace), "a"))
+	assert.Assert(t, g.allows(now.Add(attributionGrace), "a", false))
 	for range 2 {
 		now = now.Add(answerMemory)
 		g.answered(now, "b")
 	}
-	assert.Assert(t, !g.allows(now, "a"), "it was answered long ago")
+	assert.Assert(t, !g.allows(now, "a", false), "it was answered long ago")
 }
--- a/internal/entry/finish.go
+++ b/internal/entry/finish.go
@@ -69,7 +69,7 @@
 		"queued_ms", j.queued.Milliseconds(), "left_ms", time.Until(j.deadline).Milliseconds(),
 		"retry_after_ms", e.RetryAfter.Milliseconds(), "config", s.o.Follower.Board().Config.Revision}
 	if e.Type == failure.TypeRequestCrashesBackend {
-		line = append(line, "fingerprint", j.fingerprint)
+		line = append(line, "fingerprint", j.refusedFor.Fingerprint, "cause", causeName(j.refusedFor))
 	}
 	j.lines.Info(line...)
 	j.lines.End(true)
@@ -85,7 +85,7 @@
 			"config", s.o.Follower.Board().Config.Revision}
 		if j.forward != nil {
 			line = append(line, j.forward.firstEvent.fields()...)
-			line = append(line, "parts", partNames(j.sharedParts()))
+			line = append(line, "parts", partNames(j.sharedParts))
 		}
 		j.lines.Info(line...)
 	}
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -4,7 +4,6 @@
 	"context"
 	"net/http"
 	"strconv"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -165,6 +164,7 @@
 			priority: table.config.Workspaces[workspace].Priority,
 		},
 	}
+	j.sharedParts = promptParts(f.SharedParts)
 	j.homes = homesOf(route.Homes, table.config.Workspaces[workspace].Homes)
 	service := route.ServiceFor(hashFraction(f.ID))
 	j.forward.service = service
@@ -199,23 +199,6 @@
 	return j.fingerprint
 }
 
-// sharedParts identifies the parts of the job's prompt that other requests may have in common.
-func (j *job) sharedParts() []string {
-	if j.forward == nil {
-		return nil
-	}
-	return j.forward.request.SharedParts
-}
-
-// maxLoggedParts bounds the part names of one log line, in bytes. Callers choose the names.
-const maxLoggedParts = 256
-
-// partNames returns the names of parts for the log.
-func partNames(parts []string) string {
-	names := strings.Join(parts, ",")
-	return names[:min(len(names), maxLoggedParts)]
-}
-
 // hashFraction maps an id to [0, 1). A request of a split route gets the same service on every
 // entry.
 func hashFraction(id string) float64 {
--- a/internal/entry/forward_relay.go
+++ b/internal/entry/forward_relay.go
@@ -57,6 +57,7 @@
 		return s.classifyServiceError(j, err)
 	}
 	j.noteFirstToken()
+	j.provesParts = provesAnswer(a)
 	j.forward.write(&bufferedAnswer{status: a.Status, header: backend.EndToEnd(a.Header), body: body})
 	return outcomeComplete, nil
 }
@@ -70,6 +71,7 @@
 		e, err := events.next()
 		if err == io.EOF {
 			j.forward.writeHead(s.memory, a)
+			j.provesParts = provesAnswer(a) && result.FirstToken != 0
 			return outcomeComplete, nil
 		}
 		if err != nil {
--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -106,12 +106,21 @@
 	withheld int
 	// suspect is set if a backend server crashed while it ran the request.
 	suspect bool
+	// sharedParts holds the parts of the prompt that other requests may have in common.
+	sharedParts []promptPart
 	// wasSuspect is set if the request was known as a suspect when its last attempt was sent, isAlone
 	// if that ran in isolation.
 	wasSuspect, isAlone bool
-	// isRetryGranted is set if crashes are attributed to the request and this job is its granted
-	// further run.
-	isRetryGranted bool
+	// suspectParts holds the fingerprints of the parts that were known as suspects when the last
+	// attempt was sent, at sentAt. provesParts is set once its answer shows that they crash nothing.
+	suspectParts []string
+	sentAt       time.Time
+	provesParts  bool
+	// retryGranted is the cause of crashes of which this job is a granted further run; "" if it is
+	// none.
+	retryGranted string
+	// refusedFor is the cause of crashes for which the job was refused.
+	refusedFor blackboard.Suspect
 	// countsAsDemand is set if the job is a first try for a model whose demand is observed.
 	countsAsDemand bool
 }
--- a/internal/entry/notices.go
+++ b/internal/entry/notices.go
@@ -94,7 +94,7 @@
 	case s.leavingServers.contains(r.incarnation):
 		return "leaving"
 	}
-	if _, isRefused := s.refusedSuspect(time.Now(), j); isRefused {
+	if len(s.refusedCauses(time.Now(), j)) > 0 {
 		return "crashes"
 	}
 	return ""
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -39,7 +39,7 @@
 		s.finish(j, e, false)
 		return
 	}
-	g, e := s.admit(j)
+	g, e := s.admitUnlessRefused(j)
 	defer s.returnGrant(j, false)
 	j.queued = time.Since(j.arrived)
 	if e != nil {
@@ -119,6 +119,7 @@
 		return e
 	}
 	j.wasSuspect = s.suspectOf(j).Crashes > 0
+	s.noteSuspectParts(j)
 	return s.mayDispatch()
 }
 
@@ -166,16 +167,22 @@
 	isAlone := g.endTurn != nil
 	check := s.observeCut(j, g.route, isAlone, sent)
 	switch {
-	case j.isRetryGranted:
-		return crashRefusal()
+	case j.retryGranted != "":
+		return s.refuseForCrash(j)
 	case j.nonIdempotent || !s.mayIsolate(j):
 		return nil
 	case s.awaitCrashCounts(j, check).IsAttributed():
-		return crashRefusal()
+		return s.refuseForCrash(j)
 	}
 	return nil
 }
 
+// refuseForCrash returns the final failure of a job whose own request has crashed its backend server.
+func (s *Server) refuseForCrash(j *job) *failure.Error {
+	j.refusedFor = s.suspectOf(j)
+	return crashRefusal(j.refusedFor)
+}
+
 // withRanState makes a refusal state what is known of all attempts so far, whatever the last
 // one reported: RanNo only if none of them may have run.
 func withRanState(begun bool, e *failure.Error) *failure.Error {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -98,6 +98,14 @@
 	crashChecks   *crashChecks
 	suspectWriter suspectWriter
 	answerGrace   *answerGrace
+	// partGrace is the same for the parts of prompts. gracedSuspects is the table of suspects that it was last
+	// set by; only ApplyBoard uses it.
+	partGrace      *answerGrace
+	gracedSuspects map[string]blackboard.Suspect
+	// waitingParts holds the jobs that wait for admission by the parts of their prompts.
+	waitingParts *waitingParts
+	// comparesParts is set while a part may come to be refused once others are answered.
+	comparesParts atomic.Bool
 	// holders is this entry's table as the home of keys.
 	holdersMu sync.Mutex
 	holders   *holders
@@ -178,7 +186,9 @@
 		jobs:           newJobTable(),
 		isolation:      newIsolation(),
 		crashChecks:    newCrashChecks(),
-		answerGrace:    newAnswerGrace(time.Now()),
+		answerGrace:    newAnswerGrace(time.Now(), attributionGrace),
+		waitingParts:   newWaitingParts(),
+		partGrace:      newAnswerGrace(time.Now(), partGraceLength),
 		holders:        newHolders(),
 		updateNow:      make(chan struct{}, 1),
 		loggedRoutes:   make(map[string]route),
@@ -209,6 +219,7 @@
 
 // ApplyBoard applies a new board to the policy and the routes.
 func (s *Server) ApplyBoard(b *blackboard.Board) {
+	s.notePartsOfBoard(time.Now())
 	s.updateEntries(b)
 	s.waitEstimates.loadBoard(b)
 	if b.Config.Revision != s.policyRevision {
--- a/internal/entry/suspect.go
+++ b/internal/entry/suspect.go
@@ -31,7 +31,10 @@
 // returns the check that tells whether the target crashed.
 func (s *Server) observeCut(j *job, r route, isAlone bool, sent time.Time) *crashCheck {
 	now := time.Now()
-	a := cutAttempt{request: j.id, fingerprint: j.contentFingerprint(), parts: j.sharedParts(), sent: sent, cut: now, isAlone: isAlone}
+	a := cutAttempt{
+		request: j.id, fingerprint: j.contentFingerprint(), workspace: j.workspace, parts: j.sharedParts,
+		sent: sent, cut: now, isAlone: isAlone,
+	}
 	check, isNew, isOver := s.crashChecks.join(now, r, a)
 	s.o.Metrics.AttemptCut()
 	j.lines.Info("event", "attempt_cut", "request", j.id, "fingerprint", a.fingerprint, "server", r.head, "unit", r.crashID())
@@ -102,7 +105,10 @@
 	if len(cuts) == 0 {
 		return nil
 	}
-	return s.writeSuspect(crashReport(check.route, cuts, alone, time.Now()))
+	now := time.Now()
+	report := crashReport(check.route, cuts, alone, now)
+	report.Parts = s.runningParts(cuts, now)
+	return s.writeSuspect(report.After(0, now))
 }
 
 // crashReport returns the report of a crash as of now. Its times are lengths of time first of all: the
@@ -165,53 +171,89 @@
 	return suspects[j.contentFingerprint()]
 }
 
-// refusedSuspect returns what is known of the job's crashes, and whether it is refused for them.
-func (s *Server) refusedSuspect(now time.Time, j *job) (suspect blackboard.Suspect, isRefused bool) {
-	suspect = s.suspectOf(j)
-	if !suspect.IsAttributed() {
-		if suspect.Crashes > 0 {
-			s.answerGrace.cleared(suspect.Fingerprint)
+// causes returns the fingerprints of all that crashes under the job may be attributed to: the request first, then
+// the parts of its prompt.
+func (j *job) causes() []string {
+	causes := []string{j.contentFingerprint()}
+	for _, part := range j.sharedParts {
+		causes = append(causes, part.fingerprint)
+	}
+	return causes
+}
+
+// refusedCauses returns the causes of crashes for which the job is refused.
+func (s *Server) refusedCauses(now time.Time, j *job) []blackboard.Suspect {
+	suspects := s.suspects()
+	if len(suspects) == 0 {
+		return nil
+	}
+	var refused []blackboard.Suspect
+	for _, f := range j.causes() {
+		if suspect, ok := suspects[f]; ok && s.isRefused(now, j, suspect) {
+			refused = append(refused, suspect)
 		}
-		return suspect, false
 	}
-	return suspect, !j.isRetryGranted && !s.answerGrace.allows(now, suspect.Fingerprint)
+	return refused
+}
+
+// isRefused reports whether a job is refused for one of its causes.
+func (s *Server) isRefused(now time.Time, j *job, suspect blackboard.Suspect) bool {
+	grace := s.answerGrace
+	if suspect.Kind == blackboard.CausePart {
+		grace = s.partGrace
+	}
+	if !suspect.IsAttributed() {
+		grace.cleared(suspect.Fingerprint)
+		return false
+	}
+	return j.retryGranted != suspect.Fingerprint && suspect.AppliesTo(j.workspace) && !grace.allows(now, suspect.Fingerprint, suspect.AnsweredBefore)
 }
 
 // checkCrashes refuses a job that crashes are attributed to, with the time from which it may run
-// once more.
+// once more. A job with several causes is not run again, as its answer would tell of none of them.
 func (s *Server) checkCrashes(j *job) *failure.Error {
 	now := time.Now()
-	suspect, isRefused := s.refusedSuspect(now, j)
-	if !isRefused {
+	refused := s.refusedCauses(now, j)
+	if len(refused) == 0 {
 		return nil
 	}
-	wait := time.Duration(suspect.RetryAtMillis()-now.UnixMilli()) * time.Millisecond
-	if wait <= 0 && s.takeRetryOfAttributed(j) {
+	retryAt := int64(0)
+	for _, suspect := range refused {
+		retryAt = max(retryAt, suspect.RetryAtMillis())
+	}
+	wait := time.Duration(retryAt-now.UnixMilli()) * time.Millisecond
+	if wait <= 0 && len(refused) == 1 && s.takeRetryOfAttributed(j, refused[0].Fingerprint) {
 		return nil
 	}
-	return crashRefusal().WithRetryAfter(max(wait, time.Second))
+	j.refusedFor = refused[0]
+	return crashRefusal(refused[0]).WithRetryAfter(max(wait, time.Second))
 }
 
-// takeRetryOfAttributed requests the one further run that an attributed request may have at times.
-func (s *Server) takeRetryOfAttributed(j *job) bool {
+// takeRetryOfAttributed requests the one further run that a cause may have at times.
+func (s *Server) takeRetryOfAttributed(j *job, fingerprint string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), boardTimeout)
 	defer cancel()
 	var verdict blackboard.Verdict
-	err := s.commitBoard(ctx, &blackboard.RetryAttributed{Fingerprint: j.fingerprint, NowMillis: time.Now().UnixMilli()}, &verdict)
-	j.isRetryGranted = err == nil && verdict.Applied
-	j.lines.Info("event", "suspect_retry", "request", j.id, "fingerprint", j.fingerprint, "granted", j.isRetryGranted,
+	err := s.commitBoard(ctx, &blackboard.RetryAttributed{Fingerprint: fingerprint, NowMillis: time.Now().UnixMilli()}, &verdict)
+	isGranted := err == nil && verdict.Applied
+	if isGranted {
+		j.retryGranted = fingerprint
+	}
+	j.lines.Info("event", "suspect_retry", "request", j.id, "fingerprint", fingerprint, "granted", isGranted,
 		"reason", verdict.Reason, "err", errText(err))
-	return j.isRetryGranted
+	return isGranted
 }
 
-// noteAnswered counts an answer to a suspect that was known as one when the answered run was sent. An
-// answer to an earlier run does not show that the request has not come to crash its backend servers since.
+// noteAnswered takes in an answer. It counts for a suspect request that was known as one when the answered run
+// was sent: an answer to an earlier run does not show that the request has not come to crash its backend servers
+// since.
 func (s *Server) noteAnswered(j *job) {
+	s.noteAnsweredParts(j)
 	s.answerGrace.answered(time.Now(), j.contentFingerprint())
 	if !j.wasSuspect || !s.suspectOf(j).NeedsAnswers() {
 		return
 	}
-	s.writeSuspect(blackboard.Answered(j.contentFingerprint(), j.isAlone, j.isRetryGranted))
+	s.writeSuspect(blackboard.Answered(j.contentFingerprint(), j.isAlone, j.retryGranted == j.contentFingerprint()))
 }
 
 func countAttributed(suspects map[string]blackboard.Suspect) int {
@@ -224,10 +266,23 @@
 	return n
 }
 
-// crashRefusal returns the final failure of a request that crashes backend servers.
-func crashRefusal() *failure.Error {
-	return failure.New(failure.TypeRequestCrashesBackend,
-		"this request crashed the backend servers that ran it and is not run again for now").WithRan(failure.RanUnknown)
+// crashRefusal returns the final failure of a request that crashes are attributed to, or a part of whose prompt.
+func crashRefusal(cause blackboard.Suspect) *failure.Error {
+	e := failure.New(failure.TypeRequestCrashesBackend,
+		"this request crashed the backend servers that ran it and is not run again for now")
+	if cause.Kind == blackboard.CausePart {
+		e = failure.New(failure.TypeRequestCrashesBackend,
+			"a part of this request's prompt crashed the backend servers that ran it and is not run again for now")
+	}
+	return e.WithDetail(causeName(cause)).WithRan(failure.RanUnknown)
+}
+
+// causeName returns the kind of a cause, and the name that callers give it if there is one.
+func causeName(cause blackboard.Suspect) string {
+	if cause.Kind == blackboard.CausePart {
+		return string(cause.Kind) + " " + cause.Name
+	}
+	return "request"
 }
 
 const boardTimeout = 2 * time.Second
--- a/internal/entry/suspect_writer.go
+++ b/internal/entry/suspect_writer.go
@@ -61,8 +61,11 @@
 
 // command returns the command as it is to be sent now.
 func (w *suspectWrite) command(now time.Time) blackboard.Command {
-	if report, ok := w.change.(*blackboard.ReportCrash); ok {
-		return report.After(now.Sub(w.since), now)
+	switch change := w.change.(type) {
+	case *blackboard.ReportCrash:
+		return change.After(now.Sub(w.since), now)
+	case *blackboard.ClearSuspect:
+		return change.After(now.Sub(w.since), now)
 	}
 	return w.change
 }
