Metrics, the leader's log and explain name the part of prompts that crashes are held against

An on-call engineer could not tell from one id and one metric why a sound request was refused, or which part it was. The gauges of suspects count requests and parts apart, event=suspect names a part with the workspaces and whether it was answered before, event=refuse the part, and explain collects the crashes under other requests with it. No decision changed.

--- a/internal/blackboard/attribution.go
+++ b/internal/blackboard/attribution.go
@@ -143,6 +143,8 @@
 
 // Attribution is why crashes are attributed to a suspect, or not.
 type Attribution struct {
+	// Cause is the suspect.
+	Cause Suspect
 	// Runs counts the crashes that ended a run of the request, Crashes those of them that followed
 	// one another.
 	Runs, Crashes int
@@ -155,6 +157,14 @@
 	IsAttributed bool
 }
 
+// crashesNeeded returns how many crashes are attributed to a suspect of any kind.
+func crashesNeeded(unexplained map[string]CrashedRun, s Suspect) int {
+	if s.Kind == CausePart && s.wasAnswered() {
+		return certainPartCrashes
+	}
+	return neededCrashes(unexplained, s)
+}
+
 // Attributions returns the attribution of each suspect with two runs or more whose row differs from that
 // in an earlier table.
 func (b *Board) Attributions(before map[string]Suspect) map[string]Attribution {
@@ -165,7 +175,7 @@
 			continue
 		}
 		changed[f] = Attribution{
-			Runs: len(s.Runs), Crashes: s.Crashes, Answers: s.Answers, Needed: neededCrashes(unexplained, s),
+			Cause: s, Runs: len(s.Runs), Crashes: s.Crashes, Answers: s.Answers, Needed: crashesNeeded(unexplained, s),
 			CoveredBy: coveringSuspect(b.Suspects, s), IsAttributed: s.IsAttributed(),
 		}
 	}
--- a/internal/control/suspect_log.go
+++ b/internal/control/suspect_log.go
@@ -1,12 +1,14 @@
 package control
 
 import (
+	"strings"
+
 	"github.com/go-kit/log/level"
 
 	"github.com/citronstep/citronstep/internal/blackboard"
 )
 
-// logSuspects logs the requests that several crashes ended, when what the board counts of them has
+// logSuspects logs the requests, and the parts of prompts, that several crashes ended, when what the board counts of them has
 // changed since the last call. An on-call engineer needs it to tell a crash that nobody reported from
 // one that was reported and is not attributed. Only Run calls it.
 func (s *Server) logSuspects(board *blackboard.Board) {
@@ -18,7 +20,12 @@
 	changed := board.Attributions(before)
 	for _, fingerprint := range sortedKeys(changed) {
 		a := changed[fingerprint]
-		_ = level.Info(s.o.Logger).Log("event", "suspect", "fingerprint", fingerprint, "runs", a.Runs, "crashes", a.Crashes,
-			"answers", a.Answers, "needed", a.Needed, "attributed", a.IsAttributed, "covered_by", a.CoveredBy)
+		line := []any{"event", "suspect", "fingerprint", fingerprint, "runs", a.Runs, "crashes", a.Crashes,
+			"answers", a.Answers, "needed", a.Needed, "attributed", a.IsAttributed, "covered_by", a.CoveredBy}
+		if part := a.Cause; part.Kind == blackboard.CausePart {
+			line = append(line, "part", part.Name, "answered_before", part.AnsweredBefore, "inseparable", part.Inseparable,
+				"workspaces", strings.Join(part.Workspaces, ","))
+		}
+		_ = level.Info(s.o.Logger).Log(line...)
 	}
 }
--- a/internal/entry/finish.go
+++ b/internal/entry/finish.go
@@ -69,7 +69,7 @@
 		"queued_ms", j.queued.Milliseconds(), "left_ms", time.Until(j.deadline).Milliseconds(),
 		"retry_after_ms", e.RetryAfter.Milliseconds(), "config", s.o.Follower.Board().Config.Revision}
 	if e.Type == failure.TypeRequestCrashesBackend {
-		line = append(line, "fingerprint", j.refusedFor.Fingerprint, "cause", causeName(j.refusedFor))
+		line = append(line, "fingerprint", j.refusedFor.Fingerprint, "cause", causeName(j.refusedFor), "part", j.refusedFor.Name)
 	}
 	j.lines.Info(line...)
 	j.lines.End(true)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -410,12 +410,14 @@
 	open, _ := s.jobs.counts()
 	routes, waiting := s.dispatcher.counts()
 	sharedWaiting, grants := s.sharedQueueSizes()
-	suspects := s.o.Follower.Board().Suspects
+	requests, refusedRequests := countSuspects(s.o.Follower.Board().Suspects, blackboard.CauseRequest)
+	parts, refusedParts := countSuspects(s.o.Follower.Board().Suspects, blackboard.CausePart)
 	s.o.Metrics.Sample(metrics.EntrySample{
 		Open: open, Waiting: waiting, Routes: routes, Lease: s.o.Follower.LeaseRemaining(),
 		ConfigRevision: s.o.Follower.Board().Config.Revision, RateLimited: s.rateLimits.count(),
 		BackedOff: s.dispatcher.backoffCount(time.Now()), RequestLimits: s.dispatcher.requestLimits(),
-		SharedWaiting: sharedWaiting, Grants: grants, Suspects: len(suspects), Attributed: countAttributed(suspects),
+		SharedWaiting: sharedWaiting, Grants: grants, Suspects: requests, Attributed: refusedRequests,
+		SuspectParts: parts, AttributedParts: refusedParts,
 		RelayedServers: s.relayedServers(), OpenRelays: s.relays.Open(),
 	})
 }
--- a/internal/entry/suspect.go
+++ b/internal/entry/suspect.go
@@ -256,14 +256,18 @@
 	s.writeSuspect(blackboard.Answered(j.contentFingerprint(), j.isAlone, j.retryGranted == j.contentFingerprint()))
 }
 
-func countAttributed(suspects map[string]blackboard.Suspect) int {
-	n := 0
+// countSuspects counts the suspects of a kind, and those of them that crashes are attributed to.
+func countSuspects(suspects map[string]blackboard.Suspect, kind blackboard.CauseKind) (all, attributed int) {
 	for _, suspect := range suspects {
+		if suspect.Kind != kind {
+			continue
+		}
+		all++
 		if suspect.IsAttributed() {
-			n++
+			attributed++
 		}
 	}
-	return n
+	return all, attributed
 }
 
 // crashRefusal returns the final failure of a request that crashes are attributed to, or a part of whose prompt.
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -50,6 +50,9 @@
 		}
 	}
 	text := fmt.Sprintf("It was refused by %s because backend servers crash while they run what it asks", refusal.VM)
+	if part := refusal.Fields["part"]; part != "" {
+		text = fmt.Sprintf("It was refused by %s because backend servers crash while they run requests whose prompts have the part %s", refusal.VM, part)
+	}
 	if len(crashes) > 0 {
 		text += ": " + strings.Join(crashes, ", ")
 	}
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -93,7 +93,7 @@
 	own = sortLines(own)
 	w := window{own[0].At.Add(-lookBehind - skew), own[len(own)-1].At.Add(lookAhead + skew)}
 	all := append(slices.Clone(own), l.related(own, w)...)
-	all = append(all, l.ofFingerprint(own)...)
+	all = append(all, l.ofCause(own)...)
 	all = sortLines(all)
 	return Story{Lines: all, Cause: cause(own, all)}, nil
 }
@@ -150,14 +150,17 @@
 	return found
 }
 
-// ofFingerprint returns what the logs show, at any time, of the crashes under other sends of the
-// same request, and of what the board counted.
-func (l *Logs) ofFingerprint(own []Line) []Line {
-	fingerprint := ""
+// ofCause returns what the logs show, at any time, of the crashes under other requests with the same cause, and of
+// what the board counted. A cause is a request, by its fingerprint, or a part of prompts, by its name.
+func (l *Logs) ofCause(own []Line) []Line {
+	fingerprint, part := "", ""
 	for _, line := range own {
 		if f := line.Fields["fingerprint"]; f != "" {
 			fingerprint = f
 		}
+		if line.Event == "refuse" {
+			part = line.Fields["part"]
+		}
 	}
 	if fingerprint == "" {
 		return nil
@@ -166,7 +169,8 @@
 	for _, line := range l.lines {
 		isOwn := slices.ContainsFunc(own, func(o Line) bool { return o.index == line.index })
 		isCounted := line.Event == "crash" || line.Event == "suspect"
-		if isCounted && line.Fields["fingerprint"] == fingerprint && !isOwn {
+		hasPart := part != "" && slices.Contains(strings.Split(line.Fields["parts"], ","), part)
+		if isCounted && (line.Fields["fingerprint"] == fingerprint || hasPart) && !isOwn {
 			found = append(found, line)
 		}
 	}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -98,6 +98,10 @@
 			line(`event=crash request=other.1 fingerprint=g unit=m-3@9`) +
 			line(`event=refuse request=abc.1 type=request_crashes_backend ran=no reason="x" retry_after_ms=60000 fingerprint=f`),
 			"what it asks: m-1@7 at 01:29:38.100 under abd.1, m-2@8 at 01:29:38.100 under abe.1. The caller was asked to retry after 60000 ms."},
+		{"crashes are attributed to a part of its prompt", line(`event=crash request=abd.1 fingerprint=f unit=m-1@7 parts=first,bad`) +
+			line(`event=crash request=abe.1 fingerprint=g unit=m-2@8 parts=first`) +
+			line(`event=refuse request=abc.1 type=request_crashes_backend ran=no reason="x" retry_after_ms=60000 fingerprint=p cause="prompt_part bad" part=bad`),
+			"requests whose prompts have the part bad: m-1@7 at 01:29:38.100 under abd.1. The caller was asked to retry after 60000 ms."},
 		{"a crash that was not counted", line(`event=attempt_cut request=abc.1 fingerprint=f unit=m-1@7`) +
 			line(`event=crash_check unit=m-1@7 verdict=unknown own_probe=not_listening refused_by=front-2,front-3 absent=front-4:silent`) + ended +
 			line(`event=refuse request=abc.1 type=backend_failed ran=unknown reason="x"`),
--- a/internal/metrics/definitions.go
+++ b/internal/metrics/definitions.go
@@ -62,6 +62,8 @@
 	nameSuspectWrites    = prefix + "suspect_writes_total"
 	nameSuspects         = prefix + "suspect_requests"
 	nameAttributed       = prefix + "refused_crashing_requests"
+	nameSuspectParts     = prefix + "suspect_prompt_parts"
+	nameAttributedParts  = prefix + "refused_crashing_prompt_parts"
 	nameBackoffRequests  = prefix + "backoff_requests_total"
 	nameServersLeaving   = prefix + "servers_leaving_total"
 	nameAttemptsWithheld = prefix + "attempts_withheld_total"
@@ -129,6 +131,8 @@
 		{nameSuspectWrites, KindCounter, []string{"outcome"}, "Crashes and answers of suspects written to the board, by whether the leader took them.", nil},
 		{nameSuspects, KindGauge, nil, "Requests on the board that were running when a backend server crashed.", nil},
 		{nameAttributed, KindGauge, nil, "Requests on the board that are refused because they crash backend servers.", nil},
+		{nameSuspectParts, KindGauge, nil, "Parts of prompts on the board that were running when a backend server crashed.", nil},
+		{nameAttributedParts, KindGauge, nil, "Parts of prompts on the board whose requests are refused because they crash backend servers.", nil},
 		{nameBackedOff, KindGauge, nil, "Backend servers that have asked this entry for no request for a time that has not passed.", nil},
 		{nameBackoffRequests, KindCounter, nil, "Answers in which a backend server asked this entry for no request for a time.", nil},
 		{nameServersLeaving, KindCounter, nil, "Backend servers that have stated in an answer to this entry that they are leaving.", nil},
--- a/internal/metrics/entry.go
+++ b/internal/metrics/entry.go
@@ -237,6 +237,8 @@
 	// Suspects counts the requests on the board that were running when a backend server crashed,
 	// Attributed those of them that are refused for it.
 	Suspects, Attributed int
+	// SuspectParts and AttributedParts count the same of the parts of prompts.
+	SuspectParts, AttributedParts int
 	// RelayedServers counts the backend servers that are reached through other entries, OpenRelays
 	// the connections that are relayed for others.
 	RelayedServers, OpenRelays int
@@ -260,6 +262,8 @@
 	e.scope.Gauge(nameOpenRelays).Update(float64(s.OpenRelays))
 	e.scope.Gauge(nameSuspects).Update(float64(s.Suspects))
 	e.scope.Gauge(nameAttributed).Update(float64(s.Attributed))
+	e.scope.Gauge(nameSuspectParts).Update(float64(s.SuspectParts))
+	e.scope.Gauge(nameAttributedParts).Update(float64(s.AttributedParts))
 	e.scope.Gauge(nameLease).Update(max(0, s.Lease).Seconds())
 	e.scope.Gauge(nameConfigRevision).Update(float64(s.ConfigRevision))
 	for model, limit := range s.RequestLimits {
