A relay that is accepted while its server closes is ended

Cause: the answer 101 was written before the relay was in the table of open ones, so that Close, coming between the two, left it open. The relay is entered first, and one that begins after Close is not accepted.

--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -52,6 +52,8 @@
 	mu sync.Mutex
 	// open holds both ends of the open relays.
 	open map[*pair]struct{}
+	// isClosed is set by Close.
+	isClosed bool
 }
 
 // pair is the two connections of a relay.
@@ -77,10 +79,11 @@
 	return len(s.open)
 }
 
-// Close ends all relays.
+// Close ends all relays, also those that are being accepted.
 func (s *Server) Close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.isClosed = true
 	for p := range s.open {
 		_ = p.peer.Close()
 		_ = p.server.Close()
@@ -128,43 +131,52 @@
 		return outcome
 	}
 	defer func() { _ = server.Close() }()
-	peer, err := accept(w)
+	conn, buffered, err := http.NewResponseController(w).Hijack()
 	if err != nil {
 		return OutcomeCut
 	}
-	defer func() { _ = peer.Close() }()
-	return s.relay(&pair{peer: peer, server: server})
+	p := &pair{peer: newConn(conn, bufio.NewReaderSize(buffered.Reader, readBuffer), ""), server: server}
+	defer func() { _ = p.peer.Close() }()
+	if !s.add(p) {
+		return OutcomeCut
+	}
+	defer s.remove(p)
+	if accept(conn) != nil {
+		return OutcomeCut
+	}
+	return relay(p)
 }
 
-// accept upgrades the connection of a request for a relay.
-func accept(w http.ResponseWriter) (*Conn, error) {
-	conn, buffered, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		return nil, err
+// add records an open relay, so that Close ends it. It returns false after Close.
+func (s *Server) add(p *pair) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.isClosed {
+		return false
 	}
+	s.open[p] = struct{}{}
+	return true
+}
+
+func (s *Server) remove(p *pair) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.open, p)
+}
+
+// accept upgrades the connection of a request for a relay.
+func accept(conn net.Conn) error {
 	// The HTTP server may have set deadlines for the request.
 	if err := conn.SetDeadline(time.Time{}); err != nil {
-		_ = conn.Close()
-		return nil, err
+		return err
 	}
 	const answer = "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: " + upgradeToken + "\r\n\r\n"
-	if _, err := io.WriteString(conn, answer); err != nil {
-		_ = conn.Close()
-		return nil, err
-	}
-	return newConn(conn, bufio.NewReaderSize(buffered.Reader, readBuffer), ""), nil
+	_, err := io.WriteString(conn, answer)
+	return err
 }
 
 // relay copies both directions until the backend server's stream or the peer's connection ends.
-func (s *Server) relay(p *pair) Outcome {
-	s.mu.Lock()
-	s.open[p] = struct{}{}
-	s.mu.Unlock()
-	defer func() {
-		s.mu.Lock()
-		delete(s.open, p)
-		s.mu.Unlock()
-	}()
+func relay(p *pair) Outcome {
 	upEnded := make(chan struct{})
 	go func() {
 		defer close(upEnded)
