Crashes that entries say nothing of need one fewer, and do not speak for a request

Cause: the crashes that a cut-off entry sees are known to it alone. Entries that are in touch see them as well, by the other requests that they cut, and report these without the request; so the pool seems to crash without it, which raises what is needed from three crashes to four. And the three or four that they need in their own sight come on top of those that the others have seen.

Change: a report says if entries said nothing when they were asked about the crash. Such a crash does not count as one without a request, and a request, or a part of prompts, all of whose crashes are such needs one fewer. What else holds stays: no other suspect in all of the crashes, answers that clear it.

Ruled out: a sign on the board of entries whose leases have ended; the leader knows of it seconds later than the check of the crash itself.

A request that crashes nothing is refused more easily while entries are absent: two crashes that it alone shared.

--- a/internal/blackboard/attribution.go
+++ b/internal/blackboard/attribution.go
@@ -62,7 +62,7 @@
 	if isExplainedByPart(suspects, s) {
 		return false
 	}
-	if s.Alone > 0 && s.Crashes >= needed+isolatedCrashes-attributedCrashes {
+	if s.Alone > 0 && s.Crashes >= max(isolatedCrashes, needed+isolatedCrashes-attributedCrashes) {
 		return true
 	}
 	if s.Crashes < needed {
@@ -74,21 +74,36 @@
 }
 
 // neededCrashes returns how many crashes are attributed to a suspect: one more if backend servers of its
-// pool have crashed without it meanwhile and nobody is blamed for that.
+// pool have crashed without it meanwhile and nobody is blamed for that, one fewer if entries said nothing of
+// all its crashes.
 //
 // Failure: backend servers crash by themselves, one after the other. A request that is sent on
 // after each crash is running in three of them by chance, or in two, alone in one of them.
+// Failure: half of the entries reach backend servers and nobody else. A request crashes servers through them that
+// nobody else knows of, and servers that it shares with others, which seem to crash without it.
 func neededCrashes(unexplained map[string]CrashedRun, s Suspect) int {
+	needed := attributedCrashes
+	if hasCrashesBeside(unexplained, s) {
+		needed = crashesAmongOthers
+	}
+	if !slices.ContainsFunc(s.Runs, func(r CrashedRun) bool { return !r.IsUnheard }) {
+		needed--
+	}
+	return needed
+}
+
+// hasCrashesBeside reports whether servers of the suspect's pool have crashed without it since its first run.
+func hasCrashesBeside(unexplained map[string]CrashedRun, s Suspect) bool {
 	first, pool := s.Runs[0].SentMillis, s.Runs[0].Pool
 	for _, r := range s.Runs {
 		first = min(first, r.SentMillis)
 	}
 	for incarnation, last := range unexplained {
-		if last.Pool == pool && last.EndMillis >= first && !s.wasRunningOn(incarnation) {
-			return crashesAmongOthers
+		if last.Pool == pool && last.EndMillis >= first && !last.IsUnheard && !s.wasRunningOn(incarnation) {
+			return true
 		}
 	}
-	return attributedCrashes
+	return false
 }
 
 // unexplainedCrashes returns the last run that was ended by each crash that is attributed to no suspect,
--- a/internal/blackboard/crash_report.go
+++ b/internal/blackboard/crash_report.go
@@ -21,6 +21,8 @@
 	DataCentre  string  `json:"data_centre,omitempty"`
 	// Alone states that a single request was in flight on the backend server.
 	Alone bool `json:"alone"`
+	// IsUnheard states that entries said nothing of the crash; see CrashedRun.
+	IsUnheard bool `json:"unheard,omitempty"`
 	// NowMillis is the time of the crash.
 	NowMillis int64 `json:"now_ms"`
 	// EndAgoMillis and SentAgoMillis hold how long before the command was sent to the leader the
@@ -146,7 +148,10 @@
 }
 
 func (c ReportCrash) runSent(sentMillis int64) CrashedRun {
-	return CrashedRun{Incarnation: c.Incarnation, Pool: c.Pool, DataCentre: c.DataCentre, SentMillis: sentMillis, EndMillis: c.NowMillis}
+	return CrashedRun{
+		Incarnation: c.Incarnation, Pool: c.Pool, DataCentre: c.DataCentre, SentMillis: sentMillis, EndMillis: c.NowMillis,
+		IsUnheard: c.IsUnheard,
+	}
 }
 
 // removeRunsAfterCrash removes the runs that were sent to a crashed incarnation after the first of
--- a/internal/blackboard/part_attribution.go
+++ b/internal/blackboard/part_attribution.go
@@ -86,9 +86,6 @@
 
 // hasPartEvidence reports whether the crashes in left suffice to attribute them to a part.
 func hasPartEvidence(suspects map[string]Suspect, c partCandidate, left []CrashedRun, isInseparable bool) bool {
-	if len(left) < attributedCrashes {
-		return false
-	}
 	left = withoutOtherRequests(suspects, c.Suspect, left)
 	if c.wasAnswered() {
 		return len(left) >= certainPartCrashes && (isAnotherAnswered(suspects, c.Suspect) || isUnansweredForLong(left))
@@ -96,8 +93,10 @@
 	if len(left) >= certainPartCrashes {
 		return true
 	}
-	n := successiveRuns(left)
-	return !isInseparable && n >= attributedCrashes && n >= neededCrashes(unexplainedCrashes(suspects), c.Suspect)
+	if n := successiveRuns(left); n >= minPartRuns && !isInseparable {
+		return n >= neededCrashes(unexplainedCrashes(suspects), c.Suspect)
+	}
+	return false
 }
 
 // withoutOtherRequests returns the runs of a part without those that were ended by a request which has also crashed
--- a/internal/blackboard/suspect_test.go
+++ b/internal/blackboard/suspect_test.go
@@ -399,3 +399,24 @@
 		assert.Assert(t, !changed.equal(Suspect{}), reflect.TypeFor[Suspect]().Field(i).Name)
 	}
 }
+
+// Guards against a request that crashes servers through entries that nobody hears: each crash that they share with
+// others seems to have happened without it.
+func TestCrashesThatEntriesSayNothingOfNeedLessEvidence(t *testing.T) {
+	c := newCrashBoard(t)
+	report := func(incarnation string, at int64, isUnheard bool, fingerprint string) {
+		c.board, _ = verdict(t, c.board, &ReportCrash{
+			Fingerprints: []string{fingerprint}, SentMillis: []int64{at}, Incarnation: incarnation, NowMillis: at + 100, IsUnheard: isUnheard,
+		})
+	}
+	report("a", 0, true, "cause")
+	report("b", 1000, true, "other")
+	assert.Assert(t, !c.isAttributed("cause"))
+	report("c", 2000, true, "cause")
+	assert.Assert(t, c.isAttributed("cause"))
+	assert.Assert(t, !c.isAttributed("other"))
+
+	report("d", 3000, false, "heard")
+	report("e", 4000, true, "heard")
+	assert.Assert(t, !c.isAttributed("heard"), "all of its crashes must be unheard of")
+}
--- a/internal/entry/crash_check.go
+++ b/internal/entry/crash_check.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/citronstep/citronstep/internal/backend"
 	"github.com/citronstep/citronstep/internal/blackboard"
 	"github.com/citronstep/citronstep/internal/evidence"
+	"github.com/citronstep/citronstep/internal/relay"
 )
 
 // Times of telling a crash from a cut connection.
@@ -142,6 +145,13 @@
 	return check, isNew, false
 }
 
+// isUnheard reports whether peers said nothing when they were asked about the target.
+func (c *crashCheck) isUnheard() bool {
+	return slices.ContainsFunc(c.probe.Peers.Absent, func(peer string) bool {
+		return strings.HasSuffix(peer, ":"+string(relay.OutcomeSilent))
+	})
+}
+
 func (c *crashCheck) isOutdated(now time.Time) bool {
 	switch c.verdict {
 	case verdictOpen:
