--- a/internal/blackboard/attribution.go
+++ b/internal/blackboard/attribution.go
@@ -44,10 +44,10 @@
 	}
 	// The order matters, as attributed crashes count as explained.
 	slices.Sort(candidates)
-	unexplained := unexplainedCrashes(suspects)
+	unexplained, parts := unexplainedCrashes(suspects), attributedSuspects(suspects, CausePart)
 	for _, f := range candidates {
 		s := suspects[f]
-		isAttributed := isCause(suspects, neededCrashes(unexplained, s), s)
+		isAttributed := !isExplainedByPart(parts, s) && isCause(suspects, neededCrashes(unexplained, s), s)
 		if isAttributed != s.Attributed {
 			s.Attributed = isAttributed
 			suspects[f] = s
@@ -59,9 +59,6 @@
 // isCause reports whether a request's crashes are attributed to it. One that ran alone in a crash needs
 // fewer, and no comparison with others.
 func isCause(suspects map[string]Suspect, needed int, s Suspect) bool {
-	if isExplainedByPart(suspects, s) {
-		return false
-	}
 	if s.Alone > 0 && s.Crashes >= max(isolatedCrashes, needed+isolatedCrashes-attributedCrashes) {
 		return true
 	}
--- a/internal/blackboard/crash_report.go
+++ b/internal/blackboard/crash_report.go
@@ -132,7 +132,9 @@
 	}
 	if changed {
 		removeRunsAfterCrash(suspects, c.Incarnation)
-		attributeParts(suspects)
+		if len(c.Parts) > 0 {
+			attributeParts(suspects)
+		}
 		attribute(suspects, c.Incarnation)
 		removeLeastOf(suspects, CauseRequest, maxSuspects)
 		removeLeastOf(suspects, CausePart, maxParts)
--- a/internal/blackboard/part_attribution.go
+++ b/internal/blackboard/part_attribution.go
@@ -21,7 +21,7 @@
 // that requests with them were answered before, and are answered meanwhile, which clears them. So a part that was
 // never answered comes first, and another one is held only for the crashes that no likelier one was running in.
 func attributeParts(suspects map[string]Suspect) {
-	candidates := partCandidates(suspects)
+	candidates, requests := partCandidates(suspects), attributedSuspects(suspects, CauseRequest)
 	explained := make(map[string]bool)
 	for len(candidates) > 0 {
 		n := 1
@@ -30,7 +30,8 @@
 		}
 		for _, c := range candidates[:n] {
 			left := c.runsBeside(explained)
-			isAttributed := c.staysAttributed(left) || (hasPartEvidence(suspects, c, left, n > 1) && !isCoveredByRequest(suspects, c.Suspect))
+			isAttributed := c.staysAttributed(left) || (hasPartEvidence(suspects, c, withoutOtherRequests(requests, c.Suspect, left), n > 1) &&
+				!isCoveredByRequest(suspects, c.Suspect))
 			if s := c.Suspect; s.Attributed != isAttributed || s.Inseparable != (isAttributed && n > 1) {
 				s.Attributed, s.Inseparable = isAttributed, isAttributed && n > 1
 				suspects[s.Fingerprint] = s
@@ -86,7 +87,6 @@
 
 // hasPartEvidence reports whether the crashes in left suffice to attribute them to a part.
 func hasPartEvidence(suspects map[string]Suspect, c partCandidate, left []CrashedRun, isInseparable bool) bool {
-	left = withoutOtherRequests(suspects, c.Suspect, left)
 	if c.wasAnswered() {
 		return len(left) >= certainPartCrashes && (isAnotherAnswered(suspects, c.Suspect) || isUnansweredForLong(left))
 	}
@@ -101,9 +101,9 @@
 
 // withoutOtherRequests returns the runs of a part without those that were ended by a request which has also crashed
 // servers that the part was not running on.
-func withoutOtherRequests(suspects map[string]Suspect, part Suspect, runs []CrashedRun) []CrashedRun {
-	for _, s := range suspects {
-		if s.Kind == CauseRequest && s.IsAttributed() && !part.wasRunningInAllOf(s) {
+func withoutOtherRequests(requests []Suspect, part Suspect, runs []CrashedRun) []CrashedRun {
+	for _, s := range requests {
+		if !part.wasRunningInAllOf(s) {
 			runs = slices.DeleteFunc(runs, func(r CrashedRun) bool { return s.wasRunningOn(r.Incarnation) })
 		}
 	}
@@ -143,13 +143,19 @@
 	return false
 }
 
-// isExplainedByPart reports whether one part to which crashes are attributed was running in all crashes of a
-// request.
-func isExplainedByPart(suspects map[string]Suspect, request Suspect) bool {
+// attributedSuspects returns the suspects of a kind that crashes are attributed to.
+func attributedSuspects(suspects map[string]Suspect, kind CauseKind) []Suspect {
+	var attributed []Suspect
 	for _, s := range suspects {
-		if s.Kind == CausePart && s.IsAttributed() && s.wasRunningInAllOf(request) {
-			return true
+		if s.Kind == kind && s.IsAttributed() {
+			attributed = append(attributed, s)
 		}
 	}
-	return false
+	return attributed
+}
+
+// isExplainedByPart reports whether one of the parts that crashes are attributed to was running in all crashes of a
+// request.
+func isExplainedByPart(parts []Suspect, request Suspect) bool {
+	return slices.ContainsFunc(parts, func(part Suspect) bool { return part.wasRunningInAllOf(request) })
 }
