An entry that runs suspects in isolation asks for no fewer crashes while others are absent

Entries that hear announcements run suspects alone, which tells the cause; only those that can't isolate state that others said nothing.

--- a/internal/blackboard/crash_report.go
+++ b/internal/blackboard/crash_report.go
@@ -21,7 +21,8 @@
 	DataCentre  string  `json:"data_centre,omitempty"`
 	// Alone states that a single request was in flight on the backend server.
 	Alone bool `json:"alone"`
-	// IsUnheard states that entries said nothing of the crash; see CrashedRun.
+	// IsUnheard states that entries said nothing of the crash, see CrashedRun. An entry that runs suspects in
+	// isolation does not set it, as isolation tells the cause.
 	IsUnheard bool `json:"unheard,omitempty"`
 	// NowMillis is the time of the crash.
 	NowMillis int64 `json:"now_ms"`
--- a/internal/entry/suspect.go
+++ b/internal/entry/suspect.go
@@ -107,7 +107,7 @@
 	}
 	now := time.Now()
 	report := crashReport(check.route, cuts, alone, now)
-	report.Parts, report.IsUnheard = s.runningParts(cuts, now), check.isUnheard()
+	report.Parts, report.IsUnheard = s.runningParts(cuts, now), !s.isolates() && check.isUnheard()
 	return s.writeSuspect(report.After(0, now))
 }
 
@@ -154,11 +154,14 @@
 	}
 }
 
-// mayIsolate reports whether the job waits for a turn in isolation once it is a suspect. An entry
-// that hears no announcements can't tell when a target is empty.
+// isolates reports whether this entry can run suspects in isolation. One that hears no announcements can't tell
+// when a target is empty.
+func (s *Server) isolates() bool { return !s.o.Settings.Deaf }
+
+// mayIsolate reports whether the job waits for a turn in isolation once it is a suspect.
 func (s *Server) mayIsolate(j *job) bool {
 	hasObjective := j.forward != nil && j.forward.route.ObjectiveMillis > 0
-	return !hasObjective && !s.o.Settings.Deaf
+	return !hasObjective && s.isolates()
 }
 
 // suspectOf returns what this entry knows about the job's crashes. Without suspects the job needs no
