The attribution of parts is one pass with a step for each group of parts; silent entries are called so

No decision changed: the loop of attributeParts did three things at once, and reports of crashes said 'unheard' for entries that did not answer.

--- a/internal/blackboard/attribution.go
+++ b/internal/blackboard/attribution.go
@@ -71,8 +71,8 @@
 }
 
 // neededCrashes returns how many crashes are attributed to a suspect: one more if backend servers of its
-// pool have crashed without it meanwhile and nobody is blamed for that, one fewer if entries said nothing of
-// all its crashes.
+// pool have crashed without it meanwhile and nobody is blamed for that, one fewer if entries did not
+// answer when they were asked about its crashes.
 //
 // Failure: backend servers crash by themselves, one after the other. A request that is sent on
 // after each crash is running in three of them by chance, or in two, alone in one of them.
@@ -83,7 +83,7 @@
 	if hasCrashesBeside(unexplained, s) {
 		needed = crashesAmongOthers
 	}
-	if !slices.ContainsFunc(s.Runs, func(r CrashedRun) bool { return !r.IsUnheard }) {
+	if !slices.ContainsFunc(s.Runs, func(r CrashedRun) bool { return !r.HasSilentEntries }) {
 		needed--
 	}
 	return needed
@@ -96,7 +96,7 @@
 		first = min(first, r.SentMillis)
 	}
 	for incarnation, last := range unexplained {
-		if last.Pool == pool && last.EndMillis >= first && !last.IsUnheard && !s.wasRunningOn(incarnation) {
+		if last.Pool == pool && last.EndMillis >= first && !last.HasSilentEntries && !s.wasRunningOn(incarnation) {
 			return true
 		}
 	}
--- a/internal/blackboard/crash_report.go
+++ b/internal/blackboard/crash_report.go
@@ -21,9 +21,9 @@
 	DataCentre  string  `json:"data_centre,omitempty"`
 	// Alone states that a single request was in flight on the backend server.
 	Alone bool `json:"alone"`
-	// IsUnheard states that entries said nothing of the crash, see CrashedRun. An entry that runs suspects in
+	// HasSilentEntries states that entries did not answer when they were asked, see CrashedRun. An entry that runs suspects in
 	// isolation does not set it, as isolation tells the cause.
-	IsUnheard bool `json:"unheard,omitempty"`
+	HasSilentEntries bool `json:"silent_entries,omitempty"`
 	// NowMillis is the time of the crash.
 	NowMillis int64 `json:"now_ms"`
 	// EndAgoMillis and SentAgoMillis hold how long before the command was sent to the leader the
@@ -153,7 +153,7 @@
 func (c ReportCrash) runSent(sentMillis int64) CrashedRun {
 	return CrashedRun{
 		Incarnation: c.Incarnation, Pool: c.Pool, DataCentre: c.DataCentre, SentMillis: sentMillis, EndMillis: c.NowMillis,
-		IsUnheard: c.IsUnheard,
+		HasSilentEntries: c.HasSilentEntries,
 	}
 }
 
--- a/internal/blackboard/part_attribution.go
+++ b/internal/blackboard/part_attribution.go
@@ -21,29 +21,53 @@
 // that requests with them were answered before, and are answered meanwhile, which clears them. So a part that was
 // never answered comes first, and another one is held only for the crashes that no likelier one was running in.
 func attributeParts(suspects map[string]Suspect) {
-	candidates, requests := partCandidates(suspects), attributedSuspects(suspects, CauseRequest)
-	explained := make(map[string]bool)
+	a := partAttribution{
+		suspects: suspects, requests: attributedSuspects(suspects, CauseRequest), explained: make(map[string]bool),
+	}
+	candidates := partCandidates(suspects)
 	for len(candidates) > 0 {
 		n := 1
 		for n < len(candidates) && candidates[n].isInseparableFrom(candidates[0]) {
 			n++
 		}
-		for _, c := range candidates[:n] {
-			left := c.runsBeside(explained)
-			isAttributed := c.staysAttributed(left) || (hasPartEvidence(suspects, c, withoutOtherRequests(requests, c.Suspect, left), n > 1) &&
-				!isCoveredByRequest(suspects, c.Suspect))
-			if s := c.Suspect; s.Attributed != isAttributed || s.Inseparable != (isAttributed && n > 1) {
-				s.Attributed, s.Inseparable = isAttributed, isAttributed && n > 1
-				suspects[s.Fingerprint] = s
-			}
-		}
-		for _, r := range candidates[0].Runs {
-			explained[r.Incarnation] = true
-		}
+		a.decide(candidates[:n])
 		candidates = candidates[n:]
 	}
 }
 
+// partAttribution is one pass over the parts, from the likeliest cause on.
+type partAttribution struct {
+	suspects map[string]Suspect
+	// requests holds the requests that crashes are attributed to.
+	requests []Suspect
+	// explained holds the incarnations whose crashes a likelier part explains.
+	explained map[string]bool
+}
+
+// decide decides whether crashes are attributed to a part, or to several that can't be told from one another.
+func (a partAttribution) decide(inseparable []partCandidate) {
+	for _, c := range inseparable {
+		isAttributed := a.isCause(c, len(inseparable) > 1)
+		isInseparable := isAttributed && len(inseparable) > 1
+		if s := c.Suspect; s.Attributed != isAttributed || s.Inseparable != isInseparable {
+			s.Attributed, s.Inseparable = isAttributed, isInseparable
+			a.suspects[s.Fingerprint] = s
+		}
+	}
+	for _, r := range inseparable[0].Runs {
+		a.explained[r.Incarnation] = true
+	}
+}
+
+func (a partAttribution) isCause(c partCandidate, isInseparable bool) bool {
+	left := c.runsBeside(a.explained)
+	if c.staysAttributed(left) {
+		return true
+	}
+	left = withoutOtherRequests(a.requests, c.Suspect, left)
+	return hasPartEvidence(a.suspects, c, left, isInseparable) && !isCoveredByRequest(a.suspects, c.Suspect)
+}
+
 // partCandidates returns the parts with minPartRuns crashes or more, the likeliest cause first, and of equally
 // likely ones that with the most crashes.
 func partCandidates(suspects map[string]Suspect) []partCandidate {
--- a/internal/blackboard/suspect.go
+++ b/internal/blackboard/suspect.go
@@ -65,9 +65,9 @@
 	DataCentre string `json:"data_centre,omitempty"`
 	SentMillis int64  `json:"sent_ms"`
 	EndMillis  int64  `json:"end_ms"`
-	// IsUnheard is set if entries said nothing when they were asked about the crash: what they were running
-	// there, and which other crashes they have seen, is not known.
-	IsUnheard bool `json:"unheard,omitempty"`
+	// HasSilentEntries is set if entries did not answer when they were asked about the crash: what they were
+	// running there, and which other crashes they have seen, is not known.
+	HasSilentEntries bool `json:"silent_entries,omitempty"`
 }
 
 const (
--- a/internal/blackboard/suspect_test.go
+++ b/internal/blackboard/suspect_test.go
@@ -400,13 +400,13 @@
 	}
 }
 
-// Guards against a request that crashes servers through entries that nobody hears: each crash that they share with
+// Guards against a request that crashes servers through entries that reach no other process: each crash that they share with
 // others seems to have happened without it.
-func TestCrashesThatEntriesSayNothingOfNeedLessEvidence(t *testing.T) {
+func TestCrashesWithSilentEntriesNeedLessEvidence(t *testing.T) {
 	c := newCrashBoard(t)
-	report := func(incarnation string, at int64, isUnheard bool, fingerprint string) {
+	report := func(incarnation string, at int64, hasSilentPeers bool, fingerprint string) {
 		c.board, _ = verdict(t, c.board, &ReportCrash{
-			Fingerprints: []string{fingerprint}, SentMillis: []int64{at}, Incarnation: incarnation, NowMillis: at + 100, IsUnheard: isUnheard,
+			Fingerprints: []string{fingerprint}, SentMillis: []int64{at}, Incarnation: incarnation, NowMillis: at + 100, HasSilentEntries: hasSilentPeers,
 		})
 	}
 	report("a", 0, true, "cause")
@@ -416,7 +416,7 @@
 	assert.Assert(t, c.isAttributed("cause"))
 	assert.Assert(t, !c.isAttributed("other"))
 
-	report("d", 3000, false, "heard")
-	report("e", 4000, true, "heard")
-	assert.Assert(t, !c.isAttributed("heard"), "all of its crashes must be unheard of")
+	report("d", 3000, false, "answered")
+	report("e", 4000, true, "answered")
+	assert.Assert(t, !c.isAttributed("answered"), "entries must have been silent at each of its crashes")
 }
--- a/internal/entry/crash_check.go
+++ b/internal/entry/crash_check.go
@@ -145,8 +145,8 @@
 	return check, isNew, false
 }
 
-// isUnheard reports whether peers said nothing when they were asked about the target.
-func (c *crashCheck) isUnheard() bool {
+// hasSilentPeers reports whether peers said nothing when they were asked about the target.
+func (c *crashCheck) hasSilentPeers() bool {
 	return slices.ContainsFunc(c.probe.Peers.Absent, func(peer string) bool {
 		return strings.HasSuffix(peer, ":"+string(relay.OutcomeSilent))
 	})
--- a/internal/entry/suspect.go
+++ b/internal/entry/suspect.go
@@ -107,7 +107,7 @@
 	}
 	now := time.Now()
 	report := crashReport(check.route, cuts, alone, now)
-	report.Parts, report.IsUnheard = s.runningParts(cuts, now), !s.isolates() && check.isUnheard()
+	report.Parts, report.HasSilentEntries = s.runningParts(cuts, now), !s.isolates() && check.hasSilentPeers()
 	return s.writeSuspect(report.After(0, now))
 }
 
