Parts of sound prompts are not refused because a whole pool failed at once

All servers of a pool crash at once, in three data centres, which counted as three crashes in a row. The first report of a crash may come from an entry that has not answered a popular part lately; the part counted as never answered, and stayed refused when the others reported that they had. Its requests were refused, so that no answer could clear it for a minute.

Changes: crashes of a part follow one another only if they do so over all data centres; a part that was answered before needs three that do; a part that was never answered is refused after five at once only if no server of the pool crashed without it; a report of an earlier answer undoes what was decided without it; and a part that may have been answered is tried again half a second and three seconds after its last crash, one run for all entries, asked for at most five times a second by an entry.

--- a/internal/blackboard/attribution.go
+++ b/internal/blackboard/attribution.go
@@ -171,7 +171,7 @@
 
 // crashesNeeded returns how many crashes are attributed to a suspect of any kind.
 func crashesNeeded(unexplained map[string]CrashedRun, s Suspect) int {
-	if s.Kind == CausePart && s.wasAnswered() {
+	if s.Kind == CausePart && s.MayBeAnswered() {
 		return certainPartCrashes
 	}
 	return neededCrashes(unexplained, s)
--- a/internal/blackboard/part_attribution.go
+++ b/internal/blackboard/part_attribution.go
@@ -5,8 +5,8 @@
 	"slices"
 )
 
-// wasAnswered reports whether requests with a part were answered before its crashes, or entries can't tell.
-func (s Suspect) wasAnswered() bool { return s.AnsweredBefore || !s.NeverAnswered }
+// MayBeAnswered reports whether requests with a part were answered before its crashes, or entries can't tell.
+func (s Suspect) MayBeAnswered() bool { return s.AnsweredBefore || !s.NeverAnswered }
 
 // partCandidate is a part that crashes may be attributed to.
 type partCandidate struct {
@@ -79,9 +79,9 @@
 	}
 	slices.SortFunc(candidates, func(a, b partCandidate) int {
 		switch {
-		case a.wasAnswered() && !b.wasAnswered():
+		case a.MayBeAnswered() && !b.MayBeAnswered():
 			return 1
-		case b.wasAnswered() && !a.wasAnswered():
+		case b.MayBeAnswered() && !a.MayBeAnswered():
 			return -1
 		}
 		return cmp.Or(
@@ -95,7 +95,7 @@
 
 // isInseparableFrom reports whether two equally likely parts were running in the same crashes.
 func (c partCandidate) isInseparableFrom(other partCandidate) bool {
-	return c.wasAnswered() == other.wasAnswered() && c.runSet == other.runSet
+	return c.MayBeAnswered() == other.MayBeAnswered() && c.runSet == other.runSet
 }
 
 // runsBeside returns the runs that were ended by crashes without an explanation.
@@ -111,16 +111,32 @@
 
 // hasPartEvidence reports whether the crashes in left suffice to attribute them to a part.
 func hasPartEvidence(suspects map[string]Suspect, c partCandidate, left []CrashedRun, isInseparable bool) bool {
-	if c.wasAnswered() {
-		return len(left) >= certainPartCrashes && (isAnotherAnswered(suspects, c.Suspect) || isUnansweredForLong(left))
+	n := successiveRunsAnywhere(left)
+	isCertain := len(left) >= certainPartCrashes
+	if c.MayBeAnswered() {
+		hasCrashesInTurn := n >= attributedCrashes || !c.AnsweredBefore
+		return isCertain && hasCrashesInTurn && (isAnotherAnswered(suspects, c.Suspect) || isUnansweredForLong(left))
 	}
-	if len(left) >= certainPartCrashes {
+	if n < minPartRuns && !isCertain {
+		return false
+	}
+	unexplained := unexplainedCrashes(suspects)
+	if isCertain && (n >= attributedCrashes || !hasCrashesBeside(unexplained, c.Suspect)) {
 		return true
 	}
-	if n := successiveRuns(left); n >= minPartRuns && !isInseparable {
-		return n >= neededCrashes(unexplainedCrashes(suspects), c.Suspect)
+	return !isInseparable && n >= neededCrashes(unexplained, c.Suspect)
+}
+
+// successiveRunsAnywhere returns the largest number of runs each of which was sent after the one before it had
+// ended, wherever that was.
+//
+// Failure: all servers of a pool crash at once, and the parts that were running in each data centre are refused.
+func successiveRunsAnywhere(runs []CrashedRun) int {
+	runs = slices.Clone(runs)
+	for i := range runs {
+		runs[i].DataCentre = ""
 	}
-	return false
+	return successiveRuns(runs)
 }
 
 // withoutOtherRequests returns the runs of a part without those that were ended by a request which has also crashed
@@ -153,7 +169,7 @@
 	for _, r := range runs {
 		last = max(last, r.EndMillis)
 	}
-	return last-first >= unansweredSpan.Milliseconds() && successiveRuns(runs) >= certainPartCrashes
+	return last-first >= unansweredSpan.Milliseconds() && successiveRunsAnywhere(runs) >= certainPartCrashes
 }
 
 // isCoveredByRequest reports whether one request that is not answered was running in all crashes of a part: then
--- a/internal/blackboard/prompt_part.go
+++ b/internal/blackboard/prompt_part.go
@@ -47,11 +47,8 @@
 	// unansweredSpan is how long requests with a part that was answered before must have crashed servers if
 	// nothing else is answered either.
 	unansweredSpan = 2 * time.Second
-	// maxPartRetries bounds the further runs that are granted while crashes are attributed to a part.
-	// partRetryFactor is by how much the time to the next one grows, and inseparableRetryAfter the time to the
-	// first one for requests that hold only one of several parts that were always running together.
-	maxPartRetries        = 3
-	partRetryFactor       = 10
+	// inseparableRetryAfter is the time to the first further run of requests that hold only one of several parts
+	// that were always running together.
 	inseparableRetryAfter = 5 * time.Second
 )
 
@@ -61,18 +58,26 @@
 	return s.Kind != CausePart || len(s.Workspaces) >= maxPartWorkspaces || slices.Contains(s.Workspaces, workspace)
 }
 
-func (s Suspect) partRetryAtMillis() int64 {
-	if s.Retries >= maxPartRetries {
-		return s.LastMillis + attributedLifetime.Milliseconds()
+// partRetryWaits returns the times from the last crash, or from the last further run, to each further run that is
+// granted while crashes are attributed to a part; there are no others. A part that may have been answered before is
+// tried again soon, as an answer clears it.
+func (s Suspect) partRetryWaits() []time.Duration {
+	if s.MayBeAnswered() {
+		return []time.Duration{500 * time.Millisecond, 3 * time.Second, 10 * time.Minute}
 	}
-	wait := firstRetryAfter
-	for range s.Retries {
-		wait *= partRetryFactor
+	first := firstRetryAfter
+	if s.Inseparable {
+		first = inseparableRetryAfter
 	}
-	if s.Inseparable && s.Retries == 0 {
-		wait = inseparableRetryAfter
+	return []time.Duration{first, 10 * time.Minute, 100 * time.Minute}
+}
+
+func (s Suspect) partRetryAtMillis() int64 {
+	waits := s.partRetryWaits()
+	if s.Retries >= len(waits) {
+		return s.LastMillis + attributedLifetime.Milliseconds()
 	}
-	return max(s.LastMillis, s.RetryMillis) + wait.Milliseconds()
+	return max(s.LastMillis, s.RetryMillis) + waits[s.Retries].Milliseconds()
 }
 
 // AwaitsComparison reports whether a part was running in so many crashes that only the answers to requests with
@@ -88,7 +93,10 @@
 func (s Suspect) withRunningPart(p RunningPart, r CrashedRun) (Suspect, bool) {
 	before := s
 	s.Fingerprint, s.Kind, s.Name = p.Fingerprint, CausePart, p.Name[:min(len(p.Name), maxPartName)]
-	s.AnsweredBefore = s.AnsweredBefore || p.Answered
+	if p.Answered && !s.AnsweredBefore {
+		// It was held for a part that no entry had answered.
+		s.AnsweredBefore, s.Attributed, s.Inseparable = true, false, false
+	}
 	s.NeverAnswered = s.NeverAnswered || p.Unanswered
 	for _, w := range p.Workspaces {
 		if !slices.Contains(s.Workspaces, w) && len(s.Workspaces) < maxPartWorkspaces {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -98,6 +98,9 @@
 	crashChecks   *crashChecks
 	suspectWriter suspectWriter
 	answerGrace   *answerGrace
+	// retryAsks holds when this entry last asked for a further run of a cause.
+	retryAsksMu sync.Mutex
+	retryAsks   map[string]time.Time
 	// partGrace is the same for the parts of prompts. gracedSuspects is the table of suspects that it was last
 	// set by; only ApplyBoard uses it.
 	partGrace      *answerGrace
@@ -187,6 +190,7 @@
 		isolation:      newIsolation(),
 		crashChecks:    newCrashChecks(),
 		answerGrace:    newAnswerGrace(time.Now(), attributionGrace),
+		retryAsks:      make(map[string]time.Time),
 		waitingParts:   newWaitingParts(),
 		partGrace:      newAnswerGrace(time.Now(), partGraceLength),
 		holders:        newHolders(),
--- a/internal/entry/suspect.go
+++ b/internal/entry/suspect.go
@@ -225,13 +225,33 @@
 		retryAt = max(retryAt, suspect.RetryAtMillis())
 	}
 	wait := time.Duration(retryAt-now.UnixMilli()) * time.Millisecond
-	if wait <= 0 && len(refused) == 1 && s.takeRetryOfAttributed(j, refused[0].Fingerprint) {
+	if wait <= 0 && len(refused) == 1 && s.mayAskForRetry(now, refused[0].Fingerprint) && s.takeRetryOfAttributed(j, refused[0].Fingerprint) {
 		return nil
 	}
 	j.refusedFor = refused[0]
 	return crashRefusal(refused[0]).WithRetryAfter(max(wait, time.Second))
 }
 
+// retryAskInterval is the least time between two requests of an entry for a further run of one cause. Hundreds of
+// callers may come with it at the same moment, and one of them gets the run.
+const retryAskInterval = 200 * time.Millisecond
+
+// mayAskForRetry reports whether this entry may ask for a further run of a cause, and records that it does.
+func (s *Server) mayAskForRetry(now time.Time, fingerprint string) bool {
+	s.retryAsksMu.Lock()
+	defer s.retryAsksMu.Unlock()
+	for f, at := range s.retryAsks {
+		if now.Sub(at) >= retryAskInterval {
+			delete(s.retryAsks, f)
+		}
+	}
+	if _, ok := s.retryAsks[fingerprint]; ok {
+		return false
+	}
+	s.retryAsks[fingerprint] = now
+	return true
+}
+
 // takeRetryOfAttributed requests the one further run that a cause may have at times.
 func (s *Server) takeRetryOfAttributed(j *job, fingerprint string) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), boardTimeout)
