The word of an entry that has answered a part counts after the crash is known, and at an entry without a leader

Found by reading. A report of a crash whose requests and parts the board shows already was refused whole, and with it that its entry had answered a part lately. And an entry that reaches no control process did not clear a part by its own answers, as the time of the answered run is set when the command is sent; sound requests were refused there. Each has a test that failed before.

--- a/internal/blackboard/crash_report.go
+++ b/internal/blackboard/crash_report.go
@@ -55,7 +55,9 @@
 // IsIn reports whether a table of suspects shows the crash for all that was running by the report.
 func (c ReportCrash) IsIn(suspects map[string]Suspect) bool {
 	for _, p := range c.Parts {
-		if s := suspects[p.Fingerprint]; !s.wasRunningOn(c.Incarnation) && !s.isFullSince(c.NowMillis) {
+		s := suspects[p.Fingerprint]
+		isCounted := s.wasRunningOn(c.Incarnation) || s.isFullSince(c.NowMillis)
+		if !isCounted || (p.Answered && !s.AnsweredBefore) {
 			return false
 		}
 	}
--- a/internal/blackboard/part_attribution_test.go
+++ b/internal/blackboard/part_attribution_test.go
@@ -121,6 +121,17 @@
 	assert.Assert(t, !c.isPartRefused("f"))
 }
 
+// Guards against the word of an entry that has answered a part, which is lost as another one has reported the crash.
+func TestReportOfAnAnsweredPartIsTakenAfterTheCrashIsKnown(t *testing.T) {
+	c := newCrashBoard(t)
+	crash := nthCrash(0)
+	crash.known = nil
+	c.reportParts(crash, "f")
+	assert.Assert(t, !c.board.Suspects["part f"].MayBeAnswered())
+	c.reportParts(nthCrash(0), "f")
+	assert.Assert(t, c.board.Suspects["part f"].MayBeAnswered())
+}
+
 // Guards against a new part that is refused because it was running on several servers of a pool that failed at once,
 // and against requests with one part that crash their servers at the same moment without end.
 func TestSimultaneousCrashesAreAttributedToANewPartInAllOfThem(t *testing.T) {
--- a/internal/entry/prompt_part.go
+++ b/internal/entry/prompt_part.go
@@ -94,7 +94,7 @@
 	for _, f := range j.suspectParts {
 		isGranted := j.retryGranted == f
 		if s.needsAnswer(suspects[f]) && (isGranted || s.isAnswerSampled()) {
-			s.writeSuspect(blackboard.AnsweredPart(f, now.Sub(j.sentAt), isGranted))
+			s.writeSuspect(blackboard.AnsweredPart(f, now.Sub(j.sentAt), isGranted).After(0, now))
 		}
 	}
 }
--- a/internal/entry/prompt_part_test.go
+++ b/internal/entry/prompt_part_test.go
@@ -106,6 +106,23 @@
 	})
 }
 
+// Guards against an entry that reaches no control process and refuses a part although it has answered requests with it
+// since.
+func TestEntryWithoutALeaderClearsAPartByItsOwnAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, control, _ := crashServer(backend.NotListening)
+		control.isUnreachable.Store(true)
+		time.Sleep(answerHistory)
+		crashPrompts(s, 2, "part")
+		time.Sleep(100 * time.Millisecond)
+		answerPrompt(s, promptJob("sound", "part"), 100*time.Millisecond)
+		crashPrompts(s, 2, "part")
+		assert.Assert(t, s.checkCrashes(promptJob("next", "part")) == nil)
+		control.isUnreachable.Store(false)
+		time.Sleep(time.Minute)
+	})
+}
+
 // Guards against a request with two causes that is run once more: its answer or its crash would tell of neither.
 func TestRequestWithTwoCausesIsNotRunAgain(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
