--- a/internal/entry/prompt_part_test.go
+++ b/internal/entry/prompt_part_test.go
@@ -118,6 +118,8 @@
 		answerPrompt(s, promptJob("sound", "part"), 100*time.Millisecond)
 		crashPrompts(s, 2, "part")
 		assert.Assert(t, s.checkCrashes(promptJob("next", "part")) == nil)
+		time.Sleep(partGraceLength)
+		assert.Assert(t, s.checkCrashes(promptJob("later", "part")) == nil)
 		control.isUnreachable.Store(false)
 		time.Sleep(time.Minute)
 	})
