Answers of parts are not tried again, and one silent entry of several needs no fewer crashes

Each entry kept the answers to requests with suspect parts, which say nothing by then. They now count at the entry alone while it can't write, and a batch copies the table of suspects once and not for each command. More than half of the peers that were asked must have said nothing. Not reproduced apart.

--- a/internal/blackboard/clear_suspect.go
+++ b/internal/blackboard/clear_suspect.go
@@ -32,11 +32,13 @@
 }
 
 func (c ClearSuspect) apply(d *draft) (any, bool) {
-	suspects := cloneMap(d.Suspects)
-	if !c.changeSuspects(suspects) {
+	if _, ok := d.Suspects[c.Fingerprint]; !ok {
+		return refused("no suspect")
+	}
+	d.cloneSuspectsOnce()
+	if !c.changeSuspects(d.Suspects) {
 		return refused("no suspect")
 	}
-	d.Suspects = suspects
 	return applied()
 }
 
@@ -128,7 +130,7 @@
 	}
 	s.Retries++
 	s.RetryMillis = c.NowMillis
-	d.Suspects = cloneMap(d.Suspects)
+	d.cloneSuspectsOnce()
 	d.Suspects[c.Fingerprint] = s
 	return applied()
 }
--- a/internal/blackboard/crash_report.go
+++ b/internal/blackboard/crash_report.go
@@ -21,7 +21,7 @@
 	DataCentre  string  `json:"data_centre,omitempty"`
 	// Alone states that a single request was in flight on the backend server.
 	Alone bool `json:"alone"`
-	// HasSilentEntries states that entries did not answer when they were asked, see CrashedRun. An entry that runs suspects in
+	// HasSilentEntries states that most entries did not answer when they were asked, see CrashedRun. An entry that runs suspects in
 	// isolation does not set it, as isolation tells the cause.
 	HasSilentEntries bool `json:"silent_entries,omitempty"`
 	// NowMillis is the time of the crash.
@@ -109,11 +109,10 @@
 	if c.IsIn(d.Suspects) {
 		return refused("counted already")
 	}
-	suspects := cloneMap(d.Suspects)
-	if !c.changeSuspects(suspects) {
+	d.cloneSuspectsOnce()
+	if !c.changeSuspects(d.Suspects) {
 		return refused("counted already")
 	}
-	d.Suspects = suspects
 	return applied()
 }
 
--- a/internal/blackboard/draft.go
+++ b/internal/blackboard/draft.go
@@ -15,7 +15,7 @@
 type draft struct {
 	Board
 	// ownVMs and ownGroups report whether the draft has its own copy of the table.
-	ownVMs, ownGroups bool
+	ownVMs, ownGroups, ownSuspects bool
 	// affectedGroups names the groups whose rows, or whose members' VM rows, have changed.
 	affectedGroups map[string]bool
 	// writtenVMs and writtenGroups name the rows that have been written or removed.
@@ -66,6 +66,14 @@
 	d.Groups[g.ID] = g
 }
 
+// cloneSuspectsOnce copies the table of suspects before the draft's first write to it.
+func (d *draft) cloneSuspectsOnce() {
+	if !d.ownSuspects {
+		d.Suspects = cloneMap(d.Suspects)
+		d.ownSuspects = true
+	}
+}
+
 // cloneVMsOnce copies the VM table before the draft's first write to it.
 func (d *draft) cloneVMsOnce() {
 	if !d.ownVMs {
--- a/internal/blackboard/suspect.go
+++ b/internal/blackboard/suspect.go
@@ -65,7 +65,7 @@
 	DataCentre string `json:"data_centre,omitempty"`
 	SentMillis int64  `json:"sent_ms"`
 	EndMillis  int64  `json:"end_ms"`
-	// HasSilentEntries is set if entries did not answer when they were asked about the crash: what they were
+	// HasSilentEntries is set if most entries did not answer when they were asked about the crash: what they were
 	// running there, and which other crashes they have seen, is not known.
 	HasSilentEntries bool `json:"silent_entries,omitempty"`
 }
--- a/internal/entry/crash_check.go
+++ b/internal/entry/crash_check.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -145,11 +144,16 @@
 	return check, isNew, false
 }
 
-// hasSilentPeers reports whether peers said nothing when they were asked about the target.
-func (c *crashCheck) hasSilentPeers() bool {
-	return slices.ContainsFunc(c.probe.Peers.Absent, func(peer string) bool {
-		return strings.HasSuffix(peer, ":"+string(relay.OutcomeSilent))
-	})
+// areMostPeersSilent reports whether more than half of the peers that were asked about the target did not answer.
+// A single one may just be slow.
+func (c *crashCheck) areMostPeersSilent() bool {
+	silent := 0
+	for _, peer := range c.probe.Peers.Absent {
+		if strings.HasSuffix(peer, ":"+string(relay.OutcomeSilent)) {
+			silent++
+		}
+	}
+	return 2*silent > len(c.probe.Peers.Absent)+len(c.probe.Peers.Refused)
 }
 
 func (c *crashCheck) isOutdated(now time.Time) bool {
--- a/internal/entry/suspect_writer.go
+++ b/internal/entry/suspect_writer.go
@@ -27,8 +27,9 @@
 	// unseenTime is how long what was written counts at least beside the board, which may not show it
 	// yet.
 	unseenTime = 2 * time.Second
-	// maxSuspectWrites bounds the commands that wait to be written.
+	// maxSuspectWrites bounds the commands that wait to be written, maxLocalAnswers the answers that are not.
 	maxSuspectWrites = 1024
+	maxLocalAnswers  = 256
 )
 
 // suspectWriter writes what this entry learns of suspects to the board, one write at a time. Until the
@@ -42,6 +43,10 @@
 	// goroutine writes. written holds the crashes that were written in the last unseenTime.
 	pending, written []*suspectWrite
 	isWriting        bool
+	// isFailing is set while the last write has failed. local holds the answers to requests with parts that came
+	// meanwhile: only this entry goes by them, until it can write again.
+	isFailing bool
+	local     []blackboard.SuspectChange
 	// forgotAt is when written was last gone through.
 	forgotAt time.Time
 	// table is the board's table from, changed by what is pending and written; nil if that has
@@ -86,7 +91,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.forgetSeen(now)
-	if len(q.pending)+len(q.written) == 0 {
+	if len(q.pending)+len(q.written)+len(q.local) == 0 {
 		return board
 	}
 	if q.table == nil || !blackboard.IsSameTable(q.from, board) {
@@ -97,6 +102,7 @@
 		for _, w := range q.pending {
 			changes = append(changes, w.change)
 		}
+		changes = append(changes, q.local...)
 		q.from, q.table = board, blackboard.ChangeSuspects(board, changes)
 	}
 	return q.table
@@ -143,6 +149,11 @@
 		s.logSuspectWriteLost(1, "too many wait")
 		return w.done
 	}
+	if q.isFailing && isPartAnswer(change) {
+		q.addLocal(change)
+		close(w.done)
+		return w.done
+	}
 	q.pending = append(q.pending, w)
 	q.addToTable(w.change)
 	if !q.isWriting {
@@ -152,6 +163,38 @@
 	return w.done
 }
 
+func isPartAnswer(change blackboard.SuspectChange) bool {
+	answer, ok := change.(*blackboard.ClearSuspect)
+	return ok && answer.SentAgoMillis > 0
+}
+
+// addLocal takes in an answer that is not written. The caller holds the lock.
+func (q *suspectWriter) addLocal(change blackboard.SuspectChange) {
+	q.local = append(q.local, change)
+	if len(q.local) > maxLocalAnswers {
+		q.local = q.local[1:]
+	}
+	q.addToTable(change)
+}
+
+// failed takes in that a write has failed. The answers to requests with parts are not tried again.
+//
+// Failure: half of the entries reach the leader again and write all answers of the time in between at once. The
+// leader applies thousands of commands that say nothing by now, and loses its lead.
+func (q *suspectWriter) failed() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.isFailing = true
+	q.pending = slices.DeleteFunc(q.pending, func(w *suspectWrite) bool {
+		if !isPartAnswer(w.change) {
+			return false
+		}
+		q.addLocal(w.change)
+		close(w.done)
+		return true
+	})
+}
+
 // writeSuspects writes until no command is left.
 func (s *Server) writeSuspects() {
 	for {
@@ -200,6 +243,7 @@
 	waited := time.Since(batch[0].since).Milliseconds()
 	if err != nil {
 		_ = level.Warn(s.o.Logger).Log("event", "suspects_not_written", "commands", len(batch), "waited_ms", waited, "err", err)
+		s.suspectWriter.failed()
 		s.giveUpOldSuspectWrites(err)
 		s.forwardCrashes()
 		return false
@@ -225,6 +269,7 @@
 		close(w.done)
 	}
 	q.pending, q.table = q.pending[n:], nil
+	q.isFailing, q.local = false, nil
 }
 
 func (s *Server) giveUpOldSuspectWrites(err error) {
