test: a request that is blamed wrongly is shown with the evidence, and complete logs are kept

The soak said that a request that crashes nothing was refused as crashing, and in how many of its sends. It did not say why: whose crashes, alone or beside others, how many were needed. The logs have it (event=crash, event=suspect), but a run that passes or fails throws them away, and the end of the logs that a failed test prints is a few seconds.

The violation now carries these lines of the request's fingerprint, from all processes in the order of time, and CITRONSTEP_TEST_LOGS names a folder in which failed tests keep the complete logs of their processes.

--- a/test/process/harness/process.go
+++ b/test/process/harness/process.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"io"
 	"os"
 	"os/exec"
@@ -217,6 +218,22 @@
 	}
 	text := p.Log()
 	p.t.Logf("end of the log of %s:\n%s", p.Name, text[max(0, len(text)-logTailBytes):])
+	p.keepLog(text)
+}
+
+// logFolderVariable is the environment variable that names the folder for the complete logs of failed tests.
+const logFolderVariable = "CITRONSTEP_TEST_LOGS"
+
+// keepLog writes the complete log of a failed test's process to the folder for them, if one is set.
+func (p *Process) keepLog(text string) {
+	folder := os.Getenv(logFolderVariable)
+	if folder == "" {
+		return
+	}
+	name := fmt.Sprintf("%s-%d.log", p.Name, time.Now().UnixNano())
+	if err := os.WriteFile(filepath.Join(folder, name), []byte(text), 0o600); err != nil {
+		p.t.Logf("the log of %s is not kept: %v", p.Name, err)
+	}
 }
 
 // lineBuffer collects standard output.
--- a/test/workload/crashes.go
+++ b/test/workload/crashes.go
@@ -5,6 +5,9 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"regexp"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/citronstep/citronstep/internal/failure"
@@ -107,23 +110,52 @@
 	return violations
 }
 
-// findBlamed returns the works that were refused because crashes were attributed to them. None of them
-// crashes a backend server.
-func findBlamed(works []*Work) (violations []string) {
+// findBlamed returns the works that were refused because crashes were attributed to them, with what the logs say
+// of these crashes. None of the works crashes a backend server.
+func findBlamed(c *harness.Cluster, works []*Work) (violations []string) {
 	for _, w := range works {
-		blamed := 0
+		blamed, request := 0, ""
 		for _, s := range w.Sends {
 			if s.Reply.Refusal != nil && s.Reply.Refusal.Type == failure.TypeRequestCrashesBackend {
 				blamed++
+				request = s.Reply.Refusal.RequestID
 			}
 		}
 		if blamed > 0 {
-			violations = append(violations, fmt.Sprintf("%q crashes no backend server and was refused for it in %d of %d sends", w.Name, blamed, len(w.Sends)))
+			violations = append(violations, fmt.Sprintf("%q crashes no backend server and was refused for it in %d of %d sends:\n%s",
+				w.Name, blamed, len(w.Sends), strings.Join(attributionLines(c, request), "\n")))
 		}
 	}
 	return violations
 }
 
+// attributionLines returns the lines about the crashes that are attributed to a refused request, from all logs in
+// the order of time.
+func attributionLines(c *harness.Cluster, request string) []string {
+	var logs []string
+	for _, n := range c.Nodes {
+		logs = append(logs, strings.Split(n.Log(), "\n")...)
+	}
+	fingerprint := ""
+	for _, line := range logs {
+		if strings.Contains(line, "event=refuse request="+request+" ") {
+			fingerprint = fingerprintPattern.FindString(line)
+		}
+	}
+	if fingerprint == "" {
+		return []string{"no log names the fingerprint of " + request}
+	}
+	lines := slices.DeleteFunc(logs, func(line string) bool {
+		isAboutCrashes := strings.Contains(line, "event=crash ") || strings.Contains(line, "event=suspect ")
+		return !isAboutCrashes || !strings.Contains(line, fingerprint)
+	})
+	slices.Sort(lines)
+	return lines
+}
+
+// fingerprintPattern matches the fingerprint of a request in a line of a log.
+var fingerprintPattern = regexp.MustCompile(`\bfingerprint=\S+`)
+
 func isCalm(at time.Time, disturbed []interval) bool {
 	for _, d := range disturbed {
 		if at.After(d.from) && at.Before(d.to.Add(contactTime)) {
--- a/test/workload/run.go
+++ b/test/workload/run.go
@@ -114,7 +114,7 @@
 	}
 	if o.Crashes {
 		report.Violations = append(report.Violations, crashing.check(runs, disturbances(injectors))...)
-		report.Violations = append(report.Violations, findBlamed(callers.works)...)
+		report.Violations = append(report.Violations, findBlamed(c, callers.works)...)
 		report.CrashingSends, report.Crashes = crashing.sends, crashing.crashes
 	}
 	return report
