Requests are not blamed for crashes that their pool has anyway, and not after two of them

What callers saw: a request that crashes nothing was refused as crashing in every send until the end (known red: SoakWithCrashingRequests, TestRandomRunWithCrashingRequests; 684 of 693 sends of one work).

A rig as the users describe theirs (TestRequestsAreNotBlamedWhereServersCrashOften: four entries, eight plain servers that crash by themselves, one each 0.3 s, runs of 400 ms, one request beside that crashes what runs it) failed 3 of 8 runs on, with one request refused in 569, 243 and 10 sends. The logs of two of them: three crashes within 0.6 s (4.5 s), needed=3, no other suspect in all of them. Dozens of servers of that pool had crashed in the twenty seconds before, under other requests.

Cause: how often servers of the pool crash by themselves was asked of the time since the request's first run alone, and as yes or no. Three crashes in a row last under a second, and in that second often no other server crashes. A run that is ended by chance in 15 of 100 cases is in three crashes in 3 of 1,000.

Ruled out: that the innocent request was in a crash of the crashing one (its runs were on servers that ended by themselves), late reports, silent entries (none were absent).

Change: chanceOfCrash takes the rate of the pool's unexplained crashes from 30 s before the request's first run on, the number of busy servers (reported with the crash; a crash of an idle one is seen by nobody) and the length of its runs. As many crashes are needed as make chance less likely than 1 in 100,000, from three (two if one was alone) to five, where a request is held for its crashes in any case. Crashes of a request that is in several and was never answered do not count towards the rate: they may be another cause's. event=suspect names the chance. The fractions are multiplied and divided only, so replicas come to the same result.

--- a/internal/blackboard/attribution.go
+++ b/internal/blackboard/attribution.go
@@ -47,7 +47,7 @@
 	unexplained, parts := unexplainedCrashes(suspects), attributedSuspects(suspects, CausePart)
 	for _, f := range candidates {
 		s := suspects[f]
-		isAttributed := !isExplainedByPart(parts, s) && isCause(suspects, neededCrashes(unexplained, s), s)
+		isAttributed := !isExplainedByPart(parts, s) && isCause(suspects, unexplained, s)
 		if isAttributed != s.Attributed {
 			s.Attributed = isAttributed
 			suspects[f] = s
@@ -58,8 +58,9 @@
 
 // isCause reports whether a request's crashes are attributed to it. One that ran alone in a crash needs
 // fewer, and no comparison with others.
-func isCause(suspects map[string]Suspect, needed int, s Suspect) bool {
-	if s.Alone > 0 && s.Crashes >= max(isolatedCrashes, needed+isolatedCrashes-attributedCrashes) {
+func isCause(suspects map[string]Suspect, unexplained map[string]unexplainedCrash, s Suspect) bool {
+	needed := neededCrashes(unexplained, s)
+	if s.Alone > 0 && s.Crashes >= neededCrashesAlone(unexplained, s) {
 		return true
 	}
 	if s.Crashes < needed {
@@ -70,18 +71,18 @@
 	return covering == "" || (s.Crashes >= inseparableCrashes && !isLessLikely)
 }
 
-// neededCrashes returns how many crashes are attributed to a suspect: one more if backend servers of its
-// pool have crashed without it meanwhile and nobody is blamed for that, one fewer if entries did not
-// answer when they were asked about its crashes.
+// neededCrashes returns how many crashes are attributed to a suspect: more if backend servers of its pool crash by
+// themselves so often that it may have been running in fewer by chance, one more if any has crashed without it
+// meanwhile, one fewer if entries did not answer when they were asked about its crashes.
 //
 // Failure: backend servers crash by themselves, one after the other. A request that is sent on
 // after each crash is running in three of them by chance, or in two, alone in one of them.
 // Failure: half of the entries reach backend servers and nobody else. A request crashes servers through them that
 // nobody else knows of, and servers that it shares with others, which seem to crash without it.
-func neededCrashes(unexplained map[string]CrashedRun, s Suspect) int {
-	needed := attributedCrashes
+func neededCrashes(unexplained map[string]unexplainedCrash, s Suspect) int {
+	needed := crashesBeyondChance(chanceOfCrash(unexplained, s), attributedCrashes)
 	if hasCrashesBeside(unexplained, s) {
-		needed = crashesAmongOthers
+		needed = max(needed, crashesAmongOthers)
 	}
 	if !slices.ContainsFunc(s.Runs, func(r CrashedRun) bool { return !r.HasSilentEntries }) {
 		needed--
@@ -89,12 +90,15 @@
 	return needed
 }
 
+// neededCrashesAlone returns the same for a suspect that ran alone in one of the crashes.
+func neededCrashesAlone(unexplained map[string]unexplainedCrash, s Suspect) int {
+	beyondChance := crashesBeyondChance(chanceOfCrash(unexplained, s), isolatedCrashes)
+	return max(beyondChance, neededCrashes(unexplained, s)+isolatedCrashes-attributedCrashes)
+}
+
 // hasCrashesBeside reports whether servers of the suspect's pool have crashed without it since its first run.
-func hasCrashesBeside(unexplained map[string]CrashedRun, s Suspect) bool {
-	first, pool := s.Runs[0].SentMillis, s.Runs[0].Pool
-	for _, r := range s.Runs {
-		first = min(first, r.SentMillis)
-	}
+func hasCrashesBeside(unexplained map[string]unexplainedCrash, s Suspect) bool {
+	first, pool := s.firstSentMillis(), s.Runs[0].Pool
 	for incarnation, last := range unexplained {
 		if last.Pool == pool && last.EndMillis >= first && !last.HasSilentEntries && !s.wasRunningOn(incarnation) {
 			return true
@@ -103,29 +107,6 @@
 	return false
 }
 
-// unexplainedCrashes returns the last run that was ended by each crash that is attributed to no suspect,
-// by incarnation.
-func unexplainedCrashes(suspects map[string]Suspect) map[string]CrashedRun {
-	explained := make(map[string]bool)
-	for _, s := range suspects {
-		if !s.IsAttributed() {
-			continue
-		}
-		for _, r := range s.Runs {
-			explained[r.Incarnation] = true
-		}
-	}
-	unexplained := make(map[string]CrashedRun)
-	for _, s := range suspects {
-		for _, r := range s.Runs {
-			if last, ok := unexplained[r.Incarnation]; !explained[r.Incarnation] && (!ok || r.EndMillis > last.EndMillis) {
-				unexplained[r.Incarnation] = r
-			}
-		}
-	}
-	return unexplained
-}
-
 // coveringSuspect returns another request that was running in all crashes of s and is not cleared, or "".
 // One that was never answered comes first. One that was answered does not cover one that was not: it is
 // less likely to be the cause.
@@ -164,13 +145,15 @@
 	Answers int
 	// Needed is how many crashes have to follow one another.
 	Needed int
+	// Chance is how likely a run of the request is to be ended by a server that crashes by itself.
+	Chance float64
 	// CoveredBy is another suspect that was running in all the crashes; "" if there is none.
 	CoveredBy    string
 	IsAttributed bool
 }
 
 // crashesNeeded returns how many crashes are attributed to a suspect of any kind.
-func crashesNeeded(unexplained map[string]CrashedRun, s Suspect) int {
+func crashesNeeded(unexplained map[string]unexplainedCrash, s Suspect) int {
 	if s.Kind == CausePart && s.MayBeAnswered() {
 		return certainPartCrashes
 	}
@@ -188,6 +171,7 @@
 		}
 		changed[f] = Attribution{
 			Cause: s, Runs: len(s.Runs), Crashes: s.Crashes, Answers: s.Answers, Needed: crashesNeeded(unexplained, s),
+			Chance:    chanceOfCrash(unexplained, s),
 			CoveredBy: coveringSuspect(b.Suspects, s), IsAttributed: s.IsAttributed(),
 		}
 	}
--- /dev/null
+++ b/internal/blackboard/crash_chance.go
@@ -0,0 +1,99 @@
+package blackboard
+
+import "time"
+
+const (
+	// maxBlameChance is the greatest chance with which all crashes that are attributed to a request may have been
+	// those of backend servers that crash by themselves.
+	maxBlameChance = 1e-5
+	// chanceWindow is how long before a request's first run crashes of its pool count towards their rate, and
+	// minChanceTime the least time that the rate is taken over: two crashes in the same second are no rate.
+	chanceWindow  = 30 * time.Second
+	minChanceTime = 5 * time.Second
+)
+
+// unexplainedCrash is a crash that is attributed to no suspect.
+type unexplainedCrash struct {
+	// CrashedRun is the last run that it ended.
+	CrashedRun
+	// isRepeated is set if it ended a run of a request that was in another crash as well and is not answered: that
+	// request may be the cause.
+	isRepeated bool
+}
+
+// unexplainedCrashes returns the crashes that are attributed to no suspect, by incarnation.
+func unexplainedCrashes(suspects map[string]Suspect) map[string]unexplainedCrash {
+	explained := make(map[string]bool)
+	for _, s := range suspects {
+		if !s.IsAttributed() {
+			continue
+		}
+		for _, r := range s.Runs {
+			explained[r.Incarnation] = true
+		}
+	}
+	unexplained := make(map[string]unexplainedCrash)
+	for _, s := range suspects {
+		isRepeated := s.Kind == CauseRequest && len(s.Runs) > 1 && s.Answers == 0
+		for _, r := range s.Runs {
+			if explained[r.Incarnation] {
+				continue
+			}
+			crash, ok := unexplained[r.Incarnation]
+			if !ok || r.EndMillis > crash.EndMillis {
+				crash.CrashedRun = r
+			}
+			crash.isRepeated = crash.isRepeated || isRepeated
+			unexplained[r.Incarnation] = crash
+		}
+	}
+	return unexplained
+}
+
+// chanceOfCrash returns how likely a run of a suspect is to be ended by a backend server of its pool that crashes by
+// itself: by the rate of such crashes from chanceWindow before its first run until now, the number of servers that were busy,
+// as a crash of an idle one is not seen, and how long its runs are, which end halfway on average if a crash has nothing
+// to do with them. It is 0 if reports do not tell the number of servers.
+func chanceOfCrash(unexplained map[string]unexplainedCrash, s Suspect) float64 {
+	if len(s.Runs) == 0 {
+		return 0
+	}
+	from, targets, ran := s.firstSentMillis()-chanceWindow.Milliseconds(), s.Runs[0].BusyTargets, int64(0)
+	for _, r := range s.Runs {
+		targets = min(targets, r.BusyTargets)
+		ran += max(0, r.EndMillis-r.SentMillis)
+	}
+	crashes, first, last := 0, s.firstSentMillis(), s.LastMillis
+	for incarnation, c := range unexplained {
+		isOther := c.Pool == s.Runs[0].Pool && !c.isRepeated && !c.HasSilentEntries && !s.wasRunningOn(incarnation)
+		if isOther && c.EndMillis >= from {
+			crashes++
+			first, last = min(first, c.EndMillis), max(last, c.EndMillis)
+		}
+	}
+	if targets == 0 || crashes == 0 {
+		return 0
+	}
+	length := 2 * float64(ran) / float64(len(s.Runs))
+	rate := float64(crashes) / float64(max(last-first, minChanceTime.Milliseconds()))
+	return min(1, rate*length/float64(targets))
+}
+
+// crashesBeyondChance returns how many crashes of a request are no chance if each of its runs is ended by a crash with
+// the given one: at least as many as given, and at most those that are attributed to a request in any case.
+func crashesBeyondChance(chance float64, least int) int {
+	n := least
+	for n < inseparableCrashes && isChance(chance, n) {
+		n++
+	}
+	return n
+}
+
+// isChance reports whether a request may well have been in a number of crashes by chance.
+func isChance(chance float64, crashes int) bool {
+	all := 1.0
+	for range crashes {
+		all *= chance
+	}
+	return all > maxBlameChance
+}
--- a/internal/blackboard/crash_report.go
+++ b/internal/blackboard/crash_report.go
@@ -19,6 +19,8 @@
 	Incarnation string  `json:"incarnation"`
 	Pool        string  `json:"pool,omitempty"`
 	DataCentre  string  `json:"data_centre,omitempty"`
+	// BusyTargets is how many targets of the pool had requests in flight at the time, by the entry's estimate.
+	BusyTargets int `json:"busy_targets,omitempty"`
 	// Alone states that a single request was in flight on the backend server.
 	Alone bool `json:"alone"`
 	// HasSilentEntries states that most entries did not answer when they were asked, see CrashedRun. An entry that runs suspects in
@@ -154,7 +156,7 @@
 func (c ReportCrash) runSent(sentMillis int64) CrashedRun {
 	return CrashedRun{
 		Incarnation: c.Incarnation, Pool: c.Pool, DataCentre: c.DataCentre, SentMillis: sentMillis, EndMillis: c.NowMillis,
-		HasSilentEntries: c.HasSilentEntries,
+		BusyTargets: c.BusyTargets, HasSilentEntries: c.HasSilentEntries,
 	}
 }
 
--- a/internal/blackboard/suspect.go
+++ b/internal/blackboard/suspect.go
@@ -65,6 +65,8 @@
 	DataCentre string `json:"data_centre,omitempty"`
 	SentMillis int64  `json:"sent_ms"`
 	EndMillis  int64  `json:"end_ms"`
+	// BusyTargets is how many targets of the pool had requests in flight; 0 in reports of older versions.
+	BusyTargets int `json:"busy_targets,omitempty"`
 	// HasSilentEntries is set if most entries did not answer when they were asked about the crash: what they were
 	// running there, and which other crashes they have seen, is not known.
 	HasSilentEntries bool `json:"silent_entries,omitempty"`
@@ -199,6 +201,14 @@
 	return isSameCause && hasSameCounts && hasSameTimes && slices.Equal(s.Runs, other.Runs)
 }
 
+func (s Suspect) firstSentMillis() int64 {
+	first := s.Runs[0].SentMillis
+	for _, r := range s.Runs {
+		first = min(first, r.SentMillis)
+	}
+	return first
+}
+
 func (s Suspect) wasRunningOn(incarnation string) bool {
 	return slices.ContainsFunc(s.Runs, func(r CrashedRun) bool { return r.Incarnation == incarnation })
 }
--- a/internal/entry/blocked_targets.go
+++ b/internal/entry/blocked_targets.go
@@ -150,3 +150,19 @@
 	}
 	return best, found
 }
+
+// busyTargetCount returns how many targets of a pool are estimated to have requests in flight, at least one.
+func (d *dispatcher) busyTargetCount(pool string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := 0
+	for id, r := range d.routes {
+		if r.pool != pool {
+			continue
+		}
+		if load, _ := d.picker.Estimate(id); load > 0 {
+			n++
+		}
+	}
+	return max(1, n)
+}
