A request that may be blamed wrongly runs once more after a second, alone of its pool

Nothing that became known afterwards changed that, although dozens of servers crashed without the request meanwhile.

Cause: only an answer clears a request, and a request that is refused gets none. The one further run is granted a minute after its last crash, whether the evidence is three crashes in a quiet pool or five beside another suspect that was in all of them as well. The decision was looked at again only for crashes that the request itself was in.

Change: a row is doubtful if another suspect was running in all its crashes, or if, by what has crashed in the pool until now, its crashes may be chance. Such a request gets its further run a second after its last crash, by the same grant on the board, so one over all entries, and of one pool one at a time: a request must not run beside the very suspect that it could not be told from. Crashes and early runs together are six at most, three past the third, which is what the rule on crashing requests allows. An answer clears the request as before; a crash leaves the minute.

TestRequestThatIsBlamedBeforeOthersCrashRunsOnceMoreSoon and TestInseparableRequestsRunOnceMoreOneAfterTheOther fail without the change: both rows are refused for the minute.

--- a/internal/blackboard/attribution.go
+++ b/internal/blackboard/attribution.go
@@ -49,13 +49,37 @@
 		s := suspects[f]
 		isAttributed := !isExplainedByPart(parts, s) && isCause(suspects, unexplained, s)
 		if isAttributed != s.Attributed {
-			s.Attributed = isAttributed
+			s.Attributed, s.Doubtful = isAttributed, isAttributed && coveringSuspect(suspects, s) != ""
 			suspects[f] = s
 			unexplained = unexplainedCrashes(suspects)
 		}
 	}
 }
 
+// doubtAttributed finds the suspects of a pool whose crashes may be chance, as far as it is known by now how often
+// its servers crash by themselves.
+//
+// Failure: servers begin to crash one after the other. The first request that was running in three crashes is
+// refused for a minute, although dozens of servers crash without it meanwhile.
+func doubtAttributed(suspects map[string]Suspect, pool string) {
+	var certain []Suspect
+	for _, s := range suspects {
+		if s.Kind == CauseRequest && s.Attributed && !s.Doubtful && s.Runs[0].Pool == pool {
+			certain = append(certain, s)
+		}
+	}
+	if len(certain) == 0 {
+		return
+	}
+	unexplained := unexplainedCrashes(suspects)
+	for _, s := range certain {
+		if isChance(chanceOfCrash(unexplained, s), s.Crashes) {
+			s.Doubtful = true
+			suspects[s.Fingerprint] = s
+		}
+	}
+}
+
 // isCause reports whether a request's crashes are attributed to it. One that ran alone in a crash needs
 // fewer, and no comparison with others.
 func isCause(suspects map[string]Suspect, unexplained map[string]unexplainedCrash, s Suspect) bool {
--- a/internal/blackboard/clear_suspect.go
+++ b/internal/blackboard/clear_suspect.go
@@ -128,9 +128,28 @@
 	if c.NowMillis < s.RetryAtMillis() {
 		return refused("the request may not run yet")
 	}
+	if isAnotherRetried(d.Suspects, s, c.NowMillis) {
+		return refused("another request of the pool runs once more")
+	}
 	s.Retries++
 	s.RetryMillis = c.NowMillis
 	d.cloneSuspectsOnce()
 	d.Suspects[c.Fingerprint] = s
 	return applied()
 }
+
+// isAnotherRetried reports whether another request that crashes of the pool are attributed to may be running once more
+// right now.
+func isAnotherRetried(suspects map[string]Suspect, s Suspect, nowMillis int64) bool {
+	if !s.Doubtful {
+		return false
+	}
+	for _, other := range suspects {
+		isSamePool := len(other.Runs) > 0 && other.Runs[0].Pool == s.Runs[0].Pool
+		isUnderWay := other.RetryMillis > other.LastMillis && nowMillis < other.RetryMillis+doubtfulRetryTime.Milliseconds()
+		if other.Fingerprint != s.Fingerprint && isSamePool && isUnderWay && other.IsAttributed() {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/blackboard/crash_report.go
+++ b/internal/blackboard/crash_report.go
@@ -140,6 +140,7 @@
 			attributeParts(suspects)
 		}
 		attribute(suspects, c.Incarnation)
+		doubtAttributed(suspects, c.Pool)
 		removeLeastOf(suspects, CauseRequest, maxSuspects)
 		removeLeastOf(suspects, CausePart, maxParts)
 	}
--- a/internal/blackboard/suspect.go
+++ b/internal/blackboard/suspect.go
@@ -46,8 +46,10 @@
 	Answers int `json:"answers,omitempty"`
 	// Runs holds the request's runs that a crash ended, at most maxRuns.
 	Runs []CrashedRun `json:"runs,omitempty"`
-	// Attributed is set if crashes are attributed to the request by the runs of all suspects.
+	// Attributed is set if crashes are attributed to the request by the runs of all suspects, Doubtful if these
+	// crashes may still have another cause.
 	Attributed bool  `json:"attributed,omitempty"`
+	Doubtful   bool  `json:"doubtful,omitempty"`
 	LastMillis int64 `json:"last_ms"`
 	// Retries counts the further runs that were granted to an attributed request, and
 	// RetryMillis is the time of the last grant.
@@ -112,6 +114,15 @@
 // requests that were sent again and again until then must not be refused for good.
 const firstRetryAfter = time.Minute
 
+const (
+	// doubtfulRetryAfter is the same time for a request whose crashes may have another cause. Of one pool, one such
+	// request runs at a time, for doubtfulRetryTime at most: one must not crash the server of the other.
+	doubtfulRetryAfter = time.Second
+	doubtfulRetryTime  = 3 * time.Second
+	// maxDoubtfulRuns bounds the crashes of such a request together with these further runs.
+	maxDoubtfulRuns = attributedCrashes + 3
+)
+
 // isCleared reports whether the request was answered so often that it is not the cause of the crashes.
 func (s Suspect) isCleared() bool { return s.Answers > 0 && s.Answers >= answersPerCrash*len(s.Runs) }
 
@@ -160,6 +171,9 @@
 		return s.partRetryAtMillis()
 	}
 	wait := min(firstRetryAfter<<min(s.Retries, 16), attributedLifetime)
+	if s.Doubtful && len(s.Runs)+s.Retries < maxDoubtfulRuns {
+		wait = doubtfulRetryAfter
+	}
 	return max(s.LastMillis, s.RetryMillis) + wait.Milliseconds()
 }
 
@@ -196,7 +210,7 @@
 		slices.Equal(s.Workspaces, other.Workspaces) && s.AnsweredBefore == other.AnsweredBefore &&
 		s.NeverAnswered == other.NeverAnswered && s.AnsweredMillis == other.AnsweredMillis && s.Inseparable == other.Inseparable
 	hasSameCounts := s.Crashes == other.Crashes && s.Alone == other.Alone && s.Attributed == other.Attributed &&
-		s.Answers == other.Answers
+		s.Doubtful == other.Doubtful && s.Answers == other.Answers
 	hasSameTimes := s.LastMillis == other.LastMillis && s.Retries == other.Retries && s.RetryMillis == other.RetryMillis
 	return isSameCause && hasSameCounts && hasSameTimes && slices.Equal(s.Runs, other.Runs)
 }
--- a/internal/blackboard/suspect_test.go
+++ b/internal/blackboard/suspect_test.go
@@ -420,3 +420,52 @@
 	report("e", 4000, true, "answered")
 	assert.Assert(t, !c.isAttributed("answered"), "entries must have been silent at each of its crashes")
 }
+
+// Guards against a request that is refused for a minute because servers began to crash by themselves just when it was
+// running on three of them.
+func TestRequestThatIsBlamedBeforeOthersCrashRunsOnceMoreSoon(t *testing.T) {
+	c := newCrashBoard(t)
+	report := func(incarnation string, sent int64, fingerprint string) {
+		c.board, _ = verdict(t, c.board, &ReportCrash{
+			Fingerprints: []string{fingerprint}, SentMillis: []int64{sent}, Incarnation: incarnation, NowMillis: sent + 300, BusyTargets: 4,
+		})
+	}
+	retry := func(fingerprint string, at int64) bool {
+		board, v := verdict(t, c.board, &RetryAttributed{Fingerprint: fingerprint, NowMillis: at})
+		c.board = board
+		return v.Applied
+	}
+	for i := range int64(attributedCrashes) {
+		report(fmt.Sprint("server-", i), 1000*i, "unlucky")
+	}
+	assert.Assert(t, c.isAttributed("unlucky"))
+	assert.Assert(t, !retry("unlucky", 5000), "nothing speaks for chance yet")
+	for i := range int64(10) {
+		report(fmt.Sprint("other-", i), 2500+200*i, fmt.Sprint("other-", i))
+	}
+	assert.Assert(t, retry("unlucky", 5000))
+	c.board, _ = verdict(t, c.board, Answered("unlucky", false, true))
+	assert.Assert(t, !c.isAttributed("unlucky"))
+}
+
+// Guards against requests that are refused for a minute because they could not be told from the one that crashes
+// servers, and against such ones that are tried at the same moment, so that one crashes the server of the other.
+func TestInseparableRequestsRunOnceMoreOneAfterTheOther(t *testing.T) {
+	c := newCrashBoard(t)
+	retry := func(fingerprint string, at int64) bool {
+		board, v := verdict(t, c.board, &RetryAttributed{Fingerprint: fingerprint, NowMillis: at})
+		c.board = board
+		return v.Applied
+	}
+	for i := range int64(inseparableCrashes) {
+		c.report(fmt.Sprint("server-", i), 1000*i, 1000*i+900, "cause", "unlucky")
+	}
+	soon := int64(4900) + doubtfulRetryAfter.Milliseconds()
+	assert.Assert(t, retry("cause", soon))
+	assert.Assert(t, !retry("unlucky", soon+100), "the other one is running")
+	c.report("server-6", soon, soon+200, "cause")
+	assert.Assert(t, retry("unlucky", soon+300))
+	c.board, _ = verdict(t, c.board, Answered("unlucky", false, true))
+	assert.Assert(t, !c.isAttributed("unlucky"))
+	assert.Assert(t, !retry("cause", soon+firstRetryAfter.Milliseconds()), "it has had its further run")
+}
