test: the logs about a wrongly blamed request are found by any of its sends

The search took the last refused send alone. All refused sends are looked for now, and the lines of the first one are shown if no log has the fingerprint.

--- a/test/workload/crashes.go
+++ b/test/workload/crashes.go
@@ -114,45 +114,56 @@
 // of these crashes. None of the works crashes a backend server.
 func findBlamed(c *harness.Cluster, works []*Work) (violations []string) {
 	for _, w := range works {
-		blamed, request := 0, ""
+		var blamed []string
 		for _, s := range w.Sends {
 			if s.Reply.Refusal != nil && s.Reply.Refusal.Type == failure.TypeRequestCrashesBackend {
-				blamed++
-				request = s.Reply.Refusal.RequestID
+				blamed = append(blamed, s.Reply.Refusal.RequestID)
 			}
 		}
-		if blamed > 0 {
+		if len(blamed) > 0 {
 			violations = append(violations, fmt.Sprintf("%q crashes no backend server and was refused for it in %d of %d sends:\n%s",
-				w.Name, blamed, len(w.Sends), strings.Join(attributionLines(c, request), "\n")))
+				w.Name, len(blamed), len(w.Sends), strings.Join(attributionLines(c, blamed), "\n")))
 		}
 	}
 	return violations
 }
 
-// attributionLines returns the lines about the crashes that are attributed to a refused request, from all logs in
-// the order of time.
-func attributionLines(c *harness.Cluster, request string) []string {
+// attributionLines returns the lines about the crashes that are attributed to a refused work, from all logs in the
+// order of time, or those about its first refused send if no log names the fingerprint. requests are its refused
+// sends, of which logs may lack some.
+func attributionLines(c *harness.Cluster, requests []string) []string {
 	var logs []string
 	for _, n := range c.Nodes {
 		logs = append(logs, strings.Split(n.Log(), "\n")...)
 	}
-	fingerprint := ""
-	for _, line := range logs {
-		if strings.Contains(line, "event=refuse request="+request+" ") {
-			fingerprint = fingerprintPattern.FindString(line)
-		}
-	}
-	if fingerprint == "" {
-		return []string{"no log names the fingerprint of " + request}
-	}
+	fingerprint := fingerprintOf(logs, requests)
 	lines := slices.DeleteFunc(logs, func(line string) bool {
+		if fingerprint == "" {
+			return !strings.Contains(line, requests[0])
+		}
 		isAboutCrashes := strings.Contains(line, "event=crash ") || strings.Contains(line, "event=suspect ")
 		return !isAboutCrashes || !strings.Contains(line, fingerprint)
 	})
+	if len(lines) == 0 {
+		return []string{fmt.Sprintf("no log names %q or its fingerprint", requests[0])}
+	}
 	slices.Sort(lines)
 	return lines
 }
 
+// fingerprintOf returns the field with the fingerprint that the requests were refused for, or "".
+func fingerprintOf(logs, requests []string) string {
+	for _, line := range logs {
+		if !strings.Contains(line, "event=refuse ") || !strings.Contains(line, string(failure.TypeRequestCrashesBackend)) {
+			continue
+		}
+		if slices.ContainsFunc(requests, func(id string) bool { return strings.Contains(line, "request="+id) }) {
+			return fingerprintPattern.FindString(line)
+		}
+	}
+	return ""
+}
+
 // fingerprintPattern matches the fingerprint of a request in a line of a log.
 var fingerprintPattern = regexp.MustCompile(`\bfingerprint=\S+`)
 
