Two crashes suffice while several entries are silent, whatever else crashed beside

Cause: what silence of entries means was asked three times too narrowly. A crash counted as one that entries are silent about if more than half of the peers asked were: three of six did not count, by which peers were drawn. And another request in both crashes hid the cause as ever. But each entry that is cut off may have seen two crashes, so the entries in touch have three sends between them, two of which are often under way at the same time.

Ruled out: that reports of the entries in touch were late (written 50 ms after the verdict) or lost (none).

Change: a third of the peers asked, and two at least, are several silent ones. A request all of whose crashes they were silent about is refused after two, one for some of whose crashes they were after three; also if another one was in all of them, unless it was answered. Requests that share such crashes with the cause are refused with it, and are released once the cause has crashed three servers more without them (reviewAttributed), as it has when the reports of the cut-off entries come in.

TestCrashesWithSilentEntriesNeedNoOtherComparison and TestEntriesAreSilentIfAThirdOfThemSaysNothing fail without it.

--- a/internal/blackboard/attribution.go
+++ b/internal/blackboard/attribution.go
@@ -56,32 +56,52 @@
 	}
 }
 
-// doubtAttributed finds the suspects of a pool whose crashes may be chance, as far as it is known by now how often
-// its servers crash by themselves.
+// reviewAttributed looks again at the suspects of a pool that crashes are attributed to: whether these crashes may be
+// chance, as far as it is known by now how often servers crash by themselves, and whether another cause explains them.
 //
 // Failure: servers begin to crash one after the other. The first request that was running in three crashes is
 // refused for a minute, although dozens of servers crash without it meanwhile.
-func doubtAttributed(suspects map[string]Suspect, pool string) {
-	var certain []Suspect
+// Failure: a request is refused together with one that it could not be told from, and still is when the other one
+// has crashed further servers without it.
+func reviewAttributed(suspects map[string]Suspect, pool string) {
+	var attributed []Suspect
 	for _, s := range suspects {
-		if s.Kind == CauseRequest && s.Attributed && !s.Doubtful && s.Runs[0].Pool == pool {
-			certain = append(certain, s)
+		if s.Kind == CauseRequest && s.IsAttributed() && len(s.Runs) > 0 && s.Runs[0].Pool == pool {
+			attributed = append(attributed, s)
 		}
 	}
-	if len(certain) == 0 {
+	if len(attributed) == 0 {
 		return
 	}
 	unexplained := unexplainedCrashes(suspects)
-	for _, s := range certain {
-		if isChance(chanceOfCrash(unexplained, s), s.Crashes) {
+	for _, s := range attributed {
+		isExplained := slices.ContainsFunc(attributed, s.isExplainedBy)
+		switch {
+		case isExplained:
+			s.Attributed, s.Doubtful = false, false
+		case s.Doubtful || !isChance(chanceOfCrash(unexplained, s), s.Crashes):
+			continue
+		default:
 			s.Doubtful = true
-			suspects[s.Fingerprint] = s
 		}
+		suspects[s.Fingerprint] = s
 	}
 }
 
+// isExplainedBy reports whether the crashes of a suspect are those of another one, which has crashed further servers
+// without it. While entries are silent the suspect may have done so too, so the other one must be the cause without
+// these crashes as well.
+func (s Suspect) isExplainedBy(other Suspect) bool {
+	further := 1
+	if s.hasSilentRuns() {
+		further = attributedCrashes
+	}
+	return len(other.Runs) >= len(s.Runs)+further && other.wasRunningInAllOf(s)
+}
+
 // isCause reports whether a request's crashes are attributed to it. One that ran alone in a crash needs
-// fewer, and no comparison with others.
+// fewer, and no comparison with others. Several that were always running together are refused together: after some
+// crashes, or at once while entries are silent, as those may have seen more of them.
 func isCause(suspects map[string]Suspect, unexplained map[string]unexplainedCrash, s Suspect) bool {
 	needed := neededCrashes(unexplained, s)
 	if s.Alone > 0 && s.Crashes >= neededCrashesAlone(unexplained, s) {
@@ -91,26 +111,34 @@
 		return false
 	}
 	covering := coveringSuspect(suspects, s)
-	isLessLikely := s.Answers > 0 && covering != "" && suspects[covering].Answers == 0
-	return covering == "" || (s.Crashes >= inseparableCrashes && !isLessLikely)
+	if covering == "" {
+		return true
+	}
+	isLessLikely := s.Answers > 0 && suspects[covering].Answers == 0
+	return !isLessLikely && (s.Crashes >= inseparableCrashes || s.hasSilentRuns())
 }
 
 // neededCrashes returns how many crashes are attributed to a suspect: more if backend servers of its pool crash by
 // themselves so often that it may have been running in fewer by chance, one more if any has crashed without it
-// meanwhile, one fewer if entries did not answer when they were asked about its crashes.
+// meanwhile. While entries do not answer when they are asked about its crashes, fewer suffice: each of them may have
+// seen others.
 //
 // Failure: backend servers crash by themselves, one after the other. A request that is sent on
 // after each crash is running in three of them by chance, or in two, alone in one of them.
 // Failure: half of the entries reach backend servers and nobody else. A request crashes servers through them that
-// nobody else knows of, and servers that it shares with others, which seem to crash without it.
+// nobody else knows of, and servers that it shares with others, which seem to crash without it. The entries that are
+// in touch have three sends of it left between them before they know of any crash.
 func neededCrashes(unexplained map[string]unexplainedCrash, s Suspect) int {
+	if s.hasOnlySilentRuns() {
+		return attributedCrashes - 1
+	}
+	if s.hasSilentRuns() {
+		return attributedCrashes
+	}
 	needed := crashesBeyondChance(chanceOfCrash(unexplained, s), attributedCrashes)
 	if hasCrashesBeside(unexplained, s) {
 		needed = max(needed, crashesAmongOthers)
 	}
-	if !slices.ContainsFunc(s.Runs, func(r CrashedRun) bool { return !r.HasSilentEntries }) {
-		needed--
-	}
 	return needed
 }
 
--- a/internal/blackboard/crash_report.go
+++ b/internal/blackboard/crash_report.go
@@ -23,7 +23,7 @@
 	BusyTargets int `json:"busy_targets,omitempty"`
 	// Alone states that a single request was in flight on the backend server.
 	Alone bool `json:"alone"`
-	// HasSilentEntries states that most entries did not answer when they were asked, see CrashedRun. An entry that runs suspects in
+	// HasSilentEntries states that several entries did not answer when they were asked, see CrashedRun. An entry that runs suspects in
 	// isolation does not set it, as isolation tells the cause.
 	HasSilentEntries bool `json:"silent_entries,omitempty"`
 	// NowMillis is the time of the crash.
@@ -140,7 +140,7 @@
 			attributeParts(suspects)
 		}
 		attribute(suspects, c.Incarnation)
-		doubtAttributed(suspects, c.Pool)
+		reviewAttributed(suspects, c.Pool)
 		removeLeastOf(suspects, CauseRequest, maxSuspects)
 		removeLeastOf(suspects, CausePart, maxParts)
 	}
--- a/internal/blackboard/suspect.go
+++ b/internal/blackboard/suspect.go
@@ -69,7 +69,7 @@
 	EndMillis  int64  `json:"end_ms"`
 	// BusyTargets is how many targets of the pool had requests in flight; 0 in reports of older versions.
 	BusyTargets int `json:"busy_targets,omitempty"`
-	// HasSilentEntries is set if most entries did not answer when they were asked about the crash: what they were
+	// HasSilentEntries is set if several entries did not answer when they were asked about the crash: what they were
 	// running there, and which other crashes they have seen, is not known.
 	HasSilentEntries bool `json:"silent_entries,omitempty"`
 }
@@ -119,7 +119,8 @@
 	// request runs at a time, for doubtfulRetryTime at most: one must not crash the server of the other.
 	doubtfulRetryAfter = time.Second
 	doubtfulRetryTime  = 3 * time.Second
-	// maxDoubtfulRuns bounds the crashes of such a request together with these further runs.
+	// maxDoubtfulRuns bounds the crashes of such a request together with these further runs. There are none while
+	// entries are silent, as they may have seen other crashes.
 	maxDoubtfulRuns = attributedCrashes + 3
 )
 
@@ -171,7 +172,7 @@
 		return s.partRetryAtMillis()
 	}
 	wait := min(firstRetryAfter<<min(s.Retries, 16), attributedLifetime)
-	if s.Doubtful && len(s.Runs)+s.Retries < maxDoubtfulRuns {
+	if s.Doubtful && !s.hasSilentRuns() && len(s.Runs)+s.Retries < maxDoubtfulRuns {
 		wait = doubtfulRetryAfter
 	}
 	return max(s.LastMillis, s.RetryMillis) + wait.Milliseconds()
@@ -223,6 +224,16 @@
 	return first
 }
 
+// hasOnlySilentRuns reports whether entries were silent about each of the crashes.
+func (s Suspect) hasOnlySilentRuns() bool {
+	return !slices.ContainsFunc(s.Runs, func(r CrashedRun) bool { return !r.HasSilentEntries })
+}
+
+// hasSilentRuns reports whether entries were silent about one of the crashes.
+func (s Suspect) hasSilentRuns() bool {
+	return slices.ContainsFunc(s.Runs, func(r CrashedRun) bool { return r.HasSilentEntries })
+}
+
 func (s Suspect) wasRunningOn(incarnation string) bool {
 	return slices.ContainsFunc(s.Runs, func(r CrashedRun) bool { return r.Incarnation == incarnation })
 }
--- a/internal/blackboard/suspect_test.go
+++ b/internal/blackboard/suspect_test.go
@@ -461,11 +461,46 @@
 		c.report(fmt.Sprint("server-", i), 1000*i, 1000*i+900, "cause", "unlucky")
 	}
 	soon := int64(4900) + doubtfulRetryAfter.Milliseconds()
-	assert.Assert(t, retry("cause", soon))
-	assert.Assert(t, !retry("unlucky", soon+100), "the other one is running")
-	c.report("server-6", soon, soon+200, "cause")
-	assert.Assert(t, retry("unlucky", soon+300))
+	assert.Assert(t, retry("unlucky", soon))
+	assert.Assert(t, !retry("cause", soon+100), "the other one is running")
 	c.board, _ = verdict(t, c.board, Answered("unlucky", false, true))
 	assert.Assert(t, !c.isAttributed("unlucky"))
+	assert.Assert(t, retry("cause", soon+200))
+	c.report("server-6", soon+200, soon+400, "cause")
 	assert.Assert(t, !retry("cause", soon+firstRetryAfter.Milliseconds()), "it has had its further run")
 }
+
+// Guards against a request that stays refused although the one that it could not be told from has crashed a further
+// server without it.
+func TestRequestIsReleasedOnceAnotherExplainsItsCrashes(t *testing.T) {
+	c := newCrashBoard(t)
+	for i := range int64(inseparableCrashes) {
+		c.report(fmt.Sprint("server-", i), 1000*i, 1000*i+900, "cause", "unlucky")
+	}
+	assert.Assert(t, c.isAttributed("unlucky"))
+	c.report("server-6", 6000, 6200, "cause")
+	assert.Assert(t, c.isAttributed("cause"))
+	assert.Assert(t, !c.isAttributed("unlucky"))
+}
+
+// Guards against a request that crashes servers on both sides of a cut: the entries that are in touch don't count the
+// crashes on the other side, and on their own side another request was in all of them.
+func TestCrashesWithSilentEntriesNeedNoOtherComparison(t *testing.T) {
+	c := newCrashBoard(t)
+	report := func(incarnation string, at int64, isSilent bool, fingerprints ...string) {
+		c.board, _ = verdict(t, c.board, &ReportCrash{
+			Fingerprints: fingerprints, SentMillis: []int64{at, at}, Incarnation: incarnation, NowMillis: at + 100, HasSilentEntries: isSilent,
+		})
+	}
+	report("z", 500, false, "somebody", "else")
+	report("a", 0, true, "cause", "beside")
+	report("b", 1000, true, "cause", "beside")
+	assert.Assert(t, c.isAttributed("cause"))
+	assert.Equal(t, c.board.Suspects["cause"].RetryAtMillis(), 1100+firstRetryAfter.Milliseconds(), "no early run while entries are silent")
+	for i := range int64(attributedCrashes) {
+		assert.Assert(t, c.isAttributed("beside"))
+		report(fmt.Sprint("c-", i), 2000+1000*i, false, "cause", fmt.Sprint("another-", i))
+	}
+	assert.Assert(t, c.isAttributed("cause"))
+	assert.Assert(t, !c.isAttributed("beside"), "the other one explains both")
+}
--- a/internal/entry/crash_check.go
+++ b/internal/entry/crash_check.go
@@ -144,16 +144,16 @@
 	return check, isNew, false
 }
 
-// areMostPeersSilent reports whether more than half of the peers that were asked about the target did not answer.
-// A single one may just be slow.
-func (c *crashCheck) areMostPeersSilent() bool {
+// areSeveralPeersSilent reports whether a third of the peers that were asked about the target did not answer, and not
+// just a slow one.
+func (c *crashCheck) areSeveralPeersSilent() bool {
 	silent := 0
 	for _, peer := range c.probe.Peers.Absent {
 		if strings.HasSuffix(peer, ":"+string(relay.OutcomeSilent)) {
 			silent++
 		}
 	}
-	return 2*silent > len(c.probe.Peers.Absent)+len(c.probe.Peers.Refused)
+	return silent > 1 && 3*silent >= len(c.probe.Peers.Absent)+len(c.probe.Peers.Refused)
 }
 
 func (c *crashCheck) isOutdated(now time.Time) bool {
--- a/internal/entry/crashes_test.go
+++ b/internal/entry/crashes_test.go
@@ -18,6 +18,7 @@
 	"github.com/citronstep/citronstep/internal/backend"
 	"github.com/citronstep/citronstep/internal/blackboard"
 	"github.com/citronstep/citronstep/internal/failure"
+	"github.com/citronstep/citronstep/internal/relay"
 	"github.com/citronstep/citronstep/internal/rpc/noderpc"
 )
 
@@ -365,3 +366,21 @@
 	}
 	assert.Assert(t, !g.allows(now, "a", false), "it was answered long ago")
 }
+
+// Guards against crashes that count as if all entries had told of them, as just half of the peers that were asked said
+// nothing, and against one slow peer that makes fewer crashes suffice.
+func TestEntriesAreSilentIfAThirdOfThemSaysNothing(t *testing.T) {
+	for _, c := range []struct {
+		refused, absent []string
+		want            bool
+	}{
+		{[]string{"a", "b", "c"}, []string{"d:silent", "e:silent", "f:silent"}, true},
+		{[]string{"a", "b", "c", "d"}, []string{"e:silent", "f:silent"}, true},
+		{[]string{"a", "b", "c", "d", "e"}, []string{"f:silent", "g:silent"}, false},
+		{[]string{"a"}, []string{"b:silent"}, false},
+		{[]string{"a"}, []string{"b:cut_off", "c:cut_off"}, false},
+	} {
+		check := &crashCheck{probe: backend.ListenProbe{Peers: relay.PeerAnswers{Refused: c.refused, Absent: c.absent}}}
+		assert.Equal(t, check.areSeveralPeersSilent(), c.want, "%v", c)
+	}
+}
--- a/internal/entry/suspect.go
+++ b/internal/entry/suspect.go
@@ -108,7 +108,7 @@
 	now := time.Now()
 	report := crashReport(check.route, cuts, alone, now)
 	report.BusyTargets = s.dispatcher.busyTargetCount(check.route.pool)
-	report.Parts, report.HasSilentEntries = s.runningParts(cuts, now), !s.isolates() && check.areMostPeersSilent()
+	report.Parts, report.HasSilentEntries = s.runningParts(cuts, now), !s.isolates() && check.areSeveralPeersSilent()
 	return s.writeSuspect(report.After(0, now))
 }
 
