A request is looked at again when a part of its prompt no longer explains its crashes

At 12.6 s a part of its prompt was held for the same five crashes, as the report of another entry about the part came before the one about the request; the request was no longer blamed (attributed=false, covered_by empty), as its part explained it. At 18 to 22 s a request with that part was answered by another entry. That cleared the part of all its crashes, and nobody looked at the request again: at 22.2 s it was sent to four servers more.

Cause: the attribution of a request depends on that of its parts, and was decided again only when one of its own crashes was reported or one of the requests beside it was answered. And a part stayed held until it was answered, also when it turned out that one request was running in all its crashes: that is the request then.

Change: an answer that clears a part has the requests decided again that were in its crashes. A part that one unanswered request explains is not held, whether it was before or not. An answer to a request decides once for all its crashes, where it went through the table once for each of them.

TestRequestIsBlamedOnceItsPartIsCleared and TestPartIsReleasedOnceARequestExplainsItsCrashes fail without the change.

--- a/internal/blackboard/attribution.go
+++ b/internal/blackboard/attribution.go
@@ -25,17 +25,17 @@
 	return n
 }
 
-// attribute decides again which of the suspects that were running on a crashed incarnation the
+// attribute decides again which of the suspects that were running on one of some crashed incarnations the
 // crashes are attributed to.
 //
 // Failure: requests that a crash cuts are sent to another group at once, where the request that
 // causes the crashes may follow. After three crashes some of them have been in all three by
 // chance. They differ from the cause in the crashes of which they were in no part, so a suspect
 // is blamed once no other one was in all of its crashes.
-func attribute(suspects map[string]Suspect, incarnation string) {
+func attribute(suspects map[string]Suspect, incarnations ...string) {
 	var candidates []string
 	for f, s := range suspects {
-		if s.Kind == CauseRequest && s.Crashes >= isolatedCrashes && s.wasRunningOn(incarnation) {
+		if s.Kind == CauseRequest && s.Crashes >= isolatedCrashes && slices.ContainsFunc(incarnations, s.wasRunningOn) {
 			candidates = append(candidates, f)
 		}
 	}
--- a/internal/blackboard/clear_suspect.go
+++ b/internal/blackboard/clear_suspect.go
@@ -65,9 +65,7 @@
 		return true
 	}
 	// The request no longer hides another one that was in the same crashes.
-	for _, r := range s.Runs {
-		attribute(suspects, r.Incarnation)
-	}
+	attribute(suspects, s.incarnations()...)
 	return true
 }
 
@@ -96,7 +94,7 @@
 // clearPart clears a part of the crashes before the answered run was sent: what crashes each server that begins to
 // answer it had not been answered.
 func (c ClearSuspect) clearPart(suspects map[string]Suspect, s Suspect) bool {
-	n := len(s.Runs)
+	n, incarnations := len(s.Runs), s.incarnations()
 	s.Runs = slices.DeleteFunc(slices.Clone(s.Runs), func(r CrashedRun) bool {
 		return c.Granted || r.EndMillis+clockTolerance.Milliseconds() <= c.SentMillis
 	})
@@ -108,6 +106,8 @@
 	s.Attributed, s.Inseparable, s.Retries, s.RetryMillis = false, false, 0, 0
 	suspects[s.Fingerprint] = s
 	attributeParts(suspects)
+	// The part no longer explains the crashes of a request that holds it.
+	attribute(suspects, incarnations...)
 	return true
 }
 
--- a/internal/blackboard/part_attribution.go
+++ b/internal/blackboard/part_attribution.go
@@ -60,12 +60,15 @@
 }
 
 func (a partAttribution) isCause(c partCandidate, isInseparable bool) bool {
+	if isCoveredByRequest(a.suspects, c.Suspect) {
+		return false
+	}
 	left := c.runsBeside(a.explained)
 	if c.staysAttributed(left) {
 		return true
 	}
 	left = withoutOtherRequests(a.requests, c.Suspect, left)
-	return hasPartEvidence(a.suspects, c, left, isInseparable) && !isCoveredByRequest(a.suspects, c.Suspect)
+	return hasPartEvidence(a.suspects, c, left, isInseparable)
 }
 
 // partCandidates returns the parts with minPartRuns crashes or more, the likeliest cause first, and of equally
--- a/internal/blackboard/part_attribution_test.go
+++ b/internal/blackboard/part_attribution_test.go
@@ -373,3 +373,40 @@
 		assert.NilError(b, err)
 	}
 }
+
+// reportRequest reports a crash that ended one request with a part, the same request each time.
+func (c *crashBoard) reportRequest(crash partCrash, request, part string) {
+	c.t.Helper()
+	c.board, _ = verdict(c.t, c.board, &ReportCrash{
+		Fingerprints: []string{request}, SentMillis: []int64{crash.sent}, Incarnation: crash.incarnation, Pool: "pool", NowMillis: crash.end,
+		Parts: []RunningPart{{Fingerprint: "part " + part, Name: part, Workspaces: []string{"w"}, SentMillis: crash.sent, Unanswered: true}},
+	})
+}
+
+// Guards against a request that is sent on after a part of its prompt was held for its crashes and has been answered
+// under another request.
+func TestRequestIsBlamedOnceItsPartIsCleared(t *testing.T) {
+	c := newCrashBoard(t)
+	for n := range certainPartCrashes {
+		// The report of another entry about the part comes before that about the request.
+		c.reportParts(nthCrash(n), "x")
+		c.reportRequest(nthCrash(n), "cause", "x")
+	}
+	c.answerPart("x", int64(1000*certainPartCrashes))
+	assert.Assert(t, !c.isPartRefused("x"))
+	assert.Assert(t, c.isAttributed("cause"))
+}
+
+// Guards against a part that stays refused, and the request that holds it is not, when it turns out that the request
+// was running in all of the part's crashes.
+func TestPartIsReleasedOnceARequestExplainsItsCrashes(t *testing.T) {
+	c := newCrashBoard(t)
+	for n := range attributedCrashes - 1 {
+		c.reportRequest(nthCrash(n), "cause", "x")
+	}
+	c.reportParts(nthCrash(attributedCrashes-1), "x")
+	assert.Assert(t, c.isPartRefused("x"), "the request was not in the last one")
+	c.reportRequest(nthCrash(attributedCrashes-1), "cause", "x")
+	assert.Assert(t, c.isAttributed("cause"))
+	assert.Assert(t, !c.isPartRefused("x"))
+}
--- a/internal/blackboard/prompt_part.go
+++ b/internal/blackboard/prompt_part.go
@@ -132,10 +132,7 @@
 
 // runSet identifies the set of crashed servers that a suspect was running on.
 func (s Suspect) runSet() string {
-	incarnations := make([]string, len(s.Runs))
-	for i, r := range s.Runs {
-		incarnations[i] = r.Incarnation
-	}
+	incarnations := s.incarnations()
 	slices.Sort(incarnations)
 	return strings.Join(incarnations, " ")
 }
--- a/internal/blackboard/suspect.go
+++ b/internal/blackboard/suspect.go
@@ -224,6 +224,15 @@
 	return first
 }
 
+// incarnations returns the incarnations whose crashes ended runs of the suspect.
+func (s Suspect) incarnations() []string {
+	incarnations := make([]string, len(s.Runs))
+	for i, r := range s.Runs {
+		incarnations[i] = r.Incarnation
+	}
+	return incarnations
+}
+
 // hasOnlySilentRuns reports whether entries were silent about each of the crashes.
 func (s Suspect) hasOnlySilentRuns() bool {
 	return !slices.ContainsFunc(s.Runs, func(r CrashedRun) bool { return !r.HasSilentEntries })
