Crashes that are reported together are attributed once

Cause: an entry that reaches the leader again writes its reports of minutes as one batch, dozens of entries at once. Each report went through the whole table of up to 4,096 suspects several times: to remove runs after the crash, to attribute parts and requests, to look for another suspect that was in all the same crashes (for each of the requests of the crash), to keep within the limits. That is done on the leader, on each control process and on each entry.

Change: reports that follow one another in a batch, or in what an entry knows beside the board, are recorded one by one and attributed together (crashAttribution). A suspect in all crashes of another one is looked for among those that were running there, and the unexplained crashes are counted once. What explains a part is looked for among requests without an answer in several crashes. The result for single reports is the same: TestBlameByRateOfCrashesAndLengthOfRuns gives the same counts, line by line.

A batch decides by its end state what was decided after each report: with control processes of several versions, rows of suspects may differ until the next crash.

--- a/internal/blackboard/attribution.go
+++ b/internal/blackboard/attribution.go
@@ -25,18 +25,40 @@
 	return n
 }
 
-// attribute decides again which of the suspects that were running on one of some crashed incarnations the
+// attributor decides again what crashes are attributed to after one change of a table of suspects.
+type attributor struct {
+	suspects map[string]Suspect
+	// unexplained is the result of unexplainedCrashes; nil until it is needed and once an attribution has changed.
+	unexplained map[string]*unexplainedCrash
+}
+
+// unexplainedCrashes returns the crashes that are attributed to no suspect.
+func (a *attributor) unexplainedCrashes() map[string]*unexplainedCrash {
+	if a.unexplained == nil {
+		a.unexplained = unexplainedCrashes(a.suspects)
+	}
+	return a.unexplained
+}
+
+// set replaces the row of a suspect whose attribution has changed.
+func (a *attributor) set(s Suspect) {
+	a.suspects[s.Fingerprint] = s
+	a.unexplained = nil
+}
+
+// attributeRequests decides again which of the requests that were running on one of some crashed incarnations the
 // crashes are attributed to.
 //
 // Failure: requests that a crash cuts are sent to another group at once, where the request that
 // causes the crashes may follow. After three crashes some of them have been in all three by
 // chance. They differ from the cause in the crashes of which they were in no part, so a suspect
 // is blamed once no other one was in all of its crashes.
-func attribute(suspects map[string]Suspect, incarnations ...string) {
+func (a *attributor) attributeRequests(incarnations map[string]bool) {
+	together := requestsOn(a.suspects, incarnations)
 	var candidates []string
-	for f, s := range suspects {
-		if s.Kind == CauseRequest && s.Crashes >= isolatedCrashes && slices.ContainsFunc(incarnations, s.wasRunningOn) {
-			candidates = append(candidates, f)
+	for _, s := range together {
+		if s.Crashes >= isolatedCrashes {
+			candidates = append(candidates, s.Fingerprint)
 		}
 	}
 	if len(candidates) == 0 {
@@ -44,28 +66,39 @@
 	}
 	// The order matters, as attributed crashes count as explained.
 	slices.Sort(candidates)
-	unexplained, parts := unexplainedCrashes(suspects), attributedSuspects(suspects, CausePart)
+	parts := attributedSuspects(a.suspects, CausePart)
 	for _, f := range candidates {
-		s := suspects[f]
-		isAttributed := !isExplainedByPart(parts, s) && isCause(suspects, unexplained, s)
+		s := a.suspects[f]
+		covering := coveringSuspect(together, s)
+		isAttributed := !isExplainedByPart(parts, s) && isCause(a.unexplainedCrashes(), s, covering)
 		if isAttributed != s.Attributed {
-			s.Attributed, s.Doubtful = isAttributed, isAttributed && coveringSuspect(suspects, s) != ""
-			suspects[f] = s
-			unexplained = unexplainedCrashes(suspects)
+			s.Attributed, s.Doubtful = isAttributed, isAttributed && covering.Fingerprint != ""
+			a.set(s)
 		}
 	}
 }
 
-// reviewAttributed looks again at the suspects of a pool that crashes are attributed to: whether these crashes may be
+// requestsOn returns the requests that were running on one of some crashed incarnations.
+func requestsOn(suspects map[string]Suspect, incarnations map[string]bool) []Suspect {
+	var requests []Suspect
+	for _, s := range suspects {
+		if s.Kind == CauseRequest && s.wasRunningOnAny(incarnations) {
+			requests = append(requests, s)
+		}
+	}
+	return requests
+}
+
+// reviewRequests looks again at the suspects of a pool that crashes are attributed to: whether these crashes may be
 // chance, as far as it is known by now how often servers crash by themselves, and whether another cause explains them.
 //
 // Failure: servers begin to crash one after the other. The first request that was running in three crashes is
 // refused for a minute, although dozens of servers crash without it meanwhile.
 // Failure: a request is refused together with one that it could not be told from, and still is when the other one
 // has crashed further servers without it.
-func reviewAttributed(suspects map[string]Suspect, pool string) {
+func (a *attributor) reviewRequests(pool string) {
 	var attributed []Suspect
-	for _, s := range suspects {
+	for _, s := range a.suspects {
 		if s.Kind == CauseRequest && s.IsAttributed() && len(s.Runs) > 0 && s.Runs[0].Pool == pool {
 			attributed = append(attributed, s)
 		}
@@ -73,7 +106,7 @@
 	if len(attributed) == 0 {
 		return
 	}
-	unexplained := unexplainedCrashes(suspects)
+	unexplained := a.unexplainedCrashes()
 	for _, s := range attributed {
 		isExplained := slices.ContainsFunc(attributed, s.isExplainedBy)
 		switch {
@@ -84,7 +117,7 @@
 		default:
 			s.Doubtful = true
 		}
-		suspects[s.Fingerprint] = s
+		a.set(s)
 	}
 }
 
@@ -101,8 +134,9 @@
 
 // isCause reports whether a request's crashes are attributed to it. One that ran alone in a crash needs
 // fewer, and no comparison with others. Several that were always running together are refused together: after some
-// crashes, or at once while entries are silent, as those may have seen more of them.
-func isCause(suspects map[string]Suspect, unexplained map[string]unexplainedCrash, s Suspect) bool {
+// crashes, or at once while entries are silent, as those may have seen more of them. covering is another request that
+// was running in all its crashes; without a fingerprint if there is none.
+func isCause(unexplained map[string]*unexplainedCrash, s, covering Suspect) bool {
 	needed := neededCrashes(unexplained, s)
 	if s.Alone > 0 && s.Crashes >= neededCrashesAlone(unexplained, s) {
 		return true
@@ -110,11 +144,10 @@
 	if s.Crashes < needed {
 		return false
 	}
-	covering := coveringSuspect(suspects, s)
-	if covering == "" {
+	if covering.Fingerprint == "" {
 		return true
 	}
-	isLessLikely := s.Answers > 0 && suspects[covering].Answers == 0
+	isLessLikely := s.Answers > 0 && covering.Answers == 0
 	return !isLessLikely && (s.Crashes >= inseparableCrashes || s.hasSilentRuns())
 }
 
@@ -128,7 +161,7 @@
 // Failure: half of the entries reach backend servers and nobody else. A request crashes servers through them that
 // nobody else knows of, and servers that it shares with others, which seem to crash without it. The entries that are
 // in touch have three sends of it left between them before they know of any crash.
-func neededCrashes(unexplained map[string]unexplainedCrash, s Suspect) int {
+func neededCrashes(unexplained map[string]*unexplainedCrash, s Suspect) int {
 	if s.hasOnlySilentRuns() {
 		return attributedCrashes - 1
 	}
@@ -143,13 +176,13 @@
 }
 
 // neededCrashesAlone returns the same for a suspect that ran alone in one of the crashes.
-func neededCrashesAlone(unexplained map[string]unexplainedCrash, s Suspect) int {
+func neededCrashesAlone(unexplained map[string]*unexplainedCrash, s Suspect) int {
 	beyondChance := crashesBeyondChance(chanceOfCrash(unexplained, s), isolatedCrashes)
 	return max(beyondChance, neededCrashes(unexplained, s)+isolatedCrashes-attributedCrashes)
 }
 
 // hasCrashesBeside reports whether servers of the suspect's pool have crashed without it since its first run.
-func hasCrashesBeside(unexplained map[string]unexplainedCrash, s Suspect) bool {
+func hasCrashesBeside(unexplained map[string]*unexplainedCrash, s Suspect) bool {
 	first, pool := s.firstSentMillis(), s.Runs[0].Pool
 	for incarnation, last := range unexplained {
 		if last.Pool == pool && last.EndMillis >= first && !last.HasSilentEntries && !s.wasRunningOn(incarnation) {
@@ -159,21 +192,18 @@
 	return false
 }
 
-// coveringSuspect returns another request that was running in all crashes of s and is not cleared, or "".
-// One that was never answered comes first. One that was answered does not cover one that was not: it is
-// less likely to be the cause.
-func coveringSuspect(suspects map[string]Suspect, s Suspect) string {
-	best := ""
-	for f, other := range suspects {
-		if other.Kind != CauseRequest {
-			continue
-		}
+// coveringSuspect returns the one of some requests that was running in all crashes of s and is not cleared; one without
+// a fingerprint if there is none. One that was never answered comes first. One that was answered does not cover one that
+// was not: it is less likely to be the cause.
+func coveringSuspect(requests []Suspect, s Suspect) Suspect {
+	best := Suspect{}
+	for _, other := range requests {
 		isLessLikely := other.isCleared() || (other.Answers > 0 && s.Answers == 0)
-		if f == s.Fingerprint || isLessLikely || !other.wasRunningInAllOf(s) {
+		if other.Fingerprint == s.Fingerprint || isLessLikely || !other.wasRunningInAllOf(s) {
 			continue
 		}
-		if best == "" || comesFirst(other, suspects[best]) {
-			best = f
+		if best.Fingerprint == "" || comesFirst(other, best) {
+			best = other
 		}
 	}
 	return best
@@ -205,7 +235,7 @@
 }
 
 // crashesNeeded returns how many crashes are attributed to a suspect of any kind.
-func crashesNeeded(unexplained map[string]unexplainedCrash, s Suspect) int {
+func crashesNeeded(unexplained map[string]*unexplainedCrash, s Suspect) int {
 	if s.Kind == CausePart && s.MayBeAnswered() {
 		return certainPartCrashes
 	}
@@ -216,6 +246,12 @@
 // in an earlier table.
 func (b *Board) Attributions(before map[string]Suspect) map[string]Attribution {
 	unexplained := unexplainedCrashes(b.Suspects)
+	var requests []Suspect
+	for _, s := range b.Suspects {
+		if s.Kind == CauseRequest && len(s.Runs) > 1 {
+			requests = append(requests, s)
+		}
+	}
 	changed := make(map[string]Attribution)
 	for f, s := range b.Suspects {
 		if len(s.Runs) < 2 || s.equal(before[f]) {
@@ -224,7 +260,7 @@
 		changed[f] = Attribution{
 			Cause: s, Runs: len(s.Runs), Crashes: s.Crashes, Answers: s.Answers, Needed: crashesNeeded(unexplained, s),
 			Chance:    chanceOfCrash(unexplained, s),
-			CoveredBy: coveringSuspect(b.Suspects, s), IsAttributed: s.IsAttributed(),
+			CoveredBy: coveringSuspect(requests, s).Fingerprint, IsAttributed: s.IsAttributed(),
 		}
 	}
 	return changed
--- a/internal/blackboard/batch.go
+++ b/internal/blackboard/batch.go
@@ -55,16 +55,25 @@
 }
 
 // applyAll applies the commands in order with the given apply function. A refused command
-// changes nothing.
+// changes nothing. Crashes that are reported one after the other are attributed together.
 func (c Batch) applyAll(d *draft, apply func(*draft, Command) (any, bool)) (refusal any, changed bool) {
 	refusal = Verdict{Reason: "empty batch"}
+	var crashes crashAttribution
+	defer func() { crashes.attribute(d.Suspects) }()
 	for _, encoded := range c.Commands {
 		command, err := decodeCommand(encoded)
 		if err != nil {
 			refusal = Verdict{Reason: err.Error()}
 			continue
 		}
-		result, didChange := apply(d, command)
+		var result any
+		var didChange bool
+		if report, ok := command.(*ReportCrash); ok {
+			result, didChange = report.applyTo(d, &crashes)
+		} else {
+			crashes.attribute(d.Suspects)
+			result, didChange = apply(d, command)
+		}
 		if !didChange {
 			refusal = result
 			continue
--- a/internal/blackboard/clear_suspect.go
+++ b/internal/blackboard/clear_suspect.go
@@ -65,7 +65,8 @@
 		return true
 	}
 	// The request no longer hides another one that was in the same crashes.
-	attribute(suspects, s.incarnations()...)
+	a := attributor{suspects: suspects}
+	a.attributeRequests(s.incarnations())
 	return true
 }
 
@@ -105,9 +106,10 @@
 	s.AnsweredBefore, s.AnsweredMillis = true, max(s.AnsweredMillis, c.SentMillis)
 	s.Attributed, s.Inseparable, s.Retries, s.RetryMillis = false, false, 0, 0
 	suspects[s.Fingerprint] = s
-	attributeParts(suspects)
+	a := attributor{suspects: suspects}
+	a.attributeParts()
 	// The part no longer explains the crashes of a request that holds it.
-	attribute(suspects, incarnations...)
+	a.attributeRequests(incarnations)
 	return true
 }
 
--- a/internal/blackboard/crash_chance.go
+++ b/internal/blackboard/crash_chance.go
@@ -22,7 +22,7 @@
 }
 
 // unexplainedCrashes returns the crashes that are attributed to no suspect, by incarnation.
-func unexplainedCrashes(suspects map[string]Suspect) map[string]unexplainedCrash {
+func unexplainedCrashes(suspects map[string]Suspect) map[string]*unexplainedCrash {
 	explained := make(map[string]bool)
 	for _, s := range suspects {
 		if !s.IsAttributed() {
@@ -32,29 +32,41 @@
 			explained[r.Incarnation] = true
 		}
 	}
-	unexplained := make(map[string]unexplainedCrash)
+	unexplained := make(map[string]*unexplainedCrash)
 	for _, s := range suspects {
 		isRepeated := s.Kind == CauseRequest && len(s.Runs) > 1 && s.Answers == 0
 		for _, r := range s.Runs {
 			if explained[r.Incarnation] {
 				continue
 			}
-			crash, ok := unexplained[r.Incarnation]
-			if !ok || r.EndMillis > crash.EndMillis {
+			crash := unexplained[r.Incarnation]
+			if crash == nil {
+				crash = &unexplainedCrash{CrashedRun: r}
+				unexplained[r.Incarnation] = crash
+			}
+			if crash.isReplacedBy(r) {
 				crash.CrashedRun = r
 			}
 			crash.isRepeated = crash.isRepeated || isRepeated
-			unexplained[r.Incarnation] = crash
 		}
 	}
 	return unexplained
 }
 
+// isReplacedBy reports whether a run ended later, or at the same time with entries that told of it: the result must not
+// depend on the order of the runs.
+func (c *unexplainedCrash) isReplacedBy(r CrashedRun) bool {
+	if r.EndMillis != c.EndMillis {
+		return r.EndMillis > c.EndMillis
+	}
+	return c.HasSilentEntries && !r.HasSilentEntries
+}
+
 // chanceOfCrash returns how likely a run of a suspect is to be ended by a backend server of its pool that crashes by
 // itself: by the rate of such crashes from chanceWindow before its first run until now, the number of servers that were busy,
 // as a crash of an idle one is not seen, and how long its runs are, which end halfway on average if a crash has nothing
 // to do with them. It is 0 if reports do not tell the number of servers.
-func chanceOfCrash(unexplained map[string]unexplainedCrash, s Suspect) float64 {
+func chanceOfCrash(unexplained map[string]*unexplainedCrash, s Suspect) float64 {
 	if len(s.Runs) == 0 {
 		return 0
 	}
--- a/internal/blackboard/crash_report.go
+++ b/internal/blackboard/crash_report.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math"
 	"reflect"
 	"slices"
 	"time"
@@ -95,9 +94,16 @@
 // One that it shows already changes nothing.
 func ChangeSuspects(suspects map[string]Suspect, changes []SuspectChange) map[string]Suspect {
 	next := cloneMap(suspects)
+	var crashes crashAttribution
 	for _, c := range changes {
+		if report, ok := c.(*ReportCrash); ok {
+			crashes.record(next, report)
+			continue
+		}
+		crashes.attribute(next)
 		c.changeSuspects(next)
 	}
+	crashes.attribute(next)
 	return next
 }
 
@@ -108,17 +114,33 @@
 }
 
 func (c ReportCrash) apply(d *draft) (any, bool) {
+	var crashes crashAttribution
+	result, changed := c.applyTo(d, &crashes)
+	crashes.attribute(d.Suspects)
+	return result, changed
+}
+
+// applyTo records the crash in a draft, to be attributed with the others of crashes.
+func (c ReportCrash) applyTo(d *draft, crashes *crashAttribution) (any, bool) {
 	if c.IsIn(d.Suspects) {
 		return refused("counted already")
 	}
 	d.cloneSuspectsOnce()
-	if !c.changeSuspects(d.Suspects) {
+	if !crashes.record(d.Suspects, &c) {
 		return refused("counted already")
 	}
 	return applied()
 }
 
 func (c ReportCrash) changeSuspects(suspects map[string]Suspect) bool {
+	var crashes crashAttribution
+	changed := crashes.record(suspects, &c)
+	crashes.attribute(suspects)
+	return changed
+}
+
+// recordRuns adds the runs that the crash ended and reports whether any was not known yet.
+func (c ReportCrash) recordRuns(suspects map[string]Suspect) bool {
 	changed := false
 	for i, f := range c.Fingerprints {
 		s, added := suspects[f].withRun(c.run(i), c.Alone)
@@ -134,16 +156,6 @@
 		suspects[p.Fingerprint] = s
 		changed = changed || added
 	}
-	if changed {
-		removeRunsAfterCrash(suspects, c.Incarnation)
-		if len(c.Parts) > 0 {
-			attributeParts(suspects)
-		}
-		attribute(suspects, c.Incarnation)
-		reviewAttributed(suspects, c.Pool)
-		removeLeastOf(suspects, CauseRequest, maxSuspects)
-		removeLeastOf(suspects, CausePart, maxParts)
-	}
 	return changed
 }
 
@@ -161,25 +173,6 @@
 	}
 }
 
-// removeRunsAfterCrash removes the runs that were sent to a crashed incarnation after the first of
-// its runs had ended. Such a run met the crashed server: a proxy before it accepts connections and
-// closes them.
-func removeRunsAfterCrash(suspects map[string]Suspect, incarnation string) {
-	crash := int64(math.MaxInt64)
-	for _, s := range suspects {
-		for _, r := range s.Runs {
-			if r.Incarnation == incarnation {
-				crash = min(crash, r.EndMillis)
-			}
-		}
-	}
-	for f, s := range suspects {
-		if s.wasRunningOn(incarnation) {
-			suspects[f] = s.withoutRunsAfter(crash, incarnation)
-		}
-	}
-}
-
 // removeLeastOf removes the least suspects of a kind that has more than limit: those without attributed
 // crashes before others, then those whose last crash is the oldest. Parts with few crashes go first.
 func removeLeastOf(suspects map[string]Suspect, kind CauseKind, limit int) {
--- a/internal/blackboard/part_attribution.go
+++ b/internal/blackboard/part_attribution.go
@@ -20,55 +20,59 @@
 // that most requests begin with are running in nearly all of these crashes too. They differ from the cause in
 // that requests with them were answered before, and are answered meanwhile, which clears them. So a part that was
 // never answered comes first, and another one is held only for the crashes that no likelier one was running in.
-func attributeParts(suspects map[string]Suspect) {
-	a := partAttribution{
-		suspects: suspects, requests: attributedSuspects(suspects, CauseRequest), explained: make(map[string]bool),
+func (a *attributor) attributeParts() {
+	candidates := partCandidates(a.suspects)
+	if len(candidates) == 0 {
+		return
+	}
+	p := partAttribution{
+		attributor: a, attributed: attributedSuspects(a.suspects, CauseRequest), unanswered: unansweredRequests(a.suspects),
+		explained: make(map[string]bool),
 	}
-	candidates := partCandidates(suspects)
 	for len(candidates) > 0 {
 		n := 1
 		for n < len(candidates) && candidates[n].isInseparableFrom(candidates[0]) {
 			n++
 		}
-		a.decide(candidates[:n])
+		p.decide(candidates[:n])
 		candidates = candidates[n:]
 	}
 }
 
 // partAttribution is one pass over the parts, from the likeliest cause on.
 type partAttribution struct {
-	suspects map[string]Suspect
-	// requests holds the requests that crashes are attributed to.
-	requests []Suspect
+	*attributor
+	// attributed holds the requests that crashes are attributed to, unanswered those that may explain a part.
+	attributed, unanswered []Suspect
 	// explained holds the incarnations whose crashes a likelier part explains.
 	explained map[string]bool
 }
 
 // decide decides whether crashes are attributed to a part, or to several that can't be told from one another.
-func (a partAttribution) decide(inseparable []partCandidate) {
+func (p partAttribution) decide(inseparable []partCandidate) {
 	for _, c := range inseparable {
-		isAttributed := a.isCause(c, len(inseparable) > 1)
+		isAttributed := p.isCause(c, len(inseparable) > 1)
 		isInseparable := isAttributed && len(inseparable) > 1
 		if s := c.Suspect; s.Attributed != isAttributed || s.Inseparable != isInseparable {
 			s.Attributed, s.Inseparable = isAttributed, isInseparable
-			a.suspects[s.Fingerprint] = s
+			p.set(s)
 		}
 	}
 	for _, r := range inseparable[0].Runs {
-		a.explained[r.Incarnation] = true
+		p.explained[r.Incarnation] = true
 	}
 }
 
-func (a partAttribution) isCause(c partCandidate, isInseparable bool) bool {
-	if isCoveredByRequest(a.suspects, c.Suspect) {
+func (p partAttribution) isCause(c partCandidate, isInseparable bool) bool {
+	if isExplainedByRequest(p.unanswered, c.Suspect) {
 		return false
 	}
-	left := c.runsBeside(a.explained)
+	left := c.runsBeside(p.explained)
 	if c.staysAttributed(left) {
 		return true
 	}
-	left = withoutOtherRequests(a.requests, c.Suspect, left)
-	return hasPartEvidence(a.suspects, c, left, isInseparable)
+	left = withoutOtherRequests(p.attributed, c.Suspect, left)
+	return p.hasEvidence(c, left, isInseparable)
 }
 
 // partCandidates returns the parts with minPartRuns crashes or more, the likeliest cause first, and of equally
@@ -112,18 +116,18 @@
 	return c.Attributed && (!c.Inseparable || len(left) > 0)
 }
 
-// hasPartEvidence reports whether the crashes in left suffice to attribute them to a part.
-func hasPartEvidence(suspects map[string]Suspect, c partCandidate, left []CrashedRun, isInseparable bool) bool {
+// hasEvidence reports whether the crashes in left suffice to attribute them to a part.
+func (p partAttribution) hasEvidence(c partCandidate, left []CrashedRun, isInseparable bool) bool {
 	n := successiveRunsAnywhere(left)
 	isCertain := len(left) >= certainPartCrashes
 	if c.MayBeAnswered() {
 		hasCrashesInTurn := n >= attributedCrashes || !c.AnsweredBefore
-		return isCertain && hasCrashesInTurn && (isAnotherAnswered(suspects, c.Suspect) || isUnansweredForLong(left))
+		return isCertain && hasCrashesInTurn && (isAnotherAnswered(p.suspects, c.Suspect) || isUnansweredForLong(left))
 	}
 	if n < minPartRuns && !isCertain {
 		return false
 	}
-	unexplained := unexplainedCrashes(suspects)
+	unexplained := p.unexplainedCrashes()
 	if isCertain && (n >= attributedCrashes || !hasCrashesBeside(unexplained, c.Suspect)) {
 		return true
 	}
@@ -175,15 +179,22 @@
 	return last-first >= unansweredSpan.Milliseconds() && successiveRunsAnywhere(runs) >= certainPartCrashes
 }
 
-// isCoveredByRequest reports whether one request that is not answered was running in all crashes of a part: then
-// it is the request that is held for them.
-func isCoveredByRequest(suspects map[string]Suspect, part Suspect) bool {
+// unansweredRequests returns the requests without an answer that were running in as many crashes as a part that may be
+// a cause.
+func unansweredRequests(suspects map[string]Suspect) []Suspect {
+	var requests []Suspect
 	for _, s := range suspects {
-		if s.Kind == CauseRequest && s.Answers == 0 && s.wasRunningInAllOf(part) {
-			return true
+		if s.Kind == CauseRequest && s.Answers == 0 && len(s.Runs) >= minPartRuns {
+			requests = append(requests, s)
 		}
 	}
-	return false
+	return requests
+}
+
+// isExplainedByRequest reports whether one request was running in all crashes of a part: then it is the request that
+// is held for them.
+func isExplainedByRequest(requests []Suspect, part Suspect) bool {
+	return slices.ContainsFunc(requests, func(s Suspect) bool { return s.wasRunningInAllOf(part) })
 }
 
 // attributedSuspects returns the suspects of a kind that crashes are attributed to.
--- a/internal/blackboard/prompt_part.go
+++ b/internal/blackboard/prompt_part.go
@@ -1,6 +1,7 @@
 package blackboard
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -132,7 +133,5 @@
 
 // runSet identifies the set of crashed servers that a suspect was running on.
 func (s Suspect) runSet() string {
-	incarnations := s.incarnations()
-	slices.Sort(incarnations)
-	return strings.Join(incarnations, " ")
+	return strings.Join(slices.Sorted(maps.Keys(s.incarnations())), " ")
 }
--- a/internal/blackboard/suspect.go
+++ b/internal/blackboard/suspect.go
@@ -193,17 +193,19 @@
 	return s, true
 }
 
-// withoutRunsAfter returns the suspect without a run on a crashed incarnation that was sent after
-// the crash.
-func (s Suspect) withoutRunsAfter(crash int64, incarnation string) Suspect {
+// withoutRunsAfter returns the suspect without the runs on crashed incarnations that were sent after the crash, and
+// whether there were any. crashes holds the time of the crash by incarnation.
+func (s Suspect) withoutRunsAfter(crashes map[string]int64) (Suspect, bool) {
 	isAfter := func(r CrashedRun) bool {
-		return r.Incarnation == incarnation && r.SentMillis > crash+clockTolerance.Milliseconds()
+		crash, ok := crashes[r.Incarnation]
+		return ok && r.SentMillis > crash+clockTolerance.Milliseconds()
 	}
-	if slices.ContainsFunc(s.Runs, isAfter) {
-		s.Runs = slices.DeleteFunc(slices.Clone(s.Runs), isAfter)
-		s.Crashes = successiveRuns(s.Runs)
+	if !slices.ContainsFunc(s.Runs, isAfter) {
+		return s, false
 	}
-	return s
+	s.Runs = slices.DeleteFunc(slices.Clone(s.Runs), isAfter)
+	s.Crashes = successiveRuns(s.Runs)
+	return s, true
 }
 
 func (s Suspect) equal(other Suspect) bool {
@@ -224,15 +226,20 @@
 	return first
 }
 
-// incarnations returns the incarnations whose crashes ended runs of the suspect.
-func (s Suspect) incarnations() []string {
-	incarnations := make([]string, len(s.Runs))
-	for i, r := range s.Runs {
-		incarnations[i] = r.Incarnation
+// incarnations returns the set of incarnations whose crashes ended runs of the suspect.
+func (s Suspect) incarnations() map[string]bool {
+	incarnations := make(map[string]bool, len(s.Runs))
+	for _, r := range s.Runs {
+		incarnations[r.Incarnation] = true
 	}
 	return incarnations
 }
 
+// wasRunningOnAny reports whether the suspect was running on one of some crashed incarnations.
+func (s Suspect) wasRunningOnAny(incarnations map[string]bool) bool {
+	return slices.ContainsFunc(s.Runs, func(r CrashedRun) bool { return incarnations[r.Incarnation] })
+}
+
 // hasOnlySilentRuns reports whether entries were silent about each of the crashes.
 func (s Suspect) hasOnlySilentRuns() bool {
 	return !slices.ContainsFunc(s.Runs, func(r CrashedRun) bool { return !r.HasSilentEntries })
@@ -249,6 +256,9 @@
 
 // wasRunningInAllOf reports whether each crash of another suspect also ended a run of this one.
 func (s Suspect) wasRunningInAllOf(other Suspect) bool {
+	if len(s.Runs) < len(other.Runs) {
+		return false
+	}
 	for _, r := range other.Runs {
 		if !s.wasRunningOn(r.Incarnation) {
 			return false
--- a/internal/blackboard/suspect_test.go
+++ b/internal/blackboard/suspect_test.go
@@ -504,3 +504,45 @@
 	assert.Assert(t, c.isAttributed("cause"))
 	assert.Assert(t, !c.isAttributed("beside"), "the other one explains both")
 }
+
+// reportsAfterCut returns the reports that an entry writes once it reaches the leader again: of crashes each of which
+// ended a dozen requests with parts of prompts.
+func reportsAfterCut(entry, crashes int) []Command {
+	var reports []Command
+	for i := range crashes {
+		end := int64(1000*i + 900)
+		r := &ReportCrash{Incarnation: fmt.Sprint("server-", i), Pool: "m", NowMillis: end, BusyTargets: 8, HasSilentEntries: true}
+		for k := range 12 {
+			f := fmt.Sprintf("%d-%d-%d", entry, i, k)
+			if k < 4 {
+				f = fmt.Sprintf("%d-again-%d", entry, (i+k)%20)
+			}
+			r.Fingerprints, r.SentMillis = append(r.Fingerprints, f), append(r.SentMillis, end-500)
+			name := fmt.Sprint("part-", (i+k)%40)
+			r.Parts = append(r.Parts, RunningPart{Fingerprint: name, Name: name, Workspaces: []string{"w"}, SentMillis: end - 500, Unanswered: k%2 == 0, Answered: k%2 == 1})
+		}
+		reports = append(reports, r)
+	}
+	return reports
+}
+
+// A batch as an entry writes it that was cut off while servers crashed, on a table of a thousand suspects.
+func BenchmarkReportsAfterACut(b *testing.B) {
+	board := New()
+	apply := func(commands []Command) *Board {
+		batch, err := NewBatch(commands)
+		assert.NilError(b, err)
+		encoded, err := Encode(batch)
+		assert.NilError(b, err)
+		next, _, err := board.Apply(encoded)
+		assert.NilError(b, err)
+		return next
+	}
+	for entry := range 3 {
+		board = apply(reportsAfterCut(entry, 40))
+	}
+	batch := reportsAfterCut(9, 40)
+	for b.Loop() {
+		apply(batch)
+	}
+}
