An answer that clears nothing costs an entry no copy of its table of suspects

An entry that can't write goes by the answers that it has seen itself. Each answer to a request with a part copied the whole table, up to 4,096 rows, and ran the attribution, also when the part had no crash left that the answer could clear, as all but the first one. Such answers are told first now (ClearSuspect.IsIn, as ReportCrash.IsIn), on the leader as well. Suspects beyond the limit of their kind are looked for only if there are any: requests and parts together were compared with the limit of one kind, so that the table was sorted for each crash.

--- a/internal/blackboard/clear_suspect.go
+++ b/internal/blackboard/clear_suspect.go
@@ -31,29 +31,47 @@
 	return c
 }
 
+// IsIn reports whether the command changes nothing in a table.
+func (c ClearSuspect) IsIn(suspects map[string]Suspect) bool {
+	s, ok := suspects[c.Fingerprint]
+	switch {
+	case !ok:
+		return true
+	case c.Answers == 0:
+		return false
+	case s.Kind == CausePart:
+		return !slices.ContainsFunc(s.Runs, c.clearsRun)
+	}
+	return !s.NeedsAnswers()
+}
+
+// clearsRun reports whether an answer to a part clears it of a crash: what crashes each server that begins to answer it
+// had not been answered later.
+func (c ClearSuspect) clearsRun(r CrashedRun) bool {
+	return c.Granted || r.EndMillis+clockTolerance.Milliseconds() <= c.SentMillis
+}
+
 func (c ClearSuspect) apply(d *draft) (any, bool) {
-	if _, ok := d.Suspects[c.Fingerprint]; !ok {
+	if c.IsIn(d.Suspects) {
 		return refused("no suspect")
 	}
 	d.cloneSuspectsOnce()
-	if !c.changeSuspects(d.Suspects) {
-		return refused("no suspect")
-	}
+	c.changeSuspects(d.Suspects)
 	return applied()
 }
 
 func (c ClearSuspect) changeSuspects(suspects map[string]Suspect) bool {
-	s, ok := suspects[c.Fingerprint]
-	switch {
-	case !ok:
+	if c.IsIn(suspects) {
 		return false
+	}
+	s := suspects[c.Fingerprint]
+	switch {
 	case c.Answers == 0:
 		delete(suspects, c.Fingerprint)
 		return true
 	case s.Kind == CausePart:
-		return c.clearPart(suspects, s)
-	case !s.NeedsAnswers():
-		return false
+		c.clearPart(suspects, s)
+		return true
 	}
 	wasCleared, wasAnswered := s.isCleared(), s.Answers > 0
 	s.Answers = min(s.Answers+c.Answers, s.maxAnswers())
@@ -92,16 +110,10 @@
 	}
 }
 
-// clearPart clears a part of the crashes before the answered run was sent: what crashes each server that begins to
-// answer it had not been answered.
-func (c ClearSuspect) clearPart(suspects map[string]Suspect, s Suspect) bool {
-	n, incarnations := len(s.Runs), s.incarnations()
-	s.Runs = slices.DeleteFunc(slices.Clone(s.Runs), func(r CrashedRun) bool {
-		return c.Granted || r.EndMillis+clockTolerance.Milliseconds() <= c.SentMillis
-	})
-	if len(s.Runs) == n {
-		return false
-	}
+// clearPart clears a part of the crashes before the answered run was sent.
+func (c ClearSuspect) clearPart(suspects map[string]Suspect, s Suspect) {
+	incarnations := s.incarnations()
+	s.Runs = slices.DeleteFunc(slices.Clone(s.Runs), c.clearsRun)
 	s.Crashes = successiveRuns(s.Runs)
 	s.AnsweredBefore, s.AnsweredMillis = true, max(s.AnsweredMillis, c.SentMillis)
 	s.Attributed, s.Inseparable, s.Retries, s.RetryMillis = false, false, 0, 0
@@ -110,7 +122,6 @@
 	a.attributeParts()
 	// The part no longer explains the crashes of a request that holds it.
 	a.attributeRequests(incarnations)
-	return true
 }
 
 // RetryAttributed requests that a request which crashes are attributed to may run once more. The
--- a/internal/blackboard/crash_report.go
+++ b/internal/blackboard/crash_report.go
@@ -87,6 +87,8 @@
 // SuspectChange is a command that changes the table of suspects alone.
 type SuspectChange interface {
 	Command
+	// IsIn reports whether a table shows the change already, or has nothing that it changes.
+	IsIn(suspects map[string]Suspect) bool
 	changeSuspects(suspects map[string]Suspect) bool
 }
 
@@ -185,6 +187,9 @@
 			order = append(order, s)
 		}
 	}
+	if len(order) <= limit {
+		return
+	}
 	slices.SortFunc(order, func(a, b Suspect) int {
 		switch {
 		case a.IsAttributed() && !b.IsAttributed():
@@ -196,7 +201,7 @@
 		}
 		return cmp.Or(cmp.Compare(a.LastMillis, b.LastMillis), cmp.Compare(a.Fingerprint, b.Fingerprint))
 	})
-	for _, s := range order[:max(0, len(order)-limit)] {
+	for _, s := range order[:len(order)-limit] {
 		delete(suspects, s.Fingerprint)
 	}
 }
--- a/internal/entry/suspect_writer.go
+++ b/internal/entry/suspect_writer.go
@@ -110,7 +110,7 @@
 
 // addToTable takes a new change into the table. The caller holds the lock.
 func (q *suspectWriter) addToTable(change blackboard.SuspectChange) {
-	if q.table != nil {
+	if q.table != nil && !change.IsIn(q.table) {
 		q.table = blackboard.ChangeSuspects(q.table, []blackboard.SuspectChange{change})
 	}
 }
