A crash counts for attempts that the entry itself has just ended

Cause: a crash was looked for only after a connection that the backend server had closed. An entry ends an attempt itself when the answer has no valid proof, belongs to another request or is malformed, when its caller leaves and at its deadline. The crash that follows cuts nothing that this entry still has open.

Change: attempts that the entry has ended are remembered, and count among the runs that a crash ended if it follows within half a second, whoever found it. After an invalid answer the entry looks for a crash of the server itself, once 0.3 s have passed, by the check that cut attempts have: one for all of a server, and not again for a second if it lives. Callers that leave and deadlines start no check, as they are many; nor do complete answers with a 5xx, which the server has ended.

TestCrashesAfterAnInvalidAnswerAreCounted (three entries, eight groups, real processes) fails without the change.

--- a/internal/entry/crash_check.go
+++ b/internal/entry/crash_check.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -30,6 +31,14 @@
 	// liveRetention how long a server that was found alive is not probed again.
 	crashRetention = 10 * time.Second
 	liveRetention  = time.Second
+	// endedRetention is how long after this entry has ended an attempt itself a crash still counts for it, and
+	// endedCheckDelay how long after an invalid answer the target is checked for one.
+	endedRetention  = 500 * time.Millisecond
+	endedCheckDelay = 300 * time.Millisecond
+	// endedMemory is how long an ended attempt is remembered: until a check has its verdict. maxEndedAttempts
+	// bounds those that are.
+	endedMemory      = endedRetention + crashWait
+	maxEndedAttempts = 1024
 )
 
 // crashVerdict is what is known of a backend server that closed a connection early.
@@ -113,10 +122,20 @@
 	isAlone   bool
 }
 
-// crashChecks holds the checks that run, and those whose verdict is still in use, by crashID.
+// crashChecks holds the checks that run, and those whose verdict is still in use, by crashID. It is safe for
+// concurrent use.
 type crashChecks struct {
 	mu     sync.Mutex
 	checks map[string]*crashCheck
+	// ended holds the attempts that this entry has ended itself lately, in the order of time.
+	ended []endedAttempt
+}
+
+// endedAttempt is an attempt that this entry has ended before its backend server did: its caller has left, its deadline
+// has passed, or its answer is invalid.
+type endedAttempt struct {
+	cutAttempt
+	crashID string
 }
 
 func newCrashChecks() *crashChecks { return &crashChecks{checks: make(map[string]*crashCheck)} }
@@ -126,6 +145,23 @@
 func (c *crashChecks) join(now time.Time, r route, a cutAttempt) (check *crashCheck, isNew, isOver bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	check, isNew = c.checkOf(now, r, a.cut)
+	if check.verdict != verdictOpen {
+		return check, false, true
+	}
+	check.cuts = append(check.cuts, a)
+	return check, isNew, false
+}
+
+// begin returns the check of a target; isNew is set if the caller is to run it.
+func (c *crashChecks) begin(now time.Time, r route) (check *crashCheck, isNew bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.checkOf(now, r, now)
+}
+
+// checkOf returns the check of a target, a new one if there is none. The caller holds the lock.
+func (c *crashChecks) checkOf(now time.Time, r route, cutAt time.Time) (check *crashCheck, isNew bool) {
 	for id, old := range c.checks {
 		if old.isOutdated(now) {
 			delete(c.checks, id)
@@ -133,15 +169,11 @@
 	}
 	check = c.checks[r.crashID()]
 	if check == nil {
-		check = &crashCheck{route: r, cutAt: a.cut, done: make(chan struct{})}
+		check = &crashCheck{route: r, cutAt: cutAt, done: make(chan struct{})}
 		c.checks[r.crashID()] = check
 		isNew = true
 	}
-	if check.verdict != verdictOpen {
-		return check, false, true
-	}
-	check.cuts = append(check.cuts, a)
-	return check, isNew, false
+	return check, isNew
 }
 
 // areSeveralPeersSilent reports whether a third of the peers that were asked about the target did not answer, and not
@@ -166,13 +198,44 @@
 	return now.Sub(c.endedAt) > liveRetention
 }
 
-// conclude sets the verdict and returns the attempts that waited for it.
+// remember takes in an attempt that this entry has ended itself.
+func (c *crashChecks) remember(r route, a cutAttempt) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	first := 0
+	for first < len(c.ended) && (len(c.ended)-first >= maxEndedAttempts || a.cut.Sub(c.ended[first].cut) >= endedMemory) {
+		first++
+	}
+	c.ended = append(slices.Delete(c.ended, 0, first), endedAttempt{cutAttempt: a, crashID: r.crashID()})
+}
+
+// takeEnded removes and returns the attempts on a crashed target that were ended shortly before the crash. The caller
+// holds the lock.
+func (c *crashChecks) takeEnded(check *crashCheck) []cutAttempt {
+	var taken []cutAttempt
+	c.ended = slices.DeleteFunc(c.ended, func(e endedAttempt) bool {
+		if e.crashID != check.route.crashID() {
+			return false
+		}
+		if check.cutAt.Sub(e.cut) < endedRetention {
+			taken = append(taken, e.cutAttempt)
+		}
+		return true
+	})
+	return taken
+}
+
+// conclude sets the verdict and returns the attempts that waited for it, after a crash also those that this entry had
+// ended shortly before.
 func (c *crashChecks) conclude(now time.Time, check *crashCheck, v crashVerdict) []cutAttempt {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	check.verdict, check.endedAt = v, now
 	cuts := check.cuts
 	check.cuts = nil
+	if v == verdictCrashed {
+		cuts = append(cuts, c.takeEnded(check)...)
+	}
 	return cuts
 }
 
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -367,12 +367,12 @@
 func (j *job) checkAnswer(m *memoryBudget, a *backend.ForwardAnswer) (outcome, *failure.Error, bool) {
 	switch {
 	case a.IsOtherRequest:
-		return outcomeBroken, failure.New(failure.TypeBackendFailed, "the backend server sent another request's answer"), true
+		return outcomeInvalid, failure.New(failure.TypeBackendFailed, "the backend server sent another request's answer"), true
 	case a.NotRun:
 		e := failure.New(failure.TypeOverloaded, "the backend server did not take the request, status "+strconv.Itoa(a.Status))
 		return outcomeRejected, e.WithRetryAfter(time.Second), true
 	case a.Status < http.StatusMultipleChoices && !a.Proven:
-		return outcomeBroken, failure.New(failure.TypeBackendFailed, "the answer carries no valid proof of the backend server"), true
+		return outcomeInvalid, failure.New(failure.TypeBackendFailed, "the answer carries no valid proof of the backend server"), true
 	case a.Status >= http.StatusInternalServerError:
 		return j.bufferFailure(m, a)
 	}
--- a/internal/entry/outcome.go
+++ b/internal/entry/outcome.go
@@ -24,6 +24,8 @@
 	// outcomeCut: the backend server closed the connection of an attempt that may have run before
 	// the end of its answer.
 	outcomeCut
+	// outcomeInvalid: this entry has ended an attempt that may have run, as its answer is invalid.
+	outcomeInvalid
 	// outcomeBroken: the attempt may have run and has no complete answer for another reason.
 	outcomeBroken
 	// outcomeJobEnded: the job's own context ended.
@@ -31,7 +33,9 @@
 )
 
 // mayHaveRun reports whether the attempt may have run without a complete answer.
-func (o outcome) mayHaveRun() bool { return o == outcomeCut || o == outcomeBroken }
+func (o outcome) mayHaveRun() bool {
+	return o == outcomeCut || o == outcomeInvalid || o == outcomeBroken
+}
 
 // name returns the outcome's name in metrics and logs.
 func (o outcome) name(e *failure.Error) string {
@@ -61,7 +65,7 @@
 	case errors.As(err, &call) && call.Stage != backend.StageUnknown:
 		return outcomeNotStarted
 	case isAnswerInvalid(err):
-		return outcomeBroken
+		return outcomeInvalid
 	}
 	return outcomeCut
 }
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -93,7 +93,7 @@
 			return nil
 		case outcomeJobEnded:
 			return jobEndedFailure(j)
-		case outcomeCut, outcomeBroken:
+		case outcomeCut, outcomeInvalid, outcomeBroken:
 			begun = true
 		}
 		if stop != nil {
@@ -149,8 +149,13 @@
 func (s *Server) afterAttempt(j *job, g grant, out outcome, e *failure.Error, sent time.Time) *failure.Error {
 	defer g.end()
 	switch out {
-	case outcomeComplete, outcomeJobEnded:
+	case outcomeComplete:
 		return nil
+	case outcomeJobEnded:
+		s.observeEnded(j, g.route, g.endTurn != nil, sent, false)
+		return nil
+	case outcomeInvalid, outcomeBroken:
+		s.observeEnded(j, g.route, g.endTurn != nil, sent, out == outcomeInvalid)
 	case outcomeCut:
 		if stop := s.afterCut(j, g, sent); stop != nil {
 			return stop
@@ -333,7 +338,7 @@
 			continue
 		}
 		if e := checkToken(token, g.attempt, j); e != nil {
-			return outcomeBroken, e
+			return outcomeInvalid, e
 		}
 		if token.End {
 			result.Tokens = token.Total
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -166,7 +166,7 @@
 		return s.classifyServiceError(j, err)
 	}
 	if len(body) > maxServiceAnswer {
-		return outcomeBroken, failure.New(failure.TypeBackendFailed, "the service's answer is over the limit")
+		return outcomeInvalid, failure.New(failure.TypeBackendFailed, "the service's answer is over the limit")
 	}
 	sc.status, sc.body, sc.header = answer.Status, bytes.Clone(body), backend.EndToEnd(answer.Header)
 	return outcomeComplete, nil
--- a/internal/entry/suspect.go
+++ b/internal/entry/suspect.go
@@ -31,10 +31,7 @@
 // returns the check that tells whether the target crashed.
 func (s *Server) observeCut(j *job, r route, isAlone bool, sent time.Time) *crashCheck {
 	now := time.Now()
-	a := cutAttempt{
-		request: j.id, fingerprint: j.contentFingerprint(), workspace: j.workspace, parts: j.sharedParts,
-		sent: sent, cut: now, isAlone: isAlone,
-	}
+	a := newCutAttempt(j, now, isAlone, sent)
 	check, isNew, isOver := s.crashChecks.join(now, r, a)
 	s.o.Metrics.AttemptCut()
 	j.lines.Info("event", "attempt_cut", "request", j.id, "fingerprint", a.fingerprint, "server", r.head, "unit", r.crashID())
@@ -47,6 +44,32 @@
 	return check
 }
 
+func newCutAttempt(j *job, now time.Time, isAlone bool, sent time.Time) cutAttempt {
+	return cutAttempt{
+		request: j.id, fingerprint: j.contentFingerprint(), workspace: j.workspace, parts: j.sharedParts,
+		sent: sent, cut: now, isAlone: isAlone,
+	}
+}
+
+// observeEnded takes in an attempt that this entry has ended itself. A crash shortly afterwards counts for it, as its
+// backend server may still have been running it. After an invalid answer the target is checked for one.
+//
+// Failure: a request crashes each backend server that runs it, after the server has begun an answer without a valid
+// proof. The entry ends the attempt at the first bytes, no connection is seen to be cut, and no crash is counted.
+func (s *Server) observeEnded(j *job, r route, isAlone bool, sent time.Time, isInvalid bool) {
+	s.crashChecks.remember(r, newCutAttempt(j, time.Now(), isAlone, sent))
+	if isInvalid {
+		time.AfterFunc(endedCheckDelay, func() { s.checkEnded(r) })
+	}
+}
+
+// checkEnded checks whether a target has crashed, unless a check has told that by now.
+func (s *Server) checkEnded(r route) {
+	if check, isNew := s.crashChecks.begin(time.Now(), r); isNew {
+		s.runCrashCheck(check)
+	}
+}
+
 // runCrashCheck finds the verdict of a check and closes a target that has crashed.
 func (s *Server) runCrashCheck(check *crashCheck) {
 	v := s.findCrashVerdict(check)
