A request that has followed another one is not refused before the last crash is reported by all

Cause: the request that does crash servers goes through the groups with its retries, and what a crash cuts follows it from group to group. The checks of two entries about one crash end tens of milliseconds apart, up to 0.26 s while peers are silent. Until the other entry has reported the last crash, the follower alone was in all three. It was refused at once by the entry that ran it, and its refusal is final. The grace for such cases was given only to requests that this entry had answered lately; a new request has no answer.

Change: a request is marked as unsettled if three crashes are attributed to it and another one was running in all but one of them. The grace of requests begins with the board now, not with each entry's first send.

TestRequestThatFollowedAnotherOneIsNotSettled shows the order of reports.

--- a/internal/blackboard/attribution.go
+++ b/internal/blackboard/attribution.go
@@ -73,11 +73,30 @@
 		isAttributed := !isExplainedByPart(parts, s) && isCause(a.unexplainedCrashes(), s, covering)
 		if isAttributed != s.Attributed {
 			s.Attributed, s.Doubtful = isAttributed, isAttributed && covering.Fingerprint != ""
+			s.Unsettled = isAttributed && a.isUnsettled(s)
 			a.set(s)
 		}
 	}
 }
 
+// isUnsettled reports whether another request was running in all but one of the few crashes of a suspect. Several entries
+// report a crash, one after the other.
+//
+// Failure: a request follows the one that crashes servers through three crashes. The entry that sent that one reports the
+// last crash a moment later, and until then the other one alone was in all of them, and is refused.
+func (a *attributor) isUnsettled(s Suspect) bool {
+	if s.Crashes > attributedCrashes || s.Alone > 0 || s.hasSilentRuns() {
+		return false
+	}
+	for _, other := range a.suspects {
+		isCandidate := other.Kind == CauseRequest && other.Fingerprint != s.Fingerprint && !other.isCleared()
+		if isCandidate && len(other.Runs) >= len(s.Runs)-1 && s.runsWithout(other) == 1 {
+			return true
+		}
+	}
+	return false
+}
+
 // requestsOn returns the requests that were running on one of some crashed incarnations.
 func requestsOn(suspects map[string]Suspect, incarnations map[string]bool) []Suspect {
 	var requests []Suspect
@@ -111,7 +130,7 @@
 		isExplained := slices.ContainsFunc(attributed, s.isExplainedBy)
 		switch {
 		case isExplained:
-			s.Attributed, s.Doubtful = false, false
+			s.Attributed, s.Doubtful, s.Unsettled = false, false, false
 		case s.Doubtful || !isChance(chanceOfCrash(unexplained, s), s.Crashes):
 			continue
 		default:
--- a/internal/blackboard/suspect.go
+++ b/internal/blackboard/suspect.go
@@ -48,8 +48,10 @@
 	Runs []CrashedRun `json:"runs,omitempty"`
 	// Attributed is set if crashes are attributed to the request by the runs of all suspects, Doubtful if these
 	// crashes may still have another cause.
-	Attributed bool  `json:"attributed,omitempty"`
-	Doubtful   bool  `json:"doubtful,omitempty"`
+	Attributed bool `json:"attributed,omitempty"`
+	Doubtful   bool `json:"doubtful,omitempty"`
+	// Unsettled is set if another suspect was running in all but one of these crashes, of which reports may be missing.
+	Unsettled  bool  `json:"unsettled,omitempty"`
 	LastMillis int64 `json:"last_ms"`
 	// Retries counts the further runs that were granted to an attributed request, and
 	// RetryMillis is the time of the last grant.
@@ -213,7 +215,7 @@
 		slices.Equal(s.Workspaces, other.Workspaces) && s.AnsweredBefore == other.AnsweredBefore &&
 		s.NeverAnswered == other.NeverAnswered && s.AnsweredMillis == other.AnsweredMillis && s.Inseparable == other.Inseparable
 	hasSameCounts := s.Crashes == other.Crashes && s.Alone == other.Alone && s.Attributed == other.Attributed &&
-		s.Doubtful == other.Doubtful && s.Answers == other.Answers
+		s.Doubtful == other.Doubtful && s.Unsettled == other.Unsettled && s.Answers == other.Answers
 	hasSameTimes := s.LastMillis == other.LastMillis && s.Retries == other.Retries && s.RetryMillis == other.RetryMillis
 	return isSameCause && hasSameCounts && hasSameTimes && slices.Equal(s.Runs, other.Runs)
 }
@@ -254,6 +256,17 @@
 	return slices.ContainsFunc(s.Runs, func(r CrashedRun) bool { return r.Incarnation == incarnation })
 }
 
+// runsWithout counts the crashes of the suspect that ended no run of another one.
+func (s Suspect) runsWithout(other Suspect) int {
+	n := 0
+	for _, r := range s.Runs {
+		if !other.wasRunningOn(r.Incarnation) {
+			n++
+		}
+	}
+	return n
+}
+
 // wasRunningInAllOf reports whether each crash of another suspect also ended a run of this one.
 func (s Suspect) wasRunningInAllOf(other Suspect) bool {
 	if len(s.Runs) < len(other.Runs) {
--- a/internal/blackboard/suspect_test.go
+++ b/internal/blackboard/suspect_test.go
@@ -574,3 +574,20 @@
 	}
 	assert.Assert(t, c.isAttributed("popular"))
 }
+
+// Guards against a request that is refused because it has followed the cause from server to server and the entry that
+// sent the cause reports the last crash later.
+func TestRequestThatFollowedAnotherOneIsNotSettled(t *testing.T) {
+	c := newCrashBoard(t)
+	for n := range int64(attributedCrashes - 1) {
+		c.report(fmt.Sprint("server-", n), 1000*n, 1000*n+900, "cause", "follower")
+	}
+	c.report("server-2", 2000, 2900, "follower")
+	assert.Assert(t, c.isAttributed("follower"))
+	assert.Assert(t, c.board.Suspects["follower"].Unsettled)
+	c.report("server-2", 2000, 2900, "cause")
+	assert.Assert(t, !c.isAttributed("follower"))
+	c.report("server-3", 3000, 3900, "cause")
+	assert.Assert(t, c.isAttributed("cause"))
+	assert.Assert(t, !c.board.Suspects["cause"].Unsettled, "it has crashed four")
+}
--- a/internal/entry/answer_grace.go
+++ b/internal/entry/answer_grace.go
@@ -26,7 +26,8 @@
 // concurrent use.
 //
 // Failure: entries report a crash one after the other. Until the report about its cause is written, a
-// popular request that was running there stands alone in three crashes, and is refused.
+// popular request that was running there, or one that has followed the cause from server to server, stands alone in
+// three crashes, and is refused.
 type answerGrace struct {
 	// length is for how long after its attribution a suspect is still sent.
 	length time.Duration
@@ -98,13 +99,13 @@
 	}
 }
 
-// allows reports whether a suspect that crashes are attributed to is still sent, as this entry or another one
-// (elsewhere) has answered it lately. The time runs once for each suspect, from setAttributed or the first call,
+// allows reports whether a suspect that crashes are attributed to is still sent, as this entry has answered it lately or
+// all entries give it the grace. The time runs once for each suspect, from setAttributed or the first call,
 // until cleared is called.
-func (g *answerGrace) allows(now time.Time, fingerprint string, elsewhere bool) bool {
+func (g *answerGrace) allows(now time.Time, fingerprint string, isGivenByAll bool) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !elsewhere && !g.current[fingerprint] && !g.previous[fingerprint] {
+	if !isGivenByAll && !g.current[fingerprint] && !g.previous[fingerprint] {
 		return false
 	}
 	first, ok := g.attributed[fingerprint]
--- a/internal/entry/prompt_part.go
+++ b/internal/entry/prompt_part.go
@@ -121,27 +121,32 @@
 	return a.Status < firstError && !a.EndsWithConnection
 }
 
-// notePartsOfBoard starts the grace of the parts that crashes are attributed to, and ends that of others. Only
+// noteSuspectsOfBoard starts the grace of the suspects that crashes are attributed to, and ends that of others. Only
 // ApplyBoard calls it.
-func (s *Server) notePartsOfBoard(now time.Time) {
+func (s *Server) noteSuspectsOfBoard(now time.Time) {
 	suspects := s.suspects()
 	if blackboard.IsSameTable(s.gracedSuspects, suspects) {
 		return
 	}
 	s.gracedSuspects = suspects
-	attributed, awaitsComparison := make(map[string]bool), false
+	parts, requests, awaitsComparison := make(map[string]bool), make(map[string]bool), false
 	var added []blackboard.Suspect
 	for f, suspect := range suspects {
 		awaitsComparison = awaitsComparison || suspect.AwaitsComparison()
-		if suspect.Kind != blackboard.CausePart || !suspect.IsAttributed() {
+		switch {
+		case !suspect.IsAttributed():
+			continue
+		case suspect.Kind != blackboard.CausePart:
+			requests[f] = true
 			continue
 		}
-		attributed[f] = true
+		parts[f] = true
 		if !s.partGrace.isAttributed(f) {
 			added = append(added, suspect)
 		}
 	}
-	s.partGrace.setAttributed(now, attributed)
+	s.answerGrace.setAttributed(now, requests)
+	s.partGrace.setAttributed(now, parts)
 	s.comparesParts.Store(awaitsComparison)
 	s.refuseWaitingAfterGrace(added)
 }
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -176,7 +176,7 @@
 		return s.refuseForCrash(j)
 	case j.nonIdempotent || !s.mayIsolate(j):
 		return nil
-	case s.awaitCrashCounts(j, check).IsAttributed():
+	case s.isRefused(time.Now(), j, s.awaitCrashCounts(j, check)):
 		return s.refuseForCrash(j)
 	}
 	return nil
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -223,7 +223,7 @@
 
 // ApplyBoard applies a new board to the policy and the routes.
 func (s *Server) ApplyBoard(b *blackboard.Board) {
-	s.notePartsOfBoard(time.Now())
+	s.noteSuspectsOfBoard(time.Now())
 	s.updateEntries(b)
 	s.waitEstimates.loadBoard(b)
 	if b.Config.Revision != s.policyRevision {
--- a/internal/entry/suspect.go
+++ b/internal/entry/suspect.go
@@ -237,15 +237,15 @@
 
 // isRefused reports whether a job is refused for one of its causes.
 func (s *Server) isRefused(now time.Time, j *job, suspect blackboard.Suspect) bool {
-	grace, isAnsweredElsewhere := s.answerGrace, false
+	grace, isGivenByAll := s.answerGrace, suspect.Unsettled
 	if suspect.Kind == blackboard.CausePart {
-		grace, isAnsweredElsewhere = s.partGrace, suspect.AnsweredBefore
+		grace, isGivenByAll = s.partGrace, suspect.AnsweredBefore
 	}
 	if !suspect.IsAttributed() {
 		grace.cleared(suspect.Fingerprint)
 		return false
 	}
-	return j.retryGranted != suspect.Fingerprint && suspect.AppliesTo(j.workspace) && !grace.allows(now, suspect.Fingerprint, isAnsweredElsewhere)
+	return j.retryGranted != suspect.Fingerprint && suspect.AppliesTo(j.workspace) && !grace.allows(now, suspect.Fingerprint, isGivenByAll)
 }
 
 // checkCrashes refuses a job that crashes are attributed to, with the time from which it may run
--- a/test/workload/crashes.go
+++ b/test/workload/crashes.go
@@ -157,8 +157,10 @@
 		if !strings.Contains(line, "event=refuse ") || !strings.Contains(line, string(failure.TypeRequestCrashesBackend)) {
 			continue
 		}
-		if slices.ContainsFunc(requests, func(id string) bool { return strings.Contains(line, "request="+id) }) {
-			return fingerprintPattern.FindString(line)
+		// A refusal at admission does not name the fingerprint.
+		fingerprint := fingerprintPattern.FindString(line)
+		if fingerprint != "" && slices.ContainsFunc(requests, func(id string) bool { return strings.Contains(line, "request="+id) }) {
+			return fingerprint
 		}
 	}
 	return ""
