Answers that lie ready after a standstill of the entry are delivered

What callers saw: 504 for a call whose answer had come. Found while looking for what disturbs TestServiceAtItsRateLimitRefusesTheRest (known red: one request of 248 got 504 at its deadline on a starved machine): with six calls of 500 ms under way at an entry that stands still for 2.5 s, past the route's timeout of 2 s, all six got 504. Their answers lay in the entry's sockets for 2 s when it went on.

Cause: the timers of the deadline and of the wait for a header fire as soon as the process goes on, before a goroutine has read from the network.

Change: a timer that fires 200 ms late or more shows a standstill, and takes effect 100 ms later; the watchdog of an attempt not at all if there was progress meanwhile. Nothing changes for timers that fire in time. Streams were delivered before as well: once the header is there, their limits are those of progress, which restart.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -209,8 +209,7 @@
 func (s *Server) forward(ctx context.Context, j *job) *failure.Error {
 	ctx, j.cancel = context.WithCancelCause(ctx)
 	defer j.cancel(nil)
-	ctx, stop := context.WithDeadline(ctx, j.deadline)
-	defer stop()
+	defer j.cancelAtDeadline()()
 	j.ctx = ctx
 	defer limitWriteTime(j.forward.w, j)()
 	if e := s.checkCrashes(j); e != nil {
--- a/internal/entry/job_table.go
+++ b/internal/entry/job_table.go
@@ -62,11 +62,11 @@
 		j.lines.End(false)
 		return first, nil
 	}
-	deadline := time.AfterFunc(time.Until(j.deadline), func() { j.cancel(context.DeadlineExceeded) })
+	stop := j.cancelAtDeadline()
 	go func() {
 		defer s.work.Done()
 		defer j.cancel(nil)
-		defer deadline.Stop()
+		defer stop()
 		run(j)
 		s.jobs.end(j)
 	}()
--- a/internal/entry/watchdog.go
+++ b/internal/entry/watchdog.go
@@ -30,22 +30,40 @@
 	timeouts progressTimeouts
 	sawToken bool
 	fired    atomic.Bool
+	// due is when the timer is to fire, in nanoseconds since began; each reset changes it.
+	began time.Time
+	due   atomic.Int64
 }
 
 func newWatchdog(parent context.Context, p progressTimeouts) *watchdog {
 	ctx, cancel := context.WithCancelCause(parent)
-	w := &watchdog{ctx: ctx, cancel: cancel, timeouts: p}
+	w := &watchdog{ctx: ctx, cancel: cancel, timeouts: p, began: time.Now()}
+	w.due.Store(int64(p.header))
 	w.timer = time.AfterFunc(p.header, w.fire)
 	return w
 }
 
+// fire ends the attempt. After a standstill of the process it does so a moment later, unless there is progress by then.
 func (w *watchdog) fire() {
+	due := w.due.Load()
+	if isAfterStandstill(w.began.Add(time.Duration(due))) {
+		time.Sleep(readyAnswerTime)
+		if w.due.Load() != due {
+			return
+		}
+	}
 	w.fired.Store(true)
 	w.cancel(errStalled)
 }
 
+// reset starts the timer again.
+func (w *watchdog) reset(d time.Duration) {
+	w.due.Store(int64(time.Since(w.began) + d))
+	w.timer.Reset(d)
+}
+
 // headerReceived starts the wait for the first token.
-func (w *watchdog) headerReceived() { w.timer.Reset(w.timeouts.firstToken) }
+func (w *watchdog) headerReceived() { w.reset(w.timeouts.firstToken) }
 
 // progress records an event; token is set for a token and not for a keep-alive. Keep-alives
 // before the first token extend the wait by the first token's time limit, since the engine's
@@ -53,10 +71,10 @@
 func (w *watchdog) progress(token bool) {
 	w.sawToken = w.sawToken || token
 	if w.sawToken {
-		w.timer.Reset(w.timeouts.gap)
+		w.reset(w.timeouts.gap)
 		return
 	}
-	w.timer.Reset(w.timeouts.firstToken)
+	w.reset(w.timeouts.firstToken)
 }
 
 // stalled reports whether the watchdog ended the attempt.
