--- a/internal/blackboard/batch.go
+++ b/internal/blackboard/batch.go
@@ -58,7 +58,7 @@
 // changes nothing. Crashes that are reported one after the other are attributed together.
 func (c Batch) applyAll(d *draft, apply func(*draft, Command) (any, bool)) (refusal any, changed bool) {
 	refusal = Verdict{Reason: "empty batch"}
-	var crashes crashAttribution
+	var crashes crashBatch
 	defer func() { crashes.attribute(d.Suspects) }()
 	for _, encoded := range c.Commands {
 		command, err := decodeCommand(encoded)
--- a/internal/blackboard/crash_attribution.go
+++ b/internal/blackboard/crash_batch.go
@@ -5,11 +5,11 @@
 	"slices"
 )
 
-// crashAttribution records reports of crashes in a table of suspects and attributes them together.
+// crashBatch records reports of crashes in a table of suspects and attributes them together.
 //
 // Failure: dozens of entries reach the leader again and write hundreds of reports at once. Each one goes through the
 // whole table, on the leader and on each entry, and the leader answers nobody for seconds.
-type crashAttribution struct {
+type crashBatch struct {
 	// incarnations and pools are those of the recorded crashes that are not attributed yet.
 	incarnations, pools map[string]bool
 	// hasParts is set if one of them ended requests with parts of prompts.
@@ -17,35 +17,35 @@
 }
 
 // record records the runs that a crash ended and reports whether any was not known yet.
-func (a *crashAttribution) record(suspects map[string]Suspect, c *ReportCrash) bool {
+func (b *crashBatch) record(suspects map[string]Suspect, c *ReportCrash) bool {
 	if !c.recordRuns(suspects) {
 		return false
 	}
-	if a.incarnations == nil {
-		a.incarnations, a.pools = make(map[string]bool), make(map[string]bool)
+	if b.incarnations == nil {
+		b.incarnations, b.pools = make(map[string]bool), make(map[string]bool)
 	}
-	a.incarnations[c.Incarnation], a.pools[c.Pool] = true, true
-	a.hasParts = a.hasParts || len(c.Parts) > 0
+	b.incarnations[c.Incarnation], b.pools[c.Pool] = true, true
+	b.hasParts = b.hasParts || len(c.Parts) > 0
 	return true
 }
 
 // attribute decides again what the recorded crashes are attributed to.
-func (a *crashAttribution) attribute(suspects map[string]Suspect) {
-	if len(a.incarnations) == 0 {
+func (b *crashBatch) attribute(suspects map[string]Suspect) {
+	if len(b.incarnations) == 0 {
 		return
 	}
-	removeRunsAfterCrash(suspects, a.incarnations)
-	decision := attributor{suspects: suspects}
-	if a.hasParts {
-		decision.attributeParts()
+	removeRunsAfterCrash(suspects, b.incarnations)
+	a := attributor{suspects: suspects}
+	if b.hasParts {
+		a.attributeParts()
 	}
-	decision.attributeRequests(a.incarnations)
-	for _, pool := range slices.Sorted(maps.Keys(a.pools)) {
-		decision.reviewRequests(pool)
+	a.attributeRequests(b.incarnations)
+	for _, pool := range slices.Sorted(maps.Keys(b.pools)) {
+		a.reviewRequests(pool)
 	}
 	removeLeastOf(suspects, CauseRequest, maxSuspects)
 	removeLeastOf(suspects, CausePart, maxParts)
-	*a = crashAttribution{}
+	*b = crashBatch{}
 }
 
 // removeRunsAfterCrash removes the runs that were sent to a crashed incarnation after the first of
--- a/internal/blackboard/blame_test.go
+++ b/internal/blackboard/crash_chance_test.go
@@ -47,9 +47,9 @@
 }
 
 const (
-	poolTick       = 10 * time.Millisecond
-	causeRequest   = "cause"
-	causeCrashTime = 50 * time.Millisecond
+	poolTick        = 10 * time.Millisecond
+	crashingRequest = "cause"
+	causeCrashTime  = 50 * time.Millisecond
 )
 
 // play lets the time pass and returns what became of the requests.
@@ -77,7 +77,7 @@
 		}
 		if p.causeEvery > 0 && p.now >= nextCause {
 			nextCause = p.now + p.causeEvery
-			if p.send(poolRun{request: causeRequest, caller: -1, sent: p.now, crashes: true}) {
+			if p.send(poolRun{request: crashingRequest, caller: -1, sent: p.now, crashes: true}) {
 				p.causeSends = append(p.causeSends, p.now)
 			}
 		}
--- a/internal/blackboard/crash_report.go
+++ b/internal/blackboard/crash_report.go
@@ -98,7 +98,7 @@
 // One that it shows already changes nothing.
 func ChangeSuspects(suspects map[string]Suspect, changes []SuspectChange) map[string]Suspect {
 	next := cloneMap(suspects)
-	var crashes crashAttribution
+	var crashes crashBatch
 	for _, c := range changes {
 		if report, ok := c.(*ReportCrash); ok {
 			crashes.record(next, report)
@@ -118,14 +118,14 @@
 }
 
 func (c ReportCrash) apply(d *draft) (any, bool) {
-	var crashes crashAttribution
+	var crashes crashBatch
 	result, changed := c.applyTo(d, &crashes)
 	crashes.attribute(d.Suspects)
 	return result, changed
 }
 
 // applyTo records the crash in a draft, to be attributed with the others of crashes.
-func (c ReportCrash) applyTo(d *draft, crashes *crashAttribution) (any, bool) {
+func (c ReportCrash) applyTo(d *draft, crashes *crashBatch) (any, bool) {
 	if c.IsIn(d.Suspects) {
 		return refused("counted already")
 	}
@@ -137,7 +137,7 @@
 }
 
 func (c ReportCrash) changeSuspects(suspects map[string]Suspect) bool {
-	var crashes crashAttribution
+	var crashes crashBatch
 	changed := crashes.record(suspects, &c)
 	crashes.attribute(suspects)
 	return changed
--- a/internal/entry/answer_grace.go
+++ b/internal/entry/answer_grace.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/citronstep/citronstep/internal/blackboard"
 )
 
 const (
@@ -122,3 +124,33 @@
 	defer g.mu.Unlock()
 	delete(g.attributed, fingerprint)
 }
+
+// noteSuspectsOfBoard starts the grace of the suspects that crashes are attributed to, and ends that of others. Only
+// ApplyBoard calls it.
+func (s *Server) noteSuspectsOfBoard(now time.Time) {
+	suspects := s.suspects()
+	if blackboard.IsSameTable(s.gracedSuspects, suspects) {
+		return
+	}
+	s.gracedSuspects = suspects
+	parts, requests, awaitsComparison := make(map[string]bool), make(map[string]bool), false
+	var added []blackboard.Suspect
+	for f, suspect := range suspects {
+		awaitsComparison = awaitsComparison || suspect.AwaitsComparison()
+		switch {
+		case !suspect.IsAttributed():
+			continue
+		case suspect.Kind != blackboard.CausePart:
+			requests[f] = true
+			continue
+		}
+		parts[f] = true
+		if !s.partGrace.isAttributed(f) {
+			added = append(added, suspect)
+		}
+	}
+	s.answerGrace.setAttributed(now, requests)
+	s.partGrace.setAttributed(now, parts)
+	s.comparesParts.Store(awaitsComparison)
+	s.refuseWaitingAfterGrace(added)
+}
