An early further run of a doubtful request does not double its next wait

A request whose crashes may have another cause runs once more after a second. That run counted as one of the further runs after each of which the wait doubles, so a request that was crashed by chance once more waited for two minutes in place of one. Early runs have a count of their own now, which bounds them together with the crashes as before.

--- a/internal/blackboard/clear_suspect.go
+++ b/internal/blackboard/clear_suspect.go
@@ -144,7 +144,11 @@
 	if isAnotherRetried(d.Suspects, s, c.NowMillis) {
 		return refused("another request of the pool runs once more")
 	}
-	s.Retries++
+	if s.mayRetryEarly() {
+		s.EarlyRetries++
+	} else {
+		s.Retries++
+	}
 	s.RetryMillis = c.NowMillis
 	d.cloneSuspectsOnce()
 	d.Suspects[c.Fingerprint] = s
@@ -154,12 +158,12 @@
 // isAnotherRetried reports whether another request that crashes of the pool are attributed to may be running once more
 // right now.
 func isAnotherRetried(suspects map[string]Suspect, s Suspect, nowMillis int64) bool {
-	if !s.Doubtful {
+	if !s.mayRetryEarly() {
 		return false
 	}
 	for _, other := range suspects {
 		isSamePool := len(other.Runs) > 0 && other.Runs[0].Pool == s.Runs[0].Pool
-		isUnderWay := other.RetryMillis > other.LastMillis && nowMillis < other.RetryMillis+doubtfulRetryTime.Milliseconds()
+		isUnderWay := other.RetryMillis > other.LastMillis && nowMillis < other.RetryMillis+earlyRetryTime.Milliseconds()
 		if other.Fingerprint != s.Fingerprint && isSamePool && isUnderWay && other.IsAttributed() {
 			return true
 		}
--- a/internal/blackboard/suspect.go
+++ b/internal/blackboard/suspect.go
@@ -53,10 +53,11 @@
 	// Unsettled is set if another suspect was running in all but one of these crashes, of which reports may be missing.
 	Unsettled  bool  `json:"unsettled,omitempty"`
 	LastMillis int64 `json:"last_ms"`
-	// Retries counts the further runs that were granted to an attributed request, and
-	// RetryMillis is the time of the last grant.
-	Retries     int   `json:"retries,omitempty"`
-	RetryMillis int64 `json:"retry_ms,omitempty"`
+	// Retries counts the further runs that were granted to an attributed request, EarlyRetries those of a
+	// doubtful one before them. RetryMillis is the time of the last grant.
+	Retries      int   `json:"retries,omitempty"`
+	EarlyRetries int   `json:"early_retries,omitempty"`
+	RetryMillis  int64 `json:"retry_ms,omitempty"`
 }
 
 // CrashedRun is one run of a request that the crash of its backend server ended. The times are of
@@ -117,12 +118,11 @@
 const firstRetryAfter = time.Minute
 
 const (
-	// doubtfulRetryAfter is the same time for a request whose crashes may have another cause. Of one pool, one such
-	// request runs at a time, for doubtfulRetryTime at most: one must not crash the server of the other.
-	doubtfulRetryAfter = time.Second
-	doubtfulRetryTime  = 3 * time.Second
-	// maxDoubtfulRuns bounds the crashes of such a request together with these further runs. There are none while
-	// entries are silent, as they may have seen other crashes.
+	// earlyRetryAfter is the same time for a request whose crashes may have another cause. Of one pool, one such
+	// request runs at a time, for earlyRetryTime at most: one must not crash the server of the other.
+	earlyRetryAfter = time.Second
+	earlyRetryTime  = 3 * time.Second
+	// maxDoubtfulRuns bounds the crashes of such a request together with these further runs.
 	maxDoubtfulRuns = attributedCrashes + 3
 )
 
@@ -174,12 +174,18 @@
 		return s.partRetryAtMillis()
 	}
 	wait := min(firstRetryAfter<<min(s.Retries, 16), attributedLifetime)
-	if s.Doubtful && !s.hasSilentRuns() && len(s.Runs)+s.Retries < maxDoubtfulRuns {
-		wait = doubtfulRetryAfter
+	if s.mayRetryEarly() {
+		wait = earlyRetryAfter
 	}
 	return max(s.LastMillis, s.RetryMillis) + wait.Milliseconds()
 }
 
+// mayRetryEarly reports whether an attributed request may run once more soon, as its crashes may have another cause.
+// While entries are silent it may not: they may have seen other crashes.
+func (s Suspect) mayRetryEarly() bool {
+	return s.Doubtful && !s.hasSilentRuns() && len(s.Runs)+s.EarlyRetries < maxDoubtfulRuns
+}
+
 // withRun returns the suspect with one more run that a crash ended, and whether the run was not
 // known yet. Several entries may report runs in one crash.
 func (s Suspect) withRun(r CrashedRun, alone bool) (Suspect, bool) {
@@ -216,7 +222,8 @@
 		s.NeverAnswered == other.NeverAnswered && s.AnsweredMillis == other.AnsweredMillis && s.Inseparable == other.Inseparable
 	hasSameCounts := s.Crashes == other.Crashes && s.Alone == other.Alone && s.Attributed == other.Attributed &&
 		s.Doubtful == other.Doubtful && s.Unsettled == other.Unsettled && s.Answers == other.Answers
-	hasSameTimes := s.LastMillis == other.LastMillis && s.Retries == other.Retries && s.RetryMillis == other.RetryMillis
+	hasSameTimes := s.LastMillis == other.LastMillis && s.Retries == other.Retries && s.EarlyRetries == other.EarlyRetries &&
+		s.RetryMillis == other.RetryMillis
 	return isSameCause && hasSameCounts && hasSameTimes && slices.Equal(s.Runs, other.Runs)
 }
 
--- a/internal/blackboard/suspect_test.go
+++ b/internal/blackboard/suspect_test.go
@@ -460,7 +460,7 @@
 	for i := range int64(inseparableCrashes) {
 		c.report(fmt.Sprint("server-", i), 1000*i, 1000*i+900, "cause", "unlucky")
 	}
-	soon := int64(4900) + doubtfulRetryAfter.Milliseconds()
+	soon := int64(4900) + earlyRetryAfter.Milliseconds()
 	assert.Assert(t, retry("unlucky", soon))
 	assert.Assert(t, !retry("cause", soon+100), "the other one is running")
 	c.board, _ = verdict(t, c.board, Answered("unlucky", false, true))
