--- a/internal/blackboard/clear_suspect.go
+++ b/internal/blackboard/clear_suspect.go
@@ -144,11 +144,7 @@
 	if isAnotherRetried(d.Suspects, s, c.NowMillis) {
 		return refused("another request of the pool runs once more")
 	}
-	if s.mayRetryEarly() {
-		s.EarlyRetries++
-	} else {
-		s.Retries++
-	}
+	s.Retries++
 	s.RetryMillis = c.NowMillis
 	d.cloneSuspectsOnce()
 	d.Suspects[c.Fingerprint] = s
--- a/internal/blackboard/crash_chance_test.go
+++ b/internal/blackboard/crash_chance_test.go
@@ -95,9 +95,9 @@
 			return false
 		}
 		d := &draft{Board: Board{Suspects: p.suspects}}
-		RetryAttributed{Fingerprint: r.request, NowMillis: p.now.Milliseconds()}.apply(d)
+		_, granted := RetryAttributed{Fingerprint: r.request, NowMillis: p.now.Milliseconds()}.apply(d)
 		p.suspects = d.Suspects
-		if p.suspects[r.request].Retries == s.Retries {
+		if !granted {
 			if !r.crashes {
 				p.blamed[r.request] += poolTick
 			}
--- a/internal/blackboard/suspect.go
+++ b/internal/blackboard/suspect.go
@@ -53,11 +53,10 @@
 	// Unsettled is set if another suspect was running in all but one of these crashes, of which reports may be missing.
 	Unsettled  bool  `json:"unsettled,omitempty"`
 	LastMillis int64 `json:"last_ms"`
-	// Retries counts the further runs that were granted to an attributed request, EarlyRetries those of a
-	// doubtful one before them. RetryMillis is the time of the last grant.
-	Retries      int   `json:"retries,omitempty"`
-	EarlyRetries int   `json:"early_retries,omitempty"`
-	RetryMillis  int64 `json:"retry_ms,omitempty"`
+	// Retries counts the further runs that were granted to an attributed request, and
+	// RetryMillis is the time of the last grant.
+	Retries     int   `json:"retries,omitempty"`
+	RetryMillis int64 `json:"retry_ms,omitempty"`
 }
 
 // CrashedRun is one run of a request that the crash of its backend server ended. The times are of
@@ -183,7 +182,7 @@
 // mayRetryEarly reports whether an attributed request may run once more soon, as its crashes may have another cause.
 // While entries are silent it may not: they may have seen other crashes.
 func (s Suspect) mayRetryEarly() bool {
-	return s.Doubtful && !s.hasSilentRuns() && len(s.Runs)+s.EarlyRetries < maxDoubtfulRuns
+	return s.Doubtful && !s.hasSilentRuns() && len(s.Runs)+s.Retries < maxDoubtfulRuns
 }
 
 // withRun returns the suspect with one more run that a crash ended, and whether the run was not
@@ -222,8 +221,7 @@
 		s.NeverAnswered == other.NeverAnswered && s.AnsweredMillis == other.AnsweredMillis && s.Inseparable == other.Inseparable
 	hasSameCounts := s.Crashes == other.Crashes && s.Alone == other.Alone && s.Attributed == other.Attributed &&
 		s.Doubtful == other.Doubtful && s.Unsettled == other.Unsettled && s.Answers == other.Answers
-	hasSameTimes := s.LastMillis == other.LastMillis && s.Retries == other.Retries && s.EarlyRetries == other.EarlyRetries &&
-		s.RetryMillis == other.RetryMillis
+	hasSameTimes := s.LastMillis == other.LastMillis && s.Retries == other.Retries && s.RetryMillis == other.RetryMillis
 	return isSameCause && hasSameCounts && hasSameTimes && slices.Equal(s.Runs, other.Runs)
 }
 
