--- a/internal/blackboard/crash_chance_test.go
+++ b/internal/blackboard/crash_chance_test.go
@@ -26,7 +26,6 @@
 	isolates, hasSilentEntries bool
 
 	now      time.Duration
-	started  int
 	runs     map[int][]poolRun
 	downTo   map[int]time.Duration
 	lives    map[int]int
