--- a/internal/entry/crash_check.go
+++ b/internal/entry/crash_check.go
@@ -176,8 +176,8 @@
 	return check, isNew
 }
 
-// areSeveralPeersSilent reports whether a third of the peers that were asked about the target did not answer, and not
-// just a slow one.
+// areSeveralPeersSilent reports whether a third of the peers that were asked about the target did not answer. A single
+// one may just be slow.
 func (c *crashCheck) areSeveralPeersSilent() bool {
 	silent := 0
 	for _, peer := range c.probe.Peers.Absent {
--- a/internal/entry/outcome.go
+++ b/internal/entry/outcome.go
@@ -50,12 +50,15 @@
 		return "rejected"
 	case o == outcomeJobEnded:
 		return "ended"
-	case e != nil && e.Type == failure.TypeBackendStalled:
+	case isStalled(e):
 		return "stalled"
 	}
 	return "broken"
 }
 
+// isStalled reports whether this entry has ended an attempt that made no progress.
+func isStalled(e *failure.Error) bool { return e != nil && e.Type == failure.TypeBackendStalled }
+
 // outcomeOfCallError returns the outcome of a failed call by how far it got.
 func outcomeOfCallError(err error) outcome {
 	var call *backend.CallError
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -154,8 +154,12 @@
 	case outcomeJobEnded:
 		s.observeEnded(j, g.route, g.endTurn != nil, sent, false)
 		return nil
-	case outcomeInvalid, outcomeBroken:
-		s.observeEnded(j, g.route, g.endTurn != nil, sent, out == outcomeInvalid)
+	case outcomeInvalid:
+		s.observeEnded(j, g.route, g.endTurn != nil, sent, true)
+	case outcomeBroken:
+		if isStalled(e) {
+			s.observeEnded(j, g.route, g.endTurn != nil, sent, false)
+		}
 	case outcomeCut:
 		if stop := s.afterCut(j, g, sent); stop != nil {
 			return stop
