A request is doubtful only if its crashes are more likely chance than its own

Cause: the early run was granted from the same chance on, 1 in 100,000, from which on no blame is laid. That is right for a decision that may fall on any of thousands of requests; once one is blamed, there are about as many causes as blamed requests, and at 1 in 80,000 it is the cause nearly always.

Change: doubtful by chance is a request whose crashes are chance with 1 in 1,000 or more. A request that others were in all crashes with is doubtful as before.

--- a/internal/blackboard/attribution.go
+++ b/internal/blackboard/attribution.go
@@ -131,7 +131,7 @@
 		switch {
 		case isExplained:
 			s.Attributed, s.Doubtful, s.Unsettled = false, false, false
-		case s.Doubtful || !isChance(chanceOfCrash(unexplained, s), s.Crashes):
+		case s.Doubtful || chanceOfAll(chanceOfCrash(unexplained, s), s.Crashes) < minDoubtChance:
 			continue
 		default:
 			s.Doubtful = true
--- a/internal/blackboard/crash_chance.go
+++ b/internal/blackboard/crash_chance.go
@@ -6,6 +6,9 @@
 	// maxBlameChance is the greatest chance with which all crashes that are attributed to a request may have been
 	// those of backend servers that crash by themselves.
 	maxBlameChance = 1e-5
+	// minDoubtChance is the same chance from which on it is more likely that they were than that the request is the
+	// cause: of a thousand requests, one is in such crashes.
+	minDoubtChance = 1e-3
 	// chanceWindow is how long before a request's first run crashes of its pool count towards their rate, and
 	// minChanceTime the least time that the rate is taken over: two crashes in the same second are no rate.
 	chanceWindow  = 30 * time.Second
@@ -95,17 +98,18 @@
 // the given one: at least as many as given, and at most those that are attributed to a request in any case.
 func crashesBeyondChance(chance float64, least int) int {
 	n := least
-	for n < inseparableCrashes && isChance(chance, n) {
+	for n < inseparableCrashes && chanceOfAll(chance, n) > maxBlameChance {
 		n++
 	}
 	return n
 }
 
-// isChance reports whether a request may well have been in a number of crashes by chance.
-func isChance(chance float64, crashes int) bool {
+// chanceOfAll returns how likely a request is in a number of crashes by chance, if each of its runs is ended by one with
+// the given chance.
+func chanceOfAll(chance float64, crashes int) float64 {
 	all := 1.0
 	for range crashes {
 		all *= chance
 	}
-	return all > maxBlameChance
+	return all
 }
