Only runs in isolation wait for the last reports of a crash

The change for requests that have followed another one let each request with an objective be sent on for half a second after it was blamed, if reports about its last crash might be missing.

Change: it is sent on for 250 ms, as far apart as two entries end their checks of one crash, and only if its next run would be in isolation, where it takes no server from others. Requests with an objective are refused at once as before; innocent ones among them that come to three crashes so are fewer with the chance of crashes.

--- a/internal/entry/answer_grace.go
+++ b/internal/entry/answer_grace.go
@@ -17,6 +17,9 @@
 	// attributed to it: until the reports of all entries about the last crash have been written. It
 	// lies well within the time in which a request that has come to crash its servers must be stopped.
 	attributionGrace = 500 * time.Millisecond
+	// settleTime is how long a request is still sent after crashes are attributed to it if reports about the last of
+	// them may be missing: two entries that look for one crash end up to that far apart.
+	settleTime = 250 * time.Millisecond
 	// partGraceLength is the same for a part of prompts: until requests with it that were sent since its crashes have
 	// been answered.
 	partGraceLength = 2 * time.Second
@@ -72,6 +75,24 @@
 	return answered, answered || now.Sub(g.startedAt) >= answerHistory
 }
 
+// isSettling reports whether crashes have just been attributed to a suspect. The time runs from setAttributed or the
+// first call, as that of allows does.
+func (g *answerGrace) isSettling(now time.Time, fingerprint string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return now.Sub(g.attributedSince(now, fingerprint)) < settleTime
+}
+
+// attributedSince returns since when crashes are attributed to a suspect. The caller holds the lock.
+func (g *answerGrace) attributedSince(now time.Time, fingerprint string) time.Time {
+	since, ok := g.attributed[fingerprint]
+	if !ok {
+		since = now
+		g.attributed[fingerprint] = since
+	}
+	return since
+}
+
 // isAttributed reports whether the grace of a suspect has begun.
 func (g *answerGrace) isAttributed(fingerprint string) bool {
 	g.mu.Lock()
@@ -110,12 +131,7 @@
 	if !isGivenByAll && !g.current[fingerprint] && !g.previous[fingerprint] {
 		return false
 	}
-	first, ok := g.attributed[fingerprint]
-	if !ok {
-		first = now
-		g.attributed[fingerprint] = now
-	}
-	return now.Sub(first) < g.length
+	return now.Sub(g.attributedSince(now, fingerprint)) < g.length
 }
 
 // cleared records that no crashes are attributed to a request.
--- a/internal/entry/suspect.go
+++ b/internal/entry/suspect.go
@@ -237,7 +237,7 @@
 
 // isRefused reports whether a job is refused for one of its causes.
 func (s *Server) isRefused(now time.Time, j *job, suspect blackboard.Suspect) bool {
-	grace, isGivenByAll := s.answerGrace, suspect.Unsettled
+	grace, isGivenByAll := s.answerGrace, false
 	if suspect.Kind == blackboard.CausePart {
 		grace, isGivenByAll = s.partGrace, suspect.AnsweredBefore
 	}
@@ -245,6 +245,10 @@
 		grace.cleared(suspect.Fingerprint)
 		return false
 	}
+	// A run in isolation takes no server from others.
+	if suspect.Unsettled && s.mayIsolate(j) && grace.isSettling(now, suspect.Fingerprint) {
+		return false
+	}
 	return j.retryGranted != suspect.Fingerprint && suspect.AppliesTo(j.workspace) && !grace.allows(now, suspect.Fingerprint, isGivenByAll)
 }
 
