A request that is sent to a group as another one crashes it needs more crashes

Cause: requests wait while no group is open, and all are sent to the next one in the millisecond in which it opens. The one that crashes groups is among them. A run that ends within 2 ms of its send cannot be told from one that was sent to a server that was gone already, and a chance by the length of its runs is next to nothing.

Change: each run of under 2 ms asks for one crash more, up to five, unless the request ran alone in one of the crashes: then it was the cause or the server crashed by itself. A request that crashes servers within 2 ms is refused after two crashes where suspects run alone, as before, and after five elsewhere, two sends past the bound of three.

TestBriefRunsNeedMoreCrashes fails without the change.

--- a/internal/blackboard/attribution.go
+++ b/internal/blackboard/attribution.go
@@ -172,7 +172,8 @@
 
 // neededCrashes returns how many crashes are attributed to a suspect: more if backend servers of its pool crash by
 // themselves so often that it may have been running in fewer by chance, one more if any has crashed without it
-// meanwhile, and one more if the request has been answered lately. While entries do not answer when they are asked about
+// meanwhile, one more if the request has been answered lately, and one more for each run that was as brief as one that
+// is sent to a server that is gone, unless it ran alone in one of the crashes. While entries do not answer when they are asked about
 // its crashes, fewer suffice: each of them may have seen others.
 //
 // Failure: backend servers crash by themselves, one after the other. A request that is sent on
@@ -180,6 +181,8 @@
 // Failure: half of the entries reach backend servers and nobody else. A request crashes servers through them that
 // nobody else knows of, and servers that it shares with others, which seem to crash without it. The entries that are
 // in touch have three sends of it left between them before they know of any crash.
+// Failure: requests wait for a group while another one crashes each group as soon as it opens. They are sent to it in
+// the same millisecond, each time.
 // Failure: a popular request is running in each crash of another one. The entry that sent the other one reports the last
 // crash late, and until then the popular one alone was in all of them.
 func neededCrashes(unexplained map[string]*unexplainedCrash, s Suspect) int {
@@ -192,10 +195,13 @@
 	case hasCrashesBeside(unexplained, s):
 		needed = max(needed, crashesAmongOthers)
 	}
+	if s.Kind == CauseRequest && s.Alone == 0 {
+		needed += s.briefRuns()
+	}
 	if s.Kind == CauseRequest && s.AnsweredBefore {
-		needed = min(needed+1, inseparableCrashes)
+		needed++
 	}
-	return needed
+	return min(needed, inseparableCrashes)
 }
 
 // neededCrashesAlone returns the same for a suspect that ran alone in one of the crashes.
--- a/internal/blackboard/suspect.go
+++ b/internal/blackboard/suspect.go
@@ -95,6 +95,8 @@
 	// maxRuns bounds the runs of one suspect. It is above inseparableCrashes, so that a suspect
 	// that crashes are attributed to covers the runs of the others.
 	maxRuns = 16
+	// briefRun is the length below which a run may have been sent to a server that had crashed already.
+	briefRun = 2 * time.Millisecond
 	// clockTolerance is how far the times of two reports may be off, by the time that each took to
 	// reach the leader, for a run to count as sent after a crash.
 	clockTolerance = 50 * time.Millisecond
@@ -247,6 +249,17 @@
 	return slices.ContainsFunc(s.Runs, func(r CrashedRun) bool { return incarnations[r.Incarnation] })
 }
 
+// briefRuns counts the runs that may have been sent to a server that had crashed already.
+func (s Suspect) briefRuns() int {
+	n := 0
+	for _, r := range s.Runs {
+		if r.EndMillis-r.SentMillis < briefRun.Milliseconds() {
+			n++
+		}
+	}
+	return n
+}
+
 // hasOnlySilentRuns reports whether entries were silent about each of the crashes.
 func (s Suspect) hasOnlySilentRuns() bool {
 	return !slices.ContainsFunc(s.Runs, func(r CrashedRun) bool { return !r.HasSilentEntries })
--- a/internal/blackboard/suspect_test.go
+++ b/internal/blackboard/suspect_test.go
@@ -591,3 +591,13 @@
 	assert.Assert(t, c.isAttributed("cause"))
 	assert.Assert(t, !c.board.Suspects["cause"].Unsettled, "it has crashed four")
 }
+
+// Guards against a request that is refused because it was sent three times to a group that another one had just crashed.
+func TestBriefRunsNeedMoreCrashes(t *testing.T) {
+	c := newCrashBoard(t)
+	for n := range int64(inseparableCrashes) {
+		assert.Assert(t, !c.isAttributed("waiting"), "%d crashes", n)
+		c.report(fmt.Sprint("server-", n), 1000*n, 1000*n+1, "waiting")
+	}
+	assert.Assert(t, c.isAttributed("waiting"), "it may crash servers at once")
+}
