--- a/internal/blackboard/attribution.go
+++ b/internal/blackboard/attribution.go
@@ -172,8 +172,8 @@
 
 // neededCrashes returns how many crashes are attributed to a suspect: more if backend servers of its pool crash by
 // themselves so often that it may have been running in fewer by chance, one more if any has crashed without it
-// meanwhile, one more if the request has been answered lately, and one more for each run that was as brief as one that
-// is sent to a server that is gone, unless it ran alone in one of the crashes. While entries do not answer when they are asked about
+// meanwhile, one more if the request has been answered lately, and as many as in any case if all its runs were as
+// brief as one that is sent to a server that is gone and none of them was alone. While entries do not answer when they are asked about
 // its crashes, fewer suffice: each of them may have seen others.
 //
 // Failure: backend servers crash by themselves, one after the other. A request that is sent on
@@ -195,8 +195,8 @@
 	case hasCrashesBeside(unexplained, s):
 		needed = max(needed, crashesAmongOthers)
 	}
-	if s.Kind == CauseRequest && s.Alone == 0 {
-		needed += s.briefRuns()
+	if s.Kind == CauseRequest && s.Alone == 0 && s.hasOnlyBriefRuns() {
+		needed = inseparableCrashes
 	}
 	if s.Kind == CauseRequest && s.AnsweredBefore {
 		needed++
--- a/internal/blackboard/suspect.go
+++ b/internal/blackboard/suspect.go
@@ -249,15 +249,9 @@
 	return slices.ContainsFunc(s.Runs, func(r CrashedRun) bool { return incarnations[r.Incarnation] })
 }
 
-// briefRuns counts the runs that may have been sent to a server that had crashed already.
-func (s Suspect) briefRuns() int {
-	n := 0
-	for _, r := range s.Runs {
-		if r.EndMillis-r.SentMillis < briefRun.Milliseconds() {
-			n++
-		}
-	}
-	return n
+// hasOnlyBriefRuns reports whether each run may have been sent to a server that had crashed already.
+func (s Suspect) hasOnlyBriefRuns() bool {
+	return !slices.ContainsFunc(s.Runs, func(r CrashedRun) bool { return r.EndMillis-r.SentMillis >= briefRun.Milliseconds() })
 }
 
 // hasOnlySilentRuns reports whether entries were silent about each of the crashes.
