--- a/internal/blackboard/attribution.go
+++ b/internal/blackboard/attribution.go
@@ -179,8 +179,8 @@
 // Failure: backend servers crash by themselves, one after the other. A request that is sent on
 // after each crash is running in three of them by chance, or in two, alone in one of them.
 // Failure: half of the entries reach backend servers and nobody else. A request crashes servers through them that
-// nobody else knows of, and servers that it shares with others, which seem to crash without it. The entries that are
-// in touch have three sends of it left between them before they know of any crash.
+// nobody else knows of, and servers that it shares with others, which seem to crash without it. The other entries
+// may send it three times in all before they know of any crash.
 // Failure: requests wait for a group while another one crashes each group as soon as it opens. They are sent to it in
 // the same millisecond, each time.
 // Failure: a popular request is running in each crash of another one. The entry that sent the other one reports the last
--- a/internal/blackboard/crash_chance.go
+++ b/internal/blackboard/crash_chance.go
@@ -56,7 +56,7 @@
 	return unexplained
 }
 
-// isReplacedBy reports whether a run ended later, or at the same time with entries that told of it: the result must not
+// isReplacedBy reports whether a run ended later, or at the same time while no entries were silent: the result must not
 // depend on the order of the runs.
 func (c *unexplainedCrash) isReplacedBy(r CrashedRun) bool {
 	if r.EndMillis != c.EndMillis {
@@ -68,7 +68,7 @@
 // chanceOfCrash returns how likely a run of a suspect is to be ended by a backend server of its pool that crashes by
 // itself: by the rate of such crashes from chanceWindow before its first run until now, the number of servers that were busy,
 // as a crash of an idle one is not seen, and how long its runs are, which end halfway on average if a crash has nothing
-// to do with them. It is 0 if reports do not tell the number of servers.
+// to do with them. It is 0 if reports do not state the number of servers.
 func chanceOfCrash(unexplained map[string]*unexplainedCrash, s Suspect) float64 {
 	if len(s.Runs) == 0 {
 		return 0
--- a/internal/blackboard/suspect_test.go
+++ b/internal/blackboard/suspect_test.go
@@ -483,8 +483,8 @@
 	assert.Assert(t, !c.isAttributed("unlucky"))
 }
 
-// Guards against a request that crashes servers on both sides of a cut: the entries that are in touch don't count the
-// crashes on the other side, and on their own side another request was in all of them.
+// Guards against a request that crashes servers on both sides of a partition: the entries on the leader's side do not count
+// the crashes on the other side, and on their own side another request was in all of them.
 func TestCrashesWithSilentEntriesNeedNoOtherComparison(t *testing.T) {
 	c := newCrashBoard(t)
 	report := func(incarnation string, at int64, isSilent bool, fingerprints ...string) {
