Answers that end early are logged and counted by their cause

An answer that had begun and failed was logged as `refuse`, like a request that was never sent. One whose write to its caller failed left no line and counted as answered. An answer that ended with its process left no line, also where the process closed its connections itself. No line said for how long the entry had been up, whether it held a lease, or whether the configuration had changed since the request came.

Change: `event=answer_cut` with the request's id, a cause out of a closed list, the last target, the time since the entry's start, its lease, the configuration revisions at the arrival and now, and the board's; `citronstep_answers_cut_total` by cause. `event=started` once a process serves, so that a cut that no line names can be held against the start of its entry.

The end of a forwarded answer is now awaited before the request counts as answered, so that a failed write to the caller ends it as outcome_unknown; it leaves neither the demand's count of refused nor that of answered. `refuse` remains for what had not begun.

No decision about a request changes.

--- a/cmd/citronstepd/main.go
+++ b/cmd/citronstepd/main.go
@@ -129,6 +129,7 @@
 	}
 	signal.Notify(p.stopSignals, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(p.reloadSignals, syscall.SIGHUP)
+	_ = level.Info(logger).Log("event", "started", "entry", s.Entry.Enabled, "control", s.Control.Enabled, "data_centre", s.DataCentre)
 	go p.reloadLoop(ctx)
 	go func() { p.done <- n.Run(ctx) }()
 	return p, nil
--- a/internal/entry/completion_relay.go
+++ b/internal/entry/completion_relay.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/labstack/echo/v4"
 
 	"github.com/citronstep/citronstep/internal/failure"
@@ -114,7 +115,10 @@
 	} else {
 		body.Choices[0].Text = &text
 	}
-	return c.JSON(http.StatusOK, body)
+	if err := c.JSON(http.StatusOK, body); err != nil {
+		s.logCut(j, cutCallerWrite, callerWriteFailure(err))
+	}
+	return nil
 }
 
 // callerWaitEnded returns the failure of a caller whose wait ended before the answer did. At
@@ -149,10 +153,12 @@
 		}
 		from += len(p.tokens)
 		if err := writeTokens(w, j, d, p.tokens); err != nil {
+			s.logCut(j, cutCallerWrite, callerWriteFailure(err))
 			return nil
 		}
 		if p.done {
-			return endEvents(w, j, d, p)
+			s.endEvents(ctx, w, j, d, p)
+			return nil
 		}
 		w.Flush()
 	}
@@ -183,19 +189,36 @@
 	return completion{ID: j.id, Object: d.chunk, Created: j.arrived.Unix(), Model: j.model, Choices: []choice{ch}}
 }
 
-// endEvents writes the end mark of a complete answer, or the error of an incomplete one. A
-// write fails only when the caller has disconnected.
-func endEvents(w *echo.Response, j *job, d completionAPI, p answerUpdate) error {
+// endEvents writes the end mark of a complete answer, or the error of an incomplete one to the
+// caller whose wait ctx bounds.
+func (s *Server) endEvents(ctx context.Context, w *echo.Response, j *job, d completionAPI, p answerUpdate) {
 	defer w.Flush()
 	if p.failed != nil {
+		// The answer is cut, whether or not the caller learns why.
 		_ = writeEvent(w, failure.Body{Error: p.failed})
-		return nil
+		s.logCut(j, s.streamCutCause(ctx, j, p.failed), p.failed)
+		return
 	}
-	if err := writeEvent(w, j.chunk(d, "", &p.finish)); err != nil {
-		return nil
+	err := writeEvent(w, j.chunk(d, "", &p.finish))
+	if err == nil {
+		_, err = w.Write([]byte(doneEvent))
 	}
-	_, _ = w.Write([]byte(doneEvent))
-	return nil
+	if err != nil {
+		s.logCut(j, cutCallerWrite, callerWriteFailure(err))
+	}
+}
+
+// streamCutCause returns why the stream of one caller, whose wait ctx bounds, has ended early.
+func (s *Server) streamCutCause(ctx context.Context, j *job, e *failure.Error) cutCause {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled) && s.stopped.Load():
+		return cutEntryStopped
+	case errors.Is(ctx.Err(), context.Canceled):
+		return cutCallerLeft
+	case ctx.Err() != nil:
+		return cutDeadline
+	}
+	return s.cutCauseOf(j, e)
 }
 
 func writeEvent(w http.ResponseWriter, v any) error {
--- a/internal/entry/finish.go
+++ b/internal/entry/finish.go
@@ -56,7 +56,12 @@
 		go s.releaseKey(j, false, false)
 	}
 	j.answer.fail(&c)
-	s.logRefusal(j, &c)
+	if j.hasBegun() {
+		j.lines.End(true)
+		s.logCut(j, s.cutCauseOf(j, &c), &c, append([]any{"attempts", j.attempts, "target", j.lastTarget}, crashFields(j, &c)...)...)
+	} else {
+		s.logRefusal(j, &c)
+	}
 	if j.claimed {
 		s.recordOutcome(j, false, mayHaveRun)
 	}
@@ -69,12 +74,20 @@
 		"queued_ms", j.queued.Milliseconds(), "left_ms", time.Until(j.deadline).Milliseconds(),
 		"retry_after_ms", e.RetryAfter.Milliseconds(), "config", s.o.Follower.Board().Config.Revision}
 	if e.Type == failure.TypeRequestCrashesBackend {
-		line = append(line, "fingerprint", j.refusedFor.Fingerprint, "cause", causeName(j.refusedFor), "part", j.refusedFor.Name)
+		line = append(line, "cause", causeName(j.refusedFor))
 	}
-	j.lines.Info(line...)
+	j.lines.Info(append(line, crashFields(j, e)...)...)
 	j.lines.End(true)
 }
 
+// crashFields returns the fields that name the cause of crashes for which a job was refused; nil for another failure.
+func crashFields(j *job, e *failure.Error) []any {
+	if e.Type != failure.TypeRequestCrashesBackend {
+		return nil
+	}
+	return []any{"fingerprint", j.refusedFor.Fingerprint, "part", j.refusedFor.Name}
+}
+
 // logAnswer logs how a request was answered if it took more than one attempt or longer than its
 // objective. Other requests need no explanation.
 func (s *Server) logAnswer(j *job) {
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -57,6 +57,8 @@
 	begun bool
 	// out writes a stream to the caller; nil until the stream has begun.
 	out *streamWriter
+	// writeErr is set once a write to the caller has failed.
+	writeErr error
 	// reservedBytes is the part of the entry's memory budget that buffered answers of this
 	// request use.
 	reservedBytes int
@@ -164,6 +166,7 @@
 			priority: table.config.Workspaces[workspace].Priority,
 		},
 	}
+	j.arrivalConfig = table.config.Revision
 	j.sharedParts = promptParts(f.SharedParts)
 	j.homes = homesOf(route.Homes, table.config.Workspaces[workspace].Homes)
 	service := route.ServiceFor(hashFraction(f.ID))
@@ -235,29 +238,40 @@
 	}
 	if errorAnswer := j.forward.backendFailure; errorAnswer != nil && !j.forward.begun && ctx.Err() == nil {
 		j.forward.write(errorAnswer)
+		if e := j.forward.end(); e != nil {
+			s.logCut(j, s.cutCauseOf(j, e), e)
+			return e
+		}
 		return nil
 	}
 	return p.failed
 }
 
-// end waits until the caller has been sent its complete part of a stream.
+// end waits until the caller has been sent its complete part of the answer.
 func (f *forwarding) end() *failure.Error {
-	if f.out == nil {
-		return nil
+	if f.out != nil {
+		f.writeErr = f.out.close()
 	}
-	if err := f.out.close(); err != nil {
-		return failure.New(failure.TypeOutcomeUnknown, "the caller disconnected: "+err.Error()).WithRan(failure.RanUnknown)
+	if f.writeErr != nil {
+		return callerWriteFailure(f.writeErr)
 	}
 	return nil
 }
 
+// hasWriteFailed reports whether the caller could not be written to.
+func (f *forwarding) hasWriteFailed() bool {
+	return f.writeErr != nil || (f.out != nil && f.out.hasFailed())
+}
+
+// write sends a complete answer to the caller. A failure is kept for end.
 func (f *forwarding) write(a *bufferedAnswer) {
 	copyHeader(f.w.Header(), a.header)
 	f.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	f.w.WriteHeader(a.status)
 	f.begun = true
-	// A write fails only when the caller has disconnected.
-	_, _ = f.w.Write(a.body)
+	if _, f.writeErr = f.w.Write(a.body); f.writeErr == nil {
+		f.writeErr = http.NewResponseController(f.w).Flush()
+	}
 }
 
 // copyHeader sets the header of a forwarded answer. Without a Content-Type, net/http would
--- a/internal/entry/forward_relay.go
+++ b/internal/entry/forward_relay.go
@@ -92,6 +92,7 @@
 		}
 		s.dispatcher.progress(g.attempt, 1)
 		if err := j.relayEvent(s.memory, a, e, events.isDrained()); err != nil {
+			j.cancel(errNoCallersLeft)
 			return outcomeJobEnded, nil
 		}
 	}
--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -94,6 +94,12 @@
 	reserve float64
 	// held is the coordinator's grant of the current attempt; nil without one.
 	held *heldGrant
+	// arrivalConfig is the configuration revision that this entry held when the request arrived.
+	arrivalConfig uint64
+	// lastTarget is the target of the last attempt. noFurtherAttempt is why the decision on
+	// retries allowed no other one.
+	lastTarget       string
+	noFurtherAttempt cutCause
 	// tried lists the targets that failed this request.
 	tried []string
 	// attempts counts the attempts begun.
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -54,9 +54,25 @@
 	s.dispatcher.jobEnded(admission.Outcome{
 		ID: j.id, Answered: e == nil, Tokens: j.tokens(), Took: time.Since(began),
 	})
+	if e == nil {
+		e = j.awaitDelivery()
+	}
 	s.finish(j, e, e != nil && e.Ran != failure.RanNo)
 }
 
+// awaitDelivery waits until the caller of a forwarded request has been sent its answer, and returns
+// the failure of one that could not be written.
+func (j *job) awaitDelivery() *failure.Error {
+	if j.forward == nil {
+		return nil
+	}
+	e := j.forward.end()
+	if e != nil {
+		j.cancel(errNoCallersLeft)
+	}
+	return e
+}
+
 // runAttempts makes attempts until one gives the complete answer or no further one may be made.
 func (s *Server) runAttempts(j *job, g grant, attempt attemptFunc) *failure.Error {
 	j.suspect = s.mayIsolate(j) && s.suspectOf(j).IsSuspected()
@@ -79,6 +95,7 @@
 			s.o.Metrics.RateLimitedAttempt()
 		}
 		j.isAlone = g.endTurn != nil
+		j.lastTarget = g.route.target
 		sent := time.Now()
 		out, e := attempt(j, g)
 		s.returnGrant(j, out != outcomeWithheld)
@@ -216,12 +233,15 @@
 // more attempts just when capacity is lowest.
 func (s *Server) mayRetry(j *job, out outcome, e *failure.Error) *failure.Error {
 	if out.mayHaveRun() && j.nonIdempotent {
+		j.noFurtherAttempt = cutNotRepeatable
 		return failure.New(failure.TypeOutcomeUnknown, "the request was dispatched and its outcome is unknown: "+e.Message)
 	}
 	if j.attempts-j.withheld >= j.attemptLimit() {
+		j.noFurtherAttempt = cutAttemptsUsed
 		return e.WithRetryAfter(s.dispatcher.retryAfter(j))
 	}
 	if (out.mayHaveRun() || out == outcomeRejected) && !s.takeRetry(j) {
+		j.noFurtherAttempt = cutRetryBudget
 		return e.WithDetail("no further attempt: the retry budget of " + j.retryBudget() + " is spent").WithRetryAfter(s.dispatcher.retryAfter(j))
 	}
 	return nil
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -125,6 +125,8 @@
 	drainMu sync.RWMutex
 	// draining is set once no new work is admitted.
 	draining atomic.Bool
+	// stopped is set once the process closes its callers' connections.
+	stopped atomic.Bool
 	// openCallers counts the open requests of callers, including resends that are attached.
 	openCallers atomic.Int64
 	// leaving is set once the entry has asked its load balancer to stop sending.
@@ -396,13 +398,8 @@
 	s.draining.Store(true)
 	s.drainMu.Unlock()
 	refusing()
-	finished := make(chan struct{})
-	go func() {
-		s.work.Wait()
-		close(finished)
-	}()
 	select {
-	case <-finished:
+	case <-s.ended():
 		return true
 	case <-ctx.Done():
 		return false
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/labstack/echo/v4"
 
 	"github.com/citronstep/citronstep/internal/backend"
@@ -108,7 +109,10 @@
 		if p.failed != nil {
 			return p.failed
 		}
-		return running.service.write(c)
+		if err := running.service.write(c); err != nil {
+			s.logCut(running, cutCallerWrite, callerWriteFailure(err))
+		}
+		return nil
 	})
 }
 
@@ -118,9 +122,8 @@
 		h[name] = values
 	}
 	c.Response().WriteHeader(sc.status)
-	// A write fails only when the caller has disconnected.
-	_, _ = c.Response().Write(sc.body)
-	return nil
+	_, err := c.Response().Write(sc.body)
+	return errors.Trace(err)
 }
 
 func (sc *serviceCall) recorded() *record.Answer {
--- a/internal/explain/cause.go
+++ b/internal/explain/cause.go
@@ -19,6 +19,10 @@
 		return refusedAtAdmission(last, all)
 	case last.Event == "refuse":
 		return refused(last, own, all)
+	case last.Event == eventAnswerCut && last.Fields["type"] == "request_crashes_backend":
+		return refusedAsCrashing(last, all)
+	case last.Event == eventAnswerCut:
+		return answerCut(last, own, all)
 	case last.Event == "answer":
 		return answered(last, own, all)
 	case last.Event == "attempt_ended":
@@ -78,6 +82,26 @@
 		refusal.VM, refusal.Fields["reason"], refusal.Fields["queued_ms"], refusal.Fields["left_ms"], refusal.Fields["retry_after_ms"])
 }
 
+// eventAnswerCut is the event of an answer that had begun and that its caller did not receive to its end.
+const eventAnswerCut = "answer_cut"
+
+// answerCut explains an answer that ended early.
+func answerCut(cut Line, own, all []Line) string {
+	f := cut.Fields
+	text := fmt.Sprintf("Its answer had begun and was cut after %s ms (%s, %s ms before its deadline) by %s, which had been up for %s ms",
+		f["took_ms"], f["cause"], f["left_ms"], cut.VM, f["up_ms"])
+	if f["lease_ms"] == "0" {
+		text += " and held no configuration lease"
+	}
+	if f["arrival_config"] != f["config"] {
+		text += fmt.Sprintf("; the configuration had gone from revision %s to %s meanwhile", f["arrival_config"], f["config"])
+	}
+	if failed, ok := lastLine(own, "attempt_ended"); ok {
+		text += "; its last attempt " + describeAttempt(failed, all)
+	}
+	return text + "."
+}
+
 // answered explains an answer that took several attempts or too long.
 func answered(answer Line, own, all []Line) string {
 	text := fmt.Sprintf("It was answered after %s ms", answer.Fields["first_ms"]) + describeRelay(own)
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -158,7 +158,7 @@
 		if f := line.Fields["fingerprint"]; f != "" {
 			fingerprint = f
 		}
-		if line.Event == "refuse" {
+		if line.Event == "refuse" || line.Event == eventAnswerCut {
 			part = line.Fields["part"]
 		}
 	}
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -106,6 +106,10 @@
 			line(`event=crash_check unit=m-1@7 verdict=unknown own_probe=not_listening refused_by=front-2,front-3 absent=front-4:silent`) + ended +
 			line(`event=refuse request=abc.1 type=backend_failed ran=unknown reason="x"`),
 			"the verdict on m-1@7 was unknown, as the entry found its address not_listening, front-2,front-3 were refused, and front-4:silent said nothing"},
+		{"its answer was cut", ended + line(`event=answer_cut request=abc.1 cause=retry_budget type=backend_failed ran=unknown took_ms=700 left_ms=5300 up_ms=1200 lease_ms=0 arrival_config=20 config=21`),
+			"cut after 700 ms (retry_budget, 5300 ms before its deadline) by front-1, which had been up for 1200 ms and held no configuration lease; the configuration had gone from revision 20 to 21 meanwhile; its last attempt ended as broken on 10.0.0.1:80"},
+		{"its caller left", line(`event=answer_cut request=abc.1 cause=caller_left took_ms=700 left_ms=5300 up_ms=9000 lease_ms=900 arrival_config=20 config=20`),
+			"which had been up for 9000 ms."},
 		{"still under way", ended, "still under way"},
 		{"nothing wrong", line("event=route request=abc.1 choice=m-1"), "These logs show no failure"},
 	} {
--- a/internal/metrics/definitions.go
+++ b/internal/metrics/definitions.go
@@ -46,6 +46,7 @@
 	nameQueued      = prefix + "queue_seconds"
 	nameTokens      = prefix + "tokens_total"
 	nameAttempts    = prefix + "attempts_total"
+	nameAnswersCut  = prefix + "answers_cut_total"
 	nameRateLimited = prefix + "rate_limited_servers"
 
 	nameRateLimitedAttempts = prefix + "rate_limited_attempts_total"
@@ -118,6 +119,7 @@
 		{nameQueued, KindHistogram, []string{"class"}, "Time that a request waited for room before its first attempt, or before it was refused.", requestBuckets},
 		{nameTokens, KindCounter, []string{"class"}, "Tokens of whole answers.", nil},
 		{nameAttempts, KindCounter, []string{"outcome"}, "Attempts on backend servers by how they ended.", nil},
+		{nameAnswersCut, KindCounter, []string{"cause"}, "Answers that had begun and that their callers did not receive to their end, by cause.", nil},
 		{nameRateLimited, KindGauge, nil, "Backend servers that name a rate limit, as this entry knows.", nil},
 		{nameRateLimitedAttempts, KindCounter, nil, "Attempts of this entry on backend servers that name a rate limit.", nil},
 		{nameDialTime, KindHistogram, []string{"outcome"}, "Time of connecting to a backend server, by whether it connected, was refused, timed out or failed.", commitBuckets},
--- a/internal/metrics/entry.go
+++ b/internal/metrics/entry.go
@@ -62,6 +62,14 @@
 	e.scope.Tagged(map[string]string{"outcome": outcome}).Counter(nameAttempts).Inc(1)
 }
 
+// AnswerCut counts an answer that had begun and that its caller did not receive to its end, by cause.
+func (e *Entry) AnswerCut(cause string) {
+	if e == nil {
+		return
+	}
+	e.scope.Tagged(map[string]string{"cause": cause}).Counter(nameAnswersCut).Inc(1)
+}
+
 // Dial records a connection that was attempted to a backend server by how the attempt ended:
 // "connected", "refused", "timed_out" or "failed".
 func (e *Entry) Dial(outcome string, took time.Duration) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -397,7 +397,12 @@
 	return err.Error()
 }
 
+// closeServers closes the listeners and all connections. Answers that are not complete end.
 func (n *Node) closeServers() {
+	if n.entry != nil {
+		n.entry.NoteStopped()
+		defer n.entry.AwaitEnded()
+	}
 	for _, l := range n.servers {
 		_ = l.server.Close()
 	}
