A stop whose time is over answers the requests whose answers have not begun

What callers saw: an entry gets SIGTERM while streams that outlast the stop take all places of the backend servers. At the limit of the stop (7.5 s) the connections of the requests that still waited, or for which no byte had come, were closed without any answer (4 of 12 calls in a test with real processes). The callers can't tell whether they ran; the platform counts each as lost.

Cause: nothing but the end of the connection ended an open request. The process closed all connections at the limit, at a second signal, and when one of its own parts had failed.

Change: 0.3 s before the limit requests that wait are refused as not run, with when to come back; those that were sent and have no byte of an answer yet get a typed failure that promises nothing. Answers that have begun run on until the limit. The same holds, within 0.2 s, where a process ends by a second signal or a failure of its own. A further attempt is not begun, nor logged as sent, once a request's time or its entry's is over.

Ruled out: refusing what waits as soon as the stop begins. It may still be served here in time, and its caller has one retry.

--- a/internal/entry/answer_cut.go
+++ b/internal/entry/answer_cut.go
@@ -40,13 +40,13 @@
 
 // hasBegun reports whether a part of the answer has been written to the caller of a forwarded
 // request.
-func (j *job) hasBegun() bool { return j.forward != nil && j.forward.begun }
+func (j *job) hasBegun() bool { return j.forward != nil && j.forward.begun.Load() }
 
 // cutCauseOf returns the cause of a failure that ended a begun answer.
 func (s *Server) cutCauseOf(j *job, e *failure.Error) cutCause {
 	cause := context.Cause(j.ctx)
 	switch {
-	case cause != nil && s.stopped.Load():
+	case cause != nil && s.stopped.Load(), errors.Is(cause, errEntryStopping):
 		return cutEntryStopped
 	case errors.Is(cause, context.DeadlineExceeded):
 		return cutDeadline
@@ -92,34 +92,3 @@
 func callerWriteFailure(err error) *failure.Error {
 	return failure.New(failure.TypeOutcomeUnknown, "the caller disconnected: "+err.Error()).WithRan(failure.RanUnknown)
 }
-
-// stopWait is how long a process that closes its listeners waits for its open requests to end, so
-// that the log names them.
-const stopWait = 200 * time.Millisecond
-
-// NoteStopped records that the process is about to close its callers' connections. No new work is
-// admitted from then on.
-func (s *Server) NoteStopped() {
-	s.drainMu.Lock()
-	defer s.drainMu.Unlock()
-	s.draining.Store(true)
-	s.stopped.Store(true)
-}
-
-// AwaitEnded waits until all jobs have ended, for stopWait at most.
-func (s *Server) AwaitEnded() {
-	select {
-	case <-s.ended():
-	case <-time.After(stopWait):
-	}
-}
-
-// ended returns a channel that is closed once no job is running.
-func (s *Server) ended() <-chan struct{} {
-	ended := make(chan struct{})
-	go func() {
-		s.work.Wait()
-		close(ended)
-	}()
-	return ended
-}
--- a/internal/entry/answer_cut_test.go
+++ b/internal/entry/answer_cut_test.go
@@ -141,7 +141,7 @@
 			s.NoteStopped()
 		}
 		disconnect()
-		s.AwaitEnded()
+		s.AwaitEnded(time.Second)
 		<-ended
 		want := map[bool]string{true: "cause=entry_stopped", false: "cause=caller_left"}[stopped]
 		assert.Assert(t, is.Contains(lines.String(), want))
--- a/internal/entry/deadline_priority.go
+++ b/internal/entry/deadline_priority.go
@@ -26,7 +26,7 @@
 func (j *job) deadlinePriority(now time.Time) deadlinePriority {
 	objective := time.Duration(j.forward.route.ObjectiveMillis) * time.Millisecond
 	switch {
-	case j.forward.begun:
+	case j.forward.begun.Load():
 		return deadlineBegun
 	case objective > 0 && now.Sub(j.firstSent) > objective:
 		return deadlineLate
--- a/internal/entry/deadline_priority_test.go
+++ b/internal/entry/deadline_priority_test.go
@@ -18,7 +18,7 @@
 	j := &job{firstSent: now, forward: &forwarding{route: blackboard.Route{ObjectiveMillis: 200}}}
 	assert.Equal(t, j.deadlinePriority(now.Add(150*time.Millisecond)), deadlineOnTime)
 	assert.Equal(t, j.deadlinePriority(now.Add(250*time.Millisecond)), deadlineLate)
-	j.forward.begun = true
+	j.forward.begun.Store(true)
 	assert.Equal(t, j.deadlinePriority(now.Add(time.Second)), deadlineBegun)
 	j = &job{firstSent: now, forward: &forwarding{}}
 	assert.Equal(t, j.deadlinePriority(now.Add(time.Hour)), deadlineOnTime, "without an objective nothing is late")
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -54,7 +54,7 @@
 	// priority is the workspace's priority.
 	priority int
 	// begun is set once a part of the answer has been written.
-	begun bool
+	begun atomic.Bool
 	// out writes a stream to the caller; nil until the stream has begun.
 	out *streamWriter
 	// writeErr is set once a write to the caller has failed.
@@ -97,7 +97,7 @@
 	if j == nil {
 		s.logEarlyRefusal(f.ID, e)
 	}
-	if j != nil && j.forward.begun {
+	if j != nil && j.forward.begun.Load() {
 		panic(http.ErrAbortHandler)
 	}
 	return e
@@ -236,7 +236,7 @@
 	if p.failed == nil {
 		return nil
 	}
-	if errorAnswer := j.forward.backendFailure; errorAnswer != nil && !j.forward.begun && ctx.Err() == nil {
+	if errorAnswer := j.forward.backendFailure; errorAnswer != nil && !j.forward.begun.Load() && ctx.Err() == nil {
 		j.forward.write(errorAnswer)
 		if e := j.forward.end(); e != nil {
 			s.logCut(j, s.cutCauseOf(j, e), e)
@@ -268,7 +268,7 @@
 	copyHeader(f.w.Header(), a.header)
 	f.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
 	f.w.WriteHeader(a.status)
-	f.begun = true
+	f.begun.Store(true)
 	if _, f.writeErr = f.w.Write(a.body); f.writeErr == nil {
 		f.writeErr = http.NewResponseController(f.w).Flush()
 	}
--- a/internal/entry/forward_relay.go
+++ b/internal/entry/forward_relay.go
@@ -100,10 +100,10 @@
 
 // writeHead writes the status and header of the stream's first run.
 func (f *forwarding) writeHead(m *memoryBudget, a *backend.ForwardAnswer) {
-	if f.begun {
+	if f.begun.Load() {
 		return
 	}
-	f.begun = true
+	f.begun.Store(true)
 	copyHeader(f.w.Header(), backend.EndToEnd(a.Header))
 	f.w.WriteHeader(a.Status)
 	f.out = newStreamWriter(f.w, m)
--- a/internal/entry/job_table.go
+++ b/internal/entry/job_table.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -29,6 +31,8 @@
 	// open counts the open jobs by workspace, total counts all of them.
 	open  map[string]int
 	total int
+	// unfinished holds the open jobs.
+	unfinished map[*job]bool
 }
 
 type keptJob struct {
@@ -39,7 +43,7 @@
 }
 
 func newJobTable() *jobTable {
-	return &jobTable{jobs: make(map[string]*job), open: make(map[string]int)}
+	return &jobTable{jobs: make(map[string]*job), open: make(map[string]int), unfinished: make(map[*job]bool)}
 }
 
 // start begins the job, or returns the job that the same key began earlier.
@@ -119,6 +123,7 @@
 			WithRan(failure.RanNo).WithRetryAfter(time.Second)
 	}
 	r.total++
+	r.unfinished[j] = true
 	r.open[j.workspace]++
 	if j.key != "" {
 		r.jobs[j.key] = j
@@ -127,6 +132,13 @@
 	return j, nil
 }
 
+// running returns the open jobs.
+func (r *jobTable) running() []*job {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Collect(maps.Keys(r.unfinished))
+}
+
 // join returns the keyed job that runs or ran here, with the caller added as a reader.
 func (r *jobTable) join(key string) (*job, bool) {
 	r.mu.Lock()
@@ -144,6 +156,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.total--
+	delete(r.unfinished, j)
 	r.open[j.workspace]--
 	if r.open[j.workspace] == 0 {
 		delete(r.open, j.workspace)
--- a/internal/entry/refusals.go
+++ b/internal/entry/refusals.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/juju/errors"
+
 	"github.com/citronstep/citronstep/internal/admission"
 	"github.com/citronstep/citronstep/internal/failure"
 )
@@ -69,9 +71,13 @@
 // contextEnded returns the failure of a job whose context ended before the job was sent
 // anywhere.
 func contextEnded(ctx context.Context) *failure.Error {
-	e := failure.New(failure.TypeDeadlineExceeded, "the deadline passed while the request waited")
-	if ctx.Err() == context.Canceled {
-		e = failure.New(failure.TypeUnavailable, "the caller disconnected")
+	cause := context.Cause(ctx)
+	switch {
+	case errors.Is(cause, errEntryStopping):
+		return stoppingRefusal().WithRan(failure.RanNo)
+	case errors.Is(cause, context.DeadlineExceeded):
+		return failure.New(failure.TypeDeadlineExceeded, "the deadline passed while the request waited").
+			WithRan(failure.RanNo).WithRetryAfter(time.Second)
 	}
-	return e.WithRan(failure.RanNo).WithRetryAfter(time.Second)
+	return failure.New(failure.TypeUnavailable, "the caller disconnected").WithRan(failure.RanNo).WithRetryAfter(time.Second)
 }
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -132,6 +132,9 @@
 // crash. The request waits eight seconds for a turn in isolation and crashes a third backend
 // server. So the board is checked again after the wait.
 func (s *Server) mayAttempt(j *job) *failure.Error {
+	if j.ctx.Err() != nil {
+		return contextEnded(j.ctx)
+	}
 	if e := s.checkCrashes(j); e != nil {
 		return e
 	}
@@ -221,6 +224,9 @@
 func jobEndedFailure(j *job) *failure.Error {
 	e := failure.New(failure.TypeDeadlineExceeded, "the deadline passed before the answer was complete")
 	cause := context.Cause(j.ctx)
+	if errors.Is(cause, errEntryStopping) {
+		return stoppingRefusal().WithRan(failure.RanUnknown)
+	}
 	if errors.Is(cause, errNoCallersLeft) || errors.Is(cause, context.Canceled) {
 		e = failure.New(failure.TypeUnavailable, "all callers have disconnected")
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -371,41 +371,14 @@
 	}
 }
 
-// drainingRetryAfter is short, as any other entry serves the caller at once.
-const drainingRetryAfter = 50 * time.Millisecond
-
 // mayAdmit refuses new work while the entry is stopping or has no lease.
 func (s *Server) mayAdmit() *failure.Error {
 	if s.draining.Load() {
-		return failure.New(failure.TypeDraining, "this entry is stopping; send to another").
-			WithRan(failure.RanNo).WithRetryAfter(drainingRetryAfter)
+		return stoppingRefusal().WithRan(failure.RanNo)
 	}
 	return s.mayDispatch()
 }
 
-// Drain stops gracefully. It turns readiness off, gives the load balancer time to react,
-// refuses new work, and waits for running work to finish. It calls refusing when new work
-// begins to be refused. It returns false if the context ended first.
-func (s *Server) Drain(ctx context.Context, refusing func()) bool {
-	s.leaving.Store(true)
-	wait := time.NewTimer(time.Duration(s.o.Settings.BalancerMillis) * time.Millisecond)
-	defer wait.Stop()
-	select {
-	case <-wait.C:
-	case <-ctx.Done():
-	}
-	s.drainMu.Lock()
-	s.draining.Store(true)
-	s.drainMu.Unlock()
-	refusing()
-	select {
-	case <-s.ended():
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // SetGauges sets the gauges of the entry role.
 func (s *Server) SetGauges() {
 	open, _ := s.jobs.counts()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -397,11 +397,20 @@
 	return err.Error()
 }
 
-// closeServers closes the listeners and all connections. Answers that are not complete end.
+// closeWait is how long a process that ends waits for its last answers to be written, and then for
+// its open requests to end with their connections.
+const closeWait = 200 * time.Millisecond
+
+// closeServers closes the listeners and all connections. Requests whose answers have not begun are
+// answered before; answers that are not complete end.
 func (n *Node) closeServers() {
 	if n.entry != nil {
+		n.entry.EndUnbegun()
+		ctx, cancel := context.WithTimeout(context.Background(), closeWait)
+		n.shutdownServers(ctx)
+		cancel()
 		n.entry.NoteStopped()
-		defer n.entry.AwaitEnded()
+		defer n.entry.AwaitEnded(closeWait)
 	}
 	for _, l := range n.servers {
 		_ = l.server.Close()
