--- /dev/null
+++ b/internal/entry/lost_group_attempts_test.go
@@ -0,0 +1,47 @@
+package entry
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/citronstep/citronstep/internal/blackboard"
+)
+
+// Guards against a sound answer that is cut because its group is taken out of service and it may not go on elsewhere.
+func TestAnswerThatMayNotResumeOutlivesItsGroup(t *testing.T) {
+	forEachWayOutOfService(t, func(t *testing.T, takeOut func(*soundSystem, ...string)) {
+		x := newSoundSystem(t, 5000)
+		callers := x.beginMany("single", 4)
+		takeOut(x, x.servers.last().group())
+		x.apply()
+		x.finish(callers...)
+	})
+}
+
+// Guards against a sound answer that is cut because its groups are taken out of service as often as its route allows attempts.
+func TestAnswerOutlivesAsManyGroupsAsAttempts(t *testing.T) {
+	forEachWayOutOfService(t, func(t *testing.T, takeOut func(*soundSystem, ...string)) {
+		x := newSoundSystem(t, 5000)
+		caller := x.begin("stream")
+		for range 2 {
+			takeOut(x, x.servers.last().group())
+			x.apply()
+			x.servers.last().send()
+			synctest.Wait()
+		}
+		x.finish(caller)
+	})
+}
+
+// Guards against sound answers that are cut because no group of their model is in service for a while.
+func TestAnswersOutliveAllGroupsOfTheirModel(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newSoundSystem(t, 5000)
+		callers := x.beginMany("stream", 8)
+		x.moveGroups(allGroups, blackboard.Broken)
+		x.apply()
+		x.pass(failoverWait + time.Second)
+		x.finish(callers...)
+	})
+}
