Begun answers of the entry's own API run until the limit of a stop

A completion whose tokens have begun now runs until the limit, and gets its typed failure when the process closes its connections.

--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -56,24 +56,28 @@
 	s.draining.Store(true)
 }
 
-// endUnbegun ends the jobs whose answers have not begun with a final answer, and those whose answers can
-// end with a typed failure.
+// endUnbegun ends the jobs whose answers have not begun with a final answer.
 //
 // Failure: requests wait in the queue, or for the first byte of their answers, when the time of a stop is over.
 // Their connections close without an answer, and their callers can't tell whether they ran.
 func (s *Server) endUnbegun() {
 	for _, j := range s.jobs.running() {
-		if !j.hasBegun() {
+		if !j.hasBegun() && j.answer.length() == 0 {
 			j.cancel(errEntryStopping)
 		}
 	}
 }
 
-// EndUnbegun admits no new work from now on and gives the open requests whose answers have not begun
-// their final answer. The caller closes the connections once these are written.
-func (s *Server) EndUnbegun() {
+// EndOpen admits no new work from now on and gives all open requests a final answer whose protocol
+// allows one: those whose answers have not begun, and those of the entry's own API. The caller closes the
+// connections once these are written.
+func (s *Server) EndOpen() {
 	s.refuseNewWork()
-	s.endUnbegun()
+	for _, j := range s.jobs.running() {
+		if !j.hasBegun() {
+			j.cancel(errEntryStopping)
+		}
+	}
 }
 
 // NoteStopped records that the process is about to close its callers' connections.
--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -60,7 +60,7 @@
 		}
 		time.Sleep(time.Millisecond)
 	}
-	s.EndUnbegun()
+	s.EndOpen()
 	e := <-failed
 	assert.Equal(t, e.Type, failure.TypeDraining)
 	assert.Equal(t, e.Ran, failure.RanNo)
@@ -79,7 +79,7 @@
 		_ = s.Forward(ctx, w, ForwardRequest{ID: "id", Host: "h", Method: "POST", Path: "/stream/x"})
 	}()
 	<-began
-	s.EndUnbegun()
+	s.EndOpen()
 	s.AwaitEnded(20 * time.Millisecond)
 	select {
 	case <-ended:
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -405,7 +405,7 @@
 // answered before; answers that are not complete end.
 func (n *Node) closeServers() {
 	if n.entry != nil {
-		n.entry.EndUnbegun()
+		n.entry.EndOpen()
 		ctx, cancel := context.WithTimeout(context.Background(), closeWait)
 		n.shutdownServers(ctx)
 		cancel()
