Answers of several groups that are lost at once go on in a group that stays

What callers saw: a board, for example that of a new leader, takes several groups out of service at once, and streams are closed although another group is at hand and the retry budget is full.

Cause: an update of the routes ended the attempts on lost groups first and put the new routes into force last. The ended attempts looked for their next target among the old routes meanwhile, met another lost group, and had used up the attempts of their route. An entry that gives a group up by itself, or whose link to it is down, had the same order.

Change: the new routes first, then the attempts end.

TestAttemptsEndWithTheirGroup checks the groups that are removed in place of their ended contexts, as the end now follows the routes; which groups those are is unchanged.

--- a/internal/entry/group_progress.go
+++ b/internal/entry/group_progress.go
@@ -181,17 +181,19 @@
 	return p
 }
 
-// update ends the attempts on groups that are out of service for good. A draining group
+// removeLost removes and returns the groups that are out of service for good. A draining group
 // finishes its attempts.
-func (all progressByEpoch) update(b *blackboard.Board) {
+func (all progressByEpoch) removeLost(b *blackboard.Board) []*groupProgress {
+	var lost []*groupProgress
 	for k, p := range all {
 		g, known := b.Groups[k.group]
 		if known && g.Epoch == k.epoch && (g.State == blackboard.Serving || g.State == blackboard.Draining) {
 			continue
 		}
-		p.cancel(errGroupLost)
+		lost = append(lost, p)
 		delete(all, k)
 	}
+	return lost
 }
 
 // checkProgress reports groups to the leader whose streams have all gone silent, and suspends
@@ -227,9 +229,9 @@
 // stallSuspension.
 func (s *Server) suspendGroup(now time.Time, k groupEpoch, p *groupProgress, silence time.Duration) {
 	p.suspendUntil(now.Add(stallSuspension))
-	p.cancel(errGroupLost)
 	_ = level.Info(s.o.Logger).Log("event", "group_stalled", "group", k.group, "epoch", k.epoch, "silent_ms", silence.Milliseconds())
 	s.updateRoutes()
+	p.cancel(errGroupLost)
 }
 
 // reportStalls reports stalled groups to the leader once. If the call is lost, the leader
--- a/internal/entry/group_progress_test.go
+++ b/internal/entry/group_progress_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -38,11 +39,11 @@
 	}
 	replaced := all.getOrAdd(at, groupEpoch{"replaced", 1}, defaultSilenceLimit)
 	groups["replaced"] = blackboard.Group{ID: "replaced", Epoch: 2, State: blackboard.Serving}
-	all.update(&blackboard.Board{Groups: groups})
+	lost := all.removeLost(&blackboard.Board{Groups: groups})
 	assert.Equal(t, len(all), 2)
-	assert.NilError(t, all[groupEpoch{"serving", 1}].ctx.Err())
-	assert.NilError(t, all[groupEpoch{"draining", 1}].ctx.Err())
-	assert.ErrorContains(t, replaced.ctx.Err(), "canceled")
+	assert.Assert(t, all[groupEpoch{"serving", 1}] != nil && all[groupEpoch{"draining", 1}] != nil)
+	assert.Equal(t, len(lost), 3)
+	assert.Assert(t, slices.Contains(lost, replaced))
 }
 
 // A group that was given up wrongly gets new work again when its suspension is over.
--- a/internal/entry/link_check.go
+++ b/internal/entry/link_check.go
@@ -79,8 +79,8 @@
 // endAttemptsOnLink ends the attempts on a group whose link is down. They are made again through a
 // peer, and the group stays in service.
 func (s *Server) endAttemptsOnLink(k groupEpoch, p *groupProgress, silence time.Duration) {
-	p.cancel(errLinkLost)
 	delete(s.progress, k)
 	_ = level.Info(s.o.Logger).Log("event", "group_link_down", "group", k.group, "epoch", k.epoch, "silent_ms", silence.Milliseconds())
 	s.updateRoutes()
+	p.cancel(errLinkLost)
 }
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -145,7 +145,7 @@
 		quarantinedPools: make(map[string]bool), usesBoardLiveness: s.o.Settings.Deaf, progress: s.progress, evacuated: make(map[string]clock.Boot),
 		regions: s.o.Regions, leaving: s.leavingServers, evacuations: s.evacuations, crashes: s.crashChecks,
 	}
-	s.progress.update(r.board)
+	lost := s.progress.removeLost(r.board)
 	s.updateEvacuations(r.board)
 	s.o.Announcements.WithTable(func(t *evidence.Table) {
 		for id := range r.board.Groups {
@@ -164,6 +164,10 @@
 	s.dispatcher.setFigures(engineFigures(&r.board.Config))
 	s.dispatcher.setEvacuated(emptied)
 	s.dispatcher.setRoutes(r.now, r.routes, r.targets, r.quarantinedPools)
+	// Only now, or the attempts that end here would be made again on other groups that are lost as well.
+	for _, p := range lost {
+		p.cancel(errGroupLost)
+	}
 	for id, l := range r.loads {
 		s.dispatcher.report(r.now, id, l)
 	}
