Answers whose group is taken out of service go on while its backend server sends

What callers saw: a board takes a group out of service (broken, released, gone, or in a new epoch) while its backend server still answers, and streams end early: all but as many as there are retries (10 of 80 at a budget of 50, 3 of 18 at an entry of a large fleet that has just started and has earned none), all that may not resume (2 of 4), all whose route allows no further attempt, and all of a model none of whose groups is in service for a while (8 of 8). A new request that was just being sent to such a group failed as outcome_unknown (2 of 8).

Cause: an entry ended all attempts on a group as soon as its board showed it out of service, whether or not they made progress, and whether or not another attempt could be made. Class: an entry ends an answer on another process's word about the backend server, while its own connection shows that the server answers.

Change: a group that is out of service is retired. An attempt whose answer has not begun ends at once, as before, if another one may be made in its place; all others go on, and end once their group's streams are silent for the limit that holds in service. Nothing new is sent to a retired group, as before.

Ruled out: more retries. Their number is bounded for the sake of the load after an outage.

TestAnswersOutliveAllGroupsOfTheirModel had servers that send nothing for four seconds, which is a lost group; its servers now send an event each 0.4 s, and the check is unchanged. Streams of the stand-in have 12 events in place of 4 for that.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -309,7 +309,7 @@
 	w := newWatchdog(j.ctx, progressTimeouts{header: time.Until(j.deadline), firstToken: time.Until(j.deadline), gap: streamGap})
 	defer w.stop()
 	if g.route.progress != nil {
-		defer context.AfterFunc(g.route.progress.ctx, func() { w.cancel(errGroupLost) })()
+		defer g.route.progress.attach(w, j.mayMove())()
 	}
 	answer, err := s.o.Forwarder.Forward(w.ctx, s.forwardCall(j, g))
 	if err != nil {
--- a/internal/entry/group_progress.go
+++ b/internal/entry/group_progress.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -61,8 +62,13 @@
 	// ctx ends when the group is lost; attempts on the group end with it.
 	ctx    context.Context
 	cancel context.CancelCauseFunc
+	// retired ends when the board shows that the group is out of service.
+	retired context.Context
+	retire  context.CancelFunc
 
 	mu sync.Mutex
+	// open counts the attempts on the group.
+	open int
 	// begun counts the streams that have delivered an event and have not ended.
 	begun int
 	// last is when any of these streams last delivered an event.
@@ -78,7 +84,43 @@
 
 func newGroupProgress(silenceLimit time.Duration) *groupProgress {
 	ctx, cancel := context.WithCancelCause(context.Background())
-	return &groupProgress{silenceLimit: silenceLimit, ctx: ctx, cancel: cancel}
+	retired, retire := context.WithCancel(context.Background())
+	return &groupProgress{silenceLimit: silenceLimit, ctx: ctx, cancel: cancel, retired: retired, retire: retire}
+}
+
+// attach makes an attempt end with its group. If mayMove is set, another attempt may be made in its
+// place, and it ends as well if the group is out of service and its answer has not begun. The
+// returned function ends the attachment.
+//
+// Failure: the leader takes groups out of service whose backend servers still answer. All their streams
+// begin anew elsewhere at once, and those for which the retry budget has nothing left, or whose route
+// allows no further attempt, are cut.
+func (p *groupProgress) attach(w *watchdog, mayMove bool) (detach func()) {
+	p.count(1)
+	stopLost := context.AfterFunc(p.ctx, func() { w.cancel(errGroupLost) })
+	stopRetired := context.AfterFunc(p.retired, func() {
+		if mayMove && !w.hasBegun.Load() {
+			w.cancel(errGroupLost)
+		}
+	})
+	return func() {
+		stopLost()
+		stopRetired()
+		p.count(-1)
+	}
+}
+
+func (p *groupProgress) count(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open += n
+}
+
+// isUnused reports whether no attempt on the group is open.
+func (p *groupProgress) isUnused() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open == 0
 }
 
 // silenceLimitFor returns how long the streams of a model may go without an event.
@@ -196,9 +238,29 @@
 	return lost
 }
 
+// retireGroups ends the attempts on groups that are out of service, except those whose answers have
+// begun. These go on while their group makes progress.
+func (s *Server) retireGroups(groups []*groupProgress) {
+	for _, p := range groups {
+		p.retire()
+	}
+	s.retiredGroups = append(s.retiredGroups, groups...)
+}
+
+// checkRetired ends the attempts on groups that are out of service and have gone silent.
+func (s *Server) checkRetired(now time.Time) {
+	s.retiredGroups = slices.DeleteFunc(s.retiredGroups, (*groupProgress).isUnused)
+	for _, p := range s.retiredGroups {
+		if p.silentFor(now) > p.silenceLimit {
+			p.cancel(errGroupLost)
+		}
+	}
+}
+
 // checkProgress reports groups to the leader whose streams have all gone silent, and suspends
 // those that are certainly lost.
 func (s *Server) checkProgress(now time.Time) {
+	s.checkRetired(now)
 	var silent []*noderpc.SuspectGroup
 	for k, p := range s.progress {
 		silence := p.silentFor(now)
--- a/internal/entry/lost_group_attempts_test.go
+++ b/internal/entry/lost_group_attempts_test.go
@@ -5,6 +5,8 @@
 	"testing/synctest"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"github.com/citronstep/citronstep/internal/blackboard"
 )
 
@@ -41,7 +43,35 @@
 		callers := x.beginMany("stream", 8)
 		x.moveGroups(allGroups, blackboard.Broken)
 		x.apply()
-		x.pass(failoverWait + time.Second)
+		x.serve(failoverWait+time.Second, defaultSilenceLimit-100*time.Millisecond)
+		x.finish(callers...)
+	})
+}
+
+// Guards against answers that wait for a group that is out of service and has gone silent.
+func TestAnswersOfASilentGroupOutOfServiceGoOnElsewhere(t *testing.T) {
+	forEachWayOutOfService(t, func(t *testing.T, takeOut func(*soundSystem, ...string)) {
+		x := newSoundSystem(t, 5000)
+		callers := x.beginMany("stream", 8)
+		lost := x.servers.last().group()
+		takeOut(x, lost)
+		x.apply()
+		x.pass(defaultSilenceLimit + 2*dispatchInterval)
+		for _, r := range x.servers.open() {
+			assert.Assert(t, r.group() != lost, "a silent answer is still open on a group out of service")
+		}
 		x.finish(callers...)
 	})
 }
+
+// Guards against a request that waits for its first event at a group that is out of service.
+func TestRequestWithoutAnAnswerLeavesAGroupOutOfService(t *testing.T) {
+	forEachWayOutOfService(t, func(t *testing.T, takeOut func(*soundSystem, ...string)) {
+		x := newSoundSystem(t, 5000)
+		caller := x.call("stream")
+		takeOut(x, x.servers.last().group())
+		x.apply()
+		assert.Equal(t, len(x.servers.runs), 2)
+		x.finish(caller)
+	})
+}
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -165,9 +165,7 @@
 	s.dispatcher.setEvacuated(emptied)
 	s.dispatcher.setRoutes(r.now, r.routes, r.targets, r.quarantinedPools)
 	// Only now, or the attempts that end here would be made again on other groups that are lost as well.
-	for _, p := range lost {
-		p.cancel(errGroupLost)
-	}
+	s.retireGroups(lost)
 	for id, l := range r.loads {
 		s.dispatcher.report(r.now, id, l)
 	}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -253,6 +253,11 @@
 	return nil
 }
 
+// mayMove reports whether another attempt may be made in place of the current one.
+func (j *job) mayMove() bool {
+	return !j.nonIdempotent && j.attempts-j.withheld < j.attemptLimit()
+}
+
 func (j *job) attemptLimit() int {
 	if j.maxAttempts > 0 {
 		return j.maxAttempts
--- a/internal/entry/sound_servers_test.go
+++ b/internal/entry/sound_servers_test.go
@@ -23,11 +23,11 @@
 	"github.com/citronstep/citronstep/internal/settings"
 )
 
-// wholeStream is the complete answer of a sound server.
-var wholeStream = events("1", "2", "3", "4")
-
 // streamEvents is the number of events of wholeStream.
-const streamEvents = 4
+const streamEvents = 12
+
+// wholeStream is the complete answer of a sound server.
+var wholeStream = events("1", "2", "3", "4", "5", "6", "7", "8", "9", "10", "11", "12")
 
 // soundServers answers each call with a stream that goes on as the test says, until its entry ends the call.
 type soundServers struct {
@@ -243,6 +243,17 @@
 	synctest.Wait()
 }
 
+// serve lets time pass while the servers send an event each interval.
+func (x *soundSystem) serve(d, interval time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		x.pass(interval)
+		for _, r := range x.servers.open() {
+			r.send()
+		}
+		synctest.Wait()
+	}
+}
+
 // soundCaller is a caller whose answer has begun.
 type soundCaller struct {
 	w       *httptest.ResponseRecorder
--- a/internal/entry/watchdog.go
+++ b/internal/entry/watchdog.go
@@ -28,7 +28,8 @@
 	cancel   context.CancelCauseFunc
 	timer    *time.Timer
 	timeouts progressTimeouts
-	sawToken bool
+	// hasBegun is set once there was a token.
+	hasBegun atomic.Bool
 	fired    atomic.Bool
 	// due is when the timer is to fire, in nanoseconds since began; each reset changes it.
 	began time.Time
@@ -69,8 +70,10 @@
 // before the first token extend the wait by the first token's time limit, since the engine's
 // own queue may be long.
 func (w *watchdog) progress(token bool) {
-	w.sawToken = w.sawToken || token
-	if w.sawToken {
+	if token {
+		w.hasBegun.Store(true)
+	}
+	if w.hasBegun.Load() {
 		w.reset(w.timeouts.gap)
 		return
 	}
