An answer that has begun ends for silence only if another attempt is secured

What callers saw: streams with a status that close in the middle, at an entry that is up, while their backend servers go on and run them to an end. It takes a silence of all streams of a group for as long as a pass (0.2 to 0.5 s), or of one stream for 1.2 s. On VMs that share few cores such a second comes when many processes start or take in a change at once.

Cause: the entry ended the attempts of a silent group, or a silent stream, and only then asked whether another attempt may be made: not for requests that may run once, not past the attempts of their route, not without a retry in the budget, and not while no other group is in service for 3 s, which was the case when several groups were given up one after the other. In each of these cases the answer was cut. A backend server's silence is no proof that it has ended.

Change (internal/entry/next_attempt.go): an attempt whose answer has begun ends for silence only if the request may be sent again, another target is routable, and the retry budget has paid for it; otherwise it stays, and is looked at again each 0.2 s without progress. Groups that are silent together are suspended together, before any of their attempts ends. The next attempt of a begun answer waits for a target until the deadline. Requests without a byte of an answer are moved or failed as before.

What it costs: a stream on a group that is really lost and can't be moved is held until its server breaks off or the deadline.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -308,8 +308,11 @@
 func (s *Server) relayAttempt(j *job, g grant, result *placement.Result, began time.Time) (outcome, *failure.Error) {
 	w := newWatchdog(j.ctx, progressTimeouts{header: time.Until(j.deadline), firstToken: time.Until(j.deadline), gap: streamGap})
 	defer w.stop()
+	next := s.newNextAttempt(j, g)
+	w.mayEnd = next.mayReplace
+	defer func() { j.isNextPaid = next.isPaid() }()
 	if g.route.progress != nil {
-		defer g.route.progress.attach(w, j.mayMove())()
+		defer g.route.progress.attach(w)()
 	}
 	answer, err := s.o.Forwarder.Forward(w.ctx, s.forwardCall(j, g))
 	if err != nil {
--- a/internal/entry/group_progress.go
+++ b/internal/entry/group_progress.go
@@ -88,19 +88,17 @@
 	return &groupProgress{silenceLimit: silenceLimit, ctx: ctx, cancel: cancel, retired: retired, retire: retire}
 }
 
-// attach makes an attempt end with its group. If mayMove is set, another attempt may be made in its
-// place, and it ends as well if the group is out of service and its answer has not begun. The
-// returned function ends the attachment.
+// attach makes an attempt end with its group, and as well if the group is out of service and its
+// answer has not begun. The returned function ends the attachment.
 //
 // Failure: the leader takes groups out of service whose backend servers still answer. All their streams
-// begin anew elsewhere at once, and those for which the retry budget has nothing left, or whose route
-// allows no further attempt, are cut.
-func (p *groupProgress) attach(w *watchdog, mayMove bool) (detach func()) {
+// begin anew elsewhere at once, and those for which the retry budget has nothing left are cut.
+func (p *groupProgress) attach(w *watchdog) (detach func()) {
 	p.count(1)
-	stopLost := context.AfterFunc(p.ctx, func() { w.cancel(errGroupLost) })
+	stopLost := context.AfterFunc(p.ctx, func() { w.end(errGroupLost) })
 	stopRetired := context.AfterFunc(p.retired, func() {
-		if mayMove && !w.hasBegun.Load() {
-			w.cancel(errGroupLost)
+		if !w.hasBegun.Load() {
+			w.end(errGroupLost)
 		}
 	})
 	return func() {
@@ -261,7 +259,28 @@
 // those that are certainly lost.
 func (s *Server) checkProgress(now time.Time) {
 	s.checkRetired(now)
+	silences := s.silentGroups(now)
 	var silent []*noderpc.SuspectGroup
+	var lost []groupEpoch
+	for k, silence := range silences {
+		p := s.progress[k]
+		if p.isReportDue(silence) {
+			silent = append(silent, &noderpc.SuspectGroup{Group: k.group, Epoch: k.epoch, SilentMs: silence.Milliseconds()})
+		}
+		if p.ctx.Err() == nil && p.isLost(silence) {
+			lost = append(lost, k)
+		}
+	}
+	s.suspendGroups(now, lost, silences)
+	if len(silent) > 0 && s.o.StallReporter != nil {
+		go s.reportStalls(silent)
+	}
+}
+
+// silentGroups returns the groups whose streams have all been silent for longer than the limit although
+// the link to them is up, with the lengths of their silences. It ends the attempts on groups whose link is down.
+func (s *Server) silentGroups(now time.Time) map[groupEpoch]time.Duration {
+	silences := make(map[groupEpoch]time.Duration)
 	for k, p := range s.progress {
 		silence := p.silentFor(now)
 		if silence <= p.silenceLimit {
@@ -269,31 +288,32 @@
 		}
 		switch s.linkDuringSilence(now, k, p) {
 		case linkUnchecked:
-			continue
 		case linkDown:
 			s.endAttemptsOnLink(k, p, silence)
-			continue
 		case linkUp:
-		}
-		if p.isReportDue(silence) {
-			silent = append(silent, &noderpc.SuspectGroup{Group: k.group, Epoch: k.epoch, SilentMs: silence.Milliseconds()})
-		}
-		if p.ctx.Err() == nil && p.isLost(silence) {
-			s.suspendGroup(now, k, p, silence)
+			silences[k] = silence
 		}
 	}
-	if len(silent) > 0 && s.o.StallReporter != nil {
-		go s.reportStalls(silent)
-	}
+	return silences
 }
 
-// suspendGroup ends this entry's attempts on a group and sends it nothing new for
-// stallSuspension.
-func (s *Server) suspendGroup(now time.Time, k groupEpoch, p *groupProgress, silence time.Duration) {
-	p.suspendUntil(now.Add(stallSuspension))
-	_ = level.Info(s.o.Logger).Log("event", "group_stalled", "group", k.group, "epoch", k.epoch, "silent_ms", silence.Milliseconds())
+// suspendGroups ends this entry's attempts on groups, as far as others can be made, and sends these groups
+// nothing new for stallSuspension.
+func (s *Server) suspendGroups(now time.Time, groups []groupEpoch, silences map[groupEpoch]time.Duration) {
+	if len(groups) == 0 {
+		return
+	}
+	suspended := make([]*groupProgress, 0, len(groups))
+	for _, k := range groups {
+		p := s.progress[k]
+		p.suspendUntil(now.Add(stallSuspension))
+		suspended = append(suspended, p)
+		_ = level.Info(s.o.Logger).Log("event", "group_stalled", "group", k.group, "epoch", k.epoch, "silent_ms", silences[k].Milliseconds())
+	}
 	s.updateRoutes()
-	p.cancel(errGroupLost)
+	for _, p := range suspended {
+		p.cancel(errGroupLost)
+	}
 }
 
 // reportStalls reports stalled groups to the leader once. If the call is lost, the leader
--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -100,6 +100,8 @@
 	// retries allowed no other one.
 	lastTarget       string
 	noFurtherAttempt cutCause
+	// isNextPaid is set if the retry budget has paid for the attempt after the current one.
+	isNextPaid bool
 	// tried lists the targets that failed this request.
 	tried []string
 	// attempts counts the attempts begun.
--- /dev/null
+++ b/internal/entry/next_attempt.go
@@ -0,0 +1,71 @@
+package entry
+
+import (
+	"slices"
+	"sync"
+)
+
+// nextAttempt tells whether an attempt that makes no progress may end, as another one can be made in its place.
+//
+// Load: backend servers stop sending for a second, all at once if the network or the VMs of a data centre stand still.
+// Harm of ending their attempts: the retry budget pays for a part of the further attempts, and all other answers are
+// cut, although their servers go on with them. An attempt that stays costs its caller no more than the wait.
+type nextAttempt struct {
+	s *Server
+	j *job
+	// target is the target of the current attempt, tried holds those of earlier ones.
+	target string
+	tried  []string
+	// isAllowed is set if the request may be sent once more.
+	isAllowed bool
+
+	mu sync.Mutex
+	// paid is set once the retry budget has paid for the attempt.
+	paid bool
+}
+
+// newNextAttempt returns the attempt after the one that g grants.
+func (s *Server) newNextAttempt(j *job, g grant) *nextAttempt {
+	return &nextAttempt{
+		s: s, j: j, target: g.route.target, tried: slices.Clone(j.tried),
+		isAllowed: !j.nonIdempotent && j.attempts-j.withheld < j.attemptLimit(),
+	}
+}
+
+// mayReplace reports whether the current attempt may end. Without a byte of the answer its caller gets a failure at
+// worst, and may send the request again. An answer that has begun needs another attempt, and takes the retry for it.
+func (n *nextAttempt) mayReplace() bool {
+	if !n.isAllowed {
+		return false
+	}
+	if !n.j.hasBegun() {
+		return true
+	}
+	if !n.s.dispatcher.hasOtherTarget(n.j, append(slices.Clone(n.tried), n.target)) {
+		return false
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.paid = n.paid || n.s.takeRetry(n.j)
+	return n.paid
+}
+
+// isPaid reports whether the retry budget has paid for the attempt.
+func (n *nextAttempt) isPaid() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.paid
+}
+
+// hasOtherTarget reports whether there is a target for a job besides some.
+func (d *dispatcher) hasOtherTarget(j *job, besides []string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id, r := range d.routes {
+		isHome := j.homes == nil || slices.Contains(j.homes, r.region)
+		if r.pool == j.model && isHome && !slices.Contains(besides, id) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -117,7 +117,7 @@
 			return withRanState(begun, stop)
 		}
 		j.tried = append(j.tried, g.route.target)
-		next, e := s.dispatcher.nextTarget(j, earlier(j.deadline, time.Now().Add(failoverWait)))
+		next, e := s.dispatcher.nextTarget(j, j.nextTargetBy(time.Now()))
 		if e != nil {
 			return withRanState(begun, e)
 		}
@@ -125,6 +125,15 @@
 	}
 }
 
+// nextTargetBy returns until when a further attempt waits for a target. An answer that has begun waits
+// as long as its caller does, as giving up would cut it.
+func (j *job) nextTargetBy(now time.Time) time.Time {
+	if j.hasBegun() {
+		return j.deadline
+	}
+	return earlier(j.deadline, now.Add(failoverWait))
+}
+
 // mayAttempt refuses a further attempt that must not be made any more.
 //
 // Failure: a request crashes its second backend server at another entry and is refused there.
@@ -246,18 +255,13 @@
 		j.noFurtherAttempt = cutAttemptsUsed
 		return e.WithRetryAfter(s.dispatcher.retryAfter(j))
 	}
-	if (out.mayHaveRun() || out == outcomeRejected) && !s.takeRetry(j) {
+	if (out.mayHaveRun() || out == outcomeRejected) && !j.isNextPaid && !s.takeRetry(j) {
 		j.noFurtherAttempt = cutRetryBudget
 		return e.WithDetail("no further attempt: the retry budget of " + j.retryBudget() + " is spent").WithRetryAfter(s.dispatcher.retryAfter(j))
 	}
 	return nil
 }
 
-// mayMove reports whether another attempt may be made in place of the current one.
-func (j *job) mayMove() bool {
-	return !j.nonIdempotent && j.attempts-j.withheld < j.attemptLimit()
-}
-
 func (j *job) attemptLimit() int {
 	if j.maxAttempts > 0 {
 		return j.maxAttempts
--- a/internal/entry/watchdog.go
+++ b/internal/entry/watchdog.go
@@ -28,6 +28,9 @@
 	cancel   context.CancelCauseFunc
 	timer    *time.Timer
 	timeouts progressTimeouts
+	// mayEnd reports whether the attempt may end before its backend server ends it; nil if it always
+	// may.
+	mayEnd func() bool
 	// hasBegun is set once there was a token.
 	hasBegun atomic.Bool
 	fired    atomic.Bool
@@ -53,8 +56,24 @@
 			return
 		}
 	}
-	w.fired.Store(true)
-	w.cancel(errStalled)
+	w.end(errStalled)
+}
+
+// endRetryInterval is the time until an attempt that may not end is looked at again.
+const endRetryInterval = 200 * time.Millisecond
+
+// end ends the attempt for a cause, if it may. Otherwise it tries again later, unless there is
+// progress by then.
+func (w *watchdog) end(cause error) {
+	if w.ctx.Err() != nil {
+		return
+	}
+	if w.mayEnd != nil && !w.mayEnd() {
+		w.reset(endRetryInterval)
+		return
+	}
+	w.fired.Store(cause == errStalled)
+	w.cancel(cause)
 }
 
 // reset starts the timer again.
