Silence of nearly all groups at once is held against none of them

Cause: each group's silence was judged by itself. That all streams of an entry stop at the same moment, on groups that have no VM in common, has another cause than the groups: this VM, the network or the VMs of all groups stand still.

Change: if three quarters of the groups with streams, and four groups at least are compared, are silent at the same time, the entry neither reports nor suspends any of them. It logs when that begins and ends. Links that are down are still found, as their check does not depend on it. The loss of a fabric domain or a data centre stays below that share where there are three or more.

Test: TestSilenceOfAllGroupsIsHeldAgainstNone (red before: all four groups reported; one and two silent groups are reported as before).

--- a/internal/entry/group_progress.go
+++ b/internal/entry/group_progress.go
@@ -114,6 +114,13 @@
 	p.open += n
 }
 
+// hasStreams reports whether streams have begun and not ended.
+func (p *groupProgress) hasStreams() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.begun > 0
+}
+
 // isUnused reports whether no attempt on the group is open.
 func (p *groupProgress) isUnused() bool {
 	p.mu.Lock()
@@ -259,7 +266,10 @@
 // those that are certainly lost.
 func (s *Server) checkProgress(now time.Time) {
 	s.checkRetired(now)
-	silences := s.silentGroups(now)
+	silences, begun, silentCount := s.silentGroups(now)
+	if s.noteCommonSilence(silentCount, begun) {
+		return
+	}
 	var silent []*noderpc.SuspectGroup
 	var lost []groupEpoch
 	for k, silence := range silences {
@@ -278,14 +288,20 @@
 }
 
 // silentGroups returns the groups whose streams have all been silent for longer than the limit although
-// the link to them is up, with the lengths of their silences. It ends the attempts on groups whose link is down.
-func (s *Server) silentGroups(now time.Time) map[groupEpoch]time.Duration {
-	silences := make(map[groupEpoch]time.Duration)
+// the link to them is up, with the lengths of their silences. begun is the number of groups with streams, count that
+// of all silent ones. It ends the attempts on groups whose link is down.
+func (s *Server) silentGroups(now time.Time) (silences map[groupEpoch]time.Duration, begun, count int) {
+	silences = make(map[groupEpoch]time.Duration)
 	for k, p := range s.progress {
+		if !p.hasStreams() {
+			continue
+		}
+		begun++
 		silence := p.silentFor(now)
 		if silence <= p.silenceLimit {
 			continue
 		}
+		count++
 		switch s.linkDuringSilence(now, k, p) {
 		case linkUnchecked:
 		case linkDown:
@@ -294,7 +310,28 @@
 			silences[k] = silence
 		}
 	}
-	return silences
+	return silences, begun, count
+}
+
+const (
+	// leastComparedGroups is the number of groups with streams from which their silences are compared.
+	leastComparedGroups = 4
+	// commonSilenceShare is the part of them whose silence at the same time has another cause than the groups: this
+	// VM, the network, or the VMs of all groups stand still.
+	commonSilenceShare = 0.75
+)
+
+// noteCommonSilence reports whether nearly all groups with streams are silent, and logs when that begins and ends.
+//
+// Load: all streams of an entry stop for a moment. Harm of holding that against the groups: the leader breaks
+// all of them, and all answers begin anew at the same time.
+func (s *Server) noteCommonSilence(silent, begun int) bool {
+	isCommon := begun >= leastComparedGroups && float64(silent) >= commonSilenceShare*float64(begun)
+	if isCommon != s.isSilenceCommon {
+		s.isSilenceCommon = isCommon
+		_ = level.Info(s.o.Logger).Log("event", "common_silence", "is_common", isCommon, "silent", silent, "groups", begun)
+	}
+	return isCommon
 }
 
 // suspendGroups ends this entry's attempts on groups, as far as others can be made, and sends these groups
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -119,6 +119,8 @@
 	loggedRoutes map[string]route
 	// progress is used by the route loop alone.
 	progress progressByEpoch
+	// isSilenceCommon is set while nearly all groups are silent; only the route loop uses it.
+	isSilenceCommon bool
 	// retiredGroups are groups out of service with open attempts; only the route loop uses them.
 	retiredGroups []*groupProgress
 	// work counts the running jobs for a graceful stop. It grows only under drainMu, and not
--- a/internal/entry/silent_servers_test.go
+++ b/internal/entry/silent_servers_test.go
@@ -67,3 +67,28 @@
 		x.finish(callers...)
 	})
 }
+
+// Guards against groups that the leader breaks because all streams of an entry stop at the same moment.
+func TestSilenceOfAllGroupsIsHeldAgainstNone(t *testing.T) {
+	for name, c := range map[string]struct{ sending, reported int }{
+		"all silent": {0, 0}, "all but one silent": {1, 0}, "two silent": {2, 2}, "one silent": {3, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				x := newSoundSystem(t, 5000)
+				reports := make(stallReports, 64)
+				x.s.o.StallReporter = reports
+				callers := x.beginMany("stream", 16)
+				x.serveOnly(allGroups[:c.sending], defaultSilenceLimit+packetLossAllowance)
+				close(reports)
+				reported := make(map[string]bool)
+				for group := range reports {
+					reported[group] = true
+				}
+				assert.Equal(t, len(reported), c.reported)
+				x.s.o.StallReporter = nil
+				x.finish(callers...)
+			})
+		})
+	}
+}
