--- a/internal/entry/sound_servers_test.go
+++ b/internal/entry/sound_servers_test.go
@@ -88,16 +88,18 @@
 	return n, nil
 }
 
-// send sends the next event, unless the entry has ended the call.
-func (r *soundRun) send() {
+// send sends the next event. It returns false if the entry has ended the call.
+func (r *soundRun) send() bool {
 	r.sent++
-	r.sendText(events(fmt.Sprint(r.sent)))
+	return r.sendText(events(fmt.Sprint(r.sent)))
 }
 
-func (r *soundRun) sendText(text string) {
+func (r *soundRun) sendText(text string) bool {
 	select {
 	case r.in <- text:
+		return true
 	case <-r.ctx.Done():
+		return false
 	}
 }
 
@@ -111,7 +113,9 @@
 func (r *soundRun) finish() {
 	r.isOver = true
 	for r.sent < streamEvents {
-		r.send()
+		if !r.send() {
+			return
+		}
 	}
 	close(r.in)
 }
@@ -202,12 +206,18 @@
 	x.control.board.Store(next)
 }
 
-// apply makes the entry follow the board.
-func (x *soundSystem) apply() {
+// follow makes the entry follow the board.
+func (x *soundSystem) follow() {
 	x.s.ApplyBoard(x.control.Board())
 	x.s.updateRoutes()
 }
 
+// apply makes the entry follow the board and waits for the effects.
+func (x *soundSystem) apply() {
+	x.follow()
+	synctest.Wait()
+}
+
 // changeGroups changes groups.
 func (x *soundSystem) changeGroups(ids []string, f func(b *blackboard.Board, g blackboard.Group)) {
 	x.change(func(b *blackboard.Board) {
@@ -241,8 +251,8 @@
 	done    chan struct{}
 }
 
-// begin sends a request and lets its answer begin.
-func (x *soundSystem) begin(route string) *soundCaller {
+// call sends a request.
+func (x *soundSystem) call(route string) *soundCaller {
 	c := &soundCaller{w: httptest.NewRecorder(), done: make(chan struct{})}
 	go func() {
 		defer close(c.done)
@@ -252,6 +262,12 @@
 		})
 	}()
 	synctest.Wait()
+	return c
+}
+
+// begin sends a request and lets its answer begin.
+func (x *soundSystem) begin(route string) *soundCaller {
+	c := x.call(route)
 	x.servers.last().send()
 	synctest.Wait()
 	return c
