Red test: a new request is sent to a group whose attempts have just ended, and fails without having been sent

What callers see: a request that may not be repeated gets "the request was dispatched and its outcome is unknown", although nothing of it was sent to a sound server, while its entry takes in a board.

A request that is placed between the end of the attempts on lost groups and the new routes gets a route whose progress has ended. relayAttempt ends its call at once, and classifyRelayError calls that broken, which counts as a run that may have begun.

--- FAIL: TestNewRequestDoesNotFailWithAGroupThatIsLost --- FAIL: TestNewRequestDoesNotFailWithAGroupThatIsLost/removed lost_groups_test.go:62: assertion failed: 6 (whole int) != 8 (int): answers that are whole; 8 runs --- FAIL: TestNewRequestDoesNotFailWithAGroupThatIsLost/new_epoch lost_groups_test.go:62: assertion failed: 6 (whole int) != 8 (int): answers that are whole; 8 runs --- FAIL: TestNewRequestDoesNotFailWithAGroupThatIsLost/broken lost_groups_test.go:62: assertion failed: 6 (whole int) != 8 (int): answers that are whole; 8 runs --- FAIL: TestNewRequestDoesNotFailWithAGroupThatIsLost/released lost_groups_test.go:62: assertion failed: 6 (whole int) != 8 (int): answers that are whole; 8 runs

Stand-ins for sound servers go on with their streams until the entry ends the call; no product logic changes.

--- a/internal/entry/lost_groups_test.go
+++ b/internal/entry/lost_groups_test.go
@@ -47,3 +47,18 @@
 		x.finish(callers...)
 	})
 }
+
+// Guards against a request that is sent to a group after its attempts have ended, and fails without having been sent.
+func TestNewRequestDoesNotFailWithAGroupThatIsLost(t *testing.T) {
+	forEachWayOutOfService(t, func(t *testing.T, takeOut func(*soundSystem, ...string)) {
+		x := newSoundSystem(t, 5000)
+		takeOut(x, "m-0", "m-1", "m-2")
+		var callers []*soundCaller
+		x.applyHeldUp(func() {
+			for range 8 {
+				callers = append(callers, x.call("single"))
+			}
+		})
+		x.finish(callers...)
+	})
+}
