Red test: sound answers are cut when no group of their model is in service for a while

What callers see: all groups of a model are out of service on the board for longer than failoverWait (3 s), as when all of them form again. All begun streams of the model are closed, though their servers go on and the deadline is far.

Cause, by reading: progressByEpoch.update ends all of them at once; nextTarget then finds no target and gives up after failoverWait. Some runs also show attempts at groups of the old routes, as in the first of these tests (16 runs in place of 8).

Stand-ins for sound servers go on with their streams until the entry ends the call; no product logic changes.

--- a/internal/entry/lost_group_attempts_test.go
+++ b/internal/entry/lost_group_attempts_test.go
@@ -3,6 +3,9 @@
 import (
 	"testing"
 	"testing/synctest"
+	"time"
+
+	"github.com/citronstep/citronstep/internal/blackboard"
 )
 
 // Guards against a sound answer that is cut because its group is taken out of service and it may not go on elsewhere.
@@ -30,3 +33,15 @@
 		x.finish(caller)
 	})
 }
+
+// Guards against sound answers that are cut because no group of their model is in service for a while.
+func TestAnswersOutliveAllGroupsOfTheirModel(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newSoundSystem(t, 5000)
+		callers := x.beginMany("stream", 8)
+		x.moveGroups(allGroups, blackboard.Broken)
+		x.apply()
+		x.pass(failoverWait + time.Second)
+		x.finish(callers...)
+	})
+}
