Red test: a sound answer is cut when the lease ends and its group is taken out of service

What callers see: at an entry that does not serve without a lease, a stream that began under the lease is closed when its group is taken out of service after the lease has ended, though its server goes on.

Cause, by reading: the attempt is ended before mayAttempt asks for the lease. That a second attempt needs the lease is meant (docs/design/requests.md); that the first is ended without a second one is not.

Stand-ins for sound servers go on with their streams until the entry ends the call; no product logic changes.

--- a/internal/entry/lost_group_attempts_test.go
+++ b/internal/entry/lost_group_attempts_test.go
@@ -45,3 +45,15 @@
 		x.finish(callers...)
 	})
 }
+
+// Guards against a sound answer that is cut because the lease ends and its group is taken out of service, although it began under the lease.
+func TestAnswerOutlivesItsGroupAndTheLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newSoundSystem(t, 5000)
+		callers := x.beginMany("stream", 4)
+		x.loseLease()
+		x.moveGroups([]string{x.servers.last().group()}, blackboard.Broken)
+		x.apply()
+		x.finish(callers...)
+	})
+}
