Red test: a pause of its backend server ends an answer that can not go on elsewhere

What callers see: a stream whose server pauses for 1.35 s, as one does that puts a request back for lack of memory, is closed, if it may not resume or if no retry is left. Callers wait for at least two seconds.

Cause, by reading: the watchdog ends the attempt after streamGap (1.2 s) whether or not another attempt may follow. A pause is a reason to try elsewhere, and none to give up what nobody else can answer.

--- FAIL: TestPauseOfOneAnswerDoesNotEndIt --- FAIL: TestPauseOfOneAnswerDoesNotEndIt/no_retry_left pause_test.go:39: assertion failed: 7 (whole int) != 8 (int): answers that are whole; 8 runs --- FAIL: TestPauseOfOneAnswerDoesNotEndIt/may_not_resume pause_test.go:39: assertion failed: 7 (whole int) != 8 (int): answers that are whole; 8 runs

Stand-ins for sound servers go on with their streams until the entry ends the call; no product logic changes.

--- /dev/null
+++ b/internal/entry/pause_test.go
@@ -0,0 +1,43 @@
+package entry
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// unrepeatable are routes and retry budgets with which an answer can't go on elsewhere.
+var unrepeatable = map[string]struct {
+	route   string
+	retries float64
+}{
+	"may not resume": {"single", 5000},
+	"no retry left":  {"stream", 0},
+}
+
+// passWithEvents lets time pass in which runs send events, but not their last one.
+func (x *soundSystem) passWithEvents(runs []*soundRun, d time.Duration) {
+	for range streamEvents - 1 {
+		x.pass(d / (streamEvents - 1))
+		for _, r := range runs {
+			if r.sent < streamEvents-1 {
+				r.send()
+			}
+		}
+	}
+	synctest.Wait()
+}
+
+// Guards against an answer that can't go on elsewhere and is cut because its backend server pauses, as one does that puts a request back.
+func TestPauseOfOneAnswerDoesNotEndIt(t *testing.T) {
+	for name, c := range unrepeatable {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				x := newSoundSystem(t, c.retries)
+				callers := x.beginMany(c.route, 8)
+				x.passWithEvents(x.servers.open()[1:], 1350*time.Millisecond)
+				x.finish(callers...)
+			})
+		})
+	}
+}
