Red test: a pause of a group ends its answers that can not go on elsewhere

What callers see: all streams of an entry on a group pause for 1.1 s. Those that may not resume, or for which no retry is left, are closed, whether the entry finds the group silent or its own link to the group down.

Cause, by reading: suspendGroup and endAttemptsOnLink end all attempts on the group before anybody asks whether they may be made again. That the entry sends nothing new to the group does not need that.

Stand-ins for sound servers go on with their streams until the entry ends the call; no product logic changes.

--- a/internal/entry/pause_test.go
+++ b/internal/entry/pause_test.go
@@ -1,9 +1,12 @@
 package entry
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/citronstep/citronstep/internal/backend"
 )
 
 // unrepeatable are routes and retry budgets with which an answer can't go on elsewhere.
@@ -41,3 +44,20 @@
 		})
 	}
 }
+
+// Guards against answers that can't go on elsewhere and are cut because their group pauses.
+func TestPauseOfAGroupEndsNoAnswerThatCannotGoOnElsewhere(t *testing.T) {
+	for name, c := range unrepeatable {
+		for _, state := range []backend.ListenState{backend.Listening, backend.ListeningToPeers} {
+			t.Run(fmt.Sprint(name, ", probe ", state), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					x := newSoundSystem(t, c.retries)
+					x.s.o.Prober = &fixedProber{state: state}
+					callers := x.beginMany(c.route, 4)
+					x.pass(1100 * time.Millisecond)
+					x.finish(callers...)
+				})
+			})
+		}
+	}
+}
