Red test: a pause of all groups ends all answers, with retries left

What callers see: all streams of an entry pause for 1.1 s, as for an entry whose links lose everything for a second. All are closed, though they may resume, the budget is full and the servers go on after the pause.

Cause, by reading: checkProgress suspends one group after the other. Attempts that ended with the first go on in another one that is suspended next, and have used up max_attempts (up to 14 runs for 8 answers); the others find no target for failoverWait, which is no longer than stallSuspension, for which all groups are left out.

Stand-ins for sound servers go on with their streams until the entry ends the call; no product logic changes.

--- a/internal/entry/pause_test.go
+++ b/internal/entry/pause_test.go
@@ -61,3 +61,13 @@
 		}
 	}
 }
+
+// Guards against answers that are cut because all groups pause, and they go on at another one that is given up a moment later.
+func TestPauseOfAllGroupsEndsNoAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newSoundSystem(t, 5000)
+		callers := x.beginMany("stream", 8)
+		x.pass(1100 * time.Millisecond)
+		x.finish(callers...)
+	})
+}
