Red test: a caller that reads nothing for a while loses a sound answer once the memory of its entry is used up

Callers that read are not concerned: an empty buffer takes any event (checked by the four others of the test).

--- FAIL: TestUsedUpMemoryEndsNoSoundAnswer slow_caller_test.go:73: assertion failed: a.caller.got.String() is not a.sent: the caller got 5070 of 7098 bytes

Stand-ins for sound servers go on with their streams until the entry ends the call; no product logic changes.

--- a/internal/entry/slow_caller_test.go
+++ b/internal/entry/slow_caller_test.go
@@ -61,3 +61,16 @@
 		x.finish()
 	})
 }
+
+// Guards against a sound answer that is cut because its caller reads nothing for a while and the entry's memory is used up.
+func TestUsedUpMemoryEndsNoSoundAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newSoundSystem(t, 0)
+		x.s.memory = newMemoryBudget(4 << 10)
+		a := x.beginFull(4 << 10)
+		callers := x.beginMany("single", 4)
+		x.passWithEvents(x.servers.open(), 1350*time.Millisecond)
+		a.finish(t)
+		x.finish(callers...)
+	})
+}
