Red test: a caller that reads nothing makes its entry give up and report a sound group

What callers see: at a group with few streams, a caller that reads nothing for 1.1 s makes its entry report the group as stalled, twice, and send it nothing for three seconds, which ends its streams there. From two seconds on, one such report is enough for the leader to break the group (oneReporterStall), with all its answers of all entries.

Cause, by reading: progress.event is called when the entry reads an event. While enqueue waits for the caller, the entry reads none, and silentFor takes that for the server's silence.

--- FAIL: TestSlowCallerDoesNotMakeItsGroupLookSilent slow_caller_test.go:86: assertion failed: a.caller.got.String() is not a.sent: the caller got 65966 of 69011 bytes slow_caller_test.go:88: assertion failed: 2 (int) != 0 (int): reports of a stalled group

--- a/internal/entry/slow_caller_test.go
+++ b/internal/entry/slow_caller_test.go
@@ -74,3 +74,17 @@
 		x.finish(callers...)
 	})
 }
+
+// Guards against a sound group that is given up and reported as stalled because a caller reads nothing for a while.
+func TestSlowCallerDoesNotMakeItsGroupLookSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newSoundSystem(t, 0)
+		reports := make(stallReports, 16)
+		x.s.o.StallReporter = reports
+		a := x.beginFull(streamBufferBytes)
+		x.pass(1100 * time.Millisecond)
+		a.finish(t)
+		x.finish()
+		assert.Equal(t, len(reports), 0, "reports of a stalled group")
+	})
+}
