A stream that waits for its caller does not make its group look silent

What callers saw: one caller that reads nothing for a second makes its entry report a sound group to the leader as stalled, twice, and end the streams of others on it.

Cause: while the buffer of a slow caller is full its stream is not read, and the time since its last event counted as silence of the backend server.

Change: a stream that waits for its caller counts neither as a stream of its group nor as one that makes no progress, until the wait ends. The first event of a stream is told by a flag: with a first event within the clock's resolution, each further one counted as a new stream of the group.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -57,6 +57,8 @@
 	begun atomic.Bool
 	// out writes a stream to the caller; nil until the stream has begun.
 	out *streamWriter
+	// onWait is called when the stream begins to wait for its caller, and its result when it goes on.
+	onWait func() (resume func())
 	// writeErr is set once a write to the caller has failed.
 	writeErr error
 	// reservedBytes is the part of the entry's memory budget that buffered answers of this
--- a/internal/entry/forward_relay.go
+++ b/internal/entry/forward_relay.go
@@ -67,17 +67,18 @@
 func (s *Server) relayEvents(j *job, g grant, w *watchdog, a *backend.ForwardAnswer, result *placement.Result, began time.Time) (outcome, *failure.Error) {
 	events := newEventReader(a.Body)
 	progress := g.route.progress
+	j.forward.onWait = func() func() { return waitForCaller(w, progress) }
 	for {
 		e, err := events.next()
 		if err == io.EOF {
 			j.forward.writeHead(s.memory, a)
-			j.provesParts = provesAnswer(a) && result.FirstToken != 0
+			j.provesParts = provesAnswer(a) && w.hasBegun.Load()
 			return outcomeComplete, nil
 		}
 		if err != nil {
 			return s.classifyRelayError(j, g, w, err)
 		}
-		first := result.FirstToken == 0
+		first := !w.hasBegun.Load()
 		if first {
 			result.FirstToken = time.Since(began)
 			j.noteFirstToken()
@@ -98,6 +99,25 @@
 	}
 }
 
+// waitForCaller stops counting a stream as one that should make progress while it waits for its caller to
+// read. The returned function undoes that.
+//
+// Failure: the buffer of a slow caller is full, so that its stream is not read. It looks silent, and its group is
+// reported as stalled.
+func waitForCaller(w *watchdog, progress *groupProgress) (resume func()) {
+	w.isPaused.Store(true)
+	if progress != nil {
+		progress.ended()
+	}
+	return func() {
+		w.isPaused.Store(false)
+		w.progress(true)
+		if progress != nil {
+			progress.event(time.Now(), true)
+		}
+	}
+}
+
 // writeHead writes the status and header of the stream's first run.
 func (f *forwarding) writeHead(m *memoryBudget, a *backend.ForwardAnswer) {
 	if f.begun.Load() {
@@ -119,7 +139,7 @@
 		f.resume, f.last = true, e.id
 	}
 	f.writeHead(m, a)
-	return errors.Trace(f.out.enqueue(j.ctx, e.bytes, flush))
+	return errors.Trace(f.out.enqueue(j.ctx, e.bytes, flush, f.onWait))
 }
 
 // event is one server-sent event as received.
--- a/internal/entry/stream_writer.go
+++ b/internal/entry/stream_writer.go
@@ -42,13 +42,18 @@
 }
 
 // enqueue adds bytes to the stream and waits while the buffer is full. flush asks for them to
-// be sent without delay.
-func (o *streamWriter) enqueue(ctx context.Context, p []byte, flush bool) error {
+// be sent without delay. onWait, if it is not nil, is called before the first wait, and its result after the last.
+func (o *streamWriter) enqueue(ctx context.Context, p []byte, flush bool, onWait func() (resume func())) error {
+	hasWaited := false
 	for {
 		taken, err := o.tryEnqueue(p, flush)
 		if taken || err != nil {
 			return err
 		}
+		if !hasWaited && onWait != nil {
+			hasWaited = true
+			defer onWait()()
+		}
 		select {
 		case <-o.spaceFree:
 		case <-ctx.Done():
--- a/internal/entry/watchdog.go
+++ b/internal/entry/watchdog.go
@@ -31,6 +31,8 @@
 	// mayEnd reports whether the attempt may end before its backend server ends it; nil if it always
 	// may.
 	mayEnd func() bool
+	// isPaused is set while the attempt waits for its caller.
+	isPaused atomic.Bool
 	// hasBegun is set once there was a token.
 	hasBegun atomic.Bool
 	fired    atomic.Bool
@@ -68,7 +70,7 @@
 	if w.ctx.Err() != nil {
 		return
 	}
-	if w.mayEnd != nil && !w.mayEnd() {
+	if w.isPaused.Load() || (w.mayEnd != nil && !w.mayEnd()) {
 		w.reset(endRetryInterval)
 		return
 	}
