A signal that arrives while a process starts does not end it

What operators saw: SIGHUP, which tells a process that its settings have changed, ended an entry that listened already but was still starting: 15 of 30 starts in a test with real processes, status -1. Its callers' open requests ended with it. To the platform it is a process that ended by itself.

Cause: the handlers were installed after the node was made, which opens the disk and the listeners; until then a signal's default action held. Change: they are installed first, and a signal that came meanwhile takes effect once the process serves. SIGTERM during a start becomes a graceful stop as well. -check and -recover still end by a signal.

--- a/cmd/citronstepd/dev.go
+++ b/cmd/citronstepd/dev.go
@@ -34,14 +34,14 @@
 
 // runDev runs all roles and stand-in backend servers in one process. The process
 // keeps its state in a temporary folder and removes the folder when it ends.
-func runDev() int {
+func runDev(received signals) int {
 	folder, err := os.MkdirTemp("", "citronstep-dev-")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "citronstepd:", err)
 		return exitFailure
 	}
 	defer func() { _ = os.RemoveAll(folder) }()
-	p, err := startNode(settings.Dev(folder), "")
+	p, err := startNode(settings.Dev(folder), "", received)
 	if err != nil {
 		return exitFailure
 	}
--- a/cmd/citronstepd/main.go
+++ b/cmd/citronstepd/main.go
@@ -58,9 +58,13 @@
 	recoverState := flag.Bool("recover", false, "bootstrap a new cluster from the data folder of this stopped control process, and exit; a last resort (docs/operators/quorum-lost.md)")
 	dev := flag.Bool("dev", false, "run all roles and stand-in backend servers in this process")
 	flag.Parse()
+	var received signals
+	if !*check && !*recoverState {
+		received = notifySignals()
+	}
 	switch {
 	case *dev:
-		return runDev()
+		return runDev(received)
 	case *file == "":
 		fmt.Fprintln(os.Stderr, "citronstepd: -settings FILE or -dev is required")
 		flag.Usage()
@@ -78,7 +82,7 @@
 	if *recoverState {
 		return recoverFolder(s)
 	}
-	return runNode(s, *file)
+	return runNode(s, *file, received)
 }
 
 // recoverFolder bootstraps a new cluster from this process's data folder, after the
@@ -100,13 +104,24 @@
 	return level.NewFilter(logger, level.Allow(level.ParseDefault(name, level.InfoValue())))
 }
 
+// signals holds the signals that the process has received and not handled.
+type signals struct{ stop, reload chan os.Signal }
+
+// notifySignals begins to receive signals. It is called before anything else, because a signal without a
+// receiver ends the process: a SIGHUP as well that arrives while the process starts.
+func notifySignals() signals {
+	s := signals{stop: make(chan os.Signal, 2), reload: make(chan os.Signal, 1)}
+	signal.Notify(s.stop, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(s.reload, syscall.SIGHUP)
+	return s
+}
+
 // process is a running node, with the signals and functions that stop it.
 type process struct {
-	node          *node.Node
-	settings      *settings.Settings
-	logger        log.Logger
-	stopSignals   chan os.Signal
-	reloadSignals chan os.Signal
+	node     *node.Node
+	settings *settings.Settings
+	logger   log.Logger
+	signals  signals
 	// file is the path of the settings file; empty for -dev.
 	file string
 	done chan error
@@ -114,7 +129,7 @@
 }
 
 // startNode creates a node with these settings and starts it.
-func startNode(s *settings.Settings, file string) (*process, error) {
+func startNode(s *settings.Settings, file string, received signals) (*process, error) {
 	logger := log.With(newLogger(s.Log.Level), "vm", s.VM)
 	reportInvariants(logger)
 	n, err := node.NewWithAdapter(s, logger, adapterOf(s))
@@ -124,11 +139,8 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	p := &process{
-		node: n, settings: s, logger: logger, stop: stop,
-		stopSignals: make(chan os.Signal, 2), reloadSignals: make(chan os.Signal, 1), done: make(chan error, 1), file: file,
+		node: n, settings: s, logger: logger, stop: stop, signals: received, done: make(chan error, 1), file: file,
 	}
-	signal.Notify(p.stopSignals, syscall.SIGTERM, syscall.SIGINT)
-	signal.Notify(p.reloadSignals, syscall.SIGHUP)
 	_ = level.Info(logger).Log("event", "started", "entry", s.Entry.Enabled, "control", s.Control.Enabled, "data_centre", s.DataCentre)
 	go p.reloadLoop(ctx)
 	go func() { p.done <- n.Run(ctx) }()
@@ -151,8 +163,8 @@
 // runNode serves until a signal and returns the exit code. The first SIGTERM or
 // SIGINT starts a graceful stop. A second signal, or the time limit in the settings,
 // ends the process at once.
-func runNode(s *settings.Settings, file string) int {
-	p, err := startNode(s, file)
+func runNode(s *settings.Settings, file string, received signals) int {
+	p, err := startNode(s, file, received)
 	if err != nil {
 		return exitFailure
 	}
@@ -163,7 +175,7 @@
 func (p *process) serve() int {
 	code := 0
 	select {
-	case <-p.stopSignals:
+	case <-p.signals.stop:
 		code = p.drain()
 		p.stop()
 		if err := <-p.done; err != nil {
@@ -190,7 +202,7 @@
 	defer cancel()
 	go func() {
 		select {
-		case <-p.stopSignals:
+		case <-p.signals.stop:
 			cancel()
 		case <-ctx.Done():
 		}
--- a/cmd/citronstepd/reload.go
+++ b/cmd/citronstepd/reload.go
@@ -33,7 +33,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-p.reloadSignals:
+		case <-p.signals.reload:
 			isForced = true
 		case <-ticker.C:
 		}
