Tests: an evacuation, a leaving server, a quarantine and a standstill end no sound answer

Further changes of the board that close a target for new requests alone, and a process that stands still for 1.1 s and then reads what came in. In the standstill the test lets the readers run before the next look at the groups; a process so busy that they do not within 20 ms was not tried.

--- a/internal/entry/changed_board_test.go
+++ b/internal/entry/changed_board_test.go
@@ -69,11 +69,29 @@
 			}
 		})
 	},
+	"its data centre is evacuated": func(x *soundSystem) {
+		x.change(func(b *blackboard.Board) {
+			g := b.Groups[x.servers.last().group()]
+			g.DataCentre = "evacuated"
+			b.Groups[g.ID], b.Evacuations[g.DataCentre] = g, blackboard.Evacuation{Revision: 1}
+		})
+	},
+	"its backend server is leaving": func(x *soundSystem) {
+		x.change(func(b *blackboard.Board) {
+			id := x.servers.last().group()
+			b.VMs[id] = blackboard.VM{ID: id, Leaving: true}
+		})
+	},
+	"its group is in quarantine": func(x *soundSystem) {
+		x.change(func(b *blackboard.Board) {
+			b.Quarantines["m"] = blackboard.Quarantine{Target: x.servers.last().group(), Entry: "another", UntilMillis: time.Now().Add(time.Minute).UnixMilli()}
+		})
+	},
 	"groups that run nothing are broken": func(x *soundSystem) {
 		x.change(func(b *blackboard.Board) {
 			busy := make(map[string]bool)
 			for _, r := range x.servers.open() {
-				busy[r.call.Address] = true
+				busy[r.group()] = true
 			}
 			for id, g := range maps.Clone(b.Groups) {
 				if !busy[id] {
@@ -131,3 +149,19 @@
 		x.finish(callers...)
 	})
 }
+
+// Guards against a standstill of the process that is taken for a silence of all groups.
+func TestStandstillEndsNoSoundAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newSoundSystem(t, 0)
+		callers := append(x.beginMany("stream", 4), x.beginMany("single", 4)...)
+		time.Sleep(1100 * time.Millisecond)
+		x.s.checkProgress(time.Now())
+		for _, r := range x.servers.open() {
+			r.send()
+		}
+		synctest.Wait()
+		x.pass(100 * time.Millisecond)
+		x.finish(callers...)
+	})
+}
