--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -185,3 +185,18 @@
 	f.publish(blackboard.New(), 1300, time.Second)
 	assert.Equal(t, f.EvacuationStart("dc"), clock.Boot(0))
 }
+
+// Guards against an entry that takes the board of another cluster, and so ends what runs under its own.
+func TestBoardOfAnotherClusterIsRefused(t *testing.T) {
+	l := &leader{commands: commands(t), have: 3}
+	f := newFollower(l)
+	assert.NilError(t, f.watchOnce(context.Background()))
+	board := f.Board()
+	other, err := blackboard.Encode(&blackboard.Found{ClusterID: "other", Initial: blackboard.ConfigChange{
+		ChangeID: "first", Presets: []blackboard.Preset{{Name: "other"}}, UsePreset: "other",
+	}})
+	assert.NilError(t, err)
+	l.commands, l.snapshot = append([][]byte{other}, l.commands[1:]...), true
+	assert.ErrorIs(t, f.watchOnce(context.Background()), ErrOlderBoard)
+	assert.Assert(t, f.Board() == board)
+}
