--- a/internal/entry/sound_servers_test.go
+++ b/internal/entry/sound_servers_test.go
@@ -243,17 +243,6 @@
 	synctest.Wait()
 }
 
-// serve lets time pass while the servers send an event each interval.
-func (x *soundSystem) serve(d, interval time.Duration) {
-	for end := time.Now().Add(d); time.Now().Before(end); {
-		x.pass(interval)
-		for _, r := range x.servers.open() {
-			r.send()
-		}
-		synctest.Wait()
-	}
-}
-
 // soundCaller is a caller whose answer has begun.
 type soundCaller struct {
 	w       *httptest.ResponseRecorder
