--- a/internal/controller/stalls.go
+++ b/internal/controller/stalls.go
@@ -34,9 +34,9 @@
 	// answers. Reason for the limit: a fabric domain or a data centre that is lost holds fewer groups.
 	leastComparedGroups = 4
 	commonStallShare    = 0.5
-	// commonStallWindow is how far apart the reports of such a standstill may arrive. It is as long as a
+	// commonStallWindow is how far apart the reports of such a standstill may arrive. It is longer than a
 	// report of a long stall has an effect.
-	commonStallWindow = twoReporterStall
+	commonStallWindow = 2 * twoReporterStall
 )
 
 // StallReports collects the reports of entries about groups that make no progress, and decides
--- a/internal/controller/stalls_test.go
+++ b/internal/controller/stalls_test.go
@@ -105,7 +105,7 @@
 		apart             time.Duration
 		want              bool
 	}{
-		{10, 20, 10 * time.Millisecond, true}, {9, 20, 10 * time.Millisecond, false}, {10, 20, 200 * time.Millisecond, false},
+		{10, 20, 10 * time.Millisecond, true}, {9, 20, 10 * time.Millisecond, false}, {10, 20, 400 * time.Millisecond, false},
 		{2, 3, 0, false}, {2, 4, 0, true}, {0, 4, 0, false},
 	} {
 		s, now := NewStallReports(), simStart
