--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -87,8 +87,6 @@
 	meter      meter
 	// stalls holds the entries' reports of groups without progress.
 	stalls *controller.StallReports
-	// isStallCommon is set while the reported stalls have a common cause.
-	isStallCommon bool
 	// demand sums the entries' reports of demand in this term.
 	demand *demand.Table
 	// demandMinEntries is the number of entries from which layouts follow demand.
--- a/internal/control/stalled.go
+++ b/internal/control/stalled.go
@@ -47,8 +47,7 @@
 	}
 }
 
-// stalledGroups returns the groups that count as stalled by the entries' reports; none while these have a
-// common cause.
+// stalledGroups returns the groups that count as stalled by the entries' reports.
 func (s *Server) stalledGroups(now time.Time, board *blackboard.Board) map[controller.GroupEpoch]time.Time {
 	entries := make(map[string]int)
 	for _, e := range board.Entries {
@@ -58,25 +57,5 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	confirmed := s.stalls.Confirmed(now, entries)
-	isCommon := s.stalls.HaveCommonCause(now, servingPoolGroups(board))
-	if isCommon != s.isStallCommon {
-		s.isStallCommon = isCommon
-		_ = level.Info(s.o.Logger).Log("event", "common_stall", "is_common", isCommon, "confirmed", len(confirmed))
-	}
-	if isCommon {
-		return nil
-	}
-	return confirmed
-}
-
-// servingPoolGroups returns the number of groups that are broken for stalls.
-func servingPoolGroups(board *blackboard.Board) int {
-	n := 0
-	for _, g := range board.Groups {
-		if g.RequiresOpenHead && g.State == blackboard.Serving {
-			n++
-		}
-	}
-	return n
+	return s.stalls.Confirmed(now, entries)
 }
--- a/internal/controller/stalls.go
+++ b/internal/controller/stalls.go
@@ -26,17 +26,6 @@
 	oneReporterStall = 2 * time.Second
 	// stallReportTTL is how long an entry's report is kept.
 	stallReportTTL = 5 * time.Second
-	// leastComparedGroups is the number of serving groups from which their stalls are compared, and
-	// commonStallShare the part of them whose stalls at the same time have a common cause.
-	//
-	// Load: all backend servers, or the network between the data centres, stand still for a fraction of a
-	// second. Harm of holding that against the groups: all of them are broken within the same moment, with all
-	// answers. Reason for the limit: a fabric domain or a data centre that is lost holds fewer groups.
-	leastComparedGroups = 4
-	commonStallShare    = 0.5
-	// commonStallWindow is how far apart the reports of such a standstill may arrive. It is longer than a
-	// report of a long stall has an effect.
-	commonStallWindow = 2 * twoReporterStall
 )
 
 // StallReports collects the reports of entries about groups that make no progress, and decides
@@ -86,24 +75,6 @@
 	return out
 }
 
-// HaveCommonCause reports whether entries report so many of the serving groups at the same time that the
-// groups are not the cause.
-func (s *StallReports) HaveCommonCause(now time.Time, serving int) bool {
-	if serving < leastComparedGroups {
-		return false
-	}
-	reported := 0
-	for _, reports := range s.reports {
-		for _, report := range reports {
-			if now.Sub(report.at) <= commonStallWindow {
-				reported++
-				break
-			}
-		}
-	}
-	return float64(reported) >= commonStallShare*float64(serving)
-}
-
 // isConfirmed reports whether the reports on one group confirm each other.
 func isConfirmed(now time.Time, reports map[string]stallReport, entries map[string]int) bool {
 	together := make(map[string]int)
--- a/internal/controller/stalls_test.go
+++ b/internal/controller/stalls_test.go
@@ -97,24 +97,3 @@
 	s.Confirmed(simStart.Add(2*stallReportTTL), threeDataCentres)
 	assert.Equal(t, len(s.reports), 0)
 }
-
-// Guards against all groups being broken within one moment in which all backend servers stand still.
-func TestStallsOfHalfOfTheGroupsHaveACommonCause(t *testing.T) {
-	for _, c := range []struct {
-		reported, serving int
-		apart             time.Duration
-		want              bool
-	}{
-		{10, 20, 10 * time.Millisecond, true}, {9, 20, 10 * time.Millisecond, false}, {10, 20, 400 * time.Millisecond, false},
-		{2, 3, 0, false}, {2, 4, 0, true}, {0, 4, 0, false},
-	} {
-		s, now := NewStallReports(), simStart
-		for i := range c.reported {
-			now = now.Add(c.apart)
-			for entry := range 3 {
-				s.Record(now, fmt.Sprint("entry-", entry), fmt.Sprint("dc-", entry), GroupEpoch{fmt.Sprint("g", i), 1}, 240*time.Millisecond)
-			}
-		}
-		assert.Equal(t, s.HaveCommonCause(now, c.serving), c.want, "%v", c)
-	}
-}
