Red test: the reports of one entry keep a lost group in service

What callers would see: requests go on being sent to a lost group. An entry behind a bad link reports one group after the other, and the leader takes half of the groups reported within a second for a common cause, although none of these stalls is confirmed.

Place: StallReports.HaveCommonCause counts groups with any one report.

--- /dev/null
+++ b/internal/control/stalled_test.go
@@ -0,0 +1,66 @@
+package control
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"gotest.tools/v3/assert"
+
+	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/controller"
+)
+
+// stallSystem is a leader with entries in three data centres and serving groups in fabric domains.
+type stallSystem struct {
+	s     *Server
+	board *blackboard.Board
+	now   time.Time
+}
+
+// newStallSystem places a number of groups in each domain.
+func newStallSystem(domains ...int) *stallSystem {
+	x := &stallSystem{s: NewServer(Options{Logger: log.NewNopLogger()}), board: blackboard.New(), now: time.Unix(1000, 0)}
+	for i := range 9 {
+		id := fmt.Sprint("e-", i)
+		x.board.Entries[id] = blackboard.Entry{ID: id, Address: id, DataCentre: fmt.Sprint("dc-", i%3)}
+	}
+	for d, groups := range domains {
+		for i := range groups {
+			id := groupIn(d, i)
+			x.board.Groups[id] = blackboard.Group{
+				ID: id, Epoch: 1, State: blackboard.Serving, RequiresOpenHead: true,
+				DataCentre: fmt.Sprint("dc-", d), FabricDomain: fmt.Sprint("domain-", d),
+			}
+		}
+	}
+	return x
+}
+
+func groupIn(domain, i int) string { return fmt.Sprint("g-", domain, "-", i) }
+
+// report records the reports of a group by some entries.
+func (x *stallSystem) report(group string, silent time.Duration, entries ...int) {
+	for _, e := range entries {
+		x.s.stalls.Record(x.now, fmt.Sprint("e-", e), fmt.Sprint("dc-", e%3), controller.GroupEpoch{Group: group, Epoch: 1}, silent)
+	}
+}
+
+func (x *stallSystem) isStalled(group string) bool {
+	_, stalled := x.s.stalledGroups(x.now, x.board)[controller.GroupEpoch{Group: group, Epoch: 1}]
+	return stalled
+}
+
+const pass = 240 * time.Millisecond
+
+// Guards against a lost group that stays in service because one entry with a bad link reports many others.
+func TestOneEntrysReportsHideNoStall(t *testing.T) {
+	x := newStallSystem(4, 4)
+	for i := range 4 {
+		x.report(groupIn(1, i), pass, 8)
+	}
+	x.now = x.now.Add(500 * time.Millisecond)
+	x.report(groupIn(0, 0), pass, 0, 1, 2)
+	assert.Assert(t, x.isStalled(groupIn(0, 0)), "three entries of three data centres report the group")
+}
