Red test: reports of groups that are out of service keep a lost group in service

Reports of a group that the leader has broken count for a second towards a common cause, while the group no longer counts as serving. So of five groups the second lost one stays in service.

--- a/internal/control/stalled_test.go
+++ b/internal/control/stalled_test.go
@@ -64,3 +64,16 @@
 	x.report(groupIn(0, 0), pass, 0, 1, 2)
 	assert.Assert(t, x.isStalled(groupIn(0, 0)), "three entries of three data centres report the group")
 }
+
+// Guards against a lost group that stays in service because others have been taken out of service just before.
+func TestStallsOfBrokenGroupsHideNoStall(t *testing.T) {
+	x := newStallSystem(5)
+	x.report(groupIn(0, 0), pass, 0, 1, 2)
+	assert.Assert(t, x.isStalled(groupIn(0, 0)))
+	broken := x.board.Groups[groupIn(0, 0)]
+	broken.State = blackboard.Broken
+	x.board.Groups[groupIn(0, 0)] = broken
+	x.now = x.now.Add(40 * time.Millisecond)
+	x.report(groupIn(0, 1), pass, 0, 1, 2)
+	assert.Assert(t, x.isStalled(groupIn(0, 1)), "one of four serving groups is reported")
+}
