Red test: groups of a lost domain stay in service if it holds half of them

Each report that can confirm a stall also counts towards a common cause, for as long. So groups that are lost together and are half of those that serve are never broken for their stalls. If a domain loses power with the heads, the leader's next reason is a member that is dead by its silence, after silentMemberLimit (30 s), or its next incarnation.

TestPoolsUnderRandomFaults does not meet this: its world confirms stalls by itself.

--- a/internal/control/stalled_test.go
+++ b/internal/control/stalled_test.go
@@ -77,3 +77,18 @@
 	x.report(groupIn(0, 1), pass, 0, 1, 2)
 	assert.Assert(t, x.isStalled(groupIn(0, 1)), "one of four serving groups is reported")
 }
+
+// Guards against groups that stay in service after their fabric domain is lost, as it holds half of them.
+func TestLossOfOneOfTwoDomainsIsNoCommonStall(t *testing.T) {
+	x := newStallSystem(2, 2)
+	for _, silent := range []time.Duration{pass, time.Second, 2 * time.Second} {
+		x.now = time.Unix(1000, 0).Add(silent)
+		for i := range 2 {
+			x.report(groupIn(0, i), silent, 0, 1, 2, 3, 4, 5)
+		}
+		if x.isStalled(groupIn(0, 0)) {
+			return
+		}
+	}
+	t.Error("the groups of the lost domain are reported at 0.24, 1 and 2 s by six entries, and never count as stalled")
+}
