Red test: a pause cuts a sound answer while no other backend server takes requests

hasOtherTarget takes any routable target for one that can be had; nextTarget then refuses at once, as all are in a back-off (a rate limit takes the same way, not tried).

--- a/internal/entry/secured_attempt_test.go
+++ b/internal/entry/secured_attempt_test.go
@@ -22,3 +22,16 @@
 		x.finish(callers...)
 	})
 }
+
+// Guards against a sound answer that is cut for a pause as all other backend servers are in a back-off.
+func TestPauseWithAllOthersInABackoffEndsNoAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newSoundSystem(t, 5000)
+		callers := x.beginMany("stream", 8)
+		for _, id := range allGroups {
+			x.s.dispatcher.recordBackoff(time.Now(), "i-"+id, time.Now().Add(time.Minute))
+		}
+		x.pauseFirst()
+		x.finish(callers...)
+	})
+}
