Red test: a pause cuts a sound answer whose second backend server refuses it

The running attempt ends before the next one is accepted. A server that is full, or whose group has just been broken, refuses with 503 or 421, which uses up the attempts of a route that has two.

--- a/internal/entry/secured_attempt_test.go
+++ b/internal/entry/secured_attempt_test.go
@@ -1,9 +1,13 @@
 package entry
 
 import (
+	"context"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/citronstep/citronstep/internal/backend"
 )
 
 // pauseOfOne is a pause of a stream after which its entry looks for another attempt.
@@ -35,3 +39,29 @@
 		x.finish(callers...)
 	})
 }
+
+// refusingServers take no request once isRefusing is set.
+type refusingServers struct {
+	*soundServers
+	isRefusing bool
+}
+
+func (r *refusingServers) Forward(ctx context.Context, c backend.ForwardCall) (*backend.ForwardAnswer, error) {
+	if r.isRefusing {
+		return &backend.ForwardAnswer{Status: http.StatusServiceUnavailable, Header: http.Header{}, Body: http.NoBody, NotRun: true}, nil
+	}
+	return r.soundServers.Forward(ctx, c)
+}
+
+// Guards against a sound answer that is cut for a pause as the backend server of its next attempt is full and refuses it.
+func TestPauseWithAllOthersRefusingEndsNoAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newSoundSystem(t, 5000)
+		servers := &refusingServers{soundServers: x.servers}
+		x.s.o.Forwarder = servers
+		callers := x.beginMany("stream", 8)
+		servers.isRefusing = true
+		x.pauseFirst()
+		x.finish(callers...)
+	})
+}
