Red test: an entry never reports groups that stay silent if they are most of its groups

noteCommonSilence has no limit of time, and withholds the reports as well as the suspension. So the leader, which compares all entries, hears nothing, and the entry goes on sending new requests to groups that are lost.

Observed, go test ./internal/entry -run TestLastingSilenceOfMostGroupsIsReported, 5 of 5 runs under -race: assertion failed: 0 (int) != 3 (int): groups that were silent for ten seconds and reported

--- a/internal/entry/secured_attempt_test.go
+++ b/internal/entry/secured_attempt_test.go
@@ -7,6 +7,8 @@
 	"testing/synctest"
 	"time"
 
+	"gotest.tools/v3/assert"
+
 	"github.com/citronstep/citronstep/internal/backend"
 )
 
@@ -65,3 +67,31 @@
 		x.finish(callers...)
 	})
 }
+
+// Guards against a leader that never hears of groups that stay silent, as an entry takes their silence for a common one.
+func TestLastingSilenceOfMostGroupsIsReported(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newSoundSystem(t, 0)
+		reports := make(stallReports, 64)
+		x.s.o.StallReporter = reports
+		callers := x.beginMany("stream", 16)
+		for range 10 {
+			x.serveOnly(allGroups[:1], time.Second)
+			for _, r := range x.servers.open() {
+				// A stream has few events; new ones keep the group busy.
+				if r.group() == allGroups[0] && r.sent == streamEvents-1 {
+					r.finish()
+					callers = append(callers, x.begin("stream"))
+				}
+			}
+		}
+		close(reports)
+		reported := make(map[string]bool)
+		for group := range reports {
+			reported[group] = true
+		}
+		x.s.o.StallReporter = nil
+		x.finish(callers...)
+		assert.Equal(t, len(reported), 3, "groups that were silent for ten seconds and reported")
+	})
+}
