Red test: a last attempt waits for its deadline at a backend server that has restarted

An attempt that may not be made again no longer ends with its group, whether its answer has begun or not, also if the board shows that the process that ran it is gone. A VM that lost power sends no reset, so that its callers wait for their deadlines.

--- a/internal/entry/secured_attempt_test.go
+++ b/internal/entry/secured_attempt_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/citronstep/citronstep/internal/backend"
+	"github.com/citronstep/citronstep/internal/blackboard"
 )
 
 // pauseOfOne is a pause of a stream after which its entry looks for another attempt.
@@ -95,3 +96,31 @@
 		assert.Equal(t, len(reported), 3, "groups that were silent for ten seconds and reported")
 	})
 }
+
+// Guards against callers that wait for their deadline for a backend server that the board shows as restarted.
+func TestLastAttemptEndsOnceItsServerHasRestarted(t *testing.T) {
+	for name, begins := range map[string]bool{"answer has begun": true, "no byte of the answer": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				x := newSoundSystem(t, 0)
+				c := x.call("single")
+				if begins {
+					x.servers.last().send()
+				}
+				id := x.servers.last().group()
+				x.changeGroups([]string{id}, func(b *blackboard.Board, g blackboard.Group) {
+					g.State = blackboard.Broken
+					b.Groups[id] = g
+					b.VMs[id] = blackboard.VM{ID: id, Incarnation: "next", Liveness: blackboard.Alive}
+				})
+				x.apply()
+				x.pass(5 * time.Second)
+				if n := len(x.servers.open()); n > 0 {
+					t.Errorf("%d attempts still wait for a backend server that is gone", n)
+				}
+				x.finish()
+				<-c.done
+			})
+		})
+	}
+}
