A secured attempt is one that would be sent; silence of all groups counts after a second

Causes and changes: - "Secured" did not ask what the next attempt would be asked: it now asks for the lease, and for a target that is in no back-off. - The watchdog looks again after it has asked, and does nothing if there was progress. Asking for a retry pauses for a second. - A stream that has begun always gets the 0.1 s in which ready events are read, not only after a standstill over 0.2 s. - Silence of nearly all groups at once is a standstill for a second at most; then it is reported and the groups are suspended as before. - A stop of less than 1.2 s answers what has not begun in its last quarter.

Still red, listed: the next backend server refuses the attempt (421, 503) and the route allows no third one; a last attempt holds on to a server whose group the board shows broken and its head restarted.

Tests: TestStreamsOfBrokenGroupsAreNotSentToOtherBrokenGroups watches its groups as the route loop does, which now ends their silent streams; its checks are unchanged. The stand-in's streams have 40 events, so that they last for TestLastingSilenceOfMostGroupsIsReported. A lost lease is a flag of the follower, as replacing the follower raced with the watchdog.

--- a/internal/entry/broken_groups_test.go
+++ b/internal/entry/broken_groups_test.go
@@ -81,6 +81,18 @@
 	s.updateRoutes()
 }
 
+// checkProgressUntil watches the groups as the route loop does.
+func (s *Server) checkProgressUntil(done <-chan struct{}) {
+	for {
+		select {
+		case <-done:
+			return
+		case <-time.After(dispatchInterval):
+			s.checkProgress(time.Now())
+		}
+	}
+}
+
 // Guards against streams of broken groups that use up their attempts on other groups that the same board breaks.
 func TestStreamsOfBrokenGroupsAreNotSentToOtherBrokenGroups(t *testing.T) {
 	const groups, sound = 40, "m-0"
@@ -104,7 +116,7 @@
 	f := &endlessStreams{ends: sound}
 	s := NewServer(Options{
 		ID: "e0", Settings: settings.Entry{MaxOpen: 1000, Deaf: true, RampMillis: 1, RetryRatio: 1, RetrySlack: 5000},
-		Follower: follower, Logger: log.NewNopLogger(), Forwarder: f, Peers: http.DefaultClient,
+		Follower: follower, Logger: log.NewNopLogger(), Forwarder: f, Peers: http.DefaultClient, Client: idleClient{},
 		Announcements: announcement.New(announcement.Options{Self: "e0", Board: follower.Board, Lease: follower.LeaseRemaining, Logger: log.NewNopLogger()}),
 	})
 	s.ApplyBoard(board)
@@ -121,7 +133,12 @@
 	follower.set(&broken)
 	s.ApplyBoard(&broken)
 	updateRoutesSlowly(s)
-	open.Wait()
+	done := make(chan struct{})
+	go func() {
+		open.Wait()
+		close(done)
+	}()
+	s.checkProgressUntil(done)
 	misdirected := 0
 	for _, c := range f.calls {
 		if c.Resume && c.Address != sound {
--- a/internal/entry/group_progress.go
+++ b/internal/entry/group_progress.go
@@ -267,7 +267,7 @@
 func (s *Server) checkProgress(now time.Time) {
 	s.checkRetired(now)
 	silences, begun, silentCount := s.silentGroups(now)
-	if s.noteCommonSilence(silentCount, begun) {
+	if s.noteCommonSilence(silentCount, begun, longest(silences)) {
 		return
 	}
 	var silent []*noderpc.SuspectGroup
@@ -316,17 +316,21 @@
 const (
 	// leastComparedGroups is the number of groups with streams from which their silences are compared.
 	leastComparedGroups = 4
-	// commonSilenceShare is the part of them whose silence at the same time has another cause than the groups: this
-	// VM, the network, or the VMs of all groups stand still.
+	// commonSilenceShare is the part of them whose silence at the same time probably has another cause than the
+	// groups: this VM, the network, or the VMs of all groups stand still.
 	commonSilenceShare = 0.75
+	// commonSilenceLimit is how long a silence may last to be taken for such a standstill. The groups may be lost
+	// after all.
+	commonSilenceLimit = time.Second
 )
 
-// noteCommonSilence reports whether nearly all groups with streams are silent, and logs when that begins and ends.
+// noteCommonSilence reports whether nearly all groups with streams have just become silent, and logs when that
+// begins and ends. length is the length of the longest silence.
 //
 // Load: all streams of an entry stop for a moment. Harm of holding that against the groups: the leader breaks
 // all of them, and all answers begin anew at the same time.
-func (s *Server) noteCommonSilence(silent, begun int) bool {
-	isCommon := begun >= leastComparedGroups && float64(silent) >= commonSilenceShare*float64(begun)
+func (s *Server) noteCommonSilence(silent, begun int, length time.Duration) bool {
+	isCommon := begun >= leastComparedGroups && float64(silent) >= commonSilenceShare*float64(begun) && length < commonSilenceLimit
 	if isCommon != s.isSilenceCommon {
 		s.isSilenceCommon = isCommon
 		_ = level.Info(s.o.Logger).Log("event", "common_silence", "is_common", isCommon, "silent", silent, "groups", begun)
@@ -334,6 +338,15 @@
 	return isCommon
 }
 
+// longest returns the longest silence.
+func longest(silences map[groupEpoch]time.Duration) time.Duration {
+	var length time.Duration
+	for _, silence := range silences {
+		length = max(length, silence)
+	}
+	return length
+}
+
 // suspendGroups ends this entry's attempts on groups, as far as others can be made, and sends these groups
 // nothing new for stallSuspension.
 func (s *Server) suspendGroups(now time.Time, groups []groupEpoch, silences map[groupEpoch]time.Duration) {
--- a/internal/entry/lost_lease_test.go
+++ b/internal/entry/lost_lease_test.go
@@ -1,18 +1,27 @@
 package entry
 
 import (
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 )
 
-// withoutLease is a follower that holds no lease.
-type withoutLease struct{ *boardControl }
+// leasedBoard is a follower that can lose its lease.
+type leasedBoard struct {
+	*boardControl
+	isLost atomic.Bool
+}
 
-func (withoutLease) LeaseRemaining() time.Duration { return 0 }
+func (b *leasedBoard) LeaseRemaining() time.Duration {
+	if b.isLost.Load() {
+		return 0
+	}
+	return b.boardControl.LeaseRemaining()
+}
 
 // loseLease makes the entry lose its lease.
-func (x *soundSystem) loseLease() { x.s.o.Follower = withoutLease{x.control} }
+func (x *soundSystem) loseLease() { x.follower.isLost.Store(true) }
 
 // Guards against an entry that ends answers as it loses its lease.
 func TestLostLeaseEndsNoSoundAnswer(t *testing.T) {
--- a/internal/entry/next_attempt.go
+++ b/internal/entry/next_attempt.go
@@ -3,8 +3,12 @@
 import (
 	"slices"
 	"sync"
+	"time"
 )
 
+// retryAskPause is how long an attempt that got no retry waits before it asks again, as other entries may be asked.
+const retryAskPause = time.Second
+
 // nextAttempt tells whether an attempt that makes no progress may end, as another one can be made in its place.
 //
 // Load: backend servers stop sending for a second, all at once if the network or the VMs of a data centre stand still.
@@ -20,6 +24,8 @@
 	isAllowed bool
 
 	mu sync.Mutex
+	// askAgain is when the retry budget may be asked again.
+	askAgain time.Time
 	// paid is set once the retry budget has paid for the attempt.
 	paid bool
 }
@@ -41,12 +47,17 @@
 	if !n.j.hasBegun() {
 		return true
 	}
-	if !n.s.dispatcher.hasOtherTarget(n.j, append(slices.Clone(n.tried), n.target)) {
+	if n.s.mayDispatch() != nil || !n.s.dispatcher.hasOtherTarget(n.j, append(slices.Clone(n.tried), n.target)) {
 		return false
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.paid = n.paid || n.s.takeRetry(n.j)
+	now := time.Now()
+	if n.paid || now.Before(n.askAgain) {
+		return n.paid
+	}
+	n.askAgain = now.Add(retryAskPause)
+	n.paid = n.s.takeRetry(n.j)
 	return n.paid
 }
 
@@ -57,10 +68,15 @@
 	return n.paid
 }
 
-// hasOtherTarget reports whether there is a target for a job besides some.
+// hasOtherTarget reports whether there is a target for a job besides some that has not asked for no request.
 func (d *dispatcher) hasOtherTarget(j *job, besides []string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	r := j.placementRequest(j.reserve)
+	r.Exclude = besides
+	if _, _, blocked := d.picker.BlockedUntil(time.Now(), r); blocked {
+		return false
+	}
 	for id, r := range d.routes {
 		isHome := j.homes == nil || slices.Contains(j.homes, r.region)
 		if r.pool == j.model && isHome && !slices.Contains(besides, id) {
--- a/internal/entry/silent_servers_test.go
+++ b/internal/entry/silent_servers_test.go
@@ -79,7 +79,7 @@
 				reports := make(stallReports, 64)
 				x.s.o.StallReporter = reports
 				callers := x.beginMany("stream", 16)
-				x.serveOnly(allGroups[:c.sending], defaultSilenceLimit+packetLossAllowance)
+				x.serveOnly(allGroups[:c.sending], defaultSilenceLimit+200*time.Millisecond)
 				close(reports)
 				reported := make(map[string]bool)
 				for group := range reports {
--- a/internal/entry/sound_servers_test.go
+++ b/internal/entry/sound_servers_test.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -24,10 +25,18 @@
 )
 
 // streamEvents is the number of events of wholeStream.
-const streamEvents = 12
+const streamEvents = 40
 
 // wholeStream is the complete answer of a sound server.
-var wholeStream = events("1", "2", "3", "4", "5", "6", "7", "8", "9", "10", "11", "12")
+var wholeStream = numberedEvents(streamEvents)
+
+func numberedEvents(count int) string {
+	var ids []string
+	for i := range count {
+		ids = append(ids, strconv.Itoa(i+1))
+	}
+	return events(ids...)
+}
 
 // soundServers answers each call with a stream that goes on as the test says, until its entry ends the call.
 type soundServers struct {
@@ -128,6 +137,8 @@
 	t       *testing.T
 	s       *Server
 	control *boardControl
+	// follower is what the entry follows control by.
+	follower *leasedBoard
 	servers *soundServers
 }
 
@@ -154,6 +165,7 @@
 func newSoundSystem(t *testing.T, retries float64) *soundSystem {
 	t.Helper()
 	x := &soundSystem{t: t, control: newBoardControl(blackboard.New()), servers: &soundServers{}}
+	x.follower = &leasedBoard{boardControl: x.control}
 	x.replace(soundConfiguration())
 	x.change(func(b *blackboard.Board) {
 		for _, id := range allGroups {
@@ -165,7 +177,7 @@
 	})
 	x.s = NewServer(Options{
 		ID: "e", Settings: settings.Entry{MaxOpen: 100, Deaf: true, RampMillis: 1, RetryRatio: 1e-9, RetrySlack: retries},
-		Follower: x.control, Control: x.control, Logger: log.NewNopLogger(), Forwarder: x.servers,
+		Follower: x.follower, Control: x.control, Logger: log.NewNopLogger(), Forwarder: x.servers,
 		Announcements: announcement.New(announcement.Options{Self: "e", Board: x.control.Board, Lease: x.control.LeaseRemaining, Logger: log.NewNopLogger()}),
 		Client:        idleClient{}, Prober: &fixedProber{state: backend.Listening}, Peers: &http.Client{Transport: silentPeers{}},
 	})
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -15,6 +15,8 @@
 	// stopAnswerTime is how long before the limit of a graceful stop the requests whose answers have not
 	// begun are answered, so that the answers are written before their connections close.
 	stopAnswerTime = 300 * time.Millisecond
+	// stopAnswerDivisor reserves at most a quarter of a short stop for that.
+	stopAnswerDivisor = 4
 )
 
 // errEntryStopping ends the jobs that a stopping entry can't complete in time.
@@ -40,7 +42,8 @@
 	s.refuseNewWork()
 	refusing()
 	if limit, ok := ctx.Deadline(); ok {
-		defer time.AfterFunc(time.Until(limit)-stopAnswerTime, s.endUnbegun).Stop()
+		left := time.Until(limit)
+		defer time.AfterFunc(left-min(stopAnswerTime, left/stopAnswerDivisor), s.endUnbegun).Stop()
 	}
 	select {
 	case <-s.ended():
--- a/internal/entry/watchdog.go
+++ b/internal/entry/watchdog.go
@@ -49,10 +49,11 @@
 	return w
 }
 
-// fire ends the attempt. After a standstill of the process it does so a moment later, unless there is progress by then.
+// fire ends the attempt. What came in while the process stood still is read first: a stream that has begun may
+// have been sent its next event by then, however short the standstill was.
 func (w *watchdog) fire() {
 	due := w.due.Load()
-	if isAfterStandstill(w.began.Add(time.Duration(due))) {
+	if w.hasBegun.Load() || isAfterStandstill(w.began.Add(time.Duration(due))) {
 		time.Sleep(readyAnswerTime)
 		if w.due.Load() != due {
 			return
@@ -64,13 +65,18 @@
 // endRetryInterval is the time until an attempt that may not end is looked at again.
 const endRetryInterval = 200 * time.Millisecond
 
-// end ends the attempt for a cause, if it may. Otherwise it tries again later, unless there is
-// progress by then.
+// end ends the attempt for a cause, if it may. Otherwise it tries again later. It does neither if there is
+// progress while it finds out.
 func (w *watchdog) end(cause error) {
 	if w.ctx.Err() != nil {
 		return
 	}
-	if w.isPaused.Load() || (w.mayEnd != nil && !w.mayEnd()) {
+	due := w.due.Load()
+	mayEnd := !w.isPaused.Load() && (w.mayEnd == nil || w.mayEnd())
+	if w.due.Load() != due {
+		return
+	}
+	if !mayEnd {
 		w.reset(endRetryInterval)
 		return
 	}
