--- a/internal/entry/sound_servers_test.go
+++ b/internal/entry/sound_servers_test.go
@@ -139,7 +139,7 @@
 	control *boardControl
 	// follower is what the entry follows control by.
 	follower *leasedBoard
-	servers *soundServers
+	servers  *soundServers
 }
 
 // soundConfiguration has routes for streams that may resume, that may not, and that need a key.
