--- a/internal/entry/next_attempt.go
+++ b/internal/entry/next_attempt.go
@@ -9,7 +9,7 @@
 // retryAskPause is how long an attempt that got no retry waits before it asks again, as other entries may be asked.
 const retryAskPause = time.Second
 
-// nextAttempt tells whether an attempt that makes no progress may end, as another one can be made in its place.
+// nextAttempt decides whether an attempt that makes no progress may end, because another one can take its place.
 //
 // Load: backend servers stop sending for a second, all at once if the network or the VMs of a data centre stand still.
 // Harm of ending their attempts: the retry budget pays for a part of the further attempts, and all other answers are
@@ -38,8 +38,9 @@
 	}
 }
 
-// mayReplace reports whether the current attempt may end. Without a byte of the answer its caller gets a failure at
-// worst, and may send the request again. An answer that has begun needs another attempt, and takes the retry for it.
+// mayReplace reports whether the current attempt may end. The request must be allowed another attempt. An answer that
+// has not begun needs no more: at worst its caller gets a failure and sends the request again. One that has begun
+// needs a target and a retry, which is taken here.
 func (n *nextAttempt) mayReplace() bool {
 	if !n.isAllowed {
 		return false
