Groups that are broken for a stall are released at once again

What it cost: a group that finishes its answers keeps its VMs from forming another one, and more is refused.

--- a/internal/controller/breaking.go
+++ b/internal/controller/breaking.go
@@ -57,9 +57,6 @@
 	}
 }
 
-// reasonStalled is the reason of a group that is broken because its answers have stopped.
-const reasonStalled = "no entry gets answers"
-
 // fault is a fault of a group, and how long the fault must last before the group is broken.
 type fault struct {
 	text    string
@@ -94,7 +91,7 @@
 func groupFaults(v View, now time.Time, g blackboard.Group) []fault {
 	var faults []fault
 	if at, stalled := v.ConfirmedStalls[GroupEpoch{g.ID, g.Epoch}]; stalled && g.RequiresOpenHead && now.Sub(at) < stallValidity {
-		faults = append(faults, fault{reasonStalled, 0})
+		faults = append(faults, fault{"no entry gets answers", 0})
 	}
 	if g.State == blackboard.Loading && v.Memory.timeInState(g, now) > loadTimeout {
 		faults = append(faults, fault{"not loaded in time", 0})
--- a/internal/controller/releasing.go
+++ b/internal/controller/releasing.go
@@ -38,7 +38,7 @@
 
 func prepareRelease(v View, now time.Time, a *Actions, g blackboard.Group) bool {
 	if g.State == blackboard.Broken {
-		return !mayStillAnswer(v, now, g) || finishRequests(v, now, a, g)
+		return true
 	}
 	if g.RequiresOpenHead {
 		return g.State == blackboard.Draining && finishRequests(v, now, a, g)
@@ -46,26 +46,6 @@
 	return g.State == blackboard.Draining && isDrained(v, now, g)
 }
 
-// mayStillAnswer reports whether a group that is broken for a stall is sound as far as its members tell: all
-// of them are heard in its epoch, and none has lost another one.
-//
-// Failure: the members of a group stand still for a moment and go on. The order to leave the epoch makes the head
-// reset all connections, with answers that it would have completed.
-func mayStillAnswer(v View, now time.Time, g blackboard.Group) bool {
-	if !g.RequiresOpenHead || g.Reason != reasonStalled {
-		return false
-	}
-	for _, m := range g.Members {
-		r, hasReport := v.Evidence.Get(m.VM)
-		isHeard := hasReport && now.Sub(r.ReceivedAt) <= v.Evidence.RoutableAge()
-		inEpoch := r.Incarnation == m.Incarnation && r.Group == g.ID && r.Epoch == g.Epoch
-		if !isHeard || !inEpoch || len(r.Unreachable) > 0 {
-			return false
-		}
-	}
-	return true
-}
-
 func releaseMember(v View, now time.Time, a *Actions, g blackboard.Group, m blackboard.GroupMember, vm blackboard.VM) {
 	r, hasReport := v.Evidence.Get(m.VM)
 	if !hasReport || r.Incarnation != vm.Incarnation || now.Sub(r.ReceivedAt) > v.timing().PausedAfter {
