A standstill of all backend servers breaks no group

Cause, of the class "a decision that can't be undone, taken on the absence of a sign": the leader confirmed the stall of each group by itself, with three reports. Silence of all groups at once says nothing about any one of them, but it was held against each: all were broken, and the orders to leave made their heads drop sound answers. Liveness has had such a comparison all along (massDeadAfter), stalls had none.

Ruled out: entries that end their attempts themselves (they end none that isn't secured; with no group broken, none is cut); the retry budget and the attempts of a route (they only decided how the answers were logged).

Change: a confirmed stall waits for 0.2 s for those of others (StallComparisonTime). If six tenths of the serving groups (four groups or more) are confirmed within a second, or are reported within 0.3 s by half of all entries, the stall is common: no group is broken for it, and the reports of the next 0.7 s are ignored, so that stragglers don't break a part of the groups. A group that stays silent is reported again by its entries after 2 s and is broken then. Here reports of one entry or one data centre don't count as common, half of the groups (one of two domains) are not enough, and the first group waits.

Price: a lost group is broken 0.2 s later by the leader; entries suspend it by themselves as before.

--- a/internal/control/stalled.go
+++ b/internal/control/stalled.go
@@ -47,7 +47,7 @@
 	}
 }
 
-// stalledGroups returns the groups that count as stalled by the entries' reports.
+// stalledGroups returns the groups that are to be broken for a stall by the entries' reports.
 func (s *Server) stalledGroups(now time.Time, board *blackboard.Board) map[controller.GroupEpoch]time.Time {
 	entries := make(map[string]int)
 	for _, e := range board.Entries {
@@ -55,7 +55,24 @@
 			entries[e.DataCentre]++
 		}
 	}
+	serving := servingPoolGroups(board)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.stalls.Confirmed(now, entries)
+	stalled, isCommon := s.stalls.Stalled(now, entries, serving)
+	if isCommon {
+		_ = level.Info(s.o.Logger).Log("event", "common_stall", "serving", len(serving), "board", board.Revision,
+			"reason", "most groups have stalled together; none is broken for it")
+	}
+	return stalled
+}
+
+// servingPoolGroups returns the groups that can be broken for stalls.
+func servingPoolGroups(board *blackboard.Board) map[controller.GroupEpoch]bool {
+	groups := make(map[controller.GroupEpoch]bool)
+	for id, g := range board.Groups {
+		if g.RequiresOpenHead && g.State == blackboard.Serving {
+			groups[controller.GroupEpoch{Group: id, Epoch: g.Epoch}] = true
+		}
+	}
+	return groups
 }
--- a/internal/control/stalled_test.go
+++ b/internal/control/stalled_test.go
@@ -47,7 +47,10 @@
 	}
 }
 
+// isStalled reports whether a group is to be broken, once its stall has been compared with those of others.
 func (x *stallSystem) isStalled(group string) bool {
+	x.s.stalledGroups(x.now, x.board)
+	x.now = x.now.Add(controller.StallComparisonTime)
 	_, stalled := x.s.stalledGroups(x.now, x.board)[controller.GroupEpoch{Group: group, Epoch: 1}]
 	return stalled
 }
@@ -92,3 +95,48 @@
 	}
 	t.Error("the groups of the lost domain are reported at 0.24, 1 and 2 s by six entries, and never count as stalled")
 }
+
+// Guards against groups that are all broken within a moment because all backend servers stand still.
+func TestCommonStallBreaksNoGroup(t *testing.T) {
+	x := newStallSystem(4, 4)
+	all := func(silent time.Duration, entries ...int) {
+		for d := range 2 {
+			for i := range 4 {
+				x.report(groupIn(d, i), silent, entries...)
+			}
+		}
+	}
+	check := func() {
+		t.Helper()
+		assert.Equal(t, len(x.s.stalledGroups(x.now, x.board)), 0, "at %s", x.now.Sub(time.Unix(1000, 0)))
+	}
+	for step := range 150 {
+		x.now = time.Unix(1000, 0).Add(time.Duration(step) * 20 * time.Millisecond)
+		silent := x.now.Sub(time.Unix(1000, 0))
+		if step < 9 {
+			x.report(groupIn(step%2, step/2%4), silent, 0, 1, 2)
+		}
+		if entry := step - 50; entry >= 0 && entry < 9 {
+			all(silent, entry)
+		}
+		if entry := step - 100; entry >= 0 && entry < 9 {
+			all(silent, entry)
+		}
+		check()
+	}
+}
+
+// Guards against a lost group that stays in service because all groups stood still right before.
+func TestGroupThatStaysSilentAfterACommonStallIsBroken(t *testing.T) {
+	x := newStallSystem(4, 4)
+	for d := range 2 {
+		for i := range 4 {
+			x.report(groupIn(d, i), time.Second, 0, 1, 2)
+		}
+	}
+	assert.Assert(t, !x.isStalled(groupIn(0, 0)))
+	x.now = time.Unix(1000, 0).Add(time.Second)
+	x.report(groupIn(0, 0), 2*time.Second, 0, 1, 2)
+	assert.Assert(t, x.isStalled(groupIn(0, 0)))
+	assert.Assert(t, !x.isStalled(groupIn(0, 1)))
+}
--- a/internal/controller/stalls.go
+++ b/internal/controller/stalls.go
@@ -32,6 +32,8 @@
 // when the reports confirm each other. It is not safe for concurrent use.
 type StallReports struct {
 	reports map[GroupEpoch]map[string]stallReport
+	// comparison decides whether confirmed stalls have a common cause.
+	comparison stallComparison
 }
 
 // stallReport is the last report of one entry about a group.
@@ -43,18 +45,55 @@
 
 // NewStallReports returns an empty StallReports.
 func NewStallReports() *StallReports {
-	return &StallReports{reports: make(map[GroupEpoch]map[string]stallReport)}
+	return &StallReports{reports: make(map[GroupEpoch]map[string]stallReport), comparison: newStallComparison()}
 }
 
 // Record records the report of an entry in a data centre that all its streams on a group have been
 // silent for the given time.
 func (s *StallReports) Record(now time.Time, entry, dataCentre string, g GroupEpoch, silent time.Duration) {
+	if s.comparison.ignores(now) {
+		return
+	}
 	if s.reports[g] == nil {
 		s.reports[g] = make(map[string]stallReport)
 	}
 	s.reports[g][entry] = stallReport{now, silent, dataCentre}
 }
 
+// Stalled returns those of the serving groups that are to be broken for their stall, each with the time now.
+// isCommon is set if the stalls have a common cause; no group is returned then.
+func (s *StallReports) Stalled(now time.Time, entries map[string]int, serving map[GroupEpoch]bool) (stalled map[GroupEpoch]time.Time, isCommon bool) {
+	confirmed := s.Confirmed(now, entries)
+	if s.comparison.isCommon(now, confirmed, serving) || s.isReportedByMost(now, total(entries), serving) {
+		s.comparison.ignoreReports(now)
+		clear(s.reports)
+		return nil, true
+	}
+	return s.comparison.settled(now, len(serving)), false
+}
+
+// isReportedByMost reports whether most entries have just reported most of the serving groups. With few streams,
+// each group has too few reporters to be confirmed.
+func (s *StallReports) isReportedByMost(now time.Time, entries int, serving map[GroupEpoch]bool) bool {
+	groups, reporters := 0, make(map[string]bool)
+	for g, reports := range s.reports {
+		if !serving[g] {
+			continue
+		}
+		isRecent := false
+		for entry, report := range reports {
+			if now.Sub(report.at) <= commonReportWindow {
+				isRecent = true
+				reporters[entry] = true
+			}
+		}
+		if isRecent {
+			groups++
+		}
+	}
+	return isMostOf(groups, len(serving)) && float64(len(reporters)) >= commonReporterShare*float64(entries)
+}
+
 // Confirmed returns the groups whose stall is confirmed, each with the time now. entries counts the
 // entries that take callers' requests, by data centre.
 func (s *StallReports) Confirmed(now time.Time, entries map[string]int) map[GroupEpoch]time.Time {
