A stall that is reported alone waits less before its group is broken

Change: while no entry reports another group, a stall waits for 0.08 s, and the leader looks again right then. Reports of several groups at once still wait for 0.2 s, so a standstill, in which entries report all their silent groups, is compared as before.

--- a/internal/control/stalled.go
+++ b/internal/control/stalled.go
@@ -36,6 +36,7 @@
 			"by", r.EntryId, "silent_ms", g.SilentMs)
 	}
 	s.Wake()
+	time.AfterFunc(controller.LoneStallTime, s.Wake)
 	return &noderpc.SuspectReply{}, nil
 }
 
--- a/internal/controller/stall_comparison.go
+++ b/internal/controller/stall_comparison.go
@@ -3,9 +3,11 @@
 import "time"
 
 const (
-	// StallComparisonTime is how long a confirmed stall waits for the stalls of other groups. The streams of
-	// all groups that stop together are silent for their limit within a pass of each other.
+	// StallComparisonTime is how long a confirmed stall waits for the stalls of other groups, if entries report
+	// some of them. The streams of all groups that stop together are silent for their limit within a pass of each other.
 	StallComparisonTime = 200 * time.Millisecond
+	// LoneStallTime is the same while no entry reports another group. Passes of most groups are shorter.
+	LoneStallTime = 80 * time.Millisecond
 	// commonStallWindow is how far apart stalls with a common cause may be confirmed.
 	commonStallWindow = time.Second
 	// leastComparedGroups is the number of serving groups from which their stalls are compared, and
@@ -54,11 +56,19 @@
 	return serving >= leastComparedGroups && float64(stalled) >= commonStallShare*float64(serving)
 }
 
-// settled returns the groups whose stall has been confirmed for StallComparisonTime. Few groups are not compared.
-func (c *stallComparison) settled(now time.Time, serving int) map[GroupEpoch]time.Time {
+// settled returns the groups whose stall has been confirmed for long enough. isAlone is set if no other group is
+// reported. Few groups are not compared.
+func (c *stallComparison) settled(now time.Time, serving int, isAlone bool) map[GroupEpoch]time.Time {
+	wait := StallComparisonTime
+	switch {
+	case serving < leastComparedGroups:
+		wait = 0
+	case isAlone:
+		wait = LoneStallTime
+	}
 	stalled := make(map[GroupEpoch]time.Time)
 	for g, at := range c.confirmedAt {
-		if now.Sub(at) >= StallComparisonTime || serving < leastComparedGroups {
+		if now.Sub(at) >= wait {
 			stalled[g] = now
 		}
 	}
--- a/internal/controller/stalls.go
+++ b/internal/controller/stalls.go
@@ -64,18 +64,20 @@
 // isCommon is set if the stalls have a common cause; no group is returned then.
 func (s *StallReports) Stalled(now time.Time, entries map[string]int, serving map[GroupEpoch]bool) (stalled map[GroupEpoch]time.Time, isCommon bool) {
 	confirmed := s.Confirmed(now, entries)
-	if s.comparison.isCommon(now, confirmed, serving) || s.isReportedByMost(now, total(entries), serving) {
+	groups, reporters := s.reportedServing(now, serving)
+	isReportedByMost := isMostOf(groups, len(serving)) && float64(reporters) >= commonReporterShare*float64(total(entries))
+	if s.comparison.isCommon(now, confirmed, serving) || isReportedByMost {
 		s.comparison.ignoreReports(now)
 		clear(s.reports)
 		return nil, true
 	}
-	return s.comparison.settled(now, len(serving)), false
+	return s.comparison.settled(now, len(serving), groups <= 1), false
 }
 
-// isReportedByMost reports whether most entries have just reported most of the serving groups. With few streams,
-// each group has too few reporters to be confirmed.
-func (s *StallReports) isReportedByMost(now time.Time, entries int, serving map[GroupEpoch]bool) bool {
-	groups, reporters := 0, make(map[string]bool)
+// reportedServing returns how many serving groups entries have just reported, and how many entries have. With few
+// streams, groups of a common stall have too few reporters to be confirmed.
+func (s *StallReports) reportedServing(now time.Time, serving map[GroupEpoch]bool) (groups, reporters int) {
+	entries := make(map[string]bool)
 	for g, reports := range s.reports {
 		if !serving[g] {
 			continue
@@ -84,14 +86,14 @@
 		for entry, report := range reports {
 			if now.Sub(report.at) <= commonReportWindow {
 				isRecent = true
-				reporters[entry] = true
+				entries[entry] = true
 			}
 		}
 		if isRecent {
 			groups++
 		}
 	}
-	return isMostOf(groups, len(serving)) && float64(len(reporters)) >= commonReporterShare*float64(entries)
+	return groups, len(entries)
 }
 
 // Confirmed returns the groups whose stall is confirmed, each with the time now. entries counts the
