Stalls have a common cause if backend servers stop to announce themselves

What callers saw after the comparison by share alone: nothing wrong yet, but by its rule a fault that takes a member of most groups at once (a sixth of all servers crash dark; groups of twelve: nine of ten lose one) would count as a standstill, and its groups would stay in service for seconds.

Change: the leader compares the announcements of the last 0.35 s with those that were usual in the 8 s before. If several groups are reported and hardly any announcement arrives (under a fifth), the stalls are common. Servers that are lost leave others that announce themselves, so losses in most groups at once are broken as before. The share of groups decides only while too few announcements are usual: few servers, a new leader, or, as a known limit, a leader to which they are not sent (over some hundred servers other processes receive them).

--- a/internal/control/stalled.go
+++ b/internal/control/stalled.go
@@ -8,6 +8,7 @@
 
 	"github.com/citronstep/citronstep/internal/blackboard"
 	"github.com/citronstep/citronstep/internal/controller"
+	"github.com/citronstep/citronstep/internal/evidence"
 	"github.com/citronstep/citronstep/internal/failure"
 	"github.com/citronstep/citronstep/internal/rpc/noderpc"
 )
@@ -50,30 +51,22 @@
 
 // stalledGroups returns the groups that are to be broken for a stall by the entries' reports.
 func (s *Server) stalledGroups(now time.Time, board *blackboard.Board) map[controller.GroupEpoch]time.Time {
+	var announcements controller.Announcements
+	s.o.Evidence.WithTable(func(t *evidence.Table) { announcements = controller.AnnouncementsAt(now, t) })
 	entries := make(map[string]int)
 	for _, e := range board.Entries {
 		if e.Address != "" {
 			entries[e.DataCentre]++
 		}
 	}
-	serving := servingPoolGroups(board)
+	subjects := controller.StallSubjects(board)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	stalled, isCommon := s.stalls.Stalled(now, entries, serving)
+	stalled, isCommon := s.stalls.Stalled(now, entries, subjects, announcements)
 	if isCommon {
-		_ = level.Info(s.o.Logger).Log("event", "common_stall", "serving", len(serving), "board", board.Revision,
-			"reason", "most groups have stalled together; none is broken for it")
+		_ = level.Info(s.o.Logger).Log("event", "common_stall", "groups", len(subjects), "board", board.Revision,
+			"announcements_stopped", announcements == controller.AnnouncementsStopped,
+			"reason", "groups have stalled for a common cause; none is broken for it")
 	}
 	return stalled
 }
-
-// servingPoolGroups returns the groups that can be broken for stalls.
-func servingPoolGroups(board *blackboard.Board) map[controller.GroupEpoch]bool {
-	groups := make(map[controller.GroupEpoch]bool)
-	for id, g := range board.Groups {
-		if g.RequiresOpenHead && g.State == blackboard.Serving {
-			groups[controller.GroupEpoch{Group: id, Epoch: g.Epoch}] = true
-		}
-	}
-	return groups
-}
--- a/internal/controller/stall_comparison.go
+++ b/internal/controller/stall_comparison.go
@@ -1,27 +1,29 @@
 package controller
 
-import "time"
+import (
+	"time"
+
+	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/evidence"
+)
 
 const (
-	// StallComparisonTime is how long a confirmed stall waits for the stalls of other groups, if entries report
-	// some of them. The streams of all groups that stop together are silent for their limit within a pass of each other.
+	// StallComparisonTime is how long a confirmed stall waits while entries report other groups as well. By then
+	// silence has lasted for announcementWindow.
 	StallComparisonTime = 200 * time.Millisecond
-	// LoneStallTime is the same while no entry reports another group. Passes of most groups are shorter.
+	// LoneStallTime is the same while no entry reports another group. The streams of all groups that stop together are
+	// silent for their limit within a pass of each other, and most passes are shorter.
 	LoneStallTime = 80 * time.Millisecond
-	// commonStallWindow is how far apart stalls with a common cause may be confirmed.
-	commonStallWindow = time.Second
-	// leastComparedGroups is the number of serving groups from which their stalls are compared, and
-	// commonStallShare the part of them whose stalls at the same time have a common cause.
-	//
-	// Load: all backend servers, or the network between them and the entries, stand still for a second or two.
-	// Harm of holding that against the groups: all of them are broken within the same moment, their heads drop
-	// all answers, and no group is left where these could go on. Reason for the limits: a fabric domain or
-	// a data centre that is lost holds half of the groups or fewer.
+	// stallEffect is how long a confirmed stall is remembered.
+	stallEffect = time.Second
+	// reportWindow is how far apart the reports of stalls with a common cause arrive.
+	reportWindow = 300 * time.Millisecond
+	// leastComparedGroups is the number of groups from which, with AnnouncementsUnknown, their stalls are compared,
+	// commonStallShare the part of them whose stalls at the same time have a common cause, and commonReporterShare the part
+	// of the entries that then report them. A fabric domain that is lost may hold half of the groups, and the entries of
+	// one data centre may have bad links.
 	leastComparedGroups = 4
 	commonStallShare    = 0.6
-	// commonReportWindow is how far apart the reports of a common stall arrive, and commonReporterShare the part
-	// of all entries from which they come. It exceeds the entries of one data centre, whose links may be bad.
-	commonReportWindow  = 300 * time.Millisecond
 	commonReporterShare = 0.5
 	// commonStallIgnored is how long reports are ignored after a common stall, and commonStallQuiet how long
 	// there must have been none by then. The reports of one standstill are late at a busy leader.
@@ -32,7 +34,64 @@
 	maxCommonStallIgnored = oneReporterStall
 )
 
+const (
+	// announcementWindow is the time within which announcements of backend servers are counted. They are compared with
+	// those of usualWindow before it: leastAnnouncements must be usual for the count to mean anything, and with less than
+	// stoppedShare of the usual ones they have stopped.
+	announcementWindow = 350 * time.Millisecond
+	usualWindow        = 8 * time.Second
+	leastAnnouncements = 3
+	stoppedShare       = 0.2
+)
+
+// Announcements tells whether backend servers announce themselves to this process.
+type Announcements int
+
+// The states of Announcements.
+const (
+	// AnnouncementsUnknown: too few are usual, as with few servers or at a leader that has just been elected.
+	AnnouncementsUnknown Announcements = iota
+	// AnnouncementsArrive: they arrive about as usual.
+	AnnouncementsArrive
+	// AnnouncementsStopped: hardly any has arrived for a while.
+	AnnouncementsStopped
+)
+
+// AnnouncementsAt compares the announcements that have just arrived with the usual ones.
+func AnnouncementsAt(now time.Time, t *evidence.Table) Announcements {
+	arrived := t.DirectArrivals(now, announcementWindow, 0)
+	before := t.DirectArrivals(now, usualWindow+announcementWindow, announcementWindow)
+	usual := float64(before) * announcementWindow.Seconds() / usualWindow.Seconds()
+	switch {
+	case usual < leastAnnouncements:
+		return AnnouncementsUnknown
+	case float64(arrived) < stoppedShare*usual:
+		return AnnouncementsStopped
+	}
+	return AnnouncementsArrive
+}
+
+// isBrokenForStalls reports whether a group is broken once entries report a stall.
+func isBrokenForStalls(g blackboard.Group) bool {
+	return g.RequiresOpenHead && g.State == blackboard.Serving
+}
+
+// StallSubjects returns the groups that are broken once entries report a stall.
+func StallSubjects(board *blackboard.Board) map[GroupEpoch]bool {
+	groups := make(map[GroupEpoch]bool)
+	for id, g := range board.Groups {
+		if isBrokenForStalls(g) {
+			groups[GroupEpoch{id, g.Epoch}] = true
+		}
+	}
+	return groups
+}
+
 // stallComparison tells groups that have stalled from a standstill of everything behind the entries.
+//
+// Load: all backend servers, or the network between them and the system, stand still for a second or two. Harm of
+// holding their silence against the groups: all of them are broken within a moment, their heads drop all answers, and no
+// group is left where these could go on. Servers that are lost leave others that announce themselves.
 type stallComparison struct {
 	// confirmedAt is when the stall of a group was first confirmed.
 	confirmedAt map[GroupEpoch]time.Time
@@ -45,25 +104,11 @@
 	return stallComparison{confirmedAt: make(map[GroupEpoch]time.Time)}
 }
 
-// isCommon records which serving groups have a confirmed stall, and reports whether most of them have.
-func (c *stallComparison) isCommon(now time.Time, confirmed map[GroupEpoch]time.Time, serving map[GroupEpoch]bool) bool {
-	c.note(now, confirmed, serving)
-	return isMostOf(len(c.confirmedAt), len(serving))
-}
-
-// isMostOf reports whether so many of the serving groups have stalled that the groups are not the cause.
-func isMostOf(stalled, serving int) bool {
-	return serving >= leastComparedGroups && float64(stalled) >= commonStallShare*float64(serving)
-}
-
-// settled returns the groups whose stall has been confirmed for long enough. isAlone is set if no other group is
-// reported. Few groups are not compared.
-func (c *stallComparison) settled(now time.Time, serving int, isAlone bool) map[GroupEpoch]time.Time {
+// settled returns the groups whose stalls have been confirmed for long enough. isAlone is set if no other group is
+// reported.
+func (c *stallComparison) settled(now time.Time, isAlone bool) map[GroupEpoch]time.Time {
 	wait := StallComparisonTime
-	switch {
-	case serving < leastComparedGroups:
-		wait = 0
-	case isAlone:
+	if isAlone {
 		wait = LoneStallTime
 	}
 	stalled := make(map[GroupEpoch]time.Time)
@@ -75,16 +120,15 @@
 	return stalled
 }
 
-// note records when the stalls of serving groups were confirmed, and removes those that are older than
-// commonStallWindow.
-func (c *stallComparison) note(now time.Time, confirmed map[GroupEpoch]time.Time, serving map[GroupEpoch]bool) {
+// note records when stalls of the subjects were confirmed, and removes those that are older than stallEffect.
+func (c *stallComparison) note(now time.Time, confirmed map[GroupEpoch]time.Time, subjects map[GroupEpoch]bool) {
 	for g, at := range c.confirmedAt {
-		if now.Sub(at) > commonStallWindow || !serving[g] {
+		if now.Sub(at) > stallEffect || !subjects[g] {
 			delete(c.confirmedAt, g)
 		}
 	}
 	for g := range confirmed {
-		if _, known := c.confirmedAt[g]; !known && serving[g] {
+		if _, known := c.confirmedAt[g]; !known && subjects[g] {
 			c.confirmedAt[g] = now
 		}
 	}
--- a/internal/controller/stalls.go
+++ b/internal/controller/stalls.go
@@ -60,31 +60,42 @@
 	s.reports[g][entry] = stallReport{now, silent, dataCentre}
 }
 
-// Stalled returns those of the serving groups that are to be broken for their stall, each with the time now.
-// isCommon is set if the stalls have a common cause; no group is returned then.
-func (s *StallReports) Stalled(now time.Time, entries map[string]int, serving map[GroupEpoch]bool) (stalled map[GroupEpoch]time.Time, isCommon bool) {
-	confirmed := s.Confirmed(now, entries)
-	groups, reporters := s.reportedServing(now, serving)
-	isReportedByMost := isMostOf(groups, len(serving)) && float64(reporters) >= commonReporterShare*float64(total(entries))
-	if s.comparison.isCommon(now, confirmed, serving) || isReportedByMost {
+// Stalled returns those of the subjects that are to be broken for their stall, each with the time now. isCommon is set
+// if several groups have stalled for a common cause; no group is returned then.
+func (s *StallReports) Stalled(now time.Time, entries map[string]int, subjects map[GroupEpoch]bool, a Announcements) (stalled map[GroupEpoch]time.Time, isCommon bool) {
+	s.comparison.note(now, s.Confirmed(now, entries), subjects)
+	reported, reporters := s.recentReports(now, subjects)
+	switch a {
+	case AnnouncementsStopped:
+		isCommon = reported > 1
+	case AnnouncementsUnknown:
+		isByMost := float64(reporters) >= commonReporterShare*float64(total(entries))
+		isCommon = isMostOf(len(s.comparison.confirmedAt), len(subjects)) || (isByMost && isMostOf(reported, len(subjects)))
+	case AnnouncementsArrive:
+	}
+	if isCommon {
 		s.comparison.ignoreReports(now)
 		clear(s.reports)
 		return nil, true
 	}
-	return s.comparison.settled(now, len(serving), groups <= 1), false
+	return s.comparison.settled(now, reported <= 1), false
+}
+
+// isMostOf reports whether so many of the groups have stalled that the groups are not the cause.
+func isMostOf(stalled, groups int) bool {
+	return groups >= leastComparedGroups && float64(stalled) >= commonStallShare*float64(groups)
 }
 
-// reportedServing returns how many serving groups entries have just reported, and how many entries have. With few
-// streams, groups of a common stall have too few reporters to be confirmed.
-func (s *StallReports) reportedServing(now time.Time, serving map[GroupEpoch]bool) (groups, reporters int) {
+// recentReports returns how many of the subjects entries have just reported, and how many entries have.
+func (s *StallReports) recentReports(now time.Time, subjects map[GroupEpoch]bool) (groups, reporters int) {
 	entries := make(map[string]bool)
 	for g, reports := range s.reports {
-		if !serving[g] {
+		if !subjects[g] {
 			continue
 		}
 		isRecent := false
 		for entry, report := range reports {
-			if now.Sub(report.at) <= commonReportWindow {
+			if now.Sub(report.at) <= reportWindow {
 				isRecent = true
 				entries[entry] = true
 			}
