The start of a process names its build, its process id and its limits, and an entry says when it begins to serve

`event=started` tells that a process runs, not that it serves: an entry without a configuration or a lease refuses.

Change: `event=started` has build (the revision of version control, "+modified" for files that were not committed, "unknown" without one), pid, max_descriptors and max_address_space.

--- a/cmd/citronstepd/main.go
+++ b/cmd/citronstepd/main.go
@@ -141,7 +141,7 @@
 	p := &process{
 		node: n, settings: s, logger: logger, stop: stop, signals: received, done: make(chan error, 1), file: file,
 	}
-	_ = level.Info(logger).Log("event", "started", "entry", s.Entry.Enabled, "control", s.Control.Enabled, "data_centre", s.DataCentre)
+	logStarted(logger, s)
 	go p.reloadLoop(ctx)
 	go func() { p.done <- n.Run(ctx) }()
 	return p, nil
--- /dev/null
+++ b/cmd/citronstepd/start_line.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"math"
+	"os"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"github.com/citronstep/citronstep/internal/settings"
+)
+
+// unknownValue stands for a value that this process can't find out.
+const unknownValue = "unknown"
+
+// logStarted writes which build runs as which process, in which roles and under which limits.
+func logStarted(logger log.Logger, s *settings.Settings) {
+	_ = level.Info(logger).Log("event", "started", "entry", s.Entry.Enabled, "control", s.Control.Enabled, "data_centre", s.DataCentre,
+		"build", buildRevision(debug.ReadBuildInfo()), "pid", os.Getpid(),
+		"max_descriptors", limitText(syscall.RLIMIT_NOFILE), "max_address_space", limitText(syscall.RLIMIT_AS))
+}
+
+// buildRevision returns the revision that the program was built from, with "+modified" if its files had changes that
+// were not committed. It returns unknownValue for a build without version control.
+func buildRevision(info *debug.BuildInfo, ok bool) string {
+	if !ok {
+		return unknownValue
+	}
+	revision, modified := unknownValue, ""
+	for _, s := range info.Settings {
+		switch {
+		case s.Key == "vcs.revision" && s.Value != "":
+			revision = s.Value
+		case s.Key == "vcs.modified" && s.Value == "true":
+			modified = "+modified"
+		}
+	}
+	if revision == unknownValue {
+		return unknownValue
+	}
+	return revision + modified
+}
+
+// limitText returns the limit of a resource of this process: descriptors, or bytes.
+func limitText(resource int) any {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(resource, &limit); err != nil {
+		return unknownValue
+	}
+	if limit.Cur > math.MaxInt64 {
+		return "none"
+	}
+	return limit.Cur
+}
--- /dev/null
+++ b/cmd/citronstepd/start_line_test.go
@@ -0,0 +1,41 @@
+package main
+
+import (
+	"bytes"
+	"runtime/debug"
+	"testing"
+
+	"github.com/go-kit/log"
+	"gotest.tools/v3/assert"
+	is "gotest.tools/v3/assert/cmp"
+
+	"github.com/citronstep/citronstep/internal/settings"
+)
+
+// Guards against logs of two builds that can't be told apart.
+func TestBuildRevisionNamesTheBuild(t *testing.T) {
+	revision := debug.BuildSetting{Key: "vcs.revision", Value: "2571b92"}
+	modified := debug.BuildSetting{Key: "vcs.modified", Value: "true"}
+	clean := debug.BuildSetting{Key: "vcs.modified", Value: "false"}
+	for _, c := range []struct {
+		want     string
+		settings []debug.BuildSetting
+	}{
+		{"2571b92", []debug.BuildSetting{revision, clean}},
+		{"2571b92+modified", []debug.BuildSetting{modified, revision}},
+		{"unknown", []debug.BuildSetting{modified}},
+		{"unknown", nil},
+	} {
+		assert.Equal(t, buildRevision(&debug.BuildInfo{Settings: c.settings}, true), c.want)
+	}
+	assert.Equal(t, buildRevision(nil, false), "unknown")
+}
+
+// Guards against a start whose line does not say which process began, and under which limits.
+func TestStartLineNamesTheProcess(t *testing.T) {
+	var lines bytes.Buffer
+	logStarted(log.NewLogfmtLogger(&lines), &settings.Settings{DataCentre: "d1"})
+	for _, want := range []string{"event=started entry=false control=false data_centre=d1 build=", " pid=", " max_descriptors=", " max_address_space="} {
+		assert.Assert(t, is.Contains(lines.String(), want))
+	}
+}
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -48,9 +48,11 @@
 			}
 			s.reportWaits(ctx, time.Now())
 		case <-s.updateNow:
+			s.noteServing(time.Now())
 			s.updateRoutes()
 		case <-dispatchTicker.C:
 			now := time.Now()
+			s.noteServing(now)
 			s.checkProgress(now)
 			s.reportCallers(ctx, now)
 			s.reportRateLimits(ctx, now)
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -59,6 +59,8 @@
 	Client        backend.Client
 	Control       Committer
 	Logger        log.Logger
+	// StateLogger writes lines about the state of the entry as a whole, which are few; nil for Logger.
+	StateLogger log.Logger
 	// RequestLinesPerSecond limits the log lines about requests; 0 is no limit.
 	RequestLinesPerSecond int
 	Metrics               *metrics.Entry
@@ -183,6 +185,8 @@
 	configuredOnce sync.Once
 	// startedAt is when this process started.
 	startedAt time.Time
+	// isServing is set once the entry has admitted requests; only the route loop uses it.
+	isServing bool
 }
 
 // NewServer returns a server. Run keeps its routes up to date.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -279,7 +279,7 @@
 	if e.Enabled {
 		n.entry = entry.NewServer(entry.Options{
 			ID: n.settings.VM, DataCentre: n.settings.DataCentre, Regions: n.settings.Regions, Settings: e, Follower: n.follower, Announcements: n.announcements,
-			Client: n.backendClient, Control: client, Logger: n.decisionLogger("entry"), RequestLinesPerSecond: n.settings.Log.RequestLinesPerSecond, Metrics: n.metrics.Entry(), Peers: &http.Client{Transport: n.peerClient.Transport},
+			Client: n.backendClient, Control: client, Logger: n.decisionLogger("entry"), StateLogger: log.With(n.logger, "part", "entry"), RequestLinesPerSecond: n.settings.Log.RequestLinesPerSecond, Metrics: n.metrics.Entry(), Peers: &http.Client{Transport: n.peerClient.Transport},
 			Forwarder: n.forwarder(), Prober: n.backendClient, DialBackend: n.dialBackend(), Paths: n.backendClient, RelayPeers: n.relayDialer, StallReporter: client, DemandReporter: client,
 		})
 	}
