The trace of a crash is on standard output as well, and a crash waits for no reader

Could not be told: whether a process that ended without event=stopped had crashed. A panic and a fatal runtime error leave their trace on standard error alone, and users collect standard output.

Change: a daemon opens standard output anew, non-blocking and appending, and hands it to runtime/debug.SetCrashOutput. The original stays blocking, so the log goes on waiting for its reader. Standard error is opened anew in the same way if it is a pipe; another file is left alone, as it may share its position with standard output. Where both are one file, the trace is written once. If a file can't be opened (a socket), event=crash_output_unavailable says so and the process goes on.

What is lost: of a trace longer than the room in a pipe (64 KiB) whose reader is slow, the rest.

--- a/cmd/citronstepd/main.go
+++ b/cmd/citronstepd/main.go
@@ -132,6 +132,9 @@
 func startNode(s *settings.Settings, file string, received signals) (*process, error) {
 	logger := log.With(newLogger(s.Log.Level), "vm", s.VM)
 	reportInvariants(logger)
+	if err := prepareCrashOutput(); err != nil {
+		_ = level.Warn(logger).Log("event", "crash_output_unavailable", "err", err)
+	}
 	n, err := node.NewWithAdapter(s, logger, adapterOf(s))
 	if err != nil {
 		_ = level.Error(logger).Log("event", "start_failed", "err", err)
--- a/test/process/harness/process.go
+++ b/test/process/harness/process.go
@@ -172,6 +172,16 @@
 // Reload sends SIGHUP, on which the process reads its settings again.
 func (p *Process) Reload() { p.signal(syscall.SIGHUP) }
 
+// Abort sends SIGABRT, at which the process crashes with a trace.
+func (p *Process) Abort() { p.signal(syscall.SIGABRT) }
+
+// Output returns what the process has written to standard output since its last start.
+func (p *Process) Output() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.stdout.String()
+}
+
 // Wait waits for the end of the process and returns its exit status, which is -1 after an end by
 // signal. The test fails if the process has not ended within timeout.
 func (p *Process) Wait(timeout time.Duration) int {
@@ -249,6 +259,13 @@
 	return b.text.Write(p)
 }
 
+// String returns the text written so far.
+func (b *lineBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
 // lines returns the complete lines written so far.
 func (b *lineBuffer) lines() []string {
 	b.mu.Lock()
--- a/test/process/lifecycle_lines_test.go
+++ b/test/process/lifecycle_lines_test.go
@@ -6,6 +6,8 @@
 
 	"gotest.tools/v3/assert"
 	is "gotest.tools/v3/assert/cmp"
+
+	"github.com/citronstep/citronstep/test/process/harness"
 )
 
 // Guards against a process whose standard output does not name its build and its process id, nor when it began to serve.
@@ -18,3 +20,34 @@
 		assert.Assert(t, is.Contains(n.Log(), "event=serving after_ms="))
 	}
 }
+
+// Guards against a crash of a daemon that leaves no trace on standard output, where users collect its log.
+func TestCrashOfADaemonLeavesATraceOnStandardOutput(t *testing.T) {
+	t.Parallel()
+	c := harness.NewCluster(t, twoNodeSpec(shortTimeouts))
+	n := c.Node("n2")
+	harness.Await(t, "the daemon has started", func() bool { return logContains(n, "event=started ") })
+	n.Abort()
+	assert.Equal(t, n.Wait(stopTimeout), 2)
+	assert.Assert(t, is.Contains(n.Output(), "SIGABRT: abort"))
+	assert.Assert(t, is.Contains(n.Output(), "goroutine "))
+}
+
+// Guards against a crashed daemon that never ends, because nobody reads its log.
+func TestCrashOfADaemonWhoseLogNobodyReadsEnds(t *testing.T) {
+	t.Parallel()
+	c, _ := startServingCluster(t, twoNodeSpec(shortTimeouts), 1, "-token-interval", "1ms")
+	n := c.Node("n2")
+	n.Terminate()
+	assert.Equal(t, n.Wait(stopTimeout), 0)
+	n.StopReading()
+	n.Start()
+	awaitAnswer(t, n, harness.Completion{Model: "demo", Prompt: uniquePrompt("again?"), MaxTokens: 1})
+	for i := range 300 {
+		request := harness.Completion{Model: "demo", Prompt: uniquePrompt(fmt.Sprint("request ", i)), MaxTokens: 4}
+		reply := harness.Complete(t.Context(), n.Entry, request)
+		assert.Assert(t, reply.Right(request), "request %d: %+v", i, reply)
+	}
+	n.Abort()
+	assert.Equal(t, n.Wait(stopTimeout), 2)
+}
