A process whose log reader has ended goes on

Could not be told: an end of this kind from a kill. Go ends a process by SIGPIPE when a write to standard output or standard error meets a pipe whose reader has ended, without a trace. When the collector of the logs of several processes ends, each of them ends with its next line, so all within the time between two lines.

Change: SIGPIPE is ignored. The write fails, and the sink drops the line as before.

--- a/cmd/citronstepd/crash_output_test.go
+++ b/cmd/citronstepd/crash_output_test.go
@@ -15,11 +15,16 @@
 const (
 	// crashVariable makes this test program crash.
 	crashVariable = "CITRONSTEP_TEST_CRASH"
+	// lostReaderVariable makes this test program write to a file whose reader has ended.
+	lostReaderVariable = "CITRONSTEP_TEST_LOST_READER"
 	// crashTimeout is the time after which a crashed process counts as hung.
 	crashTimeout = 60 * time.Second
 )
 
 func TestMain(m *testing.M) {
+	if file := os.Getenv(lostReaderVariable); file != "" {
+		writeToLostReader(file)
+	}
 	if os.Getenv(crashVariable) == "" {
 		os.Exit(m.Run())
 	}
--- a/cmd/citronstepd/main.go
+++ b/cmd/citronstepd/main.go
@@ -109,10 +109,13 @@
 
 // notifySignals begins to receive signals. It is called before anything else, because a signal without a
 // receiver ends the process: a SIGHUP as well that arrives while the process starts.
+//
+// SIGPIPE is ignored. Failure: the reader of the log ends, and the next line ends this process without a trace.
 func notifySignals() signals {
 	s := signals{stop: make(chan os.Signal, 2), reload: make(chan os.Signal, 1)}
 	signal.Notify(s.stop, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(s.reload, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE)
 	return s
 }
 
--- a/test/process/harness/process.go
+++ b/test/process/harness/process.go
@@ -35,6 +35,8 @@
 
 	// stdoutUnread makes the next start attach standard output to a pipe that nobody reads.
 	stdoutUnread bool
+	// stdoutLost makes the next start attach standard output to a pipe whose reader has ended.
+	stdoutLost bool
 
 	mu      sync.Mutex
 	command *exec.Cmd
@@ -66,6 +68,9 @@
 	if p.stdoutUnread {
 		command.Stdout = p.newUnreadPipe()
 	}
+	if p.stdoutLost {
+		command.Stdout = p.newLostPipe()
+	}
 	command.Stderr = log
 	command.Env = append(os.Environ(), "CITRONSTEP_INVARIANTS_FATAL=1", serverlinks.Variable+"="+p.serverLinksFile())
 	command.SysProcAttr = killedWithParent()
@@ -98,6 +103,20 @@
 // log then receives standard error only.
 func (p *Process) StopReading() { p.stdoutUnread = true }
 
+// LoseReader attaches standard output, from the next start on, to a pipe whose reader has ended. The
+// log then receives standard error only.
+func (p *Process) LoseReader() { p.stdoutLost = true }
+
+func (p *Process) newLostPipe() *os.File {
+	reader, writer, err := os.Pipe()
+	if err != nil {
+		p.t.Fatalf("pipe of %s: %v", p.Name, err)
+	}
+	_ = reader.Close()
+	p.t.Cleanup(func() { _ = writer.Close() })
+	return writer
+}
+
 func (p *Process) newUnreadPipe() *os.File {
 	reader, writer, err := os.Pipe()
 	if err != nil {
--- a/test/process/lifecycle_lines_test.go
+++ b/test/process/lifecycle_lines_test.go
@@ -51,3 +51,17 @@
 	n.Abort()
 	assert.Equal(t, n.Wait(stopTimeout), 2)
 }
+
+// Guards against an entry that ends without a trace, because the reader of its log has ended.
+func TestEntryWhoseLogReaderHasEndedServes(t *testing.T) {
+	t.Parallel()
+	c, _ := startServingCluster(t, twoNodeSpec(shortTimeouts), 1, "-token-interval", "1ms")
+	n := c.Node("n2")
+	n.Terminate()
+	assert.Equal(t, n.Wait(stopTimeout), 0)
+	n.LoseReader()
+	n.Start()
+	awaitAnswer(t, n, harness.Completion{Model: "demo", Prompt: uniquePrompt("again?"), MaxTokens: 1})
+	n.Terminate()
+	assert.Equal(t, n.Wait(stopTimeout), 0)
+}
