An entry logs what it has open, once a second while that changes

Could not be told: what a killed entry had open. The gauges die with the process; event=answer_cut is written by a process that ends in order only.

Change: event=open_requests with open, begun (answers begun), oldest_ms, held_bytes (memory budget), heap_bytes and descriptors. It is looked at each second (OpenReportInterval, with the gauges), and as the process closes its connections. A line is written if open, begun or held_bytes changed, or the heap by an eighth while requests are open; an idle entry writes none, and one with open=0 after the last request. So the last line before a kill is at most a second old, or what it says still held then.

The heap comes from runtime/metrics, the descriptors from the size of /proc/self/fd (Linux 6.2 and later; 0 before).

TestLastLinesOfAKilledEntrySayWhatItHadOpen kills a real entry with three streams open.

--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -187,6 +187,9 @@
 	startedAt time.Time
 	// isServing is set once the entry has admitted requests; only the route loop uses it.
 	isServing bool
+	// reportedOpen is what the last line about open requests says.
+	openMu       sync.Mutex
+	reportedOpen openWork
 }
 
 // NewServer returns a server. Run keeps its routes up to date.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -124,8 +124,8 @@
 	return errors.Trace(err)
 }
 
-// sampleInterval is the time between two samples of the gauges.
-const sampleInterval = time.Second
+// sampleInterval is the time between two samples of the gauges, and between two looks at what is open.
+const sampleInterval = entry.OpenReportInterval
 
 func (n *Node) sampleLoop(ctx context.Context) {
 	ticker := time.NewTicker(sampleInterval)
@@ -136,6 +136,7 @@
 			n.metrics.SampleInvariants()
 			if n.entry != nil {
 				n.entry.SetGauges()
+				n.entry.ReportOpen(time.Now())
 			}
 		case <-ctx.Done():
 			return
@@ -405,6 +406,7 @@
 // answered before; answers that are not complete end.
 func (n *Node) closeServers() {
 	if n.entry != nil {
+		n.entry.ReportOpen(time.Now())
 		n.entry.EndOpen()
 		ctx, cancel := context.WithTimeout(context.Background(), closeWait)
 		n.shutdownServers(ctx)
--- a/test/process/lifecycle_lines_test.go
+++ b/test/process/lifecycle_lines_test.go
@@ -65,3 +65,22 @@
 	n.Terminate()
 	assert.Equal(t, n.Wait(stopTimeout), 0)
 }
+
+// Guards against a killed entry whose standard output does not say what it had open.
+func TestLastLinesOfAKilledEntrySayWhatItHadOpen(t *testing.T) {
+	t.Parallel()
+	c, _ := startServingCluster(t, twoNodeSpec(shortTimeouts), 1, "-token-interval", "200ms")
+	n := c.Node("n2")
+	const streams = 3
+	replies := make(chan harness.Reply, streams)
+	for range streams {
+		request := harness.Completion{Model: "demo", Prompt: uniquePrompt("endless"), MaxTokens: 1000, Stream: true}
+		go func() { replies <- harness.Complete(t.Context(), n.Entry, request) }()
+	}
+	harness.Await(t, "the streams are in the log", func() bool { return logContains(n, "event=open_requests open=3 begun=3 oldest_ms=") })
+	n.Kill()
+	for range streams {
+		assert.Assert(t, !(<-replies).Whole)
+	}
+	assert.Assert(t, !logContains(n, "event=stopped"))
+}
