A control process says at its start how its last run ended

Could not be told: whether the last run of a process was stopped, failed by itself, or ended without a word (crash, kill, loss of power), once its lines are out of reach.

Entries without a data folder say unknown.

Limits: a kill in the first moments, before "running" is written, leaves the end of the run before. A power loss may lose the file with the folder's entry if that was new.

--- a/cmd/citronstepd/main.go
+++ b/cmd/citronstepd/main.go
@@ -20,6 +20,7 @@
 	"github.com/citronstep/citronstep/internal/invariant"
 	"github.com/citronstep/citronstep/internal/logsink"
 	"github.com/citronstep/citronstep/internal/node"
+	"github.com/citronstep/citronstep/internal/runstate"
 	"github.com/citronstep/citronstep/internal/settings"
 	"github.com/citronstep/citronstep/platform"
 )
@@ -125,6 +126,8 @@
 	settings *settings.Settings
 	logger   log.Logger
 	signals  signals
+	// run is the record of this run; nil without a data folder.
+	run *runstate.Run
 	// file is the path of the settings file; empty for -dev.
 	file string
 	done chan error
@@ -147,7 +150,8 @@
 	p := &process{
 		node: n, settings: s, logger: logger, stop: stop, signals: received, done: make(chan error, 1), file: file,
 	}
-	logStarted(logger, s)
+	p.run = beginRun(s, logger)
+	logStarted(logger, s, previousEnd(p.run))
 	go p.reloadLoop(ctx)
 	go func() { p.done <- n.Run(ctx) }()
 	return p, nil
@@ -179,7 +183,7 @@
 
 // serve waits for a signal or a failure, stops the node and returns the exit code.
 func (p *process) serve() int {
-	code := 0
+	code, end := 0, runstate.Stopped
 	select {
 	case <-p.signals.stop:
 		code = p.drain()
@@ -189,9 +193,10 @@
 		}
 	case err := <-p.done:
 		_ = level.Error(p.logger).Log("event", "failed", "err", errors.Details(err))
-		code = exitFailure
+		code, end = exitFailure, runstate.Failed
 	}
 	p.stop()
+	endRun(p.run, end)
 	if err := p.node.Close(); err != nil {
 		_ = level.Error(p.logger).Log("event", "close_failed", "err", err)
 	}
--- a/cmd/citronstepd/start_line.go
+++ b/cmd/citronstepd/start_line.go
@@ -9,17 +9,19 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 
+	"github.com/citronstep/citronstep/internal/runstate"
 	"github.com/citronstep/citronstep/internal/settings"
 )
 
 // unknownValue stands for a value that this process can't find out.
 const unknownValue = "unknown"
 
-// logStarted writes which build runs as which process, in which roles and under which limits.
-func logStarted(logger log.Logger, s *settings.Settings) {
+// logStarted writes which build runs as which process, in which roles and under which limits, and how the last run ended.
+func logStarted(logger log.Logger, s *settings.Settings, previous runstate.End) {
 	_ = level.Info(logger).Log("event", "started", "entry", s.Entry.Enabled, "control", s.Control.Enabled, "data_centre", s.DataCentre,
 		"build", buildRevision(debug.ReadBuildInfo()), "pid", os.Getpid(),
-		"max_descriptors", limitText(syscall.RLIMIT_NOFILE), "max_address_space", limitText(syscall.RLIMIT_AS))
+		"max_descriptors", limitText(syscall.RLIMIT_NOFILE), "max_address_space", limitText(syscall.RLIMIT_AS),
+		"previous_end", previous)
 }
 
 // buildRevision returns the revision that the program was built from, with "+modified" if its files had changes that
--- a/cmd/citronstepd/start_line_test.go
+++ b/cmd/citronstepd/start_line_test.go
@@ -34,8 +34,8 @@
 // Guards against a start whose line does not say which process began, and under which limits.
 func TestStartLineNamesTheProcess(t *testing.T) {
 	var lines bytes.Buffer
-	logStarted(log.NewLogfmtLogger(&lines), &settings.Settings{DataCentre: "d1"})
-	for _, want := range []string{"event=started entry=false control=false data_centre=d1 build=", " pid=", " max_descriptors=", " max_address_space="} {
+	logStarted(log.NewLogfmtLogger(&lines), &settings.Settings{DataCentre: "d1"}, previousEnd(nil))
+	for _, want := range []string{"event=started entry=false control=false data_centre=d1 build=", " pid=", " max_descriptors=", " max_address_space=", " previous_end=unknown"} {
 		assert.Assert(t, is.Contains(lines.String(), want))
 	}
 }
--- a/test/process/lifecycle_lines_test.go
+++ b/test/process/lifecycle_lines_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -84,3 +87,27 @@
 	}
 	assert.Assert(t, !logContains(n, "event=stopped"))
 }
+
+// Guards against a control process whose standard output does not say how its last run ended.
+func TestControlProcessSaysHowItsLastRunEnded(t *testing.T) {
+	t.Parallel()
+	c := harness.NewCluster(t, twoNodeSpec(shortTimeouts))
+	n := c.Node("n1")
+	awaitStart := func(previous string) {
+		t.Helper()
+		harness.Await(t, "a start after "+previous, func() bool { return strings.Contains(n.Output(), " previous_end="+previous+"\n") })
+	}
+	awaitStart("none")
+	n.Terminate()
+	assert.Equal(t, n.Wait(stopTimeout), 0)
+	n.Start()
+	awaitStart("stopped")
+	harness.Await(t, "the start is recorded", func() bool {
+		state, err := os.ReadFile(filepath.Join(n.DataFolder(), "run-state"))
+		return err == nil && strings.HasPrefix(string(state), "running")
+	})
+	n.Kill()
+	n.Start()
+	awaitStart("unannounced")
+	assert.Assert(t, strings.Contains(c.Node("n2").Output(), " previous_end=unknown\n"), "an entry has no data folder")
+}
