A cut of an answer that may have been sound is a warning

Could not be told: a reader of warnings alone saw no cut. All causes of event=answer_cut were written at level info, and under more than log.request_lines_per_second lines they were dropped like any other request's.

Change: answer_cut is written at level warn unless its cause is caller_left, caller_write or deadline. Warnings have a tenth of a second's request lines to themselves and may use what is left of the rest; the lines kept for failed requests have nine tenths. The limit as a whole is as before, and dropped warnings count in event=request_lines_dropped.

Found while checking the counter for each cause: a write that failed because this process had closed its connections counted as caller_write. It is entry_stopped now.

--- a/internal/entry/answer_cut.go
+++ b/internal/entry/answer_cut.go
@@ -38,6 +38,20 @@
 	cutOther cutCause = "other"
 )
 
+// isOfCaller reports whether the caller or its deadline ended the answer. An answer that ended for another cause may have
+// been sound.
+func (c cutCause) isOfCaller() bool {
+	return c == cutCallerLeft || c == cutCallerWrite || c == cutDeadline
+}
+
+// writeCutCause returns the cause of an answer whose caller can't be written to.
+func (s *Server) writeCutCause() cutCause {
+	if s.stopped.Load() {
+		return cutEntryStopped
+	}
+	return cutCallerWrite
+}
+
 // hasBegun reports whether a part of the answer has been written to the caller of a forwarded
 // request.
 func (j *job) hasBegun() bool { return j.forward != nil && j.forward.begun.Load() }
@@ -51,7 +65,7 @@
 	case errors.Is(cause, context.DeadlineExceeded):
 		return cutDeadline
 	case j.forward != nil && j.forward.hasWriteFailed():
-		return cutCallerWrite
+		return s.writeCutCause()
 	case cause != nil:
 		return cutCallerLeft
 	case j.noFurtherAttempt != "":
@@ -83,8 +97,13 @@
 		"took_ms", time.Since(j.arrived).Milliseconds(), "left_ms", time.Until(j.deadline).Milliseconds(),
 		"up_ms", time.Since(s.startedAt).Milliseconds(), "lease_ms", s.o.Follower.LeaseRemaining().Milliseconds(),
 		"arrival_config", j.arrivalConfig, "config", board.Config.Revision, "board", board.Revision}
+	line = append(line, more...)
+	if !cause.isOfCaller() {
+		s.requests.Warn(line...)
+		return
+	}
 	lines := s.requests.Request()
-	lines.Info(append(line, more...)...)
+	lines.Info(line...)
 	lines.End(true)
 }
 
--- a/internal/entry/completion_relay.go
+++ b/internal/entry/completion_relay.go
@@ -116,7 +116,7 @@
 		body.Choices[0].Text = &text
 	}
 	if err := c.JSON(http.StatusOK, body); err != nil {
-		s.logCut(j, cutCallerWrite, callerWriteFailure(err))
+		s.logCut(j, s.writeCutCause(), callerWriteFailure(err))
 	}
 	return nil
 }
@@ -153,7 +153,7 @@
 		}
 		from += len(p.tokens)
 		if err := writeTokens(w, j, d, p.tokens); err != nil {
-			s.logCut(j, cutCallerWrite, callerWriteFailure(err))
+			s.logCut(j, s.writeCutCause(), callerWriteFailure(err))
 			return nil
 		}
 		if p.done {
@@ -204,7 +204,7 @@
 		_, err = w.Write([]byte(doneEvent))
 	}
 	if err != nil {
-		s.logCut(j, cutCallerWrite, callerWriteFailure(err))
+		s.logCut(j, s.writeCutCause(), callerWriteFailure(err))
 	}
 }
 
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -110,7 +110,7 @@
 			return p.failed
 		}
 		if err := running.service.write(c); err != nil {
-			s.logCut(running, cutCallerWrite, callerWriteFailure(err))
+			s.logCut(running, s.writeCutCause(), callerWriteFailure(err))
 		}
 		return nil
 	})
--- a/internal/requestlog/requestlog.go
+++ b/internal/requestlog/requestlog.go
@@ -19,6 +19,8 @@
 	// preOutcomeShare is the share of a second's lines that requests may use before their
 	// outcome is known. The rest is reserved for requests that fail.
 	preOutcomeShare = 0.5
+	// warningShare is the share of a second's lines that is reserved for warnings.
+	warningShare = 0.1
 	// maxHeldLines bounds the lines held for one request: a few attempts with one line each at
 	// their start and end.
 	maxHeldLines = 32
@@ -36,6 +38,8 @@
 	// used counts the lines written in this second; dropped and requests count the lines and
 	// requests that were dropped and not reported yet.
 	used, dropped, requests int
+	// warnings counts the warnings of this second, which used includes.
+	warnings int
 }
 
 // New returns a Log that writes at most perSecond lines per second to next; 0 means no limit.
@@ -87,7 +91,7 @@
 		return
 	}
 	ln.passThrough = true
-	if failed && ln.log.hasCapacity(len(ln.held), 1) {
+	if failed && ln.log.hasCapacity(len(ln.held), 1-warningShare) {
 		for _, keyvals := range ln.held {
 			ln.log.write(keyvals)
 		}
@@ -112,7 +116,7 @@
 	if second == l.second {
 		return
 	}
-	l.second, l.used = second, 0
+	l.second, l.used, l.warnings = second, 0, 0
 	if l.dropped == 0 {
 		return
 	}
@@ -121,6 +125,30 @@
 	l.dropped, l.requests = 0, 0
 }
 
+// Warn writes one line at level warn at once. Warnings have warningShare of a second's lines to themselves, and may use what
+// others leave of the rest. Further ones are counted as dropped.
+func (l *Log) Warn(keyvals ...any) {
+	if !l.takeWarning() {
+		l.drop(1)
+		return
+	}
+	_ = level.Warn(l.next).Log(keyvals...)
+}
+
+// takeWarning counts a warning and reports whether there was capacity for it.
+func (l *Log) takeWarning() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.startSecond()
+	reserved := max(1, int(warningShare*float64(l.perSecond)))
+	if l.perSecond > 0 && l.warnings >= reserved && l.used >= l.perSecond {
+		return false
+	}
+	l.used++
+	l.warnings++
+	return true
+}
+
 func (l *Log) drop(lines int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
