What libraries say is in the log, and open_requests has the memory of the process

Could not be told from standard output: that a handler panicked and ended its request, or that a process had no descriptor left. net/http writes both to Go's standard logger, and so to standard error. Nor how near to its limit the memory of a process was: heap_bytes is a part of it.

--- a/cmd/citronstepd/main.go
+++ b/cmd/citronstepd/main.go
@@ -138,6 +138,7 @@
 func startNode(s *settings.Settings, file string, received signals) (*process, error) {
 	logger := log.With(newLogger(s.Log.Level), "vm", s.VM)
 	reportInvariants(logger)
+	collectLibraryLines(logger)
 	if err := prepareCrashOutput(); err != nil {
 		_ = level.Warn(logger).Log("event", "crash_output_unavailable", "err", err)
 	}
--- a/internal/entry/open_report.go
+++ b/internal/entry/open_report.go
@@ -23,8 +23,9 @@
 	oldest time.Duration
 	// held is the number of bytes of bodies and of answers that their callers have not read.
 	held int64
-	// heap is the size of the objects of this process's heap, in bytes.
-	heap uint64
+	// heap is the size of the objects of this process's heap, and memory all that it has from the system through Go,
+	// in bytes.
+	heap, memory uint64
 	// descriptors counts the open descriptors of this process; 0 if the system does not state it.
 	descriptors int64
 }
@@ -54,11 +55,12 @@
 		return
 	}
 	_ = level.Info(s.stateLogger()).Log("event", "open_requests", "open", w.open, "begun", w.begun, "oldest_ms", w.oldest.Milliseconds(),
-		"held_bytes", w.held, "heap_bytes", w.heap, "descriptors", w.descriptors)
+		"held_bytes", w.held, "heap_bytes", w.heap, "memory_bytes", w.memory, "descriptors", w.descriptors)
 }
 
 func (s *Server) openWork(now time.Time) openWork {
-	w := openWork{held: s.memory.reserved(), heap: heapBytes(), descriptors: openDescriptors()}
+	w := openWork{held: s.memory.reserved(), descriptors: openDescriptors()}
+	w.heap, w.memory = processMemory()
 	for _, j := range s.jobs.running() {
 		w.open++
 		w.oldest = max(w.oldest, now.Sub(j.arrived))
@@ -69,18 +71,26 @@
 	return w
 }
 
-// heapMetric is the size of the live objects of the heap and of those that have not been collected yet.
-const heapMetric = "/memory/classes/heap/objects:bytes"
+// Names of figures of the Go runtime, in bytes.
+const (
+	// heapMetric is the size of the live objects of the heap and of those that have not been collected yet.
+	heapMetric = "/memory/classes/heap/objects:bytes"
+	// mappedMetric is all memory that the runtime has mapped, releasedMetric the part that it has given back.
+	mappedMetric   = "/memory/classes/total:bytes"
+	releasedMetric = "/memory/classes/heap/released:bytes"
+)
 
-// heapBytes returns the size of the objects of the heap, in bytes. It does not stop the process, as
-// runtime.ReadMemStats would.
-func heapBytes() uint64 {
-	sample := []metrics.Sample{{Name: heapMetric}}
-	metrics.Read(sample)
-	if sample[0].Value.Kind() != metrics.KindUint64 {
-		return 0
+// processMemory returns the size of the objects of the heap, and of the memory that this process has from the system
+// through Go, in bytes. It does not stop the process, as runtime.ReadMemStats would.
+func processMemory() (heap, memory uint64) {
+	samples := []metrics.Sample{{Name: heapMetric}, {Name: mappedMetric}, {Name: releasedMetric}}
+	metrics.Read(samples)
+	for _, s := range samples {
+		if s.Value.Kind() != metrics.KindUint64 {
+			return 0, 0
+		}
 	}
-	return sample[0].Value.Uint64()
+	return samples[0].Value.Uint64(), samples[1].Value.Uint64() - samples[2].Value.Uint64()
 }
 
 // openDescriptors returns the number of open descriptors of this process, which Linux 6.2 and later state as the size of
--- a/internal/entry/open_report_test.go
+++ b/internal/entry/open_report_test.go
@@ -33,7 +33,7 @@
 	<-began
 	s.ReportOpen(time.Now().Add(300 * time.Millisecond))
 	assert.Assert(t, is.Contains(lines.String(), "event=open_requests open=1 begun=1 oldest_ms=3"))
-	for _, want := range []string{" held_bytes=", " heap_bytes=", " descriptors="} {
+	for _, want := range []string{" held_bytes=", " heap_bytes=", " memory_bytes=", " descriptors="} {
 		assert.Assert(t, is.Contains(lines.String(), want))
 	}
 	disconnect()
