A build without version control is named by its build ID

Could not be told: which of two builds a log is of, where programs are built with -buildvcs=false, as in this workspace (GOFLAGS), or from a copy without version control. event=started said build=unknown for each of them.

Change: build is then "buildid:" and the last part of the build ID that the Go linker notes in the program, as `go tool buildid PROGRAM` prints it. It is read from the section table of the program's file, not by a hash over the file. It tells programs apart, but names no commit: compare it with that of a program at hand.

TestBuildWithoutARevisionIsNamedByItsContent compares it with what go tool buildid prints.

--- a/cmd/citronstepd/start_line_test.go
+++ b/cmd/citronstepd/start_line_test.go
@@ -2,10 +2,15 @@
 
 import (
 	"bytes"
+	"encoding/binary"
+	"os"
+	"os/exec"
 	"runtime/debug"
+	"strings"
 	"testing"
 
 	"github.com/go-kit/log"
+	"github.com/juju/errors"
 	"gotest.tools/v3/assert"
 	is "gotest.tools/v3/assert/cmp"
 
@@ -39,3 +44,24 @@
 		assert.Assert(t, is.Contains(lines.String(), want))
 	}
 }
+
+// Guards against two programs without a revision whose logs can't be told apart.
+func TestBuildWithoutARevisionIsNamedByItsContent(t *testing.T) {
+	id, err := contentID(os.Args[0])
+	assert.NilError(t, err)
+	out, err := exec.Command("go", "tool", "buildid", os.Args[0]).Output()
+	assert.NilError(t, err)
+	assert.Assert(t, len(id) > 10 && strings.HasSuffix(strings.TrimSpace(string(out)), "/"+id), "%s is not the end of %s", id, out)
+	_, err = contentID("/no/such/file")
+	assert.Assert(t, errors.Is(err, os.ErrNotExist))
+}
+
+// Guards against a damaged note that ends the process at its start.
+func TestDamagedBuildNotesAreNoBuildID(t *testing.T) {
+	long := make([]byte, noteHeaderLength)
+	long[noteSizeOffset] = 1
+	for _, note := range [][]byte{nil, make([]byte, 3), make([]byte, noteHeaderLength), long} {
+		_, err := contentIDOfNote(note, binary.LittleEndian)
+		assert.Assert(t, errors.Is(err, errNoBuildID))
+	}
+}
