The record of the last run holds up no start, and a busy machine has a second for it

Found on a machine with a load of 55: 200 ms may be too short for a synced record at a stop, and the next start would call an ordered end unannounced.

Change: a stop waits for its record for a second at most (200 ms before). A start waits for the last end for a second at most (100 ms), and the node runs meanwhile: only the line event=started waits.

--- a/cmd/citronstepd/main.go
+++ b/cmd/citronstepd/main.go
@@ -152,9 +152,9 @@
 		node: n, settings: s, logger: logger, stop: stop, signals: received, done: make(chan error, 1), file: file,
 	}
 	p.run = beginRun(s, logger)
-	logStarted(logger, s, previousEnd(p.run))
 	go p.reloadLoop(ctx)
 	go func() { p.done <- n.Run(ctx) }()
+	logStarted(logger, s, previousEnd(p.run))
 	return p, nil
 }
 
--- a/cmd/citronstepd/run_state.go
+++ b/cmd/citronstepd/run_state.go
@@ -11,10 +11,10 @@
 )
 
 const (
-	// previousEndWait bounds what the disk may add to a start: the wait for how the last run ended.
-	previousEndWait = 100 * time.Millisecond
+	// previousEndWait bounds the wait for how the last run ended. The node runs meanwhile.
+	previousEndWait = time.Second
 	// endRecordWait bounds what the disk may add to a stop: the wait for the record of how this run ends.
-	endRecordWait = 200 * time.Millisecond
+	endRecordWait = time.Second
 )
 
 // beginRun records in the data folder of a control process that it runs. It returns nil for a process without one. The
