Traces go to standard output also where standard error can't be opened anew

A pipe of another user (a process that gave up its rights) can't be opened anew. One such file kept the trace from the other; each is tried now. Read off the code, not seen in a run.

--- a/cmd/citronstepd/crash_output.go
+++ b/cmd/citronstepd/crash_output.go
@@ -29,13 +29,14 @@
 	if err != nil {
 		return errors.Annotate(err, "standard error")
 	}
-	if err := replaceStandardError(errs.Mode()); err != nil {
-		return errors.Annotate(err, "standard error")
-	}
+	replaceErr := errors.Annotate(replaceStandardError(errs.Mode()), "standard error")
 	if os.SameFile(out, errs) {
-		return nil
+		return replaceErr
+	}
+	if err := traceOnStandardOutput(); err != nil {
+		return errors.Annotate(err, "standard output")
 	}
-	return errors.Annotate(traceOnStandardOutput(), "standard output")
+	return replaceErr
 }
 
 // replaceStandardError opens standard error anew if it is a pipe, so that writes to it don't block. A file that is
