Settings that keep a process from starting are named on standard output

Could not be told from standard output: that a process ended at once for its settings. The error was on standard error alone.

Change: event=start_failed, as for any other failed start; standard error and the exit status stay as they are.

TestUnusableSettingsAreOnStandardOutput fails without the change.

--- a/cmd/citronstepd/crash_output_test.go
+++ b/cmd/citronstepd/crash_output_test.go
@@ -25,6 +25,9 @@
 	if file := os.Getenv(lostReaderVariable); file != "" {
 		writeToLostReader(file)
 	}
+	if file := os.Getenv(settingsVariable); file != "" {
+		runDaemon(file)
+	}
 	if os.Getenv(crashVariable) == "" {
 		os.Exit(m.Run())
 	}
--- a/cmd/citronstepd/main.go
+++ b/cmd/citronstepd/main.go
@@ -74,6 +74,9 @@
 	s, err := settings.Load(*file)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
+		if !*check {
+			_ = level.Error(newLogger("")).Log("event", "start_failed", "err", err)
+		}
 		return exitUsage
 	}
 	if *check {
