--- a/cmd/citronstepd/main.go
+++ b/cmd/citronstepd/main.go
@@ -20,6 +20,7 @@
 	"github.com/citronstep/citronstep/internal/invariant"
 	"github.com/citronstep/citronstep/internal/logsink"
 	"github.com/citronstep/citronstep/internal/node"
+	"github.com/citronstep/citronstep/internal/runstate"
 	"github.com/citronstep/citronstep/internal/settings"
 	"github.com/citronstep/citronstep/platform"
 )
@@ -73,6 +74,9 @@
 	s, err := settings.Load(*file)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
+		if !*check {
+			_ = level.Error(newLogger("")).Log("event", "start_failed", "err", err)
+		}
 		return exitUsage
 	}
 	if *check {
@@ -109,10 +113,13 @@
 
 // notifySignals begins to receive signals. It is called before anything else, because a signal without a
 // receiver ends the process: a SIGHUP as well that arrives while the process starts.
+//
+// SIGPIPE is ignored. Failure: the reader of the log ends, and the next line ends this process without a trace.
 func notifySignals() signals {
 	s := signals{stop: make(chan os.Signal, 2), reload: make(chan os.Signal, 1)}
 	signal.Notify(s.stop, syscall.SIGTERM, syscall.SIGINT)
 	signal.Notify(s.reload, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE)
 	return s
 }
 
@@ -122,6 +129,8 @@
 	settings *settings.Settings
 	logger   log.Logger
 	signals  signals
+	// run is the record of this run; nil without a data folder.
+	run *runstate.Run
 	// file is the path of the settings file; empty for -dev.
 	file string
 	done chan error
@@ -132,6 +141,10 @@
 func startNode(s *settings.Settings, file string, received signals) (*process, error) {
 	logger := log.With(newLogger(s.Log.Level), "vm", s.VM)
 	reportInvariants(logger)
+	collectLibraryLines(logger)
+	if err := prepareCrashOutput(); err != nil {
+		_ = level.Warn(logger).Log("event", "crash_output_unavailable", "err", err)
+	}
 	n, err := node.NewWithAdapter(s, logger, adapterOf(s))
 	if err != nil {
 		_ = level.Error(logger).Log("event", "start_failed", "err", err)
@@ -141,9 +154,10 @@
 	p := &process{
 		node: n, settings: s, logger: logger, stop: stop, signals: received, done: make(chan error, 1), file: file,
 	}
-	_ = level.Info(logger).Log("event", "started", "entry", s.Entry.Enabled, "control", s.Control.Enabled, "data_centre", s.DataCentre)
+	p.run = beginRun(s, logger)
 	go p.reloadLoop(ctx)
 	go func() { p.done <- n.Run(ctx) }()
+	logStarted(logger, s, previousEnd(p.run))
 	return p, nil
 }
 
@@ -173,7 +187,7 @@
 
 // serve waits for a signal or a failure, stops the node and returns the exit code.
 func (p *process) serve() int {
-	code := 0
+	code, end := 0, runstate.Stopped
 	select {
 	case <-p.signals.stop:
 		code = p.drain()
@@ -183,9 +197,10 @@
 		}
 	case err := <-p.done:
 		_ = level.Error(p.logger).Log("event", "failed", "err", errors.Details(err))
-		code = exitFailure
+		code, end = exitFailure, runstate.Failed
 	}
 	p.stop()
+	endRun(p.run, end)
 	if err := p.node.Close(); err != nil {
 		_ = level.Error(p.logger).Log("event", "close_failed", "err", err)
 	}
