Replies of control processes are bounded in bytes

What could happen: a control process with a fault sends a reply without end. Twirp reads a whole reply with io.ReadAll, within the time of the call alone (0.2 to 10 s), and each entry that follows that process runs out of memory.

Cause: the clients were given a plain http.Client.

Ruled out: one bound for all calls, as a board may be large and everything else is small; a bound of a few megabytes on a board, as none is documented that is smaller than the 64 MiB that its decoder unpacks.

Change: internal/bounded has an http.RoundTripper that ends the body of an answer over a limit with ErrTooLarge, and logs answer_too_large. Replies with a board (Watch, LastKnown) get the decoder's 64 MiB, all others 4 MiB: the longest is the result of a command of at most 1 MiB. An answer other than 200 gets 64 KiB, as Twirp copies it into the error's text.

Before: the six calls of TestReplyWithoutEndIsDropped read all 128 MiB that the stand-in sends before it stops (the test fails 6 of 6). After: each ends with ErrTooLarge at its bound; tests of internal/bounded, controlclient, follow and blackboard pass under the race detector.

--- a/internal/blackboard/compress.go
+++ b/internal/blackboard/compress.go
@@ -10,9 +10,9 @@
 	"github.com/juju/errors"
 )
 
-// maxUncompressedBytes bounds the decompressed size of a command or snapshot. A board with
-// thousands of routes takes a few megabytes.
-const maxUncompressedBytes = 64 << 20
+// MaxEncodedBytes bounds a command or a snapshot, decompressed, in bytes. A board with thousands of
+// routes takes a few megabytes.
+const MaxEncodedBytes = 64 << 20
 
 // gzipWriters reuses writers, because a new writer allocates most of a megabyte.
 var gzipWriters = sync.Pool{New: func() any { return gzip.NewWriter(io.Discard) }}
@@ -38,7 +38,7 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	out, err := io.ReadAll(io.LimitReader(z, maxUncompressedBytes))
+	out, err := io.ReadAll(io.LimitReader(z, MaxEncodedBytes))
 	return out, errors.Trace(err)
 }
 
--- a/internal/controlclient/client.go
+++ b/internal/controlclient/client.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/go-kit/log"
 	"github.com/juju/errors"
 	"github.com/twitchtv/twirp"
 
@@ -29,7 +30,7 @@
 	// seeds are the addresses from the settings.
 	seeds   []string
 	clients map[string]noderpc.Board
-	http    *http.Client
+	http    httpClients
 
 	mu     sync.Mutex
 	leader string
@@ -41,9 +42,13 @@
 }
 
 // New returns a client of the control processes at the addresses. The HTTP client must add the
-// bearer token that the system's own processes share.
-func New(addresses []string, client *http.Client) *Client {
-	return &Client{seeds: addresses, addresses: addresses, clients: make(map[string]noderpc.Board), http: client, avoidedUntil: make(map[string]time.Time)}
+// bearer token that the system's own processes share. A reply that is dropped for its size leaves a
+// line in the log.
+func New(addresses []string, client *http.Client, l log.Logger) *Client {
+	return &Client{
+		seeds: addresses, addresses: addresses, clients: make(map[string]noderpc.Board), http: newHTTPClients(client, l),
+		avoidedUntil: make(map[string]time.Time),
+	}
 }
 
 // SetMembers sets the addresses of the cluster's control processes. The addresses from the settings
@@ -116,7 +121,7 @@
 	if !isRefusal(err) {
 		// The connection broke or timed out. Idle connections on the same path may be dead as
 		// well, and each further call would run into one of them.
-		c.http.CloseIdleConnections()
+		c.http.boards.CloseIdleConnections()
 	}
 	if leader := leaderIn(err); leader != "" && leader != address {
 		c.leader = leader
@@ -188,7 +193,7 @@
 func (c *Client) clientLocked(address string) noderpc.Board {
 	b, ok := c.clients[address]
 	if !ok {
-		b = noderpc.NewBoardProtobufClient("http://"+address, c.http)
+		b = c.http.at(address)
 		c.clients[address] = b
 	}
 	return b
--- a/internal/controlclient/demand_test.go
+++ b/internal/controlclient/demand_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"testing"
 
+	"github.com/go-kit/log"
 	"github.com/twitchtv/twirp"
 	"gotest.tools/v3/assert"
 
@@ -36,7 +37,7 @@
 		{twirp.NewError(twirp.FailedPrecondition, "does not lead").WithMeta(MetaType, string(failure.TypeNotLeader)).WithMeta(MetaLeader, "b"), "b"},
 	} {
 		taker := &demandTaker{err: c.err}
-		client := New([]string{"a", "b"}, http.DefaultClient)
+		client := New([]string{"a", "b"}, http.DefaultClient, log.NewNopLogger())
 		client.clients["a"] = taker
 		client.setLeader("a")
 		assert.Assert(t, client.ReportDemand(context.Background(), &noderpc.DemandReport{}) != nil)
--- a/internal/controlclient/spread_test.go
+++ b/internal/controlclient/spread_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 
+	"github.com/go-kit/log"
 	"github.com/twitchtv/twirp"
 	"gotest.tools/v3/assert"
 
@@ -50,7 +51,7 @@
 		f := &board{watch: refusing}
 		followers, addresses = append(followers, f), append(addresses, serve(t, f))
 	}
-	c := New(addresses, http.DefaultClient)
+	c := New(addresses, http.DefaultClient, log.NewNopLogger())
 
 	reply, err := c.Watch(context.Background(), &noderpc.WatchRequest{EntryId: "e", Spread: true})
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -264,7 +264,7 @@
 	if e.Enabled && self.Address == "" {
 		self.Address = n.settings.Adapter.Callers
 	}
-	client := controlclient.New(n.settings.Peers.Control, n.peerClient)
+	client := controlclient.New(n.settings.Peers.Control, n.peerClient, log.With(n.logger, "part", "follow"))
 	n.follower = follow.New(follow.Options{
 		Watcher: client, Entry: self, Logger: log.With(n.logger, "part", "follow"), OnChange: n.onBoardChange,
 		OnControlAddresses: client.SetMembers, StartWithoutLease: e.ServeWithoutLease,
--- a/test/capacity/fleet_entries_test.go
+++ b/test/capacity/fleet_entries_test.go
@@ -40,7 +40,7 @@
 	for i := range n {
 		name := fmt.Sprintf("entry-%04d", i)
 		transport := &http.Transport{IdleConnTimeout: time.Minute}
-		client := controlclient.New(s.control, &http.Client{Transport: transport})
+		client := controlclient.New(s.control, &http.Client{Transport: transport}, log.NewNopLogger())
 		follower := follow.New(follow.Options{
 			Watcher: client, Logger: log.NewNopLogger(), OnControlAddresses: client.SetMembers, StartWithoutLease: true,
 			Entry: blackboard.Entry{ID: name, Address: name + ":8080", PeerAddress: name + ":8081", DataCentre: "dev", Deaf: true},
