Replies of other entries are bounded in bytes

What could happen: an entry with a fault answers a call of another (hold, release, lend, acquire) without end. Twirp reads all of it, for up to 0.3 s a call and for many calls at once, and the entry that asks runs out of memory.

Cause: the Twirp clients of other entries were given a plain http.Client.

Change: they get the client of internal/bounded with 64 KiB; the replies hold a few names and numbers.

Before: the first call of TestReplyOfAnEntryWithoutEndIsDropped read the 512 MiB that the peer sends before it stops, and the test failed. After: the calls end at 64 KiB with ErrTooLarge, under the race detector.

--- a/internal/entry/key_home.go
+++ b/internal/entry/key_home.go
@@ -11,6 +11,7 @@
 	"github.com/juju/errors"
 
 	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/bounded"
 	"github.com/citronstep/citronstep/internal/failure"
 	"github.com/citronstep/citronstep/internal/rpc/noderpc"
 )
@@ -126,12 +127,15 @@
 	return s.entryClient(id, entries[id]), nil
 }
 
+// maxEntryReplyBytes bounds an entry's reply to a call: some names and numbers.
+const maxEntryReplyBytes = 64 << 10
+
 // entryClient returns the client of an entry. The client of this entry calls it directly.
 func (s *Server) entryClient(id string, e blackboard.Entry) noderpc.Entries {
 	if id == s.o.ID {
 		return localHome{s}
 	}
-	return noderpc.NewEntriesProtobufClient("http://"+e.PeerAddress, s.o.Peers)
+	return noderpc.NewEntriesProtobufClient("http://"+e.PeerAddress, bounded.Client(s.o.Peers, maxEntryReplyBytes, s.o.Logger))
 }
 
 // localHome is this entry as the home of keys.
