Replies between replicas are bounded in bytes

What could happen: a replica with a fault answers Deliver, Identity or Join without end, and each control process that calls it runs out of memory; or it sends a head without end, of which net/http reads 10 MB.

Cause: the transport to other replicas bounds neither.

Change: 64 KiB for the head and for the body. A reply holds some numbers and an address.

--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -9,6 +9,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/citronstep/citronstep/internal/bounded"
 	"github.com/citronstep/citronstep/internal/raft"
 	"github.com/citronstep/citronstep/internal/rpc/raftrpc"
 )
@@ -263,17 +264,22 @@
 	transport *http.Transport
 }
 
+// maxReplyBytes bounds the head and the body of a reply: some numbers and one member.
+const maxReplyBytes = 64 << 10
+
 func newConnection(opts Options) *connection {
 	if opts.HTTPClient != nil {
 		return &connection{http: authorised{opts.HTTPClient, opts.Secret}}
 	}
 	transport := &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: opts.electionTimeout() / 3, LocalAddr: opts.SourceAddress}).DialContext,
-		MaxConnsPerHost:     1,
-		MaxIdleConnsPerHost: 1,
-		IdleConnTimeout:     time.Minute,
+		DialContext:            (&net.Dialer{Timeout: opts.electionTimeout() / 3, LocalAddr: opts.SourceAddress}).DialContext,
+		MaxConnsPerHost:        1,
+		MaxIdleConnsPerHost:    1,
+		IdleConnTimeout:        time.Minute,
+		MaxResponseHeaderBytes: maxReplyBytes,
 	}
-	return &connection{http: authorised{&http.Client{Transport: transport}, opts.Secret}, transport: transport}
+	client := bounded.Client(&http.Client{Transport: transport}, maxReplyBytes, opts.Logger)
+	return &connection{http: authorised{client, opts.Secret}, transport: transport}
 }
 
 func (c *connection) rpc(address string) raftrpc.Consensus {
