Answers of a key's holder are bounded in tokens and bytes

What could happen: a request attaches to the entry that holds its key. A holder with a fault sends tokens without end, or heartbeats as fast as it can; the request takes memory and processor here until its deadline, up to an hour.

Cause: one line was bounded (16 MiB), their number was not.

Ruled out: a bound in bytes alone. The longest allowed answer has 160 MiB on the wire; heartbeats of three bytes still took more than the 60 s of the test (a trial under the race detector).

Change: a token over the requested length drops the holder, by the same rule that stops a backend server; so do more heartbeats than an hour has, and 160 MiB. The request then asks the home again or runs here, as it does when its holder is lost. The entry logs holder_dropped.

Before: TestHolderThatSendsWithoutEndIsDropped failed 3 of 3 at its limit of 60 s each. After: it passes, with the tests of holders and resends, in 1.7 s under the race detector.

--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -141,6 +141,12 @@
 	return len(j.prompt)/bytesPerToken + j.maxTokens
 }
 
+// exceedsLength reports whether one more token makes the answer longer than requested, or than any
+// answer may be.
+func (j *job) exceedsLength(token string) bool {
+	return j.answer.length() >= j.maxTokens || j.answer.size()+len(token) > maxAnswerBytes
+}
+
 // isLate reports whether an answered job missed the objective of its route.
 func (j *job) isLate() bool {
 	return j.forward != nil && j.forward.route.ObjectiveMillis > 0 && j.firstEventTime().Milliseconds() > j.forward.route.ObjectiveMillis
--- a/internal/entry/key_home.go
+++ b/internal/entry/key_home.go
@@ -185,6 +185,8 @@
 	Service          *serviceAnswerPart `json:"service,omitempty"`
 }
 
+func (p part) isHeartbeat() bool { return len(p.Tokens) == 0 && !p.End && p.Failed == nil }
+
 // serviceAnswerPart is a plain service's complete answer.
 type serviceAnswerPart struct {
 	Status int         `json:"status"`
@@ -254,7 +256,7 @@
 	if err != nil {
 		return false, nil
 	}
-	response, err := s.o.Peers.Do(request)
+	response, err := bounded.Client(s.o.Peers, maxHolderBytes, s.o.Logger).Do(request)
 	if err != nil {
 		return false, nil
 	}
@@ -269,16 +271,36 @@
 // in base64, and its header.
 const maxPart = 2 * maxServiceAnswer
 
+const (
+	// partOverhead is the length of a line with one token beside its text, in bytes.
+	partOverhead = 64
+	// jsonGrowth is how much longer a text may be in JSON: a control character takes six bytes.
+	jsonGrowth = 6
+	// maxHolderBytes bounds all lines of a peer's answer, in bytes: the longest answer in lines of one
+	// token. The heartbeats are a thousandth of it.
+	maxHolderBytes = maxTokens*partOverhead + maxAnswerBytes*jsonGrowth
+	// maxHeartbeats bounds the heartbeats of a holder: those of the longest request.
+	maxHeartbeats = int(maxTimeout / holderHeartbeat)
+)
+
 func readParts(w *watchdog, j *job, response *http.Response) (bool, *failure.Error) {
 	lines := bufio.NewScanner(response.Body)
 	lines.Buffer(nil, maxPart)
+	heartbeats := 0
 	for lines.Scan() {
 		w.progress(true)
 		var p part
 		if err := json.Unmarshal(lines.Bytes(), &p); err != nil {
 			return false, nil
 		}
-		j.addPart(p)
+		if p.isHeartbeat() {
+			heartbeats++
+		}
+		if !j.addPart(p) || heartbeats > maxHeartbeats {
+			j.lines.Info("event", "holder_dropped", "request", j.id, "reason", "its answer exceeds the requested length",
+				"tokens", j.answer.length(), "heartbeats", heartbeats)
+			return false, nil
+		}
 		if p.Failed != nil {
 			p.Failed.RetryAfter = time.Duration(p.RetryAfterMillis) * time.Millisecond
 			return true, p.Failed
@@ -291,12 +313,16 @@
 }
 
 // addPart adds the tokens that the job does not have yet. It may have read some from an earlier
-// holder.
-func (j *job) addPart(p part) {
+// holder. It returns false at the first token over the requested length.
+func (j *job) addPart(p part) bool {
 	for i, text := range p.Tokens {
-		if p.At+i == j.answer.length() {
-			j.answer.append(text)
+		if p.At+i != j.answer.length() {
+			continue
+		}
+		if j.exceedsLength(text) {
+			return false
 		}
+		j.answer.append(text)
 	}
 	if p.End {
 		j.finish = p.Finish
@@ -304,4 +330,5 @@
 	if p.Service != nil {
 		j.service.status, j.service.header, j.service.body = p.Service.Status, p.Service.Header, p.Service.Body
 	}
+	return true
 }
--- a/internal/entry/peer_bounds_test.go
+++ b/internal/entry/peer_bounds_test.go
@@ -3,7 +3,11 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -46,3 +50,38 @@
 		})
 	}
 }
+
+// Guards against a holder of a key that sends tokens without end, and against one that sends a
+// heartbeat after the other as fast as it can: the request runs here instead.
+func TestHolderThatSendsWithoutEndIsDropped(t *testing.T) {
+	const asked = 3
+	for name, part := range map[string]string{
+		"a token a line":  `{"at":%,"tokens":["x"]}` + "\n",
+		"tokens in lines": `{"at":%,"tokens":["x","x","x","x"]}` + "\n",
+		"heartbeats":      strings.Repeat("{}\n", 64<<10),
+	} {
+		t.Run(name, func(t *testing.T) {
+			var sent atomic.Int64
+			board := servingPool(1, 1, 1, 1)
+			board.Entries["holder"] = blackboard.Entry{PeerAddress: serveHolder(t, func(w http.ResponseWriter, _ *http.Request) {
+				for at := 0; sent.Load() < maxSentBytes; at += strings.Count(part, "x") {
+					n, err := w.Write([]byte(strings.ReplaceAll(part, "%", strconv.Itoa(at))))
+					sent.Add(int64(n))
+					if err != nil {
+						return
+					}
+				}
+			})}
+			s := sharedServer(board, "e", nil)
+			j := &job{id: "r", key: "w/key", answer: newAnswer(), maxTokens: asked, lines: s.requests.Request()}
+			ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+			defer cancel()
+			j.ctx = ctx
+			done, e := s.readHolder(j, "holder")
+			assert.Assert(t, !done && e == nil, "%v", e)
+			assert.Assert(t, ctx.Err() == nil)
+			assert.Assert(t, j.answer.length() <= asked, "%d tokens", j.answer.length())
+			assert.Assert(t, sent.Load() < maxSentBytes, "%d bytes", sent.Load())
+		})
+	}
+}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -418,7 +418,7 @@
 // server whose answer exceeds the requested length.
 func checkToken(t backend.Token, attempt string, j *job) *failure.Error {
 	length := j.answer.length()
-	if !t.End && (length >= j.maxTokens || j.answer.size()+len(t.Text) > maxAnswerBytes) {
+	if !t.End && j.exceedsLength(t.Text) {
 		return failure.New(failure.TypeBackendFailed, "the answer exceeds the requested length")
 	}
 	if t.Attempt != attempt {
