Answers to upgrades are bounded in bytes, and wait for no body

What could happen: a peer that is asked for a relay or for a connection of digests sends a head without end: it is read into memory for as long as the dial lasts (0.25 s, 0.5 s; up to six peers a dial). Or it refuses with a body that does not end: closing the body reads it to its end, so the dial lasts its whole time and takes the refusal for silence.

Cause: http.ReadResponse has no bound on a head, and the body of the answer was closed by its reader.

Change: bounded.ReadHead reads at most 32 KiB, as much as the servers take of a request, lifts the bound for what follows, and touches no body: the connection is upgraded or closed.

--- a/internal/announcement/exchange.go
+++ b/internal/announcement/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/juju/errors"
 
 	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/bounded"
 	"github.com/citronstep/citronstep/internal/failure"
 )
 
@@ -217,13 +218,11 @@
 	if err := r.Write(conn); err != nil {
 		return nil, errors.Trace(err)
 	}
-	reader := bufio.NewReaderSize(conn, peerBufferBytes)
-	reply, err := http.ReadResponse(reader, r)
+	// A 101 has no body; after any other answer the caller closes the connection.
+	reply, reader, err := bounded.ReadHead(conn, r, peerBufferBytes)
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	// A 101 has no body; after any other answer the caller closes the connection.
-	_ = reply.Body.Close()
 	if reply.StatusCode != http.StatusSwitchingProtocols {
 		return nil, errors.Annotate(ErrRefused, reply.Status)
 	}
--- a/internal/relay/dialer.go
+++ b/internal/relay/dialer.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"net/http"
@@ -10,6 +9,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/citronstep/citronstep/internal/bounded"
 )
 
 const (
@@ -147,12 +148,10 @@
 	if err := r.Write(conn); err != nil {
 		return nil, OutcomeSilent
 	}
-	reader := bufio.NewReaderSize(conn, readBuffer)
-	answer, err := http.ReadResponse(reader, r)
+	answer, reader, err := bounded.ReadHead(conn, r, readBuffer)
 	if err != nil {
 		return nil, OutcomeSilent
 	}
-	defer func() { _ = answer.Body.Close() }()
 	if answer.StatusCode == http.StatusSwitchingProtocols {
 		return newConn(conn, reader, peer.ID), ""
 	}
