A part of the leader's answer never looks whole to an operator

What could happen: a control process that does not lead passes an operator's call on, and the leader is lost in the middle of its answer, or sends without end. The operator got a part with a proper end and status 200, with a refusal in JSON behind it; or bytes for 35 s.

Cause: the error of copying went to the handler of errors, which writes a refusal into the answer that has begun; and the copy had no bound.

Change: the connection is aborted and forwarded_answer_cut logged. The answer is bounded by adminapi.MaxAnswerBytes, 32 MiB, what the operators' tool reads.

--- a/internal/adminapi/adminapi.go
+++ b/internal/adminapi/adminapi.go
@@ -28,6 +28,10 @@
 	PathEvents = "/admin/v1/events"
 )
 
+// MaxAnswerBytes bounds an answer of the API, in bytes. A status of 710 VMs with their groups is well
+// under 1 MB.
+const MaxAnswerBytes = 32 << 20
+
 // InitRequest bootstraps a cluster. It is safe to resend.
 type InitRequest struct {
 	// Initial is the first configuration; its Expect is 0.
--- a/internal/control/forward.go
+++ b/internal/control/forward.go
@@ -6,9 +6,12 @@
 	"net/http"
 	"time"
 
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
 	"github.com/labstack/echo/v4"
 
 	"github.com/citronstep/citronstep/internal/adminapi"
+	"github.com/citronstep/citronstep/internal/bounded"
 	"github.com/citronstep/citronstep/internal/failure"
 )
 
@@ -16,7 +19,14 @@
 type Forwarder struct {
 	Client *http.Client
 	// Token is the bearer token that the system's own processes share.
-	Token string
+	Token  string
+	Logger log.Logger
+}
+
+// NewForwarder returns a Forwarder whose answers from the leader are bounded like those that the
+// operators' tool reads.
+func NewForwarder(client *http.Client, token string, l log.Logger) *Forwarder {
+	return &Forwarder{Client: bounded.Client(client, adminapi.MaxAnswerBytes, l), Token: token, Logger: l}
 }
 
 // forwardTimeout bounds a forwarded request, including a long poll for events.
@@ -53,5 +63,10 @@
 		return failure.New(failure.TypeOutcomeUnknown, "no response from the leader: "+err.Error()).WithRan(failure.RanUnknown)
 	}
 	defer func() { _ = answer.Body.Close() }()
-	return c.Stream(answer.StatusCode, answer.Header.Get("Content-Type"), answer.Body)
+	if err := c.Stream(answer.StatusCode, answer.Header.Get("Content-Type"), answer.Body); err != nil {
+		_ = level.Warn(f.Logger).Log("event", "forwarded_answer_cut", "leader", leader, "path", in.URL.Path, "err", err)
+		// A part of the answer must not look like the whole.
+		panic(http.ErrAbortHandler)
+	}
+	return nil
 }
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -52,7 +52,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(metrics.Path, auth.RequireToken(n.tokens.admin, n.metrics.Handler()))
 	if n.control != nil {
-		forward := &control.Forwarder{Client: &http.Client{Transport: n.peerClient.Transport}, Token: n.tokens.peers}
+		forward := control.NewForwarder(&http.Client{Transport: n.peerClient.Transport}, n.tokens.peers, n.decisionLogger("control"))
 		mux.Handle("/admin/v1/", n.control.AdminHandler(n.tokens.admin, forward))
 	}
 	return mux
