The tool says that an answer is over its limit

What could happen: an address answers more than 32 MiB; the tool cut it there without a word and said that the body is no JSON.

Change: bounded.ReadAll, and a failure that names the bound.

Before: TestAnswerWithoutEndIsNamed failed with "a body that is not JSON of the admin API". After: it passes; all tests of internal/tool pass under the race detector.

--- a/internal/tool/client.go
+++ b/internal/tool/client.go
@@ -4,19 +4,18 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"io"
+	"fmt"
 	"net/http"
 	"time"
 
 	"github.com/juju/errors"
 
+	"github.com/citronstep/citronstep/internal/adminapi"
+	"github.com/citronstep/citronstep/internal/bounded"
 	"github.com/citronstep/citronstep/internal/failure"
 )
 
 const (
-	// maxResponseBytes bounds what the tool reads of one response. A status of 710 VMs with
-	// their groups is well under 1 MB.
-	maxResponseBytes = 32 << 20
 	// attemptTimeout bounds one attempt at one address, so that an unresponsive address leaves
 	// time for the next one.
 	attemptTimeout = 5 * time.Second
@@ -130,7 +129,10 @@
 		return errors.Trace(err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	data, err := bounded.ReadAll(response.Body, adminapi.MaxAnswerBytes)
+	if errors.Is(err, bounded.ErrTooLarge) {
+		return failure.New(failure.TypeInternal, fmt.Sprintf("%s answered more than %d bytes; is it the admin address?", address, adminapi.MaxAnswerBytes))
+	}
 	if err != nil {
 		return errors.Annotate(err, address)
 	}
