Bodies from other processes and operators are bounded in bytes and in time

What could happen: a process of the system, a backend server that reports its state, or an operator's program sends a body one byte at a time, for ever: it holds a connection and a goroutine each. Or it calls over Twirp with a body without end, which is read into memory whole.

Cause: the servers bound the time of a head alone, and the calls between processes had no bound in bytes.

Ruled out: http.Server.ReadTimeout. It stays set on the connection while the handler runs, so that it would end long polls and requests that are served.

--- a/internal/node/adapter.go
+++ b/internal/node/adapter.go
@@ -42,6 +42,10 @@
 	Logger        log.Logger
 }
 
+// callersServer is the name of the server for callers' requests, which bounds their bodies by the
+// requests' own limits.
+const callersServer = "callers"
+
 // AdapterServer is one HTTP server of an adapter.
 type AdapterServer struct {
 	// Name is callers, ready or control. A graceful stop shuts them down in this order.
@@ -58,7 +62,11 @@
 		Settings: n.settings, Entry: n.entry, Control: n.control, Announcements: n.announcements, Commits: n.commits, Logger: n.logger,
 	}
 	for _, e := range n.adapter.Servers(components) {
-		if err := n.listenAt(e.Name, e.Address, e.Handler); err != nil {
+		handler := e.Handler
+		if e.Name != callersServer {
+			handler = limitBodies(handler, maxBodyBytes)
+		}
+		if err := n.listenAt(e.Name, e.Address, handler); err != nil {
 			return errors.Trace(err)
 		}
 	}
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -25,7 +25,7 @@
 // sends that request to another entry in the first place.
 func (n *Node) closeIdleCallers() {
 	for _, l := range n.servers {
-		if l.name == "callers" {
+		if l.name == callersServer {
 			l.server.SetKeepAlivesEnabled(false)
 		}
 	}
@@ -54,7 +54,7 @@
 // server is shut down first, because peers may be reading answers for their callers.
 func (n *Node) shutdownServers(ctx context.Context) bool {
 	complete := true
-	for _, name := range []string{"callers", "ready", "control", "admin", "peers"} {
+	for _, name := range []string{callersServer, "ready", "control", "admin", "peers"} {
 		for _, l := range n.servers {
 			if l.name == name && l.server.Shutdown(ctx) != nil {
 				complete = false
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -13,6 +13,7 @@
 
 	"github.com/citronstep/citronstep/internal/announcement"
 	"github.com/citronstep/citronstep/internal/auth"
+	"github.com/citronstep/citronstep/internal/bounded"
 	"github.com/citronstep/citronstep/internal/control"
 	"github.com/citronstep/citronstep/internal/entry"
 	"github.com/citronstep/citronstep/internal/metrics"
@@ -26,8 +27,17 @@
 	readHeaderTimeout = 10 * time.Second
 	maxHeaderBytes    = 32 << 10
 	idleTimeout       = 2 * time.Minute
+	// bodyTime is how long a short body of another process or an operator may take.
+	bodyTime = 10 * time.Second
+	// maxBodyBytes bounds such a body: twice the longest, an operator's whole configuration.
+	maxBodyBytes = 8 << 20
 )
 
+// limitBodies bounds the bodies of requests that are not callers'.
+func limitBodies(next http.Handler, maxBytes int64) http.Handler {
+	return bounded.Bodies{Next: next, MaxBytes: maxBytes, Time: bodyTime}
+}
+
 func (n *Node) listen() error {
 	if err := n.listenAt("peers", n.settings.Peers.Listen, n.peersHandler()); err != nil {
 		return errors.Trace(err)
@@ -36,14 +46,14 @@
 		return errors.Trace(err)
 	}
 	if n.entry != nil && n.settings.Entry.Listen != "" {
-		if err := n.listenAt("callers", n.settings.Entry.Listen, n.entry.Handler()); err != nil {
+		if err := n.listenAt(callersServer, n.settings.Entry.Listen, n.entry.Handler()); err != nil {
 			return errors.Trace(err)
 		}
 	}
 	if n.settings.Admin.Listen == "" {
 		return nil
 	}
-	return errors.Trace(n.listenAt("admin", n.settings.Admin.Listen, n.adminHandler()))
+	return errors.Trace(n.listenAt("admin", n.settings.Admin.Listen, limitBodies(n.adminHandler(), maxBodyBytes)))
 }
 
 // adminHandler serves operators: metrics on every process, and the admin API on a
@@ -90,14 +100,14 @@
 		mux.Handle(board.PathPrefix(), board)
 		mux.Handle("/admin/v1/", n.control.AdminHandler("", nil))
 	}
-	guarded := auth.RequireToken(n.tokens.peers, mux)
+	guarded := limitBodies(auth.RequireToken(n.tokens.peers, mux), maxBodyBytes)
 	if n.replica == nil {
 		return guarded
 	}
 	// The replica checks the token itself, so its handler bypasses auth.
 	outer := http.NewServeMux()
 	outer.Handle("/", guarded)
-	outer.Handle(replica.PathPrefix, n.replica.Handler())
+	outer.Handle(replica.PathPrefix, limitBodies(n.replica.Handler(), replica.MaxRequestBytes))
 	return outer
 }
 
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -103,7 +103,7 @@
 	// maxCommandBytes bounds one command, so that the uncommitted commands fit into a node's
 	// memory.
 	maxCommandBytes = 1 << 20
-	// maxBatchBytes bounds one append. It is well under maxRequestBytes.
+	// maxBatchBytes bounds one append. It is well under MaxRequestBytes.
 	maxBatchBytes = 1 << 20
 	// leaseMarginDivisor gives the part of the election timeout by which the lease is shorter.
 	// An eighth covers clocks whose rates differ by 6%.
--- a/internal/replica/server.go
+++ b/internal/replica/server.go
@@ -14,9 +14,9 @@
 
 const (
 	bearerPrefix = "Bearer "
-	// maxRequestBytes bounds the body of one call, which holds at most a snapshot and one
+	// MaxRequestBytes bounds the body of one call, which holds at most a snapshot and one
 	// batch.
-	maxRequestBytes = 256 << 20
+	MaxRequestBytes = 256 << 20
 )
 
 // PathPrefix is the path under which Handler must be mounted.
@@ -32,7 +32,7 @@
 			_ = twirp.WriteError(w, twirp.Unauthenticated.Error("the bearer token does not match"))
 			return
 		}
-		r.Body = http.MaxBytesReader(w, r.Body, maxRequestBytes)
+		r.Body = http.MaxBytesReader(w, r.Body, MaxRequestBytes)
 		rpc.ServeHTTP(w, r)
 	})
 }
