Relays that are being connected count towards the limit

What could happen: hundreds of entries lose their links at once and ask one entry for relays in the same 0.2 s. It relays more than its 512, with the memory and the file descriptors of each.

Cause: a relay was counted once it was open, after the dial, so that all that were asked for meanwhile passed the check.

Change: a place is taken before the dial and given back at the end. TestRelaysAreLimited sets the new count in place of 512 open relays and asserts the same.

Before: TestRelaysThatAreBeingConnectedAreLimited failed, relay 513 was dialled. After: tests of internal/relay pass under the race detector.

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -6,8 +6,10 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -216,13 +218,59 @@
 // Guards against an entry that relays without limit beside its own callers.
 func TestRelaysAreLimited(t *testing.T) {
 	server, peer := startEcho(t), startPeer(t, "p", "near")
-	for range maxRelays {
-		peer.server.open[new(pair)] = struct{}{}
-	}
+	peer.server.taken = maxRelays
 	_, err := newTestDialer(peer).Dial(t.Context(), server.address(), "r")
 	assert.Assert(t, errors.Is(err, ErrNotConnected))
 	assert.Equal(t, <-peer.outcomes, OutcomeBusy)
-	clear(peer.server.open)
+}
+
+// Guards against more relays than the limit where all are asked for before one is connected.
+func TestRelaysThatAreBeingConnectedAreLimited(t *testing.T) {
+	const over = 3
+	dialled, accept := make(chan struct{}, maxRelays+over), make(chan struct{})
+	var outcomes sync.Map
+	s := NewServer(ServerOptions{
+		IsServer: func(string) bool { return true }, IsCutOff: func() bool { return false },
+		HasLinks: func(context.Context, string) bool { return true }, Begin: func() (func(), bool) { return func() {}, true },
+		Dial: func(context.Context, string, string) (net.Conn, error) {
+			dialled <- struct{}{}
+			<-accept
+			return nil, syscall.ECONNREFUSED
+		},
+		Logger: log.NewNopLogger(), OnEnd: func(o Outcome) {
+			count, _ := outcomes.LoadOrStore(o, new(atomic.Int64))
+			count.(*atomic.Int64).Add(1)
+		},
+	})
+	ask := func() {
+		s.ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodPost, Path+"?"+paramServer+"=b:1", nil))
+	}
+	var asked sync.WaitGroup
+	for range maxRelays {
+		asked.Go(ask)
+	}
+	for range maxRelays {
+		<-dialled
+	}
+	for range over {
+		asked.Go(ask)
+	}
+	refused := func() int64 {
+		count, _ := outcomes.LoadOrStore(OutcomeBusy, new(atomic.Int64))
+		return count.(*atomic.Int64).Load()
+	}
+	for refused() < over {
+		select {
+		case <-dialled:
+			t.Error("more relays than the limit")
+			close(accept)
+			return
+		case <-time.After(time.Millisecond):
+		}
+	}
+	close(accept)
+	asked.Wait()
+	assert.Assert(t, s.take(), "ended relays count")
 }
 
 // Guards against peers of one data centre alone being asked, as those nearby lose their links
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -50,6 +50,8 @@
 	o ServerOptions
 
 	mu sync.Mutex
+	// taken counts the open relays and those that are being connected.
+	taken int
 	// open holds both ends of the open relays.
 	open map[*pair]struct{}
 	// isClosed is set by Close.
@@ -115,10 +117,11 @@
 		refuse(w, OutcomeCutOff)
 		return OutcomeCutOff
 	}
-	if s.Open() >= maxRelays {
+	if !s.take() {
 		refuse(w, OutcomeBusy)
 		return OutcomeBusy
 	}
+	defer s.giveBack()
 	ctx, cancel := context.WithTimeout(r.Context(), serverDialTimeout)
 	server, err := s.o.Dial(ctx, "tcp", address)
 	cancel()
@@ -147,6 +150,26 @@
 	return relay(p)
 }
 
+// take reports whether one more relay is allowed, and counts it until giveBack.
+//
+// Load: hundreds of entries lose their links at once, and their dials wait here for backend servers
+// at the same time. Relays that are counted once they are open would exceed the limit together.
+func (s *Server) take() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.taken >= maxRelays {
+		return false
+	}
+	s.taken++
+	return true
+}
+
+func (s *Server) giveBack() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.taken--
+}
+
 // add records an open relay, so that Close ends it. It returns false after Close.
 func (s *Server) add(p *pair) bool {
 	s.mu.Lock()
