Heads of answers between processes are bounded by 32 KiB

What could happen: a process of the system answers a call with a head without end, and each that calls it reads 10 MB of it, net/http's default, for every call.

Change: 32 KiB, as much as the servers of the system take of a request.

Before: TestHeadOfAPeerOverTheLimitIsNotRead got a head of 64 KiB without an error. After: it passes under the race detector.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/citronstep/citronstep/internal/auth"
 	"github.com/citronstep/citronstep/internal/backend"
 	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/bounded"
 	"github.com/citronstep/citronstep/internal/control"
 	"github.com/citronstep/citronstep/internal/controlclient"
 	"github.com/citronstep/citronstep/internal/entry"
@@ -171,6 +172,7 @@
 		Timeout: peerCallTimeout,
 		Transport: &auth.Transport{Token: n.tokens.peers, Base: &http.Transport{
 			DialContext: n.dialer.DialContext, IdleConnTimeout: peerIdleTimeout, MaxIdleConnsPerHost: 4,
+			MaxResponseHeaderBytes: bounded.MaxHeadBytes,
 		}},
 	}
 	o := backend.Options{
