Packed data over the limit is named as such

What could happen: a configuration or a board that unpacks to more than 64 MiB was cut there without a word, and its reader said that the JSON ends too early.

Change: bounded.ReadAll, which returns ErrTooLarge. The bound is as before.

Before: TestDataOverTheLimitIsNotUnpacked, then at the full 64 MiB, got the part without an error. After: it passes under the race detector (at 1 KiB: at 64 MiB it took 53 s beside a load of 100). Tests of internal/blackboard and control pass, without the race detector.

--- a/internal/blackboard/compress.go
+++ b/internal/blackboard/compress.go
@@ -8,6 +8,8 @@
 	"sync"
 
 	"github.com/juju/errors"
+
+	"github.com/citronstep/citronstep/internal/bounded"
 )
 
 // MaxEncodedBytes bounds a command or a snapshot, decompressed, in bytes. A board with thousands of
@@ -33,12 +35,15 @@
 	return b.Bytes(), nil
 }
 
-func decompress(data []byte) ([]byte, error) {
+// decompress returns bounded.ErrTooLarge for data of more than MaxEncodedBytes.
+func decompress(data []byte) ([]byte, error) { return decompressUpTo(data, MaxEncodedBytes) }
+
+func decompressUpTo(data []byte, maxBytes int64) ([]byte, error) {
 	z, err := gzip.NewReader(bytes.NewReader(data))
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	out, err := io.ReadAll(io.LimitReader(z, MaxEncodedBytes))
+	out, err := bounded.ReadAll(z, maxBytes)
 	return out, errors.Trace(err)
 }
 
