--- a/internal/blackboard/compress.go
+++ b/internal/blackboard/compress.go
@@ -8,11 +8,13 @@
 	"sync"
 
 	"github.com/juju/errors"
+
+	"github.com/citronstep/citronstep/internal/bounded"
 )
 
-// maxUncompressedBytes bounds the decompressed size of a command or snapshot. A board with
-// thousands of routes takes a few megabytes.
-const maxUncompressedBytes = 64 << 20
+// MaxEncodedBytes bounds a command or a snapshot, decompressed, in bytes. A board with thousands of
+// routes takes a few megabytes.
+const MaxEncodedBytes = 64 << 20
 
 // gzipWriters reuses writers, because a new writer allocates most of a megabyte.
 var gzipWriters = sync.Pool{New: func() any { return gzip.NewWriter(io.Discard) }}
@@ -33,12 +35,15 @@
 	return b.Bytes(), nil
 }
 
-func decompress(data []byte) ([]byte, error) {
+// decompress returns bounded.ErrTooLarge for data of more than MaxEncodedBytes.
+func decompress(data []byte) ([]byte, error) { return decompressUpTo(data, MaxEncodedBytes) }
+
+func decompressUpTo(data []byte, maxBytes int64) ([]byte, error) {
 	z, err := gzip.NewReader(bytes.NewReader(data))
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	out, err := io.ReadAll(io.LimitReader(z, maxUncompressedBytes))
+	out, err := bounded.ReadAll(z, maxBytes)
 	return out, errors.Trace(err)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/citronstep/citronstep/internal/auth"
 	"github.com/citronstep/citronstep/internal/backend"
 	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/bounded"
 	"github.com/citronstep/citronstep/internal/control"
 	"github.com/citronstep/citronstep/internal/controlclient"
 	"github.com/citronstep/citronstep/internal/entry"
@@ -172,6 +173,7 @@
 		Timeout: peerCallTimeout,
 		Transport: &auth.Transport{Token: n.tokens.peers, Base: &http.Transport{
 			DialContext: n.dialer.DialContext, IdleConnTimeout: peerIdleTimeout, MaxIdleConnsPerHost: 4,
+			MaxResponseHeaderBytes: bounded.MaxHeadBytes,
 		}},
 	}
 	o := backend.Options{
@@ -265,7 +267,7 @@
 	if e.Enabled && self.Address == "" {
 		self.Address = n.settings.Adapter.Callers
 	}
-	client := controlclient.New(n.settings.Peers.Control, n.peerClient)
+	client := controlclient.New(n.settings.Peers.Control, n.peerClient, log.With(n.logger, "part", "follow"))
 	n.follower = follow.New(follow.Options{
 		Watcher: client, Entry: self, Logger: log.With(n.logger, "part", "follow"), OnChange: n.onBoardChange,
 		OnControlAddresses: client.SetMembers, StartWithoutLease: e.ServeWithoutLease,
