Lines without an event no longer use up an entry's memory

What callers saw: a server that sends comment lines or lines of an event that never ends held each of its requests to the deadline, 9 of 9 in 12 s, and took an entry to 1,024 MB (comments) or 65 MB (short lines of one event); a VM has 184 MB. Ruled out: a long single line, which ended at 1 MB; the stream writer, whose buffer is bounded. Their group stays alive. Why it works: the sum is looked at before a line is kept. A server with usual comments stays far below 256 KB, and an answer whose place no other can take is not ended for comments.

--- /dev/null
+++ b/internal/entry/event_reader.go
@@ -0,0 +1,109 @@
+package entry
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"strconv"
+
+	"github.com/juju/errors"
+
+	"github.com/citronstep/citronstep/internal/backend"
+)
+
+const (
+	// eventBuffer is the read buffer of one open stream in bytes, about twenty ordinary events.
+	eventBuffer = 4 << 10
+	// maxEvent is the largest event, in bytes.
+	maxEvent = 1 << 20
+	// maxComments is the most bytes of comments and empty lines between two events. Comments at a usual pace, each
+	// second for hours, are far fewer.
+	maxComments = 256 << 10
+)
+
+// event is one server-sent event as received, or comments and empty lines alone.
+type event struct {
+	bytes    []byte
+	id       uint64
+	numbered bool
+	// hasFields is unset for comments and empty lines alone.
+	hasFields bool
+}
+
+// eventReader splits a stream into events. An event's bytes are valid until the next event is
+// read.
+type eventReader struct {
+	r   *bufio.Reader
+	buf []byte
+	// comments is how many bytes without an event have been read since the last event.
+	comments int
+}
+
+func newEventReader(r io.Reader) *eventReader {
+	return &eventReader{r: bufio.NewReaderSize(r, eventBuffer)}
+}
+
+var idField = []byte("id:")
+
+// next returns the next complete event. It returns io.EOF at the end of a stream that ends
+// after a complete event, backend.ErrCut if the stream ends within one, and backend.ErrLineTooLong
+// past maxEvent or maxComments.
+func (r *eventReader) next() (event, error) {
+	r.buf = r.buf[:0]
+	e := event{}
+	for {
+		from := len(r.buf)
+		if err := r.line(); err != nil {
+			if err == io.EOF && len(r.buf) > 0 {
+				return e, errors.Trace(backend.ErrCut)
+			}
+			return e, err
+		}
+		line := bytes.TrimRight(r.buf[from:], "\r\n")
+		e.hasFields = e.hasFields || isField(line)
+		if !e.hasFields && r.comments+len(r.buf) > maxComments {
+			return e, errors.Trace(backend.ErrLineTooLong)
+		}
+		if len(line) == 0 {
+			e.bytes = r.buf
+			r.countComments(e)
+			return e, nil
+		}
+		if bytes.HasPrefix(line, idField) {
+			id, err := strconv.ParseUint(string(bytes.TrimSpace(line[len(idField):])), 10, 64)
+			if err != nil {
+				return e, errors.Annotate(backend.ErrMalformed, err.Error())
+			}
+			e.id, e.numbered = id, true
+		}
+	}
+}
+
+// isField reports whether a line is a field of an event: neither empty nor a comment.
+func isField(line []byte) bool { return len(line) > 0 && line[0] != ':' }
+
+func (r *eventReader) countComments(e event) {
+	if e.hasFields {
+		r.comments = 0
+		return
+	}
+	r.comments += len(e.bytes)
+}
+
+// line appends one line, with its line end, to the buffer.
+func (r *eventReader) line() error {
+	for {
+		part, err := r.r.ReadSlice('\n')
+		if len(r.buf)+len(part) > maxEvent {
+			return errors.Trace(backend.ErrLineTooLong)
+		}
+		r.buf = append(r.buf, part...)
+		if err != bufio.ErrBufferFull {
+			return err
+		}
+	}
+}
+
+// isDrained reports whether nothing more has arrived, so that the bytes written so far should
+// be flushed now.
+func (r *eventReader) isDrained() bool { return r.r.Buffered() == 0 }
--- a/internal/entry/forward_relay.go
+++ b/internal/entry/forward_relay.go
@@ -1,10 +1,8 @@
 package entry
 
 import (
-	"bufio"
 	"bytes"
 	"io"
-	"strconv"
 	"time"
 
 	"github.com/juju/errors"
@@ -15,12 +13,8 @@
 )
 
 const (
-	// eventBuffer is the read buffer of one open stream in bytes, about twenty ordinary events.
-	eventBuffer = 4 << 10
 	// answerChunk is how much of an answer that is not streamed is read at once, in bytes.
 	answerChunk = 32 << 10
-	// maxEvent is the largest event, in bytes.
-	maxEvent = 1 << 20
 )
 
 // errAnswerTooLong is returned for an answer over maxServiceAnswer.
@@ -65,7 +59,7 @@
 // relayEvents passes on a stream event by event. Only complete events are passed on, in
 // increasing order of their ids, so that another run can resume after the last one.
 func (s *Server) relayEvents(j *job, g grant, w *watchdog, a *backend.ForwardAnswer, result *placement.Result, began time.Time) (outcome, *failure.Error) {
-	events := newEventReader(a.Body)
+	events, pace := newEventReader(a.Body), eventPace{lastEvent: time.Now()}
 	progress := g.route.progress
 	j.forward.onWait = func() func() { return waitForCaller(w, progress) }
 	for {
@@ -78,20 +72,19 @@
 		if err != nil {
 			return s.classifyRelayError(j, g, w, err)
 		}
-		first := !w.hasBegun.Load()
-		if first {
-			result.FirstToken = time.Since(began)
-			j.noteFirstToken()
-			s.recordFirstEvent(j, g, result.FirstToken, a.Load)
-		}
-		w.progress(true)
-		if progress != nil {
-			progress.event(time.Now(), first)
-			if first {
-				defer progress.ended()
+		if pace.isProgress(time.Now(), e) {
+			if !w.hasBegun.Load() {
+				result.FirstToken = time.Since(began)
+				j.noteFirstToken()
+				s.recordFirstEvent(j, g, result.FirstToken, a.Load)
+				if progress != nil {
+					defer progress.ended()
+				}
 			}
+			s.recordProgress(g, w)
+		} else if progress != nil && w.hasBegun.Load() {
+			progress.event(time.Now(), false)
 		}
-		s.dispatcher.progress(g.attempt, 1)
 		if err := j.relayEvent(s.memory, a, e, events.isDrained()); err != nil {
 			j.cancel(errNoCallersLeft)
 			return outcomeJobEnded, nil
@@ -99,6 +92,33 @@
 	}
 }
 
+// recordProgress records an event of an attempt.
+func (s *Server) recordProgress(g grant, w *watchdog) {
+	first := !w.hasBegun.Load()
+	w.progress(true)
+	if g.route.progress != nil {
+		g.route.progress.event(time.Now(), first)
+	}
+	s.dispatcher.progress(g.attempt, 1)
+}
+
+// keepAliveTime is how long comments alone count as progress of a stream.
+const keepAliveTime = 10 * time.Second
+
+// eventPace tells what counts as progress of a stream.
+type eventPace struct{ lastEvent time.Time }
+
+// isProgress reports whether a part of the stream counts as progress of its attempt. Its group is alive in any case.
+//
+// Failure: a server that has lost a run sends comments for it for ever. The stream looks alive, and no other
+// run takes its place.
+func (p *eventPace) isProgress(now time.Time, e event) bool {
+	if e.hasFields {
+		p.lastEvent = now
+	}
+	return now.Sub(p.lastEvent) <= keepAliveTime
+}
+
 // waitForCaller stops counting a stream as one that should make progress while it waits for its caller to
 // read. The returned function undoes that.
 //
@@ -141,71 +161,3 @@
 	f.writeHead(m, a)
 	return errors.Trace(f.out.enqueue(j.ctx, e.bytes, flush, f.onWait))
 }
-
-// event is one server-sent event as received.
-type event struct {
-	bytes    []byte
-	id       uint64
-	numbered bool
-}
-
-// eventReader splits a stream into events. An event's bytes are valid until the next event is
-// read.
-type eventReader struct {
-	r   *bufio.Reader
-	buf []byte
-}
-
-func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{r: bufio.NewReaderSize(r, eventBuffer)}
-}
-
-var idField = []byte("id:")
-
-// next returns the next complete event. It returns io.EOF at the end of a stream that ends
-// after a complete event, and backend.ErrCut if the stream ends within one.
-func (r *eventReader) next() (event, error) {
-	r.buf = r.buf[:0]
-	e := event{}
-	for {
-		from := len(r.buf)
-		if err := r.line(); err != nil {
-			if err == io.EOF && len(r.buf) > 0 {
-				return e, errors.Trace(backend.ErrCut)
-			}
-			return e, err
-		}
-		line := bytes.TrimRight(r.buf[from:], "\r\n")
-		if len(line) == 0 {
-			e.bytes = r.buf
-			return e, nil
-		}
-		if bytes.HasPrefix(line, idField) {
-			id, err := strconv.ParseUint(string(bytes.TrimSpace(line[len(idField):])), 10, 64)
-			if err != nil {
-				return e, errors.Annotate(backend.ErrMalformed, err.Error())
-			}
-			e.id, e.numbered = id, true
-		}
-	}
-}
-
-// line appends one line, with its line end, to the buffer.
-func (r *eventReader) line() error {
-	for {
-		part, err := r.r.ReadSlice('\n')
-		r.buf = append(r.buf, part...)
-		switch {
-		case err == nil:
-			return nil
-		case err != bufio.ErrBufferFull:
-			return err
-		case len(r.buf) > maxEvent:
-			return errors.Trace(backend.ErrLineTooLong)
-		}
-	}
-}
-
-// isDrained reports whether nothing more has arrived, so that the bytes written so far should
-// be flushed now.
-func (r *eventReader) isDrained() bool { return r.r.Buffered() == 0 }
