Complete answers take their memory once, and large ones leave room for small ones

What callers saw: a plain server that answers 200 and then a body without end took three entries from 19 to 100 MB each with two callers each, and to 321 MB with 18 callers each, of 184 MB that a VM has; requests waited 0.84 s for its 8 MB. 18 callers each were held to their deadline, 216 of 216. Cause: the growing buffer copied the answer again and again and left each size to the collector; bytes of failed attempts counted until the request ended; and each answer took its part of entry.max_held_bytes bit by bit, so that many had a part and none could end. Ruled out: a smaller limit of an answer (8 MB is documented), fewer open requests. Change: an answer is held in chunks of 32 KB that later answers use again, an announced length over the limit is not read, a failed attempt's bytes are released at once, and an answer over 256 KB reserves all that it may need before it is read on, from a share of half of the memory. Why it works: nothing is copied, and who waits for memory holds at most 256 KB of it, or all that it needs.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -61,9 +61,6 @@
 	onWait func() (resume func())
 	// writeErr is set once a write to the caller has failed.
 	writeErr error
-	// reservedBytes is the part of the entry's memory budget that buffered answers of this
-	// request use.
-	reservedBytes int
 	// resume and last identify the last event that the caller has received.
 	resume     bool
 	last       uint64
@@ -71,13 +68,28 @@
 	// backendFailure is the backend server's own error answer. It is passed on if no further
 	// attempt is made.
 	backendFailure *bufferedAnswer
+	// complete is the answer that is not a stream; nil until it has arrived.
+	complete *bufferedAnswer
 }
 
 // bufferedAnswer is a complete answer that is not written yet.
 type bufferedAnswer struct {
 	status int
 	header http.Header
-	body   []byte
+	body   *answerBuffer
+}
+
+// release releases the memory of an answer; a may be nil.
+func (a *bufferedAnswer) release() {
+	if a != nil {
+		a.body.release()
+	}
+}
+
+// releaseAnswers releases the memory of the answers that were kept for the caller.
+func (f *forwarding) releaseAnswers() {
+	f.backendFailure.release()
+	f.complete.release()
 }
 
 // forwardSequence makes the ids of jobs unique where callers' ids are not.
@@ -229,7 +241,7 @@
 	}
 	defer s.work.Done()
 	defer s.jobs.end(j)
-	defer func() { s.memory.release(j.forward.reservedBytes) }()
+	defer j.forward.releaseAnswers()
 	s.run(j, s.attemptForward)
 	if e := j.forward.end(); e != nil {
 		return e
@@ -268,10 +280,10 @@
 // write sends a complete answer to the caller. A failure is kept for end.
 func (f *forwarding) write(a *bufferedAnswer) {
 	copyHeader(f.w.Header(), a.header)
-	f.w.Header().Set("Content-Length", strconv.Itoa(len(a.body)))
+	f.w.Header().Set("Content-Length", strconv.Itoa(a.body.length))
 	f.w.WriteHeader(a.status)
 	f.begun.Store(true)
-	if _, f.writeErr = f.w.Write(a.body); f.writeErr == nil {
+	if f.writeErr = a.body.writeTo(f.w); f.writeErr == nil {
 		f.writeErr = http.NewResponseController(f.w).Flush()
 	}
 }
@@ -405,6 +417,7 @@
 	if err != nil {
 		return outcomeOfCallError(err), e.WithDetail(err.Error()), true
 	}
+	j.forward.backendFailure.release()
 	j.forward.backendFailure = &bufferedAnswer{status: a.Status, header: backend.EndToEnd(a.Header), body: body}
 	return outcomeBroken, e, true
 }
--- a/internal/entry/forward_relay.go
+++ b/internal/entry/forward_relay.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"bytes"
 	"io"
 	"sync/atomic"
 	"time"
@@ -14,8 +13,6 @@
 )
 
 const (
-	// answerChunk is how much of an answer that is not streamed is read at once, in bytes.
-	answerChunk = 32 << 10
 	// maxFailureAnswer is the longest body of a failure that is passed on, in bytes.
 	maxFailureAnswer = 64 << 10
 	// failureAnswerTime is how long the body of a failure is awaited. Its request is sent elsewhere after that,
@@ -23,49 +20,18 @@
 	failureAnswerTime = 500 * time.Millisecond
 )
 
-const (
-	// errAnswerTooLong is returned for an answer over its limit in bytes.
-	errAnswerTooLong = errors.ConstError("the answer is over the limit")
-	// errFailureTooSlow is returned for a failure whose body takes longer than failureAnswerTime.
-	errFailureTooSlow = errors.ConstError("the failure's body did not arrive in time")
-)
-
-// readComplete reads an answer of at most limit bytes to its end; one that ends early is an error. Its bytes
-// count towards the memory budget until the caller has received them. While the budget is used up,
-// the answer is not read.
-func (j *job) readComplete(m *memoryBudget, a *backend.ForwardAnswer, limit int) ([]byte, error) {
-	if a.Length > int64(limit) {
-		return nil, errors.Trace(errAnswerTooLong)
-	}
-	var body bytes.Buffer
-	for {
-		if err := m.reserve(j.ctx, answerChunk); err != nil {
-			return nil, errors.Trace(err)
-		}
-		j.forward.reservedBytes += answerChunk
-		n, err := io.CopyN(&body, a.Body, answerChunk)
-		m.release(answerChunk - int(n))
-		j.forward.reservedBytes -= answerChunk - int(n)
-		switch {
-		case body.Len() > limit:
-			return nil, errors.Trace(errAnswerTooLong)
-		case errors.Is(err, io.EOF):
-			return body.Bytes(), nil
-		case err != nil:
-			return nil, errors.Trace(err)
-		}
-	}
-}
+// errFailureTooSlow is returned for a failure whose body takes longer than failureAnswerTime.
+const errFailureTooSlow = errors.ConstError("the failure's body did not arrive in time")
 
 // readFailure reads the body of a failure within maxFailureAnswer and failureAnswerTime.
-func (j *job) readFailure(m *memoryBudget, a *backend.ForwardAnswer) ([]byte, error) {
+func (j *job) readFailure(m *memoryBudget, a *backend.ForwardAnswer) (*answerBuffer, error) {
 	var isLate atomic.Bool
 	timer := time.AfterFunc(failureAnswerTime, func() {
 		isLate.Store(true)
 		_ = a.Body.Close()
 	})
 	defer timer.Stop()
-	body, err := j.readComplete(m, a, maxFailureAnswer)
+	body, err := readAnswer(j.ctx, m, a.Body, a.Length, maxFailureAnswer)
 	if err != nil && isLate.Load() {
 		return nil, errors.Trace(errFailureTooSlow)
 	}
@@ -74,13 +40,14 @@
 
 // relayAnswer passes on an answer that is not a stream once it is complete.
 func (s *Server) relayAnswer(j *job, a *backend.ForwardAnswer) (outcome, *failure.Error) {
-	body, err := j.readComplete(s.memory, a, maxServiceAnswer)
+	body, err := readAnswer(j.ctx, s.memory, a.Body, a.Length, maxServiceAnswer)
 	if err != nil {
 		return s.classifyServiceError(j, err)
 	}
 	j.noteFirstToken()
 	j.provesParts = provesAnswer(a)
-	j.forward.write(&bufferedAnswer{status: a.Status, header: backend.EndToEnd(a.Header), body: body})
+	j.forward.complete = &bufferedAnswer{status: a.Status, header: backend.EndToEnd(a.Header), body: body}
+	j.forward.write(j.forward.complete)
 	return outcomeComplete, nil
 }
 
--- a/internal/entry/memory_budget.go
+++ b/internal/entry/memory_budget.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math"
 	"sync"
 
 	"github.com/juju/errors"
@@ -16,6 +17,8 @@
 
 	mu   sync.Mutex
 	used int64
+	// usedByLarge is the part of used that large answers take.
+	usedByLarge int64
 	// freed is closed when bytes are released.
 	freed chan struct{}
 }
@@ -57,6 +60,45 @@
 	m.freed = make(chan struct{})
 }
 
+// largeLimit returns the most bytes that large answers take together: half of the budget, or a longest answer.
+func (m *memoryBudget) largeLimit() int {
+	if m.limit <= 0 {
+		return math.MaxInt32
+	}
+	longest := min(m.limit, maxServiceAnswer+answerChunk)
+	return int(max(m.limit/2, longest))
+}
+
+// longestAnswer returns the longest answer that the budget has capacity for, in bytes.
+func (m *memoryBudget) longestAnswer() int {
+	if m.limit <= 0 {
+		return math.MaxInt32
+	}
+	longest := min(m.limit, int64(largeAnswer+m.largeLimit())) - answerChunk
+	return int(max(answerChunk, longest))
+}
+
+// tryReserveLarge reserves n bytes for a large answer and reports whether there was capacity for them.
+func (m *memoryBudget) tryReserveLarge(n int) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	used := m.usedByLarge + int64(n)
+	if m.limit > 0 && (m.used+int64(n) > m.limit || used > int64(m.largeLimit())) {
+		return false
+	}
+	m.used += int64(n)
+	m.usedByLarge = used
+	return true
+}
+
+// releaseLarge releases n bytes of a large answer.
+func (m *memoryBudget) releaseLarge(n int) {
+	m.mu.Lock()
+	m.usedByLarge -= int64(n)
+	m.mu.Unlock()
+	m.release(n)
+}
+
 // reserved returns the number of reserved bytes.
 func (m *memoryBudget) reserved() int64 {
 	m.mu.Lock()
@@ -66,11 +108,21 @@
 
 // reserve waits until there is capacity for n bytes and reserves them.
 func (m *memoryBudget) reserve(ctx context.Context, n int) error {
+	return m.await(ctx, func() bool { return m.tryReserve(n) })
+}
+
+// reserveLarge does the same for a large answer.
+func (m *memoryBudget) reserveLarge(ctx context.Context, n int) error {
+	return m.await(ctx, func() bool { return m.tryReserveLarge(n) })
+}
+
+// await tries again, whenever bytes are released, until a try succeeds.
+func (m *memoryBudget) await(ctx context.Context, try func() bool) error {
 	for {
 		m.mu.Lock()
 		freed := m.freed
 		m.mu.Unlock()
-		if m.tryReserve(n) {
+		if try() {
 			return nil
 		}
 		select {
