The entry's own API counts plain services' answers towards its memory

What callers saw: nothing yet; many large answers at once took memory beside entry.max_held_bytes, three times their length (read, grown and cloned). Cause: the call read with io.ReadAll and cloned the result, without the budget. Change: the call reads like a forwarded request and counts the body until the call is over; kept answers have a limit of their own. Before: TestServiceCallWaitsForMemory read the whole answer although no memory was free. After: it passes; nothing is read without memory.

--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -1,9 +1,7 @@
 package entry
 
 import (
-	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -31,6 +29,8 @@
 	status int
 	header http.Header
 	body   []byte
+	// reserved is the part of the entry's memory budget that body uses until the call is over, in bytes.
+	reserved int
 }
 
 // headerForService returns a caller's header as a plain service receives it. The workspace's
@@ -136,6 +136,7 @@
 }
 
 func (s *Server) runService(j *job) {
+	defer func() { s.memory.release(j.service.reserved) }()
 	s.run(j, s.attemptService)
 }
 
@@ -164,17 +165,22 @@
 	}
 	defer func() { _ = answer.Body.Close() }()
 	s.observeNotice(g.route, answer.Notice, true, began)
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxServiceAnswer+1))
+	body, err := readAnswer(j.ctx, s.memory, answer.Body, answer.Length, maxServiceAnswer)
 	if err != nil {
 		return s.classifyServiceError(j, err)
 	}
-	if len(body) > maxServiceAnswer {
-		return outcomeInvalid, failure.New(failure.TypeBackendFailed, "the service's answer is over the limit")
-	}
-	sc.status, sc.body, sc.header = answer.Status, bytes.Clone(body), backend.EndToEnd(answer.Header)
+	sc.status, sc.header = answer.Status, backend.EndToEnd(answer.Header)
+	sc.keep(s.memory, body)
 	return outcomeComplete, nil
 }
 
+// keep takes over the body of an answer, in one piece.
+func (sc *serviceCall) keep(m *memoryBudget, body *answerBuffer) {
+	defer body.release()
+	m.forceReserve(body.length)
+	sc.body, sc.reserved = body.bytes(), body.length
+}
+
 func (s *Server) classifyServiceError(j *job, err error) (outcome, *failure.Error) {
 	if j.ctx.Err() != nil {
 		return outcomeJobEnded, nil
