A request whose only server answered beyond a limit is answered at once

Cause: after the attempt the request waited for another server, up to 3 s, as it does after a crash. None comes: the server is alive, and the same request there ends the same way. Change: bytes that follow no protocol or exceed a limit are an outcome of their own, unreadable (citronstep_attempts_total has it). Without an untried server the request fails then, before the retry budget is asked; an answer that has begun waits as before. Before: TestUnreadableAnswerOfTheOnlyServerIsReportedAtOnce got no_backend_server at the deadline. Why it works: what the request would wait for can't come from the servers that there are.

--- a/internal/entry/endless_answers_test.go
+++ b/internal/entry/endless_answers_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/citronstep/citronstep/internal/backend"
 	"github.com/citronstep/citronstep/internal/failure"
+	"github.com/citronstep/citronstep/internal/placement"
 )
 
 // answerFrom answers with a status and a body.
@@ -40,6 +41,56 @@
 	return nil
 }
 
+// Guards against a request that waits to its deadline for another server, although the only one has answered beyond a limit.
+func TestUnreadableAnswerOfTheOnlyServerIsReportedAtOnce(t *testing.T) {
+	bodies := map[string]func() *backend.ForwardAnswer{
+		"success":   func() *backend.ForwardAnswer { return endlessAnswer("a", -1) },
+		"announced": func() *backend.ForwardAnswer { return endlessAnswer("a", maxServiceAnswer+1) },
+		"failure": func() *backend.ForwardAnswer {
+			a := endlessAnswer("a", -1)
+			a.Status = http.StatusInternalServerError
+			return a
+		},
+	}
+	for name, answer := range bodies {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &scriptedForwarder{}
+				for range 3 {
+					f.answers = append(f.answers, func(backend.ForwardCall) (*backend.ForwardAnswer, error) { return answer(), nil })
+				}
+				s := configuredServer(t, f)
+				s.dispatcher.leaveOnly("a")
+				began := time.Now()
+				_, e, _ := send(s, ForwardRequest{Path: "/many/x"})
+				assert.Equal(t, e.Type, failure.TypeBackendFailed)
+				assert.Equal(t, e.Ran, failure.RanUnknown)
+				assert.Equal(t, len(f.calls), 1)
+				assert.Equal(t, time.Since(began), time.Duration(0))
+				time.Sleep(2 * crashWait)
+			})
+		})
+	}
+}
+
+// endlessAnswer returns a proven answer without end that announces a length, or none if it is -1.
+func endlessAnswer(text string, length int64) *backend.ForwardAnswer {
+	body := &repeatedBody{text: text, failsAfter: 4 * maxServiceAnswer}
+	return &backend.ForwardAnswer{Status: http.StatusOK, Header: http.Header{}, Body: body, Length: length, Proven: true}
+}
+
+// leaveOnly removes all targets but one.
+func (d *dispatcher) leaveOnly(address string) {
+	routes, targets := make(map[string]route), []placement.Target{}
+	for id, r := range d.routes {
+		if r.address == address {
+			routes[id] = r
+			targets = append(targets, placement.Target{ID: id, Server: r.incarnation, Model: r.pool, Plain: true})
+		}
+	}
+	d.setRoutes(time.Now(), routes, targets, map[string]bool{})
+}
+
 // Guards against a failure's body without end that takes the caller's time and the entry's memory.
 func TestFailuresBodyIsBounded(t *testing.T) {
 	body := &repeatedBody{text: "a", failsAfter: maxServiceAnswer}
--- a/internal/entry/next_attempt.go
+++ b/internal/entry/next_attempt.go
@@ -69,6 +69,18 @@
 	return n.paid
 }
 
+// hasUntriedTarget reports whether a job has a target besides those of its attempts so far, free or not.
+func (d *dispatcher) hasUntriedTarget(j *job) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id, r := range d.routes {
+		if r.pool == j.model && allowsRegion(j.homes, r.region) && id != j.lastTarget && !slices.Contains(j.tried, id) {
+			return true
+		}
+	}
+	return false
+}
+
 // hasOtherTarget reports whether there is a target for a job besides some that has not asked for no request.
 func (d *dispatcher) hasOtherTarget(j *job, besides []string) bool {
 	d.mu.Lock()
--- a/internal/entry/outcome.go
+++ b/internal/entry/outcome.go
@@ -26,6 +26,9 @@
 	outcomeCut
 	// outcomeInvalid: this entry has ended an attempt that may have run, as its answer is invalid.
 	outcomeInvalid
+	// outcomeUnreadable: this entry has ended an attempt that may have run, as the bytes of its answer follow no
+	// protocol or exceed a limit. The backend server is alive, and the same request there would end so again.
+	outcomeUnreadable
 	// outcomeBroken: the attempt may have run and has no complete answer for another reason.
 	outcomeBroken
 	// outcomeJobEnded: the job's own context ended.
@@ -34,7 +37,7 @@
 
 // mayHaveRun reports whether the attempt may have run without a complete answer.
 func (o outcome) mayHaveRun() bool {
-	return o == outcomeCut || o == outcomeInvalid || o == outcomeBroken
+	return o == outcomeCut || o == outcomeInvalid || o == outcomeUnreadable || o == outcomeBroken
 }
 
 // name returns the outcome's name in metrics and logs.
@@ -50,6 +53,8 @@
 		return "rejected"
 	case o == outcomeJobEnded:
 		return "ended"
+	case o == outcomeUnreadable:
+		return "unreadable"
 	case isStalled(e):
 		return "stalled"
 	}
@@ -67,14 +72,15 @@
 		return outcomeWithheld
 	case errors.As(err, &call) && call.Stage != backend.StageUnknown:
 		return outcomeNotStarted
-	case isAnswerInvalid(err):
+	case errors.Is(err, errFailureTooSlow):
 		return outcomeInvalid
+	case isUnreadable(err):
+		return outcomeUnreadable
 	}
 	return outcomeCut
 }
 
-// isAnswerInvalid reports whether a call failed because of what the backend server sent.
-func isAnswerInvalid(err error) bool {
-	return errors.Is(err, backend.ErrMalformed) || errors.Is(err, backend.ErrLineTooLong) ||
-		errors.Is(err, errAnswerTooLong) || errors.Is(err, errFailureTooSlow)
+// isUnreadable reports whether a call failed because of the bytes that the backend server sent.
+func isUnreadable(err error) bool {
+	return errors.Is(err, backend.ErrMalformed) || errors.Is(err, backend.ErrLineTooLong) || errors.Is(err, errAnswerTooLong)
 }
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -110,7 +110,7 @@
 			return nil
 		case outcomeJobEnded:
 			return jobEndedFailure(j)
-		case outcomeCut, outcomeInvalid, outcomeBroken:
+		case outcomeCut, outcomeInvalid, outcomeUnreadable, outcomeBroken:
 			begun = true
 		}
 		if stop != nil {
@@ -183,7 +183,7 @@
 	case outcomeJobEnded:
 		s.observeEnded(j, g.route, g.endTurn != nil, sent, false)
 		return nil
-	case outcomeInvalid:
+	case outcomeInvalid, outcomeUnreadable:
 		s.observeEnded(j, g.route, g.endTurn != nil, sent, true)
 	case outcomeBroken:
 		if isStalled(e) {
@@ -255,6 +255,10 @@
 		j.noFurtherAttempt = cutAttemptsUsed
 		return e.WithRetryAfter(s.dispatcher.retryAfter(j))
 	}
+	if out == outcomeUnreadable && !j.hasBegun() && !s.dispatcher.hasUntriedTarget(j) {
+		j.noFurtherAttempt = cutNoBackendServer
+		return e.WithDetail("no further attempt: no other backend server").WithRetryAfter(s.dispatcher.retryAfter(j))
+	}
 	if (out.mayHaveRun() || out == outcomeRejected) && !j.isNextPaid && !s.takeRetry(j) {
 		j.noFurtherAttempt = cutRetryBudget
 		return e.WithDetail("no further attempt: the retry budget of " + j.retryBudget() + " is spent").WithRetryAfter(s.dispatcher.retryAfter(j))
--- a/internal/metrics/entry.go
+++ b/internal/metrics/entry.go
@@ -54,7 +54,7 @@
 }
 
 // Attempt records how an attempt on a backend server ended: "whole",
-// "not_started", "broken", "stalled" or "ended".
+// "not_started", "broken", "unreadable", "stalled" or "ended".
 func (e *Entry) Attempt(outcome string) {
 	if e == nil {
 		return
