A server whose answers can't be read is set aside and comes back by probes

What callers saw: a server that is sound by its heartbeats and answers without end was asked 21 to 37 times in 12 s by three entries, for ever, each time at the cost of an attempt; with no other server, requests waited up to 2 s each time it was avoided, or to their deadline. Cause: placement avoids a target that fails for 2 s at most, so that servers return soon after an outage. An unreadable answer is no outage: the server is there, and answers so each time. Ruled out: a longer time for all failures (the objective after an outage is 5 s); one unreadable answer as proof (a caller may ask a sound server for too much, again and again). Change: placement keeps, beside the back-offs that servers ask for and with the same effect on choice, queue and refusals, the requests in a row with unreadable answers. Three different ones set the server aside for 4 s, doubled by each failed probe up to a minute; one probe a second; 2 s if no other server of the pool is trusted. A complete answer, or a new start of the server, ends it. Answers that announce their length do not count. Waiting requests that no target takes in time are refused at once, as not run. Why it works: what an entry has seen of a server itself outweighs its heartbeats, and a probe costs one request.

--- a/internal/entry/answer_buffer.go
+++ b/internal/entry/answer_buffer.go
@@ -15,8 +15,12 @@
 	largeAnswer = 256 << 10
 )
 
-// errAnswerTooLong is returned for an answer over its limit in bytes.
-const errAnswerTooLong = errors.ConstError("the answer is over the limit")
+const (
+	// errAnswerTooLong is returned for an answer over its limit in bytes.
+	errAnswerTooLong = errors.ConstError("the answer is over the limit")
+	// errAnnouncedTooLong is returned for an answer that announces a length over its limit.
+	errAnnouncedTooLong = errors.ConstError("the announced length of the answer is over the limit")
+)
 
 // chunks holds chunks of answers for use by later ones.
 var chunks = sync.Pool{New: func() any { return new([answerChunk]byte) }}
@@ -39,7 +43,7 @@
 func readAnswer(ctx context.Context, m *memoryBudget, body io.Reader, length int64, limit int) (*answerBuffer, error) {
 	limit = min(limit, m.longestAnswer())
 	if length > int64(limit) {
-		return nil, errors.Trace(errAnswerTooLong)
+		return nil, errors.Trace(errAnnouncedTooLong)
 	}
 	if length >= 0 {
 		limit = int(length)
--- a/internal/entry/answer_buffer_test.go
+++ b/internal/entry/answer_buffer_test.go
@@ -39,7 +39,7 @@
 func TestAnswerOfAnnouncedLengthOverTheLimitIsNotRead(t *testing.T) {
 	body := &repeatedBody{text: "a", failsAfter: 2 * maxServiceAnswer}
 	_, err := readAnswer(t.Context(), newMemoryBudget(64<<20), body, maxServiceAnswer+1, maxServiceAnswer)
-	assert.ErrorIs(t, err, errAnswerTooLong)
+	assert.ErrorIs(t, err, errAnnouncedTooLong)
 	assert.Equal(t, body.read, 0)
 }
 
--- a/internal/entry/blocked_targets.go
+++ b/internal/entry/blocked_targets.go
@@ -98,10 +98,13 @@
 // blockedRefusal refuses a job whose targets are all blocked for longer than it can wait. The
 // caller holds the lock.
 func (d *dispatcher) blockedRefusal(now time.Time, j *job) *failure.Error {
-	if !d.picker.HasBackoff(now, j.model, j.homes) {
-		return rateLimitRefusal()
+	switch {
+	case d.picker.HasBackoff(now, j.model, j.homes):
+		return backoffRefusal(d.blockedWait(now, j))
+	case d.picker.IsDistrusted(now, j.model, j.homes):
+		return setAsideRefusal(d.blockedWait(now, j))
 	}
-	return backoffRefusal(d.blockedWait(now, j))
+	return rateLimitRefusal()
 }
 
 // blockedWait returns how long a caller should wait until one of the job's targets is free; 0 if
@@ -120,7 +123,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	if !d.picker.HasBackoff(now, j.model, j.homes) {
+	if !d.picker.HasBackoff(now, j.model, j.homes) && !d.picker.IsDistrusted(now, j.model, j.homes) {
 		return failedRetryAfter
 	}
 	return max(failedRetryAfter, d.blockedWait(now, j))
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -365,12 +365,17 @@
 	d.picker.RecordProgress(time.Now(), attempt, tokens)
 }
 
-func (d *dispatcher) attemptEnded(attempt string, r placement.Result) {
+// attemptEnded records the end of an attempt. It returns true with a change of the trust in its backend server.
+func (d *dispatcher) attemptEnded(attempt string, r placement.Result) (placement.TrustChange, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	now := time.Now()
-	d.endAttemptLocked(now, attempt, r)
+	change, isChanged := d.endAttemptLocked(now, attempt, r)
+	if change.SetAside > 0 {
+		d.refuseBlocked(now)
+	}
 	d.dispatchWaiting(now)
+	return change, isChanged
 }
 
 func (d *dispatcher) jobEnded(o admission.Outcome) {
--- a/internal/entry/endless_answers_test.go
+++ b/internal/entry/endless_answers_test.go
@@ -79,13 +79,13 @@
 	return &backend.ForwardAnswer{Status: http.StatusOK, Header: http.Header{}, Body: body, Length: length, Proven: true}
 }
 
-// leaveOnly removes all targets but one.
+// leaveOnly removes all targets but one, which takes one request at a time.
 func (d *dispatcher) leaveOnly(address string) {
 	routes, targets := make(map[string]route), []placement.Target{}
 	for id, r := range d.routes {
 		if r.address == address {
 			routes[id] = r
-			targets = append(targets, placement.Target{ID: id, Server: r.incarnation, Model: r.pool, Plain: true})
+			targets = append(targets, placement.Target{ID: id, Server: r.incarnation, Model: r.pool, Plain: true, Capacity: 1})
 		}
 	}
 	d.setRoutes(time.Now(), routes, targets, map[string]bool{})
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -307,7 +307,8 @@
 	result.OK = out == outcomeComplete
 	result.Cancelled = out == outcomeJobEnded || out == outcomeWithheld
 	result.Duration = time.Since(began)
-	s.dispatcher.attemptEnded(g.attempt, result)
+	result.Unreadable = j.unreadable(out)
+	s.endAttempt(j, g, result)
 	if out != outcomeComplete {
 		text := ""
 		if e != nil {
@@ -415,7 +416,7 @@
 	e := failure.New(failure.TypeBackendFailed, "the backend server answered "+strconv.Itoa(a.Status))
 	body, err := j.readFailure(m, a)
 	if err != nil {
-		return outcomeOfCallError(err), e.WithDetail(err.Error()), true
+		return j.outcomeOf(err), e.WithDetail(err.Error()), true
 	}
 	j.forward.backendFailure.release()
 	j.forward.backendFailure = &bufferedAnswer{status: a.Status, header: backend.EndToEnd(a.Header), body: body}
--- a/internal/entry/gates.go
+++ b/internal/entry/gates.go
@@ -39,10 +39,11 @@
 
 // endAttemptLocked removes an attempt from its target and from its model's gate. The caller
 // holds the lock.
-func (d *dispatcher) endAttemptLocked(now time.Time, attempt string, r placement.Result) {
-	d.picker.RecordFinish(now, attempt, r)
+func (d *dispatcher) endAttemptLocked(now time.Time, attempt string, r placement.Result) (placement.TrustChange, bool) {
+	change, isChanged := d.picker.RecordFinish(now, attempt, r)
 	if model, counted := d.awaitingFirstEvent[attempt]; counted {
 		delete(d.awaitingFirstEvent, attempt)
 		d.gateOf(model).EndedBeforeFirstEvent()
 	}
+	return change, isChanged
 }
--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -47,9 +47,11 @@
 	key string
 	// fingerprint is a hash of the request's contents; empty for a forwarded request until
 	// contentFingerprint has been called.
-	fingerprint   string
-	nonIdempotent bool
-	arrived       time.Time
+	fingerprint string
+	// announcedTooLong is set if the last attempt failed as its answer announced a length over the limit.
+	announcedTooLong bool
+	nonIdempotent    bool
+	arrived          time.Time
 	// firstSent is the latest time at which the caller can have sent the request first: its
 	// arrival, or earlier for a resend.
 	firstSent time.Time
--- a/internal/entry/retries.go
+++ b/internal/entry/retries.go
@@ -115,3 +115,20 @@
 	lent := s.retryLoans.lent.Lend(time.Now(), r.Pool, s.o.Settings.RetrySlack, entries)
 	return &noderpc.LendRetryReply{Lent: lent}, nil
 }
+
+func (j *job) attemptLimit() int {
+	if j.maxAttempts > 0 {
+		return j.maxAttempts
+	}
+	return maxAttempts
+}
+
+// retryBudget names the budget that the job's retries are taken from. Forwarded requests have
+// one budget for each service, since the load that a service's backend servers sustain is
+// limited for each service.
+func (j *job) retryBudget() string {
+	if j.forward != nil {
+		return "service " + j.forward.service
+	}
+	return j.workspace
+}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -266,23 +266,6 @@
 	return nil
 }
 
-func (j *job) attemptLimit() int {
-	if j.maxAttempts > 0 {
-		return j.maxAttempts
-	}
-	return maxAttempts
-}
-
-// retryBudget names the budget that the job's retries are taken from. Forwarded requests have
-// one budget for each service, since the load that a service's backend servers sustain is
-// limited for each service.
-func (j *job) retryBudget() string {
-	if j.forward != nil {
-		return "service " + j.forward.service
-	}
-	return j.workspace
-}
-
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
@@ -321,7 +304,8 @@
 	result.OK = out == outcomeComplete
 	result.Cancelled = out == outcomeJobEnded || out == outcomeWithheld
 	result.Duration = time.Since(began)
-	s.dispatcher.attemptEnded(g.attempt, result)
+	result.Unreadable = j.unreadable(out)
+	s.endAttempt(j, g, result)
 	if out != outcomeComplete {
 		s.abandonAttempt(j, g, out, w.stalled(), e)
 	}
@@ -445,5 +429,5 @@
 	if w.stalled() {
 		return outcomeBroken, failure.New(failure.TypeBackendStalled, "the backend server made no progress in time")
 	}
-	return outcomeOfCallError(err), failure.New(failure.TypeBackendFailed, err.Error())
+	return j.outcomeOf(err), failure.New(failure.TypeBackendFailed, err.Error())
 }
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -145,8 +145,9 @@
 func (s *Server) attemptService(j *job, g grant) (outcome, *failure.Error) {
 	began := time.Now()
 	out, e := s.call(j, g)
-	s.dispatcher.attemptEnded(g.attempt, placement.Result{
-		OK: out == outcomeComplete, Cancelled: out == outcomeJobEnded || out == outcomeWithheld, Duration: time.Since(began), FirstToken: time.Since(began), Tokens: 1,
+	s.endAttempt(j, g, placement.Result{
+		Unreadable: j.unreadable(out),
+		OK:         out == outcomeComplete, Cancelled: out == outcomeJobEnded || out == outcomeWithheld, Duration: time.Since(began), FirstToken: time.Since(began), Tokens: 1,
 	})
 	return out, e
 }
@@ -185,5 +186,5 @@
 	if j.ctx.Err() != nil {
 		return outcomeJobEnded, nil
 	}
-	return outcomeOfCallError(err), failure.New(failure.TypeBackendFailed, err.Error())
+	return j.outcomeOf(err), failure.New(failure.TypeBackendFailed, err.Error())
 }
--- a/internal/metrics/definitions.go
+++ b/internal/metrics/definitions.go
@@ -66,6 +66,7 @@
 	nameSuspectParts     = prefix + "suspect_prompt_parts"
 	nameAttributedParts  = prefix + "refused_crashing_prompt_parts"
 	nameBackoffRequests  = prefix + "backoff_requests_total"
+	nameServersSetAside  = prefix + "servers_set_aside_total"
 	nameServersLeaving   = prefix + "servers_leaving_total"
 	nameAttemptsWithheld = prefix + "attempts_withheld_total"
 
@@ -137,6 +138,7 @@
 		{nameAttributedParts, KindGauge, nil, "Parts of prompts on the board whose requests are refused because they crash backend servers.", nil},
 		{nameBackedOff, KindGauge, nil, "Backend servers that have asked this entry for no request for a time that has not passed.", nil},
 		{nameBackoffRequests, KindCounter, nil, "Answers in which a backend server asked this entry for no request for a time.", nil},
+		{nameServersSetAside, KindCounter, nil, "Times that this entry has set a backend server aside whose answers it could not read.", nil},
 		{nameServersLeaving, KindCounter, nil, "Backend servers that have stated in an answer to this entry that they are leaving.", nil},
 		{nameAttemptsWithheld, KindCounter, []string{"reason"}, "Attempts that were not sent after their backend server was chosen, by reason.", nil},
 		{nameCoordinatorDecisions, KindCounter, []string{"outcome"}, "Decisions of this entry for requests of all entries that waited in a shared queue.", nil},
--- a/internal/metrics/entry.go
+++ b/internal/metrics/entry.go
@@ -151,6 +151,14 @@
 	e.scope.Counter(nameBackoffRequests).Inc(1)
 }
 
+// ServerSetAside counts a backend server that gets no request for a time, as its answers can't be read.
+func (e *Entry) ServerSetAside() {
+	if e == nil {
+		return
+	}
+	e.scope.Counter(nameServersSetAside).Inc(1)
+}
+
 // ServerLeaving counts a backend server that has stated in an answer that it is leaving.
 func (e *Entry) ServerLeaving() {
 	if e == nil {
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -117,6 +117,7 @@
 	e.RecordWrite("answer", RecordWritten, 0)
 	e.BackoffRequested()
 	e.ServerLeaving()
+	e.ServerSetAside()
 	e.AttemptWithheld("backoff")
 	e.Sample(EntrySample{})
 	var c *Control
--- a/internal/placement/blocked.go
+++ b/internal/placement/blocked.go
@@ -3,12 +3,15 @@
 import "time"
 
 // nextSend returns when this entry may send the target's backend server its next request, by its
-// rate limits and its back-off; zero if neither restricts it.
+// rate limits, its back-off and the distrust of it; zero if none restricts it.
 func (t *target) nextSend() time.Time {
 	at := t.throttle.nextSend()
 	if t.backoff != nil {
 		at = later(at, t.backoff.until)
 	}
+	if t.distrust != nil {
+		at = later(at, t.distrust.until)
+	}
 	return at
 }
 
@@ -18,7 +21,7 @@
 // mayUnblockEarly reports whether a target that is blocked may be free before nextSend: its only
 // limit ends by itself.
 func (t *target) mayUnblockEarly(now time.Time) bool {
-	return t.throttle != nil && t.throttle.isTemporary() && !t.backoff.isInForce(now)
+	return t.throttle != nil && t.throttle.isTemporary() && !t.backoff.isInForce(now) && !t.distrust.isInForce(now)
 }
 
 // sendCapacity returns how many requests this entry may send to the target's backend server
--- a/internal/placement/picker.go
+++ b/internal/placement/picker.go
@@ -27,6 +27,8 @@
 	throttles map[string]*throttle
 	// backoffs are keyed by backend server and outlive the targets that it heads.
 	backoffs map[string]*backoff
+	// distrusts are keyed by backend server and outlive the targets that it heads.
+	distrusts map[string]*distrust
 	// figures are the published figures of engines by model.
 	figures map[string]firstevent.Figures
 	// unlisted holds targets that SetTargets removed. A target that returns keeps its limit,
@@ -59,6 +61,7 @@
 		selfHash:  xxhash.Sum64String(o.Entry),
 		throttles: make(map[string]*throttle),
 		backoffs:  make(map[string]*backoff),
+		distrusts: make(map[string]*distrust),
 
 		options:  o.withDefaults(),
 		targets:  make(map[string]*target),
@@ -105,6 +108,7 @@
 	}
 	t.throttle = p.throttles[o.Server]
 	t.backoff = p.backoffs[o.Server]
+	t.distrust = p.distrusts[o.Server]
 	t.isListed = true
 	t.domain = p.domain(domainKey{o.DataCentre, o.FabricDomain})
 }
@@ -229,6 +233,7 @@
 	}
 	t.addWork(now, tokens, 1)
 	t.throttle.recordSend(now)
+	t.distrust.recordSend(now)
 }
 
 // addWork adds requests and tokens of work in flight; negative numbers remove them.
@@ -270,11 +275,12 @@
 	}
 }
 
-// RecordFinish records the end of an attempt. Call it once for each attempt.
-func (p *Picker) RecordFinish(now time.Time, attemptID string, r Result) {
+// RecordFinish records the end of an attempt. Call it once for each attempt. It returns true with a change of the
+// trust in the attempt's backend server.
+func (p *Picker) RecordFinish(now time.Time, attemptID string, r Result) (TrustChange, bool) {
 	a := p.attempts[attemptID]
 	if a == nil {
-		return
+		return TrustChange{}, false
 	}
 	delete(p.attempts, attemptID)
 	t := a.target
@@ -285,9 +291,14 @@
 	case r.OK:
 		t.recordSuccess(now)
 		t.judgeUnstreamed(now, a, r)
+		return p.recordReadable(t)
 	case !r.Cancelled:
 		t.recordFailure(now)
 	}
+	if r.Unreadable != "" {
+		return p.recordUnreadable(now, t, r.Unreadable)
+	}
+	return TrustChange{}, false
 }
 
 // judgeUnstreamed judges the pace of an attempt whose answer arrived at once, as those of plain
--- a/internal/placement/target.go
+++ b/internal/placement/target.go
@@ -73,6 +73,8 @@
 	throttle *throttle
 	// backoff is the back-off that Server has requested; nil if it requested none.
 	backoff *backoff
+	// distrust is the record of Server's unreadable answers; nil without any.
+	distrust *distrust
 
 	reported    Load
 	ownAtReport int
