Bytes that follow no protocol are told from a connection that its server closed

What callers saw: a head of garbage, of endless fields or of endless 103s, a chunk size or a trailer that can't be read cost each request an attempt, without an end: asked 21, 26 and 28 times in 12 s. Each counted as an early close, so a crash check ran and the next attempt waited for its verdict. Cause: the client returns untyped errors for both. Ruled out: matching the errors' texts, which belong to the library. Change: a connection notes whether a read or a write of it has failed. A call that fails although bytes arrived, its connection has not failed and nobody ended it is malformed: unreadable, and counted for setting the server aside. A connection that was closed or reset stays a cut. Before: TestBytesWithoutAProtocolAreMalformed returned ErrCut or no type. Why it works: the library reports a closed connection only after a read has returned that. TestCutAnswerIsNotMalformed holds it for cuts in each part of an answer.

--- a/internal/backend/http_exchange.go
+++ b/internal/backend/http_exchange.go
@@ -19,6 +19,17 @@
 	response *http.Response
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
+	// conn is the connection of the exchange; nil if it is not a sealedConn.
+	conn *sealedConn
+}
+
+// readError returns the error of a read of the response's body. Without a failure of the connection and of the
+// call, the bytes themselves are at fault: ErrMalformed.
+func (x *httpExchange) readError(err error) error {
+	if context.Cause(x.ctx) == nil && x.conn != nil && !x.conn.hasFailed.Load() {
+		return errors.Annotate(ErrMalformed, err.Error())
+	}
+	return cutError(x.ctx, err)
 }
 
 // nonRewindableBody is a request body that can't be rewound.
@@ -51,8 +62,11 @@
 	stop()
 	stopWatch()
 	if err != nil {
-		sent := used.sent()
 		cause := causeOf(ctx, err)
+		if context.Cause(ctx) == nil && used.isAnswerMalformed() {
+			cause = errors.Annotate(ErrMalformed, err.Error())
+		}
+		sent := used.sent()
 		if used.isWithheld {
 			cause = errors.Trace(ErrWithheld)
 		}
@@ -60,7 +74,7 @@
 		cancel(nil)
 		return nil, &CallError{Address: r.address, Stage: sent, Connection: used.kind(), Waited: time.Since(began), Cause: cause}
 	}
-	return &httpExchange{response: response, ctx: ctx, cancel: cancel}, nil
+	return &httpExchange{response: response, ctx: ctx, cancel: cancel, conn: used.conn}, nil
 }
 
 func (c *HTTPClient) transportFor(r outgoingRequest) *http.Transport {
@@ -88,6 +102,7 @@
 type usedConn struct {
 	conn         *sealedConn
 	writesBefore uint64
+	readsBefore  uint64
 	// isUnsealed is set if the connection is not a sealedConn, so that nothing proves
 	// how much was sent.
 	isUnsealed bool
@@ -111,6 +126,7 @@
 	}
 	u.conn = conn
 	u.writesBefore = conn.writeCount()
+	u.readsBefore = conn.reads.Load()
 	if !u.permit.allows() {
 		u.isWithheld = true
 		conn.seal(u.writesBefore)
@@ -120,6 +136,12 @@
 	}
 }
 
+// isAnswerMalformed reports whether a call without a response has failed because of the bytes that arrived: some
+// did, and the connection has not failed.
+func (u *usedConn) isAnswerMalformed() bool {
+	return u.conn != nil && !u.isWithheld && u.conn.reads.Load() > u.readsBefore && !u.conn.hasFailed.Load()
+}
+
 // kind returns the kind of the connection.
 func (u *usedConn) kind() Connection {
 	switch {
--- a/internal/backend/http_service.go
+++ b/internal/backend/http_service.go
@@ -101,17 +101,18 @@
 	return out
 }
 
-// answerBody returns ErrCut for a body that ends before its announced end.
+// answerBody returns ErrCut for a body that ends before its announced end, and ErrMalformed for one that follows no
+// protocol.
 type answerBody struct{ exchange *httpExchange }
 
 // Read reads the answer. If the answer ends before its announced end, Read returns
-// ErrCut or, if the call's context has ended, its cause.
+// ErrCut, ErrMalformed or, if the call's context has ended, its cause.
 func (b *answerBody) Read(p []byte) (int, error) {
 	n, err := b.exchange.response.Body.Read(p)
 	if err == nil || err == io.EOF {
 		return n, err
 	}
-	return n, cutError(b.exchange.ctx, err)
+	return n, b.exchange.readError(err)
 }
 
 // Close ends the exchange.
--- a/internal/backend/sealed_conn.go
+++ b/internal/backend/sealed_conn.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -18,6 +19,10 @@
 	// heard receive the time at which bytes arrive.
 	heard []*lastTime
 
+	// reads counts the reads that returned bytes. hasFailed is set once a read or a write has failed.
+	reads     atomic.Uint64
+	hasFailed atomic.Bool
+
 	mu     sync.Mutex
 	writes uint64
 	sealed bool
@@ -26,6 +31,7 @@
 // Read records when bytes arrive.
 func (c *sealedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	c.note(n, err)
 	if n == 0 || len(c.heard) == 0 {
 		return n, err
 	}
@@ -42,7 +48,19 @@
 	if !c.beginWrite() {
 		return 0, net.ErrClosed
 	}
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	c.note(0, err)
+	return n, err
+}
+
+// note records the result of a read or a write.
+func (c *sealedConn) note(read int, err error) {
+	if read > 0 {
+		c.reads.Add(1)
+	}
+	if err != nil {
+		c.hasFailed.Store(true)
+	}
 }
 
 func (c *sealedConn) beginWrite() bool {
--- a/internal/backend/sse_stream.go
+++ b/internal/backend/sse_stream.go
@@ -95,7 +95,7 @@
 			return trimEnd(s.longLine), nil
 		}
 		if err != bufio.ErrBufferFull {
-			return nil, cutError(s.exchange.ctx, err)
+			return nil, s.exchange.readError(err)
 		}
 	}
 }
