An engine's lines without an event have a bound

What callers saw: nothing measured; by the code, an engine of our own protocol that sends keep-alives, empty lines or other fields as fast as it can is read until the deadline. Cause: only one line had a bound, and the reader went on past lines without an event. Change: 256 KB between two events, then the stream ends as one with an overlong line. Before: TestLinesWithoutAnEventAreBounded read all of 512 KB and returned ErrCut. After: it passes; keep-alives just below the bound before each event change nothing.

--- a/internal/backend/errors.go
+++ b/internal/backend/errors.go
@@ -9,7 +9,8 @@
 // ended before its announced length.
 const ErrCut = errors.ConstError("stream cut before its end mark")
 
-// ErrLineTooLong is returned for a stream with a line longer than Options.MaxLine.
+// ErrLineTooLong is returned for a stream with a line longer than Options.MaxLine, or with more than a bound
+// of bytes between two events.
 const ErrLineTooLong = errors.ConstError("stream line over the limit")
 
 // ErrMalformed is returned for an answer that does not follow the protocol.
--- a/internal/backend/malformed_answers_test.go
+++ b/internal/backend/malformed_answers_test.go
@@ -71,3 +71,18 @@
 		assert.Assert(t, !errors.Is(err, ErrMalformed), "%q: %v", text, err)
 	}
 }
+
+// Guards against an engine that sends lines without an event as fast as it can, until its caller's deadline.
+func TestLinesWithoutAnEventAreBounded(t *testing.T) {
+	const event = "data: {\"attempt\":\"a\",\"text\":\"hi\"}\n\n"
+	for _, line := range []string{": keep-alive\n", "\n", "event: token\n"} {
+		tokens, err := stream(t, Options{}, event+strings.Repeat(line, 2*maxQuietBytes/len(line)))
+		assert.ErrorIs(t, err, ErrLineTooLong)
+		assert.Equal(t, tokens[0].Text, "hi")
+
+		quiet := strings.Repeat(line, maxQuietBytes/len(line)-1)
+		tokens, err = stream(t, Options{}, quiet+event+quiet+event)
+		assert.ErrorIs(t, err, ErrCut)
+		assert.Equal(t, tokens[len(tokens)-1].Text, "hi")
+	}
+}
--- a/internal/backend/sse_stream.go
+++ b/internal/backend/sse_stream.go
@@ -20,6 +20,9 @@
 	drainTimeout = 250 * time.Millisecond
 	// drainBytes bounds the bytes that may follow the end mark.
 	drainBytes = 4 << 10
+	// maxQuietBytes bounds the bytes of keep-alives and other lines between two events. Keep-alives at a usual
+	// pace, each second for hours, are far fewer.
+	maxQuietBytes = 256 << 10
 )
 
 var dataPrefix = []byte("data:")
@@ -31,6 +34,8 @@
 	reader   *bufio.Reader
 	maxLine  int
 	longLine []byte
+	// quietBytes is how many bytes without an event have been read since the last event.
+	quietBytes int
 	// ended and closed are atomic so that Close and Next may be called from
 	// different goroutines.
 	ended  atomic.Bool
@@ -58,15 +63,30 @@
 		if err != nil {
 			return Token{}, err
 		}
-		switch {
-		case bytes.HasPrefix(line, dataPrefix):
+		if bytes.HasPrefix(line, dataPrefix) {
+			s.quietBytes = 0
 			return s.decodeEvent(line[len(dataPrefix):])
-		case len(line) > 0 && line[0] == ':':
+		}
+		if err := s.countQuiet(line); err != nil {
+			return Token{}, err
+		}
+		if len(line) > 0 && line[0] == ':' {
 			return Token{KeepAlive: true}, nil
 		}
 	}
 }
 
+// countQuiet counts a line without an event. It returns ErrLineTooLong past maxQuietBytes.
+//
+// Failure: an engine sends lines without an event as fast as it can, and its caller waits to the deadline.
+func (s *sseStream) countQuiet(line []byte) error {
+	s.quietBytes += len(line) + 1
+	if s.quietBytes > maxQuietBytes {
+		return errors.Trace(ErrLineTooLong)
+	}
+	return nil
+}
+
 func (s *sseStream) decodeEvent(data []byte) (Token, error) {
 	var t Token
 	if err := json.Unmarshal(data, &t); err != nil {
