Answers to HEAD are not refused for the length that they announce

Cause: the announced length of an answer to HEAD is that of another answer, and was checked like a body's. Change: it counts as no announced length, in forwarded requests and in the entry's own API. Before: TestAnswerToHeadHasNoBody failed. After: it passes.

--- a/internal/entry/answer_buffer.go
+++ b/internal/entry/answer_buffer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net/http"
 	"sync"
 
 	"github.com/juju/errors"
@@ -56,6 +57,15 @@
 	return b, nil
 }
 
+// bodyLength returns the length of an answer's body that its head announces, or -1. The answer to HEAD announces
+// the length of another one's.
+func bodyLength(method string, announced int64) int64 {
+	if method == http.MethodHead {
+		return -1
+	}
+	return announced
+}
+
 func (b *answerBuffer) read(ctx context.Context, body io.Reader, limit int) error {
 	for {
 		if err := b.reserve(ctx, limit); err != nil {
--- a/internal/entry/answer_buffer_test.go
+++ b/internal/entry/answer_buffer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -43,6 +44,19 @@
 	assert.Equal(t, body.read, 0)
 }
 
+// Guards against an answer to HEAD that is refused for the length of the answer to GET.
+func TestAnswerToHeadHasNoBody(t *testing.T) {
+	a := endlessAnswer("a", 2*maxServiceAnswer)
+	a.Body = http.NoBody
+	f := &scriptedForwarder{answers: []func(backend.ForwardCall) (*backend.ForwardAnswer, error){
+		func(backend.ForwardCall) (*backend.ForwardAnswer, error) { return a, nil },
+	}}
+	w := httptest.NewRecorder()
+	e := configuredServer(t, f).Forward(t.Context(), w, ForwardRequest{ID: "id", Host: "h", Method: http.MethodHead, Path: "/many/x"})
+	assert.Assert(t, e == nil)
+	assert.Equal(t, w.Code, http.StatusOK)
+}
+
 // slowBody sends a piece, waits until it may go on, and is endless then.
 type slowBody struct {
 	goesOn <-chan struct{}
--- a/internal/entry/forward_relay.go
+++ b/internal/entry/forward_relay.go
@@ -31,7 +31,7 @@
 		_ = a.Body.Close()
 	})
 	defer timer.Stop()
-	body, err := readAnswer(j.ctx, m, a.Body, a.Length, maxFailureAnswer)
+	body, err := readAnswer(j.ctx, m, a.Body, bodyLength(j.forward.request.Method, a.Length), maxFailureAnswer)
 	if err != nil && isLate.Load() {
 		return nil, errors.Trace(errFailureTooSlow)
 	}
@@ -40,7 +40,7 @@
 
 // relayAnswer passes on an answer that is not a stream once it is complete.
 func (s *Server) relayAnswer(j *job, a *backend.ForwardAnswer) (outcome, *failure.Error) {
-	body, err := readAnswer(j.ctx, s.memory, a.Body, a.Length, maxServiceAnswer)
+	body, err := readAnswer(j.ctx, s.memory, a.Body, bodyLength(j.forward.request.Method, a.Length), maxServiceAnswer)
 	if err != nil {
 		return s.classifyServiceError(j, err)
 	}
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -166,7 +166,7 @@
 	}
 	defer func() { _ = answer.Body.Close() }()
 	s.observeNotice(g.route, answer.Notice, true, began)
-	body, err := readAnswer(j.ctx, s.memory, answer.Body, answer.Length, maxServiceAnswer)
+	body, err := readAnswer(j.ctx, s.memory, answer.Body, bodyLength(sc.call.Method, answer.Length), maxServiceAnswer)
 	if err != nil {
 		return s.classifyServiceError(j, err)
 	}
