Requests do not wait for a server that is set aside

What callers saw: with no other server, 29 requests of 12 s failed after waits of up to 3.29 s, two of them at their deadline, and 42 with 54 callers, beside a load of about 90 on the machine. Cause: a request waited where the set-aside time ended before its deadline, and then was a probe, or was overtaken by one that failed. Ruled out: the read of the answer, 0.6 s at most in the row with six callers. Change: a server that is set aside counts as taking no request while it is. Before: TestServerThatIsSetAsideHasNoCapacity found no limit; the rows as above. Why it works: the next request there is a probe and most likely fails; two seconds later one of them asks.

--- a/internal/placement/blocked.go
+++ b/internal/placement/blocked.go
@@ -25,10 +25,13 @@
 }
 
 // sendCapacity returns how many requests this entry may send to the target's backend server
-// between now and until. limited is false if their number has no limit that is known to last.
+// between now and until. limited is false if their number has no limit that is known to last. A server that is set
+// aside counts for none: the next request to it is a probe, and most likely fails.
 func (t *target) sendCapacity(now, until time.Time) (capacity int, limited bool) {
 	freeAt := t.nextSend()
 	switch {
+	case t.distrust.isInForce(now):
+		return 0, true
 	case t.mayUnblockEarly(now):
 		return 0, false
 	case until.Before(freeAt):
--- a/internal/placement/distrust_test.go
+++ b/internal/placement/distrust_test.go
@@ -96,6 +96,17 @@
 	assert.Assert(t, !p.IsBlocked(now, "g000"))
 }
 
+// Guards against requests that wait for a server that is set aside and most likely fails them.
+func TestServerThatIsSetAsideHasNoCapacity(t *testing.T) {
+	p := newServerPicker(1)
+	setAside(t, p)
+	capacity, limited := p.SendCapacity(start, at(time.Hour), "m", nil)
+	assert.Assert(t, limited)
+	assert.Equal(t, capacity, 0)
+	_, limited = p.SendCapacity(at(maxLoneDistrust), at(time.Hour), "m", nil)
+	assert.Assert(t, !limited)
+}
+
 // Guards against the distrust of one start of a server that lasts for the next, or that is lost with its group.
 func TestDistrustFollowsTheServer(t *testing.T) {
 	p := newServerPicker(2)
