--- a/internal/entry/forward_relay.go
+++ b/internal/entry/forward_relay.go
@@ -1,10 +1,8 @@
 package entry
 
 import (
-	"bufio"
-	"bytes"
 	"io"
-	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/juju/errors"
@@ -15,57 +13,48 @@
 )
 
 const (
-	// eventBuffer is the read buffer of one open stream in bytes, about twenty ordinary events.
-	eventBuffer = 4 << 10
-	// answerChunk is how much of an answer that is not streamed is read at once, in bytes.
-	answerChunk = 32 << 10
-	// maxEvent is the largest event, in bytes.
-	maxEvent = 1 << 20
+	// maxFailureAnswer is the longest body of a failure that is passed on, in bytes.
+	maxFailureAnswer = 64 << 10
+	// failureAnswerTime is how long the body of a failure is awaited. Its request is sent elsewhere after that,
+	// so that no answer is lost by it.
+	failureAnswerTime = 500 * time.Millisecond
 )
 
-// errAnswerTooLong is returned for an answer over maxServiceAnswer.
-const errAnswerTooLong = errors.ConstError("the answer is over the limit")
-
-// readComplete reads an answer to its end; one that ends early is an error. Its bytes count
-// towards the memory budget until the caller has received them. While the budget is used up,
-// the answer is not read.
-func (j *job) readComplete(m *memoryBudget, a *backend.ForwardAnswer) ([]byte, error) {
-	var body bytes.Buffer
-	for {
-		if err := m.reserve(j.ctx, answerChunk); err != nil {
-			return nil, errors.Trace(err)
-		}
-		j.forward.reservedBytes += answerChunk
-		n, err := io.CopyN(&body, a.Body, answerChunk)
-		m.release(answerChunk - int(n))
-		j.forward.reservedBytes -= answerChunk - int(n)
-		switch {
-		case body.Len() > maxServiceAnswer:
-			return nil, errors.Trace(errAnswerTooLong)
-		case errors.Is(err, io.EOF):
-			return body.Bytes(), nil
-		case err != nil:
-			return nil, errors.Trace(err)
-		}
+// errFailureTooSlow is returned for a failure whose body takes longer than failureAnswerTime.
+const errFailureTooSlow = errors.ConstError("the failure's body did not arrive in time")
+
+// readFailure reads the body of a failure within maxFailureAnswer and failureAnswerTime.
+func (j *job) readFailure(m *memoryBudget, a *backend.ForwardAnswer) (*answerBuffer, error) {
+	var isLate atomic.Bool
+	timer := time.AfterFunc(failureAnswerTime, func() {
+		isLate.Store(true)
+		_ = a.Body.Close()
+	})
+	defer timer.Stop()
+	body, err := readAnswer(j.ctx, m, a.Body, bodyLength(j.forward.request.Method, a.Length), maxFailureAnswer)
+	if err != nil && isLate.Load() {
+		return nil, errors.Trace(errFailureTooSlow)
 	}
+	return body, err
 }
 
 // relayAnswer passes on an answer that is not a stream once it is complete.
 func (s *Server) relayAnswer(j *job, a *backend.ForwardAnswer) (outcome, *failure.Error) {
-	body, err := j.readComplete(s.memory, a)
+	body, err := readAnswer(j.ctx, s.memory, a.Body, bodyLength(j.forward.request.Method, a.Length), maxServiceAnswer)
 	if err != nil {
 		return s.classifyServiceError(j, err)
 	}
 	j.noteFirstToken()
 	j.provesParts = provesAnswer(a)
-	j.forward.write(&bufferedAnswer{status: a.Status, header: backend.EndToEnd(a.Header), body: body})
+	j.forward.complete = &bufferedAnswer{status: a.Status, header: backend.EndToEnd(a.Header), body: body}
+	j.forward.write(j.forward.complete)
 	return outcomeComplete, nil
 }
 
 // relayEvents passes on a stream event by event. Only complete events are passed on, in
 // increasing order of their ids, so that another run can resume after the last one.
 func (s *Server) relayEvents(j *job, g grant, w *watchdog, a *backend.ForwardAnswer, result *placement.Result, began time.Time) (outcome, *failure.Error) {
-	events := newEventReader(a.Body)
+	events, pace := newEventReader(a.Body), eventPace{lastEvent: time.Now()}
 	progress := g.route.progress
 	j.forward.onWait = func() func() { return waitForCaller(w, progress) }
 	for {
@@ -78,20 +67,19 @@
 		if err != nil {
 			return s.classifyRelayError(j, g, w, err)
 		}
-		first := !w.hasBegun.Load()
-		if first {
-			result.FirstToken = time.Since(began)
-			j.noteFirstToken()
-			s.recordFirstEvent(j, g, result.FirstToken, a.Load)
-		}
-		w.progress(true)
-		if progress != nil {
-			progress.event(time.Now(), first)
-			if first {
-				defer progress.ended()
+		if pace.isProgress(time.Now(), e) {
+			if !w.hasBegun.Load() {
+				result.FirstToken = time.Since(began)
+				j.noteFirstToken()
+				s.recordFirstEvent(j, g, result.FirstToken, a.Load)
+				if progress != nil {
+					defer progress.ended()
+				}
 			}
+			s.recordProgress(g, w)
+		} else if progress != nil && w.hasBegun.Load() {
+			progress.event(time.Now(), false)
 		}
-		s.dispatcher.progress(g.attempt, 1)
 		if err := j.relayEvent(s.memory, a, e, events.isDrained()); err != nil {
 			j.cancel(errNoCallersLeft)
 			return outcomeJobEnded, nil
@@ -99,6 +87,33 @@
 	}
 }
 
+// recordProgress records an event of an attempt.
+func (s *Server) recordProgress(g grant, w *watchdog) {
+	first := !w.hasBegun.Load()
+	w.progress(true)
+	if g.route.progress != nil {
+		g.route.progress.event(time.Now(), first)
+	}
+	s.dispatcher.progress(g.attempt, 1)
+}
+
+// keepAliveTime is how long comments alone count as progress of a stream.
+const keepAliveTime = 10 * time.Second
+
+// eventPace tells what counts as progress of a stream.
+type eventPace struct{ lastEvent time.Time }
+
+// isProgress reports whether a part of the stream counts as progress of its attempt. Its group is alive in any case.
+//
+// Failure: a server that has lost a run sends comments for it for ever. The stream looks alive, and no other
+// run takes its place.
+func (p *eventPace) isProgress(now time.Time, e event) bool {
+	if e.hasFields {
+		p.lastEvent = now
+	}
+	return now.Sub(p.lastEvent) <= keepAliveTime
+}
+
 // waitForCaller stops counting a stream as one that should make progress while it waits for its caller to
 // read. The returned function undoes that.
 //
@@ -141,71 +156,3 @@
 	f.writeHead(m, a)
 	return errors.Trace(f.out.enqueue(j.ctx, e.bytes, flush, f.onWait))
 }
-
-// event is one server-sent event as received.
-type event struct {
-	bytes    []byte
-	id       uint64
-	numbered bool
-}
-
-// eventReader splits a stream into events. An event's bytes are valid until the next event is
-// read.
-type eventReader struct {
-	r   *bufio.Reader
-	buf []byte
-}
-
-func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{r: bufio.NewReaderSize(r, eventBuffer)}
-}
-
-var idField = []byte("id:")
-
-// next returns the next complete event. It returns io.EOF at the end of a stream that ends
-// after a complete event, and backend.ErrCut if the stream ends within one.
-func (r *eventReader) next() (event, error) {
-	r.buf = r.buf[:0]
-	e := event{}
-	for {
-		from := len(r.buf)
-		if err := r.line(); err != nil {
-			if err == io.EOF && len(r.buf) > 0 {
-				return e, errors.Trace(backend.ErrCut)
-			}
-			return e, err
-		}
-		line := bytes.TrimRight(r.buf[from:], "\r\n")
-		if len(line) == 0 {
-			e.bytes = r.buf
-			return e, nil
-		}
-		if bytes.HasPrefix(line, idField) {
-			id, err := strconv.ParseUint(string(bytes.TrimSpace(line[len(idField):])), 10, 64)
-			if err != nil {
-				return e, errors.Annotate(backend.ErrMalformed, err.Error())
-			}
-			e.id, e.numbered = id, true
-		}
-	}
-}
-
-// line appends one line, with its line end, to the buffer.
-func (r *eventReader) line() error {
-	for {
-		part, err := r.r.ReadSlice('\n')
-		r.buf = append(r.buf, part...)
-		switch {
-		case err == nil:
-			return nil
-		case err != bufio.ErrBufferFull:
-			return err
-		case len(r.buf) > maxEvent:
-			return errors.Trace(backend.ErrLineTooLong)
-		}
-	}
-}
-
-// isDrained reports whether nothing more has arrived, so that the bytes written so far should
-// be flushed now.
-func (r *eventReader) isDrained() bool { return r.r.Buffered() == 0 }
--- a/internal/metrics/entry.go
+++ b/internal/metrics/entry.go
@@ -54,7 +54,7 @@
 }
 
 // Attempt records how an attempt on a backend server ended: "whole",
-// "not_started", "broken", "stalled" or "ended".
+// "not_started", "broken", "unreadable", "stalled" or "ended".
 func (e *Entry) Attempt(outcome string) {
 	if e == nil {
 		return
@@ -151,6 +151,14 @@
 	e.scope.Counter(nameBackoffRequests).Inc(1)
 }
 
+// ServerSetAside counts a backend server that gets no request for a time, as its answers can't be read.
+func (e *Entry) ServerSetAside() {
+	if e == nil {
+		return
+	}
+	e.scope.Counter(nameServersSetAside).Inc(1)
+}
+
 // ServerLeaving counts a backend server that has stated in an answer that it is leaving.
 func (e *Entry) ServerLeaving() {
 	if e == nil {
--- a/internal/placement/blocked.go
+++ b/internal/placement/blocked.go
@@ -3,12 +3,15 @@
 import "time"
 
 // nextSend returns when this entry may send the target's backend server its next request, by its
-// rate limits and its back-off; zero if neither restricts it.
+// rate limits, its back-off and the distrust of it; zero if none restricts it.
 func (t *target) nextSend() time.Time {
 	at := t.throttle.nextSend()
 	if t.backoff != nil {
 		at = later(at, t.backoff.until)
 	}
+	if t.distrust != nil {
+		at = later(at, t.distrust.until)
+	}
 	return at
 }
 
@@ -18,14 +21,17 @@
 // mayUnblockEarly reports whether a target that is blocked may be free before nextSend: its only
 // limit ends by itself.
 func (t *target) mayUnblockEarly(now time.Time) bool {
-	return t.throttle != nil && t.throttle.isTemporary() && !t.backoff.isInForce(now)
+	return t.throttle != nil && t.throttle.isTemporary() && !t.backoff.isInForce(now) && !t.distrust.isInForce(now)
 }
 
 // sendCapacity returns how many requests this entry may send to the target's backend server
-// between now and until. limited is false if their number has no limit that is known to last.
+// between now and until. limited is false if their number has no limit that is known to last. A server that is set
+// aside counts for none: the next request to it is a probe, and most likely fails.
 func (t *target) sendCapacity(now, until time.Time) (capacity int, limited bool) {
 	freeAt := t.nextSend()
 	switch {
+	case t.distrust.isInForce(now):
+		return 0, true
 	case t.mayUnblockEarly(now):
 		return 0, false
 	case until.Before(freeAt):
