An attempt whose answer has begun ends once the next one is accepted

Callers saw a stream closed although its backend server went on: after a pause of 1.35 s the entry ended its attempt, the server of the second and last attempt answered 503, and no attempt was left.

Cause: a retry and a target were secured before the attempt ended, but not that the target takes the request.

Change: the next attempt is sent beside the silent one. The silent one ends once the next one's head has arrived (200, proven, for this request). If the next one is refused or fails before, the first goes on; the retry and the attempt are spent, other than for one that was not sent. An event of the first before that ends the next one. So the next one resumes right after the last event that the caller has, and no event of the first passes after it has been accepted; one lock decides both. If the first breaks off while the next one waits for its head, that one becomes the job's next attempt. A request that runs in isolation, or that crashes are attributed to, is not sent beside itself. What crash reports need (sendRecord) is kept for each attempt. For the rest of a begun stream, any status but 200 is a failed attempt: 404 was passed on as the answer's end before.

Why it works: nothing that can't be undone happens before the next server has begun to answer.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -312,7 +312,12 @@
 
 // pickTarget picks the target of the job's next attempt. The caller holds the lock.
 func (d *dispatcher) pickTarget(now time.Time, j *job) (grant, bool) {
-	c, ok := d.picker.Pick(now, j.placementRequest(j.reserve))
+	return d.pick(now, j, j.placementRequest(j.reserve))
+}
+
+// pick picks the target of the job's next attempt for a request to placement. The caller holds the lock.
+func (d *dispatcher) pick(now time.Time, j *job, r placement.Request) (grant, bool) {
+	c, ok := d.picker.Pick(now, r)
 	if !ok {
 		return grant{}, false
 	}
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -64,7 +64,10 @@
 	// reservedBytes is the part of the entry's memory budget that buffered answers of this
 	// request use.
 	reservedBytes int
-	// resume and last identify the last event that the caller has received.
+	// handover decides which attempt's events are passed on.
+	handover handover
+	// resume and last identify the last event that the caller has received. The handover's lock guards
+	// them.
 	resume     bool
 	last       uint64
 	firstEvent firstEventRecord
@@ -197,9 +200,11 @@
 // first use. The request's id, key and other headers differ between two sends of one request and
 // are left out.
 func (j *job) contentFingerprint() string {
-	if j.fingerprint == "" && j.forward != nil {
-		r := &j.forward.request
-		j.fingerprint = fingerprint("route", j.workspace, r.Host, r.Method, r.Target, string(r.Body))
+	if j.forward != nil {
+		j.fingerprintOnce.Do(func() {
+			r := &j.forward.request
+			j.fingerprint = fingerprint("route", j.workspace, r.Host, r.Method, r.Target, string(r.Body))
+		})
 	}
 	return j.fingerprint
 }
@@ -287,53 +292,6 @@
 	}
 }
 
-// attemptForward makes one attempt of a forwarded request.
-func (s *Server) attemptForward(j *job, g grant) (outcome, *failure.Error) {
-	began := time.Now()
-	result := placement.Result{Tokens: 1}
-	out, e := s.relayAttempt(j, g, &result, began)
-	result.OK = out == outcomeComplete
-	result.Cancelled = out == outcomeJobEnded || out == outcomeWithheld
-	result.Duration = time.Since(began)
-	s.dispatcher.attemptEnded(g.attempt, result)
-	if out != outcomeComplete {
-		text := ""
-		if e != nil {
-			text = e.Error()
-		}
-		j.lines.Info("event", "attempt_ended", "request", j.id, "attempt", g.attempt,
-			"target", g.route.target, "outcome", out.name(e), "err", text)
-	}
-	return out, e
-}
-
-func (s *Server) relayAttempt(j *job, g grant, result *placement.Result, began time.Time) (outcome, *failure.Error) {
-	w := newWatchdog(j.ctx, progressTimeouts{header: time.Until(j.deadline), firstToken: time.Until(j.deadline), gap: streamGap})
-	defer w.stop()
-	next := s.newNextAttempt(j, g)
-	w.mayEnd = next.mayReplace
-	defer func() { j.isNextPaid = next.isPaid() }()
-	if g.route.progress != nil {
-		defer g.route.progress.attach(w)()
-	}
-	answer, err := s.o.Forwarder.Forward(w.ctx, s.forwardCall(j, g))
-	if err != nil {
-		return s.classifyRelayError(j, g, w, err)
-	}
-	defer func() { _ = answer.Body.Close() }()
-	if answer.Load != nil {
-		s.dispatcher.reportAnswer(time.Now(), g.route, s.placementLoad(j, answer.Load), s.groupLimit(g.route.pool))
-	}
-	s.observeForwarded(g.route, answer, began)
-	if out, e, invalid := j.checkAnswer(s.memory, answer); invalid {
-		return out, e
-	}
-	if j.forward.route.Kind == blackboard.RouteStreaming && answer.Status == http.StatusOK {
-		return s.relayEvents(j, g, w, answer, result, began)
-	}
-	return s.relayAnswer(j, answer)
-}
-
 // streamGap is the longest pause of one stream while other streams of its group make progress.
 // Past it, the connection has gone silent or this stream alone was dropped. A request that an
 // engine puts back for lack of memory may pause for about a second.
@@ -391,6 +349,8 @@
 		return outcomeRejected, e.WithRetryAfter(time.Second), true
 	case a.Status < http.StatusMultipleChoices && !a.Proven:
 		return outcomeInvalid, failure.New(failure.TypeBackendFailed, "the answer carries no valid proof of the backend server"), true
+	case j.hasBegun() && a.Status != http.StatusOK:
+		return outcomeBroken, failure.New(failure.TypeBackendFailed, "the backend server answered "+strconv.Itoa(a.Status)+" for the rest of a stream"), true
 	case a.Status >= http.StatusInternalServerError:
 		return j.bufferFailure(m, a)
 	}
--- a/internal/entry/forward_relay.go
+++ b/internal/entry/forward_relay.go
@@ -64,25 +64,25 @@
 
 // relayEvents passes on a stream event by event. Only complete events are passed on, in
 // increasing order of their ids, so that another run can resume after the last one.
-func (s *Server) relayEvents(j *job, g grant, w *watchdog, a *backend.ForwardAnswer, result *placement.Result, began time.Time) (outcome, *failure.Error) {
-	events := newEventReader(a.Body)
-	progress := g.route.progress
+func (s *Server) relayEvents(j *job, a *forwardAttempt, result *placement.Result) (outcome, *failure.Error) {
+	events := newEventReader(a.answer.Body)
+	w, progress := a.w, a.grant.route.progress
 	j.forward.onWait = func() func() { return waitForCaller(w, progress) }
 	for {
 		e, err := events.next()
 		if err == io.EOF {
-			j.forward.writeHead(s.memory, a)
-			j.provesParts = provesAnswer(a) && w.hasBegun.Load()
+			j.forward.writeHead(s.memory, a.answer)
+			j.provesParts = provesAnswer(a.answer) && w.hasBegun.Load()
 			return outcomeComplete, nil
 		}
 		if err != nil {
-			return s.classifyRelayError(j, g, w, err)
+			return s.classifyRelayError(j, a.grant, w, err)
 		}
 		first := !w.hasBegun.Load()
 		if first {
-			result.FirstToken = time.Since(began)
+			result.FirstToken = time.Since(a.began)
 			j.noteFirstToken()
-			s.recordFirstEvent(j, g, result.FirstToken, a.Load)
+			s.recordFirstEvent(j, a.grant, result.FirstToken, a.answer.Load)
 		}
 		w.progress(true)
 		if progress != nil {
@@ -91,8 +91,12 @@
 				defer progress.ended()
 			}
 		}
-		s.dispatcher.progress(g.attempt, 1)
-		if err := j.relayEvent(s.memory, a, e, events.isDrained()); err != nil {
+		s.dispatcher.progress(a.grant.attempt, 1)
+		err = j.relayEvent(s.memory, a.answer, e, events.isDrained())
+		if errors.Is(err, errTakenOver) {
+			return outcomeBroken, failure.New(failure.TypeBackendStalled, err.Error())
+		}
+		if err != nil {
 			j.cancel(errNoCallersLeft)
 			return outcomeJobEnded, nil
 		}
@@ -132,11 +136,9 @@
 // relayEvent passes one event on, unless the caller has received it already.
 func (j *job) relayEvent(m *memoryBudget, a *backend.ForwardAnswer, e event, flush bool) error {
 	f := j.forward
-	if e.numbered {
-		if f.resume && e.id <= f.last {
-			return nil
-		}
-		f.resume, f.last = true, e.id
+	isNew, err := f.advance(e)
+	if err != nil || !isNew {
+		return errors.Trace(err)
 	}
 	f.writeHead(m, a)
 	return errors.Trace(f.out.enqueue(j.ctx, e.bytes, flush, f.onWait))
--- a/internal/entry/homes.go
+++ b/internal/entry/homes.go
@@ -54,8 +54,13 @@
 // placementRequest returns the job as a request to placement. reserve is the fraction of each
 // target that stays free for requests of greater worth.
 func (j *job) placementRequest(reserve float64) placement.Request {
+	return j.placementBeside(reserve, j.tried)
+}
+
+// placementBeside is placementRequest for a target beside some.
+func (j *job) placementBeside(reserve float64, besides []string) placement.Request {
 	return placement.Request{
-		ID: j.id, Model: j.model, Prefix: j.prefix, Tokens: j.tokens(), ReservedFraction: reserve, Homes: j.homes, Exclude: j.tried,
+		ID: j.id, Model: j.model, Prefix: j.prefix, Tokens: j.tokens(), ReservedFraction: reserve, Homes: j.homes, Exclude: besides,
 		Objective: j.firstEventObjective(),
 	}
 }
--- a/internal/entry/job.go
+++ b/internal/entry/job.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/google/uuid"
@@ -47,9 +48,10 @@
 	key string
 	// fingerprint is a hash of the request's contents; empty for a forwarded request until
 	// contentFingerprint has been called.
-	fingerprint   string
-	nonIdempotent bool
-	arrived       time.Time
+	fingerprint     string
+	fingerprintOnce sync.Once
+	nonIdempotent   bool
+	arrived         time.Time
 	// firstSent is the latest time at which the caller can have sent the request first: its
 	// arrival, or earlier for a resend.
 	firstSent time.Time
@@ -116,14 +118,13 @@
 	suspect bool
 	// sharedParts holds the parts of the prompt that other requests may have in common.
 	sharedParts []promptPart
-	// wasSuspect is set if the request was known as a suspect when its last attempt was sent, isAlone
-	// if that ran in isolation.
-	wasSuspect, isAlone bool
-	// suspectParts holds the fingerprints of the parts that were known as suspects when the last
-	// attempt was sent, at sentAt. provesParts is set once its answer shows that they crash nothing.
-	suspectParts []string
-	sentAt       time.Time
-	provesParts  bool
+	// sendRecord is that of the last attempt. isAlone is set if that ran in isolation, provesParts once
+	// its answer shows that the parts of the prompt crash nothing.
+	sendRecord
+	isAlone, provesParts bool
+	// replacement is the attempt that was sent before the last one ended and takes its place; nil if
+	// there is none.
+	replacement *forwardAttempt
 	// retryGranted is the cause of crashes of which this job is a granted further run; "" if it is
 	// none.
 	retryGranted string
--- a/internal/entry/next_attempt.go
+++ b/internal/entry/next_attempt.go
@@ -17,13 +17,15 @@
 type nextAttempt struct {
 	s *Server
 	j *job
-	// target is the target of the current attempt, tried holds those of earlier ones.
-	target string
-	tried  []string
-	// isAllowed is set if the request may be sent once more.
-	isAllowed bool
+	// isAlone is set if the request runs alone or may run once more only, so that no attempt may be sent beside another.
+	isAlone bool
 
 	mu sync.Mutex
+	// tried holds the targets of earlier attempts, target that of the current one.
+	tried  []string
+	target string
+	// left is how many attempts the request may still have, withheld how many were not sent in place of this one.
+	left, withheld int
 	// askAgain is when the retry budget may be asked again.
 	askAgain time.Time
 	// paid is set once the retry budget has paid for the attempt.
@@ -32,23 +34,27 @@
 
 // newNextAttempt returns the attempt after the one that g grants.
 func (s *Server) newNextAttempt(j *job, g grant) *nextAttempt {
-	return &nextAttempt{
+	n := &nextAttempt{
 		s: s, j: j, target: g.route.target, tried: slices.Clone(j.tried),
-		isAllowed: !j.nonIdempotent && j.attempts-j.withheld < j.attemptLimit(),
+		isAlone: j.suspect || j.retryGranted != "" || g.endTurn != nil,
 	}
+	if !j.nonIdempotent {
+		n.left = j.attemptLimit() - (j.attempts - j.withheld)
+	}
+	return n
 }
 
 // mayReplace reports whether the current attempt may end. The request must be allowed another attempt. An answer that
 // has not begun needs no more: at worst its caller gets a failure and sends the request again. One that has begun
 // needs a target and a retry, which is taken here.
 func (n *nextAttempt) mayReplace() bool {
-	if !n.isAllowed {
+	if !n.isAllowed() {
 		return false
 	}
 	if !n.j.hasBegun() {
 		return true
 	}
-	if n.s.mayDispatch() != nil || !n.s.dispatcher.hasOtherTarget(n.j, append(slices.Clone(n.tried), n.target)) {
+	if !n.maySendBeside() || !n.s.dispatcher.hasOtherTarget(n.j, n.excluded()) {
 		return false
 	}
 	n.mu.Lock()
@@ -62,20 +68,62 @@
 	return n.paid
 }
 
-// isPaid reports whether the retry budget has paid for the attempt.
-func (n *nextAttempt) isPaid() bool {
+// isAllowed reports whether the request may be sent once more.
+func (n *nextAttempt) isAllowed() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.paid
+	return n.left > 0
+}
+
+// maySendBeside reports whether the request may be sent while another attempt of it runs.
+func (n *nextAttempt) maySendBeside() bool {
+	isSuspect := n.s.mayIsolate(n.j) && n.s.suspectOf(n.j).IsSuspected()
+	return !n.isAlone && !isSuspect && n.s.mayDispatch() == nil && len(n.s.refusedCauses(time.Now(), n.j)) == 0
+}
+
+// excluded returns the targets that the attempt must not be sent to.
+func (n *nextAttempt) excluded() []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return append(slices.Clone(n.tried), n.target)
+}
+
+// spend records that the attempt is sent to a target, and returns the one after it.
+func (n *nextAttempt) spend(target string) *nextAttempt {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.left--
+	n.paid = false
+	following := &nextAttempt{s: n.s, j: n.j, left: n.left, tried: append(slices.Clone(n.tried), n.target), target: target}
+	n.tried = append(n.tried, target)
+	return following
+}
+
+// giveBack records that the attempt was not sent after all, so that the retry pays for another one. isWithheld is set
+// if it does not count as an attempt.
+func (n *nextAttempt) giveBack(isWithheld bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.paid = true
+	if isWithheld {
+		n.left++
+		n.withheld++
+	}
+}
+
+// settle tells the job what was decided. The current attempt has ended.
+func (n *nextAttempt) settle() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.j.isNextPaid, n.j.tried = n.paid, n.tried
+	n.j.withheld += n.withheld
 }
 
 // hasOtherTarget reports whether there is a target for a job besides some that has not asked for no request.
 func (d *dispatcher) hasOtherTarget(j *job, besides []string) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	r := j.placementRequest(j.reserve)
-	r.Exclude = besides
-	if _, _, blocked := d.picker.BlockedUntil(time.Now(), r); blocked {
+	if _, _, blocked := d.picker.BlockedUntil(time.Now(), j.placementBeside(j.reserve, besides)); blocked {
 		return false
 	}
 	for id, r := range d.routes {
--- a/internal/entry/prompt_part.go
+++ b/internal/entry/prompt_part.go
@@ -66,18 +66,28 @@
 	}
 }
 
-// noteSuspectParts records which parts of the job are suspects, right before an attempt is sent.
-func (s *Server) noteSuspectParts(j *job) {
-	j.suspectParts, j.sentAt, j.provesParts = nil, time.Now(), false
+// sendRecord is what was known of a request when an attempt was sent.
+type sendRecord struct {
+	// wasSuspect is set if the request was known as a suspect.
+	wasSuspect bool
+	// suspectParts holds the fingerprints of the parts that were known as suspects.
+	suspectParts []string
+	sentAt       time.Time
+}
+
+// newSendRecord returns the record of an attempt that is sent now.
+func (s *Server) newSendRecord(j *job) sendRecord {
+	r := sendRecord{wasSuspect: s.suspectOf(j).Crashes > 0, sentAt: time.Now()}
 	if len(j.sharedParts) == 0 {
-		return
+		return r
 	}
 	suspects := s.suspects()
 	for _, part := range j.sharedParts {
 		if s.needsAnswer(suspects[part.fingerprint]) {
-			j.suspectParts = append(j.suspectParts, part.fingerprint)
+			r.suspectParts = append(r.suspectParts, part.fingerprint)
 		}
 	}
+	return r
 }
 
 // noteAnsweredParts takes in an answer that shows that the parts of a prompt crash nothing, and tells the other
--- a/internal/entry/prompt_part_test.go
+++ b/internal/entry/prompt_part_test.go
@@ -23,7 +23,7 @@
 
 // answerPrompt sends a job and takes in its answer after a while.
 func answerPrompt(s *Server, j *job, took time.Duration) {
-	s.noteSuspectParts(j)
+	j.sendRecord = s.newSendRecord(j)
 	time.Sleep(took)
 	j.provesParts = true
 	s.noteAnswered(j)
@@ -153,7 +153,7 @@
 		time.Sleep(answerHistory)
 		crashPrompts(s, 3, "bad")
 		j := promptJob("unproven", "bad")
-		s.noteSuspectParts(j)
+		j.sendRecord = s.newSendRecord(j)
 		s.noteAnswered(j)
 		settle(s, control)
 		assert.Assert(t, s.checkCrashes(promptJob("next", "bad")) != nil)
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -9,7 +9,6 @@
 	"github.com/citronstep/citronstep/internal/admission"
 	"github.com/citronstep/citronstep/internal/backend"
 	"github.com/citronstep/citronstep/internal/failure"
-	"github.com/citronstep/citronstep/internal/invariant"
 	"github.com/citronstep/citronstep/internal/placement"
 )
 
@@ -78,25 +77,18 @@
 	j.suspect = s.mayIsolate(j) && s.suspectOf(j).IsSuspected()
 	begun := j.begun
 	for {
-		if j.suspect {
-			g = s.tryIsolate(j, g)
-		}
-		if e := s.mayAttempt(j); e != nil {
-			s.dispatcher.attemptEnded(g.attempt, placement.Result{Cancelled: true})
-			g.end()
-			return withRanState(begun, e)
-		}
-		if !j.maySend() {
-			s.dispatcher.attemptEnded(g.attempt, placement.Result{Cancelled: true})
-			g.end()
-			return withRanState(true, failure.New(failure.TypeOutcomeUnknown, "the request may have run and may not run again"))
+		if j.replacement == nil {
+			prepared, e := s.prepareAttempt(j, g, begun)
+			if e != nil {
+				return e
+			}
+			g = prepared
 		}
 		if s.rateLimits.isLimited(g.route.incarnation) {
 			s.o.Metrics.RateLimitedAttempt()
 		}
 		j.isAlone = g.endTurn != nil
 		j.lastTarget = g.route.target
-		sent := time.Now()
 		out, e := attempt(j, g)
 		s.returnGrant(j, out != outcomeWithheld)
 		j.mayHaveRun = j.mayHaveRun || out.mayHaveRun() || out == outcomeComplete
@@ -104,7 +96,7 @@
 			s.noteWithheld(j, g)
 		}
 		s.o.Metrics.Attempt(out.name(e))
-		stop := s.afterAttempt(j, g, out, e, sent)
+		stop := s.afterAttempt(j, g, out, e, j.sentAt)
 		switch out {
 		case outcomeComplete:
 			return nil
@@ -114,10 +106,11 @@
 			begun = true
 		}
 		if stop != nil {
+			s.dropReplacement(j)
 			return withRanState(begun, stop)
 		}
 		j.tried = append(j.tried, g.route.target)
-		next, e := s.dispatcher.nextTarget(j, j.nextTargetBy(time.Now()))
+		next, e := s.nextGrant(j)
 		if e != nil {
 			return withRanState(begun, e)
 		}
@@ -134,45 +127,6 @@
 	return earlier(j.deadline, now.Add(failoverWait))
 }
 
-// mayAttempt refuses a further attempt that must not be made any more.
-//
-// Failure: a request crashes its second backend server at another entry and is refused there.
-// Its caller sends it to this entry within a millisecond, before this entry's board shows the
-// crash. The request waits eight seconds for a turn in isolation and crashes a third backend
-// server. So the board is checked again after the wait.
-func (s *Server) mayAttempt(j *job) *failure.Error {
-	if j.ctx.Err() != nil {
-		return contextEnded(j.ctx)
-	}
-	if e := s.checkCrashes(j); e != nil {
-		return e
-	}
-	j.wasSuspect = s.suspectOf(j).Crashes > 0
-	s.noteSuspectParts(j)
-	return s.mayDispatch()
-}
-
-// maySend asserts that a request that may run only once is not sent when it may have run. The
-// decision on retries has ensured this already.
-func (j *job) maySend() bool {
-	return invariant.Check(!j.nonIdempotent || !j.mayHaveRun, "non_idempotent_sent_once", "request %s, attempt %d", j.id, j.attempts)
-}
-
-// tryIsolate replaces a suspect's grant by one that runs in isolation, if one becomes available
-// in time.
-func (s *Server) tryIsolate(j *job, g grant) grant {
-	isolated, endTurn, ok := s.isolate(j)
-	if !ok {
-		return g
-	}
-	s.dispatcher.attemptEnded(g.attempt, placement.Result{Cancelled: true})
-	isolated.endTurn = endTurn
-	s.dispatcher.noteIsolated(time.Now(), isolated.route.target)
-	j.lines.Info("event", "route", "request", j.id, "attempt", isolated.attempt,
-		"choice", isolated.route.target, "runner_up", g.route.target, "reason", "suspect runs alone")
-	return isolated
-}
-
 // afterAttempt processes the result of an attempt that was sent at the time sent. It returns the
 // final failure if no other attempt may be made.
 func (s *Server) afterAttempt(j *job, g grant, out outcome, e *failure.Error, sent time.Time) *failure.Error {
@@ -251,6 +205,9 @@
 		j.noFurtherAttempt = cutNotRepeatable
 		return failure.New(failure.TypeOutcomeUnknown, "the request was dispatched and its outcome is unknown: "+e.Message)
 	}
+	if j.replacement != nil {
+		return nil
+	}
 	if j.attempts-j.withheld >= j.attemptLimit() {
 		j.noFurtherAttempt = cutAttemptsUsed
 		return e.WithRetryAfter(s.dispatcher.retryAfter(j))
--- a/internal/entry/watchdog.go
+++ b/internal/entry/watchdog.go
@@ -31,6 +31,8 @@
 	// mayEnd reports whether the attempt may end before its backend server ends it; nil if it always
 	// may.
 	mayEnd func() bool
+	// isReplaced is set once another attempt has taken the place of this one, which ends it in any case.
+	isReplaced atomic.Bool
 	// isPaused is set while the attempt waits for its caller.
 	isPaused atomic.Bool
 	// hasBegun is set once there was a token.
@@ -73,7 +75,7 @@
 	}
 	due := w.due.Load()
 	mayEnd := !w.isPaused.Load() && (w.mayEnd == nil || w.mayEnd())
-	if w.due.Load() != due {
+	if w.due.Load() != due && !w.isReplaced.Load() {
 		return
 	}
 	if !mayEnd {
