An attempt ends once the board shows that its backend server has restarted

Callers waited for their deadline, with or without a part of their answer, for a backend server whose VM had lost power and come back: the board showed its group broken and its head in a new incarnation, and the request had no other attempt.

Cause: an entry ends an attempt without a replacement on no sign at all, silence or not, and no sign but silence was looked at. Ruled out: the group's state. A broken, released or removed group may still send its answers (TestAnswersGoOnWhenTheirGroupIsOutOfService).

Change: each attempt of a forwarded request and of a completion is attached to the process that it was sent to (openServers). When a board shows a later incarnation of it, in the row of the VM or of the plain instance, the attempt ends, once nothing more has been read for 0.1 s, as what the process had sent may lie ready. It does not end while it waits for its caller. The leader takes an incarnation over only from a process that started later, so this is proof. A server that is silent, dead, leaving or missing on the board is none. The log names the server and the number of attempts (event=server_restarted).

Why it works: the end of the process is a fact on the board, not the absence of a sign. Not covered: calls of plain services through the entry's own API, whose reading is not counted; they wait for the deadline as before.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/juju/errors"
 
 	"github.com/citronstep/citronstep/internal/auth"
 	"github.com/citronstep/citronstep/internal/backend"
@@ -305,6 +306,8 @@
 	case w.stalled():
 		s.o.Client.RetireConnections(g.route.address)
 		return outcomeBroken, failure.New(failure.TypeBackendStalled, "the stream made no progress in time")
+	case errors.Is(context.Cause(w.ctx), errServerRestarted):
+		return outcomeBroken, failure.New(failure.TypeBackendStalled, errServerRestarted.Error())
 	case w.ctx.Err() != nil:
 		return outcomeBroken, failure.New(failure.TypeBackendStalled, errGroupLost.Error())
 	}
--- a/internal/entry/forward_attempt.go
+++ b/internal/entry/forward_attempt.go
@@ -21,8 +21,8 @@
 	next *nextAttempt
 	// sent is what was known of the request when the attempt began.
 	sent sendRecord
-	// leaveGroup ends the attempt's attachment to its group.
-	leaveGroup func()
+	// leaveGroup and leaveServer end the attempt's attachments to its group and its backend server.
+	leaveGroup, leaveServer func()
 	// replacing is locked while another attempt is opened in place of this one.
 	replacing sync.Mutex
 
@@ -46,6 +46,7 @@
 		w:      newWatchdog(j.ctx, progressTimeouts{header: left, firstToken: left, gap: streamGap}),
 		opened: make(chan struct{}),
 	}
+	a.leaveServer = s.openServers.attach(g.route.process(), a.w)
 	a.w.mayEnd = func() bool { return s.mayEnd(j, a) }
 	if g.route.progress != nil {
 		a.leaveGroup = g.route.progress.attach(a.w)
@@ -61,6 +62,7 @@
 		a.outcome, a.failure = s.classifyRelayError(j, a.grant, a.w, err)
 		return
 	}
+	answer.Body = readCounter{ReadCloser: answer.Body, w: a.w}
 	if answer.Load != nil {
 		s.dispatcher.reportAnswer(time.Now(), a.grant.route, s.placementLoad(j, answer.Load), s.groupLimit(a.grant.route.pool))
 	}
@@ -76,6 +78,7 @@
 // close ends the attempt's call. The attempt must have been opened.
 func (a *forwardAttempt) close() {
 	a.leaveGroup()
+	a.leaveServer()
 	a.w.stop()
 	if a.answer != nil {
 		_ = a.answer.Body.Close()
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -166,6 +166,7 @@
 	s.dispatcher.setRoutes(r.now, r.routes, r.targets, r.quarantinedPools)
 	// Only now, or the attempts that end here would be made again on other groups that are lost as well.
 	s.retireGroups(lost)
+	s.endAttemptsOnRestarted(r.board)
 	for id, l := range r.loads {
 		s.dispatcher.report(r.now, id, l)
 	}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -268,6 +268,7 @@
 func (s *Server) attemptCompletion(j *job, g grant) (outcome, *failure.Error) {
 	w := newWatchdog(j.ctx, s.progressTimeouts())
 	defer w.stop()
+	defer s.openServers.attach(g.route.process(), w)()
 	began := time.Now()
 	result := placement.Result{}
 	out, e := s.streamTokens(w, j, g, &result, began)
@@ -395,8 +396,11 @@
 	if j.ctx.Err() != nil {
 		return outcomeJobEnded, nil
 	}
-	if w.stalled() {
+	switch {
+	case w.stalled():
 		return outcomeBroken, failure.New(failure.TypeBackendStalled, "the backend server made no progress in time")
+	case errors.Is(context.Cause(w.ctx), errServerRestarted):
+		return outcomeBroken, failure.New(failure.TypeBackendStalled, errServerRestarted.Error())
 	}
 	return outcomeOfCallError(err), failure.New(failure.TypeBackendFailed, err.Error())
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -123,6 +123,8 @@
 	isSilenceCommon bool
 	// retiredGroups are groups out of service with open attempts; only the route loop uses them.
 	retiredGroups []*groupProgress
+	// openServers holds the backend servers with open attempts.
+	openServers *openServers
 	// work counts the running jobs for a graceful stop. It grows only under drainMu, and not
 	// once draining is set.
 	work    sync.WaitGroup
@@ -195,6 +197,7 @@
 		jobs:           newJobTable(),
 		isolation:      newIsolation(),
 		crashChecks:    newCrashChecks(),
+		openServers:    newOpenServers(),
 		answerGrace:    newAnswerGrace(time.Now(), attributionGrace),
 		retryAsks:      make(map[string]time.Time),
 		waitingParts:   newWaitingParts(),
--- a/internal/entry/watchdog.go
+++ b/internal/entry/watchdog.go
@@ -35,6 +35,8 @@
 	isReplaced atomic.Bool
 	// isPaused is set while the attempt waits for its caller.
 	isPaused atomic.Bool
+	// reads counts the reads of the answer's body.
+	reads atomic.Int64
 	// hasBegun is set once there was a token.
 	hasBegun atomic.Bool
 	fired    atomic.Bool
