An attempt is attached to its group once the handover knows it

Callers would have seen outcome_unknown for a request that may be sent once only and was not sent: it was granted a group that a board had just taken out of service. Found by reading, not by callers.

Cause: the attempt was attached to its group, which ends it at once if the group is retired, before it was the handover's current one. An attempt that is not current may end in any case. Ruled out: the decision itself, which keeps such an attempt once it is current.

Change: an attempt is attached when it is opened.

Why it works: the attachment can end the attempt only when mayEnd decides by the request.

--- a/internal/entry/forward_attempt.go
+++ b/internal/entry/forward_attempt.go
@@ -42,21 +42,28 @@
 func (s *Server) newForwardAttempt(j *job, g grant, next *nextAttempt) *forwardAttempt {
 	left := time.Until(j.deadline)
 	a := &forwardAttempt{
-		grant: g, began: time.Now(), call: s.forwardCall(j, g), next: next, sent: j.sendRecord, leaveGroup: func() {},
+		grant: g, began: time.Now(), call: s.forwardCall(j, g), next: next, sent: j.sendRecord,
 		w:      newWatchdog(j.ctx, progressTimeouts{header: left, firstToken: left, gap: streamGap}),
 		opened: make(chan struct{}),
 	}
-	a.leaveServer = s.openServers.attach(g.route.process(), a.w)
 	a.w.mayEnd = func() bool { return s.mayEnd(j, a) }
-	if g.route.progress != nil {
-		a.leaveGroup = g.route.progress.attach(a.w)
-	}
 	return a
 }
 
-// open sends the attempt and waits for the head of its answer.
+// attach makes the attempt end with its group and its backend server, from the moment on at which the handover knows it.
+func (s *Server) attach(a *forwardAttempt) {
+	route := a.grant.route
+	a.leaveServer = s.openServers.attach(route.process(), a.w)
+	a.leaveGroup = func() {}
+	if route.progress != nil {
+		a.leaveGroup = route.progress.attach(a.w)
+	}
+}
+
+// open sends the attempt and waits for the head of its answer. The handover must know the attempt.
 func (s *Server) open(j *job, a *forwardAttempt) {
 	defer close(a.opened)
+	s.attach(a)
 	answer, err := s.o.Forwarder.Forward(a.w.ctx, a.call)
 	if err != nil {
 		a.outcome, a.failure = s.classifyRelayError(j, a.grant, a.w, err)
--- a/internal/entry/replacement_test.go
+++ b/internal/entry/replacement_test.go
@@ -274,3 +274,14 @@
 		assert.ErrorIs(t, w.ctx.Err(), context.Canceled)
 	})
 }
+
+// Guards against a request that may be sent once only and is ended unsent, as the group that it was granted is being taken out of service.
+func TestRequestIsSentToAGroupThatHasJustBeenRetired(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newSoundSystem(t, 5000)
+		for _, p := range x.s.progress {
+			p.retire()
+		}
+		x.finish(x.beginMany("single", 60)...)
+	})
+}
