A completion's attempt ends for silence only if another one is secured

Callers of the entry's own API saw completions cut, or refused as outcome_unknown, as a sound engine sent nothing for token_gap_ms (5 s): the request might run once only, no attempt or retry was left, there was no other group, or the entry had lost its lease.

Cause: attemptCompletion ended a silent attempt by progressTimeouts first and asked then. Ruled out: the engine (it goes on in the test).

Change: the rule of forwarded requests (nextAttempt.mayReplace) decides. An answer counts as begun with its first token. A retry is no longer taken once the attempt has ended.

Why it works: the attempt stays unless a retry, a target and a lease are there. What it costs: with one group, or for a request that may run once, a dead connection is waited for until the deadline. Not covered: an engine that refuses the next attempt, and an attempt without a header, which the client's own limit ends.

--- a/internal/entry/answer_cut.go
+++ b/internal/entry/answer_cut.go
@@ -42,6 +42,9 @@
 // request.
 func (j *job) hasBegun() bool { return j.forward != nil && j.forward.begun.Load() }
 
+// hasAnswerPart reports whether there is a part of the answer that its caller may have received.
+func (j *job) hasAnswerPart() bool { return j.hasBegun() || j.answer.length() > 0 }
+
 // cutCauseOf returns the cause of a failure that ended a begun answer.
 func (s *Server) cutCauseOf(j *job, e *failure.Error) cutCause {
 	cause := context.Cause(j.ctx)
--- a/internal/entry/next_attempt.go
+++ b/internal/entry/next_attempt.go
@@ -30,6 +30,8 @@
 	askAgain time.Time
 	// paid is set once the retry budget has paid for the attempt.
 	paid bool
+	// isOver is set once the current attempt has ended.
+	isOver bool
 }
 
 // newNextAttempt returns the attempt after the one that g grants.
@@ -51,16 +53,16 @@
 	if !n.isAllowed() {
 		return false
 	}
-	if !n.j.hasBegun() {
+	if !n.j.hasAnswerPart() {
 		return true
 	}
-	if !n.maySendBeside() || !n.s.dispatcher.hasOtherTarget(n.j, n.excluded()) {
+	if _, hasTarget := n.excluded(); !hasTarget || !n.maySend() {
 		return false
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := time.Now()
-	if n.paid || now.Before(n.askAgain) {
+	if n.paid || n.isOver || now.Before(n.askAgain) {
 		return n.paid
 	}
 	n.askAgain = now.Add(retryAskPause)
@@ -75,17 +77,30 @@
 	return n.left > 0
 }
 
+// maySend reports whether this entry may send the request now: it has a lease, and no crashes are attributed to the
+// request.
+func (n *nextAttempt) maySend() bool {
+	return n.s.mayDispatch() == nil && len(n.s.refusedCauses(time.Now(), n.j)) == 0
+}
+
 // maySendBeside reports whether the request may be sent while another attempt of it runs.
 func (n *nextAttempt) maySendBeside() bool {
 	isSuspect := n.s.mayIsolate(n.j) && n.s.suspectOf(n.j).IsSuspected()
-	return !n.isAlone && !isSuspect && n.s.mayDispatch() == nil && len(n.s.refusedCauses(time.Now(), n.j)) == 0
+	return !n.isAlone && !isSuspect
 }
 
-// excluded returns the targets that the attempt must not be sent to.
-func (n *nextAttempt) excluded() []string {
+// excluded returns the targets that the attempt is not sent to, and whether there is another one. If there is none that
+// the request has not been sent to, all but that of the current attempt may have recovered.
+func (n *nextAttempt) excluded() (targets []string, hasOther bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return append(slices.Clone(n.tried), n.target)
+	targets = append(slices.Clone(n.tried), n.target)
+	if n.s.dispatcher.hasOtherTarget(n.j, targets) {
+		return targets, true
+	}
+	n.tried = nil
+	targets = []string{n.target}
+	return targets, n.s.dispatcher.hasOtherTarget(n.j, targets)
 }
 
 // spend records that the attempt is sent to a target, and returns the one after it.
@@ -115,6 +130,7 @@
 func (n *nextAttempt) settle() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	n.isOver = true
 	n.j.isNextPaid, n.j.tried = n.paid, n.tried
 	n.j.withheld += n.withheld
 }
--- a/internal/entry/replacement.go
+++ b/internal/entry/replacement.go
@@ -85,7 +85,7 @@
 		return false
 	}
 	defer a.replacing.Unlock()
-	return a.next.mayReplace() && s.replace(j, a)
+	return a.next.maySendBeside() && a.next.mayReplace() && s.replace(j, a)
 }
 
 // replace opens another attempt in place of the current one and reports whether it takes over.
@@ -113,7 +113,8 @@
 	if h.current != a || a.w.ctx.Err() != nil {
 		return nil
 	}
-	g, ok := s.dispatcher.pickBeside(time.Now(), j, a.next.excluded())
+	excluded, _ := a.next.excluded()
+	g, ok := s.dispatcher.pickBeside(time.Now(), j, excluded)
 	if !ok {
 		return nil
 	}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -269,6 +269,9 @@
 	w := newWatchdog(j.ctx, s.progressTimeouts())
 	defer w.stop()
 	defer s.openServers.attach(g.route.process(), w)()
+	next := s.newNextAttempt(j, g)
+	w.mayEnd = next.mayReplace
+	defer next.settle()
 	began := time.Now()
 	result := placement.Result{}
 	out, e := s.streamTokens(w, j, g, &result, began)
