--- a/internal/entry/set_aside.go
+++ b/internal/entry/set_aside.go
@@ -12,14 +12,14 @@
 
 // outcomeOf returns the outcome of a failed call and notes whether its answer announced a length over the limit.
 func (j *job) outcomeOf(err error) outcome {
-	j.announcedTooLong = errors.Is(err, errAnnouncedTooLong)
+	j.announcedTooLong.Store(errors.Is(err, errAnnouncedTooLong))
 	return outcomeOfCallError(err)
 }
 
 // unreadable returns what placement's Result says of an attempt with an unreadable answer; "" for any other. An
 // answer that announces its length has an end: its server is not at fault.
 func (j *job) unreadable(out outcome) string {
-	if out != outcomeUnreadable || j.announcedTooLong {
+	if out != outcomeUnreadable || j.announcedTooLong.Load() {
 		return ""
 	}
 	return j.contentFingerprint()
