A connection that is opened ahead is kept for 30 s before its first request

What callers saw: a connection that had been open for 10 s without a request was closed in the moment of its first one, which got no answer: no line, no run.

Cause: net/http counts the wait for the first byte of a new connection towards ReadHeaderTimeout, which was 10 s; between requests the idle timeout of two minutes holds. Callers keep idle connections for up to twelve seconds.

Change: 30 s. Ruled out: none at all, as a connection that never sends anything would stay for good.

A connection that is used first after 30 s can still meet the close.

--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -24,7 +24,9 @@
 
 // Limits of the HTTP servers.
 const (
-	readHeaderTimeout = 10 * time.Second
+	// readHeaderTimeout also bounds how long a connection may wait for its first request. Callers open connections
+	// ahead of their requests, and one that is closed as its first request arrives gives that no answer.
+	readHeaderTimeout = 30 * time.Second
 	maxHeaderBytes    = 32 << 10
 	idleTimeout       = 2 * time.Minute
 	// bodyTime is how long a short body of another process or an operator may take.
