A completion whose server sent one bad message is tried again on the same group

Cause: fails a request whose only server's answer can't be read, as the same request there ends the same way. That holds for a plain service; a completion goes on after the tokens that it has, and a single bad message is no rule.

Change: the rule is for requests of routes and calls of plain services.

--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -212,7 +212,7 @@
 		j.noFurtherAttempt = cutAttemptsUsed
 		return e.WithRetryAfter(s.dispatcher.retryAfter(j))
 	}
-	if out == outcomeUnreadable && !j.hasBegun() && !s.dispatcher.hasUntriedTarget(j) {
+	if out == outcomeUnreadable && !j.isCompletion() && !j.hasBegun() && !s.dispatcher.hasUntriedTarget(j) {
 		j.noFurtherAttempt = cutNoBackendServer
 		return e.WithDetail("no further attempt: no other backend server").WithRetryAfter(s.dispatcher.retryAfter(j))
 	}
@@ -223,6 +223,10 @@
 	return nil
 }
 
+// isCompletion reports whether the job is a completion of the entry's own API. Its next attempt, also on the same group,
+// goes on after the tokens that it has, so that a single bad message ends nothing.
+func (j *job) isCompletion() bool { return j.forward == nil && j.service == nil }
+
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
