A silence that lasts is reported each second

What could happen: a group that was lost within a standstill of all servers was reported at its limit, after 1 s and after 2 s, and never again. If nothing could be concluded by then, the leader waited for the death of a member or for the head to give up (5 s and more).

Change: it is reported each second. Reports are one call a second of an entry for all its silent groups.

--- a/internal/entry/group_progress.go
+++ b/internal/entry/group_progress.go
@@ -36,10 +36,8 @@
 	// packetLossAllowance is what a lost packet can add to a pause: twice TCP's least
 	// retransmission time-out.
 	packetLossAllowance = 400 * time.Millisecond
-	// secondReportAfter and lastReportAfter are the lengths of a silence at which it is
-	// reported to the leader again.
-	secondReportAfter = time.Second
-	lastReportAfter   = 2 * time.Second
+	// reportInterval is the time after which a silence that lasts is reported to the leader again.
+	reportInterval = time.Second
 	// stallReportTimeout is the time limit of a call that reports stalled groups to the leader.
 	stallReportTimeout = time.Second
 )
@@ -173,20 +171,18 @@
 }
 
 // isReportDue reports whether the leader should receive a report: when a silence exceeds the
-// limit, and again when it lasts.
+// limit, and again after each reportInterval.
 func (p *groupProgress) isReportDue(silence time.Duration) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	passed := 0
-	for _, at := range []time.Duration{p.silenceLimit, secondReportAfter, lastReportAfter} {
-		if silence > at {
-			passed++
-		}
+	due := 0
+	if silence > p.silenceLimit {
+		due = 1 + int(silence/reportInterval)
 	}
-	if passed <= p.reportsSent {
+	if due <= p.reportsSent {
 		return false
 	}
-	p.reportsSent = passed
+	p.reportsSent = due
 	return true
 }
 
