A stall counts if members of serving groups announced themselves during the silence

Cause: rates of all announcements over fixed windows, compared with a past rate, and reports that are held back or thrown away.

Change: one question in their place, asked of the evidence: did members of serving groups announce themselves within the reported silence (after 0.1 s for what was on its way)? One, and a fifth of those expected, suffices: then others are alive, and the silence says something about the group. If none did, the next report, a second later, is asked in the same way.

Tests: stalled_test.go has groups with members that announce themselves at an interval.

Known limits: servers that announce themselves in step may be asked about only after 1 or 2 s; a group that is lost alone while no other announcement arrives waits for the next second.

--- a/internal/control/stalled.go
+++ b/internal/control/stalled.go
@@ -37,7 +37,6 @@
 			"by", r.EntryId, "silent_ms", g.SilentMs)
 	}
 	s.Wake()
-	time.AfterFunc(controller.LoneStallTime, s.Wake)
 	return &noderpc.SuspectReply{}, nil
 }
 
@@ -52,21 +51,14 @@
 // stalledGroups returns the groups that are to be broken for a stall by the entries' reports.
 func (s *Server) stalledGroups(now time.Time, board *blackboard.Board) map[controller.GroupEpoch]time.Time {
 	var announcements controller.Announcements
-	s.o.Evidence.WithTable(func(t *evidence.Table) { announcements = controller.AnnouncementsAt(now, t) })
+	s.o.Evidence.WithTable(func(t *evidence.Table) { announcements = controller.AnnouncementsOfMembers(board, t) })
 	entries := make(map[string]int)
 	for _, e := range board.Entries {
 		if e.Address != "" {
 			entries[e.DataCentre]++
 		}
 	}
-	subjects := controller.StallSubjects(board)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	stalled, isCommon := s.stalls.Stalled(now, entries, subjects, announcements)
-	if isCommon {
-		_ = level.Info(s.o.Logger).Log("event", "common_stall", "groups", len(subjects), "board", board.Revision,
-			"announcements_stopped", announcements == controller.AnnouncementsStopped,
-			"reason", "groups have stalled for a common cause; none is broken for it")
-	}
-	return stalled
+	return s.stalls.Stalled(now, entries, announcements)
 }
--- a/internal/control/stalled_test.go
+++ b/internal/control/stalled_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -14,53 +15,91 @@
 	"github.com/citronstep/citronstep/internal/evidence"
 )
 
-// stallSystem is a leader with entries in three data centres and serving groups in fabric domains.
-type stallSystem struct {
-	s     *Server
-	board *blackboard.Board
-	now   time.Time
-	table *evidence.Table
-	// announcements counts the announcements so far; areStopped ends them.
-	announcements int
-	areStopped    bool
-}
-
-// WithTable implements Evidence.
-func (x *stallSystem) WithTable(f func(*evidence.Table)) { f(x.table) }
+const (
+	longestPass     = 240 * time.Millisecond
+	membersPerGroup = 4
+)
 
-// pass lets time pass, in which backend servers announce themselves.
-func (x *stallSystem) pass(d time.Duration) {
-	const interval = 20 * time.Millisecond
-	for end := x.now.Add(d); x.now.Before(end); x.now = x.now.Add(interval) {
-		if !x.areStopped {
-			x.announcements++
-			x.table.Record(x.now, "self", backend.Announcement{Kind: backend.KindEngine, ID: "e", Incarnation: "a", Sequence: uint64(x.announcements)})
-		}
-	}
+// stallSystem is a leader with entries in three data centres and serving groups in fabric domains, whose members
+// announce themselves.
+type stallSystem struct {
+	s          *Server
+	board      *blackboard.Board
+	start, now time.Time
+	table      *evidence.Table
+	interval   time.Duration
+	// next is when each VM announces itself next; one that is lost has none.
+	next map[string]time.Time
+	sent uint64
+	// isStill is set while all VMs stand still.
+	isStill bool
 }
 
 // newStallSystem places a number of groups in each domain.
-func newStallSystem(domains ...int) *stallSystem {
-	x := &stallSystem{board: blackboard.New(), now: time.Unix(1000, 0), table: evidence.NewTable("self", 1)}
+func newStallSystem(interval time.Duration, domains ...int) *stallSystem {
+	x := &stallSystem{
+		board: blackboard.New(), start: time.Unix(1000, 0), now: time.Unix(1000, 0), table: evidence.NewTable("self", 1),
+		interval: interval, next: make(map[string]time.Time),
+	}
+	x.table.SetInterval(interval)
 	x.s = NewServer(Options{Logger: log.NewNopLogger(), Evidence: x})
 	for i := range 9 {
 		id := fmt.Sprint("e-", i)
 		x.board.Entries[id] = blackboard.Entry{ID: id, Address: id, DataCentre: fmt.Sprint("dc-", i%3)}
 	}
+	r := rand.New(rand.NewPCG(1, 1))
 	for d, groups := range domains {
 		for i := range groups {
-			id := groupIn(d, i)
-			x.board.Groups[id] = blackboard.Group{
-				ID: id, Epoch: 1, State: blackboard.Serving, RequiresOpenHead: true,
-				DataCentre: fmt.Sprint("dc-", d), FabricDomain: fmt.Sprint("domain-", d),
-			}
+			x.addGroup(d, groupIn(d, i), r)
 		}
 	}
+	x.pass(3 * interval)
 	return x
 }
 
+func (x *stallSystem) addGroup(domain int, id string, r *rand.Rand) {
+	g := blackboard.Group{
+		ID: id, Epoch: 1, State: blackboard.Serving, RequiresOpenHead: true,
+		DataCentre: fmt.Sprint("dc-", domain), FabricDomain: fmt.Sprint("domain-", domain),
+	}
+	for m := range membersPerGroup {
+		vm := memberOf(id, m)
+		g.Members = append(g.Members, blackboard.GroupMember{VM: vm})
+		x.next[vm] = x.now.Add(time.Duration(r.Int64N(int64(x.interval))))
+	}
+	x.board.Groups[id] = g
+}
+
 func groupIn(domain, i int) string { return fmt.Sprint("g-", domain, "-", i) }
 
+func memberOf(group string, i int) string { return fmt.Sprint(group, "-m", i) }
+
+// WithTable implements Evidence.
+func (x *stallSystem) WithTable(f func(*evidence.Table)) { f(x.table) }
+
+// pass lets time pass, in which VMs announce themselves.
+func (x *stallSystem) pass(d time.Duration) {
+	const step = 10 * time.Millisecond
+	for end := x.now.Add(d); x.now.Before(end); x.now = x.now.Add(step) {
+		x.table.Digest(x.now, evidence.Cursor{})
+		for vm, at := range x.next {
+			if x.isStill || at.After(x.now) {
+				continue
+			}
+			x.next[vm] = at.Add(x.interval)
+			x.announce(backend.KindEngine, vm)
+		}
+	}
+}
+
+func (x *stallSystem) announce(kind backend.Kind, id string) {
+	x.sent++
+	x.table.Record(x.now, "self", backend.Announcement{Kind: kind, ID: id, Incarnation: "a", Sequence: x.sent})
+}
+
+// lose makes a VM announce itself no more.
+func (x *stallSystem) lose(vm string) { delete(x.next, vm) }
+
 // report records the reports of a group by some entries.
 func (x *stallSystem) report(group string, silent time.Duration, entries ...int) {
 	for _, e := range entries {
@@ -68,19 +107,23 @@
 	}
 }
 
-// isStalled reports whether a group is to be broken, once its stall has been compared with those of others.
+// reportAll records the reports of all groups by some entries.
+func (x *stallSystem) reportAll(silent time.Duration, entries ...int) {
+	for group := range x.board.Groups {
+		x.report(group, silent, entries...)
+	}
+}
+
+func (x *stallSystem) stalled() int { return len(x.s.stalledGroups(x.now, x.board)) }
+
 func (x *stallSystem) isStalled(group string) bool {
-	x.s.stalledGroups(x.now, x.board)
-	x.pass(controller.StallComparisonTime)
 	_, stalled := x.s.stalledGroups(x.now, x.board)[controller.GroupEpoch{Group: group, Epoch: 1}]
 	return stalled
 }
 
-const longestPass = 240 * time.Millisecond
-
 // Guards against a lost group that stays in service because one entry with a bad link reports many others.
 func TestOneEntrysReportsHideNoStall(t *testing.T) {
-	x := newStallSystem(4, 4)
+	x := newStallSystem(400*time.Millisecond, 4, 4)
 	for i := range 4 {
 		x.report(groupIn(1, i), longestPass, 8)
 	}
@@ -91,7 +134,7 @@
 
 // Guards against a lost group that stays in service because others have been taken out of service just before.
 func TestStallsOfBrokenGroupsHideNoStall(t *testing.T) {
-	x := newStallSystem(5)
+	x := newStallSystem(400*time.Millisecond, 5)
 	x.report(groupIn(0, 0), longestPass, 0, 1, 2)
 	assert.Assert(t, x.isStalled(groupIn(0, 0)))
 	broken := x.board.Groups[groupIn(0, 0)]
@@ -104,69 +147,80 @@
 
 // Guards against groups that stay in service after their fabric domain is lost, as it holds half of them.
 func TestLossOfOneOfTwoDomainsIsNoCommonStall(t *testing.T) {
-	x := newStallSystem(2, 2)
-	for _, silent := range []time.Duration{longestPass, time.Second, 2 * time.Second} {
-		x.pass(time.Unix(1000, 0).Add(silent).Sub(x.now))
+	for _, interval := range []time.Duration{400 * time.Millisecond, 1200 * time.Millisecond} {
+		x := newStallSystem(interval, 2, 2)
 		for i := range 2 {
-			x.report(groupIn(0, i), silent, 0, 1, 2, 3, 4, 5)
+			for m := range membersPerGroup {
+				x.lose(memberOf(groupIn(0, i), m))
+			}
 		}
-		if x.isStalled(groupIn(0, 0)) {
-			return
+		lost, found := x.now, false
+		for _, silent := range []time.Duration{longestPass, time.Second, 2 * time.Second} {
+			x.pass(lost.Add(silent).Sub(x.now))
+			for i := range 2 {
+				x.report(groupIn(0, i), silent, 0, 1, 2, 3, 4, 5)
+			}
+			found = found || x.isStalled(groupIn(0, 0))
 		}
+		assert.Check(t, found, "announcements each %s: the groups are reported at 0.24, 1 and 2 s by six entries, and never count as stalled", interval)
 	}
-	t.Error("the groups of the lost domain are reported at 0.24, 1 and 2 s by six entries, and never count as stalled")
 }
 
-// reportAll reports all groups of two domains of four by some entries.
-func (x *stallSystem) reportAll(silent time.Duration, entries ...int) {
-	for d := range 2 {
-		for i := range 4 {
-			x.report(groupIn(d, i), silent, entries...)
+// Guards against groups that are all broken within a moment because all backend servers stand still.
+func TestStandstillOfAllBackendServersBreaksNoGroup(t *testing.T) {
+	for _, interval := range []time.Duration{300 * time.Millisecond, 1200 * time.Millisecond} {
+		for _, domains := range [][]int{{4, 4}, {2, 1}, {1}} {
+			for _, limit := range []time.Duration{60 * time.Millisecond, longestPass, 500 * time.Millisecond} {
+				x := newStallSystem(interval, domains...)
+				x.isStill = true
+				stopped := x.now
+				for _, silent := range []time.Duration{limit, time.Second, 2 * time.Second} {
+					x.pass(stopped.Add(silent).Sub(x.now))
+					x.announce(backend.KindService, "plain")
+					x.reportAll(silent, 0, 1, 2, 3, 4, 5)
+					assert.Check(t, x.stalled() == 0, "%v groups, limit %s, after %s", domains, limit, silent)
+					x.pass(700 * time.Millisecond)
+					assert.Check(t, x.stalled() == 0, "%v groups, limit %s, %s and a late look", domains, limit, silent)
+				}
+			}
 		}
 	}
 }
 
-// Guards against groups that are all broken within a moment because all backend servers stand still.
-func TestStandstillOfAllBackendServersBreaksNoGroup(t *testing.T) {
-	x := newStallSystem(4, 4)
-	x.pass(10 * time.Second)
-	x.areStopped = true
-	stopped := x.now
-	for step := range 150 {
-		silent := x.now.Sub(stopped)
-		if step >= 15 && step < 24 {
-			x.report(groupIn(step%2, step/2%4), silent, 0, 1, 2)
-		}
-		if entry := step - 50; entry >= 0 && entry < 9 {
-			x.reportAll(silent, entry)
-		}
-		if entry := step - 100; entry >= 0 && entry < 9 {
-			x.reportAll(silent, entry)
-		}
-		assert.Equal(t, len(x.s.stalledGroups(x.now, x.board)), 0, "after %s", silent)
+// Guards against groups that are broken for reports of a standstill that is over.
+func TestReportsOfAStandstillHaveNoEffectAfterIt(t *testing.T) {
+	x := newStallSystem(300*time.Millisecond, 4, 4)
+	x.isStill = true
+	x.pass(time.Second)
+	x.reportAll(time.Second, 0, 1, 2, 3, 4, 5)
+	x.pass(100 * time.Millisecond)
+	x.isStill = false
+	for range 150 {
 		x.pass(20 * time.Millisecond)
+		assert.Equal(t, x.stalled(), 0, "after %s", x.now.Sub(x.start))
 	}
 }
 
 // Guards against groups that stay in service for seconds after most of them have lost a member at the same time.
 func TestLossesInMostGroupsAtOnceAreNoStandstill(t *testing.T) {
-	x := newStallSystem(4, 4)
-	x.pass(10 * time.Second)
-	x.reportAll(240*time.Millisecond, 0, 1, 2, 3)
-	assert.Assert(t, x.isStalled(groupIn(0, 0)))
-	assert.Assert(t, x.isStalled(groupIn(1, 3)))
+	x := newStallSystem(1200*time.Millisecond, 8, 8)
+	for group := range x.board.Groups {
+		x.lose(memberOf(group, 3))
+	}
+	x.pass(longestPass)
+	x.reportAll(longestPass, 0, 1, 2, 3)
+	assert.Equal(t, x.stalled(), 16)
 }
 
 // Guards against a lost group that stays in service because all backend servers stood still right before.
 func TestGroupThatStaysSilentAfterAStandstillIsBroken(t *testing.T) {
-	x := newStallSystem(4, 4)
-	x.pass(10 * time.Second)
-	x.areStopped = true
+	x := newStallSystem(400*time.Millisecond, 4, 4)
+	x.isStill = true
 	x.pass(time.Second)
 	x.reportAll(time.Second, 0, 1, 2)
-	assert.Assert(t, !x.isStalled(groupIn(0, 0)))
-	x.areStopped = false
-	x.pass(800 * time.Millisecond)
+	assert.Equal(t, x.stalled(), 0)
+	x.isStill = false
+	x.pass(time.Second)
 	x.report(groupIn(0, 0), 2*time.Second, 0, 1, 2)
 	assert.Assert(t, x.isStalled(groupIn(0, 0)))
 	assert.Assert(t, !x.isStalled(groupIn(0, 1)))
--- a/internal/controller/stalls.go
+++ b/internal/controller/stalls.go
@@ -32,8 +32,6 @@
 // when the reports confirm each other. It is not safe for concurrent use.
 type StallReports struct {
 	reports map[GroupEpoch]map[string]stallReport
-	// comparison decides whether confirmed stalls have a common cause.
-	comparison stallComparison
 }
 
 // stallReport is the last report of one entry about a group.
@@ -45,66 +43,39 @@
 
 // NewStallReports returns an empty StallReports.
 func NewStallReports() *StallReports {
-	return &StallReports{reports: make(map[GroupEpoch]map[string]stallReport), comparison: newStallComparison()}
+	return &StallReports{reports: make(map[GroupEpoch]map[string]stallReport)}
 }
 
 // Record records the report of an entry in a data centre that all its streams on a group have been
 // silent for the given time.
 func (s *StallReports) Record(now time.Time, entry, dataCentre string, g GroupEpoch, silent time.Duration) {
-	if s.comparison.ignores(now) {
-		return
-	}
 	if s.reports[g] == nil {
 		s.reports[g] = make(map[string]stallReport)
 	}
 	s.reports[g][entry] = stallReport{now, silent, dataCentre}
 }
 
-// Stalled returns those of the subjects that are to be broken for their stall, each with the time now. isCommon is set
-// if several groups have stalled for a common cause; no group is returned then.
-func (s *StallReports) Stalled(now time.Time, entries map[string]int, subjects map[GroupEpoch]bool, a Announcements) (stalled map[GroupEpoch]time.Time, isCommon bool) {
-	s.comparison.note(now, s.Confirmed(now, entries), subjects)
-	reported, reporters := s.recentReports(now, subjects)
-	switch a {
-	case AnnouncementsStopped:
-		isCommon = reported > 1
-	case AnnouncementsUnknown:
-		isByMost := float64(reporters) >= commonReporterShare*float64(total(entries))
-		isCommon = isMostOf(len(s.comparison.confirmedAt), len(subjects)) || (isByMost && isMostOf(reported, len(subjects)))
-	case AnnouncementsArrive:
-	}
-	if isCommon {
-		s.comparison.ignoreReports(now)
-		clear(s.reports)
-		return nil, true
+// Stalled returns the groups that are to be broken for a confirmed stall, each with the time now. The silence of a
+// group tells nothing about it while no backend server announces itself.
+func (s *StallReports) Stalled(now time.Time, entries map[string]int, a Announcements) map[GroupEpoch]time.Time {
+	stalled := s.Confirmed(now, entries)
+	for g := range stalled {
+		if last := newest(s.reports[g]); !a.arrivedDuring(last.at, last.silent) {
+			delete(stalled, g)
+		}
 	}
-	return s.comparison.settled(now, reported <= 1), false
+	return stalled
 }
 
-// isMostOf reports whether so many of the groups have stalled that the groups are not the cause.
-func isMostOf(stalled, groups int) bool {
-	return groups >= leastComparedGroups && float64(stalled) >= commonStallShare*float64(groups)
-}
-
-// recentReports returns how many of the subjects entries have just reported, and how many entries have.
-func (s *StallReports) recentReports(now time.Time, subjects map[GroupEpoch]bool) (groups, reporters int) {
-	entries := make(map[string]bool)
-	for g, reports := range s.reports {
-		if !subjects[g] {
-			continue
-		}
-		isRecent := false
-		for entry, report := range reports {
-			if now.Sub(report.at) <= reportWindow {
-				isRecent = true
-				entries[entry] = true
-			}
-		}
-		if isRecent {
-			groups++
+// newest returns the newest of some reports.
+func newest(reports map[string]stallReport) stallReport {
+	var last stallReport
+	for _, report := range reports {
+		if report.at.After(last.at) {
+			last = report
 		}
 	}
-	return groups, len(entries)
+	return last
 }
 
 // Confirmed returns the groups whose stall is confirmed, each with the time now. entries counts the
--- a/internal/evidence/table.go
+++ b/internal/evidence/table.go
@@ -156,9 +156,7 @@
 
 // Table holds the evidence of one process. Create it with NewTable.
 type Table struct {
-	// arrivals counts new announcements by when this process learnt of them.
-	arrivals arrivals
-	self     string
+	self string
 	// interval is the time between two announcements of a backend server.
 	interval time.Duration
 	// cursor counts the direct announcements of this run.
@@ -256,7 +254,6 @@
 	if r == nil {
 		return
 	}
-	t.arrivals.add(now)
 	t.cursor.Number++
 	r.receivedNumber = t.cursor.Number
 	if r.detailChanged {
