--- a/internal/control/stalled.go
+++ b/internal/control/stalled.go
@@ -50,6 +50,9 @@
 
 // stalledGroups returns the groups that are to be broken for a stall by the entries' reports.
 func (s *Server) stalledGroups(now time.Time, board *blackboard.Board) map[controller.GroupEpoch]time.Time {
+	if !s.hasStallReports() {
+		return nil
+	}
 	var announcements controller.Announcements
 	s.o.Evidence.WithTable(func(t *evidence.Table) { announcements = controller.AnnouncementsOfMembers(board, t) })
 	entries := make(map[string]int)
@@ -58,7 +61,20 @@
 			entries[e.DataCentre]++
 		}
 	}
+	s.mu.Lock()
+	stalled, withheld := s.stalls.Stalled(now, entries, announcements)
+	isNew := withheld > s.withheldStalls
+	s.withheldStalls = withheld
+	s.mu.Unlock()
+	if isNew {
+		_ = level.Info(s.o.Logger).Log("event", "stalls_withheld", "groups", withheld, "board", board.Revision,
+			"reason", "no backend server announces itself meanwhile")
+	}
+	return stalled
+}
+
+func (s *Server) hasStallReports() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.stalls.Stalled(now, entries, announcements)
+	return !s.stalls.IsEmpty()
 }
--- a/internal/controller/stalls.go
+++ b/internal/controller/stalls.go
@@ -55,16 +55,20 @@
 	s.reports[g][entry] = stallReport{now, silent, dataCentre}
 }
 
-// Stalled returns the groups that are to be broken for a confirmed stall, each with the time now. The silence of a
-// group tells nothing about it while no backend server announces itself.
-func (s *StallReports) Stalled(now time.Time, entries map[string]int, a Announcements) map[GroupEpoch]time.Time {
-	stalled := s.Confirmed(now, entries)
+// IsEmpty reports whether there are no reports.
+func (s *StallReports) IsEmpty() bool { return len(s.reports) == 0 }
+
+// Stalled returns the groups that are to be broken for a confirmed stall, each with the time now, and how many
+// confirmed stalls are held against no group, because a silence tells nothing while no backend server announces itself.
+func (s *StallReports) Stalled(now time.Time, entries map[string]int, a Announcements) (stalled map[GroupEpoch]time.Time, withheld int) {
+	stalled = s.Confirmed(now, entries)
 	for g := range stalled {
 		if last := newest(s.reports[g]); !a.arrivedDuring(last.at, last.silent) {
 			delete(stalled, g)
+			withheld++
 		}
 	}
-	return stalled
+	return stalled, withheld
 }
 
 // newest returns the newest of some reports.
