A late report of a silence has no announcements of after its end

Cause, by the lines: entries reported silences of up to 0.64 s in a standstill of 0.6 s, so reports arrived after its end, and the announcements of all servers that were waiting for that end counted as made during the silence.

Change: the time that is looked at ends 0.1 s before the report arrived, or in the middle of what is left of a short silence.

TestReportsOfAStandstillHaveNoEffectAfterIt has late reports now, and fails without the change.

--- a/internal/control/stalled_test.go
+++ b/internal/control/stalled_test.go
@@ -187,7 +187,7 @@
 	}
 }
 
-// Guards against groups that are broken for reports of a standstill that is over.
+// Guards against groups that are broken for reports of a standstill that is over, some of which arrive late.
 func TestReportsOfAStandstillHaveNoEffectAfterIt(t *testing.T) {
 	x := newStallSystem(300*time.Millisecond, 4, 4)
 	x.isStill = true
@@ -195,6 +195,8 @@
 	x.reportAll(time.Second, 0, 1, 2, 3, 4, 5)
 	x.pass(100 * time.Millisecond)
 	x.isStill = false
+	x.pass(80 * time.Millisecond)
+	x.reportAll(time.Second, 6, 7, 8)
 	for range 150 {
 		x.pass(20 * time.Millisecond)
 		assert.Equal(t, x.stalled(), 0, "after %s", x.now.Sub(x.start))
--- a/internal/controller/common_silence.go
+++ b/internal/controller/common_silence.go
@@ -10,6 +10,8 @@
 const (
 	// announcementDelay is how late an announcement may arrive that was sent before a silence began.
 	announcementDelay = 100 * time.Millisecond
+	// reportDelay is how late a report may arrive. The silence may have ended by then, and announcements with it.
+	reportDelay = 100 * time.Millisecond
 	// announcedShare is the part of the announcements expected during a silence from which on others are alive.
 	announcedShare = 0.2
 )
@@ -43,6 +45,8 @@
 func (a Announcements) arrivedDuring(until time.Time, silent time.Duration) bool {
 	span := silent - announcementDelay
 	from := until.Add(-span)
+	late := min(reportDelay, span/2)
+	until, span = until.Add(-late), span-late
 	arrived := 0
 	for _, at := range a.receivedAt {
 		if at.After(from) && !at.After(until) {
