--- a/internal/entry/group_progress_test.go
+++ b/internal/entry/group_progress_test.go
@@ -93,3 +93,18 @@
 	assert.Assert(t, p.isLost(300*time.Millisecond))
 	assert.Assert(t, p.isReportDue(300*time.Millisecond), "a new silence")
 }
+
+// Guards against a lost group that is reported for the last time in a standstill of all groups, when its report has no effect.
+func TestSilenceThatLastsIsReportedAgain(t *testing.T) {
+	at := time.Unix(0, 0)
+	p := newGroupProgress(defaultSilenceLimit)
+	p.event(at, true)
+	for _, silence := range []time.Duration{600 * time.Millisecond, 1100 * time.Millisecond, 2100 * time.Millisecond} {
+		assert.Assert(t, p.isReportDue(silence))
+	}
+	isReported := false
+	for silence := 2200 * time.Millisecond; silence < 5*time.Second; silence += 20 * time.Millisecond {
+		isReported = isReported || p.isReportDue(silence)
+	}
+	assert.Assert(t, isReported, "the group is silent for five seconds and was last reported after two")
+}
