--- a/internal/control/stalled_test.go
+++ b/internal/control/stalled_test.go
@@ -409,3 +409,28 @@
 	}
 	return false
 }
+
+// Guards against groups that are all broken in a standstill of all engines because plain services announce themselves.
+func TestServicesThatAnnounceThemselvesDoNotHideAStandstillOfEngines(t *testing.T) {
+	x := newStallSystem(4, 4)
+	x.passWithServices(10 * time.Second)
+	x.areStopped = true
+	x.passWithServices(longestPass)
+	x.reportAll(longestPass, 0, 1, 2)
+	for range 30 {
+		assert.Equal(t, x.groupsToBreak(), 0)
+		x.passWithServices(20 * time.Millisecond)
+	}
+}
+
+// passWithServices lets time pass, in which services make a third of the usual announcements.
+func (x *stallSystem) passWithServices(d time.Duration) {
+	const interval = 20 * time.Millisecond
+	for range d / interval {
+		if x.now.UnixMilli()%40 == 0 {
+			x.announcements++
+			x.table.Record(x.now, "self", backend.Announcement{Kind: backend.KindService, ID: "f", Incarnation: "a", Sequence: uint64(x.announcements)})
+		}
+		x.pass(interval)
+	}
+}
