VMs that fall silent together do not die one by one

Cause: the leader takes a silence for the path's if more than half of the VMs are silent, and a VM counted as silent from paused_ms on. VMs that fall silent together made their last announcements within one interval, so with paused_ms equal to dead_ms each reaches both limits at its own moment: the first VMs are dead before half of them count as silent, and the dead no longer count.

Ruled out: the doubled thresholds of a silent source (the source is sound in the test); the interval of 1.2 s was saved by evidence.RoutableAge, which is longer than dead_ms there.

Change: for the comparison a VM counts as silent from dead_ms less one interval on, if that is less than paused_ms. With the defaults (3 s and 10 s) nothing changes.

--- a/internal/controller/liveness.go
+++ b/internal/controller/liveness.go
@@ -143,7 +143,11 @@
 // The price is that the loss of more than half of the VMs takes effect only after massDeadAfter;
 // then few VMs are left for a rebuild. The loss of a domain or data centre with up to half of the
 // VMs takes effect as usual.
+//
+// VMs that fall silent together made their last announcements within one interval. The first of them must not be dead
+// before the others count as silent.
 func hasMassSilence(v View, now time.Time) bool {
+	limit := min(v.timing().PausedAfter, v.timing().DeadAfter-v.Evidence.Interval())
 	living, silent := 0, 0
 	for id, vm := range v.Board.VMs {
 		if vm.Liveness == blackboard.Dead {
@@ -151,7 +155,7 @@
 		}
 		living++
 		r, hasReport := v.Evidence.Get(id)
-		if silence(v, now, r, hasReport) > v.timing().PausedAfter {
+		if silence(v, now, r, hasReport) > limit {
 			silent++
 		}
 	}
