A suspension ends with the first event of a group's streams, and these stay watched

A second fault of the same place, found by reading and by a test that fails first: a stream that outlived the suspension was not watched any more. When its group was lost afterwards it waited for its deadline (TestStreamsAreWatchedAfterASuspension, 3 of 4 streams of the group).

Cause: an entry that had given up a group sent it nothing for 3 s, whatever came from it, and then began with a new record of its progress. The streams that had gone on, as no other attempt was accepted, belonged to the old one, whose end had been used up.

Ruled out: ending the suspension alone; the routes were made again only with the next update, and the streams stayed with the old record.

Change: the record stays for the whole epoch. Giving up ends the attempts that are open then; later ones get an end of their own. An event during a suspension ends it (event=group_resumed), and the routes are made again at the next check. After a suspension the silence counts anew, or one dead connection would suspend a sound group again and again. An attempt that was sent just before a suspension ends with it, as before.

TestSuspendedGroupReturns checks the same on the record that stays: the open attempts end, and those that follow don't.

--- a/internal/entry/group_progress.go
+++ b/internal/entry/group_progress.go
@@ -57,14 +57,14 @@
 	// silenceLimit is how long all begun streams may go without an event.
 	silenceLimit time.Duration
 
-	// ctx ends when the group is lost; attempts on the group end with it.
-	ctx    context.Context
-	cancel context.CancelCauseFunc
 	// retired ends when the board shows that the group is out of service.
 	retired context.Context
 	retire  context.CancelFunc
 
 	mu sync.Mutex
+	// ctx ends when this entry gives up the attempts that are open; those that follow get another one.
+	ctx    context.Context
+	cancel context.CancelCauseFunc
 	// open counts the attempts on the group.
 	open int
 	// begun counts the streams that have delivered an event and have not ended.
@@ -76,14 +76,17 @@
 	// link is the check of this entry's own link to the group's head during the current silence;
 	// nil if none has begun.
 	link *linkCheck
-	// suspendedUntil is set once this entry considered the group stalled.
+	// suspendedUntil is set once this entry considered the group stalled; zero again once a stream delivers an event.
 	suspendedUntil time.Time
+	// hasResumed is set when an event ends a suspension, until the route loop has seen it.
+	hasResumed bool
 }
 
 func newGroupProgress(silenceLimit time.Duration) *groupProgress {
-	ctx, cancel := context.WithCancelCause(context.Background())
 	retired, retire := context.WithCancel(context.Background())
-	return &groupProgress{silenceLimit: silenceLimit, ctx: ctx, cancel: cancel, retired: retired, retire: retire}
+	p := &groupProgress{silenceLimit: silenceLimit, retired: retired, retire: retire}
+	p.ctx, p.cancel = context.WithCancelCause(context.Background())
+	return p
 }
 
 // attach makes an attempt end with its group, and as well if the group is out of service and its
@@ -92,8 +95,11 @@
 // Failure: the leader takes groups out of service whose backend servers still answer. All their streams
 // begin anew elsewhere at once, and those for which the retry budget has nothing left are cut.
 func (p *groupProgress) attach(w *watchdog) (detach func()) {
-	p.count(1)
-	stopLost := context.AfterFunc(p.ctx, func() { w.end(errGroupLost) })
+	givenUp := p.count(1)
+	stopLost := context.AfterFunc(givenUp, func() { w.end(errGroupLost) })
+	if p.isSuspended(time.Now()) {
+		w.end(errGroupLost)
+	}
 	stopRetired := context.AfterFunc(p.retired, func() {
 		if !w.hasBegun.Load() {
 			w.end(errGroupLost)
@@ -106,10 +112,22 @@
 	}
 }
 
-func (p *groupProgress) count(n int) {
+// count changes the number of attempts on the group, and returns the context that ends when those that are open now are
+// given up.
+func (p *groupProgress) count(n int) context.Context {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.open += n
+	return p.ctx
+}
+
+// endAttempts ends the attempts that are open, as far as others can be made.
+func (p *groupProgress) endAttempts(cause error) {
+	p.mu.Lock()
+	cancel := p.cancel
+	p.ctx, p.cancel = context.WithCancelCause(context.Background())
+	p.mu.Unlock()
+	cancel(cause)
 }
 
 // hasStreams reports whether streams have begun and not ended.
@@ -149,6 +167,17 @@
 	p.last = now
 	p.reportsSent = 0
 	p.link = nil
+	p.hasResumed = p.hasResumed || now.Before(p.suspendedUntil)
+	p.suspendedUntil = time.Time{}
+}
+
+// takeResumed reports whether an event has ended a suspension since the last call.
+func (p *groupProgress) takeResumed() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	resumed := p.hasResumed
+	p.hasResumed = false
+	return resumed
 }
 
 // ended records the end of a stream that had begun.
@@ -186,14 +215,17 @@
 	return true
 }
 
-// silentFor returns for how long all begun streams have delivered no event; 0 if there are
-// none.
+// silentFor returns for how long all begun streams have delivered no event; 0 if there are none. The silence starts
+// anew after a suspension, or a stream that goes on without events would suspend a sound group again and again.
 func (p *groupProgress) silentFor(now time.Time) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.begun == 0 {
 		return 0
 	}
+	if p.suspendedUntil.After(p.last) && !now.Before(p.suspendedUntil) {
+		return now.Sub(p.suspendedUntil)
+	}
 	return now.Sub(p.last)
 }
 
@@ -213,11 +245,10 @@
 // loop uses it.
 type progressByEpoch map[groupEpoch]*groupProgress
 
-// getOrAdd returns the progress of a group's epoch. It starts anew if there is none, or if the
-// group was given up and its suspension is over.
-func (all progressByEpoch) getOrAdd(now time.Time, k groupEpoch, silenceLimit time.Duration) *groupProgress {
+// getOrAdd returns the progress of a group's epoch.
+func (all progressByEpoch) getOrAdd(k groupEpoch, silenceLimit time.Duration) *groupProgress {
 	p := all[k]
-	if p == nil || (p.ctx.Err() != nil && !p.isSuspended(now)) {
+	if p == nil {
 		p = newGroupProgress(silenceLimit)
 		all[k] = p
 	}
@@ -253,7 +284,7 @@
 	s.retiredGroups = slices.DeleteFunc(s.retiredGroups, (*groupProgress).isUnused)
 	for _, p := range s.retiredGroups {
 		if p.silentFor(now) > p.silenceLimit {
-			p.cancel(errGroupLost)
+			p.endAttempts(errGroupLost)
 		}
 	}
 }
@@ -262,6 +293,7 @@
 // those that are certainly lost.
 func (s *Server) checkProgress(now time.Time) {
 	s.checkRetired(now)
+	s.resumeGroups()
 	silences, begun, silentCount := s.silentGroups(now)
 	if s.noteCommonSilence(silentCount, begun, longest(silences)) {
 		return
@@ -273,7 +305,7 @@
 		if p.isReportDue(silence) {
 			silent = append(silent, &noderpc.SuspectGroup{Group: k.group, Epoch: k.epoch, SilentMs: silence.Milliseconds()})
 		}
-		if p.ctx.Err() == nil && p.isLost(silence) {
+		if !p.isSuspended(now) && p.isLost(silence) {
 			lost = append(lost, k)
 		}
 	}
@@ -358,7 +390,21 @@
 	}
 	s.updateRoutes()
 	for _, p := range suspended {
-		p.cancel(errGroupLost)
+		p.endAttempts(errGroupLost)
+	}
+}
+
+// resumeGroups sends new requests again to groups whose streams have gone on during their suspension.
+func (s *Server) resumeGroups() {
+	isAny := false
+	for k, p := range s.progress {
+		if p.takeResumed() {
+			isAny = true
+			_ = level.Info(s.o.Logger).Log("event", "group_resumed", "group", k.group, "epoch", k.epoch)
+		}
+	}
+	if isAny {
+		s.updateRoutes()
 	}
 }
 
--- a/internal/entry/group_progress_test.go
+++ b/internal/entry/group_progress_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"slices"
 	"testing"
 	"time"
@@ -30,14 +31,13 @@
 // The leader breaks a group. Attempts on it must end at once, so that their streams resume
 // elsewhere. Attempts on a draining group must not end.
 func TestAttemptsEndWithTheirGroup(t *testing.T) {
-	at := time.Unix(0, 0)
 	all := make(progressByEpoch)
 	groups := map[string]blackboard.Group{}
 	for _, state := range []blackboard.GroupState{blackboard.Serving, blackboard.Draining, blackboard.Broken, blackboard.Released} {
-		all.getOrAdd(at, groupEpoch{string(state), 1}, defaultSilenceLimit)
+		all.getOrAdd(groupEpoch{string(state), 1}, defaultSilenceLimit)
 		groups[string(state)] = blackboard.Group{ID: string(state), Epoch: 1, State: state}
 	}
-	replaced := all.getOrAdd(at, groupEpoch{"replaced", 1}, defaultSilenceLimit)
+	replaced := all.getOrAdd(groupEpoch{"replaced", 1}, defaultSilenceLimit)
 	groups["replaced"] = blackboard.Group{ID: "replaced", Epoch: 2, State: blackboard.Serving}
 	lost := all.removeLost(&blackboard.Board{Groups: groups})
 	assert.Equal(t, len(all), 2)
@@ -46,18 +46,43 @@
 	assert.Assert(t, slices.Contains(lost, replaced))
 }
 
-// A group that was given up wrongly gets new work again when its suspension is over.
+// Guards against a group that was given up wrongly and gets no new attempts when its suspension is over.
 func TestSuspendedGroupReturns(t *testing.T) {
 	at := time.Unix(0, 0)
 	all := make(progressByEpoch)
 	k := groupEpoch{"g", 1}
-	first := all.getOrAdd(at, k, defaultSilenceLimit)
-	first.suspendUntil(at.Add(stallSuspension))
-	first.cancel(errGroupLost)
-	assert.Assert(t, all.getOrAdd(at, k, defaultSilenceLimit) == first)
-	second := all.getOrAdd(at.Add(stallSuspension), k, defaultSilenceLimit)
-	assert.Assert(t, second != first)
-	assert.NilError(t, second.ctx.Err())
+	p := all.getOrAdd(k, defaultSilenceLimit)
+	p.event(at, true)
+	open := p.count(1)
+	p.suspendUntil(at.Add(stallSuspension))
+	p.endAttempts(errGroupLost)
+	assert.ErrorIs(t, context.Cause(open), errGroupLost)
+	assert.Assert(t, all.getOrAdd(k, defaultSilenceLimit).isSuspended(at.Add(stallSuspension-1)))
+	assert.Assert(t, !all.getOrAdd(k, defaultSilenceLimit).isSuspended(at.Add(stallSuspension)))
+	assert.NilError(t, p.count(1).Err())
+}
+
+// Guards against a sound group that is suspended again at once because a stream from before its suspension is still silent.
+func TestSilenceStartsAnewAfterASuspension(t *testing.T) {
+	at := time.Unix(0, 0)
+	p := newGroupProgress(defaultSilenceLimit)
+	p.event(at, true)
+	p.suspendUntil(at.Add(time.Second + stallSuspension))
+	assert.Equal(t, p.silentFor(at.Add(2*time.Second)), 2*time.Second, "reports state the whole silence")
+	assert.Equal(t, p.silentFor(at.Add(time.Second+stallSuspension)), time.Duration(0))
+	assert.Equal(t, p.silentFor(at.Add(2*time.Second+stallSuspension)), time.Second)
+}
+
+// Guards against a group that stays suspended although its streams go on.
+func TestEventEndsSuspension(t *testing.T) {
+	at := time.Unix(0, 0)
+	p := newGroupProgress(defaultSilenceLimit)
+	p.event(at, true)
+	assert.Assert(t, !p.takeResumed())
+	p.suspendUntil(at.Add(time.Second + stallSuspension))
+	p.event(at.Add(2*time.Second), false)
+	assert.Assert(t, !p.isSuspended(at.Add(2*time.Second)))
+	assert.Assert(t, p.takeResumed() && !p.takeResumed())
 }
 
 // Engines publish how long a pass takes. The silence limit of a group is its model's longest
--- a/internal/entry/link_check.go
+++ b/internal/entry/link_check.go
@@ -82,5 +82,5 @@
 	delete(s.progress, k)
 	_ = level.Info(s.o.Logger).Log("event", "group_link_down", "group", k.group, "epoch", k.epoch, "silent_ms", silence.Milliseconds())
 	s.updateRoutes()
-	p.cancel(errLinkLost)
+	p.endAttempts(errLinkLost)
 }
--- a/internal/entry/link_check_test.go
+++ b/internal/entry/link_check_test.go
@@ -53,6 +53,7 @@
 				k := groupEpoch{"wide-0", s.o.Follower.Board().Groups["wide-0"].Epoch}
 				p := s.progress[k]
 				p.event(time.Now(), true)
+				open := p.ctx
 				time.Sleep(p.silenceLimit + packetLossAllowance + time.Millisecond)
 				s.checkProgress(time.Now())
 				synctest.Wait()
@@ -61,7 +62,7 @@
 				synctest.Wait()
 				assert.Equal(t, len(reports) > 0, c.isReported)
 				assert.Equal(t, p.isSuspended(time.Now()), c.isReported)
-				assert.Assert(t, p.ctx.Err() != nil, "the attempts end and are made again")
+				assert.Assert(t, open.Err() != nil, "the attempts end and are made again")
 				s.updateRoutes()
 				_, isRoutable := s.dispatcher.routes["wide-0"]
 				assert.Equal(t, isRoutable, !c.isReported)
--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -188,7 +188,7 @@
 	if r.closeIfCrashed(route{target: id, group: g.ID, epoch: g.Epoch}) || r.closeIfQuarantined(g.Model, id) {
 		return
 	}
-	progress := r.progress.getOrAdd(r.now, groupEpoch{g.ID, g.Epoch}, silenceLimitFor(&r.board.Config, g.Model))
+	progress := r.progress.getOrAdd(groupEpoch{g.ID, g.Epoch}, silenceLimitFor(&r.board.Config, g.Model))
 	if progress.isSuspended(r.now) {
 		r.changesWithTime = true
 		r.closed[id] = "the group's streams make no progress"
--- a/internal/entry/suspended_groups_test.go
+++ b/internal/entry/suspended_groups_test.go
@@ -36,3 +36,24 @@
 		})
 	}
 }
+
+// Guards against streams that outlive a suspension of their group and then wait for their deadline when the group is lost.
+func TestStreamsAreWatchedAfterASuspension(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		x := newSoundSystem(t, 5000)
+		callers := x.beginMany("stream", 16)
+		x.pass(1300 * time.Millisecond)
+		for _, r := range x.servers.open() {
+			r.send()
+		}
+		x.serveOnly(allGroups, time.Second)
+		x.follow()
+		x.moveGroups(allGroups[:1], blackboard.Broken)
+		x.apply()
+		x.serveOnly(allGroups[1:], 2*time.Second)
+		for _, r := range x.servers.open() {
+			assert.Check(t, r.group() != allGroups[0], "a stream of the lost group is still open")
+		}
+		x.finish(callers...)
+	})
+}
