A silence that outlasts a suspension is still reported

A group that hung through a standstill, whose first reports the leader withholds, would have been reported at 3 s and then not before 7 s.

Change: silentFor states the whole silence again; only the entry's own judgement, isLost, begins anew at the end of a suspension. TestSuspensionInterruptsSilence checks both; it replaces TestSilenceStartsAnewAfterASuspension, whose last line asked for the fault. TestOneSilentStreamIsNotALostGroup gives times in place of durations, the same ones.

--- a/internal/entry/group_progress.go
+++ b/internal/entry/group_progress.go
@@ -190,9 +190,13 @@
 // isLost reports whether this entry should give the group up without the leader. This is so if
 // several of its streams are silent, or one is silent for longer than a lost packet explains.
 // The leader receives the reports of all entries and is usually faster.
-func (p *groupProgress) isLost(silence time.Duration) bool {
+//
+// A suspension interrupts the silence: new requests must get a chance to show that the group is sound although a stream
+// from before is still silent.
+func (p *groupProgress) isLost(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	silence := now.Sub(later(p.last, p.suspendedUntil))
 	if p.begun >= silentStreamsForLoss {
 		return silence > p.silenceLimit
 	}
@@ -215,17 +219,14 @@
 	return true
 }
 
-// silentFor returns for how long all begun streams have delivered no event; 0 if there are none. The silence starts
-// anew after a suspension, or a stream that goes on without events would suspend a sound group again and again.
+// silentFor returns for how long all begun streams have delivered no event; 0 if there are
+// none.
 func (p *groupProgress) silentFor(now time.Time) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.begun == 0 {
 		return 0
 	}
-	if p.suspendedUntil.After(p.last) && !now.Before(p.suspendedUntil) {
-		return now.Sub(p.suspendedUntil)
-	}
 	return now.Sub(p.last)
 }
 
@@ -305,7 +306,7 @@
 		if p.isReportDue(silence) {
 			silent = append(silent, &noderpc.SuspectGroup{Group: k.group, Epoch: k.epoch, SilentMs: silence.Milliseconds()})
 		}
-		if !p.isSuspended(now) && p.isLost(silence) {
+		if p.isLost(now) {
 			lost = append(lost, k)
 		}
 	}
--- a/internal/entry/group_progress_test.go
+++ b/internal/entry/group_progress_test.go
@@ -63,14 +63,16 @@
 }
 
 // Guards against a sound group that is suspended again at once because a stream from before its suspension is still silent.
-func TestSilenceStartsAnewAfterASuspension(t *testing.T) {
+func TestSuspensionInterruptsSilence(t *testing.T) {
 	at := time.Unix(0, 0)
 	p := newGroupProgress(defaultSilenceLimit)
 	p.event(at, true)
-	p.suspendUntil(at.Add(time.Second + stallSuspension))
-	assert.Equal(t, p.silentFor(at.Add(2*time.Second)), 2*time.Second, "reports state the whole silence")
-	assert.Equal(t, p.silentFor(at.Add(time.Second+stallSuspension)), time.Duration(0))
-	assert.Equal(t, p.silentFor(at.Add(2*time.Second+stallSuspension)), time.Second)
+	limit := defaultSilenceLimit + packetLossAllowance
+	assert.Assert(t, !p.isLost(at.Add(limit)) && p.isLost(at.Add(limit+1)))
+	end := at.Add(limit + stallSuspension)
+	p.suspendUntil(end)
+	assert.Assert(t, !p.isLost(end) && !p.isLost(end.Add(limit)) && p.isLost(end.Add(limit+1)))
+	assert.Equal(t, p.silentFor(end), limit+stallSuspension, "the leader is told of the whole silence")
 }
 
 // Guards against a group that stays suspended although its streams go on.
@@ -110,12 +112,12 @@
 	p.event(at, true)
 	assert.Assert(t, p.isReportDue(300*time.Millisecond))
 	assert.Assert(t, !p.isReportDue(400*time.Millisecond), "reported once")
-	assert.Assert(t, !p.isLost(400*time.Millisecond))
-	assert.Assert(t, p.isLost(700*time.Millisecond))
+	assert.Assert(t, !p.isLost(at.Add(400*time.Millisecond)))
+	assert.Assert(t, p.isLost(at.Add(700*time.Millisecond)))
 	assert.Assert(t, p.isReportDue(1100*time.Millisecond), "reported again")
 	p.event(at, true)
 	p.event(at, true)
-	assert.Assert(t, p.isLost(300*time.Millisecond))
+	assert.Assert(t, p.isLost(at.Add(300*time.Millisecond)))
 	assert.Assert(t, p.isReportDue(300*time.Millisecond), "a new silence")
 }
 
