--- a/internal/entry/routes.go
+++ b/internal/entry/routes.go
@@ -2,9 +2,10 @@
 
 import (
 	"context"
-	"github.com/go-kit/log/level"
 	"time"
 
+	"github.com/go-kit/log/level"
+
 	"github.com/citronstep/citronstep/internal/backend"
 	"github.com/citronstep/citronstep/internal/blackboard"
 	"github.com/citronstep/citronstep/internal/clock"
