--- a/internal/entry/stop_test.go
+++ b/internal/entry/stop_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http/httptest"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -34,19 +35,21 @@
 
 // Guards against a stop whose time is over and that closes connections without an answer.
 func TestStopAnswersWhatIsOpenAtItsLimit(t *testing.T) {
-	s, lines := loggedServer(t)
-	f := silentForwarder{make(chan struct{})}
-	s.o.Forwarder = f
-	failed := sendInBackground(s, "/once/x")
-	<-f.sent
-	ctx, cancel := context.WithTimeout(context.Background(), 2*stopAnswerTime)
-	defer cancel()
-	assert.Assert(t, s.Drain(ctx, func() {}), "all requests are answered before the limit")
-	e := <-failed
-	assert.Equal(t, e.Type, failure.TypeDraining)
-	assert.Equal(t, e.Ran, failure.RanUnknown)
-	assert.Assert(t, e.RetryAfter > 0)
-	assert.Assert(t, is.Contains(lines.String(), "event=refuse"))
+	synctest.Test(t, func(t *testing.T) {
+		s, lines := loggedServer(t)
+		f := silentForwarder{make(chan struct{})}
+		s.o.Forwarder = f
+		failed := sendInBackground(s, "/once/x")
+		<-f.sent
+		ctx, cancel := context.WithTimeout(context.Background(), 2*stopAnswerTime)
+		defer cancel()
+		assert.Assert(t, s.Drain(ctx, func() {}), "all requests are answered before the limit")
+		e := <-failed
+		assert.Equal(t, e.Type, failure.TypeDraining)
+		assert.Equal(t, e.Ran, failure.RanUnknown)
+		assert.Assert(t, e.RetryAfter > 0)
+		assert.Assert(t, is.Contains(lines.String(), "event=refuse"))
+	})
 }
 
 // Guards against a request that waits while its entry stops and is said to have run.
