The deadline of a request is no stall of its server

What callers saw: nothing by itself. At its deadline a forwarded request could be sent once more, to another backend server, for an answer that nobody waits for; its server counted as failed, its idle connections were retired, and a retry was taken.

Cause: an attempt's watchdog waits for a head, or a body that must be whole, until the deadline. Its timer and that of the deadline are due at the same moment, and which one ends the attempt is chance. The watchdog could also fire before its decision (mayEnd) or its timer was set.

Ruled out: a longer limit for the watchdog. After a standstill both timers are late, and the order is chance again.

Change: past the deadline an attempt does not end for silence; the job's end ends it. A watchdog is started once its decision is set.

Before: TestDeadlineIsNoStall sees two sends in place of one in its first run.

--- a/internal/entry/forward_attempt.go
+++ b/internal/entry/forward_attempt.go
@@ -43,10 +43,11 @@
 	left := time.Until(j.deadline)
 	a := &forwardAttempt{
 		grant: g, began: time.Now(), call: s.forwardCall(j, g), next: next, sent: j.sendRecord,
-		w:      newWatchdog(j.ctx, progressTimeouts{header: left, firstToken: left, gap: streamGap}),
+		w:      prepareWatchdog(j.ctx, progressTimeouts{header: left, firstToken: left, gap: streamGap}),
 		opened: make(chan struct{}),
 	}
 	a.w.mayEnd = func() bool { return s.mayEnd(j, a) }
+	a.w.start()
 	return a
 }
 
--- a/internal/entry/replacement.go
+++ b/internal/entry/replacement.go
@@ -73,12 +73,14 @@
 }
 
 // mayEnd reports whether an attempt that makes no progress may end. One whose answer the caller has begun to receive
-// may once another one has taken over.
+// may once another one has taken over. At the deadline the job ends, and with it the attempt: its server has not stalled.
 func (s *Server) mayEnd(j *job, a *forwardAttempt) bool {
-	if !j.forward.handover.isCurrent(a) {
+	switch {
+	case !time.Now().Before(j.deadline):
+		return false
+	case !j.forward.handover.isCurrent(a):
 		return true
-	}
-	if !j.hasBegun() {
+	case !j.hasBegun():
 		return a.next.mayReplace()
 	}
 	if !a.replacing.TryLock() {
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -257,11 +257,12 @@
 
 // attemptCompletion makes one attempt of a completion.
 func (s *Server) attemptCompletion(j *job, g grant) (outcome, *failure.Error) {
-	w := newWatchdog(j.ctx, s.progressTimeouts())
+	w := prepareWatchdog(j.ctx, s.progressTimeouts())
 	defer w.stop()
-	defer s.openServers.attach(g.route.process(), w)()
 	next := s.newNextAttempt(j, g)
 	w.mayEnd = next.mayReplace
+	w.start()
+	defer s.openServers.attach(g.route.process(), w)()
 	defer next.settle()
 	began := time.Now()
 	result := placement.Result{}
--- a/internal/entry/watchdog.go
+++ b/internal/entry/watchdog.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync/atomic"
 	"time"
 
@@ -46,13 +47,22 @@
 }
 
 func newWatchdog(parent context.Context, p progressTimeouts) *watchdog {
+	w := prepareWatchdog(parent, p)
+	w.start()
+	return w
+}
+
+// prepareWatchdog returns a watchdog that cancels nothing until start is called.
+func prepareWatchdog(parent context.Context, p progressTimeouts) *watchdog {
 	ctx, cancel := context.WithCancelCause(parent)
 	w := &watchdog{ctx: ctx, cancel: cancel, timeouts: p, began: time.Now()}
-	w.due.Store(int64(p.header))
-	w.timer = time.AfterFunc(p.header, w.fire)
+	w.timer = time.AfterFunc(math.MaxInt64, w.fire)
 	return w
 }
 
+// start starts the wait for the header.
+func (w *watchdog) start() { w.reset(w.timeouts.header) }
+
 // fire ends the attempt. What came in while the process stood still is read first: a stream that has begun may
 // have been sent its next event by then, however short the standstill was.
 func (w *watchdog) fire() {
