A server whose answers trickle until the deadline is set aside

What callers saw: a backend server, sound by its heartbeats, sends one byte of a head, or of a body, each 50 ms without end. Each request there is held to its deadline (504), and the server is asked again and again.

Cause: an attempt that ends with its job counts as cancelled, whatever had arrived. A trickle never ends before the deadline, so it was never counted as an answer that can't be read. That of a head was not even seen: net/http reads it, and returns no part of it.

Ruled out: ending such an answer for its pace, which would end sound slow ones. The hook of net/http for 1xx answers, which lifts its bound on their bytes. Judging by the cause of the job's end alone: a caller may leave a moment before its deadline.

Change: a connection counts the pieces in which an answer arrives, 0.1 s apart. A call that ends while at least ten have come, the last within a second, has trickled. An attempt with such a head, or such a body that must be whole and announces no length, counts as unreadable if it ended at the request's deadline and began in the first half of its time. No answer ends earlier than before.

--- a/internal/backend/errors.go
+++ b/internal/backend/errors.go
@@ -13,5 +13,9 @@
 // of bytes between two events.
 const ErrLineTooLong = errors.ConstError("stream line over the limit")
 
+// ErrTrickled is returned, beside the cause of its end, for a call whose answer was arriving in many pieces when its
+// context ended, and announced no length.
+const ErrTrickled = errors.ConstError("the answer was still arriving piece by piece")
+
 // ErrMalformed is returned for an answer that does not follow the protocol.
 const ErrMalformed = errors.ConstError("answer does not follow the protocol")
--- a/internal/backend/http_exchange.go
+++ b/internal/backend/http_exchange.go
@@ -29,7 +29,17 @@
 	if context.Cause(x.ctx) == nil && x.conn != nil && !x.conn.hasFailed.Load() {
 		return errors.Annotate(ErrMalformed, err.Error())
 	}
-	return cutError(x.ctx, err)
+	err = cutError(x.ctx, err)
+	if x.isTrickle() {
+		return errors.WithType(err, ErrTrickled)
+	}
+	return err
+}
+
+// isTrickle reports whether the call has ended while its answer arrived piece by piece. One with an announced length
+// has an end.
+func (x *httpExchange) isTrickle() bool {
+	return context.Cause(x.ctx) != nil && x.conn != nil && x.response.ContentLength < 0 && x.conn.arrival.isTrickle(time.Now())
 }
 
 // nonRewindableBody is a request body that can't be rewound.
@@ -66,6 +76,9 @@
 		if context.Cause(ctx) == nil && used.isAnswerMalformed() {
 			cause = errors.Annotate(ErrMalformed, err.Error())
 		}
+		if context.Cause(ctx) != nil && used.isTrickle() {
+			cause = errors.WithType(cause, ErrTrickled)
+		}
 		sent := used.sent()
 		if used.isWithheld {
 			cause = errors.Trace(ErrWithheld)
@@ -74,6 +87,9 @@
 		cancel(nil)
 		return nil, &CallError{Address: r.address, Stage: sent, Connection: used.kind(), Waited: time.Since(began), Cause: cause}
 	}
+	if used.conn != nil {
+		used.conn.arrival.beginBody()
+	}
 	return &httpExchange{response: response, ctx: ctx, cancel: cancel, conn: used.conn}, nil
 }
 
@@ -127,6 +143,7 @@
 	u.conn = conn
 	u.writesBefore = conn.writeCount()
 	u.readsBefore = conn.reads.Load()
+	conn.arrival.begin()
 	if !u.permit.allows() {
 		u.isWithheld = true
 		conn.seal(u.writesBefore)
@@ -142,6 +159,9 @@
 	return u.conn != nil && !u.isWithheld && u.conn.reads.Load() > u.readsBefore && !u.conn.hasFailed.Load()
 }
 
+// isTrickle reports whether the head of an answer has been arriving piece by piece.
+func (u *usedConn) isTrickle() bool { return u.conn != nil && u.conn.arrival.isTrickle(time.Now()) }
+
 // kind returns the kind of the connection.
 func (u *usedConn) kind() Connection {
 	switch {
--- a/internal/backend/sealed_conn.go
+++ b/internal/backend/sealed_conn.go
@@ -22,6 +22,8 @@
 	// reads counts the reads that returned bytes. hasFailed is set once a read or a write has failed.
 	reads     atomic.Uint64
 	hasFailed atomic.Bool
+	// arrival records how the present answer arrives.
+	arrival arrival
 
 	mu     sync.Mutex
 	writes uint64
@@ -32,10 +34,11 @@
 func (c *sealedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.note(n, err)
-	if n == 0 || len(c.heard) == 0 {
+	if n == 0 {
 		return n, err
 	}
 	now := time.Now()
+	c.arrival.read(now, p[:n])
 	for _, heard := range c.heard {
 		heard.set(now)
 	}
--- a/internal/entry/forward_attempt.go
+++ b/internal/entry/forward_attempt.go
@@ -32,6 +32,8 @@
 	answer  *backend.ForwardAnswer
 	outcome outcome
 	failure *failure.Error
+	// isEndless is set if the answer kept arriving until the deadline.
+	isEndless bool
 
 	// isTaken is set once the attempt is the job's current one, isDropped once it is not needed any more. The
 	// handover's lock guards both.
@@ -68,6 +70,7 @@
 	answer, err := s.o.Forwarder.Forward(a.w.ctx, a.call)
 	if err != nil {
 		a.outcome, a.failure = s.classifyRelayError(j, a.grant, a.w, err)
+		a.isEndless = j.isEndless(time.Now(), a.began, err)
 		return
 	}
 	answer.Body = readCounter{ReadCloser: answer.Body, w: a.w}
@@ -122,7 +125,7 @@
 // endForwardAttempt tells placement and the log that an attempt has ended.
 func (s *Server) endForwardAttempt(j *job, a *forwardAttempt, out outcome, e *failure.Error, result placement.Result) {
 	result.Duration = time.Since(a.began)
-	result.Unreadable = j.unreadable(out)
+	j.noteUnreadable(&result, out, a.isEndless)
 	s.endAttempt(j, a.grant, result)
 	if out == outcomeComplete {
 		return
@@ -132,7 +135,7 @@
 		text = e.Error()
 	}
 	j.lines.Info("event", "attempt_ended", "request", j.id, "attempt", a.grant.attempt,
-		"target", a.grant.route.target, "outcome", out.name(e), "err", text)
+		"target", a.grant.route.target, "outcome", out.name(e), "endless", a.isEndless, "err", text)
 }
 
 // relayAttempt passes on the answer of an attempt that has been opened.
@@ -143,5 +146,5 @@
 	case j.forward.route.Kind == blackboard.RouteStreaming && a.answer.Status == http.StatusOK:
 		return s.relayEvents(j, a, result)
 	}
-	return s.relayAnswer(j, a.answer)
+	return s.relayAnswer(j, a)
 }
--- a/internal/entry/forward_relay.go
+++ b/internal/entry/forward_relay.go
@@ -39,9 +39,11 @@
 }
 
 // relayAnswer passes on an answer that is not a stream once it is complete.
-func (s *Server) relayAnswer(j *job, a *backend.ForwardAnswer) (outcome, *failure.Error) {
+func (s *Server) relayAnswer(j *job, attempt *forwardAttempt) (outcome, *failure.Error) {
+	a := attempt.answer
 	body, err := readAnswer(j.ctx, s.memory, a.Body, bodyLength(j.forward.request.Method, a.Length), maxServiceAnswer)
 	if err != nil {
+		attempt.isEndless = j.isEndless(time.Now(), attempt.began, err)
 		return s.classifyServiceError(j, err)
 	}
 	j.noteFirstToken()
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -270,7 +270,7 @@
 	result.OK = out == outcomeComplete
 	result.Cancelled = out == outcomeJobEnded || out == outcomeWithheld
 	result.Duration = time.Since(began)
-	result.Unreadable = j.unreadable(out)
+	j.noteUnreadable(&result, out, false)
 	s.endAttempt(j, g, result)
 	if out != outcomeComplete {
 		s.abandonAttempt(j, g, out, w.stalled(), e)
--- a/internal/entry/service.go
+++ b/internal/entry/service.go
@@ -31,6 +31,8 @@
 	body   []byte
 	// reserved is the part of the entry's memory budget that body uses until the call is over, in bytes.
 	reserved int
+	// isEndless is set if the last attempt's answer kept arriving until the deadline.
+	isEndless bool
 }
 
 // headerForService returns a caller's header as a plain service receives it. The workspace's
@@ -145,10 +147,11 @@
 func (s *Server) attemptService(j *job, g grant) (outcome, *failure.Error) {
 	began := time.Now()
 	out, e := s.call(j, g)
-	s.endAttempt(j, g, placement.Result{
-		Unreadable: j.unreadable(out),
-		OK:         out == outcomeComplete, Cancelled: out == outcomeJobEnded || out == outcomeWithheld, Duration: time.Since(began), FirstToken: time.Since(began), Tokens: 1,
-	})
+	result := placement.Result{
+		OK: out == outcomeComplete, Cancelled: out == outcomeJobEnded || out == outcomeWithheld, Duration: time.Since(began), FirstToken: time.Since(began), Tokens: 1,
+	}
+	j.noteUnreadable(&result, out, j.service.isEndless)
+	s.endAttempt(j, g, result)
 	return out, e
 }
 
@@ -162,12 +165,14 @@
 	answer, err := s.o.Client.Call(j.ctx, g.route.address, sc.call)
 	if err != nil {
 		s.observeRefusal(g.route, err, began)
+		sc.isEndless = j.isEndless(time.Now(), began, err)
 		return s.classifyServiceError(j, err)
 	}
 	defer func() { _ = answer.Body.Close() }()
 	s.observeNotice(g.route, answer.Notice, true, began)
 	body, err := readAnswer(j.ctx, s.memory, answer.Body, bodyLength(sc.call.Method, answer.Length), maxServiceAnswer)
 	if err != nil {
+		sc.isEndless = j.isEndless(time.Now(), began, err)
 		return s.classifyServiceError(j, err)
 	}
 	sc.status, sc.header = answer.Status, backend.EndToEnd(answer.Header)
--- a/internal/entry/set_aside.go
+++ b/internal/entry/set_aside.go
@@ -6,6 +6,7 @@
 	"github.com/go-kit/log/level"
 	"github.com/juju/errors"
 
+	"github.com/citronstep/citronstep/internal/backend"
 	"github.com/citronstep/citronstep/internal/failure"
 	"github.com/citronstep/citronstep/internal/placement"
 )
@@ -16,15 +17,28 @@
 	return outcomeOfCallError(err)
 }
 
-// unreadable returns what placement's Result says of an attempt with an unreadable answer; "" for any other. An
-// answer that announces its length has an end: its server is not at fault.
-func (j *job) unreadable(out outcome) string {
-	if out != outcomeUnreadable || j.announcedTooLong.Load() {
-		return ""
+// noteUnreadable completes what placement is told of an attempt with an unreadable answer. An answer that announces
+// its length has an end: its server is not at fault.
+func (j *job) noteUnreadable(r *placement.Result, out outcome, isEndless bool) {
+	if out == outcomeUnreadable && !j.announcedTooLong.Load() {
+		r.Unreadable = j.contentFingerprint()
 	}
-	return j.contentFingerprint()
+	if isEndless {
+		r.Unreadable, r.Cancelled = j.contentFingerprint(), false
+	}
+}
+
+// isEndless reports whether an attempt that began at a time has failed because its answer, which must be whole, kept
+// arriving until the deadline. One that began late in the request's time is no evidence: a sound server may have been
+// left too little.
+func (j *job) isEndless(now, began time.Time, err error) bool {
+	total, left := j.deadline.Sub(j.arrived), j.deadline.Sub(now)
+	return errors.Is(err, backend.ErrTrickled) && left <= total/callerLeavesBefore && j.deadline.Sub(began) >= total/2
 }
 
+// callerLeavesBefore is the part of a request's time at its end in which its caller may leave because of the deadline.
+const callerLeavesBefore = 20
+
 // endAttempt records the end of an attempt in placement.
 func (s *Server) endAttempt(j *job, g grant, r placement.Result) {
 	change, isChanged := s.dispatcher.attemptEnded(g.attempt, r)
@@ -39,7 +53,7 @@
 	s.o.Metrics.ServerSetAside()
 	_ = level.Warn(s.o.Logger).Log("event", "server_set_aside", "server", g.route.head, "incarnation", change.Server,
 		"target", g.route.target, "request", j.id, "for_ms", change.SetAside.Milliseconds(),
-		"reason", "its answers follow no protocol or exceed a limit")
+		"reason", "its answers follow no protocol, exceed a limit or do not end")
 }
 
 // refuseBlocked refuses the waiting requests that no target takes in time any more. The caller holds the lock.
--- a/internal/placement/distrust.go
+++ b/internal/placement/distrust.go
@@ -21,8 +21,8 @@
 	distrustProbeInterval = time.Second
 )
 
-// distrust is the record of the unreadable answers of a backend server: bytes that follow no protocol or exceed a
-// limit.
+// distrust is the record of the unreadable answers of a backend server: bytes that follow no protocol, exceed a
+// limit or do not end.
 //
 // Load: a backend server that is sound by its heartbeats answers each request with bytes without end. Harm: each
 // attempt there costs memory and time, and the requests that may run once are lost.
--- a/internal/placement/options.go
+++ b/internal/placement/options.go
@@ -161,8 +161,8 @@
 	// Cancelled is true if this side ended the attempt. A cancelled attempt does not count as a
 	// fault.
 	Cancelled bool
-	// Unreadable identifies the request if the bytes of its answer follow no protocol or exceed a limit; it is
-	// empty otherwise.
+	// Unreadable identifies the request if the bytes of its answer follow no protocol, exceed a limit or do not
+	// end; it is empty otherwise.
 	Unreadable string
 	// FirstToken and Duration are measured from the call of RecordStart.
 	FirstToken time.Duration
