Probes of a server that is set aside get rarer while none has ended

What callers saw: nothing new in itself. A server whose answers trickle until the deadline is set aside, and then gets a request each second until the first of these has ended, at its deadline. With deadlines of 30 s each entry loses 30 requests a round so.

Cause: the time between probes without a result was fixed, as answers that can't be read showed that within a moment when it was set.

Ruled out: one probe at a time, which would wait for as long as a caller does and never come back if that probe's caller leaves. Rarer probes where no other server of the pool is trusted: there each is a chance to be served.

Change: while another server of the pool is trusted, the time between probes without a result doubles from one second, up to a minute. The time aside and the time to the next probe are kept apart, so that the first result ends the round however long the next probe is away, and those of the same round that follow change nothing, as before.

--- a/internal/placement/blocked.go
+++ b/internal/placement/blocked.go
@@ -10,7 +10,7 @@
 		at = later(at, t.backoff.until)
 	}
 	if t.distrust != nil {
-		at = later(at, t.distrust.until)
+		at = later(at, t.distrust.nextSend())
 	}
 	return at
 }
--- a/internal/placement/distrust.go
+++ b/internal/placement/distrust.go
@@ -17,7 +17,8 @@
 	maxDistrust     = time.Minute
 	// maxLoneDistrust is the longest such time while all others of the pool are set aside too, or there is none.
 	maxLoneDistrust = 2 * time.Second
-	// distrustProbeInterval is the least time between two probes whose results are not known yet.
+	// distrustProbeInterval is the least time between the first two probes whose results are not known yet. While
+	// another server of the pool is trusted, it doubles with each further one, up to maxDistrust.
 	distrustProbeInterval = time.Second
 )
 
@@ -33,8 +34,10 @@
 	lastAt   time.Time
 	// rounds is how often the server was set aside since its last complete answer.
 	rounds int
-	// until is when it may get its next request.
-	until time.Time
+	// until is when it may get a request again, nextProbe when the next while the results of others are not known.
+	until, nextProbe time.Time
+	// probes counts the requests since until.
+	probes int
 }
 
 // TrustChange is what an answer changed about a backend server.
@@ -45,13 +48,26 @@
 }
 
 // isInForce reports whether the backend server is set aside. A nil distrust is not in force.
-func (d *distrust) isInForce(now time.Time) bool { return d != nil && now.Before(d.until) }
+func (d *distrust) isInForce(now time.Time) bool { return d != nil && now.Before(d.nextSend()) }
 
-// recordSend records a request to the backend server. It is a probe if the server was set aside.
-func (d *distrust) recordSend(now time.Time) {
-	if d != nil && d.rounds > 0 {
-		d.until = later(d.until, now.Add(distrustProbeInterval))
+// nextSend returns when the backend server may get its next request.
+func (d *distrust) nextSend() time.Time { return later(d.until, d.nextProbe) }
+
+// recordSend records a request to a target. It is a probe if its backend server was set aside.
+//
+// Load: a server's answers trickle until the deadlines of their requests, half a minute away. Harm: each probe until
+// the first one's end is lost as well.
+func (p *Picker) recordSend(now time.Time, t *target) {
+	d := t.distrust
+	if d == nil || d.rounds == 0 {
+		return
+	}
+	wait := distrustProbeInterval
+	if t.pool.hasTrustedBeside(t) {
+		wait = min(wait<<min(d.probes, 8), maxDistrust)
 	}
+	d.probes++
+	d.nextProbe = later(d.nextProbe, now.Add(wait))
 }
 
 // recordUnreadable records an unreadable answer to a request and returns for how long the server is set aside by
@@ -69,7 +85,7 @@
 	}
 	wait := min(initialDistrust<<min(d.rounds, 8), longest)
 	d.rounds++
-	d.until = now.Add(wait)
+	d.until, d.nextProbe, d.probes = now.Add(wait), time.Time{}, 0
 	return wait
 }
 
@@ -83,7 +99,7 @@
 		d = &distrust{}
 		p.setDistrust(t.Server, d)
 	}
-	if d.isInForce(now) && now.Add(distrustProbeInterval).Before(d.until) {
+	if now.Before(d.until) {
 		// The answer to a request that was sent before says nothing more.
 		return TrustChange{}, false
 	}
--- a/internal/placement/picker.go
+++ b/internal/placement/picker.go
@@ -233,7 +233,7 @@
 	}
 	t.addWork(now, tokens, 1)
 	t.throttle.recordSend(now)
-	t.distrust.recordSend(now)
+	p.recordSend(now, t)
 }
 
 // addWork adds requests and tokens of work in flight; negative numbers remove them.
--- a/internal/placement/throttle.go
+++ b/internal/placement/throttle.go
@@ -235,6 +235,6 @@
 func (p *Picker) RecordSend(now time.Time, id string) {
 	if t := p.targets[id]; t != nil {
 		t.throttle.recordSend(now)
-		t.distrust.recordSend(now)
+		p.recordSend(now, t)
 	}
 }
