Late requests are not refused beside a free slot

What callers saw: after an overload, requests waited 4 to 5 s in an entry and got 503 (expired_in_queue) while the entry had three requests of four on the group.

Cause: a late request leaves half of each group free, less the nearer its deadline, and nothing at the deadline. But it is refused at its latest start, an answer's time before the deadline. Until then some of the reserve is left, and of a group with few slots the last one is never used, also when no newcomer comes any more.

Change: the reserve of a late request falls to nothing half the time of an answer before its latest start. In that time a slot in use becomes free on average.

Why it works: what waits may use every slot before it is refused, and newcomers that wait still go first. What is refused now is what the slots can't serve.

--- a/internal/admission/late_backlog_test.go
+++ b/internal/admission/late_backlog_test.go
@@ -107,3 +107,59 @@
 	}
 	assert.Equal(t, order, "34012")
 }
+
+// replayOverload simulates callers that ask for more than the slots serve until no more of them come. It returns how
+// many of the requests were sent on time and how many were refused.
+func replayOverload(t *testing.T, slots int, work time.Duration, reserved bool) (onTime, refused int) {
+	t.Helper()
+	const (
+		interval  = 100 * time.Millisecond
+		length    = 6 * time.Second
+		objective = 200 * time.Millisecond
+		deadline  = 6 * time.Second
+	)
+	q := New(Policy{})
+	arrivals := make(map[string]time.Time)
+	var busy []time.Time
+	for elapsed := time.Duration(0); elapsed < length+deadline; elapsed += time.Millisecond {
+		now := start.Add(elapsed)
+		if elapsed < length && elapsed%interval == 0 {
+			id := elapsed.String()
+			arrivals[id] = now
+			r := Request{ID: id, Workspace: "w", Class: "c", Model: "m", Tokens: 20, Arrived: now, Deadline: now.Add(deadline), OnTimeUntil: now.Add(objective)}
+			if !q.Offer(now, r).Queued {
+				refused++
+			}
+		}
+		for len(busy) > 0 && !now.Before(busy[0]) {
+			busy = busy[1:]
+		}
+		for len(busy) < slots {
+			r, expired, ok := q.Next(now, func(r Request) bool {
+				return !reserved || float64(len(busy)+1) <= float64(slots)*(1-r.Reserve)
+			})
+			refused += len(expired)
+			if !ok {
+				break
+			}
+			busy = append(busy, now.Add(work))
+			q.Done(now, Outcome{ID: r.ID, Answered: true, Took: work})
+			if now.Sub(arrivals[r.ID]) <= objective {
+				onTime++
+			}
+		}
+	}
+	return onTime, refused
+}
+
+// Guards against late requests that leave a slot free for new ones until they are refused.
+func TestLateRequestsAreNotRefusedBesideFreeSlots(t *testing.T) {
+	for _, slots := range []int{3, 4, 6} {
+		work := time.Duration(slots) * 200 * time.Millisecond
+		onTimeBefore, refusedBefore := replayOverload(t, slots, work, false)
+		onTime, refused := replayOverload(t, slots, work, true)
+		t.Logf("%d slots: %d on time and %d refused, %d and %d without a reserve", slots, onTime, refused, onTimeBefore, refusedBefore)
+		assert.Check(t, refused <= refusedBefore, "%d slots: %d refused, %d without a reserve", slots, refused, refusedBefore)
+		assert.Check(t, onTime >= onTimeBefore, "%d slots: %d on time, %d without a reserve", slots, onTime, onTimeBefore)
+	}
+}
--- a/internal/admission/model.go
+++ b/internal/admission/model.go
@@ -186,14 +186,25 @@
 // The reserve is made for the time after an outage of a second and a half, when the requests of
 // the outage arrive at once and fill each group for the time of an answer. Newcomers wait behind
 // them, are late as well, and so on for seconds. A late request is worth the same a second later,
-// as long as its caller waits. It therefore leaves less free the nearer it is to its deadline,
-// and nothing at the deadline.
+// as long as its caller waits. It therefore leaves less free the nearer it is to reserveEnd, and
+// nothing from then on.
 func (it *item) lateReserve(now time.Time) float64 {
-	onTimeUntil, deadline := it.request.OnTimeUntil, it.request.Deadline
-	if onTimeUntil.IsZero() || !now.After(onTimeUntil) || !deadline.After(onTimeUntil) {
+	onTimeUntil, end := it.request.OnTimeUntil, it.reserveEnd()
+	if onTimeUntil.IsZero() || !now.After(onTimeUntil) || !end.After(onTimeUntil) {
 		return 0
 	}
-	return maxLateReserve * max(0, deadline.Sub(now).Seconds()/deadline.Sub(onTimeUntil).Seconds())
+	return maxLateReserve * max(0, end.Sub(now).Seconds()/end.Sub(onTimeUntil).Seconds())
+}
+
+// reserveEnd returns when a late request begins to leave nothing free: half the time of an answer
+// before its latest start. In that time a slot in use becomes free on average.
+//
+// Load: an overload ends. The requests that wait are late, and hardly any newcomer takes the slots
+// that they leave. If they left one free up to the deadline, they would be refused at their latest
+// start beside it.
+func (it *item) reserveEnd() time.Time {
+	answerTime := it.request.Deadline.Sub(it.latestStart)
+	return it.latestStart.Add(-answerTime / 2)
 }
 
 // candidate returns the next request of the band of greatest worth, or of a lesser band that has
