--- a/internal/entry/leaving_test.go
+++ b/internal/entry/leaving_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 	"time"
@@ -42,6 +43,27 @@
 	assert.Equal(t, headOf(s, "wide-0").incarnation, "restarted", "a new start is not leaving")
 }
 
+// Guards against requests to a leaving group while the groups that stay are full.
+func TestRequestsWaitRatherThanGoToALeavingGroup(t *testing.T) {
+	s := deafServer(servingPool(2, 4, 1, 2))
+	s.updateRoutes()
+	s.observeForwarded(headOf(s, "wide-0"), &backend.ForwardAnswer{Status: http.StatusOK, Proven: true, Notice: backend.Notice{IsLeaving: true}}, time.Now())
+	s.updateRoutes()
+	waiting := 0
+	for i := range 20 {
+		now := time.Now()
+		ticket, e := s.dispatcher.offer(&job{id: fmt.Sprint(i), model: "wide", maxTokens: 2000, arrived: now, deadline: now.Add(time.Minute)})
+		assert.Assert(t, e == nil, "%v", e)
+		select {
+		case g := <-ticket.granted:
+			assert.Equal(t, g.route.group, "wide-1")
+		default:
+			waiting++
+		}
+	}
+	assert.Assert(t, waiting > 0 && waiting < 20, "%d of 20 wait", waiting)
+}
+
 // Guards against a notice that is dropped in one kind of answer.
 func TestLeavingIsObservedInEachKindOfAnswer(t *testing.T) {
 	notice := backend.Notice{IsLeaving: true}
