--- a/internal/backend/arrival_test.go
+++ b/internal/backend/arrival_test.go
@@ -1,9 +1,16 @@
 package backend
 
 import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
+	"github.com/juju/errors"
 	"gotest.tools/v3/assert"
 )
 
@@ -57,3 +64,37 @@
 	a.read(now, []byte(headEnd))
 	assert.Assert(t, a.isTrickle(now))
 }
+
+// Guards against a call on a kept connection that counts as a trickle for the slow answer before it.
+func TestKeptConnectionForgetsItsLastAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		c := NewHTTPClient(Options{Dial: func(context.Context, string, string) (net.Conn, error) { return near, nil }})
+		defer c.Close()
+		go func() {
+			defer func() { _ = far.Close() }()
+			requests := bufio.NewReader(far)
+			_, _ = http.ReadRequest(requests)
+			_, _ = io.WriteString(far, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+			for range minPieces {
+				time.Sleep(pieceInterval)
+				_, _ = io.WriteString(far, "1\r\nb\r\n")
+			}
+			_, _ = io.WriteString(far, "0\r\n\r\n")
+			_, _ = http.ReadRequest(requests)
+			_, _ = io.WriteString(far, "HTTP/1.1 2")
+			_, _ = requests.ReadByte()
+		}()
+		ctx, cancel := context.WithTimeout(t.Context(), pieceInterval*minPieces+maxPieceGap)
+		defer cancel()
+		call := ServiceCall{Method: http.MethodGet, Path: "/", Host: "h", Verbatim: true}
+		answer, err := c.Call(ctx, "a", call)
+		assert.NilError(t, err)
+		_, err = io.Copy(io.Discard, answer.Body)
+		assert.NilError(t, err)
+		assert.NilError(t, answer.Body.Close())
+		_, err = c.Call(ctx, "a", call)
+		assert.ErrorIs(t, err, context.DeadlineExceeded)
+		assert.Assert(t, !errors.Is(err, ErrTrickled), "%v", err)
+	})
+}
