test: a run with back-offs goes on until it has one to check

What failed: TestRandomRunWithBackoffs once, beside load 75 to 175: BackoffsChecked is 0. No log was kept, so the cause is suspected.

Cause, suspected: the run lasts 15 s, however few refusals fall into them. A run that the load stretches has fewer.

Ruled out: nothing else.

Change: once the faults have ended, and only if no back-off can be checked by then, all servers ask for back-offs of 2 s until one can, for a minute at most. As strict: the test's assertion stands, the faults and their draws are unchanged, and what is recorded then is checked like the others.

--- a/test/workload/backoffs.go
+++ b/test/workload/backoffs.go
@@ -48,6 +48,30 @@
 	}
 }
 
+// awaitBackoff has all servers ask for back-offs until one can be checked, unless the run had one: the
+// fewer requests arrive in a run, the fewer are refused.
+func awaitBackoff(t harness.T, c *harness.Cluster, servers []*harness.Standin) {
+	t.Helper()
+	isChecked := func() bool {
+		b := newBackoffChecker(c, nil)
+		b.check(servers)
+		return b.checked > 0
+	}
+	if isChecked() {
+		return
+	}
+	askAll(servers, maxRetryAfter/2)
+	harness.Await(t, "a back-off that can be checked", isChecked)
+	askAll(servers, 0)
+}
+
+func askAll(servers []*harness.Standin, backoff time.Duration) {
+	millis := backoff.Milliseconds()
+	for _, s := range servers {
+		s.Fault(standin.FaultOrder{RetryAfterMillis: &millis})
+	}
+}
+
 // recordedBackoff is a back-off that an entry has recorded in its log.
 type recordedBackoff struct {
 	entry, incarnation string
--- a/test/workload/run.go
+++ b/test/workload/run.go
@@ -100,7 +100,11 @@
 	if o.Crashes {
 		others = append(others, crashing)
 	}
-	drive(injectors, others, callers, o.Duration)
+	drive(injectors, others, callers, o.Duration, func() {
+		if o.Backoffs {
+			awaitBackoff(t, c, servers)
+		}
+	})
 	runs := c.Runs()
 	report := summarise(callers.works, runs, injectors)
 	for _, n := range c.Nodes {
@@ -123,9 +127,9 @@
 // injector changes what backend servers state about themselves until the context ends.
 type injector interface{ run(context.Context) }
 
-// drive runs callers and faults for the duration, ends all faults, and waits until the callers
-// have settled the works that they have begun.
-func drive(injectors []*faultInjector, others []injector, callers *callers, duration time.Duration) {
+// drive runs callers and faults for the duration, ends all faults, calls healed, and waits until the
+// callers have settled the works that they have begun.
+func drive(injectors []*faultInjector, others []injector, callers *callers, duration time.Duration, healed func()) {
 	stop := make(chan struct{})
 	done := make(chan struct{})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -147,6 +151,7 @@
 	for _, f := range injectors {
 		f.heal()
 	}
+	healed()
 	close(stop)
 	settle := time.AfterFunc(settleTimeout, cancel)
 	defer settle.Stop()
