--- a/internal/control/stalled_test.go
+++ b/internal/control/stalled_test.go
@@ -227,3 +227,16 @@
 	assert.Assert(t, x.isStalled(groupIn(0, 0)))
 	assert.Assert(t, !x.isStalled(groupIn(0, 1)))
 }
+
+// Guards against sound groups that are broken after a standstill because the reports of its last moment arrive late.
+func TestLateReportsOfAStandstillBreakNoGroup(t *testing.T) {
+	for _, domains := range [][]int{{4, 4}, {2, 1}, {1}} {
+		x := newStallSystem(300*time.Millisecond, domains...)
+		x.isStill = true
+		x.pass(time.Second)
+		x.isStill = false
+		x.pass(200 * time.Millisecond)
+		x.reportAll(time.Second, 0, 1, 2, 3, 4, 5)
+		assert.Check(t, x.stalled() == 0, "%v groups", domains)
+	}
+}
