An estimate that refuses all requests is probed

Cause: the first answer of a class sets the mean of its estimate, with no deviation. If the process stands still while that request runs, the estimate is the standstill. Every request with a shorter time is refused on arrival, so no answer corrects it, for as long as the process runs.

Ruled out: a full queue or group (nothing queued, no attempt); the configuration's timeouts (8 s).

Change: if the estimate leaves a request no chance, nothing waits and no answer of its class came for a second, the request is admitted, one a second. Three answers of ordinary length widen the estimate enough.

TestEstimateOfAStandstillIsCorrected: 100 of 100 refused before; at most 40 now, and the last is served. TestRequestsWithoutAChanceProbeNoFreshEstimate: where answers come, a request without a chance is still refused at once.

--- a/internal/admission/estimate.go
+++ b/internal/admission/estimate.go
@@ -100,17 +100,37 @@
 	marginDeviations = 2
 )
 
+// estimateProbeInterval is how long after the last answer, or the last probe, an estimate that refuses all requests is
+// probed by one.
+const estimateProbeInterval = time.Second
+
 // serviceTime estimates how long requests take on a backend server, by their size.
 type serviceTime struct {
 	mean      [sizeClassCount]float64
 	deviation [sizeClassCount]float64
+	// checkedAt is when the last answer was observed or the last probe was sent.
+	checkedAt time.Time
+}
+
+// takeProbe reports whether a request that the estimate refuses is to be admitted, as no answer has corrected the
+// estimate for a while.
+//
+// Failure: the process stands still for a minute while the first request of its kind runs. All requests after it are
+// refused, as none can be answered in a minute, and no answer ever tells otherwise.
+func (s *serviceTime) takeProbe(now time.Time) bool {
+	if now.Sub(s.checkedAt) < estimateProbeInterval {
+		return false
+	}
+	s.checkedAt = now
+	return true
 }
 
 func sizeClass(tokens int) int {
 	return min(bits.Len(uint(tokens)), sizeClassCount-1)
 }
 
-func (s *serviceTime) observe(tokens int, elapsed time.Duration) {
+func (s *serviceTime) observe(now time.Time, tokens int, elapsed time.Duration) {
+	s.checkedAt = now
 	i := sizeClass(tokens)
 	seconds := elapsed.Seconds()
 	if s.mean[i] == 0 {
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -159,7 +159,7 @@
 		return q.refuse(now, m, it, ReasonDeadlineUnreachable, wait)
 	}
 	if !it.latestStart.IsZero() && now.After(it.latestStart) {
-		if m.waiting > 0 || now.After(it.latestPossibleStart) {
+		if m.waiting > 0 || !m.mayBeInTime(now, it) {
 			return q.refuse(now, m, it, ReasonDeadlinePassed, 0)
 		}
 		it.latestStart, wait = it.latestPossibleStart, 0
@@ -175,6 +175,18 @@
 	return nil
 }
 
+// mayBeInTime reports whether a request that will probably be late has a chance, or is sent to probe the estimate.
+func (m *modelQueue) mayBeInTime(now time.Time, it *item) bool {
+	if !now.After(it.latestPossibleStart) {
+		return true
+	}
+	if !m.serviceTimeOf(it.request.Class).takeProbe(now) {
+		return false
+	}
+	it.latestPossibleStart = it.request.Deadline
+	return true
+}
+
 // enforceLimits keeps the queue bounded. A request of the lowest worth is evicted first. Among
 // requests of equal worth, the new one is refused, since it has waited least.
 func (q *Queue) enforceLimits(now time.Time, m *modelQueue, it *item) ([]Eviction, *Refusal) {
@@ -370,5 +382,5 @@
 	m := q.modelFor(run.model)
 	m.tick(now)
 	m.serviceRate.addCompleted(run.tokens)
-	m.serviceTimeOf(run.class).observe(run.tokens, o.Took)
+	m.serviceTimeOf(run.class).observe(now, run.tokens, o.Took)
 }
