Revert "Groups that are all silent at once are broken only for a member that is overdue"

A review by one who had not seen the work showed that groups that hang while their servers announce themselves could stay in service: at 1 s the entries report them as common and move their streams to the sound groups; after that they have no streams there, send no report, and the 5 s after which the leader breaks them in any case never come.

--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -87,8 +87,8 @@
 	meter      meter
 	// stalls holds the entries' reports of groups without progress.
 	stalls *controller.StallReports
-	// withheldStalls counts the confirmed stalls that the last look held against no group.
-	withheldStalls controller.Withheld
+	// withheldStalls is how many confirmed stalls the last look held against no group.
+	withheldStalls int
 	// demand sums the entries' reports of demand in this term.
 	demand *demand.Table
 	// demandMinEntries is the number of entries from which layouts follow demand.
--- a/internal/control/stalled.go
+++ b/internal/control/stalled.go
@@ -29,12 +29,12 @@
 	s.mu.Lock()
 	for _, g := range r.Groups {
 		group := controller.GroupEpoch{Group: g.Group, Epoch: g.Epoch}
-		s.stalls.Record(now, r.EntryId, dataCentre, group, time.Duration(g.SilentMs)*time.Millisecond, r.IsCommon)
+		s.stalls.Record(now, r.EntryId, dataCentre, group, time.Duration(g.SilentMs)*time.Millisecond)
 	}
 	s.mu.Unlock()
 	for _, g := range r.Groups {
 		_ = level.Info(s.o.Logger).Log("event", "group_suspected", "group", g.Group, "epoch", g.Epoch,
-			"by", r.EntryId, "silent_ms", g.SilentMs, "is_common", r.IsCommon)
+			"by", r.EntryId, "silent_ms", g.SilentMs)
 	}
 	s.Wake()
 	return &noderpc.SuspectReply{}, nil
@@ -63,12 +63,12 @@
 	}
 	s.mu.Lock()
 	stalled, withheld := s.stalls.Stalled(now, entries, announcements)
-	isNew := withheld.Still > s.withheldStalls.Still || withheld.Common > s.withheldStalls.Common
+	isNew := withheld > s.withheldStalls
 	s.withheldStalls = withheld
 	s.mu.Unlock()
 	if isNew {
-		_ = level.Info(s.o.Logger).Log("event", "stalls_withheld", "board", board.Revision,
-			"without_announcements", withheld.Still, "common_to_most_groups", withheld.Common)
+		_ = level.Info(s.o.Logger).Log("event", "stalls_withheld", "groups", withheld, "board", board.Revision,
+			"reason", "no backend server announces itself meanwhile")
 	}
 	return stalled
 }
--- a/internal/controller/common_silence.go
+++ b/internal/controller/common_silence.go
@@ -14,21 +14,17 @@
 	reportDelay = 100 * time.Millisecond
 	// announcedShare is the part of the announcements expected during a silence from which on others are alive.
 	announcedShare = 0.2
-	// overdueIntervals is how many announcement intervals a member may be silent that is alive.
-	overdueIntervals = 2
 )
 
 // Announcements holds when the members of serving groups last announced themselves.
 type Announcements struct {
 	interval   time.Duration
 	receivedAt []time.Time
-	// oldest holds, by serving group, the time of the member that has been silent for longest.
-	oldest map[string]time.Time
 }
 
 // AnnouncementsOfMembers returns the last announcements of the members of all serving groups.
 func AnnouncementsOfMembers(board *blackboard.Board, t *evidence.Table) Announcements {
-	a := Announcements{interval: t.Interval(), oldest: make(map[string]time.Time)}
+	a := Announcements{interval: t.Interval()}
 	for _, g := range board.Groups {
 		if g.State != blackboard.Serving {
 			continue
@@ -36,19 +32,11 @@
 		for _, m := range g.Members {
 			r, _ := t.Get(m.VM)
 			a.receivedAt = append(a.receivedAt, r.ReceivedAt)
-			if oldest, known := a.oldest[g.ID]; !known || r.ReceivedAt.Before(oldest) {
-				a.oldest[g.ID] = r.ReceivedAt
-			}
 		}
 	}
 	return a
 }
 
-// isMemberOverdue reports whether a member of a serving group has missed announcements.
-func (a Announcements) isMemberOverdue(now time.Time, group string) bool {
-	return now.Sub(a.oldest[group]) > overdueIntervals*a.interval+announcementDelay
-}
-
 // arrivedDuring reports whether members have announced themselves during a silence that lasted up to a time.
 //
 // Load: all backend servers, or the network between them and the system, stand still for a second or two. Harm of
--- a/internal/controller/stalls.go
+++ b/internal/controller/stalls.go
@@ -24,8 +24,6 @@
 	// be found too, and a packet is seldom lost three times in a row.
 	twoReporterStall = time.Second
 	oneReporterStall = 2 * time.Second
-	// longestCommonStall is the silence from which a group is broken whatever else is silent.
-	longestCommonStall = 5 * time.Second
 	// stallReportTTL is how long an entry's report is kept.
 	stallReportTTL = 5 * time.Second
 )
@@ -41,8 +39,6 @@
 	at         time.Time
 	silent     time.Duration
 	dataCentre string
-	// isCommon is set if nearly all groups of the entry were silent at the same time.
-	isCommon bool
 }
 
 // NewStallReports returns an empty StallReports.
@@ -51,65 +47,30 @@
 }
 
 // Record records the report of an entry in a data centre that all its streams on a group have been
-// silent for the given time, and whether nearly all its groups are.
-func (s *StallReports) Record(now time.Time, entry, dataCentre string, g GroupEpoch, silent time.Duration, isCommon bool) {
+// silent for the given time.
+func (s *StallReports) Record(now time.Time, entry, dataCentre string, g GroupEpoch, silent time.Duration) {
 	if s.reports[g] == nil {
 		s.reports[g] = make(map[string]stallReport)
 	}
-	s.reports[g][entry] = stallReport{now, silent, dataCentre, isCommon}
+	s.reports[g][entry] = stallReport{now, silent, dataCentre}
 }
 
 // IsEmpty reports whether there are no reports.
 func (s *StallReports) IsEmpty() bool { return len(s.reports) == 0 }
 
-// Withheld counts confirmed stalls that are held against no group.
-type Withheld struct {
-	// Still counts those during which no backend server announced itself, so that their silence tells nothing.
-	Still int
-	// Common counts those that entries found in nearly all their groups, whose members announce themselves.
-	Common int
-}
-
-// Stalled returns the groups that are to be broken for a confirmed stall, each with the time now, and which stalls are
-// withheld.
-func (s *StallReports) Stalled(now time.Time, entries map[string]int, a Announcements) (map[GroupEpoch]time.Time, Withheld) {
-	stalled := s.Confirmed(now, entries)
-	var withheld Withheld
+// Stalled returns the groups that are to be broken for a confirmed stall, each with the time now, and how many
+// confirmed stalls are held against no group, because a silence tells nothing while no backend server announces itself.
+func (s *StallReports) Stalled(now time.Time, entries map[string]int, a Announcements) (stalled map[GroupEpoch]time.Time, withheld int) {
+	stalled = s.Confirmed(now, entries)
 	for g := range stalled {
-		reports := s.reports[g]
-		last := newest(reports)
-		switch {
-		case !a.arrivedDuring(last.at, last.silent):
-			withheld.Still++
-		case last.silent < longestCommonStall && isCommon(now, reports) && !a.isMemberOverdue(now, g.Group):
-			withheld.Common++
-		default:
-			continue
+		if last := newest(s.reports[g]); !a.arrivedDuring(last.at, last.silent) {
+			delete(stalled, g)
+			withheld++
 		}
-		delete(stalled, g)
 	}
 	return stalled, withheld
 }
 
-// isCommon reports whether most entries that have lately reported a group found nearly all their groups silent.
-//
-// Load: all backend servers are slow for a second or two, and still announce themselves. Harm of holding that against
-// each group: all of them are broken within a moment, and their heads drop all answers. Groups that lose a member
-// meanwhile are known by its missing announcements.
-func isCommon(now time.Time, reports map[string]stallReport) bool {
-	recent, common := 0, 0
-	for _, report := range reports {
-		if now.Sub(report.at) > twoReporterStall {
-			continue
-		}
-		recent++
-		if report.isCommon {
-			common++
-		}
-	}
-	return 2*common > recent
-}
-
 // newest returns the newest of some reports.
 func newest(reports map[string]stallReport) stallReport {
 	var last stallReport
--- a/internal/entry/silent_groups.go
+++ b/internal/entry/silent_groups.go
@@ -67,7 +67,7 @@
 	}
 	s.suspendGroups(now, lost, silences)
 	if len(silent) > 0 && s.o.StallReporter != nil {
-		go s.reportStalls(silent, isCommonSilence(silentCount, begun))
+		go s.reportStalls(silent)
 	}
 }
 
@@ -97,18 +97,13 @@
 	return silences, begun, count
 }
 
-// isCommonSilence reports whether nearly all groups with streams are silent.
-func isCommonSilence(silent, begun int) bool {
-	return begun >= leastComparedGroups && float64(silent) >= commonSilenceShare*float64(begun)
-}
-
 // noteCommonSilence reports whether nearly all groups with streams have just become silent, and logs when that
 // begins and ends. length is the length of the longest silence.
 //
 // Load: all streams of an entry stop for a moment. Harm of holding that against the groups: the leader breaks
 // all of them, and all answers begin anew at the same time.
 func (s *Server) noteCommonSilence(silent, begun int, length time.Duration) bool {
-	isCommon := isCommonSilence(silent, begun) && length < commonSilenceLimit
+	isCommon := begun >= leastComparedGroups && float64(silent) >= commonSilenceShare*float64(begun) && length < commonSilenceLimit
 	if isCommon != s.isSilenceCommon {
 		s.isSilenceCommon = isCommon
 		_ = level.Info(s.o.Logger).Log("event", "common_silence", "is_common", isCommon, "silent", silent, "groups", begun)
@@ -158,13 +153,13 @@
 	}
 }
 
-// reportStalls reports stalled groups to the leader once, and whether nearly all groups here are. If the call is lost,
-// the leader notices the member's silence itself, only later.
-func (s *Server) reportStalls(groups []*noderpc.SuspectGroup, isCommon bool) {
+// reportStalls reports stalled groups to the leader once. If the call is lost, the leader
+// notices the member's silence itself, only later.
+func (s *Server) reportStalls(groups []*noderpc.SuspectGroup) {
 	ctx, cancel := context.WithTimeout(context.Background(), stallReportTimeout)
 	defer cancel()
 	err := s.o.StallReporter.Suspect(ctx, &noderpc.SuspectRequest{
-		ClusterId: s.o.Follower.Board().ClusterID, EntryId: s.o.ID, Groups: groups, IsCommon: isCommon,
+		ClusterId: s.o.Follower.Board().ClusterID, EntryId: s.o.ID, Groups: groups,
 	})
 	if err != nil {
 		_ = level.Warn(s.o.Logger).Log("event", "stall_report_failed", "err", err)
