A group is given up once in a silence, and a slow caller ends no suspension

- A stream that stays silent, as no other attempt could be made, suspended its group again 0.9 s after each suspension: 8 times in 30 s, open for 7.4 s of them, unless another stream delivered an event by then.
Now an entry gives a group up once in a silence; an event begins a new one.
The leader is told of the whole silence each second, as before.
- A caller that reads again after its buffer was full counted as an event of its group, and ended the suspension of a group that hangs.
It is counted in readAgain now, which begins the silence anew as before and leaves the suspension.

--- a/internal/entry/forward_relay.go
+++ b/internal/entry/forward_relay.go
@@ -134,7 +134,7 @@
 		w.isPaused.Store(false)
 		w.progress(true)
 		if progress != nil {
-			progress.event(time.Now(), true)
+			progress.readAgain(time.Now())
 		}
 	}
 }
--- a/internal/entry/group_progress.go
+++ b/internal/entry/group_progress.go
@@ -152,14 +152,25 @@
 func (p *groupProgress) event(now time.Time, first bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.record(now, first)
+	p.hasResumed = p.hasResumed || now.Before(p.suspendedUntil)
+	p.suspendedUntil = time.Time{}
+}
+
+// readAgain records that a stream is read again that had waited for its caller. That tells nothing of the group.
+func (p *groupProgress) readAgain(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.record(now, true)
+}
+
+func (p *groupProgress) record(now time.Time, first bool) {
 	if first {
 		p.begun++
 	}
 	p.last = now
 	p.reportsSent = 0
 	p.link = nil
-	p.hasResumed = p.hasResumed || now.Before(p.suspendedUntil)
-	p.suspendedUntil = time.Time{}
 }
 
 // takeResumed reports whether an event has ended a suspension since the last call.
@@ -182,12 +193,15 @@
 // several of its streams are silent, or one is silent for longer than a lost packet explains.
 // The leader receives the reports of all entries and is usually faster.
 //
-// A suspension interrupts the silence: new requests must get a chance to show that the group is sound although a stream
-// from before is still silent.
+// A group is given up once in a silence. After its suspension new requests show whether it is sound, although a stream
+// from before may still be silent.
 func (p *groupProgress) isLost(now time.Time) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	silence := now.Sub(later(p.last, p.suspendedUntil))
+	if !p.suspendedUntil.IsZero() {
+		return false
+	}
+	silence := now.Sub(p.last)
 	if p.begun >= silentStreamsForLoss {
 		return silence > p.silenceLimit
 	}
--- a/internal/entry/run.go
+++ b/internal/entry/run.go
@@ -234,13 +234,6 @@
 	return b
 }
 
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // mayDispatch refuses while the configuration lease has expired, unless the settings allow
 // serving under the last known configuration.
 //
