An estimate is probed for each size of requests

Change: the time is kept for the size whose estimate was used. TestEstimateOfOneSizeIsCorrectedBesideOthers: fails before, at most 20 of 40 refused now.

--- a/internal/admission/estimate.go
+++ b/internal/admission/estimate.go
@@ -109,7 +109,7 @@
 	mean      [sizeClassCount]float64
 	deviation [sizeClassCount]float64
 	// checkedAt is when the last answer was observed or the last probe was sent.
-	checkedAt time.Time
+	checkedAt [sizeClassCount]time.Time
 }
 
 // takeProbe reports whether a request that the estimate refuses is to be admitted, as no answer has corrected the
@@ -117,21 +117,32 @@
 //
 // Failure: the process stands still for a minute while the first request of its kind runs. All requests after it are
 // refused, as none can be answered in a minute, and no answer ever tells otherwise.
-func (s *serviceTime) takeProbe(now time.Time) bool {
-	if now.Sub(s.checkedAt) < estimateProbeInterval {
+func (s *serviceTime) takeProbe(now time.Time, tokens int) bool {
+	i := s.observedClass(tokens)
+	if i < 0 || now.Sub(s.checkedAt[i]) < estimateProbeInterval {
 		return false
 	}
-	s.checkedAt = now
+	s.checkedAt[i] = now
 	return true
 }
 
+// observedClass returns the size class whose observations estimate a request of some tokens: its own, or the next smaller
+// one that has any; -1 if none has.
+func (s *serviceTime) observedClass(tokens int) int {
+	i := sizeClass(tokens)
+	for i >= 0 && s.mean[i] == 0 {
+		i--
+	}
+	return i
+}
+
 func sizeClass(tokens int) int {
 	return min(bits.Len(uint(tokens)), sizeClassCount-1)
 }
 
 func (s *serviceTime) observe(now time.Time, tokens int, elapsed time.Duration) {
-	s.checkedAt = now
 	i := sizeClass(tokens)
+	s.checkedAt[i] = now
 	seconds := elapsed.Seconds()
 	if s.mean[i] == 0 {
 		s.mean[i] = seconds
@@ -155,17 +166,16 @@
 }
 
 func (s *serviceTime) estimate(tokens int) serviceEstimate {
-	for i := sizeClass(tokens); i >= 0; i-- {
-		if s.mean[i] > 0 {
-			halfWidth := estimateDeviations * s.deviation[i]
-			return serviceEstimate{
-				lower:  fromSeconds(max(0, s.mean[i]-halfWidth)),
-				upper:  fromSeconds(s.mean[i] + halfWidth),
-				margin: fromSeconds(marginDeviations * s.deviation[i]),
-			}
-		}
+	i := s.observedClass(tokens)
+	if i < 0 {
+		return serviceEstimate{}
+	}
+	halfWidth := estimateDeviations * s.deviation[i]
+	return serviceEstimate{
+		lower:  fromSeconds(max(0, s.mean[i]-halfWidth)),
+		upper:  fromSeconds(s.mean[i] + halfWidth),
+		margin: fromSeconds(marginDeviations * s.deviation[i]),
 	}
-	return serviceEstimate{}
 }
 
 func fromSeconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/internal/admission/queue.go
+++ b/internal/admission/queue.go
@@ -180,7 +180,7 @@
 	if !now.After(it.latestPossibleStart) {
 		return true
 	}
-	if !m.serviceTimeOf(it.request.Class).takeProbe(now) {
+	if !m.serviceTimeOf(it.request.Class).takeProbe(now, it.request.Tokens) {
 		return false
 	}
 	it.latestPossibleStart = it.request.Deadline
