--- a/internal/controller/late_orders_test.go
+++ b/internal/controller/late_orders_test.go
@@ -11,9 +11,7 @@
 	"github.com/citronstep/citronstep/internal/blackboard"
 )
 
-// Guards against a join that meets an open head. A group breaks, and its members leave it or restart
-// under their IDs. Late orders make the head join it again and open it, and the next join of a
-// member arrives before any report of that.
+// Guards against a freed VM whose next join meets an open head, as late orders have reopened its former group.
 func TestNoLateOrderReopensTheGroupOfAFreedVM(t *testing.T) {
 	t.Parallel()
 	for _, c := range []struct {
