--- a/test/process/harness/process.go
+++ b/test/process/harness/process.go
@@ -33,6 +33,8 @@
 	args    []string
 	logPath string
 
+	// environment holds variables, as NAME=VALUE, that the next start adds to those of the test.
+	environment []string
 	// stdoutUnread makes the next start attach standard output to a pipe that nobody reads.
 	stdoutUnread bool
 	// stdoutLost makes the next start attach standard output to a pipe whose reader has ended.
@@ -73,6 +75,7 @@
 	}
 	command.Stderr = log
 	command.Env = append(os.Environ(), "CITRONSTEP_INVARIANTS_FATAL=1", serverlinks.Variable+"="+p.serverLinksFile())
+	command.Env = append(command.Env, p.environment...)
 	command.SysProcAttr = killedWithParent()
 	if err := command.Start(); err != nil {
 		_ = log.Close()
@@ -107,6 +110,34 @@
 // log then receives standard error only.
 func (p *Process) LoseReader() { p.stdoutLost = true }
 
+// SetEnvironment adds variables, as NAME=VALUE, to the environment from the next start on.
+func (p *Process) SetEnvironment(variables ...string) { p.environment = variables }
+
+// LimitProcessorTime lets the process run for a part of each period only, until the returned function is called.
+func (p *Process) LimitProcessorTime(run, period time.Duration) (end func()) {
+	stop, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		defer p.Resume()
+		periods := time.NewTicker(period)
+		defer periods.Stop()
+		for {
+			p.Resume()
+			time.Sleep(run)
+			p.signal(syscall.SIGSTOP)
+			select {
+			case <-periods.C:
+			case <-stop:
+				return
+			}
+		}
+	}()
+	return func() {
+		close(stop)
+		<-ended
+	}
+}
+
 func (p *Process) newLostPipe() *os.File {
 	reader, writer, err := os.Pipe()
 	if err != nil {
