An entry closes connections unread that it has no processor time for

Cause: an entry accepts and reads every connection at once, however much work it has. Work waits inside the process for 200 to 500 ms, so that all of it is late, and what is believed of the backend servers with it.

Change: the entry measures how long its goroutines are kept from a processor, and limits the connections that carry a request by that. Others are closed unread, and their callers' next try meets another entry.

Ruled out by trials: the runtime's scheduling latencies as the signal (their ninth decile is 20 ms both in a bearable load and in a bad one, and a bound of 50 ms lets 1,200 requests stay open), windows of 100 ms (one onset of four came three seconds late), and a bound of 10 ms (half of what an entry bears is refused, since it is stopped for 20 ms in 25).

--- a/internal/intake/gate.go
+++ b/internal/intake/gate.go
@@ -17,25 +17,27 @@
 // probeInterval is the time between two measurements of the delay while connections are in use.
 const probeInterval = window / 4
 
-// Gate counts the connections of callers and measures how long this process is kept from a processor.
+// Gate accepts the connections of callers, or closes them unread.
 type Gate struct {
 	logger log.Logger
 	probe  *delayProbe
 	// wake starts the probes, which rest while no connection is in use.
 	wake chan struct{}
 
-	mu sync.Mutex
+	mu      sync.Mutex
+	limiter limiter
 	// windowEnd is the end of the window, maxDelay the longest delay of those since the last report.
 	windowEnd time.Time
 	maxDelay  time.Duration
 	// active holds the connections with a request. unused holds those without one yet that were accepted in this window,
 	// lastUnused those of the last window: they are likely to bring one.
 	active, unused, lastUnused map[net.Conn]struct{}
-	// accepted counts the connections since the last report.
-	accepted int
+	// accepted and refused count the connections since the last report, limitedAt is when the limit was set.
+	accepted, refused int
+	limitedAt         time.Time
 }
 
-// NewGate returns a gate.
+// NewGate returns a gate without a limit. It has no limit until Run runs.
 func NewGate(logger log.Logger) (*Gate, error) {
 	probe, err := newDelayProbe()
 	if err != nil {
@@ -47,10 +49,15 @@
 	}, nil
 }
 
-// Run measures the delay that this process suffers until the context ends.
+// Close releases what the gate has opened.
+func (g *Gate) Close() { g.probe.close() }
+
+// Run measures the delay that this process suffers until the context ends. Then it closes the gate.
 func (g *Gate) Run(ctx context.Context) {
-	go g.probe.receive()
-	defer g.probe.close()
+	var receiver sync.WaitGroup
+	receiver.Go(g.probe.receive)
+	defer receiver.Wait()
+	defer g.Close()
 	probes := time.NewTicker(probeInterval)
 	defer probes.Stop()
 	for {
@@ -69,7 +76,8 @@
 	}
 }
 
-// Listener returns a listener that counts the connections of l. ConnState must get their states.
+// Listener returns a listener that returns the connections of l that the gate accepts. ConnState must get the
+// states of these.
 func (g *Gate) Listener(l net.Listener) net.Listener { return &listener{Listener: l, gate: g} }
 
 type listener struct {
@@ -79,22 +87,37 @@
 
 // Accept returns the next accepted connection.
 func (l *listener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err == nil {
-		l.gate.accept(time.Now(), c)
+	for {
+		c, err := l.Listener.Accept()
+		if err != nil || l.gate.accept(time.Now(), c) {
+			return c, err
+		}
+		closeUnread(c)
+	}
+}
+
+// closeUnread resets a connection, which leaves nothing of it behind in the kernel.
+func closeUnread(c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
 	}
-	return c, err
+	_ = c.Close()
 }
 
-func (g *Gate) accept(now time.Time, c net.Conn) {
+func (g *Gate) accept(now time.Time, c net.Conn) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.endWindows(now)
+	if !g.limiter.accept(now, g.inUse()) {
+		g.refused++
+		return false
+	}
 	g.accepted++
 	if g.inUse() == 0 {
 		g.wakeProbes()
 	}
 	g.unused[c] = struct{}{}
+	return true
 }
 
 // ConnState is the ConnState of the http.Server that serves the accepted connections.
@@ -123,36 +146,53 @@
 func (g *Gate) isInUse() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.inUse() > 0
+	return g.inUse() > 0 || g.limiter.limit > 0
 }
 
 func (g *Gate) inUse() int { return len(g.active) + len(g.unused) + len(g.lastUnused) }
 
-// endWindows ends the window that is over at a time.
+// endWindows ends the windows that are over at a time. Windows that have passed without a look at the time count as
+// one if they were overloaded: a process that was paused looks like that.
 func (g *Gate) endWindows(now time.Time) {
 	if now.Before(g.windowEnd) {
 		return
 	}
-	g.endWindow(g.probe.take(now))
+	delay := g.probe.take(now)
+	g.endWindow(now, delay)
+	if delay < overloadDelay {
+		for range min(endWindows, int(now.Sub(g.windowEnd)/window)) {
+			g.endWindow(now, delay)
+		}
+	}
 	g.windowEnd = now.Add(window)
 }
 
-func (g *Gate) endWindow(delay time.Duration) {
+func (g *Gate) endWindow(now time.Time, delay time.Duration) {
+	before, inUse := g.limiter.limit, g.inUse()
+	g.limiter.endWindow(delay, inUse)
 	g.maxDelay = max(g.maxDelay, delay)
 	g.lastUnused, g.unused = g.unused, make(map[net.Conn]struct{})
+	switch {
+	case before == 0 && g.limiter.limit > 0:
+		g.limitedAt = now
+		g.log("connections_limited", "delay_ms", delay.Milliseconds(), "in_use", inUse, "limit", g.limiter.limit)
+	case before > 0 && g.limiter.limit == 0:
+		g.log("connections_unlimited", "lasted_ms", now.Sub(g.limitedAt).Milliseconds(), "delay_ms", delay.Milliseconds(), "in_use", inUse)
+	}
 }
 
 // Report returns what became of the new connections since the last report, and logs it if the process lacked processor
-// time.
+// time or refused connections.
 func (g *Gate) Report(now time.Time) metrics.IntakeSample {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.endWindows(now)
-	r := metrics.IntakeSample{Accepted: g.accepted, Delay: g.maxDelay, InUse: g.inUse()}
-	if r.Delay >= overloadDelay {
-		g.log("overloaded", "delay_ms", r.Delay.Milliseconds(), "accepted", r.Accepted, "in_use", r.InUse)
+	r := metrics.IntakeSample{Accepted: g.accepted, Refused: g.refused, Delay: g.maxDelay, Limit: g.limiter.limit, InUse: g.inUse()}
+	if r.Refused > 0 || r.Delay >= overloadDelay {
+		g.log("overloaded", "delay_ms", r.Delay.Milliseconds(), "accepted", r.Accepted, "refused", r.Refused,
+			"in_use", r.InUse, "limit", r.Limit)
 	}
-	g.accepted, g.maxDelay = 0, 0
+	g.accepted, g.refused, g.maxDelay = 0, 0, 0
 	return r
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -445,6 +445,9 @@
 	if n.entry != nil {
 		n.entry.CloseRelays()
 	}
+	if n.gate != nil {
+		n.gate.Close()
+	}
 	if n.metrics != nil {
 		_ = n.metrics.Close()
 	}
