--- a/internal/backend/options.go
+++ b/internal/backend/options.go
@@ -26,9 +26,6 @@
 	OnPathCheck func(ListenState)
 	// DialTimeout bounds the time to make a connection; default 1 s.
 	DialTimeout time.Duration
-	// LookedAtReady returns a channel that is closed once this process has looked at what is ready for it by now; by
-	// default it is closed already.
-	LookedAtReady func() <-chan struct{}
 	// OnDial receives the outcome of each dial and the time that it took; nil for none.
 	OnDial func(DialOutcome, time.Duration)
 	// HeaderTimeout bounds the wait for an engine's response header, which
@@ -68,18 +65,8 @@
 	defaultForgetAfter   = 10 * time.Minute
 )
 
-// lookedAt is closed.
-var lookedAt = func() <-chan struct{} {
-	c := make(chan struct{})
-	close(c)
-	return c
-}()
-
 func (o Options) withDefaults() Options {
 	setDefault(&o.DialTimeout, defaultDialTimeout)
-	if o.LookedAtReady == nil {
-		o.LookedAtReady = func() <-chan struct{} { return lookedAt }
-	}
 	setDefault(&o.HeaderTimeout, defaultHeaderTimeout)
 	setDefault(&o.MaxLine, defaultMaxLine)
 	setDefault(&o.MaxReply, defaultMaxReply)
--- a/internal/backend/transports.go
+++ b/internal/backend/transports.go
@@ -127,22 +127,11 @@
 	return ok && at.heard.get().After(since)
 }
 
-// dialDirect makes a connection within DialTimeout.
-//
-// Failure: this process has more work than processor time. A server has accepted the connection at once, but nobody looks
-// at it within DialTimeout, and the server counts as lost. So a dial ends only once this process has looked.
 func (t *transports) dialDirect(ctx context.Context, network, address string) (net.Conn, error) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	defer time.AfterFunc(t.options.DialTimeout, func() {
-		<-t.options.LookedAtReady()
-		cancel(context.DeadlineExceeded)
-	}).Stop()
+	ctx, cancel := context.WithTimeout(ctx, t.options.DialTimeout)
+	defer cancel()
 	began := time.Now()
 	conn, err := t.options.Dial(ctx, network, address)
-	if err != nil && errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
-		err = &net.OpError{Op: "dial", Net: network, Err: context.DeadlineExceeded}
-	}
 	t.dials.record(time.Now(), address, time.Since(began), err)
 	return conn, err
 }
--- a/internal/intake/delay.go
+++ b/internal/intake/delay.go
@@ -1,15 +1,18 @@
 package intake
 
 import (
+	"os"
 	"sync"
 	"time"
 
-	"github.com/citronstep/citronstep/internal/poll"
+	"github.com/juju/errors"
 )
 
-// delayProbe measures how long a goroutine that waits for data is kept from a processor.
+// delayProbe measures how long a goroutine that waits for data is kept from a processor: the time from a write to a
+// pipe of this process until the goroutine that reads it runs. The data of callers and backend servers take the same
+// way, through the runtime's poller and its queue.
 type delayProbe struct {
-	fence *poll.Fence
+	reader, writer *os.File
 
 	mu sync.Mutex
 	// sentAt is when the open probe was sent; zero if none is open.
@@ -19,26 +22,35 @@
 	ended    int
 }
 
-// send begins a probe, unless one is open.
-func (p *delayProbe) send(now time.Time) {
-	if !p.begin(now) {
-		return
+func newDelayProbe() (*delayProbe, error) {
+	r, w, err := os.Pipe()
+	if err != nil {
+		return nil, errors.Trace(err)
 	}
-	passed := p.fence.Passed()
-	go func() {
-		<-passed
+	return &delayProbe{reader: r, writer: w}, nil
+}
+
+// receive ends probes until the probe is closed.
+func (p *delayProbe) receive() {
+	var data [1]byte
+	for {
+		if _, err := p.reader.Read(data[:]); err != nil {
+			return
+		}
 		p.end(time.Now())
-	}()
+	}
 }
 
-func (p *delayProbe) begin(now time.Time) bool {
+// send begins a probe, unless one is open.
+func (p *delayProbe) send(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if !p.sentAt.IsZero() {
-		return false
+		return
+	}
+	if _, err := p.writer.Write([]byte{0}); err == nil {
+		p.sentAt = now
 	}
-	p.sentAt = now
-	return true
 }
 
 func (p *delayProbe) end(now time.Time) {
@@ -67,3 +79,8 @@
 	}
 	return 0
 }
+
+func (p *delayProbe) close() {
+	_ = p.writer.Close()
+	_ = p.reader.Close()
+}
--- a/internal/intake/gate.go
+++ b/internal/intake/gate.go
@@ -9,9 +9,9 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"github.com/juju/errors"
 
 	"github.com/citronstep/citronstep/internal/metrics"
-	"github.com/citronstep/citronstep/internal/poll"
 )
 
 // probeInterval is the time between two measurements of the delay while connections are in use.
@@ -38,15 +38,26 @@
 }
 
 // NewGate returns a gate without a limit. It has no limit until Run runs.
-func NewGate(logger log.Logger, fence *poll.Fence) *Gate {
+func NewGate(logger log.Logger) (*Gate, error) {
+	probe, err := newDelayProbe()
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
 	return &Gate{
-		logger: logger, probe: &delayProbe{fence: fence}, wake: make(chan struct{}, 1), active: make(map[net.Conn]struct{}),
+		logger: logger, probe: probe, wake: make(chan struct{}, 1), active: make(map[net.Conn]struct{}),
 		unused: make(map[net.Conn]struct{}), lastUnused: make(map[net.Conn]struct{}),
-	}
+	}, nil
 }
 
-// Run measures the delay that this process suffers until the context ends.
+// Close releases what the gate has opened.
+func (g *Gate) Close() { g.probe.close() }
+
+// Run measures the delay that this process suffers until the context ends. Then it closes the gate.
 func (g *Gate) Run(ctx context.Context) {
+	var receiver sync.WaitGroup
+	receiver.Go(g.probe.receive)
+	defer receiver.Wait()
+	defer g.Close()
 	probes := time.NewTicker(probeInterval)
 	defer probes.Stop()
 	for {
--- a/internal/intake/gate_test.go
+++ b/internal/intake/gate_test.go
@@ -10,22 +10,13 @@
 
 	"github.com/go-kit/log"
 	"gotest.tools/v3/assert"
-
-	"github.com/citronstep/citronstep/internal/poll"
 )
 
-func newFence(t *testing.T) *poll.Fence {
-	t.Helper()
-	fence, err := poll.NewFence()
-	assert.NilError(t, err)
-	t.Cleanup(fence.Close)
-	return fence
-}
-
 // startGate serves requests of the path / at once, and those of /hold until the test ends, behind a gate.
 func startGate(t *testing.T) (*Gate, string) {
 	t.Helper()
-	g := NewGate(log.NewNopLogger(), newFence(t))
+	g, err := NewGate(log.NewNopLogger())
+	assert.NilError(t, err)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	held := make(chan struct{})
@@ -42,6 +33,7 @@
 		close(held)
 		_ = server.Close()
 		<-ended
+		g.Close()
 	})
 	return g, l.Addr().String()
 }
@@ -112,12 +104,14 @@
 // Guards against a process that is always kept from its processor and does not see it.
 func TestOpenProbeCounts(t *testing.T) {
 	t.Parallel()
-	p := &delayProbe{}
+	p, err := newDelayProbe()
+	assert.NilError(t, err)
+	defer p.close()
 	now := time.Now()
-	assert.Assert(t, p.begin(now))
+	p.send(now)
 	assert.Equal(t, p.take(now.Add(time.Second)), time.Second)
 	p.end(now.Add(2 * time.Second))
-	assert.Assert(t, p.begin(now.Add(3*time.Second)))
+	p.send(now.Add(3 * time.Second))
 	p.end(now.Add(3*time.Second + time.Millisecond))
 	assert.Equal(t, p.take(now.Add(4*time.Second)), time.Millisecond)
 	assert.Equal(t, p.take(now.Add(5*time.Second)), time.Duration(0))
@@ -126,7 +120,8 @@
 // Guards against probes that go on while no connection is in use, and against a gate that outlives its context.
 func TestProbesRestWithoutConnections(t *testing.T) {
 	t.Parallel()
-	g := NewGate(log.NewNopLogger(), newFence(t))
+	g, err := NewGate(log.NewNopLogger())
+	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,7 +26,6 @@
 	"github.com/citronstep/citronstep/internal/follow"
 	"github.com/citronstep/citronstep/internal/intake"
 	"github.com/citronstep/citronstep/internal/metrics"
-	"github.com/citronstep/citronstep/internal/poll"
 	"github.com/citronstep/citronstep/internal/raft"
 	"github.com/citronstep/citronstep/internal/relay"
 	"github.com/citronstep/citronstep/internal/replica"
@@ -67,8 +66,6 @@
 	adapter Adapter
 	commits *controlclient.Client
 	metrics *metrics.Metrics
-	// fence tells when this process has looked at what is ready for it.
-	fence *poll.Fence
 }
 
 // tokens holds the secrets from the token files that the settings name.
@@ -92,7 +89,7 @@
 // NewWithAdapter creates a node that uses an adapter for its platform's protocols.
 func NewWithAdapter(s *settings.Settings, logger log.Logger, a Adapter) (*Node, error) {
 	n := &Node{settings: s, logger: logger, adapter: a}
-	steps := []func() error{n.readTokens, n.makeMetrics, n.makeFence, n.makeClients, n.openConsensus, n.makeServers, n.listen}
+	steps := []func() error{n.readTokens, n.makeMetrics, n.makeClients, n.openConsensus, n.makeServers, n.listen}
 	for _, step := range steps {
 		if err := step(); err != nil {
 			_ = n.Close()
@@ -131,12 +128,6 @@
 	return errors.Trace(err)
 }
 
-func (n *Node) makeFence() error {
-	f, err := poll.NewFence()
-	n.fence = f
-	return errors.Trace(err)
-}
-
 // sampleInterval is the time between two samples of the gauges, and between two looks at what is open.
 const sampleInterval = entry.OpenReportInterval
 
@@ -192,7 +183,6 @@
 	o := backend.Options{
 		Logger: n.logger, Secret: n.tokens.backend, Dial: n.dialBackend(), DialTimeout: backendDialTimeout,
 		HeaderTimeout: time.Duration(n.settings.Entry.HeaderTimeoutMillis) * time.Millisecond,
-		LookedAtReady: n.fence.Passed,
 	}
 	orders := o
 	orders.IdleTimeout = orderIdleTimeout
@@ -294,7 +284,11 @@
 		Interval: millis(n.settings.Control.AnnounceMillis), OnChange: n.onEvidenceChange,
 	})
 	if e.Enabled {
-		n.gate = intake.NewGate(log.With(n.logger, "part", "intake"), n.fence)
+		gate, err := intake.NewGate(log.With(n.logger, "part", "intake"))
+		if err != nil {
+			return errors.Trace(err)
+		}
+		n.gate = gate
 		n.entry = entry.NewServer(entry.Options{
 			ID: n.settings.VM, DataCentre: n.settings.DataCentre, Regions: n.settings.Regions, Settings: e, Follower: n.follower, Announcements: n.announcements,
 			Client: n.backendClient, Control: client, Logger: n.decisionLogger("entry"), StateLogger: log.With(n.logger, "part", "entry"), RequestLinesPerSecond: n.settings.Log.RequestLinesPerSecond, Metrics: n.metrics.Entry(), Peers: &http.Client{Transport: n.peerClient.Transport},
@@ -451,8 +445,8 @@
 	if n.entry != nil {
 		n.entry.CloseRelays()
 	}
-	if n.fence != nil {
-		n.fence.Close()
+	if n.gate != nil {
+		n.gate.Close()
 	}
 	if n.metrics != nil {
 		_ = n.metrics.Close()
