Silent connections give way to new ones before descriptors run out

Now it keeps half of its descriptors for connections to others.

Found by asking which resource of an entry a flood of connections takes beside processor time. Silent connections that count as in use are now told by their age, in one list with the order in which they give way; two sets are gone.

--- a/internal/intake/gate.go
+++ b/internal/intake/gate.go
@@ -29,24 +29,22 @@
 	// windowEnd is the end of the window, maxDelay the longest delay of those since the last report.
 	windowEnd time.Time
 	maxDelay  time.Duration
-	// active holds the connections with a request. unused holds those without one yet that were accepted in this window,
-	// lastUnused those of the last window: they are likely to bring one.
-	active, unused, lastUnused map[net.Conn]struct{}
-	// accepted and refused count the connections since the last report, limitedAt is when the limit was set.
-	accepted, refused int
-	limitedAt         time.Time
+	conns     connections
+	// maxOpen bounds the open connections.
+	maxOpen int
+	// accepted, refused and silentClosed count the connections since the last report.
+	accepted, refused, silentClosed int
+	// limitedAt is when the limit was set.
+	limitedAt time.Time
 }
 
-// NewGate returns a gate without a limit. It has no limit until Run runs.
-func NewGate(logger log.Logger) (*Gate, error) {
+// NewGate returns a gate that keeps maxOpen connections open at most. It limits those in use once Run runs.
+func NewGate(logger log.Logger, maxOpen int) (*Gate, error) {
 	probe, err := newDelayProbe()
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	return &Gate{
-		logger: logger, probe: probe, wake: make(chan struct{}, 1), active: make(map[net.Conn]struct{}),
-		unused: make(map[net.Conn]struct{}), lastUnused: make(map[net.Conn]struct{}),
-	}, nil
+	return &Gate{logger: logger, probe: probe, wake: make(chan struct{}, 1), conns: newConnections(), maxOpen: maxOpen}, nil
 }
 
 // Close releases what the gate has opened.
@@ -108,31 +106,41 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.endWindows(now)
-	if !g.limiter.accept(now, g.inUse()) {
+	inUse := g.conns.inUse(now)
+	if !g.limiter.accept(now, inUse) || !g.makeRoom() {
 		g.refused++
 		return false
 	}
 	g.accepted++
-	if g.inUse() == 0 {
+	if inUse == 0 {
 		g.wakeProbes()
 	}
-	g.unused[c] = struct{}{}
+	g.conns.add(now, c)
+	return true
+}
+
+// makeRoom closes the connection that has been silent longest if no more may be open. It returns false if there is none.
+//
+// Failure: callers open connections and send nothing on them. The entry has no descriptor left for connections to
+// backend servers, and accepts nobody until the silent ones have timed out.
+func (g *Gate) makeRoom() bool {
+	if g.conns.open < g.maxOpen {
+		return true
+	}
+	silent := g.conns.takeSilent()
+	if silent == nil {
+		return false
+	}
+	closeUnread(silent)
+	g.silentClosed++
 	return true
 }
 
 // ConnState is the ConnState of the http.Server that serves the accepted connections.
 func (g *Gate) ConnState(c net.Conn, s http.ConnState) {
-	if s == http.StateNew {
-		return
-	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	delete(g.unused, c)
-	delete(g.lastUnused, c)
-	delete(g.active, c)
-	if s == http.StateActive {
-		g.active[c] = struct{}{}
-	}
+	g.conns.setState(c, s)
 }
 
 func (g *Gate) wakeProbes() {
@@ -146,11 +154,9 @@
 func (g *Gate) isInUse() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.inUse() > 0 || g.limiter.limit > 0
+	return g.conns.inUse(time.Now()) > 0 || g.limiter.limit > 0
 }
 
-func (g *Gate) inUse() int { return len(g.active) + len(g.unused) + len(g.lastUnused) }
-
 // endWindows ends the windows that are over at a time. Windows that have passed without a look at the time count as
 // one if they were overloaded: a process that was paused looks like that.
 func (g *Gate) endWindows(now time.Time) {
@@ -168,10 +174,9 @@
 }
 
 func (g *Gate) endWindow(now time.Time, delay time.Duration) {
-	before, inUse := g.limiter.limit, g.inUse()
+	before, inUse := g.limiter.limit, g.conns.inUse(now)
 	g.limiter.endWindow(delay, inUse)
 	g.maxDelay = max(g.maxDelay, delay)
-	g.lastUnused, g.unused = g.unused, make(map[net.Conn]struct{})
 	switch {
 	case before == 0 && g.limiter.limit > 0:
 		g.limitedAt = now
@@ -182,17 +187,17 @@
 }
 
 // Report returns what became of the new connections since the last report, and logs it if the process lacked processor
-// time or refused connections.
+// time or descriptors, or refused connections.
 func (g *Gate) Report(now time.Time) metrics.IntakeSample {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.endWindows(now)
-	r := metrics.IntakeSample{Accepted: g.accepted, Refused: g.refused, Delay: g.maxDelay, Limit: g.limiter.limit, InUse: g.inUse()}
-	if r.Refused > 0 || r.Delay >= overloadDelay {
+	r := metrics.IntakeSample{Accepted: g.accepted, Refused: g.refused, Delay: g.maxDelay, Limit: g.limiter.limit, InUse: g.conns.inUse(now)}
+	if r.Refused > 0 || g.silentClosed > 0 || r.Delay >= overloadDelay {
 		g.log("overloaded", "delay_ms", r.Delay.Milliseconds(), "accepted", r.Accepted, "refused", r.Refused,
-			"in_use", r.InUse, "limit", r.Limit)
+			"in_use", r.InUse, "limit", r.Limit, "open", g.conns.open, "max_open", g.maxOpen, "silent_closed", g.silentClosed)
 	}
-	g.accepted, g.refused, g.maxDelay = 0, 0, 0
+	g.accepted, g.refused, g.silentClosed, g.maxDelay = 0, 0, 0, 0
 	return r
 }
 
--- a/internal/intake/gate_test.go
+++ b/internal/intake/gate_test.go
@@ -12,10 +12,12 @@
 	"gotest.tools/v3/assert"
 )
 
+const maxOpenInTests = 100
+
 // startGate serves requests of the path / at once, and those of /hold until the test ends, behind a gate.
 func startGate(t *testing.T) (*Gate, string) {
 	t.Helper()
-	g, err := NewGate(log.NewNopLogger())
+	g, err := NewGate(log.NewNopLogger(), maxOpenInTests)
 	assert.NilError(t, err)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -38,25 +40,29 @@
 	return g, l.Addr().String()
 }
 
-// hold opens a connection with a request that is not answered.
+// hold opens a connection with a request that is not answered, and returns once it is read.
 func hold(t *testing.T, g *Gate, address string) {
 	t.Helper()
+	activeBefore := activeOf(g)
 	c, err := net.Dial("tcp", address)
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = c.Close() })
 	_, err = io.WriteString(c, "GET /hold HTTP/1.1\r\nHost: h\r\n\r\n")
 	assert.NilError(t, err)
 	for before := time.Now(); ; time.Sleep(time.Millisecond) {
-		g.mu.Lock()
-		n := len(g.active)
-		g.mu.Unlock()
-		if n > 0 {
+		if activeOf(g) > activeBefore {
 			return
 		}
 		assert.Assert(t, time.Since(before) < 10*time.Second, "the request is not read")
 	}
 }
 
+func activeOf(g *Gate) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.conns.active)
+}
+
 func (g *Gate) setLimit(limit int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -120,7 +126,7 @@
 // Guards against probes that go on while no connection is in use, and against a gate that outlives its context.
 func TestProbesRestWithoutConnections(t *testing.T) {
 	t.Parallel()
-	g, err := NewGate(log.NewNopLogger())
+	g, err := NewGate(log.NewNopLogger(), maxOpenInTests)
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
@@ -135,3 +141,21 @@
 	cancel()
 	<-ended
 }
+
+// Guards against connections without a request that leave none for callers with requests.
+func TestSilentConnectionsGiveWay(t *testing.T) {
+	t.Parallel()
+	g, address := startGate(t)
+	for range 3 * maxOpenInTests {
+		c, err := net.Dial("tcp", address)
+		assert.NilError(t, err)
+		defer func() { _ = c.Close() }()
+	}
+	for range 20 {
+		hold(t, g, address)
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	assert.Equal(t, len(g.conns.active), 20)
+	assert.Check(t, g.conns.open <= 2*maxOpenInTests, "%d connections are open", g.conns.open)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,9 +5,11 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"net"
 	"net/http"
 	"slices"
+	"syscall"
 	"time"
 
 	"github.com/go-kit/log"
@@ -284,7 +286,7 @@
 		Interval: millis(n.settings.Control.AnnounceMillis), OnChange: n.onEvidenceChange,
 	})
 	if e.Enabled {
-		gate, err := intake.NewGate(log.With(n.logger, "part", "intake"))
+		gate, err := intake.NewGate(log.With(n.logger, "part", "intake"), maxCallerConnections())
 		if err != nil {
 			return errors.Trace(err)
 		}
@@ -386,6 +388,16 @@
 	}
 }
 
+// maxCallerConnections returns how many connections of callers may be open: half of the descriptors that this process
+// may have. Each of their requests takes one more.
+func maxCallerConnections() int {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return math.MaxInt
+	}
+	return int(min(limit.Cur/2, math.MaxInt))
+}
+
 func (n *Node) goLoop(ctx context.Context, g *errgroup.Group, loop func(context.Context)) {
 	g.Go(func() error {
 		loop(ctx)
--- a/test/process/harness/process.go
+++ b/test/process/harness/process.go
@@ -35,6 +35,8 @@
 
 	// environment holds variables, as NAME=VALUE, that the next start adds to those of the test.
 	environment []string
+	// maxDescriptors limits the open descriptors from the next start on; 0 for no limit of its own.
+	maxDescriptors int
 	// stdoutUnread makes the next start attach standard output to a pipe that nobody reads.
 	stdoutUnread bool
 	// stdoutLost makes the next start attach standard output to a pipe whose reader has ended.
@@ -64,7 +66,7 @@
 	if err != nil {
 		p.t.Fatalf("log of %s: %v", p.Name, err)
 	}
-	command := exec.Command(p.path, p.args...)
+	command := p.newCommand()
 	stdout := &lineBuffer{}
 	command.Stdout = io.MultiWriter(stdout, log)
 	if p.stdoutUnread {
@@ -110,6 +112,18 @@
 // log then receives standard error only.
 func (p *Process) LoseReader() { p.stdoutLost = true }
 
+// newCommand returns the command that runs the program, through a shell if that is to set a limit.
+func (p *Process) newCommand() *exec.Cmd {
+	if p.maxDescriptors == 0 {
+		return exec.Command(p.path, p.args...)
+	}
+	script := fmt.Sprintf(`ulimit -n %d; exec "$0" "$@"`, p.maxDescriptors)
+	return exec.Command("/bin/sh", append([]string{"-c", script, p.path}, p.args...)...)
+}
+
+// LimitDescriptors limits the open descriptors of the process from the next start on.
+func (p *Process) LimitDescriptors(count int) { p.maxDescriptors = count }
+
 // SetEnvironment adds variables, as NAME=VALUE, to the environment from the next start on.
 func (p *Process) SetEnvironment(variables ...string) { p.environment = variables }
 
