The delay is measured beside requests of kept connections too

The measurements end while no connection is in use and began again only with a new connection that came while none was. A request of a kept connection that began first kept them off for as long as requests overlapped with it, so that a flood in that time would set no limit: callers would have met what mends. Each request of a kept connection starts them now.

--- a/internal/intake/gate.go
+++ b/internal/intake/gate.go
@@ -21,10 +21,12 @@
 type Gate struct {
 	logger log.Logger
 	probe  *delayProbe
-	// wake starts the probes, which rest while no connection is in use.
+	// wake starts the probes.
 	wake chan struct{}
 
-	mu      sync.Mutex
+	mu sync.Mutex
+	// isIdle is set while no probes are sent, as no connection is in use.
+	isIdle  bool
 	limiter limiter
 	// windowEnd is the end of the window, maxDelay the longest delay of those since the last report.
 	windowEnd time.Time
@@ -44,7 +46,7 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	return &Gate{logger: logger, probe: probe, wake: make(chan struct{}, 1), conns: newConnections(), maxOpen: maxOpen}, nil
+	return &Gate{logger: logger, probe: probe, wake: make(chan struct{}, 1), isIdle: true, conns: newConnections(), maxOpen: maxOpen}, nil
 }
 
 // Close releases what the gate has opened.
@@ -61,7 +63,7 @@
 	for {
 		select {
 		case <-probes.C:
-			if !g.isInUse() {
+			if g.becomesIdle() {
 				probes.Stop()
 				continue
 			}
@@ -112,9 +114,7 @@
 		return false
 	}
 	g.accepted++
-	if inUse == 0 {
-		g.wakeProbes()
-	}
+	g.wakeProbes()
 	g.conns.add(now, c)
 	return true
 }
@@ -141,20 +141,29 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.conns.setState(c, s)
+	if s == http.StateActive {
+		g.wakeProbes()
+	}
 }
 
+// wakeProbes starts the probes if they are off. The caller holds the lock.
 func (g *Gate) wakeProbes() {
+	if !g.isIdle {
+		return
+	}
+	g.isIdle = false
 	select {
 	case g.wake <- struct{}{}:
 	default:
 	}
 }
 
-// isInUse reports whether a connection is in use or the number of those is limited.
-func (g *Gate) isInUse() bool {
+// becomesIdle reports whether no probes are needed any more: no connection is in use and their number is not limited.
+func (g *Gate) becomesIdle() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.conns.inUse(time.Now()) > 0 || g.limiter.limit > 0
+	g.isIdle = g.conns.inUse(time.Now()) == 0 && g.limiter.limit == 0
+	return g.isIdle
 }
 
 // endWindows ends the windows that are over at a time. Windows that have passed without a look at the time count as
