--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,11 +5,9 @@
 import (
 	"context"
 	"maps"
-	"math"
 	"net"
 	"net/http"
 	"slices"
-	"syscall"
 	"time"
 
 	"github.com/go-kit/log"
@@ -217,17 +215,6 @@
 	return new(net.Dialer).DialContext
 }
 
-// localAddr returns the source address of connections to peers: the IP on which this
-// process listens for peers, or nil if that is unspecified. Peers of a VM with several
-// addresses then observe the one in its settings.
-func (n *Node) localAddr() net.Addr {
-	address, err := net.ResolveTCPAddr("tcp", n.settings.Peers.Listen)
-	if err != nil || address.IP == nil || address.IP.IsUnspecified() {
-		return nil
-	}
-	return &net.TCPAddr{IP: address.IP}
-}
-
 func (n *Node) openConsensus() error {
 	if !n.settings.Control.Enabled {
 		return nil
@@ -388,16 +375,6 @@
 	}
 }
 
-// maxCallerConnections returns how many connections of callers may be open: half of the descriptors that this process
-// may have. Each of their requests takes one more.
-func maxCallerConnections() int {
-	var limit syscall.Rlimit
-	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
-		return math.MaxInt
-	}
-	return int(min(limit.Cur/2, math.MaxInt))
-}
-
 func (n *Node) goLoop(ctx context.Context, g *errgroup.Group, loop func(context.Context)) {
 	g.Go(func() error {
 		loop(ctx)
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -58,6 +58,17 @@
 	return errors.Trace(n.listenAt("admin", n.settings.Admin.Listen, limitBodies(n.adminHandler(), maxBodyBytes)))
 }
 
+// localAddr returns the source address of connections to peers: the IP on which this
+// process listens for peers, or nil if that is unspecified. Peers of a VM with several
+// addresses then observe the one in its settings.
+func (n *Node) localAddr() net.Addr {
+	address, err := net.ResolveTCPAddr("tcp", n.settings.Peers.Listen)
+	if err != nil || address.IP == nil || address.IP.IsUnspecified() {
+		return nil
+	}
+	return &net.TCPAddr{IP: address.IP}
+}
+
 // adminHandler serves operators: metrics on every process, and the admin API on a
 // control process.
 func (n *Node) adminHandler() http.Handler {
