Review, case 2: a sound control machine is removed for ever after a short silence

Cause: a learner that is the successor of one machine takes the place of another that is silent for 2.5 s. The removed replica never asks to join again, so that four voters are left of five sound machines.

--- /dev/null
+++ b/review/2/run.sh
@@ -0,0 +1,6 @@
+#!/bin/sh
+# A control machine comes back with an empty disk while another stands still; later a final fault takes two disks.
+# Run review/build.sh first. Exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")/../.." || exit 2
+[ -x review/bin/probe ] && [ -x target/citronstepd ] || exit 2
+exec review/bin/probe pause-beside-lost-disk review/2/record.txt
