--- a/review/probe/cases.go
+++ b/review/probe/cases.go
@@ -110,6 +110,7 @@
 	"lost-pair":              {entries: 1, run: lostPair},
 	"pause-beside-lost-disk": {entries: 1, run: pauseBesideLostDisk},
 	"same-id":                {entries: 2, run: sameID},
+	"late-orders":            {entries: 1, run: lateOrdersOfEarlierLeader},
 	"other-writer":           {entries: 2, run: otherWriter},
 }
 
