Consensus: a voter that was silent keeps its identity, and fills a vacancy again

What callers saw: an acknowledged configuration was gone after a final fault, and none could be acknowledged any more. 22 s before, a control VM had stood still for 4.5 s while another one came back with an empty disk.

The leader did not promote the learner, but removed the silent voter first and gave its place to the learner, so that four voters were left. When the silent VM went on, it learnt that its identity was removed, recorded that on its disk, and never asked to join again. Five sound VMs had four votes for good; two lost disks then left two of four. Ruled out by the log: a learner that did not catch up (it did, in 0.2 s).

Two rules were wrong, and both change here: - A vacancy is filled before a silent voter loses its vote. - A silent voter that a learner replaces is not removed but becomes a learner. Its disk, and with it the record of its votes and acknowledged entries, may be intact, so its identity need not be barred: only a VM that joins under another identity proves that the disk is lost. When the VM answers again it catches up and can vote again. An identity whose disk is lost never asks to join, so that it can't count again.

The same cause on related paths: a learner that does not answer for ten replacement periods leaves the list (the list would grow with each VM lost for good), and its identity may join again. A member that knows no leader asks to join, since nobody contacts a member that was dropped or removed. The silence of a member counts from when the leader began to track it: a member added late in a term would have been dropped before its first answer (found by TestDroppedVoterReturns).

--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -199,7 +199,7 @@
 	n.round = 0
 	n.progress = map[NodeID]*progress{}
 	for _, member := range n.membership.Members {
-		n.progress[member.ID] = newProgress(n.log.lastIndex() + 1)
+		n.progress[member.ID] = newProgress(n.log.lastIndex()+1, n.now)
 	}
 	n.progress[n.cfg.ID].match = n.log.stable
 	n.heartbeatDue = n.now
--- a/internal/raft/lease.go
+++ b/internal/raft/lease.go
@@ -82,14 +82,20 @@
 }
 
 // TimeSinceAnswer returns the time since a member last answered this leader, or since
-// this node began to lead if the member has not answered. It returns zero for
+// this leader began to track it if the member has not answered. It returns zero for
 // this node and for a non-member.
 func (n *Node) TimeSinceAnswer(id NodeID) time.Duration {
 	p := n.progress[id]
 	if p == nil || id == n.cfg.ID {
 		return 0
 	}
-	return n.now - max(p.ackedAt, n.leaderSince)
+	return n.now - max(p.ackedAt, p.addedAt)
+}
+
+// isSilentFor reports whether a member has not answered for longer than limit. A limit
+// of zero means never.
+func (n *Node) isSilentFor(id NodeID, limit time.Duration) bool {
+	return limit > 0 && n.TimeSinceAnswer(id) > limit
 }
 
 func (n *Node) ackedWithin(id NodeID, limit time.Duration) bool {
--- a/internal/raft/membership.go
+++ b/internal/raft/membership.go
@@ -99,8 +99,7 @@
 
 // Without returns a copy without the member id, and with id in Removed.
 func (m Membership) Without(id NodeID) Membership {
-	next := m.clone()
-	next.Members = slices.DeleteFunc(next.Members, func(member Member) bool { return member.ID == id })
+	next := m.dropped(id)
 	next.Removed = append(next.Removed, id)
 	if excess := len(next.Removed) - maxRemovedIDs; excess > 0 {
 		next.Removed = next.Removed[excess:]
@@ -108,6 +107,13 @@
 	return next
 }
 
+// dropped returns a copy without the member id. The id may join again.
+func (m Membership) dropped(id NodeID) Membership {
+	next := m.clone()
+	next.Members = slices.DeleteFunc(next.Members, func(member Member) bool { return member.ID == id })
+	return next
+}
+
 func (m Membership) clone() Membership {
 	return Membership{Members: slices.Clone(m.Members), Removed: slices.Clone(m.Removed)}
 }
@@ -246,7 +252,7 @@
 	}
 	for _, member := range m.Members {
 		if n.progress[member.ID] == nil {
-			n.progress[member.ID] = newProgress(n.log.lastIndex() + 1)
+			n.progress[member.ID] = newProgress(n.log.lastIndex()+1, n.now)
 		}
 	}
 	for id := range n.progress {
--- a/internal/raft/next_membership.go
+++ b/internal/raft/next_membership.go
@@ -13,11 +13,42 @@
 	ActiveMembers map[NodeID]bool
 	// CaughtUpMembers holds the members whose log has all committed entries.
 	CaughtUpMembers map[NodeID]bool
-	// SilentMembers holds the members that have not answered for so long that a learner
-	// should replace them.
-	SilentMembers map[NodeID]bool
 	// FreshMembers holds the members that answered within the last few heartbeats.
 	FreshMembers map[NodeID]bool
+	// SilentMembers holds the members that have not answered for Config.ReplaceAfter.
+	SilentMembers map[NodeID]bool
+	// AbsentMembers holds the members that have been silent for so long that a learner
+	// among them leaves the list.
+	AbsentMembers map[NodeID]bool
+}
+
+// absentFactor is the number of replacement periods after which a silent learner is
+// absent. It is high so that a VM that is only switched off for maintenance remains
+// listed with its identity.
+const absentFactor = 10
+
+// MembershipView returns this leader's view of the members, for NextMembership.
+// JoinRequests must be ordered by identity.
+func (n *Node) MembershipView(targetVoters int, joinRequests []Member) MembershipView {
+	v := MembershipView{
+		Membership:      n.membership,
+		Self:            n.cfg.ID,
+		TargetVoters:    targetVoters,
+		JoinRequests:    joinRequests,
+		ActiveMembers:   map[NodeID]bool{},
+		CaughtUpMembers: map[NodeID]bool{},
+		FreshMembers:    map[NodeID]bool{},
+		SilentMembers:   map[NodeID]bool{},
+		AbsentMembers:   map[NodeID]bool{},
+	}
+	for _, m := range n.membership.Members {
+		v.ActiveMembers[m.ID] = n.IsActive(m.ID)
+		v.CaughtUpMembers[m.ID] = n.MatchIndex(m.ID) >= n.log.committed
+		v.FreshMembers[m.ID] = n.AnsweredRecently(m.ID)
+		v.SilentMembers[m.ID] = n.isSilentFor(m.ID, n.cfg.ReplaceAfter)
+		v.AbsentMembers[m.ID] = n.isSilentFor(m.ID, absentFactor*n.cfg.ReplaceAfter)
+	}
+	return v
 }
 
 // NextMembership returns the one membership change to make now and the reason for
@@ -30,20 +61,24 @@
 		present, ok := v.Membership.Find(request.ID)
 		if !ok && !isVMListed(v, request) && !v.Membership.IsRemoved(request.ID) {
 			request.Learner = true
-			return v.Membership.With(request), "a new replica joins as learner"
+			return v.Membership.With(request), "a replica joins as learner"
 		}
 		request.Learner = present.Learner
 		if ok && request != present {
 			return v.Membership.With(request), "a replica moved to another address"
 		}
 	}
-	if id, ok := silentVoterToReplace(v); ok {
-		return v.Membership.Without(id), "a voter has not answered for the replacement period and a learner can replace it"
-	}
 	if learner, ok := learnerToPromote(v); ok {
 		learner.Learner = false
 		return v.Membership.With(learner), "a learner has caught up and the group needs another voter"
 	}
+	if voter, ok := silentVoterToReplace(v); ok {
+		voter.Learner = true
+		return v.Membership.With(voter), "a voter has not answered for the replacement period and a learner can replace it"
+	}
+	if learner, ok := absentLearner(v); ok {
+		return v.Membership.dropped(learner.ID), "a learner has not answered for a long time"
+	}
 	return Membership{}, ""
 }
 
@@ -104,15 +139,16 @@
 }
 
 // silentVoterToReplace returns a silent voter that a ready learner can replace. Without
-// such a learner, removing the voter would only shorten the list. With one, the
-// group regains its failure tolerance without an operator, for example at night.
+// such a learner, demoting the voter would only shorten the list. With one, the
+// group regains its failure tolerance without an operator, for example at night. The
+// silent voter keeps its identity as a learner, and can become a voter again when it returns.
 //
 // All other voters must have answered recently. The silent voter may only be
 // partitioned, with its disk intact. If another voter is lost for good, the group
 // may need the silent one back to reach a majority.
-func silentVoterToReplace(v MembershipView) (NodeID, bool) {
+func silentVoterToReplace(v MembershipView) (Member, bool) {
 	if _, ok := findReadyLearner(v, nil); !ok {
-		return 0, false
+		return Member{}, false
 	}
 	var silent NodeID
 	for _, id := range v.Membership.Voters() {
@@ -121,10 +157,22 @@
 		case silent == 0 && v.SilentMembers[id]:
 			silent = id
 		default:
-			return 0, false
+			return Member{}, false
+		}
+	}
+	return v.Membership.Find(silent)
+}
+
+// absentLearner returns a learner whose VM has probably been replaced. Its identity may
+// join again: an identity that asks to join has its disk, and with it the record of its
+// votes and acknowledged entries.
+func absentLearner(v MembershipView) (Member, bool) {
+	for _, m := range v.Membership.Members {
+		if m.Learner && v.AbsentMembers[m.ID] {
+			return m, true
 		}
 	}
-	return silent, silent != 0
+	return Member{}, false
 }
 
 // findReadyLearner returns an active, caught-up learner from the data centre with the
--- a/internal/raft/replication.go
+++ b/internal/raft/replication.go
@@ -21,6 +21,8 @@
 	// snapshotUntil is the time at which an unanswered snapshot is sent again. It
 	// is zero if no snapshot is in flight.
 	snapshotUntil time.Duration
+	// addedAt is the time at which this leader began to track the member.
+	addedAt time.Duration
 	// ackedAt is the latest time, on the leader's clock, at which the leader sent
 	// a message that the member has answered.
 	ackedAt time.Duration
@@ -28,8 +30,8 @@
 	ackedRound uint64
 }
 
-func newProgress(next uint64) *progress {
-	return &progress{next: next, probing: true, ackedAt: never}
+func newProgress(next uint64, now time.Duration) *progress {
+	return &progress{next: next, probing: true, addedAt: now, ackedAt: never}
 }
 
 // broadcastHeartbeat starts a new heartbeat round and sends a heartbeat to every
--- a/internal/raft/types.go
+++ b/internal/raft/types.go
@@ -203,6 +203,9 @@
 	// LeaseMargin shortens the lease to allow for clocks that run at different
 	// rates: the lease lasts ElectionTimeout - LeaseMargin.
 	LeaseMargin time.Duration
+	// ReplaceAfter is the time without an answer after which a learner replaces a
+	// voter. Zero means never.
+	ReplaceAfter time.Duration
 	// MaxBatchBytes limits the data of the entries in one append, except that an
 	// append always has room for one entry. Zero means 1 MiB.
 	MaxBatchBytes int
--- a/internal/replica/found.go
+++ b/internal/replica/found.go
@@ -142,8 +142,8 @@
 	return errors.Trace(n.startCore(saved))
 }
 
-// joinLoop asks the peers to make this node a member while it is not one, or while the
-// membership lists it under another address. Otherwise it sends nothing to the peers.
+// joinLoop asks the peers to make this node a member while shouldJoin returns true. Otherwise
+// it sends nothing to the peers.
 func (n *Node) joinLoop(ctx context.Context) {
 	defer n.running.Done()
 	ticker := time.NewTicker(joinInterval)
@@ -166,6 +166,12 @@
 	return Member{ID: n.id, VM: n.opts.VM, DataCentre: n.opts.DataCentre, Address: n.opts.Address}
 }
 
+// shouldJoin reports whether this node is not a member, is listed under another address, or
+// knows no leader.
+//
+// Failure: a member is cut off until the leader has dropped or removed it. Nobody sends it the
+// log any more, and the members that it knows may all have been replaced. Without asking it
+// would wait forever.
 func (n *Node) shouldJoin() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -174,9 +180,7 @@
 	}
 	status := n.view.status
 	listed, ok := status.Membership.Find(n.id)
-	// A learner starts no elections, so it would not learn from a voter's response that it was
-	// removed. A learner without a leader therefore asks to join.
-	if listed.Learner && status.Leader == 0 {
+	if status.Leader == 0 {
 		return true
 	}
 	listed.Learner = false
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"time"
@@ -30,7 +31,7 @@
 	if !status.OwnTermCommitted || status.MembershipIndex > status.Commit {
 		return
 	}
-	next, reason := raft.NextMembership(n.membershipView(status))
+	next, reason := raft.NextMembership(n.core.MembershipView(n.opts.Voters, n.joinRequests()))
 	if reason == "" {
 		return
 	}
@@ -42,42 +43,19 @@
 		"members", len(next.Members), "voters", len(next.Voters()))
 }
 
-func (n *Node) membershipView(status raft.Status) raft.MembershipView {
-	v := raft.MembershipView{
-		Membership:      status.Membership,
-		Self:            status.ID,
-		TargetVoters:    n.opts.Voters,
-		ActiveMembers:   map[raft.NodeID]bool{},
-		CaughtUpMembers: map[raft.NodeID]bool{},
-		SilentMembers:   map[raft.NodeID]bool{},
-		FreshMembers:    map[raft.NodeID]bool{},
-	}
+// joinRequests returns the current join requests, ordered by identity.
+func (n *Node) joinRequests() []Member {
+	var requests []Member
 	now := n.opts.Now()
 	for id, j := range n.joins {
 		if now-j.at > joinLifetime {
 			delete(n.joins, id)
 			continue
 		}
-		v.JoinRequests = append(v.JoinRequests, j.member)
-	}
-	slices.SortFunc(v.JoinRequests, func(a, b Member) int { return compareIDs(a.ID, b.ID) })
-	for _, m := range status.Membership.Members {
-		v.ActiveMembers[m.ID] = n.core.IsActive(m.ID)
-		v.CaughtUpMembers[m.ID] = n.core.MatchIndex(m.ID) >= status.Commit
-		v.FreshMembers[m.ID] = n.core.AnsweredRecently(m.ID)
-		v.SilentMembers[m.ID] = n.core.TimeSinceAnswer(m.ID) > n.opts.ReplaceAfter
-	}
-	return v
-}
-
-func compareIDs(a, b raft.NodeID) int {
-	switch {
-	case a < b:
-		return -1
-	case a > b:
-		return 1
+		requests = append(requests, j.member)
 	}
-	return 0
+	slices.SortFunc(requests, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
+	return requests
 }
 
 // RemoveMember removes a member permanently, and returns once the removal is committed. It is
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -150,6 +150,7 @@
 		ElectionTimeout:   timeout,
 		HeartbeatInterval: time.Duration(n.opts.HeartbeatTicks) * n.opts.TickInterval,
 		LeaseMargin:       timeout / leaseMarginDivisor,
+		ReplaceAfter:      n.opts.ReplaceAfter,
 		MaxBatchBytes:     maxBatchBytes,
 		Rand:              rand.New(rand.NewPCG(seed, uint64(n.id))),
 	}, saved, n.opts.Now())
--- /dev/null
+++ b/internal/replica/replacement_test.go
@@ -0,0 +1,101 @@
+package replica
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// replaceSoon makes voters lose their vote after a short silence.
+func replaceSoon(o *Options) { o.ReplaceAfter = time.Second }
+
+// isVoter reports whether a host's present identity is a voter.
+func (c *cluster) isVoter(h *host) bool {
+	m, ok := c.member(h.node.Status().ID)
+	return ok && !m.Learner
+}
+
+// follower returns a voter that does not lead.
+func (c *cluster) follower() *host {
+	c.t.Helper()
+	leader := c.leader()
+	for _, h := range c.hosts {
+		if h.node != nil && h != leader && c.isVoter(h) {
+			return h
+		}
+	}
+	c.t.Fatal("no voter follows")
+	return nil
+}
+
+// Guards against a lost voter that is never replaced, and against a voter that is out for
+// good because it was absent for a while. A control VM stops while a fourth one stands by.
+// The standby must become a voter without a command. The VM that returns must stand by with
+// its identity, and vote again when the other one stops.
+func TestSpareReplacesAVoter(t *testing.T) {
+	c := newCluster(t, 4, func(o *Options) { replaceSoon(o); o.Voters = 3 })
+	c.found(3)
+	c.put("k", "v")
+	var spare *host
+	for _, h := range c.hosts {
+		if !c.isVoter(h) {
+			spare = h
+		}
+	}
+	absent := c.follower()
+	id := absent.node.Status().ID
+	absent.kill()
+	eventually(t, "the standby votes in place of the absent voter", func() bool {
+		m, _ := c.member(id)
+		return m.Learner && c.isVoter(spare) && c.voters() == 3
+	})
+	c.put("k", "w")
+	absent.open()
+	eventually(t, "the absent VM has the write", func() bool { return absent.machine.get("k") == "w" })
+	assert.Equal(t, absent.node.Status().ID, id)
+	assert.Assert(t, !c.isVoter(absent))
+
+	spare.kill()
+	eventually(t, "the VM that returned votes again", func() bool { return c.isVoter(absent) && c.voters() == 3 })
+}
+
+// Guards against a sound voter that gives its vote away. A control VM is silent for longer
+// than the replacement period, while another returns with an empty disk. Both must be voters
+// in the end.
+func TestSilentVoterKeepsItsVoteBesideALostDisk(t *testing.T) {
+	c := newCluster(t, 5, func(o *Options) { replaceSoon(o); o.Voters = 5 })
+	c.found(5)
+	c.put("k", "v")
+	silent := c.follower()
+	silent.kill()
+	empty := c.follower()
+	empty.kill()
+	empty.loseDisk()
+	time.Sleep(2 * silent.opts.ReplaceAfter)
+	empty.open()
+	eventually(t, "the empty VM votes", func() bool { return c.isVoter(empty) })
+	silent.open()
+	eventually(t, "all five VMs vote", func() bool { return c.isVoter(silent) && c.voters() == 5 })
+}
+
+// Guards against a dropped member that waits forever. A voter is absent for so long that it
+// leaves the list. When it is back, it still believes that it is a voter, and no member sends
+// it the log. It must ask to join, and keep its identity.
+func TestDroppedVoterReturns(t *testing.T) {
+	c := newCluster(t, 4, func(o *Options) { o.ReplaceAfter = 300 * time.Millisecond; o.Voters = 3 })
+	c.found(3)
+	absent := c.follower()
+	id := absent.node.Status().ID
+	absent.kill()
+	eventually(t, "the absent VM leaves the list", func() bool {
+		_, ok := c.member(id)
+		return !ok && c.voters() == 3
+	})
+	c.put("k", "v")
+	absent.open()
+	eventually(t, "the absent VM is a member again", func() bool {
+		_, ok := c.member(id)
+		return ok && absent.node.Status().ID == id && absent.machine.get("k") == "v"
+	})
+}
