--- a/internal/raft/rare_order_test.go
+++ b/internal/raft/rare_order_test.go
@@ -145,3 +145,25 @@
 	assert.Equal(t, n.LeaseExpiry(), max(before, sent+n.cfg.ElectionTimeout-n.cfg.LeaseMargin))
 	assert.Assert(t, n.LeaseExpiry() < b.now+n.cfg.ElectionTimeout/2)
 }
+
+// Guards against a new replica that waits seconds for its entries. Its snapshot is lost
+// with a connection. The answer to a later heartbeat shows that, so the snapshot is sent
+// again at once.
+func TestLostSnapshotIsSentAgainAfterALaterHeartbeat(t *testing.T) {
+	b := newTestGroup(t, 3, 1)
+	n := b.leader()
+	b.down[4] = true
+	_, err := n.Propose([]byte("k"))
+	assert.NilError(t, err)
+	b.advance(200 * time.Millisecond)
+	_, _, err = n.Compact(nil, 0)
+	assert.NilError(t, err)
+
+	b.heldTypes[MessageSnapshot] = true
+	b.down[4] = false
+	b.advance(200 * time.Millisecond)
+	assert.Assert(t, len(b.heldMessages) > 0)
+	b.heldTypes[MessageSnapshot] = false
+	b.advance(500 * time.Millisecond)
+	assert.Equal(t, b.nodes[4].log.committed, n.log.committed)
+}
--- a/internal/raft/replication.go
+++ b/internal/raft/replication.go
@@ -21,6 +21,8 @@
 	// snapshotUntil is the time at which an unanswered snapshot is sent again. It
 	// is zero if no snapshot is in flight.
 	snapshotUntil time.Duration
+	// snapshotRound is the heartbeat round in which the last snapshot was sent.
+	snapshotRound uint64
 	// addedAt is the time at which this leader began to track the member.
 	addedAt time.Duration
 	// ackedAt is the latest time, on the leader's clock, at which the leader sent
@@ -111,6 +113,7 @@
 		return
 	}
 	p.snapshotUntil = n.now + snapshotRetryTimeouts*n.cfg.ElectionTimeout
+	p.snapshotRound = n.round
 	n.send(Message{Type: MessageSnapshot, To: to, Snapshot: &snapshot, SentAt: n.now, Round: n.round})
 }
 
@@ -211,6 +214,10 @@
 	if p == nil {
 		return
 	}
+	if m.Round > p.snapshotRound {
+		// Messages arrive in order, so the snapshot or its answer was lost.
+		p.snapshotUntil = 0
+	}
 	if p.match < n.log.lastIndex() {
 		n.sendEntries(m.From, true)
 	}
