Consensus: voters that are silent together are replaced, in one joint change

What callers saw: an acknowledged configuration was gone after a final fault, and none could be acknowledged any more. 15 s before, two control VMs had been lost for good at once and replaced.

The five voters included two VMs that did not exist; two lost disks left one of five. Ruled out: successors that did not catch up, and hasDurableMajority as the cause (it counts voters; with five sound voters three disks hold a change).

The condition could not just be dropped. So voters are now exchanged together: the next list is joint, elections, commits, leases and reads need a majority of the outgoing voters and one of the incoming, and a second entry ends it. No list in between has fewer voters or depends on a learner alone. Vacancies are filled in one change too, so that three voters become five without four in between. A raise of the quorum still needs an answer from all, or, with one known silent, from one more than a majority. An outgoing voter may have to lead, as its log may be the most complete; it hands over to an incoming one.

TestRandomLossesEndWithSoundVoters is new: lost, silent, cut off, planned and returning control VMs, the leader too, in any order, in virtual time. Within the tolerance of two disks of five (one of three) the voters must be as many as wanted and sound four seconds after the last disturbance, and a final fault with as many disks loses nothing that was answered. TestTwoSilentVotersAreReplaced and TestJointListNeedsAMajorityOfBothLists are on the decisions alone.

--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -14,7 +14,7 @@
 func (n *Node) startPreVote(forced bool) {
 	n.resetElectionTimer()
 	n.leader = 0
-	if n.removed || !n.membership.IsVoter(n.cfg.ID) {
+	if n.removed || !n.membership.hasVote(n.cfg.ID) {
 		return
 	}
 	if n.role == RoleCandidate {
@@ -99,7 +99,7 @@
 func (n *Node) requestVotes(t MessageType, term uint64, forced bool) {
 	n.sending = requestsQueued
 	last := n.log.last()
-	for _, id := range n.membership.Voters() {
+	for _, id := range n.membership.electorate() {
 		if id == n.cfg.ID {
 			continue
 		}
@@ -111,13 +111,7 @@
 // voters of the current membership: a vote from a learner or a non-member does
 // not count.
 func (n *Node) votesWon() bool {
-	granted := 0
-	for _, id := range n.membership.Voters() {
-		if n.votes[id] {
-			granted++
-		}
-	}
-	return granted >= n.membership.Quorum()
+	return n.membership.hasMajority(func(id NodeID) bool { return n.votes[id] })
 }
 
 // isUpToDate reports whether the candidate's log is at least as up to date as the
--- a/internal/raft/lease.go
+++ b/internal/raft/lease.go
@@ -1,8 +1,6 @@
 package raft
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/juju/errors"
@@ -26,25 +24,16 @@
 	timeoutNowSent bool
 }
 
-// nthHighest returns the n-th highest of values, counted from 1. It sorts values.
-func nthHighest[T cmp.Ordered](values []T, n int) T {
-	slices.Sort(values)
-	return values[len(values)-n]
-}
-
 // quorumAckedAt returns the latest time, on this leader's clock, such that a
 // majority has answered a message sent at or after that time. The leader counts
 // as part of the majority. The result is never if no majority has answered.
 func (n *Node) quorumAckedAt() time.Duration {
-	var acks []time.Duration
-	for _, id := range n.membership.Voters() {
+	return majorityValue(n.membership, func(id NodeID) time.Duration {
 		if id == n.cfg.ID {
-			acks = append(acks, n.now)
-			continue
+			return n.now
 		}
-		acks = append(acks, n.progress[id].ackedAt)
-	}
-	return nthHighest(acks, n.membership.Quorum())
+		return n.progress[id].ackedAt
+	})
 }
 
 // LeaseExpiry returns the time until which no other node can lead, on the clock
@@ -127,6 +116,18 @@
 	if n.now >= n.heartbeatDue {
 		n.broadcastHeartbeat()
 	}
+	n.handOverUnlessVoter()
+}
+
+// handOverUnlessVoter transfers the leadership of an outgoing voter or a learner to a voter.
+// Either may have to lead because its log is the most complete one, but the group must not
+// depend on it for longer.
+func (n *Node) handOverUnlessVoter() {
+	if !n.ownTermCommitted() || n.membership.IsVoter(n.cfg.ID) {
+		return
+	}
+	// Without a voter that answers, the next tick tries again.
+	_ = n.TransferLeadership(n.now)
 }
 
 // abortTransfer aborts a leadership transfer that exceeded its time limit. If the
@@ -165,15 +166,12 @@
 	if len(n.pendingReads) == 0 {
 		return
 	}
-	var rounds []uint64
-	for _, id := range n.membership.Voters() {
+	confirmed := majorityValue(n.membership, func(id NodeID) uint64 {
 		if id == n.cfg.ID {
-			rounds = append(rounds, n.round)
-			continue
+			return n.round
 		}
-		rounds = append(rounds, n.progress[id].ackedRound)
-	}
-	confirmed := nthHighest(rounds, n.membership.Quorum())
+		return n.progress[id].ackedRound
+	})
 	for len(n.pendingReads) > 0 && n.pendingReads[0].round <= confirmed {
 		r := n.pendingReads[0]
 		n.pendingReads = n.pendingReads[1:]
--- a/internal/raft/membership.go
+++ b/internal/raft/membership.go
@@ -29,6 +29,10 @@
 // is appended to the log, before it is committed.
 type Membership struct {
 	Members []Member `json:"members"`
+	// Outgoing lists the voters of the previous list while the group changes several
+	// voters at once. Until a later list is without it, elections and commits need a
+	// majority of Outgoing and a majority of the voters in Members.
+	Outgoing []NodeID `json:"outgoing,omitempty"`
 	// Removed lists identities of former members, which can never join again.
 	Removed []NodeID `json:"removed,omitempty"`
 }
@@ -56,7 +60,7 @@
 	return Member{}, false
 }
 
-// Voters returns the identities of the voters, in the order of Members.
+// Voters returns the identities of the voters in Members, in their order.
 func (m Membership) Voters() []NodeID {
 	var ids []NodeID
 	for _, member := range m.Members {
@@ -67,7 +71,7 @@
 	return ids
 }
 
-// IsVoter reports whether id is a voter.
+// IsVoter reports whether id is a voter of the list in Members.
 func (m Membership) IsVoter(id NodeID) bool {
 	member, ok := m.Find(id)
 	return ok && !member.Learner
@@ -78,11 +82,6 @@
 	return slices.Contains(m.Removed, id)
 }
 
-// Quorum returns the number of voters that make a majority.
-func (m Membership) Quorum() int {
-	return len(m.Voters())/2 + 1
-}
-
 // With returns a copy in which member replaces the entry with the same ID, or is
 // added if there is none.
 func (m Membership) With(member Member) Membership {
@@ -115,7 +114,27 @@
 }
 
 func (m Membership) clone() Membership {
-	return Membership{Members: slices.Clone(m.Members), Removed: slices.Clone(m.Removed)}
+	return Membership{
+		Members: slices.Clone(m.Members), Outgoing: slices.Clone(m.Outgoing), Removed: slices.Clone(m.Removed),
+	}
+}
+
+// isJoint reports whether the group changes from one list of voters to another.
+func (m Membership) isJoint() bool { return len(m.Outgoing) > 0 }
+
+// joint returns a copy with the voters of m as Outgoing and the members of next.
+func (m Membership) joint(next []Member) Membership {
+	changed := m.clone()
+	changed.Members = next
+	changed.Outgoing = m.Voters()
+	return changed
+}
+
+// settled returns a copy that is not joint.
+func (m Membership) settled() Membership {
+	next := m.clone()
+	next.Outgoing = nil
+	return next
 }
 
 // countVoterChanges returns the number of identities that are voters in exactly one of
@@ -135,15 +154,28 @@
 	return changed
 }
 
-// checkMembershipChange returns ErrInvalidChange unless next is a single-step change
-// of the current list.
+// checkMembershipChange returns ErrInvalidChange unless majorities under the current
+// and the next list always overlap, and ErrChangePending if the current list is joint
+// and next does not end that.
 //
 // Majorities of two lists that differ in one voter always overlap. If two voters
-// were exchanged at once, two disjoint majorities could each elect a leader.
+// were exchanged at once, two disjoint majorities could each elect a leader. The list
+// must therefore be joint: it also needs a majority of the current voters.
 func (n *Node) checkMembershipChange(next Membership) error {
-	if countVoterChanges(n.membership, next) > 1 {
+	changes := countVoterChanges(n.membership, next)
+	switch {
+	case n.membership.isJoint() && (changes > 0 || next.isJoint()):
+		return errors.Trace(ErrChangePending)
+	case next.isJoint() && !slices.Equal(next.Outgoing, n.membership.Voters()):
+		return errors.Annotate(ErrInvalidChange, "the outgoing voters are not the current ones")
+	case changes > 1 && !next.isJoint():
 		return errors.Annotate(ErrInvalidChange, "more than one voter differs")
 	}
+	for _, id := range next.Outgoing {
+		if _, ok := next.Find(id); !ok {
+			return errors.Annotate(ErrInvalidChange, "an outgoing voter is not a member")
+		}
+	}
 	if !next.IsVoter(n.cfg.ID) {
 		return errors.Annotate(ErrInvalidChange, "the leader would remove itself")
 	}
@@ -162,34 +194,12 @@
 // late answer.
 const freshHeartbeatIntervals = 3
 
-// keepsMajority reports whether enough voters of next have answered recently to
-// commit entries under next. Without this check, a second loss just after a
-// removal or a promotion would stop a group although a majority of it is alive.
-//
-// A change that raises the quorum, such as adding a fourth voter, requires a
-// recent answer from all voters. If one voter is already lost, the change uses up
-// the failure tolerance. If the new voter is then lost before it has answered, the
-// group can never commit again.
-func (n *Node) keepsMajority(next Membership) bool {
-	voters := next.Voters()
-	fresh := 0
-	for _, id := range voters {
-		if n.AnsweredRecently(id) {
-			fresh++
-		}
-	}
-	if next.Quorum() > n.membership.Quorum() {
-		return fresh == len(voters)
-	}
-	return fresh >= next.Quorum()
-}
-
 // ProposeMembership appends the next list of members and returns its position.
 //
 // It returns ErrNotReady until the leader has committed an entry of its own term:
 // otherwise two leaders could each hold an uncommitted change that the other has
 // not seen. It returns ErrChangePending while an earlier change is uncommitted,
-// ErrInvalidChange for a change of more than one step, and ErrUnsafeChange for a
+// ErrInvalidChange for a change whose majorities may not overlap with the current ones, and ErrUnsafeChange for a
 // change of voters that could leave no responsive majority. Errors of Propose
 // apply as well.
 func (n *Node) ProposeMembership(next Membership) (Position, error) {
@@ -205,7 +215,8 @@
 	if err := n.checkMembershipChange(next); err != nil {
 		return Position{}, errors.Trace(err)
 	}
-	if countVoterChanges(n.membership, next) > 0 && !n.keepsMajority(next) {
+	isSilent := func(id NodeID) bool { return n.isSilentFor(id, n.cfg.ReplaceAfter) }
+	if !keepsMajority(n.membership, next, n.AnsweredRecently, isSilent) {
 		return Position{}, errors.Trace(ErrUnsafeChange)
 	}
 	data, err := EncodeMembership(next)
--- a/internal/raft/next_membership.go
+++ b/internal/raft/next_membership.go
@@ -1,5 +1,7 @@
 package raft
 
+import "slices"
+
 // MembershipView is the information from which the leader chooses the next
 // membership change.
 type MembershipView struct {
@@ -51,38 +53,60 @@
 	return v
 }
 
+// membershipRule returns a change and the reason for it. The reason is empty if the
+// rule requires no change.
+type membershipRule func(v MembershipView) (Membership, string)
+
+// membershipRules are the rules in order of precedence.
+var membershipRules = []membershipRule{
+	settleVoters,
+	fillVacancies,
+	removeSuperseded,
+	admitJoinRequest,
+	replaceSilentVoters,
+	dropAbsentLearner,
+}
+
 // NextMembership returns the one membership change to make now and the reason for
-// it. The reason is empty if no change is needed.
+// it. The reason is empty if no change is needed, or if none is safe at the moment.
 func NextMembership(v MembershipView) (Membership, string) {
-	if id, ok := supersededMember(v); ok {
-		return v.Membership.Without(id), "the VM of a member rejoins with an empty disk under a new identity"
-	}
-	for _, request := range v.JoinRequests {
-		present, ok := v.Membership.Find(request.ID)
-		if !ok && !isVMListed(v, request) && !v.Membership.IsRemoved(request.ID) {
-			request.Learner = true
-			return v.Membership.With(request), "a replica joins as learner"
-		}
-		request.Learner = present.Learner
-		if ok && request != present {
-			return v.Membership.With(request), "a replica moved to another address"
+	for _, rule := range membershipRules {
+		next, reason := rule(v)
+		if reason != "" && v.keepsMajority(next) {
+			return next, reason
 		}
 	}
-	if learner, ok := learnerToPromote(v); ok {
-		learner.Learner = false
-		return v.Membership.With(learner), "a learner has caught up and the group needs another voter"
-	}
-	if voter, ok := silentVoterToReplace(v); ok {
-		voter.Learner = true
-		return v.Membership.With(voter), "a voter has not answered for the replacement period and a learner can replace it"
+	return Membership{}, ""
+}
+
+func (v MembershipView) keepsMajority(next Membership) bool {
+	return keepsMajority(v.Membership, next,
+		func(id NodeID) bool { return v.FreshMembers[id] },
+		func(id NodeID) bool { return v.SilentMembers[id] })
+}
+
+// settleVoters ends the change from one list of voters to another.
+func settleVoters(v MembershipView) (Membership, string) {
+	if !v.Membership.isJoint() {
+		return Membership{}, ""
 	}
-	if learner, ok := absentLearner(v); ok {
-		return v.Membership.dropped(learner.ID), "a learner has not answered for a long time"
+	return v.Membership.settled(), "the change of the voters is committed"
+}
+
+// fillVacancies promotes learners if there are fewer voters than wanted.
+func fillVacancies(v MembershipView) (Membership, string) {
+	members := slices.Clone(v.Membership.Members)
+	for range v.TargetVoters - len(v.Membership.Voters()) {
+		i := v.readyLearner(members)
+		if i < 0 {
+			break
+		}
+		members[i].Learner = false
 	}
-	return Membership{}, ""
+	return v.changeVoters(members, "learners have caught up and the group needs more voters")
 }
 
-// supersededMember returns an inactive member whose VM requests to join under
+// removeSuperseded removes an inactive member whose VM requests to join under
 // another identity.
 //
 // The VM has lost its disk, and with it the record of its votes and acknowledged
@@ -90,9 +114,8 @@
 // the new identity is added, so the two never count at the same time.
 //
 // The removal does not reduce fault tolerance: the old identity no longer answers,
-// and ProposeMembership rejects the change unless a majority of the shorter list
-// answers.
-func supersededMember(v MembershipView) (NodeID, bool) {
+// and a removal requires recent answers from a majority of the shorter list.
+func removeSuperseded(v MembershipView) (Membership, string) {
 	for _, request := range v.JoinRequests {
 		// A join request is kept for some time after its sender became a member
 		// or was removed. Such a stale request replaces no member.
@@ -102,11 +125,27 @@
 		}
 		for _, m := range v.Membership.Members {
 			if m.VM == request.VM && m.ID != request.ID && m.ID != v.Self && !v.ActiveMembers[m.ID] {
-				return m.ID, true
+				return v.Membership.Without(m.ID), "the VM of a member rejoins with an empty disk under a new identity"
 			}
 		}
 	}
-	return 0, false
+	return Membership{}, ""
+}
+
+// admitJoinRequest adds a replica as a learner, or changes the address of a member.
+func admitJoinRequest(v MembershipView) (Membership, string) {
+	for _, request := range v.JoinRequests {
+		present, ok := v.Membership.Find(request.ID)
+		if !ok && !isVMListed(v, request) && !v.Membership.IsRemoved(request.ID) {
+			request.Learner = true
+			return v.Membership.With(request), "a replica joins as learner"
+		}
+		request.Learner = present.Learner
+		if ok && request != present {
+			return v.Membership.With(request), "a replica moved to another address"
+		}
+	}
+	return Membership{}, ""
 }
 
 // isVMListed reports whether the VM of a join request is a member under another
@@ -120,74 +159,74 @@
 	return false
 }
 
-// learnerToPromote returns the learner to promote, if there are fewer voters than
-// wanted. It chooses an active, caught-up learner in the data centre with the
-// fewest voters, so that the loss of a data centre costs as few voters as possible.
-func learnerToPromote(v MembershipView) (Member, bool) {
-	perCentre := map[string]int{}
-	voters := 0
-	for _, m := range v.Membership.Members {
-		if !m.Learner {
-			perCentre[m.DataCentre]++
-			voters++
+// replaceSilentVoters exchanges silent voters for learners. The group thus regains its
+// failure tolerance without an operator, for example at night. Without a learner, the
+// removal of a voter would only shorten the list.
+//
+// A silent voter may be lost, or only partitioned with its disk intact, and another voter
+// may be lost at the same moment. All exchanges are therefore one change: there is no list
+// in between that has fewer voters, or that depends on a learner alone. The silent voter
+// keeps its identity as a learner, and can become a voter again when it returns.
+func replaceSilentVoters(v MembershipView) (Membership, string) {
+	members := slices.Clone(v.Membership.Members)
+	for i := range members {
+		if members[i].Learner || !v.SilentMembers[members[i].ID] {
+			continue
 		}
+		k := v.readyLearner(members)
+		if k < 0 {
+			break
+		}
+		members[i].Learner = true
+		members[k].Learner = false
 	}
-	if voters >= v.TargetVoters {
-		return Member{}, false
-	}
-	return findReadyLearner(v, perCentre)
+	return v.changeVoters(members, "a voter has not answered for the replacement period and a learner can replace it")
 }
 
-// silentVoterToReplace returns a silent voter that a ready learner can replace. Without
-// such a learner, demoting the voter would only shorten the list. With one, the
-// group regains its failure tolerance without an operator, for example at night. The
-// silent voter keeps its identity as a learner, and can become a voter again when it returns.
-//
-// All other voters must have answered recently. The silent voter may only be
-// partitioned, with its disk intact. If another voter is lost for good, the group
-// may need the silent one back to reach a majority.
-func silentVoterToReplace(v MembershipView) (Member, bool) {
-	if _, ok := findReadyLearner(v, nil); !ok {
-		return Member{}, false
-	}
-	var silent NodeID
-	for _, id := range v.Membership.Voters() {
-		switch {
-		case id == v.Self || v.FreshMembers[id]:
-		case silent == 0 && v.SilentMembers[id]:
-			silent = id
-		default:
-			return Member{}, false
-		}
+// changeVoters returns the change to members, joint if more than one voter differs. The
+// reason is empty if members are the current ones.
+func (v MembershipView) changeVoters(members []Member, reason string) (Membership, string) {
+	next := v.Membership.clone()
+	next.Members = members
+	switch countVoterChanges(v.Membership, next) {
+	case 0:
+		return Membership{}, ""
+	case 1:
+		return next, reason
 	}
-	return v.Membership.Find(silent)
+	return v.Membership.joint(members), reason
 }
 
-// absentLearner returns a learner whose VM has probably been replaced. Its identity may
-// join again: an identity that asks to join has its disk, and with it the record of its
-// votes and acknowledged entries.
-func absentLearner(v MembershipView) (Member, bool) {
+// dropAbsentLearner removes a learner whose VM has probably been replaced. Its
+// identity may join again: an identity that asks to join has its disk, and with it the
+// record of its votes and acknowledged entries.
+func dropAbsentLearner(v MembershipView) (Membership, string) {
 	for _, m := range v.Membership.Members {
 		if m.Learner && v.AbsentMembers[m.ID] {
-			return m, true
+			return v.Membership.dropped(m.ID), "a learner has not answered for a long time"
 		}
 	}
-	return Member{}, false
+	return Membership{}, ""
 }
 
-// findReadyLearner returns an active, caught-up learner from the data centre with the
-// fewest voters according to perCentre.
-func findReadyLearner(v MembershipView, perCentre map[string]int) (Member, bool) {
-	var best Member
-	found := false
-	for _, m := range v.Membership.Members {
+// readyLearner returns the index of the active, caught-up learner in the data centre with
+// the fewest voters that answer, so that the loss of a data centre costs as few voters as
+// possible. It returns -1 if there is none.
+func (v MembershipView) readyLearner(members []Member) int {
+	perCentre := map[string]int{}
+	for _, m := range members {
+		if !m.Learner && !v.SilentMembers[m.ID] {
+			perCentre[m.DataCentre]++
+		}
+	}
+	best := -1
+	for i, m := range members {
 		if !m.Learner || !v.ActiveMembers[m.ID] || !v.CaughtUpMembers[m.ID] {
 			continue
 		}
-		if !found || perCentre[m.DataCentre] < perCentre[best.DataCentre] {
-			best = m
-			found = true
+		if best < 0 || perCentre[m.DataCentre] < perCentre[members[best].DataCentre] {
+			best = i
 		}
 	}
-	return best, found
+	return best
 }
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -93,7 +93,7 @@
 	}
 	n.removed = n.membership.IsRemoved(cfg.ID)
 	n.resetElectionTimer()
-	if v := n.membership.Voters(); len(v) == 1 && v[0] == cfg.ID {
+	if v := n.membership.electorate(); len(v) == 1 && v[0] == cfg.ID {
 		// The only voter cannot have promised its vote to another node, so it need not
 		// wait.
 		n.electionDue = now
--- a/internal/raft/rare_order_test.go
+++ b/internal/raft/rare_order_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/juju/errors"
 	"gotest.tools/v3/assert"
 )
 
@@ -167,3 +168,51 @@
 	b.advance(500 * time.Millisecond)
 	assert.Equal(t, b.nodes[4].log.committed, n.log.committed)
 }
+
+// Guards against two disjoint majorities while several voters are exchanged at once. The
+// new list has a majority that answers, the former one has not, so nothing may commit and
+// the leader must step down.
+func TestJointListNeedsAMajorityOfBothLists(t *testing.T) {
+	b := newTestGroup(t, 5, 2)
+	n := b.leader()
+	b.advance(300 * time.Millisecond)
+	peers := b.peersOf(n)
+	next := b.exchangeTwo(n)
+	_, err := n.ProposeMembership(next)
+	assert.Assert(t, errors.Is(err, ErrInvalidChange), "%v", err)
+	joint := n.membership.joint(next.Members)
+
+	for _, id := range peers[:4] {
+		b.down[id] = id <= 5
+	}
+	committed := n.log.committed
+	_, err = n.ProposeMembership(joint)
+	assert.NilError(t, err)
+	b.advance(500 * time.Millisecond)
+	assert.Equal(t, n.log.committed, committed, "three of five incoming voters have it, and one of five outgoing ones")
+	b.advance(2 * time.Second)
+	assert.Assert(t, n.role != RoleLeader)
+
+	for _, id := range peers[:4] {
+		b.down[id] = false
+	}
+	n = b.leader()
+	next = b.exchangeTwo(n)
+	_, err = n.ProposeMembership(n.membership.joint(next.Members))
+	assert.NilError(t, err)
+	b.deliverAll()
+	_, err = n.ProposeMembership(n.membership.settled())
+	assert.NilError(t, err)
+	b.deliverAll()
+	assert.DeepEqual(t, n.membership.Voters(), next.Voters())
+}
+
+// exchangeTwo returns the leader's membership with two other voters exchanged for learners.
+func (b *testGroup) exchangeTwo(leader *Node) Membership {
+	next := leader.membership.clone()
+	peers := b.peersOf(leader)
+	for i, m := range next.Members {
+		next.Members[i].Learner = m.ID == peers[0] || m.ID == peers[1]
+	}
+	return next
+}
--- a/internal/raft/replication.go
+++ b/internal/raft/replication.go
@@ -273,9 +273,5 @@
 
 // quorumMatch returns the highest index that a majority has synced.
 func (n *Node) quorumMatch() uint64 {
-	var matches []uint64
-	for _, id := range n.membership.Voters() {
-		matches = append(matches, n.progress[id].match)
-	}
-	return nthHighest(matches, n.membership.Quorum())
+	return majorityValue(n.membership, func(id NodeID) uint64 { return n.progress[id].match })
 }
--- /dev/null
+++ b/internal/raft/simulation_losses_test.go
@@ -0,0 +1,195 @@
+package raft
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+const (
+	// simCatchUp is how long a VM with a new disk must have run undisturbed until it no
+	// longer counts as lost, and another disk may be lost in its place.
+	simCatchUp = 4 * time.Second
+	// simLossReplaceAfter is shorter than simCatchUp: a lost voter must be replaced by then.
+	simLossReplaceAfter = 2500 * time.Millisecond
+	// simRestartTime is how long all VMs are down after a loss of power.
+	simRestartTime = 1500 * time.Millisecond
+	// simRoughChance is the probability per step that a rough period starts.
+	simRoughChance = 0.001
+)
+
+// simLosses loses VMs and disks within the tolerance of a simulated cluster: at any time
+// no more than tolerance disks have been lost without a successor that has caught up.
+// Freezes, crashes and cuts are not limited.
+type simLosses struct {
+	w         *simCluster
+	tolerance int
+	// open holds, by the VM with the new disk, how long it has run undisturbed.
+	open map[*simVM]time.Duration
+	// leaving holds the VMs that stop for good once their successors have caught up.
+	leaving map[*simVM]*simVM
+	created int
+	// roughUntil is the time until which messages are lost and late, and syncs slow.
+	roughUntil time.Duration
+	// term is the term of the leader at the last step, or zero.
+	term uint64
+}
+
+func newSimLosses(w *simCluster) *simLosses {
+	return &simLosses{
+		w: w, tolerance: (w.wanted - 1) / 2, open: map[*simVM]time.Duration{}, leaving: map[*simVM]*simVM{},
+	}
+}
+
+// step advances the time of each successor, or restarts it at a disturbance.
+func (l *simLosses) step() {
+	calm := l.isCalm()
+	for _, vm := range slices.Clone(l.w.vms) {
+		elapsed, ok := l.open[vm]
+		if !ok {
+			continue
+		}
+		if !calm {
+			elapsed = 0
+		}
+		l.open[vm] = elapsed + simStep
+		if l.open[vm] < simCatchUp {
+			continue
+		}
+		delete(l.open, vm)
+		if old := l.leaving[vm]; old != nil {
+			l.remove(old)
+			delete(l.leaving, vm)
+			l.open[vm] = 0
+		}
+	}
+}
+
+// isCalm reports whether all VMs run and are connected, and the leader of the last step
+// still holds a lease.
+func (l *simLosses) isCalm() bool {
+	earlier := l.term
+	l.term = 0
+	undisturbed := l.roughUntil <= l.w.now
+	for _, vm := range l.w.vms {
+		if vm.proc == nil || vm.proc.frozenUntil > l.w.now {
+			undisturbed = false
+			continue
+		}
+		if vm.proc.isLeader && vm.proc.lease > vm.clock(l.w.now) {
+			l.term = max(l.term, vm.proc.term)
+		}
+	}
+	for _, until := range l.w.cutUntil {
+		undisturbed = undisturbed && until <= l.w.now
+	}
+	return undisturbed && l.term != 0 && l.term == earlier
+}
+
+// disturb sometimes starts a period in which messages are lost and late, and syncs slow.
+func (l *simLosses) disturb(rough simFaults) {
+	if l.w.rng.Float64() < simRoughChance {
+		l.roughUntil = l.w.now + l.w.duration(6*time.Second)
+	}
+	f := &l.w.faults
+	f.loss, f.delay, f.slowSync = 0, 0, 0
+	if l.w.now < l.roughUntil {
+		f.loss, f.delay, f.slowSync = rough.loss, rough.delay, rough.slowSync
+	}
+}
+
+// inject loses or replaces a random VM, or the leader, if the tolerance allows it.
+func (l *simLosses) inject() {
+	vm := l.victim()
+	if len(l.open) >= l.tolerance || l.isInvolved(vm) {
+		return
+	}
+	switch l.w.rng.IntN(4) {
+	case 0:
+		l.w.counts["VMs lost for good"]++
+		l.open[l.addVM(l.w.duration(3*time.Second))] = 0
+		l.remove(vm)
+	case 1:
+		l.w.counts["planned replacements"]++
+		successor := l.addVM(0)
+		l.open[successor] = 0
+		l.leaving[successor] = vm
+	default:
+		l.w.counts["lost disks"]++
+		l.w.crash(vm)
+		vm.disk = nil
+		vm.restartAt = l.w.now + l.w.duration(4*time.Second)
+		l.open[vm] = 0
+	}
+}
+
+func (l *simLosses) victim() *simVM {
+	vm := l.w.vms[l.w.rng.IntN(len(l.w.vms))]
+	if l.w.rng.IntN(3) > 0 {
+		return vm
+	}
+	for _, other := range l.w.vms {
+		if other.proc != nil && other.proc.isLeader {
+			return other
+		}
+	}
+	return vm
+}
+
+// isInvolved reports whether a VM has yet to catch up or is about to leave.
+func (l *simLosses) isInvolved(vm *simVM) bool {
+	_, ok := l.open[vm]
+	for _, old := range l.leaving {
+		ok = ok || old == vm
+	}
+	return ok
+}
+
+func (l *simLosses) addVM(startIn time.Duration) *simVM {
+	l.created++
+	vm := &simVM{
+		name: fmt.Sprint("new-", l.created), rate: l.w.clockRate(),
+		offset: l.w.duration(time.Hour), restartAt: l.w.now + startIn,
+	}
+	l.w.vms = append(l.w.vms, vm)
+	return vm
+}
+
+func (l *simLosses) remove(vm *simVM) {
+	l.w.crash(vm)
+	l.w.vms = slices.DeleteFunc(l.w.vms, func(other *simVM) bool { return other == vm })
+}
+
+// finalFault makes all VMs lose power and as many voters as tolerated lose their disks.
+func (l *simLosses) finalFault() {
+	lost := l.soundVoters()
+	l.w.rng.Shuffle(len(lost), func(i, j int) { lost[i], lost[j] = lost[j], lost[i] })
+	for _, vm := range l.w.vms {
+		l.w.crash(vm)
+		vm.restartAt = l.w.now + simRestartTime
+	}
+	for _, vm := range lost[:l.tolerance] {
+		vm.disk = nil
+	}
+}
+
+// soundVoters returns the VMs whose present disk has a vote under the last committed
+// membership.
+func (l *simLosses) soundVoters() []*simVM {
+	var sound []*simVM
+	for _, vm := range l.w.vms {
+		if vm.disk != nil && l.w.checker.membership.IsVoter(vm.disk.id) {
+			sound = append(sound, vm)
+		}
+	}
+	return sound
+}
+
+// problem describes the voters unless they are as many as wanted and all of them are sound.
+func (l *simLosses) problem() string {
+	voters, sound := len(l.w.checker.membership.Voters()), len(l.soundVoters())
+	if voters == l.w.wanted && sound == l.w.wanted {
+		return ""
+	}
+	return fmt.Sprintf("%d voters, %d of them sound, %d wanted\n%v", voters, sound, l.w.wanted, l.w)
+}
--- a/internal/replica/replacement_test.go
+++ b/internal/replica/replacement_test.go
@@ -60,6 +60,32 @@
 	eventually(t, "the VM that returned votes again", func() bool { return c.isVoter(absent) && c.voters() == 3 })
 }
 
+// Guards against voters that are never replaced because two are silent. Two control VMs are
+// lost for good at once, and two with other names take their places. Each must become a
+// voter, so that two more may be lost.
+func TestTwoLostVotersAreReplaced(t *testing.T) {
+	c := newCluster(t, 5, func(o *Options) { replaceSoon(o); o.Voters = 5 })
+	c.found(5)
+	c.put("k", "v")
+	for range 2 {
+		c.follower().kill()
+	}
+	for range 2 {
+		h := c.addHost()
+		h.opts.Peers = c.peers
+		h.open()
+	}
+	eventually(t, "the successors vote", func() bool {
+		return c.isVoter(c.hosts[5]) && c.isVoter(c.hosts[6]) && c.voters() == 5
+	})
+	for range 2 {
+		h := c.follower()
+		h.kill()
+		h.loseDisk()
+	}
+	c.put("k", "w")
+}
+
 // Guards against a sound voter that gives its vote away. A control VM is silent for longer
 // than the replacement period, while another returns with an empty disk. Both must be voters
 // in the end.
