Consensus: a learner with the most complete log may end a standstill

What callers would see: no leader, for good, although a majority of the disks is intact and connected.

Of three voters one is lost. The one with the uncommitted list needs the learner's vote, which it does not get, since the learner's log is of a later term; the other one's log is shorter than both. The learner starts no election. Nobody can win.

A learner that has known no leader for four election timeouts now stands for election. It needs a majority of the voters like any candidate, its own vote doesn't count, and once it has committed an entry it hands over to a voter.

--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -14,7 +14,7 @@
 func (n *Node) startPreVote(forced bool) {
 	n.resetElectionTimer()
 	n.leader = 0
-	if n.removed || !n.membership.hasVote(n.cfg.ID) {
+	if n.removed || !n.mayCampaign() {
 		return
 	}
 	if n.role == RoleCandidate {
@@ -30,6 +30,25 @@
 	n.requestVotes(MessagePreVote, n.hard.Term+1, false)
 }
 
+// learnerCampaignTimeouts is the number of election timeouts without a leader after which a
+// learner campaigns.
+const learnerCampaignTimeouts = 4
+
+// mayCampaign reports whether this node may stand for election: it has a vote, or it is a
+// learner that has long known no leader.
+//
+// Failure: a leader is lost after it sent its last entry to a learner only. Another voter
+// has appended an uncommitted list in which that learner votes. The voter needs the vote of
+// the learner, whose log is more complete, and no voter with a shorter log can win. The
+// learner can: it needs a majority of the voters like any other, and hands over at once.
+func (n *Node) mayCampaign() bool {
+	if n.membership.hasVote(n.cfg.ID) {
+		return true
+	}
+	_, ok := n.membership.Find(n.cfg.ID)
+	return ok && n.now-n.lastLeaderContact > learnerCampaignTimeouts*n.cfg.ElectionTimeout
+}
+
 // retryDivisor divides the election timeout to give the shortest delay before an
 // unsuccessful candidate retries. The longest delay is twice the shortest.
 //
--- a/internal/raft/rare_order_test.go
+++ b/internal/raft/rare_order_test.go
@@ -169,6 +169,37 @@
 	assert.Equal(t, b.nodes[4].log.committed, n.log.committed)
 }
 
+// Guards against a group without a leader although a majority is alive. Voter 3 led, sent
+// an entry to the learner only, and is lost. Voter 1 holds an uncommitted list of an
+// earlier term in which the learner votes. Voter 1 needs the vote of the learner, whose log
+// is more complete than its own, and voter 2 needs that of voter 1.
+func TestLearnerWithTheMostCompleteLogEndsAStandstill(t *testing.T) {
+	b := newTestGroup(t, 3, 1)
+	b.down[3] = true
+	list := b.nodes[1].membership
+	learner, _ := list.Find(4)
+	learner.Learner = false
+	data, err := EncodeMembership(list.With(learner))
+	assert.NilError(t, err)
+	b.append(1, Entry{Term: 2, Index: 2, Type: EntryMembership, Data: data})
+	b.append(4, Entry{Term: 3, Index: 2})
+
+	b.advance(10 * time.Second)
+	n := b.leader()
+	assert.Assert(t, n.membership.IsVoter(n.cfg.ID))
+	assert.Assert(t, n.ownTermCommitted())
+	assert.Equal(t, len(n.membership.Voters()), 3)
+}
+
+// append gives a node a synced entry, as if a leader that is gone had sent it.
+func (b *testGroup) append(id NodeID, e Entry) {
+	n := b.nodes[id]
+	n.hard.Term = e.Term
+	n.log.entries = append(n.log.entries, e)
+	n.log.stable = e.Index
+	assert.NilError(b.t, n.reloadMembership())
+}
+
 // Guards against two disjoint majorities while several voters are exchanged at once. The
 // new list has a majority that answers, the former one has not, so nothing may commit and
 // the leader must step down.
