Consensus: a control VM that stops hands its vote to one that stands by

What callers would see: an acknowledged configuration is gone after a final fault, which strikes right after a planned replacement: the successor came first and has caught up, the old control VM got SIGTERM and is gone. Until the leader notices its silence (2.5 s on the users' platform), five voters include a VM that does not exist, and two lost disks leave two of five.

Cause: a stop only handed over the leadership. Found by reading the platform's terms beside the random losses, which had counted a planned departure as a loss until now.

A replica that stops tells its leader so with each heartbeat (MessageLeaving), and waits up to 1 s until the committed list is without it. The leader exchanges it for a learner that has caught up, as it does with a silent voter, in one joint change. Without a learner nobody waits and nothing changes, so that restarts one after the other cost no change of voters. The note lapses after an election timeout, so that a restarted replica isn't replaced. An older process ignores the message.

TestStoppingVoterHandsItsVoteOver loses two disks right after such a stop; TestStopWithoutAStandbyKeepsTheVote guards against a stop that waits for nobody.

--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -11,6 +11,7 @@
 // work finish. It returns false if the context ends first.
 func (n *Node) Drain(ctx context.Context) bool {
 	n.transferLeadership(ctx)
+	n.handOverVote(ctx)
 	if n.entry != nil && !n.entry.Drain(ctx, n.closeIdleCallers) {
 		return false
 	}
@@ -46,6 +47,22 @@
 	}
 }
 
+// voteTimeout is a few heartbeat intervals. A learner that has caught up takes over the vote
+// within two.
+const voteTimeout = time.Second
+
+// handOverVote hands the vote of this control process over to one that stands by.
+func (n *Node) handOverVote(ctx context.Context) {
+	if n.replica == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, voteTimeout)
+	defer cancel()
+	if err := n.replica.Leave(ctx); err != nil {
+		_ = level.Warn(n.logger).Log("event", "vote_kept", "err", err)
+	}
+}
+
 // shutdownServers shuts the servers down once all answers are written. It returns false
 // if the context ends first.
 //
--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -42,7 +42,7 @@
 // the learner, whose log is more complete, and no voter with a shorter log can win. The
 // learner can: it needs a majority of the voters like any other, and hands over at once.
 func (n *Node) mayCampaign() bool {
-	if n.membership.hasVote(n.cfg.ID) {
+	if n.membership.HasVote(n.cfg.ID) {
 		return true
 	}
 	_, ok := n.membership.Find(n.cfg.ID)
--- a/internal/raft/next_membership.go
+++ b/internal/raft/next_membership.go
@@ -19,6 +19,8 @@
 	FreshMembers map[NodeID]bool
 	// SilentMembers holds the members that have not answered for Config.ReplaceAfter.
 	SilentMembers map[NodeID]bool
+	// LeavingMembers holds the members that are about to stop.
+	LeavingMembers map[NodeID]bool
 	// AbsentMembers holds the members that have been silent for so long that a learner
 	// among them leaves the list.
 	AbsentMembers map[NodeID]bool
@@ -41,6 +43,7 @@
 		CaughtUpMembers: map[NodeID]bool{},
 		FreshMembers:    map[NodeID]bool{},
 		SilentMembers:   map[NodeID]bool{},
+		LeavingMembers:  map[NodeID]bool{},
 		AbsentMembers:   map[NodeID]bool{},
 	}
 	for _, m := range n.membership.Members {
@@ -48,6 +51,7 @@
 		v.CaughtUpMembers[m.ID] = n.MatchIndex(m.ID) >= n.log.committed
 		v.FreshMembers[m.ID] = n.AnsweredRecently(m.ID)
 		v.SilentMembers[m.ID] = n.isSilentFor(m.ID, n.cfg.ReplaceAfter)
+		v.LeavingMembers[m.ID] = m.ID != n.cfg.ID && n.progress[m.ID].leavingUntil > n.now
 		v.AbsentMembers[m.ID] = n.isSilentFor(m.ID, absentFactor*n.cfg.ReplaceAfter)
 	}
 	return v
@@ -63,7 +67,7 @@
 	fillVacancies,
 	removeSuperseded,
 	admitJoinRequest,
-	replaceSilentVoters,
+	replaceVoters,
 	dropAbsentLearner,
 }
 
@@ -159,7 +163,7 @@
 	return false
 }
 
-// replaceSilentVoters exchanges silent voters for learners. The group thus regains its
+// replaceVoters exchanges silent voters, and those that are about to stop, for learners. The group thus regains its
 // failure tolerance without an operator, for example at night. Without a learner, the
 // removal of a voter would only shorten the list.
 //
@@ -167,10 +171,10 @@
 // may be lost at the same moment. All exchanges are therefore one change: there is no list
 // in between that has fewer voters, or that depends on a learner alone. The silent voter
 // keeps its identity as a learner, and can become a voter again when it returns.
-func replaceSilentVoters(v MembershipView) (Membership, string) {
+func replaceVoters(v MembershipView) (Membership, string) {
 	members := slices.Clone(v.Membership.Members)
 	for i := range members {
-		if members[i].Learner || !v.SilentMembers[members[i].ID] {
+		if id := members[i].ID; members[i].Learner || !v.SilentMembers[id] && !v.LeavingMembers[id] {
 			continue
 		}
 		k := v.readyLearner(members)
@@ -180,7 +184,7 @@
 		members[i].Learner = true
 		members[k].Learner = false
 	}
-	return v.changeVoters(members, "a voter has not answered for the replacement period and a learner can replace it")
+	return v.changeVoters(members, "a voter is silent or about to stop and a learner can replace it")
 }
 
 // changeVoters returns the change to members, joint if more than one voter differs. The
@@ -221,7 +225,7 @@
 	}
 	best := -1
 	for i, m := range members {
-		if !m.Learner || !v.ActiveMembers[m.ID] || !v.CaughtUpMembers[m.ID] {
+		if !m.Learner || !v.ActiveMembers[m.ID] || !v.CaughtUpMembers[m.ID] || v.LeavingMembers[m.ID] {
 			continue
 		}
 		if best < 0 || perCentre[m.DataCentre] < perCentre[members[best].DataCentre] {
--- a/internal/raft/next_membership_test.go
+++ b/internal/raft/next_membership_test.go
@@ -19,6 +19,7 @@
 		CaughtUpMembers: map[NodeID]bool{1: true, 2: true, 3: true},
 		FreshMembers:    map[NodeID]bool{1: true, 2: true, 3: true},
 		SilentMembers:   map[NodeID]bool{},
+		LeavingMembers:  map[NodeID]bool{},
 		AbsentMembers:   map[NodeID]bool{},
 	}
 }
--- a/internal/raft/node.go
+++ b/internal/raft/node.go
@@ -35,6 +35,8 @@
 	membershipTerm  uint64
 	// removed is set once this node learns that its removal is committed.
 	removed bool
+	// leaving is set once this node is about to stop.
+	leaving bool
 
 	// lastLeaderContact is the time at which this node last received a message from a
 	// leader, led, or started. It grants no vote for an ElectionTimeout after
@@ -197,6 +199,8 @@
 		n.handleHeartbeatReply(m)
 	case MessageTimeoutNow:
 		n.handleTimeoutNow(m)
+	case MessageLeaving:
+		n.handleLeaving(m)
 	}
 }
 
--- a/internal/raft/quorum.go
+++ b/internal/raft/quorum.go
@@ -14,8 +14,8 @@
 	return [][]NodeID{m.Voters(), m.Outgoing}
 }
 
-// hasVote reports whether id is in one of the lists of voters.
-func (m Membership) hasVote(id NodeID) bool {
+// HasVote reports whether id is in one of the lists of voters.
+func (m Membership) HasVote(id NodeID) bool {
 	return m.IsVoter(id) || slices.Contains(m.Outgoing, id)
 }
 
@@ -23,7 +23,7 @@
 func (m Membership) electorate() []NodeID {
 	var ids []NodeID
 	for _, member := range m.Members {
-		if m.hasVote(member.ID) {
+		if m.HasVote(member.ID) {
 			ids = append(ids, member.ID)
 		}
 	}
--- a/internal/raft/replication.go
+++ b/internal/raft/replication.go
@@ -25,6 +25,8 @@
 	snapshotRound uint64
 	// addedAt is the time at which this leader began to track the member.
 	addedAt time.Duration
+	// leavingUntil is the time until which the member counts as about to stop.
+	leavingUntil time.Duration
 	// ackedAt is the latest time, on the leader's clock, at which the leader sent
 	// a message that the member has answered.
 	ackedAt time.Duration
@@ -137,6 +139,9 @@
 	case MessageHeartbeat:
 		n.log.commitTo(m.Commit)
 		n.send(Message{Type: MessageHeartbeatReply, To: m.From, SentAt: m.SentAt, Round: m.Round})
+		if n.leaving {
+			n.send(Message{Type: MessageLeaving, To: m.From})
+		}
 	case MessageSnapshot:
 		n.handleSnapshot(m)
 	}
@@ -223,6 +228,17 @@
 	}
 }
 
+// Leave makes this node tell its leader with each heartbeat that it is about to stop.
+func (n *Node) Leave() { n.leaving = true }
+
+// handleLeaving notes that a member is about to stop. The note lapses unless it is repeated, since
+// the member may have restarted meanwhile.
+func (n *Node) handleLeaving(m Message) {
+	if p := n.progress[m.From]; n.role == RoleLeader && p != nil {
+		p.leavingUntil = n.now + n.cfg.ElectionTimeout
+	}
+}
+
 func (n *Node) handleAppendReply(m Message) {
 	p := n.recordAck(m)
 	if p == nil {
--- a/internal/raft/simulation_losses_test.go
+++ b/internal/raft/simulation_losses_test.go
@@ -14,6 +14,8 @@
 	simLossReplaceAfter = 2500 * time.Millisecond
 	// simRestartTime is how long all VMs are down after a loss of power.
 	simRestartTime = 1500 * time.Millisecond
+	// simStopTime bounds how long a VM that stops waits to hand over its vote.
+	simStopTime = time.Second
 	// simRoughChance is the probability per step that a rough period starts.
 	simRoughChance = 0.001
 )
@@ -26,11 +28,15 @@
 	tolerance int
 	// open holds, by the VM with the new disk, how long it has run undisturbed.
 	open map[*simVM]time.Duration
-	// leaving holds the VMs that stop for good once their successors have caught up.
-	leaving map[*simVM]*simVM
-	created int
+	// leaving holds, by successor, the VMs that stop for good once the successor has caught
+	// up. stopping holds the time at which such a VM stops with its vote at the latest.
+	leaving  map[*simVM]*simVM
+	stopping map[*simVM]time.Duration
+	created  int
 	// roughUntil is the time until which messages are lost and late, and syncs slow.
 	roughUntil time.Duration
+	// calmTime is how long the cluster has been calm.
+	calmTime time.Duration
 	// term is the term of the leader at the last step, or zero.
 	term uint64
 }
@@ -38,12 +44,17 @@
 func newSimLosses(w *simCluster) *simLosses {
 	return &simLosses{
 		w: w, tolerance: (w.wanted - 1) / 2, open: map[*simVM]time.Duration{}, leaving: map[*simVM]*simVM{},
+		stopping: map[*simVM]time.Duration{},
 	}
 }
 
 // step advances the time of each successor, or restarts it at a disturbance.
 func (l *simLosses) step() {
 	calm := l.isCalm()
+	l.calmTime += simStep
+	if !calm {
+		l.calmTime = 0
+	}
 	for _, vm := range slices.Clone(l.w.vms) {
 		elapsed, ok := l.open[vm]
 		if !ok {
@@ -58,11 +69,40 @@
 		}
 		delete(l.open, vm)
 		if old := l.leaving[vm]; old != nil {
-			l.remove(old)
-			delete(l.leaving, vm)
-			l.open[vm] = 0
+			l.stopping[old] = l.w.now + simStopTime
+		}
+	}
+	for successor, old := range l.leaving {
+		if limit, ok := l.stopping[old]; ok {
+			l.stop(successor, old, limit)
+		}
+	}
+}
+
+// stop lets a VM hand over its vote, and then takes it away. Only a VM that stopped with its
+// vote counts as lost until its successor has run undisturbed.
+func (l *simLosses) stop(successor, old *simVM, limit time.Duration) {
+	hasVote := old.disk != nil && l.w.checker.membership.HasVote(old.disk.id)
+	if p := old.proc; p != nil && p.pending == nil {
+		p.node.Leave()
+		if p.isLeader {
+			// Without a voter that answers, the next step tries again.
+			_ = p.node.TransferLeadership(old.clock(l.w.now))
 		}
 	}
+	if hasVote && l.w.now < limit {
+		return
+	}
+	l.remove(old)
+	delete(l.leaving, successor)
+	delete(l.stopping, old)
+	if hasVote && l.calmTime >= simStopTime {
+		l.w.checker.fail("%s stops with its vote although nothing disturbs the handover", old.name)
+	}
+	if hasVote {
+		l.w.counts["stops with a vote"]++
+		l.open[successor] = 0
+	}
 }
 
 // isCalm reports whether all VMs run and are connected, and the leader of the last step
@@ -101,7 +141,7 @@
 // inject loses or replaces a random VM, or the leader, if the tolerance allows it.
 func (l *simLosses) inject() {
 	vm := l.victim()
-	if len(l.open) >= l.tolerance || l.isInvolved(vm) {
+	if len(l.open)+len(l.stopping) >= l.tolerance || l.isInvolved(vm) {
 		return
 	}
 	switch l.w.rng.IntN(4) {
@@ -139,8 +179,8 @@
 // isInvolved reports whether a VM has yet to catch up or is about to leave.
 func (l *simLosses) isInvolved(vm *simVM) bool {
 	_, ok := l.open[vm]
-	for _, old := range l.leaving {
-		ok = ok || old == vm
+	for successor, old := range l.leaving {
+		ok = ok || successor == vm || old == vm
 	}
 	return ok
 }
--- a/internal/raft/types.go
+++ b/internal/raft/types.go
@@ -84,7 +84,8 @@
 // The types of messages between nodes. MessageAppendReply answers both
 // MessageAppend and MessageSnapshot. MessageTimeoutNow asks the target of a
 // leadership transfer to start an election. MessageRemoved notifies a former member
-// that its removal is committed.
+// that its removal is committed. MessageLeaving tells the leader that the sender is
+// about to stop, so that a learner can take over its vote first.
 const (
 	MessagePreVote MessageType = iota + 1
 	MessagePreVoteReply
@@ -97,6 +98,7 @@
 	MessageSnapshot
 	MessageTimeoutNow
 	MessageRemoved
+	MessageLeaving
 )
 
 // Message is sent from one node to another. The network may lose, duplicate, delay
--- a/internal/replica/replacement_test.go
+++ b/internal/replica/replacement_test.go
@@ -125,3 +125,41 @@
 		return ok && absent.node.Status().ID == id && absent.machine.get("k") == "v"
 	})
 }
+
+// Guards against a planned stop that costs a voter. A control VM is taken away while its
+// successor stands by. It must hand over its vote before it stops, long before its silence
+// would be noticed, and two more disks may be lost at once.
+func TestStoppingVoterHandsItsVoteOver(t *testing.T) {
+	c := newCluster(t, 6, func(o *Options) { o.Voters = 5 })
+	c.found(5)
+	var successor *host
+	eventually(t, "the successor stands by", func() bool {
+		for _, h := range c.hosts {
+			if m, ok := c.member(h.node.Status().ID); ok && m.Learner {
+				successor = h
+			}
+		}
+		return successor != nil
+	})
+	c.put("k", "v")
+	old := c.follower()
+	assert.NilError(t, old.node.Leave(testContext(t)))
+	assert.Assert(t, !c.isVoter(old) && c.isVoter(successor))
+	assert.Equal(t, c.voters(), 5)
+	old.kill()
+	for range 2 {
+		h := c.follower()
+		h.kill()
+		h.loseDisk()
+	}
+	c.put("k", "w")
+}
+
+// Guards against a stop that waits although nobody can take the vote over.
+func TestStopWithoutAStandbyKeepsTheVote(t *testing.T) {
+	c := newCluster(t, 3, nil)
+	c.found(3)
+	h := c.follower()
+	assert.NilError(t, h.node.Leave(testContext(t)))
+	assert.Assert(t, c.isVoter(h))
+}
