Consensus: a single learner replaces the silent voter of its own data centre

What callers would see: of two silent control VMs one is lost for good and one cut off, and one successor has started. The leader exchanged the first one in its list. If that is the one that is cut off, the list keeps a voter that does not exist, and two more lost disks leave two of five although the disk of the one that is cut off is intact.

The leader can't tell the two apart from their silence. A successor usually starts where the lost VM was, so the voter of the learner's data centre is exchanged first. Where this guess is wrong, the other one is exchanged as soon as the first is back, as before.

TestLearnerReplacesTheSilentVoterOfItsDataCentre fails before: voter 2 is exchanged, not 3.

--- a/internal/raft/next_membership.go
+++ b/internal/raft/next_membership.go
@@ -101,7 +101,7 @@
 func fillVacancies(v MembershipView) (Membership, string) {
 	members := slices.Clone(v.Membership.Members)
 	for range v.TargetVoters - len(v.Membership.Voters()) {
-		i := v.readyLearner(members)
+		i := v.readyLearner(members, isAnyMember)
 		if i < 0 {
 			break
 		}
@@ -171,22 +171,37 @@
 // may be lost at the same moment. All exchanges are therefore one change: there is no list
 // in between that has fewer voters, or that depends on a learner alone. The silent voter
 // keeps its identity as a learner, and can become a voter again when it returns.
+//
+// If fewer learners are ready than voters are silent, those of the learners' own data centres
+// are exchanged: a successor usually starts where the lost VM was, so the other silent
+// voter is more probably intact.
 func replaceVoters(v MembershipView) (Membership, string) {
 	members := slices.Clone(v.Membership.Members)
+	for i, voter := range members {
+		v.exchange(members, i, func(learner Member) bool { return learner.DataCentre == voter.DataCentre })
+	}
 	for i := range members {
-		if id := members[i].ID; members[i].Learner || !v.SilentMembers[id] && !v.LeavingMembers[id] {
-			continue
-		}
-		k := v.readyLearner(members)
-		if k < 0 {
-			break
-		}
-		members[i].Learner = true
-		members[k].Learner = false
+		v.exchange(members, i, isAnyMember)
 	}
 	return v.changeVoters(members, "a voter is silent or about to stop and a learner can replace it")
 }
 
+// exchange makes a voter of a ready learner that isSuccessor accepts, and a learner of member i,
+// if member i is a voter to be replaced.
+func (v MembershipView) exchange(members []Member, i int, isSuccessor func(Member) bool) {
+	if id := members[i].ID; members[i].Learner || !v.SilentMembers[id] && !v.LeavingMembers[id] {
+		return
+	}
+	k := v.readyLearner(members, isSuccessor)
+	if k < 0 {
+		return
+	}
+	members[i].Learner = true
+	members[k].Learner = false
+}
+
+func isAnyMember(Member) bool { return true }
+
 // changeVoters returns the change to members, joint if more than one voter differs. The
 // reason is empty if members are the current ones.
 func (v MembershipView) changeVoters(members []Member, reason string) (Membership, string) {
@@ -213,10 +228,10 @@
 	return Membership{}, ""
 }
 
-// readyLearner returns the index of the active, caught-up learner in the data centre with
-// the fewest voters that answer, so that the loss of a data centre costs as few voters as
-// possible. It returns -1 if there is none.
-func (v MembershipView) readyLearner(members []Member) int {
+// readyLearner returns the index of the active, caught-up learner that accept allows in the
+// data centre with the fewest voters that answer, so that the loss of a data centre costs as
+// few voters as possible. It returns -1 if there is none.
+func (v MembershipView) readyLearner(members []Member, accept func(Member) bool) int {
 	perCentre := map[string]int{}
 	for _, m := range members {
 		if !m.Learner && !v.SilentMembers[m.ID] {
@@ -225,7 +240,7 @@
 	}
 	best := -1
 	for i, m := range members {
-		if !m.Learner || !v.ActiveMembers[m.ID] || !v.CaughtUpMembers[m.ID] || v.LeavingMembers[m.ID] {
+		if !v.isReadyLearner(m) || !accept(m) {
 			continue
 		}
 		if best < 0 || perCentre[m.DataCentre] < perCentre[members[best].DataCentre] {
@@ -234,3 +249,7 @@
 	}
 	return best
 }
+
+func (v MembershipView) isReadyLearner(m Member) bool {
+	return m.Learner && v.ActiveMembers[m.ID] && v.CaughtUpMembers[m.ID] && !v.LeavingMembers[m.ID]
+}
--- a/internal/raft/next_membership_test.go
+++ b/internal/raft/next_membership_test.go
@@ -166,6 +166,18 @@
 	assert.DeepEqual(t, next.Outgoing, []NodeID{1, 2, 3, 4, 5})
 }
 
+// Guards against the exchange of a voter that is only cut off in place of one that is
+// lost. Two voters are silent, and one learner has started in the data centre of the
+// second.
+func TestLearnerReplacesTheSilentVoterOfItsDataCentre(t *testing.T) {
+	v := fiveVoterView()
+	v.silence(2)
+	v.silence(3)
+	v.addLearner(6, "f", "z")
+	next, _ := NextMembership(v)
+	assert.DeepEqual(t, next.Voters(), []NodeID{1, 2, 4, 5, 6})
+}
+
 // Guards against a sound voter that gives its vote to the successor of another one. A
 // control VM is silent for a moment while another returns with an empty disk. The group
 // must fill the vacancy and keep the silent voter.
