--- a/internal/raft/next_membership.go
+++ b/internal/raft/next_membership.go
@@ -163,9 +163,9 @@
 	return false
 }
 
-// replaceVoters exchanges silent voters, and those that are about to stop, for learners. The group thus regains its
-// failure tolerance without an operator, for example at night. Without a learner, the
-// removal of a voter would only shorten the list.
+// replaceVoters exchanges silent voters, and those that are about to stop, for learners.
+// The group thus regains its failure tolerance without an operator, for example at night.
+// Without a learner, the removal of a voter would only shorten the list.
 //
 // A silent voter may be lost, or only partitioned with its disk intact, and another voter
 // may be lost at the same moment. All exchanges are therefore one change: there is no list
@@ -186,7 +186,7 @@
 	return v.changeVoters(members, "a voter is silent or about to stop and a learner can replace it")
 }
 
-// exchange makes a voter of a ready learner that isSuccessor accepts, and a learner of member i,
+// exchange makes member i a learner, and a ready learner that isSuccessor accepts a voter,
 // if member i is a voter to be replaced.
 func (v MembershipView) exchange(members []Member, i int, isSuccessor func(Member) bool) {
 	if id := members[i].ID; members[i].Learner || !v.SilentMembers[id] && !v.LeavingMembers[id] {
