Status and log say that voters are missing, since when, and what is done

What an operator saw: nothing. `citronstep status` listed a lost control VM as a voter like the others, the gauge of voters counted it, and the log said what the leader changed, not what it waited for.

The leader compares the voters that answer with those that are wanted, and names what it does about missing ones: it changes the voters, waits for a replica that catches up, for a voter to return or its replacement period to end, for answers, or has no control VM that stands by. The summary of `citronstep status` shows it with the time since, the table of control processes shows who is silent and for how long, citronstep_voters_missing counts, and the leader's log has a line when it begins, changes or ends.

--- a/internal/adminapi/adminapi.go
+++ b/internal/adminapi/adminapi.go
@@ -105,6 +105,7 @@
 	ActivePreset   string                       `json:"active_preset"`
 	Presets        []string                     `json:"presets"`
 	Replicas       []Replica                    `json:"replicas"`
+	Voters         Voters                       `json:"voters"`
 	Entries        []EntryStatus                `json:"entries"`
 	Groups         []blackboard.Group           `json:"groups"`
 	VMs            []blackboard.VM              `json:"vms"`
@@ -122,6 +123,20 @@
 	Address    string `json:"address"`
 	// Role is leader, voter or learner.
 	Role string `json:"role"`
+	// SilentMillis is the time since the leader last had an answer from this process. It is 0
+	// if the process that gives this status does not lead.
+	SilentMillis int64 `json:"silent_ms"`
+}
+
+// Voters tells whether as many voters answer the leader as are wanted. It is zero if the process
+// that gives this status does not lead.
+type Voters struct {
+	Wanted    int `json:"wanted"`
+	Answering int `json:"answering"`
+	// MissingMillis is how long voters have been missing, as far as this leader knows.
+	MissingMillis int64 `json:"missing_ms"`
+	// Action is what the leader does about missing voters, or what it waits for.
+	Action string `json:"action,omitempty"`
 }
 
 // EntryStatus is an entry with the configuration revision that it holds.
--- a/internal/control/admin.go
+++ b/internal/control/admin.go
@@ -79,6 +79,7 @@
 		ActivePreset:   board.Config.ActivePreset,
 		Presets:        sortedKeys(board.Config.Presets),
 		Replicas:       s.replicas(),
+		Voters:         s.voters(),
 		Entries:        s.entries(board),
 		Measures:       s.measures(),
 	}
@@ -107,11 +108,20 @@
 		}
 		list = append(list, adminapi.Replica{
 			ID: strconv.FormatUint(uint64(m.ID), 16), VM: m.VM, DataCentre: m.DataCentre, Address: m.Address, Role: role,
+			SilentMillis: st.SilentFor[m.ID].Milliseconds(),
 		})
 	}
 	return list
 }
 
+func (s *Server) voters() adminapi.Voters {
+	v := s.o.Consensus.Status().Voters
+	return adminapi.Voters{
+		Wanted: v.Wanted, Answering: v.Answering,
+		MissingMillis: v.MissingFor.Milliseconds(), Action: string(v.Action),
+	}
+}
+
 func (s *Server) entries(board *blackboard.Board) []adminapi.EntryStatus {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/metrics/control.go
+++ b/internal/metrics/control.go
@@ -35,6 +35,7 @@
 	}
 	c.scope.Gauge(nameLeading).Update(1)
 	c.scope.Gauge(nameVoters).Update(float64(voters(s)))
+	c.scope.Gauge(nameVotersMissing).Update(float64(s.Voters.Wanted - s.Voters.Answering))
 	c.scope.Gauge(nameEntriesBehind).Update(float64(entriesBehind(s)))
 	c.sampleStates(s)
 	c.sampleMeasures(s.Measures)
--- a/internal/metrics/definitions.go
+++ b/internal/metrics/definitions.go
@@ -93,6 +93,7 @@
 
 	nameLeading        = prefix + "leading"
 	nameVoters         = prefix + "voters"
+	nameVotersMissing  = prefix + "voters_missing"
 	nameEntriesBehind  = prefix + "entries_behind"
 	nameGroups         = prefix + "groups"
 	nameGroupsDown     = prefix + "groups_down"
@@ -171,6 +172,7 @@
 	return []Definition{
 		{nameLeading, KindGauge, nil, "1 on the control process that leads, else 0.", nil},
 		{nameVoters, KindGauge, nil, "Voting replicas of the control state, the leader included.", nil},
+		{nameVotersMissing, KindGauge, nil, "Wanted voters of the control state that do not answer the leader.", nil},
 		{nameEntriesBehind, KindGauge, nil, "Entries with a lease that do not hold the newest configuration.", nil},
 		{nameGroups, KindGauge, []string{"state"}, "Serving groups by state.", nil},
 		{nameGroupsDown, KindGauge, nil, "Wanted replicas that do not serve now.", nil},
--- a/internal/raft/next_membership.go
+++ b/internal/raft/next_membership.go
@@ -189,7 +189,7 @@
 // exchange makes member i a learner, and a ready learner that isSuccessor accepts a voter,
 // if member i is a voter to be replaced.
 func (v MembershipView) exchange(members []Member, i int, isSuccessor func(Member) bool) {
-	if id := members[i].ID; members[i].Learner || !v.SilentMembers[id] && !v.LeavingMembers[id] {
+	if !v.mustReplace(members[i]) {
 		return
 	}
 	k := v.readyLearner(members, isSuccessor)
@@ -200,6 +200,11 @@
 	members[k].Learner = false
 }
 
+// mustReplace reports whether m is a voter that is silent or about to stop.
+func (v MembershipView) mustReplace(m Member) bool {
+	return !m.Learner && (v.SilentMembers[m.ID] || v.LeavingMembers[m.ID])
+}
+
 func isAnyMember(Member) bool { return true }
 
 // changeVoters returns the change to members, joint if more than one voter differs. The
--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -26,12 +26,15 @@
 	status := n.core.Status()
 	if status.Role != raft.RoleLeader {
 		clear(n.joins)
+		n.shortage = shortage{}
 		return
 	}
+	view := n.core.MembershipView(n.opts.Voters, n.joinRequests())
+	n.observeShortage(raft.FindVoterShortage(view))
 	if !status.OwnTermCommitted || status.MembershipIndex > status.Commit {
 		return
 	}
-	next, reason := raft.NextMembership(n.core.MembershipView(n.opts.Voters, n.joinRequests()))
+	next, reason := raft.NextMembership(view)
 	if reason == "" {
 		return
 	}
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -46,6 +46,7 @@
 	waitingReads     []*proposal
 	nextRead         uint64
 	joins            map[raft.NodeID]join
+	shortage         shortage
 	lostLeadershipAt time.Duration
 	bytesSinceSnap   int
 	// snapshotBytes is the size of the last snapshot in bytes.
@@ -66,6 +67,9 @@
 	leaseExpiry time.Duration
 	leaderSince time.Duration
 	active      []raft.NodeID
+	// shortage and silentFor are empty on a node that does not lead.
+	shortage  shortage
+	silentFor map[raft.NodeID]time.Duration
 }
 
 // proposal is a command or a read that waits for its outcome.
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -228,6 +228,12 @@
 	// Active holds the members that responded to the leader within the last election timeout.
 	// It is empty on a node that does not lead.
 	Active []raft.NodeID
+	// Voters tells whether as many voters answer as are wanted. It is zero on a node that does
+	// not lead.
+	Voters VoterStatus
+	// SilentFor is the time since each member last answered the leader. It is empty on a node
+	// that does not lead.
+	SilentFor map[raft.NodeID]time.Duration
 	// LeaseRemaining is how long this leader is certain to remain the only one.
 	LeaseRemaining time.Duration
 	// Err is the error that stopped the node, if it failed.
--- a/internal/replica/process.go
+++ b/internal/replica/process.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -154,10 +155,13 @@
 func (n *Node) publish() {
 	v := view{status: n.core.Status(), leaseExpiry: n.core.LeaseExpiry(), leaderSince: n.core.LeaderSince()}
 	if v.status.Role == raft.RoleLeader {
+		v.shortage = n.shortage
+		v.silentFor = map[raft.NodeID]time.Duration{}
 		for _, m := range v.status.Membership.Members {
 			if n.core.IsActive(m.ID) {
 				v.active = append(v.active, m.ID)
 			}
+			v.silentFor[m.ID] = n.core.TimeSinceAnswer(m.ID)
 		}
 	}
 	n.mu.Lock()
@@ -267,6 +271,8 @@
 		Members:         slices.Clone(s.Membership.Members),
 		MembershipIndex: s.MembershipIndex,
 		Active:          slices.Clone(n.view.active),
+		Voters:          n.view.shortage.status(now),
+		SilentFor:       maps.Clone(n.view.silentFor),
 		LeaseRemaining:  remaining(n.view.leaseExpiry, now),
 		Err:             n.err,
 	}
--- a/internal/replica/replacement_test.go
+++ b/internal/replica/replacement_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/citronstep/citronstep/internal/raft"
 )
 
 // replaceSoon makes voters lose their vote after a short silence.
@@ -163,3 +165,23 @@
 	assert.NilError(t, h.node.Leave(testContext(t)))
 	assert.Assert(t, c.isVoter(h))
 }
+
+// Guards against a shortage of voters that the leader's status does not show.
+func TestStatusShowsMissingVoters(t *testing.T) {
+	c := newCluster(t, 3, replaceSoon)
+	c.found(3)
+	h := c.follower()
+	id := h.node.Status().ID
+	h.kill()
+	leader := c.leader()
+	eventually(t, "the shortage is shown", func() bool {
+		s := leader.node.Status()
+		v := s.Voters
+		return v.Wanted == 3 && v.Answering == 2 && v.MissingFor > 0 && v.Action == raft.ActionNoStandby && s.SilentFor[id] > 0
+	})
+	h.open()
+	eventually(t, "the shortage ends", func() bool {
+		v := leader.node.Status().Voters
+		return v.Answering == 3 && v.MissingFor == 0 && v.Action == ""
+	})
+}
--- a/internal/tool/status.go
+++ b/internal/tool/status.go
@@ -128,11 +128,12 @@
 	ConfigRevision uint64            `json:"config_revision"`
 	ActivePreset   string            `json:"active_preset"`
 	Presets        []string          `json:"presets"`
+	Voters         adminapi.Voters   `json:"voters"`
 	Measures       adminapi.Measures `json:"measures"`
 }
 
 func summaryValue(s adminapi.Status) any {
-	return summary{s.ClusterID, s.Founded, s.BoardRevision, s.ConfigRevision, s.ActivePreset, s.Presets, s.Measures}
+	return summary{s.ClusterID, s.Founded, s.BoardRevision, s.ConfigRevision, s.ActivePreset, s.Presets, s.Voters, s.Measures}
 }
 
 func summaryTable(s adminapi.Status, _ time.Time) *table {
@@ -146,6 +147,7 @@
 	t.add("presets", strings.Join(s.Presets, ", "))
 	t.add("configuration revision", decimal(s.ConfigRevision))
 	t.add("board revision", decimal(s.BoardRevision))
+	t.add("voters", votersText(s.Voters))
 	t.add("groups down", strconv.Itoa(s.Measures.GroupsDown))
 	t.add("group downtime", seconds(s.Measures.GroupDowntimeSeconds))
 	t.add("stranded accelerators", strconv.Itoa(s.Measures.StrandedAccelerators))
@@ -153,10 +155,30 @@
 	return t
 }
 
+// votersText tells how many voters answer and, if one is missing, since when and what is done.
+func votersText(v adminapi.Voters) string {
+	switch {
+	case v.Wanted == 0:
+		return "not known: the process that answers does not lead"
+	case v.Answering >= v.Wanted:
+		return fmt.Sprintf("%d of %d answer", v.Answering, v.Wanted)
+	}
+	missing := time.Duration(v.MissingMillis) * time.Millisecond
+	return fmt.Sprintf("%d of %d answer, for %s; %s", v.Answering, v.Wanted, missing.Round(time.Second), v.Action)
+}
+
+// silentAfter is the silence from which on a control process is shown as silent. A sound one
+// answers several times a second.
+const silentAfter = time.Second
+
 func replicaTable(s adminapi.Status, _ time.Time) *table {
-	t := newTable("VM", "ROLE", "DATA CENTRE", "ADDRESS", "ID")
+	t := newTable("VM", "ROLE", "SILENT", "DATA CENTRE", "ADDRESS", "ID")
 	for _, r := range s.Replicas {
-		t.add(r.VM, r.Role, r.DataCentre, r.Address, r.ID)
+		silent := "-"
+		if d := time.Duration(r.SilentMillis) * time.Millisecond; d >= silentAfter {
+			silent = d.Round(time.Second).String()
+		}
+		t.add(r.VM, r.Role, silent, r.DataCentre, r.Address, r.ID)
 	}
 	return t
 }
