Consensus, tests: a successor catches up while others are disturbed

The random losses gave a disk's tolerance back only after four seconds in which all VMs were connected, so that they could not see a wrong choice between two silent voters. Now only the successor itself must run undisturbed, under a stable leader and while no VM is down; the others may be frozen, cut off or have stalled disks.

--- a/internal/raft/simulation_losses_test.go
+++ b/internal/raft/simulation_losses_test.go
@@ -43,8 +43,10 @@
 	roughUntil time.Duration
 	// calmTime is how long the cluster has been calm.
 	calmTime time.Duration
-	// term is the term of the leader at the last step, or zero.
-	term uint64
+	// term is the term of the leader at the last step, or zero. hasStableLeader is set if it
+	// also led at the step before.
+	term            uint64
+	hasStableLeader bool
 }
 
 func newSimLosses(w *simCluster) *simLosses {
@@ -56,9 +58,9 @@
 
 // step advances the time of each successor, or restarts it at a disturbance.
 func (l *simLosses) step() {
-	calm := l.isCalm()
+	l.observeLeader()
 	l.calmTime += simStep
-	if !calm {
+	if !l.isCalm() {
 		l.calmTime = 0
 	}
 	for _, vm := range slices.Clone(l.w.vms) {
@@ -66,7 +68,7 @@
 		if !ok {
 			continue
 		}
-		if !calm {
+		if !l.canCatchUp(vm) {
 			elapsed = 0
 		}
 		l.open[vm] = elapsed + simStep
@@ -112,25 +114,44 @@
 	}
 }
 
-// isCalm reports whether all VMs run and are connected, and the leader of the last step
-// still holds a lease.
-func (l *simLosses) isCalm() bool {
+// observeLeader records whether the leader of the last step still holds a lease.
+func (l *simLosses) observeLeader() {
 	earlier := l.term
 	l.term = 0
-	undisturbed := l.roughUntil <= l.w.now
 	for _, vm := range l.w.vms {
-		if vm.proc == nil || vm.proc.frozenUntil > l.w.now || vm.stalledUntil > l.w.now {
-			undisturbed = false
-			continue
+		if p := vm.proc; p != nil && p.isLeader && p.lease > vm.clock(l.w.now) {
+			l.term = max(l.term, p.term)
 		}
-		if vm.proc.isLeader && vm.proc.lease > vm.clock(l.w.now) {
-			l.term = max(l.term, vm.proc.term)
+	}
+	l.hasStableLeader = l.term != 0 && l.term == earlier
+}
+
+// isCalm reports whether all VMs run undisturbed under a stable leader.
+func (l *simLosses) isCalm() bool {
+	return !slices.ContainsFunc(l.w.vms, func(vm *simVM) bool { return !l.canCatchUp(vm) })
+}
+
+// canCatchUp reports whether a VM runs undisturbed under a stable leader while no VM is down.
+// Other VMs may be frozen or cut off, or their disks stalled.
+func (l *simLosses) canCatchUp(vm *simVM) bool {
+	if !l.hasStableLeader || l.roughUntil > l.w.now || l.isCut(vm) {
+		return false
+	}
+	for _, other := range l.w.vms {
+		if other.proc == nil {
+			return false
 		}
 	}
-	for _, until := range l.w.cutUntil {
-		undisturbed = undisturbed && until <= l.w.now
+	return vm.proc.frozenUntil <= l.w.now && vm.stalledUntil <= l.w.now
+}
+
+func (l *simLosses) isCut(vm *simVM) bool {
+	for link, until := range l.w.cutUntil {
+		if until > l.w.now && slices.Contains(link[:], vm.name) {
+			return true
+		}
 	}
-	return undisturbed && l.term != 0 && l.term == earlier
+	return false
 }
 
 // disturb sometimes stalls a disk, keeps a VM down for long with its disk intact, or starts a
@@ -165,11 +186,11 @@
 	switch l.w.rng.IntN(4) {
 	case 0:
 		l.w.counts["VMs lost for good"]++
-		l.open[l.addVM(l.w.duration(3*time.Second))] = 0
+		l.open[l.addVM(l.w.duration(3*time.Second), vm.dataCentre)] = 0
 		l.remove(vm)
 	case 1:
 		l.w.counts["planned replacements"]++
-		successor := l.addVM(0)
+		successor := l.addVM(0, vm.dataCentre)
 		l.open[successor] = 0
 		l.leaving[successor] = vm
 	default:
@@ -203,10 +224,11 @@
 	return ok
 }
 
-func (l *simLosses) addVM(startIn time.Duration) *simVM {
+// addVM adds a successor in the data centre of another VM.
+func (l *simLosses) addVM(startIn time.Duration, dataCentre string) *simVM {
 	l.created++
 	vm := &simVM{
-		name: fmt.Sprint("new-", l.created), rate: l.w.clockRate(),
+		name: fmt.Sprint("new-", l.created), dataCentre: dataCentre, rate: l.w.clockRate(),
 		offset: l.w.duration(time.Hour), restartAt: l.w.now + startIn,
 	}
 	l.w.vms = append(l.w.vms, vm)
--- a/internal/raft/simulation_members_test.go
+++ b/internal/raft/simulation_members_test.go
@@ -12,8 +12,8 @@
 		if vm.proc == nil || vm.proc.frozenUntil > w.now || w.blocked(vm.name, p.vm.name) {
 			continue
 		}
-		if m, ok := s.Membership.Find(vm.disk.id); !ok && !w.hasActiveMember(p, s, vm) {
-			requests = append(requests, Member{ID: vm.disk.id, VM: vm.name, DataCentre: m.DataCentre})
+		if _, ok := s.Membership.Find(vm.disk.id); !ok && !w.hasActiveMember(p, s, vm) {
+			requests = append(requests, Member{ID: vm.disk.id, VM: vm.name, DataCentre: vm.dataCentre})
 		}
 	}
 	next, reason := NextMembership(p.node.MembershipView(w.wanted, requests))
--- a/internal/raft/simulation_test.go
+++ b/internal/raft/simulation_test.go
@@ -31,8 +31,10 @@
 // simVM is one machine, which outlives its process and its disk.
 type simVM struct {
 	name string
-	disk *simDisk
-	proc *simProcess
+	// dataCentre is another one for each VM, except that a successor starts where the lost VM was.
+	dataCentre string
+	disk       *simDisk
+	proc       *simProcess
 	// rate and offset derive this machine's clock from the simulated time.
 	rate   float64
 	offset time.Duration
@@ -169,9 +171,10 @@
 	w.tickEvery = time.Duration(1+seed%2*4) * simStep
 	for i := range vms {
 		vm := &simVM{
-			name:   string(rune('a' + i)),
-			rate:   w.clockRate(),
-			offset: time.Duration(w.rng.Int64N(int64(time.Hour))),
+			name:       string(rune('a' + i)),
+			dataCentre: string(rune('a' + i)),
+			rate:       w.clockRate(),
+			offset:     time.Duration(w.rng.Int64N(int64(time.Hour))),
 		}
 		w.vms = append(w.vms, vm)
 		w.start(vm)
@@ -195,7 +198,7 @@
 
 // bootstrap bootstraps a group of one member on vm, as the replica package does.
 func (w *simCluster) bootstrap(vm *simVM) {
-	data, err := EncodeMembership(Membership{Members: []Member{{ID: vm.disk.id, VM: vm.name}}})
+	data, err := EncodeMembership(Membership{Members: []Member{{ID: vm.disk.id, VM: vm.name, DataCentre: vm.dataCentre}}})
 	if err != nil {
 		panic(err)
 	}
