Consensus: a new leader reports missing voters only once they could have answered

At each election the log said for some tenths of a second that all other voters were missing (seen with README's four processes: answering=1 wanted=3 for=279ns). The leader now looks once it has led for an election timeout, and the log counts in milliseconds. TestStatusShowsMissingVoters passes.

--- a/internal/replica/members.go
+++ b/internal/replica/members.go
@@ -30,7 +30,10 @@
 		return
 	}
 	view := n.core.MembershipView(n.opts.Voters, n.joinRequests())
-	n.observeShortage(raft.FindVoterShortage(view))
+	// Right after an election no voter has answered the new leader yet.
+	if n.opts.Now()-n.core.LeaderSince() >= n.opts.electionTimeout() {
+		n.observeShortage(raft.FindVoterShortage(view))
+	}
 	if !status.OwnTermCommitted || status.MembershipIndex > status.Commit {
 		return
 	}
--- a/internal/replica/shortage.go
+++ b/internal/replica/shortage.go
@@ -42,8 +42,12 @@
 			n.shortage.since = n.opts.Now()
 		}
 		n.logger.warn("msg", "voters are missing", "answering", now.Answering, "wanted", now.Wanted,
-			"for", n.opts.Now()-n.shortage.since, "action", now.Action)
+			"missing_ms", n.missingMillis(), "action", now.Action)
 	case before.isMissing():
-		n.logger.info("msg", "no voter is missing any more", "wanted", now.Wanted, "after", n.opts.Now()-before.since)
+		n.logger.info("msg", "no voter is missing any more", "wanted", now.Wanted, "missing_ms", n.missingMillis())
 	}
 }
+
+func (n *Node) missingMillis() int64 {
+	return (n.opts.Now() - n.shortage.since).Milliseconds()
+}
