Intake, tests: a limit that a test sets starts without calm windows

It failed again in a run of the package beside a race-detector run of other packages.

Cause: in the test alone. The first accepted connection ends the windows since the zero time, so 101 windows count as calm; the test then set limit and acceptedAt and left that count. If 50 ms pass before the next connection, one more window ends, the count is over the 100 that end a limit, and the connection is served. The product sets a limit only in an overloaded window, which sets the count to 0.

Ruled out: the limit itself; a limiter whose count starts at 0 refuses.

Change: setLimit sets a new limiter. The check is the same.

--- a/internal/intake/gate_test.go
+++ b/internal/intake/gate_test.go
@@ -84,7 +84,7 @@
 func (g *Gate) setLimit(limit int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.limiter.limit, g.limiter.acceptedAt = limit, time.Now().Add(time.Hour)
+	g.limiter = limiter{limit: limit, acceptedAt: time.Now().Add(time.Hour)}
 }
 
 // Guards against callers with a kept connection that are refused while new connections are.
