Intake: connections of all listeners are bounded, unused ones give way

What callers saw: whoever opened connections to the readiness, admin or peers' listener of an entry, or to any listener of a control process, and sent nothing, took all descriptors of the process: it reached no backend server and no control process any more, and accepted nobody. On the callers' listener silent connections gave way, but those that were kept after one request did not: with half of the descriptors taken by them, new connections were closed for up to two minutes.

Cause: only intake.Gate, on the callers' listener, bounded connections, and it took only silent ones for unused. A connection that left HTTP (an upgrade) was no longer counted at all.

Ruled out: time-outs alone. 30 s for silent and two minutes for idle connections let 1,600 stay open at a time; shorter ones would close the connections that callers open ahead and keep, which may idle for four fifths of the configured time.

Change: all listeners but the callers' share intake.ConnLimit, a quarter of the descriptors beside the entry role, else three quarters (a control process of the largest deployment used 2,719 of 4,096). At the limit an unused connection gives way: of the listener that has most of them the one that has been silent longest, else the one that has been idle longest. Gate does the same for callers. An idle connection is closed, not reset: a reset would discard what the caller has not received of its last answer. Upgraded connections count until they end.

It works because the bound is taken where a connection is accepted, and because what gives way has no request that could be lost.

--- /dev/null
+++ b/internal/intake/conn_test.go
@@ -0,0 +1,125 @@
+package intake
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-kit/log"
+	"gotest.tools/v3/assert"
+)
+
+// protectedServer serves requests behind a limit of connections. Requests of /hold are served until the test ends.
+type protectedServer struct {
+	limit   *ConnLimit
+	address string
+	served  atomic.Int64
+}
+
+func startProtected(t *testing.T, maxOpen int) *protectedServer {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := &protectedServer{limit: NewConnLimit(log.NewNopLogger(), maxOpen), address: l.Addr().String()}
+	testEnds := make(chan struct{})
+	mux := http.NewServeMux()
+	mux.HandleFunc("/hold", func(http.ResponseWriter, *http.Request) {
+		s.served.Add(1)
+		<-testEnds
+	})
+	mux.HandleFunc("/upgrade", func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		s.served.Add(1)
+		_, _ = io.Copy(io.Discard, c)
+		_ = c.Close()
+	})
+	mux.HandleFunc("/", func(http.ResponseWriter, *http.Request) { s.served.Add(1) })
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute, IdleTimeout: time.Minute}
+	protected := Protect(server, l, s.limit.For("test"))
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_ = server.Serve(protected)
+	}()
+	t.Cleanup(func() {
+		close(testEnds)
+		_ = server.Close()
+		<-ended
+	})
+	return s
+}
+
+// open sends a text on a new connection, which is closed when the test ends.
+func (s *protectedServer) open(t *testing.T, text string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", s.address)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	assert.NilError(t, c.SetDeadline(time.Now().Add(10*time.Second)))
+	_, err = io.WriteString(c, text)
+	assert.NilError(t, err)
+	return c
+}
+
+// readAnswer reads an answer and its body.
+func readAnswer(t *testing.T, r *bufio.Reader) (*http.Response, string) {
+	t.Helper()
+	answer, err := http.ReadResponse(r, nil)
+	assert.NilError(t, err)
+	body, err := io.ReadAll(answer.Body)
+	assert.NilError(t, err)
+	assert.NilError(t, answer.Body.Close())
+	return answer, string(body)
+}
+
+const request = "GET / HTTP/1.1\r\nHost: h\r\n"
+
+// Guards against connections that are kept after a request and leave no place for others.
+func TestIdleConnectionsGiveWay(t *testing.T) {
+	t.Parallel()
+	const maxOpen = 20
+	s := startProtected(t, maxOpen)
+	for range 3 * maxOpen {
+		answer, _ := readAnswer(t, bufio.NewReader(s.open(t, request+"\r\n")))
+		assert.Equal(t, answer.StatusCode, http.StatusOK)
+	}
+	r := s.limit.Report()
+	assert.Equal(t, r.Refused, 0)
+	assert.Assert(t, r.Closed > 0)
+}
+
+// Guards against connections in use that give way to new ones.
+func TestConnectionsInUseDoNotGiveWay(t *testing.T) {
+	t.Parallel()
+	const maxOpen = 4
+	s := startProtected(t, maxOpen)
+	for n := range maxOpen {
+		s.open(t, "GET /hold HTTP/1.1\r\nHost: h\r\n\r\n")
+		await(t, "a request that is served", func() bool { return s.served.Load() == int64(n)+1 })
+	}
+	refused, err := net.Dial("tcp", s.address)
+	if err == nil {
+		_, err = refused.Read(make([]byte, 1))
+		_ = refused.Close()
+	}
+	assert.Assert(t, err != nil)
+	assert.Equal(t, s.limit.Report().Refused, 1)
+}
+
+// Guards against connections that no longer carry HTTP and are not counted, or are counted for good.
+func TestUpgradedConnectionsCountUntilTheyEnd(t *testing.T) {
+	t.Parallel()
+	s := startProtected(t, 10)
+	c := s.open(t, "GET /upgrade HTTP/1.1\r\nHost: h\r\n\r\n")
+	await(t, "an upgraded connection", func() bool { return s.served.Load() == 1 })
+	assert.Equal(t, s.limit.Report().Open["test"], 1)
+	_ = c.Close()
+	await(t, "the end of the connection", func() bool { return s.limit.Report().Open["test"] == 0 })
+}
--- a/internal/intake/connections.go
+++ b/internal/intake/connections.go
@@ -10,66 +10,118 @@
 // silentUse is how long a connection without a request counts as in use: it is likely to bring one.
 const silentUse = 2 * window
 
-// connections holds the open connections of callers by what they carry.
+// connections holds the open connections of one listener by what they carry.
 type connections struct {
 	// open counts all that were accepted and have not been closed.
 	open int
-	// active holds those with a request.
+	// active holds those with a request, and those that no longer carry HTTP.
 	active map[net.Conn]struct{}
-	// silent holds those that have not brought a request yet, and their places in order: the oldest comes first.
-	silent map[net.Conn]*list.Element
+	// silent holds those that have not brought a request yet, idle those that wait for a further one.
+	silent, idle waiting
+}
+
+// waiting holds connections without a request in the order in which they began to wait.
+type waiting struct {
+	places map[net.Conn]*list.Element
 	order  list.List
 }
 
-// silentConnection is an element of connections.order.
-type silentConnection struct {
-	conn       net.Conn
-	acceptedAt time.Time
+// waitingConnection is an element of waiting.order.
+type waitingConnection struct {
+	conn  net.Conn
+	since time.Time
 }
 
 func newConnections() connections {
-	return connections{active: make(map[net.Conn]struct{}), silent: make(map[net.Conn]*list.Element)}
+	return connections{
+		active: make(map[net.Conn]struct{}),
+		silent: waiting{places: make(map[net.Conn]*list.Element)},
+		idle:   waiting{places: make(map[net.Conn]*list.Element)},
+	}
+}
+
+func (w *waiting) add(now time.Time, conn net.Conn) {
+	w.places[conn] = w.order.PushBack(waitingConnection{conn: conn, since: now})
+}
+
+func (w *waiting) remove(conn net.Conn) {
+	if element, ok := w.places[conn]; ok {
+		w.order.Remove(element)
+		delete(w.places, conn)
+	}
+}
+
+// take removes and returns the connection that has waited longest, or nil.
+func (w *waiting) take() net.Conn {
+	oldest := w.order.Front()
+	if oldest == nil {
+		return nil
+	}
+	conn := oldest.Value.(waitingConnection).conn
+	w.remove(conn)
+	return conn
+}
+
+// countSince returns how many have waited for less than a time.
+func (w *waiting) countSince(now time.Time, d time.Duration) int {
+	n := 0
+	for e := w.order.Back(); e != nil && now.Sub(e.Value.(waitingConnection).since) < d; e = e.Prev() {
+		n++
+	}
+	return n
 }
 
 func (c *connections) add(now time.Time, conn net.Conn) {
 	c.open++
-	c.silent[conn] = c.order.PushBack(silentConnection{conn: conn, acceptedAt: now})
+	c.silent.add(now, conn)
 }
 
-// setState takes in a state that an http.Server reports.
-func (c *connections) setState(conn net.Conn, s http.ConnState) {
+// setState applies a state that an http.Server reports.
+func (c *connections) setState(now time.Time, conn net.Conn, s http.ConnState) {
 	if s == http.StateNew {
 		return
 	}
-	if element, ok := c.silent[conn]; ok {
-		c.order.Remove(element)
-		delete(c.silent, conn)
-	}
+	c.silent.remove(conn)
+	c.idle.remove(conn)
 	delete(c.active, conn)
 	switch s {
-	case http.StateActive:
+	case http.StateActive, http.StateHijacked:
 		c.active[conn] = struct{}{}
-	case http.StateClosed, http.StateHijacked:
+	case http.StateIdle:
+		c.idle.add(now, conn)
+	case http.StateClosed:
 		c.open--
 	}
 }
 
 // inUse counts the connections that carry a request, or are likely to bring one.
 func (c *connections) inUse(now time.Time) int {
-	n := len(c.active)
-	for e := c.order.Back(); e != nil && now.Sub(e.Value.(silentConnection).acceptedAt) < silentUse; e = e.Prev() {
-		n++
-	}
-	return n
+	return len(c.active) + c.silent.countSince(now, silentUse)
 }
 
-// takeSilent returns the connection that has been silent longest and forgets it as one, or nil.
-func (c *connections) takeSilent() net.Conn {
-	oldest := c.order.Front()
-	if oldest == nil {
-		return nil
+// closeUnused closes the connection that gives way to a new one: the one that has been silent longest, else the one that
+// has been idle longest. It returns which kind it was, or noneUnused.
+func (c *connections) closeUnused() unusedKind {
+	if conn := c.silent.take(); conn != nil {
+		reset(conn)
+		return silentUnused
 	}
-	conn := c.order.Remove(oldest).(silentConnection).conn
-	delete(c.silent, conn)
-	return conn
+	if conn := c.idle.take(); conn != nil {
+		// A reset would discard what the caller has not received of its last answer.
+		_ = conn.Close()
+		return idleUnused
+	}
+	return noneUnused
 }
+
+// unused counts the connections without a request.
+func (c *connections) unused() int { return len(c.silent.places) + len(c.idle.places) }
+
+// unusedKind is a kind of connections without a request.
+type unusedKind int
+
+const (
+	noneUnused unusedKind = iota
+	silentUnused
+	idleUnused
+)
--- a/internal/intake/gate.go
+++ b/internal/intake/gate.go
@@ -34,8 +34,8 @@
 	conns     connections
 	// maxOpen bounds the open connections.
 	maxOpen int
-	// accepted, refused and silentClosed count the connections since the last report.
-	accepted, refused, silentClosed int
+	// accepted, refused, silentClosed and idleClosed count the connections since the last report.
+	accepted, refused, silentClosed, idleClosed int
 	// limitedAt is when the limit was set.
 	limitedAt time.Time
 }
@@ -76,34 +76,6 @@
 	}
 }
 
-// Listener returns a listener that returns the connections of l that the gate accepts. ConnState must get the
-// states of these.
-func (g *Gate) Listener(l net.Listener) net.Listener { return &listener{Listener: l, gate: g} }
-
-type listener struct {
-	net.Listener
-	gate *Gate
-}
-
-// Accept returns the next accepted connection.
-func (l *listener) Accept() (net.Conn, error) {
-	for {
-		c, err := l.Listener.Accept()
-		if err != nil || l.gate.accept(time.Now(), c) {
-			return c, err
-		}
-		closeUnread(c)
-	}
-}
-
-// closeUnread resets a connection, which leaves nothing of it behind in the kernel.
-func closeUnread(c net.Conn) {
-	if tcp, ok := c.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0)
-	}
-	_ = c.Close()
-}
-
 func (g *Gate) accept(now time.Time, c net.Conn) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -119,20 +91,22 @@
 	return true
 }
 
-// makeRoom closes the connection that has been silent longest if no more may be open. It returns false if there is none.
+// makeRoom closes an unused connection if no more may be open. It returns false if there is none.
 //
-// Failure: callers open connections and send nothing on them. The entry has no descriptor left for connections to
-// backend servers, and accepts nobody until the silent ones have timed out.
+// Failure: callers open connections and send nothing on them, or leave them idle after a request. The entry has no
+// descriptor left for connections to backend servers, and accepts nobody until the unused ones have timed out.
 func (g *Gate) makeRoom() bool {
 	if g.conns.open < g.maxOpen {
 		return true
 	}
-	silent := g.conns.takeSilent()
-	if silent == nil {
+	switch g.conns.closeUnused() {
+	case silentUnused:
+		g.silentClosed++
+	case idleUnused:
+		g.idleClosed++
+	case noneUnused:
 		return false
 	}
-	closeUnread(silent)
-	g.silentClosed++
 	return true
 }
 
@@ -140,7 +114,7 @@
 func (g *Gate) ConnState(c net.Conn, s http.ConnState) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.conns.setState(c, s)
+	g.conns.setState(time.Now(), c, s)
 	if s == http.StateActive {
 		g.wakeProbes()
 	}
@@ -202,11 +176,12 @@
 	defer g.mu.Unlock()
 	g.endWindows(now)
 	r := metrics.IntakeSample{Accepted: g.accepted, Refused: g.refused, Delay: g.maxDelay, Limit: g.limiter.limit, InUse: g.conns.inUse(now)}
-	if r.Refused > 0 || g.silentClosed > 0 || r.Delay >= overloadDelay {
+	if r.Refused > 0 || g.silentClosed > 0 || g.idleClosed > 0 || r.Delay >= overloadDelay {
 		g.log("overloaded", "delay_ms", r.Delay.Milliseconds(), "accepted", r.Accepted, "refused", r.Refused,
-			"in_use", r.InUse, "limit", r.Limit, "open", g.conns.open, "max_open", g.maxOpen, "silent_closed", g.silentClosed)
+			"in_use", r.InUse, "limit", r.Limit, "open", g.conns.open, "max_open", g.maxOpen, "silent_closed", g.silentClosed,
+			"idle_closed", g.idleClosed)
 	}
-	g.accepted, g.refused, g.silentClosed, g.maxDelay = 0, 0, 0, 0
+	g.accepted, g.refused, g.silentClosed, g.idleClosed, g.maxDelay = 0, 0, 0, 0, 0
 	return r
 }
 
--- a/internal/intake/gate_test.go
+++ b/internal/intake/gate_test.go
@@ -37,11 +37,12 @@
 		<-testEnds
 	})
 	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "served") })
-	server := &http.Server{Handler: mux, ConnState: g.ConnState, ReadHeaderTimeout: time.Minute}
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}
+	protected := Protect(server, l, g)
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
-		_ = server.Serve(g.Listener(l))
+		_ = server.Serve(protected)
 	}()
 	t.Cleanup(func() {
 		close(testEnds)
--- a/internal/metrics/definitions.go
+++ b/internal/metrics/definitions.go
@@ -108,13 +108,23 @@
 	nameOutage         = prefix + "group_outage_seconds"
 	nameStrandedOutage = prefix + "stranded_seconds"
 
-	nameInvariants = prefix + "invariant_violations_total"
+	nameInvariants     = prefix + "invariant_violations_total"
+	nameListenerOpen   = prefix + "listener_connections"
+	nameListenerClosed = prefix + "listener_connections_closed_total"
 )
 
 // Definitions returns all metrics, beginning with the entry role's.
 func Definitions() []Definition {
-	return append(append(entryDefinitions(), controlDefinitions()...),
-		Definition{nameInvariants, KindCounter, nil, "Invariants found broken in this process; the step was refused.", nil})
+	return append(append(entryDefinitions(), controlDefinitions()...), processDefinitions()...)
+}
+
+// processDefinitions returns the metrics of each process, whatever its roles.
+func processDefinitions() []Definition {
+	return []Definition{
+		{nameInvariants, KindCounter, nil, "Invariants found broken in this process; the step was refused.", nil},
+		{nameListenerOpen, KindGauge, []string{"listener"}, "Open connections of listeners other than that for callers.", nil},
+		{nameListenerClosed, KindCounter, []string{"reason"}, "Connections of these listeners that were closed at their limit.", nil},
+	}
 }
 
 func entryDefinitions() []Definition {
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -87,3 +87,21 @@
 	m.scope.Counter(nameInvariants).Inc(int64(now - m.violations))
 	m.violations = now
 }
+
+// ListenerSample is the number of open connections now, and what became of connections since the last sample.
+type ListenerSample struct {
+	// Open is the number of open connections by listener.
+	Open map[string]int
+	// Closed counts those without a request that gave way to others, Refused the new ones that found no place.
+	Closed, Refused int
+}
+
+// Listeners records the connections of the listeners that share a limit.
+func (m *Metrics) Listeners(s ListenerSample) {
+	for name, open := range s.Open {
+		m.scope.Tagged(map[string]string{"listener": name}).Gauge(nameListenerOpen).Update(float64(open))
+	}
+	for outcome, n := range map[string]int{"unused": s.Closed, "refused": s.Refused} {
+		m.scope.Tagged(map[string]string{"reason": outcome}).Counter(nameListenerClosed).Inc(int64(n))
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -61,11 +61,13 @@
 	follower      *follow.Follower
 	entry         *entry.Server
 	// gate accepts the connections of callers; nil without the entry role.
-	gate    *intake.Gate
-	servers []*namedServer
-	adapter Adapter
-	commits *controlclient.Client
-	metrics *metrics.Metrics
+	gate *intake.Gate
+	// connLimit bounds the connections of all other listeners.
+	connLimit *intake.ConnLimit
+	servers   []*namedServer
+	adapter   Adapter
+	commits   *controlclient.Client
+	metrics   *metrics.Metrics
 }
 
 // tokens holds the secrets from the token files that the settings name.
@@ -89,6 +91,7 @@
 // NewWithAdapter creates a node that uses an adapter for its platform's protocols.
 func NewWithAdapter(s *settings.Settings, logger log.Logger, a Adapter) (*Node, error) {
 	n := &Node{settings: s, logger: logger, adapter: a}
+	n.connLimit = intake.NewConnLimit(log.With(logger, "part", "intake"), maxOtherConnections(s.Entry.Enabled))
 	steps := []func() error{n.readTokens, n.makeMetrics, n.makeClients, n.openConsensus, n.makeServers, n.listen}
 	for _, step := range steps {
 		if err := step(); err != nil {
@@ -138,6 +141,7 @@
 		select {
 		case <-ticker.C:
 			n.metrics.SampleInvariants()
+			n.metrics.Listeners(n.connLimit.Report())
 			if n.entry != nil {
 				n.entry.SetGauges()
 				n.entry.ReportOpen(time.Now())
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -16,6 +16,7 @@
 	"github.com/citronstep/citronstep/internal/bounded"
 	"github.com/citronstep/citronstep/internal/control"
 	"github.com/citronstep/citronstep/internal/entry"
+	"github.com/citronstep/citronstep/internal/intake"
 	"github.com/citronstep/citronstep/internal/metrics"
 	"github.com/citronstep/citronstep/internal/relay"
 	"github.com/citronstep/citronstep/internal/replica"
@@ -89,15 +90,19 @@
 	server := &http.Server{
 		Handler: h, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes, IdleTimeout: idleTimeout,
 	}
-	if n.gate != nil && name == callersServer {
-		l = n.gate.Listener(l)
-		server.ConnState = n.gate.ConnState
-	}
-	n.servers = append(n.servers, &namedServer{name: name, server: server, listener: l})
+	n.servers = append(n.servers, &namedServer{name: name, server: server, listener: n.protect(name, server, l)})
 	_ = level.Info(n.logger).Log("event", "listening", "for", name, "address", l.Addr())
 	return nil
 }
 
+// protect bounds the connections of a listener.
+func (n *Node) protect(name string, server *http.Server, l net.Listener) net.Listener {
+	if n.gate != nil && name == callersServer {
+		return intake.Protect(server, l, n.gate)
+	}
+	return intake.Protect(server, l, n.connLimit.For(name))
+}
+
 // peersHandler serves the other processes of the system.
 func (n *Node) peersHandler() http.Handler {
 	mux := http.NewServeMux()
