Intake: a process bounds the memory that headers of requests take

What callers saw: clients that sent headers of legal length and of thousands of short lines ended a process of 280 MB, with a few hundred connections.

Cause: net/http builds a table of a header while it reads it. A line of three or four bytes takes 120 bytes in it, 210 with what is allocated meanwhile, and as much again for each copy that is made to forward the request; nothing bounded the sum over all connections. A heap profile of an entry under 600 headers that do not end has 186 of 198 MB in net/textproto.readMIMEHeader, below net/http.readRequest, so before any handler. The same table is made of a Trailer header, which is one line (85 bytes a name), of trailers, and of a header that net/http has buffered behind another request.

Ruled out: a limit on the lines of one header. A legal one has up to 5,461 lines, and a few hundred of these are enough. The entry's own limits (open requests, held bytes) begin with the handler.

Change: intake.HeaderBudget, one a process, for all its listeners. A connection counts the bytes, lines and commas of a header as it reads them and reserves what they may take before net/http parses them; the memory is released when the request ends. Headers of over 16 KiB of memory, about 40 lines, share half of the budget, so that ordinary requests have room beside them. Without room the connection reads the rest of the header, answers 429 with "ran": "no" and Retry-After, and closes; at most 64 do so at a time, the others are closed. A header that was buffered behind a request is counted before it is parsed, and refused by a handler. Trailers, which nothing uses, are dropped once read.

Tests of the package: the refusal says that the request did not run, and it did not; the memory is released however a request ends; the end of a header is where net/http finds it (random headers in random pieces).

It works because the memory is reserved where the bytes arrive, before the code that multiplies them.

--- a/internal/intake/conn_test.go
+++ b/internal/intake/conn_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -13,8 +14,12 @@
 	"gotest.tools/v3/assert"
 )
 
-// protectedServer serves requests behind a limit of connections. Requests of /hold are served until the test ends.
+// testBudget has room for one large header.
+const testBudget = 1 << 20
+
+// protectedServer serves requests behind a header budget. Requests of /hold are served until the test ends.
 type protectedServer struct {
+	headers *HeaderBudget
 	limit   *ConnLimit
 	address string
 	served  atomic.Int64
@@ -24,7 +29,9 @@
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	s := &protectedServer{limit: NewConnLimit(log.NewNopLogger(), maxOpen), address: l.Addr().String()}
+	s := &protectedServer{
+		headers: NewHeaderBudget(log.NewNopLogger(), testBudget), limit: NewConnLimit(log.NewNopLogger(), maxOpen), address: l.Addr().String(),
+	}
 	testEnds := make(chan struct{})
 	mux := http.NewServeMux()
 	mux.HandleFunc("/hold", func(http.ResponseWriter, *http.Request) {
@@ -40,9 +47,15 @@
 		_, _ = io.Copy(io.Discard, c)
 		_ = c.Close()
 	})
-	mux.HandleFunc("/", func(http.ResponseWriter, *http.Request) { s.served.Add(1) })
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		s.served.Add(1)
+		_, _ = io.Copy(io.Discard, r.Body)
+		if r.Trailer != nil {
+			w.WriteHeader(http.StatusInternalServerError)
+		}
+	})
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute, IdleTimeout: time.Minute}
-	protected := Protect(server, l, s.limit.For("test"))
+	protected := Protect(server, l, s.limit.For("test"), s.headers)
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
@@ -79,8 +92,89 @@
 	return answer, string(body)
 }
 
+func (s *protectedServer) used() int64 {
+	s.headers.mu.Lock()
+	defer s.headers.mu.Unlock()
+	return s.headers.used
+}
+
 const request = "GET / HTTP/1.1\r\nHost: h\r\n"
 
+// manyLines is a part of a header that takes more than a quarter and less than a half of testBudget.
+var manyLines = strings.Repeat("a:\n", 1000)
+
+// Guards against requests that are refused without an answer that says so, or that run although they are refused.
+func TestRequestWithoutRoomForItsHeaderIsRefused(t *testing.T) {
+	t.Parallel()
+	s := startProtected(t, 100)
+	s.open(t, request+manyLines)
+	await(t, "a header that is read", func() bool { return s.used() > testBudget/4 })
+	answer, body := readAnswer(t, bufio.NewReader(s.open(t, request+manyLines+"\r\n")))
+	assert.Equal(t, answer.StatusCode, http.StatusTooManyRequests)
+	assert.Equal(t, answer.Header.Get("Retry-After"), "1")
+	assert.Assert(t, answer.Close)
+	assert.Assert(t, strings.Contains(body, `"ran":"no"`), body)
+	assert.Equal(t, s.served.Load(), int64(0))
+	answer, _ = readAnswer(t, bufio.NewReader(s.open(t, request+"\r\n")))
+	assert.Equal(t, answer.StatusCode, http.StatusOK)
+	assert.Equal(t, s.headers.Report().Refused, 1)
+}
+
+// Guards against memory that stays reserved once requests have ended, however they end.
+func TestMemoryIsReleasedWithItsRequest(t *testing.T) {
+	t.Parallel()
+	s := startProtected(t, 100)
+	for range 10 {
+		c := s.open(t, request+manyLines+"\r\n")
+		r := bufio.NewReader(c)
+		answer, _ := readAnswer(t, r)
+		assert.Equal(t, answer.StatusCode, http.StatusOK)
+		_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 6\r\n"+manyLines+"\r\n,\n,\n,\n")
+		assert.NilError(t, err)
+		answer, _ = readAnswer(t, r)
+		assert.Equal(t, answer.StatusCode, http.StatusOK)
+		await(t, "memory that is released", func() bool { return s.used() == 0 })
+		unfinished := s.open(t, request+manyLines)
+		await(t, "a header that is read", func() bool { return s.used() > testBudget/4 })
+		_ = unfinished.Close()
+		await(t, "memory that is released", func() bool { return s.used() == 0 })
+	}
+}
+
+// Guards against headers that arrive behind a request and are not counted.
+func TestHeaderBehindARequestIsCounted(t *testing.T) {
+	t.Parallel()
+	s := startProtected(t, 100)
+	c := s.open(t, request+"\r\n"+request+manyLines)
+	readAnswer(t, bufio.NewReader(c))
+	await(t, "a header that is read", func() bool { return s.used() > testBudget/4 })
+}
+
+// Guards against requests that run although the header that has arrived behind another request is refused.
+func TestHeaderBehindARequestIsRefused(t *testing.T) {
+	t.Parallel()
+	s := startProtected(t, 100)
+	s.open(t, request+manyLines)
+	await(t, "a header that is read", func() bool { return s.used() > testBudget/4 })
+	r := bufio.NewReader(s.open(t, request+"\r\n"+request+manyLines+"\r\n"))
+	answer, _ := readAnswer(t, r)
+	assert.Equal(t, answer.StatusCode, http.StatusOK)
+	answer, _ = readAnswer(t, r)
+	assert.Equal(t, answer.StatusCode, http.StatusTooManyRequests)
+	assert.Equal(t, s.served.Load(), int64(1))
+}
+
+// Guards against trailers that take memory until their requests end.
+func TestTrailersAreDropped(t *testing.T) {
+	t.Parallel()
+	s := startProtected(t, 100)
+	for _, trailer := range []string{"", "Trailer: a, b\r\n"} {
+		c := s.open(t, "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"+trailer+"\r\n1\r\nx\r\n0\r\na: 1\r\nb: 2\r\n\r\n")
+		answer, _ := readAnswer(t, bufio.NewReader(c))
+		assert.Equal(t, answer.StatusCode, http.StatusOK)
+	}
+}
+
 // Guards against connections that are kept after a request and leave no place for others.
 func TestIdleConnectionsGiveWay(t *testing.T) {
 	t.Parallel()
@@ -121,5 +215,5 @@
 	await(t, "an upgraded connection", func() bool { return s.served.Load() == 1 })
 	assert.Equal(t, s.limit.Report().Open["test"], 1)
 	_ = c.Close()
-	await(t, "the end of the connection", func() bool { return s.limit.Report().Open["test"] == 0 })
+	await(t, "the end of the connection", func() bool { return s.limit.Report().Open["test"] == 0 && s.used() == 0 })
 }
--- a/internal/intake/gate_test.go
+++ b/internal/intake/gate_test.go
@@ -38,7 +38,7 @@
 	})
 	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "served") })
 	server := &http.Server{Handler: mux, ReadHeaderTimeout: time.Minute}
-	protected := Protect(server, l, g)
+	protected := Protect(server, l, g, NewHeaderBudget(log.NewNopLogger(), 1<<30))
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -1,9 +1,14 @@
 package intake
 
 import (
+	"bytes"
+	"context"
+	"io"
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/citronstep/citronstep/internal/failure"
 )
 
 // Accepter decides which connections of a listener stay open.
@@ -14,18 +19,28 @@
 	ConnState(c net.Conn, s http.ConnState)
 }
 
-// Protect sets up a server that serves the connections of l which a accepts. It returns the listener to serve.
-func Protect(server *http.Server, l net.Listener, a Accepter) net.Listener {
+// Protect sets up a server that serves the connections of l which a accepts, and refuses requests for whose headers b
+// has no room. It returns the listener to serve.
+func Protect(server *http.Server, l net.Listener, a Accepter, b *HeaderBudget) net.Listener {
+	server.Handler = &handler{next: server.Handler}
+	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, c)
+	}
 	server.ConnState = func(c net.Conn, s http.ConnState) {
 		a.ConnState(c, s)
 		c.(*conn).setState(s)
 	}
-	return &listener{Listener: l, accepter: a}
+	return &listener{Listener: l, accepter: a, headers: b, refusal: refusalText()}
 }
 
+// connKey is the key of a request's conn in its context.
+type connKey struct{}
+
 type listener struct {
 	net.Listener
 	accepter Accepter
+	headers  *HeaderBudget
+	refusal  []byte
 }
 
 // Accept returns the next accepted connection.
@@ -35,10 +50,82 @@
 		if err != nil {
 			return nil, err
 		}
-		c := &conn{Conn: raw, accepter: l.accepter}
+		c := &conn{Conn: raw, headers: l.headers, refusal: l.refusal, accepter: l.accepter}
 		if l.accepter.accept(time.Now(), c) {
 			return c, nil
 		}
 		reset(c)
 	}
 }
+
+// headerRefusalRetryAfter is roughly the time in which other requests release memory.
+const headerRefusalRetryAfter = time.Second
+
+// headerRefusal is the failure of a request for whose header the budget has no room.
+func headerRefusal() *failure.Error {
+	return failure.New(failure.TypeOverloaded, "the memory of this process for headers is used up").
+		WithRan(failure.RanNo).WithRetryAfter(headerRefusalRetryAfter)
+}
+
+// refusalText returns the answer to a request whose header is not parsed.
+func refusalText() []byte {
+	w := &textWriter{header: make(http.Header)}
+	failure.Write(w, headerRefusal())
+	answer := http.Response{
+		StatusCode: w.status, ProtoMajor: 1, ProtoMinor: 1, Header: w.header, Close: true,
+		ContentLength: int64(w.body.Len()), Body: io.NopCloser(&w.body),
+	}
+	var text bytes.Buffer
+	// A buffer takes all writes.
+	_ = answer.Write(&text)
+	return text.Bytes()
+}
+
+// textWriter is an http.ResponseWriter that keeps an answer.
+type textWriter struct {
+	header http.Header
+	status int
+	body   bytes.Buffer
+}
+
+// Header returns the header of the answer.
+func (w *textWriter) Header() http.Header { return w.header }
+
+// WriteHeader sets the status of the answer.
+func (w *textWriter) WriteHeader(status int) { w.status = status }
+
+// Write adds to the body of the answer.
+func (w *textWriter) Write(p []byte) (int, error) { return w.body.Write(p) }
+
+// handler refuses requests whose headers net/http had buffered before the budget refused them, and drops trailers.
+type handler struct{ next http.Handler }
+
+// ServeHTTP serves a request.
+func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if c, ok := r.Context().Value(connKey{}).(*conn); ok && c.hasRefused() {
+		w.Header().Set("Connection", "close")
+		failure.Write(w, headerRefusal())
+		return
+	}
+	if r.ContentLength < 0 {
+		r.Trailer = nil
+		r.Body = &bodyWithoutTrailer{ReadCloser: r.Body, request: r}
+	}
+	h.next.ServeHTTP(w, r)
+}
+
+// bodyWithoutTrailer drops the trailer of a request, which nothing uses, when its body ends. A trailer takes much more
+// memory than its bytes, until the request ends.
+type bodyWithoutTrailer struct {
+	io.ReadCloser
+	request *http.Request
+}
+
+// Read reads the body.
+func (b *bodyWithoutTrailer) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != nil {
+		b.request.Trailer = nil
+	}
+	return n, err
+}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -88,6 +88,19 @@
 	m.violations = now
 }
 
+// HeaderSample is what the headers of requests take now, and what became of them since the last sample.
+type HeaderSample struct {
+	// Used is the memory reserved for headers, in bytes.
+	Used    int64
+	Refused int
+}
+
+// Headers records what the headers of requests take.
+func (m *Metrics) Headers(s HeaderSample) {
+	m.scope.Gauge(nameHeaderMemory).Update(float64(s.Used))
+	m.scope.Counter(nameHeadersRefused).Inc(int64(s.Refused))
+}
+
 // ListenerSample is the number of open connections now, and what became of connections since the last sample.
 type ListenerSample struct {
 	// Open is the number of open connections by listener.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -62,8 +62,9 @@
 	entry         *entry.Server
 	// gate accepts the connections of callers; nil without the entry role.
 	gate *intake.Gate
-	// connLimit bounds the connections of all other listeners.
+	// connLimit bounds the connections of all other listeners, headers the memory for headers of requests.
 	connLimit *intake.ConnLimit
+	headers   *intake.HeaderBudget
 	servers   []*namedServer
 	adapter   Adapter
 	commits   *controlclient.Client
@@ -91,7 +92,9 @@
 // NewWithAdapter creates a node that uses an adapter for its platform's protocols.
 func NewWithAdapter(s *settings.Settings, logger log.Logger, a Adapter) (*Node, error) {
 	n := &Node{settings: s, logger: logger, adapter: a}
-	n.connLimit = intake.NewConnLimit(log.With(logger, "part", "intake"), maxOtherConnections(s.Entry.Enabled))
+	intakeLogger := log.With(logger, "part", "intake")
+	n.headers = intake.NewHeaderBudget(intakeLogger, s.Limits.HeaderMemoryBytes)
+	n.connLimit = intake.NewConnLimit(intakeLogger, maxOtherConnections(s.Entry.Enabled))
 	steps := []func() error{n.readTokens, n.makeMetrics, n.makeClients, n.openConsensus, n.makeServers, n.listen}
 	for _, step := range steps {
 		if err := step(); err != nil {
@@ -141,6 +144,7 @@
 		select {
 		case <-ticker.C:
 			n.metrics.SampleInvariants()
+			n.metrics.Headers(n.headers.Report())
 			n.metrics.Listeners(n.connLimit.Report())
 			if n.entry != nil {
 				n.entry.SetGauges()
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -95,12 +95,12 @@
 	return nil
 }
 
-// protect bounds the connections of a listener.
+// protect bounds the connections of a listener and the memory for headers of its requests.
 func (n *Node) protect(name string, server *http.Server, l net.Listener) net.Listener {
 	if n.gate != nil && name == callersServer {
-		return intake.Protect(server, l, n.gate)
+		return intake.Protect(server, l, n.gate, n.headers)
 	}
-	return intake.Protect(server, l, n.connLimit.For(name))
+	return intake.Protect(server, l, n.connLimit.For(name), n.headers)
 }
 
 // peersHandler serves the other processes of the system.
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -22,6 +22,9 @@
 	maxHeldBytes = 16 << 30
 	// maxOpenRequests is far above what a small VM can relay.
 	maxOpenRequests = 1 << 20
+	// minHeaderMemory leaves room for one header of the most bytes that a listener reads, whatever its lines.
+	minHeaderMemory = 16 << 20
+	maxHeaderMemory = 16 << 30
 	hourMillis      = 3_600_000
 	minuteMillis    = 60_000
 )
@@ -45,6 +48,7 @@
 	s.checkControl(c)
 	s.checkPeers(c)
 	s.checkAdapter(c)
+	c.checkRange("limits.header_memory_bytes", s.Limits.HeaderMemoryBytes, minHeaderMemory, maxHeaderMemory)
 	if n := s.Log.RequestLinesPerSecond; n < 0 && !c.HasFault("log.request_lines_per_second") {
 		c.AddFault("log.request_lines_per_second", strconv.Itoa(n), "0 or more; 0 means no limit")
 	}
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -38,6 +38,8 @@
 	// bursts.
 	DefaultColdFactor = 1.5
 	DefaultColdSlack  = 1
+	// DefaultHeaderMemoryBytes is a fifth of the memory of a small VM.
+	DefaultHeaderMemoryBytes = 64 << 20
 )
 
 func defaults() *Settings {
@@ -70,7 +72,8 @@
 			DeadMillis:         DefaultDeadMillis,
 			StallMillis:        DefaultStallMillis,
 		},
-		Log: Log{Level: DefaultLogLevel, Decisions: true, RequestLinesPerSecond: DefaultRequestLinesPerSecond},
+		Limits: Limits{HeaderMemoryBytes: DefaultHeaderMemoryBytes},
+		Log:    Log{Level: DefaultLogLevel, Decisions: true, RequestLinesPerSecond: DefaultRequestLinesPerSecond},
 	}
 }
 
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -13,6 +13,7 @@
 	Peers      Peers   `toml:"peers"`
 	Log        Log     `toml:"log"`
 	Adapter    Adapter `toml:"adapter"`
+	Limits     Limits  `toml:"limits"`
 	// Regions maps each data centre to the name of its region.
 	Regions map[string]string `toml:"regions"`
 }
@@ -146,6 +147,13 @@
 	SamePort bool `toml:"same_port"`
 }
 
+// Limits holds the limits of a process that apply to all its listeners.
+type Limits struct {
+	// HeaderMemoryBytes bounds the memory that the headers of all requests take while they are read and served. Headers
+	// of more than 16 KiB of memory, about 40 lines, may take half of it together.
+	HeaderMemoryBytes int64 `toml:"header_memory_bytes"`
+}
+
 // Log holds the settings of the log on standard output.
 type Log struct {
 	// Level is debug, info, warn or error.
