Platform: the length of a header is that of its bytes as sent

What callers saw: a request whose header is as long as the configuration allows, of short lines without carriage returns, was refused with 431, which callers do not try again.

Cause: the ingress computed the length from the parsed header and added four bytes a line for ": " and CR LF, whatever the caller had sent. A header of 16,384 bytes of the shortest lines counted for up to 27,000.

Ruled out: the listener's own limit of 32 KiB, which it does not reach.

--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -27,6 +27,8 @@
 	scan                  headerScan
 	// hasEnd is set once the end of the header was read.
 	hasEnd bool
+	// headerBytes is the length of what was read of the header, in bytes.
+	headerBytes int
 	// reserved is the memory that is reserved for the header, in bytes.
 	reserved int64
 	// behind is the cost of what was read behind the header: the body, or the beginning of the next header.
@@ -65,6 +67,7 @@
 	}
 	n, ends := c.scan.split(data)
 	c.hasEnd = ends
+	c.headerBytes += n
 	c.behind = addBehind(0, data[n:])
 	c.isUnanswered = c.isRefused || !c.reserve(headerCost(data[:n]))
 	return !c.isUnanswered
@@ -107,7 +110,7 @@
 	case http.StateHijacked:
 		c.isHijacked = true
 	case http.StateIdle:
-		c.isServing, c.scan, c.hasEnd, c.deadlines, c.hasRead = false, headerScan{}, false, 0, false
+		c.isServing, c.scan, c.hasEnd, c.headerBytes, c.deadlines, c.hasRead = false, headerScan{}, false, 0, 0, false
 		c.release()
 	case http.StateClosed:
 		c.release()
@@ -120,6 +123,13 @@
 	c.reserved = 0
 }
 
+// lastHeaderBytes returns the length of the header of the request that is served, in bytes.
+func (c *conn) lastHeaderBytes() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.headerBytes
+}
+
 // hasRefused reports whether the header of the request is refused.
 func (c *conn) hasRefused() bool {
 	c.mu.Lock()
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -36,6 +36,15 @@
 // connKey is the key of a request's conn in its context.
 type connKey struct{}
 
+// HeaderBytes returns the length of a request's header on the wire, with its request line and its end, or 0 if the
+// request did not come from a protected listener.
+func HeaderBytes(r *http.Request) int {
+	if c, ok := r.Context().Value(connKey{}).(*conn); ok {
+		return c.lastHeaderBytes()
+	}
+	return 0
+}
+
 type listener struct {
 	net.Listener
 	accepter Accepter
