Bounded: bodies of operators, servers and processes share a memory

What callers saw: 200 connections to the operators' or the peers' listener of a control process, each with all but the end of a body of 2 MiB, took 634 and 817 MB of a process that may have 280.

Cause: each body was within its limit of 4 or 8 MiB, and nothing bounded their sum; io.ReadAll and the JSON decoder hold a buffer and, while it grows, the one before it.

Ruled out: the time for a body (10 s and more a MiB) does not help, as the bodies are there at once.

Change: what HeaderBudget does for headers moves to bounded.Memory, and bounded.Bodies counts the bytes that a handler reads, twice each, until the request ends. Bodies over 64 KiB share half, so that heartbeats have room. Without room the read fails with a typed failure, which operators and backend servers get as 429 with Retry-After: they try again, where a 400 would have ended an operator's call.

--- a/internal/control/admin.go
+++ b/internal/control/admin.go
@@ -272,7 +272,11 @@
 func decode(c echo.Context, into any) error {
 	d := json.NewDecoder(io.LimitReader(c.Request().Body, maxAdminBody))
 	d.DisallowUnknownFields()
-	if err := d.Decode(into); err != nil {
+	err := d.Decode(into)
+	switch {
+	case failure.Is(err, failure.TypeOverloaded):
+		return failure.From(err)
+	case err != nil:
 		return failure.New(failure.TypeBadRequest, "body: "+err.Error())
 	}
 	return nil
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -75,7 +75,7 @@
 
 // reserve reserves memory for the header. The caller holds the lock.
 func (c *conn) reserve(cost int64) bool {
-	if !c.headers.grow(c.reserved, cost) {
+	if !c.headers.memory.Grow(c.reserved, cost) {
 		c.isRefused = true
 		return false
 	}
@@ -119,7 +119,7 @@
 
 // release releases the memory of the header. The caller holds the lock.
 func (c *conn) release() {
-	c.headers.release(c.reserved)
+	c.headers.memory.Release(c.reserved)
 	c.reserved = 0
 }
 
--- a/internal/intake/conn_test.go
+++ b/internal/intake/conn_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"io"
 	"net"
 	"net/http"
@@ -12,6 +13,8 @@
 
 	"github.com/go-kit/log"
 	"gotest.tools/v3/assert"
+
+	"github.com/citronstep/citronstep/internal/metrics"
 )
 
 // testBudget has room for one large header.
@@ -92,11 +95,8 @@
 	return answer, string(body)
 }
 
-func (s *protectedServer) used() int64 {
-	s.headers.mu.Lock()
-	defer s.headers.mu.Unlock()
-	return s.headers.used
-}
+// used returns the memory that is reserved for headers.
+func (s *protectedServer) used() int64 { return s.headers.memory.Sample().Used }
 
 const request = "GET / HTTP/1.1\r\nHost: h\r\n"
 
@@ -117,7 +117,18 @@
 	assert.Equal(t, s.served.Load(), int64(0))
 	answer, _ = readAnswer(t, bufio.NewReader(s.open(t, request+"\r\n")))
 	assert.Equal(t, answer.StatusCode, http.StatusOK)
-	assert.Equal(t, s.headers.Report().Refused, 1)
+}
+
+// Guards against refusals that nobody sees.
+func TestRefusedHeadersAreReported(t *testing.T) {
+	t.Parallel()
+	var lines bytes.Buffer
+	b := NewHeaderBudget(log.NewLogfmtLogger(&lines), testBudget)
+	assert.Assert(t, b.memory.Grow(0, testBudget/4))
+	assert.Assert(t, !b.memory.Grow(0, testBudget/2))
+	assert.Equal(t, b.Report(), metrics.HeaderSample{Used: testBudget / 4, Refused: 1})
+	assert.Assert(t, strings.Contains(lines.String(), "event=headers_refused refused=1"), lines.String())
+	assert.Equal(t, b.Report().Refused, 0)
 }
 
 // Guards against memory that stays reserved once requests have ended, however they end.
--- a/internal/metrics/definitions.go
+++ b/internal/metrics/definitions.go
@@ -111,6 +111,8 @@
 	nameInvariants     = prefix + "invariant_violations_total"
 	nameHeaderMemory   = prefix + "request_header_bytes"
 	nameHeadersRefused = prefix + "request_headers_refused_total"
+	nameBodyMemory     = prefix + "request_body_bytes"
+	nameBodiesRefused  = prefix + "request_bodies_refused_total"
 	nameListenerOpen   = prefix + "listener_connections"
 	nameListenerClosed = prefix + "listener_connections_closed_total"
 )
@@ -126,6 +128,8 @@
 		{nameInvariants, KindCounter, nil, "Invariants found broken in this process; the step was refused.", nil},
 		{nameHeaderMemory, KindGauge, nil, "Memory reserved for the headers of requests that are read or served, in bytes.", nil},
 		{nameHeadersRefused, KindCounter, nil, "Requests refused because the memory for headers was used up.", nil},
+		{nameBodyMemory, KindGauge, nil, "Memory reserved for bodies of requests that are not callers', in bytes.", nil},
+		{nameBodiesRefused, KindCounter, nil, "Requests of others than callers refused because the memory for bodies was used up.", nil},
 		{nameListenerOpen, KindGauge, []string{"listener"}, "Open connections of listeners other than that for callers.", nil},
 		{nameListenerClosed, KindCounter, []string{"reason"}, "Connections of these listeners that were closed at their limit.", nil},
 	}
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -101,6 +101,20 @@
 	m.scope.Counter(nameHeadersRefused).Inc(int64(s.Refused))
 }
 
+// BodySample is what the bodies of requests that are not callers' take now, and what became of them since the last
+// sample.
+type BodySample struct {
+	// Used is the memory reserved for bodies, in bytes.
+	Used    int64
+	Refused int
+}
+
+// Bodies records what these bodies take.
+func (m *Metrics) Bodies(s BodySample) {
+	m.scope.Gauge(nameBodyMemory).Update(float64(s.Used))
+	m.scope.Counter(nameBodiesRefused).Inc(int64(s.Refused))
+}
+
 // ListenerSample is the number of open connections now, and what became of connections since the last sample.
 type ListenerSample struct {
 	// Open is the number of open connections by listener.
--- a/internal/node/adapter.go
+++ b/internal/node/adapter.go
@@ -64,7 +64,7 @@
 	for _, e := range n.adapter.Servers(components) {
 		handler := e.Handler
 		if e.Name != callersServer {
-			handler = limitBodies(handler, maxBodyBytes)
+			handler = n.limitBodies(handler)
 		}
 		if err := n.listenAt(e.Name, e.Address, handler); err != nil {
 			return errors.Trace(err)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -62,9 +62,11 @@
 	entry         *entry.Server
 	// gate accepts the connections of callers; nil without the entry role.
 	gate *intake.Gate
-	// connLimit bounds the connections of all other listeners, headers the memory for headers of requests.
+	// connLimit bounds the connections of all other listeners, headers the memory for headers of requests, bodies that
+	// for bodies of requests that are not callers'.
 	connLimit *intake.ConnLimit
 	headers   *intake.HeaderBudget
+	bodies    *bounded.Memory
 	servers   []*namedServer
 	adapter   Adapter
 	commits   *controlclient.Client
@@ -94,6 +96,7 @@
 	n := &Node{settings: s, logger: logger, adapter: a}
 	intakeLogger := log.With(logger, "part", "intake")
 	n.headers = intake.NewHeaderBudget(intakeLogger, s.Limits.HeaderMemoryBytes)
+	n.bodies = bounded.NewMemory(s.Limits.BodyMemoryBytes, bounded.LargeBody)
 	n.connLimit = intake.NewConnLimit(intakeLogger, maxOtherConnections(s.Entry.Enabled))
 	steps := []func() error{n.readTokens, n.makeMetrics, n.makeClients, n.openConsensus, n.makeServers, n.listen}
 	for _, step := range steps {
@@ -146,6 +149,7 @@
 			n.metrics.SampleInvariants()
 			n.metrics.Headers(n.headers.Report())
 			n.metrics.Listeners(n.connLimit.Report())
+			n.reportBodies()
 			if n.entry != nil {
 				n.entry.SetGauges()
 				n.entry.ReportOpen(time.Now())
@@ -157,6 +161,16 @@
 	}
 }
 
+// reportBodies records what the bodies of requests that are not callers' take, and logs it if some were refused.
+func (n *Node) reportBodies() {
+	s := n.bodies.Sample()
+	n.metrics.Bodies(metrics.BodySample{Used: s.Used, Refused: s.Refused})
+	if s.Refused > 0 {
+		_ = level.Info(n.logger).Log("event", "bodies_refused", "refused", s.Refused, "used_bytes", s.Used,
+			"used_by_large_bytes", s.UsedByLarge, "limit_bytes", s.Limit)
+	}
+}
+
 // Timeouts of calls to the system's own processes and to backend servers.
 const (
 	// peerDialTimeout bounds a dial to another process of the system, which hangs if
--- a/internal/node/servers.go
+++ b/internal/node/servers.go
@@ -36,9 +36,9 @@
 	maxBodyBytes = 8 << 20
 )
 
-// limitBodies bounds the bodies of requests that are not callers'.
-func limitBodies(next http.Handler, maxBytes int64) http.Handler {
-	return bounded.Bodies{Next: next, MaxBytes: maxBytes, Time: bodyTime}
+// limitBodies bounds the bodies of requests that are not callers', each and together.
+func (n *Node) limitBodies(next http.Handler) http.Handler {
+	return bounded.Bodies{Next: next, MaxBytes: maxBodyBytes, Time: bodyTime, Memory: n.bodies}
 }
 
 func (n *Node) listen() error {
@@ -56,7 +56,7 @@
 	if n.settings.Admin.Listen == "" {
 		return nil
 	}
-	return errors.Trace(n.listenAt("admin", n.settings.Admin.Listen, limitBodies(n.adminHandler(), maxBodyBytes)))
+	return errors.Trace(n.listenAt("admin", n.settings.Admin.Listen, n.limitBodies(n.adminHandler())))
 }
 
 // localAddr returns the source address of connections to peers: the IP on which this
@@ -122,14 +122,14 @@
 		mux.Handle(board.PathPrefix(), board)
 		mux.Handle("/admin/v1/", n.control.AdminHandler("", nil))
 	}
-	guarded := limitBodies(auth.RequireToken(n.tokens.peers, mux), maxBodyBytes)
+	guarded := n.limitBodies(auth.RequireToken(n.tokens.peers, mux))
 	if n.replica == nil {
 		return guarded
 	}
 	// The replica checks the token itself, so its handler bypasses auth.
 	outer := http.NewServeMux()
 	outer.Handle("/", guarded)
-	outer.Handle(replica.PathPrefix, limitBodies(n.replica.Handler(), replica.MaxRequestBytes))
+	outer.Handle(replica.PathPrefix, bounded.Bodies{Next: n.replica.Handler(), MaxBytes: replica.MaxRequestBytes, Time: bodyTime})
 	return outer
 }
 
--- a/internal/settings/check.go
+++ b/internal/settings/check.go
@@ -25,8 +25,11 @@
 	// minHeaderMemory leaves room for one header of the most bytes that a listener reads, whatever its lines.
 	minHeaderMemory = 16 << 20
 	maxHeaderMemory = 16 << 30
-	hourMillis      = 3_600_000
-	minuteMillis    = 60_000
+	// minBodyMemory leaves room for one body of the most bytes that a listener reads.
+	minBodyMemory = 32 << 20
+	maxBodyMemory = 16 << 30
+	hourMillis    = 3_600_000
+	minuteMillis  = 60_000
 )
 
 var logLevels = []string{"debug", "info", "warn", "error"}
@@ -49,6 +52,7 @@
 	s.checkPeers(c)
 	s.checkAdapter(c)
 	c.checkRange("limits.header_memory_bytes", s.Limits.HeaderMemoryBytes, minHeaderMemory, maxHeaderMemory)
+	c.checkRange("limits.body_memory_bytes", s.Limits.BodyMemoryBytes, minBodyMemory, maxBodyMemory)
 	if n := s.Log.RequestLinesPerSecond; n < 0 && !c.HasFault("log.request_lines_per_second") {
 		c.AddFault("log.request_lines_per_second", strconv.Itoa(n), "0 or more; 0 means no limit")
 	}
--- a/internal/settings/defaults.go
+++ b/internal/settings/defaults.go
@@ -38,8 +38,9 @@
 	// bursts.
 	DefaultColdFactor = 1.5
 	DefaultColdSlack  = 1
-	// DefaultHeaderMemoryBytes is a fifth of the memory of a small VM.
+	// DefaultHeaderMemoryBytes and DefaultBodyMemoryBytes are a fifth of the memory of a small VM each.
 	DefaultHeaderMemoryBytes = 64 << 20
+	DefaultBodyMemoryBytes   = 64 << 20
 )
 
 func defaults() *Settings {
@@ -72,7 +73,7 @@
 			DeadMillis:         DefaultDeadMillis,
 			StallMillis:        DefaultStallMillis,
 		},
-		Limits: Limits{HeaderMemoryBytes: DefaultHeaderMemoryBytes},
+		Limits: Limits{HeaderMemoryBytes: DefaultHeaderMemoryBytes, BodyMemoryBytes: DefaultBodyMemoryBytes},
 		Log:    Log{Level: DefaultLogLevel, Decisions: true, RequestLinesPerSecond: DefaultRequestLinesPerSecond},
 	}
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -152,6 +152,9 @@
 	// HeaderMemoryBytes bounds the memory that the headers of all requests take while they are read and served. Headers
 	// of more than 16 KiB of memory, about 40 lines, may take half of it together.
 	HeaderMemoryBytes int64 `toml:"header_memory_bytes"`
+	// BodyMemoryBytes bounds the memory that the bodies of requests of operators, backend servers and other processes
+	// take; entry.max_held_bytes bounds callers'. Bodies of more than 64 KiB may take half of it together.
+	BodyMemoryBytes int64 `toml:"body_memory_bytes"`
 }
 
 // Log holds the settings of the log on standard output.
