Platform, control: a configuration of too many elements is refused

What callers saw: one configuration of legal length, 4 MB of empty routes, took over half a gigabyte of a control process, which may have 280 MB; eight at a time took 5,385 MB. Operators may have eight orders in progress.

Cause: an empty object of two bytes becomes a route, service or workspace of hundreds of bytes, in slices that double as they grow, and again in the product's own types before the configuration is found invalid. Keys of a tenant become a string, a hash and a row of the check for duplicates each.

Ruled out: the memory for bodies (limits.body_memory_bytes), which counts the bytes as sent.

Change: bounded.CheckElements counts objects and values before a document is decoded: 131,072 and 262,144 at most. A configuration of 4 MiB, the longest, of the usual elements has fewer (a route's shortest object has 33 bytes, a key 23). The product's admin API has the same limits.

--- a/internal/bounded/elements.go
+++ b/internal/bounded/elements.go
@@ -9,11 +9,11 @@
 // Limits of the elements of one JSON document. An empty object of two bytes takes hundreds of bytes once decoded.
 const (
 	maxObjects = 1 << 17
-	maxValues  = 1 << 19
+	maxValues  = 1 << 18
 )
 
 // ErrTooManyElements is returned for a document that would take too much memory once decoded.
-const ErrTooManyElements = errors.ConstError("the document has more than 131072 objects or 524288 values")
+const ErrTooManyElements = errors.ConstError("the document has more than 131072 objects or 262144 values")
 
 // CheckElements returns ErrTooManyElements for a JSON document of too many elements, however short they are.
 func CheckElements(document []byte) error {
--- a/internal/control/admin.go
+++ b/internal/control/admin.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -14,6 +15,7 @@
 	"github.com/citronstep/citronstep/internal/adminapi"
 	"github.com/citronstep/citronstep/internal/auth"
 	"github.com/citronstep/citronstep/internal/blackboard"
+	"github.com/citronstep/citronstep/internal/bounded"
 	"github.com/citronstep/citronstep/internal/clock"
 	"github.com/citronstep/citronstep/internal/failure"
 	"github.com/citronstep/citronstep/internal/replica"
@@ -270,14 +272,20 @@
 }
 
 func decode(c echo.Context, into any) error {
-	d := json.NewDecoder(io.LimitReader(c.Request().Body, maxAdminBody))
-	d.DisallowUnknownFields()
-	err := d.Decode(into)
+	data, err := io.ReadAll(io.LimitReader(c.Request().Body, maxAdminBody))
 	switch {
 	case failure.Is(err, failure.TypeOverloaded):
 		return failure.From(err)
 	case err != nil:
 		return failure.New(failure.TypeBadRequest, "body: "+err.Error())
 	}
+	if err := bounded.CheckElements(data); err != nil {
+		return failure.New(failure.TypeBadRequest, "body: "+err.Error())
+	}
+	d := json.NewDecoder(bytes.NewReader(data))
+	d.DisallowUnknownFields()
+	if err := d.Decode(into); err != nil {
+		return failure.New(failure.TypeBadRequest, "body: "+err.Error())
+	}
 	return nil
 }
