--- a/test/process/harness/process.go
+++ b/test/process/harness/process.go
@@ -124,6 +124,9 @@
 // LimitDescriptors limits the open descriptors of the process from the next start on.
 func (p *Process) LimitDescriptors(count int) { p.maxDescriptors = count }
 
+// MaxDescriptors returns that limit, or 0 if there is none.
+func (p *Process) MaxDescriptors() int { return p.maxDescriptors }
+
 // SetEnvironment adds variables, as NAME=VALUE, to the environment from the next start on.
 func (p *Process) SetEnvironment(variables ...string) { p.environment = variables }
 
