--- a/internal/intake/header_scan_test.go
+++ b/internal/intake/header_scan_test.go
@@ -25,7 +25,7 @@
 		const behind = "12345\n\r\n"
 		reader := bufio.NewReader(strings.NewReader(strings.TrimLeft(text, "\r\n") + behind))
 		if _, err := http.ReadRequest(reader); err != nil {
-			t.Skip("net/http refuses the header")
+			return
 		}
 		rest, err := io.ReadAll(reader)
 		assert.NilError(t, err)
