Intake: requests whose bodies do not arrive give way to others

What callers saw: whoever held half of the descriptors of an entry with requests that announced a body and did not send it kept all others out for as long as the deadline that these requests stated, up to an hour.

Cause: a connection counts as in use from the end of the header on, and only connections without a request gave way at the limit. The body is awaited until the deadline that its caller states; the route's own time-out applies once the whole request is there.

Ruled out: a shorter time for bodies. A slow upload within its deadline is served as long as there is room.

Change: a connection whose request has a body that has not arrived counts as receiving, and at the limit, once no silent and no idle one is left, the one that has been receiving longest is closed. Such a request has not been passed on. Requests whose bodies have arrived never give way. The field receiving_closed of event=overloaded, pages.

--- a/internal/intake/conn_limit.go
+++ b/internal/intake/conn_limit.go
@@ -67,6 +67,13 @@
 	p.conns.setState(time.Now(), c, s)
 }
 
+// setReceiving records whether the body of a connection's request is yet to arrive.
+func (p *limitedListener) setReceiving(c net.Conn, is bool) {
+	p.limit.mu.Lock()
+	defer p.limit.mu.Unlock()
+	p.conns.setReceiving(time.Now(), c, is)
+}
+
 // open counts the open connections. The caller holds the lock.
 func (l *ConnLimit) open() int {
 	n := 0
@@ -76,7 +83,7 @@
 	return n
 }
 
-// makeRoom closes an unused connection of the listener that has most connections without a request. It returns false
+// makeRoom closes an unused connection of the listener that has most connections without a complete request. It returns false
 // if no connection is unused. The caller holds the lock.
 func (l *ConnLimit) makeRoom() bool {
 	var most *limitedListener
--- a/internal/intake/conn_test.go
+++ b/internal/intake/conn_test.go
@@ -200,6 +200,27 @@
 	assert.Assert(t, r.Closed > 0)
 }
 
+// Guards against requests whose bodies do not end and that leave no place for others, and against requests that give
+// way although their bodies have arrived.
+func TestUnfinishedBodiesGiveWay(t *testing.T) {
+	t.Parallel()
+	const maxOpen = 8
+	s := startProtected(t, maxOpen)
+	s.open(t, "POST /hold HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n")
+	for n := range 2 * maxOpen {
+		s.open(t, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nx")
+		await(t, "a request that is served", func() bool { return s.served.Load() == int64(n)+2 })
+	}
+	answer, _ := readAnswer(t, bufio.NewReader(s.open(t, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nxx")))
+	assert.Equal(t, answer.StatusCode, http.StatusOK)
+	r := s.limit.Report()
+	assert.Equal(t, r.Refused, 0)
+	assert.Assert(t, r.Closed > 0)
+	s.limit.mu.Lock()
+	defer s.limit.mu.Unlock()
+	assert.Assert(t, len(s.limit.listeners[0].conns.active) > 0)
+}
+
 // Guards against connections in use that give way to new ones.
 func TestConnectionsInUseDoNotGiveWay(t *testing.T) {
 	t.Parallel()
--- a/internal/intake/connections.go
+++ b/internal/intake/connections.go
@@ -16,11 +16,12 @@
 	open int
 	// active holds those with a request, and those that no longer carry HTTP.
 	active map[net.Conn]struct{}
-	// silent holds those that have not brought a request yet, idle those that wait for a further one.
-	silent, idle waiting
+	// silent holds those that have not brought a request yet, idle those that wait for a further one, receiving those with
+	// a request whose body has not arrived.
+	silent, idle, receiving waiting
 }
 
-// waiting holds connections without a request in the order in which they began to wait.
+// waiting holds connections without a complete request in the order in which they began to wait.
 type waiting struct {
 	places map[net.Conn]*list.Element
 	order  list.List
@@ -37,6 +38,8 @@
 		active: make(map[net.Conn]struct{}),
 		silent: waiting{places: make(map[net.Conn]*list.Element)},
 		idle:   waiting{places: make(map[net.Conn]*list.Element)},
+
+		receiving: waiting{places: make(map[net.Conn]*list.Element)},
 	}
 }
 
@@ -83,6 +86,7 @@
 	}
 	c.silent.remove(conn)
 	c.idle.remove(conn)
+	c.receiving.remove(conn)
 	delete(c.active, conn)
 	switch s {
 	case http.StateActive, http.StateHijacked:
@@ -94,13 +98,27 @@
 	}
 }
 
+// setReceiving records whether the body of a connection's request is yet to arrive.
+func (c *connections) setReceiving(now time.Time, conn net.Conn, is bool) {
+	_, isActive := c.active[conn]
+	_, isReceiving := c.receiving.places[conn]
+	switch {
+	case is && isActive:
+		delete(c.active, conn)
+		c.receiving.add(now, conn)
+	case !is && isReceiving:
+		c.receiving.remove(conn)
+		c.active[conn] = struct{}{}
+	}
+}
+
 // inUse counts the connections that carry a request, or are likely to bring one.
 func (c *connections) inUse(now time.Time) int {
-	return len(c.active) + c.silent.countSince(now, silentUse)
+	return len(c.active) + len(c.receiving.places) + c.silent.countSince(now, silentUse)
 }
 
 // closeUnused closes the connection that gives way to a new one: the one that has been silent longest, else the one that
-// has been idle longest. It returns which kind it was, or noneUnused.
+// has been idle longest, else the one whose body has been arriving longest. It returns which kind it was, or noneUnused.
 func (c *connections) closeUnused() unusedKind {
 	if conn := c.silent.take(); conn != nil {
 		reset(conn)
@@ -111,17 +129,25 @@
 		_ = conn.Close()
 		return idleUnused
 	}
+	if conn := c.receiving.take(); conn != nil {
+		c.active[conn] = struct{}{}
+		_ = conn.Close()
+		return receivingUnused
+	}
 	return noneUnused
 }
 
-// unused counts the connections without a request.
-func (c *connections) unused() int { return len(c.silent.places) + len(c.idle.places) }
+// unused counts the connections without a complete request.
+func (c *connections) unused() int {
+	return len(c.silent.places) + len(c.idle.places) + len(c.receiving.places)
+}
 
-// unusedKind is a kind of connections without a request.
+// unusedKind is a kind of connections without a complete request.
 type unusedKind int
 
 const (
 	noneUnused unusedKind = iota
 	silentUnused
 	idleUnused
+	receivingUnused
 )
--- a/internal/intake/gate.go
+++ b/internal/intake/gate.go
@@ -34,8 +34,8 @@
 	conns     connections
 	// maxOpen bounds the open connections.
 	maxOpen int
-	// accepted, refused, silentClosed and idleClosed count the connections since the last report.
-	accepted, refused, silentClosed, idleClosed int
+	// accepted, refused, silentClosed, idleClosed and receivingClosed count the connections since the last report.
+	accepted, refused, silentClosed, idleClosed, receivingClosed int
 	// limitedAt is when the limit was set.
 	limitedAt time.Time
 }
@@ -94,7 +94,8 @@
 // makeRoom closes an unused connection if no more may be open. It returns false if there is none.
 //
 // Failure: callers open connections and send nothing on them, or leave them idle after a request. The entry has no
-// descriptor left for connections to backend servers, and accepts nobody until the unused ones have timed out.
+// descriptor left for connections to backend servers, and accepts nobody until the unused ones have timed out. The same
+// holds for requests whose bodies do not end.
 func (g *Gate) makeRoom() bool {
 	if g.conns.open < g.maxOpen {
 		return true
@@ -104,6 +105,8 @@
 		g.silentClosed++
 	case idleUnused:
 		g.idleClosed++
+	case receivingUnused:
+		g.receivingClosed++
 	case noneUnused:
 		return false
 	}
@@ -120,6 +123,13 @@
 	}
 }
 
+// setReceiving records whether the body of a connection's request is yet to arrive.
+func (g *Gate) setReceiving(c net.Conn, is bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.conns.setReceiving(time.Now(), c, is)
+}
+
 // wakeProbes starts the probes if they are off. The caller holds the lock.
 func (g *Gate) wakeProbes() {
 	if !g.isIdle {
@@ -176,12 +186,12 @@
 	defer g.mu.Unlock()
 	g.endWindows(now)
 	r := metrics.IntakeSample{Accepted: g.accepted, Refused: g.refused, Delay: g.maxDelay, Limit: g.limiter.limit, InUse: g.conns.inUse(now)}
-	if r.Refused > 0 || g.silentClosed > 0 || g.idleClosed > 0 || r.Delay >= overloadDelay {
+	if r.Refused > 0 || g.silentClosed+g.idleClosed+g.receivingClosed > 0 || r.Delay >= overloadDelay {
 		g.log("overloaded", "delay_ms", r.Delay.Milliseconds(), "accepted", r.Accepted, "refused", r.Refused,
 			"in_use", r.InUse, "limit", r.Limit, "open", g.conns.open, "max_open", g.maxOpen, "silent_closed", g.silentClosed,
-			"idle_closed", g.idleClosed)
+			"idle_closed", g.idleClosed, "receiving_closed", g.receivingClosed)
 	}
-	g.accepted, g.refused, g.silentClosed, g.idleClosed, g.maxDelay = 0, 0, 0, 0, 0
+	g.accepted, g.refused, g.silentClosed, g.idleClosed, g.receivingClosed, g.maxDelay = 0, 0, 0, 0, 0, 0
 	return r
 }
 
--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -17,6 +17,8 @@
 	accept(now time.Time, c net.Conn) bool
 	// ConnState gets the states of the accepted connections as the http.Server reports them.
 	ConnState(c net.Conn, s http.ConnState)
+	// setReceiving records whether the body of a connection's request is yet to arrive.
+	setReceiving(c net.Conn, is bool)
 }
 
 // Protect sets up a server that serves the connections of l which a accepts, and refuses requests for whose headers b
@@ -106,35 +108,43 @@
 // Write adds to the body of the answer.
 func (w *textWriter) Write(p []byte) (int, error) { return w.body.Write(p) }
 
-// handler refuses requests whose headers net/http had buffered before the budget refused them, and drops trailers.
+// handler refuses requests whose headers net/http had buffered before the budget refused them, and follows the bodies of
+// the others.
 type handler struct{ next http.Handler }
 
 // ServeHTTP serves a request.
 func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if c, ok := r.Context().Value(connKey{}).(*conn); ok && c.hasRefused() {
+	c, ok := r.Context().Value(connKey{}).(*conn)
+	switch {
+	case !ok:
+	case c.hasRefused():
 		w.Header().Set("Connection", "close")
 		failure.Write(w, headerRefusal())
 		return
-	}
-	if r.ContentLength < 0 {
+	case r.ContentLength != 0:
+		c.accepter.setReceiving(c, true)
 		r.Trailer = nil
-		r.Body = &bodyWithoutTrailer{ReadCloser: r.Body, request: r}
+		r.Body = &body{ReadCloser: r.Body, conn: c, request: r}
 	}
 	h.next.ServeHTTP(w, r)
 }
 
-// bodyWithoutTrailer drops the trailer of a request, which nothing uses, when its body ends. A trailer takes much more
-// memory than its bytes, until the request ends.
-type bodyWithoutTrailer struct {
+// body is the body of a request. It drops the trailer, which nothing uses: a trailer takes much more memory than its
+// bytes, until the request ends.
+type body struct {
 	io.ReadCloser
+	conn    *conn
 	request *http.Request
+	hasEnd  bool
 }
 
 // Read reads the body.
-func (b *bodyWithoutTrailer) Read(p []byte) (int, error) {
+func (b *body) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
-	if err != nil {
+	if err != nil && !b.hasEnd {
+		b.hasEnd = true
 		b.request.Trailer = nil
+		b.conn.accepter.setReceiving(b.conn, false)
 	}
 	return n, err
 }
