--- a/internal/intake/listener.go
+++ b/internal/intake/listener.go
@@ -1,7 +1,6 @@
 package intake
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net"
@@ -69,45 +68,6 @@
 	}
 }
 
-// headerRefusalRetryAfter is roughly the time in which other requests release memory.
-const headerRefusalRetryAfter = time.Second
-
-// headerRefusal is the failure of a request for whose header the budget has no room.
-func headerRefusal() *failure.Error {
-	return failure.New(failure.TypeOverloaded, "the memory of this process for headers is used up").
-		WithRan(failure.RanNo).WithRetryAfter(headerRefusalRetryAfter)
-}
-
-// refusalText returns the answer to a request whose header is not parsed.
-func refusalText() []byte {
-	w := &textWriter{header: make(http.Header)}
-	failure.Write(w, headerRefusal())
-	answer := http.Response{
-		StatusCode: w.status, ProtoMajor: 1, ProtoMinor: 1, Header: w.header, Close: true,
-		ContentLength: int64(w.body.Len()), Body: io.NopCloser(&w.body),
-	}
-	var text bytes.Buffer
-	// A buffer takes all writes.
-	_ = answer.Write(&text)
-	return text.Bytes()
-}
-
-// textWriter is an http.ResponseWriter that keeps an answer.
-type textWriter struct {
-	header http.Header
-	status int
-	body   bytes.Buffer
-}
-
-// Header returns the header of the answer.
-func (w *textWriter) Header() http.Header { return w.header }
-
-// WriteHeader sets the status of the answer.
-func (w *textWriter) WriteHeader(status int) { w.status = status }
-
-// Write adds to the body of the answer.
-func (w *textWriter) Write(p []byte) (int, error) { return w.body.Write(p) }
-
 // handler refuses requests whose headers net/http had buffered before the budget refused them, and follows the bodies of
 // the others.
 type handler struct{ next http.Handler }
