--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -5,7 +5,6 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"net/http"
 	"time"
 )
 
@@ -20,7 +19,10 @@
 // startService starts a deployment, its first configuration and runners of one plain service, and waits until it
 // serves. prepare, if it is not nil, changes each runner before its first start.
 func startService(r *record, runners int, prepare func(i int, x *runner)) (*deployment, []*runner) {
-	d := newDeployment(r, controlCount, entryCount)
+	return startServiceOn(newDeployment(r, controlCount, entryCount), runners, prepare)
+}
+
+func startServiceOn(d *deployment, runners int, prepare func(i int, x *runner)) (*deployment, []*runner) {
 	d.startAll()
 	if !putConfiguration(d, 7, 20*time.Second) {
 		couldNotRun("the first configuration was not acknowledged")
@@ -63,54 +65,6 @@
 	return nil
 }
 
-// failureAfterARun: one of eight runners fails two fifths of its requests for 6.5 s: it runs them and answers 503,
-// without X-Citronstep-Not-Executed. REFUSED is broken if a client is told 429, 503, 408 or 421 for a request that may
-// run once and has run.
-func failureAfterARun(r *record, trouble bool) []string {
-	const part = 0.4
-	var from, until time.Time
-	d, runners := startService(r, 8, func(i int, x *runner) {
-		if i == 0 {
-			x.fails = func() bool {
-				now := time.Now()
-				return trouble && now.After(from) && now.Before(until) && rand.Float64() < part
-			}
-		}
-	})
-	defer d.stop()
-	from = time.Now().Add(3 * time.Second)
-	until = from.Add(greyTime)
-	c := startClients(d, 8, false)
-	time.Sleep(12 * time.Second)
-	c.stop()
-	requireAnswers(c)
-	var broken []string
-	for _, x := range runners {
-		for _, a := range x.arrivalsSince(time.Time{}) {
-			if status, ok := c.promised.Load(a.id); ok {
-				broken = append(broken, fmt.Sprintf("request %s, which may run once, was answered %v and has run at %s", a.id, status, a.runner))
-			}
-		}
-	}
-	return broken
-}
-
-// heartbeatsOfAnotherWriter: beside three sound runners, another writer sends heartbeats that no runner sends. They name
-// no runner to use. The rule is DENIED.
-func heartbeatsOfAnotherWriter(r *record, trouble bool) []string {
-	d, _ := startService(r, 3, nil)
-	defer d.stop()
-	c := startClients(d, 5, false)
-	time.Sleep(3 * time.Second)
-	if trouble {
-		o := startOtherWriter(d)
-		defer close(o.stop)
-	}
-	time.Sleep(15 * time.Second)
-	c.stop()
-	return brokenIfDenied(c)
-}
-
 // additionalBytesOfARunner: three of five runners send additional bytes after three in a hundred of their answers, for
 // five seconds. The rule is DENIED.
 func additionalBytesOfARunner(r *record, trouble bool) []string {
@@ -241,43 +195,3 @@
 	}
 	return nil
 }
-
-// otherWriter sends heartbeats as a runner does, but for a field of another type. At the address that it names there is
-// a sound HTTP server that is no runner: it knows none of the paths.
-type otherWriter struct {
-	record  *record
-	address string
-	stop    chan struct{}
-}
-
-func startOtherWriter(d *deployment) *otherWriter {
-	l := listen("127.0.0.1")
-	o := &otherWriter{record: d.record, address: l.Addr().String(), stop: make(chan struct{})}
-	go func() {
-		_ = http.Serve(l, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			o.record.add("other", "gets", "method", r.Method, "path", r.URL.Path, "request", r.Header.Get("X-Citronstep-Request-Id"))
-			http.NotFound(w, r)
-		}))
-	}()
-	go o.beat(d)
-	return o
-}
-
-// beat sends the heartbeats, in which slots is a text.
-func (o *otherWriter) beat(d *deployment) {
-	born := time.Now().UnixMilli()
-	for seq := 1; ; seq++ {
-		body := encode(map[string]any{
-			"service": service, "address": o.address, "zone": zones[0], "version": "v1", "slots": "six", "state": "ready",
-			"coldLeftMs": 0, "seq": seq, "born": born,
-		})
-		target := d.controlAddresses()[seq%len(d.controls)]
-		status, _ := call(http.MethodPut, "http://"+target+"/citronstep/runners/agent-1", body)
-		o.record.add("other", "heartbeat", "to", target, "status", status, "body", string(body))
-		select {
-		case <-o.stop:
-			return
-		case <-time.After(heartbeatInterval):
-		}
-	}
-}
--- a/review/rig/client.go
+++ b/review/rig/client.go
@@ -9,6 +9,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,9 +21,14 @@
 	host    = "ficu95.example"
 	service = "tankdesk"
 	key     = "n2ctnfzs989anu6wsjnb"
+
+	// shortTimeout is the time-out of the routes, callerTime how long clients wait at least.
+	shortTimeout = 1200 * time.Millisecond
+	callerTime   = 2500 * time.Millisecond
 )
 
-func configuration(version int) []byte {
+// configuration returns a configuration. timeout is that of the requests that may run more often.
+func configuration(version int, timeout time.Duration) []byte {
 	c := map[string]any{
 		"version": version,
 		"routes": []any{
@@ -31,7 +37,7 @@
 				"sloMs": 150, "priority": 2, "service": service, "maxAttempts": 1, "public": false, "sticky": false,
 			},
 			map[string]any{
-				"name": "strap", "host": host, "pathPrefix": "/strap/", "routeKind": "idempotent", "timeoutMs": 1200,
+				"name": "strap", "host": host, "pathPrefix": "/strap/", "routeKind": "idempotent", "timeoutMs": timeout.Milliseconds(),
 				"sloMs": 150, "priority": 2, "service": service, "maxAttempts": 2, "public": false, "sticky": false,
 			},
 		},
@@ -46,7 +52,7 @@
 func putConfiguration(d *deployment, version int, limit time.Duration) bool {
 	for i, end := 0, time.Now().Add(limit); time.Now().Before(end); i++ {
 		target := d.controlAddresses()[i%len(d.controls)]
-		status, _ := call(http.MethodPut, "http://"+target+"/citronstep/config", configuration(version))
+		status, _ := call(http.MethodPut, "http://"+target+"/citronstep/config", configuration(version, d.timeout))
 		d.record.add("operator", "put", "version", version, "to", target, "status", status)
 		if status == http.StatusOK {
 			return true
@@ -63,19 +69,19 @@
 	perSecond float64
 	// lookupsOnly leaves out the requests that may run once.
 	lookupsOnly bool
-	cancel      context.CancelFunc
-	wait        sync.WaitGroup
-	sent        atomic.Int64
-	answered    atomic.Int64
+	// deadline is how long they wait.
+	deadline time.Duration
+	cancel   context.CancelFunc
+	wait     sync.WaitGroup
+	sent     atomic.Int64
+	answered atomic.Int64
 	// denied counts the answers of 3xx and 4xx without a runner's signature, but for 408, 421 and 429.
 	denied atomic.Int64
-	// promised holds the requests that may run once and were answered with a status that promises that they have not run.
-	promised sync.Map
 }
 
 func startClients(d *deployment, perSecond float64, lookupsOnly bool) *clients {
 	ctx, cancel := context.WithCancel(context.Background())
-	c := &clients{record: d.record, perSecond: perSecond, lookupsOnly: lookupsOnly, cancel: cancel}
+	c := &clients{record: d.record, perSecond: perSecond, lookupsOnly: lookupsOnly, deadline: max(callerTime, d.timeout), cancel: cancel}
 	for _, p := range d.entries {
 		c.wait.Go(func() { c.send(ctx, p) })
 	}
@@ -84,7 +90,7 @@
 
 func (c *clients) send(ctx context.Context, p *process) {
 	transport := &http.Transport{DisableKeepAlives: true}
-	client := &http.Client{Timeout: 2500 * time.Millisecond, Transport: transport}
+	client := &http.Client{Timeout: c.deadline, Transport: transport}
 	var open sync.WaitGroup
 	defer open.Wait()
 	for {
@@ -111,7 +117,7 @@
 	request.Host = host
 	request.Header.Set("X-Citronstep-Request-Id", id)
 	request.Header.Set("X-Citronstep-Credential", key)
-	request.Header.Set("X-Citronstep-Deadline-Ms", "2500")
+	request.Header.Set("X-Citronstep-Deadline-Ms", strconv.FormatInt(c.deadline.Milliseconds(), 10))
 	c.record.add("client", "sends", "request", id, "to", p.name, "path", path)
 	answer, err := client.Do(request)
 	if err != nil {
@@ -124,9 +130,6 @@
 		"signature", answer.Header.Get("X-Citronstep-Response-Signature"), "server_leaving", answer.Header.Get("Server-Leaving"))
 	isPromise := answer.StatusCode == http.StatusRequestTimeout || answer.StatusCode == http.StatusMisdirectedRequest || answer.StatusCode == http.StatusTooManyRequests
 	isPromise = isPromise || answer.StatusCode == http.StatusServiceUnavailable
-	if isPromise && method == http.MethodPost {
-		c.promised.Store(id, answer.StatusCode)
-	}
 	if answer.StatusCode >= 300 && answer.StatusCode < 500 && !isPromise && answer.Header.Get("X-Citronstep-Response-Signature") == "" {
 		c.denied.Add(1)
 	}
--- a/review/rig/deployment.go
+++ b/review/rig/deployment.go
@@ -50,6 +50,8 @@
 	base string
 	// lost holds the machines that are gone.
 	lost []*process
+	// timeout is the time-out of the requests that may run more often.
+	timeout time.Duration
 	// restartDelay is the time from the end of a process to its next start.
 	restartDelay time.Duration
 	wait         sync.WaitGroup
@@ -62,7 +64,7 @@
 		couldNotRun("no temporary folder: %v", err)
 	}
 	removeAtExit(folder)
-	d := &deployment{record: r, folder: folder, restartDelay: 500 * time.Millisecond}
+	d := &deployment{record: r, folder: folder, timeout: shortTimeout, restartDelay: 500 * time.Millisecond}
 	// One more address is for the successor of a machine.
 	d.base = freeNetwork(controls + entries + 1)
 	for i := range controls + entries {
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -22,7 +22,6 @@
 	drainTime   = 2 * time.Second
 	contactTime = 3 * time.Second
 	ackTime     = 4 * time.Second
-	greyTime    = 6500 * time.Millisecond
 	garbleTime  = 5 * time.Second
 	// clockMargin is taken off what counts as late, for the time between an event and its record.
 	clockMargin = 100 * time.Millisecond
@@ -32,11 +31,10 @@
 
 // cases are the cases by name. Each returns what broke the rule.
 var cases = map[string]func(r *record, trouble bool) []string{
-	"failure-after-a-run":          failureAfterARun,
-	"heartbeats-of-another-writer": heartbeatsOfAnotherWriter,
-	"additional-bytes":             additionalBytesOfARunner,
-	"goodbye-of-a-later-life":      goodbyeOfALaterLife,
-	"loss-at-the-first-start":      lossAtTheFirstStart,
+	"additional-bytes":        additionalBytesOfARunner,
+	"goodbye-of-a-later-life": goodbyeOfALaterLife,
+	"heads-without-end":       headsWithoutEnd,
+	"loss-at-the-first-start": lossAtTheFirstStart,
 }
 
 // maxPrinted bounds what is printed of that; the record holds all.
--- a/review/rig/runner.go
+++ b/review/rig/runner.go
@@ -16,9 +16,6 @@
 
 const heartbeatInterval = 1200 * time.Millisecond
 
-// failStatus is what a failing runner answers to requests that it has run. It says nothing of X-Citronstep-Not-Executed.
-const failStatus = http.StatusServiceUnavailable
-
 // arrival is one request that has reached a runner and was not answered with 421.
 type arrival struct {
 	id, runner string
@@ -36,8 +33,6 @@
 	work     time.Duration
 	// wrap, if it is not nil, changes the listener and the server of each life.
 	wrap func(net.Listener, *http.Server) net.Listener
-	// fails reports whether the runner answers a request, which it has run, with failStatus; nil for never.
-	fails func() bool
 
 	mu       sync.Mutex
 	address  string
@@ -228,12 +223,6 @@
 	h.Set("X-Citronstep-Request-Id", id)
 	h.Set("X-Citronstep-Response-Signature", "sig-"+r.id+"-"+id)
 	h.Set("Content-Type", "text/plain")
-	if r.fails != nil && r.fails() {
-		r.record.add(r.id, "fails", "request", id, "status", failStatus)
-		w.WriteHeader(failStatus)
-		_, _ = fmt.Fprint(w, "the storage was lost in the middle of request "+id)
-		return
-	}
 	_, _ = fmt.Fprint(w, "answer to "+id+" "+strings.Repeat("x", 800))
 }
 
