Backend: an answer whose status is outside HTTP is no answer

What callers saw: a server that answers with status 000 to 099 (or +20, -00) closes the caller's connection without an answer. 600 and 999 reach the caller as the answer. A 101 that nobody asked for reaches the caller, which then waits for a protocol that nobody speaks.

Cause: the client of net/http takes any three characters that strconv.Atoi accepts, except a negative number, for a status. WriteHeader of its server panics on less than 100. The panic unwinds the attempt, so that the request's place at the server, its attempt and its attachments to group and server are never given back.

Ruled out: a fault of the connection: 600 and 999 of the same server on the same routes are passed on. What the panic leaves behind is concluded by reading.

Change: internal/httphead checks the status of each answer of a backend server where it is read. An answer with another status than 200 to 599 is malformed, as other bytes that follow no protocol are: the request is sent on if it may be, or is refused with a type, and three in a row set the server aside.

Why it works: the check stands before anything is decided by the answer, on the one path that all answers of backend servers take, direct or relayed.

--- /dev/null
+++ b/internal/backend/broken_heads_test.go
@@ -0,0 +1,52 @@
+package backend
+
+import (
+	"io"
+	"net/http"
+	"testing"
+
+	"github.com/juju/errors"
+	"gotest.tools/v3/assert"
+)
+
+// Guards against answers that net/http accepts and HTTP does not allow.
+func TestAnswersThatOnlyNetHTTPAcceptsAreMalformed(t *testing.T) {
+	const sound = "Content-Length: 2\r\n\r\nhi"
+	for name, text := range map[string]string{
+		"status 000": "HTTP/1.1 000 X\r\n" + sound,
+		"status 099": "HTTP/1.1 099\r\n" + sound,
+		"status +20": "HTTP/1.1 +20 X\r\n" + sound,
+		"status 600": "HTTP/1.1 600 X\r\n" + sound,
+		"status 101": "HTTP/1.1 101 X\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n",
+	} {
+		err := callAll(t, answering(t, text, ""))
+		assert.Check(t, errors.Is(err, ErrMalformed), "%s: %v", name, err)
+	}
+}
+
+// Guards against a check that refuses answers of odd but legal form.
+func TestAnswersOfOddFormAreAccepted(t *testing.T) {
+	for name, text := range map[string]string{
+		"no reason phrase":      "HTTP/1.1 200 \r\nContent-Length: 2\r\n\r\nhi",
+		"no blank behind it":    "HTTP/1.1 200\r\nContent-Length: 2\r\n\r\nhi",
+		"line feeds alone":      "HTTP/1.1 200 OK\nContent-Length: 2\n\nhi",
+		"version 1.0":           "HTTP/1.0 200 OK\r\n\r\nhi",
+		"status of no meaning":  "HTTP/1.1 299 X\r\nContent-Length: 2\r\n\r\nhi",
+		"a folded value":        "HTTP/1.1 200 OK\r\nX-A: b\r\n c\r\nContent-Length: 2\r\n\r\nhi",
+		"all bytes of a token":  "HTTP/1.1 200 OK\r\n!#$%&'*+-.^_`|~09az: b\r\nContent-Length: 2\r\n\r\nhi",
+		"an empty value":        "HTTP/1.1 200 OK\r\nX-A:\r\nContent-Length: 2\r\n\r\nhi",
+		"a value beyond ASCII":  "HTTP/1.1 200 OK\r\nX-A: \xe9\r\nContent-Length: 2\r\n\r\nhi",
+		"1xx heads":             "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nhi",
+		"a trailer":             "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-A\r\n\r\n2\r\nhi\r\n0\r\nX-A: b\r\n\r\n",
+		"an announced trailer":  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTrailer: X-A, X B\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
+		"an extension of chunk": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;a=b\r\nhi\r\n0\r\n\r\n",
+	} {
+		c := newClient(t, Options{})
+		answer, err := c.Call(t.Context(), answering(t, text, ""), ServiceCall{Method: http.MethodPost, Path: "/", Verbatim: true, Host: "h"})
+		assert.NilError(t, err, name)
+		body, err := io.ReadAll(answer.Body)
+		assert.NilError(t, err, name)
+		assert.Equal(t, string(body), "hi", name)
+		assert.NilError(t, answer.Body.Close())
+	}
+}
--- a/internal/backend/http_exchange.go
+++ b/internal/backend/http_exchange.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/citronstep/citronstep/internal/httphead"
 )
 
 // errHeaderTimeout is the cause of a call that got no response header within the limit.
@@ -68,12 +70,12 @@
 	stop := startTimer(headerTimeout, func() { cancel(errHeaderTimeout) })
 	stopWatch := c.watchPath(t, r, func() { cancel(errPathLost) })
 	//nolint:bodyclose // the caller that gets the exchange closes the body
-	response, err := t.RoundTrip(request)
+	response, err := httphead.RoundTrip(t, request)
 	stop()
 	stopWatch()
 	if err != nil {
 		cause := causeOf(ctx, err)
-		if context.Cause(ctx) == nil && used.isAnswerMalformed() {
+		if errors.Is(err, httphead.ErrInvalid) || (context.Cause(ctx) == nil && used.isAnswerMalformed()) {
 			cause = errors.Annotate(ErrMalformed, err.Error())
 		}
 		if context.Cause(ctx) != nil && used.isTrickle() {
