Backend: a name of a field that is no token makes an answer malformed

What callers saw: a 200 whose head has a line "X A: b" reaches them as the answer. With "Content-Length : 5" the entry reads until the connection ends: the caller waits out its deadline, or gets a body that the server did not send; with "Transfer-Encoding : chunked" the body has the sizes of the chunks in it. "X-Citronstep-Request-Id : other" does not tell another request's answer. A 500 with such a line is passed on. So are answers of HTTP/2.0 and HTTP/0.9.

Its server drops such a line without a word.

Change: each name has to be a token (RFC 9110, section 5.1; httpguts of golang.org/x/net, which was an indirect dependency), and the major version 1.

Why it works: what the reader did not understand is refused before its guess at the framing is used.

--- a/internal/backend/broken_heads_test.go
+++ b/internal/backend/broken_heads_test.go
@@ -13,11 +13,14 @@
 func TestAnswersThatOnlyNetHTTPAcceptsAreMalformed(t *testing.T) {
 	const sound = "Content-Length: 2\r\n\r\nhi"
 	for name, text := range map[string]string{
-		"status 000": "HTTP/1.1 000 X\r\n" + sound,
-		"status 099": "HTTP/1.1 099\r\n" + sound,
-		"status +20": "HTTP/1.1 +20 X\r\n" + sound,
-		"status 600": "HTTP/1.1 600 X\r\n" + sound,
-		"status 101": "HTTP/1.1 101 X\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n",
+		"status 000":         "HTTP/1.1 000 X\r\n" + sound,
+		"status 099":         "HTTP/1.1 099\r\n" + sound,
+		"status +20":         "HTTP/1.1 +20 X\r\n" + sound,
+		"status 600":         "HTTP/1.1 600 X\r\n" + sound,
+		"status 101":         "HTTP/1.1 101 X\r\nUpgrade: x\r\nConnection: Upgrade\r\n\r\n",
+		"version 2.0":        "HTTP/2.0 200 OK\r\n" + sound,
+		"blank in a name":    "HTTP/1.1 200 OK\r\nX A: b\r\n" + sound,
+		"blank after a name": "HTTP/1.1 200 OK\r\nX-A : b\r\n" + sound,
 	} {
 		err := callAll(t, answering(t, text, ""))
 		assert.Check(t, errors.Is(err, ErrMalformed), "%s: %v", name, err)
--- a/internal/httphead/head.go
+++ b/internal/httphead/head.go
@@ -1,7 +1,8 @@
 // Package httphead checks answers for what net/http accepts although HTTP does not allow it.
 //
-// The client of net/http returns an answer with any status of three characters. Its server panics on a status below
-// 100. An answer that is passed on unchecked closes its caller's connection.
+// The client of net/http returns an answer with any status of three characters, and keeps a field whose name holds a
+// blank. Its server panics on a status below 100 and drops such a field. An answer that is passed on unchecked closes
+// its caller's connection, or has a body that its server did not send, as a framing field was overlooked.
 package httphead
 
 import (
@@ -9,6 +10,7 @@
 	"strconv"
 
 	"github.com/juju/errors"
+	"golang.org/x/net/http/httpguts"
 )
 
 // ErrInvalid is returned for an answer whose head does not follow HTTP.
@@ -16,10 +18,16 @@
 
 // Check returns ErrInvalid for the head of an answer that must not be used.
 func Check(r *http.Response) error {
+	if r.ProtoMajor != 1 {
+		return errors.Annotatef(ErrInvalid, "version %q", r.Proto)
+	}
 	if r.StatusCode == http.StatusSwitchingProtocols && asksForUpgrade(r.Request) {
-		return nil
+		return checkNames(r.Header)
+	}
+	if err := CheckStatus(r.StatusCode); err != nil {
+		return err
 	}
-	return CheckStatus(r.StatusCode)
+	return checkNames(r.Header)
 }
 
 // CheckStatus returns ErrInvalid for a status that is none of a final answer (RFC 9110, section 15).
@@ -34,3 +42,13 @@
 const maxStatus = 599
 
 func asksForUpgrade(r *http.Request) bool { return r != nil && r.Header.Get("Upgrade") != "" }
+
+// checkNames returns ErrInvalid for a name that is no token (RFC 9110, section 5.1).
+func checkNames(fields map[string][]string) error {
+	for name := range fields {
+		if !httpguts.ValidHeaderFieldName(name) {
+			return errors.Annotatef(ErrInvalid, "field name %q", name)
+		}
+	}
+	return nil
+}
