Backend: a 1xx head is checked like the head of the answer

What callers saw: an answer behind "HTTP/1.1 103 Early Hints" with a line "X A: b" reaches them as the answer.

Cause: net/http's client drops the heads of 1xx answers unless a trace asks for them, so a check of the answer alone never sees their names.

Why it works: the trace is called between a 1xx head and the next one, and its error ends the exchange.

--- a/internal/backend/broken_heads_test.go
+++ b/internal/backend/broken_heads_test.go
@@ -21,6 +21,7 @@
 		"version 2.0":        "HTTP/2.0 200 OK\r\n" + sound,
 		"blank in a name":    "HTTP/1.1 200 OK\r\nX A: b\r\n" + sound,
 		"blank after a name": "HTTP/1.1 200 OK\r\nX-A : b\r\n" + sound,
+		"1xx head":           "HTTP/1.1 103 Early Hints\r\nX A: b\r\n\r\nHTTP/1.1 200 OK\r\n" + sound,
 	} {
 		err := callAll(t, answering(t, text, ""))
 		assert.Check(t, errors.Is(err, ErrMalformed), "%s: %v", name, err)
--- a/internal/backend/http_exchange.go
+++ b/internal/backend/http_exchange.go
@@ -60,7 +60,8 @@
 	began := time.Now()
 	ctx, cancel := context.WithCancelCause(context.WithValue(ctx, requestKey{}, r.request))
 	used := usedConn{permit: r.permit, onRelay: r.onRelay}
-	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: used.got})
+	interim := httphead.NewInterim(c.options.MaxHeaderBytes)
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: used.got, Got1xxResponse: interim.Got})
 	request, err := r.build(traced)
 	if err != nil {
 		cancel(nil)
--- a/internal/httphead/head.go
+++ b/internal/httphead/head.go
@@ -13,7 +13,7 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// ErrInvalid is returned for an answer whose head does not follow HTTP.
+// ErrInvalid is returned for an answer whose head, or a 1xx head before it, does not follow HTTP.
 const ErrInvalid = errors.ConstError("the head of the answer does not follow HTTP")
 
 // Check returns ErrInvalid for the head of an answer that must not be used.
