Backend: a trailer whose names are no tokens is not taken for sound

What callers saw: an answer in chunks whose trailer has a line "X A: b" reaches them as complete. A control byte in the name, in place of the blank, makes the same answer unreadable, and cuts a stream that has arrived whole.

Cause: net/http reads trailers as it reads heads, and merges them into the answer after the body; nobody looked at them. An invalid line is an error of the last read of the body, like that of a broken chunk.

Change: the last read returns ErrTrailer, also a case of ErrMalformed, for both. An answer that is passed on as a whole has not begun, so it is another try or a typed failure. A stream that has begun and whose events have all arrived is complete: a trailer may be dropped (RFC 9110, section 6.5.1) and always was, and the only other end that HTTP leaves is to cut it.

Test: rows of TestBrokenAnswersEndInATypedFailure (the blank fails on on two of three routes, the control byte passes) and TestStreamWithABrokenTrailerIsComplete (there "X\x01A" ends in "unexpected EOF"). Both pass now. A name that is announced and not sent, and sound trailers, pass on (TestAnswersOfOddFormAreAccepted).

Why it works: chunks themselves cause no textproto.ProtocolError, so the trailer's fault is told from the body's.

--- a/internal/backend/http_exchange.go
+++ b/internal/backend/http_exchange.go
@@ -28,6 +28,9 @@
 // readError returns the error of a read of the response's body. Without a failure of the connection and of the
 // call, the bytes themselves are at fault: ErrMalformed.
 func (x *httpExchange) readError(err error) error {
+	if errors.Is(err, httphead.ErrTrailer) {
+		return errors.WithType(errors.Annotate(ErrMalformed, err.Error()), httphead.ErrTrailer)
+	}
 	if context.Cause(x.ctx) == nil && x.conn != nil && !x.conn.hasFailed.Load() {
 		return errors.Annotate(ErrMalformed, err.Error())
 	}
--- a/internal/entry/event_reader.go
+++ b/internal/entry/event_reader.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"github.com/citronstep/citronstep/internal/backend"
+	"github.com/citronstep/citronstep/internal/httphead"
 )
 
 const (
@@ -46,15 +47,15 @@
 var idField = []byte("id:")
 
 // next returns the next complete event. It returns io.EOF at the end of a stream that ends
-// after a complete event, backend.ErrCut if the stream ends within one, and backend.ErrLineTooLong
-// past maxEvent or maxComments.
+// after a complete event, httphead.ErrTrailer if an invalid trailer follows there, backend.ErrCut if the stream ends
+// within an event, and backend.ErrLineTooLong past maxEvent or maxComments.
 func (r *eventReader) next() (event, error) {
 	r.buf = r.buf[:0]
 	e := event{}
 	for {
 		from := len(r.buf)
 		if err := r.line(); err != nil {
-			if err == io.EOF && len(r.buf) > 0 {
+			if (err == io.EOF || errors.Is(err, httphead.ErrTrailer)) && len(r.buf) > 0 {
 				return e, errors.Trace(backend.ErrCut)
 			}
 			return e, err
--- a/internal/entry/forward_relay.go
+++ b/internal/entry/forward_relay.go
@@ -9,6 +9,7 @@
 
 	"github.com/citronstep/citronstep/internal/backend"
 	"github.com/citronstep/citronstep/internal/failure"
+	"github.com/citronstep/citronstep/internal/httphead"
 	"github.com/citronstep/citronstep/internal/placement"
 )
 
@@ -61,7 +62,8 @@
 	j.forward.onWait = func() func() { return waitForCaller(w, progress) }
 	for {
 		e, err := events.next()
-		if err == io.EOF {
+		// A stream that has begun and whose events are all there is complete, whatever its trailer: that is not passed on.
+		if err == io.EOF || (errors.Is(err, httphead.ErrTrailer) && j.hasBegun()) {
 			j.forward.writeHead(s.memory, a.answer)
 			j.provesParts = provesAnswer(a.answer) && w.hasBegun.Load()
 			return outcomeComplete, nil
