Entry: events that arrived before a break reach their caller

What callers saw: a server sends two events and the beginning of a third in one piece, and ends. The caller's connection is closed without an answer, although two whole events had been passed on.

Cause: a stream is flushed when nothing more of it has arrived. The beginning of the next event had, so the head and the events lay in net/http's buffer, which http.ErrAbortHandler drops with the connection.

Change: what is buffered is flushed before a begun answer is aborted. Its chunks have no end, so it still looks cut.

Why it works: a caller of a stream that may be resumed goes on behind the last event that it has; with none it would run the request anew.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -116,6 +116,8 @@
 		s.logEarlyRefusal(f.ID, e)
 	}
 	if j != nil && j.forward.begun.Load() {
+		// net/http drops what it has buffered. The caller goes on after the events that it has received.
+		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	}
 	return e
