Backend: the heads of all answers together have a bound

What callers saw: servers send heads of thousands of short lines that do not end, or whose bodies do not.

Cause: a line of three bytes takes over a hundred in net/http's table until its request's deadline, and nothing counts what all heads take together.

Change: each connection to a backend server reserves memory for the head that it reads, with the 1xx heads before it, before net/http parses it, and the exchange gives it back. 32 MiB for all, counted as the headers of requests are; heads of over 16 KiB of memory share half, so that usual answers have room beside them. Two metrics and a line a second tell of it.

Why it works: bytes and lines are counted as they arrive, so no head grows beyond what is reserved for it; the scan ends the head where net/http does (TestHeadEndsWhereItsBodyBegins), so a body is not counted.

--- a/internal/backend/http_client.go
+++ b/internal/backend/http_client.go
@@ -9,6 +9,8 @@
 
 	"github.com/go-kit/log/level"
 	"github.com/juju/errors"
+
+	"github.com/citronstep/citronstep/internal/bounded"
 )
 
 // HTTPClient implements Client over HTTP/1.1 and server-sent events. It makes each
@@ -16,6 +18,8 @@
 type HTTPClient struct {
 	options    Options
 	transports *transports
+	// heads bounds the memory of the heads of all answers that are being read or used.
+	heads *bounded.Memory
 }
 
 var _ Client = (*HTTPClient)(nil)
@@ -23,9 +27,12 @@
 // NewHTTPClient returns a client with the given limits.
 func NewHTTPClient(o Options) *HTTPClient {
 	o = o.withDefaults()
-	return &HTTPClient{options: o, transports: newTransports(o)}
+	return &HTTPClient{options: o, transports: newTransports(o), heads: bounded.NewMemory(o.HeadMemory, bounded.LargeHeader)}
 }
 
+// HeadSample returns what the heads of answers take now, and how many had no room since the last sample.
+func (c *HTTPClient) HeadSample() bounded.MemorySample { return c.heads.Sample() }
+
 // Close closes all idle connections. It does not end open calls.
 func (c *HTTPClient) Close() { c.transports.closeAll() }
 
--- a/internal/backend/http_exchange.go
+++ b/internal/backend/http_exchange.go
@@ -16,7 +16,7 @@
 // errHeaderTimeout is the cause of a call that got no response header within the limit.
 const errHeaderTimeout = errors.ConstError("no response header in time")
 
-// httpExchange is one HTTP request and its response. cancel may end it at any time.
+// httpExchange is one HTTP request and its response. cancel may end it at any time, and releases the memory of its head.
 type httpExchange struct {
 	response *http.Response
 	ctx      context.Context
@@ -62,7 +62,7 @@
 func (c *HTTPClient) sendOn(ctx context.Context, t *http.Transport, r outgoingRequest, headerTimeout time.Duration) (*httpExchange, error) {
 	began := time.Now()
 	ctx, cancel := context.WithCancelCause(context.WithValue(ctx, requestKey{}, r.request))
-	used := usedConn{permit: r.permit, onRelay: r.onRelay}
+	used := usedConn{permit: r.permit, onRelay: r.onRelay, head: &headReservation{memory: c.heads}}
 	interim := httphead.NewInterim(c.options.MaxHeaderBytes)
 	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: used.got, Got1xxResponse: interim.Got})
 	request, err := r.build(traced)
@@ -91,12 +91,17 @@
 		}
 		c.retireIfSilent(ctx, r.address, used)
 		cancel(nil)
+		used.head.end()
 		return nil, &CallError{Address: r.address, Stage: sent, Connection: used.kind(), Waited: time.Since(began), Cause: cause}
 	}
 	if used.conn != nil {
 		used.conn.arrival.beginBody()
 	}
-	return &httpExchange{response: response, ctx: ctx, cancel: cancel, conn: used.conn}, nil
+	end := func(cause error) {
+		cancel(cause)
+		used.head.end()
+	}
+	return &httpExchange{response: response, ctx: ctx, cancel: end, conn: used.conn}, nil
 }
 
 func (c *HTTPClient) transportFor(r outgoingRequest) *http.Transport {
@@ -131,7 +136,9 @@
 	// isReused is set if the connection came from the pool.
 	isReused bool
 	gotAt    time.Time
-	permit   Permit
+	// head is the memory of the answer's head.
+	head   *headReservation
+	permit Permit
 	// onRelay is called with the peer if one relays the connection; it may be nil.
 	onRelay func(peer string)
 	// isWithheld is set if permit refused the request. The connection is then sealed.
@@ -150,6 +157,7 @@
 	u.writesBefore = conn.writeCount()
 	u.readsBefore = conn.reads.Load()
 	conn.arrival.begin()
+	conn.head.Store(u.head)
 	if !u.permit.allows() {
 		u.isWithheld = true
 		conn.seal(u.writesBefore)
--- a/internal/backend/options.go
+++ b/internal/backend/options.go
@@ -38,6 +38,9 @@
 	MaxReply int64
 	// MaxHeaderBytes bounds a response header; default 64 KiB.
 	MaxHeaderBytes int64
+	// HeadMemory bounds the memory that the headers of all answers take while they are read and used, in bytes;
+	// default 32 MiB. Headers that take more than bounded.LargeHeader get half of it together.
+	HeadMemory int64
 	// MaxIdle bounds the idle connections to one address; default 64.
 	MaxIdle int
 	// IdleTimeout is how long an idle connection is kept; default 30 s. It is
@@ -59,6 +62,7 @@
 	defaultMaxLine       = 64 << 10
 	defaultMaxReply      = 64 << 10
 	defaultMaxHeader     = 64 << 10
+	defaultHeadMemory    = 32 << 20
 	defaultMaxIdle       = 64
 	defaultIdleTimeout   = 30 * time.Second
 	defaultSuspectAfter  = 500 * time.Millisecond
@@ -71,6 +75,7 @@
 	setDefault(&o.MaxLine, defaultMaxLine)
 	setDefault(&o.MaxReply, defaultMaxReply)
 	setDefault(&o.MaxHeaderBytes, defaultMaxHeader)
+	setDefault(&o.HeadMemory, defaultHeadMemory)
 	setDefault(&o.MaxIdle, defaultMaxIdle)
 	setDefault(&o.IdleTimeout, defaultIdleTimeout)
 	setDefault(&o.SuspectAfter, defaultSuspectAfter)
--- a/internal/backend/sealed_conn.go
+++ b/internal/backend/sealed_conn.go
@@ -24,13 +24,15 @@
 	hasFailed atomic.Bool
 	// arrival records how the present answer arrives.
 	arrival arrival
+	// head is the memory of the present answer's head; nil if none is counted.
+	head atomic.Pointer[headReservation]
 
 	mu     sync.Mutex
 	writes uint64
 	sealed bool
 }
 
-// Read records when bytes arrive.
+// Read records when bytes arrive. It returns errHeadMemory if the head of an answer has no room.
 func (c *sealedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.note(n, err)
@@ -42,6 +44,11 @@
 	for _, received := range c.received {
 		received.set(now)
 	}
+	if head := c.head.Load(); head != nil {
+		if headErr := head.read(p[:n]); headErr != nil {
+			return 0, headErr
+		}
+	}
 	return n, err
 }
 
--- a/internal/intake/conn.go
+++ b/internal/intake/conn.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/citronstep/citronstep/internal/bounded"
 )
 
 // errHeaderRefused is the error of a read of a header for which the budget has no room.
@@ -68,7 +70,7 @@
 	c.hasEnd = ends
 	c.headerBytes += n
 	c.behind = addBehind(0, data[n:])
-	c.isUnanswered = c.isRefused || !c.reserve(headerCost(data[:n]))
+	c.isUnanswered = c.isRefused || !c.reserve(bounded.HeaderCost(data[:n]))
 	return !c.isUnanswered
 }
 
--- a/internal/intake/header_budget.go
+++ b/internal/intake/header_budget.go
@@ -8,10 +8,6 @@
 	"github.com/citronstep/citronstep/internal/metrics"
 )
 
-// largeHeader is the memory above which a header counts as large, in bytes. A header of the usual 10 to 20 lines takes
-// less than half of it.
-const largeHeader = 16 << 10
-
 // HeaderBudget bounds the memory that the headers of all requests of a process take, from their first bytes until the
 // requests end. It is safe for concurrent use.
 //
@@ -30,7 +26,7 @@
 
 // NewHeaderBudget returns a budget of limit bytes.
 func NewHeaderBudget(logger log.Logger, limit int64) *HeaderBudget {
-	return &HeaderBudget{logger: logger, memory: bounded.NewMemory(limit, largeHeader), closing: make(chan struct{}, maxClosing)}
+	return &HeaderBudget{logger: logger, memory: bounded.NewMemory(limit, bounded.LargeHeader), closing: make(chan struct{}, maxClosing)}
 }
 
 // Report returns what the headers take and what became of them since the last report, and logs it if some were refused.
--- a/internal/intake/header_scan.go
+++ b/internal/intake/header_scan.go
@@ -1,25 +1,10 @@
 package intake
 
-import "bytes"
-
-// The memory that a header takes for each of its bytes, lines and items of a list, in bytes. It covers the table that
-// net/http builds, with what it allocates meanwhile, and the copies that are made to forward the request.
-const (
-	costPerByte = 2
-	costPerLine = 384
-	// costPerItem is that of an item of a list of values: net/http turns the Trailer header into a table.
-	costPerItem = 128
-)
-
-// headerCost returns the most memory that a part of a header takes, in bytes.
-func headerCost(part []byte) int64 {
-	lines, items := bytes.Count(part, []byte{'\n'}), bytes.Count(part, []byte{','})
-	return int64(costPerByte*len(part) + costPerLine*lines + costPerItem*items)
-}
+import "github.com/citronstep/citronstep/internal/bounded"
 
 // maxBehindCost is the most memory that a header takes of which net/http has buffered the beginning: its shortest lines
 // have three bytes.
-const maxBehindCost = readAhead*costPerByte + readAhead/3*costPerLine
+const maxBehindCost = readAhead*bounded.HeaderCostPerByte + readAhead/3*bounded.HeaderCostPerLine
 
 // readAhead is how much net/http reads ahead of what it parses, in bytes.
 const readAhead = 4 << 10
@@ -31,7 +16,7 @@
 		cost = 0
 		data = data[len(data)-readAhead:]
 	}
-	return min(cost+headerCost(data), maxBehindCost)
+	return min(cost+bounded.HeaderCost(data), maxBehindCost)
 }
 
 // headerScan finds the end of a header in the pieces in which it arrives.
--- a/internal/intake/header_scan_test.go
+++ b/internal/intake/header_scan_test.go
@@ -9,6 +9,8 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	"github.com/citronstep/citronstep/internal/bounded"
 )
 
 // Guards against a header whose end is found elsewhere than net/http finds it, so that a part of it is not counted.
@@ -50,5 +52,5 @@
 	assert.Equal(t, addBehind(0, nil), int64(0))
 	assert.Equal(t, addBehind(maxBehindCost, []byte("x\n")), int64(maxBehindCost))
 	assert.Assert(t, addBehind(0, lines) <= maxBehindCost)
-	assert.Equal(t, addBehind(maxBehindCost, make([]byte, readAhead)), headerCost(make([]byte, readAhead)))
+	assert.Equal(t, addBehind(maxBehindCost, make([]byte, readAhead)), bounded.HeaderCost(make([]byte, readAhead)))
 }
--- a/internal/metrics/definitions.go
+++ b/internal/metrics/definitions.go
@@ -111,6 +111,10 @@
 	nameInvariants     = prefix + "invariant_violations_total"
 	nameHeaderMemory   = prefix + "request_header_bytes"
 	nameHeadersRefused = prefix + "request_headers_refused_total"
+
+	nameAnswerHeaderMemory   = prefix + "answer_header_bytes"
+	nameAnswerHeadersRefused = prefix + "answer_headers_refused_total"
+
 	nameBodyMemory     = prefix + "request_body_bytes"
 	nameBodiesRefused  = prefix + "request_bodies_refused_total"
 	nameListenerOpen   = prefix + "listener_connections"
@@ -128,6 +132,8 @@
 		{nameInvariants, KindCounter, nil, "Invariants found broken in this process; the step was refused.", nil},
 		{nameHeaderMemory, KindGauge, nil, "Memory reserved for the headers of requests that are read or served, in bytes.", nil},
 		{nameHeadersRefused, KindCounter, nil, "Requests refused because the memory for headers was used up.", nil},
+		{nameAnswerHeaderMemory, KindGauge, nil, "Memory reserved for the headers of backend servers' answers that are read or passed on, in bytes.", nil},
+		{nameAnswerHeadersRefused, KindCounter, nil, "Answers of backend servers that were dropped because the memory for their headers was used up.", nil},
 		{nameBodyMemory, KindGauge, nil, "Memory reserved for bodies of requests that are not callers', in bytes.", nil},
 		{nameBodiesRefused, KindCounter, nil, "Requests of others than callers refused because the memory for bodies was used up.", nil},
 		{nameListenerOpen, KindGauge, []string{"listener"}, "Open connections of listeners other than that for callers.", nil},
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -88,7 +88,7 @@
 	m.violations = now
 }
 
-// HeaderSample is what the headers of requests take now, and what became of them since the last sample.
+// HeaderSample is what the headers of requests, or of answers, take now, and what became of them since the last sample.
 type HeaderSample struct {
 	// Used is the memory reserved for headers, in bytes.
 	Used    int64
@@ -101,6 +101,12 @@
 	m.scope.Counter(nameHeadersRefused).Inc(int64(s.Refused))
 }
 
+// AnswerHeaders records what the headers of backend servers' answers take.
+func (m *Metrics) AnswerHeaders(s HeaderSample) {
+	m.scope.Gauge(nameAnswerHeaderMemory).Update(float64(s.Used))
+	m.scope.Counter(nameAnswerHeadersRefused).Inc(int64(s.Refused))
+}
+
 // BodySample is what the bodies of requests that are not callers' take now, and what became of them since the last
 // sample.
 type BodySample struct {
--- a/internal/node/samples.go
+++ b/internal/node/samples.go
@@ -23,6 +23,7 @@
 			n.metrics.Headers(n.headers.Report())
 			n.metrics.Listeners(n.connLimit.Report())
 			n.reportBodies()
+			n.reportAnswerHeaders()
 			if n.entry != nil {
 				n.entry.SetGauges()
 				n.entry.ReportOpen(time.Now())
@@ -43,3 +44,14 @@
 			"used_by_large_bytes", s.UsedByLarge, "limit_bytes", s.Limit)
 	}
 }
+
+// reportAnswerHeaders records what the headers of backend servers' answers take, and logs it if some had no room.
+func (n *Node) reportAnswerHeaders() {
+	requests, orders := n.backendClient.HeadSample(), n.orderClient.HeadSample()
+	s := metrics.HeaderSample{Used: requests.Used + orders.Used, Refused: requests.Refused + orders.Refused}
+	n.metrics.AnswerHeaders(s)
+	if s.Refused > 0 {
+		_ = level.Warn(n.logger).Log("event", "answer_headers_refused", "refused", s.Refused, "used_bytes", s.Used,
+			"used_by_large_bytes", requests.UsedByLarge+orders.UsedByLarge, "limit_bytes", requests.Limit)
+	}
+}
