Backend: chunks in an answer of HTTP/1.0 are not passed on as its body

What callers saw: a server answers "HTTP/1.0 200 OK" with "Transfer-Encoding: chunked" and closes. The caller gets a 200 of 15 bytes, the sizes of the chunks and their ends among them, in place of the body of 5. If the server does not close, the caller waits out its deadline.

Cause: net/http deletes the field from an answer of 1.0 and reads to the end of the connection; nothing of the parsed answer tells that it was there.

Change: the scan of the head, which counts its memory, notes a transfer coding; in an answer of 1.0 it makes the answer malformed (RFC 9112, section 6.1: the framing is faulty).

Why it works: the scan sees the bytes before net/http changes them.

--- a/internal/backend/broken_heads_test.go
+++ b/internal/backend/broken_heads_test.go
@@ -22,6 +22,7 @@
 		"blank in a name":    "HTTP/1.1 200 OK\r\nX A: b\r\n" + sound,
 		"blank after a name": "HTTP/1.1 200 OK\r\nX-A : b\r\n" + sound,
 		"1xx head":           "HTTP/1.1 103 Early Hints\r\nX A: b\r\n\r\nHTTP/1.1 200 OK\r\n" + sound,
+		"chunks in 1.0":      "HTTP/1.0 200 OK\r\ntransfer-ENCODING: chunked\r\n\r\n2\r\nhi\r\n0\r\n\r\n",
 		"trailer":            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\nX A: b\r\n\r\n",
 	} {
 		err := callAll(t, answering(t, text, ""))
--- a/internal/backend/head_memory.go
+++ b/internal/backend/head_memory.go
@@ -40,6 +40,13 @@
 	return nil
 }
 
+// hasCoding reports whether the head names a transfer coding.
+func (r *headReservation) hasCoding() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.scan.hasCoding
+}
+
 // end releases the memory; r may be nil.
 func (r *headReservation) end() {
 	if r == nil {
--- a/internal/backend/head_scan.go
+++ b/internal/backend/head_scan.go
@@ -12,12 +12,18 @@
 	length int
 	// hasStatus is set once the status line is complete; isInterim is set in a 1xx head.
 	hasStatus, isInterim bool
+	// hasCoding is set once the present head names a transfer coding.
+	hasCoding bool
 	// isComplete is set at the end of the final head.
 	isComplete bool
 }
 
-// maxScannedLine is how much of a line is kept, in bytes: enough for a status.
-const maxScannedLine = 32
+const (
+	// codingField is the beginning of a line that names a transfer coding.
+	codingField = "transfer-encoding:"
+	// maxScannedLine is how much of a line is kept, in bytes: enough for a status and for codingField.
+	maxScannedLine = 32
+)
 
 // read returns the part of data that belongs to heads.
 func (s *headScan) read(data []byte) []byte {
@@ -48,6 +54,8 @@
 		*s = headScan{line: s.line}
 	case isEmpty:
 		s.isComplete = true
+	case len(line) >= len(codingField) && strings.EqualFold(line[:len(codingField)], codingField):
+		s.hasCoding = true
 	}
 	s.line, s.length = s.line[:0], 0
 }
--- a/internal/backend/http_exchange.go
+++ b/internal/backend/http_exchange.go
@@ -74,7 +74,7 @@
 	stop := startTimer(headerTimeout, func() { cancel(errHeaderTimeout) })
 	stopWatch := c.watchPath(t, r, func() { cancel(errPathLost) })
 	//nolint:bodyclose // the caller that gets the exchange closes the body
-	response, err := httphead.RoundTrip(t, request)
+	response, err := roundTrip(t, request, used.head)
 	stop()
 	stopWatch()
 	if err != nil {
@@ -104,6 +104,20 @@
 	return &httpExchange{response: response, ctx: ctx, cancel: end, conn: used.conn}, nil
 }
 
+// roundTrip sends a request and checks the head of its answer.
+func roundTrip(t *http.Transport, r *http.Request, head *headReservation) (*http.Response, error) {
+	response, err := httphead.RoundTrip(t, r)
+	if err != nil {
+		return nil, err
+	}
+	// net/http drops a transfer coding in an answer of HTTP/1.0 and takes the chunks for the body (RFC 9112, section 6.1).
+	if response.ProtoMinor == 0 && head.hasCoding() {
+		_ = response.Body.Close()
+		return nil, errors.Annotate(httphead.ErrInvalid, "a transfer coding in an answer of HTTP/1.0")
+	}
+	return response, nil
+}
+
 func (c *HTTPClient) transportFor(r outgoingRequest) *http.Transport {
 	if r.fresh {
 		return c.transports.fresh
