Peers, control: answers that follow no protocol are errors

What callers saw: an operator whose call a control process forwards to the leader gets a closed connection where the leader answers 000 or 099, and the broken answer itself where it answers 999, with a blank in a name, with "Content-Length : 1" or behind such a 1xx head. A trailer with a control byte cuts a whole answer. Between processes the same answers are taken for sound: relays, exchanges, holders of keys, replicas.

Cause: as for backend servers, net/http reads what HTTP does not allow, and c.Stream writes the status that was read.

Change: bounded.Transport and bounded.ReadHead, on whose way all these answers are read, check them with internal/httphead; the tool and the load generator do so as well, and the question to the holder of a claim goes that way now. A broken answer of the leader is outcome_unknown for the operator. A trailer is not passed on, so a whole answer is passed on whatever its trailer.

TestWhatFollowsAHeadHasNoBound read a 101 to a request that had asked for no upgrade, which is an error now; its request asks for one. It checks what it did.

Why it works: there is one place for each way on which answers of the system's processes come.

--- a/internal/bounded/head.go
+++ b/internal/bounded/head.go
@@ -7,6 +7,8 @@
 	"net/http"
 
 	"github.com/juju/errors"
+
+	"github.com/citronstep/citronstep/internal/httphead"
 )
 
 // MaxHeadBytes bounds the head of an answer of another process of the system, in bytes. The servers
@@ -24,7 +26,7 @@
 // ReadHead reads the head of the answer to a request that was sent on a connection. The returned
 // reader, with a buffer of the given size in bytes, reads what follows, without a bound. The
 // connection's deadline bounds the time. ReadHead returns ErrTooLarge for a head of more than
-// MaxHeadBytes.
+// MaxHeadBytes, and httphead.ErrInvalid for one that does not follow HTTP.
 func ReadHead(conn net.Conn, r *http.Request, bufferBytes int) (*Head, *bufio.Reader, error) {
 	head := newReader(conn, MaxHeadBytes+int64(bufferBytes), func() {})
 	reader := bufio.NewReaderSize(head, bufferBytes)
@@ -36,6 +38,9 @@
 	case err != nil:
 		return nil, nil, errors.Trace(err)
 	}
+	if err := httphead.Check(answer); err != nil {
+		return nil, nil, err
+	}
 	head.left = math.MaxInt64 - 1
 	return &Head{StatusCode: answer.StatusCode, Status: answer.Status, Header: answer.Header}, reader, nil
 }
--- a/internal/bounded/head_test.go
+++ b/internal/bounded/head_test.go
@@ -61,6 +61,7 @@
 func TestWhatFollowsAHeadHasNoBound(t *testing.T) {
 	request, err := http.NewRequest(http.MethodGet, "http://peer/", nil)
 	assert.NilError(t, err)
+	request.Header.Set("Upgrade", "p")
 	want := strings.Repeat("x", 3*MaxHeadBytes)
 	text := "HTTP/1.1 101 Switching Protocols\r\nUpgrade: p\r\nConnection: Upgrade\r\n\r\n" + want
 	answer, reader, err := ReadHead(answering(t, strings.NewReader(text)), request, testBuffer)
--- a/internal/bounded/transport.go
+++ b/internal/bounded/transport.go
@@ -8,6 +8,8 @@
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
 	"github.com/juju/errors"
+
+	"github.com/citronstep/citronstep/internal/httphead"
 )
 
 // ErrTooLarge is returned for a message that is longer than its reader accepts.
@@ -16,8 +18,9 @@
 // maxErrorBytes bounds the body of an answer other than 200: its text goes into errors and log lines.
 const maxErrorBytes = 64 << 10
 
-// Transport is an http.RoundTripper that bounds the body of each answer. Reading more than MaxBytes,
-// or more than 64 KiB of an answer other than 200, returns ErrTooLarge and logs a line.
+// Transport is an http.RoundTripper that bounds the body of each answer, and checks its head and its trailer with
+// package httphead. Reading more than MaxBytes, or more than 64 KiB of an answer other than 200, returns ErrTooLarge
+// and logs a line.
 type Transport struct {
 	Base http.RoundTripper
 	// MaxBytes is the longest body of an answer, in bytes.
@@ -45,7 +48,7 @@
 
 // RoundTrip sends a request.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	answer, err := t.Base.RoundTrip(r)
+	answer, err := (&httphead.Transport{Base: t.Base}).RoundTrip(r)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/control/forward.go
+++ b/internal/control/forward.go
@@ -8,11 +8,13 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+	"github.com/juju/errors"
 	"github.com/labstack/echo/v4"
 
 	"github.com/citronstep/citronstep/internal/adminapi"
 	"github.com/citronstep/citronstep/internal/bounded"
 	"github.com/citronstep/citronstep/internal/failure"
+	"github.com/citronstep/citronstep/internal/httphead"
 )
 
 // Forwarder sends operators' requests from a control process that does not lead to the leader.
@@ -63,7 +65,9 @@
 		return failure.New(failure.TypeOutcomeUnknown, "no response from the leader: "+err.Error()).WithRan(failure.RanUnknown)
 	}
 	defer func() { _ = answer.Body.Close() }()
-	if err := c.Stream(answer.StatusCode, answer.Header.Get("Content-Type"), answer.Body); err != nil {
+	err = c.Stream(answer.StatusCode, answer.Header.Get("Content-Type"), answer.Body)
+	// A trailer is not passed on.
+	if err != nil && !errors.Is(err, httphead.ErrTrailer) {
 		_ = level.Warn(f.Logger).Log("event", "forwarded_answer_cut", "leader", leader, "path", in.URL.Path, "err", err)
 		// A part of the answer must not look like the whole.
 		panic(http.ErrAbortHandler)
--- a/internal/entry/claim_holder.go
+++ b/internal/entry/claim_holder.go
@@ -11,6 +11,7 @@
 
 	"github.com/juju/errors"
 
+	"github.com/citronstep/citronstep/internal/bounded"
 	"github.com/citronstep/citronstep/internal/failure"
 	"github.com/citronstep/citronstep/internal/record"
 )
@@ -88,7 +89,7 @@
 	if err != nil {
 		return holderSilent
 	}
-	response, err := s.o.Peers.Do(request)
+	response, err := bounded.Client(s.o.Peers, maxRefusalBytes, s.o.Logger).Do(request)
 	if err != nil {
 		return holderStateOfError(err)
 	}
--- a/internal/loadgen/run.go
+++ b/internal/loadgen/run.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 
 	"github.com/citronstep/citronstep/internal/failure"
+	"github.com/citronstep/citronstep/internal/httphead"
 )
 
 const (
@@ -52,7 +53,7 @@
 	defer transport.CloseIdleConnections()
 	g := &generator{
 		plan:     p,
-		client:   &http.Client{Transport: transport},
+		client:   &http.Client{Transport: &httphead.Transport{Base: transport}},
 		checker:  newChecker(p.Expected),
 		outcomes: make(chan outcome, p.Concurrency),
 		slots:    make(chan struct{}, p.Concurrency),
--- a/internal/tool/client.go
+++ b/internal/tool/client.go
@@ -13,6 +13,7 @@
 	"github.com/citronstep/citronstep/internal/adminapi"
 	"github.com/citronstep/citronstep/internal/bounded"
 	"github.com/citronstep/citronstep/internal/failure"
+	"github.com/citronstep/citronstep/internal/httphead"
 )
 
 const (
@@ -41,7 +42,7 @@
 		addresses: c.addresses,
 		token:     c.token,
 		timeout:   c.timeout,
-		http:      &http.Client{},
+		http:      &http.Client{Transport: &httphead.Transport{Base: http.DefaultTransport}},
 	}
 }
 
