Entry: answers of holders and records are checked before they are used

What callers saw (by tests, not by callers): a peer that holds a key sends a line with status 0 or 999 for a plain service. The line is taken for the answer; written, status 0 panics in net/http and closes the connection, for each resend of the key. A line of a service's answer to a request for tokens ends the process (nil pointer). A recorded answer with such a status, also one that an earlier build wrote, does the same to each resend.

Cause: answers also come inside messages, where net/http checks nothing, and their status and fields were used as they came.

Change: a line of a holder has to be an answer to this kind of request with a status and names of HTTP, else the holder is dropped and the request, which may be repeated, runs here. Such a record is refused as internal, and says that the request ran, as one whose tokens can't be decoded is.

Why it works: both places check with the function that checks heads on connections.

--- a/internal/entry/claim.go
+++ b/internal/entry/claim.go
@@ -9,6 +9,7 @@
 	"github.com/juju/errors"
 
 	"github.com/citronstep/citronstep/internal/failure"
+	"github.com/citronstep/citronstep/internal/httphead"
 	"github.com/citronstep/citronstep/internal/record"
 	"github.com/citronstep/citronstep/internal/rpc/noderpc"
 )
@@ -107,6 +108,9 @@
 func (s *Server) replay(j *job, a record.Answer) *failure.Error {
 	j.replayed = true
 	if j.service != nil {
+		if err := httphead.CheckFinal(a.Status, a.Header); err != nil {
+			return failure.New(failure.TypeInternal, "recorded answer: "+err.Error()).WithRan(failure.RanYes)
+		}
 		j.service.replay(a)
 		return nil
 	}
--- a/internal/entry/key_home.go
+++ b/internal/entry/key_home.go
@@ -13,6 +13,7 @@
 	"github.com/citronstep/citronstep/internal/blackboard"
 	"github.com/citronstep/citronstep/internal/bounded"
 	"github.com/citronstep/citronstep/internal/failure"
+	"github.com/citronstep/citronstep/internal/httphead"
 	"github.com/citronstep/citronstep/internal/rpc/noderpc"
 )
 
@@ -293,6 +294,10 @@
 		if err := json.Unmarshal(lines.Bytes(), &p); err != nil {
 			return false, nil
 		}
+		if err := j.checkPart(p); err != nil {
+			j.lines.Info("event", "holder_dropped", "request", j.id, "reason", err.Error())
+			return false, nil
+		}
 		if p.isHeartbeat() {
 			heartbeats++
 		}
@@ -312,6 +317,22 @@
 	return false, nil
 }
 
+// errPart is returned for a line of a holder that belongs to no answer to the request.
+const errPart = errors.ConstError("its answer is none to this request")
+
+// checkPart returns an error for a line whose answer must not be passed on.
+func (j *job) checkPart(p part) error {
+	switch {
+	case j.service == nil && p.Service == nil:
+		return nil
+	case j.service == nil, p.End && p.Service == nil, len(p.Tokens) > 0:
+		return errors.Trace(errPart)
+	case p.Service == nil:
+		return nil
+	}
+	return httphead.CheckFinal(p.Service.Status, p.Service.Header)
+}
+
 // addPart adds the tokens that the job does not have yet. It may have read some from an earlier
 // holder. It returns false at the first token over the requested length.
 func (j *job) addPart(p part) bool {
--- a/internal/httphead/head.go
+++ b/internal/httphead/head.go
@@ -24,18 +24,16 @@
 	if r.StatusCode == http.StatusSwitchingProtocols && asksForUpgrade(r.Request) {
 		return checkNames(r.Header)
 	}
-	if err := CheckStatus(r.StatusCode); err != nil {
-		return err
-	}
-	return checkNames(r.Header)
+	return CheckFinal(r.StatusCode, r.Header)
 }
 
-// CheckStatus returns ErrInvalid for a status that is none of a final answer (RFC 9110, section 15).
-func CheckStatus(status int) error {
+// CheckFinal returns ErrInvalid for a status that is none of a final answer (RFC 9110, section 15), and for an invalid
+// name of a field.
+func CheckFinal(status int, fields map[string][]string) error {
 	if status < http.StatusOK || status > maxStatus {
 		return errors.Annotate(ErrInvalid, "status "+strconv.Itoa(status))
 	}
-	return nil
+	return checkNames(fields)
 }
 
 // maxStatus is the highest status of HTTP.
