Backend: the connection of a broken trailer is not used again

Cause: net/http pools a connection at the end of the body, before anybody sees the trailer's names. What follows a broken trailer is no more to be trusted than the trailer.

Ruled out: to close the connection without a look at it. Another request may have been written to it since, and would be cut.

Change: the connection is sealed if no write has begun since the head of the answer arrived. A request that has got it and not written yet is then "not sent", and is sent on another.

Why it works: seal and write take the same lock, so a request either is on the connection before the look or never.

--- a/internal/backend/broken_heads_test.go
+++ b/internal/backend/broken_heads_test.go
@@ -1,9 +1,13 @@
 package backend
 
 import (
+	"bufio"
+	"context"
 	"io"
+	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/juju/errors"
 	"gotest.tools/v3/assert"
@@ -56,3 +60,26 @@
 		assert.NilError(t, answer.Body.Close())
 	}
 }
+
+// Guards against a request on the connection of an answer with a broken trailer, behind which nothing is served.
+func TestConnectionOfABrokenTrailerIsNotUsedAgain(t *testing.T) {
+	address := rawServer(t, func(conn net.Conn, _ int) {
+		defer func() { _ = conn.Close() }()
+		reader := bufio.NewReader(conn)
+		if _, err := http.ReadRequest(reader); err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nhi\r\n0\r\nX A: b\r\n\r\n")
+		_, _ = io.Copy(io.Discard, reader)
+	})
+	c := newClient(t, Options{})
+	for range 10 {
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		answer, err := c.Call(ctx, address, ServiceCall{Method: http.MethodPost, Path: "/", Verbatim: true, Host: "h"})
+		assert.NilError(t, err)
+		_, err = io.ReadAll(answer.Body)
+		assert.Assert(t, errors.Is(err, ErrMalformed), "%v", err)
+		assert.NilError(t, answer.Body.Close())
+		cancel()
+	}
+}
--- a/internal/backend/http_exchange.go
+++ b/internal/backend/http_exchange.go
@@ -21,14 +21,17 @@
 	response *http.Response
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
-	// conn is the connection of the exchange; nil if it is not a sealedConn.
-	conn *sealedConn
+	// conn is the connection of the exchange; nil if it is not a sealedConn. writes is its writeCount once the head
+	// of the answer had arrived.
+	conn   *sealedConn
+	writes uint64
 }
 
 // readError returns the error of a read of the response's body. Without a failure of the connection and of the
 // call, the bytes themselves are at fault: ErrMalformed.
 func (x *httpExchange) readError(err error) error {
 	if errors.Is(err, httphead.ErrTrailer) {
+		x.dropConnection()
 		return errors.WithType(errors.Annotate(ErrMalformed, err.Error()), httphead.ErrTrailer)
 	}
 	if context.Cause(x.ctx) == nil && x.conn != nil && !x.conn.hasFailed.Load() {
@@ -41,6 +44,15 @@
 	return err
 }
 
+// dropConnection closes the connection after an answer whose end can't be trusted, unless it carries the next request.
+//
+// Failure: net/http has pooled the connection at the end of the body. The next request on it waits for its deadline.
+func (x *httpExchange) dropConnection() {
+	if x.conn != nil {
+		x.conn.sealUnlessWritten(x.writes)
+	}
+}
+
 // isTrickle reports whether the call has ended while its answer arrived piece by piece. One with an announced length
 // has an end.
 func (x *httpExchange) isTrickle() bool {
@@ -94,14 +106,16 @@
 		used.head.end()
 		return nil, &CallError{Address: r.address, Stage: sent, Connection: used.kind(), Waited: time.Since(began), Cause: cause}
 	}
+	x := &httpExchange{response: response, ctx: ctx, conn: used.conn}
 	if used.conn != nil {
 		used.conn.arrival.beginBody()
+		x.writes = used.conn.writeCount()
 	}
-	end := func(cause error) {
+	x.cancel = func(cause error) {
 		cancel(cause)
 		used.head.end()
 	}
-	return &httpExchange{response: response, ctx: ctx, cancel: end, conn: used.conn}, nil
+	return x, nil
 }
 
 // roundTrip sends a request and checks the head of its answer.
--- a/internal/backend/sealed_conn.go
+++ b/internal/backend/sealed_conn.go
@@ -90,6 +90,17 @@
 	return c.writes
 }
 
+// sealUnlessWritten closes the connection if no write has begun since writeCount returned before.
+func (c *sealedConn) sealUnlessWritten(before uint64) {
+	c.mu.Lock()
+	isWritten := c.writes != before
+	c.sealed = c.sealed || !isWritten
+	c.mu.Unlock()
+	if !isWritten {
+		_ = c.Close()
+	}
+}
+
 // seal closes the connection and reports whether any write began since writeCount
 // returned before.
 func (c *sealedConn) seal(before uint64) (wrote bool) {
