Process tests: broken answers on the product's own interface

Tests of real processes with the project's own stand-ins, which write a text of the test in place of an answer: ten broken answers of a plain service, by GET and POST, and of an engine, with a stream and without.

--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -63,7 +64,9 @@
 	// Muted stops the announcements only.
 	Muted bool `json:"muted,omitempty"`
 	// FullQueue makes the stand-in refuse all new work as busy.
-	FullQueue bool         `json:"full_queue,omitempty"`
+	FullQueue bool `json:"full_queue,omitempty"`
+	// RawAnswer is written in place of the answer to each generation or call, and ends its connection.
+	RawAnswer string       `json:"raw_answer,omitempty"`
 	Stream    StreamFaults `json:"stream,omitzero"`
 }
 
@@ -167,6 +170,20 @@
 	return append([]Arrival(nil), b.arrivals...)
 }
 
+// answerRaw writes Faults.RawAnswer, if there is one, and reports whether it did.
+func (b *faultState) answerRaw(w http.ResponseWriter) bool {
+	text := b.get().RawAnswer
+	if text == "" {
+		return false
+	}
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err == nil {
+		_, _ = io.WriteString(conn, text)
+		_ = conn.Close()
+	}
+	return true
+}
+
 // crashes reports whether a request with this text crashes the stand-in.
 func (b *faultState) crashes(text string) bool {
 	b.mu.Lock()
--- a/internal/standin/generate.go
+++ b/internal/standin/generate.go
@@ -98,6 +98,9 @@
 func (e *Engine) run(
 	ctx context.Context, w http.ResponseWriter, s *engineState, group *membership, g backend.Generation, slot *ticket,
 ) {
+	if e.faults.answerRaw(w) {
+		return
+	}
 	out := newEventWriter(w, g, e.faults.takeStream(g.Prompt), s.running)
 	out.start()
 	if !e.awaitSlot(ctx, out, slot) {
--- a/internal/standin/service.go
+++ b/internal/standin/service.go
@@ -127,6 +127,10 @@
 		s.crash()
 		panic(http.ErrAbortHandler)
 	}
+	if s.faults.answerRaw(w) {
+		s.common.Recorder.end(number, 0, OutcomeFinished)
+		return
+	}
 	fault := s.faults.takeStream(string(body))
 	finished := s.simulateWork(r.Context(), fault)
 	if !finished {
