Backend: a broken body of a refusal or a reply is malformed, not a cut

What callers saw: nothing yet; found while the places were listed where answers are read. An engine's refusal, or its reply to an order, whose chunks or trailer follow no protocol was an error without a type. An entry takes that for a closed connection, and so for a crash of the engine: it asks whether it lives, and counts a crash against the request if it does not.

Cause: readReply gave the error of the body as it came; answers that are passed on give it a type (readError).

Change: readReply uses readError as well.

A body that is cut is still a cut. The memory of the heads is given back on these ways too.

--- a/internal/backend/broken_heads_test.go
+++ b/internal/backend/broken_heads_test.go
@@ -83,3 +83,20 @@
 		cancel()
 	}
 }
+
+// Guards against an engine that counts as crashed because the body of its refusal, or of its reply to an order, follows
+// no protocol.
+func TestBrokenBodiesOfRepliesAreMalformed(t *testing.T) {
+	const chunked = "Transfer-Encoding: chunked\r\n\r\n"
+	for _, body := range []string{"garbage\r\n", "2\r\n{}\r\n0\r\nX A: b\r\n\r\n", "2\r\n{}\r\n0\r\nX\x01A: b\r\n\r\n"} {
+		c := newClient(t, Options{})
+		_, err := c.Generate(t.Context(), answering(t, "HTTP/1.1 500 Failed\r\n"+chunked+body, ""), Generation{Attempt: "a"})
+		assert.Check(t, errors.Is(err, ErrMalformed), "%q: %v", body, err)
+		_, err = c.Order(t.Context(), answering(t, "HTTP/1.1 200 OK\r\n"+chunked+body, ""), Order{Kind: OrderLoad})
+		assert.Check(t, errors.Is(err, ErrMalformed), "%q: %v", body, err)
+		assert.Equal(t, c.HeadSample().Used, int64(0))
+	}
+	c := newClient(t, Options{})
+	_, err := c.Generate(t.Context(), answering(t, "HTTP/1.1 500 Failed\r\nContent-Length: 9\r\n\r\n{}", ""), Generation{Attempt: "a"})
+	assert.Check(t, err != nil && !errors.Is(err, ErrMalformed), "a cut: %v", err)
+}
--- a/internal/backend/http_client.go
+++ b/internal/backend/http_client.go
@@ -150,7 +150,7 @@
 	defer func() { _ = x.response.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(x.response.Body, c.options.MaxReply+1))
 	if err != nil {
-		return nil, causeOf(x.ctx, err)
+		return nil, x.readError(err)
 	}
 	if int64(len(body)) > c.options.MaxReply {
 		return nil, errors.Annotate(ErrMalformed, "answer over the limit")
