Entry: the unfinished events of all streams together have a bound

What callers saw: servers begin an event and never end it. Each event is within its limit of 1 MB; the entry holds all of them until their requests' deadlines, and ends for lack of memory.

Cause: what a stream has passed on counts in the memory for bodies and answers, and so does an answer that is held until it is complete. The event that a reader is collecting did not.

Change: a buffer of over 16 KB counts in the share of large answers while its event is read; one without room is unreadable, so that the request is sent on or ends at once and a server that does so three times in a row is set aside. Waiting for room was not taken: those that hold it do so until their deadlines. Usual events, a hundredth of that size, are not counted and always have room.

Why it works: the buffer grows only by what was reserved, and gives it back when the next event begins or the stream ends (TestLongEventsShareTheMemoryOfLargeAnswers).

--- a/internal/entry/event_reader.go
+++ b/internal/entry/event_reader.go
@@ -20,8 +20,14 @@
 	// maxComments is the most bytes of comments and empty lines between two events. Comments at a usual pace, each
 	// second for hours, are far fewer.
 	maxComments = 256 << 10
+	// usualEvent is the length, in bytes, up to which the buffer of an event is not counted. Usual events are a
+	// hundredth of it.
+	usualEvent = 16 << 10
 )
 
+// errEventMemory is returned for an event that has no room beside those of other streams.
+const errEventMemory = errors.ConstError("the memory of this entry for events is used up")
+
 // event is one server-sent event as received, or comments and empty lines alone.
 type event struct {
 	bytes    []byte
@@ -36,20 +42,33 @@
 type eventReader struct {
 	r   *bufio.Reader
 	buf []byte
+	// memory counts a buffer of more than usualEvent, and reserved is its size, in bytes; 0 for a smaller one.
+	memory   *memoryBudget
+	reserved int
 	// comments is how many bytes without an event have been read since the last event.
 	comments int
 }
 
-func newEventReader(r io.Reader) *eventReader {
-	return &eventReader{r: bufio.NewReaderSize(r, eventBuffer)}
+// newEventReader returns a reader whose long events count as large answers do. It must be closed.
+func newEventReader(r io.Reader, m *memoryBudget) *eventReader {
+	return &eventReader{r: bufio.NewReaderSize(r, eventBuffer), memory: m}
+}
+
+// close releases the memory of the reader.
+func (r *eventReader) close() {
+	if r.reserved > 0 {
+		r.memory.releaseLarge(r.reserved)
+		r.buf, r.reserved = nil, 0
+	}
 }
 
 var idField = []byte("id:")
 
 // next returns the next complete event. It returns io.EOF at the end of a stream that ends
 // after a complete event, httphead.ErrTrailer if an invalid trailer follows there, backend.ErrCut if the stream ends
-// within an event, and backend.ErrLineTooLong past maxEvent or maxComments.
+// within an event, backend.ErrLineTooLong past maxEvent or maxComments, and errEventMemory.
 func (r *eventReader) next() (event, error) {
+	r.close()
 	r.buf = r.buf[:0]
 	e := event{}
 	for {
@@ -98,6 +117,9 @@
 		if len(r.buf)+len(part) > maxEvent {
 			return errors.Trace(backend.ErrLineTooLong)
 		}
+		if growErr := r.grow(len(r.buf) + len(part)); growErr != nil {
+			return growErr
+		}
 		r.buf = append(r.buf, part...)
 		if err != bufio.ErrBufferFull {
 			return err
@@ -105,6 +127,30 @@
 	}
 }
 
+// grow makes room for an event of a length.
+//
+// Load: many streams at once get an event that does not end. Harm: each is within maxEvent, all are held until their
+// deadlines, and the process runs out of memory.
+func (r *eventReader) grow(length int) error {
+	if length <= cap(r.buf) {
+		return nil
+	}
+	size := min(max(length, 2*cap(r.buf)), maxEvent)
+	if length <= usualEvent {
+		size = min(size, usualEvent)
+	}
+	if size > usualEvent {
+		if !r.memory.tryReserveLarge(size - r.reserved) {
+			return errors.Trace(errEventMemory)
+		}
+		r.reserved = size
+	}
+	grown := make([]byte, len(r.buf), size)
+	copy(grown, r.buf)
+	r.buf = grown
+	return nil
+}
+
 // isDrained reports whether nothing more has arrived, so that the bytes written so far should
 // be flushed now.
 func (r *eventReader) isDrained() bool { return r.r.Buffered() == 0 }
--- a/internal/entry/event_reader_test.go
+++ b/internal/entry/event_reader_test.go
@@ -48,7 +48,7 @@
 		"data: a\n": maxEvent, ": nothing\n": maxComments, ": nothing\n\n": maxComments, "\n": maxComments, "a": maxEvent,
 	} {
 		body := &repeatedBody{text: text, failsAfter: 4 * maxEvent}
-		assert.ErrorIs(t, readEvents(newEventReader(body)), backend.ErrLineTooLong)
+		assert.ErrorIs(t, readEvents(newEventReader(body, newMemoryBudget(0))), backend.ErrLineTooLong)
 		assert.Assert(t, body.read <= limit+2*eventBuffer, "%q: %d bytes were read", text, body.read)
 	}
 }
@@ -58,7 +58,7 @@
 	comments := strings.Repeat(": waiting\n\n", maxComments/len(": waiting\n\n")-1)
 	largest := "data: " + strings.Repeat("a", maxEvent-len("data: \n\n")) + "\n\n"
 	text := strings.Repeat(comments+largest, 3)
-	r, got := newEventReader(strings.NewReader(text)), 0
+	r, got := newEventReader(strings.NewReader(text), newMemoryBudget(0)), 0
 	for {
 		e, err := r.next()
 		if err == io.EOF {
@@ -113,3 +113,30 @@
 		time.Sleep(2 * crashWait)
 	})
 }
+
+// Guards against long events whose memory is not counted or not given back, and against usual ones that have no room
+// beside them.
+func TestLongEventsShareTheMemoryOfLargeAnswers(t *testing.T) {
+	m := newMemoryBudget(256 << 10)
+	usual := "id: 1\ndata: " + strings.Repeat("a", usualEvent/2) + "\n\n"
+	long := "id: 2\ndata: " + strings.Repeat("a", 4*usualEvent) + "\n\n"
+	r := newEventReader(strings.NewReader(usual+long+usual), m)
+	for _, want := range []string{usual, long, usual} {
+		e, err := r.next()
+		assert.NilError(t, err)
+		assert.Equal(t, string(e.bytes), want)
+		assert.Equal(t, m.reserved() > 0, want == long, "%d bytes reserved", m.reserved())
+	}
+	_, err := r.next()
+	assert.Equal(t, err, io.EOF)
+
+	assert.Assert(t, m.tryReserveLarge(m.largeLimit()))
+	r = newEventReader(strings.NewReader(usual+long), m)
+	_, err = r.next()
+	assert.NilError(t, err)
+	_, err = r.next()
+	assert.ErrorIs(t, err, errEventMemory)
+	assert.Assert(t, isUnreadable(err))
+	r.close()
+	assert.Equal(t, m.reserved(), int64(m.largeLimit()))
+}
--- a/internal/entry/forward_bench_test.go
+++ b/internal/entry/forward_bench_test.go
@@ -28,7 +28,7 @@
 	text := strings.ReplaceAll(events(ids...), "token", strings.Repeat("t", 60))
 	j := &job{ctx: context.Background(), forward: &forwarding{w: discard{http.Header{}}}}
 	m := newMemoryBudget(1 << 30)
-	r := newEventReader(strings.NewReader(text))
+	r := newEventReader(strings.NewReader(text), newMemoryBudget(0))
 	answer := &backend.ForwardAnswer{Status: http.StatusOK, Header: http.Header{}}
 	b.ReportAllocs()
 	b.ResetTimer()
--- a/internal/entry/outcome.go
+++ b/internal/entry/outcome.go
@@ -83,5 +83,5 @@
 // isUnreadable reports whether a call failed because of the bytes that the backend server sent.
 func isUnreadable(err error) bool {
 	return errors.Is(err, backend.ErrMalformed) || errors.Is(err, backend.ErrLineTooLong) ||
-		errors.Is(err, errAnswerTooLong) || errors.Is(err, errAnnouncedTooLong)
+		errors.Is(err, errAnswerTooLong) || errors.Is(err, errAnnouncedTooLong) || errors.Is(err, errEventMemory)
 }
