--- a/internal/backend/malformed_answers_test.go
+++ b/internal/backend/malformed_answers_test.go
@@ -86,3 +86,14 @@
 		assert.Equal(t, tokens[len(tokens)-1].Text, "hi")
 	}
 }
+
+// Guards against a server that stops within a head, at any byte, and whose answer counts as one.
+func TestHeadCutAtAnyByteIsNoAnswer(t *testing.T) {
+	const head = "HTTP/1.1 103 Early Hints\r\nX-A: b\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-A: b\r\n\r\n"
+	for end := range len(head) {
+		err := callAll(t, answering(t, head[:end], ""))
+		assert.Assert(t, err != nil, "%q", head[:end])
+		assert.Assert(t, !errors.Is(err, ErrMalformed), "%q: %v", head[:end], err)
+	}
+	assert.NilError(t, callAll(t, answering(t, head, "")))
+}
