Soak: backend servers send answers that follow no protocol

The project's stand-ins write a text in place of each answer while an order says so. The soak has a flag for it, -broken-answers: one server after the other sends one of ten broken answers for up to a second, beside the other faults, from a random source of its own, so that a seed gives the same other faults.

A test of internal/bounded used a deprecated field of net/http; it is the same test with DialContext.

--- a/internal/bounded/broken_answers_test.go
+++ b/internal/bounded/broken_answers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -29,7 +30,8 @@
 		_, _, err = ReadHead(answering(t, strings.NewReader(head)), request, testBuffer)
 		assert.Check(t, errors.Is(err, httphead.ErrInvalid), "%s: %v", name, err)
 
-		client := Client(&http.Client{Transport: &http.Transport{Dial: func(string, string) (net.Conn, error) { return answeringRequest(t, head), nil }}}, 1<<20, log.NewNopLogger())
+		dial := func(context.Context, string, string) (net.Conn, error) { return answeringRequest(t, head), nil }
+		client := Client(&http.Client{Transport: &http.Transport{DialContext: dial}}, 1<<20, log.NewNopLogger())
 		answer, err := client.Do(request)
 		if err == nil {
 			_ = answer.Body.Close()
--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -64,9 +64,7 @@
 	// Muted stops the announcements only.
 	Muted bool `json:"muted,omitempty"`
 	// FullQueue makes the stand-in refuse all new work as busy.
-	FullQueue bool `json:"full_queue,omitempty"`
-	// RawAnswer is written in place of the answer to each generation or call, and ends its connection.
-	RawAnswer string       `json:"raw_answer,omitempty"`
+	FullQueue bool         `json:"full_queue,omitempty"`
 	Stream    StreamFaults `json:"stream,omitzero"`
 }
 
@@ -93,6 +91,9 @@
 	// refusal for a back-off of so long; 0 ends it. An order with RetryAfterMillis changes nothing
 	// else.
 	RetryAfterMillis *int64 `json:"retry_after_ms,omitempty"`
+	// RawAnswer is written in place of the answer to each further generation or call, and ends its
+	// connection; "" ends that. An order with RawAnswer changes nothing else.
+	RawAnswer *string `json:"raw_answer,omitempty"`
 }
 
 // faultState holds the active faults.
@@ -104,6 +105,8 @@
 	rateLimit          float64
 	// retryAfter is the back-off that refusals ask for; 0 if requests are not refused for it.
 	retryAfter time.Duration
+	// rawAnswer is written in place of answers; empty for none.
+	rawAnswer string
 	// isLeaving is set while answers state that the stand-in is leaving.
 	isLeaving bool
 	// arrivals holds the generations and calls that have arrived.
@@ -170,9 +173,17 @@
 	return append([]Arrival(nil), b.arrivals...)
 }
 
-// answerRaw writes Faults.RawAnswer, if there is one, and reports whether it did.
+func (b *faultState) setRawAnswer(text string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.rawAnswer = text
+}
+
+// answerRaw writes the raw answer, if there is one, and reports whether it did.
 func (b *faultState) answerRaw(w http.ResponseWriter) bool {
-	text := b.get().RawAnswer
+	b.mu.Lock()
+	text := b.rawAnswer
+	b.mu.Unlock()
 	if text == "" {
 		return false
 	}
--- a/internal/standin/host.go
+++ b/internal/standin/host.go
@@ -132,7 +132,7 @@
 
 // isPartial reports whether the order sets one statement or marker alone.
 func (o FaultOrder) isPartial() bool {
-	return o.RateLimit != nil || o.RetryAfterMillis != nil || o.LastingCrashMarker != nil
+	return o.RateLimit != nil || o.RetryAfterMillis != nil || o.LastingCrashMarker != nil || o.RawAnswer != nil
 }
 
 // setFaults sets the persistent faults and what the stand-in states about itself.
@@ -143,6 +143,9 @@
 	if o.RetryAfterMillis != nil {
 		h.faults.backOff(time.Duration(*o.RetryAfterMillis) * time.Millisecond)
 	}
+	if o.RawAnswer != nil {
+		h.faults.setRawAnswer(*o.RawAnswer)
+	}
 	if o.LastingCrashMarker != nil {
 		h.faults.crashOn(*o.LastingCrashMarker)
 	}
--- a/test/process/random_run_test.go
+++ b/test/process/random_run_test.go
@@ -25,6 +25,13 @@
 	assert.Assert(t, report.RateLimitsRecorded > 0)
 }
 
+// Guards against wrong or missing answers while backend servers send answers that follow no protocol.
+func TestRandomRunWithBrokenAnswers(t *testing.T) {
+	t.Parallel()
+	report := checkRun(t, workload.Options{Seed: 98, Duration: 15 * time.Second, Callers: 8, BrokenAnswers: true})
+	assert.Assert(t, report.Unreadable > 0)
+}
+
 // Guards against wrong or missing answers, and against requests within a back-off, while backend
 // servers refuse requests and ask for back-offs.
 func TestRandomRunWithBackoffs(t *testing.T) {
--- a/test/soak/main.go
+++ b/test/soak/main.go
@@ -25,6 +25,7 @@
 	overlap := flag.Int("overlap", 2, "number of faults that are active at once")
 	groups := flag.Int("groups", 3, "number of serving groups, of two engines each")
 	limits := flag.Bool("rate-limits", false, "backend servers also announce rate limits")
+	broken := flag.Bool("broken-answers", false, "backend servers also send answers that follow no protocol")
 	backoffs := flag.Bool("backoffs", false, "backend servers also refuse requests and ask for back-offs")
 	crashes := flag.Bool("crashes", false, "callers also resend requests that crash each backend server that runs them")
 	showLogs := flag.Bool("logs", false, "print the end of each process's log when a run fails")
@@ -33,7 +34,7 @@
 	for i := range *runs {
 		o := workload.Options{
 			Seed: *seed + uint64(i), Duration: *duration, Callers: *callers, ConcurrentFaults: *overlap, Groups: *groups,
-			RateLimits: *limits, Backoffs: *backoffs, Crashes: *crashes,
+			RateLimits: *limits, BrokenAnswers: *broken, Backoffs: *backoffs, Crashes: *crashes,
 		}
 		if !runOnce(o, *showLogs) {
 			status = 1
@@ -47,9 +48,9 @@
 func runOnce(o workload.Options, showLogs bool) bool {
 	t := &runner{showLogs: showLogs}
 	report := t.run(func() workload.Report { return workload.Run(t, o) })
-	fmt.Printf("seed %d: %d works, %d sends: %d whole, %d not run, %d unknown, %d lost; %d runs; %d faults; %d rate limits taken in; %d back-offs taken in, %d checked; %d crashes in %d sends; %d violations\n",
+	fmt.Printf("seed %d: %d works, %d sends: %d whole, %d not run, %d unknown, %d lost; %d runs; %d faults; %d broken answers found; %d rate limits taken in; %d back-offs taken in, %d checked; %d crashes in %d sends; %d violations\n",
 		o.Seed, report.Works, report.Sends, report.Complete, report.NotRun, report.Unknown, report.Unanswered,
-		report.Runs, len(report.Faults), report.RateLimitsRecorded,
+		report.Runs, len(report.Faults), report.Unreadable, report.RateLimitsRecorded,
 		report.BackoffsRecorded, report.BackoffsChecked, report.Crashes, report.CrashingSends, len(report.Violations))
 	for _, v := range report.Violations {
 		fmt.Println("  violation:", v)
--- a/test/workload/run.go
+++ b/test/workload/run.go
@@ -25,6 +25,8 @@
 	Groups int
 	// RateLimits makes backend servers state rate limits in addition to the faults.
 	RateLimits bool
+	// BrokenAnswers makes backend servers send answers that follow no protocol in addition to the faults.
+	BrokenAnswers bool
 	// Backoffs makes backend servers refuse requests and ask for back-offs in addition to the
 	// faults.
 	Backoffs bool
@@ -54,6 +56,8 @@
 	Runs       int
 	Faults     []string
 	Violations []string
+	// Unreadable counts the attempts whose answers nodes found unreadable, by their logs.
+	Unreadable int
 	// RateLimitsRecorded counts the rate limits that nodes recorded in their logs.
 	RateLimitsRecorded int
 	// BackoffsRecorded counts the back-offs that nodes recorded in their logs, and BackoffsChecked
@@ -93,6 +97,9 @@
 	if o.RateLimits {
 		others = append(others, newRateLimitInjector(o.Seed, servers))
 	}
+	if o.BrokenAnswers {
+		others = append(others, newBrokenAnswerInjector(o.Seed, servers))
+	}
 	if o.Backoffs {
 		others = append(others, newBackoffInjector(o.Seed, servers))
 	}
@@ -109,6 +116,7 @@
 	report := summarise(callers.works, runs, injectors)
 	for _, n := range c.Nodes {
 		report.RateLimitsRecorded += strings.Count(n.Log(), "event=rate_limit_named")
+		report.Unreadable += strings.Count(n.Log(), "follow HTTP")
 	}
 	report.Violations = append(Check(callers.works, runs), findPanics(c)...)
 	if o.Backoffs {
