Backend: a broken trailer's connection is told by its request, not by its writes

Cause: the connection was closed if no write had begun since the head of the answer arrived. A server may answer before the last bytes of the request are written; these count as a write, and the connection stayed in the pool.

Change: it is closed unless another request has got it since, which the head that it counts for tells.

What it guards against is unchanged: no call waits there.

Why it works: a request takes a connection by one store. If it comes after the look, its write is refused.

--- a/internal/backend/http_exchange.go
+++ b/internal/backend/http_exchange.go
@@ -21,10 +21,10 @@
 	response *http.Response
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
-	// conn is the connection of the exchange; nil if it is not a sealedConn. writes is its writeCount once the head
-	// of the answer had arrived.
-	conn   *sealedConn
-	writes uint64
+	// conn is the connection of the exchange; nil if it is not a sealedConn.
+	conn *sealedConn
+	// head is the memory of the answer's head.
+	head *headReservation
 }
 
 // readError returns the error of a read of the response's body. Without a failure of the connection and of the
@@ -49,7 +49,7 @@
 // Failure: net/http has pooled the connection at the end of the body. The next request on it waits for its deadline.
 func (x *httpExchange) dropConnection() {
 	if x.conn != nil {
-		x.conn.sealUnlessWritten(x.writes)
+		x.conn.sealUnlessTaken(x.head)
 	}
 }
 
@@ -106,10 +106,9 @@
 		used.head.end()
 		return nil, &CallError{Address: r.address, Stage: sent, Connection: used.kind(), Waited: time.Since(began), Cause: cause}
 	}
-	x := &httpExchange{response: response, ctx: ctx, conn: used.conn}
+	x := &httpExchange{response: response, ctx: ctx, conn: used.conn, head: used.head}
 	if used.conn != nil {
 		used.conn.arrival.beginBody()
-		x.writes = used.conn.writeCount()
 	}
 	x.cancel = func(cause error) {
 		cancel(cause)
--- a/internal/backend/sealed_conn.go
+++ b/internal/backend/sealed_conn.go
@@ -90,15 +90,13 @@
 	return c.writes
 }
 
-// sealUnlessWritten closes the connection if no write has begun since writeCount returned before.
-func (c *sealedConn) sealUnlessWritten(before uint64) {
-	c.mu.Lock()
-	isWritten := c.writes != before
-	c.sealed = c.sealed || !isWritten
-	c.mu.Unlock()
-	if !isWritten {
-		_ = c.Close()
+// sealUnlessTaken closes the connection if no request has got it since the one whose answer has the given head. One
+// that gets it at the same time is not sent.
+func (c *sealedConn) sealUnlessTaken(head *headReservation) {
+	if c.head.Load() != head {
+		return
 	}
+	c.seal(0)
 }
 
 // seal closes the connection and reports whether any write began since writeCount
