Broken answers: names and set-up read plainly

The reader of events has release in place of close, which it calls between events too; the reservation of a head has no check for nil that nothing needs.

--- a/internal/backend/head_memory.go
+++ b/internal/backend/head_memory.go
@@ -47,11 +47,8 @@
 	return r.scan.hasCoding
 }
 
-// end releases the memory; r may be nil.
+// end releases the memory. It may be called more than once.
 func (r *headReservation) end() {
-	if r == nil {
-		return
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.isEnded {
--- a/internal/entry/event_reader.go
+++ b/internal/entry/event_reader.go
@@ -49,13 +49,13 @@
 	comments int
 }
 
-// newEventReader returns a reader whose long events count as large answers do. It must be closed.
+// newEventReader returns a reader whose long events count as large answers do. release must be called at its end.
 func newEventReader(r io.Reader, m *memoryBudget) *eventReader {
 	return &eventReader{r: bufio.NewReaderSize(r, eventBuffer), memory: m}
 }
 
-// close releases the memory of the reader.
-func (r *eventReader) close() {
+// release drops a long event and gives its memory back.
+func (r *eventReader) release() {
 	if r.reserved > 0 {
 		r.memory.releaseLarge(r.reserved)
 		r.buf, r.reserved = nil, 0
@@ -68,7 +68,7 @@
 // after a complete event, httphead.ErrTrailer if an invalid trailer follows there, backend.ErrCut if the stream ends
 // within an event, backend.ErrLineTooLong past maxEvent or maxComments, and errEventMemory.
 func (r *eventReader) next() (event, error) {
-	r.close()
+	r.release()
 	r.buf = r.buf[:0]
 	e := event{}
 	for {
--- a/internal/entry/event_reader_test.go
+++ b/internal/entry/event_reader_test.go
@@ -137,6 +137,6 @@
 	_, err = r.next()
 	assert.ErrorIs(t, err, errEventMemory)
 	assert.Assert(t, isUnreadable(err))
-	r.close()
+	r.release()
 	assert.Equal(t, m.reserved(), int64(m.largeLimit()))
 }
--- a/internal/entry/forward_relay.go
+++ b/internal/entry/forward_relay.go
@@ -58,7 +58,7 @@
 // increasing order of their ids, so that another run can resume after the last one.
 func (s *Server) relayEvents(j *job, a *forwardAttempt, result *placement.Result) (outcome, *failure.Error) {
 	events, pace := newEventReader(a.answer.Body, s.memory), eventPace{lastEvent: time.Now()}
-	defer events.close()
+	defer events.release()
 	w, progress := a.w, a.grant.route.progress
 	j.forward.onWait = func() func() { return waitForCaller(w, progress) }
 	for {
