Entries that have just started compare a part of prompts with what was in no crash

What callers saw: requests with a part that crashes each backend server that begins to answer it were sent on, 15 to 17 of them later than 3 s after the fifth crash, and took 8 to 11 servers more from everyone else.

Cause: an entry that has run for less than 10 s does not know whether it has answered a part before. Such a part is refused after five crashes once a request with another part has been answered since. That answer was only looked for among parts that were in a crash themselves. If nothing else was running on the crashed servers, nothing could ever be compared, however many sound requests were answered, until servers had crashed for two seconds. Ruled out: lost reports (the leader shows all runs), crashes taken for cuts (all verdicts are "crashed"), load (it failed and passed at the same load).

Change: while a part waits for the comparison, an answer of its pool to any request without it is written as one, once; it counts if two of the crashes followed one another, so that the failure of a whole pool at once is held against no part. The command is the one for answers, with an empty fingerprint, which older control processes pass over.

--- a/internal/blackboard/clear_suspect.go
+++ b/internal/blackboard/clear_suspect.go
@@ -9,6 +9,9 @@
 // ago.
 type ClearSuspect struct {
 	Fingerprint string `json:"fingerprint"`
+	// Without is the part that the answered request did not hold, if the answer is one of the part's pool that only
+	// compares with it; Fingerprint is empty then.
+	Without string `json:"without,omitempty"`
 	// Answers counts complete answers of runs that were sent when the request was a suspect. Control
 	// processes of older versions remove a suspect that was answered.
 	Answers int `json:"answers,omitempty"`
@@ -33,6 +36,9 @@
 
 // IsIn reports whether the command changes nothing in a table.
 func (c ClearSuspect) IsIn(suspects map[string]Suspect) bool {
+	if c.Without != "" {
+		return !suspects[c.Without].lacksComparisonAt(c.SentMillis)
+	}
 	s, ok := suspects[c.Fingerprint]
 	switch {
 	case !ok:
@@ -64,6 +70,10 @@
 	if c.IsIn(suspects) {
 		return false
 	}
+	if c.Without != "" {
+		c.compare(suspects)
+		return true
+	}
 	s := suspects[c.Fingerprint]
 	switch {
 	case c.Answers == 0:
@@ -94,6 +104,12 @@
 	return &ClearSuspect{Fingerprint: fingerprint, Answers: 1, Granted: granted, SentAgoMillis: max(1, sentAgo.Milliseconds())}
 }
 
+// AnsweredWithout returns the command that takes in an answer of a part's pool to a request without the part, whose run
+// was sent the given time ago. Control processes of older versions know no suspect of an empty fingerprint and change nothing.
+func AnsweredWithout(part string, sentAgo time.Duration) *ClearSuspect {
+	return &ClearSuspect{Without: part, Answers: 1, SentAgoMillis: max(1, sentAgo.Milliseconds())}
+}
+
 // After returns the command as it is to be sent now, a while after it was made.
 func (c *ClearSuspect) After(passed time.Duration, now time.Time) *ClearSuspect {
 	next := *c
@@ -110,6 +126,15 @@
 	}
 }
 
+// compare records that a part's pool has answered a request without it.
+func (c ClearSuspect) compare(suspects map[string]Suspect) {
+	s := suspects[c.Without]
+	s.OthersAnsweredMillis = max(s.OthersAnsweredMillis, c.SentMillis)
+	suspects[c.Without] = s
+	a := attributor{suspects: suspects}
+	a.attributeParts()
+}
+
 // clearPart clears a part of the crashes before the answered run was sent.
 func (c ClearSuspect) clearPart(suspects map[string]Suspect, s Suspect) {
 	incarnations := s.incarnations()
--- a/internal/blackboard/part_attribution.go
+++ b/internal/blackboard/part_attribution.go
@@ -122,7 +122,8 @@
 	isCertain := len(left) >= certainPartCrashes
 	if c.MayBeAnswered() {
 		hasCrashesInTurn := n >= attributedCrashes || !c.AnsweredBefore
-		return isCertain && hasCrashesInTurn && (isAnotherAnswered(p.suspects, c.Suspect) || isUnansweredForLong(left))
+		isCompared := isAnotherAnswered(p.suspects, c.Suspect) || (n >= minPartRuns && c.areOthersAnswered())
+		return isCertain && hasCrashesInTurn && (isCompared || isUnansweredForLong(left))
 	}
 	if n < minPartRuns && !isCertain {
 		return false
@@ -169,6 +170,10 @@
 	return false
 }
 
+// areOthersAnswered reports whether the part's pool has answered a request without it that was sent after the part's first
+// crash. A request that was in no crash tells nothing of servers that all failed at once.
+func (c partCandidate) areOthersAnswered() bool { return c.OthersAnsweredMillis > c.firstEndMillis() }
+
 // isUnansweredForLong reports whether servers crashed one after the other for a while, without an answer.
 func isUnansweredForLong(runs []CrashedRun) bool {
 	first := Suspect{Runs: runs}.firstEndMillis()
--- a/internal/blackboard/part_attribution_test.go
+++ b/internal/blackboard/part_attribution_test.go
@@ -100,6 +100,47 @@
 	assert.Assert(t, !c.isPartRefused("f"), "an answer to a run that was sent after a crash clears it")
 }
 
+// reportUnknown reports n crashes at the same moment of requests with a part, by entries that have just started.
+func (c *crashBoard) reportUnknown(name string, sent int64, n int) {
+	c.t.Helper()
+	for i := range n {
+		incarnation := fmt.Sprint(name, sent, i)
+		c.board, _ = verdict(c.t, c.board, &ReportCrash{
+			Fingerprints: []string{incarnation}, SentMillis: []int64{sent}, Incarnation: incarnation, Pool: "pool", NowMillis: sent + 90,
+			Parts: []RunningPart{{Fingerprint: "part " + name, Name: name, Workspaces: []string{"w"}, SentMillis: sent}},
+		})
+	}
+}
+
+// answerWithout takes in an answer of a pool to a request without a part.
+func (c *crashBoard) answerWithout(name string, sent int64) {
+	c.t.Helper()
+	c.board, _ = verdict(c.t, c.board, &ClearSuspect{Without: "part " + name, Answers: 1, SentMillis: sent})
+}
+
+// Guards against a part that crashes servers without end as nothing else was running on them that it could be compared
+// with, and against its blame for the failure of a whole pool at once.
+func TestPartIsComparedWithRequestsThatWereInNoCrash(t *testing.T) {
+	c := newCrashBoard(t)
+	c.reportUnknown("x", 1000, 8)
+	c.answerWithout("x", 500)
+	assert.Assert(t, !c.isPartRefused("x"), "the answer is of before the crashes")
+	c.answerWithout("x", 1200)
+	assert.Assert(t, !c.isPartRefused("x"), "the pool may have failed at once")
+	c.reportUnknown("x", 1100, 3)
+	assert.Assert(t, c.isPartRefused("x"))
+
+	c = newCrashBoard(t)
+	c.reportUnknown("x", 1000, 8)
+	c.reportUnknown("x", 1100, 3)
+	assert.Assert(t, !c.isPartRefused("x"), "no server of the pool may be sound")
+	answer := &ClearSuspect{Without: "part x", Answers: 1, SentMillis: 1200}
+	assert.Assert(t, !answer.IsIn(c.board.Suspects))
+	c.answerWithout("x", 1200)
+	assert.Assert(t, c.isPartRefused("x"))
+	assert.Assert(t, answer.IsIn(c.board.Suspects), "one answer is enough")
+}
+
 // Guards against popular parts that are refused because all servers of a pool failed at once.
 func TestSimultaneousCrashesAreAttributedToNoPopularPart(t *testing.T) {
 	c := newCrashBoard(t)
--- a/internal/blackboard/prompt_part.go
+++ b/internal/blackboard/prompt_part.go
@@ -87,6 +87,18 @@
 	return s.Kind == CausePart && !s.Attributed && len(s.Runs) >= certainPartCrashes
 }
 
+// LacksComparison reports whether a part awaits a comparison, and no request without it has been answered that was sent
+// since its first crash.
+func (s Suspect) LacksComparison() bool {
+	return s.AwaitsComparison() && s.OthersAnsweredMillis <= s.firstEndMillis()
+}
+
+// lacksComparisonAt reports whether an answer to a request without the part that was sent at a time is a comparison that
+// the part lacks.
+func (s Suspect) lacksComparisonAt(sentMillis int64) bool {
+	return s.LacksComparison() && sentMillis > s.firstEndMillis()
+}
+
 // MayBeAttributed reports whether a part was running in crashes enough to be attributed to it soon.
 func (s Suspect) MayBeAttributed() bool { return s.Kind == CausePart && len(s.Runs) >= minPartRuns }
 
--- a/internal/blackboard/suspect.go
+++ b/internal/blackboard/suspect.go
@@ -34,6 +34,9 @@
 	AnsweredBefore bool  `json:"answered_before,omitempty"`
 	NeverAnswered  bool  `json:"never_answered,omitempty"`
 	AnsweredMillis int64 `json:"answered_ms,omitempty"`
+	// OthersAnsweredMillis is when a run of a request without the part was sent that the part's pool has answered while
+	// the part awaited a comparison.
+	OthersAnsweredMillis int64 `json:"others_answered_ms,omitempty"`
 	// Inseparable is set if crashes are attributed to a part that another one was always running with.
 	Inseparable bool `json:"inseparable,omitempty"`
 	// Crashes counts the crashes that followed one another in a data centre, over all data centres: the
@@ -220,7 +223,8 @@
 func (s Suspect) equal(other Suspect) bool {
 	isSameCause := s.Fingerprint == other.Fingerprint && s.Kind == other.Kind && s.Name == other.Name &&
 		slices.Equal(s.Workspaces, other.Workspaces) && s.AnsweredBefore == other.AnsweredBefore &&
-		s.NeverAnswered == other.NeverAnswered && s.AnsweredMillis == other.AnsweredMillis && s.Inseparable == other.Inseparable
+		s.NeverAnswered == other.NeverAnswered && s.AnsweredMillis == other.AnsweredMillis &&
+		s.OthersAnsweredMillis == other.OthersAnsweredMillis && s.Inseparable == other.Inseparable
 	hasSameCounts := s.Crashes == other.Crashes && s.Alone == other.Alone && s.Attributed == other.Attributed &&
 		s.Doubtful == other.Doubtful && s.Unsettled == other.Unsettled && s.Answers == other.Answers
 	hasSameTimes := s.LastMillis == other.LastMillis && s.Retries == other.Retries && s.RetryMillis == other.RetryMillis
--- a/internal/entry/answer_grace.go
+++ b/internal/entry/answer_grace.go
@@ -150,9 +150,12 @@
 	}
 	s.gracedSuspects = suspects
 	parts, requests, awaitsComparison := make(map[string]bool), make(map[string]bool), false
-	var added []blackboard.Suspect
+	var added, uncompared []blackboard.Suspect
 	for f, suspect := range suspects {
 		awaitsComparison = awaitsComparison || suspect.AwaitsComparison()
+		if suspect.LacksComparison() {
+			uncompared = append(uncompared, suspect)
+		}
 		switch {
 		case !suspect.IsAttributed():
 			continue
@@ -168,5 +171,6 @@
 	s.answerGrace.setAttributed(now, requests)
 	s.partGrace.setAttributed(now, parts)
 	s.comparesParts.Store(awaitsComparison)
+	s.uncomparedParts.Store(&uncompared)
 	s.refuseWaitingAfterGrace(added)
 }
--- a/internal/entry/prompt_part.go
+++ b/internal/entry/prompt_part.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -97,6 +98,7 @@
 		return
 	}
 	now := time.Now()
+	s.noteAnswerOfOthers(now, j)
 	suspects := s.suspects()
 	for _, part := range j.sharedParts {
 		s.partGrace.answered(now, part.fingerprint)
@@ -109,6 +111,20 @@
 	}
 }
 
+// noteAnswerOfOthers takes in an answer as the comparison that parts of other prompts lack.
+func (s *Server) noteAnswerOfOthers(now time.Time, j *job) {
+	for _, part := range *s.uncomparedParts.Load() {
+		holds := func(p promptPart) bool { return p.fingerprint == part.Fingerprint }
+		if part.Runs[0].Pool != j.model || slices.ContainsFunc(j.sharedParts, holds) {
+			continue
+		}
+		answer := blackboard.AnsweredWithout(part.Fingerprint, now.Sub(j.sentAt)).After(0, now)
+		if !answer.IsIn(s.suspects()) && s.isAnswerSampled() {
+			s.writeSuspect(answer)
+		}
+	}
+}
+
 // needsAnswer reports whether an answer to a request with a part is to be written: it clears a part that may come to
 // be refused, or tells that others are answered while one of them may.
 func (s *Server) needsAnswer(part blackboard.Suspect) bool {
--- a/internal/entry/prompt_part_test.go
+++ b/internal/entry/prompt_part_test.go
@@ -106,6 +106,24 @@
 	})
 }
 
+// Guards against a part that an entry which has just started goes on sending, as the requests that it answers were in
+// no crash. An answer of another pool tells nothing.
+func TestYoungEntryComparesAPartWithRequestsThatWereInNoCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, control, _ := crashServer(backend.NotListening)
+		crashPrompts(s, 5, "bad")
+		settle(s, control)
+		elsewhere := promptJob("elsewhere", "other")
+		elsewhere.model = "narrow"
+		answerPrompt(s, elsewhere, 10*time.Millisecond)
+		assert.Assert(t, s.checkCrashes(promptJob("1", "bad")) == nil)
+		answerPrompt(s, promptJob("sound", "other"), 10*time.Millisecond)
+		assert.Assert(t, s.checkCrashes(promptJob("2", "bad")) != nil)
+		assert.Assert(t, s.checkCrashes(promptJob("3", "other")) == nil)
+		settle(s, control)
+	})
+}
+
 // Guards against an entry that reaches no control process and refuses a part although it has answered requests with it
 // since.
 func TestEntryWithoutALeaderClearsAPartByItsOwnAnswers(t *testing.T) {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -111,6 +111,8 @@
 	waitingParts *waitingParts
 	// comparesParts is set while a part may come to be refused once others are answered.
 	comparesParts atomic.Bool
+	// uncomparedParts holds the parts that lack the answer to a request without them.
+	uncomparedParts atomic.Pointer[[]blackboard.Suspect]
 	// holders is this entry's table as the home of keys.
 	holdersMu sync.Mutex
 	holders   *holders
@@ -226,6 +228,7 @@
 		withdrawals:    newWithdrawals(),
 		startedAt:      time.Now(),
 	}
+	s.uncomparedParts.Store(new([]blackboard.Suspect))
 	s.holders.assumeBegun(time.Now())
 	s.relays = s.newRelayServer()
 	s.dispatcher = newDispatcher(placement.Options{
