--- a/internal/blackboard/clear_suspect.go
+++ b/internal/blackboard/clear_suspect.go
@@ -5,12 +5,11 @@
 	"time"
 )
 
-// ClearSuspect counts answers to a suspect, or removes it if there are none: its last crash was long
-// ago.
+// ClearSuspect counts answers to a suspect, or removes it if there are none: its last crash was long ago. An answer to a
+// request without a part (Without) clears nothing, but shows that the part's pool still answers.
 type ClearSuspect struct {
 	Fingerprint string `json:"fingerprint"`
-	// Without is the part that the answered request did not hold, if the answer is one of the part's pool that only
-	// compares with it; Fingerprint is empty then.
+	// Without is the part that the answered request did not hold; Fingerprint is empty then.
 	Without string `json:"without,omitempty"`
 	// Answers counts complete answers of runs that were sent when the request was a suspect. Control
 	// processes of older versions remove a suspect that was answered.
--- a/internal/entry/prompt_part.go
+++ b/internal/entry/prompt_part.go
@@ -111,7 +111,7 @@
 	}
 }
 
-// noteAnswerOfOthers takes in an answer as the comparison that parts of other prompts lack.
+// noteAnswerOfOthers writes an answer for the parts of other prompts that lack one of their pool to be compared with.
 func (s *Server) noteAnswerOfOthers(now time.Time, j *job) {
 	for _, part := range *s.uncomparedParts.Load() {
 		holds := func(p promptPart) bool { return p.fingerprint == part.Fingerprint }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -111,7 +111,8 @@
 	waitingParts *waitingParts
 	// comparesParts is set while a part may come to be refused once others are answered.
 	comparesParts atomic.Bool
-	// uncomparedParts holds the parts that lack the answer to a request without them.
+	// uncomparedParts holds the parts that may come to be refused once requests without them are answered; only
+	// ApplyBoard sets it.
 	uncomparedParts atomic.Pointer[[]blackboard.Suspect]
 	// holders is this entry's table as the home of keys.
 	holdersMu sync.Mutex
