Broken answers between the system's own processes: a test in real processes

The links of the process tests, which lie between all processes, can now replace each answer by a text. The test does so on all nodes at once with each broken answer, sends operators' calls and requests with and without a key, and wants whole answers or failures with a type; then sound answers again, on all entries, and no process ended.

--- a/test/process/broken_answers_test.go
+++ b/test/process/broken_answers_test.go
@@ -4,8 +4,10 @@
 	"net/http"
 	"testing"
 
+	"github.com/juju/errors"
 	"gotest.tools/v3/assert"
 
+	"github.com/citronstep/citronstep/internal/adminapi"
 	"github.com/citronstep/citronstep/internal/failure"
 	"github.com/citronstep/citronstep/internal/standin"
 	"github.com/citronstep/citronstep/test/process/harness"
@@ -62,3 +64,54 @@
 		}
 	}
 }
+
+// Guards against broken answers between the system's own processes that close a caller's or an operator's connection, end
+// a process, or keep it from serving once the answers are sound.
+func TestBrokenAnswersBetweenOwnProcessesEndInTypedFailures(t *testing.T) {
+	t.Parallel()
+	c, _ := startServingCluster(t, harness.Standard(), 2)
+	answerAllRaw := func(text string) {
+		for _, n := range c.Nodes {
+			n.Peers.AnswerRaw(text)
+		}
+	}
+	failures := 0
+	for name, text := range workload.BrokenAnswers() {
+		answerAllRaw(text)
+		for _, n := range c.Nodes {
+			if n.Spec.Control && failsTyped(t, name, n) {
+				failures++
+			}
+		}
+		for i, n := range c.Entries() {
+			for _, key := range []string{"", uniquePrompt("key")} {
+				request := harness.Completion{Model: "demo", Prompt: uniquePrompt(name), MaxTokens: 4, Stream: i%2 == 0, Key: key, TimeoutMillis: 3000}
+				reply := harness.Complete(t.Context(), n.Entry, request)
+				assert.Check(t, reply.Lost == nil, "%s: %+v", name, reply)
+				checkReply(t, c, request, reply)
+			}
+		}
+		answerAllRaw("")
+		for _, n := range c.Entries() {
+			awaitAnswer(t, n, harness.Completion{Model: "demo", Prompt: uniquePrompt("sound"), MaxTokens: 1, Key: uniquePrompt("key")})
+		}
+	}
+	assert.Check(t, failures > 0, "no operator's call met a broken answer")
+	for _, n := range c.Nodes {
+		assert.Check(t, n.Running(), n.Spec.Name)
+	}
+}
+
+// failsTyped checks that an operator's call to a node is answered, a failure with a type, and reports whether it fails.
+func failsTyped(t *testing.T, name string, n *harness.Node) bool {
+	t.Helper()
+	var status adminapi.Status
+	err := harness.Operate(n, http.MethodGet, adminapi.PathStatus, nil, &status)
+	if err == nil {
+		return false
+	}
+	var refusal *failure.Error
+	hasType := errors.As(err, &refusal) && refusal.Type != failure.TypeInternal
+	assert.Check(t, hasType, "%s, %s: %v", name, n.Spec.Name, err)
+	return true
+}
--- a/test/process/harness/link.go
+++ b/test/process/harness/link.go
@@ -70,6 +70,9 @@
 // Delay holds back each piece of data by d, in both directions. 0 ends the delay.
 func (l *Link) Delay(d time.Duration) { l.relay.setDelay(d) }
 
+// AnswerRaw replaces each answer of the process by a text. An empty text ends that.
+func (l *Link) AnswerRaw(text string) { l.relay.setRawAnswer(text) }
+
 // Heal ends all cuts and closes the connections that are open.
 func (l *Link) Heal() { l.relay.heal() }
 
--- a/test/process/harness/relay.go
+++ b/test/process/harness/relay.go
@@ -1,6 +1,7 @@
 package harness
 
 import (
+	"bytes"
 	"net"
 	"sync"
 	"time"
@@ -32,8 +33,10 @@
 	all      droppedDirections
 	bySource map[string]droppedDirections
 	delay    time.Duration
-	conns    map[*relayedConn]struct{}
-	closed   bool
+	// rawAnswer takes the place of each answer of the process; "" is no replacement.
+	rawAnswer string
+	conns     map[*relayedConn]struct{}
+	closed    bool
 }
 
 // relayedConn is one connection through the relay.
@@ -122,7 +125,7 @@
 		}
 		time.Sleep(c.relay.currentDelay())
 		if n > 0 {
-			if _, err := to.Write(buffer[:n]); err != nil {
+			if _, err := to.Write(c.relay.replaced(d, buffer[:n])); err != nil {
 				break
 			}
 		}
@@ -163,6 +166,26 @@
 	return r.delay
 }
 
+// answerStart is what the first piece of an HTTP answer begins with.
+const answerStart = "HTTP/1."
+
+// replaced returns the data to forward for a piece of data: the raw answer if an answer begins with the piece. Later
+// pieces of that answer are forwarded behind it.
+func (r *relay) replaced(d Direction, piece []byte) []byte {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if d == Forward || r.rawAnswer == "" || !bytes.HasPrefix(piece, []byte(answerStart)) {
+		return piece
+	}
+	return []byte(r.rawAnswer)
+}
+
+func (r *relay) setRawAnswer(text string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.rawAnswer = text
+}
+
 func (r *relay) isClosed() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
