Backend: a reset that a write learns of is no end of an answer

Callers got a part of an answer as the whole one: a plain server answers 200 without a length before it has read a long upload, sends 0, 1 or 20,000 bytes and resets the connection while the upload is still being written.

Cause: the kernel reports the loss of a TCP connection once, to the call that asks first. net/http writes the request while it reads the answer. If the write learns of the reset (ECONNRESET), the next read returns 0 bytes, which is the end of the stream, and an answer without a length ends with its stream. So it depends on who is woken first. An upload of 0.9 MB is in the buffers of the connection before the reset, so no write is there to learn of it. Over a relay the same two calls are those of the relaying entry: its copy of the upload learns of the reset, and its copy of the answer sends the frame that ends the stream. That copy also closes the server's connection, so that the other one mostly gets an error: the relay shows the fault less often.

Ruled out: a head that is read wrongly (the head is sound); the framing between entries (the frame of the end was sent); a reset of the caller's connection.

Change: internal/duplex.Conn, over the connections to backend servers, of an entry and of a relay. It notes the first loss that a read or a write is told of, and a read that would return the end of the stream returns that loss instead. A write may have been told and not have noted it yet, so the read ends the writes in progress by their deadline and waits for them; it doesn't wait for an upload that nobody reads, and no answer comes for the rest of it once the stream has ended. A reset behind the end of the stream (the server sends a FIN, then closes without reading) gives the write EPIPE, not ECONNRESET, and is no loss. Answers without a length are passed on as before.

--- a/internal/backend/transports.go
+++ b/internal/backend/transports.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/juju/errors"
+
+	"github.com/citronstep/citronstep/internal/duplex"
 )
 
 // transports holds one http.Transport for each address, so that the connections to one
@@ -115,7 +117,7 @@
 			return nil, errors.Trace(err)
 		}
 		t.paths.connected(time.Now(), address)
-		return &sealedConn{Conn: conn, received: received}, nil
+		return &sealedConn{Conn: duplex.New(conn), received: received}, nil
 	}
 }
 
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -12,6 +12,8 @@
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
+
+	"github.com/citronstep/citronstep/internal/duplex"
 )
 
 const (
@@ -61,7 +63,7 @@
 // pair is the two connections of a relay.
 type pair struct {
 	peer   *Conn
-	server net.Conn
+	server *duplex.Conn
 	// isClosed is set once the peer has closed the relay.
 	isClosed atomic.Bool
 }
@@ -138,7 +140,7 @@
 	if err != nil {
 		return OutcomeCut
 	}
-	p := &pair{peer: newConn(conn, bufio.NewReaderSize(buffered.Reader, readBuffer), ""), server: server}
+	p := &pair{peer: newConn(conn, bufio.NewReaderSize(buffered.Reader, readBuffer), ""), server: duplex.New(server)}
 	defer func() { _ = p.peer.Close() }()
 	if !s.add(p) {
 		return OutcomeCut
@@ -216,7 +218,7 @@
 // server when the peer is gone, so that the server stops work that nobody waits for.
 func copyUp(p *pair) {
 	_, err := io.CopyBuffer(onlyWriter{p.server}, onlyReader{p.peer}, make([]byte, upBuffer))
-	if half, ok := p.server.(interface{ CloseWrite() error }); err == nil && ok {
+	if half, ok := p.server.Conn.(interface{ CloseWrite() error }); err == nil && ok {
 		_ = half.CloseWrite()
 		return
 	}
