Relay: a relay stays open until its peer has read the answer

Over a relay, callers of sound answers that come before their upload has been read got a 502, or a part of the body, though the request had run: the server sends all of the answer (with a length, in chunks or neither), ends its direction and reads the upload to its end.

Cause: the relaying entry closed both connections as soon as the server's stream had ended. Frames of the upload were unread on the one to its peer, and the kernel resets a connection that is closed with unread bytes: what was not sent yet is dropped. The entry that serves the caller learns of the reset by its write (a 502 "connection reset by peer" from net/http, which gives the answer up) or by its read, in the middle of the body ("unexpected EOF", "read: connection reset by peer").

Change: after the server's stream the relay closes the server's connection, ends its own direction and reads and discards until the peer closes the relay, as it does once it has the end, or has sent nothing for a second. A connection with nothing unread is closed without a reset. The same holds after a server's connection is lost, so that the events before the loss arrive. The copy of the upload discards too once its write fails, and no longer closes the server's connection: what the server sent before the loss was dropped with it. The upload itself is not waited for by any caller: the entry closes the relay at the end of the answer.

Test: TestSoundEarlyAnswersArePassedOnOverARelay, in real processes: short and long bodies, three framings, three kinds of routes, four uploads each.

--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -26,6 +26,9 @@
 	// in bytes.
 	upBuffer   = 4 << 10
 	downBuffer = maxPayload
+	// lingerTimeout is how long a relay whose backend server has ended its stream stays open for a peer that sends
+	// nothing and does not close it.
+	lingerTimeout = time.Second
 )
 
 // ServerOptions configure a Server.
@@ -64,8 +67,8 @@
 type pair struct {
 	peer   *Conn
 	server *duplex.Conn
-	// isClosed is set once the peer has closed the relay.
-	isClosed atomic.Bool
+	// isClosed is set once the peer has closed the relay; isLingering once the backend server has ended its stream.
+	isClosed, isLingering atomic.Bool
 }
 
 // NewServer returns a Server.
@@ -200,7 +203,8 @@
 	return err
 }
 
-// relay copies both directions until the backend server's stream or the peer's connection ends.
+// relay copies both directions until the backend server's stream or the peer's connection ends. After the server's
+// stream it waits for the peer to close the relay.
 func relay(p *pair) Outcome {
 	upEnded := make(chan struct{})
 	go func() {
@@ -208,16 +212,40 @@
 		copyUp(p)
 	}()
 	outcome := copyDown(p)
-	_ = p.peer.Close()
 	_ = p.server.Close()
+	if outcome != OutcomeClosed {
+		p.linger()
+		<-upEnded
+	}
+	_ = p.peer.Close()
 	<-upEnded
 	return outcome
 }
 
+// linger ends the peer's direction and has copyUp read on, until the peer closes the relay or sends nothing for
+// lingerTimeout.
+//
+// Failure: a backend server answers before it has read the request, which the peer is still writing. The kernel resets
+// a connection that is closed with unread bytes, and the peer loses a complete answer.
+func (p *pair) linger() {
+	p.isLingering.Store(true)
+	p.extendLinger()
+	if half, ok := p.peer.Conn.(interface{ CloseWrite() error }); ok {
+		// A peer that is gone ends copyUp.
+		_ = half.CloseWrite()
+	}
+}
+
+// extendLinger waits for the peer for another lingerTimeout.
+func (p *pair) extendLinger() {
+	// The deadline can't be set on a closed connection, whose reads end by themselves.
+	_ = p.peer.SetReadDeadline(time.Now().Add(lingerTimeout))
+}
+
 // copyUp copies from the peer to the backend server. It closes the connection to the backend
 // server when the peer is gone, so that the server stops work that nobody waits for.
 func copyUp(p *pair) {
-	_, err := io.CopyBuffer(onlyWriter{p.server}, onlyReader{p.peer}, make([]byte, upBuffer))
+	_, err := io.CopyBuffer(&upWriter{pair: p}, onlyReader{p.peer}, make([]byte, upBuffer))
 	if half, ok := p.server.Conn.(interface{ CloseWrite() error }); err == nil && ok {
 		_ = half.CloseWrite()
 		return
@@ -226,6 +254,24 @@
 	_ = p.server.Close()
 }
 
+// upWriter writes to the backend server until that fails or the server has ended its stream, and then discards. It
+// returns no error: copyDown finds the loss of the connection behind what the server sent before.
+type upWriter struct {
+	*pair
+	hasFailed bool
+}
+
+func (w *upWriter) Write(b []byte) (int, error) {
+	switch {
+	case w.isLingering.Load():
+		w.extendLinger()
+	case !w.hasFailed:
+		_, err := w.server.Write(b)
+		w.hasFailed = err != nil
+	}
+	return len(b), nil
+}
+
 // copyDown copies from the backend server to the peer. It ends the peer's stream only if the
 // backend server has ended its own.
 func copyDown(p *pair) Outcome {
