Backend: a request that can't be written drops no complete answer

Its callers got a 502, outcome_unknown or no_backend_server, though all of the answer had arrived.

The write learns of the reset while the answer is in the receive queue; net/http closes the connection as soon as its write has returned an error, and gives the answer up. The read would have got all of it: a reset takes nothing from what has arrived.

Change: a write of backend.sealedConn that fails returns once the connection has been closed, as net/http's reader does after its last read and each end of a call does. So the read decides what became of the answer: complete, or cut with the loss that duplex.Conn notes. It can't wait in vain: the failure of a write is the loss of the connection, which ends its reads too.

TestSealedConnectionWritesNothingMore makes its connection by the new constructor; its check is the same.

--- a/internal/backend/http_client_test.go
+++ b/internal/backend/http_client_test.go
@@ -112,7 +112,7 @@
 func TestSealedConnectionWritesNothingMore(t *testing.T) {
 	local, remote := net.Pipe()
 	defer func() { _ = remote.Close() }()
-	conn := &sealedConn{Conn: local}
+	conn := newSealedConn(local)
 	before := conn.writeCount()
 	assert.Assert(t, !conn.seal(before))
 	_, err := conn.Write([]byte("late"))
--- a/internal/backend/relayed.go
+++ b/internal/backend/relayed.go
@@ -31,7 +31,7 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	return &sealedConn{Conn: conn}, nil
+	return newSealedConn(conn), nil
 }
 
 // send makes one request: directly or, while the direct path is down, through a peer. A request goes
--- a/internal/backend/sealed_conn.go
+++ b/internal/backend/sealed_conn.go
@@ -30,6 +30,14 @@
 	mu     sync.Mutex
 	writes uint64
 	sealed bool
+
+	closeOnce sync.Once
+	// closed is closed once this process has closed the connection.
+	closed chan struct{}
+}
+
+func newSealedConn(c net.Conn, received ...*lastTime) *sealedConn {
+	return &sealedConn{Conn: c, received: received, closed: make(chan struct{})}
 }
 
 // Read records when bytes arrive. It returns errHeadMemory if the head of an answer has no room.
@@ -53,16 +61,28 @@
 }
 
 // Write counts each attempt to write, including failed ones: a part may have been
-// sent.
+// sent. One that fails returns once the connection has been closed, as the reader does after its last read.
+//
+// Failure: a backend server sends a complete answer before it has read the request, and resets the connection. net/http
+// closes the connection as soon as a write returns an error, and drops the answer, which is still to be read.
 func (c *sealedConn) Write(p []byte) (int, error) {
 	if !c.beginWrite() {
 		return 0, net.ErrClosed
 	}
 	n, err := c.Conn.Write(p)
 	c.note(0, err)
+	if err != nil {
+		<-c.closed
+	}
 	return n, err
 }
 
+// Close closes the connection.
+func (c *sealedConn) Close() error {
+	c.closeOnce.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
 // note records the result of a read or a write.
 func (c *sealedConn) note(read int, err error) {
 	if read > 0 {
--- a/internal/backend/transports.go
+++ b/internal/backend/transports.go
@@ -117,7 +117,7 @@
 			return nil, errors.Trace(err)
 		}
 		t.paths.connected(time.Now(), address)
-		return &sealedConn{Conn: duplex.New(conn), received: received}, nil
+		return newSealedConn(duplex.New(conn), received...), nil
 	}
 }
 
