Own processes: the reset of an answer that a write learns of is an error there too

Their servers announce the ends of all their answers, so no caller saw this; a process in trouble, or another one at its address, may not. A part of such an answer, of four bytes, was read as the whole by the client of peers (an operator's call to the leader, keys, records) and by that of replicas, whose messages are binary: a part may decode.

Change: both clients make their connections through duplex.Dialer. Connections of relays need none: a frame ends their streams.

The server that answers before it reads, which three packages need now, is duplextest.Start.

--- a/internal/duplex/conn.go
+++ b/internal/duplex/conn.go
@@ -2,6 +2,7 @@
 package duplex
 
 import (
+	"context"
 	"io"
 	"net"
 	"os"
@@ -35,6 +36,20 @@
 	return conn
 }
 
+// Dial is a function that makes connections, as http.Transport takes it.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Dialer returns a Dial that makes Conns over the connections of another one.
+func Dialer(dial Dial) Dial {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return New(c), nil
+	}
+}
+
 // Read reads from the connection. It returns the loss of the connection where a write has learned of it. A Read that
 // returns io.EOF ends all writes: they return os.ErrDeadlineExceeded.
 func (c *Conn) Read(p []byte) (int, error) {
--- a/internal/duplex/conn_test.go
+++ b/internal/duplex/conn_test.go
@@ -4,51 +4,34 @@
 	"io"
 	"net"
 	"os"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/juju/errors"
 	"gotest.tools/v3/assert"
+
+	"github.com/citronstep/citronstep/internal/duplex/duplextest"
 )
 
 const (
 	// rounds is how many connections each test over TCP makes.
 	rounds = 30
-	// uploadBytes is more than the buffers of a connection take.
-	uploadBytes = 32 << 20
-	// fillTime lets a write fill the buffers of its connection.
-	fillTime = 5 * time.Millisecond
 	// part is what a server sends before it ends the connection.
 	part = "part of an answer"
 )
 
-// serve accepts one connection, sends part on it without reading, and ends it.
-func serve(t *testing.T, end func(*net.TCPConn)) net.Conn {
+// connect connects to a server that sends part without reading, and then ends the connection.
+func connect(t *testing.T, end duplextest.End) net.Conn {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer func() { _ = l.Close() }()
-	own, err := net.Dial("tcp", l.Addr().String())
+	own, err := net.Dial("tcp", duplextest.Start(t, part, end))
 	assert.NilError(t, err)
-	server, err := l.Accept()
-	assert.NilError(t, err)
-	ended := make(chan struct{})
-	go func() {
-		defer close(ended)
-		_, _ = io.WriteString(server, part)
-		time.Sleep(fillTime)
-		end(server.(*net.TCPConn))
-	}()
-	t.Cleanup(func() {
-		_ = own.Close()
-		_ = server.Close()
-		<-ended
-	})
+	t.Cleanup(func() { _ = own.Close() })
 	return own
 }
 
-var upload = make([]byte, uploadBytes)
+var upload = make([]byte, duplextest.UploadBytes)
 
 // startUpload writes an upload to a connection and sends what came of it to the returned channel.
 func startUpload(c net.Conn) <-chan error {
@@ -67,15 +50,10 @@
 	return string(read), readErr, <-written
 }
 
-func reset(c *net.TCPConn) {
-	_ = c.SetLinger(0)
-	_ = c.Close()
-}
-
 // Guards against a reset that looks like the end of a stream, as a write learns of it.
 func TestResetDuringAWriteIsNoEndOfStream(t *testing.T) {
 	for range rounds {
-		data, readErr, _ := readWhileWriting(New(serve(t, reset)))
+		data, readErr, _ := readWhileWriting(New(connect(t, duplextest.ResetUpload)))
 		assert.Equal(t, data, part)
 		assert.Assert(t, errors.Is(readErr, syscall.ECONNRESET), "%v", readErr)
 	}
@@ -85,7 +63,7 @@
 func TestKernelReportsAResetOnce(t *testing.T) {
 	learnedByWrite := 0
 	for range rounds {
-		_, readErr, writeErr := readWhileWriting(serve(t, reset))
+		_, readErr, writeErr := readWhileWriting(connect(t, duplextest.ResetUpload))
 		isRead, isWrite := errors.Is(readErr, syscall.ECONNRESET), errors.Is(writeErr, syscall.ECONNRESET)
 		assert.Assert(t, isRead != isWrite, "read: %v, write: %v", readErr, writeErr)
 		if isWrite {
@@ -98,8 +76,13 @@
 
 // Guards against a complete stream that is held back, or taken for a lost one, while nobody reads what is written.
 func TestEndOfStreamEndsTheWritesInProgress(t *testing.T) {
+	// A connection without a reference is closed by the collector.
+	var held sync.Map
 	for range rounds {
-		data, readErr, writeErr := readWhileWriting(New(serve(t, func(c *net.TCPConn) { _ = c.CloseWrite() })))
+		data, readErr, writeErr := readWhileWriting(New(connect(t, func(c *net.TCPConn) {
+			_ = c.CloseWrite()
+			held.Store(c, nil)
+		})))
 		assert.Equal(t, data, part)
 		assert.NilError(t, readErr)
 		assert.Assert(t, errors.Is(writeErr, os.ErrDeadlineExceeded), "%v", writeErr)
@@ -109,9 +92,9 @@
 // Guards against a complete stream that is taken for a lost one, as its server closes the connection behind its end.
 func TestResetAfterTheEndOfAStreamIsNoLoss(t *testing.T) {
 	for range rounds {
-		conn := New(serve(t, func(c *net.TCPConn) {
+		conn := New(connect(t, func(c *net.TCPConn) {
 			_ = c.CloseWrite()
-			reset(c)
+			duplextest.ResetUpload(c)
 		}))
 		assert.Assert(t, errors.Is(<-startUpload(conn), syscall.EPIPE))
 		data, err := io.ReadAll(conn)
@@ -155,7 +138,7 @@
 
 // Guards against a loss that a read has reported once and that the next read takes for the end of the stream.
 func TestLossIsReportedToEachRead(t *testing.T) {
-	conn := New(serve(t, reset))
+	conn := New(connect(t, duplextest.ResetUpload))
 	_, err := io.ReadAll(conn)
 	assert.Assert(t, errors.Is(err, syscall.ECONNRESET), "%v", err)
 	_, err = conn.Read(make([]byte, 1))
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/citronstep/citronstep/internal/bounded"
 	"github.com/citronstep/citronstep/internal/control"
 	"github.com/citronstep/citronstep/internal/controlclient"
+	"github.com/citronstep/citronstep/internal/duplex"
 	"github.com/citronstep/citronstep/internal/entry"
 	"github.com/citronstep/citronstep/internal/follow"
 	"github.com/citronstep/citronstep/internal/intake"
@@ -164,7 +165,7 @@
 	n.peerClient = &http.Client{
 		Timeout: peerCallTimeout,
 		Transport: &auth.Transport{Token: n.tokens.peers, Base: &http.Transport{
-			DialContext: n.dialer.DialContext, IdleConnTimeout: peerIdleTimeout, MaxIdleConnsPerHost: 4,
+			DialContext: duplex.Dialer(n.dialer.DialContext), IdleConnTimeout: peerIdleTimeout, MaxIdleConnsPerHost: 4,
 			MaxResponseHeaderBytes: bounded.MaxHeadBytes,
 		}},
 	}
--- a/internal/relay/early_answer_test.go
+++ b/internal/relay/early_answer_test.go
@@ -2,45 +2,22 @@
 
 import (
 	"io"
-	"net"
 	"strings"
 	"testing"
 
 	"github.com/juju/errors"
 	"gotest.tools/v3/assert"
+
+	"github.com/citronstep/citronstep/internal/duplex/duplextest"
 )
 
 const (
 	// earlyRounds is how many answers come before their requests are read.
 	earlyRounds = 10
-	// uploadBytes is more than the buffers of a relay take.
-	uploadBytes = 16 << 20
 	// answerBytes is the length of an answer that the connection between two entries still carries when its server ends.
 	answerBytes = 8 << 20
 )
 
-// startEarly starts a backend server that sends a text on each connection before it reads, and then calls end. It
-// returns its address.
-func startEarly(t *testing.T, text string, end func(*net.TCPConn)) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				_, _ = io.WriteString(c, text)
-				end(c.(*net.TCPConn))
-			}()
-		}
-	}()
-	return l.Addr().String()
-}
-
 // readDuringUpload connects through a peer, reads to the end while an upload is written, and closes the connection.
 func readDuringUpload(t *testing.T, peer *testPeer, address string) (string, error) {
 	t.Helper()
@@ -49,7 +26,7 @@
 	written := make(chan struct{})
 	go func() {
 		defer close(written)
-		_, _ = c.Write(make([]byte, uploadBytes))
+		_, _ = c.Write(make([]byte, duplextest.UploadBytes))
 	}()
 	data, err := io.ReadAll(c)
 	assert.NilError(t, c.Close())
@@ -61,11 +38,7 @@
 func TestAnswerBeforeItsRequestIsReadArrives(t *testing.T) {
 	text := strings.Repeat("x", answerBytes)
 	peer := startPeer(t, "p", "near")
-	address := startEarly(t, text, func(c *net.TCPConn) {
-		_ = c.CloseWrite()
-		_, _ = io.Copy(io.Discard, c)
-		_ = c.Close()
-	})
+	address := duplextest.Start(t, text, duplextest.ReadOn)
 	for range earlyRounds {
 		got, err := readDuringUpload(t, peer, address)
 		assert.NilError(t, err)
@@ -78,10 +51,7 @@
 func TestResetBeforeTheRequestIsReadIsACut(t *testing.T) {
 	peer := startPeer(t, "p", "near")
 	const part = "part"
-	address := startEarly(t, part, func(c *net.TCPConn) {
-		_ = c.SetLinger(0)
-		_ = c.Close()
-	})
+	address := duplextest.Start(t, part, duplextest.Reset)
 	for range earlyRounds {
 		got, err := readDuringUpload(t, peer, address)
 		assert.Equal(t, got, part)
--- a/internal/replica/reply_bounds_test.go
+++ b/internal/replica/reply_bounds_test.go
@@ -10,6 +10,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/citronstep/citronstep/internal/bounded"
+	"github.com/citronstep/citronstep/internal/duplex/duplextest"
 	"github.com/citronstep/citronstep/internal/rpc/raftrpc"
 )
 
@@ -52,3 +53,10 @@
 	_, err := c.rpc(strings.TrimPrefix(s.URL, "http://")).Identity(context.Background(), &raftrpc.IdentityRequest{})
 	assert.ErrorContains(t, err, "headers exceeded")
 }
+
+// Guards against a part of a reply that is taken for the whole one, as its connection is reset.
+func TestReplyThatIsResetIsNotComplete(t *testing.T) {
+	c := newConnection(Options{}.withDefaults())
+	t.Cleanup(c.closeIdle)
+	duplextest.CheckReset(t, c.http)
+}
--- a/internal/replica/transport.go
+++ b/internal/replica/transport.go
@@ -10,6 +10,7 @@
 	"github.com/juju/errors"
 
 	"github.com/citronstep/citronstep/internal/bounded"
+	"github.com/citronstep/citronstep/internal/duplex"
 	"github.com/citronstep/citronstep/internal/raft"
 	"github.com/citronstep/citronstep/internal/rpc/raftrpc"
 )
@@ -272,7 +273,7 @@
 		return &connection{http: authorised{opts.HTTPClient, opts.Secret}}
 	}
 	transport := &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: opts.electionTimeout() / 3, LocalAddr: opts.SourceAddress}).DialContext,
+		DialContext:            duplex.Dialer((&net.Dialer{Timeout: opts.electionTimeout() / 3, LocalAddr: opts.SourceAddress}).DialContext),
 		MaxConnsPerHost:        1,
 		MaxIdleConnsPerHost:    1,
 		IdleConnTimeout:        time.Minute,
