Tests of early answers: a server resets a connection only once it carries an upload

They read the first byte of the upload before they sleep now; the checks are the same. TestLossIsReportedToEachRead sends no upload, so it hung in its first run and writes one now. startTalker of the tests of relays was the same server by hand and uses duplextest.Start.

--- a/internal/duplex/conn_test.go
+++ b/internal/duplex/conn_test.go
@@ -139,7 +139,7 @@
 // Guards against a loss that a read has reported once and that the next read takes for the end of the stream.
 func TestLossIsReportedToEachRead(t *testing.T) {
 	conn := New(connect(t, duplextest.ResetUpload))
-	_, err := io.ReadAll(conn)
+	_, err, _ := readWhileWriting(conn)
 	assert.Assert(t, errors.Is(err, syscall.ECONNRESET), "%v", err)
 	_, err = conn.Read(make([]byte, 1))
 	assert.Assert(t, errors.Is(err, syscall.ECONNRESET), "%v", err)
--- a/internal/duplex/duplextest/server.go
+++ b/internal/duplex/duplextest/server.go
@@ -20,16 +20,12 @@
 // End ends a connection.
 type End func(*net.TCPConn)
 
-// Reset resets a connection.
-func Reset(c *net.TCPConn) {
-	_ = c.SetLinger(0)
-	_ = c.Close()
-}
-
 // ResetUpload resets a connection on which an upload waits for the server to read.
 func ResetUpload(c *net.TCPConn) {
+	_, _ = c.Read(make([]byte, 1))
 	time.Sleep(fillTime)
-	Reset(c)
+	_ = c.SetLinger(0)
+	_ = c.Close()
 }
 
 // ReadOn ends the server's stream, reads the other one to its end and closes the connection.
@@ -39,7 +35,7 @@
 	_ = c.Close()
 }
 
-// Start starts a server that sends a text on each connection without reading it, and then ends it. It returns the
+// Start starts a server that sends a text on each connection before it reads, and then calls end. It returns the
 // server's address.
 func Start(t *testing.T, text string, end End) string {
 	t.Helper()
--- a/internal/relay/early_answer_test.go
+++ b/internal/relay/early_answer_test.go
@@ -51,7 +51,7 @@
 func TestResetBeforeTheRequestIsReadIsACut(t *testing.T) {
 	peer := startPeer(t, "p", "near")
 	const part = "part"
-	address := duplextest.Start(t, part, duplextest.Reset)
+	address := duplextest.Start(t, part, duplextest.ResetUpload)
 	for range earlyRounds {
 		got, err := readDuringUpload(t, peer, address)
 		assert.Equal(t, got, part)
--- a/internal/relay/head_test.go
+++ b/internal/relay/head_test.go
@@ -8,31 +8,21 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/citronstep/citronstep/internal/duplex/duplextest"
 )
 
 // startTalker starts a peer that answers each request with a text and then sends parts without end.
 // It returns the peer.
 func startTalker(t *testing.T, text, part string) Peer {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				_, err := io.WriteString(c, text)
-				for err == nil {
-					_, err = io.WriteString(c, part)
-				}
-			}()
+	address := duplextest.Start(t, text, func(c *net.TCPConn) {
+		defer func() { _ = c.Close() }()
+		for err := error(nil); err == nil; {
+			_, err = io.WriteString(c, part)
 		}
-	}()
-	return Peer{ID: "talker", Address: l.Addr().String(), DataCentre: "near"}
+	})
+	return Peer{ID: "talker", Address: address, DataCentre: "near"}
 }
 
 // Guards against a peer whose answer has no end: its head, which took memory for as long as the dial
