Relay: a connection that can't be half-closed is closed at once

Read again: linger dropped the error of the half-close. Such a connection is closed now, as all were before. No caller saw this: all connections between entries are TCP, through intake.conn, which half-closes them.

--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -223,17 +223,18 @@
 }
 
 // linger ends the peer's direction and has copyUp read on, until the peer closes the relay or sends nothing for
-// lingerTimeout.
+// lingerTimeout. It closes a connection to the peer whose direction can't be ended alone.
 //
 // Failure: a backend server answers before it has read the request, which the peer is still writing. The kernel resets
 // a connection that is closed with unread bytes, and the peer loses a complete answer.
 func (p *pair) linger() {
+	half, ok := p.peer.Conn.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		_ = p.peer.Close()
+		return
+	}
 	p.isLingering.Store(true)
 	p.extendLinger()
-	if half, ok := p.peer.Conn.(interface{ CloseWrite() error }); ok {
-		// A peer that is gone ends copyUp.
-		_ = half.CloseWrite()
-	}
 }
 
 // extendLinger waits for the peer for another lingerTimeout.
