--- a/internal/duplex/conn.go
+++ b/internal/duplex/conn.go
@@ -1,4 +1,5 @@
-// Package duplex tells the end of a stream from the loss of its connection while the connection is also written to.
+// Package duplex distinguishes the end of a stream from the loss of its connection while the connection is also written
+// to.
 package duplex
 
 import (
